Lay out the workspace and the types that all packages share

A package for each peer the system talks to, with the types that more than one of them needs: request and verdict, manifest, records and replay, orders to a server, and the leader's table of routes.

--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,3 @@
+//! The client's side of a backend server: control orders and requests.
+
+pub mod order;
--- /dev/null
+++ b/crates/copperwell/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/dispatch/src/table.rs
@@ -0,0 +1,232 @@
+//! Which upstream serves which shard, as the leader of its group knows it.
+//!
+//! Lock order: the table's map of services, then one shard's entry, then a lease. No lock is held
+//! across an await.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError, RwLock,
+    atomic::{AtomicU32, Ordering},
+};
+
+use copperwell_keyspace::{Epoch, HashMap, Incarnation, ServiceName, ShardIndex, UpstreamName};
+use tokio::{sync::Notify, time::Instant};
+
+/// The routes of every shard that this daemon leads.
+#[derive(Debug, Default)]
+pub struct Table {
+    services: RwLock<HashMap<ServiceName, Arc<[Entry]>>>,
+}
+
+/// Where the requests of a shard go.
+#[derive(Debug, Clone, Default)]
+pub enum Route {
+    /// Another daemon leads the shard's group.
+    #[default]
+    Elsewhere,
+    /// The shard has no owner, and nobody knows yet when it will.
+    Unowned,
+    /// The shard is on its way to an owner: new requests wait.
+    Held,
+    /// An upstream owns it.
+    Owned(Owner),
+}
+
+/// The owner of a shard.
+#[derive(Debug, Clone)]
+pub struct Owner {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// The epoch under which requests are sent.
+    pub epoch: Epoch,
+    /// The server's run that holds the grant.
+    pub incarnation: Incarnation,
+    /// The lease of all grants of this upstream.
+    pub lease: Arc<Lease>,
+}
+
+/// Until when an upstream's grants surely last; renewals prolong it for all its shards at once.
+#[derive(Debug)]
+pub struct Lease {
+    until: Mutex<Instant>,
+}
+
+/// Counts a request in flight on a shard until it is dropped.
+#[derive(Debug)]
+pub struct Pass {
+    entries: Arc<[Entry]>,
+    shard: ShardIndex,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    route: Mutex<Route>,
+    in_flight: AtomicU32,
+    changed: Notify,
+}
+
+impl Table {
+    /// An empty table: everything is led elsewhere.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Makes room for a service of `shards` shards; keeps routes that are there.
+    pub fn add_service(&self, service: &ServiceName, shards: u32) {
+        let mut services = self
+            .services
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let known = services
+            .get(service)
+            .is_some_and(|entries| entries.len() == shards as usize);
+        if !known {
+            let entries = (0..shards).map(|_| Entry::default()).collect();
+            services.insert(service.clone(), entries);
+        }
+    }
+
+    /// Sets the route of a shard and wakes those that wait for it.
+    pub fn set(&self, service: &str, shard: ShardIndex, route: Route) {
+        if let Some(entries) = self.entries(service)
+            && let Some(entry) = entries.get(shard as usize)
+        {
+            *entry.route() = route;
+            entry.changed.notify_waiters();
+        }
+    }
+
+    /// The route of a shard; [`Route::Elsewhere`] for one that is not in the table.
+    #[must_use]
+    pub fn route(&self, service: &str, shard: ShardIndex) -> Route {
+        self.entries(service)
+            .and_then(|entries| {
+                entries
+                    .get(shard as usize)
+                    .map(|entry| entry.route().clone())
+            })
+            .unwrap_or_default()
+    }
+
+    /// Counts a request in flight, if an upstream owns the shard at this moment.
+    ///
+    /// The check and the count are one step, so [`Table::idle`] after [`Route::Held`] misses none.
+    ///
+    /// # Errors
+    ///
+    /// The route, if it is not [`Route::Owned`].
+    pub fn enter(&self, service: &str, shard: ShardIndex) -> Result<(Owner, Pass), Route> {
+        let entries = self.entries(service).ok_or(Route::Elsewhere)?;
+        let entry = entries.get(shard as usize).ok_or(Route::Elsewhere)?;
+        let route = entry.route();
+        let Route::Owned(owner) = &*route else {
+            return Err(route.clone());
+        };
+        let owner = owner.clone();
+        entry.in_flight.fetch_add(1, Ordering::AcqRel);
+        drop(route);
+        Ok((owner, Pass { entries, shard }))
+    }
+
+    /// Resolves at the next change of the shard's route that comes after the call.
+    pub async fn changed(&self, service: &str, shard: ShardIndex, seen: impl Fn(&Route) -> bool) {
+        let Some(entries) = self.entries(service) else {
+            return;
+        };
+        let Some(entry) = entries.get(shard as usize) else {
+            return;
+        };
+        loop {
+            let notified = entry.changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            if !seen(&entry.route()) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    /// Requests in flight on a shard.
+    #[must_use]
+    pub fn in_flight(&self, service: &str, shard: ShardIndex) -> u32 {
+        self.entries(service)
+            .and_then(|entries| {
+                let entry = entries.get(shard as usize)?;
+                Some(entry.in_flight.load(Ordering::Acquire))
+            })
+            .unwrap_or(0)
+    }
+
+    /// Resolves when no request is in flight on the shard.
+    pub async fn idle(&self, service: &str, shard: ShardIndex) {
+        let Some(entries) = self.entries(service) else {
+            return;
+        };
+        let Some(entry) = entries.get(shard as usize) else {
+            return;
+        };
+        loop {
+            let notified = entry.changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            if entry.in_flight.load(Ordering::Acquire) == 0 {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    fn entries(&self, service: &str) -> Option<Arc<[Entry]>> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.get(service).cloned()
+    }
+}
+
+impl Entry {
+    fn route(&self) -> MutexGuard<'_, Route> {
+        self.route.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let entry = &self.entries[self.shard as usize];
+        if entry.in_flight.fetch_sub(1, Ordering::AcqRel) == 1 {
+            entry.changed.notify_waiters();
+        }
+    }
+}
+
+impl Lease {
+    /// A lease that lasts until `until`.
+    #[must_use]
+    pub fn new(until: Instant) -> Self {
+        Self {
+            until: Mutex::new(until),
+        }
+    }
+
+    /// Prolongs the lease; never shortens it.
+    pub fn prolong(&self, until: Instant) {
+        let mut held = self.until.lock().unwrap_or_else(PoisonError::into_inner);
+        *held = (*held).max(until);
+    }
+
+    /// Ends the lease at once, for the sender's side.
+    pub fn end(&self, now: Instant) {
+        *self.until.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+
+    /// Whether the lease surely lasts at `now`.
+    #[must_use]
+    pub fn is_valid(&self, now: Instant) -> bool {
+        now < self.until()
+    }
+
+    /// When the lease surely still lasts until.
+    #[must_use]
+    pub fn until(&self) -> Instant {
+        *self.until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/keyspace/src/lib.rs
@@ -0,0 +1,16 @@
+//! What must be agreed: manifests, groups, epochs and the log records that carry them.
+
+pub use copperwell_message::{HashMap, HashSet};
+pub use id::{
+    DaemonName, DataCentreName, EPOCH_STRIDE, Epoch, GroupId, Incarnation, LogOffset,
+    ManifestVersion, RegionName, Sequence, ServiceName, ShardIndex, UpstreamName,
+};
+pub use member::Member;
+
+pub mod grant;
+pub mod id;
+pub mod manifest;
+pub mod member;
+pub mod record;
+pub mod replay;
+pub mod shard;
--- /dev/null
+++ b/crates/keyspace/src/record.rs
@@ -0,0 +1,138 @@
+//! Records of the log.
+
+use crate::{
+    id::{DaemonName, Epoch, GroupId, Incarnation, LogOffset, ServiceName, ShardIndex},
+    manifest::Manifest,
+    member::Member,
+    replay::State,
+};
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+
+/// The one stream that carries manifests and ownership.
+pub const STREAM: &str = "copperwell";
+
+/// The format that [`Record::encode`] writes.
+const FORMAT: u8 = 1;
+
+/// The largest encoded record, in bytes; the platform refuses longer ones.
+pub const SIZE_MAX: usize = 1 << 20;
+
+/// Identifies a record, so that one appended twice counts once.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Id {
+    /// The daemon or operator that wrote it.
+    pub writer: DaemonName,
+    /// The writer's run.
+    pub incarnation: Incarnation,
+    /// The record's number within that run; a writer appends one at a time.
+    pub sequence: u64,
+}
+
+/// A record of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Its identity.
+    pub id: Id,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// A manifest, which names the version that it replaces.
+    Manifest(Manifest),
+    /// Appoints leader and standby of a group.
+    Appoint(Appoint),
+    /// Moves shards between groups, after their old owner has let go.
+    Move(Move),
+    /// The whole state up to an offset, for readers that miss older records.
+    Snapshot(Snapshot),
+}
+
+/// Appoints leader and standby of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Appoint {
+    /// The group.
+    pub group: GroupId,
+    /// The leader's epoch of the appointment that this one replaces; zero if there is none.
+    pub replaces: Epoch,
+    /// The new leader.
+    pub leader: Member,
+    /// The daemon that takes over without the log if the leader is lost.
+    pub standby: Option<Member>,
+}
+
+/// Moves shards of a service from one group to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// The service.
+    pub service: ServiceName,
+    /// The shards.
+    pub shards: Vec<ShardIndex>,
+    /// The group that has let go of them; the record is void if it does not own them all.
+    pub from: GroupId,
+    /// The epoch of the leader that let go; the record is void if a later one leads.
+    pub epoch: Epoch,
+    /// The group that owns them from here on.
+    pub to: GroupId,
+}
+
+/// The whole state up to an offset.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The first offset that the state does not include.
+    pub next: LogOffset,
+    /// The state.
+    pub state: State,
+}
+
+/// A record that cannot be read or written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Error;
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("not a record of a format that this version knows")
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl Record {
+    /// Writes the record as bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the record is longer than [`SIZE_MAX`].
+    pub fn encode(&self) -> Result<Vec<u8>, Report<Error>> {
+        let mut bytes = vec![FORMAT];
+        bincode::serialize_into(&mut bytes, self).change_context(Error)?;
+        if bytes.len() > SIZE_MAX {
+            let text = format!(
+                "{} bytes, at most {SIZE_MAX} fit; split the service",
+                bytes.len()
+            );
+            return Err(Report::new(Error).attach(text));
+        }
+        Ok(bytes)
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the bytes are not a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Report<Error>> {
+        use bincode::Options;
+        let Some((&FORMAT, rest)) = bytes.split_first() else {
+            return Err(Report::new(Error));
+        };
+        bincode::DefaultOptions::new()
+            .with_fixint_encoding()
+            .with_limit(SIZE_MAX as u64)
+            .deserialize(rest)
+            .change_context(Error)
+    }
+}
--- /dev/null
+++ b/crates/message/src/head.rs
@@ -0,0 +1,160 @@
+//! Heads of requests and replies.
+
+use std::{net::IpAddr, time::Duration};
+
+use crate::{
+    body::Body,
+    verdict::{Reason, Verdict},
+};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+/// How urgent the requests of a service are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// Somebody waits for the answer.
+    Interactive,
+    /// May wait, but must come back complete.
+    Batch,
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    /// Running it again does no harm.
+    Repeatable,
+    /// Runs at most once, known by its idempotency key (a UUIDv7).
+    Once(Uuid),
+}
+
+/// The head of a request, as it travels between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Identifies this request in logs and at servers.
+    pub id: Uuid,
+    /// The service asked for.
+    pub service: String,
+    /// The key whose owner must answer.
+    pub key: String,
+    /// The shard of `key` in the manifest that ingress holds.
+    pub shard: u32,
+    /// The class of the service, or batch for a part of a request over many keys.
+    pub class: Class,
+    /// Whether the request may run more than once.
+    pub repeat: Repeat,
+    /// Time left until the caller's deadline, measured when the head is written.
+    #[serde(with = "millis")]
+    pub deadline: Duration,
+    /// The caller's address, for fairness between callers.
+    pub caller: IpAddr,
+    /// A hash of service, key, method, path and body, equal for a resend.
+    ///
+    /// Zero until ingress has seen the whole body; see [`Head::fingerprint_of`].
+    pub fingerprint: u64,
+    /// The HTTP method.
+    pub method: String,
+    /// Path and query as the server sees them, starting with `/`.
+    pub path: String,
+    /// End-to-end header fields, in order.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Daemons passed so far; a head is forwarded at most [`Head::HOPS_MAX`] times.
+    pub hops: u8,
+}
+
+impl Head {
+    /// The largest number of daemons on a request's way.
+    pub const HOPS_MAX: u8 = 3;
+
+    /// Hashes what makes two requests the same to a server.
+    ///
+    /// `body` is the first part of the body, up to the size that ingress looks at.
+    #[must_use]
+    pub fn fingerprint_of(service: &str, key: &str, method: &str, path: &str, body: &[u8]) -> u64 {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        for part in [
+            service.as_bytes(),
+            key.as_bytes(),
+            method.as_bytes(),
+            path.as_bytes(),
+            body,
+        ] {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        hash.digest()
+    }
+}
+
+/// The head of a reply.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// End-to-end header fields, in order.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Why there is no answer from the owner; `None` with [`Verdict::Done`].
+    pub reason: Option<Reason>,
+    /// When the caller should come back, if that is known.
+    pub retry_after: Option<Duration>,
+}
+
+/// A request: its head and its body.
+#[derive(Debug)]
+pub struct Request {
+    /// The head.
+    pub head: Head,
+    /// The body.
+    pub body: Body,
+}
+
+/// A response: its head and its body.
+#[derive(Debug)]
+pub struct Response {
+    /// The head.
+    pub reply: Reply,
+    /// The body; an error in it means that the answer is not whole.
+    pub body: Body,
+}
+
+impl Response {
+    /// A response without an answer from the owner.
+    #[must_use]
+    pub fn refusal(verdict: Verdict, reason: Reason) -> Self {
+        Self {
+            reply: Reply {
+                status: reason.status(),
+                headers: Vec::new(),
+                verdict,
+                reason: Some(reason),
+                retry_after: None,
+            },
+            body: Body::empty(),
+        }
+    }
+
+    /// Tells the caller when to come back.
+    #[must_use]
+    pub fn with_retry_after(mut self, after: Duration) -> Self {
+        self.reply.retry_after = Some(after);
+        self
+    }
+}
+
+/// Durations as whole milliseconds.
+mod millis {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(value: &Duration, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_u64(u64::try_from(value.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
+        u64::deserialize(from).map(Duration::from_millis)
+    }
+}
