--- /dev/null
+++ b/crates/policy/src/appoint.rs
@@ -0,0 +1,128 @@
+//! Who leads which group.
+//!
+//! A daemon proposes only for groups of its own data centre, and only where it has a part in the
+//! group, so one loss makes one proposal for each group. Two proposals that race are settled by
+//! the log: the first with the right parent wins.
+
+use copperwell_keyspace::{
+    DaemonName, GroupId, HashMap, Incarnation, Member,
+    record::Appoint,
+    replay::{Appointment, State},
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// What a daemon knows of the daemons of its data centre.
+#[derive(Debug, Clone)]
+pub struct Peers<'a> {
+    /// This daemon.
+    pub me: &'a Member,
+    /// The daemons that are alive and not leaving, this one included unless it is leaving.
+    pub live: &'a [Member],
+}
+
+/// The appointments that this daemon should propose now, in the order of groups.
+#[must_use]
+pub fn proposals(state: &State, groups: &[GroupId], peers: &Peers<'_>) -> Vec<Appoint> {
+    let mut roles = roles(state, peers);
+    let mut here: Vec<&GroupId> = groups
+        .iter()
+        .filter(|group| group.data_centre == peers.me.data_centre)
+        .collect();
+    here.sort();
+    here.into_iter()
+        .filter_map(|group| {
+            let proposal = proposal(state.groups.get(group), group, peers, &roles)?;
+            if let Some(standby) = &proposal.standby {
+                *roles.entry(standby.name.clone()).or_default() += 1;
+            }
+            Some(proposal)
+        })
+        .collect()
+}
+
+fn proposal(
+    held: Option<&Appointment>,
+    group: &GroupId,
+    peers: &Peers<'_>,
+    roles: &HashMap<DaemonName, usize>,
+) -> Option<Appoint> {
+    let leader = match held {
+        Some(held) => leader_after(held, group, peers)?,
+        None => first_by_hash(group, peers.live)?,
+    };
+    if leader != peers.me {
+        return None;
+    }
+    let standby = standby_for(group, leader, peers.live, roles);
+    Some(Appoint {
+        group: group.clone(),
+        replaces: held.map_or(0, |held| held.epoch),
+        leader: leader.clone(),
+        standby: standby.cloned(),
+    })
+}
+
+/// Who should lead next; `None` if the appointment is fine as it is.
+fn leader_after<'a>(held: &Appointment, group: &GroupId, peers: &Peers<'a>) -> Option<&'a Member> {
+    let standby = held
+        .standby
+        .as_ref()
+        .and_then(|standby| find(peers.live, standby));
+    match find(peers.live, &held.leader) {
+        Some(_) if standby.is_some() => None,
+        // Alone in its data centre, a leader has nobody to name.
+        Some(leader) => (peers.live.len() > 1).then_some(leader),
+        None => standby.or_else(|| first_by_hash(group, peers.live)),
+    }
+}
+
+fn find<'a>(live: &'a [Member], member: &Member) -> Option<&'a Member> {
+    let same = |other: &&Member| is_same_run(other, member);
+    live.iter().find(same)
+}
+
+fn is_same_run(one: &Member, other: &Member) -> bool {
+    one.name == other.name && one.incarnation == other.incarnation
+}
+
+/// The live daemon with the highest rendezvous hash for the group.
+fn first_by_hash<'a>(group: &GroupId, live: &'a [Member]) -> Option<&'a Member> {
+    live.iter()
+        .max_by_key(|member| (score(group, &member.name, member.incarnation), &member.name))
+}
+
+/// The live daemon with the fewest parts, so that a loss spreads over the rest.
+fn standby_for<'a>(
+    group: &GroupId,
+    leader: &Member,
+    live: &'a [Member],
+    roles: &HashMap<DaemonName, usize>,
+) -> Option<&'a Member> {
+    live.iter()
+        .filter(|member| !is_same_run(member, leader))
+        .min_by_key(|member| {
+            let parts = roles.get(&member.name).copied().unwrap_or(0);
+            (
+                parts,
+                std::cmp::Reverse(score(group, &member.name, member.incarnation)),
+            )
+        })
+}
+
+/// How many parts, as leader or standby, each live daemon has.
+fn roles(state: &State, peers: &Peers<'_>) -> HashMap<DaemonName, usize> {
+    let mut roles = HashMap::default();
+    for held in state.groups.values() {
+        for member in std::iter::once(&held.leader).chain(&held.standby) {
+            if find(peers.live, member).is_some() {
+                *roles.entry(member.name.clone()).or_default() += 1;
+            }
+        }
+    }
+    roles
+}
+
+fn score(group: &GroupId, name: &DaemonName, incarnation: Incarnation) -> u64 {
+    let text = format!("{group}/{name}");
+    xxh3_64_with_seed(text.as_bytes(), incarnation)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Pure decisions over inputs and a given time; sockets stay elsewhere.
+
+pub mod appoint;
