Let orders name the run they are for and end by the server's clock

Cause: an order that is delayed, or read by a server that was frozen, was to count from its arrival, so a leader could not know when an unanswered grant lapses; and an order could reach a later run of the server than the one it was made for. Change: answers carry the server's steady clock, grants and renewals the run and the latest end by that clock. A server takes the earlier of arrival plus lease and that end. Conclusion: the leader's own send time plus lease bounds every grant, answered or not.

--- a/crates/backend/src/order.rs
+++ b/crates/backend/src/order.rs
@@ -28,10 +28,13 @@
 pub struct Fenced {
     /// The server's run; a later run holds nothing of an earlier one.
     pub incarnation: Incarnation,
-    /// The grants of the group that the server holds.
+    /// The grants of the group that the server holds; one that lapsed and that it still remembers
+    /// has nothing remaining.
     pub grants: Vec<Grant>,
     /// Whether the server wants no new work.
     pub draining: bool,
+    /// The server's own steady clock when it answered, in milliseconds since any fixed moment.
+    pub clock_ms: u64,
 }
 
 /// `POST /copperwell/grant`: gives shards to the server.
@@ -43,8 +46,13 @@
     pub epoch: Epoch,
     /// Higher than that of every earlier order of this epoch.
     pub sequence: Sequence,
-    /// How long the grant lasts from its arrival, in milliseconds.
+    /// The run of the server that the order is for; another run refuses it.
+    pub incarnation: Incarnation,
+    /// How long the grant lasts from its arrival at most, in milliseconds.
     pub lease_ms: u64,
+    /// When the grant lapses at the latest, by the server's clock as in [`Held::clock_ms`]; an
+    /// order that was under way for too long grants nothing.
+    pub until_ms: u64,
     /// The shards.
     pub shards: Vec<ShardIndex>,
 }
@@ -56,8 +64,13 @@
     pub group: GroupId,
     /// The leader's epoch.
     pub epoch: Epoch,
-    /// How long the grants last from the renewal's arrival, in milliseconds.
+    /// The run of the server that the order is for; another run refuses it.
+    pub incarnation: Incarnation,
+    /// How long the grants last from the renewal's arrival at most, in milliseconds.
     pub lease_ms: u64,
+    /// When the grants lapse at the latest, by the server's clock as in [`Held::clock_ms`]; a
+    /// renewal never revives a grant that lapsed.
+    pub until_ms: u64,
 }
 
 /// `POST /copperwell/release`: takes shards back, answered when the server has let go.
@@ -86,9 +99,12 @@
     pub draining: bool,
     /// Requests that it runs now, as it says itself; a hint.
     pub in_flight: u32,
+    /// The server's own steady clock when it answered, in milliseconds since any fixed moment.
+    pub clock_ms: u64,
 }
 
-/// The answer of a server that has seen a higher epoch.
+/// The answer of a server that has seen a higher epoch, a later sequence of the same epoch, or an
+/// order for another run of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// The server's run.
