Carry requests and control calls between daemons

Cause: daemons had no way to reach one another.

Change: request links send each request as one h2 stream on a few long-lived connections; control calls go over tarpc; members are probed all by all for now.

Probing is not yet of constant cost.

--- /dev/null
+++ b/crates/peer/src/control/client.rs
@@ -0,0 +1,222 @@
+//! The asking side of control calls.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use super::{
+    FRAME_MAX, HandOver, Pong, Probe, Records, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient,
+};
+use copperwell_keyspace::{HashMap, LogOffset};
+use error_stack::{Report, ResultExt};
+use tarpc::{client, context::Context, serde_transport};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
+use tokio_serde::formats::Bincode;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Connections kept; the rest are closed after their call.
+const CONNECTIONS_MAX: usize = 256;
+
+/// Calls under way on one connection.
+const CALLS_MAX: usize = 64;
+
+/// A control call without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// No connection could be made.
+    Unreachable,
+    /// No answer came in time, so the call may have taken effect.
+    Silent,
+    /// The connection broke during the call, so it may have taken effect.
+    Broken,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unreachable => "the daemon cannot be reached",
+            Self::Silent => "the daemon did not answer in time",
+            Self::Broken => "the connection to the daemon broke",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Calls other daemons; cheap to clone, and clones share connections.
+#[derive(Debug, Clone, Default)]
+pub struct Client {
+    connections: Arc<Mutex<HashMap<SocketAddr, ControlClient>>>,
+}
+
+impl Client {
+    /// A client without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Probes a daemon.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if no answer came within `timeout`.
+    pub async fn probe(
+        &self,
+        to: SocketAddr,
+        probe: Probe,
+        timeout: Duration,
+    ) -> Result<Pong, Report<Error>> {
+        self.call(to, timeout, async |client, context| {
+            client.probe(context, probe).await
+        })
+        .await
+    }
+
+    /// Probes `target` from the daemon at `to`; `None` if that daemon gets no answer either.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if no answer came within `timeout`.
+    pub async fn probe_through(
+        &self,
+        to: SocketAddr,
+        target: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Option<Pong>, Report<Error>> {
+        self.call(to, timeout, async |client, context| {
+            client.probe_through(context, target).await
+        })
+        .await
+    }
+
+    /// Reads records of the log from another daemon.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if no answer came within [`TIMEOUT`].
+    pub async fn records(&self, to: SocketAddr, from: LogOffset) -> Result<Records, Report<Error>> {
+        self.call(to, TIMEOUT, async |client, context| {
+            client.records(context, from).await
+        })
+        .await
+    }
+
+    /// Reads the agreed state from another daemon.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if no answer came within [`TIMEOUT`].
+    pub async fn snapshot(&self, to: SocketAddr) -> Result<Option<Snapshot>, Report<Error>> {
+        self.call(to, TIMEOUT, async |client, context| {
+            client.snapshot(context).await
+        })
+        .await
+    }
+
+    /// Hands a group over to another daemon.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if no answer came within [`TIMEOUT`]; the other daemon may lead the group then.
+    pub async fn hand_over(
+        &self,
+        to: SocketAddr,
+        hand_over: HandOver,
+    ) -> Result<bool, Report<Error>> {
+        self.call(to, TIMEOUT, async |client, context| {
+            client.hand_over(context, hand_over).await
+        })
+        .await
+    }
+
+    /// Asks an old leader to stop; true if it surely has.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if no answer came within [`TIMEOUT`].
+    pub async fn relinquish(
+        &self,
+        to: SocketAddr,
+        relinquish: Relinquish,
+    ) -> Result<bool, Report<Error>> {
+        self.call(to, TIMEOUT, async |client, context| {
+            client.relinquish(context, relinquish).await
+        })
+        .await
+    }
+
+    async fn call<T>(
+        &self,
+        to: SocketAddr,
+        timeout: Duration,
+        call: impl AsyncFnOnce(ControlClient, Context) -> Result<T, client::RpcError>,
+    ) -> Result<T, Report<Error>> {
+        let deadline = Instant::now() + timeout;
+        let client = self.connection(to, deadline).await?;
+        let mut context = Context::current();
+        context.deadline = deadline.into_std();
+        match timeout_at(deadline, call(client, context)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(failure)) => {
+                self.forget(to);
+                let error = match failure {
+                    client::RpcError::DeadlineExceeded => Error::Silent,
+                    _ => Error::Broken,
+                };
+                Err(Report::new(failure).change_context(error).attach(to))
+            }
+            Err(_) => {
+                // A connection that went silent stays so; the next call makes a fresh one.
+                self.forget(to);
+                Err(Report::new(Error::Silent).attach(to))
+            }
+        }
+    }
+
+    async fn connection(
+        &self,
+        to: SocketAddr,
+        deadline: Instant,
+    ) -> Result<ControlClient, Report<Error>> {
+        if let Some(client) = self.lock().get(&to) {
+            return Ok(client.clone());
+        }
+        let stream = timeout_at(deadline, TcpStream::connect(to))
+            .await
+            .change_context(Error::Unreachable)
+            .attach(to)?
+            .change_context(Error::Unreachable)
+            .attach(to)?;
+        // Without the option small calls are late, but they arrive.
+        let _ = stream.set_nodelay(true);
+        let framed = LengthDelimitedCodec::builder()
+            .max_frame_length(FRAME_MAX)
+            .new_framed(stream);
+        let transport = serde_transport::new(framed, Bincode::default());
+        let mut config = client::Config::default();
+        config.max_in_flight_requests = CALLS_MAX;
+        let client = ControlClient::new(config, transport).spawn();
+        let mut connections = self.lock();
+        if connections.len() < CONNECTIONS_MAX {
+            connections.insert(to, client.clone());
+        }
+        Ok(client)
+    }
+
+    fn forget(&self, to: SocketAddr) {
+        self.lock().remove(&to);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, ControlClient>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/control/rpc.rs
@@ -0,0 +1,17 @@
+//! The calls as tarpc sees them.
+
+use std::net::SocketAddr;
+
+use super::{HandOver, Pong, Probe, Records, Relinquish, Snapshot};
+use copperwell_keyspace::LogOffset;
+
+/// Control calls.
+#[tarpc::service]
+pub(crate) trait Control {
+    async fn probe(probe: Probe) -> Pong;
+    async fn probe_through(target: SocketAddr) -> Option<Pong>;
+    async fn records(from: LogOffset) -> Records;
+    async fn snapshot() -> Option<Snapshot>;
+    async fn hand_over(hand_over: HandOver) -> bool;
+    async fn relinquish(relinquish: Relinquish) -> bool;
+}
--- /dev/null
+++ b/crates/peer/src/control/server.rs
@@ -0,0 +1,109 @@
+//! The answering side of control calls.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use super::{
+    FRAME_MAX, HandOver, Handler, Pong, Probe, Records, Relinquish, Snapshot, rpc::Control,
+};
+use copperwell_keyspace::LogOffset;
+use futures::StreamExt;
+use tarpc::{
+    context::Context,
+    serde_transport,
+    server::{BaseChannel, Channel},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_serde::formats::Bincode;
+use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken, task::TaskTracker};
+
+/// Connections served at a time; later ones wait in the listener's queue.
+const CONNECTIONS_MAX: usize = 512;
+
+/// Calls served at a time on one connection.
+const CALLS_MAX: usize = 64;
+
+/// Passes calls on to a [`Handler`].
+struct Server<H> {
+    handler: Arc<H>,
+}
+
+/// Serves control calls until `shutdown`.
+pub async fn serve(listener: TcpListener, handler: impl Handler, shutdown: CancellationToken) {
+    let handler = Arc::new(handler);
+    let room = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    let tasks = TaskTracker::new();
+    let accept = async {
+        loop {
+            let Ok(permit) = room.clone().acquire_owned().await else {
+                return;
+            };
+            // A failed accept concerns one connection, or open files that others will free.
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::task::yield_now().await;
+                continue;
+            };
+            let handler = handler.clone();
+            let shutdown = shutdown.clone();
+            tasks.spawn(async move {
+                shutdown
+                    .run_until_cancelled(connection(stream, handler))
+                    .await;
+                drop(permit);
+            });
+        }
+    };
+    shutdown.run_until_cancelled(accept).await;
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn connection<H: Handler>(stream: TcpStream, handler: Arc<H>) {
+    // Without the option small answers are late, but they come.
+    let _ = stream.set_nodelay(true);
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_MAX)
+        .new_framed(stream);
+    let transport = serde_transport::new(framed, Bincode::default());
+    let server = Server { handler };
+    BaseChannel::with_defaults(transport)
+        .execute(server.serve())
+        .for_each_concurrent(CALLS_MAX, |call| call)
+        .await;
+}
+
+impl<H> Clone for Server<H> {
+    fn clone(&self) -> Self {
+        Self {
+            handler: self.handler.clone(),
+        }
+    }
+}
+
+impl<H: Handler> Control for Server<H> {
+    async fn probe(self, _: Context, probe: Probe) -> Pong {
+        self.handler.probe(probe).await
+    }
+
+    async fn probe_through(self, _: Context, target: SocketAddr) -> Option<Pong> {
+        self.handler.probe_through(target).await
+    }
+
+    async fn records(self, _: Context, from: LogOffset) -> Records {
+        self.handler.records(from).await
+    }
+
+    async fn snapshot(self, _: Context) -> Option<Snapshot> {
+        self.handler.snapshot().await
+    }
+
+    async fn hand_over(self, _: Context, hand_over: HandOver) -> bool {
+        self.handler.hand_over(hand_over).await
+    }
+
+    async fn relinquish(self, _: Context, relinquish: Relinquish) -> bool {
+        self.handler.relinquish(relinquish).await
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Links between daemons: control calls, request streams and who is alive.
+
+pub mod control;
+pub mod link;
+pub mod members;
+mod wire;
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,144 @@
+//! Request links: each request is one h2 stream on one of a few long-lived connections.
+//!
+//! A stream's body starts with a bincode message (see `wire`), and the request's or response's body
+//! follows. A body of unknown length is whole only if trailers end it; a reset severs it.
+//!
+//! Lock order: the table of peers, then one peer's links. No lock is held across an await.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use copperwell_message::{HashMap, Head, Reason, Request, Response, Verdict};
+use peer::Peer;
+use prometheus_client::registry::Registry;
+use tokio::time::{Instant, timeout_at};
+
+pub use metrics::Metrics;
+pub use server::{Relay, Sealed, serve, serve_with_relay};
+
+mod connection;
+mod keepalive;
+mod metrics;
+mod peer;
+mod pump;
+mod server;
+
+/// Links to one peer.
+pub const LINKS_MAX: usize = 4;
+
+/// Requests in flight on one link.
+pub const STREAMS_MAX: u32 = 256;
+
+/// Peers to which links are kept at a time.
+pub const PEERS_MAX: usize = 2048;
+
+/// How long a connection may take to be made.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Bytes that may be on their way on one stream before its reader reads.
+const STREAM_WINDOW: u32 = 64 * 1024;
+
+/// Bytes that may be on their way on one link; enough for all its streams, so that slow readers
+/// do not hold up others.
+const LINK_WINDOW: u32 = STREAM_WINDOW * STREAMS_MAX;
+
+/// Sends requests to other daemons; cheap to clone, and clones share links.
+#[derive(Debug, Clone, Default)]
+pub struct Links {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
+    metrics: Metrics,
+}
+
+impl Links {
+    /// Links to nobody yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Registers the counters.
+    pub fn register(&self, registry: &mut Registry) {
+        self.shared.metrics.register(registry);
+    }
+
+    /// Sends a request to the daemon at `to`.
+    ///
+    /// The verdict of a failure is [`Verdict::NotRun`] only if the other daemon surely did nothing
+    /// with the request. Dropping the future, or the response's body, cancels the request there.
+    pub async fn send(&self, to: SocketAddr, request: Request) -> Response {
+        self.dispatch(to, None, request).await
+    }
+
+    /// Sends a request to the daemon at `target` through the one at `relay`.
+    pub async fn send_via(
+        &self,
+        relay: SocketAddr,
+        target: SocketAddr,
+        request: Request,
+    ) -> Response {
+        self.dispatch(relay, Some(target), request).await
+    }
+
+    async fn dispatch(
+        &self,
+        to: SocketAddr,
+        target: Option<SocketAddr>,
+        mut request: Request,
+    ) -> Response {
+        let deadline = Instant::now() + request.head.deadline;
+        if request.head.hops >= Head::HOPS_MAX {
+            return self.refuse(Reason::NoLeader);
+        }
+        request.head.hops += 1;
+        let Some(peer) = self.peer(to) else {
+            return self.refuse(Reason::ServiceLimit);
+        };
+        let stream = match timeout_at(deadline, peer.open(&self.shared.metrics)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(reason)) => return self.refuse(reason),
+            Err(_) => return self.refuse(Reason::DeadlineHopeless),
+        };
+        let response = stream.exchange(target, request, deadline).await;
+        if let Some(reason) = response.reply.reason {
+            self.shared.metrics.count_failure(reason);
+        }
+        response
+    }
+
+    fn refuse(&self, reason: Reason) -> Response {
+        self.shared.metrics.count_failure(reason);
+        Response::refusal(Verdict::NotRun, reason)
+    }
+
+    /// The peer at `to`; `None` if the table is full of peers in use.
+    fn peer(&self, to: SocketAddr) -> Option<Arc<Peer>> {
+        let mut peers = self.peers();
+        if let Some(peer) = peers.get(&to) {
+            return Some(peer.clone());
+        }
+        if peers.len() >= PEERS_MAX {
+            peers.retain(|_, peer| !peer.is_idle());
+        }
+        if peers.len() >= PEERS_MAX {
+            return None;
+        }
+        let peer = Arc::new(Peer::new(to));
+        peers.insert(to, peer.clone());
+        Some(peer)
+    }
+
+    fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Peer>>> {
+        self.shared
+            .peers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/link/connection.rs
@@ -0,0 +1,216 @@
+//! One link to a peer, and one request on it.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+};
+
+use super::{LINK_WINDOW, STREAM_WINDOW, STREAMS_MAX, keepalive, metrics::Metrics, pump};
+use crate::wire::{Answer, Opening};
+use bytes::Bytes;
+use copperwell_message::{Reason, Request, Response, Verdict};
+use h2::client::{Builder, ResponseFuture, SendRequest};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
+use tokio_util::sync::CancellationToken;
+
+/// A link to a peer.
+#[derive(Debug)]
+pub(super) struct Connection {
+    requests: SendRequest<Bytes>,
+    state: Arc<State>,
+}
+
+/// What the link's driver and its requests share.
+#[derive(Debug, Default)]
+struct State {
+    load: AtomicU32,
+    /// A ping is unanswered for a while; new requests go elsewhere.
+    doubtful: AtomicBool,
+    /// The link takes no new requests.
+    closed: AtomicBool,
+    /// The link was given up because pings stayed unanswered.
+    silent: AtomicBool,
+}
+
+/// Counts a request on a link until it is dropped.
+#[derive(Debug)]
+pub(super) struct Load {
+    state: Arc<State>,
+}
+
+/// A link's place for one request; nothing has been sent yet.
+#[derive(Debug)]
+pub(super) struct Stream {
+    requests: SendRequest<Bytes>,
+    load: Load,
+}
+
+impl Connection {
+    /// Connects to a daemon.
+    pub(super) async fn connect(
+        to: SocketAddr,
+        metrics: Metrics,
+    ) -> Result<Arc<Self>, std::io::Error> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let handshake = Builder::new()
+            .initial_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(LINK_WINDOW)
+            .initial_max_send_streams(STREAMS_MAX as usize)
+            .max_send_buffer_size(STREAM_WINDOW as usize)
+            .enable_push(false)
+            .handshake(stream)
+            .await;
+        let (requests, mut driver) = handshake.map_err(std::io::Error::other)?;
+        let state = Arc::new(State::default());
+        let pings = driver.ping_pong();
+        let shared = state.clone();
+        tokio::spawn(async move {
+            let watch = async {
+                match pings {
+                    Some(pings) => keepalive::watch(pings, &shared.doubtful).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                _ = &mut driver => {}
+                () = watch => {
+                    shared.silent.store(true, Ordering::Release);
+                    metrics.count_silent();
+                }
+            }
+            shared.closed.store(true, Ordering::Release);
+            // Requests on the link end with the driver.
+            drop(driver);
+        });
+        Ok(Arc::new(Self { requests, state }))
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.state.closed.load(Ordering::Acquire)
+    }
+
+    pub(super) fn is_usable(&self) -> bool {
+        !self.is_closed() && !self.state.doubtful.load(Ordering::Relaxed)
+    }
+
+    /// Requests in flight.
+    pub(super) fn load(&self) -> u32 {
+        self.state.load.load(Ordering::Relaxed)
+    }
+
+    /// Takes a place for a request; `None` if the link is closing.
+    pub(super) async fn open(&self) -> Option<Stream> {
+        let load = Load::new(self.state.clone());
+        match self.requests.clone().ready().await {
+            Ok(requests) => Some(Stream { requests, load }),
+            Err(_) => {
+                // The driver lives on for what is in flight.
+                self.state.closed.store(true, Ordering::Release);
+                None
+            }
+        }
+    }
+}
+
+impl Stream {
+    /// Sends a request and waits for the head of its response.
+    pub(super) async fn exchange(
+        mut self,
+        target: Option<SocketAddr>,
+        mut request: Request,
+        deadline: Instant,
+    ) -> Response {
+        request.head.deadline = deadline.saturating_duration_since(Instant::now());
+        if request.head.deadline.is_zero() {
+            return Response::refusal(Verdict::NotRun, Reason::DeadlineHopeless);
+        }
+        let opening = Opening {
+            target,
+            length: pump::length_of(&request.body),
+            head: request.head,
+        };
+        let Ok(first) = pump::first(&opening, &request.body) else {
+            return Response::refusal(Verdict::NotRun, Reason::TooLarge);
+        };
+        let opened = self.requests.send_request(http::Request::new(()), false);
+        let Ok((answer, to)) = opened else {
+            return Response::refusal(Verdict::NotRun, Reason::ConnectionRefused);
+        };
+        let sending = CancellationToken::new();
+        let guard = sending.clone().drop_guard();
+        if let Some(rest) = first.send(to, request.body) {
+            tokio::spawn(async move { sending.run_until_cancelled(rest.send()).await });
+        }
+        match timeout_at(deadline, receive(answer)).await {
+            Ok(Ok((answer, body))) => Response {
+                reply: answer.reply,
+                body: body.into_body((self.load, guard)),
+            },
+            Ok(Err(failure)) => failure.response(&self.load.state),
+            Err(_) => Response::refusal(Verdict::MayHaveRun, Reason::DeadlinePassed),
+        }
+    }
+}
+
+/// Why there is no response.
+enum Failure {
+    Link(h2::Error),
+    Message(pump::Error),
+}
+
+impl Failure {
+    fn response(self, state: &State) -> Response {
+        let error = match self {
+            Self::Link(error) | Self::Message(pump::Error::Link(error)) => error,
+            Self::Message(pump::Error::Message) => {
+                return Response::refusal(Verdict::MayHaveRun, Reason::Protocol);
+            }
+        };
+        if is_unprocessed(&error) {
+            return Response::refusal(Verdict::NotRun, Reason::ConnectionRefused);
+        }
+        let reason = if state.silent.load(Ordering::Acquire) {
+            Reason::ConnectionSilent
+        } else {
+            Reason::ConnectionLost
+        };
+        Response::refusal(Verdict::MayHaveRun, reason)
+    }
+}
+
+async fn receive(answer: ResponseFuture) -> Result<(Answer, pump::Incoming), Failure> {
+    let from = answer.await.map_err(Failure::Link)?.into_body();
+    let (answer, body): (Answer, _) = pump::open(from).await.map_err(Failure::Message)?;
+    let length = answer.length;
+    Ok((answer, body.with_length(length)))
+}
+
+/// Whether the peer says that it did nothing with the request.
+///
+/// The library fails a stream with the peer's GOAWAY only if the stream is above the last one that
+/// the peer names there.
+fn is_unprocessed(error: &h2::Error) -> bool {
+    let refused = error.is_reset() && error.reason() == Some(h2::Reason::REFUSED_STREAM);
+    error.is_remote() && (refused || error.is_go_away())
+}
+
+impl Load {
+    fn new(state: Arc<State>) -> Self {
+        state.load.fetch_add(1, Ordering::Relaxed);
+        Self { state }
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.state.load.fetch_sub(1, Ordering::Relaxed);
+    }
+}
