Follow the log and append to it

Daemons and operators need one way to read the agreed state and to learn what became of their own records.

What daemons answer about themselves is typed in the operators' package.

--- a/crates/keyspace/src/manifest.rs
+++ b/crates/keyspace/src/manifest.rs
@@ -169,6 +169,13 @@
         self.replaces + 1
     }
 
+    /// A digest of the whole manifest, to compare what two daemons hold.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let bytes = bincode::serialize(self).unwrap_or_default();
+        xxhash_rust::xxh3::xxh3_64(&bytes)
+    }
+
     /// The service of this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -2,6 +2,8 @@
 //!
 //! Replay is a pure function: whoever reads the same records holds the same state.
 
+use std::cmp::Ordering;
+
 use crate::{
     HashMap,
     id::{
@@ -9,7 +11,7 @@
     },
     manifest::Manifest,
     member::Member,
-    record::{Appoint, Body, Move, Record},
+    record::{Appoint, Body, Id, Move, Record},
 };
 use garde::Validate;
 use serde::{Deserialize, Serialize};
@@ -53,6 +55,10 @@
     pub incarnation: Incarnation,
     /// The last record of that run.
     pub sequence: u64,
+    /// The offset of that record.
+    pub offset: LogOffset,
+    /// Whether that record changed the state.
+    pub applied: bool,
 }
 
 /// What a record did.
@@ -72,7 +78,6 @@
         if self.is_repeated(record) {
             return Outcome::Repeated;
         }
-        self.note_writer(record);
         let applied = match &record.body {
             Body::Manifest(manifest) => self.apply_manifest(manifest),
             Body::Appoint(appoint) => self.apply_appoint(offset, appoint),
@@ -80,6 +85,7 @@
             // Snapshots matter to readers that miss records; the reader handles them.
             Body::Snapshot(_) => true,
         };
+        self.note_writer(offset, record, applied);
         if applied {
             Outcome::Applied
         } else {
@@ -87,6 +93,21 @@
         }
     }
 
+    /// What became of a record, if it or a later one of its writer was read.
+    ///
+    /// [`Outcome::Repeated`] if only a later one tells that it can have no effect any more.
+    #[must_use]
+    pub fn outcome_of(&self, id: &Id) -> Option<Outcome> {
+        let seen = self.writers.get(&id.writer)?;
+        let last = (seen.incarnation, seen.sequence);
+        match last.cmp(&(id.incarnation, id.sequence)) {
+            Ordering::Less => None,
+            Ordering::Equal if seen.applied => Some(Outcome::Applied),
+            Ordering::Equal => Some(Outcome::Void),
+            Ordering::Greater => Some(Outcome::Repeated),
+        }
+    }
+
     /// The group that owns a shard.
     #[must_use]
     pub fn owner_of(&self, service: &str, shard: ShardIndex) -> Option<&GroupId> {
@@ -99,10 +120,12 @@
         })
     }
 
-    fn note_writer(&mut self, record: &Record) {
+    fn note_writer(&mut self, offset: LogOffset, record: &Record, applied: bool) {
         let seen = Writer {
             incarnation: record.id.incarnation,
             sequence: record.id.sequence,
+            offset,
+            applied,
         };
         self.writers.insert(record.id.writer.clone(), seen);
     }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The operators' side: what daemons tell about themselves, publishing and following.
+
+pub mod status;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for what surrounds the system, for tests and demonstrations.
+
+pub mod platform;
