--- /dev/null
+++ b/crates/copperwelld/src/core.rs
@@ -0,0 +1,109 @@
+//! What the daemon's tasks share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use crate::{metrics::Metrics, network::Way};
+use copperwell_backend::{Control, Forward};
+use copperwell_dispatch::Engine;
+use copperwell_keyspace::{LogOffset, Member, replay::State};
+use copperwell_ownership::Groups;
+use copperwell_peer::{
+    control::{HandOver, Handler, Pong, Probe, Records, Relinquish, Snapshot},
+    members::Members,
+};
+use copperwell_platform::follow::View;
+use tokio::sync::watch;
+
+/// What the daemon's tasks share.
+pub(crate) struct Core<C, F> {
+    pub(crate) me: Member,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) members: Arc<Members>,
+    pub(crate) groups: Groups<C>,
+    pub(crate) engine: Arc<Engine<F>>,
+    pub(crate) way: Arc<Way<F>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) leaving: AtomicBool,
+}
+
+impl<C: Control, F: Forward> Core<C, F> {
+    /// The agreed state as last read.
+    pub(crate) fn state(&self) -> Arc<State> {
+        self.view.borrow().state.clone()
+    }
+
+    /// Whether the daemon has been told to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// The daemons of this data centre that are alive and stay, in the order of names.
+    pub(crate) fn live_here(&self) -> Vec<Member> {
+        let roster = self.members.roster().borrow().clone();
+        let here = roster.live_in(&self.me.data_centre);
+        let mut live: Vec<Member> = here
+            .into_iter()
+            .filter(|member| {
+                roster
+                    .members
+                    .get(&member.name)
+                    .is_some_and(|seen| !seen.leaving)
+            })
+            .cloned()
+            .collect();
+        live.sort_by(|one, other| one.name.cmp(&other.name));
+        live
+    }
+}
+
+impl<C: Control, F: Forward> Handler for Core<C, F> {
+    async fn probe(&self, probe: Probe) -> Pong {
+        self.members.answer(probe)
+    }
+
+    async fn probe_through(&self, target: SocketAddr) -> Option<Pong> {
+        self.members.probe_through(target).await
+    }
+
+    async fn records(&self, from: LogOffset) -> Records {
+        // No records are kept; the reader that asked goes on from a snapshot.
+        let next = self.view.borrow().next.max(from);
+        Records {
+            first: next,
+            next,
+            records: Vec::new(),
+        }
+    }
+
+    async fn snapshot(&self) -> Option<Snapshot> {
+        let view = self.view.borrow().clone();
+        view.state.manifest.as_ref()?;
+        let state = bincode::serialize(&*view.state).ok()?;
+        Some(Snapshot {
+            next: view.next,
+            state,
+        })
+    }
+
+    async fn hand_over(&self, hand_over: HandOver) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
+        if let Ok(window) = bincode::deserialize(&hand_over.window) {
+            self.engine.window_import(window);
+        }
+        self.groups.take_over(&hand_over.group)
+    }
+
+    async fn relinquish(&self, relinquish: Relinquish) -> bool {
+        self.groups
+            .relinquish(&relinquish.group, relinquish.epoch)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/copperwelld/src/daemon.rs
@@ -0,0 +1,277 @@
+//! Starts a daemon and stops it again.
+
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicBool},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    admin, appointer, core::Core, metrics::Metrics, network::Way, relay::Peers, settings::Settings,
+    stop, watch,
+};
+use copperwell_backend::{client::Client as Servers, pool::Pool};
+use copperwell_caller::{Ingress, metrics, server};
+use copperwell_dispatch::{Engine, table::Table};
+use copperwell_keyspace::{Incarnation, Member};
+use copperwell_ownership::Groups;
+use copperwell_peer::{
+    control::{self, Client},
+    link::{self, Links},
+    members::Members,
+};
+use copperwell_platform::{
+    append::Appender,
+    follow::{Follower, Source},
+    http,
+};
+use error_stack::{Report, ResultExt};
+use prometheus_client::registry::Registry;
+use spdlog::info;
+use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Events of groups that may wait to be handled.
+const EVENTS: usize = 1024;
+
+/// Moves that may wait to be appended.
+const MOVES: usize = 1024;
+
+/// A running daemon.
+pub struct Daemon {
+    core: Arc<Core<Servers, Pool>>,
+    callers: SocketAddr,
+    client: Client,
+    stop_time: Duration,
+    /// Stops ingress and request streams, which finish what is in flight.
+    serving: CancellationToken,
+    /// Stops everything else.
+    running: CancellationToken,
+    servers: Vec<JoinHandle<()>>,
+    _follower: Follower,
+}
+
+/// A daemon that cannot start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Error;
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the daemon cannot start")
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The daemon's listening sockets.
+struct Listeners {
+    callers: TcpListener,
+    requests: TcpListener,
+    control: TcpListener,
+    admin: TcpListener,
+}
+
+impl Daemon {
+    /// Starts a daemon; it serves once it has read the log or heard from a peer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if an address cannot be listened on.
+    pub async fn start(settings: Settings) -> Result<Self, Report<Error>> {
+        let listeners = Listeners::bind(&settings).await?;
+        let me = listeners.member(&settings).change_context(Error)?;
+        let callers = listeners.callers.local_addr().change_context(Error)?;
+        let mut registry = Registry::with_prefix("copperwell");
+
+        let client = Client::new();
+        let links = Links::new();
+        links.register(&mut registry);
+        let members = Members::new(me.clone(), settings.seeds.clone(), client.clone());
+        let log = Arc::new(http::Client::new(settings.platform.log));
+        let vms = Arc::new(http::Client::new(settings.platform.vms));
+        let relay = Arc::new(Peers::new(members.clone(), client.clone()));
+        let follower = Follower::start(log.clone(), relay, Source::Platform);
+
+        let table = Arc::new(Table::new());
+        let pool = Arc::new(Pool::new());
+        let (engine, observations) = Engine::new(pool, table.clone());
+        let engine = Arc::new(engine);
+        let way = Arc::new(Way::new(me.clone(), engine.clone(), links.clone()));
+        let (events_to, events) = mpsc::channel(EVENTS);
+        let (moves_to, moves) = mpsc::channel(MOVES);
+        let servers = Arc::new(Servers::new());
+        let groups = Groups::new(me.clone(), servers, table, events_to, &mut registry);
+        let metrics = Metrics::new(&mut registry);
+        let ingress_metrics = metrics::Metrics::new(&mut registry);
+
+        let core = Arc::new(Core {
+            me: me.clone(),
+            view: follower.view(),
+            members: members.clone(),
+            groups,
+            engine: engine.clone(),
+            way: way.clone(),
+            metrics,
+            leaving: AtomicBool::new(false),
+        });
+        let serving = CancellationToken::new();
+        let running = CancellationToken::new();
+
+        let limits = server::Limits {
+            connections: settings.callers.connections,
+            head_time: settings.callers.head_time,
+            headers: settings.callers.headers,
+            head_bytes: settings.callers.head_bytes,
+        };
+        let ingress = Arc::new(Ingress::new(way, ingress_metrics));
+        let appender = Appender::new(log, follower.view(), me.name.clone(), me.incarnation);
+        let request_server =
+            link::serve_with_relay(listeners.requests, engine, links, serving.clone());
+        let servers = vec![
+            spawn_until(&running, {
+                let serving = serving.clone();
+                async move {
+                    // Only a lost listening socket ends it, and then readiness tells.
+                    let _ = server::serve(listeners.callers, ingress, limits, serving).await;
+                }
+            }),
+            spawn_until(&running, request_server),
+        ];
+        spawn_until(
+            &running,
+            control::serve(listeners.control, core.clone(), running.clone()),
+        );
+        let admin = admin::serve(
+            listeners.admin,
+            core.clone(),
+            Arc::new(registry),
+            running.clone(),
+        );
+        spawn_until(&running, async move {
+            // The admin endpoint ends with its listening socket only.
+            let _ = admin.await;
+        });
+        let probing = running.clone();
+        spawn_until(&running, async move { members.run(probing).await });
+        spawn_until(&running, watch::states(core.clone()));
+        spawn_until(&running, watch::members(core.clone()));
+        spawn_until(&running, watch::vms(core.clone(), vms));
+        spawn_until(&running, watch::events(core.clone(), events, moves_to));
+        spawn_until(&running, watch::observations(core.clone(), observations));
+        spawn_until(&running, appointer::run(core.clone(), appender, moves));
+
+        let daemon = Self {
+            core,
+            callers,
+            client,
+            stop_time: settings.stop_time,
+            serving,
+            running,
+            servers,
+            _follower: follower,
+        };
+        daemon.announce();
+        Ok(daemon)
+    }
+
+    /// This daemon as a member.
+    #[must_use]
+    pub fn member(&self) -> &Member {
+        &self.core.me
+    }
+
+    /// Where callers are served.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Hands groups over, finishes what is in flight, and stops.
+    pub async fn stop(mut self) {
+        stop::hand_over_all(&self.core, &self.client).await;
+        self.serving.cancel();
+        let servers = std::mem::take(&mut self.servers);
+        let finished = futures::future::join_all(servers);
+        // What is still in flight after this time is cut off when the process ends.
+        let _ = timeout(self.stop_time, finished).await;
+        self.running.cancel();
+    }
+
+    fn announce(&self) {
+        let me = &self.core.me;
+        let name = me.name.to_string();
+        let callers = self.callers;
+        let requests = me.requests;
+        let control = me.control;
+        let admin = me.admin;
+        info!("serving", kv: { name, callers:, requests:, control:, admin: });
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.serving.cancel();
+        self.running.cancel();
+    }
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, Report<Error>> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("listen.callers", listen.callers).await?,
+            requests: bind("listen.requests", listen.requests).await?,
+            control: bind("listen.control", listen.control).await?,
+            admin: bind("listen.admin", listen.admin).await?,
+        })
+    }
+
+    fn member(&self, settings: &Settings) -> io::Result<Member> {
+        let reached = |listener: &TcpListener| {
+            let mut address = listener.local_addr()?;
+            if let Some(ip) = settings.advertise {
+                address.set_ip(ip);
+            }
+            Ok::<_, io::Error>(address)
+        };
+        Ok(Member {
+            name: settings.name.clone(),
+            incarnation: incarnation(),
+            data_centre: settings.data_centre.clone(),
+            control: reached(&self.control)?,
+            requests: reached(&self.requests)?,
+            admin: reached(&self.admin)?,
+        })
+    }
+}
+
+async fn bind(field: &str, address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(Error)
+        .attach_with(|| {
+            format!("{field}: {address} cannot be listened on; free it or name another")
+        })
+}
+
+/// Numbers this run by wall time, since a VM keeps nothing from which to count.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn spawn_until(
+    running: &CancellationToken,
+    task: impl Future<Output = ()> + Send + 'static,
+) -> JoinHandle<()> {
+    let running = running.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = task => {}
+            () = running.cancelled() => {}
+        }
+    })
+}
--- a/crates/copperwelld/src/lib.rs
+++ b/crates/copperwelld/src/lib.rs
@@ -1,4 +1,15 @@
 //! The entry daemon: ingress for callers and leader of groups.
 
+pub mod daemon;
 pub mod log;
 pub mod settings;
+
+mod admin;
+mod appointer;
+mod core;
+mod metrics;
+mod network;
+mod relay;
+mod status;
+mod stop;
+mod watch;
--- /dev/null
+++ b/crates/copperwelld/src/metrics.rs
@@ -0,0 +1,63 @@
+//! Counters and gauges of the daemon as a whole.
+
+use copperwell_keyspace::replay::Outcome;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+
+/// Counters and gauges of the daemon as a whole.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Metrics {
+    appends: Family<Label, Counter>,
+    pub(crate) log_away: Gauge,
+    pub(crate) log_next: Gauge,
+    pub(crate) manifest: Gauge,
+    pub(crate) groups_led: Gauge,
+    pub(crate) members_live: Gauge,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Label {
+    outcome: &'static str,
+}
+
+impl Metrics {
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let all = metrics.clone();
+        registry.register("log_appends", "Records appended, by outcome", all.appends);
+        registry.register("log_away", "1 while the log cannot be read", all.log_away);
+        registry.register("log_next", "First offset not read yet", all.log_next);
+        registry.register("manifest_version", "Manifest in force", all.manifest);
+        registry.register(
+            "groups_led",
+            "Groups that this daemon leads",
+            all.groups_led,
+        );
+        registry.register(
+            "members_live",
+            "Daemons known to be alive",
+            all.members_live,
+        );
+        metrics
+    }
+
+    pub(crate) fn appended(&self, outcome: Outcome) {
+        let outcome = match outcome {
+            Outcome::Applied => "applied",
+            Outcome::Repeated => "repeated",
+            Outcome::Void => "void",
+        };
+        self.count(outcome);
+    }
+
+    pub(crate) fn append_failed(&self) {
+        self.count("unknown");
+    }
+
+    fn count(&self, outcome: &'static str) {
+        self.appends.get_or_create(&Label { outcome }).inc();
+    }
+}
--- /dev/null
+++ b/crates/copperwelld/src/network.rs
@@ -0,0 +1,76 @@
+//! The way from ingress to leaders.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use copperwell_backend::Forward;
+use copperwell_caller::Network;
+use copperwell_dispatch::Engine;
+use copperwell_keyspace::{
+    HashMap, Member, ServiceName, ShardIndex, manifest::Service, replay::State,
+};
+use copperwell_message::{Request, Response, Serve};
+use copperwell_peer::link::Links;
+
+/// Finds services and leaders in the agreed state, and sends to them.
+pub(crate) struct Way<F> {
+    me: Member,
+    engine: Arc<Engine<F>>,
+    links: Links,
+    index: ArcSwap<Index>,
+}
+
+/// The agreed state, arranged for look-ups by request.
+#[derive(Debug, Default)]
+struct Index {
+    services: HashMap<ServiceName, Arc<Service>>,
+    state: Arc<State>,
+}
+
+impl<F: Forward> Way<F> {
+    pub(crate) fn new(me: Member, engine: Arc<Engine<F>>, links: Links) -> Self {
+        Self {
+            me,
+            engine,
+            links,
+            index: ArcSwap::default(),
+        }
+    }
+
+    /// Takes a new agreed state.
+    pub(crate) fn set_state(&self, state: Arc<State>) {
+        let services = state
+            .manifest
+            .iter()
+            .flat_map(|manifest| &manifest.services);
+        let services = services
+            .map(|service| (service.name.clone(), Arc::new(service.clone())))
+            .collect();
+        self.index.store(Arc::new(Index { services, state }));
+    }
+}
+
+impl<F: Forward> Network for Way<F> {
+    fn service(&self, name: &str) -> Option<Arc<Service>> {
+        self.index.load().services.get(name).cloned()
+    }
+
+    fn leaders(&self, service: &str, shard: ShardIndex) -> Vec<Member> {
+        let index = self.index.load();
+        let owner = index.state.owner_of(service, shard);
+        let Some(held) = owner.and_then(|group| index.state.groups.get(group)) else {
+            return Vec::new();
+        };
+        std::iter::once(&held.leader)
+            .chain(&held.standby)
+            .cloned()
+            .collect()
+    }
+
+    async fn send(&self, to: &Member, request: Request) -> Response {
+        if to.name == self.me.name && to.incarnation == self.me.incarnation {
+            return self.engine.serve(request).await;
+        }
+        self.links.send(to.requests, request).await
+    }
+}
--- /dev/null
+++ b/crates/copperwelld/src/status.rs
@@ -0,0 +1,203 @@
+//! What the admin endpoint tells of this daemon.
+
+use std::sync::Arc;
+
+use crate::{admin::Inspect, core::Core};
+use copperwell_backend::{Control, Forward};
+use copperwell_dispatch::table::Route;
+use copperwell_keyspace::{
+    GroupId, Member, UpstreamName, manifest::Manifest, replay::Appointment, shard,
+};
+use copperwell_operator::status::{
+    Explanation, Group, Log, LogState, MemberStatus, Role, Status, Upstream,
+};
+use copperwell_peer::control::Liveness;
+use copperwell_platform::follow::{self, View};
+
+impl<C: Control, F: Forward> Inspect for Core<C, F> {
+    fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.state().manifest.is_some()
+    }
+
+    async fn status(&self) -> Vec<u8> {
+        let view = self.view.borrow().clone();
+        let manifest = view.state.manifest.as_ref();
+        let status = Status {
+            daemon: self.me.clone(),
+            manifest: manifest.map_or(0, Manifest::version),
+            digest: manifest.map_or(0, Manifest::digest),
+            log: log(&view),
+            groups: self.group_statuses(&view),
+            members: self.member_statuses(),
+        };
+        serde_json::to_vec(&status).unwrap_or_default()
+    }
+
+    fn explain(&self, service: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state();
+        let declared = state.manifest.as_ref()?.service(service)?;
+        let shard = shard::index_of(key, declared.shards);
+        let group = state.owner_of(service, shard).cloned();
+        let held = group.as_ref().and_then(|group| state.groups.get(group));
+        let route = self.engine.route(service, shard);
+        let explanation = Explanation {
+            service: declared.name.clone(),
+            key: key.to_owned(),
+            shard,
+            group: group.clone(),
+            leader: held.map(|held| held.leader.name.clone()),
+            data_centre: held.map(|held| held.leader.data_centre.clone()),
+            epoch: held.map_or(0, |held| held.epoch),
+            upstream: upstream_of(&route),
+            because: because(
+                declared.shards,
+                shard,
+                group.as_ref(),
+                held,
+                &route,
+                &self.me,
+            ),
+        };
+        serde_json::to_vec(&explanation).ok()
+    }
+
+    fn refresh(&self) {
+        let view = self.view.borrow().clone();
+        let version = view.state.manifest.as_ref().map_or(0, Manifest::version);
+        let away = matches!(view.status, follow::Status::Away(_));
+        self.metrics.log_away.set(i64::from(away));
+        self.metrics.log_next.set(signed(view.next));
+        self.metrics.manifest.set(signed(version));
+        self.metrics
+            .groups_led
+            .set(signed(self.groups.led().len() as u64));
+        let roster = self.members.roster().borrow().clone();
+        self.metrics
+            .members_live
+            .set(signed(roster.live().len() as u64));
+    }
+}
+
+impl<C: Control, F: Forward> Core<C, F> {
+    fn group_statuses(&self, view: &View) -> Vec<Group> {
+        let engine = self.engine.status();
+        let mut groups: Vec<Group> = Vec::new();
+        for led in self.groups.status() {
+            let upstreams = led.upstreams.into_iter().map(|upstream| {
+                let seen = engine.iter().find(|seen| seen.upstream == upstream.name);
+                Upstream {
+                    in_flight: seen.map_or(0, |seen| seen.in_flight),
+                    queue: seen.map_or(0, |seen| seen.queued()),
+                    name: upstream.name,
+                    state: upstream.state,
+                    shards: upstream.shards,
+                }
+            });
+            groups.push(Group {
+                group: led.group,
+                epoch: led.epoch,
+                role: Role::Leader,
+                phase: led.phase,
+                upstreams: upstreams.collect(),
+                unassigned: led.unassigned,
+            });
+        }
+        let standing_by = view.state.groups.iter().filter(|(id, held)| {
+            let me = held
+                .standby
+                .as_ref()
+                .is_some_and(|standby| standby.name == self.me.name);
+            me && !groups.iter().any(|group| group.group == **id)
+        });
+        let standing_by: Vec<Group> = standing_by
+            .map(|(id, held)| standby_status(id, held))
+            .collect();
+        groups.extend(standing_by);
+        groups.sort_by(|one, other| one.group.cmp(&other.group));
+        groups
+    }
+
+    fn member_statuses(&self) -> Vec<MemberStatus> {
+        let roster = self.members.roster().borrow().clone();
+        let mut members: Vec<MemberStatus> = roster
+            .members
+            .values()
+            .map(|seen| MemberStatus {
+                member: seen.member.clone(),
+                reachable: seen.liveness == Liveness::Live,
+            })
+            .collect();
+        members.sort_by(|one, other| one.member.name.cmp(&other.member.name));
+        members
+    }
+}
+
+fn standby_status(id: &GroupId, held: &Appointment) -> Group {
+    Group {
+        group: id.clone(),
+        epoch: held.standby_epoch(),
+        role: Role::Standby,
+        phase: "standing-by".to_owned(),
+        upstreams: Vec::new(),
+        unassigned: 0,
+    }
+}
+
+fn log(view: &View) -> Log {
+    let state = match view.status {
+        follow::Status::Starting => LogState::Starting,
+        follow::Status::Current => LogState::Current,
+        follow::Status::Away(_) => LogState::Away,
+        follow::Status::Gap => LogState::Gap,
+        follow::Status::Restarted => LogState::Restarted,
+    };
+    Log {
+        next: view.next,
+        state,
+    }
+}
+
+fn upstream_of(route: &Route) -> Option<UpstreamName> {
+    match route {
+        Route::Owned(owner) => Some(owner.upstream.clone()),
+        _ => None,
+    }
+}
+
+/// One sentence for each step from key to upstream.
+fn because(
+    shards: u32,
+    shard: u32,
+    group: Option<&GroupId>,
+    held: Option<&Appointment>,
+    route: &Route,
+    me: &Member,
+) -> Vec<String> {
+    let mut because = vec![format!(
+        "the key's hash falls into shard {shard} of {shards}"
+    )];
+    because.push(match group {
+        Some(group) => format!("the log gives the shard to group {group}"),
+        None => "the log gives the shard to no group".to_owned(),
+    });
+    because.push(match held {
+        Some(held) => {
+            format!(
+                "the log appoints {} as its leader, epoch {}",
+                held.leader.name, held.epoch
+            )
+        }
+        None => "the log appoints no leader yet".to_owned(),
+    });
+    because.push(match route {
+        Route::Owned(owner) => format!("{} grants it to {}", me.name, owner.upstream),
+        Route::Held => format!("{} is moving it between upstreams", me.name),
+        Route::Unowned => format!("{} cannot grant it to any upstream yet", me.name),
+        Route::Elsewhere => format!("{} does not lead the group; ask its leader", me.name),
+    });
+    because
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/copperwelld/src/stop.rs
@@ -0,0 +1,55 @@
+//! Hands groups over before the daemon stops.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use crate::core::Core;
+use copperwell_backend::{Control, Forward};
+use copperwell_keyspace::{GroupId, Member};
+use copperwell_peer::control::{Client, HandOver};
+use spdlog::info;
+use tokio::time::timeout;
+
+/// The longest time that one group's hand-over may take.
+const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+
+/// Hands over every group that the daemon leads, all at once.
+pub(crate) async fn hand_over_all<C: Control, F: Forward>(core: &Core<C, F>, client: &Client) {
+    core.leaving.store(true, Ordering::Release);
+    let led = core.groups.led();
+    let all = led
+        .iter()
+        .map(|group| timeout(HAND_OVER_TIME, hand_over(core, client, group)));
+    futures::future::join_all(all).await;
+}
+
+/// Stops leading a group, then lets its standby go on with the table of idempotency keys.
+async fn hand_over<C: Control, F: Forward>(core: &Core<C, F>, client: &Client, group: &GroupId) {
+    let Some(standby) = standby_of(core, group) else {
+        return;
+    };
+    let Some(epoch) = core.groups.hand_over(group).await else {
+        return;
+    };
+    let state = core.state();
+    let owners = state.owners.get(&group.service);
+    let shards = owners.map(|owners| copperwell_keyspace::manifest::shards_of(owners, group));
+    let window = core
+        .engine
+        .window_export(&group.service, &shards.unwrap_or_default());
+    let message = HandOver {
+        group: group.clone(),
+        epoch,
+        window: bincode::serialize(&window).unwrap_or_default(),
+    };
+    let taken = client
+        .hand_over(standby.control, message)
+        .await
+        .unwrap_or(false);
+    let group = group.to_string();
+    let to = standby.name.to_string();
+    info!("handed over", kv: { group, to, taken });
+}
+
+fn standby_of<C: Control, F: Forward>(core: &Core<C, F>, group: &GroupId) -> Option<Member> {
+    core.state().groups.get(group)?.standby.clone()
+}
--- /dev/null
+++ b/crates/copperwelld/src/watch.rs
@@ -0,0 +1,191 @@
+//! The daemon's loops: each waits for one kind of change and tells those concerned.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::core::Core;
+use copperwell_backend::{Control, Forward};
+use copperwell_dispatch::Observation;
+use copperwell_keyspace::{DaemonName, HashSet, record::Move, replay::State};
+use copperwell_ownership::{Event, Evidence};
+use copperwell_peer::{
+    control::Position,
+    members::{self as membership},
+};
+use copperwell_platform::{
+    VmList, VmState,
+    follow::{Status, View},
+};
+use spdlog::{info, warn};
+use tokio::{
+    sync::{broadcast::error::RecvError, mpsc},
+    time::sleep,
+};
+
+/// How often the platform's list of VMs is read.
+const VMS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Passes each new agreed state on.
+pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+    let mut view = core.view.clone();
+    let mut before: Option<Arc<View>> = None;
+    loop {
+        let now = view.borrow_and_update().clone();
+        report(before.as_deref(), &now);
+        core.take_view(&now);
+        before = Some(now);
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells the groups who was lost.
+pub(crate) async fn members<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+    let mut events = core.members.events();
+    loop {
+        match events.recv().await {
+            Ok(event) => member_event(&core, event),
+            // The roster holds what missed events would have told.
+            Err(RecvError::Lagged(_)) => recheck(&core),
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
+
+/// Reads the platform's list of VMs.
+pub(crate) async fn vms<C: Control, F: Forward>(core: Arc<Core<C, F>>, list: Arc<impl VmList>) {
+    loop {
+        if let Ok(vms) = list.list().await {
+            let vms = vms.into_iter().map(|vm| membership::Vm {
+                name: vm.name,
+                data_centre: vm.data_centre,
+                control: vm.control,
+                leaving: vm.state == VmState::Leaving,
+            });
+            core.members.update_vms(vms.collect());
+        }
+        sleep(VMS_INTERVAL).await;
+    }
+}
+
+/// Handles what the groups tell.
+pub(crate) async fn events<C: Control, F: Forward>(
+    core: Arc<Core<C, F>>,
+    mut events: mpsc::Receiver<Event>,
+    moves: mpsc::Sender<Move>,
+) {
+    while let Some(event) = events.recv().await {
+        match event {
+            Event::Led { group, epoch } => {
+                let group = group.to_string();
+                info!("leading", kv: { group, epoch });
+            }
+            Event::SteppedDown { group, epoch } => {
+                let group = group.to_string();
+                info!("stepped down", kv: { group, epoch });
+            }
+            Event::Move(moved) => {
+                // A full queue drops the move; its group asks again.
+                let _ = moves.try_send(moved);
+            }
+        }
+    }
+}
+
+/// Passes on what the request engine saw of upstreams.
+pub(crate) async fn observations<C: Control, F: Forward>(
+    core: Arc<Core<C, F>>,
+    mut observations: mpsc::Receiver<Observation>,
+) {
+    while let Some(observation) = observations.recv().await {
+        core.groups.observe(&observation);
+    }
+}
+
+fn member_event<C: Control, F: Forward>(core: &Core<C, F>, event: membership::Event) {
+    match event {
+        membership::Event::Lost(member) => {
+            warn!("lost a daemon", kv: { name = member.name.to_string() });
+            core.groups.suspect(&member.name);
+        }
+        membership::Event::Back(member) => {
+            info!("heard of a daemon", kv: { name = member.name.to_string() });
+        }
+        membership::Event::Replaced { old, .. } => {
+            core.groups.suspect(&old.name);
+            core.groups.evidence(&Evidence::Replaced(old));
+        }
+        membership::Event::Gone(member) => {
+            core.groups.suspect(&member.name);
+            core.groups.evidence(&Evidence::Gone(member));
+        }
+    }
+}
+
+fn recheck<C: Control, F: Forward>(core: &Core<C, F>) {
+    let live: HashSet<DaemonName> = core
+        .live_here()
+        .into_iter()
+        .map(|member| member.name)
+        .collect();
+    for held in core.state().groups.values() {
+        if held.leader.data_centre == core.me.data_centre && !live.contains(&held.leader.name) {
+            core.groups.suspect(&held.leader.name);
+        }
+    }
+}
+
+impl<C: Control, F: Forward> Core<C, F> {
+    fn take_view(&self, view: &View) {
+        let state = &view.state;
+        self.way.set_state(state.clone());
+        if let Some(manifest) = &state.manifest {
+            self.engine.set_manifest(Arc::new(manifest.clone()));
+        }
+        self.groups.apply(state);
+        self.members.watch_closely(partners(state, &self.me.name));
+        let sees_log = view.status == Status::Current;
+        let version = state
+            .manifest
+            .as_ref()
+            .map_or(0, |manifest| manifest.version());
+        self.members.set_position(Position {
+            log_next: view.next,
+            manifest: version,
+            sees_log,
+        });
+    }
+}
+
+/// The daemons with which this one shares a group.
+fn partners(state: &State, me: &DaemonName) -> HashSet<DaemonName> {
+    let mut partners = HashSet::default();
+    for held in state.groups.values() {
+        let Some(standby) = &held.standby else {
+            continue;
+        };
+        if held.leader.name == *me {
+            partners.insert(standby.name.clone());
+        } else if standby.name == *me {
+            partners.insert(held.leader.name.clone());
+        }
+    }
+    partners
+}
+
+fn report(before: Option<&View>, now: &View) {
+    let version = |view: &View| {
+        view.state
+            .manifest
+            .as_ref()
+            .map_or(0, |manifest| manifest.version())
+    };
+    let was = before.map_or(0, version);
+    if version(now) != was {
+        info!("manifest in force", kv: { version = version(now) });
+    }
+    let standing = |status: Status| std::mem::discriminant(&status);
+    if before.is_none_or(|before| standing(before.status) != standing(now.status)) {
+        info!("log", kv: { status:? = now.status });
+    }
+}
