Add the backend client, the request pool and a stand-in server

Cause: nothing talked to backend servers yet.

Change: a client for control orders, a bounded pool for requests with a typed verdict for each failure, and a stand-in server whose record says what it held and ran. A grant or renewal carries the server's own clock as its sender last read it, and the lease counts from there: an order that waits in a socket buffer would otherwise prolong a lease beyond what its sender believes.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -6,7 +6,16 @@
 use copperwell_message::{Request, Response};
 use order::{Fence, Fenced, Give, Held, Order, Refusal, Release, Renew};
 
+pub use client::Client;
+pub use pool::Pool;
+
+pub mod client;
+mod connection;
+mod exchange;
+pub mod metrics;
 pub mod order;
+pub mod pool;
+mod traffic;
 
 /// Gives control orders to backend servers.
 pub trait Control: Send + Sync + 'static {
--- a/crates/backend/src/order.rs
+++ b/crates/backend/src/order.rs
@@ -43,7 +43,7 @@
     pub epoch: Epoch,
     /// Higher than that of every earlier order of this epoch.
     pub sequence: Sequence,
-    /// How long the grant lasts from its arrival, in milliseconds.
+    /// How long the grant lasts from when it was sent, in milliseconds; see [`header::CLOCK`].
     pub lease_ms: u64,
     /// The shards.
     pub shards: Vec<ShardIndex>,
@@ -56,7 +56,7 @@
     pub group: GroupId,
     /// The leader's epoch.
     pub epoch: Epoch,
-    /// How long the grants last from the renewal's arrival, in milliseconds.
+    /// How long the grants last from when it was sent, in milliseconds; see [`header::CLOCK`].
     pub lease_ms: u64,
 }
 
@@ -97,6 +97,19 @@
     pub epoch: Epoch,
 }
 
+/// `GET /copperwell/load`: a server's load, as it sees itself; a hint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that it runs.
+    pub in_flight: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+    /// Whether it wants no new work.
+    pub draining: bool,
+}
+
 /// The epoch, sequence and time limit that a request carries to its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Order {
@@ -150,4 +163,8 @@
     pub const REASON: &str = "copperwell-reason";
     /// The server's run.
     pub const INCARNATION: &str = "copperwell-incarnation";
+    /// The server's own monotonic clock in milliseconds: on its answers as it shows, on a grant or
+    /// a renewal as the leader knows that it showed at least. The lease counts from there, so that
+    /// an order which arrives late grants nothing beyond what its sender believes.
+    pub const CLOCK: &str = "copperwell-clock-ms";
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for the platform and backend servers, the fault proxy and the load tool.
+
+pub mod backend;
