--- a/crates/backend/src/order.rs
+++ b/crates/backend/src/order.rs
@@ -113,6 +113,19 @@
     pub epoch: Epoch,
 }
 
+/// `GET /copperwell/load`: a server's load, as it sees itself; a hint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that it runs.
+    pub in_flight: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+    /// Whether it wants no new work.
+    pub draining: bool,
+}
+
 /// The epoch, sequence and time limit that a request carries to its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Order {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,3 +1,4 @@
-//! Stand-ins for what surrounds the system, for tests and demonstrations.
+//! Stand-ins for the platform and backend servers, the fault proxy and the load tool.
 
+pub mod backend;
 pub mod platform;
