Lead groups: fence, grant, renew and release by a pure machine and its driver

Cause: nothing grants shards to servers yet. Change: policy::group decides, ownership runs one task a group and writes the routes; an appointment remembers which one it replaced, so that a group's first leader need not wait.

--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -32,6 +32,8 @@
 pub struct Appointment {
     /// The leader's epoch; the standby's is the next one.
     pub epoch: Epoch,
+    /// The epoch of the appointment before; zero if this is the group's first.
+    pub replaces: Epoch,
     /// The leader.
     pub leader: Member,
     /// The standby.
@@ -134,6 +136,7 @@
         let epoch = by_offset.max(current + EPOCH_STRIDE);
         let appointment = Appointment {
             epoch,
+            replaces: current,
             leader: appoint.leader.clone(),
             standby: appoint.standby.clone(),
         };
--- /dev/null
+++ b/crates/ownership/src/counter.rs
@@ -0,0 +1,88 @@
+//! Counters and gauges.
+
+use std::sync::atomic::AtomicI64;
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+
+/// Counters and gauges of the ownership driver.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Counters {
+    /// Orders by kind and result.
+    pub(crate) orders: Family<Order, Counter>,
+    /// Shards that went from one upstream to another.
+    pub(crate) moves: Counter,
+    /// Groups that this daemon began to lead, by cause.
+    pub(crate) starts: Family<Cause, Counter>,
+    /// Groups that this daemon stopped leading, by cause.
+    pub(crate) stops: Family<Cause, Counter>,
+    /// Events and inputs that found their queue full.
+    pub(crate) dropped: Counter,
+    /// Groups led.
+    pub(crate) led: Gauge<i64, AtomicI64>,
+    /// Groups for which this daemon is the standby.
+    pub(crate) standby: Gauge<i64, AtomicI64>,
+}
+
+/// Labels of an order.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Order {
+    pub(crate) kind: &'static str,
+    pub(crate) result: &'static str,
+}
+
+/// The label of a start or a stop.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Cause {
+    pub(crate) reason: &'static str,
+}
+
+impl Counters {
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let counters = Self::default();
+        let registry = registry.sub_registry_with_prefix("ownership");
+        registry.register(
+            "orders",
+            "Control orders to servers, by kind and result",
+            counters.orders.clone(),
+        );
+        registry.register(
+            "moves",
+            "Shards that went to another upstream",
+            counters.moves.clone(),
+        );
+        registry.register("starts", "Groups taken, by reason", counters.starts.clone());
+        registry.register(
+            "stops",
+            "Groups given up, by reason",
+            counters.stops.clone(),
+        );
+        registry.register(
+            "dropped",
+            "Events that found their queue full",
+            counters.dropped.clone(),
+        );
+        registry.register("groups_led", "Groups led", counters.led.clone());
+        registry.register(
+            "groups_standby",
+            "Groups for which this daemon is the standby",
+            counters.standby.clone(),
+        );
+        counters
+    }
+
+    pub(crate) fn order(&self, kind: &'static str, result: &'static str) {
+        self.orders.get_or_create(&Order { kind, result }).inc();
+    }
+
+    pub(crate) fn start(&self, reason: &'static str) {
+        self.starts.get_or_create(&Cause { reason }).inc();
+    }
+
+    pub(crate) fn stop(&self, reason: &'static str) {
+        self.stops.get_or_create(&Cause { reason }).inc();
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/leader.rs
@@ -0,0 +1,390 @@
+//! The task that leads one group.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use crate::{counter::Counters, event::Event, status::Status};
+use copperwell_backend::{
+    Control, Failure,
+    order::{Fence, Give, Release, Renew},
+};
+use copperwell_dispatch::table::{Lease, Owner, Route, Table};
+use copperwell_keyspace::{DaemonName, GroupId, HashMap, Incarnation, UpstreamName};
+use copperwell_policy::group::{
+    Group,
+    message::{self, Action, Answer, Input, Order, Start},
+};
+use spdlog::info;
+use tokio::{
+    sync::mpsc,
+    task::JoinSet,
+    time::{Instant, sleep_until, timeout},
+};
+
+/// How long the task sleeps if the machine names no time.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// Tells the task what to do.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// An input of the machine.
+    Input(Input),
+    /// Lead anew under a higher epoch.
+    Start(Box<Start>),
+}
+
+/// What the tasks of all groups share.
+#[derive(Debug)]
+pub(crate) struct Shared<C> {
+    pub(crate) name: DaemonName,
+    pub(crate) control: Arc<C>,
+    pub(crate) table: Arc<Table>,
+    pub(crate) events: mpsc::Sender<Event>,
+    pub(crate) counters: Counters,
+}
+
+/// Leads one group.
+pub(crate) struct Leader<C> {
+    shared: Arc<Shared<C>>,
+    group: Group,
+    commands: mpsc::Receiver<Command>,
+    status: Arc<Mutex<Status>>,
+    leases: HashMap<UpstreamName, Held>,
+    running: JoinSet<Input>,
+}
+
+/// The lease of one run of a server.
+struct Held {
+    incarnation: Incarnation,
+    lease: Arc<Lease>,
+}
+
+/// Why the task ends.
+enum End {
+    SteppedDown(u64),
+    HandedOver,
+}
+
+impl<C: Control> Leader<C> {
+    pub(crate) fn new(
+        shared: Arc<Shared<C>>,
+        group: Group,
+        commands: mpsc::Receiver<Command>,
+        status: Arc<Mutex<Status>>,
+    ) -> Self {
+        Self {
+            shared,
+            group,
+            commands,
+            status,
+            leases: HashMap::default(),
+            running: JoinSet::new(),
+        }
+    }
+
+    /// Leads until another daemon does.
+    pub(crate) async fn run(mut self) {
+        let mut input = Input::Tick;
+        loop {
+            let stops = matches!(input, Input::Stop);
+            let actions = self.group.handle(input, Instant::now());
+            let end = self.act(actions);
+            self.publish();
+            if stops {
+                self.shared.counters.stop("replaced");
+                self.tell_stepped_down(None);
+                return;
+            }
+            match end {
+                Some(End::SteppedDown(by)) => {
+                    self.shared.counters.stop("fenced");
+                    self.tell_stepped_down(Some(by));
+                    return;
+                }
+                Some(End::HandedOver) => {
+                    self.shared.counters.stop("handed-over");
+                    self.tell_stepped_down(None);
+                    return;
+                }
+                None => {}
+            }
+            input = self.next().await;
+        }
+    }
+
+    async fn next(&mut self) -> Input {
+        let now = Instant::now();
+        let wake = self.group.wake_at(now).unwrap_or(now + IDLE);
+        tokio::select! {
+            command = self.commands.recv() => match command {
+                Some(Command::Input(input)) => input,
+                Some(Command::Start(start)) => {
+                    self.restart(*start);
+                    Input::Tick
+                }
+                None => Input::Stop,
+            },
+            Some(done) = self.running.join_next() => done.unwrap_or(Input::Tick),
+            () = sleep_until(wake) => Input::Tick,
+        }
+    }
+
+    /// Begins anew; the routes stay held until the servers have answered.
+    fn restart(&mut self, start: Start) {
+        self.running = JoinSet::new();
+        self.leases.clear();
+        self.group = Group::new(start, Instant::now());
+    }
+
+    fn act(&mut self, actions: Vec<Action>) -> Option<End> {
+        let mut end = None;
+        for action in actions {
+            match action {
+                Action::Order {
+                    upstream,
+                    ticket,
+                    order,
+                    timeout,
+                } => {
+                    let errand = Errand {
+                        shared: self.shared.clone(),
+                        group: self.group.id().clone(),
+                        epoch: self.group.epoch(),
+                    };
+                    self.running.spawn(async move {
+                        let result = errand.give(upstream.address, order, timeout).await;
+                        Input::Answered {
+                            upstream: upstream.name,
+                            ticket,
+                            result,
+                        }
+                    });
+                }
+                Action::Route { shard, route } => {
+                    let route = self.route(route);
+                    let service = &self.group.id().service;
+                    self.shared.table.set(service, shard, route);
+                }
+                Action::Lease {
+                    upstream,
+                    incarnation,
+                    until,
+                } => self.prolong(upstream, incarnation, until),
+                Action::AwaitIdle { shard, ticket } => {
+                    let table = self.shared.table.clone();
+                    let service = self.group.id().service.clone();
+                    self.running.spawn(async move {
+                        table.idle(&service, shard).await;
+                        Input::Idle { shard, ticket }
+                    });
+                }
+                Action::StepDown { by } => end = Some(End::SteppedDown(by)),
+                Action::HandedOver => end = Some(End::HandedOver),
+                Action::Moved { from, .. } => {
+                    if from.is_some() {
+                        self.shared.counters.moves.inc();
+                    }
+                }
+            }
+        }
+        end
+    }
+
+    fn route(&mut self, route: message::Route) -> Route {
+        match route {
+            message::Route::Elsewhere => Route::Elsewhere,
+            message::Route::Unowned => Route::Unowned,
+            message::Route::Held => Route::Held,
+            message::Route::Owned {
+                upstream,
+                incarnation,
+            } => Route::Owned(Owner {
+                lease: self.lease(&upstream, incarnation),
+                epoch: self.group.epoch(),
+                upstream,
+                incarnation,
+            }),
+        }
+    }
+
+    fn prolong(&mut self, upstream: UpstreamName, incarnation: Incarnation, until: Instant) {
+        self.lease(&upstream, incarnation).prolong(until);
+    }
+
+    /// The lease of this run; that of an earlier run has ended.
+    fn lease(&mut self, upstream: &UpstreamName, incarnation: Incarnation) -> Arc<Lease> {
+        let now = Instant::now();
+        let fresh = || Held {
+            incarnation,
+            lease: Arc::new(Lease::new(now)),
+        };
+        let held = self.leases.entry(upstream.clone()).or_insert_with(fresh);
+        if held.incarnation != incarnation {
+            held.lease.end(now);
+            *held = fresh();
+        }
+        held.lease.clone()
+    }
+
+    fn publish(&self) {
+        let status = Status::of(&self.group);
+        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+
+    fn tell_stepped_down(&self, by: Option<u64>) {
+        let group = self.group.id().clone();
+        let epoch = self.group.epoch();
+        info!("group {group}: led no longer under epoch {epoch}");
+        self.shared.counters.led.dec();
+        self.shared.tell(Event::SteppedDown { group, epoch, by });
+    }
+}
+
+impl<C> Drop for Leader<C> {
+    fn drop(&mut self) {
+        // Whoever still holds a route of this leader stops sending on it.
+        let now = Instant::now();
+        for held in self.leases.values() {
+            held.lease.end(now);
+        }
+    }
+}
+
+impl<C> Shared<C> {
+    pub(crate) fn tell(&self, event: Event) {
+        if self.events.try_send(event).is_err() {
+            self.counters.dropped.inc();
+        }
+    }
+}
+
+/// Takes orders of one epoch to servers.
+struct Errand<C> {
+    shared: Arc<Shared<C>>,
+    group: GroupId,
+    epoch: u64,
+}
+
+impl<C: Control> Errand<C> {
+    async fn give(
+        self,
+        to: std::net::SocketAddr,
+        order: Order,
+        patience: Duration,
+    ) -> Result<Answer, message::Failure> {
+        let kind = kind_of(&order);
+        let result = match timeout(patience, self.send(to, order)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(failure)) => Err(failure_of(failure)),
+            Err(_) => Err(message::Failure::Silent),
+        };
+        self.shared.counters.order(kind, result_of(&result));
+        result
+    }
+
+    async fn send(&self, to: std::net::SocketAddr, order: Order) -> Result<Answer, Failure> {
+        let group = self.group.clone();
+        let epoch = self.epoch;
+        let control = &self.shared.control;
+        let held = match order {
+            Order::Fence => {
+                let order = Fence {
+                    group,
+                    epoch,
+                    leader: self.shared.name.clone(),
+                };
+                let fenced = control.fence(to, &order).await?;
+                return Ok(Answer::Fenced {
+                    incarnation: fenced.incarnation,
+                    grants: fenced.grants,
+                    draining: fenced.draining,
+                    clock_ms: fenced.clock_ms,
+                });
+            }
+            Order::Give {
+                incarnation,
+                sequence,
+                lease,
+                until_ms,
+                shards,
+            } => {
+                let order = Give {
+                    group,
+                    epoch,
+                    sequence,
+                    incarnation,
+                    lease_ms: millis(lease),
+                    until_ms,
+                    shards,
+                };
+                control.give(to, &order).await?
+            }
+            Order::Renew {
+                incarnation,
+                lease,
+                until_ms,
+            } => {
+                let order = Renew {
+                    group,
+                    epoch,
+                    incarnation,
+                    lease_ms: millis(lease),
+                    until_ms,
+                };
+                control.renew(to, &order).await?
+            }
+            Order::Release { sequence, shards } => {
+                let order = Release {
+                    group,
+                    epoch,
+                    sequence,
+                    shards,
+                };
+                control.release(to, &order).await?
+            }
+        };
+        Ok(Answer::Held {
+            incarnation: held.incarnation,
+            shards: held.shards,
+            digest: held.digest,
+            draining: held.draining,
+            clock_ms: held.clock_ms,
+        })
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn kind_of(order: &Order) -> &'static str {
+    match order {
+        Order::Fence => "fence",
+        Order::Give { .. } => "grant",
+        Order::Renew { .. } => "renew",
+        Order::Release { .. } => "release",
+    }
+}
+
+fn result_of(result: &Result<Answer, message::Failure>) -> &'static str {
+    match result {
+        Ok(_) => "taken",
+        Err(message::Failure::Refused { .. }) => "refused",
+        Err(message::Failure::Unreachable) => "unreachable",
+        Err(message::Failure::Silent) => "silent",
+    }
+}
+
+fn failure_of(failure: Failure) -> message::Failure {
+    match failure {
+        Failure::Fenced(refusal) => message::Failure::Refused {
+            incarnation: refusal.incarnation,
+            epoch: refusal.epoch,
+        },
+        Failure::Unreachable => message::Failure::Unreachable,
+        // Whatever answers like this may have taken the order.
+        Failure::Silent | Failure::Invalid(_) => message::Failure::Silent,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/group/quorum.rs
@@ -0,0 +1,160 @@
+//! When a leader may count on a server, and when it may grant what a silent server held.
+
+use super::{Group, Place, message::Predecessor, server::Server};
+use copperwell_keyspace::UpstreamName;
+use tokio::time::Instant;
+
+impl Group {
+    /// Counts on the runs that no other leader can have got hold of.
+    pub(super) fn establish(&mut self, now: Instant) {
+        if self.stopped.is_some() {
+            self.settled = true;
+            self.establish_first(now);
+        }
+        if !self.settled {
+            let needed = self.needed_to_take_over();
+            self.settle(needed);
+            return;
+        }
+        self.establish_later();
+    }
+
+    /// Whether enough servers have taken an order of this epoch that was sent at `since` or later.
+    pub(super) fn is_confirmed(&self, since: Instant) -> bool {
+        if self.confirmed.is_some_and(|at| at >= since) {
+            return true;
+        }
+        let confirming = self.counted().filter(|server| {
+            let run = server.established();
+            run.is_some_and(|run| run.confirmed >= since)
+        });
+        confirming.count() >= self.needed_to_grant()
+    }
+
+    /// The latest time for which a word of the servers is wanted.
+    pub(super) fn confirm_since(&self) -> Option<Instant> {
+        let freed = self.free.iter().filter_map(|shard| {
+            let Some(Place::Free { since, .. }) = self.shards.get(shard) else {
+                return None;
+            };
+            *since
+        });
+        let runs = self.servers.values().filter_map(|server| {
+            let run = server.run.as_ref()?;
+            let waits = !run.established && !server.gone;
+            (waits && (server.is_checked() || self.stopped.is_some())).then_some(run.fenced)
+        });
+        freed.chain(runs).max()
+    }
+
+    /// The servers whose word counts.
+    fn counted(&self) -> impl Iterator<Item = &Server> {
+        let servers = self.servers.values();
+        servers.filter(|server| server.is_checked() && !server.gone)
+    }
+
+    /// How many servers must be fenced before this leader renews what they report.
+    ///
+    /// Any so many and any [`Group::needed_to_grant`] have one in common.
+    fn needed_to_take_over(&self) -> usize {
+        self.counted().count() / 2 + 1
+    }
+
+    /// How many servers must confirm this leader before it grants what a silent one held.
+    fn needed_to_grant(&self) -> usize {
+        let all = self.counted().count();
+        all - all / 2
+    }
+
+    /// Counts on the first runs that it sees, as no earlier leader gives orders.
+    fn establish_first(&mut self, now: Instant) {
+        let waited_out = self.waited_out().is_some_and(|at| at <= now);
+        let is_new = self.predecessor == Predecessor::None;
+        for server in self.servers.values_mut() {
+            let may = server.is_checked() || is_new || waited_out;
+            if server.runs == 1
+                && may
+                && let Some(run) = &mut server.run
+                && !run.established
+            {
+                run.established = true;
+                server.due = run.fenced;
+                self.changed.extend(&server.owned);
+            }
+        }
+    }
+
+    /// Counts on servers that were all fenced at one moment, if there are as many as needed.
+    fn settle(&mut self, needed: usize) {
+        let counted: Vec<&Server> = self.counted().collect();
+        if counted.is_empty() {
+            return;
+        }
+        let mut moments: Vec<Instant> = counted
+            .iter()
+            .filter_map(|server| server.run.as_ref())
+            .map(|run| run.fenced)
+            .collect();
+        moments.sort_unstable();
+        let at = |moment: Instant| -> Vec<UpstreamName> {
+            let fenced = counted.iter().filter(|server| {
+                let run = server.run.as_ref();
+                run.is_some_and(|run| run.fenced <= moment && run.confirmed >= moment)
+            });
+            fenced.map(|server| server.upstream.name.clone()).collect()
+        };
+        let alone = needed == 1 && !moments.is_empty();
+        let first = moments.iter().find(|moment| at(**moment).len() >= needed);
+        let names = match first {
+            Some(moment) => at(*moment),
+            None if alone => counted
+                .iter()
+                .filter(|server| server.run.is_some())
+                .map(|server| server.upstream.name.clone())
+                .collect(),
+            None => return,
+        };
+        self.settled = true;
+        for name in names {
+            self.mark_established(&name);
+        }
+    }
+
+    /// Counts on later runs once others confirm that nobody else has taken over since.
+    fn establish_later(&mut self) {
+        let may_be_unchecked = self.stopped.is_some();
+        let waiting: Vec<(UpstreamName, Instant)> = self
+            .servers
+            .iter()
+            .filter_map(|(name, server)| {
+                let run = server.run.as_ref().filter(|run| !run.established)?;
+                let may = server.is_checked() || may_be_unchecked;
+                may.then(|| (name.clone(), run.fenced))
+            })
+            .collect();
+        for (name, fenced) in &waiting {
+            if self.is_confirmed(*fenced) {
+                self.mark_established(name);
+            }
+        }
+        // With too few left that could confirm, all of them together will do.
+        let established = self
+            .counted()
+            .filter(|server| server.established().is_some());
+        if !waiting.is_empty() && established.count() < self.needed_to_grant() {
+            self.settle(self.counted().count());
+        }
+    }
+
+    fn mark_established(&mut self, name: &UpstreamName) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        let Some(run) = &mut server.run else {
+            return;
+        };
+        run.established = true;
+        server.due = run.fenced;
+        self.changed.extend(&server.owned);
+    }
+}
