--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,3 +1,5 @@
 //! Pure decisions over inputs and a given time; sockets stay elsewhere.
 
 pub mod appoint;
+pub mod group;
+pub mod placement;
