--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError, RwLock,
-    atomic::{AtomicU32, Ordering},
+    atomic::{AtomicU32, AtomicU64, Ordering},
 };
 
 use copperwell_keyspace::{Epoch, HashMap, Incarnation, ServiceName, ShardIndex, UpstreamName};
@@ -55,13 +55,25 @@
 pub struct Pass {
     entries: Arc<[Entry]>,
     shard: ShardIndex,
+    turn: u64,
+}
+
+/// The route of a shard, and which of this daemon's turns of leading it this is.
+#[derive(Debug, Clone, Default)]
+pub struct Lead {
+    /// The route.
+    pub route: Route,
+    /// How often the shard has come from [`Route::Elsewhere`].
+    pub turn: u64,
 }
 
 #[derive(Debug, Default)]
 struct Entry {
-    route: Mutex<Route>,
+    lead: Mutex<Lead>,
     in_flight: AtomicU32,
+    requests: AtomicU64,
     changed: Notify,
+    idle: Notify,
 }
 
 impl Table {
@@ -91,7 +103,7 @@
         if let Some(entries) = self.entries(service)
             && let Some(entry) = entries.get(shard as usize)
         {
-            *entry.route() = route;
+            entry.lead().set(route);
             entry.changed.notify_waiters();
         }
     }
@@ -99,15 +111,30 @@
     /// The route of a shard; [`Route::Elsewhere`] for one that is not in the table.
     #[must_use]
     pub fn route(&self, service: &str, shard: ShardIndex) -> Route {
+        self.lead(service, shard).route
+    }
+
+    /// The route of a shard together with its turn.
+    #[must_use]
+    pub fn lead(&self, service: &str, shard: ShardIndex) -> Lead {
         self.entries(service)
             .and_then(|entries| {
-                entries
-                    .get(shard as usize)
-                    .map(|entry| entry.route().clone())
+                let entry = entries.get(shard as usize)?;
+                Some(entry.lead().clone())
             })
             .unwrap_or_default()
     }
 
+    /// Requests that each shard of a service has had so far, by shard.
+    #[must_use]
+    pub fn requests(&self, service: &str) -> Vec<u64> {
+        let entries = self.entries(service);
+        let entries = entries.iter().flat_map(|entries| entries.iter());
+        entries
+            .map(|entry| entry.requests.load(Ordering::Relaxed))
+            .collect()
+    }
+
     /// Counts a request in flight, if an upstream owns the shard at this moment.
     ///
     /// The check and the count are one step, so [`Table::idle`] after [`Route::Held`] misses none.
@@ -118,14 +145,21 @@
     pub fn enter(&self, service: &str, shard: ShardIndex) -> Result<(Owner, Pass), Route> {
         let entries = self.entries(service).ok_or(Route::Elsewhere)?;
         let entry = entries.get(shard as usize).ok_or(Route::Elsewhere)?;
-        let route = entry.route();
-        let Route::Owned(owner) = &*route else {
-            return Err(route.clone());
+        let lead = entry.lead();
+        let Route::Owned(owner) = &lead.route else {
+            return Err(lead.route.clone());
         };
         let owner = owner.clone();
+        let turn = lead.turn;
         entry.in_flight.fetch_add(1, Ordering::AcqRel);
-        drop(route);
-        Ok((owner, Pass { entries, shard }))
+        drop(lead);
+        entry.requests.fetch_add(1, Ordering::Relaxed);
+        let pass = Pass {
+            entries,
+            shard,
+            turn,
+        };
+        Ok((owner, pass))
     }
 
     /// Resolves at the next change of the shard's route that comes after the call.
@@ -140,7 +174,7 @@
             let notified = entry.changed.notified();
             tokio::pin!(notified);
             notified.as_mut().enable();
-            if !seen(&entry.route()) {
+            if !seen(&entry.lead().route) {
                 return;
             }
             notified.await;
@@ -167,7 +201,7 @@
             return;
         };
         loop {
-            let notified = entry.changed.notified();
+            let notified = entry.idle.notified();
             tokio::pin!(notified);
             notified.as_mut().enable();
             if entry.in_flight.load(Ordering::Acquire) == 0 {
@@ -184,8 +218,25 @@
 }
 
 impl Entry {
-    fn route(&self) -> MutexGuard<'_, Route> {
-        self.route.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lead(&self) -> MutexGuard<'_, Lead> {
+        self.lead.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Lead {
+    fn set(&mut self, route: Route) {
+        let was_elsewhere = matches!(self.route, Route::Elsewhere);
+        let is_elsewhere = matches!(route, Route::Elsewhere);
+        self.turn += u64::from(was_elsewhere && !is_elsewhere);
+        self.route = route;
+    }
+}
+
+impl Pass {
+    /// The turn of leading the shard in which the request entered.
+    #[must_use]
+    pub fn turn(&self) -> u64 {
+        self.turn
     }
 }
 
@@ -193,7 +244,7 @@
     fn drop(&mut self) {
         let entry = &self.entries[self.shard as usize];
         if entry.in_flight.fetch_sub(1, Ordering::AcqRel) == 1 {
-            entry.changed.notify_waiters();
+            entry.idle.notify_waiters();
         }
     }
 }
--- /dev/null
+++ b/crates/policy/src/window.rs
@@ -0,0 +1,510 @@
+//! At most once: what became of the requests that are not repeatable.
+//!
+//! A request is known by its idempotency key, a UUIDv7, whose time of making decides whether an
+//! unknown key can be new. An entry is made before the request leaves and is kept until the key is
+//! older than the window. A leader that took over without its predecessor's entries cannot tell
+//! whether a key made before it took over has run, and says so.
+//!
+//! This is the one place that reads wall time. It never goes back: a clock that jumps ahead and
+//! back again lets no key run a second time.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, SystemTime},
+};
+
+use copperwell_keyspace::{Epoch, HashMap, ServiceName, ShardIndex};
+use copperwell_message::{Reason, Reply, Verdict};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+/// The most that the wall clocks of two daemons, or of a daemon and a caller, may differ.
+pub const CLOCK_DIFFERENCE: Duration = Duration::from_millis(500);
+
+/// The largest answer that is kept, in bytes of head and body.
+pub const ANSWER_MAX: usize = 8 << 10;
+
+/// The most bytes of answers that one window keeps; beyond it, the oldest answers go first.
+pub const ANSWERS_MAX: usize = 4 << 20;
+
+/// The most keys that one window keeps.
+pub const KEYS_MAX: usize = 1 << 17;
+
+/// Tells one stretch of leading a shard from another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Term {
+    /// How often the shard has come to this daemon.
+    pub turn: u64,
+    /// The leader's epoch; `None` until it is known.
+    pub epoch: Option<Epoch>,
+}
+
+/// What a request that is not repeatable asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Claim {
+    /// The idempotency key.
+    pub id: Uuid,
+    /// The shard.
+    pub shard: ShardIndex,
+    /// The stretch in which this daemon leads the shard.
+    pub term: Term,
+    /// What makes two requests the same.
+    pub fingerprint: u64,
+}
+
+/// What a claim is answered with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The request is new and entered: it may run, and [`Window::finish`] is to follow.
+    Run,
+    /// The same request runs now; its outcome is the answer.
+    Join,
+    /// The same request has run, or may have.
+    Kept(Outcome),
+    /// The claim is refused.
+    Refused(Refusal),
+}
+
+/// Why a claim is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// The reason.
+    pub reason: Reason,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It ran, and this is its whole answer.
+    Answered(Box<Whole>),
+    /// It ran and its answer was whole, but that answer is not kept.
+    Done {
+        /// The status of the answer.
+        status: u16,
+    },
+    /// It may have run, and will not again.
+    MayHaveRun {
+        /// Why its outcome is not known.
+        reason: Reason,
+    },
+    /// It did not run, so a resend may.
+    NotRun,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Whole {
+    /// The head.
+    pub reply: Reply,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// The entries of some shards, for the leader that takes them over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Export {
+    /// The service.
+    pub service: ServiceName,
+    /// The shards.
+    pub shards: Vec<ExportShard>,
+    /// The entries.
+    pub entries: Vec<ExportEntry>,
+}
+
+/// A shard of an [`Export`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExportShard {
+    /// The shard.
+    pub shard: ShardIndex,
+    /// Every unknown key made up to then may have run.
+    pub unknown_before: SystemTime,
+}
+
+/// An entry of an [`Export`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExportEntry {
+    /// The idempotency key.
+    pub id: Uuid,
+    /// The shard.
+    pub shard: ShardIndex,
+    /// What makes two requests the same.
+    pub fingerprint: u64,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// The keys of one service.
+#[derive(Debug)]
+pub struct Window {
+    length: Duration,
+    keys_max: usize,
+    /// The latest wall time seen.
+    wall: SystemTime,
+    shards: HashMap<ShardIndex, Lead>,
+    /// A UUIDv7 begins with its time, so keys are in order of age.
+    entries: BTreeMap<Uuid, Entry>,
+    /// Keys whose answers are kept, oldest answer first, and some that are gone.
+    answers: VecDeque<Uuid>,
+    answers_bytes: usize,
+}
+
+/// Since when a shard is led.
+#[derive(Debug)]
+struct Lead {
+    term: Term,
+    unknown_before: SystemTime,
+}
+
+#[derive(Debug)]
+struct Entry {
+    shard: ShardIndex,
+    fingerprint: u64,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Running,
+    Finished(Outcome),
+}
+
+impl Term {
+    /// Whether nobody else can have led the shard between the two.
+    #[must_use]
+    pub fn is_same(self, other: Self) -> bool {
+        let epochs_agree = match (self.epoch, other.epoch) {
+            (Some(one), Some(another)) => one == another,
+            _ => true,
+        };
+        self.turn == other.turn && epochs_agree
+    }
+}
+
+impl Window {
+    /// An empty window of `length`.
+    #[must_use]
+    pub fn new(length: Duration) -> Self {
+        Self {
+            length,
+            keys_max: KEYS_MAX,
+            wall: SystemTime::UNIX_EPOCH,
+            shards: HashMap::default(),
+            entries: BTreeMap::new(),
+            answers: VecDeque::new(),
+            answers_bytes: 0,
+        }
+    }
+
+    /// Keeps at most `keys` keys.
+    #[must_use]
+    pub fn with_keys(mut self, keys: usize) -> Self {
+        self.keys_max = keys;
+        self
+    }
+
+    /// Changes the length; a longer one brings back no key that is gone.
+    ///
+    /// What was forgotten under the shorter length counts as unknown, for every shard led now.
+    pub fn set_length(&mut self, length: Duration) {
+        if length > self.length {
+            let forgotten = self.horizon();
+            for lead in self.shards.values_mut() {
+                lead.unknown_before = lead.unknown_before.max(forgotten);
+            }
+        }
+        self.length = length;
+    }
+
+    /// Starts to lead a shard without the entries of whoever led it before.
+    pub fn begin(&mut self, shard: ShardIndex, term: Term, wall: SystemTime) {
+        self.advance(wall);
+        // The predecessor took keys from up to one difference ahead of its clock, which may itself
+        // have been one difference ahead of ours.
+        let unknown_before = self.wall + 2 * CLOCK_DIFFERENCE;
+        let lead = Lead {
+            term,
+            unknown_before,
+        };
+        self.shards.insert(shard, lead);
+    }
+
+    /// Judges a request that is not repeatable, and enters it if it may run.
+    pub fn claim(&mut self, claim: Claim, wall: SystemTime) -> Answer {
+        self.advance(wall);
+        let Some(made) = made_at(claim.id) else {
+            return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
+        };
+        self.follow(claim.shard, claim.term);
+        if let Some(entry) = self.entries.get(&claim.id) {
+            return entry.answer(claim.fingerprint);
+        }
+        if made > self.wall + CLOCK_DIFFERENCE {
+            return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
+        }
+        if made < self.horizon() {
+            return refused(Verdict::MayHaveRun, Reason::IdempotencyKeyExpired);
+        }
+        if self.is_unknown(claim.shard, made) {
+            return refused(Verdict::MayHaveRun, Reason::IdempotencyKeyUnknown);
+        }
+        if self.entries.len() >= self.keys_max {
+            return refused(Verdict::NotRun, Reason::ServiceLimit);
+        }
+        let entry = Entry {
+            shard: claim.shard,
+            fingerprint: claim.fingerprint,
+            state: State::Running,
+        };
+        self.entries.insert(claim.id, entry);
+        Answer::Run
+    }
+
+    /// Keeps what became of a request that [`Window::claim`] let run.
+    pub fn finish(&mut self, id: Uuid, outcome: Outcome) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        if matches!(entry.state, State::Finished(_)) {
+            return;
+        }
+        if outcome == Outcome::NotRun {
+            self.entries.remove(&id);
+            return;
+        }
+        let outcome = outcome.bounded();
+        let bytes = outcome.bytes();
+        entry.state = State::Finished(outcome);
+        if bytes > 0 {
+            self.answers.push_back(id);
+            self.answers_bytes += bytes;
+            self.drop_answers();
+        }
+    }
+
+    /// Keys that are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes shards out for their next leader; from here on their keys are unknown here.
+    ///
+    /// Requests that still run go out as ones that may have run.
+    pub fn export(&mut self, service: &ServiceName, shards: &[ShardIndex]) -> Export {
+        let mut led = Vec::new();
+        for shard in shards {
+            if let Some(lead) = self.shards.remove(shard) {
+                led.push(ExportShard {
+                    shard: *shard,
+                    unknown_before: lead.unknown_before.max(self.horizon()),
+                });
+            }
+        }
+        let gone: Vec<Uuid> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| shards.contains(&entry.shard))
+            .map(|(id, _)| *id)
+            .collect();
+        Export {
+            service: service.clone(),
+            shards: led,
+            entries: gone.into_iter().filter_map(|id| self.take(id)).collect(),
+        }
+    }
+
+    /// Takes over what the leader before exported.
+    ///
+    /// `turn` tells in which stretch of leading each shard the entries count.
+    pub fn import(&mut self, export: Export, turn: impl Fn(ShardIndex) -> u64, wall: SystemTime) {
+        self.advance(wall);
+        let mut overflow = None;
+        for entry in export.entries {
+            if !self.adopt(&entry) {
+                overflow = overflow.max(made_at(entry.id));
+            }
+        }
+        for led in export.shards {
+            let forgotten = overflow.unwrap_or(SystemTime::UNIX_EPOCH);
+            let lead = Lead {
+                term: Term {
+                    turn: turn(led.shard),
+                    epoch: None,
+                },
+                unknown_before: led.unknown_before.max(forgotten),
+            };
+            self.shards.insert(led.shard, lead);
+        }
+    }
+
+    fn advance(&mut self, wall: SystemTime) {
+        if wall <= self.wall {
+            return;
+        }
+        self.wall = wall;
+        self.forget();
+    }
+
+    /// Keys made before this are too old to be known.
+    fn horizon(&self) -> SystemTime {
+        self.wall
+            .checked_sub(self.length)
+            .unwrap_or(SystemTime::UNIX_EPOCH)
+    }
+
+    fn forget(&mut self) {
+        let horizon = self.horizon();
+        let is_old = |id: &Uuid| made_at(*id).is_none_or(|made| made < horizon);
+        let old: Vec<Uuid> = self
+            .entries
+            .iter()
+            .take_while(|(id, _)| is_old(id))
+            .filter(|(_, entry)| matches!(entry.state, State::Finished(_)))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in old {
+            self.take(id);
+        }
+        while let Some(id) = self.answers.front()
+            && !self.entries.contains_key(id)
+        {
+            self.answers.pop_front();
+        }
+    }
+
+    /// Begins anew if the shard came to this daemon again since its keys were last known whole.
+    fn follow(&mut self, shard: ShardIndex, term: Term) {
+        match self.shards.get_mut(&shard) {
+            Some(lead) if lead.term.is_same(term) => {
+                lead.term.epoch = lead.term.epoch.or(term.epoch);
+            }
+            _ => self.begin(shard, term, self.wall),
+        }
+    }
+
+    fn is_unknown(&self, shard: ShardIndex, made: SystemTime) -> bool {
+        self.shards
+            .get(&shard)
+            .is_none_or(|lead| made <= lead.unknown_before)
+    }
+
+    fn adopt(&mut self, entry: &ExportEntry) -> bool {
+        if self.entries.contains_key(&entry.id) {
+            return true;
+        }
+        if self.entries.len() >= self.keys_max {
+            return false;
+        }
+        let running = Entry {
+            shard: entry.shard,
+            fingerprint: entry.fingerprint,
+            state: State::Running,
+        };
+        self.entries.insert(entry.id, running);
+        self.finish(entry.id, entry.outcome.clone());
+        true
+    }
+
+    /// Takes an entry out, with its body.
+    fn take(&mut self, id: Uuid) -> Option<ExportEntry> {
+        let entry = self.entries.remove(&id)?;
+        let outcome = match entry.state {
+            State::Running => Outcome::MayHaveRun {
+                reason: Reason::NotLeader,
+            },
+            State::Finished(outcome) => outcome,
+        };
+        self.answers_bytes -= outcome.bytes();
+        Some(ExportEntry {
+            id,
+            shard: entry.shard,
+            fingerprint: entry.fingerprint,
+            outcome,
+        })
+    }
+
+    fn drop_answers(&mut self) {
+        while self.answers_bytes > ANSWERS_MAX {
+            let Some(id) = self.answers.pop_front() else {
+                return;
+            };
+            let Some(entry) = self.entries.get_mut(&id) else {
+                continue;
+            };
+            if let State::Finished(outcome) = &mut entry.state {
+                self.answers_bytes -= outcome.bytes();
+                *outcome = outcome.without_answer();
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn answer(&self, fingerprint: u64) -> Answer {
+        if self.fingerprint != fingerprint {
+            return refused(Verdict::NotRun, Reason::IdempotencyKeyReused);
+        }
+        match &self.state {
+            State::Running => Answer::Join,
+            State::Finished(outcome) => Answer::Kept(outcome.clone()),
+        }
+    }
+}
+
+impl Outcome {
+    /// What the answer takes, if it is kept.
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Answered(whole) => whole.bytes(),
+            _ => 0,
+        }
+    }
+
+    fn bounded(self) -> Self {
+        if self.bytes() > ANSWER_MAX {
+            self.without_answer()
+        } else {
+            self
+        }
+    }
+
+    fn without_answer(&self) -> Self {
+        match self {
+            Self::Answered(whole) => Self::Done {
+                status: whole.reply.status,
+            },
+            other => other.clone(),
+        }
+    }
+}
+
+impl Whole {
+    fn bytes(&self) -> usize {
+        let headers = self.reply.headers.iter();
+        let head: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        size_of::<Self>() + head + self.body.len()
+    }
+}
+
+/// When an idempotency key was made; `None` if it is not a UUIDv7.
+#[must_use]
+pub fn made_at(id: Uuid) -> Option<SystemTime> {
+    if id.get_version_num() != 7 {
+        return None;
+    }
+    let (seconds, nanoseconds) = id.get_timestamp()?.to_unix();
+    SystemTime::UNIX_EPOCH.checked_add(Duration::new(seconds, nanoseconds))
+}
+
+fn refused(verdict: Verdict, reason: Reason) -> Answer {
+    Answer::Refused(Refusal { verdict, reason })
+}
