--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,5 +1,6 @@
-//! Pure decisions over inputs and a given time; sockets and clocks stay with the callers.
+//! Pure decisions over inputs and a given time; sockets stay elsewhere.
 
+pub mod appoint;
 pub mod backoff;
 pub mod budget;
 pub mod limit;
