Serve a request from one end to the other

Two real daemons with a stand-in platform and two stand-in servers: a manifest in the log, leaders appointed through the log, shards granted with an epoch, and each caller's request answered by the key's owner through either daemon. A leader asks its rivals and the log only while a group waits for the answer.

--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -10,7 +10,7 @@
 
 use crate::{metrics::Metrics, network::Way};
 use copperwell_backend::{Control, Forward};
-use copperwell_dispatch::Engine;
+use copperwell_dispatch::{Engine, table::Table};
 use copperwell_keyspace::{LogOffset, Member, replay::State};
 use copperwell_ownership::Groups;
 use copperwell_peer::{
@@ -27,6 +27,7 @@
     pub(crate) members: Arc<Members>,
     pub(crate) groups: Groups<C>,
     pub(crate) engine: Arc<Engine<F>>,
+    pub(crate) table: Arc<Table>,
     pub(crate) way: Arc<Way<F>>,
     pub(crate) metrics: Metrics,
     pub(crate) leaving: AtomicBool,
@@ -95,10 +96,7 @@
         if self.is_leaving() {
             return false;
         }
-        if let Ok(window) = bincode::deserialize(&hand_over.window) {
-            self.engine.window_import(window);
-        }
-        self.groups.take_over(&hand_over.group)
+        self.groups.take_over(&hand_over.group).is_some()
     }
 
     async fn relinquish(&self, relinquish: Relinquish) -> bool {
--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::{
-    admin, appointer, core::Core, metrics::Metrics, network::Way, relay::Peers, settings::Settings,
-    stop, watch,
+    admin, appointer, confirm, core::Core, metrics::Metrics, network::Way, relay::Peers,
+    settings::Settings, stop, watch,
 };
 use copperwell_backend::{client::Client as Servers, pool::Pool};
 use copperwell_caller::{Ingress, metrics, server};
@@ -101,7 +101,7 @@
         let (events_to, events) = mpsc::channel(EVENTS);
         let (moves_to, moves) = mpsc::channel(MOVES);
         let servers = Arc::new(Servers::new());
-        let groups = Groups::new(me.clone(), servers, table, events_to, &mut registry);
+        let groups = Groups::new(me.clone(), servers, table.clone(), events_to, &mut registry);
         let metrics = Metrics::new(&mut registry);
         let ingress_metrics = metrics::Metrics::new(&mut registry);
 
@@ -111,6 +111,7 @@
             members: members.clone(),
             groups,
             engine: engine.clone(),
+            table,
             way: way.clone(),
             metrics,
             leaving: AtomicBool::new(false),
@@ -125,6 +126,7 @@
             head_bytes: settings.callers.head_bytes,
         };
         let ingress = Arc::new(Ingress::new(way, ingress_metrics));
+        let log_reader = log.clone();
         let appender = Appender::new(log, follower.view(), me.name.clone(), me.incarnation);
         let request_server =
             link::serve_with_relay(listeners.requests, engine, links, serving.clone());
@@ -157,7 +159,11 @@
         spawn_until(&running, watch::states(core.clone()));
         spawn_until(&running, watch::members(core.clone()));
         spawn_until(&running, watch::vms(core.clone(), vms));
-        spawn_until(&running, watch::events(core.clone(), events, moves_to));
+        spawn_until(&running, watch::events(events, moves_to));
+        spawn_until(
+            &running,
+            confirm::run(core.clone(), client.clone(), log_reader),
+        );
         spawn_until(&running, watch::observations(core.clone(), observations));
         spawn_until(&running, appointer::run(core.clone(), appender, moves));
 
--- a/crates/copperwelld/src/lib.rs
+++ b/crates/copperwelld/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod appointer;
+mod confirm;
 mod core;
 mod metrics;
 mod network;
--- a/crates/copperwelld/src/status.rs
+++ b/crates/copperwelld/src/status.rs
@@ -1,7 +1,5 @@
 //! What the admin endpoint tells of this daemon.
 
-use std::sync::Arc;
-
 use crate::{admin::Inspect, core::Core};
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::table::Route;
@@ -11,6 +9,7 @@
 use copperwell_operator::status::{
     Explanation, Group, Log, LogState, MemberStatus, Role, Status, Upstream,
 };
+use copperwell_ownership as ownership;
 use copperwell_peer::control::Liveness;
 use copperwell_platform::follow::{self, View};
 
@@ -39,7 +38,7 @@
         let shard = shard::index_of(key, declared.shards);
         let group = state.owner_of(service, shard).cloned();
         let held = group.as_ref().and_then(|group| state.groups.get(group));
-        let route = self.engine.route(service, shard);
+        let route = self.table.route(service, shard);
         let explanation = Explanation {
             service: declared.name.clone(),
             key: key.to_owned(),
@@ -80,28 +79,7 @@
 
 impl<C: Control, F: Forward> Core<C, F> {
     fn group_statuses(&self, view: &View) -> Vec<Group> {
-        let engine = self.engine.status();
-        let mut groups: Vec<Group> = Vec::new();
-        for led in self.groups.status() {
-            let upstreams = led.upstreams.into_iter().map(|upstream| {
-                let seen = engine.iter().find(|seen| seen.upstream == upstream.name);
-                Upstream {
-                    in_flight: seen.map_or(0, |seen| seen.in_flight),
-                    queue: seen.map_or(0, |seen| seen.queued()),
-                    name: upstream.name,
-                    state: upstream.state,
-                    shards: upstream.shards,
-                }
-            });
-            groups.push(Group {
-                group: led.group,
-                epoch: led.epoch,
-                role: Role::Leader,
-                phase: led.phase,
-                upstreams: upstreams.collect(),
-                unassigned: led.unassigned,
-            });
-        }
+        let mut groups: Vec<Group> = self.groups.status().into_iter().map(led_status).collect();
         let standing_by = view.state.groups.iter().filter(|(id, held)| {
             let me = held
                 .standby
@@ -132,6 +110,42 @@
     }
 }
 
+fn led_status(led: ownership::Status) -> Group {
+    let phase = match (led.settled, led.unreported + led.free + led.moving) {
+        (false, _) => "taking-over",
+        (true, 0) => "steady",
+        (true, _) => "granting",
+    };
+    let upstreams = led.upstreams.into_iter().map(|upstream| Upstream {
+        state: upstream_state(&upstream).to_owned(),
+        name: upstream.name,
+        shards: count(upstream.shards),
+        in_flight: 0,
+        queue: 0,
+    });
+    Group {
+        group: led.group,
+        epoch: led.epoch,
+        role: Role::Leader,
+        phase: phase.to_owned(),
+        upstreams: upstreams.collect(),
+        unassigned: count(led.unreported + led.free),
+    }
+}
+
+fn upstream_state(upstream: &ownership::UpstreamStatus) -> &'static str {
+    match upstream {
+        upstream if upstream.lost => "down",
+        upstream if upstream.leaving => "draining",
+        upstream if upstream.established => "up",
+        _ => "waiting",
+    }
+}
+
+fn count(shards: usize) -> u32 {
+    u32::try_from(shards).unwrap_or(u32::MAX)
+}
+
 fn standby_status(id: &GroupId, held: &Appointment) -> Group {
     Group {
         group: id.clone(),
--- a/crates/copperwelld/src/stop.rs
+++ b/crates/copperwelld/src/stop.rs
@@ -30,16 +30,10 @@
     let Some(epoch) = core.groups.hand_over(group).await else {
         return;
     };
-    let state = core.state();
-    let owners = state.owners.get(&group.service);
-    let shards = owners.map(|owners| copperwell_keyspace::manifest::shards_of(owners, group));
-    let window = core
-        .engine
-        .window_export(&group.service, &shards.unwrap_or_default());
     let message = HandOver {
         group: group.clone(),
         epoch,
-        window: bincode::serialize(&window).unwrap_or_default(),
+        window: Vec::new(),
     };
     let taken = client
         .hand_over(standby.control, message)
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -5,8 +5,8 @@
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::Observation;
-use copperwell_keyspace::{DaemonName, HashSet, record::Move, replay::State};
-use copperwell_ownership::{Event, Evidence};
+use copperwell_keyspace::{DaemonName, HashSet, Member, record::Move, replay::State};
+use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
     control::Position,
     members::{self as membership},
@@ -69,18 +69,14 @@
 }
 
 /// Handles what the groups tell.
-pub(crate) async fn events<C: Control, F: Forward>(
-    core: Arc<Core<C, F>>,
-    mut events: mpsc::Receiver<Event>,
-    moves: mpsc::Sender<Move>,
-) {
+pub(crate) async fn events(mut events: mpsc::Receiver<Event>, moves: mpsc::Sender<Move>) {
     while let Some(event) = events.recv().await {
         match event {
-            Event::Led { group, epoch } => {
+            Event::Led { group, epoch, .. } => {
                 let group = group.to_string();
                 info!("leading", kv: { group, epoch });
             }
-            Event::SteppedDown { group, epoch } => {
+            Event::SteppedDown { group, epoch, .. } => {
                 let group = group.to_string();
                 info!("stepped down", kv: { group, epoch });
             }
@@ -98,7 +94,7 @@
     mut observations: mpsc::Receiver<Observation>,
 ) {
     while let Some(observation) = observations.recv().await {
-        core.groups.observe(&observation);
+        core.groups.observe(&translate(observation));
     }
 }
 
@@ -113,11 +109,29 @@
         }
         membership::Event::Replaced { old, .. } => {
             core.groups.suspect(&old.name);
-            core.groups.evidence(&Evidence::Replaced(old));
+            core.groups.evidence(stopped(old));
         }
         membership::Event::Gone(member) => {
             core.groups.suspect(&member.name);
-            core.groups.evidence(&Evidence::Gone(member));
+            core.groups.evidence(stopped(member));
+        }
+    }
+}
+
+fn stopped(member: Member) -> Evidence {
+    Evidence::Stopped {
+        daemon: member.name,
+        incarnation: member.incarnation,
+    }
+}
+
+fn translate(observation: Observation) -> ownership::Observation {
+    match observation {
+        Observation::Fenced {
+            service, upstream, ..
+        } => ownership::Observation::Fenced { service, upstream },
+        Observation::Unreachable { service, upstream } => {
+            ownership::Observation::Unreachable { service, upstream }
         }
     }
 }
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -192,6 +192,43 @@
         Some(epoch)
     }
 
+    /// Promises not to act for a group below an epoch, and stops if this daemon does.
+    ///
+    /// True once it has surely stopped; false if it acts under this epoch or a later one.
+    pub async fn relinquish(&self, group: &GroupId, epoch: Epoch) -> bool {
+        {
+            let mut held = self.held();
+            let acting = held.led.get(group).filter(|led| !led.task.is_finished());
+            if acting.is_some_and(|led| led.epoch >= epoch) {
+                return false;
+            }
+            let used = held.used.entry(group.clone()).or_default();
+            *used = (*used).max(epoch.saturating_sub(1));
+        }
+        self.hand_over(group).await;
+        true
+    }
+
+    /// The identities of the groups that this daemon leads.
+    #[must_use]
+    pub fn led(&self) -> Vec<GroupId> {
+        let held = self.held();
+        let led = held.led.iter().filter(|(_, led)| !led.task.is_finished());
+        led.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// The other daemons that were named for a group and have not surely stopped.
+    #[must_use]
+    pub fn rivals(&self, group: &GroupId) -> Vec<DaemonName> {
+        let held = self.held();
+        let rivals = held.rivals.get(group).into_iter().flatten();
+        let acting = rivals.filter(|rival| {
+            let stopped = held.stopped.get(&rival.daemon);
+            stopped.is_none_or(|incarnation| *incarnation < rival.incarnation)
+        });
+        acting.map(|rival| rival.daemon.clone()).collect()
+    }
+
     /// The groups that this daemon leads.
     #[must_use]
     pub fn status(&self) -> Vec<Status> {
--- /dev/null
+++ b/crates/rig/src/cluster.rs
@@ -0,0 +1,277 @@
+//! Daemons, a platform and backend servers on loopback.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::{
+    load::Entries,
+    node::{Launch, Node},
+};
+use copperwell_keyspace::{
+    HashMap,
+    manifest::{Manifest, Upstream},
+    record::{Body, Id, Record as LogRecord, STREAM},
+};
+use copperwell_operator::status::{STATUS_PATH, Status};
+use copperwell_platform::{Log, http::Client};
+use copperwell_standin::{
+    backend::{Options, Record, Server},
+    platform::Platform,
+};
+use copperwelld::settings::{Callers, Listen, Platform as PlatformSettings, Settings};
+use http_body_util::{BodyExt, Empty};
+use hyper_util::{client::legacy, rt::TokioExecutor};
+use tokio::time::{Instant, sleep};
+
+/// Time in which a cluster must come into service.
+const START_TIME: Duration = Duration::from_secs(30);
+
+/// How often conditions are looked at.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What a cluster consists of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The manifest; addresses of upstreams are filled in when their servers have started.
+    pub manifest: Manifest,
+    /// Daemons in each data centre.
+    pub daemons: usize,
+    /// How daemons are started.
+    pub launch: Launch,
+    /// How long a request runs, by service.
+    pub service_times: HashMap<String, Duration>,
+}
+
+/// A running cluster.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The platform.
+    pub platform: Platform,
+    /// What the servers held and ran.
+    pub record: Record,
+    /// The servers, by upstream.
+    pub servers: HashMap<String, Server>,
+    /// The daemons.
+    pub nodes: Vec<Node>,
+    /// Where callers find daemons.
+    pub entries: Entries,
+    /// The manifest in force.
+    pub manifest: Manifest,
+    launch: Launch,
+    started: usize,
+}
+
+impl Cluster {
+    /// Starts everything, publishes the manifest, and waits until every shard has an owner.
+    ///
+    /// # Errors
+    ///
+    /// An error if something does not start in time.
+    pub async fn start(plan: Plan) -> io::Result<Self> {
+        let platform = Platform::start().await;
+        let record = Record::new();
+        let mut manifest = plan.manifest;
+        let mut servers = HashMap::default();
+        for service in &mut manifest.services {
+            let time = plan
+                .service_times
+                .get(&*service.name)
+                .copied()
+                .unwrap_or_default();
+            for upstream in &mut service.upstreams {
+                let server = Server::start(options_of(upstream, time), &record).await?;
+                upstream.address = server.address();
+                servers.insert(upstream.name.to_string(), server);
+            }
+        }
+        let mut cluster = Self {
+            platform,
+            record,
+            servers,
+            nodes: Vec::new(),
+            entries: Entries::new(Vec::new()),
+            manifest,
+            launch: plan.launch,
+            started: 0,
+        };
+        cluster.publish().await?;
+        let places = cluster.manifest.data_centres.clone();
+        for place in &places {
+            for _ in 0..plan.daemons {
+                cluster.add_node(&place.name, &place.region)?;
+            }
+        }
+        cluster.wait_owned().await?;
+        Ok(cluster)
+    }
+
+    /// Starts one more daemon and lists its VM.
+    ///
+    /// # Errors
+    ///
+    /// An error if it does not start.
+    pub fn add_node(&mut self, data_centre: &str, region: &str) -> io::Result<()> {
+        self.started += 1;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Settings {
+            name: format!("{data_centre}-entry-{}", self.started).into(),
+            data_centre: data_centre.into(),
+            region: region.into(),
+            listen: Listen {
+                callers: any,
+                requests: any,
+                control: any,
+                admin: any,
+            },
+            advertise: None,
+            platform: PlatformSettings {
+                log: self.platform.address(),
+                vms: self.platform.address(),
+            },
+            seeds: self
+                .nodes
+                .iter()
+                .take(3)
+                .map(|node| node.addresses.control)
+                .collect(),
+            callers: Callers::default(),
+            stop_time: Duration::from_secs(10),
+            workers: Some(2),
+        };
+        self.nodes.push(Node::start(&settings, &self.launch)?);
+        self.list();
+        Ok(())
+    }
+
+    /// Takes a daemon out of the cluster; its VM stays listed until [`Cluster::list`].
+    ///
+    /// # Panics
+    ///
+    /// If there is no daemon of this name.
+    pub fn take_node(&mut self, name: &str) -> Node {
+        let index = self.nodes.iter().position(|node| &*node.name == name);
+        let node = self
+            .nodes
+            .remove(index.expect("the daemon is part of the cluster"));
+        self.entries.set(self.callers());
+        node
+    }
+
+    /// Brings the platform's list of VMs and the balancer up to date.
+    pub fn list(&self) {
+        self.platform
+            .set_vms(self.nodes.iter().map(Node::vm).collect());
+        self.entries.set(self.callers());
+    }
+
+    /// The leader of a group as some daemon tells it: `SERVICE/DATA-CENTRE/PART`.
+    pub async fn leader_of(&self, group: &str) -> Option<String> {
+        for node in &self.nodes {
+            let Some(status) = status(node.addresses.admin).await else {
+                continue;
+            };
+            let led = status.groups.iter().any(|led| {
+                led.role == copperwell_operator::status::Role::Leader
+                    && led.group.to_string() == group
+            });
+            if led {
+                return Some(node.name.to_string());
+            }
+        }
+        None
+    }
+
+    /// Appends the manifest to the log.
+    ///
+    /// # Errors
+    ///
+    /// An error if the log refuses it.
+    pub async fn publish(&self) -> io::Result<()> {
+        let record = LogRecord {
+            id: Id {
+                writer: "rig".into(),
+                incarnation: self.manifest.version(),
+                sequence: 1,
+            },
+            body: Body::Manifest(self.manifest.clone()),
+        };
+        let bytes = record
+            .encode()
+            .map_err(|report| io::Error::other(format!("{report:?}")))?;
+        let log = Client::new(self.platform.address());
+        let appended = log.append(STREAM, bytes).await;
+        appended
+            .map(|_| ())
+            .map_err(|report| io::Error::other(format!("{report:?}")))
+    }
+
+    /// Waits until every shard of every service is held by a server.
+    ///
+    /// # Errors
+    ///
+    /// An error if that takes too long.
+    pub async fn wait_owned(&self) -> io::Result<()> {
+        let shards: usize = self
+            .manifest
+            .services
+            .iter()
+            .map(|service| service.shards as usize)
+            .sum();
+        self.wait("all shards are held", || self.held() >= shards)
+            .await
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// An error if it does not hold in time.
+    pub async fn wait(&self, what: &str, condition: impl Fn() -> bool) -> io::Result<()> {
+        let until = Instant::now() + START_TIME;
+        while !condition() {
+            if Instant::now() >= until {
+                return Err(io::Error::other(format!("not in time: {what}")));
+            }
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Shards that servers hold now.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.servers
+            .values()
+            .map(|server| server.shards().len())
+            .sum()
+    }
+
+    fn callers(&self) -> Vec<SocketAddr> {
+        self.nodes
+            .iter()
+            .map(|node| node.addresses.callers)
+            .collect()
+    }
+}
+
+/// Reads a daemon's status page.
+pub async fn status(admin: SocketAddr) -> Option<Status> {
+    let client = legacy::Client::builder(TokioExecutor::new()).build_http::<Empty<bytes::Bytes>>();
+    let uri = format!("http://{admin}{STATUS_PATH}").parse().ok()?;
+    let asked = tokio::time::timeout(Duration::from_secs(2), client.get(uri)).await;
+    let body = asked.ok()?.ok()?.into_body().collect().await.ok()?;
+    serde_json::from_slice(&body.to_bytes()).ok()
+}
+
+fn options_of(upstream: &Upstream, service_time: Duration) -> Options {
+    let mut options = Options::new(&upstream.name);
+    options.slots = upstream.slots;
+    options.connections = upstream.connections;
+    options.fencing = upstream.fencing;
+    options.service_time = service_time;
+    options.connect_time = Duration::from_millis(1);
+    options.restart_after_crash = Some(Duration::from_secs(1));
+    options
+}
+
+/// Shares a cluster between a load and its faults.
+pub type Shared = Arc<tokio::sync::Mutex<Cluster>>;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,5 +1,7 @@
 //! Clusters of daemons and stand-ins on loopback, for tests, experiments and the demo.
 
+pub mod cluster;
 pub mod load;
+pub mod node;
 pub mod scenario;
 pub mod schedule;
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -258,5 +258,5 @@
         return false;
     };
     let path = format!("/load/{}", offer.number);
-    answer["key"] == Value::from(offer.key.as_str()) && answer["path"] == Value::from(path)
+    answer["key"] == offer.key.as_str() && answer["path"] == path
 }
--- /dev/null
+++ b/crates/rig/src/node.rs
@@ -0,0 +1,258 @@
+//! One daemon, as a process of its own or as a runtime in this process.
+
+use std::{
+    io::{self, BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::mpsc,
+    thread,
+    time::Duration,
+};
+
+use copperwell_keyspace::{DaemonName, DataCentreName};
+use copperwell_platform::{Vm, VmState};
+use copperwelld::{daemon::Daemon, settings::Settings};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use tokio::runtime::{Builder, Runtime};
+
+/// Time in which a daemon must say where it listens.
+const START_TIME: Duration = Duration::from_secs(20);
+
+/// How daemons are started.
+#[derive(Debug, Clone)]
+pub enum Launch {
+    /// As a runtime in this process; it cannot be paused.
+    InProcess,
+    /// As a process that runs this program.
+    Program(PathBuf),
+}
+
+/// Where a daemon listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For control calls.
+    pub control: SocketAddr,
+    /// For status and metrics.
+    pub admin: SocketAddr,
+}
+
+/// A daemon.
+#[derive(Debug)]
+pub struct Node {
+    /// Its name.
+    pub name: DaemonName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Where it listens.
+    pub addresses: Addresses,
+    run: Run,
+}
+
+#[derive(Debug)]
+enum Run {
+    Process(Child),
+    Runtime {
+        runtime: Option<Runtime>,
+        stop: Option<tokio::sync::oneshot::Sender<()>>,
+        stopped: mpsc::Receiver<()>,
+    },
+}
+
+impl Node {
+    /// Starts a daemon and waits until it listens; blocks the thread.
+    ///
+    /// # Errors
+    ///
+    /// An error if it does not start.
+    pub fn start(settings: &Settings, launch: &Launch) -> io::Result<Self> {
+        let (addresses, run) = match launch {
+            Launch::Program(program) => start_process(settings, program)?,
+            Launch::InProcess => start_runtime(settings)?,
+        };
+        Ok(Self {
+            name: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            addresses,
+            run,
+        })
+    }
+
+    /// The daemon as the platform lists it.
+    #[must_use]
+    pub fn vm(&self) -> Vm {
+        Vm {
+            name: self.name.clone(),
+            data_centre: self.data_centre.clone(),
+            state: VmState::Live,
+            control: self.addresses.control,
+        }
+    }
+
+    /// Ends the daemon at once.
+    pub fn kill(&mut self) {
+        match &mut self.run {
+            Run::Process(child) => {
+                // It may have ended by itself.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            Run::Runtime { runtime, .. } => {
+                if let Some(runtime) = runtime.take() {
+                    runtime.shutdown_background();
+                }
+            }
+        }
+    }
+
+    /// Asks the daemon to stop, as the platform does before it takes a VM away.
+    pub fn terminate(&mut self) {
+        match &mut self.run {
+            Run::Process(child) => signal(child, Signal::TERM),
+            Run::Runtime { stop, .. } => {
+                if let Some(stop) = stop.take() {
+                    // A daemon that ended needs no asking.
+                    let _ = stop.send(());
+                }
+            }
+        }
+    }
+
+    /// Waits until the daemon has ended; blocks the thread. False if it failed.
+    pub fn wait(&mut self) -> bool {
+        match &mut self.run {
+            Run::Process(child) => child.wait().is_ok_and(|status| status.success()),
+            Run::Runtime { stopped, .. } => stopped.recv().is_ok(),
+        }
+    }
+
+    /// Stops the process where it is; only for [`Launch::Program`].
+    ///
+    /// # Panics
+    ///
+    /// If the daemon runs in this process.
+    pub fn pause(&self) {
+        signal(self.child(), Signal::STOP);
+    }
+
+    /// Lets a paused process go on.
+    ///
+    /// # Panics
+    ///
+    /// If the daemon runs in this process.
+    pub fn resume(&self) {
+        signal(self.child(), Signal::CONT);
+    }
+
+    fn child(&self) -> &Child {
+        match &self.run {
+            Run::Process(child) => child,
+            Run::Runtime { .. } => panic!("a daemon in this process cannot be paused"),
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn signal(child: &Child, signal: Signal) {
+    let id = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+    if let Some(id) = id {
+        // The process may have ended by itself.
+        let _ = kill_process(id, signal);
+    }
+}
+
+fn start_process(settings: &Settings, program: &PathBuf) -> io::Result<(Addresses, Run)> {
+    let text = serde_norway::to_string(settings).map_err(io::Error::other)?;
+    let folder = std::env::temp_dir().join(format!("copperwell-rig-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let file = folder.join(format!("{}.yaml", settings.name));
+    std::fs::write(&file, text)?;
+    let mut child = Command::new(program)
+        .arg("--settings")
+        .arg(&file)
+        .args(["--log-format", "json"])
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let stderr = child
+        .stderr
+        .take()
+        .ok_or_else(|| io::Error::other("no standard error"))?;
+    let (to, from) = mpsc::channel();
+    let name = settings.name.clone();
+    let echo = std::env::var_os("COPPERWELL_RIG_LOG").is_some();
+    thread::spawn(move || {
+        for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            if echo {
+                eprintln!("{name}: {line}");
+            }
+            if let Some(addresses) = addresses_in(&line) {
+                // Only the first line counts, and its reader may have gone.
+                let _ = to.send(addresses);
+            }
+        }
+    });
+    let run = Run::Process(child);
+    match from.recv_timeout(START_TIME) {
+        Ok(addresses) => Ok((addresses, run)),
+        Err(_) => Err(io::Error::other(format!("{} did not start", settings.name))),
+    }
+}
+
+/// Reads the line in which a daemon says where it listens.
+fn addresses_in(line: &str) -> Option<Addresses> {
+    let line: Value = serde_json::from_str(line).ok()?;
+    if line["payload"] != "serving" {
+        return None;
+    }
+    let address = |name: &str| line["kv"][name].as_str()?.parse().ok();
+    Some(Addresses {
+        callers: address("callers")?,
+        control: address("control")?,
+        admin: address("admin")?,
+    })
+}
+
+fn start_runtime(settings: &Settings) -> io::Result<(Addresses, Run)> {
+    let mut builder = Builder::new_multi_thread();
+    builder
+        .worker_threads(settings.workers.unwrap_or(2))
+        .enable_all();
+    let runtime = builder.build()?;
+    let (stop, stopping) = tokio::sync::oneshot::channel::<()>();
+    let (done, stopped) = mpsc::channel();
+    let (to, from) = mpsc::channel();
+    let settings = settings.clone();
+    runtime.spawn(async move {
+        let daemon = match Daemon::start(settings).await {
+            Ok(daemon) => daemon,
+            Err(report) => {
+                let _ = to.send(Err(io::Error::other(format!("{report:?}"))));
+                return;
+            }
+        };
+        let _ = to.send(Ok(Addresses {
+            callers: daemon.callers(),
+            control: daemon.member().control,
+            admin: daemon.member().admin,
+        }));
+        if stopping.await.is_ok() {
+            daemon.stop().await;
+            let _ = done.send(());
+        }
+    });
+    let addresses = from.recv_timeout(START_TIME).map_err(io::Error::other)??;
+    let run = Run::Runtime {
+        runtime: Some(runtime),
+        stop: Some(stop),
+        stopped,
+    };
+    Ok((addresses, run))
+}
