--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -97,7 +97,7 @@
         let places = cluster.manifest.data_centres.clone();
         for place in &places {
             for _ in 0..plan.daemons {
-                cluster.add_node(&place.name, &place.region)?;
+                cluster.add_node(&place.name)?;
             }
         }
         cluster.wait_owned().await?;
@@ -109,13 +109,16 @@
     /// # Errors
     ///
     /// An error if it does not start.
-    pub fn add_node(&mut self, data_centre: &str, region: &str) -> io::Result<()> {
+    pub fn add_node(&mut self, data_centre: &str) -> io::Result<()> {
         self.started += 1;
+        let places = &self.manifest.data_centres;
+        let place = places.iter().find(|place| &*place.name == data_centre);
+        let place = place.ok_or_else(|| missing("data centre", data_centre))?;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = Settings {
             name: format!("{data_centre}-entry-{}", self.started).into(),
             data_centre: data_centre.into(),
-            region: region.into(),
+            region: place.region.clone(),
             listen: Listen {
                 callers: any,
                 requests: any,
@@ -142,6 +145,32 @@
         Ok(())
     }
 
+    /// The server of an upstream.
+    ///
+    /// # Errors
+    ///
+    /// An error if there is none.
+    pub fn server(&self, name: &str) -> io::Result<&Server> {
+        self.servers
+            .get(name)
+            .ok_or_else(|| missing("upstream", name))
+    }
+
+    /// A daemon.
+    ///
+    /// # Errors
+    ///
+    /// An error if there is none of this name.
+    pub fn node(&self, name: &str) -> io::Result<&Node> {
+        let node = self.nodes.iter().find(|node| &*node.name == name);
+        node.ok_or_else(|| missing("daemon", name))
+    }
+
+    /// Cuts a data centre off from the platform and the others, or joins it again.
+    pub fn cut(&self, _data_centre: &str, _cut: bool) {
+        todo!()
+    }
+
     /// Takes a daemon out of the cluster; its VM stays listed until [`Cluster::list`].
     ///
     /// # Panics
@@ -275,3 +304,7 @@
 
 /// Shares a cluster between a load and its faults.
 pub type Shared = Arc<tokio::sync::Mutex<Cluster>>;
+
+fn missing(what: &str, name: &str) -> io::Error {
+    io::Error::other(format!("there is no {what} `{name}`; check the scenario"))
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,7 +1,9 @@
 //! Clusters of daemons and stand-ins on loopback, for tests, experiments and the demo.
 
 pub mod cluster;
+pub mod faults;
 pub mod load;
+pub mod measure;
 pub mod node;
 pub mod scenario;
 pub mod schedule;
