Prove links before use and replace silent ones

Cause: a connection that went silent kept its requests waiting, and a request on an idle one was lost without need; a body of unknown length could pass as whole.

A real-socket test stands for each fault, and property tests for the decoder.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -45,6 +45,12 @@
 /// do not hold up others.
 const LINK_WINDOW: u32 = STREAM_WINDOW * STREAMS_MAX;
 
+/// Bytes of header fields; a stream's own head carries none.
+const HEADERS_MAX: u32 = 4096;
+
+/// The path of every stream; it names the version of the messages.
+const PATH: &str = "/copperwell/requests/1";
+
 /// Sends requests to other daemons; cheap to clone, and clones share links.
 #[derive(Debug, Clone, Default)]
 pub struct Links {
@@ -142,3 +148,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// The head of a stream.
+fn request_head() -> http::Request<()> {
+    let mut head = http::Request::new(());
+    *head.method_mut() = http::Method::POST;
+    *head.uri_mut() = http::Uri::from_static(PATH);
+    head
+}
--- a/crates/peer/src/link/connection.rs
+++ b/crates/peer/src/link/connection.rs
@@ -1,24 +1,37 @@
 //! One link to a peer, and one request on it.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
-use super::{LINK_WINDOW, STREAM_WINDOW, STREAMS_MAX, keepalive, metrics::Metrics, pump};
+use super::{
+    HEADERS_MAX, LINK_WINDOW, STREAM_WINDOW, STREAMS_MAX,
+    keepalive::{End, Pulse},
+    metrics::Metrics,
+    pump,
+};
 use crate::wire::{Answer, Opening};
 use bytes::Bytes;
 use copperwell_message::{Reason, Request, Response, Verdict};
-use h2::client::{Builder, ResponseFuture, SendRequest};
+use h2::{
+    PingPong,
+    client::{Builder, ResponseFuture, SendRequest},
+};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
+/// Time after which an idle link is closed.
+const IDLE: Duration = Duration::from_secs(30);
+
 /// A link to a peer.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -27,11 +40,9 @@
 }
 
 /// What the link's driver and its requests share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
-    load: AtomicU32,
-    /// A ping is unanswered for a while; new requests go elsewhere.
-    doubtful: AtomicBool,
+    pulse: Pulse,
     /// The link takes no new requests.
     closed: AtomicBool,
     /// The link was given up because pings stayed unanswered.
@@ -52,45 +63,34 @@
 }
 
 impl Connection {
-    /// Connects to a daemon.
-    pub(super) async fn connect(
-        to: SocketAddr,
-        metrics: Metrics,
-    ) -> Result<Arc<Self>, std::io::Error> {
+    /// Connects to a daemon, and makes sure that it answers.
+    pub(super) async fn connect(to: SocketAddr, metrics: Metrics) -> io::Result<Arc<Self>> {
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
         let handshake = Builder::new()
             .initial_window_size(STREAM_WINDOW)
             .initial_connection_window_size(LINK_WINDOW)
             .initial_max_send_streams(STREAMS_MAX as usize)
+            .max_concurrent_reset_streams(STREAMS_MAX as usize)
             .max_send_buffer_size(STREAM_WINDOW as usize)
+            .max_header_list_size(HEADERS_MAX)
             .enable_push(false)
             .handshake(stream)
             .await;
-        let (requests, mut driver) = handshake.map_err(std::io::Error::other)?;
-        let state = Arc::new(State::default());
+        let (requests, mut driver) = handshake.map_err(io::Error::other)?;
         let pings = driver.ping_pong();
-        let shared = state.clone();
-        tokio::spawn(async move {
-            let watch = async {
-                match pings {
-                    Some(pings) => keepalive::watch(pings, &shared.doubtful).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                biased;
-                _ = &mut driver => {}
-                () = watch => {
-                    shared.silent.store(true, Ordering::Release);
-                    metrics.count_silent();
-                }
-            }
-            shared.closed.store(true, Ordering::Release);
-            // Requests on the link end with the driver.
-            drop(driver);
+        let pings = pings.ok_or_else(|| io::Error::other("pings are in use"))?;
+        let state = Arc::new(State {
+            pulse: Pulse::new(),
+            closed: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
         });
-        Ok(Arc::new(Self { requests, state }))
+        tokio::spawn(drive(driver, pings, state.clone(), metrics));
+        let link = Self { requests, state };
+        if !link.state.pulse.prove().await {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        Ok(Arc::new(link))
     }
 
     pub(super) fn is_closed(&self) -> bool {
@@ -98,17 +98,27 @@
     }
 
     pub(super) fn is_usable(&self) -> bool {
-        !self.is_closed() && !self.state.doubtful.load(Ordering::Relaxed)
+        !self.is_closed() && !self.state.pulse.is_doubtful()
     }
 
     /// Requests in flight.
     pub(super) fn load(&self) -> u32 {
-        self.state.load.load(Ordering::Relaxed)
+        self.state.pulse.load()
     }
 
-    /// Takes a place for a request; `None` if the link is closing.
-    pub(super) async fn open(&self) -> Option<Stream> {
-        let load = Load::new(self.state.clone());
+    /// Takes a place for a request; `None` if the link is full.
+    pub(super) fn enter(&self) -> Option<Load> {
+        let entered = self.state.pulse.enter(STREAMS_MAX);
+        entered.then(|| Load {
+            state: self.state.clone(),
+        })
+    }
+
+    /// Makes sure that the link takes a request; `None` if it is silent or closing.
+    pub(super) async fn open(&self, load: Load) -> Option<Stream> {
+        if !self.state.pulse.prove().await {
+            return None;
+        }
         match self.requests.clone().ready().await {
             Ok(requests) => Some(Stream { requests, load }),
             Err(_) => {
@@ -140,7 +150,7 @@
         let Ok(first) = pump::first(&opening, &request.body) else {
             return Response::refusal(Verdict::NotRun, Reason::TooLarge);
         };
-        let opened = self.requests.send_request(http::Request::new(()), false);
+        let opened = self.requests.send_request(super::request_head(), false);
         let Ok((answer, to)) = opened else {
             return Response::refusal(Verdict::NotRun, Reason::ConnectionRefused);
         };
@@ -150,10 +160,13 @@
             tokio::spawn(async move { sending.run_until_cancelled(rest.send()).await });
         }
         match timeout_at(deadline, receive(answer)).await {
-            Ok(Ok((answer, body))) => Response {
-                reply: answer.reply,
-                body: body.into_body((self.load, guard)),
-            },
+            Ok(Ok((answer, body))) => {
+                self.load.state.pulse.beat();
+                Response {
+                    reply: answer.reply,
+                    body: body.into_body((self.load, guard)),
+                }
+            }
             Ok(Err(failure)) => failure.response(&self.load.state),
             Err(_) => Response::refusal(Verdict::MayHaveRun, Reason::DeadlinePassed),
         }
@@ -177,6 +190,10 @@
         if is_unprocessed(&error) {
             return Response::refusal(Verdict::NotRun, Reason::ConnectionRefused);
         }
+        if error.is_reset() && !error.is_remote() {
+            // The request's body was cut short on this side.
+            return Response::refusal(Verdict::MayHaveRun, Reason::Cancelled);
+        }
         let reason = if state.silent.load(Ordering::Acquire) {
             Reason::ConnectionSilent
         } else {
@@ -186,6 +203,33 @@
     }
 }
 
+/// Runs a link to its end; requests that are in flight then end with it.
+async fn drive(
+    mut driver: h2::client::Connection<TcpStream>,
+    pings: PingPong,
+    state: Arc<State>,
+    metrics: Metrics,
+) {
+    let end = tokio::select! {
+        biased;
+        _ = &mut driver => None,
+        end = state.pulse.watch(pings, IDLE) => Some(end),
+    };
+    state.closed.store(true, Ordering::Release);
+    match end {
+        Some(End::Silent) => {
+            state.silent.store(true, Ordering::Release);
+            metrics.count_silent();
+        }
+        // A request may have taken a place just before the link was closed for others.
+        Some(End::Idle) => tokio::select! {
+            _ = driver => {}
+            () = state.pulse.drained() => {}
+        },
+        None => {}
+    }
+}
+
 async fn receive(answer: ResponseFuture) -> Result<(Answer, pump::Incoming), Failure> {
     let from = answer.await.map_err(Failure::Link)?.into_body();
     let (answer, body): (Answer, _) = pump::open(from).await.map_err(Failure::Message)?;
@@ -202,15 +246,8 @@
     error.is_remote() && (refused || error.is_go_away())
 }
 
-impl Load {
-    fn new(state: Arc<State>) -> Self {
-        state.load.fetch_add(1, Ordering::Relaxed);
-        Self { state }
-    }
-}
-
 impl Drop for Load {
     fn drop(&mut self) {
-        self.state.load.fetch_sub(1, Ordering::Relaxed);
+        self.state.pulse.leave();
     }
 }
--- a/crates/peer/src/link/peer.rs
+++ b/crates/peer/src/link/peer.rs
@@ -6,8 +6,8 @@
 };
 
 use super::{
-    CONNECT_TIMEOUT, LINKS_MAX, STREAMS_MAX,
-    connection::{Connection, Stream},
+    CONNECT_TIMEOUT, LINKS_MAX,
+    connection::{Connection, Load, Stream},
     metrics::Metrics,
 };
 use copperwell_message::Reason;
@@ -19,6 +19,12 @@
 /// Tries with another link where one turned out to be closing; nothing was sent on it.
 const TRIES: usize = 3;
 
+/// Links that are worth having as soon as requests are in flight beside each other.
+const LINKS_SPARE: usize = 2;
+
+/// Requests in flight on the least loaded link that make one more worthwhile.
+const LOAD_HIGH: u32 = 32;
+
 /// A daemon and the links to it.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -30,13 +36,11 @@
 
 /// What to do for the next request.
 enum Choice {
-    /// Take this link.
-    Take(Arc<Connection>),
-    /// Take this link, and make one more for later requests.
-    TakeAndGrow(Arc<Connection>),
+    /// Take this link, where a place is taken already.
+    Take(Arc<Connection>, Load),
     /// Make a link first.
     Connect,
-    /// All links are full.
+    /// All links are full, and no more may be made.
     Full,
 }
 
@@ -57,16 +61,15 @@
     /// Opens a stream on the least loaded link.
     pub(super) async fn open(self: &Arc<Self>, metrics: &Metrics) -> Result<Stream, Reason> {
         for _ in 0..TRIES {
-            let link = match self.choose() {
-                Choice::Take(link) => link,
-                Choice::TakeAndGrow(link) => {
-                    self.grow(metrics);
-                    link
-                }
+            let (link, load) = match self.choose() {
+                Choice::Take(link, load) => (link, load),
                 Choice::Connect => self.connect(metrics).await?,
                 Choice::Full => return Err(Reason::QueueFull),
             };
-            if let Some(stream) = link.open().await {
+            if self.wants_more(&link) {
+                self.grow(metrics);
+            }
+            if let Some(stream) = link.open(load).await {
                 return Ok(stream);
             }
         }
@@ -77,24 +80,24 @@
         let mut links = self.links();
         links.retain(|link| !link.is_closed());
         let usable = links.iter().filter(|link| link.is_usable());
-        let Some(least) = usable.min_by_key(|link| link.load()) else {
-            return if links.len() < LINKS_MAX {
-                Choice::Connect
-            } else {
-                Choice::Full
-            };
-        };
-        if least.load() >= STREAMS_MAX {
-            return if links.len() < LINKS_MAX {
-                Choice::Connect
-            } else {
-                Choice::Full
-            };
+        let least = usable.min_by_key(|link| link.load());
+        if let Some(link) = least
+            && let Some(load) = link.enter()
+        {
+            return Choice::Take(link.clone(), load);
         }
-        if least.load() > 0 && links.len() < LINKS_MAX {
-            return Choice::TakeAndGrow(least.clone());
+        if links.len() < LINKS_MAX {
+            Choice::Connect
+        } else {
+            Choice::Full
         }
-        Choice::Take(least.clone())
+    }
+
+    /// Whether the least loaded link is loaded enough for another one to be of use.
+    fn wants_more(&self, least: &Connection) -> bool {
+        let links = self.links().len();
+        let enough = if links < LINKS_SPARE { 1 } else { LOAD_HIGH };
+        links < LINKS_MAX && least.load() > enough
     }
 
     /// Makes one more link in the background, unless one is being made.
@@ -113,16 +116,18 @@
     }
 
     /// Makes a link; those that wait meanwhile share the outcome.
-    async fn connect(&self, metrics: &Metrics) -> Result<Arc<Connection>, Reason> {
+    async fn connect(&self, metrics: &Metrics) -> Result<(Arc<Connection>, Load), Reason> {
         let asked = Instant::now();
         let mut failed = self.failed.lock().await;
         if failed.is_some_and(|at| at >= asked) {
             return Err(Reason::ConnectionRefused);
         }
-        if let Choice::Take(link) | Choice::TakeAndGrow(link) = self.choose() {
-            return Ok(link);
+        if let Choice::Take(link, load) = self.choose() {
+            return Ok((link, load));
         }
-        self.add(&mut failed, metrics).await
+        let link = self.add(&mut failed, metrics).await?;
+        let load = link.enter().ok_or(Reason::QueueFull)?;
+        Ok((link, load))
     }
 
     async fn add(
--- a/crates/peer/src/link/server.rs
+++ b/crates/peer/src/link/server.rs
@@ -2,7 +2,11 @@
 
 use std::{future::poll_fn, net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{LINK_WINDOW, Links, STREAM_WINDOW, STREAMS_MAX, keepalive, pump};
+use super::{
+    HEADERS_MAX, LINK_WINDOW, Links, STREAM_WINDOW, STREAMS_MAX,
+    keepalive::{End, Pulse},
+    pump,
+};
 use crate::wire::{Answer, Opening};
 use bytes::Bytes;
 use copperwell_message::{Reason, Request, Response, Serve, Verdict};
@@ -20,6 +24,10 @@
 /// Links served at a time; later ones wait in the listener's queue.
 const LINKS_SERVED_MAX: usize = 4096;
 
+/// Time after which an idle link is closed; longer than that of the other side, which closes it
+/// without a race.
+const IDLE: Duration = Duration::from_secs(60);
+
 /// How long a peer may take for the h2 handshake, and for the message that opens a request.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -89,6 +97,24 @@
     relay: R,
 }
 
+/// Counts a request that is being served, until it is dropped.
+struct Served {
+    pulse: Arc<Pulse>,
+}
+
+impl Served {
+    fn new(pulse: Arc<Pulse>) -> Self {
+        pulse.enter(u32::MAX);
+        Self { pulse }
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.pulse.leave();
+    }
+}
+
 impl<H: Serve, R: Relay> Server<H, R> {
     async fn link(self: Arc<Self>, stream: TcpStream, shutdown: CancellationToken) {
         // Without the option small answers are late, but they come.
@@ -97,7 +123,10 @@
             .initial_window_size(STREAM_WINDOW)
             .initial_connection_window_size(LINK_WINDOW)
             .max_concurrent_streams(STREAMS_MAX)
+            .max_concurrent_reset_streams(STREAMS_MAX as usize)
+            .max_pending_accept_reset_streams(STREAMS_MAX as usize)
             .max_send_buffer_size(STREAM_WINDOW as usize)
+            .max_header_list_size(HEADERS_MAX)
             .handshake(stream);
         let Ok(Ok(mut link)) = timeout(OPEN_TIMEOUT, handshake).await else {
             return;
@@ -105,9 +134,10 @@
         let Some(pings) = link.ping_pong() else {
             return;
         };
-        let doubtful = std::sync::atomic::AtomicBool::new(false);
-        let mut silent = std::pin::pin!(keepalive::watch(pings, &doubtful));
+        let pulse = Arc::new(Pulse::new());
+        let mut end = std::pin::pin!(pulse.watch(pings, IDLE));
         let mut closing = false;
+        let mut watched = true;
         loop {
             tokio::select! {
                 biased;
@@ -115,15 +145,27 @@
                     let Some(Ok((request, respond))) = accepted else {
                         return;
                     };
+                    pulse.beat();
+                    let served = Served::new(pulse.clone());
                     let server = self.clone();
-                    tokio::spawn(async move { server.stream(request, respond).await });
+                    tokio::spawn(async move {
+                        server.stream(request, respond).await;
+                        drop(served);
+                    });
                 }
                 () = shutdown.cancelled(), if !closing => {
                     closing = true;
                     link.graceful_shutdown();
                 }
-                // Requests on the link end with it.
-                () = &mut silent => return,
+                // Requests on a silent link end with it.
+                ended = &mut end, if watched => match ended {
+                    End::Silent => return,
+                    End::Idle => {
+                        watched = false;
+                        closing = true;
+                        link.graceful_shutdown();
+                    }
+                },
             }
         }
     }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -90,3 +90,6 @@
 fn options() -> impl Options {
     bincode::DefaultOptions::new().with_limit(SIZE_MAX as u64)
 }
+
+#[cfg(test)]
+mod tests;
