Queue, retry and remember requests in the engine

The engine sent each request once and kept nothing of it. Put a gate with queue and ramping slots before each upstream, follow failures by the retry policy and its budget, enter requests that are not repeatable in their service's window, tie crashes to what was in flight, and count and show all of it.

--- /dev/null
+++ b/crates/dispatch/src/attempt.rs
@@ -0,0 +1,392 @@
+//! Tries of one request, until an answer or a failure that stands.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    answer::{Answer, Held},
+    call::{Call, Failure},
+    engine::Inner,
+    gate::{Gate, Slot, Want},
+    observation::Observation,
+    serving::{Door, Serving},
+    table::{Owner, Pass, Route},
+};
+use copperwell_backend::{Forward, order::Order};
+use copperwell_keyspace::manifest::Upstream;
+use copperwell_message::{Class, Reason, Response, Verdict};
+use copperwell_policy::{
+    backoff::Backoff,
+    quarantine::{Admission, Suspect},
+    retry::{self, Retry},
+    slots::End,
+    window::Term,
+};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// How long a request waits for a shard that has no owner and none in sight.
+const UNOWNED_WAIT: Duration = Duration::from_secs(2);
+
+/// Waits between the tries of one request.
+const RETRY_FIRST: Duration = Duration::from_millis(25);
+const RETRY_MOST: Duration = Duration::from_secs(1);
+
+/// Where a try goes, with all that it holds.
+struct Target {
+    serving: Arc<Serving>,
+    upstream: Upstream,
+    owner: Owner,
+    pass: Pass,
+    slot: Slot,
+}
+
+/// A failed try.
+struct Failed {
+    failure: Failure,
+    /// Where it was sent, if it was.
+    sent_to: Option<Sent>,
+}
+
+/// Where a failed try was sent.
+struct Sent {
+    upstream: Upstream,
+    owner: Owner,
+    gate: Arc<Gate>,
+}
+
+impl<F: Forward> Inner<F> {
+    /// Tries a request until there is an answer or a failure that stands.
+    pub(crate) async fn run(&self, call: &mut Call) -> Result<Answer, Response> {
+        loop {
+            let failed = match self.attempt(call).await {
+                Ok(answer) => return Ok(answer),
+                Err(failed) => failed,
+            };
+            call.fail(&failed.failure);
+            let Some(delay) = self.delay(call, &failed) else {
+                return Err(call.settle(failed.failure));
+            };
+            self.metrics.retry(failed.failure.reason);
+            self.pause(call, &failed, delay).await;
+        }
+    }
+
+    async fn attempt(&self, call: &mut Call) -> Result<Answer, Failed> {
+        let target = self.target(call).await.map_err(Failed::from)?;
+        self.send(call, target).await
+    }
+
+    /// Finds the owner and waits for a slot there.
+    async fn target(&self, call: &Call) -> Result<Target, Failure> {
+        loop {
+            let serving = self.serving(&call.head.service)?;
+            let owner = self.route(call, &serving).await?;
+            let Some(door) = serving.door(&owner.upstream) else {
+                return Err(Failure::not_run(Reason::Unowned));
+            };
+            if call
+                .pinned
+                .as_ref()
+                .is_some_and(|pin| *pin != owner.upstream)
+            {
+                return Err(Failure::not_run(Reason::ConnectionLost).with_final());
+            }
+            let alone = self.admit(call, &serving, door, &owner)?;
+            let Some(slot) = self.slot(call, door, &owner, alone).await? else {
+                continue;
+            };
+            let Ok((entered, pass)) = self.table.enter(&call.head.service, call.head.shard) else {
+                continue;
+            };
+            if !is_same(&entered, &owner) {
+                continue;
+            }
+            // A server may have crashed while this request waited.
+            if self.admit(call, &serving, door, &entered)? && !alone {
+                continue;
+            }
+            let upstream = door.upstream.clone();
+            return Ok(Target {
+                serving,
+                upstream,
+                owner: entered,
+                pass,
+                slot,
+            });
+        }
+    }
+
+    /// Waits until the shard has an owner.
+    async fn route(&self, call: &Call, serving: &Serving) -> Result<Owner, Failure> {
+        let head = &call.head;
+        let mut hold = None;
+        let unowned_until = call.deadline.min(Instant::now() + UNOWNED_WAIT);
+        loop {
+            let until = match self.table.route(&head.service, head.shard) {
+                Route::Elsewhere => return Err(Failure::not_run(Reason::NotLeader)),
+                Route::Owned(owner) => return Ok(owner),
+                Route::Unowned => unowned_until,
+                Route::Held => call.deadline,
+            };
+            if hold.is_none() {
+                let most = serving.service.limits.queue;
+                let place = serving.kept.hold(most);
+                hold = Some(place.ok_or(Failure::not_run(Reason::QueueFull))?);
+            }
+            let same = |route: &Route| matches!(route, Route::Unowned | Route::Held);
+            let changed = self.table.changed(&head.service, head.shard, same);
+            if timeout_at(until, changed).await.is_err() {
+                return Err(Failure::not_run(Reason::Unowned));
+            }
+        }
+    }
+
+    /// Whether the request has to run alone.
+    fn admit(
+        &self,
+        call: &Call,
+        serving: &Serving,
+        door: &Door,
+        owner: &Owner,
+    ) -> Result<bool, Failure> {
+        let suspects = door.gate.meet(owner.incarnation);
+        self.guard
+            .crash(&suspects, serving.service.limits.quarantine);
+        match self.guard.admit(call.head.fingerprint) {
+            Admission::Free => Ok(false),
+            Admission::Alone => Ok(true),
+            Admission::Refused { remaining } => Err(Failure::not_run(Reason::Quarantined)
+                .with_retry_after(remaining)
+                .with_final()),
+        }
+    }
+
+    /// Waits for a slot; `None` if the shard's owner changed meanwhile.
+    async fn slot(
+        &self,
+        call: &Call,
+        door: &Door,
+        owner: &Owner,
+        alone: bool,
+    ) -> Result<Option<Slot>, Failure> {
+        let head = &call.head;
+        let want = Want {
+            class: self.class(call),
+            caller: head.caller,
+            deadline: call.deadline,
+            alone,
+        };
+        let began = Instant::now();
+        let same = |route: &Route| matches!(route, Route::Owned(now) if is_same(now, owner));
+        tokio::select! {
+            biased;
+            slot = door.gate.enter(want) => match slot {
+                Ok(slot) => {
+                    self.metrics.queueing.observe(began.elapsed().as_secs_f64());
+                    Ok(Some(slot))
+                }
+                Err(refusal) => {
+                    Err(Failure::not_run(refusal.reason).with_retry_after(refusal.retry_after))
+                }
+            },
+            () = self.table.changed(&head.service, head.shard, same) => Ok(None),
+        }
+    }
+
+    /// Batch services take no interactive requests.
+    fn class(&self, call: &Call) -> Class {
+        let declared = self
+            .serving(&call.head.service)
+            .map_or(call.head.class, |serving| serving.service.class);
+        declared.max(call.head.class)
+    }
+
+    async fn send(&self, call: &mut Call, target: Target) -> Result<Answer, Failed> {
+        let limits = &target.serving.service.limits;
+        let suspect = Suspect {
+            fingerprint: call.head.fingerprint,
+            alone: target.slot.is_alone(),
+            incarnation: target.owner.incarnation,
+        };
+        let request = call
+            .request()
+            .ok_or(Failure::not_run(Reason::Protocol).with_final())?;
+        // The process may have been paused at any point above, so both rights are checked last.
+        let now = Instant::now();
+        check(call, &target, now)?;
+        if call.sends == 0 {
+            target.serving.kept.first_try(limits.retry_percent);
+        }
+        call.leave();
+        self.metrics.sends.inc();
+        let order = Order {
+            epoch: target.owner.epoch,
+            deadline: call.deadline - now,
+        };
+        let forward = self.forward.forward(&target.upstream, order, request);
+        let response = timeout_at(call.deadline, forward)
+            .await
+            .unwrap_or_else(|_| Response::refusal(Verdict::MayHaveRun, Reason::DeadlinePassed));
+        let held = Held {
+            slot: target.slot,
+            _pass: target.pass,
+            suspect,
+            quarantine: limits.quarantine,
+            guard: Arc::clone(&self.guard),
+        };
+        let Some(reason) = response.reply.reason else {
+            return Ok(Answer {
+                response,
+                held,
+                deadline: call.deadline,
+            });
+        };
+        let failure = Failure {
+            verdict: response.reply.verdict,
+            reason,
+            retry_after: response.reply.retry_after,
+            is_final: false,
+        };
+        let sent = Sent {
+            upstream: target.upstream,
+            owner: target.owner,
+            gate: Arc::clone(held.slot.gate()),
+        };
+        self.learn(call, &failure, &sent, held);
+        Err(Failed {
+            failure,
+            sent_to: Some(sent),
+        })
+    }
+
+    /// Draws conclusions about the server from a failed try.
+    fn learn(&self, call: &Call, failure: &Failure, sent: &Sent, mut held: Held) {
+        match failure.reason {
+            Reason::Shed => {
+                sent.gate.shed(failure.retry_after);
+                held.slot.set_end(End::Shed);
+            }
+            Reason::ConnectionRefused => {
+                let suspects = sent.gate.refuse(sent.owner.incarnation);
+                self.guard.crash(&suspects, held.quarantine);
+                self.observe_unreachable(call, sent);
+            }
+            Reason::ConnectionLost => {
+                let suspects = sent.gate.lose(held.suspect);
+                self.guard.crash(&suspects, held.quarantine);
+                self.observe_unreachable(call, sent);
+            }
+            Reason::ConnectionSilent => self.observe_unreachable(call, sent),
+            Reason::Fenced => self.observe(Observation::Fenced {
+                service: call.head.service.as_str().into(),
+                shard: call.head.shard,
+                upstream: sent.upstream.name.clone(),
+                epoch: sent.owner.epoch,
+            }),
+            _ => {}
+        }
+    }
+
+    fn observe_unreachable(&self, call: &Call, sent: &Sent) {
+        self.observe(Observation::Unreachable {
+            service: call.head.service.as_str().into(),
+            upstream: sent.upstream.name.clone(),
+        });
+    }
+
+    /// How long to wait before the next try; `None` if there is to be none.
+    fn delay(&self, call: &mut Call, failed: &Failed) -> Option<Duration> {
+        let failure = &failed.failure;
+        let allowed = retry::after(failure.verdict, failure.reason, call.head.repeat);
+        let wanted = allowed != Retry::Never && !failure.is_final && !call.gone.is_cancelled();
+        if !wanted || !call.is_resendable() {
+            return None;
+        }
+        if allowed == Retry::SameUpstream {
+            let sent = failed.sent_to.as_ref()?;
+            call.pinned = Some(sent.upstream.name.clone());
+        }
+        let now = Instant::now();
+        let backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
+        let jittered = backoff.delay(call.tries, &mut rand::rng());
+        let shedding = failed
+            .shed_until(now)
+            .map_or(Duration::ZERO, |until| until - now);
+        let delay = shedding + jittered;
+        if now + delay >= call.deadline {
+            return None;
+        }
+        self.pays(call, failure).then_some(delay)
+    }
+
+    /// Takes the next try out of the retry budget, if it can burden a server a second time.
+    fn pays(&self, call: &Call, failure: &Failure) -> bool {
+        // A refused connection or a lapsed lease brought nothing to a server, and the gate's
+        // pauses bound how often a server that refuses is tried.
+        let is_free = matches!(
+            failure.reason,
+            Reason::ConnectionRefused | Reason::LeaseLapsed
+        );
+        let pays = is_free
+            || self
+                .serving(&call.head.service)
+                .is_ok_and(|serving| serving.kept.retry());
+        if !pays {
+            self.metrics.deny_retry(failure.reason);
+        }
+        pays
+    }
+
+    /// Waits for the next try, or until the shard's owner has changed.
+    async fn pause(&self, call: &Call, failed: &Failed, delay: Duration) {
+        let Some(sent) = &failed.sent_to else {
+            return tokio::time::sleep(delay).await;
+        };
+        let same = |route: &Route| matches!(route, Route::Owned(now) if is_same(now, &sent.owner));
+        let changed = self
+            .table
+            .changed(&call.head.service, call.head.shard, same);
+        // Both ways the next try is due.
+        let _ = timeout(delay, changed).await;
+    }
+}
+
+impl Failed {
+    fn shed_until(&self, now: Instant) -> Option<Instant> {
+        self.sent_to.as_ref()?.gate.shed_until(now)
+    }
+}
+
+impl From<Failure> for Failed {
+    fn from(failure: Failure) -> Self {
+        Self {
+            failure,
+            sent_to: None,
+        }
+    }
+}
+
+/// Checks, at the moment of sending, that the request may still be sent.
+fn check(call: &Call, target: &Target, now: Instant) -> Result<(), Failure> {
+    if now >= call.deadline {
+        return Err(Failure::not_run(Reason::DeadlineHopeless));
+    }
+    if !target.owner.lease.is_valid(now) {
+        return Err(Failure::not_run(Reason::LeaseLapsed));
+    }
+    let term = Term {
+        turn: target.pass.turn(),
+        epoch: Some(target.owner.epoch),
+    };
+    if call.term.is_some_and(|entered| !entered.is_same(term)) {
+        // Another leader may have run it meanwhile, so the window has to judge it anew.
+        return Err(Failure::not_run(Reason::NotLeader));
+    }
+    Ok(())
+}
+
+/// Whether two owners are the same run of the same server under the same leader.
+fn is_same(one: &Owner, other: &Owner) -> bool {
+    one.upstream == other.upstream
+        && one.epoch == other.epoch
+        && one.incarnation == other.incarnation
+}
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -1,224 +1,285 @@
 //! Serves the requests of the shards that this daemon leads.
 //!
-//! Lock order: the engine's map of gates, then nothing else. No lock is held across an await.
+//! Lock order: the writer of the configuration, then a service's keys or a gate; the quarantine is
+//! never taken with another lock held. No lock is held across an await.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, SystemTime},
 };
 
 use crate::{
-    gate::{Gate, Slot},
+    call::{Call, Failure},
+    gauges::Gauges,
+    guard::Guard,
+    metrics::Metrics,
     observation::{CHANNEL, Observation},
-    table::{Owner, Pass, Route, Table},
-};
-use arc_swap::ArcSwapOption;
-use copperwell_backend::{Forward, order::Order};
-use copperwell_keyspace::{
-    HashMap, UpstreamName,
-    manifest::{Manifest, Service, Upstream},
-};
-use copperwell_message::{Body, Head, Reason, Request, Response, Serve, Verdict};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
+    serving::{Config, Serving},
+    status::Status,
+    table::{Route, Table},
 };
+use arc_swap::ArcSwap;
+use copperwell_backend::Forward;
+use copperwell_keyspace::{ServiceName, ShardIndex, manifest::Manifest};
+use copperwell_message::{Head, Reason, Repeat, Request, Response, Serve};
+use copperwell_policy::{quarantine::Share, window::Export};
+use prometheus_client::registry::Registry;
+use tokio::{sync::mpsc, time::Instant};
 
-/// When a caller may come back after a refusal that names no better time.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// How long a request waits for a shard that has no owner.
-const UNOWNED_WAIT: Duration = Duration::from_secs(2);
+/// The longest that a conviction of another leader counts here.
+const SHARED_MAX: Duration = Duration::from_hours(1);
 
 /// Serves the requests of the shards that this daemon leads.
+///
+/// Each request waits until its shard has an owner and that owner a free slot, is sent once its
+/// rights and its deadline have been checked once more, and holds its slot until its answer is
+/// read. Dropping the future of a request frees whatever it holds.
 #[derive(Debug)]
 pub struct Engine<F> {
-    forward: Arc<F>,
-    table: Arc<Table>,
-    manifest: ArcSwapOption<Manifest>,
-    gates: Mutex<HashMap<UpstreamName, Arc<Gate>>>,
-    observed: mpsc::Sender<Observation>,
+    inner: Arc<Inner<F>>,
 }
 
-/// Where a request goes.
-struct Target {
-    owner: Owner,
-    pass: Pass,
-    slot: Slot,
-    upstream: Upstream,
+/// What requests share.
+#[derive(Debug)]
+pub(crate) struct Inner<F> {
+    /// Sends requests to upstreams.
+    pub(crate) forward: Arc<F>,
+    /// The routes.
+    pub(crate) table: Arc<Table>,
+    /// The requests that crash servers.
+    pub(crate) guard: Arc<Guard>,
+    /// The counters.
+    pub(crate) metrics: Metrics,
+    /// Reads wall time.
+    pub(crate) wall: fn() -> SystemTime,
+    config: Arc<ArcSwap<Config>>,
+    writer: Mutex<()>,
+    observed: mpsc::Sender<Observation>,
+    stopping: AtomicBool,
 }
 
 impl<F: Forward> Engine<F> {
     /// An engine that sends through `forward` what `table` routes to an upstream.
+    ///
+    /// The receiver gives what the engine sees of servers, for the ownership driver.
     #[must_use]
     pub fn new(forward: Arc<F>, table: Arc<Table>) -> (Self, mpsc::Receiver<Observation>) {
+        Self::with_wall(forward, table, SystemTime::now)
+    }
+
+    /// An engine that reads wall time from `wall`; it judges idempotency keys by it.
+    #[must_use]
+    pub fn with_wall(
+        forward: Arc<F>,
+        table: Arc<Table>,
+        wall: fn() -> SystemTime,
+    ) -> (Self, mpsc::Receiver<Observation>) {
         let (observed, observations) = mpsc::channel(CHANNEL);
-        let engine = Self {
+        let metrics = Metrics::new();
+        let inner = Inner {
             forward,
             table,
-            manifest: ArcSwapOption::empty(),
-            gates: Mutex::default(),
+            guard: Arc::new(Guard::new(metrics.clone())),
+            metrics,
+            wall,
+            config: Arc::default(),
+            writer: Mutex::default(),
             observed,
+            stopping: AtomicBool::new(false),
+        };
+        let engine = Self {
+            inner: Arc::new(inner),
         };
         (engine, observations)
     }
 
+    /// Registers the engine's counters, gauges and histograms.
+    pub fn register(&self, registry: &mut Registry) {
+        self.inner.metrics.register(registry);
+        let gauges = Gauges::new(Arc::clone(&self.inner.config));
+        registry.register_collector(Box::new(gauges));
+    }
+
     /// Puts a manifest in force.
+    ///
+    /// Queues, budgets and keys of services and upstreams that stay are kept.
     pub fn set_manifest(&self, manifest: Arc<Manifest>) {
-        self.manifest.store(Some(manifest));
-    }
-
-    async fn route(&self, head: &Head, deadline: Instant) -> Result<Owner, Response> {
-        let unowned_until = deadline.min(Instant::now() + UNOWNED_WAIT);
-        loop {
-            let until = match self.table.route(&head.service, head.shard) {
-                Route::Elsewhere => return Err(not_run(Reason::NotLeader)),
-                Route::Owned(owner) => return Ok(owner),
-                Route::Unowned => unowned_until,
-                Route::Held => deadline,
-            };
-            let same = |route: &Route| matches!(route, Route::Unowned | Route::Held);
-            let changed = self.table.changed(&head.service, head.shard, same);
-            if timeout_at(until, changed).await.is_err() {
-                return Err(not_run(Reason::Unowned));
-            }
-        }
+        let inner = &self.inner;
+        let _writer = inner.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let config = Config::new(&manifest, &inner.config.load());
+        inner.config.store(Arc::new(config));
     }
 
-    async fn target(
-        &self,
-        service: &Service,
-        head: &Head,
-        deadline: Instant,
-    ) -> Result<Target, Response> {
-        loop {
-            let owner = self.route(head, deadline).await?;
-            let Some(upstream) = upstream_of(service, &owner) else {
-                return Err(not_run(Reason::Unowned));
-            };
-            let gate = self.gate(upstream, service.limits.queue);
-            let slot = gate.enter(deadline).await.map_err(not_run)?;
-            let Ok((now_owner, pass)) = self.table.enter(&head.service, head.shard) else {
-                continue;
-            };
-            if now_owner.upstream != owner.upstream {
-                continue;
-            }
-            return Ok(Target {
-                owner: now_owner,
-                pass,
-                slot,
-                upstream: upstream.clone(),
-            });
-        }
+    /// Refuses new requests from here on; those under way go on.
+    pub fn stop(&self) {
+        self.inner.stopping.store(true, Ordering::Release);
     }
 
-    fn gate(&self, upstream: &Upstream, queue: u32) -> Arc<Gate> {
-        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
-        let gate = gates
-            .entry(upstream.name.clone())
-            .or_insert_with(|| Arc::new(Gate::new(upstream.slots, queue)));
-        Arc::clone(gate)
+    /// The upstreams of every service as the engine sees them.
+    #[must_use]
+    pub fn status(&self) -> Vec<Status> {
+        let config = self.inner.config.load();
+        let mut all: Vec<Status> = config.services.values().flat_map(status_of).collect();
+        all.sort_by(|one, other| {
+            (&one.service, &one.upstream).cmp(&(&other.service, &other.upstream))
+        });
+        all
     }
 
-    async fn send(&self, target: Target, request: Request, deadline: Instant) -> Response {
-        let now = Instant::now();
-        if !target.owner.lease.is_valid(now) {
-            return not_run(Reason::LeaseLapsed);
-        }
-        if now >= deadline {
-            return not_run(Reason::DeadlineHopeless);
-        }
-        let order = Order {
-            epoch: target.owner.epoch,
-            deadline: deadline - now,
+    /// Takes the keys of shards out for their next leader.
+    ///
+    /// Call it when the shards' routes are [`Route::Elsewhere`] and nothing is in flight on them;
+    /// what still runs goes out as having perhaps run.
+    #[must_use]
+    pub fn window_export(&self, service: &ServiceName, shards: &[ShardIndex]) -> Option<Export> {
+        let config = self.inner.config.load();
+        let serving = config.services.get(service)?;
+        Some(serving.kept.ids.export(service, shards))
+    }
+
+    /// Takes over the keys that the leader directly before exported.
+    ///
+    /// Call it before the shards' routes leave [`Route::Elsewhere`]. Keys that come without an
+    /// import and were made before this daemon led the shard are answered as having perhaps run.
+    pub fn window_import(&self, export: Export) {
+        let inner = &self.inner;
+        let config = inner.config.load();
+        let service = Arc::clone(&export.service);
+        let Some(serving) = config.services.get(&service) else {
+            return;
         };
-        let forward = self.forward.forward(&target.upstream, order, request);
-        match timeout_at(deadline, forward).await {
-            Ok(response) => relay(response, target.slot, target.pass),
-            Err(_) => Response::refusal(Verdict::MayHaveRun, Reason::DeadlinePassed),
-        }
+        let turn = |shard| {
+            let lead = inner.table.lead(&service, shard);
+            lead.turn + u64::from(matches!(lead.route, Route::Elsewhere))
+        };
+        serving.kept.ids.import(export, turn, (inner.wall)());
     }
 
-    fn observe(&self, observation: Observation) {
-        // The driver has its own heartbeats; a lost observation costs time, not truth.
-        let _ = self.observed.try_send(observation);
+    /// The requests that this leader found to crash servers, for the other leaders.
+    #[must_use]
+    pub fn quarantine_export(&self) -> Vec<Share> {
+        self.inner.guard.export()
+    }
+
+    /// Refuses what another leader found to crash servers.
+    pub fn quarantine_import(&self, shares: &[Share]) {
+        self.inner.guard.import(shares, SHARED_MAX);
     }
 }
 
 impl<F: Forward> Serve for Engine<F> {
     async fn serve(&self, request: Request) -> Response {
-        let deadline = Instant::now() + request.head.deadline;
-        let manifest = self.manifest.load_full();
-        let service = manifest
-            .as_ref()
-            .and_then(|held| held.service(&request.head.service));
-        let Some(service) = service else {
-            return not_run(Reason::UnknownService);
-        };
-        let target = match self.target(service, &request.head, deadline).await {
-            Ok(target) => target,
-            Err(refusal) => return refusal,
+        let inner = &self.inner;
+        inner.metrics.requests.inc();
+        let arrived = Instant::now();
+        let mut watch = Watch::new(&inner.metrics);
+        let response = inner.serve(request, arrived).await;
+        watch.end(&response, arrived);
+        response
+    }
+}
+
+impl<F: Forward> Inner<F> {
+    async fn serve(self: &Arc<Self>, request: Request, arrived: Instant) -> Response {
+        let deadline = arrived + request.head.deadline;
+        if let Err(failure) = self.accept(&request.head) {
+            return failure.into_response();
+        }
+        let call = match Call::read(request, deadline).await {
+            Ok(call) => call,
+            Err(failure) => return failure.into_response(),
         };
-        let upstream = target.upstream.name.clone();
-        let epoch = target.owner.epoch;
-        let shard = request.head.shard;
-        let response = self.send(target, request, deadline).await;
-        match response.reply.reason {
-            Some(Reason::Fenced) => self.observe(Observation::Fenced {
-                service: service.name.clone(),
-                shard,
-                upstream,
-                epoch,
-            }),
-            Some(Reason::ConnectionRefused) => self.observe(Observation::Unreachable {
-                service: service.name.clone(),
-                upstream,
-            }),
-            _ => {}
+        match call.head.repeat {
+            Repeat::Repeatable => self.serve_repeatable(call).await,
+            Repeat::Once(id) => self.serve_once(id, call).await,
+        }
+    }
+
+    async fn serve_repeatable(&self, mut call: Call) -> Response {
+        match self.run(&mut call).await {
+            Ok(answer) => answer.relay(),
+            Err(response) => response,
+        }
+    }
+
+    /// The service in force of this name.
+    pub(crate) fn serving(&self, service: &str) -> Result<Arc<Serving>, Failure> {
+        let config = self.config.load();
+        let serving = config.services.get(service);
+        serving
+            .map(Arc::clone)
+            .ok_or(Failure::not_run(Reason::UnknownService))
+    }
+
+    /// Tells the ownership driver what was seen of a server.
+    pub(crate) fn observe(&self, observation: Observation) {
+        // The driver has its own heartbeats; a lost observation costs time, not truth.
+        if self.observed.try_send(observation).is_err() {
+            self.metrics.observations_lost.inc();
+        }
+    }
+
+    /// Refuses what need not be read any further.
+    fn accept(&self, head: &Head) -> Result<(), Failure> {
+        if self.stopping.load(Ordering::Acquire) {
+            return Err(Failure::not_run(Reason::Stopping));
+        }
+        self.serving(&head.service)?;
+        match self.table.route(&head.service, head.shard) {
+            Route::Elsewhere => Err(Failure::not_run(Reason::NotLeader)),
+            _ => Ok(()),
         }
-        response
     }
 }
 
-fn upstream_of<'a>(service: &'a Service, owner: &Owner) -> Option<&'a Upstream> {
-    service
-        .upstreams
-        .iter()
-        .find(|upstream| upstream.name == owner.upstream)
+/// Counts how a request ends; one that is dropped before was cancelled.
+struct Watch<'a> {
+    metrics: &'a Metrics,
+    ended: bool,
 }
 
-fn not_run(reason: Reason) -> Response {
-    Response::refusal(Verdict::NotRun, reason).with_retry_after(RETRY_AFTER)
+impl<'a> Watch<'a> {
+    fn new(metrics: &'a Metrics) -> Self {
+        Self {
+            metrics,
+            ended: false,
+        }
+    }
+
+    fn end(&mut self, response: &Response, arrived: Instant) {
+        self.ended = true;
+        self.metrics
+            .latency
+            .observe(arrived.elapsed().as_secs_f64());
+        if let Some(reason) = response.reply.reason {
+            self.metrics.refuse(reason);
+        }
+    }
 }
 
-/// Holds slot and pass until the body is read to its end or dropped.
-fn relay(response: Response, slot: Slot, pass: Pass) -> Response {
-    if response.body.as_full().is_some() {
-        return response;
-    }
-    let Response { reply, mut body } = response;
-    let (to, relayed) = Body::channel();
-    tokio::spawn(async move {
-        let _held = (slot, pass);
-        loop {
-            let chunk = tokio::select! {
-                chunk = body.chunk() => chunk,
-                () = to.closed() => return,
-            };
-            match chunk {
-                None => return to.end().await,
-                Some(Err(_)) => return,
-                Some(Ok(bytes)) => {
-                    if to.send(bytes).await.is_err() {
-                        return;
-                    }
-                }
-            }
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.metrics.cancellations.inc();
         }
-    });
-    Response {
-        reply,
-        body: relayed,
     }
 }
+
+fn status_of(serving: &Arc<Serving>) -> impl Iterator<Item = Status> {
+    let clamped = |count| u32::try_from(count).unwrap_or(u32::MAX);
+    serving.doors().map(move |door| {
+        let view = door.gate.view();
+        Status {
+            service: Arc::clone(&serving.service.name),
+            upstream: Arc::clone(&door.upstream.name),
+            slots: view.limit,
+            in_flight: view.in_flight,
+            interactive: clamped(view.interactive),
+            batch: clamped(view.batch),
+            paused: view.paused,
+        }
+    })
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,8 +4,19 @@
 
 pub use engine::Engine;
 pub use observation::Observation;
+pub use status::Status;
 
+mod answer;
+mod attempt;
+mod call;
 mod engine;
 mod gate;
-pub mod observation;
+mod gauges;
+mod guard;
+mod ids;
+mod metrics;
+mod observation;
+mod once;
+mod serving;
+mod status;
 pub mod table;
--- /dev/null
+++ b/crates/dispatch/src/metrics.rs
@@ -0,0 +1,162 @@
+//! Counters of the engine.
+
+use copperwell_message::Reason;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// The shortest time that a histogram tells apart, in seconds.
+const LATENCY_LEAST: f64 = 0.000_25;
+
+/// Buckets of a histogram, each twice as long as the one before.
+const LATENCY_BUCKETS: u16 = 16;
+
+/// Counters of the engine.
+#[derive(Debug, Clone)]
+pub(crate) struct Metrics {
+    /// Requests that came.
+    pub(crate) requests: Counter,
+    /// Requests sent to upstreams, retries included.
+    pub(crate) sends: Counter,
+    /// Requests that ended without an answer from the owner.
+    refusals: Family<Label, Counter>,
+    /// Tries that followed a failed one, by the reason of the failure.
+    retries: Family<Label, Counter>,
+    /// Tries that would have followed a failed one, had the budget allowed it.
+    retries_denied: Family<Label, Counter>,
+    /// Requests whose caller went away.
+    pub(crate) cancellations: Counter,
+    /// Requests that were tied to a crash.
+    pub(crate) suspects: Counter,
+    /// Requests that were found to crash servers.
+    pub(crate) convictions: Counter,
+    /// Resends that joined a request in flight.
+    pub(crate) joins: Counter,
+    /// Resends that got a kept outcome.
+    pub(crate) kept: Counter,
+    /// Observations that the driver was too slow for.
+    pub(crate) observations_lost: Counter,
+    /// Seconds from a request's arrival to the head of its answer.
+    pub(crate) latency: Histogram,
+    /// Seconds that a request waited for its slot.
+    pub(crate) queueing: Histogram,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Label {
+    reason: &'static str,
+}
+
+impl Metrics {
+    /// Counters at zero.
+    pub(crate) fn new() -> Self {
+        Self {
+            requests: Counter::default(),
+            sends: Counter::default(),
+            refusals: Family::default(),
+            retries: Family::default(),
+            retries_denied: Family::default(),
+            cancellations: Counter::default(),
+            suspects: Counter::default(),
+            convictions: Counter::default(),
+            joins: Counter::default(),
+            kept: Counter::default(),
+            observations_lost: Counter::default(),
+            latency: histogram(),
+            queueing: histogram(),
+        }
+    }
+
+    /// Registers every counter.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("copperwell_dispatch");
+        registry.register("requests", "Requests that came", self.requests.clone());
+        registry.register("sends", "Requests sent to upstreams", self.sends.clone());
+        registry.register(
+            "refusals",
+            "Requests that ended without an answer from the owner",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "retries",
+            "Tries that followed a failed one",
+            self.retries.clone(),
+        );
+        registry.register(
+            "retries_denied",
+            "Tries that the retry budget did not allow",
+            self.retries_denied.clone(),
+        );
+        registry.register(
+            "cancellations",
+            "Requests whose caller went away",
+            self.cancellations.clone(),
+        );
+        registry.register(
+            "suspects",
+            "Requests that were in flight on a server that crashed",
+            self.suspects.clone(),
+        );
+        registry.register(
+            "convictions",
+            "Requests that were found to crash servers",
+            self.convictions.clone(),
+        );
+        registry.register(
+            "joins",
+            "Resends that joined a request in flight",
+            self.joins.clone(),
+        );
+        registry.register("kept", "Resends that got a kept outcome", self.kept.clone());
+        registry.register(
+            "observations_lost",
+            "Observations of servers that were dropped",
+            self.observations_lost.clone(),
+        );
+        registry.register(
+            "latency_seconds",
+            "Time from a request's arrival to the head of its answer",
+            self.latency.clone(),
+        );
+        registry.register(
+            "queueing_seconds",
+            "Time that a request waited for its slot",
+            self.queueing.clone(),
+        );
+    }
+
+    /// Counts a request that ended without an answer from the owner.
+    pub(crate) fn refuse(&self, reason: Reason) {
+        self.refusals.get_or_create(&Label::from(reason)).inc();
+    }
+
+    /// Counts a try that follows one that failed for `reason`.
+    pub(crate) fn retry(&self, reason: Reason) {
+        self.retries.get_or_create(&Label::from(reason)).inc();
+    }
+
+    /// Counts a try that the budget does not allow.
+    pub(crate) fn deny_retry(&self, reason: Reason) {
+        self.retries_denied
+            .get_or_create(&Label::from(reason))
+            .inc();
+    }
+}
+
+impl From<Reason> for Label {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason: reason.as_str(),
+        }
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(LATENCY_LEAST, 2.0, LATENCY_BUCKETS))
+}
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -284,6 +284,12 @@
         }
     }
 
+    /// The stretch of leading a shard for which its keys are known.
+    #[must_use]
+    pub fn term(&self, shard: ShardIndex) -> Option<Term> {
+        Some(self.shards.get(&shard)?.term)
+    }
+
     /// Keys that are kept.
     #[must_use]
     pub fn len(&self) -> usize {
