Test the engine over a fake server side

Each promise of the engine needs a failure that would break it. Cover routes, leases, slots, queues, retries, cut bodies, keys and quarantines on a paused clock. A request whose deadline leaves no room for another try now names why it needed one.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -61,7 +61,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            call.fail(&failed.failure);
+            call.fail(&failed.failure, failed.sent_to.is_some());
             let Some(delay) = self.delay(call, &failed) else {
                 return Err(call.settle(failed.failure));
             };
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -39,6 +39,8 @@
     pub(crate) pinned: Option<UpstreamName>,
     /// Whether an earlier try may have run.
     pub(crate) may_have_run: bool,
+    /// The last failure of a try that left this daemon.
+    last_sent: Option<Failure>,
     /// Whether the current try has left this daemon.
     pub(crate) sent: Arc<AtomicBool>,
     /// Tells that the caller went away.
@@ -83,6 +85,7 @@
             sends: 0,
             pinned: None,
             may_have_run: false,
+            last_sent: None,
             sent: Arc::default(),
             gone: CancellationToken::new(),
             payload,
@@ -109,9 +112,12 @@
         self.sent.store(true, Ordering::Release);
     }
 
-    /// Notes how a try failed.
-    pub(crate) fn fail(&mut self, failure: &Failure) {
+    /// Notes how a try failed, and whether it had left this daemon.
+    pub(crate) fn fail(&mut self, failure: &Failure, had_left: bool) {
         self.tries += 1;
+        if had_left {
+            self.last_sent = Some(*failure);
+        }
         if failure.verdict == Verdict::NotRun {
             self.sent.store(self.may_have_run, Ordering::Release);
         } else {
@@ -120,13 +126,24 @@
     }
 
     /// The last failure as the whole request's answer: one try that may have run is enough.
+    ///
+    /// Where the deadline leaves no room for another try, the reason is why one was needed.
     pub(crate) fn settle(&self, failure: Failure) -> Response {
         let verdict = if self.may_have_run {
             Verdict::MayHaveRun
         } else {
             failure.verdict
         };
-        Failure { verdict, ..failure }.into_response()
+        let reason = match (failure.reason, self.last_sent) {
+            (Reason::DeadlineHopeless, Some(sent)) => sent.reason,
+            (reason, _) => reason,
+        };
+        Failure {
+            verdict,
+            reason,
+            ..failure
+        }
+        .into_response()
     }
 }
 
--- /dev/null
+++ b/crates/dispatch/tests/engine/main.rs
@@ -0,0 +1,5 @@
+//! The engine over a fake server side, on a paused clock.
+
+mod once;
+mod requests;
+mod support;
--- /dev/null
+++ b/crates/dispatch/tests/engine/once.rs
@@ -0,0 +1,292 @@
+//! Requests that are not repeatable, and requests that crash servers.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use crate::support::{
+    Bench, SERVICE, Step, id_made, ms, new_id, once, request, stream, text, told, wall,
+};
+use copperwell_dispatch::table::Route;
+use copperwell_keyspace::{ServiceName, manifest::Upstream};
+use copperwell_message::{Reason, Repeat, Request, Response, Serve, Verdict};
+use test_case::test_case;
+use tokio::{
+    task::{JoinHandle, yield_now},
+    time::{advance, sleep},
+};
+use uuid::Uuid;
+
+/// Longer than keys are unknown after a leader has begun.
+const KNOWN: Duration = Duration::from_secs(2);
+
+/// A bench that leads for long enough to know new keys.
+async fn bench(script: impl Fn(&Upstream, &Request) -> Step + Send + Sync + 'static) -> Bench {
+    let bench = Bench::new(script);
+    bench.engine.serve(once("/first", new_id())).await;
+    advance(KNOWN).await;
+    bench
+}
+
+fn spawn(bench: &Bench, request: Request) -> JoinHandle<Response> {
+    let engine = Arc::clone(&bench.engine);
+    tokio::spawn(async move { engine.serve(request).await })
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resend_gets_the_kept_answer() {
+    let bench = bench(|_, _| Step::Answer(ms(5), "paid")).await;
+    let id = new_id();
+    for _ in 0..3 {
+        let response = bench.engine.serve(once("/payout", id)).await;
+        assert_eq!(told(&response), (Verdict::Done, None));
+        assert_eq!(text(response).await, "paid");
+    }
+    assert_eq!(bench.fake.count("/payout"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resend_of_a_long_answer_hears_that_it_ran() {
+    let bench = bench(|_, _| Step::Long(1 << 20)).await;
+    let id = new_id();
+    let first = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(first.body.collect(2 << 20).await.unwrap().len(), 1 << 20);
+    let resend = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(
+        (resend.reply.status, told(&resend)),
+        (410, (Verdict::Done, None))
+    );
+    let kept = ("copperwell-body".to_owned(), b"not-kept".to_vec());
+    assert!(resend.reply.headers.contains(&kept));
+    assert_eq!(bench.fake.count("/payout"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resend_joins_the_request_in_flight() {
+    let bench = bench(|_, _| Step::Answer(ms(500), "paid")).await;
+    let id = new_id();
+    let first = spawn(&bench, once("/payout", id));
+    sleep(ms(100)).await;
+    let second = spawn(&bench, once("/payout", id));
+    for served in [first, second] {
+        assert_eq!(text(served.await.unwrap()).await, "paid");
+    }
+    assert_eq!(bench.fake.count("/payout"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_hangs_up_finds_the_outcome_later() {
+    let bench = bench(|_, _| Step::Answer(ms(500), "paid")).await;
+    let id = new_id();
+    let first = spawn(&bench, once("/payout", id));
+    sleep(ms(100)).await;
+    first.abort();
+    let resend = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(text(resend).await, "paid");
+    assert_eq!(bench.fake.count("/payout"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_hangs_up_before_the_send_leaves_nothing() {
+    let bench = bench(|_, _| Step::Answer(ms(500), "paid")).await;
+    bench.table.set(SERVICE, 0, Route::Held);
+    let id = new_id();
+    let first = spawn(&bench, once("/payout", id));
+    sleep(ms(100)).await;
+    first.abort();
+    yield_now().await;
+    bench.own(0, "a", 10, 1);
+    sleep(ms(1000)).await;
+    assert_eq!(bench.fake.count("/payout"), 0);
+    let resend = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(told(&resend), (Verdict::Done, None));
+}
+
+#[test_case(Verdict::NotRun, Reason::Shed, Verdict::Done, 2; "not run may run again")]
+#[test_case(Verdict::MayHaveRun, Reason::ConnectionLost, Verdict::MayHaveRun, 1; "lost")]
+#[test_case(Verdict::MayHaveRun, Reason::ConnectionSilent, Verdict::MayHaveRun, 1; "silent")]
+#[tokio::test(start_paused = true)]
+async fn the_first_verdict_decides_the_resend(
+    verdict: Verdict,
+    reason: Reason,
+    resent: Verdict,
+    runs: usize,
+) {
+    let tries = AtomicU32::new(0);
+    let bench = bench(move |_, request| match request.head.path.as_str() {
+        "/payout" if tries.fetch_add(1, Ordering::SeqCst) == 0 => {
+            Step::Fail(ms(1), verdict, reason)
+        }
+        _ => Step::Answer(ms(1), "paid"),
+    })
+    .await;
+    let id = new_id();
+    let first = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(told(&first), (verdict, Some(reason)));
+    let second = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(second.reply.verdict, resent);
+    assert_eq!(bench.fake.count("/payout"), runs);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_cut_short_may_have_run() {
+    let (sender, step) = stream();
+    let step = Mutex::new(Some(step));
+    let bench = bench(move |_, request| match request.head.path.as_str() {
+        "/payout" => step.lock().unwrap().take().unwrap(),
+        _ => Step::Answer(ms(1), ""),
+    })
+    .await;
+    let id = new_id();
+    let first = spawn(&bench, once("/payout", id));
+    sender.send("half").await.unwrap();
+    drop(sender);
+    assert!(first.await.unwrap().body.collect(1024).await.is_err());
+    let resend = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(
+        told(&resend),
+        (Verdict::MayHaveRun, Some(Reason::ConnectionLost))
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_without_the_table_says_that_older_keys_may_have_run() {
+    let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    let id = new_id();
+    bench.table.set(SERVICE, 0, Route::Elsewhere);
+    sleep(ms(100)).await;
+    bench.own(0, "a", 14, 1);
+    let old = bench.engine.serve(once("/payout", id)).await;
+    let unknown = (Verdict::MayHaveRun, Some(Reason::IdempotencyKeyUnknown));
+    assert_eq!(told(&old), unknown);
+    advance(KNOWN).await;
+    let new = bench.engine.serve(once("/payout", new_id())).await;
+    assert_eq!(told(&new), (Verdict::Done, None));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_planned_hand_over_takes_the_table_along() {
+    let before = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    let after = Bench::new(|_, _| Step::Answer(ms(1), "twice"));
+    let id = new_id();
+    before.engine.serve(once("/payout", id)).await;
+    before.table.set(SERVICE, 0, Route::Elsewhere);
+    after.table.set(SERVICE, 0, Route::Elsewhere);
+    let service: ServiceName = SERVICE.into();
+    let export = before.engine.window_export(&service, &[0]).unwrap();
+    after.engine.window_import(export);
+    after.own(0, "a", 12, 1);
+    let resend = after.engine.serve(once("/payout", id)).await;
+    assert_eq!(text(resend).await, "paid");
+    let fresh = after.engine.serve(once("/payout", new_id())).await;
+    assert_eq!(text(fresh).await, "twice");
+}
+
+#[test_case(id_made(wall() + Duration::from_secs(5)), Verdict::NotRun, Reason::IdempotencyKeyInvalid; "from the future")]
+#[test_case(id_made(wall() - Duration::from_hours(1)), Verdict::MayHaveRun, Reason::IdempotencyKeyExpired; "too old")]
+#[test_case(Uuid::new_v4(), Verdict::NotRun, Reason::IdempotencyKeyInvalid; "not a version 7")]
+#[tokio::test(start_paused = true)]
+async fn a_bad_key_is_told(id: Uuid, verdict: Verdict, reason: Reason) {
+    let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    let response = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(told(&response), (verdict, Some(reason)));
+    assert_eq!(bench.fake.count("/payout"), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_used_for_another_request_is_told() {
+    let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    let id = new_id();
+    bench.engine.serve(once("/payout", id)).await;
+    let other = bench.engine.serve(once("/other", id)).await;
+    let reused = (Verdict::NotRun, Some(Reason::IdempotencyKeyReused));
+    assert_eq!(told(&other), reused);
+    assert_eq!(bench.fake.count("/other"), 0);
+}
+
+/// A server that crashes on `/crash`: what runs beside it is lost, and the next is refused.
+fn crashing(_: &Upstream, request: &Request) -> Step {
+    match request.head.path.as_str() {
+        "/crash" | "/beside" => Step::Fail(ms(50), Verdict::MayHaveRun, Reason::ConnectionLost),
+        _ => Step::Answer(ms(1), "fine"),
+    }
+}
+
+/// As [`request`], but sent once by us.
+fn unrepeated(path: &str) -> Request {
+    let mut request = request(path);
+    request.head.repeat = Repeat::Once(new_id());
+    request
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_crashes_servers_runs_alone_and_is_then_refused() {
+    let bench = bench(crashing).await;
+    for _ in 0..4 {
+        bench.engine.serve(request("/warm")).await;
+    }
+    let first = spawn(&bench, unrepeated("/crash"));
+    let beside = spawn(&bench, unrepeated("/beside"));
+    assert_eq!(first.await.unwrap().reply.verdict, Verdict::MayHaveRun);
+    assert_eq!(beside.await.unwrap().reply.verdict, Verdict::MayHaveRun);
+    // The server comes back as another run, which proves the crash.
+    bench.own(0, "a", 10, 2);
+    let second = spawn(&bench, unrepeated("/crash"));
+    sleep(ms(10)).await;
+    let other = spawn(&bench, unrepeated("/warm"));
+    sleep(ms(10)).await;
+    assert_eq!(bench.fake.running(), 1, "the suspect runs alone");
+    second.await.unwrap();
+    other.await.unwrap();
+    bench.own(0, "a", 10, 3);
+    let third = bench.engine.serve(unrepeated("/crash")).await;
+    assert_eq!(told(&third), (Verdict::NotRun, Some(Reason::Quarantined)));
+    assert!(third.reply.retry_after > Some(Duration::from_mins(4)));
+    assert_eq!(bench.fake.count("/crash"), 2);
+    let shared = bench.engine.quarantine_export();
+    assert_eq!(shared.len(), 1, "what ran beside it is not convicted");
+
+    let other = Bench::new(crashing);
+    other.engine.quarantine_import(&shared);
+    let elsewhere = other.engine.serve(request("/crash")).await;
+    assert_eq!(
+        told(&elsewhere),
+        (Verdict::NotRun, Some(Reason::Quarantined))
+    );
+    advance(Duration::from_mins(5)).await;
+    bench.engine.serve(unrepeated("/crash")).await;
+    assert_eq!(bench.fake.count("/crash"), 3, "the quarantine ends");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_suspect_is_never_sent_on_to_another_server_by_us() {
+    let bench = bench(crashing).await;
+    for _ in 0..20 {
+        bench.engine.serve(request("/warm")).await;
+    }
+    let served = spawn(&bench, request("/crash"));
+    sleep(ms(52)).await;
+    bench.own(0, "b", 10, 1);
+    let response = served.await.unwrap();
+    assert_eq!(
+        told(&response),
+        (Verdict::MayHaveRun, Some(Reason::ConnectionLost))
+    );
+    let seen = bench.fake.seen();
+    assert!(seen.iter().all(|seen| seen.upstream == "a"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_lost_without_a_crash_condemns_nobody() {
+    let bench = bench(crashing).await;
+    for _ in 0..3 {
+        bench.engine.serve(unrepeated("/crash")).await;
+        advance(Duration::from_secs(3)).await;
+    }
+    assert_eq!(bench.fake.count("/crash"), 3);
+    assert!(bench.engine.quarantine_export().is_empty());
+}
