Hand over keys and load to the groups, and let connections leave from a known address

The engine's window travels with a planned hand-over, shard load reaches the groups every second, and connections to other daemons leave from the address of listen.control.

--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -18,6 +18,7 @@
     members::Members,
 };
 use copperwell_platform::follow::View;
+use copperwell_policy::window::Export;
 use tokio::sync::watch;
 
 /// What the daemon's tasks share.
@@ -96,6 +97,9 @@
         if self.is_leaving() {
             return false;
         }
+        if let Ok(Some(window)) = bincode::deserialize::<Option<Export>>(&hand_over.window) {
+            self.engine.window_import(window);
+        }
         self.groups.take_over(&hand_over.group).is_some()
     }
 
--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -8,8 +8,13 @@
 };
 
 use crate::{
-    admin, appointer, confirm, core::Core, metrics::Metrics, network::Way, relay::Peers,
-    settings::Settings, stop, watch,
+    admin, appointer, confirm,
+    core::Core,
+    metrics::Metrics,
+    network::Way,
+    relay::Peers,
+    settings::{Advertise, Settings},
+    stop, watch,
 };
 use copperwell_backend::{client::Client as Servers, pool::Pool};
 use copperwell_caller::{Ingress, metrics, server};
@@ -18,6 +23,7 @@
 use copperwell_ownership::Groups;
 use copperwell_peer::{
     control::{self, Client},
+    dial::Dial,
     link::{self, Links},
     members::Members,
 };
@@ -84,8 +90,10 @@
         let callers = listeners.callers.local_addr().change_context(Error)?;
         let mut registry = Registry::with_prefix("copperwell");
 
-        let client = Client::new();
-        let links = Links::new();
+        let dial = dial(&settings);
+        let client = Client::with_dial(dial);
+        client.register(&mut registry);
+        let links = Links::with_dial(dial);
         links.register(&mut registry);
         let members = Members::new(me.clone(), settings.seeds.clone(), client.clone());
         let log = Arc::new(http::Client::new(settings.platform.log));
@@ -95,7 +103,9 @@
 
         let table = Arc::new(Table::new());
         let pool = Arc::new(Pool::new());
+        pool.metrics().register(&mut registry);
         let (engine, observations) = Engine::new(pool, table.clone());
+        engine.register(&mut registry);
         let engine = Arc::new(engine);
         let way = Arc::new(Way::new(me.clone(), engine.clone(), links.clone()));
         let (events_to, events) = mpsc::channel(EVENTS);
@@ -164,6 +174,8 @@
             &running,
             confirm::run(core.clone(), client.clone(), log_reader),
         );
+        spawn_until(&running, watch::load(core.clone()));
+        spawn_until(&running, watch::contact(core.clone()));
         spawn_until(&running, watch::observations(core.clone(), observations));
         spawn_until(&running, appointer::run(core.clone(), appender, moves));
 
@@ -234,20 +246,21 @@
     }
 
     fn member(&self, settings: &Settings) -> io::Result<Member> {
-        let reached = |listener: &TcpListener| {
-            let mut address = listener.local_addr()?;
-            if let Some(ip) = settings.advertise {
-                address.set_ip(ip);
-            }
-            Ok::<_, io::Error>(address)
+        let advertise = match settings.advertise {
+            Some(advertise) => advertise,
+            None => Advertise {
+                requests: self.requests.local_addr()?,
+                control: self.control.local_addr()?,
+                admin: self.admin.local_addr()?,
+            },
         };
         Ok(Member {
             name: settings.name.clone(),
             incarnation: incarnation(),
             data_centre: settings.data_centre.clone(),
-            control: reached(&self.control)?,
-            requests: reached(&self.requests)?,
-            admin: reached(&self.admin)?,
+            control: advertise.control,
+            requests: advertise.requests,
+            admin: advertise.admin,
         })
     }
 }
@@ -269,6 +282,16 @@
     u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Connections to other daemons leave from the address that they know this one by.
+fn dial(settings: &Settings) -> Dial {
+    let own = settings.listen.control.ip();
+    if own.is_unspecified() {
+        Dial::new()
+    } else {
+        Dial::new().with_source(own)
+    }
+}
+
 fn spawn_until(
     running: &CancellationToken,
     task: impl Future<Output = ()> + Send + 'static,
--- a/crates/copperwelld/src/settings.rs
+++ b/crates/copperwelld/src/settings.rs
@@ -1,11 +1,6 @@
 //! The daemon's settings.
 
-use std::{
-    fmt, fs,
-    net::{IpAddr, SocketAddr},
-    path::Path,
-    time::Duration,
-};
+use std::{fmt, fs, net::SocketAddr, path::Path, time::Duration};
 
 use copperwell_caller::server;
 use copperwell_keyspace::{DaemonName, DataCentreName, RegionName};
@@ -33,9 +28,9 @@
     /// The addresses that the daemon listens on.
     #[garde(dive)]
     pub listen: Listen,
-    /// The IP number that other daemons reach this one at; the one of `listen.control` if absent.
+    /// Where others reach this daemon, if not at the addresses that it listens on.
     #[serde(default)]
-    pub advertise: Option<IpAddr>,
+    pub advertise: Option<Advertise>,
     /// The platform's services.
     pub platform: Platform,
     /// Control addresses of other daemons to begin with.
@@ -70,6 +65,18 @@
     pub admin: SocketAddr,
 }
 
+/// Addresses at which others reach a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Advertise {
+    /// For request streams.
+    pub requests: SocketAddr,
+    /// For control calls.
+    pub control: SocketAddr,
+    /// For metrics, health and status.
+    pub admin: SocketAddr,
+}
+
 /// Addresses of the platform's services.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -174,7 +181,7 @@
         }
         if self.advertise.is_none() && listen.control.ip().is_unspecified() {
             let text = "advertise: missing, and listen.control names no single address; \
-                        set advertise to the VM's IP number";
+                        set advertise.requests, .control and .admin to the VM's own";
             return Err(Report::new(Error).attach(text));
         }
         Ok(())
--- a/crates/copperwelld/src/status.rs
+++ b/crates/copperwelld/src/status.rs
@@ -2,7 +2,7 @@
 
 use crate::{admin::Inspect, core::Core};
 use copperwell_backend::{Control, Forward};
-use copperwell_dispatch::table::Route;
+use copperwell_dispatch::{self as dispatch, table::Route};
 use copperwell_keyspace::{
     GroupId, Member, UpstreamName, manifest::Manifest, replay::Appointment, shard,
 };
@@ -79,7 +79,9 @@
 
 impl<C: Control, F: Forward> Core<C, F> {
     fn group_statuses(&self, view: &View) -> Vec<Group> {
-        let mut groups: Vec<Group> = self.groups.status().into_iter().map(led_status).collect();
+        let engine = self.engine.status();
+        let led = self.groups.status().into_iter();
+        let mut groups: Vec<Group> = led.map(|led| led_status(led, &engine)).collect();
         let standing_by = view.state.groups.iter().filter(|(id, held)| {
             let me = held
                 .standby
@@ -110,18 +112,21 @@
     }
 }
 
-fn led_status(led: ownership::Status) -> Group {
+fn led_status(led: ownership::Status, engine: &[dispatch::Status]) -> Group {
     let phase = match (led.settled, led.unreported + led.free + led.moving) {
         (false, _) => "taking-over",
         (true, 0) => "steady",
         (true, _) => "granting",
     };
-    let upstreams = led.upstreams.into_iter().map(|upstream| Upstream {
-        state: upstream_state(&upstream).to_owned(),
-        name: upstream.name,
-        shards: count(upstream.shards),
-        in_flight: 0,
-        queue: 0,
+    let upstreams = led.upstreams.into_iter().map(|upstream| {
+        let seen = engine.iter().find(|seen| seen.upstream == upstream.name);
+        Upstream {
+            state: upstream_state(&upstream).to_owned(),
+            name: upstream.name,
+            shards: count(upstream.shards),
+            in_flight: seen.map_or(0, |seen| seen.in_flight),
+            queue: seen.map_or(0, |seen| seen.interactive + seen.batch),
+        }
     });
     Group {
         group: led.group,
--- a/crates/copperwelld/src/stop.rs
+++ b/crates/copperwelld/src/stop.rs
@@ -4,7 +4,7 @@
 
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
-use copperwell_keyspace::{GroupId, Member};
+use copperwell_keyspace::{GroupId, Member, ShardIndex, manifest};
 use copperwell_peer::control::{Client, HandOver};
 use spdlog::info;
 use tokio::time::timeout;
@@ -30,10 +30,13 @@
     let Some(epoch) = core.groups.hand_over(group).await else {
         return;
     };
+    let window = core
+        .engine
+        .window_export(&group.service, &shards_of(core, group));
     let message = HandOver {
         group: group.clone(),
         epoch,
-        window: Vec::new(),
+        window: bincode::serialize(&window).unwrap_or_default(),
     };
     let taken = client
         .hand_over(standby.control, message)
@@ -47,3 +50,11 @@
 fn standby_of<C: Control, F: Forward>(core: &Core<C, F>, group: &GroupId) -> Option<Member> {
     core.state().groups.get(group)?.standby.clone()
 }
+
+fn shards_of<C: Control, F: Forward>(core: &Core<C, F>, group: &GroupId) -> Vec<ShardIndex> {
+    let state = core.state();
+    let owners = state.owners.get(&group.service);
+    owners
+        .map(|owners| manifest::shards_of(owners, group))
+        .unwrap_or_default()
+}
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -5,7 +5,9 @@
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::Observation;
-use copperwell_keyspace::{DaemonName, HashSet, Member, record::Move, replay::State};
+use copperwell_keyspace::{
+    DaemonName, HashMap, HashSet, Member, ServiceName, record::Move, replay::State,
+};
 use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
     control::Position,
@@ -24,6 +26,12 @@
 /// How often the platform's list of VMs is read.
 const VMS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often the groups are told when the log was last seen.
+const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often the shards' requests are counted.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Passes each new agreed state on.
 pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
     let mut view = core.view.clone();
@@ -88,6 +96,42 @@
     }
 }
 
+/// Tells the groups when the log was last seen, by this daemon or by a peer.
+pub(crate) async fn contact<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+    loop {
+        sleep(CONTACT_INTERVAL).await;
+        if let Some(seen) = core.members.log_seen() {
+            core.groups.evidence(Evidence::Contact(seen));
+        }
+    }
+}
+
+/// Tells the groups which shards are asked for.
+pub(crate) async fn load<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+    let mut before: HashMap<ServiceName, Vec<u64>> = HashMap::default();
+    loop {
+        sleep(LOAD_INTERVAL).await;
+        let state = core.state();
+        let services = state
+            .manifest
+            .iter()
+            .flat_map(|manifest| &manifest.services);
+        for service in services {
+            let now = core.table.requests(&service.name);
+            let last = before.entry(service.name.clone()).or_default();
+            last.resize(now.len(), 0);
+            for (shard, (now, last)) in (0..).zip(now.iter().zip(&*last)) {
+                let more = now.saturating_sub(*last);
+                if more > 0 {
+                    let more = u32::try_from(more).unwrap_or(u32::MAX);
+                    core.groups.load(&service.name, shard, more);
+                }
+            }
+            *last = now;
+        }
+    }
+}
+
 /// Passes on what the request engine saw of upstreams.
 pub(crate) async fn observations<C: Control, F: Forward>(
     core: Arc<Core<C, F>>,
--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -10,15 +10,21 @@
 use super::{
     FRAME_MAX, HandOver, Pong, Probe, Records, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient,
 };
+use crate::dial::Dial;
 use copperwell_keyspace::{HashMap, LogOffset};
 use error_stack::{Report, ResultExt};
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use tarpc::{client, context::Context, serde_transport};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     time::{Instant, timeout_at},
 };
 use tokio_serde::formats::Bincode;
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::{
+    codec::LengthDelimitedCodec,
+    io::{InspectReader, InspectWriter},
+};
 
 /// Connections kept; the rest are closed after their call.
 const CONNECTIONS_MAX: usize = 256;
@@ -49,9 +55,30 @@
 
 impl std::error::Error for Error {}
 
+/// Counts what passes through control connections.
+#[derive(Debug, Clone, Default)]
+struct Traffic {
+    bytes: Counter,
+}
+
+impl Traffic {
+    fn count(&self, stream: TcpStream) -> impl AsyncRead + AsyncWrite + Unpin + use<> {
+        let received = self.bytes.clone();
+        let sent = self.bytes.clone();
+        let stream = InspectReader::new(stream, move |bytes: &[u8]| {
+            received.inc_by(bytes.len() as u64);
+        });
+        InspectWriter::new(stream, move |bytes: &[u8]| {
+            sent.inc_by(bytes.len() as u64);
+        })
+    }
+}
+
 /// Calls other daemons; cheap to clone, and clones share connections.
 #[derive(Debug, Clone, Default)]
 pub struct Client {
+    dial: Dial,
+    traffic: Traffic,
     connections: Arc<Mutex<HashMap<SocketAddr, ControlClient>>>,
 }
 
@@ -62,6 +89,24 @@
         Self::default()
     }
 
+    /// A client without connections, which opens them as `dial` says.
+    #[must_use]
+    pub fn with_dial(dial: Dial) -> Self {
+        Self {
+            dial,
+            ..Self::default()
+        }
+    }
+
+    /// Registers the counters.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "control_client_bytes",
+            "Bytes sent and received on control connections that this daemon opened",
+            self.traffic.bytes.clone(),
+        );
+    }
+
     /// Probes a daemon.
     ///
     /// # Errors
@@ -188,17 +233,15 @@
         if let Some(client) = self.lock().get(&to) {
             return Ok(client.clone());
         }
-        let stream = timeout_at(deadline, TcpStream::connect(to))
+        let stream = timeout_at(deadline, self.dial.connect(to))
             .await
             .change_context(Error::Unreachable)
             .attach(to)?
             .change_context(Error::Unreachable)
             .attach(to)?;
-        // Without the option small calls are late, but they arrive.
-        let _ = stream.set_nodelay(true);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(FRAME_MAX)
-            .new_framed(stream);
+            .new_framed(self.traffic.count(stream));
         let transport = serde_transport::new(framed, Bincode::default());
         let mut config = client::Config::default();
         config.max_in_flight_requests = CALLS_MAX;
--- /dev/null
+++ b/crates/peer/src/dial.rs
@@ -0,0 +1,44 @@
+//! Connections to other daemons.
+
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+};
+
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Opens connections to other daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Dial {
+    source: Option<IpAddr>,
+}
+
+impl Dial {
+    /// Connections leave from whatever address the system chooses.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Connections leave from `source`, so that firewalls between data centres know the daemon.
+    #[must_use]
+    pub fn with_source(mut self, source: IpAddr) -> Self {
+        self.source = Some(source);
+        self
+    }
+
+    pub(crate) async fn connect(self, to: SocketAddr) -> io::Result<TcpStream> {
+        let socket = if to.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        if let Some(source) = self.source {
+            socket.bind(SocketAddr::new(source, 0))?;
+        }
+        let stream = socket.connect(to).await?;
+        // Without the option small messages are late, but they arrive.
+        let _ = stream.set_nodelay(true);
+        Ok(stream)
+    }
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use crate::dial::Dial;
 use copperwell_message::{HashMap, Head, Reason, Request, Response, Verdict};
 use peer::Peer;
 use prometheus_client::registry::Registry;
@@ -61,6 +62,7 @@
 struct Shared {
     peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
     metrics: Metrics,
+    dial: Dial,
 }
 
 impl Links {
@@ -70,6 +72,18 @@
         Self::default()
     }
 
+    /// Links to nobody yet, which open connections as `dial` says.
+    #[must_use]
+    pub fn with_dial(dial: Dial) -> Self {
+        let shared = Shared {
+            dial,
+            ..Shared::default()
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
     /// Registers the counters.
     pub fn register(&self, registry: &mut Registry) {
         self.shared.metrics.register(registry);
@@ -136,7 +150,7 @@
         if peers.len() >= PEERS_MAX {
             return None;
         }
-        let peer = Arc::new(Peer::new(to));
+        let peer = Arc::new(Peer::new(self.shared.dial, to));
         peers.insert(to, peer.clone());
         Some(peer)
     }
--- a/crates/peer/src/link/connection.rs
+++ b/crates/peer/src/link/connection.rs
@@ -16,7 +16,10 @@
     metrics::Metrics,
     pump,
 };
-use crate::wire::{Answer, Opening};
+use crate::{
+    dial::Dial,
+    wire::{Answer, Opening},
+};
 use bytes::Bytes;
 use copperwell_message::{Reason, Request, Response, Verdict};
 use h2::{
@@ -64,9 +67,12 @@
 
 impl Connection {
     /// Connects to a daemon, and makes sure that it answers.
-    pub(super) async fn connect(to: SocketAddr, metrics: Metrics) -> io::Result<Arc<Self>> {
-        let stream = TcpStream::connect(to).await?;
-        stream.set_nodelay(true)?;
+    pub(super) async fn connect(
+        dial: Dial,
+        to: SocketAddr,
+        metrics: Metrics,
+    ) -> io::Result<Arc<Self>> {
+        let stream = dial.connect(to).await?;
         let handshake = Builder::new()
             .initial_window_size(STREAM_WINDOW)
             .initial_connection_window_size(LINK_WINDOW)
--- a/crates/peer/src/link/peer.rs
+++ b/crates/peer/src/link/peer.rs
@@ -10,6 +10,7 @@
     connection::{Connection, Load, Stream},
     metrics::Metrics,
 };
+use crate::dial::Dial;
 use copperwell_message::Reason;
 use tokio::{
     sync::Mutex as AsyncMutex,
@@ -28,6 +29,7 @@
 /// A daemon and the links to it.
 #[derive(Debug)]
 pub(super) struct Peer {
+    dial: Dial,
     address: SocketAddr,
     links: Mutex<Vec<Arc<Connection>>>,
     /// Held while a link is made; remembers when that failed last.
@@ -45,8 +47,9 @@
 }
 
 impl Peer {
-    pub(super) fn new(address: SocketAddr) -> Self {
+    pub(super) fn new(dial: Dial, address: SocketAddr) -> Self {
         Self {
+            dial,
             address,
             links: Mutex::default(),
             failed: AsyncMutex::default(),
@@ -135,7 +138,7 @@
         failed: &mut Option<Instant>,
         metrics: &Metrics,
     ) -> Result<Arc<Connection>, Reason> {
-        let connecting = Connection::connect(self.address, metrics.clone());
+        let connecting = Connection::connect(self.dial, self.address, metrics.clone());
         let Ok(Ok(link)) = timeout(CONNECT_TIMEOUT, connecting).await else {
             *failed = Some(Instant::now());
             return Err(Reason::ConnectionRefused);
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::mpsc,
+    sync::{Mutex, PoisonError, mpsc},
     thread,
     time::Duration,
 };
@@ -58,7 +58,7 @@
     Runtime {
         runtime: Option<Runtime>,
         stop: Option<tokio::sync::oneshot::Sender<()>>,
-        stopped: mpsc::Receiver<()>,
+        stopped: Mutex<mpsc::Receiver<()>>,
     },
 }
 
@@ -125,7 +125,10 @@
     pub fn wait(&mut self) -> bool {
         match &mut self.run {
             Run::Process(child) => child.wait().is_ok_and(|status| status.success()),
-            Run::Runtime { stopped, .. } => stopped.recv().is_ok(),
+            Run::Runtime { stopped, .. } => {
+                let stopped = stopped.get_mut().unwrap_or_else(PoisonError::into_inner);
+                stopped.recv().is_ok()
+            }
         }
     }
 
@@ -252,7 +255,7 @@
     let run = Run::Runtime {
         runtime: Some(runtime),
         stop: Some(stop),
-        stopped,
+        stopped: Mutex::new(stopped),
     };
     Ok((addresses, run))
 }
