--- /dev/null
+++ b/crates/keyspace/tests/keyspace/main.rs
@@ -0,0 +1,5 @@
+//! Tests of replay, reader, checks and decoders.
+
+mod reader;
+mod replay;
+mod sample;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -297,6 +297,7 @@
             first: self.first,
             next: self.next(),
             records,
+            relayed: None,
         }
     }
 }
