Test groups under random faults and their driver on a paused clock

Cause: grants, take-over and hand-over had no test. Change: a counted-time run of leaders and fake servers with losses, delays, freezes and restarts over fixed seeds; four tests of the driver.

--- /dev/null
+++ b/crates/ownership/tests/groups/main.rs
@@ -0,0 +1,211 @@
+//! The driver over fake servers, on a paused clock.
+
+mod fake;
+
+use std::{sync::Arc, time::Duration};
+
+use copperwell_dispatch::table::{Route, Table};
+use copperwell_keyspace::{
+    GroupId, Member,
+    record::{Appoint, Body, Id, Record},
+    replay::{Outcome, State},
+};
+use copperwell_ownership::{Event, Evidence, Groups};
+use fake::Fake;
+use prometheus_client::registry::Registry;
+use tokio::{sync::mpsc, time::sleep};
+
+const SHARDS: u32 = 8;
+
+/// One daemon.
+struct Daemon {
+    groups: Arc<Groups<Fake>>,
+    table: Arc<Table>,
+    events: mpsc::Receiver<Event>,
+}
+
+/// The log, replayed.
+#[derive(Default)]
+struct Log {
+    state: State,
+    next: u64,
+}
+
+impl Log {
+    fn append(&mut self, body: Body) {
+        let record = Record {
+            id: Id {
+                writer: "test".into(),
+                incarnation: 1,
+                sequence: self.next + 1,
+            },
+            body,
+        };
+        let outcome = self.state.apply(self.next, &record);
+        self.next += 1;
+        assert_eq!(outcome, Outcome::Applied);
+    }
+
+    fn manifest(&mut self, upstreams: usize) {
+        let replaces = self
+            .state
+            .manifest
+            .as_ref()
+            .map_or(0, |held| held.version());
+        self.append(Body::Manifest(fake::manifest(replaces, SHARDS, upstreams)));
+    }
+
+    fn appoint(&mut self, leader: &str, standby: Option<&str>) {
+        let replaces = self.state.groups.get(&group()).map_or(0, |held| held.epoch);
+        self.append(Body::Appoint(Appoint {
+            group: group(),
+            replaces,
+            leader: member(leader),
+            standby: standby.map(member),
+        }));
+    }
+}
+
+fn group() -> GroupId {
+    GroupId {
+        service: "calendar".into(),
+        data_centre: "cluj".into(),
+        part: 0,
+    }
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.into(),
+        incarnation: 1,
+        data_centre: "cluj".into(),
+        control: ([127, 0, 0, 1], 1).into(),
+        requests: ([127, 0, 0, 1], 2).into(),
+        admin: ([127, 0, 0, 1], 3).into(),
+    }
+}
+
+fn daemon(name: &str, fake: &Arc<Fake>) -> Daemon {
+    let table = Arc::new(Table::new());
+    let (sender, events) = mpsc::channel(16);
+    let mut registry = Registry::default();
+    let groups = Groups::new(
+        member(name),
+        fake.clone(),
+        table.clone(),
+        sender,
+        &mut registry,
+    );
+    Daemon {
+        groups: Arc::new(groups),
+        table,
+        events,
+    }
+}
+
+impl Daemon {
+    /// Waits until upstreams own all shards, and names them.
+    async fn owners(&self) -> Vec<String> {
+        let mut owners = Vec::new();
+        for shard in 0..SHARDS {
+            let is_other = |route: &Route| !matches!(route, Route::Owned(_));
+            self.table.changed("calendar", shard, is_other).await;
+            let Route::Owned(owner) = self.table.route("calendar", shard) else {
+                panic!("shard {shard} lost its owner");
+            };
+            owners.push(owner.upstream.to_string());
+        }
+        owners
+    }
+
+    async fn is_elsewhere(&self) {
+        for shard in 0..SHARDS {
+            let is_here = |route: &Route| !matches!(route, Route::Elsewhere);
+            self.table.changed("calendar", shard, is_here).await;
+        }
+    }
+}
+
+fn count(owners: &[String], name: &str) -> usize {
+    owners.iter().filter(|owner| *owner == name).count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_grants_all_shards_evenly() {
+    let fake = Arc::new(Fake::new(2));
+    let mut log = Log::default();
+    log.manifest(2);
+    log.appoint("a", None);
+    let mut daemon = daemon("a", &fake);
+    daemon.groups.apply(&log.state);
+    let owners = daemon.owners().await;
+    assert_eq!((count(&owners, "u0"), count(&owners, "u1")), (4, 4));
+    let event = daemon.events.recv().await;
+    assert!(matches!(event, Some(Event::Led { recorded: true, .. })));
+    assert_eq!(daemon.groups.status()[0].upstreams.len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_upstream_is_replaced_within_four_seconds() {
+    let fake = Arc::new(Fake::new(2));
+    let mut log = Log::default();
+    log.manifest(2);
+    log.appoint("a", None);
+    let daemon = daemon("a", &fake);
+    daemon.groups.apply(&log.state);
+    daemon.owners().await;
+    fake.kill(0);
+    sleep(Duration::from_secs(4)).await;
+    let owners = daemon.owners().await;
+    assert_eq!(count(&owners, "u1"), 8);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_standby_takes_over_and_moves_no_shard() {
+    let fake = Arc::new(Fake::new(3));
+    let mut log = Log::default();
+    log.manifest(3);
+    log.appoint("a", Some("b"));
+    let first = daemon("a", &fake);
+    let second = daemon("b", &fake);
+    first.groups.apply(&log.state);
+    second.groups.apply(&log.state);
+    let before = first.owners().await;
+    let taken = second.groups.suspect(&"a".into());
+    assert_eq!(taken, [group()]);
+    let after = second.owners().await;
+    assert_eq!(before, after);
+    first.is_elsewhere().await;
+    assert!(first.groups.status().is_empty());
+    // The same appointment, read again, does not start it anew.
+    first.groups.apply(&log.state);
+    assert!(first.groups.status().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_hand_over_waits_for_what_is_in_flight() {
+    let fake = Arc::new(Fake::new(2));
+    let mut log = Log::default();
+    log.manifest(2);
+    log.appoint("a", Some("b"));
+    let first = daemon("a", &fake);
+    let second = daemon("b", &fake);
+    first.groups.apply(&log.state);
+    second.groups.apply(&log.state);
+    let before = first.owners().await;
+    let (_, pass) = first.table.enter("calendar", 3).unwrap();
+    let groups = first.groups.clone();
+    let handing = tokio::spawn(async move { groups.hand_over(&group()).await });
+    sleep(Duration::from_secs(1)).await;
+    assert!(!handing.is_finished());
+    assert!(matches!(first.table.route("calendar", 3), Route::Held));
+    drop(pass);
+    assert!(handing.await.unwrap().is_some());
+    first.is_elsewhere().await;
+    second.groups.evidence(Evidence::Stopped {
+        daemon: "a".into(),
+        incarnation: 1,
+    });
+    assert!(second.groups.take_over(&group()).is_some());
+    assert_eq!(second.owners().await, before);
+}
--- /dev/null
+++ b/crates/policy/tests/simulation/world.rs
@@ -0,0 +1,453 @@
+//! Leaders, servers and the network between them.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use crate::server::{Moment, Server, Span};
+use copperwell_keyspace::{
+    Epoch, GroupId, ShardIndex, UpstreamName,
+    manifest::{Fencing, Upstream},
+};
+use copperwell_policy::group::{
+    Group,
+    message::{Action, Answer, Config, Failure, Input, Order, Predecessor, Start, Ticket},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+use tokio::time::Instant;
+
+const LEASE: Duration = Duration::from_millis(1500);
+
+/// After the last fault every shard is to be served within this time.
+const RECOVERY: Duration = Duration::from_secs(4);
+
+/// What to simulate.
+pub(crate) struct Plan {
+    pub(crate) servers: usize,
+    pub(crate) leaders: usize,
+    pub(crate) shards: u32,
+    pub(crate) faults: Duration,
+}
+
+pub(crate) struct World {
+    seed: u64,
+    rng: StdRng,
+    base: Instant,
+    now: Moment,
+    events: BinaryHeap<Reverse<(Moment, u64)>>,
+    pending: BTreeMap<u64, Event>,
+    count: u64,
+    shards: Vec<ShardIndex>,
+    servers: Vec<Node>,
+    leaders: Vec<Leader>,
+    faults_end: Moment,
+    end: Moment,
+}
+
+struct Node {
+    server: Server,
+    frozen_until: Moment,
+    down_until: Moment,
+}
+
+struct Leader {
+    epoch: Epoch,
+    group: Option<Group>,
+    starts: Moment,
+    frozen_until: Moment,
+    /// Until when it cannot reach a server.
+    cut: Vec<Moment>,
+    /// When it is woken next.
+    wakes: Option<Moment>,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Start(usize),
+    Wake(usize),
+    Arrive {
+        leader: usize,
+        server: usize,
+        ticket: Ticket,
+        order: Order,
+    },
+    Answer {
+        leader: usize,
+        server: usize,
+        ticket: Ticket,
+        result: Result<Answer, Failure>,
+    },
+    Idle {
+        leader: usize,
+        shard: ShardIndex,
+        ticket: Ticket,
+    },
+    Fault,
+    End,
+}
+
+fn digest(shard: ShardIndex) -> u64 {
+    u64::from(shard + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+fn name(server: usize) -> UpstreamName {
+    format!("u{server}").into()
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, plan: &Plan) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let servers = (0..plan.servers).map(|_| Node {
+            server: Server::new(Duration::from_millis(rng.random_range(0..100_000))),
+            frozen_until: Moment::ZERO,
+            down_until: Moment::ZERO,
+        });
+        let servers: Vec<Node> = servers.collect();
+        let mut starts = Moment::ZERO;
+        let mut leaders = Vec::new();
+        for leader in 0..plan.leaders {
+            leaders.push(Leader {
+                epoch: 2 + leader as Epoch,
+                group: None,
+                starts,
+                frozen_until: Moment::ZERO,
+                cut: vec![Moment::ZERO; plan.servers],
+                wakes: None,
+            });
+            starts += Duration::from_millis(rng.random_range(1000..8000));
+        }
+        let mut world = Self {
+            seed,
+            rng,
+            base: Instant::now(),
+            now: Moment::ZERO,
+            events: BinaryHeap::new(),
+            pending: BTreeMap::new(),
+            count: 0,
+            shards: (0..plan.shards).collect(),
+            servers,
+            leaders,
+            faults_end: plan.faults,
+            end: plan.faults + RECOVERY,
+        };
+        for leader in 0..plan.leaders {
+            world.push(world.leaders[leader].starts, Event::Start(leader));
+        }
+        world.push(Duration::from_millis(500), Event::Fault);
+        world.push(world.end, Event::End);
+        world
+    }
+
+    pub(crate) fn run(&mut self) {
+        while let Some(Reverse((at, id))) = self.events.pop() {
+            let Some(event) = self.pending.remove(&id) else {
+                continue;
+            };
+            self.now = at;
+            if matches!(event, Event::End) {
+                return;
+            }
+            self.take(event);
+        }
+    }
+
+    /// Fails if two servers accepted one shard at one time.
+    pub(crate) fn check_no_overlap(&mut self) {
+        let mut spans: Vec<(usize, Span)> = Vec::new();
+        for (index, node) in self.servers.iter_mut().enumerate() {
+            node.server.finish();
+            spans.extend(node.server.spans.iter().cloned().map(|span| (index, span)));
+        }
+        spans.sort_by_key(|(_, span)| (span.shard, span.from));
+        for pair in spans.windows(2) {
+            let [(left, before), (right, after)] = pair else {
+                continue;
+            };
+            let overlaps = before.shard == after.shard && after.from < before.until;
+            assert!(
+                !overlaps || left == right,
+                "seed {}: servers {left} {before:?} and {right} {after:?}",
+                self.seed
+            );
+        }
+    }
+
+    /// Fails if a shard has no owner at the end, a while after the last fault.
+    pub(crate) fn check_all_served(&self) {
+        for shard in &self.shards {
+            let at = self.end;
+            let held = self.servers.iter().any(|node| {
+                let open = node.server.holds(*shard, at);
+                let spans = &node.server.spans;
+                open || spans
+                    .iter()
+                    .any(|span| span.shard == *shard && span.from <= at && span.until > at)
+            });
+            assert!(held, "seed {}: nobody holds shard {shard}", self.seed);
+        }
+    }
+
+    fn push(&mut self, at: Moment, event: Event) {
+        self.count += 1;
+        self.events.push(Reverse((at, self.count)));
+        self.pending.insert(self.count, event);
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Start(leader) => self.start(leader),
+            Event::Wake(leader) => {
+                self.leaders[leader].wakes = None;
+                self.tell(leader, Input::Tick);
+            }
+            Event::Arrive {
+                leader,
+                server,
+                ticket,
+                order,
+            } => self.arrive(leader, server, ticket, order),
+            Event::Answer {
+                leader,
+                server,
+                ticket,
+                result,
+            } => {
+                let input = Input::Answered {
+                    upstream: name(server),
+                    ticket,
+                    result,
+                };
+                self.tell(leader, input);
+            }
+            Event::Idle {
+                leader,
+                shard,
+                ticket,
+            } => self.tell(leader, Input::Idle { shard, ticket }),
+            Event::Fault => self.fault(),
+            Event::End => {}
+        }
+    }
+
+    fn start(&mut self, leader: usize) {
+        let upstreams = (0..self.servers.len()).map(|server| Upstream {
+            name: name(server),
+            data_centre: "cluj".into(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            slots: 2,
+            connections: 130,
+            fencing: Fencing::Checked,
+            drain: false,
+        });
+        let start = Start {
+            id: GroupId {
+                service: "calendar".into(),
+                data_centre: "cluj".into(),
+                part: 0,
+            },
+            epoch: self.leaders[leader].epoch,
+            config: Config {
+                upstreams: upstreams.collect(),
+                shards: self.shards.clone(),
+                lease: LEASE,
+                isolation: None,
+            },
+            predecessor: if leader == 0 {
+                Predecessor::None
+            } else {
+                Predecessor::Acting
+            },
+            recorded: true,
+            digest,
+        };
+        let now = self.base + self.now;
+        self.leaders[leader].group = Some(Group::new(start, now));
+        self.tell(leader, Input::Tick);
+    }
+
+    /// Gives an input to a leader, or keeps it until the leader wakes.
+    fn tell(&mut self, leader: usize, input: Input) {
+        let frozen = self.leaders[leader].frozen_until;
+        if frozen > self.now {
+            let event = match input {
+                Input::Answered {
+                    upstream,
+                    ticket,
+                    result,
+                } => Event::Answer {
+                    leader,
+                    server: upstream[1..].parse().unwrap(),
+                    ticket,
+                    result,
+                },
+                Input::Idle { shard, ticket } => Event::Idle {
+                    leader,
+                    shard,
+                    ticket,
+                },
+                _ => {
+                    self.leaders[leader].wakes = Some(frozen);
+                    Event::Wake(leader)
+                }
+            };
+            self.push(frozen, event);
+            return;
+        }
+        let now = self.base + self.now;
+        let Some(group) = &mut self.leaders[leader].group else {
+            return;
+        };
+        let actions = group.handle(input, now);
+        let wake = group.wake_at(now).map(|at| at - self.base);
+        let planned = self.leaders[leader].wakes;
+        if let Some(wake) = wake
+            && planned.is_none_or(|planned| wake < planned)
+        {
+            self.leaders[leader].wakes = Some(wake);
+            self.push(wake, Event::Wake(leader));
+        }
+        for action in actions {
+            self.act(leader, action);
+        }
+    }
+
+    fn act(&mut self, leader: usize, action: Action) {
+        match action {
+            Action::Order {
+                upstream,
+                ticket,
+                order,
+                timeout,
+            } => {
+                let server: usize = upstream.name[1..].parse().unwrap();
+                self.send(leader, server, ticket, order, timeout);
+            }
+            Action::AwaitIdle { shard, ticket } => {
+                let at = self.now + self.delay();
+                self.push(
+                    at,
+                    Event::Idle {
+                        leader,
+                        shard,
+                        ticket,
+                    },
+                );
+            }
+            _ => {}
+        }
+    }
+
+    fn send(
+        &mut self,
+        leader: usize,
+        server: usize,
+        ticket: Ticket,
+        order: Order,
+        timeout: Duration,
+    ) {
+        let answer = |result| Event::Answer {
+            leader,
+            server,
+            ticket,
+            result,
+        };
+        self.push(self.now + timeout, answer(Err(Failure::Silent)));
+        let is_cut = self.leaders[leader].cut[server] > self.now;
+        let is_down = self.servers[server].down_until > self.now;
+        let is_lost = self.has_faults() && self.rng.random_bool(0.02);
+        if is_down && !is_cut {
+            let at = self.now + self.delay();
+            self.push(at, answer(Err(Failure::Unreachable)));
+        } else if !is_cut && !is_lost {
+            let at = self.now + self.delay();
+            self.push(
+                at,
+                Event::Arrive {
+                    leader,
+                    server,
+                    ticket,
+                    order,
+                },
+            );
+        }
+    }
+
+    fn arrive(&mut self, leader: usize, server: usize, ticket: Ticket, order: Order) {
+        let node = &mut self.servers[server];
+        if node.down_until > self.now {
+            return;
+        }
+        if node.frozen_until > self.now {
+            let at = node.frozen_until + Duration::from_micros(self.rng.random_range(0..500));
+            let event = Event::Arrive {
+                leader,
+                server,
+                ticket,
+                order,
+            };
+            self.push(at, event);
+            return;
+        }
+        let epoch = self.leaders[leader].epoch;
+        let result = node.server.take(epoch, &order, digest, self.now);
+        let is_lost = self.has_faults() && self.rng.random_bool(0.02);
+        if self.leaders[leader].cut[server] <= self.now && !is_lost {
+            let at = self.now + self.delay();
+            self.push(
+                at,
+                Event::Answer {
+                    leader,
+                    server,
+                    ticket,
+                    result,
+                },
+            );
+        }
+    }
+
+    /// Short as a rule; now and then very long.
+    fn delay(&mut self) -> Duration {
+        if self.has_faults() && self.rng.random_bool(0.03) {
+            return Duration::from_millis(self.rng.random_range(1..4000));
+        }
+        Duration::from_micros(self.rng.random_range(100..3000))
+    }
+
+    fn has_faults(&self) -> bool {
+        self.now < self.faults_end
+    }
+
+    /// Strikes at random, and heals in time for the end.
+    fn fault(&mut self) {
+        if !self.has_faults() {
+            return;
+        }
+        let lasts = Duration::from_millis(self.rng.random_range(10..6000));
+        let until = (self.now + lasts).min(self.faults_end);
+        let server = self.rng.random_range(0..self.servers.len());
+        let leader = self.rng.random_range(0..self.leaders.len());
+        match self.rng.random_range(0..6) {
+            0 => {
+                let node = &mut self.servers[server];
+                node.server.restart(self.now);
+                node.frozen_until = self.now;
+                node.down_until = *[self.now, until].choose(&mut self.rng).unwrap();
+            }
+            1 => self.servers[server].frozen_until = until,
+            2 => self.leaders[leader].frozen_until = until,
+            3 | 4 => self.leaders[leader].cut[server] = until,
+            _ => {
+                for server in 0..self.servers.len() {
+                    if self.rng.random_bool(0.5) {
+                        self.leaders[leader].cut[server] = until;
+                    }
+                }
+            }
+        }
+        let next = self.now + Duration::from_millis(self.rng.random_range(50..3000));
+        self.push(next, Event::Fault);
+    }
+}
