--- a/crates/keyspace/src/merge.rs
+++ b/crates/keyspace/src/merge.rs
@@ -71,7 +71,7 @@
             let held = stamps.get(&shard).copied();
             let stamp = moves.and_then(|moves| moves.get(&shard)).copied();
             // Of two owners without a move between them, one is taken by a fixed order.
-            if (stamp, &*theirs) > (held, &*ours) {
+            if (stamp, theirs) > (held, ours) {
                 ours.clone_from(theirs);
                 stamps.extend(stamp.map(|stamp| (shard, stamp)));
             }
--- a/crates/policy/tests/simulation/world.rs
+++ b/crates/policy/tests/simulation/world.rs
@@ -240,6 +240,7 @@
             slots: 2,
             connections: 130,
             fencing: Fencing::Checked,
+            part: 0,
             drain: false,
         });
         let start = Start {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod faults;
 pub mod load;
 pub mod measure;
+pub mod naive;
 pub mod node;
+pub mod run;
 pub mod scenario;
 pub mod schedule;
--- /dev/null
+++ b/crates/standin/examples/experiment.rs
@@ -0,0 +1,101 @@
+//! Runs a router under a scenario and prints its measures as one line of JSON.
+
+use std::{
+    error::Error,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    str::FromStr,
+    time::Duration,
+};
+
+use bpaf::Bpaf;
+use copperwell_rig::{naive, node::Launch, run, scenario::Scenario};
+
+/// Which router runs.
+#[derive(Debug, Clone, Copy)]
+enum Router {
+    Copperwell,
+    Naive,
+}
+
+impl FromStr for Router {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "copperwell" => Ok(Self::Copperwell),
+            "naive" => Ok(Self::Naive),
+            _ => Err(format!(
+                "router `{text}` is unknown; use `copperwell` or `naive`"
+            )),
+        }
+    }
+}
+
+/// Measures a router under a workload and its faults.
+///
+/// The last line of standard output is one JSON object. Exit code 1: the run failed.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Args {
+    /// A scenario's name or file.
+    #[bpaf(long, argument("NAME"))]
+    scenario: String,
+    /// Seed of the offered load.
+    #[bpaf(long, argument("N"), fallback(1))]
+    seed: u64,
+    /// `copperwell` or `naive`.
+    #[bpaf(long, argument("ROUTER"), fallback(Router::Copperwell))]
+    router: Router,
+    /// Seconds of load, instead of the scenario's.
+    #[bpaf(long, argument("S"))]
+    seconds: Option<u64>,
+    /// Program of the daemon, to run daemons as processes of their own.
+    #[bpaf(long, argument("FILE"))]
+    daemon: Option<PathBuf>,
+    /// File for the JSON line as well.
+    #[bpaf(long, argument("FILE"))]
+    json: Option<PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = args().run();
+    match measure(&args).await {
+        Ok(line) => {
+            println!("{line}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("experiment: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn measure(args: &Args) -> Result<String, Box<dyn Error>> {
+    let mut scenario = load(&args.scenario)?;
+    if let Some(seconds) = args.seconds {
+        scenario.duration = Duration::from_secs(seconds);
+    }
+    let launch = args
+        .daemon
+        .clone()
+        .map_or(Launch::InProcess, Launch::Program);
+    let summary = match args.router {
+        Router::Copperwell => run::copperwell(&scenario, args.seed, launch).await?,
+        Router::Naive => naive::run(&scenario, args.seed).await?,
+    };
+    let line = serde_json::to_string(&summary)?;
+    if let Some(file) = &args.json {
+        std::fs::write(file, format!("{line}\n"))?;
+    }
+    Ok(line)
+}
+
+fn load(name: &str) -> Result<Scenario, Box<dyn Error>> {
+    let file = Path::new(name);
+    let named = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("scenarios/{name}.yaml"));
+    let path = if file.exists() { file } else { named.as_path() };
+    Scenario::load(path).map_err(|report| format!("{report:?}").into())
+}
--- a/crates/standin/src/backend/server.rs
+++ b/crates/standin/src/backend/server.rs
@@ -96,6 +96,7 @@
     pub fn upstream(&self, data_centre: &str) -> Upstream {
         let options = &self.shared.options;
         Upstream {
+            part: 0,
             name: options.name.clone(),
             data_centre: data_centre.into(),
             address: self.shared.address,
