Find lost daemons at a cost that does not grow with the fleet

Members drive it, pass on sight of the log with its age, and relay to members only. A control connection that went silent is replaced.

--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -4,10 +4,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use copperwell_keyspace::{Epoch, GroupId, LogOffset, ManifestVersion, Member};
+use copperwell_keyspace::{Epoch, GroupId, LogOffset, ManifestVersion};
 use serde::{Deserialize, Serialize};
 
 pub use client::{Client, Error};
+pub use copperwell_policy::suspicion::{Liveness, Rumour};
 pub use server::serve;
 
 mod client;
@@ -23,28 +24,31 @@
 /// Bytes of records in one [`Records`], unless a single record is longer.
 pub const RECORDS_MAX: usize = 1 << 20;
 
-/// Members that one [`Pong`] tells of.
-pub const GOSSIP_MAX: usize = 8;
-
 /// Asks a daemon whether it is alive, and says the same of the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Probe {
-    /// The sender.
-    pub from: Member,
+    /// What the sender says of itself.
+    pub own: Rumour,
     /// What the sender knows of the log.
     pub position: Position,
-    /// What the sender has heard of other members.
+    /// What the sender has heard of others.
     pub gossip: Vec<Rumour>,
+    /// Whether the answer is to tell of all members, not only the news.
+    pub all: bool,
 }
 
 /// The answer to a [`Probe`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pong {
-    /// The answering daemon.
-    pub member: Member,
+    /// What the answering daemon says of itself.
+    pub own: Rumour,
     /// What it knows of the log.
     pub position: Position,
-    /// What it has heard of other members; at most [`GOSSIP_MAX`].
+    /// Time since it, or anybody that it heard, saw the log.
+    pub log_age: Option<Duration>,
+    /// Equal to the sender's if both think the same members alive.
+    pub digest: u64,
+    /// What it has heard of others.
     pub gossip: Vec<Rumour>,
 }
 
@@ -59,28 +63,6 @@
     pub sees_log: bool,
 }
 
-/// What one daemon has heard of another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Rumour {
-    /// Whom it is about.
-    pub member: Member,
-    /// What was heard.
-    pub liveness: Liveness,
-}
-
-/// Whether a daemon is thought alive.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Liveness {
-    /// It answers.
-    Live,
-    /// It did not answer lately.
-    Suspect,
-    /// It has not answered for long enough to be taken for lost.
-    Lost,
-    /// It left, or another run took its place.
-    Gone,
-}
-
 /// A piece of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Records {
--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -20,9 +20,12 @@
 use tokio_serde::formats::Bincode;
 use tokio_util::codec::LengthDelimitedCodec;
 
-/// Connections kept; the rest are closed after their call.
+/// Connections kept; the one that was used least lately makes room for another.
 const CONNECTIONS_MAX: usize = 256;
 
+/// Time after which an unused connection is closed.
+const IDLE: Duration = Duration::from_mins(1);
+
 /// Calls under way on one connection.
 const CALLS_MAX: usize = 64;
 
@@ -52,7 +55,13 @@
 /// Calls other daemons; cheap to clone, and clones share connections.
 #[derive(Debug, Clone, Default)]
 pub struct Client {
-    connections: Arc<Mutex<HashMap<SocketAddr, ControlClient>>>,
+    connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    client: ControlClient,
+    used: Instant,
 }
 
 impl Client {
@@ -185,8 +194,9 @@
         to: SocketAddr,
         deadline: Instant,
     ) -> Result<ControlClient, Report<Error>> {
-        if let Some(client) = self.lock().get(&to) {
-            return Ok(client.clone());
+        if let Some(connection) = self.lock().get_mut(&to) {
+            connection.used = Instant::now();
+            return Ok(connection.client.clone());
         }
         let stream = timeout_at(deadline, TcpStream::connect(to))
             .await
@@ -203,18 +213,27 @@
         let mut config = client::Config::default();
         config.max_in_flight_requests = CALLS_MAX;
         let client = ControlClient::new(config, transport).spawn();
+        self.keep(to, client.clone());
+        Ok(client)
+    }
+
+    fn keep(&self, to: SocketAddr, client: ControlClient) {
+        let used = Instant::now();
         let mut connections = self.lock();
-        if connections.len() < CONNECTIONS_MAX {
-            connections.insert(to, client.clone());
+        connections.retain(|_, connection| connection.used.elapsed() < IDLE);
+        if connections.len() >= CONNECTIONS_MAX {
+            let oldest = connections.iter().min_by_key(|(_, kept)| kept.used);
+            let oldest = oldest.map(|(address, _)| *address);
+            connections.retain(|address, _| Some(*address) != oldest);
         }
-        Ok(client)
+        connections.insert(to, Connection { client, used });
     }
 
     fn forget(&self, to: SocketAddr) {
         self.lock().remove(&to);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, ControlClient>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
         self.connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/peer/src/control/server.rs
+++ b/crates/peer/src/control/server.rs
@@ -1,12 +1,12 @@
 //! The answering side of control calls.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
     FRAME_MAX, HandOver, Handler, Pong, Probe, Records, Relinquish, Snapshot, rpc::Control,
 };
 use copperwell_keyspace::LogOffset;
-use futures::StreamExt;
+use futures::{StreamExt, stream::FuturesUnordered};
 use tarpc::{
     context::Context,
     serde_transport,
@@ -15,6 +15,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    time::sleep,
 };
 use tokio_serde::formats::Bincode;
 use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken, task::TaskTracker};
@@ -25,6 +26,9 @@
 /// Calls served at a time on one connection.
 const CALLS_MAX: usize = 64;
 
+/// Time after which a connection without calls is closed.
+const IDLE: Duration = Duration::from_mins(2);
+
 /// Passes calls on to a [`Handler`].
 struct Server<H> {
     handler: Arc<H>,
@@ -68,10 +72,19 @@
         .new_framed(stream);
     let transport = serde_transport::new(framed, Bincode::default());
     let server = Server { handler };
-    BaseChannel::with_defaults(transport)
-        .execute(server.serve())
-        .for_each_concurrent(CALLS_MAX, |call| call)
-        .await;
+    let calls = BaseChannel::with_defaults(transport).execute(server.serve());
+    let mut calls = std::pin::pin!(calls);
+    let mut running = FuturesUnordered::new();
+    loop {
+        tokio::select! {
+            call = calls.next(), if running.len() < CALLS_MAX => match call {
+                Some(call) => running.push(call),
+                None => return,
+            },
+            Some(()) = running.next() => {}
+            () = sleep(IDLE), if running.is_empty() => return,
+        }
+    }
 }
 
 impl<H> Clone for Server<H> {
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -1,94 +1,59 @@
 //! Who is alive, as this daemon sees it.
+//!
+//! [`Suspicion`] decides; this module probes, answers probes and publishes what follows.
 
 use std::{
+    collections::hash_map::RandomState,
+    hash::BuildHasher,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use crate::control::{Client, GOSSIP_MAX, Liveness, Pong, Position, Probe, Rumour};
-use copperwell_keyspace::{DaemonName, DataCentreName, HashMap, HashSet, Member};
-use futures::future::join_all;
+use crate::control::{Client, Pong, Position, Probe, Rumour};
+use copperwell_keyspace::{DaemonName, HashMap, HashSet, Member};
+use copperwell_policy::suspicion::{MEMBERS_MAX, Subject, Suspicion, Target};
+use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
 use tokio::{
     sync::{broadcast, watch},
     time::{Instant, MissedTickBehavior, interval},
 };
 use tokio_util::sync::CancellationToken;
 
-/// Time between two rounds of probes.
-const ROUND: Duration = Duration::from_millis(250);
+pub use copperwell_policy::suspicion::{Change as Event, Liveness, Vm};
+pub use guard::Guard;
+pub use roster::{Roster, Seen};
 
-/// Time that a probe may take.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+mod guard;
+mod roster;
 
-/// Probes without an answer after which a member is suspect.
-const SUSPECT: u32 = 1;
+/// Time between two rounds of probes.
+pub const ROUND: Duration = Duration::from_millis(250);
 
-/// Probes without an answer after which a member is lost.
-const LOST: u32 = 4;
+/// Time that a direct probe may take.
+const DIRECT: Duration = Duration::from_millis(200);
 
-/// Members known at a time.
-pub const MEMBERS_MAX: usize = 4096;
+/// Time that a second try and helpers' probes may take.
+const INDIRECT: Duration = Duration::from_millis(300);
 
-/// Events kept for a slow reader.
-const EVENTS_MAX: usize = 1024;
+/// Delay of this process beyond which an unanswered probe says nothing about others.
+const SLACK: Duration = Duration::from_millis(250);
 
-/// A VM, as the platform's list has it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Vm {
-    /// The daemon that runs on it.
-    pub name: DaemonName,
-    /// Its data centre.
-    pub data_centre: DataCentreName,
-    /// Where the daemon takes control calls.
-    pub control: SocketAddr,
-    /// Whether the list says that it is leaving.
-    pub leaving: bool,
-}
+/// Probes under way at a time.
+const PROBES_MAX: usize = 64;
 
-/// A member and whether it is thought alive.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Seen {
-    /// The member.
-    pub member: Member,
-    /// Whether it is thought alive.
-    pub liveness: Liveness,
-    /// Whether the platform's list says that its VM is leaving.
-    pub leaving: bool,
-    /// What it last said of the log.
-    pub position: Position,
-}
+/// Time without a change after which different members are compared in full.
+const SETTLED: Duration = Duration::from_secs(5);
 
-/// The members that this daemon knows, itself included.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Roster {
-    /// By name.
-    pub members: HashMap<DaemonName, Seen>,
-}
+/// Time between two full comparisons.
+const COMPARE: Duration = Duration::from_secs(30);
 
-/// A change in who is alive.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Event {
-    /// A member is taken for lost.
-    Lost(Member),
-    /// A new run of a member took the place of an old one.
-    Replaced {
-        /// The old run.
-        old: Member,
-        /// The new run.
-        new: Member,
-    },
-    /// A member that was taken for lost answers again, or a new one appeared.
-    Back(Member),
-    /// The platform no longer has the member's VM.
-    Gone(Member),
-}
+/// Events kept for a slow reader.
+const EVENTS_MAX: usize = 1024;
 
 /// Finds out who is alive.
 #[derive(Debug)]
 pub struct Members {
-    me: Member,
-    seeds: Vec<SocketAddr>,
     client: Client,
     state: Mutex<State>,
     roster: watch::Sender<Arc<Roster>>,
@@ -97,39 +62,37 @@
 
 #[derive(Debug)]
 struct State {
+    suspicion: Suspicion,
     position: Position,
+    positions: HashMap<DaemonName, Position>,
     log_seen: Option<Instant>,
-    seen: HashMap<DaemonName, Seen>,
-    failures: HashMap<DaemonName, u32>,
-    close: HashSet<DaemonName>,
-    vms: HashMap<DaemonName, Vm>,
+    probing: HashSet<Target>,
+    compared: Option<Instant>,
+    /// The revision that was published, and when it was first seen.
+    published: u64,
+    changed: Instant,
+    /// Whether positions changed since the roster was published.
+    moved: bool,
 }
 
 impl Members {
     /// Starts out with this daemon and the control addresses of some others.
     #[must_use]
     pub fn new(me: Member, seeds: Vec<SocketAddr>, client: Client) -> Arc<Self> {
-        let seen = Seen {
-            member: me.clone(),
-            liveness: Liveness::Live,
-            leaving: false,
-            position: Position::default(),
-        };
-        let seen = HashMap::from_iter([(me.name.clone(), seen)]);
-        let roster = Arc::new(Roster {
-            members: seen.clone(),
-        });
+        let random_seed = RandomState::new().hash_one(&me.name);
         let state = State {
+            suspicion: Suspicion::new(me, seeds, random_seed),
             position: Position::default(),
+            positions: HashMap::default(),
             log_seen: None,
-            seen,
-            failures: HashMap::default(),
-            close: HashSet::default(),
-            vms: HashMap::default(),
+            probing: HashSet::default(),
+            compared: None,
+            published: 0,
+            changed: Instant::now(),
+            moved: false,
         };
+        let roster = Arc::new(state.roster());
         Arc::new(Self {
-            me,
-            seeds,
             client,
             state: Mutex::new(state),
             roster: watch::Sender::new(roster),
@@ -140,11 +103,17 @@
     /// Probes until `shutdown`.
     pub async fn run(&self, shutdown: CancellationToken) {
         let rounds = async {
+            let mut probes = FuturesUnordered::new();
             let mut ticks = interval(ROUND);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
             loop {
-                ticks.tick().await;
-                self.round().await;
+                tokio::select! {
+                    _ = ticks.tick() => {
+                        let targets = self.begin_round();
+                        probes.extend(targets.into_iter().map(|target| self.probe(target)));
+                    }
+                    Some(()) = probes.next() => {}
+                }
             }
         };
         shutdown.run_until_cancelled(rounds).await;
@@ -164,180 +133,176 @@
 
     /// Probes these members in each round.
     pub fn watch_closely(&self, names: HashSet<DaemonName>) {
-        self.state().close = names;
+        self.state().suspicion.set_partners(names);
     }
 
     /// Takes in the platform's list.
     pub fn update_vms(&self, vms: Vec<Vm>) {
-        let vms = vms.into_iter().map(|vm| (vm.name.clone(), vm));
         let mut state = self.state();
-        state.vms = vms.collect();
-        self.publish(&state);
+        let events = state.suspicion.list(Instant::now(), vms);
+        self.publish(&mut state, events);
+    }
+
+    /// Says from here on that this daemon wants to leave.
+    pub fn leave(&self) {
+        let mut state = self.state();
+        state.suspicion.leave();
+        self.publish(&mut state, Vec::new());
     }
 
     /// Says how far this daemon has read the log.
+    ///
+    /// [`Position::sees_log`] counts until it is taken back.
     pub fn set_position(&self, position: Position) {
         let mut state = self.state();
-        state.position = position;
-        if position.sees_log {
+        if position.sees_log || state.position.sees_log {
             state.log_seen = Some(Instant::now());
         }
+        state.position = position;
+        state.moved = true;
     }
 
-    /// When this daemon last saw the log, or a peer that sees it.
+    /// When this daemon, or anybody from whom it heard since, last saw the log.
     #[must_use]
     pub fn log_seen(&self) -> Option<Instant> {
-        self.state().log_seen
+        self.state().log_seen(Instant::now())
     }
 
     /// Answers another daemon's probe.
     #[must_use]
     pub fn answer(&self, probe: Probe) -> Pong {
+        let now = Instant::now();
         let mut state = self.state();
-        self.note(&mut state, probe.from, probe.position);
+        let from = probe.own.member.name.clone();
+        let events = state.take(now, probe.own, probe.position, probe.gossip);
+        self.publish(&mut state, events);
+        let gossip = if probe.all {
+            state.suspicion.all()
+        } else {
+            state.suspicion.rumours(Some(&from))
+        };
         Pong {
-            member: self.me.clone(),
+            own: state.suspicion.me(),
             position: state.position,
-            gossip: gossip(&state),
+            log_age: state.log_seen(now).map(|seen| now - seen),
+            digest: state.suspicion.digest(),
+            gossip,
         }
     }
 
     /// Probes a daemon for another one; `None` if it does not answer.
     pub async fn probe_through(&self, target: SocketAddr) -> Option<Pong> {
-        let probe = self.outgoing();
-        self.client.probe(target, probe, PROBE_TIMEOUT).await.ok()
+        self.exchange(target, None, DIRECT).await
     }
 
-    async fn round(&self) {
-        let targets = self.targets();
-        join_all(targets.into_iter().map(|target| self.probe(target))).await;
-    }
-
-    async fn probe(&self, (address, name): (SocketAddr, Option<DaemonName>)) {
-        let probe = self.outgoing();
-        let answer = self.client.probe(address, probe, PROBE_TIMEOUT).await;
+    /// Lets time pass, and says whom to probe.
+    fn begin_round(&self) -> Vec<Target> {
+        let now = Instant::now();
         let mut state = self.state();
-        match (answer, name) {
-            (Ok(pong), _) => {
-                for rumour in pong.gossip {
-                    self.hear(&mut state, rumour);
-                }
-                self.note(&mut state, pong.member, pong.position);
-            }
-            (Err(_), Some(name)) => self.miss(&mut state, &name),
-            (Err(_), None) => {}
+        let events = state.suspicion.tick(now);
+        let targets = state.suspicion.plan(now);
+        let room = PROBES_MAX.saturating_sub(state.probing.len());
+        let targets = targets.into_iter();
+        let targets = targets.filter(|target| state.probing.insert(target.clone()));
+        let targets = targets.take(room).collect();
+        self.publish(&mut state, events);
+        if state.moved {
+            self.publish_roster(&mut state);
         }
+        targets
     }
 
-    fn targets(&self) -> Vec<(SocketAddr, Option<DaemonName>)> {
-        let state = self.state();
-        let known: Vec<_> = state
-            .seen
-            .values()
-            .filter(|seen| seen.member.name != self.me.name)
-            .map(|seen| (seen.member.control, Some(seen.member.name.clone())))
-            .collect();
-        let unknown = |address: &SocketAddr| {
-            *address != self.me.control && !known.iter().any(|(seen, _)| seen == address)
-        };
-        let listed = state.vms.values().map(|vm| vm.control);
-        let fresh: HashSet<_> = self.seeds.iter().copied().chain(listed).collect();
-        let fresh = fresh.into_iter().filter(unknown).map(|seed| (seed, None));
-        let fresh: Vec<_> = fresh.collect();
-        known.into_iter().chain(fresh).collect()
-    }
-
-    fn outgoing(&self) -> Probe {
-        let state = self.state();
-        Probe {
-            from: self.me.clone(),
-            position: state.position,
-            gossip: gossip(&state),
+    async fn probe(&self, target: Target) {
+        let begun = Instant::now();
+        let name = target.subject.as_ref().map(|subject| &subject.name);
+        let mut answer = self.exchange(target.control, name, DIRECT).await;
+        if let (None, Some(subject)) = (&answer, &target.subject) {
+            answer = self.insist(target.control, subject).await;
+        }
+        let late = begun.elapsed() > DIRECT + INDIRECT + SLACK;
+        let mut state = self.state();
+        state.probing.remove(&target);
+        let answered = answer.map(|pong| pong.own.member.name);
+        if let Some(subject) = target.subject
+            && answered.as_ref() != Some(&subject.name)
+            && !late
+        {
+            let events = state.suspicion.failed(Instant::now(), begun, &subject);
+            self.publish(&mut state, events);
         }
     }
 
-    fn hear(&self, state: &mut State, rumour: Rumour) {
-        let known = state.seen.contains_key(&rumour.member.name);
-        if known || rumour.liveness != Liveness::Live || state.seen.len() >= MEMBERS_MAX {
-            return;
+    /// Probes a silent member over a fresh connection and through helpers.
+    async fn insist(&self, control: SocketAddr, subject: &Subject) -> Option<Pong> {
+        let helpers = self.state().suspicion.helpers(subject);
+        let through = helpers.into_iter().map(|helper| async move {
+            let answer = self.client.probe_through(helper, control, INDIRECT).await;
+            answer.ok().flatten()
+        });
+        let begun = Instant::now();
+        let direct = self.exchange(control, Some(&subject.name), INDIRECT);
+        let (direct, through) = tokio::join!(direct, join_all(through));
+        let through = through.into_iter().flatten().next();
+        if let (None, Some(pong)) = (&direct, &through) {
+            self.take(begun, pong.clone());
         }
-        self.note(state, rumour.member, Position::default());
+        direct.or(through)
     }
 
-    fn note(&self, state: &mut State, member: Member, position: Position) {
-        if member.name == self.me.name {
-            return;
-        }
-        if position.sees_log {
-            state.log_seen = Some(Instant::now());
-        }
-        state.failures.remove(&member.name);
-        let old = state.seen.get(&member.name);
-        if old.is_some_and(|old| old.member.incarnation > member.incarnation) {
-            return;
+    /// Probes once and takes the answer in.
+    async fn exchange(
+        &self,
+        control: SocketAddr,
+        name: Option<&DaemonName>,
+        timeout: Duration,
+    ) -> Option<Pong> {
+        let begun = Instant::now();
+        let probe = self.state().probe(name, false);
+        let pong = self.client.probe(control, probe, timeout).await.ok()?;
+        self.take(begun, pong.clone());
+        if self.state().starts_comparing(Instant::now(), pong.digest) {
+            let begun = Instant::now();
+            let probe = self.state().probe(name, true);
+            match self.client.probe(control, probe, INDIRECT).await {
+                Ok(all) => self.take(begun, all),
+                Err(_) => self.state().compared = None,
+            }
         }
-        let event = match old {
-            None => Some(Event::Back(member.clone())),
-            Some(old) if old.member.incarnation < member.incarnation => Some(Event::Replaced {
-                old: old.member.clone(),
-                new: member.clone(),
-            }),
-            Some(old) if old.liveness >= Liveness::Lost => Some(Event::Back(member.clone())),
-            Some(_) => None,
-        };
-        let seen = Seen {
-            member,
-            liveness: Liveness::Live,
-            leaving: false,
-            position,
-        };
-        state.seen.insert(seen.member.name.clone(), seen);
-        self.tell(event);
-        self.publish(state);
+        Some(pong)
     }
 
-    fn miss(&self, state: &mut State, name: &DaemonName) {
-        let failures = state.failures.entry(name.clone()).or_default();
-        *failures += 1;
-        let liveness = match *failures {
-            LOST.. => Liveness::Lost,
-            SUSPECT.. => Liveness::Suspect,
-            0 => Liveness::Live,
-        };
-        let Some(seen) = state.seen.get_mut(name) else {
-            return;
-        };
-        if seen.liveness >= liveness {
-            return;
+    fn take(&self, begun: Instant, pong: Pong) {
+        let mut state = self.state();
+        if let Some(age) = pong.log_age
+            && let Some(seen) = begun.checked_sub(age)
+        {
+            state.log_seen = state.log_seen.max(Some(seen));
         }
-        seen.liveness = liveness;
-        let event = (liveness == Liveness::Lost).then(|| Event::Lost(seen.member.clone()));
-        self.tell(event);
-        self.publish(state);
+        let events = state.take(Instant::now(), pong.own, pong.position, pong.gossip);
+        self.publish(&mut state, events);
     }
 
-    fn tell(&self, event: Option<Event>) {
-        if let Some(event) = event {
+    /// Publishes what changed. Positions alone wait for the next round.
+    fn publish(&self, state: &mut State, events: Vec<Event>) {
+        let revision = state.suspicion.revision();
+        if revision != state.published {
+            state.published = revision;
+            state.changed = Instant::now();
+            self.publish_roster(state);
+        }
+        for event in events {
             // Nobody needs to listen.
             let _ = self.events.send(event);
         }
     }
 
-    fn publish(&self, state: &State) {
-        let mut members = state.seen.clone();
-        for seen in members.values_mut() {
-            seen.leaving = state
-                .vms
-                .get(&seen.member.name)
-                .is_some_and(|vm| vm.leaving);
-        }
-        self.roster.send_if_modified(|roster| {
-            let changed = roster.members != members;
-            if changed {
-                *roster = Arc::new(Roster { members });
-            }
-            changed
-        });
+    fn publish_roster(&self, state: &mut State) {
+        state.moved = false;
+        let roster = state.roster();
+        state
+            .positions
+            .retain(|name, _| roster.members.contains_key(name));
+        self.roster.send_replace(Arc::new(roster));
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -345,36 +310,78 @@
     }
 }
 
-impl Roster {
-    /// Members that are thought alive, in name order.
-    #[must_use]
-    pub fn live(&self) -> Vec<&Member> {
-        let live = self.members.values();
-        let live = live.filter(|seen| seen.liveness <= Liveness::Suspect);
-        let mut live: Vec<_> = live.map(|seen| &seen.member).collect();
-        live.sort_by(|one, other| one.name.cmp(&other.name));
-        live
+impl State {
+    fn probe(&mut self, to: Option<&DaemonName>, all: bool) -> Probe {
+        Probe {
+            own: self.suspicion.me(),
+            position: self.position,
+            gossip: self.suspicion.rumours(to),
+            all,
+        }
     }
 
-    /// Members of a data centre that are thought alive, in name order.
-    #[must_use]
-    pub fn live_in(&self, data_centre: &str) -> Vec<&Member> {
-        let mut live = self.live();
-        live.retain(|member| &*member.data_centre == data_centre);
-        live
+    /// Takes in what a daemon says of itself and of others.
+    fn take(
+        &mut self,
+        now: Instant,
+        own: Rumour,
+        position: Position,
+        gossip: Vec<Rumour>,
+    ) -> Vec<Event> {
+        let name = own.member.name.clone();
+        let mut events = self.suspicion.heard(now, own);
+        for rumour in gossip.into_iter().take(MEMBERS_MAX) {
+            events.extend(self.suspicion.hear(now, rumour));
+        }
+        if self.positions.len() < MEMBERS_MAX || self.positions.contains_key(&name) {
+            let before = self.positions.insert(name, position);
+            self.moved |= before != Some(position);
+        }
+        events
     }
 
-    /// Whether a member is thought alive.
-    #[must_use]
-    pub fn liveness(&self, name: &str) -> Option<Liveness> {
-        self.members.get(name).map(|seen| seen.liveness)
+    fn log_seen(&self, now: Instant) -> Option<Instant> {
+        if self.position.sees_log {
+            return Some(now);
+        }
+        self.log_seen
     }
-}
 
-fn gossip(state: &State) -> Vec<Rumour> {
-    let rumours = state.seen.values().take(GOSSIP_MAX).map(|seen| Rumour {
-        member: seen.member.clone(),
-        liveness: seen.liveness,
-    });
-    rumours.collect()
+    /// Whether to ask for all members now: at first, and later if a difference stays.
+    fn starts_comparing(&mut self, now: Instant, digest: u64) -> bool {
+        let due = match self.compared {
+            None => true,
+            Some(compared) => {
+                now >= compared + COMPARE
+                    && now >= self.changed + SETTLED
+                    && digest != self.suspicion.digest()
+            }
+        };
+        if due {
+            self.compared = Some(now);
+        }
+        due
+    }
+
+    fn roster(&self) -> Roster {
+        let me = self.suspicion.me().member.name;
+        let seen = self.suspicion.reports().map(|report| {
+            let name = report.member.name.clone();
+            let position = if name == me {
+                self.position
+            } else {
+                self.positions.get(&name).copied().unwrap_or_default()
+            };
+            let seen = Seen {
+                member: report.member,
+                liveness: report.liveness,
+                leaving: report.leaving,
+                position,
+            };
+            (name, seen)
+        });
+        Roster {
+            members: seen.collect(),
+        }
+    }
 }
--- /dev/null
+++ b/crates/peer/tests/control.rs
@@ -0,0 +1,220 @@
+//! Control calls over real sockets.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use copperwell_keyspace::{GroupId, LogOffset, Member};
+use copperwell_peer::control::{
+    Client, Error, HandOver, Handler, Liveness, Pong, Position, Probe, Records, Relinquish, Rumour,
+    Snapshot, serve,
+};
+use proxy::Proxy;
+use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use tokio_util::sync::CancellationToken;
+
+mod proxy;
+
+/// Longer than any call of these tests takes.
+const LONG: Duration = Duration::from_secs(20);
+
+/// Shorter than what waits for it.
+const SHORT: Duration = Duration::from_millis(100);
+
+/// Answers with what it was asked.
+struct Echo;
+
+impl Handler for Echo {
+    async fn probe(&self, probe: Probe) -> Pong {
+        Pong {
+            own: probe.own,
+            position: probe.position,
+            log_age: Some(SHORT),
+            digest: 5,
+            gossip: probe.gossip,
+        }
+    }
+
+    async fn probe_through(&self, target: SocketAddr) -> Option<Pong> {
+        let mut own = rumour();
+        own.member.control = target;
+        let probe = Probe {
+            own,
+            position: Position::default(),
+            gossip: Vec::new(),
+            all: false,
+        };
+        Some(self.probe(probe).await)
+    }
+
+    async fn records(&self, from: LogOffset) -> Records {
+        Records {
+            first: from,
+            next: from + 2,
+            records: vec![vec![7; 1000], Vec::new()],
+        }
+    }
+
+    async fn snapshot(&self) -> Option<Snapshot> {
+        Some(Snapshot {
+            next: 9,
+            state: vec![1; 3_000_000],
+        })
+    }
+
+    async fn hand_over(&self, hand_over: HandOver) -> bool {
+        hand_over.window == [1, 2, 3]
+    }
+
+    async fn relinquish(&self, relinquish: Relinquish) -> bool {
+        relinquish.epoch == 8
+    }
+}
+
+fn rumour() -> Rumour {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    Rumour {
+        member: Member {
+            name: "one".into(),
+            incarnation: 3,
+            data_centre: "dc".into(),
+            control: address,
+            requests: address,
+            admin: address,
+        },
+        refutation: 2,
+        leaving: false,
+        liveness: Liveness::Live,
+    }
+}
+
+fn probe() -> Probe {
+    Probe {
+        own: rumour(),
+        position: Position {
+            log_next: 4,
+            manifest: 2,
+            sees_log: true,
+        },
+        gossip: vec![rumour()],
+        all: false,
+    }
+}
+
+fn group() -> GroupId {
+    GroupId {
+        service: "calendar".into(),
+        data_centre: "dc".into(),
+        part: 0,
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+async fn start() -> SocketAddr {
+    let (listener, address) = listen().await;
+    tokio::spawn(serve(listener, Echo, CancellationToken::new()));
+    address
+}
+
+async fn fails(client: &Client, to: SocketAddr, timeout: Duration) -> Error {
+    let failure = client.probe(to, probe(), timeout).await.unwrap_err();
+    *failure.current_context()
+}
+
+#[tokio::test]
+async fn every_call_arrives() {
+    let to = start().await;
+    let client = Client::new();
+    let pong = client.probe(to, probe(), LONG).await.unwrap();
+    assert_eq!((pong.own, pong.position), (rumour(), probe().position));
+    assert_eq!(pong.gossip, [rumour()]);
+    let through = client.probe_through(to, to, LONG).await.unwrap();
+    assert_eq!(through.unwrap().own.member.control, to);
+    let records = client.records(to, 5).await.unwrap();
+    assert_eq!(records, Echo.records(5).await);
+    let snapshot = client.snapshot(to).await.unwrap();
+    assert_eq!(snapshot, Echo.snapshot().await);
+    let hand_over = HandOver {
+        group: group(),
+        epoch: 7,
+        window: vec![1, 2, 3],
+    };
+    assert!(client.hand_over(to, hand_over).await.unwrap());
+    let relinquish = Relinquish {
+        group: group(),
+        epoch: 9,
+    };
+    assert!(!client.relinquish(to, relinquish).await.unwrap());
+}
+
+#[tokio::test]
+async fn call_without_listener_is_unreachable() {
+    let (listener, to) = listen().await;
+    drop(listener);
+    assert_eq!(fails(&Client::new(), to, LONG).await, Error::Unreachable);
+}
+
+#[tokio::test]
+async fn call_to_a_paused_daemon_is_silent() {
+    let (_listener, to) = listen().await;
+    assert_eq!(fails(&Client::new(), to, SHORT).await, Error::Silent);
+}
+
+#[tokio::test]
+async fn connection_that_went_silent_is_replaced() {
+    let proxy = Proxy::start(start().await).await;
+    let client = Client::new();
+    client.probe(proxy.address, probe(), LONG).await.unwrap();
+    proxy.silence();
+    assert_eq!(fails(&client, proxy.address, SHORT).await, Error::Silent);
+    client.probe(proxy.address, probe(), LONG).await.unwrap();
+}
+
+#[tokio::test]
+async fn connection_that_was_closed_is_replaced() {
+    let (listener, to) = listen().await;
+    let shutdown = CancellationToken::new();
+    let server = tokio::spawn(serve(listener, Echo, shutdown.clone()));
+    let client = Client::new();
+    client.probe(to, probe(), LONG).await.unwrap();
+    shutdown.cancel();
+    server.await.unwrap();
+    assert_eq!(fails(&client, to, LONG).await, Error::Broken);
+    let listener = TcpListener::bind(to).await.unwrap();
+    tokio::spawn(serve(listener, Echo, CancellationToken::new()));
+    client.probe(to, probe(), LONG).await.unwrap();
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_call_close_their_connection_only() {
+    let to = start().await;
+    let client = Client::new();
+    let mut random = StdRng::seed_from_u64(11);
+    for round in 0..50 {
+        let mut body = vec![0; random.random_range(1..200)];
+        random.fill_bytes(&mut body);
+        let mut frame = u32::try_from(body.len()).unwrap().to_be_bytes().to_vec();
+        if round % 2 == 0 {
+            // A frame far longer than the limit.
+            frame = u32::MAX.to_be_bytes().to_vec();
+        }
+        frame.extend(body);
+        let mut stream = TcpStream::connect(to).await.unwrap();
+        stream.write_all(&frame).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut read = Vec::new();
+        // Whether it ends by an end of file or a reset does not matter.
+        let _ = stream.read_to_end(&mut read).await;
+        client.probe(to, probe(), LONG).await.unwrap();
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/members.rs
@@ -0,0 +1,244 @@
+//! Membership over real sockets.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use copperwell_keyspace::{Incarnation, LogOffset, Member};
+use copperwell_message::{Body, Class, Head, Reason, Repeat, Request, Verdict};
+use copperwell_peer::{
+    control::{
+        Client, HandOver, Handler, Liveness, Pong, Position, Probe, Records, Relinquish, Snapshot,
+        serve,
+    },
+    link::{Links, Relay},
+    members::{Event, Guard, Members, ROUND, Roster},
+};
+use tokio::{
+    net::TcpListener,
+    sync::broadcast,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+/// Longer than any wait of these tests takes.
+const LONG: Duration = Duration::from_secs(20);
+
+/// A daemon with nothing but membership; it stops when it is dropped.
+struct Daemon {
+    me: Member,
+    members: Arc<Members>,
+    _running: DropGuard,
+}
+
+struct Answers {
+    members: Arc<Members>,
+}
+
+impl Handler for Answers {
+    async fn probe(&self, probe: Probe) -> Pong {
+        self.members.answer(probe)
+    }
+
+    async fn probe_through(&self, target: SocketAddr) -> Option<Pong> {
+        self.members.probe_through(target).await
+    }
+
+    async fn records(&self, from: LogOffset) -> Records {
+        Records {
+            first: from,
+            next: from,
+            records: Vec::new(),
+        }
+    }
+
+    async fn snapshot(&self) -> Option<Snapshot> {
+        None
+    }
+
+    async fn hand_over(&self, _: HandOver) -> bool {
+        false
+    }
+
+    async fn relinquish(&self, _: Relinquish) -> bool {
+        false
+    }
+}
+
+impl Daemon {
+    async fn start(name: &str, incarnation: Incarnation, seeds: &[SocketAddr]) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let control = listener.local_addr().unwrap();
+        let me = Member {
+            name: name.into(),
+            incarnation,
+            data_centre: "dc".into(),
+            control,
+            requests: control,
+            admin: control,
+        };
+        let members = Members::new(me.clone(), seeds.to_vec(), Client::new());
+        let shutdown = CancellationToken::new();
+        let answers = Answers {
+            members: members.clone(),
+        };
+        tokio::spawn(serve(listener, answers, shutdown.clone()));
+        let probing = members.clone();
+        let token = shutdown.clone();
+        tokio::spawn(async move { probing.run(token).await });
+        Self {
+            me,
+            members,
+            _running: shutdown.drop_guard(),
+        }
+    }
+
+    async fn until(&self, matches: impl Fn(&Roster) -> bool) {
+        let mut roster = self.members.roster();
+        let found = roster.wait_for(|roster| matches(roster));
+        timeout(LONG, found).await.unwrap().unwrap();
+    }
+}
+
+async fn until_event(events: &mut broadcast::Receiver<Event>, wanted: Event) {
+    let found = async { while events.recv().await.unwrap() != wanted {} };
+    timeout(LONG, found).await.unwrap();
+}
+
+#[tokio::test]
+async fn members_find_lose_and_replace_each_other() {
+    let one = Daemon::start("one", 1, &[]).await;
+    let two = Daemon::start("two", 1, &[one.me.control]).await;
+    let three = Daemon::start("three", 1, &[one.me.control]).await;
+    for daemon in [&one, &two, &three] {
+        daemon.until(|roster| roster.live().len() == 3).await;
+    }
+    let mut events = two.members.events();
+    let old = three.me.clone();
+    drop(three);
+    until_event(&mut events, Event::Lost(old.clone())).await;
+    two.until(|roster| roster.liveness("three") == Some(Liveness::Lost))
+        .await;
+    let next = Daemon::start("three", 2, &[one.me.control]).await;
+    let new = next.me.clone();
+    until_event(&mut events, Event::Replaced { old, new }).await;
+    two.until(|roster| roster.live().len() == 3).await;
+}
+
+#[tokio::test]
+async fn sight_of_the_log_is_passed_on_with_its_age() {
+    let one = Daemon::start("one", 1, &[]).await;
+    let two = Daemon::start("two", 1, &[one.me.control]).await;
+    two.until(|roster| roster.live().len() == 2).await;
+    assert_eq!(two.members.log_seen(), None);
+    let position = Position {
+        log_next: 17,
+        manifest: 3,
+        sees_log: true,
+    };
+    one.members.set_position(position);
+    let blind = Position {
+        sees_log: false,
+        ..position
+    };
+    one.members.set_position(blind);
+    let truth = one.members.log_seen().unwrap();
+    let passed = async {
+        while two.members.log_seen().is_none() {
+            sleep(ROUND).await;
+        }
+    };
+    timeout(LONG, passed).await.unwrap();
+    // Never later than the truth, whatever the messages' delay.
+    assert!(two.members.log_seen().unwrap() <= truth);
+    two.until(|roster| roster.members["one"].position == blind)
+        .await;
+}
+
+#[tokio::test]
+async fn daemon_that_leaves_says_so() {
+    let one = Daemon::start("one", 1, &[]).await;
+    let two = Daemon::start("two", 1, &[one.me.control]).await;
+    two.until(|roster| roster.live().len() == 2).await;
+    one.members.leave();
+    two.until(|roster| roster.members["one"].leaving).await;
+    assert_eq!(
+        two.members.roster().borrow().liveness("one"),
+        Some(Liveness::Live)
+    );
+}
+
+#[tokio::test]
+async fn guard_relays_to_nobody_but_members() {
+    let one = Daemon::start("one", 1, &[]).await;
+    let guard = Guard::new(Links::new(), one.members.roster());
+    let head = Head {
+        id: uuid::Uuid::nil(),
+        service: "calendar".to_owned(),
+        key: "cabin-17".to_owned(),
+        shard: 3,
+        class: Class::Interactive,
+        repeat: Repeat::Repeatable,
+        deadline: LONG,
+        caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        fingerprint: 0,
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        hops: 1,
+    };
+    let request = Request {
+        head,
+        body: Body::empty(),
+    };
+    let (listener, stranger) = {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        (listener, address)
+    };
+    let response = guard.relay(stranger, request).await;
+    assert_eq!(response.reply.verdict, Verdict::NotRun);
+    assert_eq!(response.reply.reason, Some(Reason::NoLeader));
+    drop(listener);
+}
+
+#[test]
+fn relays_near_the_target_come_first() {
+    let member = |name: &str, data_centre: &str| {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        Member {
+            name: name.into(),
+            incarnation: 1,
+            data_centre: data_centre.into(),
+            control: address,
+            requests: address,
+            admin: address,
+        }
+    };
+    let members = [
+        member("a", "here"),
+        member("b", "here"),
+        member("c", "there"),
+        member("d", "there"),
+        member("e", "elsewhere"),
+    ];
+    let roster = Roster {
+        members: members
+            .iter()
+            .map(|member| {
+                let seen = copperwell_peer::members::Seen {
+                    member: member.clone(),
+                    liveness: Liveness::Live,
+                    leaving: false,
+                    position: Position::default(),
+                };
+                (member.name.clone(), seen)
+            })
+            .collect(),
+    };
+    let relays = roster.relays(&members[0], &members[2]);
+    let names: Vec<&str> = relays.iter().map(|member| &*member.name).collect();
+    assert_eq!(names, ["d", "b"]);
+}
