--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod queue;
 pub mod retry;
 pub mod slots;
+pub mod suspicion;
 pub mod window;
