--- a/crates/peer/tests/control.rs
+++ b/crates/peer/tests/control.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use copperwell_keyspace::{GroupId, LogOffset, Member};
+use copperwell_keyspace::{
+    GroupId, LogOffset, Member,
+    batch::{Batch, Entry, Relayed},
+};
 use copperwell_peer::control::{
     Client, Error, HandOver, Handler, Liveness, Pong, Position, Probe, Relinquish, Rumour,
     Snapshot, serve,
--- a/crates/peer/tests/members.rs
+++ b/crates/peer/tests/members.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use copperwell_keyspace::{Incarnation, LogOffset, Member};
+use copperwell_keyspace::{Incarnation, LogOffset, Member, batch::Batch};
 use copperwell_message::{Body, Class, Head, Reason, Repeat, Request, Verdict};
 use copperwell_peer::{
     control::{
