--- a/crates/rig/src/naive.rs
+++ b/crates/rig/src/naive.rs
@@ -182,9 +182,7 @@
                 .filter(|(_, answers)| *answers);
             let live: Vec<Upstream> = live.map(|(upstream, _)| upstream.clone()).collect();
             let old = before.get(&service.name).cloned().unwrap_or_default();
-            let mut all = self.live.write().unwrap_or_else(PoisonError::into_inner);
-            all.insert(service.name.clone(), live.clone());
-            drop(all);
+            self.set_live(&service.name, live.clone());
             if live != old {
                 self.tell(service, &old, &live).await;
             }
@@ -262,6 +260,11 @@
         let _ = timeout(CHECK, self.control.give(upstream.address, &give)).await;
     }
 
+    fn set_live(&self, service: &ServiceName, live: Vec<Upstream>) {
+        let mut all = self.live.write().unwrap_or_else(PoisonError::into_inner);
+        all.insert(service.clone(), live);
+    }
+
     fn next(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed)
     }
