--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -225,7 +225,8 @@
 
 /// A histogram of microseconds.
 fn histogram(values: impl Iterator<Item = Duration>) -> Histogram<u64> {
-    let mut histogram = Histogram::new(3).expect("three digits are supported");
+    let mut histogram = Histogram::new_with_bounds(1, 3_600_000_000, 3)
+        .expect("the bounds and three digits are supported");
     for value in values {
         let micros = u64::try_from(value.as_micros()).unwrap_or(u64::MAX);
         histogram.saturating_record(micros);
