--- /dev/null
+++ b/crates/keyspace/src/check.rs
@@ -0,0 +1,432 @@
+//! Whether a manifest makes sense, by itself and after the one in force.
+
+use std::{collections::BTreeMap, fmt, hash::Hash, time::Duration};
+
+use crate::{
+    HashMap, HashSet,
+    id::{GroupId, UpstreamName},
+    manifest::{
+        GROUP_UPSTREAMS_MAX, LEASE_MAX, LEASE_MIN, MANIFEST_SIZE_MAX, Manifest, OnIsolation,
+        SHARDS_TOTAL_MAX, Service, Upstream,
+    },
+    ranges::SHARDS_KEPT_MAX,
+    replay::State,
+};
+use error_stack::Report;
+use garde::Validate;
+use serde_json::Value;
+
+/// The longest name, in bytes.
+const NAME_MAX: usize = 64;
+/// The longest deadline and the longest window.
+const PERIOD_MAX: Duration = Duration::from_hours(24);
+/// The most faults that are listed.
+const FAULTS_MAX: usize = 50;
+/// The most services that ever had a name in one log.
+pub const SERVICES_MAX: usize = 256;
+/// The most removed upstreams of a group that have not let go yet.
+pub const FORMER_MAX: usize = 64;
+
+/// A manifest that does not make sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Invalid {
+    /// What is wrong, in the order of the manifest.
+    pub faults: Vec<Fault>,
+}
+
+/// One thing that is wrong in a manifest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The field, as `services[0].upstreams[1].address`.
+    pub field: String,
+    /// Its value.
+    pub value: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: `{}`: {}", self.field, self.value, self.remedy)
+    }
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the manifest is not valid")?;
+        for fault in &self.faults {
+            write!(f, "\n  {fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+impl Manifest {
+    /// Checks the manifest by itself.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid`] with a list of what is wrong.
+    pub fn check(&self) -> Result<(), Report<Invalid>> {
+        let mut faults = Faults::default();
+        check_fields(self, &mut faults);
+        check_data_centres(self, &mut faults);
+        check_services(self, &mut faults);
+        check_upstreams(self, &mut faults);
+        check_size(self, &mut faults);
+        faults.result()
+    }
+
+    /// Checks the manifest by itself and as the successor of the one in force.
+    ///
+    /// Whether [`Manifest::replaces`] names the version in force is not looked at: that is a
+    /// conflict between two publishers and no fault of the manifest.
+    ///
+    /// # Errors
+    ///
+    /// [`Invalid`] with a list of what is wrong.
+    pub fn check_after(&self, state: &State) -> Result<(), Report<Invalid>> {
+        self.check()?;
+        let mut faults = Faults::default();
+        check_kept_shards(self, state, &mut faults);
+        check_kept_upstreams(self, state, &mut faults);
+        check_former(self, state, &mut faults);
+        faults.result()
+    }
+}
+
+/// A list of faults under construction.
+#[derive(Default)]
+struct Faults {
+    list: Vec<Fault>,
+}
+
+impl Faults {
+    fn add(&mut self, field: impl fmt::Display, value: impl fmt::Display, remedy: &str) {
+        if self.list.len() < FAULTS_MAX {
+            self.list.push(Fault {
+                field: field.to_string(),
+                value: value.to_string(),
+                remedy: remedy.to_owned(),
+            });
+        }
+    }
+
+    fn result(self) -> Result<(), Report<Invalid>> {
+        if self.list.is_empty() {
+            return Ok(());
+        }
+        Err(Report::new(Invalid { faults: self.list }))
+    }
+}
+
+/// Checks what the fields' own bounds say.
+fn check_fields(manifest: &Manifest, faults: &mut Faults) {
+    let Err(report) = manifest.validate() else {
+        return;
+    };
+    let whole = serde_json::to_value(manifest).unwrap_or_default();
+    for (path, error) in report.iter() {
+        let field = path.to_string();
+        let value = value_at(&whole, &field);
+        faults.add(&field, value, &format!("{error}; change it"));
+    }
+}
+
+/// The value at a path such as `services[0].shards`; only the length of a list.
+fn value_at(whole: &Value, path: &str) -> String {
+    let pointer = format!("/{}", path.replace(['.', '['], "/"));
+    match whole.pointer(&pointer.replace(']', "")) {
+        Some(Value::Array(list)) => format!("{} entries", list.len()),
+        Some(value) => value.to_string(),
+        None => String::new(),
+    }
+}
+
+fn check_data_centres(manifest: &Manifest, faults: &mut Faults) {
+    let mut seen = HashSet::default();
+    for (place, data_centre) in manifest.data_centres.iter().enumerate() {
+        let field = format!("data_centres[{place}]");
+        check_name(&format!("{field}.name"), &data_centre.name, faults);
+        check_name(&format!("{field}.region"), &data_centre.region, faults);
+        check_unique(
+            &format!("{field}.name"),
+            &data_centre.name,
+            &mut seen,
+            faults,
+        );
+    }
+}
+
+fn check_services(manifest: &Manifest, faults: &mut Faults) {
+    let mut seen = HashSet::default();
+    for (place, service) in manifest.services.iter().enumerate() {
+        let field = format!("services[{place}]");
+        check_name(&format!("{field}.name"), &service.name, faults);
+        check_unique(&format!("{field}.name"), &service.name, &mut seen, faults);
+        check_times(&field, service, faults);
+        check_room(&field, service, faults);
+        check_parts(&field, manifest, service, faults);
+    }
+    let shards: u64 = manifest
+        .services
+        .iter()
+        .map(|service| u64::from(service.shards))
+        .sum();
+    if shards > u64::from(SHARDS_TOTAL_MAX) {
+        let remedy = format!("all services together have at most {SHARDS_TOTAL_MAX} shards");
+        faults.add("services", format!("{shards} shards"), &remedy);
+    }
+}
+
+fn check_times(field: &str, service: &Service, faults: &mut Faults) {
+    if !(LEASE_MIN..=LEASE_MAX).contains(&service.lease) {
+        let remedy = format!("a lease lasts from {LEASE_MIN:?} to {LEASE_MAX:?}");
+        let value = format!("{:?}", service.lease);
+        faults.add(format!("{field}.lease"), value, &remedy);
+    }
+    let limits = &service.limits;
+    let periods = [
+        ("deadline", limits.deadline),
+        ("window", limits.window),
+        ("quarantine", limits.quarantine),
+        ("isolation", limits.isolation),
+        ("silence", limits.silence),
+    ];
+    for (name, period) in periods {
+        if period.is_zero() || period > PERIOD_MAX {
+            let remedy = format!("give a time above zero and up to {PERIOD_MAX:?}");
+            let value = format!("{period:?}");
+            faults.add(format!("{field}.limits.{name}"), value, &remedy);
+        }
+    }
+    if limits.window < limits.deadline {
+        let value = format!("{:?}", limits.window);
+        let remedy = "keep outcomes at least as long as `deadline`";
+        faults.add(format!("{field}.limits.window"), value, remedy);
+    }
+    if service.on_isolation == OnIsolation::Release && limits.isolation < service.lease {
+        let value = format!("{:?}", limits.isolation);
+        let remedy = "a leader that releases goes on for at least a `lease`";
+        faults.add(format!("{field}.limits.isolation"), value, remedy);
+    }
+}
+
+/// Checks that the upstreams can take the shards.
+fn check_room(field: &str, service: &Service, faults: &mut Faults) {
+    let open = service
+        .upstreams
+        .iter()
+        .filter(|upstream| !upstream.drain)
+        .count();
+    if open == 0 && !service.upstreams.is_empty() {
+        let remedy = "all upstreams drain, so no one can own a key; leave one without `drain`";
+        faults.add(format!("{field}.upstreams"), "drain", remedy);
+    }
+    if (service.shards as usize) < open {
+        let remedy = "give at least one shard for each upstream";
+        faults.add(format!("{field}.shards"), service.shards, remedy);
+    }
+}
+
+fn check_parts(field: &str, manifest: &Manifest, service: &Service, faults: &mut Faults) {
+    for group in manifest.groups(service) {
+        if group.upstreams.len() > GROUP_UPSTREAMS_MAX {
+            let remedy = format!(
+                "one part of a data centre takes {GROUP_UPSTREAMS_MAX} upstreams; give some \
+                 another `part`"
+            );
+            let value = format!("{} upstreams in {}", group.upstreams.len(), group.id);
+            faults.add(format!("{field}.upstreams"), value, &remedy);
+        }
+    }
+}
+
+fn check_upstreams(manifest: &Manifest, faults: &mut Faults) {
+    let data_centres: HashSet<_> = manifest
+        .data_centres
+        .iter()
+        .map(|held| &held.name)
+        .collect();
+    let mut names = HashSet::default();
+    let mut addresses = HashSet::default();
+    for (field, _, upstream) in upstreams(manifest) {
+        check_name(&format!("{field}.name"), &upstream.name, faults);
+        check_unique(&format!("{field}.name"), &upstream.name, &mut names, faults);
+        check_unique(
+            &format!("{field}.address"),
+            &upstream.address,
+            &mut addresses,
+            faults,
+        );
+        if upstream.address.port() == 0 || upstream.address.ip().is_unspecified() {
+            let remedy = "give the IP number and port that the server listens on";
+            faults.add(format!("{field}.address"), upstream.address, remedy);
+        }
+        if !data_centres.contains(&upstream.data_centre) {
+            let remedy = "declare it under `data_centres`, or name one that is declared there";
+            let value = &upstream.data_centre;
+            faults.add(format!("{field}.data_centre"), value, remedy);
+        }
+        if upstream.connections < upstream.slots {
+            let remedy = "each slot needs a connection; raise it to `slots` or more";
+            faults.add(format!("{field}.connections"), upstream.connections, remedy);
+        }
+    }
+}
+
+fn check_size(manifest: &Manifest, faults: &mut Faults) {
+    let size = bincode::serialized_size(manifest).unwrap_or(u64::MAX);
+    if size > MANIFEST_SIZE_MAX {
+        let remedy = format!("the log takes {MANIFEST_SIZE_MAX} bytes; declare fewer upstreams");
+        faults.add("manifest", format!("{size} bytes"), &remedy);
+    }
+}
+
+/// Checks that each service keeps its shards.
+fn check_kept_shards(manifest: &Manifest, state: &State, faults: &mut Faults) {
+    let mut names: HashSet<_> = state.owners.keys().collect();
+    for (place, service) in manifest.services.iter().enumerate() {
+        names.insert(&service.name);
+        let Some(owners) = state.owners.get(&service.name) else {
+            continue;
+        };
+        if owners.len() != service.shards as usize {
+            let remedy = format!(
+                "the number of shards is fixed at {} for the life of a service; declare a new \
+                 service",
+                owners.len()
+            );
+            faults.add(format!("services[{place}].shards"), service.shards, &remedy);
+        }
+    }
+    if names.len() > SERVICES_MAX {
+        let remedy = format!("a log knows at most {SERVICES_MAX} names of services; use one again");
+        faults.add("services", format!("{} names", names.len()), &remedy);
+    }
+    let mut kept: BTreeMap<_, usize> = state
+        .owners
+        .iter()
+        .map(|(name, owners)| (name, owners.len()))
+        .collect();
+    for service in &manifest.services {
+        kept.insert(&service.name, service.shards as usize);
+    }
+    let shards: usize = kept.values().sum();
+    if shards > SHARDS_KEPT_MAX as usize {
+        let remedy = format!(
+            "services of now and before have at most {SHARDS_KEPT_MAX} shards together; use a \
+             removed service's name again"
+        );
+        faults.add("services", format!("{shards} shards"), &remedy);
+    }
+}
+
+/// Checks that an upstream's name still means the same server in the same group.
+fn check_kept_upstreams(manifest: &Manifest, state: &State, faults: &mut Faults) {
+    let held = known(state);
+    let mut addresses: HashMap<_, _> = HashMap::default();
+    for (name, place) in &held {
+        addresses.insert(place.upstream.address, name);
+    }
+    for (field, service, upstream) in upstreams(manifest) {
+        let group = upstream.group(&service.name);
+        if let Some(place) = held.get(&upstream.name) {
+            if place.group != group {
+                let remedy = format!(
+                    "this name belongs to a server of {}; give the server of {group} a new name",
+                    place.group
+                );
+                faults.add(format!("{field}.name"), &upstream.name, &remedy);
+            }
+            if place.upstream.address != upstream.address {
+                let remedy = format!(
+                    "this name belongs to the server at {}; give the new server a new name",
+                    place.upstream.address
+                );
+                faults.add(format!("{field}.address"), upstream.address, &remedy);
+            }
+        } else if let Some(name) = addresses.get(&upstream.address) {
+            let remedy = format!(
+                "upstream `{name}` has this address and has not let go yet; wait until it has, or \
+                 keep its name"
+            );
+            faults.add(format!("{field}.address"), upstream.address, &remedy);
+        }
+    }
+}
+
+/// Checks that no group gets more removed upstreams than are remembered.
+fn check_former(manifest: &Manifest, state: &State, faults: &mut Faults) {
+    let mut former = state.former.clone();
+    state.remember_former(manifest, &mut former);
+    let mut full: Vec<_> = former
+        .iter()
+        .filter(|(_, list)| list.len() > FORMER_MAX)
+        .collect();
+    full.sort_by_key(|(group, _)| *group);
+    for (group, list) in full {
+        let remedy = format!(
+            "{group} has more than {FORMER_MAX} removed upstreams that have not let go; remove \
+             fewer at a time"
+        );
+        faults.add("services", format!("{} removed", list.len()), &remedy);
+    }
+}
+
+/// Where a server that may hold grants belongs.
+struct Place<'a> {
+    group: GroupId,
+    upstream: &'a Upstream,
+}
+
+/// The upstreams in force and those that have not let go yet.
+fn known(state: &State) -> HashMap<&UpstreamName, Place<'_>> {
+    let mut known = HashMap::default();
+    for (group, list) in &state.former {
+        for upstream in list {
+            let group = group.clone();
+            known.insert(&upstream.name, Place { group, upstream });
+        }
+    }
+    for service in state.manifest.iter().flat_map(|held| &held.services) {
+        for upstream in &service.upstreams {
+            let group = upstream.group(&service.name);
+            known.insert(&upstream.name, Place { group, upstream });
+        }
+    }
+    known
+}
+
+/// All upstreams with their field and service.
+fn upstreams(manifest: &Manifest) -> impl Iterator<Item = (String, &Service, &Upstream)> {
+    let services = manifest.services.iter().enumerate();
+    services.flat_map(|(place, service)| {
+        let upstreams = service.upstreams.iter().enumerate();
+        upstreams.map(move |(nested, upstream)| {
+            let field = format!("services[{place}].upstreams[{nested}]");
+            (field, service, upstream)
+        })
+    })
+}
+
+fn check_name(field: &str, name: &str, faults: &mut Faults) {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if name.is_empty() || name.len() > NAME_MAX || !name.bytes().all(is_plain) {
+        let remedy = format!("use 1 to {NAME_MAX} of letters, digits, `-`, `_` and `.`");
+        faults.add(field, name, &remedy);
+    }
+}
+
+fn check_unique<T: Eq + Hash + Clone + fmt::Display>(
+    field: &str,
+    value: &T,
+    seen: &mut HashSet<T>,
+    faults: &mut Faults,
+) {
+    if !seen.insert(value.clone()) {
+        faults.add(field, value, "used twice; give each its own");
+    }
+}
--- a/crates/keyspace/src/lib.rs
+++ b/crates/keyspace/src/lib.rs
@@ -7,10 +7,17 @@
 };
 pub use member::Member;
 
+pub mod balance;
+pub mod batch;
+pub mod check;
+pub mod checkpoint;
 pub mod grant;
 pub mod id;
 pub mod manifest;
 pub mod member;
+mod merge;
+mod ranges;
+pub mod reader;
 pub mod record;
 pub mod replay;
 pub mod shard;
--- a/crates/keyspace/src/manifest.rs
+++ b/crates/keyspace/src/manifest.rs
@@ -1,16 +1,27 @@
 //! The manifest: services, upstreams and limits, as operators declare them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use crate::id::{
     DataCentreName, GroupId, ManifestVersion, RegionName, ServiceName, ShardIndex, UpstreamName,
 };
 use copperwell_message::Class;
+use error_stack::Report;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
-/// The most upstreams that one group takes; a data centre with more gets several groups.
+/// The most upstreams that one group takes; a data centre with more needs several parts.
 pub const GROUP_UPSTREAMS_MAX: usize = 24;
+/// The most shards of all services together.
+pub const SHARDS_TOTAL_MAX: u32 = 1 << 18;
+/// The largest encoded manifest, in bytes; leaves room in a record for the rest of a state.
+pub const MANIFEST_SIZE_MAX: u64 = 1 << 19;
+/// The largest manifest as YAML, in bytes.
+pub const YAML_SIZE_MAX: usize = 4 << 20;
+/// The shortest lease.
+pub const LEASE_MIN: Duration = Duration::from_millis(200);
+/// The longest lease.
+pub const LEASE_MAX: Duration = Duration::from_secs(10);
 
 /// A manifest.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
@@ -149,6 +160,21 @@
     /// Whether it is to get no new work.
     #[serde(default)]
     pub drain: bool,
+    /// Which group of the service in the data centre it belongs to, where one group is not enough.
+    #[serde(default)]
+    pub part: u16,
+}
+
+impl Upstream {
+    /// The group that it belongs to as an upstream of `service`.
+    #[must_use]
+    pub fn group(&self, service: &ServiceName) -> GroupId {
+        GroupId {
+            service: service.clone(),
+            data_centre: self.data_centre.clone(),
+            part: self.part,
+        }
+    }
 }
 
 /// Whether a server checks the epoch of those who give it orders.
@@ -162,11 +188,37 @@
     Unchecked,
 }
 
+/// Text that is not a manifest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unreadable;
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not a manifest in YAML")
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
 impl Manifest {
+    /// Reads a manifest from YAML; [`Manifest::check`] tells whether it makes sense.
+    ///
+    /// # Errors
+    ///
+    /// [`Unreadable`] with field, line and column.
+    pub fn from_yaml(text: &str) -> Result<Self, Report<Unreadable>> {
+        if text.len() > YAML_SIZE_MAX {
+            let text = format!("{} bytes, at most {YAML_SIZE_MAX} are read", text.len());
+            return Err(Report::new(Unreadable).attach(text));
+        }
+        serde_norway::from_str(text)
+            .map_err(|error| Report::new(Unreadable).attach(error.to_string()))
+    }
+
     /// This manifest's own version.
     #[must_use]
     pub fn version(&self) -> ManifestVersion {
-        self.replaces + 1
+        self.replaces.saturating_add(1)
     }
 
     /// A digest of the whole manifest, to compare what two daemons hold.
@@ -187,22 +239,22 @@
     pub fn groups(&self, service: &Service) -> Vec<Group> {
         let mut groups = Vec::new();
         for data_centre in &self.data_centres {
-            let here: Vec<Upstream> = service
-                .upstreams
-                .iter()
-                .filter(|upstream| upstream.data_centre == data_centre.name)
-                .cloned()
-                .collect();
-            for (part, upstreams) in here.chunks(GROUP_UPSTREAMS_MAX).enumerate() {
+            let mut parts: BTreeMap<u16, Vec<Upstream>> = BTreeMap::new();
+            for upstream in &service.upstreams {
+                if upstream.data_centre == data_centre.name {
+                    parts
+                        .entry(upstream.part)
+                        .or_default()
+                        .push(upstream.clone());
+                }
+            }
+            for (part, upstreams) in parts {
                 let id = GroupId {
                     service: service.name.clone(),
                     data_centre: data_centre.name.clone(),
-                    part: u16::try_from(part).unwrap_or(u16::MAX),
+                    part,
                 };
-                groups.push(Group {
-                    id,
-                    upstreams: upstreams.to_vec(),
-                });
+                groups.push(Group { id, upstreams });
             }
         }
         groups
@@ -212,11 +264,11 @@
     #[must_use]
     pub fn initial_owners(&self, service: &Service) -> Vec<GroupId> {
         let groups = self.groups(service);
-        let slots: u64 = groups.iter().map(Group::slots).sum();
+        let slots: u64 = groups.iter().map(Group::open_slots).sum();
         let mut owners = Vec::with_capacity(service.shards as usize);
         let mut before = 0;
         for group in groups {
-            before += group.slots();
+            before += group.open_slots();
             let end = u64::from(service.shards) * before / slots.max(1);
             owners.resize(usize::try_from(end).unwrap_or(usize::MAX), group.id);
         }
@@ -242,6 +294,16 @@
             .map(|upstream| u64::from(upstream.slots))
             .sum()
     }
+
+    /// Requests that those of them run at a time that do not drain.
+    #[must_use]
+    pub fn open_slots(&self) -> u64 {
+        self.upstreams
+            .iter()
+            .filter(|upstream| !upstream.drain)
+            .map(|upstream| u64::from(upstream.slots))
+            .sum()
+    }
 }
 
 /// The default of [`Service::lease`].
--- /dev/null
+++ b/crates/keyspace/src/merge.rs
@@ -0,0 +1,128 @@
+//! Joins two states that grew apart, so that neither takes the other back.
+
+use crate::{
+    HashMap,
+    id::{GroupId, ServiceName},
+    manifest::Manifest,
+    replay::{Appointment, State, Writer},
+};
+
+impl State {
+    /// Joins two states: of each part the later one stays.
+    ///
+    /// Joining is commutative, associative and idempotent, so readers that join the same states
+    /// hold the same one, in whatever order they read them.
+    #[must_use]
+    pub fn join(&self, other: &Self) -> Self {
+        let (newer, older) = if rank(&other.manifest) > rank(&self.manifest) {
+            (other, self)
+        } else {
+            (self, other)
+        };
+        let mut joined = newer.clone();
+        joined.life = newer.life.max(older.life);
+        join_owners(&mut joined, older);
+        join_groups(&mut joined, older);
+        join_former(&mut joined, older);
+        for (service, lease) in &older.leases {
+            let longest = joined.leases.entry(service.clone()).or_default();
+            *longest = (*longest).max(*lease);
+        }
+        join_writers(&mut joined, older);
+        joined.drop_idle_groups();
+        joined
+    }
+
+    /// Whether two states agree on everything but how far their writers were read.
+    #[must_use]
+    pub fn agrees_with(&self, other: &Self) -> bool {
+        self.manifest == other.manifest
+            && self.groups == other.groups
+            && self.owners == other.owners
+            && self.former == other.former
+    }
+}
+
+/// Orders manifests: by version, and two of one version in some fixed order.
+fn rank(manifest: &Option<Manifest>) -> Option<(u64, u64)> {
+    let manifest = manifest.as_ref()?;
+    Some((manifest.version(), manifest.digest()))
+}
+
+fn join_owners(joined: &mut State, older: &State) {
+    for (service, theirs) in &older.owners {
+        let Some(ours) = joined.owners.get_mut(service) else {
+            joined.owners.insert(service.clone(), theirs.clone());
+            copy_moved(joined, older, service);
+            continue;
+        };
+        if ours.len() != theirs.len() {
+            let in_force = joined.manifest.as_ref();
+            let is_removed = in_force.is_none_or(|held| held.service(service).is_none());
+            if is_removed && ours.len() < theirs.len() {
+                ours.clone_from(theirs);
+                copy_moved(joined, older, service);
+            }
+            continue;
+        }
+        let moves = older.moved.get(service);
+        let stamps = joined.moved.entry(service.clone()).or_default();
+        for (shard, (ours, theirs)) in (0..).zip(ours.iter_mut().zip(theirs)) {
+            let held = stamps.get(&shard).copied();
+            let stamp = moves.and_then(|moves| moves.get(&shard)).copied();
+            // Of two owners without a move between them, one is taken by a fixed order.
+            if (stamp, theirs) > (held, &*ours) {
+                ours.clone_from(theirs);
+                stamps.extend(stamp.map(|stamp| (shard, stamp)));
+            }
+        }
+        if stamps.is_empty() {
+            joined.moved.remove(service);
+        }
+    }
+}
+
+fn copy_moved(joined: &mut State, older: &State, service: &ServiceName) {
+    if let Some(moves) = older.moved.get(service) {
+        joined.moved.insert(service.clone(), moves.clone());
+    }
+}
+
+fn join_groups(joined: &mut State, older: &State) {
+    let is_later = |held: Option<&Appointment>, theirs: &Appointment| {
+        held.is_none_or(|held| theirs.epoch > held.epoch)
+    };
+    for (group, theirs) in &older.groups {
+        if is_later(joined.groups.get(group), theirs) {
+            joined.groups.insert(group.clone(), theirs.clone());
+        }
+    }
+}
+
+/// Keeps every upstream that one of the states does not know to have let go.
+fn join_former(joined: &mut State, older: &State) {
+    let Some(manifest) = joined.manifest.clone() else {
+        return;
+    };
+    let mut former: HashMap<GroupId, Vec<_>> = std::mem::take(&mut joined.former);
+    for (group, theirs) in &older.former {
+        former
+            .entry(group.clone())
+            .or_default()
+            .extend(theirs.iter().cloned());
+    }
+    // What only the older manifest has was removed by the newer one.
+    older.remember_former(&manifest, &mut former);
+    joined.former = former;
+}
+
+fn join_writers(joined: &mut State, older: &State) {
+    let reached = |seen: &Writer| (seen.incarnation, seen.sequence);
+    for (name, theirs) in &older.writers {
+        let held = joined.writers.get(name);
+        if held.is_none_or(|held| reached(theirs) > reached(held)) {
+            joined.writers.insert(name.clone(), *theirs);
+        }
+    }
+    joined.forget_writers();
+}
--- a/crates/keyspace/src/record.rs
+++ b/crates/keyspace/src/record.rs
@@ -1,11 +1,14 @@
 //! Records of the log.
 
 use crate::{
-    id::{DaemonName, Epoch, GroupId, Incarnation, LogOffset, ServiceName, ShardIndex},
+    id::{
+        DaemonName, Epoch, GroupId, Incarnation, LogOffset, ServiceName, ShardIndex, UpstreamName,
+    },
     manifest::Manifest,
     member::Member,
     replay::State,
 };
+use bincode::{DefaultOptions, Options};
 use error_stack::{Report, ResultExt};
 use serde::{Deserialize, Serialize};
 
@@ -48,7 +51,9 @@
     /// Moves shards between groups, after their old owner has let go.
     Move(Move),
     /// The whole state up to an offset, for readers that miss older records.
-    Snapshot(Snapshot),
+    Snapshot(Box<Snapshot>),
+    /// Tells that removed upstreams have let go.
+    Retire(Retire),
 }
 
 /// Appoints leader and standby of a group.
@@ -79,7 +84,21 @@
     pub to: GroupId,
 }
 
+/// Tells that upstreams that a manifest removed hold no grant of their group any more.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retire {
+    /// The group.
+    pub group: GroupId,
+    /// The epoch of the leader that saw them let go; the record is void if a later one leads.
+    pub epoch: Epoch,
+    /// The upstreams.
+    pub upstreams: Vec<UpstreamName>,
+}
+
 /// The whole state up to an offset.
+///
+/// One whose state has a higher life than the reader's begins that life: after the log lost
+/// records, or after two readers were found to hold different states.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The first offset that the state does not include.
@@ -108,7 +127,9 @@
     /// [`Error`] if the record is longer than [`SIZE_MAX`].
     pub fn encode(&self) -> Result<Vec<u8>, Report<Error>> {
         let mut bytes = vec![FORMAT];
-        bincode::serialize_into(&mut bytes, self).change_context(Error)?;
+        DefaultOptions::new()
+            .serialize_into(&mut bytes, self)
+            .change_context(Error)?;
         if bytes.len() > SIZE_MAX {
             let text = format!(
                 "{} bytes, at most {SIZE_MAX} fit; split the service",
@@ -125,12 +146,10 @@
     ///
     /// [`Error`] if the bytes are not a record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Report<Error>> {
-        use bincode::Options;
         let Some((&FORMAT, rest)) = bytes.split_first() else {
             return Err(Report::new(Error));
         };
-        bincode::DefaultOptions::new()
-            .with_fixint_encoding()
+        DefaultOptions::new()
             .with_limit(SIZE_MAX as u64)
             .deserialize(rest)
             .change_context(Error)
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -1,31 +1,55 @@
 //! The state that follows from the log's records.
 //!
-//! Replay is a pure function: whoever reads the same records holds the same state.
+//! Replay is a pure function: whoever reads the same records holds the same state. A record is
+//! void for everybody if its parent is not the current one, which turns the append-only log into
+//! compare-and-swap.
 
-use std::cmp::Ordering;
+use std::{cmp::Ordering, time::Duration};
 
 use crate::{
-    HashMap,
+    HashMap, HashSet,
     id::{
-        DaemonName, EPOCH_STRIDE, Epoch, GroupId, Incarnation, LogOffset, ServiceName, ShardIndex,
+        DaemonName, EPOCH_STRIDE, Epoch, GroupId, Incarnation, LogOffset, ManifestVersion,
+        ServiceName, ShardIndex,
     },
-    manifest::Manifest,
+    manifest::{Manifest, Upstream},
     member::Member,
-    record::{Appoint, Body, Id, Move, Record},
+    ranges,
+    record::{Appoint, Body, Id, Move, Record, Retire},
 };
-use garde::Validate;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The most writers whose last record is remembered.
+pub const WRITERS_MAX: usize = 4096;
+
+/// Orders changes: a later record has a higher stamp, also after the log restarted.
+pub type Stamp = u64;
+
+/// Bits of a stamp that tell apart records of one offset, which a log that lost records has.
+const HASH_BITS: u32 = 16;
+/// Bits of a stamp that hold the offset.
+const OFFSET_BITS: u32 = 36;
 
 /// The agreed state.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
+    /// Rises whenever the log has lost records, with the snapshot that puts them back.
+    pub life: u64,
     /// The manifest in force.
     pub manifest: Option<Manifest>,
     /// The appointment in force for each group.
     pub groups: HashMap<GroupId, Appointment>,
-    /// The group of each shard, by service.
+    /// The group of each shard, by service; those of removed services stay.
+    #[serde(with = "ranges")]
     pub owners: HashMap<ServiceName, Vec<GroupId>>,
-    /// The last sequence read of each writer's run.
+    /// The last move of each shard that ever moved, by service.
+    pub moved: HashMap<ServiceName, HashMap<ShardIndex, Stamp>>,
+    /// Upstreams that a manifest removed and that may still hold grants.
+    pub former: HashMap<GroupId, Vec<Upstream>>,
+    /// The longest lease that each service ever had.
+    pub leases: HashMap<ServiceName, Duration>,
+    /// The last record read of each writer.
     pub writers: HashMap<DaemonName, Writer>,
 }
 
@@ -72,18 +96,43 @@
     Void,
 }
 
+/// A group that needs a leader.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ActiveGroup {
+    /// Its identity.
+    pub id: GroupId,
+    /// Its upstreams in the manifest in force; none if the group is departing.
+    pub upstreams: Vec<Upstream>,
+    /// Upstreams that a manifest removed and that may still hold grants.
+    pub former: Vec<Upstream>,
+}
+
+impl ActiveGroup {
+    /// Whether the manifest has no upstream for the group any more.
+    #[must_use]
+    pub fn is_departing(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+}
+
 impl State {
     /// Applies the record at `offset`.
+    ///
+    /// Snapshots change nothing here; [`crate::reader::Reader`] handles them.
     pub fn apply(&mut self, offset: LogOffset, record: &Record) -> Outcome {
+        if matches!(record.body, Body::Snapshot(_)) {
+            return Outcome::Applied;
+        }
         if self.is_repeated(record) {
             return Outcome::Repeated;
         }
+        let stamp = self.stamp(offset, &record.id);
         let applied = match &record.body {
             Body::Manifest(manifest) => self.apply_manifest(manifest),
-            Body::Appoint(appoint) => self.apply_appoint(offset, appoint),
-            Body::Move(moved) => self.apply_move(moved),
-            // Snapshots matter to readers that miss records; the reader handles them.
-            Body::Snapshot(_) => true,
+            Body::Appoint(appoint) => self.apply_appoint(stamp, appoint),
+            Body::Move(moved) => self.apply_move(stamp, moved),
+            Body::Retire(retire) => self.apply_retire(retire),
+            Body::Snapshot(_) => false,
         };
         self.note_writer(offset, record, applied);
         if applied {
@@ -108,16 +157,99 @@
         }
     }
 
+    /// The version of the manifest in force; zero for none.
+    #[must_use]
+    pub fn version(&self) -> ManifestVersion {
+        self.manifest.as_ref().map_or(0, Manifest::version)
+    }
+
     /// The group that owns a shard.
     #[must_use]
     pub fn owner_of(&self, service: &str, shard: ShardIndex) -> Option<&GroupId> {
         self.owners.get(service)?.get(shard as usize)
     }
 
+    /// The groups that need a leader, in order: those of the manifest, and those that it dropped
+    /// but that own shards or whose upstreams may still hold grants.
+    ///
+    /// The leader of a departing group fences the former upstreams, lets their shards go, and
+    /// only then moves them ([`Move`]) and retires the upstreams ([`Retire`]).
+    #[must_use]
+    pub fn groups_in_force(&self) -> Vec<ActiveGroup> {
+        let mut active: HashMap<GroupId, Vec<Upstream>> = HashMap::default();
+        if let Some(manifest) = &self.manifest {
+            for service in &manifest.services {
+                let groups = manifest.groups(service).into_iter();
+                active.extend(groups.map(|group| (group.id, group.upstreams)));
+                for owner in self.owners.get(&service.name).into_iter().flatten() {
+                    if !active.contains_key(owner) {
+                        active.insert(owner.clone(), Vec::new());
+                    }
+                }
+            }
+        }
+        for (id, former) in &self.former {
+            if !former.is_empty() && !active.contains_key(id) {
+                active.insert(id.clone(), Vec::new());
+            }
+        }
+        let mut groups: Vec<ActiveGroup> = active
+            .into_iter()
+            .map(|(id, upstreams)| ActiveGroup {
+                former: self.former.get(&id).cloned().unwrap_or_default(),
+                id,
+                upstreams,
+            })
+            .collect();
+        groups.sort_by(|one, other| one.id.cmp(&other.id));
+        groups
+    }
+
+    /// Adds the upstreams that `manifest` drops to `former`, and takes out those that it has again.
+    pub(crate) fn remember_former(
+        &self,
+        manifest: &Manifest,
+        former: &mut HashMap<GroupId, Vec<Upstream>>,
+    ) {
+        let mut kept = HashSet::default();
+        for service in &manifest.services {
+            kept.extend(service.upstreams.iter().map(|upstream| &upstream.name));
+        }
+        for service in self.manifest.iter().flat_map(|held| &held.services) {
+            for upstream in &service.upstreams {
+                if !kept.contains(&upstream.name) {
+                    let group = upstream.group(&service.name);
+                    former.entry(group).or_default().push(upstream.clone());
+                }
+            }
+        }
+        former.retain(|_, list| {
+            list.retain(|upstream| !kept.contains(&upstream.name));
+            list.sort_by(|one, other| one.name.cmp(&other.name));
+            list.dedup_by(|one, other| one.name == other.name);
+            !list.is_empty()
+        });
+    }
+
+    /// Drops appointments of groups that need no leader any more.
+    pub(crate) fn drop_idle_groups(&mut self) {
+        let active: HashSet<GroupId> = self
+            .groups_in_force()
+            .into_iter()
+            .map(|group| group.id)
+            .collect();
+        self.groups.retain(|id, _| active.contains(id));
+    }
+
+    fn stamp(&self, offset: LogOffset, id: &Id) -> Stamp {
+        let name = format!("{}/{}/{}", id.writer, id.incarnation, id.sequence);
+        let hash = xxh3_64(name.as_bytes()) & ((1 << HASH_BITS) - 1);
+        let position = (self.life << OFFSET_BITS) | (offset + 1).min((1 << OFFSET_BITS) - 1);
+        (position << HASH_BITS) | hash
+    }
+
     fn is_repeated(&self, record: &Record) -> bool {
-        self.writers.get(&record.id.writer).is_some_and(|seen| {
-            (record.id.incarnation, record.id.sequence) <= (seen.incarnation, seen.sequence)
-        })
+        self.outcome_of(&record.id).is_some()
     }
 
     fn note_writer(&mut self, offset: LogOffset, record: &Record, applied: bool) {
@@ -128,33 +260,59 @@
             applied,
         };
         self.writers.insert(record.id.writer.clone(), seen);
+        self.forget_writers();
+    }
+
+    /// Forgets the writers that were silent for longest. What they wrote last has parents that
+    /// were replaced long since, so a late copy is void all the same.
+    pub(crate) fn forget_writers(&mut self) {
+        while self.writers.len() > WRITERS_MAX {
+            let oldest = self
+                .writers
+                .iter()
+                .min_by_key(|(name, seen)| (seen.offset, (*name).clone()))
+                .map(|(name, _)| name.clone());
+            let Some(name) = oldest else { return };
+            self.writers.remove(&name);
+        }
     }
 
     fn apply_manifest(&mut self, manifest: &Manifest) -> bool {
-        let current = self.manifest.as_ref().map_or(0, Manifest::version);
-        if manifest.replaces != current || manifest.validate().is_err() {
+        if manifest.replaces != self.version() || manifest.check_after(self).is_err() {
             return false;
         }
+        let mut former = std::mem::take(&mut self.former);
+        self.remember_former(manifest, &mut former);
+        self.former = former;
         for service in &manifest.services {
-            let owners = self.owners.entry(service.name.clone()).or_default();
-            if owners.len() != service.shards as usize {
-                *owners = manifest.initial_owners(service);
-            }
+            self.owners
+                .entry(service.name.clone())
+                .or_insert_with(|| manifest.initial_owners(service));
+            let longest = self.leases.entry(service.name.clone()).or_default();
+            *longest = service.lease.max(*longest);
         }
-        self.owners
-            .retain(|name, _| manifest.service(name).is_some());
         self.manifest = Some(manifest.clone());
+        self.drop_idle_groups();
         true
     }
 
-    fn apply_appoint(&mut self, offset: LogOffset, appoint: &Appoint) -> bool {
+    fn apply_appoint(&mut self, stamp: Stamp, appoint: &Appoint) -> bool {
         let current = self.groups.get(&appoint.group).map_or(0, |held| held.epoch);
-        if appoint.replaces != current {
+        let is_active = || {
+            let groups = self.groups_in_force();
+            groups.iter().any(|group| group.id == appoint.group)
+        };
+        let stands_by_itself = appoint
+            .standby
+            .as_ref()
+            .is_some_and(|standby| standby.name == appoint.leader.name);
+        if appoint.replaces != current || stands_by_itself || !is_active() {
             return false;
         }
-        let by_offset = (offset + 1).saturating_mul(EPOCH_STRIDE);
-        // A log that restarts hands out low offsets again; epochs must rise all the same.
-        let epoch = by_offset.max(current + EPOCH_STRIDE);
+        let by_stamp = stamp.saturating_mul(EPOCH_STRIDE);
+        let step = (1 + stamp % (1 << HASH_BITS)) * EPOCH_STRIDE;
+        // A life that has no offsets left to tell apart still gives rising epochs.
+        let epoch = by_stamp.max(current.saturating_add(step));
         let appointment = Appointment {
             epoch,
             leader: appoint.leader.clone(),
@@ -164,21 +322,60 @@
         true
     }
 
-    fn apply_move(&mut self, moved: &Move) -> bool {
-        let leads = self
-            .groups
-            .get(&moved.from)
-            .is_some_and(|held| held.epoch == moved.epoch || held.standby_epoch() == moved.epoch);
+    fn apply_move(&mut self, stamp: Stamp, moved: &Move) -> bool {
+        if !self.leads(&moved.from, moved.epoch) || !self.may_take(&moved.to, &moved.service) {
+            return false;
+        }
         let Some(owners) = self.owners.get_mut(&moved.service) else {
             return false;
         };
         let owned = |shard: &ShardIndex| owners.get(*shard as usize) == Some(&moved.from);
-        if !leads || moved.to.service != moved.service || !moved.shards.iter().all(owned) {
+        if moved.shards.is_empty() || moved.from == moved.to || !moved.shards.iter().all(owned) {
             return false;
         }
+        let stamps = self.moved.entry(moved.service.clone()).or_default();
         for shard in &moved.shards {
             owners[*shard as usize] = moved.to.clone();
+            stamps.insert(*shard, stamp);
         }
+        self.drop_idle_groups();
         true
     }
+
+    fn apply_retire(&mut self, retire: &Retire) -> bool {
+        if !self.leads(&retire.group, retire.epoch) {
+            return false;
+        }
+        let Some(former) = self.former.get_mut(&retire.group) else {
+            return false;
+        };
+        let before = former.len();
+        former.retain(|upstream| !retire.upstreams.contains(&upstream.name));
+        let changed = former.len() < before;
+        if former.is_empty() {
+            self.former.remove(&retire.group);
+        }
+        self.drop_idle_groups();
+        changed
+    }
+
+    /// Whether an epoch is that of a group's appointed leader or standby.
+    fn leads(&self, group: &GroupId, epoch: Epoch) -> bool {
+        self.groups
+            .get(group)
+            .is_some_and(|held| held.epoch == epoch || held.standby_epoch() == epoch)
+    }
+
+    /// Whether the manifest has upstreams in a group of a service.
+    fn may_take(&self, group: &GroupId, service: &ServiceName) -> bool {
+        let manifest = self.manifest.as_ref();
+        manifest
+            .and_then(|held| held.service(service))
+            .is_some_and(|held| {
+                let upstreams = &held.upstreams;
+                upstreams
+                    .iter()
+                    .any(|upstream| upstream.group(service) == *group)
+            })
+    }
 }
--- /dev/null
+++ b/crates/keyspace/tests/keyspace/balance.rs
@@ -0,0 +1,103 @@
+//! Plans that move the fewest shards.
+
+use std::time::Duration;
+
+use crate::sample::{group, manifest, record, runner, service, upstream};
+use copperwell_keyspace::{
+    balance::{TOLERANCE_PERCENT, plan},
+    checkpoint::{EVERY, Need, RECORDS_MAX, STRANDED_AFTER, URGENT_AFTER, is_due},
+    record::Body,
+    replay::State,
+};
+use proptest::{collection::vec, prelude::*};
+use test_case::test_case;
+
+/// A state whose groups `north` and `south` have these slots, and whose shards these owners.
+fn state(slots: [u32; 2], owners: &[bool]) -> State {
+    let mut list = Vec::new();
+    for (number, (place, slots)) in (1..).zip(["north", "south"].into_iter().zip(slots)) {
+        let mut upstream = upstream(number, place);
+        upstream.slots = slots.max(1);
+        upstream.drain = slots == 0;
+        list.push(upstream);
+    }
+    let shards = owners.len() as u32;
+    let first = manifest(0, vec![service("calendar", shards, list)]);
+    let mut state = State::default();
+    state.apply(0, &record("one", 1, Body::Manifest(first)));
+    let owners = owners.iter().map(|north| group(side(*north))).collect();
+    state.owners.insert("calendar".into(), owners);
+    state
+}
+
+fn side(north: bool) -> &'static str {
+    if north { "north" } else { "south" }
+}
+
+#[test]
+fn a_plan_moves_the_fewest_shards_that_give_each_its_share() {
+    let run = |(north, south, owners): (u32, u32, Vec<bool>)| {
+        let state = state([north, south], &owners);
+        let shifts = plan(&state);
+        let moved: usize = shifts.iter().map(|shift| shift.shards.len()).sum();
+        let held = owners.iter().filter(|is_north| **is_north).count() as u64;
+        let (total, slots) = (owners.len() as u64, u64::from(north + south));
+        let exact = total * u64::from(north);
+        let floor = exact / slots;
+        // With two groups, the remainder of one shard goes where the remainder is larger.
+        let target = floor + u64::from(exact % slots * 2 > slots);
+        let distance = held.abs_diff(target);
+        let ambiguous = exact % slots * 2 == slots;
+        let slack = (target * TOLERANCE_PERCENT).div_ceil(100);
+        if distance == 0 {
+            prop_assert_eq!(moved, 0);
+        }
+        if distance > slack + 1 || (north == 0 && held > 0) {
+            let least = distance - u64::from(ambiguous && distance > 0);
+            prop_assert!(
+                (least..=distance + 1).contains(&(moved as u64)),
+                "{} moved",
+                moved
+            );
+        }
+        for shift in &shifts {
+            for shard in &shift.shards {
+                prop_assert_eq!(state.owner_of("calendar", *shard), Some(&shift.from));
+            }
+        }
+        Ok(())
+    };
+    let cases = (0..5_u32, 1..5_u32, vec(any::<bool>(), 2..80));
+    runner(2000).run(&cases, run).expect("no case fails");
+}
+
+#[test]
+fn a_drained_group_gives_everything() {
+    let shifts = plan(&state([0, 2], &[true, false, true, false]));
+    assert_eq!(shifts.len(), 1);
+    assert_eq!(
+        (&*shifts[0].from.data_centre, &shifts[0].shards[..]),
+        ("north", &[0, 2][..])
+    );
+}
+
+fn need(since: Duration, records: u64) -> Need {
+    Need {
+        since,
+        records,
+        urgent: None,
+        stranded: None,
+    }
+}
+
+#[test_case(need(Duration::ZERO, 0) => false; "just seen")]
+#[test_case(need(EVERY - Duration::from_secs(1), RECORDS_MAX - 1) => false; "not yet")]
+#[test_case(need(EVERY, 0) => true; "long ago")]
+#[test_case(need(Duration::ZERO, RECORDS_MAX) => true; "many records")]
+#[test_case(Need { urgent: Some(URGENT_AFTER / 2), ..need(EVERY, 0) } => false; "urgent but early")]
+#[test_case(Need { urgent: Some(URGENT_AFTER), ..need(Duration::ZERO, 0) } => true; "urgent")]
+#[test_case(Need { stranded: Some(STRANDED_AFTER / 2), ..need(EVERY, 0) } => false; "stranded but early")]
+#[test_case(Need { stranded: Some(STRANDED_AFTER), ..need(Duration::ZERO, 0) } => true; "stranded")]
+fn a_snapshot_is_due(need: Need) -> bool {
+    is_due(&need, EVERY, 0.0)
+}
--- /dev/null
+++ b/crates/keyspace/tests/keyspace/decode.rs
@@ -0,0 +1,129 @@
+//! Decoders of bytes from outside: any bytes give a value or an error.
+
+use crate::sample::{appoint, group, record, runner, simple};
+use copperwell_keyspace::{
+    batch::Batch,
+    manifest::Manifest,
+    reader::Reader,
+    record::{Body, Record, SIZE_MAX},
+};
+use proptest::{collection::vec, prelude::*, sample::Index};
+
+fn samples() -> Vec<Record> {
+    let mut reader = Reader::new();
+    let mut records = vec![
+        record("one", 1, Body::Manifest(simple(0))),
+        record("one", 2, appoint(&group("north"), 0, "one")),
+    ];
+    for (offset, sample) in (0..).zip(&records) {
+        let entry = copperwell_keyspace::batch::Entry {
+            offset,
+            bytes: sample.encode().expect("a small record"),
+        };
+        reader.take(&Batch {
+            first: 0,
+            next: offset + 1,
+            records: vec![entry],
+            relayed: None,
+        });
+    }
+    let snapshot = Body::Snapshot(Box::new(reader.snapshot()));
+    records.push(record("two", 1, snapshot));
+    records
+}
+
+#[test]
+fn records_come_back_as_they_were() {
+    for sample in samples() {
+        let bytes = sample.encode().expect("a small record");
+        assert_eq!(Record::decode(&bytes).expect("a record"), sample);
+    }
+}
+
+#[test]
+fn any_bytes_are_a_record_or_an_error() {
+    let run = |mut bytes: Vec<u8>| {
+        let _ = Record::decode(&bytes);
+        bytes.insert(0, 1);
+        let _ = Record::decode(&bytes);
+        Ok(())
+    };
+    let bytes = vec(any::<u8>(), 0..600);
+    runner(4000).run(&bytes, run).expect("no case fails");
+}
+
+#[test]
+fn a_damaged_record_is_a_record_or_an_error() {
+    let samples: Vec<Vec<u8>> = samples()
+        .iter()
+        .map(|sample| sample.encode().expect("a small record"))
+        .collect();
+    let run = |(which, places, cut): (Index, Vec<(Index, u8)>, Index)| {
+        let mut bytes = which.get(&samples).clone();
+        for (place, byte) in places {
+            let place = place.index(bytes.len());
+            bytes[place] = byte;
+        }
+        if let Ok(record) = Record::decode(&bytes) {
+            prop_assert!(record.encode().is_ok());
+        }
+        bytes.truncate(cut.index(bytes.len()));
+        let _ = Record::decode(&bytes);
+        Ok(())
+    };
+    let damage = vec((any::<Index>(), any::<u8>()), 1..6);
+    let cases = (any::<Index>(), damage, any::<Index>());
+    runner(4000).run(&cases, run).expect("no case fails");
+}
+
+#[test]
+fn a_record_that_is_too_long_is_refused() {
+    let mut bytes = vec![1];
+    bytes.resize(SIZE_MAX + 2, 0);
+    assert!(Record::decode(&bytes).is_err());
+    let mut large = simple(0);
+    large.services[0].name = "x".repeat(SIZE_MAX).into();
+    let report = record("one", 1, Body::Manifest(large)).encode();
+    assert!(format!("{:?}", report.expect_err("too long")).contains("at most 1048576"));
+}
+
+#[test]
+fn any_text_is_a_manifest_or_an_error() {
+    let words = [
+        "replaces", "services", "- ", ": ", "0", "{", "}", "[", "&a", "*a", "\n", "  ",
+    ];
+    let text = vec(proptest::sample::select(words.to_vec()), 0..60).prop_map(|list| list.concat());
+    let run = |text: String| {
+        let _ = Manifest::from_yaml(&text);
+        Ok(())
+    };
+    runner(4000).run(&text, run).expect("no case fails");
+    let any_text = proptest::string::string_regex("(?s).{0,200}").expect("a pattern");
+    runner(1000).run(&any_text, run).expect("no case fails");
+}
+
+#[test]
+fn any_batch_is_taken_without_harm() {
+    let entries = vec((0..9_u64, vec(any::<u8>(), 0..9)), 0..6);
+    let run = |(first, next, entries): (u64, u64, Vec<(u64, Vec<u8>)>)| {
+        let records = entries
+            .into_iter()
+            .map(|(offset, bytes)| copperwell_keyspace::batch::Entry { offset, bytes })
+            .collect();
+        let batch = Batch {
+            first,
+            next,
+            records,
+            relayed: None,
+        };
+        let json = serde_json::to_vec(&batch).expect("JSON");
+        let read: Batch = serde_json::from_slice(&json).expect("the same batch");
+        prop_assert_eq!(&read, &batch);
+        if batch.answers(0) {
+            Reader::new().take(&batch);
+        }
+        Ok(())
+    };
+    let cases = (0..9_u64, 0..9_u64, entries);
+    runner(4000).run(&cases, run).expect("no case fails");
+}
--- /dev/null
+++ b/crates/keyspace/tests/keyspace/main.rs
@@ -0,0 +1,8 @@
+//! Tests of replay, reader, checks and decoders.
+
+mod balance;
+mod check;
+mod decode;
+mod reader;
+mod replay;
+mod sample;
--- /dev/null
+++ b/crates/keyspace/tests/keyspace/reader.rs
@@ -0,0 +1,356 @@
+//! The reader through gaps, losses and restarts of the log.
+
+use crate::sample::{Log, appoint, group, record, runner, simple};
+use copperwell_keyspace::{
+    batch::Relayed,
+    reader::{Phase, Reader, SHORT_READS_MAX},
+    record::{Body, Record},
+};
+use proptest::{collection::vec, prelude::*};
+
+/// A record with the snapshot that a reader would append.
+fn checkpoint(reader: &Reader, sequence: u64) -> Record {
+    let snapshot = Box::new(reader.checkpoint());
+    record("checkpoint", sequence, Body::Snapshot(snapshot))
+}
+
+fn publish(log: &mut Log, sequence: u64, replaces: u64) {
+    log.append(&record(
+        "operator",
+        sequence,
+        Body::Manifest(simple(replaces)),
+    ));
+}
+
+fn read(reader: &mut Reader, log: &Log) {
+    reader.take(&log.read(reader.position()));
+}
+
+/// Reads until the reader is sure of what it sees.
+fn settle(reader: &mut Reader, log: &Log) {
+    for _ in 0..=SHORT_READS_MAX {
+        read(reader, log);
+    }
+}
+
+#[test]
+fn a_gap_is_bridged_by_a_snapshot_and_what_follows_it() {
+    let (mut log, mut early, mut late) = (Log::default(), Reader::new(), Reader::new());
+    publish(&mut log, 1, 0);
+    publish(&mut log, 2, 1);
+    read(&mut early, &log);
+    publish(&mut log, 3, 2);
+    log.append(&checkpoint(&early, 1));
+    publish(&mut log, 4, 3);
+    log.retain_from(2);
+    read(&mut late, &log);
+    read(&mut early, &log);
+    assert_eq!(late.phase(), Phase::Following);
+    assert_eq!(late.state().version(), 4);
+    assert!(late.state().agrees_with(early.state()));
+    assert_eq!(late.next(), 5);
+}
+
+#[test]
+fn without_a_snapshot_a_gap_stays_and_takes_nothing() {
+    let (mut log, mut late) = (Log::default(), Reader::new());
+    publish(&mut log, 1, 0);
+    publish(&mut log, 2, 1);
+    log.retain_from(1);
+    read(&mut late, &log);
+    assert_eq!((late.phase(), late.state().version()), (Phase::Gap, 0));
+    assert!(late.wants_snapshot());
+}
+
+#[test]
+fn a_gap_whose_records_are_not_all_kept_waits_for_a_later_snapshot() {
+    let (mut log, mut early, mut late) = (Log::default(), Reader::new(), Reader::new());
+    publish(&mut log, 1, 0);
+    read(&mut early, &log);
+    let old = checkpoint(&early, 1);
+    publish(&mut log, 2, 1);
+    log.append(&record("other", 1, appoint(&group("north"), 0, "one")));
+    log.append(&old);
+    read(&mut early, &log);
+    log.retain_from(3);
+    read(&mut late, &log);
+    assert_eq!(late.phase(), Phase::Gap);
+    read(&mut early, &log);
+    log.append(&checkpoint(&early, 2));
+    read(&mut late, &log);
+    assert_eq!(late.phase(), Phase::Following);
+    assert!(late.state().agrees_with(early.state()));
+}
+
+#[test]
+fn a_log_that_lost_everything_gets_the_state_back() {
+    let (mut log, mut one, mut two) = (Log::default(), Reader::new(), Reader::new());
+    publish(&mut log, 1, 0);
+    publish(&mut log, 2, 1);
+    log.append(&record("other", 1, appoint(&group("north"), 0, "one")));
+    read(&mut one, &log);
+    read(&mut two, &log);
+    let before = one.state().clone();
+
+    let mut log = Log::default();
+    publish(&mut log, 9, 0);
+    settle(&mut one, &log);
+    assert_eq!((one.phase(), one.state().version()), (Phase::Restarted, 2));
+    log.append(&checkpoint(&one, 1));
+    settle(&mut one, &log);
+    settle(&mut two, &log);
+    let mut joiner = Reader::new();
+    read(&mut joiner, &log);
+    for reader in [&one, &two, &joiner] {
+        assert_eq!(reader.phase(), Phase::Following);
+        assert_eq!(reader.state().version(), 2);
+        assert!(reader.state().agrees_with(&before));
+        assert!(!reader.is_ahead());
+    }
+    publish(&mut log, 10, 2);
+    read(&mut one, &log);
+    read(&mut two, &log);
+    assert_eq!((one.state().version(), two.state().version()), (3, 3));
+}
+
+#[test]
+fn epochs_rise_although_offsets_start_again() {
+    let (mut log, mut reader) = (Log::default(), Reader::new());
+    publish(&mut log, 1, 0);
+    log.append(&record("other", 1, appoint(&group("north"), 0, "one")));
+    read(&mut reader, &log);
+    let before = reader.state().groups[&group("north")].epoch;
+    let mut log = Log::default();
+    settle(&mut reader, &log);
+    log.append(&checkpoint(&reader, 1));
+    log.append(&record("other", 2, appoint(&group("north"), before, "two")));
+    settle(&mut reader, &log);
+    assert!(reader.state().groups[&group("north")].epoch > before);
+}
+
+#[test]
+fn another_log_of_the_same_length_is_noticed_after_an_outage() {
+    let (mut log, mut reader) = (Log::default(), Reader::new());
+    publish(&mut log, 1, 0);
+    read(&mut reader, &log);
+    reader.lose_contact();
+    let mut log = Log::default();
+    publish(&mut log, 5, 0);
+    publish(&mut log, 6, 1);
+    read(&mut reader, &log);
+    assert_eq!(reader.phase(), Phase::Restarted);
+}
+
+#[test]
+fn one_old_answer_is_no_restart() {
+    let (mut log, mut reader) = (Log::default(), Reader::new());
+    publish(&mut log, 1, 0);
+    let old = log.clone();
+    publish(&mut log, 2, 1);
+    read(&mut reader, &log);
+    read(&mut reader, &old);
+    assert_eq!(reader.phase(), Phase::Short);
+    read(&mut reader, &log);
+    assert_eq!(reader.phase(), Phase::Following);
+    settle(&mut reader, &old);
+    assert_eq!(reader.phase(), Phase::Restarted);
+    read(&mut reader, &log);
+    assert_eq!((reader.phase(), reader.next()), (Phase::Following, 2));
+    assert!(!reader.is_ahead());
+}
+
+#[test]
+fn a_peer_that_is_behind_says_nothing_about_the_log() {
+    let (mut log, mut reader) = (Log::default(), Reader::new());
+    publish(&mut log, 1, 0);
+    let mut old = log.read(0);
+    publish(&mut log, 2, 1);
+    read(&mut reader, &log);
+    old.relayed = Some(Relayed {
+        life: 0,
+        age: std::time::Duration::ZERO,
+    });
+    for _ in 0..=SHORT_READS_MAX {
+        reader.take(&old);
+    }
+    assert_eq!(reader.phase(), Phase::Following);
+}
+
+#[test]
+fn a_peers_state_never_takes_a_reader_back() {
+    let (mut log, mut ahead, mut behind) = (Log::default(), Reader::new(), Reader::new());
+    publish(&mut log, 1, 0);
+    read(&mut behind, &log);
+    publish(&mut log, 2, 1);
+    read(&mut ahead, &log);
+    assert!(!ahead.adopt(&behind.snapshot()));
+    assert_eq!(ahead.state().version(), 2);
+    assert!(behind.adopt(&ahead.snapshot()));
+    assert_eq!(behind.state().version(), 2);
+}
+
+/// What happens to a log and its three readers.
+#[derive(Debug, Clone)]
+enum Event {
+    Publish,
+    Appoint,
+    Read(usize),
+    LoseContact(usize),
+    Checkpoint(usize),
+    Forget(usize),
+    Reset,
+    Retain(usize),
+    Replace(usize),
+    Adopt { from: usize, to: usize },
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        4 => Just(Event::Publish),
+        4 => Just(Event::Appoint),
+        12 => (0..3_usize).prop_map(Event::Read),
+        2 => (0..3_usize).prop_map(Event::LoseContact),
+        2 => (0..3_usize).prop_map(Event::Checkpoint),
+        1 => (1..4_usize).prop_map(Event::Forget),
+        1 => Just(Event::Reset),
+        1 => (0..4_usize).prop_map(Event::Retain),
+        1 => (0..3_usize).prop_map(Event::Replace),
+        1 => (0..3_usize, 0..3_usize).prop_map(|(from, to)| Event::Adopt { from, to }),
+    ];
+    vec(event, 0..80)
+}
+
+struct World {
+    log: Log,
+    readers: Vec<Reader>,
+    sequence: u64,
+}
+
+impl World {
+    fn step(&mut self, event: &Event) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        match event {
+            Event::Publish => {
+                let held = self.readers[sequence as usize % 3].state().version();
+                publish(&mut self.log, sequence, held);
+            }
+            Event::Appoint => {
+                let state = self.readers[sequence as usize % 3].state().clone();
+                let group = group("north");
+                let replaces = state.groups.get(&group).map_or(0, |held| held.epoch);
+                let writer = format!("daemon-{}", sequence % 3);
+                let body = appoint(&group, replaces, &writer);
+                self.log.append(&record(&writer, sequence, body));
+            }
+            Event::Read(who) => read(&mut self.readers[*who], &self.log),
+            Event::LoseContact(who) => self.readers[*who].lose_contact(),
+            Event::Checkpoint(who) => self.checkpoint(*who),
+            Event::Forget(count) => {
+                let kept = self.log.records.len().saturating_sub(*count);
+                self.log.records.truncate(kept);
+            }
+            Event::Reset => self.log = Log::default(),
+            Event::Retain(count) => {
+                let next = self.log.first + self.log.records.len() as u64;
+                self.log.retain_from(next.saturating_sub(*count as u64));
+            }
+            Event::Replace(who) => self.readers[*who] = Reader::new(),
+            Event::Adopt { from, to } => {
+                let snapshot = self.readers[*from].snapshot();
+                self.readers[*to].adopt(&snapshot);
+            }
+        }
+    }
+
+    fn checkpoint(&mut self, who: usize) {
+        self.sequence += 1;
+        let reader = &self.readers[who];
+        let is_unsure = matches!(reader.phase(), Phase::Starting | Phase::Short);
+        if !is_unsure && reader.state().manifest.is_some() {
+            self.log.append(&checkpoint(reader, self.sequence));
+        }
+    }
+
+    /// No more faults: everybody reads, and whoever is ahead appends.
+    fn calm(&mut self) {
+        for round in 0..12 {
+            for reader in &mut self.readers {
+                reader.lose_contact();
+                settle(reader, &self.log);
+            }
+            let ahead = (0..3).find(|who| self.readers[*who].is_ahead());
+            let follows = |who: &usize| self.readers[*who].phase() == Phase::Following;
+            let stranded = (0..3).find(|who| self.readers[*who].is_stranded());
+            // Who misses records waits longer than the others before it goes on without them.
+            let next = match ahead {
+                None if round % 4 == 3 => stranded,
+                _ => ahead.or_else(|| (0..3).cycle().skip(round % 3).take(3).find(follows)),
+            };
+            self.checkpoint(next.unwrap_or(round % 3));
+        }
+        for reader in &mut self.readers {
+            settle(reader, &self.log);
+        }
+    }
+}
+
+#[test]
+fn no_reader_goes_back_and_all_agree_in_the_end() {
+    let run = |events: Vec<Event>| {
+        let mut world = World {
+            log: Log::default(),
+            readers: vec![Reader::new(); 3],
+            sequence: 0,
+        };
+        for event in &events {
+            let before: Vec<u64> = versions(&world);
+            let epochs: Vec<u64> = epochs(&world);
+            world.step(event);
+            let replaced = match event {
+                Event::Replace(who) => Some(*who),
+                _ => None,
+            };
+            for who in (0..3).filter(|who| Some(*who) != replaced) {
+                prop_assert!(versions(&world)[who] >= before[who], "a manifest went back");
+                prop_assert!(
+                    self::epochs(&world)[who] >= epochs[who],
+                    "an epoch went back"
+                );
+            }
+        }
+        let highest = versions(&world).into_iter().max();
+        world.calm();
+        if world
+            .readers
+            .iter()
+            .all(|reader| reader.state().manifest.is_none())
+        {
+            // Nobody has read a manifest, so nobody has anything to agree on.
+            return Ok(());
+        }
+        let state = world.readers[0].state().clone();
+        prop_assert!(Some(state.version()) >= highest, "a manifest was lost");
+        for reader in &world.readers {
+            prop_assert_eq!(reader.phase(), world.readers[0].phase());
+            prop_assert!(reader.state().agrees_with(&state), "readers differ");
+        }
+        Ok(())
+    };
+    runner(600).run(&events(), run).expect("no case fails");
+}
+
+fn versions(world: &World) -> Vec<u64> {
+    let states = world.readers.iter().map(Reader::state);
+    states.map(|state| state.version()).collect()
+}
+
+fn epochs(world: &World) -> Vec<u64> {
+    let states = world.readers.iter().map(Reader::state);
+    states
+        .map(|state| {
+            let held = state.groups.get(&group("north"));
+            held.map_or(0, |held| held.epoch)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/keyspace/tests/keyspace/replay.rs
@@ -0,0 +1,353 @@
+//! Replay against a naive replay, and what it must never do.
+
+use std::collections::BTreeMap;
+
+use crate::sample::{appoint, group, manifest, record, runner, service, simple, upstream};
+use copperwell_keyspace::{
+    GroupId,
+    manifest::Manifest,
+    record::{Body, Move, Record, Retire},
+    replay::{Outcome, State},
+};
+use proptest::{collection::vec, prelude::*, test_runner::TestCaseError};
+use test_case::test_case;
+
+/// One step of a random log; parents are chosen relative to what is current.
+#[derive(Debug, Clone)]
+enum Step {
+    Manifest {
+        stale: bool,
+        south: bool,
+    },
+    Appoint {
+        north: bool,
+        stale: bool,
+    },
+    Move {
+        shard: u32,
+        stale: bool,
+        to_north: bool,
+    },
+    Retire {
+        north: bool,
+    },
+    Repeat {
+        back: usize,
+    },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (any::<bool>(), any::<bool>()).prop_map(|(stale, south)| Step::Manifest { stale, south }),
+        (any::<bool>(), any::<bool>()).prop_map(|(north, stale)| Step::Appoint { north, stale }),
+        (0..9_u32, any::<bool>(), any::<bool>()).prop_map(|(shard, stale, to_north)| Step::Move {
+            shard,
+            stale,
+            to_north
+        }),
+        any::<bool>().prop_map(|north| Step::Retire { north }),
+        (0..8_usize).prop_map(|back| Step::Repeat { back }),
+    ];
+    vec(step, 0..60)
+}
+
+fn side(north: bool) -> GroupId {
+    group(if north { "north" } else { "south" })
+}
+
+/// The record of a step, with parents taken from `state`.
+fn record_of(step: &Step, state: &State, log: &[Record]) -> Record {
+    let sequence = log.len() as u64 + 1;
+    let epoch_of = |group: &GroupId| state.groups.get(group).map_or(0, |held| held.epoch);
+    let body = match step {
+        Step::Manifest { stale, south } => {
+            let mut next = simple(state.version().saturating_sub(u64::from(*stale)));
+            if !south {
+                next.services[0].upstreams.pop();
+            }
+            Body::Manifest(next)
+        }
+        Step::Appoint { north, stale } => {
+            let group = side(*north);
+            let replaces = epoch_of(&group) + u64::from(*stale);
+            appoint(&group, replaces, "one")
+        }
+        Step::Move {
+            shard,
+            stale,
+            to_north,
+        } => {
+            let from = side(!to_north);
+            let epoch = epoch_of(&from) + 5 * u64::from(*stale);
+            Body::Move(Move {
+                service: "calendar".into(),
+                shards: vec![*shard],
+                epoch,
+                from,
+                to: side(*to_north),
+            })
+        }
+        Step::Retire { north } => {
+            let group = side(*north);
+            Body::Retire(Retire {
+                epoch: epoch_of(&group),
+                group,
+                upstreams: vec!["up-2".into()],
+            })
+        }
+        Step::Repeat { back } => {
+            let place = log.len().checked_sub(1 + back);
+            match place.and_then(|place| log.get(place)) {
+                Some(earlier) => return earlier.clone(),
+                None => Body::Manifest(simple(9)),
+            }
+        }
+    };
+    record("writer", sequence, body)
+}
+
+/// A replay that is plain: maps with names, one rule after the other, no shared code.
+#[derive(Default)]
+struct Naive {
+    version: u64,
+    has_south: bool,
+    epochs: BTreeMap<String, u64>,
+    owners: Vec<String>,
+    former: BTreeMap<String, Vec<String>>,
+    seen: u64,
+}
+
+impl Naive {
+    fn apply(&mut self, record: &Record, epoch_if_applied: u64) {
+        if record.id.sequence <= self.seen {
+            return;
+        }
+        self.seen = record.id.sequence;
+        match &record.body {
+            Body::Manifest(next) => self.manifest(next),
+            Body::Appoint(appoint) => {
+                let name = appoint.group.data_centre.to_string();
+                if self.is_active(&name) && self.epoch(&name) == appoint.replaces {
+                    self.epochs.insert(name, epoch_if_applied);
+                }
+            }
+            Body::Move(moved) => self.shift(moved),
+            Body::Retire(retire) => {
+                let name = retire.group.data_centre.to_string();
+                if self.epochs.get(&name) == Some(&retire.epoch) {
+                    self.former.remove(&name);
+                }
+            }
+            Body::Snapshot(_) => {}
+        }
+        let names: Vec<String> = self.epochs.keys().cloned().collect();
+        for name in names {
+            if !self.is_active(&name) {
+                self.epochs.remove(&name);
+            }
+        }
+    }
+
+    fn manifest(&mut self, next: &Manifest) {
+        if next.replaces != self.version {
+            return;
+        }
+        let south = next.services[0].upstreams.len() == 2;
+        if self.version == 0 {
+            let split = if south { 4 } else { 8 };
+            self.owners = (0..8)
+                .map(|shard| if shard < split { "north" } else { "south" }.to_owned())
+                .collect();
+        }
+        if self.has_south && !south {
+            self.former.insert("south".into(), vec!["up-2".into()]);
+        }
+        if south {
+            self.former.remove("south");
+        }
+        self.has_south = south;
+        self.version += 1;
+    }
+
+    fn shift(&mut self, moved: &Move) {
+        let (from, to) = (&*moved.from.data_centre, &*moved.to.data_centre);
+        let shard = moved.shards[0] as usize;
+        let leads = self.epochs.get(from) == Some(&moved.epoch);
+        let taken = to == "north" || self.has_south;
+        let owned = self.owners.get(shard).is_some_and(|owner| owner == from);
+        if self.version > 0 && leads && taken && owned {
+            self.owners[shard] = to.to_owned();
+        }
+    }
+
+    fn epoch(&self, name: &str) -> u64 {
+        self.epochs.get(name).copied().unwrap_or(0)
+    }
+
+    fn is_active(&self, name: &str) -> bool {
+        let in_manifest = self.version > 0 && (name == "north" || self.has_south);
+        let owns = self.owners.iter().any(|owner| owner == name);
+        in_manifest || owns || self.former.contains_key(name)
+    }
+
+    fn agrees(&self, state: &State) -> Result<(), TestCaseError> {
+        prop_assert_eq!(self.version, state.version());
+        let epochs: BTreeMap<String, u64> = state
+            .groups
+            .iter()
+            .map(|(group, held)| (group.data_centre.to_string(), held.epoch))
+            .collect();
+        prop_assert_eq!(&self.epochs, &epochs);
+        let owners: Vec<String> = state
+            .owners
+            .get("calendar")
+            .into_iter()
+            .flatten()
+            .map(|owner| owner.data_centre.to_string())
+            .collect();
+        prop_assert_eq!(&self.owners, &owners);
+        let former: BTreeMap<String, Vec<String>> = state
+            .former
+            .iter()
+            .map(|(group, list)| {
+                let names = list.iter().map(|upstream| upstream.name.to_string());
+                (group.data_centre.to_string(), names.collect())
+            })
+            .collect();
+        prop_assert_eq!(&self.former, &former);
+        Ok(())
+    }
+}
+
+#[test]
+fn it_agrees_with_a_naive_replay() {
+    let run = |steps: Vec<Step>| {
+        let (mut state, mut naive, mut log) = (State::default(), Naive::default(), Vec::new());
+        let mut highest = 0;
+        for (offset, step) in (0..).zip(&steps) {
+            let record = record_of(step, &state, &log);
+            let before = state.clone();
+            let outcome = state.apply(offset, &record);
+            let epochs = state.groups.values().map(|held| held.epoch);
+            let newest = epochs.max().unwrap_or(0);
+            naive.apply(&record, newest);
+            naive.agrees(&state)?;
+            if outcome != Outcome::Applied {
+                prop_assert!(before.agrees_with(&state));
+            }
+            if outcome == Outcome::Applied && matches!(record.body, Body::Appoint(_)) {
+                prop_assert!(newest > highest, "an epoch was given twice");
+                highest = newest;
+            }
+            prop_assert!(state.version() >= before.version());
+            log.push(record);
+        }
+        Ok(())
+    };
+    runner(400).run(&steps(), run).expect("no case fails");
+}
+
+#[test]
+fn joining_is_commutative_and_takes_neither_back() {
+    let run = |(one, other): (Vec<Step>, Vec<Step>)| {
+        let replay = |steps: &[Step]| {
+            let (mut state, mut log) = (State::default(), Vec::new());
+            for (offset, step) in (0..).zip(steps) {
+                let record = record_of(step, &state, &log);
+                state.apply(offset, &record);
+                log.push(record);
+            }
+            state
+        };
+        let (one, other) = (replay(&one), replay(&other));
+        let joined = one.join(&other);
+        prop_assert!(joined.agrees_with(&other.join(&one)));
+        prop_assert!(joined.agrees_with(&joined.join(&one)));
+        prop_assert!(joined.agrees_with(&joined.join(&joined)));
+        prop_assert_eq!(joined.version(), one.version().max(other.version()));
+        for held in [&one, &other] {
+            for (group, appointment) in &held.groups {
+                let epoch = joined.groups.get(group).map_or(u64::MAX, |held| held.epoch);
+                prop_assert!(epoch >= appointment.epoch);
+            }
+        }
+        Ok(())
+    };
+    runner(400)
+        .run(&(steps(), steps()), run)
+        .expect("no case fails");
+}
+
+#[test]
+fn of_two_manifests_with_one_parent_the_first_wins() {
+    let mut state = State::default();
+    let mut other = simple(0);
+    other.services[0].limits.queue = 9;
+    let first = state.apply(0, &record("one", 1, Body::Manifest(simple(0))));
+    let second = state.apply(1, &record("two", 1, Body::Manifest(other)));
+    assert_eq!((first, second), (Outcome::Applied, Outcome::Void));
+    assert_eq!(state.manifest, Some(simple(0)));
+}
+
+#[test]
+fn a_departing_group_keeps_its_upstreams_until_it_let_go() {
+    let mut state = State::default();
+    let south = group("south");
+    let mut sequence = 0;
+    let mut apply = |state: &mut State, body: Body| {
+        sequence += 1;
+        state.apply(sequence, &record("one", sequence, body))
+    };
+    apply(&mut state, Body::Manifest(simple(0)));
+    apply(&mut state, appoint(&south, 0, "one"));
+    let epoch = state.groups[&south].epoch;
+    let only_north = vec![service("calendar", 8, vec![upstream(1, "north")])];
+    apply(&mut state, Body::Manifest(manifest(1, only_north)));
+
+    let departing = state.groups_in_force().pop().expect("two groups");
+    assert!(departing.is_departing());
+    assert_eq!(departing.former, [upstream(2, "south")]);
+    let shifts = copperwell_keyspace::balance::plan(&state);
+    assert_eq!(shifts.len(), 1);
+    let moved = Move {
+        service: shifts[0].service.clone(),
+        shards: shifts[0].shards.clone(),
+        from: shifts[0].from.clone(),
+        epoch,
+        to: shifts[0].to.clone(),
+    };
+    assert_eq!(apply(&mut state, Body::Move(moved)), Outcome::Applied);
+    assert!(
+        state.groups.contains_key(&south),
+        "its upstream may still hold grants"
+    );
+    let retire = Retire {
+        group: south.clone(),
+        epoch,
+        upstreams: vec!["up-2".into()],
+    };
+    assert_eq!(apply(&mut state, Body::Retire(retire)), Outcome::Applied);
+    assert!(!state.groups.contains_key(&south));
+    assert_eq!(state.groups_in_force().len(), 1);
+}
+
+#[test]
+fn a_removed_service_comes_back_with_the_same_owners() {
+    let mut state = State::default();
+    state.apply(0, &record("one", 1, Body::Manifest(simple(0))));
+    let before = state.owners.clone();
+    let other = vec![service("stock", 4, vec![upstream(7, "north")])];
+    state.apply(1, &record("one", 2, Body::Manifest(manifest(1, other))));
+    state.apply(2, &record("one", 3, Body::Manifest(simple(2))));
+    assert_eq!(state.owners["calendar"], before["calendar"]);
+}
+
+#[test_case(8 => Outcome::Applied; "same number")]
+#[test_case(9 => Outcome::Void; "another number")]
+fn the_number_of_shards_is_fixed(shards: u32) -> Outcome {
+    let mut state = State::default();
+    state.apply(0, &record("one", 1, Body::Manifest(simple(0))));
+    let mut next = simple(1);
+    next.services[0].shards = shards;
+    state.apply(1, &record("one", 2, Body::Manifest(next)))
+}
--- a/crates/platform/src/append.rs
+++ b/crates/platform/src/append.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{Error, Log, follow::View};
+use crate::{Error, Log, follow::View, metrics::Metrics};
 use copperwell_keyspace::{
     id::{DaemonName, Incarnation},
     record::{Body, Id, Record, STREAM},
@@ -25,6 +25,7 @@
     writer: DaemonName,
     incarnation: Incarnation,
     sequence: u64,
+    metrics: Metrics,
 }
 
 impl<L: Log> Appender<L> {
@@ -41,9 +42,17 @@
             writer: writer.into(),
             incarnation,
             sequence: 0,
+            metrics: Metrics::default(),
         }
     }
 
+    /// Counts in these metrics.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: Metrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
     /// Appends a record and waits until it is read back.
     ///
     /// A record whose answer was lost is appended again with the same id. Waits as long as the log
@@ -67,13 +76,17 @@
         let bytes = record.encode().change_context(Error::NotAppended)?;
         let mut pause = PAUSE_FIRST;
         loop {
+            self.metrics.appends.inc();
             // An answer says nothing that reading does not say better.
-            let _ = self.log.append(STREAM, bytes.clone()).await;
+            if let Err(report) = self.log.append(STREAM, bytes.clone()).await {
+                self.metrics.fail_append(*report.current_context());
+            }
             let part = rand::rng().random_range(0.5..1.0);
             match timeout(pause.mul_f64(part), self.read_back(&id)).await {
                 Ok(outcome) => return outcome,
                 Err(_) => pause = (pause * 2).min(PAUSE_MAX),
             }
+            self.metrics.appends_repeated.inc();
         }
     }
 
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -1,26 +1,50 @@
-//! Reads the log and keeps the agreed state.
+//! A task that follows the log and publishes the agreed state.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
-use crate::{Batch, Error, Log, Relay};
+use crate::{
+    Batch, Error, Log, Relay, Relayed,
+    metrics::{Metrics, Source as SourceLabel},
+};
 use copperwell_keyspace::{
-    id::LogOffset,
-    record::{Record, STREAM},
+    checkpoint,
+    id::{DaemonName, LogOffset},
+    reader::{Phase, Reader},
+    record::{Body, Id, Record, STREAM, Snapshot},
     replay::State,
 };
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 use rand::RngExt;
+use spdlog::{info, warn};
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// How long one read of the log may wait for a record.
-pub const READ_WAIT: Duration = Duration::from_secs(10);
+pub const READ_WAIT: Duration = Duration::from_secs(4);
+
+/// The wait of a read while a snapshot may have to be appended soon.
+const READ_WAIT_URGENT: Duration = Duration::from_millis(300);
+
+/// The first pause after a failed read; each pause is drawn between half and all of it.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+
+/// The longest pause after failed reads.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+
+/// How long a peer may take to hand its state over.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The pause after a failed read; each pause is drawn between half and all of it.
-const PAUSE: Duration = Duration::from_millis(200);
+/// The pause between two appends of a snapshot.
+const CHECKPOINT_PAUSE: Duration = Duration::from_secs(2);
+
+/// How old a peer's own reading may be before the platform is tried as well.
+const RELAY_AGE_MAX: Duration = Duration::from_secs(10);
 
 /// The agreed state as this process knows it.
 #[derive(Debug, Clone)]
@@ -31,6 +55,8 @@
     pub next: LogOffset,
     /// How the view stands to the log.
     pub status: Status,
+    /// When the log was last read, by this process or by the peer that told of it.
+    pub seen: Option<Instant>,
 }
 
 /// How a view stands to the log.
@@ -58,38 +84,102 @@
     Peer,
 }
 
-/// A task that reads the log.
+/// How a follower reads and what it writes.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    source: Source,
+    writer: Option<DaemonName>,
+    checkpoint_every: Duration,
+}
+
+impl Settings {
+    /// Settings of a follower that never appends.
+    #[must_use]
+    pub fn new(source: Source) -> Self {
+        Self {
+            source,
+            writer: None,
+            checkpoint_every: checkpoint::EVERY,
+        }
+    }
+
+    /// Lets the follower append snapshots when they are due, under a daemon's name.
+    #[must_use]
+    pub fn with_writer(mut self, writer: impl Into<DaemonName>) -> Self {
+        self.writer = Some(writer.into());
+        self
+    }
+
+    /// Sets the time between snapshots; well below the time that the log keeps records.
+    #[must_use]
+    pub fn with_checkpoint_every(mut self, every: Duration) -> Self {
+        self.checkpoint_every = every;
+        self
+    }
+}
+
+/// A task that follows the log; it ends when this is dropped.
 #[derive(Debug)]
 pub struct Follower {
-    view: watch::Receiver<Arc<View>>,
+    held: Held,
     task: JoinHandle<()>,
 }
 
 impl Follower {
-    /// Starts to read.
+    /// Starts to read, without counters and without appending snapshots.
     pub fn start<L: Log, R: Relay>(log: Arc<L>, relay: Arc<R>, source: Source) -> Self {
-        let first = View {
-            state: Arc::new(State::default()),
+        Self::start_with(log, relay, Settings::new(source), Metrics::default())
+    }
+
+    /// Starts to read.
+    pub fn start_with<L: Log, R: Relay>(
+        log: Arc<L>,
+        relay: Arc<R>,
+        settings: Settings,
+        metrics: Metrics,
+    ) -> Self {
+        let reader = Reader::new();
+        let (to, view) = watch::channel(Arc::new(View {
+            state: reader.state().clone(),
             next: 0,
             status: Status::Starting,
+            seen: None,
+        }));
+        let reader = Arc::new(Mutex::new(reader));
+        let held = Held {
+            reader: reader.clone(),
+            view,
         };
-        let (to, view) = watch::channel(Arc::new(first));
-        let reader = Reader {
+        let task = Task {
             log,
             relay,
-            source,
+            settings,
+            metrics,
+            reader,
             to,
+            snapshots: 0,
+            snapshot_at: Instant::now(),
+            ahead_since: None,
+            stranded_since: None,
+            tried_at: None,
+            append: None,
         };
         Self {
-            view,
-            task: tokio::spawn(reader.run()),
+            held,
+            task: tokio::spawn(task.run()),
         }
     }
 
     /// The view, kept up to date.
     #[must_use]
     pub fn view(&self) -> watch::Receiver<Arc<View>> {
-        self.view.clone()
+        self.held.view.clone()
+    }
+
+    /// What is held for peers.
+    #[must_use]
+    pub fn held(&self) -> Held {
+        self.held.clone()
     }
 }
 
@@ -99,66 +189,321 @@
     }
 }
 
-struct Reader<L, R> {
+/// What a follower holds for peers: the answering side of [`Relay`].
+#[derive(Debug, Clone)]
+pub struct Held {
+    reader: Arc<Mutex<Reader>>,
+    view: watch::Receiver<Arc<View>>,
+}
+
+impl Held {
+    /// Records from an offset on; waits up to `wait` if there are none yet.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] if records from there on are not held.
+    pub async fn records(&self, from: LogOffset, wait: Duration) -> Result<Batch, Report<Error>> {
+        let mut view = self.view.clone();
+        // Without a new record the answer is an empty batch.
+        let _ = timeout(wait, view.wait_for(|view| view.next != from)).await;
+        let seen = view.borrow().seen;
+        let reader = lock(&self.reader);
+        let mut batch = reader
+            .recent(from)
+            .ok_or_else(|| Report::new(Error::Unavailable))?;
+        let age = seen.ok_or_else(|| Report::new(Error::Unavailable))?;
+        batch.relayed = Some(Relayed {
+            life: reader.state().life,
+            age: age.elapsed(),
+        });
+        Ok(batch)
+    }
+
+    /// The whole state.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] if there is none.
+    pub fn snapshot(&self) -> Result<Snapshot, Report<Error>> {
+        let reader = lock(&self.reader);
+        if reader.next() == 0 {
+            return Err(Report::new(Error::Unavailable));
+        }
+        Ok(reader.snapshot())
+    }
+}
+
+/// The follower's task; the reader's lock is never held across an await.
+struct Task<L, R> {
     log: Arc<L>,
     relay: Arc<R>,
-    source: Source,
+    settings: Settings,
+    metrics: Metrics,
+    reader: Arc<Mutex<Reader>>,
     to: watch::Sender<Arc<View>>,
+    /// Snapshots read so far, and when the last one was.
+    snapshots: u64,
+    snapshot_at: Instant,
+    /// Since when the log lacks something that the reader holds.
+    ahead_since: Option<Instant>,
+    /// Since when the reader misses records.
+    stranded_since: Option<Instant>,
+    tried_at: Option<Instant>,
+    append: Option<JoinHandle<()>>,
 }
 
-impl<L: Log, R: Relay> Reader<L, R> {
-    async fn run(self) {
+impl<L: Log, R: Relay> Task<L, R> {
+    async fn run(mut self) {
+        let mut pause = PAUSE_FIRST;
+        self.ask_peers().await;
         while !self.to.is_closed() {
-            match self.read().await {
-                Ok(batch) => self.take(batch),
+            let settled = match self.read().await {
+                Ok(batch) => self.take(&batch).await,
                 Err(_) => {
-                    self.note_away();
-                    let part = rand::rng().random_range(0.5..1.0);
-                    sleep(PAUSE.mul_f64(part)).await;
+                    self.publish_away();
+                    self.ask_peers().await;
+                    false
                 }
+            };
+            self.append_if_due();
+            if settled {
+                pause = PAUSE_FIRST;
+                continue;
             }
+            let part = rand::rng().random_range(0.5..1.0);
+            sleep(pause.mul_f64(part)).await;
+            pause = (pause * 2).min(PAUSE_MAX);
         }
     }
 
     async fn read(&self) -> Result<Batch, Report<Error>> {
-        let from = self.to.borrow().next;
-        match self.source {
-            Source::Platform => match self.log.read(STREAM, from, READ_WAIT).await {
+        match self.settings.source {
+            Source::Platform => match self.read_log().await {
                 Ok(batch) => Ok(batch),
-                Err(_) => self.relay.records(from, READ_WAIT).await,
+                Err(_) => self.read_peer().await,
             },
-            Source::Peer => match self.relay.records(from, READ_WAIT).await {
-                Ok(batch) => Ok(batch),
-                Err(_) => self.log.read(STREAM, from, READ_WAIT).await,
+            Source::Peer => match self.read_peer().await {
+                Ok(batch) if is_fresh(&batch) => Ok(batch),
+                Ok(batch) => Ok(self.read_log().await.unwrap_or(batch)),
+                Err(_) => self.read_log().await,
             },
         }
     }
 
-    fn take(&self, batch: Batch) {
-        let mut view = View::clone(&self.to.borrow());
-        let state = Arc::make_mut(&mut view.state);
-        for entry in &batch.records {
-            if entry.offset < view.next {
-                continue;
-            }
-            view.next = entry.offset + 1;
-            if let Ok(record) = Record::decode(&entry.bytes) {
-                state.apply(entry.offset, &record);
+    async fn read_log(&self) -> Result<Batch, Report<Error>> {
+        let (from, wait) = {
+            let reader = lock(&self.reader);
+            (reader.position(), wait_of(&reader))
+        };
+        let read = self.log.read(STREAM, from, wait).await;
+        if read.is_err() {
+            lock(&self.reader).lose_contact();
+        }
+        self.count(read, "platform")
+    }
+
+    async fn read_peer(&self) -> Result<Batch, Report<Error>> {
+        let (from, wait) = {
+            let reader = lock(&self.reader);
+            (reader.position_at_peer(), wait_of(&reader))
+        };
+        let read = timeout(wait + SNAPSHOT_TIMEOUT, self.relay.records(from, wait)).await;
+        let read = read
+            .change_context(Error::Unavailable)
+            .and_then(|batch| batch);
+        self.count(read, "peer")
+    }
+
+    fn count(
+        &self,
+        read: Result<Batch, Report<Error>>,
+        source: &'static str,
+    ) -> Result<Batch, Report<Error>> {
+        match &read {
+            Ok(_) => {
+                let label = SourceLabel { source };
+                self.metrics.reads.get_or_create(&label).inc();
             }
+            Err(report) => self.metrics.fail_read(*report.current_context()),
+        }
+        read
+    }
+
+    /// Takes a batch in; `false` if the next read should wait a little.
+    async fn take(&mut self, batch: &Batch) -> bool {
+        let (outlived, stuck) = {
+            let mut reader = lock(&self.reader);
+            let (counts, position) = (reader.counts(), reader.position());
+            reader.take(batch);
+            self.metrics.add(counts, reader.counts());
+            let is_same = reader.position() == position;
+            let stuck = is_same && batch.next != position;
+            (reader.is_outlived_by(batch), stuck)
+        };
+        self.publish(batch);
+        let wants = lock(&self.reader).phase() == Phase::Gap;
+        if outlived || wants {
+            self.ask_peers().await;
+        }
+        !stuck && !outlived
+    }
+
+    /// Takes a peer's state if it is ahead.
+    async fn ask_peers(&self) {
+        let asked = timeout(SNAPSHOT_TIMEOUT, self.relay.snapshot()).await;
+        let Ok(Ok(snapshot)) = asked else { return };
+        let mut reader = lock(&self.reader);
+        if !reader.adopt(&snapshot) {
+            return;
         }
-        view.status = Status::Current;
-        self.to.send_replace(Arc::new(view));
+        self.metrics.snapshots_adopted.inc();
+        let (state, next) = (reader.state().clone(), reader.next());
+        drop(reader);
+        info!(
+            "took the state up to offset {next} from a peer: manifest version {}",
+            state.version()
+        );
+        self.send(|view| View {
+            state: state.clone(),
+            next,
+            ..view.clone()
+        });
     }
 
-    fn note_away(&self) {
-        self.to.send_if_modified(|held| {
-            if matches!(held.status, Status::Away(_)) {
-                return false;
+    fn publish(&self, batch: &Batch) {
+        let age = batch.relayed.map_or(Duration::ZERO, |relayed| relayed.age);
+        let now = Instant::now();
+        let seen = now.checked_sub(age).unwrap_or(now);
+        let (state, next, status) = {
+            let reader = lock(&self.reader);
+            let status = match reader.phase() {
+                _ if !is_fresh(batch) => Status::Away(seen),
+                Phase::Starting => Status::Starting,
+                Phase::Following | Phase::Short => Status::Current,
+                Phase::Gap => Status::Gap,
+                Phase::Restarted => Status::Restarted,
+            };
+            (reader.state().clone(), reader.next(), status)
+        };
+        self.metrics
+            .next
+            .set(i64::try_from(next).unwrap_or(i64::MAX));
+        let is_away = matches!(status, Status::Away(_));
+        self.metrics.away.set(is_away.into());
+        self.send(|view| View {
+            state: state.clone(),
+            next,
+            status,
+            seen: view.seen.max(Some(seen)),
+        });
+    }
+
+    fn publish_away(&self) {
+        self.metrics.away.set(1);
+        self.send(|view| {
+            let status = match view.status {
+                Status::Away(since) => Status::Away(since),
+                _ => Status::Away(Instant::now()),
+            };
+            View {
+                status,
+                ..view.clone()
             }
-            let mut view = View::clone(held);
-            view.status = Status::Away(Instant::now());
-            *held = Arc::new(view);
-            true
         });
     }
+
+    fn send(&self, change: impl Fn(&View) -> View) {
+        let view = change(&self.to.borrow());
+        let before = self.to.send_replace(Arc::new(view.clone()));
+        if std::mem::discriminant(&before.status) == std::mem::discriminant(&view.status) {
+            return;
+        }
+        match view.status {
+            Status::Current => info!("the log is followed from offset {}", view.next),
+            Status::Starting => {}
+            Status::Away(_) => warn!("neither the log nor a peer that reads it answers"),
+            Status::Gap => warn!("the log no longer keeps what follows offset {}", view.next),
+            Status::Restarted => warn!("the log lost records before offset {}", view.next),
+        }
+    }
+
+    /// Appends a snapshot in the background if one is due.
+    fn append_if_due(&mut self) {
+        let Some(writer) = self.settings.writer.clone() else {
+            return;
+        };
+        let now = Instant::now();
+        if !self.is_due(&writer, now) {
+            return;
+        }
+        self.tried_at = Some(now);
+        let snapshot = lock(&self.reader).checkpoint();
+        let record = Record {
+            id: Id {
+                writer: format!("{writer}/checkpoint").into(),
+                incarnation: snapshot.state.life,
+                sequence: snapshot.next,
+            },
+            body: Body::Snapshot(Box::new(snapshot)),
+        };
+        let Ok(bytes) = record.encode() else {
+            warn!("the state is too large for a snapshot; remove services or upstreams");
+            return;
+        };
+        let (log, metrics) = (self.log.clone(), self.metrics.clone());
+        self.append = Some(tokio::spawn(async move {
+            match log.append(STREAM, bytes).await {
+                Ok(_) => {
+                    metrics.snapshots_appended.inc();
+                }
+                Err(report) => metrics.fail_append(*report.current_context()),
+            }
+        }));
+    }
+
+    fn is_due(&mut self, writer: &DaemonName, now: Instant) -> bool {
+        let reader = lock(&self.reader);
+        if reader.snapshots() != self.snapshots {
+            self.snapshots = reader.snapshots();
+            self.snapshot_at = now;
+        }
+        let since = |holds: bool, since: Option<Instant>| holds.then(|| since.unwrap_or(now));
+        self.ahead_since = since(reader.is_ahead(), self.ahead_since);
+        self.stranded_since = since(reader.is_stranded(), self.stranded_since);
+        let is_busy = self.append.as_ref().is_some_and(|task| !task.is_finished());
+        let is_early = self
+            .tried_at
+            .is_some_and(|tried| now - tried < CHECKPOINT_PAUSE);
+        let is_unsure = matches!(reader.phase(), Phase::Starting | Phase::Short);
+        if is_busy || is_early || is_unsure || reader.state().manifest.is_none() {
+            return false;
+        }
+        let need = checkpoint::Need {
+            since: now - self.snapshot_at,
+            records: reader.since_snapshot(),
+            urgent: self.ahead_since.map(|since| now - since),
+            stranded: self.stranded_since.map(|since| now - since),
+        };
+        let spread = checkpoint::spread_of(writer, reader.next());
+        checkpoint::is_due(&need, self.settings.checkpoint_every, spread)
+    }
+}
+
+fn lock(reader: &Mutex<Reader>) -> MutexGuard<'_, Reader> {
+    reader.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn wait_of(reader: &Reader) -> Duration {
+    if reader.is_ahead() || reader.is_stranded() {
+        READ_WAIT_URGENT
+    } else {
+        READ_WAIT
+    }
+}
+
+/// Whether the peer that answered read the log itself not long ago.
+fn is_fresh(batch: &Batch) -> bool {
+    batch
+        .relayed
+        .is_none_or(|relayed| relayed.age <= RELAY_AGE_MAX)
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,7 +4,7 @@
 
 use crate::{Batch, Error, Log, Vm, VmList};
 use bytes::Bytes;
-use copperwell_keyspace::{id::LogOffset, record::SIZE_MAX};
+use copperwell_keyspace::{batch::base64_bytes, id::LogOffset, record::SIZE_MAX};
 use error_stack::{Report, ResultExt};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -188,7 +188,7 @@
             wait.as_millis()
         );
         let batch: Batch = self.get(&path, wait + self.call_timeout).await?;
-        batch.check(from)
+        check(batch, from)
     }
 }
 
@@ -199,31 +199,19 @@
     }
 }
 
-impl Batch {
-    /// Passes the batch on if it can be an answer to a read from `from`.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Invalid`] if offsets are not consecutive or lie outside of what was asked.
-    pub fn check(self, from: LogOffset) -> Result<Self, Report<Error>> {
-        let start = from.max(self.first);
-        let consecutive = self
-            .records
-            .iter()
-            .zip(start..)
-            .all(|(entry, offset)| entry.offset == offset);
-        let end = self.records.last().map_or(0, |entry| entry.offset + 1);
-        if consecutive && self.first <= self.next && end <= self.next {
-            return Ok(self);
-        }
-        let text = format!(
-            "records from {from} on were asked for, the answer has {} from {start} on, log {}..{}",
-            self.records.len(),
-            self.first,
-            self.next
-        );
-        Err(Report::new(Error::Invalid).attach(text))
+/// Passes a batch on if it can be an answer to a read from `from`.
+fn check(mut batch: Batch, from: LogOffset) -> Result<Batch, Report<Error>> {
+    batch.relayed = None;
+    if batch.answers(from) {
+        return Ok(batch);
     }
+    let text = format!(
+        "records from {from} on were asked for, the answer has {} of {}..{}",
+        batch.records.len(),
+        batch.first,
+        batch.next
+    );
+    Err(Report::new(Error::Invalid).attach(text))
 }
 
 /// How a call failed.
@@ -253,28 +241,3 @@
 fn surely_refused(status: StatusCode) -> bool {
     status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
 }
-
-/// Bytes as a base64 string in JSON.
-pub mod base64_bytes {
-    use base64::{Engine, engine::general_purpose::STANDARD};
-    use serde::{Deserialize, Deserializer, Serializer, de::Error};
-
-    /// Writes bytes.
-    ///
-    /// # Errors
-    ///
-    /// The serializer's own.
-    pub fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&STANDARD.encode(bytes))
-    }
-
-    /// Reads bytes.
-    ///
-    /// # Errors
-    ///
-    /// If the string is not base64.
-    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        STANDARD.decode(text).map_err(D::Error::custom)
-    }
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
+pub use copperwell_keyspace::batch::{Batch, Entry, Relayed};
 use copperwell_keyspace::{
     id::{DaemonName, DataCentreName, LogOffset},
     record::Snapshot,
@@ -12,6 +13,7 @@
 pub mod append;
 pub mod follow;
 pub mod http;
+pub mod metrics;
 
 /// An append-only log with streams.
 pub trait Log: Send + Sync + 'static {
@@ -85,27 +87,6 @@
     }
 }
 
-/// A part of a stream.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct Batch {
-    /// The first offset that the log still keeps.
-    pub first: LogOffset,
-    /// The offset that the next record will get.
-    pub next: LogOffset,
-    /// Records in order of offset; they may end before `next`.
-    pub records: Vec<Entry>,
-}
-
-/// A record as the log keeps it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Its position.
-    pub offset: LogOffset,
-    /// Its content.
-    #[serde(with = "http::base64_bytes")]
-    pub bytes: Vec<u8>,
-}
-
 /// A VM of the system.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -42,6 +42,7 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     stop: CancellationToken,
+    gone: CancellationToken,
 }
 
 impl Platform {
@@ -66,11 +67,18 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::new());
         let stop = CancellationToken::new();
-        tokio::spawn(accept(listener, shared.clone(), stop.clone()));
+        let gone = CancellationToken::new();
+        let guard = gone.clone().drop_guard();
+        let accepting = accept(listener, shared.clone(), stop.clone());
+        tokio::spawn(async move {
+            accepting.await;
+            drop(guard);
+        });
         Ok(Self {
             address,
             shared,
             stop,
+            gone,
         })
     }
 
@@ -85,6 +93,13 @@
         self.stop.cancel();
     }
 
+    /// Resolves when the listener is gone after [`Platform::stop`]; at once if it was not stopped.
+    pub async fn stopped(&self) {
+        if self.stop.is_cancelled() {
+            self.gone.cancelled().await;
+        }
+    }
+
     /// While down, connections are cut without an answer.
     pub fn set_down(&self, down: bool) {
         self.shared.faults.send_modify(|faults| faults.down = down);
@@ -297,6 +312,7 @@
             first: self.first,
             next: self.next(),
             records,
+            relayed: None,
         }
     }
 }
