--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -7,22 +7,29 @@
     time::Duration,
 };
 
-use super::{
-    FRAME_MAX, HandOver, Pong, Probe, Records, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient,
-};
-use copperwell_keyspace::{HashMap, LogOffset};
+use super::{FRAME_MAX, HandOver, Pong, Probe, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient};
+use crate::dial::Dial;
+use copperwell_keyspace::{HashMap, LogOffset, batch::Batch};
 use error_stack::{Report, ResultExt};
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use tarpc::{client, context::Context, serde_transport};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     time::{Instant, timeout_at},
 };
 use tokio_serde::formats::Bincode;
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::{
+    codec::LengthDelimitedCodec,
+    io::{InspectReader, InspectWriter},
+};
 
-/// Connections kept; the rest are closed after their call.
+/// Connections kept; the one that was used least lately makes room for another.
 const CONNECTIONS_MAX: usize = 256;
 
+/// Time after which an unused connection is closed.
+const IDLE: Duration = Duration::from_mins(1);
+
 /// Calls under way on one connection.
 const CALLS_MAX: usize = 64;
 
@@ -49,10 +56,37 @@
 
 impl std::error::Error for Error {}
 
+/// Counts what passes through control connections.
+#[derive(Debug, Clone, Default)]
+struct Traffic {
+    bytes: Counter,
+}
+
+impl Traffic {
+    fn count(&self, stream: TcpStream) -> impl AsyncRead + AsyncWrite + Unpin + use<> {
+        let received = self.bytes.clone();
+        let sent = self.bytes.clone();
+        let stream = InspectReader::new(stream, move |bytes: &[u8]| {
+            received.inc_by(bytes.len() as u64);
+        });
+        InspectWriter::new(stream, move |bytes: &[u8]| {
+            sent.inc_by(bytes.len() as u64);
+        })
+    }
+}
+
 /// Calls other daemons; cheap to clone, and clones share connections.
 #[derive(Debug, Clone, Default)]
 pub struct Client {
-    connections: Arc<Mutex<HashMap<SocketAddr, ControlClient>>>,
+    dial: Dial,
+    traffic: Traffic,
+    connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    client: ControlClient,
+    used: Instant,
 }
 
 impl Client {
@@ -62,6 +96,24 @@
         Self::default()
     }
 
+    /// A client without connections, which opens them as `dial` says.
+    #[must_use]
+    pub fn with_dial(dial: Dial) -> Self {
+        Self {
+            dial,
+            ..Self::default()
+        }
+    }
+
+    /// Registers the counters.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "control_client_bytes",
+            "Bytes sent and received on control connections that this daemon opened",
+            self.traffic.bytes.clone(),
+        );
+    }
+
     /// Probes a daemon.
     ///
     /// # Errors
@@ -101,7 +153,11 @@
     /// # Errors
     ///
     /// An [`Error`] if no answer came within [`TIMEOUT`].
-    pub async fn records(&self, to: SocketAddr, from: LogOffset) -> Result<Records, Report<Error>> {
+    pub async fn records(
+        &self,
+        to: SocketAddr,
+        from: LogOffset,
+    ) -> Result<Option<Batch>, Report<Error>> {
         self.call(to, TIMEOUT, async |client, context| {
             client.records(context, from).await
         })
@@ -185,36 +241,44 @@
         to: SocketAddr,
         deadline: Instant,
     ) -> Result<ControlClient, Report<Error>> {
-        if let Some(client) = self.lock().get(&to) {
-            return Ok(client.clone());
+        if let Some(connection) = self.lock().get_mut(&to) {
+            connection.used = Instant::now();
+            return Ok(connection.client.clone());
         }
-        let stream = timeout_at(deadline, TcpStream::connect(to))
+        let stream = timeout_at(deadline, self.dial.connect(to))
             .await
             .change_context(Error::Unreachable)
             .attach(to)?
             .change_context(Error::Unreachable)
             .attach(to)?;
-        // Without the option small calls are late, but they arrive.
-        let _ = stream.set_nodelay(true);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(FRAME_MAX)
-            .new_framed(stream);
+            .new_framed(self.traffic.count(stream));
         let transport = serde_transport::new(framed, Bincode::default());
         let mut config = client::Config::default();
         config.max_in_flight_requests = CALLS_MAX;
         let client = ControlClient::new(config, transport).spawn();
+        self.keep(to, client.clone());
+        Ok(client)
+    }
+
+    fn keep(&self, to: SocketAddr, client: ControlClient) {
+        let used = Instant::now();
         let mut connections = self.lock();
-        if connections.len() < CONNECTIONS_MAX {
-            connections.insert(to, client.clone());
+        connections.retain(|_, connection| connection.used.elapsed() < IDLE);
+        if connections.len() >= CONNECTIONS_MAX {
+            let oldest = connections.iter().min_by_key(|(_, kept)| kept.used);
+            let oldest = oldest.map(|(address, _)| *address);
+            connections.retain(|address, _| Some(*address) != oldest);
         }
-        Ok(client)
+        connections.insert(to, Connection { client, used });
     }
 
     fn forget(&self, to: SocketAddr) {
         self.lock().remove(&to);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, ControlClient>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
         self.connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use crate::dial::Dial;
 use copperwell_message::{HashMap, Head, Reason, Request, Response, Verdict};
 use peer::Peer;
 use prometheus_client::registry::Registry;
@@ -45,6 +46,12 @@
 /// do not hold up others.
 const LINK_WINDOW: u32 = STREAM_WINDOW * STREAMS_MAX;
 
+/// Bytes of header fields; a stream's own head carries none.
+const HEADERS_MAX: u32 = 4096;
+
+/// The path of every stream; it names the version of the messages.
+const PATH: &str = "/copperwell/requests/1";
+
 /// Sends requests to other daemons; cheap to clone, and clones share links.
 #[derive(Debug, Clone, Default)]
 pub struct Links {
@@ -55,6 +62,7 @@
 struct Shared {
     peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
     metrics: Metrics,
+    dial: Dial,
 }
 
 impl Links {
@@ -64,6 +72,18 @@
         Self::default()
     }
 
+    /// Links to nobody yet, which open connections as `dial` says.
+    #[must_use]
+    pub fn with_dial(dial: Dial) -> Self {
+        let shared = Shared {
+            dial,
+            ..Shared::default()
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
     /// Registers the counters.
     pub fn register(&self, registry: &mut Registry) {
         self.shared.metrics.register(registry);
@@ -130,7 +150,7 @@
         if peers.len() >= PEERS_MAX {
             return None;
         }
-        let peer = Arc::new(Peer::new(to));
+        let peer = Arc::new(Peer::new(self.shared.dial, to));
         peers.insert(to, peer.clone());
         Some(peer)
     }
@@ -142,3 +162,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// The head of a stream.
+fn request_head() -> http::Request<()> {
+    let mut head = http::Request::new(());
+    *head.method_mut() = http::Method::POST;
+    *head.uri_mut() = http::Uri::from_static(PATH);
+    head
+}
