--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -14,6 +14,7 @@
     Control, Failure,
     connection::{Connection, READY_LIMIT, Unanswered},
     order::{Fence, Fenced, Give, Held, Refusal, Release, Renew, header, path},
+    outgoing::Outgoing,
 };
 use bytes::Bytes;
 use copperwell_keyspace::{HashMap, Incarnation};
@@ -162,7 +163,7 @@
         &self,
         lane: &Lane,
         to: SocketAddr,
-        mut request: Request<Body>,
+        mut request: Request<Outgoing>,
         until: Instant,
     ) -> Result<Answer, Failure> {
         // While the turn is held, no more than `CONNECTIONS` are open.
@@ -299,12 +300,13 @@
 
     fn at(self, at: Instant) -> ClockHeader {
         // The answer was on its way when it was received, so the server's clock is ahead of this.
-        let ahead = at.saturating_duration_since(self.received);
-        let behind = self.received.saturating_duration_since(at);
-        let reading_ms = self
-            .reading_ms
-            .saturating_add(millis(ahead))
-            .saturating_sub(millis(behind).saturating_add(1));
+        let reading_ms = match at.checked_duration_since(self.received) {
+            Some(since) => self.reading_ms.saturating_add(millis(since)),
+            None => {
+                let before = millis(self.received.duration_since(at));
+                self.reading_ms.saturating_sub(before.saturating_add(1))
+            }
+        };
         ClockHeader {
             incarnation: self.incarnation,
             reading_ms,
@@ -331,8 +333,8 @@
     path: &str,
     body: Bytes,
     clock: Option<ClockHeader>,
-) -> Request<Body> {
-    let mut request = Request::new(Body::full(body));
+) -> Request<Outgoing> {
+    let mut request = Request::new(Outgoing::new(Body::full(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::try_from(path).unwrap_or_default();
     let headers = request.headers_mut();
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -2,8 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::traffic::{Metered, Traffic};
-use copperwell_message::Body;
+use crate::{
+    outgoing::Outgoing,
+    traffic::{Metered, Traffic},
+};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -24,7 +26,7 @@
 /// An open connection; dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Body>,
+    sender: SendRequest<Outgoing>,
     task: JoinHandle<()>,
     traffic: Arc<Traffic>,
     before: u64,
@@ -44,7 +46,7 @@
 #[derive(Debug)]
 pub(crate) enum Unanswered {
     /// The connection was closed before it took the request, which comes back unharmed.
-    Unused(Box<http::Request<Body>>),
+    Unused(Box<http::Request<Outgoing>>),
     /// The connection broke.
     Lost(hyper::Error),
     /// Nothing passed for the time limit.
@@ -117,13 +119,14 @@
     /// After an error the connection is of no more use.
     pub(crate) async fn send(
         &mut self,
-        request: http::Request<Body>,
+        request: http::Request<Outgoing>,
         silence: Duration,
         deadline: Instant,
     ) -> Result<http::Response<Incoming>, Unanswered> {
         self.before = self.traffic.written();
         self.sent_at = Instant::now();
         self.traffic.mark();
+        let stalled = request.body().stalled();
         let answer = self.sender.try_send_request(request);
         tokio::select! {
             biased;
@@ -132,7 +135,9 @@
                 None => Unanswered::Lost(error.into_error()),
             }),
             () = sleep_until(deadline) => Err(Unanswered::Late),
-            () = self.traffic.silent(silence) => Err(Unanswered::Silent),
+            () = self.traffic.silent_unless(silence, || stalled.is_stalled()) => {
+                Err(Unanswered::Silent)
+            }
         }
     }
 
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::order::{Order, header};
+use crate::{order::header, outgoing::Outgoing};
+use copperwell_keyspace::Epoch;
 use copperwell_message::{Body, Head, Reason, Repeat, Reply, Verdict};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri,
@@ -24,7 +25,7 @@
 pub(crate) fn head_of(
     to: SocketAddr,
     head: &Head,
-    order: Order,
+    epoch: Epoch,
 ) -> Result<request::Parts, Unsendable> {
     let (mut parts, ()) = Request::new(()).into_parts();
     parts.method = Method::from_bytes(head.method.as_bytes()).map_err(|_| Unsendable)?;
@@ -36,14 +37,12 @@
             parts.headers.append(name, value);
         }
     }
-    let deadline_ms = u64::try_from(order.deadline.as_millis()).unwrap_or(u64::MAX);
     let mut own = Own(&mut parts.headers);
     own.set(HOST.as_str(), to.to_string())?;
     own.set(header::SERVICE, head.service.as_str())?;
     own.set(header::KEY, encode_key(&head.key))?;
     own.set(header::SHARD, head.shard.to_string())?;
-    own.set(header::EPOCH, order.epoch.to_string())?;
-    own.set(header::DEADLINE, deadline_ms.to_string())?;
+    own.set(header::EPOCH, epoch.to_string())?;
     own.set(header::REQUEST, head.id.to_string())?;
     if let Repeat::Once(key) = head.repeat {
         own.set(header::IDEMPOTENCY, key.to_string())?;
@@ -52,11 +51,18 @@
 }
 
 /// Joins a head with a body; a head that gives a length keeps it for a streamed body.
-pub(crate) fn request_of(mut parts: request::Parts, body: Body) -> Request<Body> {
+pub(crate) fn request_of(mut parts: request::Parts, body: Body) -> Request<Outgoing> {
     if body.as_full().is_some() || !has_valid_length(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
     }
-    Request::from_parts(parts, body)
+    Request::from_parts(parts, Outgoing::new(body))
+}
+
+/// Tells the server how much time is left.
+pub(crate) fn set_deadline(request: &mut Request<Outgoing>, left: Duration) {
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let headers = request.headers_mut();
+    headers.insert(header::DEADLINE, HeaderValue::from(left_ms));
 }
 
 /// What a server says about a request that it did not run.
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -14,6 +14,7 @@
 mod exchange;
 pub mod metrics;
 pub mod order;
+mod outgoing;
 pub mod pool;
 mod traffic;
 
--- /dev/null
+++ b/crates/backend/src/outgoing.rs
@@ -0,0 +1,70 @@
+//! The body of a request on its way to a server.
+
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use copperwell_message::{Body, Severed};
+use http_body::{Frame, SizeHint};
+
+/// A body that shows whether it waits for its own source.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    body: Body,
+    stalled: Stalled,
+}
+
+/// Whether a body waits for its own source; clones share it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Stalled {
+    flag: Arc<AtomicBool>,
+}
+
+impl Stalled {
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.flag.load(Ordering::Acquire)
+    }
+}
+
+impl Outgoing {
+    pub(crate) fn new(body: Body) -> Self {
+        Self {
+            body,
+            stalled: Stalled::default(),
+        }
+    }
+
+    pub(crate) fn stalled(&self) -> Stalled {
+        self.stalled.clone()
+    }
+}
+
+impl http_body::Body for Outgoing {
+    type Data = Bytes;
+    type Error = Severed;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Severed>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        self.stalled
+            .flag
+            .store(frame.is_pending(), Ordering::Release);
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -238,7 +238,7 @@
         silence: Duration,
         deadline: Instant,
     ) -> Result<Response, Failed> {
-        let head = exchange::head_of(self.to, &request.head, order)
+        let head = exchange::head_of(self.to, &request.head, order.epoch)
             .map_err(|Unsendable| Failed::not_run(Reason::BadRequest))?;
         let mut request = exchange::request_of(head, request.body);
         loop {
@@ -248,6 +248,12 @@
                 Some(connection) => connection,
                 None => self.open(deadline).await?,
             };
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                self.put_back(connection);
+                return Err(Failed::not_run(Reason::DeadlineHopeless));
+            }
+            exchange::set_deadline(&mut request, left);
             match connection.send(request, silence, deadline).await {
                 Ok(response) => {
                     return self.receive(connection, response, silence, deadline).await;
@@ -256,7 +262,7 @@
                     self.metrics.resent.inc();
                     request = *unused;
                 }
-                Err(unanswered) => return Err(self.judge(connection, unanswered, deadline).await),
+                Err(unanswered) => return Err(self.judge(connection, unanswered).await),
             }
         }
     }
@@ -276,9 +282,6 @@
         let refused = Failed::not_run(Reason::ConnectionRefused);
         let permit = self.room.clone().try_acquire_owned().map_err(|_| refused)?;
         let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(Failed::not_run(Reason::DeadlineHopeless));
-        }
         let limit = left.min(self.timing.connect);
         self.connect(limit, permit).await.ok_or(refused)
     }
@@ -290,12 +293,7 @@
     }
 
     /// Closes a connection that gave no answer, and tells whether its request may have run.
-    async fn judge(
-        &self,
-        connection: Connection,
-        unanswered: Unanswered,
-        deadline: Instant,
-    ) -> Failed {
+    async fn judge(&self, connection: Connection, unanswered: Unanswered) -> Failed {
         let reason = match &unanswered {
             Unanswered::Unused(_) => Reason::ConnectionRefused,
             Unanswered::Lost(error) if error.is_user() => Reason::Cancelled,
@@ -314,7 +312,7 @@
         // Nothing left this machine.
         Failed::not_run(match reason {
             Reason::ConnectionLost | Reason::ConnectionSilent => Reason::ConnectionRefused,
-            Reason::DeadlinePassed if deadline <= Instant::now() => Reason::DeadlineHopeless,
+            Reason::DeadlinePassed => Reason::DeadlineHopeless,
             other => other,
         })
     }
--- a/crates/backend/src/traffic.rs
+++ b/crates/backend/src/traffic.rs
@@ -52,7 +52,15 @@
 
     /// Resolves when nothing has passed for `limit`.
     pub(crate) async fn silent(&self, limit: Duration) {
+        self.silent_unless(limit, || false).await;
+    }
+
+    /// Resolves when nothing has passed for `limit` and that is not this side's doing.
+    pub(crate) async fn silent_unless(&self, limit: Duration, excused: impl Fn() -> bool) {
         loop {
+            if excused() {
+                self.mark();
+            }
             let due = self.last_progress() + limit;
             if due <= Instant::now() {
                 return;
--- /dev/null
+++ b/crates/backend/tests/backend/main.rs
@@ -0,0 +1,5 @@
+//! The backend client against a stand-in server and a fault proxy.
+
+mod client;
+mod pool;
+mod setup;
--- /dev/null
+++ b/crates/backend/tests/backend/pool.rs
@@ -0,0 +1,408 @@
+//! Requests to a stand-in, and the verdict when they fail.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::setup::{
+    DEADLINE, EPOCH, SILENCE, Setup, echo, expect_failure, fence, post, post_for, until,
+};
+use copperwell_backend::{Control, order::header};
+use copperwell_message::{Body, Reason, Repeat, Severed, Verdict};
+use copperwell_standin::{
+    backend::{Options, record::Outcome},
+    proxy::{Accept, Direction, Proxy},
+};
+use test_case::test_case;
+use tokio::time::{Instant, sleep};
+use uuid::Uuid;
+
+const LONG: Duration = Duration::from_secs(10);
+
+/// A stand-in behind a proxy.
+async fn proxied(options: Options) -> (Setup, Proxy) {
+    let setup = Setup::new(options).await;
+    let proxy = Proxy::start(setup.server.address()).await.unwrap();
+    let setup = setup.through(proxy.address());
+    setup.pool.set_silence(&"calendar".into(), SILENCE);
+    (setup, proxy)
+}
+
+#[tokio::test]
+async fn request_gets_the_answer_to_itself() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let request = post(&[], Body::full("grit"));
+    let Repeat::Once(key) = request.head.repeat else {
+        unreachable!()
+    };
+    let echo = setup.expect_own_answer(request).await;
+    assert_eq!(echo.idempotency, Some(key.to_string()));
+    assert_eq!(echo.key, "cabin 17 č%");
+    assert_eq!(echo.path, "/book?day=3");
+    assert_eq!((echo.length, echo.count), (4, 1));
+    assert_eq!(setup.record.times_run(&key.to_string()), 1);
+}
+
+#[tokio::test]
+async fn answers_that_cross_reach_their_own_requests() {
+    let setup = Arc::new(Setup::new(Options::new("upstream-1")).await);
+    let mut tasks = tokio::task::JoinSet::new();
+    for i in 0..64_u64 {
+        let setup = setup.clone();
+        tasks.spawn(async move {
+            let time = Duration::from_millis(i * 7 % 13);
+            let echo = setup.expect_own_answer(post_for(time)).await;
+            assert_eq!(echo.length, 4);
+        });
+    }
+    tasks.join_all().await;
+    assert_eq!(setup.server.counts().running_max, 6);
+    assert!(setup.record.twice_run().is_empty());
+}
+
+#[tokio::test]
+async fn caller_cannot_set_the_fields_of_the_leader() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let forged = [(header::EPOCH, "999"), (header::SHARD, "5"), ("host", "x")];
+    setup
+        .expect_own_answer(post(&forged, Body::full("grit")))
+        .await;
+    assert_eq!(setup.record.runs()[0].epoch, EPOCH);
+}
+
+#[tokio::test]
+async fn answer_names_the_run_of_its_server() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let response = setup.forward(post(&[], Body::empty())).await;
+    let incarnation = setup.server.incarnation().unwrap().to_string();
+    let named = response
+        .reply
+        .headers
+        .iter()
+        .find(|(name, _)| name == header::INCARNATION);
+    assert_eq!(
+        named.map(|(_, value)| &value[..]),
+        Some(incarnation.as_bytes())
+    );
+}
+
+#[tokio::test]
+async fn streamed_body_arrives_whole() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let (to, body) = Body::channel();
+    let send = async {
+        for _ in 0..100 {
+            to.send(vec![7; 10_000]).await.unwrap();
+        }
+        to.end().await;
+    };
+    let (echo, ()) = tokio::join!(setup.expect_own_answer(post(&[], body)), send);
+    assert_eq!(echo.length, 1_000_000);
+}
+
+#[tokio::test]
+async fn slow_caller_is_not_taken_for_a_silent_server() {
+    let (setup, _proxy) = proxied(Options::new("upstream-1")).await;
+    let (to, body) = Body::channel();
+    let send = async {
+        to.send("grit").await.unwrap();
+        sleep(3 * SILENCE).await;
+        to.end().await;
+    };
+    let (echo, ()) = tokio::join!(setup.expect_own_answer(post(&[], body)), send);
+    assert_eq!(echo.length, 4);
+}
+
+#[tokio::test]
+async fn caller_that_cuts_its_body_short_runs_nothing() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let (to, body) = Body::channel();
+    let send = async {
+        to.send("grit").await.unwrap();
+        drop(to);
+    };
+    let (response, ()) = tokio::join!(setup.forward(post(&[], body)), send);
+    assert_ne!(response.reply.verdict, Verdict::Done);
+    assert_eq!(response.reply.reason, Some(Reason::Cancelled));
+    assert!(setup.record.runs().is_empty());
+}
+
+#[tokio::test]
+async fn large_answer_is_streamed_whole() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let request = post(&[("x-standin-padding", "50000000")], Body::empty());
+    let response = setup.forward(request).await;
+    assert!(response.body.as_full().is_none());
+    assert_eq!(echo(response).await.padding.len(), 50_000_000);
+    until(|| setup.pool.open_connections(setup.upstream.address) > 0).await;
+    setup.expect_own_answer(post(&[], Body::empty())).await;
+    assert_eq!(setup.record.runs().len(), 2);
+}
+
+#[test_case(Accept::Refuse)]
+#[test_case(Accept::Close)]
+#[tokio::test]
+async fn server_that_takes_no_connection_ran_nothing(accept: Accept) {
+    let (setup, proxy) = proxied(Options::new("upstream-1")).await;
+    proxy.accept(accept);
+    if accept == Accept::Refuse {
+        // The listener closes soon after it is told.
+        while tokio::net::TcpStream::connect(proxy.address())
+            .await
+            .is_ok()
+        {}
+    }
+    let response = setup.forward(post(&[], Body::full("grit"))).await;
+    if accept == Accept::Refuse {
+        expect_failure(&response, Verdict::NotRun, Reason::ConnectionRefused);
+    }
+    assert_ne!(response.reply.verdict, Verdict::Done);
+    assert!(setup.record.runs().is_empty());
+}
+
+#[tokio::test]
+async fn full_pool_refuses_without_sending() {
+    let mut options = Options::new("upstream-1");
+    options.connections = 5;
+    let setup = Setup::new(options).await;
+    let first = setup.forward(post_for(LONG));
+    let second = async {
+        until(|| setup.server.counts().running == 1).await;
+        setup.forward(post(&[], Body::full("grit"))).await
+    };
+    let response = tokio::select! {
+        _ = first => panic!("the first request still runs"),
+        response = second => response,
+    };
+    expect_failure(&response, Verdict::NotRun, Reason::ConnectionRefused);
+    assert_eq!(setup.record.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn head_that_cannot_be_sent_is_refused() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let mut request = post(&[], Body::empty());
+    request.head.method = "NO METHOD".into();
+    let response = setup.forward(request).await;
+    expect_failure(&response, Verdict::NotRun, Reason::BadRequest);
+}
+
+#[tokio::test]
+async fn connection_lost_while_the_request_runs() {
+    let (setup, proxy) = proxied(Options::new("upstream-1")).await;
+    setup.pool.set_silence(&"calendar".into(), LONG);
+    let request = setup.forward(post_for(LONG));
+    let reset = async {
+        until(|| setup.server.counts().running == 1).await;
+        proxy.reset();
+    };
+    let (response, ()) = tokio::join!(request, reset);
+    expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionLost);
+    assert_eq!(setup.record.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn server_crashed_by_the_request() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let request = post(&[("x-standin", "crash")], Body::full("grit"));
+    let response = setup.forward(request).await;
+    expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionLost);
+    assert_eq!(setup.record.runs()[0].outcome, Outcome::Crashed);
+    let response = setup.forward(post(&[], Body::full("grit"))).await;
+    expect_failure(&response, Verdict::NotRun, Reason::ConnectionRefused);
+}
+
+#[tokio::test]
+async fn frozen_server_may_have_run_the_request() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    setup.pool.set_silence(&"calendar".into(), SILENCE);
+    setup.server.freeze();
+    let response = setup.forward(post(&[], Body::full("grit"))).await;
+    expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionSilent);
+}
+
+#[tokio::test]
+async fn silent_connection_is_replaced_by_a_fresh_one() {
+    let (setup, proxy) = proxied(Options::new("upstream-1")).await;
+    setup.pool.warm(&setup.upstream).await;
+    setup.expect_own_answer(post(&[], Body::full("grit"))).await;
+    proxy.hush();
+    let response = setup.forward(post(&[], Body::full("grit"))).await;
+    expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionSilent);
+    // The other warm connections were silenced too, and must not be tried one by one.
+    setup.expect_own_answer(post(&[], Body::full("grit"))).await;
+}
+
+#[tokio::test]
+async fn one_way_cut_is_silence() {
+    let (setup, proxy) = proxied(Options::new("upstream-1")).await;
+    proxy.cut(Direction::FromTarget);
+    let response = setup.forward(post(&[], Body::full("grit"))).await;
+    expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionSilent);
+    assert_eq!(setup.record.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn late_answer_reaches_nobody() {
+    let mut options = Options::new("upstream-1");
+    options.slots = 1;
+    let setup = Setup::new(options).await;
+    setup.server.delay_answers(2 * SILENCE);
+    let response = setup
+        .forward_within(SILENCE, post(&[], Body::full("late")))
+        .await;
+    expect_failure(&response, Verdict::MayHaveRun, Reason::DeadlinePassed);
+    setup.server.delay_answers(Duration::ZERO);
+    for _ in 0..10 {
+        setup.expect_own_answer(post(&[], Body::full("grit"))).await;
+    }
+}
+
+#[tokio::test]
+async fn deadline_that_has_passed_sends_nothing() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let request = post(&[], Body::full("grit"));
+    let response = setup.forward_within(Duration::ZERO, request).await;
+    assert_eq!(response.reply.verdict, Verdict::NotRun);
+    assert!(setup.record.runs().is_empty());
+}
+
+#[tokio::test]
+async fn server_that_was_fenced_since_refuses() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let to = setup.server.address();
+    setup.client.fence(to, &fence(EPOCH + 1)).await.unwrap();
+    let response = setup.forward(post(&[], Body::full("grit"))).await;
+    expect_failure(&response, Verdict::NotRun, Reason::Fenced);
+    assert!(setup.record.runs().is_empty());
+}
+
+#[tokio::test]
+async fn server_without_the_grant_refuses() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    setup.pool.warm(&setup.upstream).await;
+    let mut request = post(&[], Body::full("grit"));
+    request.head.shard = 1;
+    let response = setup.forward(request).await;
+    expect_failure(&response, Verdict::NotRun, Reason::Fenced);
+    assert!(setup.record.runs().is_empty());
+    // The refusal costs no connection.
+    assert_eq!(setup.pool.open_connections(setup.upstream.address), 2);
+}
+
+#[tokio::test]
+async fn shedding_server_says_when_to_come_back() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    setup.server.shed(true);
+    let response = setup.forward(post(&[], Body::full("grit"))).await;
+    expect_failure(&response, Verdict::NotRun, Reason::Shed);
+    assert_eq!(response.reply.retry_after, Some(Duration::from_secs(1)));
+    assert!(setup.record.runs().is_empty());
+}
+
+#[tokio::test]
+async fn half_of_a_small_answer_is_no_answer() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let request = post(&[("x-standin", "half")], Body::full("grit"));
+    let response = setup.forward(request).await;
+    expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionLost);
+}
+
+#[tokio::test]
+async fn half_of_a_large_answer_is_severed() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let fields = [("x-standin", "half"), ("x-standin-padding", "1000000")];
+    let response = setup.forward(post(&fields, Body::full("grit"))).await;
+    assert_eq!(response.reply.verdict, Verdict::Done);
+    assert_eq!(response.body.collect(1 << 24).await, Err(Severed));
+    setup.expect_own_answer(post(&[], Body::full("grit"))).await;
+}
+
+#[test_case(true; "reset")]
+#[test_case(false; "silent")]
+#[tokio::test]
+async fn answer_that_breaks_off_is_severed(reset: bool) {
+    let (setup, proxy) = proxied(Options::new("upstream-1")).await;
+    let request = post(&[("x-standin-padding", "100000000")], Body::empty());
+    let mut response = setup.forward(request).await;
+    response.body.chunk().await.unwrap().unwrap();
+    if reset {
+        proxy.reset();
+    } else {
+        proxy.hush();
+    }
+    assert_eq!(response.body.collect(usize::MAX).await, Err(Severed));
+}
+
+#[tokio::test]
+async fn caller_that_leaves_cancels_its_request() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    tokio::select! {
+        _ = setup.forward(post_for(LONG)) => panic!("the request still runs"),
+        () = until(|| setup.server.counts().running == 1) => {}
+    }
+    until(|| setup.server.counts().cancelled == 1).await;
+    assert_eq!(setup.record.runs()[0].outcome, Outcome::Cancelled);
+}
+
+#[tokio::test]
+async fn caller_that_leaves_during_the_answer_closes_the_connection() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let request = post(&[("x-standin-padding", "100000000")], Body::empty());
+    let mut response = setup.forward(request).await;
+    response.body.chunk().await.unwrap().unwrap();
+    drop(response);
+    let to = setup.upstream.address;
+    // What stays open is the warm minimum.
+    until(|| setup.pool.open_connections(to) <= 2).await;
+    setup.expect_own_answer(post(&[], Body::empty())).await;
+}
+
+#[tokio::test]
+async fn idle_connections_of_an_earlier_run_cost_nothing() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    for _ in 0..20 {
+        setup.expect_own_answer(post(&[], Body::full("grit"))).await;
+        setup.server.restart().await.unwrap();
+        setup.own().await;
+        let id = Uuid::now_v7();
+        let mut request = post(&[], Body::full("grit"));
+        request.head.repeat = Repeat::Once(id);
+        let response = setup.forward(request).await;
+        match response.reply.verdict {
+            Verdict::Done => assert_eq!(setup.record.times_run(&id.to_string()), 1),
+            Verdict::NotRun => assert_eq!(setup.record.times_run(&id.to_string()), 0),
+            Verdict::MayHaveRun => {}
+        }
+    }
+    assert!(setup.record.twice_run().is_empty());
+}
+
+#[tokio::test]
+async fn pool_keeps_below_the_declared_connections() {
+    let mut options = Options::new("upstream-1");
+    options.connections = 12;
+    options.slots = 64;
+    let setup = Arc::new(Setup::new(options).await);
+    let mut tasks = tokio::task::JoinSet::new();
+    for _ in 0..50 {
+        let setup = setup.clone();
+        tasks.spawn(async move { setup.forward(post_for(SILENCE)).await.reply.verdict });
+    }
+    let verdicts = tasks.join_all().await;
+    let done = verdicts.iter().filter(|verdict| **verdict == Verdict::Done);
+    assert_eq!(done.count(), 8);
+    assert_eq!(setup.record.runs().len(), 8);
+    assert!(setup.pool.open_connections(setup.upstream.address) <= 8);
+}
+
+#[tokio::test]
+async fn warm_connections_are_there_before_the_first_request() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let before = setup.server.counts().connections;
+    setup.pool.warm(&setup.upstream).await;
+    assert_eq!(setup.pool.open_connections(setup.upstream.address), 2);
+    until(|| setup.server.counts().connections == before + 2).await;
+    let start = Instant::now();
+    setup.expect_own_answer(post(&[], Body::empty())).await;
+    assert!(start.elapsed() < DEADLINE);
+    assert_eq!(setup.server.counts().connections, before + 2);
+}
