--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -8,7 +8,12 @@
 };
 
 use crate::{
-    admin, appointer, core::Core, metrics::Metrics, network::Way, relay::Peers, settings::Settings,
+    admin, appointer, confirm,
+    core::Core,
+    metrics::Metrics,
+    network::Way,
+    relay::Peers,
+    settings::{Advertise, Settings},
     stop, watch,
 };
 use copperwell_backend::{client::Client as Servers, pool::Pool};
@@ -18,6 +23,7 @@
 use copperwell_ownership::Groups;
 use copperwell_peer::{
     control::{self, Client},
+    dial::Dial,
     link::{self, Links},
     members::Members,
 };
@@ -84,8 +90,10 @@
         let callers = listeners.callers.local_addr().change_context(Error)?;
         let mut registry = Registry::with_prefix("copperwell");
 
-        let client = Client::new();
-        let links = Links::new();
+        let dial = dial(&settings);
+        let client = Client::with_dial(dial);
+        client.register(&mut registry);
+        let links = Links::with_dial(dial);
         links.register(&mut registry);
         let members = Members::new(me.clone(), settings.seeds.clone(), client.clone());
         let log = Arc::new(http::Client::new(settings.platform.log));
@@ -95,13 +103,15 @@
 
         let table = Arc::new(Table::new());
         let pool = Arc::new(Pool::new());
+        pool.metrics().register(&mut registry);
         let (engine, observations) = Engine::new(pool, table.clone());
+        engine.register(&mut registry);
         let engine = Arc::new(engine);
         let way = Arc::new(Way::new(me.clone(), engine.clone(), links.clone()));
         let (events_to, events) = mpsc::channel(EVENTS);
         let (moves_to, moves) = mpsc::channel(MOVES);
         let servers = Arc::new(Servers::new());
-        let groups = Groups::new(me.clone(), servers, table, events_to, &mut registry);
+        let groups = Groups::new(me.clone(), servers, table.clone(), events_to, &mut registry);
         let metrics = Metrics::new(&mut registry);
         let ingress_metrics = metrics::Metrics::new(&mut registry);
 
@@ -111,6 +121,7 @@
             members: members.clone(),
             groups,
             engine: engine.clone(),
+            table,
             way: way.clone(),
             metrics,
             leaving: AtomicBool::new(false),
@@ -125,6 +136,7 @@
             head_bytes: settings.callers.head_bytes,
         };
         let ingress = Arc::new(Ingress::new(way, ingress_metrics));
+        let log_reader = log.clone();
         let appender = Appender::new(log, follower.view(), me.name.clone(), me.incarnation);
         let request_server =
             link::serve_with_relay(listeners.requests, engine, links, serving.clone());
@@ -157,7 +169,13 @@
         spawn_until(&running, watch::states(core.clone()));
         spawn_until(&running, watch::members(core.clone()));
         spawn_until(&running, watch::vms(core.clone(), vms));
-        spawn_until(&running, watch::events(core.clone(), events, moves_to));
+        spawn_until(&running, watch::events(events, moves_to));
+        spawn_until(
+            &running,
+            confirm::run(core.clone(), client.clone(), log_reader),
+        );
+        spawn_until(&running, watch::load(core.clone()));
+        spawn_until(&running, watch::contact(core.clone()));
         spawn_until(&running, watch::observations(core.clone(), observations));
         spawn_until(&running, appointer::run(core.clone(), appender, moves));
 
@@ -228,20 +246,21 @@
     }
 
     fn member(&self, settings: &Settings) -> io::Result<Member> {
-        let reached = |listener: &TcpListener| {
-            let mut address = listener.local_addr()?;
-            if let Some(ip) = settings.advertise {
-                address.set_ip(ip);
-            }
-            Ok::<_, io::Error>(address)
+        let advertise = match settings.advertise {
+            Some(advertise) => advertise,
+            None => Advertise {
+                requests: self.requests.local_addr()?,
+                control: self.control.local_addr()?,
+                admin: self.admin.local_addr()?,
+            },
         };
         Ok(Member {
             name: settings.name.clone(),
             incarnation: incarnation(),
             data_centre: settings.data_centre.clone(),
-            control: reached(&self.control)?,
-            requests: reached(&self.requests)?,
-            admin: reached(&self.admin)?,
+            control: advertise.control,
+            requests: advertise.requests,
+            admin: advertise.admin,
         })
     }
 }
@@ -263,6 +282,16 @@
     u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Connections to other daemons leave from the address that they know this one by.
+fn dial(settings: &Settings) -> Dial {
+    let own = settings.listen.control.ip();
+    if own.is_unspecified() {
+        Dial::new()
+    } else {
+        Dial::new().with_source(own)
+    }
+}
+
 fn spawn_until(
     running: &CancellationToken,
     task: impl Future<Output = ()> + Send + 'static,
--- a/crates/copperwelld/src/stop.rs
+++ b/crates/copperwelld/src/stop.rs
@@ -4,7 +4,7 @@
 
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
-use copperwell_keyspace::{GroupId, Member};
+use copperwell_keyspace::{GroupId, Member, ShardIndex, manifest};
 use copperwell_peer::control::{Client, HandOver};
 use spdlog::info;
 use tokio::time::timeout;
@@ -30,12 +30,9 @@
     let Some(epoch) = core.groups.hand_over(group).await else {
         return;
     };
-    let state = core.state();
-    let owners = state.owners.get(&group.service);
-    let shards = owners.map(|owners| copperwell_keyspace::manifest::shards_of(owners, group));
     let window = core
         .engine
-        .window_export(&group.service, &shards.unwrap_or_default());
+        .window_export(&group.service, &shards_of(core, group));
     let message = HandOver {
         group: group.clone(),
         epoch,
@@ -53,3 +50,11 @@
 fn standby_of<C: Control, F: Forward>(core: &Core<C, F>, group: &GroupId) -> Option<Member> {
     core.state().groups.get(group)?.standby.clone()
 }
+
+fn shards_of<C: Control, F: Forward>(core: &Core<C, F>, group: &GroupId) -> Vec<ShardIndex> {
+    let state = core.state();
+    let owners = state.owners.get(&group.service);
+    owners
+        .map(|owners| manifest::shards_of(owners, group))
+        .unwrap_or_default()
+}
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -5,8 +5,10 @@
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::Observation;
-use copperwell_keyspace::{DaemonName, HashSet, record::Move, replay::State};
-use copperwell_ownership::{Event, Evidence};
+use copperwell_keyspace::{
+    DaemonName, HashMap, HashSet, Member, ServiceName, record::Move, replay::State,
+};
+use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
     control::Position,
     members::{self as membership},
@@ -24,6 +26,12 @@
 /// How often the platform's list of VMs is read.
 const VMS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often the groups are told when the log was last seen.
+const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often the shards' requests are counted.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Passes each new agreed state on.
 pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
     let mut view = core.view.clone();
@@ -69,18 +77,14 @@
 }
 
 /// Handles what the groups tell.
-pub(crate) async fn events<C: Control, F: Forward>(
-    core: Arc<Core<C, F>>,
-    mut events: mpsc::Receiver<Event>,
-    moves: mpsc::Sender<Move>,
-) {
+pub(crate) async fn events(mut events: mpsc::Receiver<Event>, moves: mpsc::Sender<Move>) {
     while let Some(event) = events.recv().await {
         match event {
-            Event::Led { group, epoch } => {
+            Event::Led { group, epoch, .. } => {
                 let group = group.to_string();
                 info!("leading", kv: { group, epoch });
             }
-            Event::SteppedDown { group, epoch } => {
+            Event::SteppedDown { group, epoch, .. } => {
                 let group = group.to_string();
                 info!("stepped down", kv: { group, epoch });
             }
@@ -92,13 +96,49 @@
     }
 }
 
+/// Tells the groups when the log was last seen, by this daemon or by a peer.
+pub(crate) async fn contact<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+    loop {
+        sleep(CONTACT_INTERVAL).await;
+        if let Some(seen) = core.members.log_seen() {
+            core.groups.evidence(Evidence::Contact(seen));
+        }
+    }
+}
+
+/// Tells the groups which shards are asked for.
+pub(crate) async fn load<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+    let mut before: HashMap<ServiceName, Vec<u64>> = HashMap::default();
+    loop {
+        sleep(LOAD_INTERVAL).await;
+        let state = core.state();
+        let services = state
+            .manifest
+            .iter()
+            .flat_map(|manifest| &manifest.services);
+        for service in services {
+            let now = core.table.requests(&service.name);
+            let last = before.entry(service.name.clone()).or_default();
+            last.resize(now.len(), 0);
+            for (shard, (now, last)) in (0..).zip(now.iter().zip(&*last)) {
+                let more = now.saturating_sub(*last);
+                if more > 0 {
+                    let more = u32::try_from(more).unwrap_or(u32::MAX);
+                    core.groups.load(&service.name, shard, more);
+                }
+            }
+            *last = now;
+        }
+    }
+}
+
 /// Passes on what the request engine saw of upstreams.
 pub(crate) async fn observations<C: Control, F: Forward>(
     core: Arc<Core<C, F>>,
     mut observations: mpsc::Receiver<Observation>,
 ) {
     while let Some(observation) = observations.recv().await {
-        core.groups.observe(&observation);
+        core.groups.observe(&translate(observation));
     }
 }
 
@@ -113,11 +153,29 @@
         }
         membership::Event::Replaced { old, .. } => {
             core.groups.suspect(&old.name);
-            core.groups.evidence(&Evidence::Replaced(old));
+            core.groups.evidence(stopped(old));
         }
         membership::Event::Gone(member) => {
             core.groups.suspect(&member.name);
-            core.groups.evidence(&Evidence::Gone(member));
+            core.groups.evidence(stopped(member));
+        }
+    }
+}
+
+fn stopped(member: Member) -> Evidence {
+    Evidence::Stopped {
+        daemon: member.name,
+        incarnation: member.incarnation,
+    }
+}
+
+fn translate(observation: Observation) -> ownership::Observation {
+    match observation {
+        Observation::Fenced {
+            service, upstream, ..
+        } => ownership::Observation::Fenced { service, upstream },
+        Observation::Unreachable { service, upstream } => {
+            ownership::Observation::Unreachable { service, upstream }
         }
     }
 }
