Refuse at once where a peer was just found unreachable

Cause: each request to an unreachable daemon waited for its own try to connect.

Change: after a failed try, the next ones are made in the background. Silent links no longer count against those that take requests.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -3,7 +3,8 @@
 //! A stream's body starts with a bincode message (see `wire`), and the request's or response's body
 //! follows. A body of unknown length is whole only if trailers end it; a reset severs it.
 //!
-//! Lock order: the table of peers, then one peer's links. No lock is held across an await.
+//! Lock order: the table of peers, then one peer's links or its last failure. Only the lock that lets
+//! one link to a peer be made at a time is held across an await.
 
 use std::{
     net::SocketAddr,
@@ -27,7 +28,7 @@
 mod pump;
 mod server;
 
-/// Links to one peer.
+/// Links to one peer that take requests; as many more may be in doubt.
 pub const LINKS_MAX: usize = 4;
 
 /// Requests in flight on one link.
@@ -46,6 +47,14 @@
 /// do not hold up others.
 const LINK_WINDOW: u32 = STREAM_WINDOW * STREAMS_MAX;
 
+/// Bookkeeping of small frames that wait for slow readers, in bytes by the h2 library's measure;
+/// beyond it the library closes the link.
+const FRAMES_BUDGET: usize = 64 << 20;
+
+/// Requests given up by their caller before the server looked at them; beyond it the library
+/// closes the link.
+const GIVEN_UP_MAX: usize = 4096;
+
 /// Bytes of header fields; a stream's own head carries none.
 const HEADERS_MAX: u32 = 4096;
 
--- a/crates/peer/src/link/connection.rs
+++ b/crates/peer/src/link/connection.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    HEADERS_MAX, LINK_WINDOW, STREAM_WINDOW, STREAMS_MAX,
+    FRAMES_BUDGET, HEADERS_MAX, LINK_WINDOW, STREAM_WINDOW, STREAMS_MAX,
     keepalive::{End, Pulse},
     metrics::Metrics,
     pump,
@@ -78,6 +78,8 @@
             .initial_connection_window_size(LINK_WINDOW)
             .initial_max_send_streams(STREAMS_MAX as usize)
             .max_concurrent_reset_streams(STREAMS_MAX as usize)
+            .max_local_error_reset_streams(None)
+            .data_frame_budget(FRAMES_BUDGET)
             .max_send_buffer_size(STREAM_WINDOW as usize)
             .max_header_list_size(HEADERS_MAX)
             .enable_push(false)
--- a/crates/peer/src/link/peer.rs
+++ b/crates/peer/src/link/peer.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use super::{
@@ -26,14 +27,19 @@
 /// Requests in flight on the least loaded link that make one more worthwhile.
 const LOAD_HIGH: u32 = 32;
 
+/// Time after a failed try for which requests do not wait for the next one.
+const DOWN: Duration = Duration::from_secs(1);
+
 /// A daemon and the links to it.
 #[derive(Debug)]
 pub(super) struct Peer {
     dial: Dial,
     address: SocketAddr,
     links: Mutex<Vec<Arc<Connection>>>,
-    /// Held while a link is made; remembers when that failed last.
-    failed: AsyncMutex<Option<Instant>>,
+    /// Held while a link is made.
+    connecting: AsyncMutex<()>,
+    /// When the last try to make a link failed; `None` if it succeeded.
+    failed: Mutex<Option<Instant>>,
 }
 
 /// What to do for the next request.
@@ -52,7 +58,8 @@
             dial,
             address,
             links: Mutex::default(),
-            failed: AsyncMutex::default(),
+            connecting: AsyncMutex::default(),
+            failed: Mutex::default(),
         }
     }
 
@@ -82,14 +89,15 @@
     fn choose(&self) -> Choice {
         let mut links = self.links();
         links.retain(|link| !link.is_closed());
-        let usable = links.iter().filter(|link| link.is_usable());
-        let least = usable.min_by_key(|link| link.load());
+        let usable: Vec<_> = links.iter().filter(|link| link.is_usable()).collect();
+        let least = usable.iter().min_by_key(|link| link.load());
         if let Some(link) = least
             && let Some(load) = link.enter()
         {
-            return Choice::Take(link.clone(), load);
+            return Choice::Take(Arc::clone(link), load);
         }
-        if links.len() < LINKS_MAX {
+        // Links that went silent make room for fresh ones before they are given up.
+        if usable.len() < LINKS_MAX && links.len() < 2 * LINKS_MAX {
             Choice::Connect
         } else {
             Choice::Full
@@ -108,47 +116,63 @@
         let peer = self.clone();
         let metrics = metrics.clone();
         tokio::spawn(async move {
-            let Ok(mut failed) = peer.failed.try_lock() else {
+            let Ok(_connecting) = peer.connecting.try_lock() else {
                 return;
             };
             if peer.links().len() < LINKS_MAX {
                 // The links that there are go on without it.
-                let _ = peer.add(&mut failed, &metrics).await;
+                let _ = peer.add(&metrics).await;
             }
         });
     }
 
     /// Makes a link; those that wait meanwhile share the outcome.
-    async fn connect(&self, metrics: &Metrics) -> Result<(Arc<Connection>, Load), Reason> {
+    ///
+    /// While the daemon cannot be reached, one try after the other is made in the background, and
+    /// requests do not wait for them.
+    async fn connect(
+        self: &Arc<Self>,
+        metrics: &Metrics,
+    ) -> Result<(Arc<Connection>, Load), Reason> {
         let asked = Instant::now();
-        let mut failed = self.failed.lock().await;
-        if failed.is_some_and(|at| at >= asked) {
+        if self.failed_since(asked.checked_sub(DOWN)) {
+            self.grow(metrics);
             return Err(Reason::ConnectionRefused);
         }
+        let _connecting = self.connecting.lock().await;
         if let Choice::Take(link, load) = self.choose() {
             return Ok((link, load));
         }
-        let link = self.add(&mut failed, metrics).await?;
+        if self.failed_since(Some(asked)) {
+            return Err(Reason::ConnectionRefused);
+        }
+        let link = self.add(metrics).await?;
         let load = link.enter().ok_or(Reason::QueueFull)?;
         Ok((link, load))
     }
 
-    async fn add(
-        &self,
-        failed: &mut Option<Instant>,
-        metrics: &Metrics,
-    ) -> Result<Arc<Connection>, Reason> {
+    async fn add(&self, metrics: &Metrics) -> Result<Arc<Connection>, Reason> {
         let connecting = Connection::connect(self.dial, self.address, metrics.clone());
-        let Ok(Ok(link)) = timeout(CONNECT_TIMEOUT, connecting).await else {
-            *failed = Some(Instant::now());
+        let connected = timeout(CONNECT_TIMEOUT, connecting).await;
+        let Ok(Ok(link)) = connected else {
+            *self.failed() = Some(Instant::now());
             return Err(Reason::ConnectionRefused);
         };
-        *failed = None;
+        *self.failed() = None;
         metrics.count_opened();
         self.links().push(link.clone());
         Ok(link)
     }
 
+    /// Whether the last try to make a link failed, at `since` or later.
+    fn failed_since(&self, since: Option<Instant>) -> bool {
+        self.failed().is_some_and(|failed| Some(failed) >= since)
+    }
+
+    fn failed(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.failed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn links(&self) -> MutexGuard<'_, Vec<Arc<Connection>>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/peer/src/link/server.rs
+++ b/crates/peer/src/link/server.rs
@@ -3,7 +3,7 @@
 use std::{future::poll_fn, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    HEADERS_MAX, LINK_WINDOW, Links, STREAM_WINDOW, STREAMS_MAX,
+    FRAMES_BUDGET, GIVEN_UP_MAX, HEADERS_MAX, LINK_WINDOW, Links, STREAM_WINDOW, STREAMS_MAX,
     keepalive::{End, Pulse},
     pump,
 };
@@ -124,7 +124,9 @@
             .initial_connection_window_size(LINK_WINDOW)
             .max_concurrent_streams(STREAMS_MAX)
             .max_concurrent_reset_streams(STREAMS_MAX as usize)
-            .max_pending_accept_reset_streams(STREAMS_MAX as usize)
+            .max_pending_accept_reset_streams(GIVEN_UP_MAX)
+            .max_local_error_reset_streams(None)
+            .data_frame_budget(FRAMES_BUDGET)
             .max_send_buffer_size(STREAM_WINDOW as usize)
             .max_header_list_size(HEADERS_MAX)
             .handshake(stream);
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -164,6 +164,22 @@
     assert_eq!(verdict(&response), expected);
 }
 
+#[tokio::test]
+async fn requests_do_not_wait_for_a_peer_that_was_found_unreachable() {
+    let (silent, to) = listen().await;
+    let links = Links::new();
+    let expected = (Verdict::NotRun, Some(Reason::ConnectionRefused));
+    let first = links.send(to, request(Body::empty())).await;
+    assert_eq!(verdict(&first), expected);
+    // The second would succeed if it waited: the peer answers from here on.
+    tokio::spawn(serve(silent, Echo, CancellationToken::new()));
+    let second = links.send(to, request(Body::empty())).await;
+    assert_eq!(verdict(&second), expected);
+    while links.send(to, request(Body::empty())).await.reply.verdict != Verdict::Done {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[tokio::test]
 async fn answer_cut_short_is_severed() {
     let (handler, mut handed) = hand();
