--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -29,8 +29,8 @@
 };
 use copperwell_platform::{
     append::Appender,
-    follow::{Follower, Source},
-    http,
+    follow::{self, Follower, Source},
+    http, metrics as platform_metrics,
 };
 use error_stack::{Report, ResultExt};
 use prometheus_client::registry::Registry;
@@ -99,7 +99,9 @@
         let log = Arc::new(http::Client::new(settings.platform.log));
         let vms = Arc::new(http::Client::new(settings.platform.vms));
         let relay = Arc::new(Peers::new(members.clone(), client.clone()));
-        let follower = Follower::start(log.clone(), relay, Source::Platform);
+        let reading = follow::Settings::new(Source::Platform).with_writer(me.name.clone());
+        let log_metrics = platform_metrics::Metrics::new(&mut registry);
+        let follower = Follower::start_with(log.clone(), relay, reading, log_metrics.clone());
 
         let table = Arc::new(Table::new());
         let pool = Arc::new(Pool::new());
@@ -117,6 +119,7 @@
 
         let core = Arc::new(Core {
             me: me.clone(),
+            held: follower.held(),
             view: follower.view(),
             members: members.clone(),
             groups,
@@ -137,7 +140,8 @@
         };
         let ingress = Arc::new(Ingress::new(way, ingress_metrics));
         let log_reader = log.clone();
-        let appender = Appender::new(log, follower.view(), me.name.clone(), me.incarnation);
+        let appender = Appender::new(log, follower.view(), me.name.clone(), me.incarnation)
+            .with_metrics(log_metrics);
         let request_server =
             link::serve_with_relay(listeners.requests, engine, links, serving.clone());
         let servers = vec![
--- a/crates/copperwelld/src/metrics.rs
+++ b/crates/copperwelld/src/metrics.rs
@@ -11,8 +11,6 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Metrics {
     appends: Family<Label, Counter>,
-    pub(crate) log_away: Gauge,
-    pub(crate) log_next: Gauge,
     pub(crate) manifest: Gauge,
     pub(crate) groups_led: Gauge,
     pub(crate) members_live: Gauge,
@@ -27,9 +25,11 @@
     pub(crate) fn new(registry: &mut Registry) -> Self {
         let metrics = Self::default();
         let all = metrics.clone();
-        registry.register("log_appends", "Records appended, by outcome", all.appends);
-        registry.register("log_away", "1 while the log cannot be read", all.log_away);
-        registry.register("log_next", "First offset not read yet", all.log_next);
+        registry.register(
+            "proposals",
+            "Records proposed by this daemon, by outcome",
+            all.appends,
+        );
         registry.register("manifest_version", "Manifest in force", all.manifest);
         registry.register(
             "groups_led",
--- a/crates/copperwelld/src/relay.rs
+++ b/crates/copperwelld/src/relay.rs
@@ -4,7 +4,7 @@
 
 use copperwell_keyspace::{LogOffset, Member, record::Snapshot};
 use copperwell_peer::{control::Client, members::Members};
-use copperwell_platform::{Batch, Entry, Error, Relay};
+use copperwell_platform::{Batch, Error, Relay};
 use error_stack::Report;
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep};
@@ -60,15 +60,7 @@
         };
         let read = self.client.records(peer.control, from).await;
         let read = read.map_err(|report| report.change_context(Error::Unavailable))?;
-        let offsets = read.first..;
-        let entries = offsets
-            .zip(read.records)
-            .map(|(offset, bytes)| Entry { offset, bytes });
-        Ok(Batch {
-            first: read.first,
-            next: read.next,
-            records: entries.collect(),
-        })
+        read.ok_or_else(|| Report::new(Error::Unavailable).attach("the peer holds no such records"))
     }
 
     async fn snapshot(&self) -> Result<Snapshot, Report<Error>> {
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -4,7 +4,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use copperwell_keyspace::{Epoch, GroupId, LogOffset, ManifestVersion};
+use copperwell_keyspace::{Epoch, GroupId, LogOffset, ManifestVersion, batch::Batch};
 use serde::{Deserialize, Serialize};
 
 pub use client::{Client, Error};
@@ -21,7 +21,7 @@
 /// The largest message of a control call, in bytes.
 pub const FRAME_MAX: usize = 8 << 20;
 
-/// Bytes of records in one [`Records`], unless a single record is longer.
+/// Bytes of records in one answer, unless a single record is longer.
 pub const RECORDS_MAX: usize = 1 << 20;
 
 /// Asks a daemon whether it is alive, and says the same of the sender.
@@ -63,17 +63,6 @@
     pub sees_log: bool,
 }
 
-/// A piece of the log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Records {
-    /// The offset of the first record.
-    pub first: LogOffset,
-    /// The first offset that the answering daemon has not read.
-    pub next: LogOffset,
-    /// Encoded records at `first..`; empty if they are no longer kept, so a snapshot is needed.
-    pub records: Vec<Vec<u8>>,
-}
-
 /// The agreed state, for a daemon that misses older records.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -111,8 +100,8 @@
     /// Probes another daemon; `None` if it does not answer.
     fn probe_through(&self, target: SocketAddr) -> impl Future<Output = Option<Pong>> + Send;
 
-    /// Records from an offset on, at most [`RECORDS_MAX`] bytes.
-    fn records(&self, from: LogOffset) -> impl Future<Output = Records> + Send;
+    /// Records from an offset on, at most [`RECORDS_MAX`] bytes; `None` if they are not held.
+    fn records(&self, from: LogOffset) -> impl Future<Output = Option<Batch>> + Send;
 
     /// The agreed state; `None` if nothing has been read yet.
     fn snapshot(&self) -> impl Future<Output = Option<Snapshot>> + Send;
@@ -133,7 +122,7 @@
         T::probe_through(self, target)
     }
 
-    fn records(&self, from: LogOffset) -> impl Future<Output = Records> + Send {
+    fn records(&self, from: LogOffset) -> impl Future<Output = Option<Batch>> + Send {
         T::records(self, from)
     }
 
--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -7,11 +7,9 @@
     time::Duration,
 };
 
-use super::{
-    FRAME_MAX, HandOver, Pong, Probe, Records, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient,
-};
+use super::{FRAME_MAX, HandOver, Pong, Probe, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient};
 use crate::dial::Dial;
-use copperwell_keyspace::{HashMap, LogOffset};
+use copperwell_keyspace::{HashMap, LogOffset, batch::Batch};
 use error_stack::{Report, ResultExt};
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use tarpc::{client, context::Context, serde_transport};
@@ -155,7 +153,11 @@
     /// # Errors
     ///
     /// An [`Error`] if no answer came within [`TIMEOUT`].
-    pub async fn records(&self, to: SocketAddr, from: LogOffset) -> Result<Records, Report<Error>> {
+    pub async fn records(
+        &self,
+        to: SocketAddr,
+        from: LogOffset,
+    ) -> Result<Option<Batch>, Report<Error>> {
         self.call(to, TIMEOUT, async |client, context| {
             client.records(context, from).await
         })
--- a/crates/peer/src/control/server.rs
+++ b/crates/peer/src/control/server.rs
@@ -2,10 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{
-    FRAME_MAX, HandOver, Handler, Pong, Probe, Records, Relinquish, Snapshot, rpc::Control,
-};
-use copperwell_keyspace::LogOffset;
+use super::{FRAME_MAX, HandOver, Handler, Pong, Probe, Relinquish, Snapshot, rpc::Control};
+use copperwell_keyspace::{LogOffset, batch::Batch};
 use futures::{StreamExt, stream::FuturesUnordered};
 use tarpc::{
     context::Context,
@@ -104,7 +102,7 @@
         self.handler.probe_through(target).await
     }
 
-    async fn records(self, _: Context, from: LogOffset) -> Records {
+    async fn records(self, _: Context, from: LogOffset) -> Option<Batch> {
         self.handler.records(from).await
     }
 
--- a/crates/peer/tests/control.rs
+++ b/crates/peer/tests/control.rs
@@ -5,9 +5,12 @@
     time::Duration,
 };
 
-use copperwell_keyspace::{GroupId, LogOffset, Member};
+use copperwell_keyspace::{
+    GroupId, LogOffset, Member,
+    batch::{Batch, Entry, Relayed},
+};
 use copperwell_peer::control::{
-    Client, Error, HandOver, Handler, Liveness, Pong, Position, Probe, Records, Relinquish, Rumour,
+    Client, Error, HandOver, Handler, Liveness, Pong, Position, Probe, Relinquish, Rumour,
     Snapshot, serve,
 };
 use proxy::Proxy;
@@ -52,12 +55,17 @@
         Some(self.probe(probe).await)
     }
 
-    async fn records(&self, from: LogOffset) -> Records {
-        Records {
+    async fn records(&self, from: LogOffset) -> Option<Batch> {
+        let entry = |offset, bytes| Entry { offset, bytes };
+        Some(Batch {
             first: from,
             next: from + 2,
-            records: vec![vec![7; 1000], Vec::new()],
-        }
+            records: vec![entry(from, vec![7; 1000]), entry(from + 1, Vec::new())],
+            relayed: Some(Relayed {
+                life: 3,
+                age: Duration::from_millis(20),
+            }),
+        })
     }
 
     async fn snapshot(&self) -> Option<Snapshot> {
--- a/crates/peer/tests/members.rs
+++ b/crates/peer/tests/members.rs
@@ -6,12 +6,11 @@
     time::Duration,
 };
 
-use copperwell_keyspace::{Incarnation, LogOffset, Member};
+use copperwell_keyspace::{Incarnation, LogOffset, Member, batch::Batch};
 use copperwell_message::{Body, Class, Head, Reason, Repeat, Request, Verdict};
 use copperwell_peer::{
     control::{
-        Client, HandOver, Handler, Liveness, Pong, Position, Probe, Records, Relinquish, Snapshot,
-        serve,
+        Client, HandOver, Handler, Liveness, Pong, Position, Probe, Relinquish, Snapshot, serve,
     },
     link::{Links, Relay},
     members::{Event, Guard, Members, ROUND, Roster},
@@ -46,12 +45,8 @@
         self.members.probe_through(target).await
     }
 
-    async fn records(&self, from: LogOffset) -> Records {
-        Records {
-            first: from,
-            next: from,
-            records: Vec::new(),
-        }
+    async fn records(&self, _: LogOffset) -> Option<Batch> {
+        None
     }
 
     async fn snapshot(&self) -> Option<Snapshot> {
