Move shards for balance, drains and other groups; split the machine by job

Change: decayed load by shard, moves with a bound, hysteresis, budget and rest; shards of a group whose upstreams all leave go to the others; evidence names runs and epochs; the random runs add drains, moving hot shards, dead leaders and check routes and leases of the last leader.

--- a/crates/ownership/src/event.rs
+++ b/crates/ownership/src/event.rs
@@ -26,22 +26,34 @@
         /// The higher epoch that it has met, if a server told it.
         by: Option<Epoch>,
     },
-    /// Shards left the group and are to be recorded.
+    /// The group has let go of shards, and the log is to say who owns them; repeated until it does.
     Move(Move),
 }
 
 /// What ends the wait for an earlier leader.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Evidence {
-    /// This run of a daemon gives no more orders: its VM is gone, a later run answers, or it says
-    /// that it has stepped down from every group that it is not appointed to.
+    /// This run of a daemon is over for good: its VM is gone, or a later run answers.
     Stopped {
         /// The daemon.
         daemon: DaemonName,
-        /// Its run; earlier ones have stopped too.
+        /// Its run; earlier ones are over too.
         incarnation: Incarnation,
     },
-    /// No daemon but this one acts for the group: each that might is gone or says that it does not.
+    /// This run of a daemon has said that it gives no more orders for the group under lower epochs
+    /// than this one: it has handed over or stepped down.
+    Quit {
+        /// The group.
+        group: GroupId,
+        /// The daemon.
+        daemon: DaemonName,
+        /// Its run.
+        incarnation: Incarnation,
+        /// The first epoch that it has not given up.
+        below: Epoch,
+    },
+    /// No other daemon acts for the group now under a lower epoch than this one's: each that might
+    /// is gone or says that it does not.
     Alone(GroupId),
     /// At this time nobody had replaced this daemon: the log was read to its end, and the standby
     /// was asked, both after it.
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -6,13 +6,15 @@
     counter::Counters,
     event::{Event, Evidence, Observation},
     leader::{Command, Leader, Shared},
+    load::Loads,
+    rival::Rivals,
     status::Status,
 };
 use copperwell_backend::{Control, order::digest_of};
 use copperwell_dispatch::table::Table;
 use copperwell_keyspace::{
-    DaemonName, Epoch, GroupId, HashMap, HashSet, Incarnation, Member, ServiceName, ShardIndex,
-    manifest::{OnIsolation, shards_of},
+    DaemonName, Epoch, GroupId, HashMap, Member, ShardIndex,
+    manifest::{self, OnIsolation, shards_of},
     replay::{Appointment, State},
 };
 use copperwell_policy::group::{
@@ -40,17 +42,8 @@
     led: HashMap<GroupId, Led>,
     /// The last epoch under which this daemon led each group; none is used twice.
     used: HashMap<GroupId, Epoch>,
-    /// Other daemons that were named for a group, and may still act for it.
-    rivals: HashMap<GroupId, HashSet<Rival>>,
-    /// Runs of daemons that give no more orders; earlier runs have stopped too.
-    stopped: HashMap<DaemonName, Incarnation>,
-}
-
-/// A run of a daemon that was named for a group.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Rival {
-    daemon: DaemonName,
-    incarnation: Incarnation,
+    /// Other daemons that may act for a group.
+    rivals: Rivals,
 }
 
 /// A group that this daemon leads.
@@ -77,6 +70,7 @@
             table,
             events,
             counters: Counters::new(registry),
+            loads: Loads::default(),
         };
         Self {
             me,
@@ -95,10 +89,12 @@
         if let Some(manifest) = &state.manifest {
             for service in &manifest.services {
                 self.shared.table.add_service(&service.name, service.shards);
+                self.shared.loads.add_service(&service.name, service.shards);
             }
         }
         for (id, appointment) in &state.groups {
-            self.note_rivals(&mut held, id, appointment);
+            held.rivals
+                .note(id, appointment, |member| self.is_me(member));
             self.follow(&mut held, id, appointment);
         }
         held.led.retain(|id, led| {
@@ -145,14 +141,17 @@
                 daemon,
                 incarnation,
             } => {
-                let last = held.stopped.entry(daemon).or_insert(incarnation);
-                *last = incarnation.max(*last);
-                let groups: Vec<GroupId> = held.led.keys().cloned().collect();
-                for id in groups {
-                    if held.is_alone(&id) {
-                        self.send(&held, &id, Input::Stopped);
-                    }
-                }
+                held.rivals.end(daemon, incarnation);
+                self.tell_alone(&held);
+            }
+            Evidence::Quit {
+                group,
+                daemon,
+                incarnation,
+                below,
+            } => {
+                held.rivals.quit(&group, &daemon, incarnation, below);
+                self.tell_alone(&held);
             }
             Evidence::Alone(group) => self.send(&held, &group, Input::Stopped),
             Evidence::Confirmed { group, at } => self.send(&held, &group, Input::Confirmed(at)),
@@ -171,11 +170,17 @@
     }
 
     /// Counts requests of a shard, for balance.
-    pub fn load(&self, service: &ServiceName, shard: ShardIndex, requests: u32) {
-        let held = self.held();
-        if let Some(id) = held.state.owner_of(service, shard) {
-            self.send(&held, id, Input::Load { shard, requests });
-        }
+    pub fn load(&self, service: &str, shard: ShardIndex, requests: u32) {
+        self.shared.loads.add(service, shard, requests);
+    }
+
+    /// Gives shards of a group that this daemon leads to another group of the service.
+    ///
+    /// Each is held until no request is in flight, released, and told with [`Event::Move`]. They
+    /// are served again when the log has the record, so this is for times when it can be reached.
+    pub fn give_away(&self, from: &GroupId, shards: Vec<ShardIndex>, to: &GroupId) {
+        let to = to.clone();
+        self.send(&self.held(), from, Input::GiveAway { shards, to });
     }
 
     /// Stops leading a group after what is in flight has ended.
@@ -208,25 +213,43 @@
 
     /// Starts, changes or ends what the appointment of one group asks for.
     fn follow(&self, held: &mut Held, id: &GroupId, appointment: &Appointment) {
+        let is_led = held.led.contains_key(id);
+        let is_later = held.is_unused(id, appointment.epoch);
+        let is_mine = self.is_me(&appointment.leader);
+        if is_later && is_led && !is_mine {
+            if let Some(led) = held.led.remove(id) {
+                led.tell(Command::Input(Input::Stop));
+            }
+            return;
+        }
+        let starts = is_later && is_mine;
+        if !is_led && !starts {
+            return;
+        }
         let Some(config) = config_of(&held.state, id) else {
             return;
         };
-        let is_led = held.led.contains_key(id);
-        let is_later = held.is_unused(id, appointment.epoch);
-        if is_later && self.is_me(&appointment.leader) {
+        if starts {
             let predecessor = match appointment.replaces {
                 0 => Predecessor::None,
-                _ if held.is_alone(id) => Predecessor::Stopped,
-                _ => Predecessor::Acting,
+                _ => held.predecessor(id, appointment.epoch),
             };
             self.start(held, id, appointment.epoch, config, predecessor, true);
-        } else if is_later && is_led {
-            if let Some(led) = held.led.remove(id) {
-                led.tell(Command::Input(Input::Stop));
-            }
-        } else if is_led {
+        } else {
             self.send(held, id, Input::Config(config));
         }
+        self.evacuate(held, id);
+    }
+
+    /// Gives all shards of a group whose upstreams all leave to the other groups of the service.
+    fn evacuate(&self, held: &Held, id: &GroupId) {
+        for part in evacuation(&held.state, id) {
+            let input = Input::GiveAway {
+                shards: part.shards,
+                to: part.to,
+            };
+            self.send(held, id, input);
+        }
     }
 
     fn take_over_held(&self, held: &mut Held, id: &GroupId) -> Option<Epoch> {
@@ -239,11 +262,7 @@
             return held.led.get(id).map(|led| led.epoch);
         }
         let config = config_of(&held.state, id)?;
-        let predecessor = if held.is_alone(id) {
-            Predecessor::Stopped
-        } else {
-            Predecessor::Acting
-        };
+        let predecessor = held.predecessor(id, epoch);
         self.start(held, id, epoch, config, predecessor, false);
         Some(epoch)
     }
@@ -303,14 +322,12 @@
         }
     }
 
-    fn note_rivals(&self, held: &mut Held, id: &GroupId, appointment: &Appointment) {
-        let rivals = held.rivals.entry(id.clone()).or_default();
-        let named = std::iter::once(&appointment.leader).chain(&appointment.standby);
-        for member in named.filter(|member| !self.is_me(member)) {
-            rivals.insert(Rival {
-                daemon: member.name.clone(),
-                incarnation: member.incarnation,
-            });
+    /// Tells the groups whose earlier leaders have all stopped.
+    fn tell_alone(&self, held: &Held) {
+        for (id, led) in &held.led {
+            if held.rivals.is_alone(id, led.epoch) {
+                self.send(held, id, Input::Stopped);
+            }
         }
     }
 
@@ -355,15 +372,12 @@
         self.used.get(id).is_none_or(|used| *used < epoch)
     }
 
-    /// Whether every other daemon that was named for the group has stopped.
-    fn is_alone(&self, id: &GroupId) -> bool {
-        let Some(rivals) = self.rivals.get(id) else {
-            return true;
-        };
-        rivals.iter().all(|rival| {
-            let stopped = self.stopped.get(&rival.daemon);
-            stopped.is_some_and(|incarnation| *incarnation >= rival.incarnation)
-        })
+    fn predecessor(&self, id: &GroupId, epoch: Epoch) -> Predecessor {
+        if self.rivals.is_alone(id, epoch) {
+            Predecessor::Stopped
+        } else {
+            Predecessor::Acting
+        }
     }
 }
 
@@ -374,16 +388,64 @@
     }
 }
 
-/// What manifest and log say of a group; none if the manifest does not have it.
+/// Shards that go to another group.
+struct Part {
+    shards: Vec<ShardIndex>,
+    to: GroupId,
+}
+
+/// Where the shards of a group go if all its upstreams leave: to the others in proportion to slots.
+fn evacuation(state: &State, id: &GroupId) -> Vec<Part> {
+    let Some(manifest) = &state.manifest else {
+        return Vec::new();
+    };
+    let Some(service) = manifest.service(&id.service) else {
+        return Vec::new();
+    };
+    let staying = |group: &manifest::Group| group.upstreams.iter().any(|upstream| !upstream.drain);
+    let groups: Vec<manifest::Group> = manifest.groups(service);
+    let stays = groups.iter().any(|group| group.id == *id && staying(group));
+    let others = groups
+        .iter()
+        .filter(|group| group.id != *id && staying(group));
+    if stays {
+        return Vec::new();
+    }
+    let owners = state.owners.get(&id.service);
+    let shards = owners.map_or_else(Vec::new, |owners| shards_of(owners, id));
+    let slots: u64 = others.clone().map(manifest::Group::slots).sum();
+    let mut parts = Vec::new();
+    let mut before = 0;
+    let mut begin = 0;
+    for group in others {
+        before += group.slots();
+        let end = shards.len() as u64 * before / slots.max(1);
+        let end = usize::try_from(end).unwrap_or(shards.len());
+        parts.push(Part {
+            shards: shards[begin..end].to_vec(),
+            to: group.id.clone(),
+        });
+        begin = end;
+    }
+    parts.retain(|part| !part.shards.is_empty());
+    parts
+}
+
+/// What manifest and log say of a group.
+///
+/// None if the manifest does not have its service, or neither has upstreams nor shards for it.
 fn config_of(state: &State, id: &GroupId) -> Option<Config> {
     let manifest = state.manifest.as_ref()?;
     let service = manifest.service(&id.service)?;
-    let groups = manifest.groups(service);
-    let group = groups.into_iter().find(|group| group.id == *id)?;
-    let owners = state.owners.get(&id.service)?;
+    let mut groups = manifest.groups(service).into_iter();
+    let group = groups.find(|group| group.id == *id);
+    let shards = shards_of(state.owners.get(&id.service)?, id);
+    if group.is_none() && shards.is_empty() {
+        return None;
+    }
     Some(Config {
-        upstreams: group.upstreams,
-        shards: shards_of(owners, id),
+        upstreams: group.map_or_else(Vec::new, |group| group.upstreams),
+        shards,
         lease: service.lease,
         isolation: match service.on_isolation {
             OnIsolation::Keep => None,
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -1,17 +1,20 @@
 //! The task that leads one group.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
-use crate::{counter::Counters, event::Event, status::Status};
+use crate::{counter::Counters, event::Event, load::Loads, status::Status};
 use copperwell_backend::{
     Control, Failure,
     order::{Fence, Give, Release, Renew},
 };
 use copperwell_dispatch::table::{Lease, Owner, Route, Table};
-use copperwell_keyspace::{DaemonName, GroupId, HashMap, Incarnation, UpstreamName};
+use copperwell_keyspace::{
+    DaemonName, Epoch, GroupId, HashMap, Incarnation, ShardIndex, UpstreamName, record::Move,
+};
 use copperwell_policy::group::{
     Group,
     message::{self, Action, Answer, Input, Order, Start},
@@ -23,8 +26,8 @@
     time::{Instant, sleep_until, timeout},
 };
 
-/// How long the task sleeps if the machine names no time.
-const IDLE: Duration = Duration::from_secs(1);
+/// How often the requests of shards are read.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
 
 /// Tells the task what to do.
 #[derive(Debug)]
@@ -43,6 +46,7 @@
     pub(crate) table: Arc<Table>,
     pub(crate) events: mpsc::Sender<Event>,
     pub(crate) counters: Counters,
+    pub(crate) loads: Loads,
 }
 
 /// Leads one group.
@@ -53,6 +57,7 @@
     status: Arc<Mutex<Status>>,
     leases: HashMap<UpstreamName, Held>,
     running: JoinSet<Input>,
+    load_at: Instant,
 }
 
 /// The lease of one run of a server.
@@ -63,7 +68,7 @@
 
 /// Why the task ends.
 enum End {
-    SteppedDown(u64),
+    SteppedDown(Epoch),
     HandedOver,
 }
 
@@ -81,6 +86,7 @@
             status,
             leases: HashMap::default(),
             running: JoinSet::new(),
+            load_at: Instant::now() + LOAD_PERIOD,
         }
     }
 
@@ -116,7 +122,8 @@
 
     async fn next(&mut self) -> Input {
         let now = Instant::now();
-        let wake = self.group.wake_at(now).unwrap_or(now + IDLE);
+        let wake = self.group.wake_at(now);
+        let wake = wake.map_or(self.load_at, |wake| wake.min(self.load_at));
         tokio::select! {
             command = self.commands.recv() => match command {
                 Some(Command::Input(input)) => input,
@@ -127,10 +134,20 @@
                 None => Input::Stop,
             },
             Some(done) = self.running.join_next() => done.unwrap_or(Input::Tick),
-            () = sleep_until(wake) => Input::Tick,
+            () = sleep_until(wake) => self.take_load(),
         }
     }
 
+    fn take_load(&mut self) -> Input {
+        let now = Instant::now();
+        if now < self.load_at {
+            return Input::Tick;
+        }
+        self.load_at = now + LOAD_PERIOD;
+        let service = &self.group.id().service;
+        Input::Load(self.shared.loads.take(service, self.group.shards()))
+    }
+
     /// Begins anew; the routes stay held until the servers have answered.
     fn restart(&mut self, start: Start) {
         self.running = JoinSet::new();
@@ -182,6 +199,7 @@
                 }
                 Action::StepDown { by } => end = Some(End::SteppedDown(by)),
                 Action::HandedOver => end = Some(End::HandedOver),
+                Action::LetGo { shards, to } => self.tell_move(shards, to),
                 Action::Moved { from, .. } => {
                     if from.is_some() {
                         self.shared.counters.moves.inc();
@@ -228,12 +246,23 @@
         held.lease.clone()
     }
 
+    fn tell_move(&self, shards: Vec<ShardIndex>, to: GroupId) {
+        let from = self.group.id().clone();
+        self.shared.tell(Event::Move(Move {
+            service: from.service.clone(),
+            shards,
+            from,
+            epoch: self.group.epoch(),
+            to,
+        }));
+    }
+
     fn publish(&self) {
         let status = Status::of(&self.group);
         *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
     }
 
-    fn tell_stepped_down(&self, by: Option<u64>) {
+    fn tell_stepped_down(&self, by: Option<Epoch>) {
         let group = self.group.id().clone();
         let epoch = self.group.epoch();
         info!("group {group}: led no longer under epoch {epoch}");
@@ -264,13 +293,13 @@
 struct Errand<C> {
     shared: Arc<Shared<C>>,
     group: GroupId,
-    epoch: u64,
+    epoch: Epoch,
 }
 
 impl<C: Control> Errand<C> {
     async fn give(
         self,
-        to: std::net::SocketAddr,
+        to: SocketAddr,
         order: Order,
         patience: Duration,
     ) -> Result<Answer, message::Failure> {
@@ -284,7 +313,7 @@
         result
     }
 
-    async fn send(&self, to: std::net::SocketAddr, order: Order) -> Result<Answer, Failure> {
+    async fn send(&self, to: SocketAddr, order: Order) -> Result<Answer, Failure> {
         let group = self.group.clone();
         let epoch = self.epoch;
         let control = &self.shared.control;
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,4 +10,6 @@
 mod event;
 mod groups;
 mod leader;
+mod load;
+mod rival;
 mod status;
--- a/crates/policy/src/group/message.rs
+++ b/crates/policy/src/group/message.rs
@@ -87,12 +87,14 @@
     Gone(UpstreamName),
     /// At this time the log, or a peer that sees the log, was asked and has answered since.
     Contact(Instant),
-    /// Load of a shard since the last such input.
-    Load {
-        /// The shard.
-        shard: ShardIndex,
-        /// Requests.
-        requests: u32,
+    /// Requests of shards since the last such input.
+    Load(Vec<Load>),
+    /// Another group is to own shards.
+    GiveAway {
+        /// The shards.
+        shards: Vec<ShardIndex>,
+        /// The other group.
+        to: GroupId,
     },
     /// Another daemon is to lead.
     HandOver,
@@ -100,6 +102,15 @@
     Stop,
 }
 
+/// Requests of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// The shard.
+    pub shard: ShardIndex,
+    /// How many.
+    pub requests: u32,
+}
+
 /// What is to be done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -144,6 +155,14 @@
     },
     /// No request is in flight and no order follows: the machine has stopped.
     HandedOver,
+    /// No upstream of the group holds these shards any more, and another group is to own them;
+    /// repeated until the log says so.
+    LetGo {
+        /// The shards.
+        shards: Vec<ShardIndex>,
+        /// The other group.
+        to: GroupId,
+    },
     /// A shard went from one upstream to another.
     Moved {
         /// The shard.
--- /dev/null
+++ b/crates/policy/src/group/place.rs
@@ -0,0 +1,185 @@
+//! Where each shard is, and the indexes that follow from it.
+
+use super::{Group, message::Ticket};
+use copperwell_keyspace::{Epoch, GroupId, Sequence, ShardIndex, UpstreamName};
+use tokio::time::Instant;
+
+/// Where a shard is.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Place {
+    /// No server that has answered holds it.
+    Unknown {
+        /// The upstream whose grant of it has lapsed.
+        last: Option<UpstreamName>,
+    },
+    /// No server holds it.
+    Free(Free),
+    /// A grant is under way or was not answered.
+    Giving {
+        /// The upstream.
+        to: UpstreamName,
+        /// The upstream that had it last.
+        last: Option<UpstreamName>,
+    },
+    /// A server holds it.
+    Owned {
+        /// Its upstream.
+        by: UpstreamName,
+        /// Which grant.
+        stamp: Stamp,
+    },
+    /// A server holds it and is to let go of it.
+    Leaving(Leaving),
+    /// No server of the group holds it, and another group is to own it.
+    Away {
+        /// The other group.
+        to: GroupId,
+    },
+}
+
+/// A shard that no server holds.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(super) struct Free {
+    /// Where a server that is silent held it: a quorum has to confirm after this time that nobody
+    /// else renews it there.
+    pub(super) since: Option<Instant>,
+    /// The upstream that had it last.
+    pub(super) last: Option<UpstreamName>,
+    /// The upstream that is to have it.
+    pub(super) next: Option<UpstreamName>,
+}
+
+/// A shard that a server is to let go of.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Leaving {
+    /// The upstream.
+    pub(super) by: UpstreamName,
+    /// Which grant.
+    pub(super) stamp: Stamp,
+    /// The wait for its last request.
+    pub(super) ticket: Ticket,
+    /// Whether no request is in flight.
+    pub(super) idle: bool,
+    /// Where it goes.
+    pub(super) goal: Goal,
+}
+
+/// Where a shard goes.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Goal {
+    /// Whichever upstream has the least load.
+    Anywhere,
+    /// This upstream.
+    Upstream(UpstreamName),
+    /// It stays where it is, and another daemon leads.
+    Stay,
+}
+
+/// Orders the grants of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Stamp {
+    /// The leader's epoch.
+    pub(super) epoch: Epoch,
+    /// The order's place within the epoch.
+    pub(super) sequence: Sequence,
+}
+
+impl Place {
+    /// The upstream whose server holds the shard.
+    pub(super) fn holder(&self) -> Option<&UpstreamName> {
+        match self {
+            Self::Owned { by, .. } | Self::Leaving(Leaving { by, .. }) => Some(by),
+            _ => None,
+        }
+    }
+
+    /// A shard that its last upstream holds no more.
+    pub(super) fn dropped_by(upstream: &UpstreamName, since: Option<Instant>) -> Self {
+        Self::Free(Free {
+            since,
+            last: Some(upstream.clone()),
+            next: Some(upstream.clone()),
+        })
+    }
+}
+
+impl Group {
+    /// Puts a shard in its place.
+    pub(super) fn put(&mut self, shard: ShardIndex, place: Place) {
+        if let Some(old) = self.shards.get(&shard).cloned() {
+            self.unlink(shard, &old);
+        }
+        self.link(shard, &place);
+        self.shards.insert(shard, place);
+        self.changed.insert(shard);
+    }
+
+    /// Drops a shard that another group owns from here on.
+    pub(super) fn forget(&mut self, shard: ShardIndex) {
+        let Some(place) = self.shards.remove(&shard) else {
+            return;
+        };
+        self.unlink(shard, &place);
+        self.loads.remove(&shard);
+        self.departing.remove(&shard);
+        self.changed.insert(shard);
+        let giving = match &place {
+            Place::Giving { to, .. } => Some(to),
+            _ => None,
+        };
+        if let Some(by) = place.holder().or(giving)
+            && let Some(server) = self.servers.get_mut(by)
+        {
+            server.unwanted.insert(shard);
+        }
+    }
+
+    fn link(&mut self, shard: ShardIndex, place: &Place) {
+        match place {
+            Place::Unknown { .. } => {
+                self.unknown.insert(shard);
+            }
+            Place::Free(_) => {
+                self.free.insert(shard);
+            }
+            Place::Giving { to, .. } => {
+                if let Some(server) = self.servers.get_mut(to) {
+                    server.giving.insert(shard);
+                }
+            }
+            Place::Owned { .. } => {}
+            Place::Leaving(_) => {
+                self.leaving.insert(shard);
+            }
+            Place::Away { .. } => {
+                self.away.insert(shard);
+            }
+        }
+        let digest = (self.digest)(shard);
+        if let Some(by) = place.holder()
+            && let Some(server) = self.servers.get_mut(by)
+            && server.owned.insert(shard)
+        {
+            server.digest ^= digest;
+        }
+    }
+
+    fn unlink(&mut self, shard: ShardIndex, place: &Place) {
+        self.free.remove(&shard);
+        self.unknown.remove(&shard);
+        self.leaving.remove(&shard);
+        self.away.remove(&shard);
+        if let Place::Giving { to, .. } = place
+            && let Some(server) = self.servers.get_mut(to)
+        {
+            server.giving.remove(&shard);
+        }
+        let digest = (self.digest)(shard);
+        if let Some(by) = place.holder()
+            && let Some(server) = self.servers.get_mut(by)
+            && server.owned.remove(&shard)
+        {
+            server.digest ^= digest;
+        }
+    }
+}
--- a/crates/policy/src/group/quorum.rs
+++ b/crates/policy/src/group/quorum.rs
@@ -1,6 +1,6 @@
 //! When a leader may count on a server, and when it may grant what a silent server held.
 
-use super::{Group, Place, message::Predecessor, server::Server};
+use super::{Group, message::Predecessor, place::Place, server::Server};
 use copperwell_keyspace::UpstreamName;
 use tokio::time::Instant;
 
@@ -34,10 +34,10 @@
     /// The latest time for which a word of the servers is wanted.
     pub(super) fn confirm_since(&self) -> Option<Instant> {
         let freed = self.free.iter().filter_map(|shard| {
-            let Some(Place::Free { since, .. }) = self.shards.get(shard) else {
+            let Some(Place::Free(free)) = self.shards.get(shard) else {
                 return None;
             };
-            *since
+            free.since
         });
         let runs = self.servers.values().filter_map(|server| {
             let run = server.run.as_ref()?;
--- a/crates/policy/src/group/server.rs
+++ b/crates/policy/src/group/server.rs
@@ -134,6 +134,17 @@
         self.removed || self.draining || self.upstream.drain
     }
 
+    /// Whether requests may be sent to it.
+    pub(super) fn serves(&self) -> bool {
+        !self.is_lost() && !self.removed
+    }
+
+    /// Whether nothing has to be done about it any more.
+    pub(super) fn is_done(&self, now: Instant) -> bool {
+        let lapsed = self.lapse.is_none_or(|lapse| lapse <= now);
+        self.removed && lapsed && !self.holds() && self.unwanted.is_empty()
+    }
+
     /// Whether it can take shards now.
     pub(super) fn is_open(&self) -> bool {
         let known = self.established().is_some_and(|run| !run.doubtful);
--- a/crates/policy/tests/simulation/world.rs
+++ b/crates/policy/tests/simulation/world.rs
@@ -14,7 +14,9 @@
 };
 use copperwell_policy::group::{
     Group,
-    message::{Action, Answer, Config, Failure, Input, Order, Predecessor, Start, Ticket},
+    message::{
+        Action, Answer, Config, Failure, Input, Load, Order, Predecessor, Route, Start, Ticket,
+    },
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use tokio::time::Instant;
@@ -51,6 +53,7 @@
     server: Server,
     frozen_until: Moment,
     down_until: Moment,
+    drains: bool,
 }
 
 struct Leader {
@@ -62,6 +65,11 @@
     cut: Vec<Moment>,
     /// When it is woken next.
     wakes: Option<Moment>,
+    /// Its VM is gone.
+    is_dead: bool,
+    routes: BTreeMap<ShardIndex, Route>,
+    /// Until when each server's grants surely last, as the leader thinks.
+    leases: BTreeMap<UpstreamName, Moment>,
 }
 
 #[derive(Debug, Clone)]
@@ -85,6 +93,9 @@
         shard: ShardIndex,
         ticket: Ticket,
     },
+    /// The platform tells which leaders are gone.
+    Evidence,
+    Load(usize),
     Fault,
     End,
 }
@@ -104,6 +115,7 @@
             server: Server::new(Duration::from_millis(rng.random_range(0..100_000))),
             frozen_until: Moment::ZERO,
             down_until: Moment::ZERO,
+            drains: false,
         });
         let servers: Vec<Node> = servers.collect();
         let mut starts = Moment::ZERO;
@@ -116,6 +128,9 @@
                 frozen_until: Moment::ZERO,
                 cut: vec![Moment::ZERO; plan.servers],
                 wakes: None,
+                is_dead: false,
+                routes: BTreeMap::new(),
+                leases: BTreeMap::new(),
             });
             starts += Duration::from_millis(rng.random_range(1000..8000));
         }
@@ -136,6 +151,9 @@
         for leader in 0..plan.leaders {
             world.push(world.leaders[leader].starts, Event::Start(leader));
         }
+        for leader in 0..plan.leaders {
+            world.push(Duration::from_secs(3), Event::Load(leader));
+        }
         world.push(Duration::from_millis(500), Event::Fault);
         world.push(world.end, Event::End);
         world
@@ -175,18 +193,25 @@
         }
     }
 
-    /// Fails if a shard has no owner at the end, a while after the last fault.
+    /// Fails if the last leader sends a shard's requests nowhere, or where they are refused, a while
+    /// after the last fault.
     pub(crate) fn check_all_served(&self) {
+        let Some(leader) = self.leaders.last() else {
+            return;
+        };
         for shard in &self.shards {
-            let at = self.end;
-            let held = self.servers.iter().any(|node| {
-                let open = node.server.holds(*shard, at);
-                let spans = &node.server.spans;
-                open || spans
-                    .iter()
-                    .any(|span| span.shard == *shard && span.from <= at && span.until > at)
-            });
-            assert!(held, "seed {}: nobody holds shard {shard}", self.seed);
+            let route = leader.routes.get(shard);
+            let Some(Route::Owned { upstream, .. }) = route else {
+                panic!("seed {}: shard {shard} goes to {route:?}", self.seed);
+            };
+            let server: usize = upstream[1..].parse().unwrap();
+            let until = leader.leases.get(upstream);
+            assert!(
+                until.is_some_and(|until| *until > self.end)
+                    && self.servers[server].server.holds(*shard, self.end),
+                "seed {}: {upstream} does not hold shard {shard}, lease {until:?}",
+                self.seed
+            );
         }
     }
 
@@ -227,21 +252,39 @@
                 shard,
                 ticket,
             } => self.tell(leader, Input::Idle { shard, ticket }),
+            Event::Evidence => self.evidence(),
+            Event::Load(leader) => self.load(leader),
             Event::Fault => self.fault(),
             Event::End => {}
         }
     }
 
+    fn config(&self) -> Config {
+        let upstreams = self
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(server, node)| Upstream {
+                name: name(server),
+                data_centre: "cluj".into(),
+                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                slots: 2,
+                connections: 130,
+                fencing: Fencing::Checked,
+                drain: node.drains,
+            });
+        Config {
+            upstreams: upstreams.collect(),
+            shards: self.shards.clone(),
+            lease: LEASE,
+            isolation: None,
+        }
+    }
+
     fn start(&mut self, leader: usize) {
-        let upstreams = (0..self.servers.len()).map(|server| Upstream {
-            name: name(server),
-            data_centre: "cluj".into(),
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            slots: 2,
-            connections: 130,
-            fencing: Fencing::Checked,
-            drain: false,
-        });
+        if self.leaders[leader].is_dead {
+            return;
+        }
         let start = Start {
             id: GroupId {
                 service: "calendar".into(),
@@ -249,12 +292,7 @@
                 part: 0,
             },
             epoch: self.leaders[leader].epoch,
-            config: Config {
-                upstreams: upstreams.collect(),
-                shards: self.shards.clone(),
-                lease: LEASE,
-                isolation: None,
-            },
+            config: self.config(),
             predecessor: if leader == 0 {
                 Predecessor::None
             } else {
@@ -268,6 +306,27 @@
         self.tell(leader, Input::Tick);
     }
 
+    /// Tells each leader whether all earlier ones are gone.
+    fn evidence(&mut self) {
+        for leader in 1..self.leaders.len() {
+            let mut earlier = self.leaders[..leader].iter();
+            if earlier.all(|earlier| earlier.is_dead) {
+                self.tell(leader, Input::Stopped);
+            }
+        }
+    }
+
+    /// A hot shard that moves with time.
+    fn load(&mut self, leader: usize) {
+        let hot = self.now.as_secs() / 8 % self.shards.len() as u64;
+        let load = Load {
+            shard: self.shards[hot as usize],
+            requests: 200,
+        };
+        self.tell(leader, Input::Load(vec![load]));
+        self.push(self.now + Duration::from_secs(1), Event::Load(leader));
+    }
+
     /// Gives an input to a leader, or keeps it until the leader wakes.
     fn tell(&mut self, leader: usize, input: Input) {
         let frozen = self.leaders[leader].frozen_until;
@@ -336,6 +395,16 @@
                     },
                 );
             }
+            Action::Route { shard, route } => {
+                self.leaders[leader].routes.insert(shard, route);
+            }
+            Action::Lease {
+                upstream, until, ..
+            } => {
+                self.leaders[leader]
+                    .leases
+                    .insert(upstream, until - self.base);
+            }
             _ => {}
         }
     }
@@ -420,6 +489,19 @@
         self.now < self.faults_end
     }
 
+    /// Drains one server, or none.
+    fn drain(&mut self, server: usize) {
+        let drains = !self.servers[server].drains;
+        for node in &mut self.servers {
+            node.drains = false;
+        }
+        self.servers[server].drains = drains && self.servers.len() > 1;
+        let config = self.config();
+        for leader in 0..self.leaders.len() {
+            self.tell(leader, Input::Config(config.clone()));
+        }
+    }
+
     /// Strikes at random, and heals in time for the end.
     fn fault(&mut self) {
         if !self.has_faults() {
@@ -429,7 +511,7 @@
         let until = (self.now + lasts).min(self.faults_end);
         let server = self.rng.random_range(0..self.servers.len());
         let leader = self.rng.random_range(0..self.leaders.len());
-        match self.rng.random_range(0..6) {
+        match self.rng.random_range(0..9) {
             0 => {
                 let node = &mut self.servers[server];
                 node.server.restart(self.now);
@@ -439,6 +521,13 @@
             1 => self.servers[server].frozen_until = until,
             2 => self.leaders[leader].frozen_until = until,
             3 | 4 => self.leaders[leader].cut[server] = until,
+            5 => self.drain(server),
+            6 if leader + 1 < self.leaders.len() && self.rng.random_bool(0.3) => {
+                self.leaders[leader].is_dead = true;
+                self.leaders[leader].group = None;
+                let later = self.now + Duration::from_millis(self.rng.random_range(0..3000));
+                self.push(later, Event::Evidence);
+            }
             _ => {
                 for server in 0..self.servers.len() {
                     if self.rng.random_bool(0.5) {
