--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,5 +1,22 @@
 //! The leader's request engine.
 //!
-//! The ownership driver writes the [`table::Table`]; the engine reads it before every send.
+//! The ownership driver writes the [`table::Table`]; the [`Engine`] reads it before every send.
 
+pub use engine::Engine;
+pub use observation::Observation;
+pub use status::Status;
+
+mod answer;
+mod attempt;
+mod call;
+mod engine;
+mod gate;
+mod gauges;
+mod guard;
+mod ids;
+mod metrics;
+mod observation;
+mod once;
+mod serving;
+mod status;
 pub mod table;
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -14,7 +14,8 @@
 use copperwell_dispatch::table::Table;
 use copperwell_keyspace::{
     DaemonName, Epoch, GroupId, HashMap, Member, ShardIndex,
-    manifest::{self, OnIsolation, shards_of},
+    balance::{Shift, plan},
+    manifest::{OnIsolation, shards_of},
     replay::{Appointment, State},
 };
 use copperwell_policy::group::{
@@ -23,7 +24,7 @@
 };
 use prometheus_client::registry::Registry;
 use spdlog::info;
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::sync::{mpsc, watch};
 
 /// Inputs that may wait for one group.
 const COMMANDS_MAX: usize = 1024;
@@ -42,6 +43,8 @@
     led: HashMap<GroupId, Led>,
     /// The last epoch under which this daemon led each group; none is used twice.
     used: HashMap<GroupId, Epoch>,
+    /// Tasks that have been told to end, and may not have yet.
+    ending: HashMap<GroupId, Vec<End>>,
     /// Other daemons that may act for a group.
     rivals: Rivals,
 }
@@ -52,9 +55,12 @@
     epoch: Epoch,
     commands: mpsc::Sender<Command>,
     status: Arc<Mutex<Status>>,
-    task: JoinHandle<()>,
+    end: End,
 }
 
+/// Closes when a task has ended.
+type End = watch::Receiver<()>;
+
 impl<C: Control> Groups<C> {
     /// No groups yet; they come with [`Groups::apply`].
     pub fn new(
@@ -84,7 +90,11 @@
     /// Must be called on a runtime.
     pub fn apply(&self, state: &State) {
         let mut held = self.held();
-        held.led.retain(|_, led| !led.task.is_finished());
+        held.led.retain(|_, led| !led.is_ended());
+        for ending in held.ending.values_mut() {
+            ending.retain(|end| !is_closed(end));
+        }
+        held.ending.retain(|_, ending| !ending.is_empty());
         held.state = state.clone();
         if let Some(manifest) = &state.manifest {
             for service in &manifest.services {
@@ -97,13 +107,17 @@
                 .note(id, appointment, |member| self.is_me(member));
             self.follow(&mut held, id, appointment);
         }
-        held.led.retain(|id, led| {
-            let is_there = config_of(state, id).is_some();
-            if !is_there {
-                led.tell(Command::Input(Input::Stop));
-            }
-            is_there
-        });
+        let is_gone = |id: &&GroupId| config_of(state, id).is_none();
+        let gone: Vec<GroupId> = held.led.keys().filter(is_gone).cloned().collect();
+        for id in gone {
+            held.stop(&id);
+        }
+        for shift in plan(state) {
+            let Shift {
+                from, to, shards, ..
+            } = shift;
+            self.send(&held, &from, Input::GiveAway { shards, to });
+        }
         let standby = state.groups.values();
         let standby = standby.filter(|appointment| self.is_standby(appointment));
         self.count_standby(standby.count());
@@ -188,20 +202,72 @@
     /// Gives the epoch under which this daemon led it, once it sends nothing more; none if it did
     /// not lead it. The caller bounds the wait; dropping the future does not undo the hand-over.
     pub async fn hand_over(&self, group: &GroupId) -> Option<Epoch> {
-        let led = self.held().led.remove(group)?;
-        led.tell(Command::Input(Input::HandOver));
-        let epoch = led.epoch;
+        let (epoch, commands, end) = {
+            let mut held = self.held();
+            let led = held.led.remove(group)?;
+            held.ending
+                .entry(group.clone())
+                .or_default()
+                .push(led.end.clone());
+            (led.epoch, led.commands, led.end)
+        };
         // The sender lives on until the task has ended by itself.
-        let _commands = led.commands;
-        let _ = led.task.await;
+        let _ = commands.send(Command::Input(Input::HandOver)).await;
+        ended(end).await;
         Some(epoch)
     }
 
+    /// Promises not to act for a group below an epoch, and stops at once if this daemon does.
+    ///
+    /// True once it has surely stopped; false if it acts, or has acted, under this epoch or a later
+    /// one.
+    pub async fn relinquish(&self, group: &GroupId, epoch: Epoch) -> bool {
+        let ending = {
+            let mut held = self.held();
+            if !held.is_unused(group, epoch) {
+                return false;
+            }
+            let last = epoch.saturating_sub(1);
+            let used = held.used.entry(group.clone()).or_default();
+            *used = last.max(*used);
+            held.stop(group);
+            held.ending.get(group).cloned().unwrap_or_default()
+        };
+        for end in ending {
+            ended(end).await;
+        }
+        true
+    }
+
+    /// The identities of the groups that this daemon leads.
+    #[must_use]
+    pub fn led(&self) -> Vec<GroupId> {
+        let held = self.held();
+        let led = held.led.iter().filter(|(_, led)| !led.is_ended());
+        led.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// The other daemons that were named for a group, as far as this one has heard since it
+    /// started, and have not surely stopped. See [`Groups::knows_rivals`].
+    #[must_use]
+    pub fn rivals(&self, group: &GroupId) -> Vec<DaemonName> {
+        self.held().rivals.names(group)
+    }
+
+    /// Whether [`Groups::rivals`] has everybody that was ever named for the group.
+    ///
+    /// If not, some daemon of its data centre may act that this one has never heard of as its
+    /// leader.
+    #[must_use]
+    pub fn knows_rivals(&self, group: &GroupId) -> bool {
+        self.held().rivals.is_whole(group)
+    }
+
     /// The groups that this daemon leads.
     #[must_use]
     pub fn status(&self) -> Vec<Status> {
         let held = self.held();
-        let led = held.led.values().filter(|led| !led.task.is_finished());
+        let led = held.led.values().filter(|led| !led.is_ended());
         let status = led.map(|led| {
             led.status
                 .lock()
@@ -217,9 +283,7 @@
         let is_later = held.is_unused(id, appointment.epoch);
         let is_mine = self.is_me(&appointment.leader);
         if is_later && is_led && !is_mine {
-            if let Some(led) = held.led.remove(id) {
-                led.tell(Command::Input(Input::Stop));
-            }
+            held.stop(id);
             return;
         }
         let starts = is_later && is_mine;
@@ -238,18 +302,6 @@
         } else {
             self.send(held, id, Input::Config(config));
         }
-        self.evacuate(held, id);
-    }
-
-    /// Gives all shards of a group whose upstreams all leave to the other groups of the service.
-    fn evacuate(&self, held: &Held, id: &GroupId) {
-        for part in evacuation(&held.state, id) {
-            let input = Input::GiveAway {
-                shards: part.shards,
-                to: part.to,
-            };
-            self.send(held, id, input);
-        }
     }
 
     fn take_over_held(&self, held: &mut Held, id: &GroupId) -> Option<Epoch> {
@@ -294,7 +346,7 @@
             recorded,
         });
         if let Some(led) = held.led.get_mut(id)
-            && !led.task.is_finished()
+            && !led.is_ended()
             && led
                 .commands
                 .try_send(Command::Start(Box::new(start.clone())))
@@ -314,11 +366,16 @@
         let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let leader = Leader::new(self.shared.clone(), group, inbox, status.clone());
         self.shared.counters.led.inc();
+        let (ends, end) = watch::channel(());
+        tokio::spawn(async move {
+            leader.run().await;
+            drop(ends);
+        });
         Led {
             epoch,
             commands,
             status,
-            task: tokio::spawn(leader.run()),
+            end,
         }
     }
 
@@ -372,6 +429,16 @@
         self.used.get(id).is_none_or(|used| *used < epoch)
     }
 
+    /// Ends what this daemon leads, at once.
+    fn stop(&mut self, id: &GroupId) {
+        let Some(led) = self.led.remove(id) else {
+            return;
+        };
+        // Without room for the command, the task stops when it finds nobody left to command it.
+        led.tell(Command::Input(Input::Stop));
+        self.ending.entry(id.clone()).or_default().push(led.end);
+    }
+
     fn predecessor(&self, id: &GroupId, epoch: Epoch) -> Predecessor {
         if self.rivals.is_alone(id, epoch) {
             Predecessor::Stopped
@@ -382,53 +449,23 @@
 }
 
 impl Led {
+    fn is_ended(&self) -> bool {
+        is_closed(&self.end)
+    }
+
     /// False if the task cannot take it.
     fn tell(&self, command: Command) -> bool {
         self.commands.try_send(command).is_ok()
     }
 }
 
-/// Shards that go to another group.
-struct Part {
-    shards: Vec<ShardIndex>,
-    to: GroupId,
+fn is_closed(end: &End) -> bool {
+    end.has_changed().is_err()
 }
 
-/// Where the shards of a group go if all its upstreams leave: to the others in proportion to slots.
-fn evacuation(state: &State, id: &GroupId) -> Vec<Part> {
-    let Some(manifest) = &state.manifest else {
-        return Vec::new();
-    };
-    let Some(service) = manifest.service(&id.service) else {
-        return Vec::new();
-    };
-    let staying = |group: &manifest::Group| group.upstreams.iter().any(|upstream| !upstream.drain);
-    let groups: Vec<manifest::Group> = manifest.groups(service);
-    let stays = groups.iter().any(|group| group.id == *id && staying(group));
-    let others = groups
-        .iter()
-        .filter(|group| group.id != *id && staying(group));
-    if stays {
-        return Vec::new();
-    }
-    let owners = state.owners.get(&id.service);
-    let shards = owners.map_or_else(Vec::new, |owners| shards_of(owners, id));
-    let slots: u64 = others.clone().map(manifest::Group::slots).sum();
-    let mut parts = Vec::new();
-    let mut before = 0;
-    let mut begin = 0;
-    for group in others {
-        before += group.slots();
-        let end = shards.len() as u64 * before / slots.max(1);
-        let end = usize::try_from(end).unwrap_or(shards.len());
-        parts.push(Part {
-            shards: shards[begin..end].to_vec(),
-            to: group.id.clone(),
-        });
-        begin = end;
-    }
-    parts.retain(|part| !part.shards.is_empty());
-    parts
+/// Waits until a task has ended.
+async fn ended(mut end: End) {
+    while end.changed().await.is_ok() {}
 }
 
 /// What manifest and log say of a group.
--- a/crates/ownership/src/rival.rs
+++ b/crates/ownership/src/rival.rs
@@ -45,7 +45,11 @@
         let leader = (&appointment.leader, appointment.epoch);
         let standby = appointment.standby.as_ref();
         let standby = standby.map(|standby| (standby, appointment.standby_epoch()));
-        let named = self.groups.entry(group.clone()).or_default();
+        // Of a group that had a leader before this daemon first heard of it, not all are known.
+        let named = self.groups.entry(group.clone()).or_insert_with(|| Named {
+            rivals: Vec::new(),
+            is_partial: appointment.replaces != 0,
+        });
         for (member, epoch) in [Some(leader), standby].into_iter().flatten() {
             let rival = Rival {
                 daemon: member.name.clone(),
@@ -93,6 +97,23 @@
         }
     }
 
+    /// Whether everybody is known that was ever named for the group.
+    pub(crate) fn is_whole(&self, group: &GroupId) -> bool {
+        self.groups
+            .get(group)
+            .is_some_and(|named| !named.is_partial)
+    }
+
+    /// The daemons that may act for a group, under whatever epoch.
+    pub(crate) fn names(&self, group: &GroupId) -> Vec<DaemonName> {
+        let named = self.groups.get(group).into_iter();
+        let rivals = named.flat_map(|named| &named.rivals);
+        let mut names: Vec<DaemonName> = rivals.map(|rival| rival.daemon.clone()).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
     /// Whether nobody that this daemon has heard of can act for the group below `epoch`.
     pub(crate) fn is_alone(&self, group: &GroupId, epoch: Epoch) -> bool {
         let Some(named) = self.groups.get(group) else {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,13 @@
-//! Pure decisions over inputs and a given time.
+//! Pure decisions over inputs and a given time; sockets stay elsewhere.
 
+pub mod appoint;
+pub mod backoff;
+pub mod budget;
 pub mod group;
+pub mod limit;
 pub mod placement;
+pub mod quarantine;
+pub mod queue;
+pub mod retry;
+pub mod slots;
+pub mod window;
--- a/crates/policy/tests/simulation/world.rs
+++ b/crates/policy/tests/simulation/world.rs
@@ -271,6 +271,7 @@
                 slots: 2,
                 connections: 130,
                 fencing: Fencing::Checked,
+                part: 0,
                 drain: node.drains,
             });
         Config {
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,11 @@
+//! Clusters of daemons and stand-ins on loopback, for tests, experiments and the demo.
+
+pub mod cluster;
+pub mod faults;
+pub mod load;
+pub mod measure;
+pub mod naive;
+pub mod node;
+pub mod run;
+pub mod scenario;
+pub mod schedule;
