Test the policies by property and against naive versions

A property over two daemons that take turns in leading found that a leader that had taken no key since it took over handed an older statement of what it knows to its successor, so a key ran twice. An export now names the stretch of leading it speaks for.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -23,9 +23,12 @@
 };
 use arc_swap::ArcSwap;
 use copperwell_backend::Forward;
-use copperwell_keyspace::{ServiceName, ShardIndex, manifest::Manifest};
+use copperwell_keyspace::{Epoch, ServiceName, ShardIndex, manifest::Manifest};
 use copperwell_message::{Head, Reason, Repeat, Request, Response, Serve};
-use copperwell_policy::{quarantine::Share, window::Export};
+use copperwell_policy::{
+    quarantine::Share,
+    window::{Export, Term},
+};
 use prometheus_client::registry::Registry;
 use tokio::{sync::mpsc, time::Instant};
 
@@ -129,15 +132,25 @@
         all
     }
 
-    /// Takes the keys of shards out for their next leader.
+    /// Takes the keys of shards, led last under `epoch`, out for their next leader.
     ///
     /// Call it when the shards' routes are [`Route::Elsewhere`] and nothing is in flight on them;
-    /// what still runs goes out as having perhaps run.
+    /// what still runs goes out as having perhaps run. `None` if no such service is in force.
     #[must_use]
-    pub fn window_export(&self, service: &ServiceName, shards: &[ShardIndex]) -> Option<Export> {
-        let config = self.inner.config.load();
-        let serving = config.services.get(service)?;
-        Some(serving.kept.ids.export(service, shards))
+    pub fn window_export(
+        &self,
+        service: &ServiceName,
+        epoch: Epoch,
+        shards: &[ShardIndex],
+    ) -> Option<Export> {
+        let inner = &self.inner;
+        let serving = inner.serving(service).ok()?;
+        let term = |shard| Term {
+            turn: inner.table.lead(service, shard).turn,
+            epoch: Some(epoch),
+        };
+        let ids = &serving.kept.ids;
+        Some(ids.export(service, shards, term, (inner.wall)()))
     }
 
     /// Takes over the keys that the leader directly before exported.
@@ -146,9 +159,8 @@
     /// import and were made before this daemon led the shard are answered as having perhaps run.
     pub fn window_import(&self, export: Export) {
         let inner = &self.inner;
-        let config = inner.config.load();
         let service = Arc::clone(&export.service);
-        let Some(serving) = config.services.get(&service) else {
+        let Ok(serving) = inner.serving(&service) else {
             return;
         };
         let turn = |shard| {
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -100,8 +100,14 @@
     }
 
     /// Takes shards out for their next leader.
-    pub(crate) fn export(&self, service: &ServiceName, shards: &[ShardIndex]) -> Export {
-        self.state().window.export(service, shards)
+    pub(crate) fn export(
+        &self,
+        service: &ServiceName,
+        shards: &[ShardIndex],
+        term: impl Fn(ShardIndex) -> Term,
+        wall: SystemTime,
+    ) -> Export {
+        self.state().window.export(service, shards, term, wall)
     }
 
     /// Takes over what the leader before exported.
--- a/crates/dispatch/tests/engine/once.rs
+++ b/crates/dispatch/tests/engine/once.rs
@@ -177,7 +177,7 @@
     before.table.set(SERVICE, 0, Route::Elsewhere);
     after.table.set(SERVICE, 0, Route::Elsewhere);
     let service: ServiceName = SERVICE.into();
-    let export = before.engine.window_export(&service, &[0]).unwrap();
+    let export = before.engine.window_export(&service, 10, &[0]).unwrap();
     after.engine.window_import(export);
     after.own(0, "a", 12, 1);
     let resend = after.engine.serve(once("/payout", id)).await;
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -304,10 +304,20 @@
 
     /// Takes shards out for their next leader; from here on their keys are unknown here.
     ///
-    /// Requests that still run go out as ones that may have run.
-    pub fn export(&mut self, service: &ServiceName, shards: &[ShardIndex]) -> Export {
+    /// `term` tells in which stretch each shard was led last: what is known of an earlier one says
+    /// nothing about keys that others took since. Requests that still run go out as ones that may
+    /// have run.
+    pub fn export(
+        &mut self,
+        service: &ServiceName,
+        shards: &[ShardIndex],
+        term: impl Fn(ShardIndex) -> Term,
+        wall: SystemTime,
+    ) -> Export {
+        self.advance(wall);
         let mut led = Vec::new();
         for shard in shards {
+            self.follow(*shard, term(*shard));
             if let Some(lead) = self.shards.remove(shard) {
                 led.push(ExportShard {
                     shard: *shard,
--- /dev/null
+++ b/crates/policy/tests/load.rs
@@ -0,0 +1,162 @@
+//! Slots, budgets, limits, retries and the quarantine.
+
+use std::time::Duration;
+
+use copperwell_message::{Class, Reason, Repeat, Verdict};
+use copperwell_policy::{
+    backoff::Backoff,
+    budget::Budget,
+    limit::{Limit, Refusal},
+    quarantine::{Admission, Quarantine, Suspect},
+    retry::{self, Retry},
+    slots::{End, Slots},
+};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use test_case::test_case;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+const LENGTH: Duration = Duration::from_mins(5);
+const KILLERS: u64 = 2;
+
+fn run(slots: &mut Slots, now: Instant, class: Class, end: End) {
+    let run = slots.start(now, class, false);
+    slots.finish(now + Duration::from_millis(10), run, end);
+}
+
+#[test]
+fn slots_ramp_up_with_answers_and_halve_when_shed() {
+    let now = Instant::now();
+    let mut slots = Slots::new(6);
+    let mut limits = Vec::new();
+    for _ in 0..15 {
+        run(&mut slots, now, Class::Interactive, End::Answered);
+        limits.push(slots.limit());
+    }
+    assert_eq!(limits, [2, 2, 3, 3, 3, 4, 4, 4, 4, 5, 5, 5, 5, 5, 6]);
+    run(&mut slots, now, Class::Interactive, End::Shed);
+    assert_eq!(slots.limit(), 3);
+    slots.restart();
+    assert_eq!(slots.limit(), 1);
+}
+
+#[test]
+fn batch_leaves_a_slot_to_interactive_requests_that_come_and_go() {
+    let now = Instant::now();
+    let mut slots = Slots::new(2);
+    run(&mut slots, now, Class::Batch, End::Answered);
+    slots.start(now, Class::Batch, false);
+    assert!(slots.is_free_for_batch(now));
+    slots.arrive(now, Class::Interactive);
+    assert!(!slots.is_free_for_batch(now));
+    assert!(slots.is_free(now));
+    assert!(slots.is_free_for_batch(now + Duration::from_secs(1)));
+}
+
+#[test_case(Verdict::Done, Reason::Shed, true => Retry::Never; "done")]
+#[test_case(Verdict::NotRun, Reason::Shed, false => Retry::Anywhere; "shed")]
+#[test_case(Verdict::NotRun, Reason::ConnectionRefused, false => Retry::Anywhere; "refused")]
+#[test_case(Verdict::NotRun, Reason::Fenced, false => Retry::Anywhere; "fenced")]
+#[test_case(Verdict::NotRun, Reason::LeaseLapsed, false => Retry::Anywhere; "lapsed")]
+#[test_case(Verdict::NotRun, Reason::QueueFull, true => Retry::Never; "full")]
+#[test_case(Verdict::NotRun, Reason::Quarantined, true => Retry::Never; "quarantined")]
+#[test_case(Verdict::MayHaveRun, Reason::ConnectionLost, true => Retry::SameUpstream; "lost")]
+#[test_case(Verdict::MayHaveRun, Reason::ConnectionSilent, true => Retry::Anywhere; "silent")]
+#[test_case(Verdict::MayHaveRun, Reason::DeadlinePassed, true => Retry::Never; "deadline")]
+#[test_case(Verdict::MayHaveRun, Reason::ConnectionLost, false => Retry::Never; "once lost")]
+#[test_case(Verdict::MayHaveRun, Reason::ConnectionSilent, false => Retry::Never; "once silent")]
+fn retries_follow_the_verdict(verdict: Verdict, reason: Reason, repeatable: bool) -> Retry {
+    let repeat = if repeatable {
+        Repeat::Repeatable
+    } else {
+        Repeat::Once(Uuid::nil())
+    };
+    retry::after(verdict, reason, repeat)
+}
+
+#[test]
+fn a_callers_burst_leaves_room_for_others() {
+    let mut limit = Limit::new(10);
+    let burst = (0..20).filter(|_| limit.enter(1).is_ok()).count();
+    assert_eq!(burst, 10);
+    assert_eq!(limit.enter(2), Err(Refusal::Full));
+    limit.leave(&1);
+    assert_eq!(limit.enter(2), Ok(()));
+    limit.leave(&1);
+    assert_eq!(limit.enter(1), Err(Refusal::Share));
+    assert_eq!(limit.enter(2), Ok(()));
+    assert_eq!(limit.running(), 10);
+}
+
+/// Cases from a fixed seed.
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    #[test]
+    fn retries_never_exceed_their_share(percent in 0..=100_u8, tries in vec(any::<bool>(), 0..2000)) {
+        let mut budget = Budget::new();
+        let (mut first, mut again) = (0_u64, 0_u64);
+        for is_retry in tries {
+            if is_retry {
+                again += u64::from(budget.retry());
+            } else {
+                first += 1;
+                budget.first_try(percent);
+            }
+            prop_assert!(again * 100 <= first * u64::from(percent));
+        }
+    }
+
+    #[test]
+    fn backoff_grows_within_its_bounds(tries in 1..100_u32) {
+        let (least, most) = (Duration::from_millis(10), Duration::from_secs(1));
+        let delay = Backoff::new(least, most).delay(tries, &mut rand::rng());
+        prop_assert!(delay >= least / 2 && delay <= most);
+    }
+
+    /// Requests run side by side as admitted; some crash the server that runs them.
+    #[test]
+    fn only_what_crashes_servers_is_convicted(rounds in vec(vec(1..8_u64, 1..5), 0..60)) {
+        let now = Instant::now();
+        let mut quarantine = Quarantine::new();
+        let mut crashes = [0; 8];
+        for round in rounds {
+            let admitted = |wanted: Admission| {
+                round.iter().copied().filter(|one| quarantine.admit(now, *one) == wanted).collect()
+            };
+            let together: Vec<u64> = admitted(Admission::Free);
+            let alone: Vec<u64> = admitted(Admission::Alone);
+            let batches = alone.iter().map(|one| vec![*one]).chain([together.clone()]);
+            for batch in batches {
+                let crashed = batch.iter().any(|one| *one <= KILLERS);
+                for one in &batch {
+                    let suspect = Suspect {
+                        fingerprint: *one,
+                        alone: batch != together,
+                        incarnation: 1,
+                    };
+                    if crashed {
+                        quarantine.crash(now, suspect, LENGTH);
+                    } else if suspect.alone {
+                        quarantine.clear(now, *one);
+                    }
+                }
+                for killer in batch.iter().filter(|one| **one <= KILLERS) {
+                    crashes[usize::try_from(*killer).unwrap()] += 1;
+                }
+            }
+            let convicted = quarantine.export(now);
+            prop_assert!(convicted.iter().all(|share| share.fingerprint <= KILLERS));
+        }
+        prop_assert!(crashes.iter().all(|count| *count <= 2 + 4), "{:?}", crashes);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/window.rs
@@ -0,0 +1,281 @@
+//! No key runs twice, and none that ran is told as not run, whatever becomes of its leaders.
+
+use std::time::{Duration, SystemTime};
+
+use copperwell_message::{Reason, Reply, Verdict};
+use copperwell_policy::window::{
+    ANSWER_MAX, ANSWERS_MAX, Answer, CLOCK_DIFFERENCE, Claim, Export, Outcome, Term, Whole, Window,
+};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use uuid::{NoContext, Timestamp, Uuid};
+
+const LENGTH: Duration = Duration::from_secs(10);
+const SHARD: u32 = 3;
+const KEYS: usize = 12;
+
+#[derive(Debug, Clone)]
+enum Act {
+    /// Time passes, in milliseconds.
+    Pass(u64),
+    /// A caller whose clock is off makes a new key.
+    Make(usize, i64),
+    /// A caller sends a key to the leader, whose clock is off.
+    Send(usize, i64),
+    /// The leader hears how a request ended.
+    End(usize, u8),
+    /// The leader hands over to the other daemon as planned.
+    HandOver,
+    /// The other daemon takes over and knows nothing.
+    TakeOver,
+    /// As before, and the old leader's process is gone too.
+    Lose,
+}
+
+/// Two daemons that take turns in leading one shard.
+struct World {
+    now: SystemTime,
+    windows: [Window; 2],
+    turns: [u64; 2],
+    leader: usize,
+    epoch: u64,
+    keys: Vec<Key>,
+}
+
+#[derive(Clone, Copy)]
+struct Key {
+    id: Uuid,
+    runs: u32,
+    running_at: Option<usize>,
+}
+
+fn off(time: SystemTime, milliseconds: i64) -> SystemTime {
+    let by = Duration::from_millis(milliseconds.unsigned_abs());
+    if milliseconds < 0 {
+        time - by
+    } else {
+        time + by
+    }
+}
+
+fn key(made: SystemTime) -> Key {
+    let since = made.duration_since(SystemTime::UNIX_EPOCH).unwrap();
+    let at = Timestamp::from_unix(NoContext, since.as_secs(), since.subsec_nanos());
+    Key {
+        id: Uuid::new_v7(at),
+        runs: 0,
+        running_at: None,
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let now = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+        Self {
+            now,
+            windows: [Window::new(LENGTH), Window::new(LENGTH)],
+            turns: [1, 0],
+            leader: 0,
+            epoch: 2,
+            keys: vec![key(now); KEYS],
+        }
+    }
+
+    fn claim(&self, id: Uuid) -> Claim {
+        let term = Term {
+            turn: self.turns[self.leader],
+            epoch: Some(self.epoch),
+        };
+        Claim {
+            id,
+            shard: SHARD,
+            term,
+            fingerprint: 7,
+        }
+    }
+
+    fn send(&mut self, index: usize, skew: i64) -> Result<(), TestCaseError> {
+        let claim = self.claim(self.keys[index].id);
+        let answer = self.windows[self.leader].claim(claim, off(self.now, skew));
+        let key = &mut self.keys[index];
+        match answer {
+            Answer::Run => {
+                key.runs += 1;
+                key.running_at = Some(self.leader);
+            }
+            Answer::Refused(refusal) if refusal.verdict == Verdict::NotRun => {
+                prop_assert_eq!(key.runs, 0, "told as not run: {:?}", refusal);
+            }
+            Answer::Join => prop_assert!(key.running_at.is_some()),
+            Answer::Refused(_) | Answer::Kept(_) => {}
+        }
+        prop_assert!(key.runs <= 1, "ran twice");
+        Ok(())
+    }
+
+    fn end(&mut self, index: usize, how: u8) {
+        let key = &mut self.keys[index];
+        let Some(at) = key.running_at.take() else {
+            return;
+        };
+        let outcome = match how {
+            0 => Outcome::NotRun,
+            1 => Outcome::Done { status: 200 },
+            _ => Outcome::MayHaveRun {
+                reason: Reason::ConnectionLost,
+            },
+        };
+        // Only a leader that still leads hears that nothing ran; what it exported stays in doubt.
+        key.runs -= u32::from(how == 0);
+        self.windows[at].finish(key.id, outcome);
+    }
+
+    fn change(&mut self, export: Option<Export>) {
+        self.leader = 1 - self.leader;
+        self.epoch += 2;
+        self.turns[self.leader] += 1;
+        if let Some(export) = export {
+            let turn = self.turns[self.leader];
+            self.windows[self.leader].import(export, |_| turn, self.now);
+        }
+    }
+
+    fn act(&mut self, act: Act) -> Result<(), TestCaseError> {
+        match act {
+            Act::Pass(milliseconds) => self.now += Duration::from_millis(milliseconds),
+            Act::Make(index, skew) => self.keys[index] = key(off(self.now, skew)),
+            Act::Send(index, skew) => self.send(index, skew)?,
+            Act::End(index, how) => self.end(index, how),
+            Act::HandOver => {
+                let term = self.claim(self.keys[0].id).term;
+                let window = &mut self.windows[self.leader];
+                let export = window.export(&"payouts".into(), &[SHARD], |_| term, self.now);
+                self.change(Some(export));
+            }
+            Act::TakeOver => self.change(None),
+            Act::Lose => {
+                self.windows[self.leader] = Window::new(LENGTH);
+                self.turns[self.leader] = 0;
+                self.change(None);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    let most = CLOCK_DIFFERENCE.as_millis() as i64 / 2;
+    let skew = -most..=most;
+    let index = 0..KEYS;
+    prop_oneof![
+        4 => prop_oneof![0..50_u64, 300..2_000_u64, 5_000..12_000_u64].prop_map(Act::Pass),
+        3 => (index.clone(), skew.clone()).prop_map(|(index, skew)| Act::Make(index, skew)),
+        8 => (index.clone(), skew).prop_map(|(index, skew)| Act::Send(index, skew)),
+        3 => (index, 0..3_u8).prop_map(|(index, how)| Act::End(index, how)),
+        1 => Just(Act::HandOver),
+        1 => Just(Act::TakeOver),
+        1 => Just(Act::Lose),
+    ]
+}
+
+/// Cases from a fixed seed.
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(1500))]
+
+    #[test]
+    fn no_key_runs_twice(acts in vec(act(), 0..120)) {
+        let mut world = World::new();
+        for act in acts {
+            world.act(act)?;
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_took_no_key_hands_over_no_claim_to_know_them() -> Result<(), TestCaseError> {
+    let mut world = World::new();
+    let ran_at_the_other = [
+        Act::Send(0, 0),
+        Act::TakeOver,
+        Act::Send(0, 0),
+        Act::Pass(5000),
+        Act::Make(5, 0),
+        Act::Send(5, 0),
+        Act::Lose,
+        Act::HandOver,
+        Act::Send(5, 0),
+    ];
+    ran_at_the_other
+        .into_iter()
+        .try_for_each(|act| world.act(act))
+}
+
+/// A window that leads and knows new keys, and a key that it lets run.
+fn running() -> (Window, World) {
+    let mut world = World::new();
+    let mut window = Window::new(LENGTH).with_keys(2);
+    window.claim(world.claim(world.keys[0].id), world.now);
+    world.now += Duration::from_secs(2);
+    world.keys[0] = key(world.now);
+    assert_eq!(
+        window.claim(world.claim(world.keys[0].id), world.now),
+        Answer::Run
+    );
+    (window, world)
+}
+
+#[test]
+fn a_full_window_refuses_new_keys_and_forgets_none() {
+    let (mut window, world) = running();
+    let second = key(world.now).id;
+    assert_eq!(window.claim(world.claim(second), world.now), Answer::Run);
+    let third = window.claim(world.claim(key(world.now).id), world.now);
+    assert!(matches!(third, Answer::Refused(refusal)
+        if (refusal.verdict, refusal.reason) == (Verdict::NotRun, Reason::ServiceLimit)));
+    assert_eq!(window.claim(world.claim(second), world.now), Answer::Join);
+}
+
+#[test]
+fn a_clock_that_jumps_ahead_and_back_lets_nothing_run_again() {
+    let (mut window, world) = running();
+    let id = world.keys[0].id;
+    window.finish(id, Outcome::Done { status: 200 });
+    let ahead = world.now + Duration::from_hours(1);
+    window.claim(world.claim(key(ahead).id), ahead);
+    let again = window.claim(world.claim(id), world.now);
+    assert!(matches!(again, Answer::Refused(refusal) if refusal.verdict == Verdict::MayHaveRun));
+}
+
+#[test]
+fn kept_answers_are_bounded_and_the_oldest_go_first() {
+    let mut world = World::new();
+    let mut window = Window::new(LENGTH);
+    window.claim(world.claim(world.keys[0].id), world.now);
+    world.now += Duration::from_secs(2);
+    let keys = 2 * ANSWERS_MAX / ANSWER_MAX;
+    let ids: Vec<Uuid> = (0..keys).map(|_| key(world.now).id).collect();
+    for id in &ids {
+        window.claim(world.claim(*id), world.now);
+        let reply = Reply {
+            status: 201,
+            headers: Vec::new(),
+            verdict: Verdict::Done,
+            reason: None,
+            retry_after: None,
+        };
+        let body = vec![0; ANSWER_MAX - size_of::<Whole>()];
+        window.finish(*id, Outcome::Answered(Box::new(Whole { reply, body })));
+    }
+    let first = window.claim(world.claim(ids[0]), world.now);
+    assert_eq!(first, Answer::Kept(Outcome::Done { status: 201 }));
+    let last = window.claim(world.claim(ids[keys - 1]), world.now);
+    assert!(matches!(last, Answer::Kept(Outcome::Answered(_))));
+}
