Let the tests tell smaller margins from the right ones

A leader that begins without its predecessor's keys needs twice the clock difference; keys of callers whose clocks are off further now show it. The crash test ramps its server up first, so that only the quarantine keeps others out.

--- a/crates/dispatch/tests/engine/once.rs
+++ b/crates/dispatch/tests/engine/once.rs
@@ -235,6 +235,9 @@
     assert_eq!(beside.await.unwrap().reply.verdict, Verdict::MayHaveRun);
     // The server comes back as another run, which proves the crash.
     bench.own(0, "a", 10, 2);
+    for _ in 0..4 {
+        bench.engine.serve(request("/warm")).await;
+    }
     let second = spawn(&bench, unrepeated("/crash"));
     sleep(ms(10)).await;
     let other = spawn(&bench, unrepeated("/warm"));
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -165,10 +165,12 @@
 fn act() -> impl Strategy<Value = Act> {
     let most = CLOCK_DIFFERENCE.as_millis() as i64 / 2;
     let skew = -most..=most;
+    // A caller's clock may be off further; the leader refuses what it sees as too far ahead.
+    let off = -4 * most..=4 * most;
     let index = 0..KEYS;
     prop_oneof![
         4 => prop_oneof![0..50_u64, 300..2_000_u64, 5_000..12_000_u64].prop_map(Act::Pass),
-        3 => (index.clone(), skew.clone()).prop_map(|(index, skew)| Act::Make(index, skew)),
+        3 => (index.clone(), off).prop_map(|(index, off)| Act::Make(index, off)),
         8 => (index.clone(), skew).prop_map(|(index, skew)| Act::Send(index, skew)),
         3 => (index, 0..3_u8).prop_map(|(index, how)| Act::End(index, how)),
         1 => Just(Act::HandOver),
