--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod appoint;
 pub mod backoff;
 pub mod budget;
+pub mod group;
 pub mod limit;
+pub mod placement;
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
