Bound bodies and holds, and measure goodput past the knee

Bodies read ahead had no common bound, one caller could fill the places of requests that wait for an owner, and a resend that had joined a request could be told not run when its leader changed meanwhile. Bound the first two, be honest in the third, and test goodput and the wait of interactive requests beside too much batch.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -128,9 +128,8 @@
                 Route::Held => call.deadline,
             };
             if hold.is_none() {
-                let most = serving.service.limits.queue;
-                let place = serving.kept.hold(most);
-                hold = Some(place.ok_or(Failure::not_run(Reason::QueueFull))?);
+                let place = serving.kept.hold(head.caller);
+                hold = Some(place.map_err(Failure::not_run)?);
             }
             let same = |route: &Route| matches!(route, Route::Unowned | Route::Held);
             let changed = self.table.changed(&head.service, head.shard, same);
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -12,13 +12,19 @@
 use copperwell_keyspace::UpstreamName;
 use copperwell_message::{Body, Head, Reason, Request, Response, Verdict};
 use copperwell_policy::window::Term;
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, timeout_at},
+};
 use tokio_util::sync::CancellationToken;
 
 /// The largest body that is read before the request queues, in bytes; a longer one is streamed
 /// and can be sent only once.
 const BODY_MAX: usize = 64 << 10;
 
+/// Bytes of bodies that all requests together keep at most; beyond it, bodies are streamed.
+const BODIES_MAX: usize = 16 << 20;
+
 /// When a caller may come back after a failure that names no better time.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -46,6 +52,14 @@
     /// Tells that the caller went away.
     pub(crate) gone: CancellationToken,
     payload: Payload,
+    /// The part of the bodies' memory that this request takes.
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+/// The memory for the bodies of requests that are under way.
+#[derive(Debug)]
+pub(crate) struct Room {
+    bytes: Arc<Semaphore>,
 }
 
 /// Why a try has no answer from the owner.
@@ -70,9 +84,15 @@
 
 impl Call {
     /// Reads a request until its body is whole or too long to be kept.
-    pub(crate) async fn read(request: Request, deadline: Instant) -> Result<Self, Failure> {
+    pub(crate) async fn read(
+        request: Request,
+        deadline: Instant,
+        room: &Room,
+    ) -> Result<Self, Failure> {
         let Request { head, body } = request;
-        let payload = match timeout_at(deadline, Payload::read(body)).await {
+        let mut taken = None;
+        let reading = Payload::read(body, room, &mut taken);
+        let payload = match timeout_at(deadline, reading).await {
             Ok(Some(payload)) => payload,
             Ok(None) => return Err(Failure::not_run(Reason::Cancelled)),
             Err(_) => return Err(Failure::not_run(Reason::SlowCaller)),
@@ -89,6 +109,7 @@
             sent: Arc::default(),
             gone: CancellationToken::new(),
             payload,
+            _room: taken,
         })
     }
 
@@ -187,18 +208,47 @@
     }
 }
 
+impl Room {
+    /// Room for the bodies of all requests.
+    pub(crate) fn new() -> Self {
+        Self {
+            bytes: Arc::new(Semaphore::new(BODIES_MAX)),
+        }
+    }
+
+    /// Adds `bytes` to what a request has taken; `false` if there is no room.
+    fn take(&self, bytes: usize, taken: &mut Option<OwnedSemaphorePermit>) -> bool {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        let Ok(more) = Arc::clone(&self.bytes).try_acquire_many_owned(bytes) else {
+            return false;
+        };
+        match taken {
+            Some(held) => held.merge(more),
+            None => *taken = Some(more),
+        }
+        true
+    }
+}
+
 impl Payload {
-    /// Reads a body; `None` if it is severed.
-    async fn read(mut body: Body) -> Option<Self> {
+    /// Reads a body as far as it may be kept; `None` if it is severed.
+    async fn read(
+        mut body: Body,
+        room: &Room,
+        taken: &mut Option<OwnedSemaphorePermit>,
+    ) -> Option<Self> {
         if let Some(bytes) = body.as_full() {
             return Some(Self::Whole(bytes));
         }
         let mut read = BytesMut::new();
         while read.len() <= BODY_MAX {
-            match body.chunk().await {
-                None => return Some(Self::Whole(read.freeze())),
-                Some(Ok(chunk)) => read.extend_from_slice(&chunk),
-                Some(Err(_)) => return None,
+            let Some(chunk) = body.chunk().await else {
+                return Some(Self::Whole(read.freeze()));
+            };
+            let chunk = chunk.ok()?;
+            read.extend_from_slice(&chunk);
+            if !room.take(chunk.len(), taken) {
+                break;
             }
         }
         Some(Self::Stream(body.with_prefix(read.freeze())))
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    call::{Call, Failure},
+    call::{Call, Failure, Room},
     gauges::Gauges,
     guard::Guard,
     metrics::Metrics,
@@ -58,6 +58,7 @@
     pub(crate) metrics: Metrics,
     /// Reads wall time.
     pub(crate) wall: fn() -> SystemTime,
+    room: Room,
     config: Arc<ArcSwap<Config>>,
     writer: Mutex<()>,
     observed: mpsc::Sender<Observation>,
@@ -88,6 +89,7 @@
             guard: Arc::new(Guard::new(metrics.clone())),
             metrics,
             wall,
+            room: Room::new(),
             config: Arc::default(),
             writer: Mutex::default(),
             observed,
@@ -200,7 +202,7 @@
         if let Err(failure) = self.accept(&request.head) {
             return failure.into_response();
         }
-        let call = match Call::read(request, deadline).await {
+        let call = match Call::read(request, deadline, &self.room).await {
             Ok(call) => call,
             Err(failure) => return failure.into_response(),
         };
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -31,13 +31,15 @@
 impl<F: Forward> Inner<F> {
     /// Serves a request that is not repeatable.
     pub(crate) async fn serve_once(self: &Arc<Self>, id: Uuid, mut call: Call) -> Response {
+        // Once joined, the same request was on its way, so nothing can rule out that it ran.
+        let mut unless = Verdict::NotRun;
         loop {
             let serving = match self.serving(&call.head.service) {
                 Ok(serving) => serving,
-                Err(failure) => return failure.into_response(),
+                Err(failure) => return Failure::new(unless, failure.reason).into_response(),
             };
             let Some(term) = self.term(&call) else {
-                return Failure::not_run(Reason::NotLeader).into_response();
+                return Failure::new(unless, Reason::NotLeader).into_response();
             };
             let claim = Claim {
                 id,
@@ -52,6 +54,7 @@
                 }
                 Claimed::Join(ended) => {
                     self.metrics.joins.inc();
+                    unless = Verdict::MayHaveRun;
                     if timeout_at(call.deadline, ended).await.is_err() {
                         return Failure::may_have_run(Reason::DeadlinePassed).into_response();
                     }
--- a/crates/dispatch/src/serving.rs
+++ b/crates/dispatch/src/serving.rs
@@ -1,8 +1,8 @@
 //! The services in force, with what is kept for each from one manifest to the next.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicU32, Ordering},
+use std::{
+    net::IpAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use crate::{gate::Gate, ids::Ids};
@@ -10,7 +10,11 @@
     HashMap, ServiceName, UpstreamName,
     manifest::{Manifest, Service, Upstream},
 };
-use copperwell_policy::budget::Budget;
+use copperwell_message::Reason;
+use copperwell_policy::{
+    budget::Budget,
+    limit::{Limit, Refusal},
+};
 
 /// The services of one manifest.
 #[derive(Debug, Default)]
@@ -44,12 +48,13 @@
     /// The keys of requests that are not repeatable.
     pub(crate) ids: Ids,
     budget: Mutex<Budget>,
-    held: AtomicU32,
+    holds: Mutex<Limit<IpAddr>>,
 }
 
 /// A request that waits for its shard to get an owner, counted until it is dropped.
 pub(crate) struct Hold<'a> {
     kept: &'a Kept,
+    caller: IpAddr,
 }
 
 impl Config {
@@ -73,6 +78,7 @@
             None => Arc::new(Kept::new(service)),
         };
         kept.ids.set_length(service.limits.window);
+        kept.holds().set_most(service.limits.queue);
         let doors = service.upstreams.iter().map(|upstream| {
             let old = before.and_then(|old| old.doors.get(&upstream.name));
             let door = Door::new(upstream, service.limits.queue, old);
@@ -118,7 +124,7 @@
         Self {
             ids: Ids::new(service.limits.window),
             budget: Mutex::new(Budget::new()),
-            held: AtomicU32::new(0),
+            holds: Mutex::new(Limit::new(service.limits.queue)),
         }
     }
 
@@ -132,11 +138,18 @@
         self.with_budget(Budget::retry)
     }
 
-    /// Lets a request wait for its shard's owner, beside at most `most - 1` others.
-    pub(crate) fn hold(&self, most: u32) -> Option<Hold<'_>> {
-        let before = self.held.fetch_add(1, Ordering::AcqRel);
-        let hold = Hold { kept: self };
-        (before < most).then_some(hold)
+    /// Lets a request wait for its shard's owner.
+    pub(crate) fn hold(&self, caller: IpAddr) -> Result<Hold<'_>, Reason> {
+        let entered = self.holds().enter(caller);
+        match entered {
+            Ok(()) => Ok(Hold { kept: self, caller }),
+            Err(Refusal::Full) => Err(Reason::QueueFull),
+            Err(Refusal::Share) => Err(Reason::CallerShare),
+        }
+    }
+
+    fn holds(&self) -> MutexGuard<'_, Limit<IpAddr>> {
+        self.holds.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn with_budget<T>(&self, act: impl FnOnce(&mut Budget) -> T) -> T {
@@ -147,6 +160,6 @@
 
 impl Drop for Hold<'_> {
     fn drop(&mut self) {
-        self.kept.held.fetch_sub(1, Ordering::AcqRel);
+        self.kept.holds().leave(&self.caller);
     }
 }
--- a/crates/dispatch/tests/engine/requests.rs
+++ b/crates/dispatch/tests/engine/requests.rs
@@ -13,8 +13,8 @@
     Observation,
     table::{Lease, Route},
 };
-use copperwell_keyspace::manifest::Limits;
-use copperwell_message::{Body, Class, Reason, Serve, Verdict};
+use copperwell_keyspace::manifest::{Limits, Upstream};
+use copperwell_message::{Body, Class, Reason, Request, Serve, Verdict};
 use test_case::test_case;
 use tokio::{
     task::{JoinSet, yield_now},
@@ -486,3 +486,59 @@
     let response = bench.engine.serve(request("/day")).await;
     assert_eq!(told(&response), (Verdict::NotRun, Some(Reason::Stopping)));
 }
+
+/// Offers requests of about 10 ms to two slots, evenly at `per_second`, and gives the latency of
+/// each that was answered in time.
+async fn offer(bench: &Bench, class: Class, per_second: u32, seconds: u32) -> Vec<Duration> {
+    let mut served = JoinSet::new();
+    for _ in 0..per_second * seconds {
+        let engine = Arc::clone(&bench.engine);
+        let mut next = request("/day");
+        next.head.class = class;
+        next.head.deadline = ms(if class == Class::Batch { 30_000 } else { 300 });
+        served.spawn(async move {
+            let began = Instant::now();
+            let response = engine.serve(next).await;
+            (response.reply.verdict == Verdict::Done).then(|| began.elapsed())
+        });
+        sleep(Duration::from_secs(1) / per_second).await;
+    }
+    served.join_all().await.into_iter().flatten().collect()
+}
+
+/// Service times of 1 to 19 ms in a fixed order.
+fn varied() -> impl Fn(&Upstream, &Request) -> Step + Send + Sync + 'static {
+    let number = AtomicU32::new(0);
+    move |_, _| {
+        let next = number.fetch_add(1, Ordering::SeqCst);
+        Step::Answer(ms(u64::from(next * 7 % 19 + 1)), "")
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn goodput_does_not_fall_past_the_knee() {
+    let mut answered = Vec::new();
+    for per_second in [200, 500, 1000] {
+        let bench = Bench::new(varied());
+        answered.push(
+            offer(&bench, Class::Interactive, per_second, 10)
+                .await
+                .len(),
+        );
+    }
+    assert!(answered[1] * 10 >= answered[0] * 9, "{answered:?}");
+    assert!(answered[2] * 10 >= answered[0] * 9, "{answered:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn interactive_stays_quick_while_batch_is_twice_the_capacity() {
+    let bench = Bench::new(varied());
+    let batch = offer(&bench, Class::Batch, 500, 10);
+    let interactive = offer(&bench, Class::Interactive, 50, 10);
+    let (batch, mut interactive) = tokio::join!(batch, interactive);
+    interactive.sort();
+    assert_eq!(interactive.len(), 500, "none is refused");
+    let p99 = interactive[interactive.len() * 99 / 100];
+    assert!(p99 <= ms(40), "{p99:?}");
+    assert!(batch.len() >= 800, "{} batch requests", batch.len());
+}
--- a/crates/dispatch/tests/engine/support.rs
+++ b/crates/dispatch/tests/engine/support.rs
@@ -296,5 +296,6 @@
         connections: 130,
         fencing: Fencing::Checked,
         drain: false,
+        part: 0,
     }
 }
