Let a hand-over of keys count for its next leader only

A hand-over that came late or twice could make a daemon trust what it knew before others had led the shard, and a key from a caller whose clock is ahead could be told not run by a leader whose clock is behind although its predecessor ran it. An export now names the epoch of its next leader, and a key is judged invalid only after it is sure that no leader before could have let it run. The property test covers both.

--- a/crates/copperwelld/src/stop.rs
+++ b/crates/copperwelld/src/stop.rs
@@ -32,7 +32,7 @@
     };
     let window = core
         .engine
-        .window_export(&group.service, &shards_of(core, group));
+        .window_export(&group.service, epoch, &shards_of(core, group));
     let message = HandOver {
         group: group.clone(),
         epoch,
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -134,7 +134,10 @@
         all
     }
 
-    /// Takes the keys of shards, led last under `epoch`, out for their next leader.
+    /// Takes the keys of shards, led last under `epoch`, out for the standby of that appointment.
+    ///
+    /// The standby takes them over under the next epoch and no other, so that a hand-over that
+    /// comes late or twice lets no key run again.
     ///
     /// Call it when the shards' routes are [`Route::Elsewhere`] and nothing is in flight on them;
     /// what still runs goes out as having perhaps run. `None` if no such service is in force.
@@ -152,7 +155,8 @@
             epoch: Some(epoch),
         };
         let ids = &serving.kept.ids;
-        Some(ids.export(service, shards, term, (inner.wall)()))
+        let next = epoch + 1;
+        Some(ids.export(service, next, shards, term, (inner.wall)()))
     }
 
     /// Takes over the keys that the leader directly before exported.
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -10,7 +10,7 @@
     time::{Duration, SystemTime},
 };
 
-use copperwell_keyspace::{HashMap, ServiceName, ShardIndex};
+use copperwell_keyspace::{Epoch, HashMap, ServiceName, ShardIndex};
 use copperwell_message::Reason;
 use copperwell_policy::window::{self, Answer, Claim, Export, Outcome, Term, Window};
 use tokio::sync::{Notify, futures::OwnedNotified};
@@ -103,11 +103,13 @@
     pub(crate) fn export(
         &self,
         service: &ServiceName,
+        next: Epoch,
         shards: &[ShardIndex],
         term: impl Fn(ShardIndex) -> Term,
         wall: SystemTime,
     ) -> Export {
-        self.state().window.export(service, shards, term, wall)
+        let mut state = self.state();
+        state.window.export(service, next, shards, term, wall)
     }
 
     /// Takes over what the leader before exported.
--- a/crates/dispatch/tests/engine/once.rs
+++ b/crates/dispatch/tests/engine/once.rs
@@ -212,7 +212,7 @@
     let service: ServiceName = SERVICE.into();
     let export = before.engine.window_export(&service, 10, &[0]).unwrap();
     after.engine.window_import(export);
-    after.own(0, "a", 12, 1);
+    after.own(0, "a", 11, 1);
     let resend = after.engine.serve(once("/payout", id)).await;
     assert_eq!(text(resend).await, "paid");
     let fresh = after.engine.serve(once("/payout", new_id())).await;
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -108,6 +108,8 @@
 pub struct Export {
     /// The service.
     pub service: ServiceName,
+    /// The epoch of the leader that it is for; under any other one it says nothing.
+    pub next: Epoch,
     /// The shards.
     pub shards: Vec<ExportShard>,
     /// The entries.
@@ -144,6 +146,8 @@
     /// The latest wall time seen.
     wall: SystemTime,
     shards: HashMap<ShardIndex, Lead>,
+    /// The highest epoch under which each shard was led here; it outlives the entry in `shards`.
+    epochs: HashMap<ShardIndex, Epoch>,
     /// A UUIDv7 begins with its time, so keys are in order of age.
     entries: BTreeMap<Uuid, Entry>,
     /// Keys whose answers are kept, oldest answer first, and some that are gone.
@@ -192,6 +196,7 @@
             keys_max: KEYS_MAX,
             wall: SystemTime::UNIX_EPOCH,
             shards: HashMap::default(),
+            epochs: HashMap::default(),
             entries: BTreeMap::new(),
             answers: VecDeque::new(),
             answers_bytes: 0,
@@ -224,11 +229,7 @@
         // The predecessor took keys from up to one difference ahead of its clock, which may itself
         // have been one difference ahead of ours.
         let unknown_before = self.wall + 2 * CLOCK_DIFFERENCE;
-        let lead = Lead {
-            term,
-            unknown_before,
-        };
-        self.shards.insert(shard, lead);
+        self.lead(shard, term, unknown_before);
     }
 
     /// Judges a request that is not repeatable, and enters it if it may run.
@@ -241,15 +242,16 @@
         if let Some(entry) = self.entries.get(&claim.id) {
             return entry.answer(claim.fingerprint);
         }
-        if made > self.wall + CLOCK_DIFFERENCE {
-            return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
-        }
         if made < self.horizon() {
             return refused(Verdict::MayHaveRun, Reason::IdempotencyKeyExpired);
         }
         if self.is_unknown(claim.shard, made) {
             return refused(Verdict::MayHaveRun, Reason::IdempotencyKeyUnknown);
         }
+        // Only now is it sure that no leader before, whose clock was ahead, let the key run.
+        if made > self.wall + CLOCK_DIFFERENCE {
+            return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
+        }
         if self.entries.len() >= self.keys_max {
             return refused(Verdict::NotRun, Reason::ServiceLimit);
         }
@@ -305,11 +307,12 @@
     /// Takes shards out for their next leader; from here on their keys are unknown here.
     ///
     /// `term` tells in which stretch each shard was led last: what is known of an earlier one says
-    /// nothing about keys that others took since. Requests that still run go out as ones that may
-    /// have run.
+    /// nothing about keys that others took since. `next` is the epoch of the next leader. Requests
+    /// that still run go out as ones that may have run.
     pub fn export(
         &mut self,
         service: &ServiceName,
+        next: Epoch,
         shards: &[ShardIndex],
         term: impl Fn(ShardIndex) -> Term,
         wall: SystemTime,
@@ -333,6 +336,7 @@
             .collect();
         Export {
             service: service.clone(),
+            next,
             shards: led,
             entries: gone.into_iter().filter_map(|id| self.take(id)).collect(),
         }
@@ -340,25 +344,26 @@
 
     /// Takes over what the leader before exported.
     ///
-    /// `turn` tells in which stretch of leading each shard the entries count.
+    /// `turn` tells in which stretch of leading each shard the entries count. An export that comes
+    /// after the shard was led here under its epoch or a later one is out of date: others may have
+    /// taken keys since, so it is left.
     pub fn import(&mut self, export: Export, turn: impl Fn(ShardIndex) -> u64, wall: SystemTime) {
         self.advance(wall);
-        let mut overflow = None;
-        for entry in export.entries {
-            if !self.adopt(&entry) {
-                overflow = overflow.max(made_at(entry.id));
+        let mut forgotten = SystemTime::UNIX_EPOCH;
+        for entry in &export.entries {
+            if !self.adopt(entry) {
+                forgotten = forgotten.max(made_at(entry.id).unwrap_or(forgotten));
             }
         }
         for led in export.shards {
-            let forgotten = overflow.unwrap_or(SystemTime::UNIX_EPOCH);
-            let lead = Lead {
-                term: Term {
-                    turn: turn(led.shard),
-                    epoch: None,
-                },
-                unknown_before: led.unknown_before.max(forgotten),
+            if self.epochs.get(&led.shard) >= Some(&export.next) {
+                continue;
+            }
+            let term = Term {
+                turn: turn(led.shard),
+                epoch: Some(export.next),
             };
-            self.shards.insert(led.shard, lead);
+            self.lead(led.shard, term, led.unknown_before.max(forgotten));
         }
     }
 
@@ -402,11 +407,28 @@
         match self.shards.get_mut(&shard) {
             Some(lead) if lead.term.is_same(term) => {
                 lead.term.epoch = lead.term.epoch.or(term.epoch);
+                let known = lead.term;
+                self.note(shard, known);
             }
             _ => self.begin(shard, term, self.wall),
         }
     }
 
+    fn lead(&mut self, shard: ShardIndex, term: Term, unknown_before: SystemTime) {
+        let lead = Lead {
+            term,
+            unknown_before,
+        };
+        self.shards.insert(shard, lead);
+        self.note(shard, term);
+    }
+
+    /// Remembers the highest epoch under which a shard was led.
+    fn note(&mut self, shard: ShardIndex, term: Term) {
+        let highest = self.epochs.entry(shard).or_default();
+        *highest = (*highest).max(term.epoch.unwrap_or_default());
+    }
+
     fn is_unknown(&self, shard: ShardIndex, made: SystemTime) -> bool {
         self.shards
             .get(&shard)
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -29,6 +29,10 @@
     TakeOver,
     /// As before, and the old leader's process is gone too.
     Lose,
+    /// The shard moves to the other daemon's group, whose leader stays the same.
+    Move,
+    /// The last hand-over arrives once more, at either daemon.
+    Repeat(usize),
 }
 
 /// Two daemons that take turns in leading one shard.
@@ -37,7 +41,9 @@
     windows: [Window; 2],
     turns: [u64; 2],
     leader: usize,
-    epoch: u64,
+    epochs: [u64; 2],
+    last_epoch: u64,
+    exported: Option<Export>,
     keys: Vec<Key>,
 }
 
@@ -75,7 +81,9 @@
             windows: [Window::new(LENGTH), Window::new(LENGTH)],
             turns: [1, 0],
             leader: 0,
-            epoch: 2,
+            epochs: [2, 0],
+            last_epoch: 2,
+            exported: None,
             keys: vec![key(now); KEYS],
         }
     }
@@ -83,7 +91,7 @@
     fn claim(&self, id: Uuid) -> Claim {
         let term = Term {
             turn: self.turns[self.leader],
-            epoch: Some(self.epoch),
+            epoch: Some(self.epochs[self.leader]),
         };
         Claim {
             id,
@@ -129,13 +137,26 @@
         self.windows[at].finish(key.id, outcome);
     }
 
-    fn change(&mut self, export: Option<Export>) {
+    /// The other daemon leads from here on, under an epoch that is higher by `step`.
+    fn change(&mut self, step: u64) {
         self.leader = 1 - self.leader;
-        self.epoch += 2;
+        self.last_epoch += step;
+        self.epochs[self.leader] = self.last_epoch;
         self.turns[self.leader] += 1;
-        if let Some(export) = export {
-            let turn = self.turns[self.leader];
-            self.windows[self.leader].import(export, |_| turn, self.now);
+    }
+
+    fn export(&mut self) {
+        let term = self.claim(self.keys[0].id).term;
+        let window = &mut self.windows[self.leader];
+        let next = self.last_epoch + 1;
+        let export = window.export(&"payouts".into(), next, &[SHARD], |_| term, self.now);
+        self.exported = Some(export);
+    }
+
+    fn import(&mut self, at: usize) {
+        if let Some(export) = self.exported.clone() {
+            let turn = self.turns[at] + u64::from(at != self.leader);
+            self.windows[at].import(export, |_| turn, self.now);
         }
     }
 
@@ -146,17 +167,24 @@
             Act::Send(index, skew) => self.send(index, skew)?,
             Act::End(index, how) => self.end(index, how),
             Act::HandOver => {
-                let term = self.claim(self.keys[0].id).term;
-                let window = &mut self.windows[self.leader];
-                let export = window.export(&"payouts".into(), &[SHARD], |_| term, self.now);
-                self.change(Some(export));
+                self.export();
+                self.import(1 - self.leader);
+                self.change(1);
             }
-            Act::TakeOver => self.change(None),
+            Act::TakeOver => self.change(2),
             Act::Lose => {
                 self.windows[self.leader] = Window::new(LENGTH);
                 self.turns[self.leader] = 0;
-                self.change(None);
+                // A new run of a daemon leads nothing under an epoch of the run before.
+                self.epochs[self.leader] = 0;
+                self.change(2);
+            }
+            Act::Move if self.epochs[1 - self.leader] > 0 => {
+                self.leader = 1 - self.leader;
+                self.turns[self.leader] += 1;
             }
+            Act::Move => {}
+            Act::Repeat(at) => self.import(at),
         }
         Ok(())
     }
@@ -176,6 +204,8 @@
         1 => Just(Act::HandOver),
         1 => Just(Act::TakeOver),
         1 => Just(Act::Lose),
+        1 => Just(Act::Move),
+        1 => (0..2_usize).prop_map(Act::Repeat),
     ]
 }
 
