--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -7,11 +7,9 @@
     time::Duration,
 };
 
-use super::{
-    FRAME_MAX, HandOver, Pong, Probe, Records, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient,
-};
+use super::{FRAME_MAX, HandOver, Pong, Probe, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient};
 use crate::dial::Dial;
-use copperwell_keyspace::{HashMap, LogOffset};
+use copperwell_keyspace::{HashMap, LogOffset, batch::Batch};
 use error_stack::{Report, ResultExt};
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use tarpc::{client, context::Context, serde_transport};
@@ -26,9 +24,12 @@
     io::{InspectReader, InspectWriter},
 };
 
-/// Connections kept; the rest are closed after their call.
+/// Connections kept; the one that was used least lately makes room for another.
 const CONNECTIONS_MAX: usize = 256;
 
+/// Time after which an unused connection is closed.
+const IDLE: Duration = Duration::from_mins(1);
+
 /// Calls under way on one connection.
 const CALLS_MAX: usize = 64;
 
@@ -79,7 +80,13 @@
 pub struct Client {
     dial: Dial,
     traffic: Traffic,
-    connections: Arc<Mutex<HashMap<SocketAddr, ControlClient>>>,
+    connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    client: ControlClient,
+    used: Instant,
 }
 
 impl Client {
@@ -146,7 +153,11 @@
     /// # Errors
     ///
     /// An [`Error`] if no answer came within [`TIMEOUT`].
-    pub async fn records(&self, to: SocketAddr, from: LogOffset) -> Result<Records, Report<Error>> {
+    pub async fn records(
+        &self,
+        to: SocketAddr,
+        from: LogOffset,
+    ) -> Result<Option<Batch>, Report<Error>> {
         self.call(to, TIMEOUT, async |client, context| {
             client.records(context, from).await
         })
@@ -230,8 +241,9 @@
         to: SocketAddr,
         deadline: Instant,
     ) -> Result<ControlClient, Report<Error>> {
-        if let Some(client) = self.lock().get(&to) {
-            return Ok(client.clone());
+        if let Some(connection) = self.lock().get_mut(&to) {
+            connection.used = Instant::now();
+            return Ok(connection.client.clone());
         }
         let stream = timeout_at(deadline, self.dial.connect(to))
             .await
@@ -246,18 +258,27 @@
         let mut config = client::Config::default();
         config.max_in_flight_requests = CALLS_MAX;
         let client = ControlClient::new(config, transport).spawn();
+        self.keep(to, client.clone());
+        Ok(client)
+    }
+
+    fn keep(&self, to: SocketAddr, client: ControlClient) {
+        let used = Instant::now();
         let mut connections = self.lock();
-        if connections.len() < CONNECTIONS_MAX {
-            connections.insert(to, client.clone());
+        connections.retain(|_, connection| connection.used.elapsed() < IDLE);
+        if connections.len() >= CONNECTIONS_MAX {
+            let oldest = connections.iter().min_by_key(|(_, kept)| kept.used);
+            let oldest = oldest.map(|(address, _)| *address);
+            connections.retain(|address, _| Some(*address) != oldest);
         }
-        Ok(client)
+        connections.insert(to, Connection { client, used });
     }
 
     fn forget(&self, to: SocketAddr) {
         self.lock().remove(&to);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, ControlClient>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
         self.connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/peer/src/control/rpc.rs
+++ b/crates/peer/src/control/rpc.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 
-use super::{HandOver, Pong, Probe, Records, Relinquish, Snapshot};
-use copperwell_keyspace::LogOffset;
+use super::{HandOver, Pong, Probe, Relinquish, Snapshot};
+use copperwell_keyspace::{LogOffset, batch::Batch};
 
 /// Control calls.
 #[tarpc::service]
 pub(crate) trait Control {
     async fn probe(probe: Probe) -> Pong;
     async fn probe_through(target: SocketAddr) -> Option<Pong>;
-    async fn records(from: LogOffset) -> Records;
+    async fn records(from: LogOffset) -> Option<Batch>;
     async fn snapshot() -> Option<Snapshot>;
     async fn hand_over(hand_over: HandOver) -> bool;
     async fn relinquish(relinquish: Relinquish) -> bool;
--- a/crates/platform/tests/follow.rs
+++ b/crates/platform/tests/follow.rs
@@ -31,6 +31,7 @@
             lease: std::time::Duration::from_millis(1500),
             limits: Limits::default(),
             upstreams: vec![Upstream {
+                part: 0,
                 name: "one".into(),
                 data_centre: "north".into(),
                 address: "127.0.0.1:1".parse().expect("an address"),
