Begin to judge keys only when the leader before has stopped

A leader that took over counted its own start from the first request, while its predecessor could still let keys run on servers not yet fenced, so a key made in between could run twice. New keys are now judged once their shard has an owner; until then a request waits, and without an owner it is told that it may have run.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -116,7 +116,7 @@
     }
 
     /// Waits until the shard has an owner.
-    async fn route(&self, call: &Call, serving: &Serving) -> Result<Owner, Failure> {
+    pub(crate) async fn route(&self, call: &Call, serving: &Serving) -> Result<Owner, Failure> {
         let head = &call.head;
         let mut hold = None;
         let unowned_until = call.deadline.min(Instant::now() + UNOWNED_WAIT);
@@ -377,8 +377,8 @@
         epoch: Some(target.owner.epoch),
     };
     if call.term.is_some_and(|entered| !entered.is_same(term)) {
-        // Another leader may have run it meanwhile, so the window has to judge it anew.
-        return Err(Failure::not_run(Reason::NotLeader));
+        // Another leader may have run it meanwhile.
+        return Err(Failure::may_have_run(Reason::IdempotencyKeyUnknown));
     }
     Ok(())
 }
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use copperwell_keyspace::UpstreamName;
-use copperwell_message::{Body, Head, Reason, Request, Response, Verdict};
+use copperwell_message::{Body, Head, Reason, Repeat, Request, Response, Verdict};
 use copperwell_policy::window::Term;
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
@@ -201,6 +201,18 @@
         self
     }
 
+    /// The failure of a request that the window has not judged: what is not repeatable may have
+    /// run when it was sent before.
+    pub(crate) fn before_claim(self, repeat: Repeat) -> Self {
+        match repeat {
+            Repeat::Repeatable => self,
+            Repeat::Once(_) => Self {
+                verdict: Verdict::MayHaveRun,
+                ..self
+            },
+        }
+    }
+
     /// The failure as a response.
     pub(crate) fn into_response(self) -> Response {
         let after = self.retry_after.unwrap_or(RETRY_AFTER);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -206,9 +206,10 @@
         if let Err(failure) = self.accept(&request.head) {
             return failure.into_response();
         }
+        let repeat = request.head.repeat;
         let call = match Call::read(request, deadline, &self.room).await {
             Ok(call) => call,
-            Err(failure) => return failure.into_response(),
+            Err(failure) => return failure.before_claim(repeat).into_response(),
         };
         match call.head.repeat {
             Repeat::Repeatable => self.serve_repeatable(call).await,
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -29,6 +29,8 @@
     Run(Term),
     /// The same request runs; this resolves when it has ended.
     Join(OwnedNotified),
+    /// The claim can be judged once the shard has an owner.
+    Wait,
     /// The same request has run, or may have.
     Kept(Outcome),
     /// The claim is refused.
@@ -79,6 +81,7 @@
                 let running = state.running.entry(claim.id).or_default();
                 Claimed::Join(Arc::clone(running).notified_owned())
             }
+            Answer::Wait => Claimed::Wait,
             Answer::Kept(outcome) => Claimed::Kept(outcome),
             Answer::Refused(refusal) => Claimed::Refused(refusal),
         }
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -31,7 +31,7 @@
 impl<F: Forward> Inner<F> {
     /// Serves a request that is not repeatable.
     pub(crate) async fn serve_once(self: &Arc<Self>, id: Uuid, mut call: Call) -> Response {
-        // Once joined, the same request was on its way, so nothing can rule out that it ran.
+        // Once it has waited for another to end or to stop, nothing can rule out that it ran.
         let mut unless = Verdict::NotRun;
         loop {
             let serving = match self.serving(&call.head.service) {
@@ -59,6 +59,17 @@
                         return Failure::may_have_run(Reason::DeadlinePassed).into_response();
                     }
                 }
+                Claimed::Wait => {
+                    // Should no owner be found, it stays open whether the leader before ran it.
+                    unless = Verdict::MayHaveRun;
+                    if let Err(failure) = self.route(&call, &serving).await {
+                        return Failure {
+                            verdict: unless,
+                            ..failure
+                        }
+                        .into_response();
+                    }
+                }
                 Claimed::Kept(outcome) => {
                     self.metrics.kept.inc();
                     return replay(outcome);
--- a/crates/dispatch/tests/engine/once.rs
+++ b/crates/dispatch/tests/engine/once.rs
@@ -201,6 +201,35 @@
     assert_eq!(told(&new), (Verdict::Done, None));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_leader_begins_only_when_the_one_before_has_stopped() {
+    let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    bench.table.set(SERVICE, 0, Route::Elsewhere);
+    bench.table.set(SERVICE, 0, Route::Held);
+    let early = spawn(&bench, once("/early", new_id()));
+    sleep(KNOWN).await;
+    // The leader before has not been fenced yet, so it may let a key run that is made now.
+    let id = new_id();
+    sleep(ms(10)).await;
+    bench.own(0, "a", 14, 1);
+    let unknown = (Verdict::MayHaveRun, Some(Reason::IdempotencyKeyUnknown));
+    let late = bench.engine.serve(once("/payout", id)).await;
+    assert_eq!(told(&late), unknown);
+    assert_eq!(told(&early.await.unwrap()), unknown);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_for_which_no_owner_is_found_may_have_run_under_the_leader_before() {
+    let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    bench.table.set(SERVICE, 0, Route::Unowned);
+    let steady = bench.engine.serve(once("/payout", new_id())).await;
+    assert_eq!(told(&steady), (Verdict::NotRun, Some(Reason::Unowned)));
+    bench.table.set(SERVICE, 0, Route::Elsewhere);
+    bench.table.set(SERVICE, 0, Route::Unowned);
+    let new = bench.engine.serve(once("/payout", new_id())).await;
+    assert_eq!(told(&new), (Verdict::MayHaveRun, Some(Reason::Unowned)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_planned_hand_over_takes_the_table_along() {
     let before = bench(|_, _| Step::Answer(ms(1), "paid")).await;
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -35,7 +35,7 @@
 pub struct Term {
     /// How often the shard has come to this daemon.
     pub turn: u64,
-    /// The leader's epoch; `None` until it is known.
+    /// The leader's epoch; `None` while the shard has no owner.
     pub epoch: Option<Epoch>,
 }
 
@@ -59,6 +59,9 @@
     Run,
     /// The same request runs now; its outcome is the answer.
     Join,
+    /// Whether the key is new can be judged only once the shard has an owner under this leader:
+    /// until then, the leader before may still let keys run.
+    Wait,
     /// The same request has run, or may have.
     Kept(Outcome),
     /// The claim is refused.
@@ -223,9 +226,8 @@
         self.length = length;
     }
 
-    /// Starts to lead a shard without the entries of whoever led it before.
-    pub fn begin(&mut self, shard: ShardIndex, term: Term, wall: SystemTime) {
-        self.advance(wall);
+    /// Starts to lead a shard without the entries of whoever led it before, who has stopped.
+    fn begin(&mut self, shard: ShardIndex, term: Term) {
         // The predecessor took keys from up to one difference ahead of its clock, which may itself
         // have been one difference ahead of ours.
         let unknown_before = self.wall + 2 * CLOCK_DIFFERENCE;
@@ -238,10 +240,12 @@
         let Some(made) = made_at(claim.id) else {
             return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
         };
-        self.follow(claim.shard, claim.term);
         if let Some(entry) = self.entries.get(&claim.id) {
             return entry.answer(claim.fingerprint);
         }
+        if !self.follow(claim.shard, claim.term) {
+            return Answer::Wait;
+        }
         if made < self.horizon() {
             return refused(Verdict::MayHaveRun, Reason::IdempotencyKeyExpired);
         }
@@ -403,15 +407,20 @@
     }
 
     /// Begins anew if the shard came to this daemon again since its keys were last known whole.
-    fn follow(&mut self, shard: ShardIndex, term: Term) {
-        match self.shards.get_mut(&shard) {
-            Some(lead) if lead.term.is_same(term) => {
-                lead.term.epoch = lead.term.epoch.or(term.epoch);
-                let known = lead.term;
-                self.note(shard, known);
-            }
-            _ => self.begin(shard, term, self.wall),
+    ///
+    /// `false` if it cannot begin yet, since the shard has no owner.
+    fn follow(&mut self, shard: ShardIndex, term: Term) -> bool {
+        let goes_on = self
+            .shards
+            .get(&shard)
+            .is_some_and(|lead| lead.term.is_same(term));
+        if !goes_on && term.epoch.is_none() {
+            return false;
         }
+        if !goes_on {
+            self.begin(shard, term);
+        }
+        true
     }
 
     fn lead(&mut self, shard: ShardIndex, term: Term, unknown_before: SystemTime) {
