--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -116,7 +116,7 @@
     }
 
     /// Waits until the shard has an owner.
-    async fn route(&self, call: &Call, serving: &Serving) -> Result<Owner, Failure> {
+    pub(crate) async fn route(&self, call: &Call, serving: &Serving) -> Result<Owner, Failure> {
         let head = &call.head;
         let mut hold = None;
         let unowned_until = call.deadline.min(Instant::now() + UNOWNED_WAIT);
@@ -128,9 +128,8 @@
                 Route::Held => call.deadline,
             };
             if hold.is_none() {
-                let most = serving.service.limits.queue;
-                let place = serving.kept.hold(most);
-                hold = Some(place.ok_or(Failure::not_run(Reason::QueueFull))?);
+                let place = serving.kept.hold(head.caller);
+                hold = Some(place.map_err(Failure::not_run)?);
             }
             let same = |route: &Route| matches!(route, Route::Unowned | Route::Held);
             let changed = self.table.changed(&head.service, head.shard, same);
@@ -378,8 +377,8 @@
         epoch: Some(target.owner.epoch),
     };
     if call.term.is_some_and(|entered| !entered.is_same(term)) {
-        // Another leader may have run it meanwhile, so the window has to judge it anew.
-        return Err(Failure::not_run(Reason::NotLeader));
+        // Another leader may have run it meanwhile.
+        return Err(Failure::may_have_run(Reason::IdempotencyKeyUnknown));
     }
     Ok(())
 }
