--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -47,7 +47,7 @@
 /// A running daemon.
 pub struct Daemon {
     core: Arc<Core<Servers, Pool>>,
-    callers: SocketAddr,
+    listening: Listening,
     client: Client,
     stop_time: Duration,
     /// Stops ingress and request streams, which finish what is in flight.
@@ -58,6 +58,19 @@
     _follower: Follower,
 }
 
+/// Where a daemon listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listening {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For request streams.
+    pub requests: SocketAddr,
+    /// For control calls.
+    pub control: SocketAddr,
+    /// For metrics, health and status.
+    pub admin: SocketAddr,
+}
+
 /// A daemon that cannot start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Error;
@@ -87,7 +100,7 @@
     pub async fn start(settings: Settings) -> Result<Self, Report<Error>> {
         let listeners = Listeners::bind(&settings).await?;
         let me = listeners.member(&settings).change_context(Error)?;
-        let callers = listeners.callers.local_addr().change_context(Error)?;
+        let listening = listeners.listening().change_context(Error)?;
         let mut registry = Registry::with_prefix("copperwell");
 
         let dial = dial(&settings);
@@ -185,7 +198,7 @@
 
         let daemon = Self {
             core,
-            callers,
+            listening,
             client,
             stop_time: settings.stop_time,
             serving,
@@ -203,10 +216,10 @@
         &self.core.me
     }
 
-    /// Where callers are served.
+    /// Where the daemon listens, which others may reach by other addresses.
     #[must_use]
-    pub fn callers(&self) -> SocketAddr {
-        self.callers
+    pub fn listening(&self) -> Listening {
+        self.listening
     }
 
     /// Hands groups over, finishes what is in flight, and stops.
@@ -221,12 +234,13 @@
     }
 
     fn announce(&self) {
-        let me = &self.core.me;
-        let name = me.name.to_string();
-        let callers = self.callers;
-        let requests = me.requests;
-        let control = me.control;
-        let admin = me.admin;
+        let name = self.core.me.name.to_string();
+        let Listening {
+            callers,
+            requests,
+            control,
+            admin,
+        } = self.listening;
         info!("serving", kv: { name, callers:, requests:, control:, admin: });
     }
 }
@@ -249,15 +263,22 @@
         })
     }
 
+    fn listening(&self) -> io::Result<Listening> {
+        Ok(Listening {
+            callers: self.callers.local_addr()?,
+            requests: self.requests.local_addr()?,
+            control: self.control.local_addr()?,
+            admin: self.admin.local_addr()?,
+        })
+    }
+
     fn member(&self, settings: &Settings) -> io::Result<Member> {
-        let advertise = match settings.advertise {
-            Some(advertise) => advertise,
-            None => Advertise {
-                requests: self.requests.local_addr()?,
-                control: self.control.local_addr()?,
-                admin: self.admin.local_addr()?,
-            },
-        };
+        let listening = self.listening()?;
+        let advertise = settings.advertise.unwrap_or(Advertise {
+            requests: listening.requests,
+            control: listening.control,
+            admin: listening.admin,
+        });
         Ok(Member {
             name: settings.name.clone(),
             incarnation: incarnation(),
--- a/crates/copperwelld/tests/path.rs
+++ b/crates/copperwelld/tests/path.rs
@@ -32,6 +32,7 @@
         manifest,
         daemons: 1,
         launch: Launch::Program(PathBuf::from(env!("CARGO_BIN_EXE_copperwelld"))),
+        is_proxied: false,
         service_times: HashMap::default(),
     }
 }
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -1,10 +1,16 @@
 //! Daemons, a platform and backend servers on loopback.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::{
     load::Entries,
-    node::{Launch, Node},
+    node::{Doors, Launch, Node},
 };
 use bytes::Bytes;
 use copperwell_keyspace::{
@@ -17,8 +23,9 @@
 use copperwell_standin::{
     backend::{Options, Record, Server},
     platform::Platform,
+    proxy::Proxy,
 };
-use copperwelld::settings::{Callers, Listen, Platform as PlatformSettings, Settings};
+use copperwelld::settings::{Advertise, Callers, Listen, Platform as PlatformSettings, Settings};
 use http_body_util::{BodyExt, Empty};
 use hyper_util::{client::legacy, rt::TokioExecutor};
 use tokio::time::{Instant, sleep, timeout};
@@ -29,6 +36,12 @@
 /// Time in which a daemon's admin endpoint must answer.
 const ADMIN_TIME: Duration = Duration::from_secs(2);
 
+/// Daemons that a new one is told of.
+const SEEDS: usize = 3;
+
+/// The third number of the first data centre's address.
+const FIRST_SOURCE: u8 = 10;
+
 /// How often conditions are looked at.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -41,6 +54,8 @@
     pub daemons: usize,
     /// How daemons are started.
     pub launch: Launch,
+    /// Whether fault proxies stand between data centres.
+    pub is_proxied: bool,
     /// How long a request runs, by service.
     pub service_times: HashMap<String, Duration>,
 }
@@ -62,6 +77,10 @@
     pub manifest: Manifest,
     launch: Launch,
     started: usize,
+    /// Whether a fault proxy stands before each daemon, and before the platform.
+    is_proxied: bool,
+    /// The platform as each data centre sees it.
+    gates: HashMap<String, Proxy>,
 }
 
 impl Cluster {
@@ -73,11 +92,16 @@
     pub async fn start(plan: Plan) -> io::Result<Self> {
         let mut cluster = Self::start_servers(plan.manifest, &plan.service_times).await?;
         cluster.launch = plan.launch;
+        cluster.is_proxied = plan.is_proxied;
         cluster.publish().await?;
         let places = cluster.manifest.data_centres.clone();
         for place in &places {
+            if plan.is_proxied {
+                let gate = Proxy::start(cluster.platform.address()).await?;
+                cluster.gates.insert(place.name.to_string(), gate);
+            }
             for _ in 0..plan.daemons {
-                cluster.add_node(&place.name)?;
+                cluster.add_node(&place.name).await?;
             }
         }
         cluster.wait_owned().await?;
@@ -116,6 +140,8 @@
             manifest,
             launch: Launch::InProcess,
             started: 0,
+            is_proxied: false,
+            gates: HashMap::default(),
         })
     }
 
@@ -124,14 +150,25 @@
     /// # Errors
     ///
     /// An error if it does not start.
-    pub fn add_node(&mut self, data_centre: &str) -> io::Result<()> {
+    pub async fn add_node(&mut self, data_centre: &str) -> io::Result<()> {
         self.started += 1;
         let places = &self.manifest.data_centres;
         let place = places.iter().find(|place| &*place.name == data_centre);
         let place = place.ok_or_else(|| missing("data centre", data_centre))?;
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let source = self.source_of(data_centre);
+        let any = SocketAddr::new(source, 0);
+        let doors = if self.is_proxied {
+            Some(Doors::start().await?)
+        } else {
+            None
+        };
+        let name = format!("{data_centre}-entry-{}", self.started);
+        let platform = match self.gates.get(data_centre) {
+            Some(gate) => gate.address(),
+            None => self.platform.address(),
+        };
         let settings = Settings {
-            name: format!("{data_centre}-entry-{}", self.started).into(),
+            name: name.into(),
             data_centre: data_centre.into(),
             region: place.region.clone(),
             listen: Listen {
@@ -140,22 +177,22 @@
                 control: any,
                 admin: any,
             },
-            advertise: None,
+            advertise: doors.as_ref().map(|doors| Advertise {
+                requests: doors.requests.address(),
+                control: doors.control.address(),
+                admin: SocketAddr::new(source, 1),
+            }),
             platform: PlatformSettings {
-                log: self.platform.address(),
-                vms: self.platform.address(),
+                log: platform,
+                vms: platform,
             },
-            seeds: self
-                .nodes
-                .iter()
-                .take(3)
-                .map(|node| node.addresses.control)
-                .collect(),
+            seeds: self.nodes.iter().take(SEEDS).map(Node::control).collect(),
             callers: Callers::default(),
             stop_time: Duration::from_secs(10),
             workers: Some(2),
         };
-        self.nodes.push(Node::start(&settings, &self.launch)?);
+        self.nodes
+            .push(Node::start(&settings, &self.launch, doors)?);
         self.list();
         Ok(())
     }
@@ -182,7 +219,38 @@
     }
 
     /// Cuts a data centre off from the platform and the others, or joins it again.
-    pub fn cut(&self, _data_centre: &str, _cut: bool) {}
+    pub fn cut(&self, data_centre: &str, cut: bool) {
+        let own = self.source_of(data_centre);
+        let places = self.manifest.data_centres.iter();
+        let others = places
+            .map(|place| self.source_of(&place.name))
+            .filter(|ip| *ip != own);
+        let others: Vec<IpAddr> = others.collect();
+        for node in &self.nodes {
+            let Some(doors) = &node.doors else { continue };
+            let sources = if &*node.data_centre == data_centre {
+                &others[..]
+            } else {
+                &[own]
+            };
+            doors.cut(if cut { sources } else { &[] });
+        }
+        match self.gates.get(data_centre) {
+            Some(gate) if cut => gate.cut_both(),
+            Some(gate) => gate.heal(),
+            None => {}
+        }
+    }
+
+    /// The address that the daemons of a data centre listen on and connect from.
+    fn source_of(&self, data_centre: &str) -> IpAddr {
+        let places = self.manifest.data_centres.iter();
+        let index = places
+            .zip(FIRST_SOURCE..)
+            .find(|(place, _)| &*place.name == data_centre);
+        let last = index.map_or(FIRST_SOURCE, |(_, index)| index);
+        IpAddr::from([127, 0, last, 1])
+    }
 
     /// Takes a daemon out of the cluster; its VM stays listed until [`Cluster::list`].
     ///
--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -111,7 +111,7 @@
     cluster.lock().await.list();
     if pause(fault).await {
         let mut cluster = cluster.lock().await;
-        cluster.add_node(&place)?;
+        cluster.add_node(&place).await?;
     }
     Ok(())
 }
@@ -140,7 +140,7 @@
     for (name, place) in old {
         let mut node = {
             let mut cluster = cluster.lock().await;
-            cluster.add_node(&place)?;
+            cluster.add_node(&place).await?;
             cluster.take_node(&name)
         };
         // The new VM gets to know the others before the old one goes.
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, BufRead, BufReader},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Mutex, PoisonError, mpsc},
@@ -12,7 +12,11 @@
 
 use copperwell_keyspace::{DaemonName, DataCentreName};
 use copperwell_platform::{Vm, VmState};
-use copperwelld::{daemon::Daemon, settings::Settings};
+use copperwell_standin::proxy::Proxy;
+use copperwelld::{
+    daemon::{Daemon, Listening},
+    settings::Settings,
+};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use tokio::runtime::{Builder, Runtime};
@@ -29,15 +33,38 @@
     Program(PathBuf),
 }
 
-/// Where a daemon listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Addresses {
-    /// For callers.
-    pub callers: SocketAddr,
+/// Fault proxies before the ports that other daemons use.
+#[derive(Debug)]
+pub struct Doors {
+    /// For request streams.
+    pub requests: Proxy,
     /// For control calls.
-    pub control: SocketAddr,
-    /// For status and metrics.
-    pub admin: SocketAddr,
+    pub control: Proxy,
+}
+
+impl Doors {
+    /// Starts proxies; they pass connections on once the daemon has started.
+    ///
+    /// # Errors
+    ///
+    /// An error if no port can be listened on.
+    pub async fn start() -> io::Result<Self> {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        Ok(Self {
+            requests: Proxy::start(nowhere).await?,
+            control: Proxy::start(nowhere).await?,
+        })
+    }
+
+    /// Holds back what comes from these addresses, or from nobody.
+    pub fn cut(&self, sources: &[IpAddr]) {
+        for proxy in [&self.requests, &self.control] {
+            proxy.heal();
+            for source in sources {
+                proxy.cut_source(*source);
+            }
+        }
+    }
 }
 
 /// A daemon.
@@ -48,7 +75,9 @@
     /// Its data centre.
     pub data_centre: DataCentreName,
     /// Where it listens.
-    pub addresses: Addresses,
+    pub addresses: Listening,
+    /// What stands before it, if anything does.
+    pub doors: Option<Doors>,
     run: Run,
 }
 
@@ -68,15 +97,20 @@
     /// # Errors
     ///
     /// An error if it does not start.
-    pub fn start(settings: &Settings, launch: &Launch) -> io::Result<Self> {
+    pub fn start(settings: &Settings, launch: &Launch, doors: Option<Doors>) -> io::Result<Self> {
         let (addresses, run) = match launch {
             Launch::Program(program) => start_process(settings, program)?,
             Launch::InProcess => start_runtime(settings)?,
         };
+        if let Some(doors) = &doors {
+            doors.requests.set_target(addresses.requests);
+            doors.control.set_target(addresses.control);
+        }
         Ok(Self {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
             addresses,
+            doors,
             run,
         })
     }
@@ -88,10 +122,17 @@
             name: self.name.clone(),
             data_centre: self.data_centre.clone(),
             state: VmState::Live,
-            control: self.addresses.control,
+            control: self.control(),
         }
     }
 
+    /// Where other daemons reach its control calls.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        let door = self.doors.as_ref().map(|doors| doors.control.address());
+        door.unwrap_or(self.addresses.control)
+    }
+
     /// Ends the daemon at once.
     pub fn kill(&mut self) {
         match &mut self.run {
@@ -172,7 +213,7 @@
     }
 }
 
-fn start_process(settings: &Settings, program: &PathBuf) -> io::Result<(Addresses, Run)> {
+fn start_process(settings: &Settings, program: &PathBuf) -> io::Result<(Listening, Run)> {
     let text = serde_norway::to_string(settings).map_err(io::Error::other)?;
     let folder = std::env::temp_dir().join(format!("copperwell-rig-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
@@ -210,20 +251,21 @@
 }
 
 /// Reads the line in which a daemon says where it listens.
-fn addresses_in(line: &str) -> Option<Addresses> {
+fn addresses_in(line: &str) -> Option<Listening> {
     let line: Value = serde_json::from_str(line).ok()?;
     if line["payload"] != "serving" {
         return None;
     }
     let address = |name: &str| line["kv"][name].as_str()?.parse().ok();
-    Some(Addresses {
+    Some(Listening {
         callers: address("callers")?,
+        requests: address("requests")?,
         control: address("control")?,
         admin: address("admin")?,
     })
 }
 
-fn start_runtime(settings: &Settings) -> io::Result<(Addresses, Run)> {
+fn start_runtime(settings: &Settings) -> io::Result<(Listening, Run)> {
     let mut builder = Builder::new_multi_thread();
     builder
         .worker_threads(settings.workers.unwrap_or(2))
@@ -241,11 +283,7 @@
                 return;
             }
         };
-        let _ = to.send(Ok(Addresses {
-            callers: daemon.callers(),
-            control: daemon.member().control,
-            admin: daemon.member().admin,
-        }));
+        let _ = to.send(Ok(daemon.listening()));
         if stopping.await.is_ok() {
             daemon.stop().await;
             let _ = done.send(());
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -34,6 +34,9 @@
 /// The pause between two such tries.
 const LISTEN_PAUSE: Duration = Duration::from_millis(20);
 
+/// Sources that can be cut off at a time.
+const SOURCES_MAX: usize = 8;
+
 /// A proxy in front of one target; dropping it closes every connection.
 #[derive(Debug)]
 pub struct Proxy {
@@ -68,12 +71,20 @@
     delay: Duration,
     cut_to: bool,
     cut_from: bool,
+    cut_sources: [Option<IpAddr>; SOURCES_MAX],
     accept: Accept,
 }
 
+/// One direction of a connection that came from some address.
+#[derive(Debug, Clone, Copy)]
+struct Lane {
+    direction: Direction,
+    source: IpAddr,
+}
+
 #[derive(Debug)]
 struct Shared {
-    target: SocketAddr,
+    target: Mutex<SocketAddr>,
     stop: CancellationToken,
     faults: watch::Sender<Faults>,
     present: Mutex<Present>,
@@ -98,7 +109,7 @@
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
-            target,
+            target: Mutex::new(target),
             stop: CancellationToken::new(),
             faults: watch::Sender::default(),
             present: Mutex::default(),
@@ -115,6 +126,16 @@
         self.address
     }
 
+    /// Passes new connections on to another target.
+    pub fn set_target(&self, target: SocketAddr) {
+        let mut held = self
+            .shared
+            .target
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *held = target;
+    }
+
     /// Delays all bytes by this time, each way.
     pub fn delay(&self, delay: Duration) {
         self.change(|faults| faults.delay = delay);
@@ -134,6 +155,15 @@
         self.cut(Direction::FromTarget);
     }
 
+    /// Holds back all bytes of connections that come from one address, until healed.
+    pub fn cut_source(&self, source: IpAddr) {
+        self.change(|faults| {
+            if let Some(free) = faults.cut_sources.iter_mut().find(|cut| cut.is_none()) {
+                *free = Some(source);
+            }
+        });
+    }
+
     /// Makes the connections that are open silent for good; new ones work.
     pub fn hush(&self) {
         let hush = std::mem::take(&mut self.shared.present().hush);
@@ -180,17 +210,22 @@
 }
 
 impl Shared {
+    fn target(&self) -> SocketAddr {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn present(&self) -> MutexGuard<'_, Present> {
         self.present.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Faults {
-    fn is_cut(self, direction: Direction) -> bool {
-        match direction {
+    fn is_cut(self, lane: Lane) -> bool {
+        let cut = match lane.direction {
             Direction::ToTarget => self.cut_to,
             Direction::FromTarget => self.cut_from,
-        }
+        };
+        cut || self.cut_sources.contains(&Some(lane.source))
     }
 }
 
@@ -213,8 +248,8 @@
                 return;
             };
             tokio::select! {
-                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                    take(&shared, stream);
+                accepted = listener.accept() => if let Ok((stream, source)) = accepted {
+                    take(&shared, stream, source.ip());
                 },
                 _ = faults.changed() => {}
             }
@@ -233,7 +268,7 @@
     None
 }
 
-fn take(shared: &Arc<Shared>, stream: TcpStream) {
+fn take(shared: &Arc<Shared>, stream: TcpStream, source: IpAddr) {
     let closes = shared.faults.borrow().accept == Accept::Close;
     if closes || shared.open.load(Ordering::Acquire) >= CONNECTIONS_MAX {
         return;
@@ -244,15 +279,16 @@
     let present = shared.present().clone();
     tokio::spawn(async move {
         let stop = shared.stop.clone();
-        stop.run_until_cancelled(pass(&shared, present, stream))
+        stop.run_until_cancelled(pass(&shared, present, stream, source))
             .await;
         shared.open.fetch_sub(1, Ordering::AcqRel);
     });
 }
 
 /// Passes one connection until it ends, is reset, or falls silent and is reset later.
-async fn pass(shared: &Shared, present: Present, mut near: TcpStream) {
-    let Ok(mut far) = TcpStream::connect(shared.target).await else {
+async fn pass(shared: &Shared, present: Present, mut near: TcpStream, source: IpAddr) {
+    let target = shared.target();
+    let Ok(mut far) = TcpStream::connect(target).await else {
         let _ = near.set_zero_linger();
         return;
     };
@@ -265,7 +301,7 @@
             present.reset.cancelled().await;
             Err(io::ErrorKind::ConnectionReset.into())
         }
-        ended = pass_both(shared, &mut near, &mut far) => ended,
+        ended = pass_both(shared, source, &mut near, &mut far) => ended,
     };
     if ended.is_err() {
         // Whatever broke one side, the other sees a reset.
@@ -274,11 +310,17 @@
     }
 }
 
-async fn pass_both(shared: &Shared, near: &mut TcpStream, far: &mut TcpStream) -> io::Result<()> {
+async fn pass_both(
+    shared: &Shared,
+    source: IpAddr,
+    near: &mut TcpStream,
+    far: &mut TcpStream,
+) -> io::Result<()> {
+    let lane = |direction| Lane { direction, source };
     let (near_read, near_write) = near.split();
     let (far_read, far_write) = far.split();
-    let to = pass_one(shared, Direction::ToTarget, near_read, far_write);
-    let from = pass_one(shared, Direction::FromTarget, far_read, near_write);
+    let to = pass_one(shared, lane(Direction::ToTarget), near_read, far_write);
+    let from = pass_one(shared, lane(Direction::FromTarget), far_read, near_write);
     tokio::try_join!(to, from)?;
     Ok(())
 }
@@ -291,25 +333,25 @@
 
 async fn pass_one(
     shared: &Shared,
-    direction: Direction,
+    lane: Lane,
     from: impl AsyncRead + Unpin,
     to: impl AsyncWrite + Unpin,
 ) -> io::Result<()> {
     let (queue, queued) = mpsc::channel(CHUNKS);
-    let read = read_chunks(shared.faults.subscribe(), direction, from, queue);
-    let write = write_chunks(shared.faults.subscribe(), direction, to, queued);
+    let read = read_chunks(shared.faults.subscribe(), lane, from, queue);
+    let write = write_chunks(shared.faults.subscribe(), lane, to, queued);
     tokio::try_join!(read, write)?;
     Ok(())
 }
 
 async fn read_chunks(
     mut faults: watch::Receiver<Faults>,
-    direction: Direction,
+    lane: Lane,
     mut from: impl AsyncRead + Unpin,
     queue: mpsc::Sender<Delayed>,
 ) -> io::Result<()> {
     loop {
-        let delay = pass_when_whole(&mut faults, direction).await?.delay;
+        let delay = pass_when_whole(&mut faults, lane).await?.delay;
         let mut chunk = BytesMut::with_capacity(CHUNK_BYTES);
         tokio::select! {
             biased;
@@ -328,25 +370,22 @@
 
 async fn write_chunks(
     mut faults: watch::Receiver<Faults>,
-    direction: Direction,
+    lane: Lane,
     mut to: impl AsyncWrite + Unpin,
     mut queued: mpsc::Receiver<Delayed>,
 ) -> io::Result<()> {
     while let Some(chunk) = queued.recv().await {
         sleep_until(chunk.due).await;
-        pass_when_whole(&mut faults, direction).await?;
+        pass_when_whole(&mut faults, lane).await?;
         to.write_all(&chunk.bytes).await?;
     }
-    pass_when_whole(&mut faults, direction).await?;
+    pass_when_whole(&mut faults, lane).await?;
     to.shutdown().await
 }
 
 /// Waits while the direction is cut.
-async fn pass_when_whole(
-    faults: &mut watch::Receiver<Faults>,
-    direction: Direction,
-) -> io::Result<Faults> {
-    let whole = faults.wait_for(|faults| !faults.is_cut(direction)).await;
+async fn pass_when_whole(faults: &mut watch::Receiver<Faults>, lane: Lane) -> io::Result<Faults> {
+    let whole = faults.wait_for(|faults| !faults.is_cut(lane)).await;
     whole
         .map(|faults| *faults)
         .map_err(|_| io::ErrorKind::NotConnected.into())
