Add the operators' command

Operators had no way to check, publish or follow a manifest.

The command checks and compares manifests, publishes one and waits until every data centre that a daemon reaches has it in force, and shows status, the way of a key and changes. A publication that lost a race, a refusal and a lost answer have exit codes of their own; running it again with the same file is safe. Process tests run it against the stand-in platform, and the examples are checked.

--- /dev/null
+++ b/crates/copperwell/src/exit.rs
@@ -0,0 +1,117 @@
+//! Exit codes and how errors are told.
+
+use std::{
+    fmt,
+    io::{self, Write},
+    process::ExitCode,
+};
+
+use copperwell_operator::{load, publish};
+use copperwell_platform::Error as PlatformError;
+use error_stack::{AttachmentKind, FrameKind, Report};
+
+/// What a command comes to.
+pub(crate) type Result = std::result::Result<Exit, Report<Exit>>;
+
+/// How the command ended; each has an exit code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exit {
+    /// Everything was done.
+    Done,
+    /// The manifest is not valid.
+    Invalid,
+    /// Another manifest was published first.
+    Conflict,
+    /// Nothing was done, as platform or daemons do not answer.
+    Unreachable,
+    /// An answer was lost, so nobody knows.
+    Unknown,
+    /// The manifest is accepted, but not in force everywhere in time.
+    Late,
+}
+
+impl fmt::Display for Exit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Done => "done",
+            Self::Invalid => "the manifest is not valid",
+            Self::Conflict => "another manifest was published first",
+            Self::Unreachable => "nothing was done",
+            Self::Unknown => "the outcome is not known",
+            Self::Late => "not in force everywhere",
+        })
+    }
+}
+
+impl std::error::Error for Exit {}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(match exit {
+            Exit::Done => 0,
+            Exit::Invalid => 2,
+            Exit::Conflict => 3,
+            Exit::Unreachable => 4,
+            Exit::Unknown => 5,
+            Exit::Late => 6,
+        })
+    }
+}
+
+impl From<load::Error> for Exit {
+    fn from(error: load::Error) -> Self {
+        match error {
+            load::Error::File | load::Error::Manifest => Self::Invalid,
+            load::Error::Log => Self::Unreachable,
+        }
+    }
+}
+
+impl From<&publish::Error> for Exit {
+    fn from(error: &publish::Error) -> Self {
+        match error {
+            publish::Error::Conflict { .. } => Self::Conflict,
+            publish::Error::Invalid(_) => Self::Invalid,
+            publish::Error::NotPublished | publish::Error::NoState => Self::Unreachable,
+            publish::Error::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// A report whose context is the exit that follows from the error.
+pub(crate) fn from_load(report: Report<load::Error>) -> Report<Exit> {
+    let exit = Exit::from(*report.current_context());
+    report.change_context(exit)
+}
+
+/// A report whose context is the exit that follows from the error.
+pub(crate) fn from_publish(report: Report<publish::Error>) -> Report<Exit> {
+    let exit = Exit::from(report.current_context());
+    report.change_context(exit)
+}
+
+/// A report of daemons that do not answer.
+pub(crate) fn from_platform(report: Report<PlatformError>) -> Report<Exit> {
+    report.change_context(Exit::Unreachable)
+}
+
+/// Prints a line; a reader that went away needs none.
+pub(crate) fn print(line: impl fmt::Display) {
+    let _ = writeln!(io::stdout(), "{line}");
+}
+
+/// All that a report tells, one thing a line, without places in the source.
+pub(crate) fn describe(report: &Report<Exit>) -> String {
+    let mut lines: Vec<String> = Vec::new();
+    for frame in report.frames() {
+        let line = match frame.kind() {
+            FrameKind::Context(context) => context.to_string(),
+            FrameKind::Attachment(AttachmentKind::Printable(text)) => text.to_string(),
+            FrameKind::Attachment(_) => continue,
+        };
+        if !lines.contains(&line) {
+            lines.push(line);
+        }
+    }
+    lines.join("\n  ")
+}
--- /dev/null
+++ b/crates/copperwell/src/status.rs
@@ -0,0 +1,59 @@
+//! `status`.
+
+use crate::{
+    args::StatusArgs,
+    exit::{self, Exit, print},
+    manifest::state,
+    table,
+};
+use copperwell_keyspace::manifest::Manifest;
+use copperwell_operator::fleet::{Fleet, GroupReport};
+use error_stack::Report;
+use serde::Serialize;
+
+/// What `status --json` prints.
+#[derive(Debug, Serialize)]
+struct Answer {
+    groups: Vec<GroupReport>,
+    fleet: Fleet,
+    manifest: Option<Manifest>,
+}
+
+/// Shows groups, daemons and limits.
+pub(crate) async fn run(args: &StatusArgs) -> exit::Result {
+    let fleet = ask(&args.daemons).await?;
+    let manifest = match args.platform {
+        Some(platform) => state(platform, args.timeout).await?.manifest,
+        None => None,
+    };
+    let groups = fleet.groups();
+    if args.json {
+        let answer = Answer {
+            groups,
+            fleet,
+            manifest,
+        };
+        print(serde_json::to_string(&answer).unwrap_or_default());
+        return Ok(Exit::Done);
+    }
+    print(table::daemons(&fleet));
+    print(table::groups(&groups));
+    print(table::upstreams(&groups));
+    if let Some(manifest) = manifest {
+        print(table::services(&manifest));
+    }
+    for address in &fleet.unreachable {
+        eprintln!("copperwell: no daemon answers at {address}");
+    }
+    Ok(Exit::Done)
+}
+
+/// Asks all daemons; an error if none answers.
+pub(crate) async fn ask(daemons: &[std::net::SocketAddr]) -> Result<Fleet, Report<Exit>> {
+    let fleet = Fleet::ask(daemons).await;
+    if fleet.daemons.is_empty() {
+        let text = "no daemon answers at the given admin addresses";
+        return Err(Report::new(Exit::Unreachable).attach(text));
+    }
+    Ok(fleet)
+}
--- /dev/null
+++ b/crates/copperwell/tests/command.rs
@@ -0,0 +1,191 @@
+//! The command as a process against the stand-in platform.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::{Output, Stdio},
+};
+
+use copperwell_platform::Log;
+use copperwell_standin::platform::Platform;
+use test_case::test_case;
+use tokio::process::Command;
+
+const MANIFEST: &str = "
+replaces: REPLACES
+data_centres:
+  - { name: north, region: ro }
+services:
+  - name: calendar
+    class: interactive
+    shards: 8
+    limits: { queue: QUEUE }
+    upstreams:
+      - { name: one, data_centre: north, address: 127.0.0.1:80, slots: 2, connections: 130 }
+";
+
+/// A file of this test process.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("the directory is there");
+    path
+}
+
+fn manifest(name: &str, replaces: u64, queue: u32) -> PathBuf {
+    let text = MANIFEST
+        .replace("REPLACES", &replaces.to_string())
+        .replace("QUEUE", &queue.to_string());
+    file(name, &text)
+}
+
+async fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_copperwell"))
+        .args(args)
+        .stdin(Stdio::null())
+        .kill_on_drop(true)
+        .output()
+        .await
+        .expect("the command starts")
+}
+
+async fn publish(platform: &Platform, path: &Path, more: &[&str]) -> Output {
+    let address = platform.address().to_string();
+    let path = path.to_string_lossy();
+    let mut args = vec!["publish", &*path, "--platform", &address];
+    args.extend(more);
+    run(&args).await
+}
+
+fn code(output: &Output) -> Option<i32> {
+    output.status.code()
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test_case("abraziv")]
+#[test_case("tazza")]
+#[tokio::test]
+async fn the_examples_are_valid(user: &str) {
+    let path = format!(
+        "{}/../../examples/{user}/manifest.yaml",
+        env!("CARGO_MANIFEST_DIR")
+    );
+    let output = run(&["check", &path]).await;
+    assert_eq!(code(&output), Some(0), "{}", errors(&output));
+}
+
+#[test_case("shards: 8", "shard: 8", "unknown field `shard`"; "unknown field")]
+#[test_case("shards: 8", "shards: many", "services[0].shards"; "wrong type")]
+#[test_case("data_centre: north", "data_centre: south", "services[0].upstreams[0].data_centre: `south`"; "unknown data centre")]
+#[tokio::test]
+async fn a_bad_manifest_changes_nothing(old: &str, new: &str, expected: &str) {
+    let platform = Platform::start().await;
+    let text = MANIFEST.replace("REPLACES", "0").replace("QUEUE", "5");
+    let name = format!("bad-{}.yaml", new.replace(' ', "-"));
+    let path = file(&name, &text.replace(old, new));
+    let output = publish(&platform, &path, &[]).await;
+    assert_eq!(code(&output), Some(2));
+    let errors = errors(&output);
+    assert!(errors.contains(expected), "{errors}");
+    assert_eq!(platform.appends(), 0);
+}
+
+#[tokio::test]
+async fn of_two_that_race_one_wins_and_the_other_says_so() {
+    let platform = Platform::start().await;
+    let (one, two) = (manifest("one.yaml", 0, 1), manifest("two.yaml", 0, 2));
+    let (one, two) = tokio::join!(publish(&platform, &one, &[]), publish(&platform, &two, &[]));
+    let (winner, loser) = if code(&one) == Some(0) {
+        (one, two)
+    } else {
+        (two, one)
+    };
+    assert_eq!((code(&winner), code(&loser)), (Some(0), Some(3)));
+    let errors = errors(&loser);
+    assert!(
+        errors.contains("conflict: the manifest replaces version 0"),
+        "{errors}"
+    );
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_no_refusal() {
+    let platform = Platform::start().await;
+    platform.lose_answers(1);
+    let path = manifest("lost.yaml", 0, 1);
+    let output = publish(&platform, &path, &[]).await;
+    assert_eq!(code(&output), Some(0), "{}", errors(&output));
+    let again = publish(&platform, &path, &[]).await;
+    assert_eq!(code(&again), Some(0));
+    let text = String::from_utf8_lossy(&again.stdout).into_owned();
+    assert!(text.contains("accepted before"), "{text}");
+}
+
+#[tokio::test]
+async fn a_platform_that_is_away_is_a_refusal() {
+    let platform = Platform::start().await;
+    platform.stop();
+    platform.stopped().await;
+    let path = manifest("away.yaml", 0, 1);
+    let output = publish(&platform, &path, &["--timeout", "1"]).await;
+    assert_eq!(code(&output), Some(4));
+    assert!(
+        errors(&output).contains("not published"),
+        "{}",
+        errors(&output)
+    );
+}
+
+#[tokio::test]
+async fn a_log_without_state_is_begun_anew_only_when_told() {
+    let platform = Platform::start().await;
+    let log = copperwell_platform::http::Client::new(platform.address());
+    for _ in 0..3 {
+        log.append(copperwell_keyspace::record::STREAM, vec![0])
+            .await
+            .expect("the platform is up");
+    }
+    platform.set_retention(1);
+    let path = manifest("anew.yaml", 0, 1);
+    let output = publish(&platform, &path, &["--timeout", "1"]).await;
+    assert_eq!(code(&output), Some(4));
+    assert!(
+        errors(&output).contains("--begin-anew"),
+        "{}",
+        errors(&output)
+    );
+    platform.set_retention(9);
+    let output = publish(&platform, &path, &["--begin-anew"]).await;
+    assert_eq!(code(&output), Some(0), "{}", errors(&output));
+}
+
+#[tokio::test]
+async fn a_difference_names_fields() {
+    let (one, two) = (manifest("old.yaml", 0, 1), manifest("new.yaml", 0, 2));
+    let (one, two) = (one.to_string_lossy(), two.to_string_lossy());
+    let output = run(&["diff", &two, "--against", &one]).await;
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(text, "~ services[calendar].limits.queue: 1 -> 2\n");
+}
+
+#[test_case(&["status"], "--daemon"; "no daemon is given")]
+#[test_case(&["publish", "x.yaml"], "--platform"; "no platform is given")]
+#[tokio::test]
+async fn wrong_usage_names_what_is_missing(args: &[&str], expected: &str) {
+    let output = run(args).await;
+    assert_eq!(code(&output), Some(1));
+    assert!(errors(&output).contains(expected), "{}", errors(&output));
+}
+
+#[tokio::test]
+async fn daemons_that_do_not_answer_are_said() {
+    let output = run(&["status", "--daemon", "127.0.0.1:1"]).await;
+    assert_eq!(code(&output), Some(4));
+    assert!(
+        errors(&output).contains("no daemon answers"),
+        "{}",
+        errors(&output)
+    );
+}
--- /dev/null
+++ b/crates/operator/src/difference.rs
@@ -0,0 +1,87 @@
+//! What one manifest changes of another.
+
+use std::{collections::BTreeMap, fmt};
+
+use copperwell_keyspace::manifest::Manifest;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// One change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Change {
+    /// The field, with names in place of positions: `services[calendar].lease`.
+    pub field: String,
+    /// Its value before, if it had one.
+    pub old: Option<String>,
+    /// Its value after, if it has one.
+    pub new: Option<String>,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let field = &self.field;
+        match (&self.old, &self.new) {
+            (Some(old), Some(new)) => write!(f, "~ {field}: {old} -> {new}"),
+            (None, Some(new)) => write!(f, "+ {field}: {new}"),
+            (Some(old), None) => write!(f, "- {field}: {old}"),
+            (None, None) => write!(f, "  {field}"),
+        }
+    }
+}
+
+/// What `new` changes of `old`, by field; the order of lists does not count.
+#[must_use]
+pub fn between(old: Option<&Manifest>, new: &Manifest) -> Vec<Change> {
+    let before = old.map(fields).unwrap_or_default();
+    let after = fields(new);
+    let mut names: Vec<&String> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    names
+        .into_iter()
+        .filter(|field| before.get(*field) != after.get(*field))
+        .map(|field| Change {
+            field: field.clone(),
+            old: before.get(field).cloned(),
+            new: after.get(field).cloned(),
+        })
+        .collect()
+}
+
+/// All fields with their values.
+fn fields(manifest: &Manifest) -> BTreeMap<String, String> {
+    let mut fields = BTreeMap::new();
+    let whole = serde_json::to_value(manifest).unwrap_or_default();
+    flatten(String::new(), &whole, &mut fields);
+    fields
+}
+
+fn flatten(path: String, value: &Value, fields: &mut BTreeMap<String, String>) {
+    match value {
+        Value::Object(map) => flatten_map(&path, map, fields),
+        Value::Array(list) => {
+            for (place, entry) in list.iter().enumerate() {
+                let name = entry.get("name").and_then(Value::as_str);
+                let name = name.map_or_else(|| place.to_string(), str::to_owned);
+                flatten(format!("{path}[{name}]"), entry, fields);
+            }
+        }
+        Value::String(text) => {
+            fields.insert(path, text.clone());
+        }
+        other => {
+            fields.insert(path, other.to_string());
+        }
+    }
+}
+
+fn flatten_map(path: &str, map: &Map<String, Value>, fields: &mut BTreeMap<String, String>) {
+    for (key, value) in map {
+        let nested = if path.is_empty() {
+            key.clone()
+        } else {
+            format!("{path}.{key}")
+        };
+        flatten(nested, value, fields);
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,3 +1,9 @@
-//! The operators' side: what daemons tell about themselves, publishing and following.
+//! The operators' side: checking, publishing and following manifests.
 
+pub mod admin;
+pub mod difference;
+pub mod fleet;
+pub mod load;
+pub mod publish;
+pub mod query;
 pub mod status;
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -115,7 +115,13 @@
             .change_context(Failure::Silent)?
     }
 
-    async fn get<T: DeserializeOwned>(
+    /// Reads JSON from a path.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] if no whole answer comes within `limit` after the connection,
+    /// [`Error::Invalid`] if it is not the JSON that was expected.
+    pub async fn get_json<T: DeserializeOwned>(
         &self,
         path: &str,
         limit: Duration,
@@ -187,14 +193,14 @@
             "/streams/{stream}/records?from={from}&wait_ms={}",
             wait.as_millis()
         );
-        let batch: Batch = self.get(&path, wait + self.call_timeout).await?;
+        let batch: Batch = self.get_json(&path, wait + self.call_timeout).await?;
         check(batch, from)
     }
 }
 
 impl VmList for Client {
     async fn list(&self) -> Result<Vec<Vm>, Report<Error>> {
-        let answer: Vms = self.get("/vms", self.call_timeout).await?;
+        let answer: Vms = self.get_json("/vms", self.call_timeout).await?;
         Ok(answer.vms)
     }
 }
