--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -1,11 +1,10 @@
 //! The client for control orders.
 //!
-//! Lock order: the map of lanes, then one lane's idle connections, then one server's clock. No
-//! lock is held across an await.
+//! Lock order: the map of lanes, then one lane's idle connections. No lock is held across an
+//! await.
 
 use std::{
     net::SocketAddr,
-    str::FromStr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -13,14 +12,14 @@
 use crate::{
     Control, Failure,
     connection::{Connection, READY_LIMIT, Unanswered},
-    order::{Fence, Fenced, Give, Held, Refusal, Release, Renew, header, path},
+    order::{Fence, Fenced, Give, Held, Refusal, Release, Renew, path},
     outgoing::Outgoing,
 };
 use bytes::Bytes;
-use copperwell_keyspace::{HashMap, Incarnation};
+use copperwell_keyspace::HashMap;
 use copperwell_message::Body;
 use http::{
-    HeaderMap, HeaderValue, Method, Request, StatusCode, Uri,
+    HeaderValue, Method, Request, StatusCode, Uri,
     header::{CONTENT_TYPE, HOST},
 };
 use http_body_util::{BodyExt, Limited};
@@ -40,7 +39,7 @@
 /// Attempts at one order within its time limit.
 const ATTEMPTS_MAX: u32 = 8;
 
-/// Servers whose connections and clocks are remembered.
+/// Servers whose connections are remembered.
 const SERVERS_MAX: usize = 4096;
 
 /// Gives control orders over HTTP/1.1, on connections of its own.
@@ -76,22 +75,6 @@
 struct Lane {
     turns: Semaphore,
     idle: Mutex<Vec<Connection>>,
-    clock: Mutex<Option<Clock>>,
-}
-
-/// A server's clock, as its last answer showed it.
-#[derive(Debug, Clone, Copy)]
-struct Clock {
-    incarnation: Incarnation,
-    reading_ms: i64,
-    received: Instant,
-}
-
-/// A reading of the server's clock that an order carries, so that its lease is counted from there.
-#[derive(Debug, Clone, Copy)]
-struct ClockHeader {
-    incarnation: Incarnation,
-    reading_ms: i64,
 }
 
 /// A whole answer.
@@ -137,10 +120,8 @@
         let lane = self.lane(to);
         let mut sent = false;
         for _ in 0..ATTEMPTS_MAX {
-            let request = request_of(to, path, body.clone(), lane.clock_at(start));
+            let request = request_of(to, path, body.clone());
             match self.attempt(&lane, to, request, until).await {
-                // The server started anew, and its answer taught the lane its clock.
-                Ok(answer) if answer.status == StatusCode::PRECONDITION_FAILED => {}
                 Ok(answer) => return answer.read(),
                 Err(Failure::Silent) => sent = true,
                 Err(failure) if !sent => return Err(failure),
@@ -150,12 +131,7 @@
                 break;
             }
         }
-        let failure = if sent {
-            Failure::Silent
-        } else {
-            Failure::Invalid(StatusCode::PRECONDITION_FAILED.as_u16())
-        };
-        Err(failure)
+        Err(Failure::Silent)
     }
 
     /// Tries an order once, on an idle connection or a fresh one.
@@ -236,7 +212,6 @@
         Self {
             turns: Semaphore::new(CONNECTIONS as usize),
             idle: Mutex::default(),
-            clock: Mutex::default(),
         }
     }
 }
@@ -263,7 +238,6 @@
         deadline: Instant,
     ) -> Result<Answer, Failure> {
         let (head, body) = response.into_parts();
-        self.note_clock(&head.headers);
         let body = Limited::new(body, ANSWER_BYTES_MAX).collect();
         let Ok(Ok(whole)) = timeout_at(deadline, body).await else {
             return Err(Failure::Silent);
@@ -274,44 +248,6 @@
             body: whole.to_bytes(),
         })
     }
-
-    fn note_clock(&self, headers: &HeaderMap) {
-        let clock = Clock::parse(headers);
-        if clock.is_some() {
-            *self.clock.lock().unwrap_or_else(PoisonError::into_inner) = clock;
-        }
-    }
-
-    /// What the server's clock surely shows at `at`, or more.
-    fn clock_at(&self, at: Instant) -> Option<ClockHeader> {
-        let clock = *self.clock.lock().unwrap_or_else(PoisonError::into_inner);
-        clock.map(|clock| clock.at(at))
-    }
-}
-
-impl Clock {
-    fn parse(headers: &HeaderMap) -> Option<Self> {
-        Some(Self {
-            incarnation: number(headers, header::INCARNATION)?,
-            reading_ms: number(headers, header::CLOCK)?,
-            received: Instant::now(),
-        })
-    }
-
-    fn at(self, at: Instant) -> ClockHeader {
-        // The answer was on its way when it was received, so the server's clock is ahead of this.
-        let reading_ms = match at.checked_duration_since(self.received) {
-            Some(since) => self.reading_ms.saturating_add(millis(since)),
-            None => {
-                let before = millis(self.received.duration_since(at));
-                self.reading_ms.saturating_sub(before.saturating_add(1))
-            }
-        };
-        ClockHeader {
-            incarnation: self.incarnation,
-            reading_ms,
-        }
-    }
 }
 
 impl Answer {
@@ -328,12 +264,7 @@
     }
 }
 
-fn request_of(
-    to: SocketAddr,
-    path: &str,
-    body: Bytes,
-    clock: Option<ClockHeader>,
-) -> Request<Outgoing> {
+fn request_of(to: SocketAddr, path: &str, body: Bytes) -> Request<Outgoing> {
     let mut request = Request::new(Outgoing::new(Body::full(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::try_from(path).unwrap_or_default();
@@ -342,17 +273,5 @@
         headers.insert(HOST, host);
     }
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(clock) = clock {
-        headers.insert(header::INCARNATION, HeaderValue::from(clock.incarnation));
-        headers.insert(header::CLOCK, HeaderValue::from(clock.reading_ms));
-    }
     request
 }
-
-fn number<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
-
-fn millis(duration: Duration) -> i64 {
-    i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
-}
--- a/crates/backend/tests/backend/setup.rs
+++ b/crates/backend/tests/backend/setup.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use copperwell_backend::{
-    Client, Control, Failure, Forward, Pool, client,
-    order::{Fence, Give, Held, Order},
+    Client, Control, Forward, Pool, client,
+    order::{Fence, Fenced, Give, Order, Renew},
 };
-use copperwell_keyspace::{Epoch, GroupId, Sequence, manifest::Upstream};
+use copperwell_keyspace::{Epoch, GroupId, Sequence, ShardIndex, manifest::Upstream};
 use copperwell_message::{Body, Class, Head, Reason, Repeat, Request, Response, Verdict};
 use copperwell_standin::backend::{Echo, Options, Record, Server};
 use tokio::time::{sleep, timeout};
@@ -51,17 +51,15 @@
 
     /// Grants shard 0 to the current run of the server.
     pub(crate) async fn own(&self) {
-        self.client
-            .fence(self.server.address(), &fence(EPOCH))
-            .await
-            .unwrap();
-        let held = self.give(EPOCH, 1).await.unwrap();
+        let run = self.fence(EPOCH).await;
+        let to = self.server.address();
+        let held = self.client.give(to, &run.give(EPOCH, 1, 0)).await.unwrap();
         assert_eq!(held.shards, 1);
     }
 
-    pub(crate) async fn give(&self, epoch: Epoch, sequence: Sequence) -> Result<Held, Failure> {
-        let order = give(epoch, sequence);
-        self.client.give(self.server.address(), &order).await
+    pub(crate) async fn fence(&self, epoch: Epoch) -> Fenced {
+        let to = self.server.address();
+        self.client.fence(to, &fence(epoch)).await.unwrap()
     }
 
     /// Sends requests to another address, such as a proxy's.
@@ -107,13 +105,33 @@
     }
 }
 
-pub(crate) fn give(epoch: Epoch, sequence: Sequence) -> Give {
-    Give {
-        group: group(),
-        epoch,
-        sequence,
-        lease_ms: LEASE.as_millis() as u64,
-        shards: vec![0],
+/// Orders for the run of a server that answered a fence, by its clock of then.
+pub(crate) trait Orders {
+    fn give(&self, epoch: Epoch, sequence: Sequence, shard: ShardIndex) -> Give;
+    fn renew(&self, epoch: Epoch) -> Renew;
+}
+
+impl Orders for Fenced {
+    fn give(&self, epoch: Epoch, sequence: Sequence, shard: ShardIndex) -> Give {
+        Give {
+            group: group(),
+            epoch,
+            sequence,
+            incarnation: self.incarnation,
+            lease_ms: LEASE.as_millis() as u64,
+            until_ms: self.clock_ms + LEASE.as_millis() as u64,
+            shards: vec![shard],
+        }
+    }
+
+    fn renew(&self, epoch: Epoch) -> Renew {
+        Renew {
+            group: group(),
+            epoch,
+            incarnation: self.incarnation,
+            lease_ms: LEASE.as_millis() as u64,
+            until_ms: self.clock_ms + LEASE.as_millis() as u64,
+        }
     }
 }
 
--- a/crates/standin/src/backend/grants.rs
+++ b/crates/standin/src/backend/grants.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 struct Rights {
     highest: Epoch,
+    /// The highest sequence seen of that epoch.
+    sequence: Sequence,
     shards: HashMap<ShardIndex, Right>,
 }
 
@@ -79,8 +81,12 @@
     /// [`Refusal`] if a higher epoch was seen.
     pub fn fence(&mut self, order: &Fence, now: Instant) -> Result<Fenced, Refusal> {
         let rights = self.admit(&order.group, order.epoch)?;
-        let held = rights.held(now);
-        let grants = held.map(|(shard, right)| Grant {
+        // A lapsed grant is told too, so that a new leader may give the shard to the same server.
+        let told = rights
+            .shards
+            .iter()
+            .filter(|(_, right)| right.until.is_some());
+        let grants = told.map(|(&shard, right)| Grant {
             service: order.group.service.clone(),
             shard,
             epoch: right.epoch,
@@ -92,15 +98,15 @@
             incarnation: self.incarnation,
             grants,
             draining: false,
+            clock_ms: 0,
         })
     }
 
-    /// Takes a grant that lasts until `until`; orders about shards that are older than one seen
-    /// before have no effect on them.
+    /// Takes a grant that lasts until `until`; the same one again has no further effect.
     ///
     /// # Errors
     ///
-    /// [`Refusal`] if a higher epoch was seen.
+    /// [`Refusal`] if a higher epoch or a later sequence was seen, or it is for another run.
     pub fn give(
         &mut self,
         order: &Give,
@@ -108,7 +114,8 @@
         until: Instant,
     ) -> Result<Vec<Change>, Refusal> {
         let checked = self.fencing == Fencing::Checked;
-        let rights = self.admit(&order.group, order.epoch)?;
+        self.check_run(&order.group, order.incarnation)?;
+        let rights = self.admit_in_turn(&order.group, order.epoch, order.sequence)?;
         let place = Place {
             epoch: order.epoch,
             sequence: order.sequence,
@@ -116,17 +123,20 @@
         let mut changes = Vec::new();
         for shard in &order.shards {
             // An order that comes twice must not prolong what it gave.
-            let seen = rights.shards.get(shard).map(|right| right.order);
+            let before = rights.shards.get(shard);
+            let seen = before.map(|right| right.order);
             if checked && (seen >= Some(place) || until <= now) {
                 continue;
             }
+            let until = before.and_then(|right| right.until).max(Some(until));
             let right = Right {
                 order: place,
                 epoch: order.epoch,
-                until: Some(until),
+                until,
                 accepting: true,
             };
             rights.shards.insert(*shard, right);
+            let until = until.unwrap_or(now);
             changes.push(Change::Until(order.group.service.clone(), *shard, until));
         }
         Ok(changes)
@@ -143,6 +153,7 @@
         now: Instant,
         until: Instant,
     ) -> Result<Vec<Change>, Refusal> {
+        self.check_run(&order.group, order.incarnation)?;
         let rights = self.admit(&order.group, order.epoch)?;
         let mut changes = Vec::new();
         for (shard, right) in &mut rights.shards {
@@ -162,10 +173,10 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal`] if a higher epoch was seen.
+    /// [`Refusal`] if a higher epoch or a later sequence was seen.
     pub fn release(&mut self, order: &Release) -> Result<(), Refusal> {
         let checked = self.fencing == Fencing::Checked;
-        let rights = self.admit(&order.group, order.epoch)?;
+        let rights = self.admit_in_turn(&order.group, order.epoch, order.sequence)?;
         let place = Place {
             epoch: order.epoch,
             sequence: order.sequence,
@@ -262,6 +273,7 @@
             digest: 0,
             draining: false,
             in_flight: 0,
+            clock_ms: 0,
         };
         if let Some(rights) = self.groups.get(group) {
             for (shard, _) in rights.held(now) {
@@ -272,6 +284,18 @@
         held
     }
 
+    /// Refuses an order that was made for another run of the server.
+    fn check_run(&self, group: &GroupId, incarnation: Incarnation) -> Result<(), Refusal> {
+        if incarnation == self.incarnation || self.fencing == Fencing::Unchecked {
+            return Ok(());
+        }
+        let highest = self.groups.get(group).map_or(0, |rights| rights.highest);
+        Err(Refusal {
+            incarnation: self.incarnation,
+            epoch: highest,
+        })
+    }
+
     /// Raises the highest epoch of a group, or refuses one that is lower.
     fn admit(&mut self, group: &GroupId, epoch: Epoch) -> Result<&mut Rights, Refusal> {
         let rights = self.groups.entry(group.clone()).or_default();
@@ -281,7 +305,29 @@
                 epoch: rights.highest,
             });
         }
-        rights.highest = rights.highest.max(epoch);
+        if epoch > rights.highest {
+            rights.highest = epoch;
+            rights.sequence = 0;
+        }
+        Ok(rights)
+    }
+
+    /// As [`Grants::admit`], and refuses an order that comes after a later one of its epoch.
+    fn admit_in_turn(
+        &mut self,
+        group: &GroupId,
+        epoch: Epoch,
+        sequence: Sequence,
+    ) -> Result<&mut Rights, Refusal> {
+        let (incarnation, fencing) = (self.incarnation, self.fencing);
+        let rights = self.admit(group, epoch)?;
+        if sequence < rights.sequence && fencing == Fencing::Checked {
+            return Err(Refusal {
+                incarnation,
+                epoch: rights.highest,
+            });
+        }
+        rights.sequence = rights.sequence.max(sequence);
         Ok(rights)
     }
 }
--- a/crates/standin/src/backend/process.rs
+++ b/crates/standin/src/backend/process.rs
@@ -103,9 +103,9 @@
         }
     }
 
-    /// The server's clock.
-    pub(super) fn clock(&self) -> Duration {
-        self.born.elapsed()
+    /// The server's steady clock, in milliseconds since this run began.
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.born.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
     /// When this run began.
@@ -116,6 +116,7 @@
     pub(super) fn fence(&self, order: &Fence) -> Result<Fenced, Refusal> {
         let mut fenced = self.state().grants.fence(order, Instant::now())?;
         fenced.draining = self.is_draining();
+        fenced.clock_ms = self.clock_ms();
         Ok(fenced)
     }
 
@@ -136,14 +137,25 @@
     }
 
     /// Stops serving shards, and answers when none of their requests runs any more.
-    pub(super) async fn release(&self, order: &Release) -> Result<Held, Refusal> {
-        self.state().grants.release(order)?;
+    pub(super) async fn release(self: &Arc<Self>, order: Release) -> Result<Held, Refusal> {
+        self.state().grants.release(&order)?;
+        let process = self.clone();
+        // The shards are let go of even if whoever gave the order does not wait for the answer.
+        let let_go = tokio::spawn(async move { process.let_go(&order).await });
+        match let_go.await {
+            Ok(held) => Ok(held),
+            // The runtime is going, and this task with it.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    async fn let_go(&self, order: &Release) -> Held {
         loop {
             let finished = self.finished.notified();
             tokio::pin!(finished);
             finished.as_mut().enable();
             if let Some(held) = self.try_let_go(order) {
-                return Ok(held);
+                return held;
             }
             finished.await;
         }
@@ -253,6 +265,7 @@
 
     fn held(&self, state: &State, group: &GroupId, now: Instant) -> Held {
         let mut held = state.grants.held(group, now);
+        held.clock_ms = self.clock_ms();
         let load = self.told_load();
         held.draining = load.draining;
         held.in_flight = load.in_flight;
--- a/crates/standin/src/backend/service.rs
+++ b/crates/standin/src/backend/service.rs
@@ -30,6 +30,9 @@
 /// The largest control order, in bytes.
 const ORDER_BYTES_MAX: usize = 4 << 20;
 
+/// The longest lease that an order may give.
+const LEASE_MAX: Duration = Duration::from_hours(1);
+
 /// The largest padding of an answer, in bytes.
 const PADDING_MAX: usize = 256 << 20;
 
@@ -99,11 +102,9 @@
     response
 }
 
-/// Adds the server's run and clock to an answer.
+/// Adds the server's run to an answer.
 fn stamp(process: &Process, headers: &mut HeaderMap) {
-    let clock_ms = u64::try_from(process.clock().as_millis()).unwrap_or(u64::MAX);
     headers.insert(header::INCARNATION, HeaderValue::from(process.incarnation));
-    headers.insert(header::CLOCK, HeaderValue::from(clock_ms));
 }
 
 fn health(process: &Process) -> Response<Body> {
@@ -115,7 +116,7 @@
     json(status, &process.told_load())
 }
 
-async fn take_order(process: &Process, request: http::Request<Incoming>) -> Response<Body> {
+async fn take_order(process: &Arc<Process>, request: http::Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let Ok(body) = Limited::new(body, ORDER_BYTES_MAX).collect().await else {
         return plain(
@@ -126,41 +127,29 @@
     let body = body.to_bytes();
     let taken = match head.uri.path() {
         path::FENCE => parse(&body).map(|order| reply(process.fence(&order))),
-        path::GRANT => {
-            parse::<order::Give>(&body).map(|order| match until(process, &head, order.lease_ms) {
-                Some(until) => reply(process.give(&order, until)),
-                None => plain(StatusCode::PRECONDITION_FAILED, "not this run's clock"),
-            })
-        }
-        path::RENEW => {
-            parse::<order::Renew>(&body).map(|order| match until(process, &head, order.lease_ms) {
-                Some(until) => reply(process.renew(&order, until)),
-                None => plain(StatusCode::PRECONDITION_FAILED, "not this run's clock"),
-            })
-        }
+        path::GRANT => parse::<order::Give>(&body).map(|order| {
+            let until = until(process, order.lease_ms, order.until_ms);
+            reply(process.give(&order, until))
+        }),
+        path::RENEW => parse::<order::Renew>(&body).map(|order| {
+            let until = until(process, order.lease_ms, order.until_ms);
+            reply(process.renew(&order, until))
+        }),
         _ => match parse(&body) {
-            Some(order) => Some(reply(process.release(&order).await)),
+            Some(order) => Some(reply(process.release(order).await)),
             None => None,
         },
     };
     taken.unwrap_or_else(|| plain(StatusCode::BAD_REQUEST, "not an order"))
 }
 
-/// When a lease ends that an order gives; `None` if the order was not made for this run.
-fn until(process: &Process, head: &request::Parts, lease_ms: u64) -> Option<Instant> {
-    let lease = Duration::from_millis(lease_ms);
-    if process.options.fencing == copperwell_keyspace::manifest::Fencing::Unchecked {
-        return Some(Instant::now() + lease);
-    }
-    let incarnation: Incarnation = number(&head.headers, header::INCARNATION)?;
-    let clock_ms: i64 = number(&head.headers, header::CLOCK)?;
-    if incarnation != process.incarnation {
-        return None;
-    }
-    let end_ms = clock_ms.saturating_add(i64::try_from(lease_ms).unwrap_or(i64::MAX));
-    let end = Duration::from_millis(u64::try_from(end_ms).unwrap_or(0));
-    // Nobody can know a reading that the clock has not shown yet.
-    Some((process.born() + end).min(Instant::now() + lease))
+/// When a lease ends that an order gives: by the server's clock, and never later than one lease
+/// from its arrival.
+fn until(process: &Process, lease_ms: u64, until_ms: u64) -> Instant {
+    let lease = Duration::from_millis(lease_ms).min(LEASE_MAX);
+    let by_arrival = Instant::now() + lease;
+    let by_clock = process.born().checked_add(Duration::from_millis(until_ms));
+    by_clock.map_or(by_arrival, |end| end.min(by_arrival))
 }
 
 async fn run(
