Test the stand-in server, its record and the fault proxy

Cause: every other test trusts the stand-ins' word, and nothing tested it.

Change: table tests of a server's rights and of what the record makes of them, tests of the proxy's faults and of the server over HTTP.

--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -11,7 +11,7 @@
 
 mod gate;
 pub mod grants;
-mod options;
+pub mod options;
 mod process;
 pub mod record;
 mod server;
--- a/crates/standin/src/backend/record.rs
+++ b/crates/standin/src/backend/record.rs
@@ -271,6 +271,21 @@
         moves
     }
 
+    /// Adds a hold, such as that of a server which is no stand-in.
+    pub fn add_hold(&self, hold: Hold) {
+        self.begin_hold(hold);
+    }
+
+    /// Adds a run, such as that of a server which is no stand-in.
+    pub fn add_run(&self, run: Run) {
+        self.begin_run(run);
+    }
+
+    /// Adds a time in which a server answered nothing.
+    pub fn add_frozen(&self, frozen: Frozen) {
+        self.entries().frozen.push(frozen);
+    }
+
     pub(super) fn begin_hold(&self, hold: Hold) -> Option<HoldId> {
         let mut entries = self.entries();
         if entries.holds.len() >= ENTRIES_MAX {
@@ -310,12 +325,11 @@
     }
 
     pub(super) fn freeze(&self, server: &UpstreamName, from: Instant) {
-        let frozen = Frozen {
+        self.add_frozen(Frozen {
             server: server.clone(),
             from,
             until: None,
-        };
-        self.entries().frozen.push(frozen);
+        });
     }
 
     pub(super) fn wake(&self, server: &UpstreamName, at: Instant) {
--- /dev/null
+++ b/crates/standin/tests/standin/main.rs
@@ -0,0 +1,6 @@
+//! The stand-in backend server, its record and the fault proxy.
+
+mod grants;
+mod proxy;
+mod record;
+mod server;
--- /dev/null
+++ b/crates/standin/tests/standin/server.rs
@@ -0,0 +1,226 @@
+//! The stand-in server over HTTP.
+
+use std::time::Duration;
+
+use copperwell_backend::{
+    Client, Control, Forward, Pool,
+    order::{Fence, Give, Order},
+};
+use copperwell_keyspace::{GroupId, manifest::Fencing};
+use copperwell_message::{Body, Class, Head, Repeat, Request, Response, Verdict};
+use copperwell_standin::backend::{
+    Echo, Options, Record, Server, options::ColdStart, record::Outcome,
+};
+use tokio::time::{Instant, sleep, timeout};
+use uuid::Uuid;
+
+const EPOCH: u64 = 2;
+
+/// Longer than anything here should take.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Caller {
+    client: Client,
+    pool: Pool,
+}
+
+impl Caller {
+    fn new() -> Self {
+        Self {
+            client: Client::new(),
+            pool: Pool::new(),
+        }
+    }
+
+    async fn own(&self, server: &Server, lease: Duration) {
+        let group = GroupId {
+            service: "calendar".into(),
+            data_centre: "ro-nord-1".into(),
+            part: 0,
+        };
+        let fence = Fence {
+            group: group.clone(),
+            epoch: EPOCH,
+            leader: "entry-1".into(),
+        };
+        let fenced = self.client.fence(server.address(), &fence).await.unwrap();
+        let lease_ms = lease.as_millis() as u64;
+        let give = Give {
+            group,
+            epoch: EPOCH,
+            sequence: 1,
+            incarnation: fenced.incarnation,
+            lease_ms,
+            until_ms: fenced.clock_ms + lease_ms,
+            shards: vec![0],
+        };
+        self.client.give(server.address(), &give).await.unwrap();
+    }
+
+    async fn post(&self, server: &Server, fields: &[(&str, &str)]) -> Response {
+        let head = Head {
+            id: Uuid::new_v4(),
+            service: "calendar".into(),
+            key: "cabin-1".into(),
+            shard: 0,
+            class: Class::Interactive,
+            repeat: Repeat::Once(Uuid::now_v7()),
+            deadline: PATIENCE,
+            caller: [127, 0, 0, 1].into(),
+            fingerprint: 0,
+            method: "POST".into(),
+            path: "/".into(),
+            headers: fields
+                .iter()
+                .map(|(name, value)| ((*name).to_owned(), value.as_bytes().to_vec()))
+                .collect(),
+            hops: 0,
+        };
+        let request = Request {
+            head,
+            body: Body::empty(),
+        };
+        let order = Order {
+            epoch: EPOCH,
+            deadline: PATIENCE,
+        };
+        let upstream = server.upstream("ro-nord-1");
+        self.pool.forward(&upstream, order, request).await
+    }
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    let holds = async {
+        while !condition() {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(PATIENCE, holds).await.unwrap();
+}
+
+async fn echo(response: Response) -> Echo {
+    let bytes = response.body.collect(1 << 20).await.unwrap();
+    serde_json::from_slice(&bytes).unwrap()
+}
+
+#[tokio::test]
+async fn counter_counts_what_took_effect_in_this_run() {
+    let server = Server::start(Options::new("a"), &Record::new())
+        .await
+        .unwrap();
+    let caller = Caller::new();
+    caller.own(&server, PATIENCE).await;
+    for count in 1..4 {
+        assert_eq!(echo(caller.post(&server, &[]).await).await.count, count);
+    }
+}
+
+#[tokio::test]
+async fn right_that_lapses_during_a_run_undoes_it() {
+    let record = Record::new();
+    let server = Server::start(Options::new("a"), &record).await.unwrap();
+    let caller = Caller::new();
+    caller.own(&server, Duration::from_secs(2)).await;
+    caller.pool.set_silence(&"calendar".into(), PATIENCE);
+    let response = caller.post(&server, &[("x-standin-ms", "2200")]).await;
+    assert_eq!(response.reply.verdict, Verdict::NotRun);
+    assert_eq!(record.runs()[0].outcome, Outcome::Undone);
+}
+
+#[tokio::test]
+async fn frozen_server_goes_on_where_it_was() {
+    let record = Record::new();
+    let server = Server::start(Options::new("a"), &record).await.unwrap();
+    let caller = Caller::new();
+    caller.own(&server, PATIENCE).await;
+    caller.pool.set_silence(&"calendar".into(), PATIENCE);
+    server.freeze();
+    let woken = async {
+        sleep(Duration::from_millis(100)).await;
+        assert!(record.runs().is_empty());
+        server.wake();
+    };
+    let (response, ()) = tokio::join!(caller.post(&server, &[]), woken);
+    assert_eq!(response.reply.verdict, Verdict::Done);
+    assert_eq!(server.shards().len(), 1);
+}
+
+#[tokio::test]
+async fn checked_server_that_wakes_after_its_lease_refuses_and_an_unchecked_one_serves() {
+    for (fencing, verdict) in [
+        (Fencing::Checked, Verdict::NotRun),
+        (Fencing::Unchecked, Verdict::Done),
+    ] {
+        let mut options = Options::new("a");
+        options.fencing = fencing;
+        let server = Server::start(options, &Record::new()).await.unwrap();
+        let caller = Caller::new();
+        let lease = Duration::from_millis(200);
+        caller.own(&server, lease).await;
+        server.freeze();
+        sleep(lease).await;
+        server.wake();
+        assert_eq!(caller.post(&server, &[]).await.reply.verdict, verdict);
+    }
+}
+
+#[tokio::test]
+async fn crashed_server_starts_again_without_its_grants() {
+    let record = Record::new();
+    let mut options = Options::new("a");
+    options.restart_after_crash = Some(Duration::from_millis(20));
+    let server = Server::start(options, &record).await.unwrap();
+    let caller = Caller::new();
+    caller.own(&server, PATIENCE).await;
+    let before = server.incarnation();
+    caller.post(&server, &[("x-standin", "crash")]).await;
+    until(|| server.incarnation().is_some_and(|run| Some(run) != before)).await;
+    assert_eq!(server.counts().crashes, 1);
+    assert!(server.shards().is_empty());
+    assert!(record.holds()[0].until <= Instant::now());
+    let response = caller.post(&server, &[]).await;
+    assert_eq!(response.reply.verdict, Verdict::NotRun);
+}
+
+#[tokio::test]
+async fn cold_server_is_slow_for_its_first_requests() {
+    let mut options = Options::new("a");
+    options.cold_start = ColdStart {
+        requests: 1,
+        extra: Duration::from_secs(1),
+    };
+    let record = Record::new();
+    let server = Server::start(options, &record).await.unwrap();
+    let caller = Caller::new();
+    caller.own(&server, PATIENCE).await;
+    for _ in 0..2 {
+        caller.post(&server, &[]).await;
+    }
+    let runs = record.runs();
+    let times: Vec<Duration> = runs
+        .iter()
+        .map(|run| run.end.unwrap() - run.start)
+        .collect();
+    assert!(times[0] >= Duration::from_secs(1));
+    assert!(times[1] < Duration::from_secs(1));
+}
+
+#[tokio::test]
+async fn connections_beyond_the_declared_ones_are_closed() {
+    let mut options = Options::new("a");
+    options.connections = 3;
+    let server = Server::start(options, &Record::new()).await.unwrap();
+    let mut streams = Vec::new();
+    for _ in 0..10 {
+        streams.push(
+            tokio::net::TcpStream::connect(server.address())
+                .await
+                .unwrap(),
+        );
+    }
+    let last = streams.last_mut().unwrap();
+    let mut byte = [0];
+    let read = tokio::io::AsyncReadExt::read(last, &mut byte);
+    assert_eq!(timeout(PATIENCE, read).await.unwrap().unwrap_or(0), 0);
+    assert_eq!(server.counts().connections, 3);
+}
