--- a/crates/backend/tests/backend/setup.rs
+++ b/crates/backend/tests/backend/setup.rs
@@ -1,15 +1,15 @@
 //! A stand-in that owns a shard, and what talks to it.
 
-use std::{net::SocketAddr, sync::Mutex, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use copperwell_backend::{
-    Client, Control, Failure, Forward, Pool, client,
-    order::{Fence, Give, Held, Order, Renew},
+    Client, Control, Forward, Pool, client,
+    order::{Fence, Fenced, Give, Order, Renew},
 };
-use copperwell_keyspace::{Epoch, GroupId, Incarnation, Sequence, manifest::Upstream};
+use copperwell_keyspace::{Epoch, GroupId, Sequence, ShardIndex, manifest::Upstream};
 use copperwell_message::{Body, Class, Head, Reason, Repeat, Request, Response, Verdict};
 use copperwell_standin::backend::{Echo, Options, Record, Server};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use uuid::Uuid;
 
 pub(crate) const EPOCH: Epoch = 2;
@@ -28,15 +28,6 @@
     pub(crate) client: Client,
     pub(crate) pool: Pool,
     pub(crate) upstream: Upstream,
-    seen: Mutex<Option<Seen>>,
-}
-
-/// What a fence has told of the server's run and clock.
-#[derive(Debug, Clone, Copy)]
-struct Seen {
-    incarnation: Incarnation,
-    clock_ms: u64,
-    at: Instant,
 }
 
 impl Setup {
@@ -53,7 +44,6 @@
             }),
             pool: Pool::new(),
             record,
-            seen: Mutex::default(),
         };
         setup.own().await;
         setup
@@ -61,56 +51,15 @@
 
     /// Grants shard 0 to the current run of the server.
     pub(crate) async fn own(&self) {
-        let order = fence(EPOCH);
-        let fenced = self.client.fence(self.server.address(), &order);
-        let fenced = fenced.await.unwrap();
-        *self.seen.lock().unwrap() = Some(Seen {
-            incarnation: fenced.incarnation,
-            clock_ms: fenced.clock_ms,
-            at: Instant::now(),
-        });
-        let held = self.give(EPOCH, 1).await.unwrap();
+        let run = self.fence(EPOCH).await;
+        let to = self.server.address();
+        let held = self.client.give(to, &run.give(EPOCH, 1, 0)).await.unwrap();
         assert_eq!(held.shards, 1);
     }
 
-    pub(crate) async fn give(&self, epoch: Epoch, sequence: Sequence) -> Result<Held, Failure> {
-        let order = self.give_order(epoch, sequence);
-        self.client.give(self.server.address(), &order).await
-    }
-
-    /// A grant that lasts one lease from now.
-    pub(crate) fn give_order(&self, epoch: Epoch, sequence: Sequence) -> Give {
-        let (incarnation, until_ms) = self.run_and_end();
-        Give {
-            group: group(),
-            epoch,
-            sequence,
-            incarnation,
-            lease_ms: LEASE.as_millis() as u64,
-            until_ms,
-            shards: vec![0],
-        }
-    }
-
-    /// A renewal that lasts one lease from now.
-    pub(crate) fn renew_order(&self, epoch: Epoch) -> Renew {
-        let (incarnation, until_ms) = self.run_and_end();
-        Renew {
-            group: group(),
-            epoch,
-            incarnation,
-            lease_ms: LEASE.as_millis() as u64,
-            until_ms,
-        }
-    }
-
-    /// The run last fenced, and one lease from now by its clock at the latest.
-    fn run_and_end(&self) -> (Incarnation, u64) {
-        let Some(seen) = *self.seen.lock().unwrap() else {
-            return (0, 0);
-        };
-        let now_ms = seen.clock_ms + seen.at.elapsed().as_millis() as u64;
-        (seen.incarnation, now_ms + LEASE.as_millis() as u64)
+    pub(crate) async fn fence(&self, epoch: Epoch) -> Fenced {
+        let to = self.server.address();
+        self.client.fence(to, &fence(epoch)).await.unwrap()
     }
 
     /// Sends requests to another address, such as a proxy's.
@@ -156,6 +105,36 @@
     }
 }
 
+/// Orders for the run of a server that answered a fence, by its clock of then.
+pub(crate) trait Orders {
+    fn give(&self, epoch: Epoch, sequence: Sequence, shard: ShardIndex) -> Give;
+    fn renew(&self, epoch: Epoch) -> Renew;
+}
+
+impl Orders for Fenced {
+    fn give(&self, epoch: Epoch, sequence: Sequence, shard: ShardIndex) -> Give {
+        Give {
+            group: group(),
+            epoch,
+            sequence,
+            incarnation: self.incarnation,
+            lease_ms: LEASE.as_millis() as u64,
+            until_ms: self.clock_ms + LEASE.as_millis() as u64,
+            shards: vec![shard],
+        }
+    }
+
+    fn renew(&self, epoch: Epoch) -> Renew {
+        Renew {
+            group: group(),
+            epoch,
+            incarnation: self.incarnation,
+            lease_ms: LEASE.as_millis() as u64,
+            until_ms: self.clock_ms + LEASE.as_millis() as u64,
+        }
+    }
+}
+
 /// A request that is not repeatable, with these header fields.
 pub(crate) fn post(headers: &[(&str, &str)], body: Body) -> Request {
     let headers = headers
--- a/crates/standin/src/backend/process.rs
+++ b/crates/standin/src/backend/process.rs
@@ -137,14 +137,25 @@
     }
 
     /// Stops serving shards, and answers when none of their requests runs any more.
-    pub(super) async fn release(&self, order: &Release) -> Result<Held, Refusal> {
-        self.state().grants.release(order)?;
+    pub(super) async fn release(self: &Arc<Self>, order: Release) -> Result<Held, Refusal> {
+        self.state().grants.release(&order)?;
+        let process = self.clone();
+        // The shards are let go of even if whoever gave the order does not wait for the answer.
+        let let_go = tokio::spawn(async move { process.let_go(&order).await });
+        match let_go.await {
+            Ok(held) => Ok(held),
+            // The runtime is going, and this task with it.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    async fn let_go(&self, order: &Release) -> Held {
         loop {
             let finished = self.finished.notified();
             tokio::pin!(finished);
             finished.as_mut().enable();
             if let Some(held) = self.try_let_go(order) {
-                return Ok(held);
+                return held;
             }
             finished.await;
         }
