Route callers' requests past lost leaders, and join those over several keys

Cause: each waiting request polled on its own while no daemon led, an unreachable leader was not told from an unreachable server, callers could set fields that only daemons may, and slow callers and requests over several keys were not handled.

Change: a router asks leader, standby and relays, and one request at a time finds out whether somebody leads again; an admission gate, typed refusals with remedies, limits on slow heads, bodies and readers, and a join of parts that is whole or an error naming keys.

--- /dev/null
+++ b/crates/caller/src/explain.rs
@@ -0,0 +1,99 @@
+//! What refusals say to the people who read them.
+
+use copperwell_message::{Body, Reason, Reply, Response, Verdict};
+
+/// A refusal by ingress itself; the request did not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    /// Why.
+    pub(crate) reason: Reason,
+    /// What exactly is wrong, where more is known than the reason says.
+    detail: Option<String>,
+}
+
+impl Refusal {
+    /// A refusal that names the thing that is wrong.
+    pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            detail: Some(detail.into()),
+        }
+    }
+
+    /// The response to the caller.
+    pub(crate) fn response(self) -> Response {
+        let mut response = Response::refusal(Verdict::NotRun, self.reason);
+        let detail = self.detail.as_deref();
+        response.body = body(&response.reply, detail);
+        response
+    }
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            detail: None,
+        }
+    }
+}
+
+/// The body of a refusal: reason and verdict for programs, then sentences for people.
+pub(crate) fn body(reply: &Reply, detail: Option<&str>) -> Body {
+    let Some(reason) = reply.reason else {
+        return Body::empty();
+    };
+    let name = reason.as_str();
+    let verdict = reply.verdict.as_str();
+    let remedy = remedy(reason);
+    let text = match detail {
+        Some(detail) => format!("{name}, {verdict}: {detail} {remedy}\n"),
+        None => format!("{name}, {verdict}: {remedy}\n"),
+    };
+    Body::full(text)
+}
+
+/// What a caller can do.
+fn remedy(reason: Reason) -> &'static str {
+    match reason {
+        Reason::BadRequest => "Correct the request; it fails the same way if it is sent again.",
+        Reason::IdempotencyKeyMissing => {
+            "Send an idempotency-key header with a fresh UUIDv7, and the same one with a resend."
+        }
+        Reason::IdempotencyKeyInvalid => {
+            "Make the idempotency key a UUIDv7 of the present time, and check the caller's clock."
+        }
+        Reason::IdempotencyKeyReused => {
+            "The idempotency key belongs to another request; make a fresh one for this request."
+        }
+        Reason::IdempotencyKeyExpired => {
+            "The key is older than the service remembers; find out whether the request ran."
+        }
+        Reason::IdempotencyKeyUnknown => {
+            "The key was made under an earlier leader; find out whether the request ran."
+        }
+        Reason::UnknownService => "Ask for a service that the manifest in force declares.",
+        Reason::TooLarge => "Send less; the service declares the largest body.",
+        Reason::SlowCaller => "Send the whole request without long pauses.",
+        Reason::ServiceLimit | Reason::QueueFull | Reason::Shed | Reason::RetryBudget => {
+            "The service is overloaded; send the request again later."
+        }
+        Reason::CallerShare => {
+            "Too many requests of this caller are under way; send fewer at once."
+        }
+        Reason::DeadlineHopeless => "The deadline could not be met; allow more time or come later.",
+        Reason::DeadlinePassed => "The deadline passed before the answer came.",
+        Reason::NotLeader | Reason::NoLeader | Reason::Unowned | Reason::LeaseLapsed => {
+            "The key has no owner that can be reached at the moment; send the request again."
+        }
+        Reason::Fenced => "The owner of the key is changing; send the request again.",
+        Reason::ConnectionRefused => "The owner could not be reached; send the request again.",
+        Reason::ConnectionLost | Reason::ConnectionSilent => {
+            "The connection to the owner ended before the answer was whole."
+        }
+        Reason::Quarantined => "The request crashed servers that ran it; do not send it as it is.",
+        Reason::Stopping => "The daemon is stopping; send the request again.",
+        Reason::Cancelled => "The caller went away.",
+        Reason::Protocol => "Daemons or servers of different versions may be at work.",
+    }
+}
--- a/crates/caller/src/ingress.rs
+++ b/crates/caller/src/ingress.rs
@@ -1,180 +1,179 @@
-//! One request from a caller to the leader of its key and back.
+//! One request from a caller to the owner of its key and back.
 
-use std::{net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    net::IpAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use crate::{
-    Network, header,
+    Network,
+    admission::{Admission, Place},
+    body::{self, Answer},
+    explain::{self, Refusal},
+    header,
+    join::Join,
     metrics::Metrics,
     parse::{self, Target},
+    route::Router,
 };
-use bytes::{Bytes, BytesMut};
-use copperwell_keyspace::{Member, manifest::Service};
-use copperwell_message::{Body, Head, Reason, Reply, Request, Response, Verdict};
-use http::{HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER, request::Parts};
-use http_body_util::BodyExt;
+use copperwell_keyspace::manifest::Service;
+use copperwell_message::{Head, Reason, Repeat, Request, Response, Verdict};
+use http::{HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout_at};
-
-/// Bytes of a body that ingress reads before it sends the request on; a body that ends within them
-/// can be sent again.
-const BODY_READ_AHEAD: usize = 64 << 10;
+use tokio::time::Instant;
 
-/// Time between two tries while no leader takes the request.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// When a caller is to come back, unless somebody knows better.
+const COME_BACK: Duration = Duration::from_secs(1);
 
 /// Takes callers' requests.
 #[derive(Debug)]
 pub struct Ingress<N> {
     network: Arc<N>,
+    router: Arc<Router<N>>,
+    admission: Admission,
     metrics: Metrics,
+    wall: fn() -> SystemTime,
+}
+
+/// A request that was understood and let in.
+struct Accepted {
+    service: Arc<Service>,
+    place: Place,
+    head: Head,
+    keys: Vec<String>,
+    body: body::Read,
+    deadline: Instant,
 }
 
 impl<N: Network> Ingress<N> {
     /// An ingress that sends requests over `network`.
     #[must_use]
     pub fn new(network: Arc<N>, metrics: Metrics) -> Self {
-        Self { network, metrics }
+        Self {
+            router: Arc::new(Router::new(network.clone(), metrics.clone())),
+            network,
+            admission: Admission::default(),
+            metrics,
+            wall: SystemTime::now,
+        }
+    }
+
+    /// Judges idempotency keys by another clock.
+    #[must_use]
+    pub fn with_wall(mut self, wall: fn() -> SystemTime) -> Self {
+        self.wall = wall;
+        self
     }
 
     /// Serves one request of a caller.
+    ///
+    /// Dropping the future, or the answer's body, cancels the request.
     pub async fn handle(
         &self,
         request: http::Request<Incoming>,
         caller: IpAddr,
-    ) -> http::Response<Body> {
+    ) -> http::Response<Answer> {
         self.metrics.requests.inc();
-        let response = match self.accept(request, caller).await {
-            Ok((service, request)) => self.send(&service, request).await,
-            Err(reason) => Response::refusal(Verdict::NotRun, reason),
+        let (response, place) = match self.accept(request, caller).await {
+            Ok(accepted) => self.send(accepted).await,
+            Err(refusal) => (refusal.response(), None),
         };
         if let Some(reason) = response.reply.reason {
             self.metrics.refuse(reason);
         }
-        answer(response)
+        answer(response, place)
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.metrics
     }
 
     async fn accept(
         &self,
         request: http::Request<Incoming>,
         caller: IpAddr,
-    ) -> Result<(Arc<Service>, Request), Reason> {
-        let (parts, body) = request.into_parts();
+    ) -> Result<Accepted, Refusal> {
+        let (parts, incoming) = request.into_parts();
         let asked = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let target = parse::target(asked)?;
-        let service = self
-            .network
-            .service(target.service)
-            .ok_or(Reason::UnknownService)?;
-        let request = read(&parts, &target, &service, body, caller).await?;
-        Ok((service, request))
+        let service = self.service(&target)?;
+        let mut head = parse::head(&parts, &target, &service, caller, (self.wall)())?;
+        check_keys(&target, &head)?;
+        let place = self.admission.enter(&service, caller)?;
+        let deadline = Instant::now() + head.deadline;
+        let body = body::read(incoming, service.limits.body, deadline).await?;
+        head.fingerprint = parse::fingerprint(&head, &body.seen);
+        let keys = target.keys.into_iter().map(str::to_owned).collect();
+        Ok(Accepted {
+            service,
+            place,
+            head,
+            keys,
+            body,
+            deadline,
+        })
     }
 
-    /// Tries the daemons that may lead, until one takes the request or the deadline passes.
-    async fn send(&self, service: &Service, request: Request) -> Response {
-        let deadline = Instant::now() + request.head.deadline;
-        let Request { head, body } = request;
-        let again = body.as_full();
-        let mut body = Some(body);
-        loop {
-            let leaders = self.network.leaders(&service.name, head.shard);
-            let mut last = Response::refusal(Verdict::NotRun, Reason::NoLeader);
-            for leader in &leaders {
-                let Some(next) = body.take().or_else(|| again.clone().map(Body::full)) else {
-                    return last;
-                };
-                last = self.try_one(leader, &head, next, deadline).await;
-                if !may_try_next(&last) {
-                    return last;
-                }
-                let reason = last.reply.reason.unwrap_or(Reason::Protocol);
-                self.metrics.retry(reason);
-            }
-            if Instant::now() + RETRY_PAUSE >= deadline {
-                return last.with_retry_after(Duration::from_secs(1));
-            }
-            sleep(RETRY_PAUSE).await;
-        }
+    fn service(&self, target: &Target<'_>) -> Result<Arc<Service>, Refusal> {
+        self.network.service(target.service).ok_or_else(|| {
+            let detail = "The manifest in force has no service of this name.";
+            Refusal::new(Reason::UnknownService, detail)
+        })
     }
 
-    async fn try_one(&self, to: &Member, head: &Head, body: Body, deadline: Instant) -> Response {
-        let mut head = head.clone();
-        head.deadline = deadline.saturating_duration_since(Instant::now());
-        let sent = self.network.send(to, Request { head, body });
-        match timeout_at(deadline, sent).await {
-            Ok(response) => response,
-            Err(_) => Response::refusal(Verdict::MayHaveRun, Reason::DeadlinePassed),
+    async fn send(&self, accepted: Accepted) -> (Response, Option<Place>) {
+        let Accepted {
+            service,
+            place,
+            head,
+            keys,
+            body,
+            deadline,
+        } = accepted;
+        if keys.len() == 1 {
+            place.gate().first_try(&service);
+            let request = Request {
+                head,
+                body: body.body,
+            };
+            let response = self.router.send(&service, request, deadline).await;
+            return (response, Some(place));
         }
-    }
-}
-
-/// Whether another daemon may be asked: this one did not lead or could not be reached.
-fn may_try_next(response: &Response) -> bool {
-    let elsewhere = matches!(
-        response.reply.reason,
-        Some(Reason::NotLeader | Reason::NoLeader | Reason::ConnectionRefused | Reason::Stopping)
-    );
-    elsewhere && response.reply.verdict == Verdict::NotRun
-}
-
-async fn read(
-    parts: &Parts,
-    target: &Target<'_>,
-    service: &Service,
-    incoming: Incoming,
-    caller: IpAddr,
-) -> Result<Request, Reason> {
-    let mut head = parse::head(parts, target, service, caller)?;
-    let (seen, body) = read_ahead(incoming, service.limits.body).await?;
-    head.fingerprint =
-        Head::fingerprint_of(&head.service, &head.key, &head.method, &head.path, &seen);
-    Ok(Request { head, body })
-}
-
-/// Reads the first part of a body and streams the rest.
-async fn read_ahead(mut incoming: Incoming, limit: u64) -> Result<(Bytes, Body), Reason> {
-    let mut seen = BytesMut::new();
-    while seen.len() < BODY_READ_AHEAD {
-        let Some(frame) = incoming.frame().await else {
-            let seen = seen.freeze();
-            return Ok((seen.clone(), Body::full(seen)));
+        let Some(body) = body.body.as_full() else {
+            let detail = "The body is too long for a request over several keys.";
+            let refusal = Refusal::new(Reason::TooLarge, detail);
+            return (refusal.response(), Some(place));
         };
-        let frame = frame.map_err(|_| Reason::BadRequest)?;
-        seen.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
-        if seen.len() as u64 > limit {
-            return Err(Reason::TooLarge);
-        }
+        let join = Join {
+            router: self.router.clone(),
+            service,
+            gate: place.gate().clone(),
+            metrics: self.metrics.clone(),
+            head,
+            keys,
+            body,
+            deadline,
+        };
+        (join.run().await, Some(place))
     }
-    let seen = seen.freeze();
-    let (to, body) = Body::channel();
-    let left = limit - seen.len() as u64;
-    tokio::spawn(pump(incoming, to, left));
-    Ok((seen.clone(), body.with_prefix(seen)))
 }
 
-/// Passes the rest of a body on; leaves it severed if the caller stops or sends too much.
-async fn pump(mut incoming: Incoming, to: copperwell_message::Sender, mut left: u64) {
-    while let Some(frame) = incoming.frame().await {
-        let Ok(frame) = frame else { return };
-        let Ok(chunk) = frame.into_data() else {
-            continue;
-        };
-        let Some(rest) = left.checked_sub(chunk.len() as u64) else {
-            return;
-        };
-        left = rest;
-        if to.send(chunk).await.is_err() {
-            return;
-        }
+/// Refuses several keys where each would need an idempotency key of its own.
+fn check_keys(target: &Target<'_>, head: &Head) -> Result<(), Refusal> {
+    if target.keys.len() > 1 && matches!(head.repeat, Repeat::Once(_)) {
+        let detail = "A request that runs at most once has one key; send one request for each key.";
+        return Err(Refusal::new(Reason::BadRequest, detail));
     }
-    to.end().await;
+    Ok(())
 }
 
-fn answer(response: Response) -> http::Response<Body> {
+fn answer(response: Response, place: Option<Place>) -> http::Response<Answer> {
     let Response { reply, mut body } = response;
     if reply.reason.is_some() && body.is_end() {
-        body = explain(&reply);
+        body = explain::body(&reply, None);
     }
-    let mut http = http::Response::new(body);
+    let mut http = http::Response::new(Answer::new(body, place));
     *http.status_mut() =
         StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = http.headers_mut();
@@ -191,14 +190,11 @@
     if let Some(reason) = reply.reason {
         headers.insert(header::REASON, HeaderValue::from_static(reason.as_str()));
     }
-    if let Some(after) = reply.retry_after {
-        headers.insert(RETRY_AFTER, HeaderValue::from(after.as_secs().max(1)));
+    let apt = reply.verdict == Verdict::NotRun && matches!(reply.status, 429 | 503);
+    let after = reply.retry_after.or(apt.then_some(COME_BACK));
+    if let Some(after) = after {
+        let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds.max(1)));
     }
     http
 }
-
-/// The body of a refusal, for people who read it.
-fn explain(reply: &Reply) -> Body {
-    let reason = reply.reason.map_or("unknown", Reason::as_str);
-    Body::full(format!("{reason}: {}\n", reply.verdict.as_str()))
-}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,21 +1,28 @@
 //! HTTP ingress for callers.
 //!
 //! A caller asks `/SERVICE/KEY/REST`; ingress finds the shard of the key and sends the request to
-//! the daemon that leads the shard's group.
+//! the daemon that leads the shard's group. `/SERVICE/KEY,KEY,KEY/REST` asks the owners of several
+//! keys, and their answers come back joined.
 
 pub use ingress::Ingress;
 
 use std::sync::Arc;
 
 use copperwell_keyspace::{Member, ShardIndex, manifest::Service};
-use copperwell_message::{Request, Response};
+use copperwell_message::{Reason, Request, Response, Verdict};
 
 pub mod header;
 pub mod ingress;
 pub mod metrics;
 pub mod server;
 
+mod admission;
+mod body;
+mod explain;
+mod join;
 mod parse;
+mod patience;
+mod route;
 
 /// What ingress knows of services and leaders, and the way to them.
 pub trait Network: Send + Sync + 'static {
@@ -27,4 +34,21 @@
 
     /// Sends a request to a daemon, which may be this one.
     fn send(&self, to: &Member, request: Request) -> impl Future<Output = Response> + Send;
+
+    /// Daemons that may reach `to` where this one cannot, the likeliest first.
+    fn relays(&self, to: &Member) -> Vec<Member> {
+        let _ = to;
+        Vec::new()
+    }
+
+    /// Sends a request to a daemon through another one.
+    fn send_via(
+        &self,
+        relay: &Member,
+        to: &Member,
+        request: Request,
+    ) -> impl Future<Output = Response> + Send {
+        let _ = (relay, to, request);
+        async { Response::refusal(Verdict::NotRun, Reason::NoLeader) }
+    }
 }
--- a/crates/caller/src/metrics.rs
+++ b/crates/caller/src/metrics.rs
@@ -11,13 +11,15 @@
 #[derive(Debug, Clone, Default)]
 pub struct Metrics {
     pub(crate) requests: Counter,
-    pub(crate) refused: Family<Label, Counter>,
-    pub(crate) retried: Family<Label, Counter>,
+    refused: Family<Label, Counter>,
+    retried: Family<Label, Counter>,
+    cut: Family<Label, Counter>,
+    slow: Counter,
 }
 
 /// The label of counters that are split by reason.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct Label {
+struct Label {
     reason: &'static str,
 }
 
@@ -30,6 +32,8 @@
             requests,
             refused,
             retried,
+            cut,
+            slow,
         } = metrics.clone();
         registry.register("ingress_requests", "Requests from callers", requests);
         registry.register(
@@ -39,9 +43,19 @@
         );
         registry.register(
             "ingress_retried",
-            "Requests sent to another daemon",
+            "Requests, or parts of them, sent once more",
             retried,
         );
+        registry.register(
+            "ingress_cut",
+            "Answers over several keys cut short after they began",
+            cut,
+        );
+        registry.register(
+            "ingress_slow_connections",
+            "Connections closed because the caller was slow with a head, or in reading",
+            slow,
+        );
         metrics
     }
 
@@ -52,6 +66,14 @@
     pub(crate) fn retry(&self, reason: Reason) {
         self.retried.get_or_create(&label(reason)).inc();
     }
+
+    pub(crate) fn cut(&self, reason: Reason) {
+        self.cut.get_or_create(&label(reason)).inc();
+    }
+
+    pub(crate) fn slow(&self) {
+        self.slow.inc();
+    }
 }
 
 fn label(reason: Reason) -> Label {
--- a/crates/caller/src/parse.rs
+++ b/crates/caller/src/parse.rs
@@ -1,40 +1,66 @@
 //! From an HTTP request to a head.
 
-use std::{net::IpAddr, time::Duration};
+use std::{
+    net::IpAddr,
+    time::{Duration, SystemTime},
+};
 
-use crate::header;
+use crate::{explain::Refusal, header};
 use copperwell_keyspace::{manifest::Service, shard};
-use copperwell_message::{Head, Reason, Repeat};
+use copperwell_message::{Class, Head, Reason, Repeat};
+use copperwell_policy::window::{CLOCK_DIFFERENCE, made_at};
 use http::{HeaderMap, Method, request::Parts};
 use uuid::Uuid;
 
+/// Separates keys in a request over several of them.
+const SEPARATOR: char = ',';
+
+/// The most keys of one request.
+pub(crate) const KEYS_MAX: usize = 1024;
+
 /// The parts of a path `/SERVICE/KEY/REST`.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Target<'a> {
     pub(crate) service: &'a str,
-    pub(crate) key: &'a str,
+    pub(crate) keys: Vec<&'a str>,
     pub(crate) rest: &'a str,
 }
 
 /// Splits a path and query.
-pub(crate) fn target(path_and_query: &str) -> Result<Target<'_>, Reason> {
-    let path = path_and_query.strip_prefix('/').ok_or(Reason::BadRequest)?;
-    let (service, after) = path.split_once('/').ok_or(Reason::BadRequest)?;
+pub(crate) fn target(path_and_query: &str) -> Result<Target<'_>, Refusal> {
+    let form = || Refusal::new(Reason::BadRequest, "The path is not /SERVICE/KEY/REST.");
+    let path = path_and_query.strip_prefix('/').ok_or_else(form)?;
+    let (service, after) = path.split_once('/').ok_or_else(form)?;
     let end = after.find(['/', '?']).unwrap_or(after.len());
-    let (key, rest) = after.split_at(end);
-    if service.is_empty() || key.is_empty() {
-        return Err(Reason::BadRequest);
+    let (keys, rest) = after.split_at(end);
+    if service.is_empty() || keys.is_empty() {
+        return Err(form());
+    }
+    let keys: Vec<&str> = keys.split(SEPARATOR).collect();
+    if keys.len() > KEYS_MAX {
+        let detail = format!("{} keys are asked, at most {KEYS_MAX} fit.", keys.len());
+        return Err(Refusal::new(Reason::TooLarge, detail));
+    }
+    if keys.contains(&"") {
+        let detail = "A key is empty; write a comma within a key as %2C.";
+        return Err(Refusal::new(Reason::BadRequest, detail));
     }
-    Ok(Target { service, key, rest })
+    Ok(Target {
+        service,
+        keys,
+        rest,
+    })
 }
 
-/// Builds the head of a request; the fingerprint is still to come.
+/// Builds the head of a request, for the first of its keys; the fingerprint is still to come.
 pub(crate) fn head(
     parts: &Parts,
     target: &Target<'_>,
     service: &Service,
     caller: IpAddr,
-) -> Result<Head, Reason> {
+    wall: SystemTime,
+) -> Result<Head, Refusal> {
+    let key = target.keys.first().copied().unwrap_or_default();
     let rest = target.rest;
     let path = if rest.starts_with('/') {
         rest.to_owned()
@@ -44,55 +70,76 @@
     Ok(Head {
         id: Uuid::now_v7(),
         service: target.service.to_owned(),
-        key: target.key.to_owned(),
-        shard: shard::index_of(target.key, service.shards),
+        key: key.to_owned(),
+        shard: shard::index_of(key, service.shards),
         class: service.class,
-        repeat: repeat(&parts.method, &parts.headers)?,
+        repeat: repeat(&parts.method, &parts.headers, wall)?,
         deadline: deadline(&parts.headers, service.limits.deadline)?,
         caller,
         fingerprint: 0,
         method: parts.method.as_str().to_owned(),
         path,
-        headers: end_to_end(&parts.headers),
+        headers: header::end_to_end(&parts.headers),
         hops: 0,
     })
 }
 
+/// The head of one part of a request over several keys.
+pub(crate) fn part(whole: &Head, key: &str, service: &Service, body: &[u8]) -> Head {
+    let mut head = whole.clone();
+    head.id = Uuid::now_v7();
+    head.key = key.to_owned();
+    head.shard = shard::index_of(key, service.shards);
+    head.class = Class::Batch;
+    head.fingerprint = fingerprint(&head, body);
+    head
+}
+
+/// What makes two requests the same to a server.
+pub(crate) fn fingerprint(head: &Head, body: &[u8]) -> u64 {
+    Head::fingerprint_of(&head.service, &head.key, &head.method, &head.path, body)
+}
+
 /// Whether a request may run more than once.
 ///
 /// An idempotency key always means at most once. Without one, only methods that HTTP defines as
 /// idempotent are repeatable.
-fn repeat(method: &Method, headers: &HeaderMap) -> Result<Repeat, Reason> {
-    let Some(value) = headers.get(header::IDEMPOTENCY) else {
+fn repeat(method: &Method, headers: &HeaderMap, wall: SystemTime) -> Result<Repeat, Refusal> {
+    let mut values = headers.get_all(header::IDEMPOTENCY).iter();
+    let Some(value) = values.next() else {
         return if method.is_idempotent() {
             Ok(Repeat::Repeatable)
         } else {
-            Err(Reason::IdempotencyKeyMissing)
+            Err(Reason::IdempotencyKeyMissing.into())
         };
     };
-    let text = value.to_str().map_err(|_| Reason::IdempotencyKeyInvalid)?;
-    let id = Uuid::parse_str(text).map_err(|_| Reason::IdempotencyKeyInvalid)?;
-    if id.get_version_num() != 7 {
-        return Err(Reason::IdempotencyKeyInvalid);
+    if values.next().is_some() {
+        return Err(invalid("The request has more than one idempotency key."));
+    }
+    let id = value
+        .to_str()
+        .ok()
+        .and_then(|text| Uuid::parse_str(text).ok());
+    let id = id.ok_or_else(|| invalid("The idempotency key is not a UUID."))?;
+    let made = made_at(id).ok_or_else(|| invalid("The idempotency key is not of version 7."))?;
+    if made > wall + CLOCK_DIFFERENCE {
+        return Err(invalid("The idempotency key is from the future."));
     }
     Ok(Repeat::Once(id))
 }
 
-fn deadline(headers: &HeaderMap, longest: Duration) -> Result<Duration, Reason> {
+fn invalid(detail: &str) -> Refusal {
+    Refusal::new(Reason::IdempotencyKeyInvalid, detail)
+}
+
+fn deadline(headers: &HeaderMap, longest: Duration) -> Result<Duration, Refusal> {
     let Some(value) = headers.get(header::DEADLINE) else {
         return Ok(longest);
     };
-    let text = value.to_str().map_err(|_| Reason::BadRequest)?;
-    let millis = text.parse().map_err(|_| Reason::BadRequest)?;
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    let millis = millis.ok_or_else(|| {
+        let detail = format!("{} is not a number of milliseconds.", header::DEADLINE);
+        Refusal::new(Reason::BadRequest, detail)
+    })?;
     Ok(Duration::from_millis(millis).min(longest))
 }
-
-fn end_to_end(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
-    let passed = headers.iter().filter(|(name, _)| {
-        let name = name.as_str();
-        !header::HOP_BY_HOP.contains(&name) && name != header::DEADLINE
-    });
-    passed
-        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-        .collect()
-}
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,15 +1,33 @@
 //! The HTTP server for callers.
 
-use std::{convert::Infallible, io, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{Network, ingress::Ingress};
+use crate::{Network, ingress::Ingress, patience::Patience};
 use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::timeout,
 };
-use tokio::{net::TcpListener, sync::Semaphore};
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// How long a caller may pause in reading an answer.
+const READ_SILENCE: Duration = Duration::from_secs(10);
+
+/// How long the last words to a slow caller may take.
+const FAREWELL: Duration = Duration::from_secs(1);
+
+/// The answer to a caller that is too slow in sending a head.
+const SLOW_HEAD: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
+    connection: close\r\n\
+    content-type: text/plain\r\n\
+    copperwell-verdict: not-run\r\n\
+    copperwell-reason: slow-caller\r\n\
+    content-length: 70\r\n\
+    \r\n\
+    slow-caller, not-run: Send the whole request head without long pauses.";
 
 /// Limits on callers' connections.
 #[derive(Debug, Clone, Copy)]
@@ -47,40 +65,84 @@
     shutdown: CancellationToken,
 ) -> io::Result<()> {
     let slots = Arc::new(Semaphore::new(limits.connections));
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
     loop {
-        let slot = slots
-            .clone()
-            .acquire_owned()
-            .await
-            .map_err(io::Error::other)?;
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
             () = shutdown.cancelled() => break,
+            accepted = accept(&listener, &slots) => accepted,
         };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            // One caller's failure must not end the server.
-            Err(_) => continue,
+        // One caller's failure must not end the server.
+        let Ok(accepted) = accepted else {
+            tokio::task::yield_now().await;
+            continue;
         };
         let ingress = ingress.clone();
-        let service = service_fn(move |request| {
-            let ingress = ingress.clone();
-            async move { Ok::<_, Infallible>(ingress.handle(request, peer.ip()).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.head_time)
-            .max_headers(limits.headers)
-            .max_buf_size(limits.head_bytes)
-            .serve_connection(TokioIo::new(stream), service);
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A broken connection concerns only its caller.
-            let _ = watched.await;
+        let shutdown = shutdown.clone();
+        connections.spawn(async move {
+            let Accepted { stream, peer, slot } = accepted;
+            connection(stream, peer, &ingress, limits, shutdown).await;
             drop(slot);
         });
     }
-    graceful.shutdown().await;
+    drop(listener);
+    connections.close();
+    connections.wait().await;
     Ok(())
 }
+
+/// A connection and its slot.
+struct Accepted {
+    stream: TcpStream,
+    peer: SocketAddr,
+    slot: OwnedSemaphorePermit,
+}
+
+async fn accept(listener: &TcpListener, slots: &Arc<Semaphore>) -> io::Result<Accepted> {
+    let slot = slots.clone().acquire_owned().await;
+    let slot = slot.map_err(io::Error::other)?;
+    let (stream, peer) = listener.accept().await?;
+    Ok(Accepted { stream, peer, slot })
+}
+
+async fn connection<N: Network>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    ingress: &Arc<Ingress<N>>,
+    limits: Limits,
+    shutdown: CancellationToken,
+) {
+    // Without the option small answers are late, but they come.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| async move {
+        Ok::<_, Infallible>(ingress.handle(request, peer.ip()).await)
+    });
+    let stream = TokioIo::new(Patience::new(stream, READ_SILENCE));
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_headers(limits.headers)
+        .max_buf_size(limits.head_bytes)
+        .serve_connection(stream, service);
+    let ended = tokio::select! {
+        biased;
+        ended = &mut connection => ended,
+        () = shutdown.cancelled() => {
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let Err(failure) = ended else { return };
+    if !failure.is_timeout() {
+        // A broken connection concerns only its caller.
+        return;
+    }
+    ingress.metrics().slow();
+    let parts = connection.into_parts();
+    if !parts.read_buf.is_empty() {
+        let mut stream = parts.io.into_inner();
+        // The caller may be gone.
+        let _ = timeout(FAREWELL, stream.write_all(SLOW_HEAD)).await;
+        let _ = timeout(FAREWELL, stream.shutdown()).await;
+    }
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -61,6 +61,10 @@
 /// The path of every stream; it names the version of the messages.
 const PATH: &str = "/copperwell/requests/1";
 
+/// The reason where a daemon surely got nothing of a request. A daemon that answers with
+/// [`Reason::ConnectionRefused`] speaks of the server behind it.
+const UNREACHED: Reason = Reason::NoLeader;
+
 /// Sends requests to other daemons; cheap to clone, and clones share links.
 #[derive(Debug, Clone, Default)]
 pub struct Links {
@@ -101,7 +105,7 @@
     /// Sends a request to the daemon at `to`.
     ///
     /// The verdict of a failure is [`Verdict::NotRun`] only if the other daemon surely did nothing
-    /// with the request. Dropping the future, or the response's body, cancels the request there.
+    /// with the request; the reason is [`Reason::NoLeader`] if it could not be reached. Dropping the future, or the response's body, cancels the request there.
     pub async fn send(&self, to: SocketAddr, request: Request) -> Response {
         self.dispatch(to, None, request).await
     }
@@ -124,7 +128,7 @@
     ) -> Response {
         let deadline = Instant::now() + request.head.deadline;
         if request.head.hops >= Head::HOPS_MAX {
-            return self.refuse(Reason::NoLeader);
+            return self.refuse(Reason::Protocol);
         }
         request.head.hops += 1;
         let Some(peer) = self.peer(to) else {
--- a/crates/peer/src/link/connection.rs
+++ b/crates/peer/src/link/connection.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    FRAMES_BUDGET, HEADERS_MAX, LINK_WINDOW, STREAM_WINDOW, STREAMS_MAX,
+    FRAMES_BUDGET, HEADERS_MAX, LINK_WINDOW, STREAM_WINDOW, STREAMS_MAX, UNREACHED,
     keepalive::{End, Pulse},
     metrics::Metrics,
     pump,
@@ -160,7 +160,7 @@
         };
         let opened = self.requests.send_request(super::request_head(), false);
         let Ok((answer, to)) = opened else {
-            return Response::refusal(Verdict::NotRun, Reason::ConnectionRefused);
+            return Response::refusal(Verdict::NotRun, UNREACHED);
         };
         let sending = CancellationToken::new();
         let guard = sending.clone().drop_guard();
@@ -196,7 +196,7 @@
             }
         };
         if is_unprocessed(&error) {
-            return Response::refusal(Verdict::NotRun, Reason::ConnectionRefused);
+            return Response::refusal(Verdict::NotRun, UNREACHED);
         }
         if error.is_reset() && !error.is_remote() {
             // The request's body was cut short on this side.
--- a/crates/peer/src/link/peer.rs
+++ b/crates/peer/src/link/peer.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    CONNECT_TIMEOUT, LINKS_MAX,
+    CONNECT_TIMEOUT, LINKS_MAX, UNREACHED,
     connection::{Connection, Load, Stream},
     metrics::Metrics,
 };
@@ -83,7 +83,7 @@
                 return Ok(stream);
             }
         }
-        Err(Reason::ConnectionRefused)
+        Err(UNREACHED)
     }
 
     fn choose(&self) -> Choice {
@@ -137,14 +137,14 @@
         let asked = Instant::now();
         if self.failed_since(asked.checked_sub(DOWN)) {
             self.grow(metrics);
-            return Err(Reason::ConnectionRefused);
+            return Err(UNREACHED);
         }
         let _connecting = self.connecting.lock().await;
         if let Choice::Take(link, load) = self.choose() {
             return Ok((link, load));
         }
         if self.failed_since(Some(asked)) {
-            return Err(Reason::ConnectionRefused);
+            return Err(UNREACHED);
         }
         let link = self.add(metrics).await?;
         let load = link.enter().ok_or(Reason::QueueFull)?;
@@ -156,7 +156,7 @@
         let connected = timeout(CONNECT_TIMEOUT, connecting).await;
         let Ok(Ok(link)) = connected else {
             *self.failed() = Some(Instant::now());
-            return Err(Reason::ConnectionRefused);
+            return Err(UNREACHED);
         };
         *self.failed() = None;
         metrics.count_opened();
