Take a hand-over of keys for true only under its epoch

The property test now lets the old leader go on until it is fenced. It found that a late hand-over could be believed before its epoch was seen. An import counts once its shard has an owner under the epoch that it names.

--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -161,8 +161,11 @@
 /// Since when a shard is led.
 #[derive(Debug)]
 struct Lead {
-    term: Term,
+    turn: u64,
+    epoch: Epoch,
     unknown_before: SystemTime,
+    /// Whether the shard has had an owner under this epoch; if not, only an import speaks of it.
+    confirmed: bool,
 }
 
 #[derive(Debug)]
@@ -226,14 +229,6 @@
         self.length = length;
     }
 
-    /// Starts to lead a shard without the entries of whoever led it before, who has stopped.
-    fn begin(&mut self, shard: ShardIndex, term: Term) {
-        // The predecessor took keys from up to one difference ahead of its clock, which may itself
-        // have been one difference ahead of ours.
-        let unknown_before = self.wall + 2 * CLOCK_DIFFERENCE;
-        self.lead(shard, term, unknown_before);
-    }
-
     /// Judges a request that is not repeatable, and enters it if it may run.
     pub fn claim(&mut self, claim: Claim, wall: SystemTime) -> Answer {
         self.advance(wall);
@@ -293,7 +288,11 @@
     /// The stretch of leading a shard for which its keys are known.
     #[must_use]
     pub fn term(&self, shard: ShardIndex) -> Option<Term> {
-        Some(self.shards.get(&shard)?.term)
+        let lead = self.shards.get(&shard)?;
+        Some(Term {
+            turn: lead.turn,
+            epoch: Some(lead.epoch),
+        })
     }
 
     /// Keys that are kept.
@@ -363,11 +362,13 @@
             if self.epochs.get(&led.shard) >= Some(&export.next) {
                 continue;
             }
-            let term = Term {
+            let lead = Lead {
                 turn: turn(led.shard),
-                epoch: Some(export.next),
+                epoch: export.next,
+                unknown_before: led.unknown_before.max(forgotten),
+                confirmed: false,
             };
-            self.lead(led.shard, term, led.unknown_before.max(forgotten));
+            self.lead(led.shard, lead);
         }
     }
 
@@ -410,32 +411,41 @@
     ///
     /// `false` if it cannot begin yet, since the shard has no owner.
     fn follow(&mut self, shard: ShardIndex, term: Term) -> bool {
-        let goes_on = self
-            .shards
-            .get(&shard)
-            .is_some_and(|lead| lead.term.is_same(term));
-        if !goes_on && term.epoch.is_none() {
-            return false;
-        }
-        if !goes_on {
-            self.begin(shard, term);
+        let lead = self.shards.get_mut(&shard);
+        let lead = lead.filter(|lead| lead.turn == term.turn);
+        match (lead, term.epoch) {
+            (Some(lead), None) => lead.confirmed,
+            (Some(lead), Some(epoch)) if lead.epoch == epoch => {
+                lead.confirmed = true;
+                true
+            }
+            (_, Some(epoch)) => {
+                self.begin(shard, term.turn, epoch);
+                true
+            }
+            (None, None) => false,
         }
-        true
     }
 
-    fn lead(&mut self, shard: ShardIndex, term: Term, unknown_before: SystemTime) {
+    /// Starts to lead a shard without the entries of whoever led it before, who has stopped.
+    fn begin(&mut self, shard: ShardIndex, turn: u64, epoch: Epoch) {
+        // The predecessor took keys from up to one difference ahead of its clock, which may itself
+        // have been one difference ahead of ours.
+        let unknown_before = self.wall + 2 * CLOCK_DIFFERENCE;
         let lead = Lead {
-            term,
+            turn,
+            epoch,
             unknown_before,
+            confirmed: true,
         };
-        self.shards.insert(shard, lead);
-        self.note(shard, term);
+        self.lead(shard, lead);
     }
 
-    /// Remembers the highest epoch under which a shard was led.
-    fn note(&mut self, shard: ShardIndex, term: Term) {
+    fn lead(&mut self, shard: ShardIndex, lead: Lead) {
+        // The highest epoch outlives the lead, so that an import that is out of date is known.
         let highest = self.epochs.entry(shard).or_default();
-        *highest = (*highest).max(term.epoch.unwrap_or_default());
+        *highest = (*highest).max(lead.epoch);
+        self.shards.insert(shard, lead);
     }
 
     fn is_unknown(&self, shard: ShardIndex, made: SystemTime) -> bool {
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -26,9 +26,11 @@
     End(usize, u8),
     /// The leader hands over to the other daemon as planned.
     HandOver,
-    /// The other daemon takes over and knows nothing.
+    /// The other daemon is about to take over and knows nothing.
     TakeOver,
-    /// As before, and the old leader's process is gone too.
+    /// It does; until now the old leader lets keys run.
+    Fence,
+    /// The leader's process is lost, and the other daemon takes over and knows nothing.
     Lose,
     /// The shard moves to the other daemon's group, whose leader stays the same.
     Move,
@@ -42,6 +44,8 @@
     windows: [Window; 2],
     turns: [u64; 2],
     leader: usize,
+    /// Whether the other daemon is about to lead but has no owner for the shard.
+    taking: bool,
     epochs: [u64; 2],
     last_epoch: u64,
     exported: Option<Export>,
@@ -82,6 +86,7 @@
             windows: [Window::new(LENGTH), Window::new(LENGTH)],
             turns: [1, 0],
             leader: 0,
+            taking: false,
             epochs: [2, 0],
             last_epoch: 2,
             exported: None,
@@ -103,13 +108,21 @@
     }
 
     fn send(&mut self, index: usize, skew: i64) -> Result<(), TestCaseError> {
-        let claim = self.claim(self.keys[index].id);
-        let answer = self.windows[self.leader].claim(claim, off(self.now, skew));
+        let mut claim = self.claim(self.keys[index].id);
+        let mut at = self.leader;
+        if self.taking && skew % 2 == 0 {
+            at = 1 - at;
+            claim.term = Term {
+                turn: self.turns[at],
+                epoch: None,
+            };
+        }
+        let answer = self.windows[at].claim(claim, off(self.now, skew));
         let key = &mut self.keys[index];
         match answer {
             Answer::Run => {
                 key.runs += 1;
-                key.running_at = Some(self.leader);
+                key.running_at = Some(at);
             }
             Answer::Refused(refusal) if refusal.verdict == Verdict::NotRun => {
                 prop_assert_eq!(key.runs, 0, "told as not run: {:?}", refusal);
@@ -140,10 +153,16 @@
 
     /// The other daemon leads from here on, under an epoch that is higher by `step`.
     fn change(&mut self, step: u64) {
+        self.turns[1 - self.leader] += 1;
+        self.fence(step);
+    }
+
+    /// The other daemon has fenced the server, so the old leader lets nothing run any more.
+    fn fence(&mut self, step: u64) {
+        self.taking = false;
         self.leader = 1 - self.leader;
         self.last_epoch += step;
         self.epochs[self.leader] = self.last_epoch;
-        self.turns[self.leader] += 1;
     }
 
     fn export(&mut self) {
@@ -156,12 +175,17 @@
 
     fn import(&mut self, at: usize) {
         if let Some(export) = self.exported.clone() {
-            let turn = self.turns[at] + u64::from(at != self.leader);
+            let elsewhere = at != self.leader && !self.taking;
+            let turn = self.turns[at] + u64::from(elsewhere);
             self.windows[at].import(export, |_| turn, self.now);
         }
     }
 
     fn act(&mut self, act: Act) -> Result<(), TestCaseError> {
+        let is_change = matches!(act, Act::HandOver | Act::TakeOver | Act::Lose | Act::Move);
+        if self.taking && is_change {
+            self.fence(2);
+        }
         match act {
             Act::Pass(milliseconds) => self.now += Duration::from_millis(milliseconds),
             Act::Make(index, skew) => self.keys[index] = key(off(self.now, skew)),
@@ -172,7 +196,15 @@
                 self.import(1 - self.leader);
                 self.change(1);
             }
-            Act::TakeOver => self.change(2),
+            Act::Fence => {
+                if self.taking {
+                    self.fence(2);
+                }
+            }
+            Act::TakeOver => {
+                self.taking = true;
+                self.turns[1 - self.leader] += 1;
+            }
             Act::Lose => {
                 self.windows[self.leader] = Window::new(LENGTH);
                 self.turns[self.leader] = 0;
@@ -204,6 +236,7 @@
         3 => (index, 0..3_u8).prop_map(|(index, how)| Act::End(index, how)),
         1 => Just(Act::HandOver),
         1 => Just(Act::TakeOver),
+        1 => Just(Act::Fence),
         1 => Just(Act::Lose),
         1 => Just(Act::Move),
         1 => (0..2_usize).prop_map(Act::Repeat),
@@ -233,8 +266,8 @@
 }
 
 #[test_case(&[
-    Act::TakeOver, Act::Send(0, 0), Act::Pass(5000), Act::Make(5, 0), Act::Send(5, 0),
-    Act::Lose, Act::HandOver, Act::Send(5, 0),
+    Act::Send(0, 0), Act::TakeOver, Act::Fence, Act::Send(0, 0), Act::Pass(5000),
+    Act::Make(5, 0), Act::Send(5, 0), Act::Lose, Act::HandOver, Act::Send(5, 0),
 ]; "a leader that took no key hands over no claim to know them")]
 #[test_case(&[
     Act::HandOver, Act::Send(0, 0), Act::Move, Act::Send(0, 0), Act::Pass(2000),
