--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -11,9 +11,12 @@
     serving::{Door, Serving},
     table::{Owner, Pass, Route},
 };
-use copperwell_backend::{Forward, order::Order};
-use copperwell_keyspace::manifest::Upstream;
-use copperwell_message::{Class, Reason, Response, Verdict};
+use copperwell_backend::{
+    Forward,
+    order::{Order, header},
+};
+use copperwell_keyspace::{Incarnation, manifest::Upstream};
+use copperwell_message::{Class, Reason, Reply, Response, Verdict};
 use copperwell_policy::{
     backoff::Backoff,
     quarantine::{Admission, Suspect},
@@ -232,6 +235,7 @@
             quarantine: limits.quarantine,
             guard: Arc::clone(&self.guard),
         };
+        self.meet(&response.reply, &held);
         let Some(reason) = response.reply.reason else {
             return Ok(Answer {
                 response,
@@ -257,6 +261,15 @@
         })
     }
 
+    /// Notes a server that has restarted, should the answer say so before the driver does.
+    fn meet(&self, reply: &Reply, held: &Held) {
+        let run = incarnation_of(reply).filter(|run| *run > held.suspect.incarnation);
+        if let Some(run) = run {
+            let suspects = held.slot.gate().meet(run);
+            self.guard.crash(&suspects, held.quarantine);
+        }
+    }
+
     /// Draws conclusions about the server from a failed try.
     fn learn(&self, call: &Call, failure: &Failure, sent: &Sent, mut held: Held) {
         match failure.reason {
@@ -364,6 +377,15 @@
     }
 }
 
+/// The server's run that an answer names.
+fn incarnation_of(reply: &Reply) -> Option<Incarnation> {
+    let (_, value) = reply
+        .headers
+        .iter()
+        .find(|(name, _)| name == header::INCARNATION)?;
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
+
 /// Checks, at the moment of sending, that the request may still be sent.
 fn check(call: &Call, target: &Target, now: Instant) -> Result<(), Failure> {
     if now >= call.deadline {
--- a/crates/dispatch/tests/engine/once.rs
+++ b/crates/dispatch/tests/engine/once.rs
@@ -345,6 +345,27 @@
     assert!(seen.iter().all(|seen| seen.upstream == "a"));
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_answer_of_another_run_proves_a_crash() {
+    let bench = bench(|upstream, request| match request.head.path.as_str() {
+        "/next" => Step::Restarted(2),
+        _ => crashing(upstream, request),
+    })
+    .await;
+    bench.engine.serve(unrepeated("/crash")).await;
+    bench.engine.serve(unrepeated("/next")).await;
+    for _ in 0..4 {
+        bench.engine.serve(request("/warm")).await;
+    }
+    let second = spawn(&bench, unrepeated("/crash"));
+    sleep(ms(10)).await;
+    let beside = spawn(&bench, request("/other"));
+    sleep(ms(10)).await;
+    assert_eq!(bench.fake.count("/other"), 0, "the suspect runs alone");
+    second.await.unwrap();
+    beside.await.unwrap();
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_connection_lost_without_a_crash_condemns_nobody() {
     let bench = bench(crashing).await;
--- a/crates/dispatch/tests/engine/support.rs
+++ b/crates/dispatch/tests/engine/support.rs
@@ -38,6 +38,8 @@
     Long(usize),
     Fail(Duration, Verdict, Reason),
     Shed(Duration),
+    /// Refuses as another run of the server.
+    Restarted(u64),
     /// Gives the head, and then what comes over the channel.
     Stream(Body),
 }
@@ -125,6 +127,12 @@
             Step::Shed(after) => {
                 Response::refusal(Verdict::NotRun, Reason::Shed).with_retry_after(after)
             }
+            Step::Restarted(run) => {
+                let mut response = Response::refusal(Verdict::NotRun, Reason::Fenced);
+                let header = ("copperwell-incarnation".to_owned(), run.to_string().into());
+                response.reply.headers.push(header);
+                response
+            }
             Step::Stream(body) => answer(body),
         }
     }
