--- a/crates/dispatch/tests/engine/requests.rs
+++ b/crates/dispatch/tests/engine/requests.rs
@@ -479,6 +479,32 @@
     assert_eq!(bench.fake.seen().len(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_service_that_is_not_in_force_is_told() {
+    let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
+    let mut other = request("/day");
+    other.head.service = "calender".to_owned();
+    let response = bench.engine.serve(other).await;
+    let unknown = (Verdict::NotRun, Some(Reason::UnknownService));
+    assert_eq!(told(&response), unknown);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_caller_holds_no_slot() {
+    let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
+    let (_sender, body) = Body::channel();
+    let mut slow = request("/day");
+    slow.body = body;
+    let engine = Arc::clone(&bench.engine);
+    let served = tokio::spawn(async move { engine.serve(slow).await });
+    sleep(ms(100)).await;
+    let other = bench.engine.serve(request("/day")).await;
+    assert_eq!(told(&other), (Verdict::Done, None));
+    let slow = (Verdict::NotRun, Some(Reason::SlowCaller));
+    assert_eq!(told(&served.await.unwrap()), slow);
+    assert_eq!(bench.fake.seen().len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_stopping_engine_takes_nothing_new() {
     let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
