--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -13,6 +13,7 @@
     Control, Failure,
     connection::{Connection, READY_LIMIT, Unanswered},
     order::{Fence, Fenced, Give, Held, Refusal, Release, Renew, path},
+    outgoing::Outgoing,
 };
 use bytes::Bytes;
 use copperwell_keyspace::HashMap;
@@ -138,7 +139,7 @@
         &self,
         lane: &Lane,
         to: SocketAddr,
-        mut request: Request<Body>,
+        mut request: Request<Outgoing>,
         until: Instant,
     ) -> Result<Answer, Failure> {
         // While the turn is held, no more than `CONNECTIONS` are open.
@@ -263,8 +264,8 @@
     }
 }
 
-fn request_of(to: SocketAddr, path: &str, body: Bytes) -> Request<Body> {
-    let mut request = Request::new(Body::full(body));
+fn request_of(to: SocketAddr, path: &str, body: Bytes) -> Request<Outgoing> {
+    let mut request = Request::new(Outgoing::new(Body::full(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::try_from(path).unwrap_or_default();
     let headers = request.headers_mut();
--- a/crates/keyspace/src/record.rs
+++ b/crates/keyspace/src/record.rs
@@ -127,7 +127,7 @@
     /// [`Error`] if the record is longer than [`SIZE_MAX`].
     pub fn encode(&self) -> Result<Vec<u8>, Report<Error>> {
         let mut bytes = vec![FORMAT];
-        options()
+        DefaultOptions::new()
             .serialize_into(&mut bytes, self)
             .change_context(Error)?;
         if bytes.len() > SIZE_MAX {
@@ -149,10 +149,9 @@
         let Some((&FORMAT, rest)) = bytes.split_first() else {
             return Err(Report::new(Error));
         };
-        options().deserialize(rest).change_context(Error)
+        DefaultOptions::new()
+            .with_limit(SIZE_MAX as u64)
+            .deserialize(rest)
+            .change_context(Error)
     }
 }
-
-fn options() -> impl Options {
-    DefaultOptions::new().with_limit(SIZE_MAX as u64)
-}
