Count unknown idempotency keys from the first grant, not from the first request

Change: the table notes when a shard was first granted under the leader's epoch, and the window counts from there. Conclusion: only keys that an earlier leader can have run are unknown.

--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -45,6 +45,10 @@
                 id,
                 shard: call.head.shard,
                 term,
+                led_for: self
+                    .table
+                    .lead(&call.head.service, call.head.shard)
+                    .owned_for(),
                 fingerprint: call.head.fingerprint,
             };
             match serving.kept.ids.claim(claim, (self.wall)()) {
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -3,9 +3,12 @@
 //! Lock order: the table's map of services, then one shard's entry, then a lease. No lock is held
 //! across an await.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError, RwLock,
-    atomic::{AtomicU32, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use copperwell_keyspace::{Epoch, HashMap, Incarnation, ServiceName, ShardIndex, UpstreamName};
@@ -65,6 +68,15 @@
     pub route: Route,
     /// How often the shard has come from [`Route::Elsewhere`].
     pub turn: u64,
+    /// Since when upstreams have owned the shard under this daemon's present epoch.
+    pub since: Option<Since>,
+}
+
+/// The start of a leader's first grant of a shard under its epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Since {
+    epoch: Epoch,
+    at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -228,8 +240,25 @@
         let was_elsewhere = matches!(self.route, Route::Elsewhere);
         let is_elsewhere = matches!(route, Route::Elsewhere);
         self.turn += u64::from(was_elsewhere && !is_elsewhere);
+        match &route {
+            Route::Elsewhere => self.since = None,
+            Route::Owned(owner) if self.since.is_none_or(|since| since.epoch != owner.epoch) => {
+                self.since = Some(Since {
+                    epoch: owner.epoch,
+                    at: Instant::now(),
+                });
+            }
+            Route::Owned(_) | Route::Unowned | Route::Held => {}
+        }
         self.route = route;
     }
+
+    /// How long upstreams have owned the shard under this daemon's present epoch.
+    #[must_use]
+    pub fn owned_for(&self) -> Duration {
+        self.since
+            .map_or(Duration::ZERO, |since| since.at.elapsed())
+    }
 }
 
 impl Pass {
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -48,6 +48,8 @@
     pub shard: ShardIndex,
     /// The stretch in which this daemon leads the shard.
     pub term: Term,
+    /// How long this daemon has surely led the shard in that stretch.
+    pub led_for: Duration,
     /// What makes two requests the same.
     pub fingerprint: u64,
 }
@@ -238,7 +240,7 @@
         if let Some(entry) = self.entries.get(&claim.id) {
             return entry.answer(claim.fingerprint);
         }
-        if !self.follow(claim.shard, claim.term) {
+        if !self.follow(claim.shard, claim.term, claim.led_for) {
             return Answer::Wait;
         }
         if made < self.horizon() {
@@ -323,7 +325,7 @@
         self.advance(wall);
         let mut led = Vec::new();
         for shard in shards {
-            self.follow(*shard, term(*shard));
+            self.follow(*shard, term(*shard), Duration::ZERO);
             if let Some(lead) = self.shards.remove(shard) {
                 led.push(ExportShard {
                     shard: *shard,
@@ -410,7 +412,7 @@
     /// Begins anew if the shard came to this daemon again since its keys were last known whole.
     ///
     /// `false` if it cannot begin yet, since the shard has no owner.
-    fn follow(&mut self, shard: ShardIndex, term: Term) -> bool {
+    fn follow(&mut self, shard: ShardIndex, term: Term, led_for: Duration) -> bool {
         let lead = self.shards.get_mut(&shard);
         let lead = lead.filter(|lead| lead.turn == term.turn);
         match (lead, term.epoch) {
@@ -420,7 +422,7 @@
                 true
             }
             (_, Some(epoch)) => {
-                self.begin(shard, term.turn, epoch);
+                self.begin(shard, term.turn, epoch, led_for);
                 true
             }
             (None, None) => false,
@@ -428,10 +430,11 @@
     }
 
     /// Starts to lead a shard without the entries of whoever led it before, who has stopped.
-    fn begin(&mut self, shard: ShardIndex, turn: u64, epoch: Epoch) {
+    fn begin(&mut self, shard: ShardIndex, turn: u64, epoch: Epoch, led_for: Duration) {
         // The predecessor took keys from up to one difference ahead of its clock, which may itself
         // have been one difference ahead of ours.
-        let unknown_before = self.wall + 2 * CLOCK_DIFFERENCE;
+        let began = self.wall.checked_sub(led_for).unwrap_or(self.wall);
+        let unknown_before = began + 2 * CLOCK_DIFFERENCE;
         let lead = Lead {
             turn,
             epoch,
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -103,6 +103,7 @@
             id,
             shard: SHARD,
             term,
+            led_for: Duration::ZERO,
             fingerprint: 7,
         }
     }
