--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -88,6 +88,7 @@
     #[serde(default, with = "humantime_serde")]
     pub lasts: Option<Duration>,
     /// What strikes.
+    #[serde(with = "serde_norway::with::singleton_map")]
     pub what: What,
 }
 
