--- a/crates/backend/tests/backend/client.rs
+++ b/crates/backend/tests/backend/client.rs
@@ -115,6 +115,7 @@
         panic!("the renewal is for another run");
     };
     assert_ne!(refusal.incarnation, before.incarnation);
+    assert!(setup.server.shards().is_empty());
     let run = setup.fence(EPOCH).await;
     assert!(run.grants.is_empty());
     let held = setup.client.give(to, &run.give(EPOCH, 2, 0)).await.unwrap();
@@ -136,9 +137,14 @@
     let known = Instant::now();
     proxy.delay(SILENCE);
     client.give(to, &run.give(EPOCH, 2, 1)).await.unwrap();
-    assert!(setup.record.holds()[1].until <= known + LEASE);
+    let given = setup.record.holds()[1].until;
+    assert!(given <= known + LEASE);
+
+    let run = setup.fence(EPOCH).await;
+    let known = Instant::now();
     client.renew(to, &run.renew(EPOCH)).await.unwrap();
-    assert!(setup.record.holds()[1].until <= known + LEASE);
+    let renewed = setup.record.holds()[1].until;
+    assert!(given < renewed && renewed <= known + LEASE);
 }
 
 #[tokio::test]
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -10,7 +10,7 @@
     time::{Duration, SystemTime},
 };
 
-use copperwell_keyspace::{HashMap, ServiceName, ShardIndex};
+use copperwell_keyspace::{Epoch, HashMap, ServiceName, ShardIndex};
 use copperwell_message::Reason;
 use copperwell_policy::window::{self, Answer, Claim, Export, Outcome, Term, Window};
 use tokio::sync::{Notify, futures::OwnedNotified};
@@ -29,6 +29,8 @@
     Run(Term),
     /// The same request runs; this resolves when it has ended.
     Join(OwnedNotified),
+    /// The claim can be judged once the shard has an owner.
+    Wait,
     /// The same request has run, or may have.
     Kept(Outcome),
     /// The claim is refused.
@@ -79,6 +81,7 @@
                 let running = state.running.entry(claim.id).or_default();
                 Claimed::Join(Arc::clone(running).notified_owned())
             }
+            Answer::Wait => Claimed::Wait,
             Answer::Kept(outcome) => Claimed::Kept(outcome),
             Answer::Refused(refusal) => Claimed::Refused(refusal),
         }
@@ -100,8 +103,16 @@
     }
 
     /// Takes shards out for their next leader.
-    pub(crate) fn export(&self, service: &ServiceName, shards: &[ShardIndex]) -> Export {
-        self.state().window.export(service, shards)
+    pub(crate) fn export(
+        &self,
+        service: &ServiceName,
+        next: Epoch,
+        shards: &[ShardIndex],
+        term: impl Fn(ShardIndex) -> Term,
+        wall: SystemTime,
+    ) -> Export {
+        let mut state = self.state();
+        state.window.export(service, next, shards, term, wall)
     }
 
     /// Takes over what the leader before exported.
--- a/crates/keyspace/src/reader.rs
+++ b/crates/keyspace/src/reader.rs
@@ -249,16 +249,28 @@
         if told.life <= self.state.life && !is_later {
             return false;
         }
-        let is_whole = self.wants_snapshot() && told.version() >= self.state.version();
-        if same_life && is_whole {
-            self.jump(snapshot.next, told.clone());
-            return true;
-        }
+        self.catch_up(told);
+        let state = State::clone(&self.state);
+        self.jump(snapshot.next, state);
+        true
+    }
+
+    /// Takes over a state that should include this one; joins them where it does not.
+    fn catch_up(&mut self, told: &State) {
         let joined = self.state.join(told);
+        let includes = joined.manifest == told.manifest
+            && joined.groups == told.groups
+            && joined.owners == told.owners;
+        let same_life = told.life == self.state.life;
+        if same_life && includes {
+            // What differs are upstreams that were seen to let go meanwhile.
+            self.state = Arc::new(told.clone());
+            self.diverged = false;
+            return;
+        }
         self.counts.joins += 1;
         self.diverged = !joined.agrees_with(told);
-        self.jump(snapshot.next, joined);
-        true
+        self.state = Arc::new(joined);
     }
 
     /// Goes on from a state that was not replayed here.
@@ -428,7 +440,7 @@
             ..
         }) = self.decode(entry)
         {
-            self.settle(entry, &snapshot, Phase::Gap);
+            self.settle(entry, &snapshot);
         }
         self.remember(entry);
         if self.phase == Phase::Following {
@@ -466,7 +478,7 @@
         }) = self.decode(entry)
             && snapshot.state.life > self.state.life
         {
-            self.settle(entry, &snapshot, Phase::Restarted);
+            self.settle(entry, &snapshot);
         }
         self.remember(entry);
         if self.phase == Phase::Following {
@@ -476,22 +488,14 @@
     }
 
     /// Goes on from the snapshot at `entry`, if it and the kept records are whole.
-    fn settle(&mut self, entry: &Entry, snapshot: &Snapshot, phase: Phase) {
+    fn settle(&mut self, entry: &Entry, snapshot: &Snapshot) {
         let Some(told) = self.replay_from(entry.offset, snapshot) else {
             return;
         };
-        let is_behind = told.life < self.state.life;
-        if is_behind {
+        if told.life < self.state.life {
             return;
         }
-        let same_log = phase == Phase::Gap && told.life == self.state.life;
-        if same_log && told.version() >= self.state.version() {
-            self.state = Arc::new(told);
-            self.diverged = false;
-        } else {
-            self.join(&told);
-            self.diverged = !self.state.agrees_with(&told);
-        }
+        self.catch_up(&told);
         self.snapshots += 1;
         self.snapshot_at = entry.offset + 1;
         self.phase = Phase::Following;
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -6,12 +6,15 @@
     counter::Counters,
     event::{Event, Evidence, Observation},
     leader::{Command, Leader, Shared},
+    load::Loads,
+    rival::Rivals,
     status::Status,
 };
 use copperwell_backend::{Control, order::digest_of};
 use copperwell_dispatch::table::Table;
 use copperwell_keyspace::{
-    DaemonName, Epoch, GroupId, HashMap, HashSet, Incarnation, Member, ServiceName, ShardIndex,
+    DaemonName, Epoch, GroupId, HashMap, Member, ShardIndex,
+    balance::{Shift, plan},
     manifest::{OnIsolation, shards_of},
     replay::{Appointment, State},
 };
@@ -21,7 +24,7 @@
 };
 use prometheus_client::registry::Registry;
 use spdlog::info;
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::sync::{mpsc, watch};
 
 /// Inputs that may wait for one group.
 const COMMANDS_MAX: usize = 1024;
@@ -40,17 +43,10 @@
     led: HashMap<GroupId, Led>,
     /// The last epoch under which this daemon led each group; none is used twice.
     used: HashMap<GroupId, Epoch>,
-    /// Other daemons that were named for a group, and may still act for it.
-    rivals: HashMap<GroupId, HashSet<Rival>>,
-    /// Runs of daemons that give no more orders; earlier runs have stopped too.
-    stopped: HashMap<DaemonName, Incarnation>,
-}
-
-/// A run of a daemon that was named for a group.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Rival {
-    daemon: DaemonName,
-    incarnation: Incarnation,
+    /// Tasks that have been told to end, and may not have yet.
+    ending: HashMap<GroupId, Vec<End>>,
+    /// Other daemons that may act for a group.
+    rivals: Rivals,
 }
 
 /// A group that this daemon leads.
@@ -59,9 +55,12 @@
     epoch: Epoch,
     commands: mpsc::Sender<Command>,
     status: Arc<Mutex<Status>>,
-    task: JoinHandle<()>,
+    end: End,
 }
 
+/// Closes when a task has ended.
+type End = watch::Receiver<()>;
+
 impl<C: Control> Groups<C> {
     /// No groups yet; they come with [`Groups::apply`].
     pub fn new(
@@ -77,6 +76,7 @@
             table,
             events,
             counters: Counters::new(registry),
+            loads: Loads::default(),
         };
         Self {
             me,
@@ -90,24 +90,34 @@
     /// Must be called on a runtime.
     pub fn apply(&self, state: &State) {
         let mut held = self.held();
-        held.led.retain(|_, led| !led.task.is_finished());
+        held.led.retain(|_, led| !led.is_ended());
+        for ending in held.ending.values_mut() {
+            ending.retain(|end| !is_closed(end));
+        }
+        held.ending.retain(|_, ending| !ending.is_empty());
         held.state = state.clone();
         if let Some(manifest) = &state.manifest {
             for service in &manifest.services {
                 self.shared.table.add_service(&service.name, service.shards);
+                self.shared.loads.add_service(&service.name, service.shards);
             }
         }
         for (id, appointment) in &state.groups {
-            self.note_rivals(&mut held, id, appointment);
+            held.rivals
+                .note(id, appointment, |member| self.is_me(member));
             self.follow(&mut held, id, appointment);
         }
-        held.led.retain(|id, led| {
-            let is_there = config_of(state, id).is_some();
-            if !is_there {
-                led.tell(Command::Input(Input::Stop));
-            }
-            is_there
-        });
+        let is_gone = |id: &&GroupId| config_of(state, id).is_none();
+        let gone: Vec<GroupId> = held.led.keys().filter(is_gone).cloned().collect();
+        for id in gone {
+            held.stop(&id);
+        }
+        for shift in plan(state) {
+            let Shift {
+                from, to, shards, ..
+            } = shift;
+            self.send(&held, &from, Input::GiveAway { shards, to });
+        }
         let standby = state.groups.values();
         let standby = standby.filter(|appointment| self.is_standby(appointment));
         self.count_standby(standby.count());
@@ -145,14 +155,17 @@
                 daemon,
                 incarnation,
             } => {
-                let last = held.stopped.entry(daemon).or_insert(incarnation);
-                *last = incarnation.max(*last);
-                let groups: Vec<GroupId> = held.led.keys().cloned().collect();
-                for id in groups {
-                    if held.is_alone(&id) {
-                        self.send(&held, &id, Input::Stopped);
-                    }
-                }
+                held.rivals.end(daemon, incarnation);
+                self.tell_alone(&held);
+            }
+            Evidence::Quit {
+                group,
+                daemon,
+                incarnation,
+                below,
+            } => {
+                held.rivals.quit(&group, &daemon, incarnation, below);
+                self.tell_alone(&held);
             }
             Evidence::Alone(group) => self.send(&held, &group, Input::Stopped),
             Evidence::Confirmed { group, at } => self.send(&held, &group, Input::Confirmed(at)),
@@ -171,11 +184,17 @@
     }
 
     /// Counts requests of a shard, for balance.
-    pub fn load(&self, service: &ServiceName, shard: ShardIndex, requests: u32) {
-        let held = self.held();
-        if let Some(id) = held.state.owner_of(service, shard) {
-            self.send(&held, id, Input::Load { shard, requests });
-        }
+    pub fn load(&self, service: &str, shard: ShardIndex, requests: u32) {
+        self.shared.loads.add(service, shard, requests);
+    }
+
+    /// Gives shards of a group that this daemon leads to another group of the service.
+    ///
+    /// Each is held until no request is in flight, released, and told with [`Event::Move`]. They
+    /// are served again when the log has the record, so this is for times when it can be reached.
+    pub fn give_away(&self, from: &GroupId, shards: Vec<ShardIndex>, to: &GroupId) {
+        let to = to.clone();
+        self.send(&self.held(), from, Input::GiveAway { shards, to });
     }
 
     /// Stops leading a group after what is in flight has ended.
@@ -183,29 +202,40 @@
     /// Gives the epoch under which this daemon led it, once it sends nothing more; none if it did
     /// not lead it. The caller bounds the wait; dropping the future does not undo the hand-over.
     pub async fn hand_over(&self, group: &GroupId) -> Option<Epoch> {
-        let led = self.held().led.remove(group)?;
-        led.tell(Command::Input(Input::HandOver));
-        let epoch = led.epoch;
+        let (epoch, commands, end) = {
+            let mut held = self.held();
+            let led = held.led.remove(group)?;
+            held.ending
+                .entry(group.clone())
+                .or_default()
+                .push(led.end.clone());
+            (led.epoch, led.commands, led.end)
+        };
         // The sender lives on until the task has ended by itself.
-        let _commands = led.commands;
-        let _ = led.task.await;
+        let _ = commands.send(Command::Input(Input::HandOver)).await;
+        ended(end).await;
         Some(epoch)
     }
 
-    /// Promises not to act for a group below an epoch, and stops if this daemon does.
+    /// Promises not to act for a group below an epoch, and stops at once if this daemon does.
     ///
-    /// True once it has surely stopped; false if it acts under this epoch or a later one.
+    /// True once it has surely stopped; false if it acts, or has acted, under this epoch or a later
+    /// one.
     pub async fn relinquish(&self, group: &GroupId, epoch: Epoch) -> bool {
-        {
+        let ending = {
             let mut held = self.held();
-            let acting = held.led.get(group).filter(|led| !led.task.is_finished());
-            if acting.is_some_and(|led| led.epoch >= epoch) {
+            if !held.is_unused(group, epoch) {
                 return false;
             }
+            let last = epoch.saturating_sub(1);
             let used = held.used.entry(group.clone()).or_default();
-            *used = (*used).max(epoch.saturating_sub(1));
+            *used = last.max(*used);
+            held.stop(group);
+            held.ending.get(group).cloned().unwrap_or_default()
+        };
+        for end in ending {
+            ended(end).await;
         }
-        self.hand_over(group).await;
         true
     }
 
@@ -213,27 +243,31 @@
     #[must_use]
     pub fn led(&self) -> Vec<GroupId> {
         let held = self.held();
-        let led = held.led.iter().filter(|(_, led)| !led.task.is_finished());
+        let led = held.led.iter().filter(|(_, led)| !led.is_ended());
         led.map(|(id, _)| id.clone()).collect()
     }
 
-    /// The other daemons that were named for a group and have not surely stopped.
+    /// The other daemons that were named for a group, as far as this one has heard since it
+    /// started, and have not surely stopped. See [`Groups::knows_rivals`].
     #[must_use]
     pub fn rivals(&self, group: &GroupId) -> Vec<DaemonName> {
-        let held = self.held();
-        let rivals = held.rivals.get(group).into_iter().flatten();
-        let acting = rivals.filter(|rival| {
-            let stopped = held.stopped.get(&rival.daemon);
-            stopped.is_none_or(|incarnation| *incarnation < rival.incarnation)
-        });
-        acting.map(|rival| rival.daemon.clone()).collect()
+        self.held().rivals.names(group)
+    }
+
+    /// Whether [`Groups::rivals`] has everybody that was ever named for the group.
+    ///
+    /// If not, some daemon of its data centre may act that this one has never heard of as its
+    /// leader.
+    #[must_use]
+    pub fn knows_rivals(&self, group: &GroupId) -> bool {
+        self.held().rivals.is_whole(group)
     }
 
     /// The groups that this daemon leads.
     #[must_use]
     pub fn status(&self) -> Vec<Status> {
         let held = self.held();
-        let led = held.led.values().filter(|led| !led.task.is_finished());
+        let led = held.led.values().filter(|led| !led.is_ended());
         let status = led.map(|led| {
             led.status
                 .lock()
@@ -245,23 +279,27 @@
 
     /// Starts, changes or ends what the appointment of one group asks for.
     fn follow(&self, held: &mut Held, id: &GroupId, appointment: &Appointment) {
+        let is_led = held.led.contains_key(id);
+        let is_later = held.is_unused(id, appointment.epoch);
+        let is_mine = self.is_me(&appointment.leader);
+        if is_later && is_led && !is_mine {
+            held.stop(id);
+            return;
+        }
+        let starts = is_later && is_mine;
+        if !is_led && !starts {
+            return;
+        }
         let Some(config) = config_of(&held.state, id) else {
             return;
         };
-        let is_led = held.led.contains_key(id);
-        let is_later = held.is_unused(id, appointment.epoch);
-        if is_later && self.is_me(&appointment.leader) {
+        if starts {
             let predecessor = match appointment.replaces {
                 0 => Predecessor::None,
-                _ if held.is_alone(id) => Predecessor::Stopped,
-                _ => Predecessor::Acting,
+                _ => held.predecessor(id, appointment.epoch),
             };
             self.start(held, id, appointment.epoch, config, predecessor, true);
-        } else if is_later && is_led {
-            if let Some(led) = held.led.remove(id) {
-                led.tell(Command::Input(Input::Stop));
-            }
-        } else if is_led {
+        } else {
             self.send(held, id, Input::Config(config));
         }
     }
@@ -276,11 +314,7 @@
             return held.led.get(id).map(|led| led.epoch);
         }
         let config = config_of(&held.state, id)?;
-        let predecessor = if held.is_alone(id) {
-            Predecessor::Stopped
-        } else {
-            Predecessor::Acting
-        };
+        let predecessor = held.predecessor(id, epoch);
         self.start(held, id, epoch, config, predecessor, false);
         Some(epoch)
     }
@@ -312,7 +346,7 @@
             recorded,
         });
         if let Some(led) = held.led.get_mut(id)
-            && !led.task.is_finished()
+            && !led.is_ended()
             && led
                 .commands
                 .try_send(Command::Start(Box::new(start.clone())))
@@ -332,22 +366,25 @@
         let (commands, inbox) = mpsc::channel(COMMANDS_MAX);
         let leader = Leader::new(self.shared.clone(), group, inbox, status.clone());
         self.shared.counters.led.inc();
+        let (ends, end) = watch::channel(());
+        tokio::spawn(async move {
+            leader.run().await;
+            drop(ends);
+        });
         Led {
             epoch,
             commands,
             status,
-            task: tokio::spawn(leader.run()),
+            end,
         }
     }
 
-    fn note_rivals(&self, held: &mut Held, id: &GroupId, appointment: &Appointment) {
-        let rivals = held.rivals.entry(id.clone()).or_default();
-        let named = std::iter::once(&appointment.leader).chain(&appointment.standby);
-        for member in named.filter(|member| !self.is_me(member)) {
-            rivals.insert(Rival {
-                daemon: member.name.clone(),
-                incarnation: member.incarnation,
-            });
+    /// Tells the groups whose earlier leaders have all stopped.
+    fn tell_alone(&self, held: &Held) {
+        for (id, led) in &held.led {
+            if held.rivals.is_alone(id, led.epoch) {
+                self.send(held, id, Input::Stopped);
+            }
         }
     }
 
@@ -392,35 +429,60 @@
         self.used.get(id).is_none_or(|used| *used < epoch)
     }
 
-    /// Whether every other daemon that was named for the group has stopped.
-    fn is_alone(&self, id: &GroupId) -> bool {
-        let Some(rivals) = self.rivals.get(id) else {
-            return true;
+    /// Ends what this daemon leads, at once.
+    fn stop(&mut self, id: &GroupId) {
+        let Some(led) = self.led.remove(id) else {
+            return;
         };
-        rivals.iter().all(|rival| {
-            let stopped = self.stopped.get(&rival.daemon);
-            stopped.is_some_and(|incarnation| *incarnation >= rival.incarnation)
-        })
+        // Without room for the command, the task stops when it finds nobody left to command it.
+        led.tell(Command::Input(Input::Stop));
+        self.ending.entry(id.clone()).or_default().push(led.end);
+    }
+
+    fn predecessor(&self, id: &GroupId, epoch: Epoch) -> Predecessor {
+        if self.rivals.is_alone(id, epoch) {
+            Predecessor::Stopped
+        } else {
+            Predecessor::Acting
+        }
     }
 }
 
 impl Led {
+    fn is_ended(&self) -> bool {
+        is_closed(&self.end)
+    }
+
     /// False if the task cannot take it.
     fn tell(&self, command: Command) -> bool {
         self.commands.try_send(command).is_ok()
     }
 }
 
-/// What manifest and log say of a group; none if the manifest does not have it.
+fn is_closed(end: &End) -> bool {
+    end.has_changed().is_err()
+}
+
+/// Waits until a task has ended.
+async fn ended(mut end: End) {
+    while end.changed().await.is_ok() {}
+}
+
+/// What manifest and log say of a group.
+///
+/// None if the manifest does not have its service, or neither has upstreams nor shards for it.
 fn config_of(state: &State, id: &GroupId) -> Option<Config> {
     let manifest = state.manifest.as_ref()?;
     let service = manifest.service(&id.service)?;
-    let groups = manifest.groups(service);
-    let group = groups.into_iter().find(|group| group.id == *id)?;
-    let owners = state.owners.get(&id.service)?;
+    let mut groups = manifest.groups(service).into_iter();
+    let group = groups.find(|group| group.id == *id);
+    let shards = shards_of(state.owners.get(&id.service)?, id);
+    if group.is_none() && shards.is_empty() {
+        return None;
+    }
     Some(Config {
-        upstreams: group.upstreams,
-        shards: shards_of(owners, id),
+        upstreams: group.map_or_else(Vec::new, |group| group.upstreams),
+        shards,
         lease: service.lease,
         isolation: match service.on_isolation {
             OnIsolation::Keep => None,
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -35,7 +35,7 @@
 pub struct Term {
     /// How often the shard has come to this daemon.
     pub turn: u64,
-    /// The leader's epoch; `None` until it is known.
+    /// The leader's epoch; `None` while the shard has no owner.
     pub epoch: Option<Epoch>,
 }
 
@@ -59,6 +59,9 @@
     Run,
     /// The same request runs now; its outcome is the answer.
     Join,
+    /// Whether the key is new can be judged only once the shard has an owner under this leader:
+    /// until then, the leader before may still let keys run.
+    Wait,
     /// The same request has run, or may have.
     Kept(Outcome),
     /// The claim is refused.
@@ -108,6 +111,8 @@
 pub struct Export {
     /// The service.
     pub service: ServiceName,
+    /// The epoch of the leader that it is for; under any other one it says nothing.
+    pub next: Epoch,
     /// The shards.
     pub shards: Vec<ExportShard>,
     /// The entries.
@@ -144,6 +149,8 @@
     /// The latest wall time seen.
     wall: SystemTime,
     shards: HashMap<ShardIndex, Lead>,
+    /// The highest epoch under which each shard was led here; it outlives the entry in `shards`.
+    epochs: HashMap<ShardIndex, Epoch>,
     /// A UUIDv7 begins with its time, so keys are in order of age.
     entries: BTreeMap<Uuid, Entry>,
     /// Keys whose answers are kept, oldest answer first, and some that are gone.
@@ -192,6 +199,7 @@
             keys_max: KEYS_MAX,
             wall: SystemTime::UNIX_EPOCH,
             shards: HashMap::default(),
+            epochs: HashMap::default(),
             entries: BTreeMap::new(),
             answers: VecDeque::new(),
             answers_bytes: 0,
@@ -218,17 +226,12 @@
         self.length = length;
     }
 
-    /// Starts to lead a shard without the entries of whoever led it before.
-    pub fn begin(&mut self, shard: ShardIndex, term: Term, wall: SystemTime) {
-        self.advance(wall);
+    /// Starts to lead a shard without the entries of whoever led it before, who has stopped.
+    fn begin(&mut self, shard: ShardIndex, term: Term) {
         // The predecessor took keys from up to one difference ahead of its clock, which may itself
         // have been one difference ahead of ours.
         let unknown_before = self.wall + 2 * CLOCK_DIFFERENCE;
-        let lead = Lead {
-            term,
-            unknown_before,
-        };
-        self.shards.insert(shard, lead);
+        self.lead(shard, term, unknown_before);
     }
 
     /// Judges a request that is not repeatable, and enters it if it may run.
@@ -237,12 +240,11 @@
         let Some(made) = made_at(claim.id) else {
             return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
         };
-        self.follow(claim.shard, claim.term);
         if let Some(entry) = self.entries.get(&claim.id) {
             return entry.answer(claim.fingerprint);
         }
-        if made > self.wall + CLOCK_DIFFERENCE {
-            return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
+        if !self.follow(claim.shard, claim.term) {
+            return Answer::Wait;
         }
         if made < self.horizon() {
             return refused(Verdict::MayHaveRun, Reason::IdempotencyKeyExpired);
@@ -250,6 +252,10 @@
         if self.is_unknown(claim.shard, made) {
             return refused(Verdict::MayHaveRun, Reason::IdempotencyKeyUnknown);
         }
+        // Only now is it sure that no leader before, whose clock was ahead, let the key run.
+        if made > self.wall + CLOCK_DIFFERENCE {
+            return refused(Verdict::NotRun, Reason::IdempotencyKeyInvalid);
+        }
         if self.entries.len() >= self.keys_max {
             return refused(Verdict::NotRun, Reason::ServiceLimit);
         }
@@ -304,10 +310,21 @@
 
     /// Takes shards out for their next leader; from here on their keys are unknown here.
     ///
-    /// Requests that still run go out as ones that may have run.
-    pub fn export(&mut self, service: &ServiceName, shards: &[ShardIndex]) -> Export {
+    /// `term` tells in which stretch each shard was led last: what is known of an earlier one says
+    /// nothing about keys that others took since. `next` is the epoch of the next leader. Requests
+    /// that still run go out as ones that may have run.
+    pub fn export(
+        &mut self,
+        service: &ServiceName,
+        next: Epoch,
+        shards: &[ShardIndex],
+        term: impl Fn(ShardIndex) -> Term,
+        wall: SystemTime,
+    ) -> Export {
+        self.advance(wall);
         let mut led = Vec::new();
         for shard in shards {
+            self.follow(*shard, term(*shard));
             if let Some(lead) = self.shards.remove(shard) {
                 led.push(ExportShard {
                     shard: *shard,
@@ -323,6 +340,7 @@
             .collect();
         Export {
             service: service.clone(),
+            next,
             shards: led,
             entries: gone.into_iter().filter_map(|id| self.take(id)).collect(),
         }
@@ -330,25 +348,26 @@
 
     /// Takes over what the leader before exported.
     ///
-    /// `turn` tells in which stretch of leading each shard the entries count.
+    /// `turn` tells in which stretch of leading each shard the entries count. An export that comes
+    /// after the shard was led here under its epoch or a later one is out of date: others may have
+    /// taken keys since, so it is left.
     pub fn import(&mut self, export: Export, turn: impl Fn(ShardIndex) -> u64, wall: SystemTime) {
         self.advance(wall);
-        let mut overflow = None;
-        for entry in export.entries {
-            if !self.adopt(&entry) {
-                overflow = overflow.max(made_at(entry.id));
+        let mut forgotten = SystemTime::UNIX_EPOCH;
+        for entry in &export.entries {
+            if !self.adopt(entry) {
+                forgotten = forgotten.max(made_at(entry.id).unwrap_or(forgotten));
             }
         }
         for led in export.shards {
-            let forgotten = overflow.unwrap_or(SystemTime::UNIX_EPOCH);
-            let lead = Lead {
-                term: Term {
-                    turn: turn(led.shard),
-                    epoch: None,
-                },
-                unknown_before: led.unknown_before.max(forgotten),
+            if self.epochs.get(&led.shard) >= Some(&export.next) {
+                continue;
+            }
+            let term = Term {
+                turn: turn(led.shard),
+                epoch: Some(export.next),
             };
-            self.shards.insert(led.shard, lead);
+            self.lead(led.shard, term, led.unknown_before.max(forgotten));
         }
     }
 
@@ -388,13 +407,35 @@
     }
 
     /// Begins anew if the shard came to this daemon again since its keys were last known whole.
-    fn follow(&mut self, shard: ShardIndex, term: Term) {
-        match self.shards.get_mut(&shard) {
-            Some(lead) if lead.term.is_same(term) => {
-                lead.term.epoch = lead.term.epoch.or(term.epoch);
-            }
-            _ => self.begin(shard, term, self.wall),
+    ///
+    /// `false` if it cannot begin yet, since the shard has no owner.
+    fn follow(&mut self, shard: ShardIndex, term: Term) -> bool {
+        let goes_on = self
+            .shards
+            .get(&shard)
+            .is_some_and(|lead| lead.term.is_same(term));
+        if !goes_on && term.epoch.is_none() {
+            return false;
+        }
+        if !goes_on {
+            self.begin(shard, term);
         }
+        true
+    }
+
+    fn lead(&mut self, shard: ShardIndex, term: Term, unknown_before: SystemTime) {
+        let lead = Lead {
+            term,
+            unknown_before,
+        };
+        self.shards.insert(shard, lead);
+        self.note(shard, term);
+    }
+
+    /// Remembers the highest epoch under which a shard was led.
+    fn note(&mut self, shard: ShardIndex, term: Term) {
+        let highest = self.epochs.entry(shard).or_default();
+        *highest = (*highest).max(term.epoch.unwrap_or_default());
     }
 
     fn is_unknown(&self, shard: ShardIndex, made: SystemTime) -> bool {
