Try a silent order on a fresh connection beside the first

Cause: the driver waits for a heartbeat, 500 ms at the default lease, and the client tried a fresh connection only after 400 ms and gave up the first one.

Change: after 150 ms without an answer the order goes out on a fresh connection too, and the first answer counts, so a slow server is not cut off and a silent connection costs less than a heartbeat. Pool::follow takes silence limits from the manifest and closes connections to servers that left it.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -27,7 +27,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     sync::Semaphore,
-    time::{Instant, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 /// Control connections to one server.
@@ -54,7 +54,7 @@
 pub struct Timing {
     /// For a new connection.
     pub connect: Duration,
-    /// For an answer on one connection, before a fresh one is tried.
+    /// For an answer, before the order is sent on a fresh connection too.
     pub attempt: Duration,
     /// For the order with all its attempts.
     pub total: Duration,
@@ -64,7 +64,7 @@
     fn default() -> Self {
         Self {
             connect: Duration::from_millis(300),
-            attempt: Duration::from_millis(400),
+            attempt: Duration::from_millis(150),
             total: Duration::from_secs(1),
         }
     }
@@ -77,6 +77,16 @@
     idle: Mutex<Vec<Connection>>,
 }
 
+/// An order on its way.
+#[derive(Debug)]
+struct Errand {
+    to: SocketAddr,
+    path: &'static str,
+    body: Bytes,
+    until: Instant,
+    lane: Arc<Lane>,
+}
+
 /// A whole answer.
 #[derive(Debug)]
 struct Answer {
@@ -110,58 +120,89 @@
     async fn give_order<A: DeserializeOwned>(
         &self,
         to: SocketAddr,
-        path: &str,
+        path: &'static str,
         order: &(impl Serialize + Sync),
     ) -> Result<A, Failure> {
         let bytes = serde_json::to_vec(order).map_err(|_| Failure::Invalid(0))?;
-        let body = Bytes::from(bytes);
-        let start = Instant::now();
-        let until = start + self.timing.total;
-        let lane = self.lane(to);
-        let mut sent = false;
+        let errand = Errand {
+            to,
+            path,
+            body: Bytes::from(bytes),
+            until: Instant::now() + self.timing.total,
+            lane: self.lane(to),
+        };
+        let mut failure = Failure::Unreachable;
         for _ in 0..ATTEMPTS_MAX {
-            let request = request_of(to, path, body.clone());
-            match self.attempt(&lane, to, request, until).await {
+            match self.attempt_twice(&errand).await {
                 Ok(answer) => return answer.read(),
-                Err(Failure::Silent) => sent = true,
-                Err(failure) if !sent => return Err(failure),
+                Err(Failure::Silent) => failure = Failure::Silent,
                 Err(_) => break,
             }
-            if Instant::now() >= until {
+            if Instant::now() >= errand.until {
                 break;
             }
         }
-        Err(Failure::Silent)
+        Err(failure)
     }
 
-    /// Tries an order once, on an idle connection or a fresh one.
-    async fn attempt(
-        &self,
-        lane: &Lane,
-        to: SocketAddr,
-        mut request: Request<Outgoing>,
-        until: Instant,
-    ) -> Result<Answer, Failure> {
+    /// Tries an order, and tries it beside that on a fresh connection if no answer comes.
+    ///
+    /// The first one may be silent for good, or its server may just be slow.
+    async fn attempt_twice(&self, errand: &Errand) -> Result<Answer, Failure> {
+        let first = self.attempt(errand, true);
+        tokio::pin!(first);
+        if let Ok(answer) = timeout(self.timing.attempt, &mut first).await {
+            return answer;
+        }
+        // What was open beside a silent connection may have gone silent with it.
+        errand.lane.idle().clear();
+        if errand.lane.turns.available_permits() == 0 {
+            // Another order waits too; the first connection makes room for a fresh one.
+            return Err(Failure::Silent);
+        }
+        let second = self.attempt(errand, false);
+        tokio::pin!(second);
+        let (failure, other) = tokio::select! {
+            answer = &mut first => match answer {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => (failure, second.await),
+            },
+            answer = &mut second => match answer {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => (failure, first.await),
+            },
+        };
+        match other {
+            Err(Failure::Unreachable) => Err(failure),
+            other => other,
+        }
+    }
+
+    /// Tries an order once, on an idle connection if that is allowed, or on a fresh one.
+    async fn attempt(&self, errand: &Errand, may_reuse: bool) -> Result<Answer, Failure> {
+        let lane = &errand.lane;
         // While the turn is held, no more than `CONNECTIONS` are open.
-        let turn = timeout_at(until, lane.turns.acquire()).await;
+        let turn = timeout_at(errand.until, lane.turns.acquire()).await;
         let Ok(Ok(_turn)) = turn else {
             return Err(Failure::Unreachable);
         };
+        let mut request = errand.request();
         loop {
-            let idle = lane.take_idle().await;
+            let idle = if may_reuse {
+                lane.take_idle().await
+            } else {
+                None
+            };
             let reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.open(to, until).await?,
+                None => self.open(errand).await?,
             };
-            let deadline = until.min(Instant::now() + self.timing.attempt);
-            let sent = connection.send(request, self.timing.attempt, deadline);
+            let sent = connection.send(request, self.timing.total, errand.until);
             match sent.await {
-                Ok(response) => return lane.finish(connection, response, deadline).await,
+                Ok(response) => return lane.finish(connection, response, errand.until).await,
                 Err(Unanswered::Unused(unused)) if reused => request = *unused,
                 Err(_) => {
-                    // What was open beside a silent connection may have gone silent with it.
-                    lane.idle().clear();
                     let written = connection.close().await;
                     return Err(if written {
                         Failure::Silent
@@ -173,10 +214,10 @@
         }
     }
 
-    async fn open(&self, to: SocketAddr, until: Instant) -> Result<Connection, Failure> {
-        let left = until.saturating_duration_since(Instant::now());
+    async fn open(&self, errand: &Errand) -> Result<Connection, Failure> {
+        let left = errand.until.saturating_duration_since(Instant::now());
         let limit = left.min(self.timing.connect);
-        let opened = Connection::open(to, limit, ()).await;
+        let opened = Connection::open(errand.to, limit, ()).await;
         opened.map_err(|_| Failure::Unreachable)
     }
 
@@ -250,6 +291,20 @@
     }
 }
 
+impl Errand {
+    fn request(&self) -> Request<Outgoing> {
+        let mut request = Request::new(Outgoing::new(Body::full(self.body.clone())));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(self.path);
+        let headers = request.headers_mut();
+        if let Ok(host) = HeaderValue::try_from(self.to.to_string()) {
+            headers.insert(HOST, host);
+        }
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        request
+    }
+}
+
 impl Answer {
     fn read<A: DeserializeOwned>(&self) -> Result<A, Failure> {
         let invalid = Failure::Invalid(self.status.as_u16());
@@ -263,15 +318,3 @@
         }
     }
 }
-
-fn request_of(to: SocketAddr, path: &str, body: Bytes) -> Request<Outgoing> {
-    let mut request = Request::new(Outgoing::new(Body::full(body)));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::try_from(path).unwrap_or_default();
-    let headers = request.headers_mut();
-    if let Ok(host) = HeaderValue::try_from(to.to_string()) {
-        headers.insert(HOST, host);
-    }
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    request
-}
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -19,7 +19,10 @@
     metrics::{Label, Metrics},
     order::Order,
 };
-use copperwell_keyspace::{HashMap, ServiceName, manifest::Upstream};
+use copperwell_keyspace::{
+    HashMap, HashSet, ServiceName,
+    manifest::{Manifest, Upstream},
+};
 use copperwell_message::{Body, Reason, Request, Response, Sender, Verdict};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -134,9 +137,20 @@
         self.lane(upstream).warm_up().await;
     }
 
-    /// Closes idle connections to every server for which `keep` is false.
-    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
-        self.lanes().retain(|to, _| keep(*to));
+    /// Takes the limits of a manifest, and closes idle connections to servers that it lacks.
+    pub fn follow(&self, manifest: &Manifest) {
+        let services = manifest.services.iter();
+        let silences = services.map(|service| (service.name.clone(), service.limits.silence));
+        *self
+            .silences
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = silences.collect();
+        let upstreams = manifest
+            .services
+            .iter()
+            .flat_map(|service| &service.upstreams);
+        let addresses: HashSet<SocketAddr> = upstreams.map(|upstream| upstream.address).collect();
+        self.lanes().retain(|to, _| addresses.contains(to));
     }
 
     /// Connections that are open to a server.
--- a/crates/backend/tests/backend/client.rs
+++ b/crates/backend/tests/backend/client.rs
@@ -5,7 +5,7 @@
 };
 use copperwell_backend::{
     Client, Control, Failure,
-    client::Timing,
+    client::{CONNECTIONS, Timing},
     order::{Release, digest_of},
 };
 use copperwell_message::{Body, Verdict};
@@ -100,6 +100,44 @@
     assert_eq!(proxy.accepted_connections(), 2);
 }
 
+#[tokio::test]
+async fn answer_that_comes_after_the_second_attempt_counts() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let proxy = Proxy::start(setup.server.address()).await.unwrap();
+    let run = setup.fence(EPOCH).await;
+    let client = Client::with_timing(Timing {
+        connect: PATIENCE,
+        attempt: SILENCE / 3,
+        total: PATIENCE,
+    });
+    proxy.delay(SILENCE / 2);
+    let renewed = client.renew(proxy.address(), &run.renew(EPOCH)).await;
+    assert_eq!(renewed.unwrap().shards, 1);
+    assert_eq!(proxy.accepted_connections(), 2);
+}
+
+#[tokio::test]
+async fn connections_for_orders_are_bounded() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    let run = setup.fence(EPOCH).await;
+    let to = setup.server.address();
+    let before = setup.server.counts().connections;
+    let renew = run.renew(EPOCH);
+    let mut orders = tokio::task::JoinSet::new();
+    let client = std::sync::Arc::new(Client::with_timing(Timing {
+        connect: PATIENCE,
+        attempt: PATIENCE,
+        total: PATIENCE,
+    }));
+    for _ in 0..50 {
+        let (client, renew) = (client.clone(), renew.clone());
+        orders.spawn(async move { client.renew(to, &renew).await.unwrap() });
+    }
+    orders.join_all().await;
+    let opened = setup.server.counts().connections - before;
+    assert!(opened <= u64::from(CONNECTIONS));
+}
+
 #[tokio::test]
 async fn restarted_server_refuses_orders_for_its_earlier_run() {
     let setup = Setup::new(Options::new("upstream-1")).await;
--- a/crates/backend/tests/backend/pool.rs
+++ b/crates/backend/tests/backend/pool.rs
@@ -2,13 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::setup::{EPOCH, SILENCE, Setup, echo, expect_failure, post, post_for, until};
+use crate::setup::{DEADLINE, EPOCH, SILENCE, Setup, echo, expect_failure, post, post_for, until};
 use copperwell_backend::order::header;
-use copperwell_message::{Body, Reason, Repeat, Severed, Verdict};
+use copperwell_keyspace::manifest::{Limits, Manifest, OnIsolation, Service, Upstream};
+use copperwell_message::{Body, Class, Reason, Repeat, Severed, Verdict};
 use copperwell_standin::{
     backend::{Options, record::Outcome},
     proxy::{Accept, Direction, Proxy},
 };
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use test_case::test_case;
 use tokio::time::sleep;
 use uuid::Uuid;
@@ -225,6 +227,16 @@
     proxy.hush();
     let response = setup.forward(post(&[], Body::full("grit"))).await;
     expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionSilent);
+    let mut registry = Registry::default();
+    setup.pool.metrics().register(&mut registry);
+    let mut text = String::new();
+    encode(&mut text, &registry).unwrap();
+    for line in [
+        "backend_connections_closed_total{reason=\"connection-silent\"} 1",
+        "backend_requests_failed_total{reason=\"connection-silent\"} 1",
+    ] {
+        assert!(text.contains(line), "{line} is not in {text}");
+    }
     // The other warm connections were silenced too, and must not be tried one by one.
     setup.expect_own_answer(post(&[], Body::full("grit"))).await;
 }
@@ -401,3 +413,37 @@
     setup.expect_own_answer(post(&[], Body::empty())).await;
     assert_eq!(setup.server.counts().connections, before + 2);
 }
+
+#[tokio::test]
+async fn manifest_sets_the_silence_and_ends_idle_connections() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    setup.expect_own_answer(post(&[], Body::empty())).await;
+    setup.pool.follow(&manifest(vec![setup.upstream.clone()]));
+    assert!(setup.pool.open_connections(setup.upstream.address) > 0);
+    setup.server.freeze();
+    let response = setup.forward(post(&[], Body::empty())).await;
+    expect_failure(&response, Verdict::MayHaveRun, Reason::ConnectionSilent);
+    setup.server.wake();
+    setup.expect_own_answer(post(&[], Body::empty())).await;
+    setup.pool.follow(&manifest(Vec::new()));
+    assert_eq!(setup.pool.open_connections(setup.upstream.address), 0);
+}
+
+fn manifest(upstreams: Vec<Upstream>) -> Manifest {
+    Manifest {
+        replaces: 0,
+        data_centres: Vec::new(),
+        services: vec![Service {
+            name: "calendar".into(),
+            class: Class::Interactive,
+            shards: 1,
+            on_isolation: OnIsolation::Keep,
+            lease: DEADLINE,
+            limits: Limits {
+                silence: SILENCE,
+                ..Limits::default()
+            },
+            upstreams,
+        }],
+    }
+}
