Judge every verdict by the server's record under random faults

Cause: each failure was tested alone, and none together.

Change: four seeds of random resets, silences, cuts, refusals, freezes, sheds and restarts under eight callers; no request that was called not run has run, and each that is done ran once and has its own answer.

--- a/crates/backend/tests/backend/main.rs
+++ b/crates/backend/tests/backend/main.rs
@@ -4,3 +4,4 @@
 mod client;
 mod pool;
 mod setup;
+mod storm;
