Split the pool by job

Change: lane.rs keeps one server's connections, exchange.rs carries one request, head.rs turns heads into HTTP and back; pool.rs finds the lane and the limits.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -1,183 +1,223 @@
-//! From a request's head to HTTP, and from HTTP to a reply.
-
-use std::{net::SocketAddr, time::Duration};
-
-use crate::{order::header, outgoing::Outgoing};
-use copperwell_keyspace::Epoch;
-use copperwell_message::{Body, Head, Reason, Repeat, Reply, Verdict};
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri,
-    header::{
-        CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
-        RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-    },
-    request, response,
-};
+//! One request on its way to a server, and its answer on the way back.
 
-/// The prefix of header fields that belong to this protocol.
-const OWN_PREFIX: &str = "copperwell-";
+use std::{sync::Arc, time::Duration};
 
-/// Why a head cannot be sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Unsendable;
-
-/// The HTTP head of a request to a server.
-pub(crate) fn head_of(
-    to: SocketAddr,
-    head: &Head,
-    epoch: Epoch,
-) -> Result<request::Parts, Unsendable> {
-    let (mut parts, ()) = Request::new(()).into_parts();
-    parts.method = Method::from_bytes(head.method.as_bytes()).map_err(|_| Unsendable)?;
-    parts.uri = Uri::try_from(head.path.as_str()).map_err(|_| Unsendable)?;
-    for (name, value) in &head.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| Unsendable)?;
-        let value = HeaderValue::from_bytes(value).map_err(|_| Unsendable)?;
-        if passes_to_server(&name) {
-            parts.headers.append(name, value);
-        }
-    }
-    let mut own = Own(&mut parts.headers);
-    own.set(HOST.as_str(), to.to_string())?;
-    own.set(header::SERVICE, head.service.as_str())?;
-    own.set(header::KEY, encode_key(&head.key))?;
-    own.set(header::SHARD, head.shard.to_string())?;
-    own.set(header::EPOCH, epoch.to_string())?;
-    own.set(header::REQUEST, head.id.to_string())?;
-    if let Repeat::Once(key) = head.repeat {
-        own.set(header::IDEMPOTENCY, key.to_string())?;
-    }
-    Ok(parts)
-}
-
-/// Joins a head with a body; a head that gives a length keeps it for a streamed body.
-pub(crate) fn request_of(mut parts: request::Parts, body: Body) -> Request<Outgoing> {
-    if body.as_full().is_some() || !has_valid_length(&parts.headers) {
-        parts.headers.remove(CONTENT_LENGTH);
-    }
-    Request::from_parts(parts, Outgoing::new(body))
-}
-
-/// Tells the server how much time is left.
-pub(crate) fn set_deadline(request: &mut Request<Outgoing>, left: Duration) {
-    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    let headers = request.headers_mut();
-    headers.insert(header::DEADLINE, HeaderValue::from(left_ms));
+use crate::{
+    connection::{Connection, READY_LIMIT, Unanswered},
+    head::{self, Unsendable},
+    lane::Lane,
+    order::Order,
+};
+use bytes::Bytes;
+use copperwell_message::{Body, Reason, Request, Response, Sender, Verdict};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body as _, Frame, Incoming};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Answers up to this size are read whole before they are passed on, in bytes.
+const SMALL_BYTES_MAX: usize = 16 * 1024;
+
+/// One request on its way, and its time limits.
+#[derive(Debug, Clone)]
+pub(crate) struct Exchange {
+    lane: Arc<Lane>,
+    silence: Duration,
+    deadline: Instant,
 }
 
-/// What a server says about a request that it did not run.
+/// A request that failed before its response head arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Refused {
+pub(crate) struct Failed {
+    pub(crate) verdict: Verdict,
     pub(crate) reason: Reason,
-    pub(crate) retry_after: Option<Duration>,
 }
 
-/// The refusal in a response, if the server says that the request did not run.
-pub(crate) fn refusal_in(head: &response::Parts) -> Option<Refused> {
-    let fallback = match head.status {
-        StatusCode::MISDIRECTED_REQUEST | StatusCode::CONFLICT => Reason::Fenced,
-        StatusCode::SERVICE_UNAVAILABLE => Reason::Shed,
-        _ => return None,
-    };
-    let verdict = head.headers.get(header::VERDICT)?.to_str().ok()?;
-    if Verdict::parse(verdict) != Some(Verdict::NotRun) {
-        return None;
+impl Exchange {
+    /// An exchange over the connections of `lane`.
+    pub(crate) fn new(lane: Arc<Lane>, silence: Duration, deadline: Instant) -> Self {
+        Self {
+            lane,
+            silence,
+            deadline,
+        }
     }
-    let reason = head.headers.get(header::REASON);
-    let reason = reason.and_then(|value| Reason::parse(value.to_str().ok()?));
-    Some(Refused {
-        reason: reason.filter(is_servers).unwrap_or(fallback),
-        retry_after: retry_after(&head.headers),
-    })
-}
 
-/// The reply that passes a server's answer on.
-pub(crate) fn reply_of(head: &response::Parts) -> Reply {
-    let headers = head
-        .headers
-        .iter()
-        .filter(|(name, _)| passes_to_caller(name))
-        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-        .collect();
-    Reply {
-        status: head.status.as_u16(),
-        headers,
-        verdict: Verdict::Done,
-        reason: None,
-        retry_after: None,
+    /// Sends a request and reads the head of its answer.
+    pub(crate) async fn run(self, order: Order, request: Request) -> Result<Response, Failed> {
+        let lane = &self.lane;
+        let head = head::head_of(lane.address(), &request.head, order.epoch)
+            .map_err(|Unsendable| Failed::not_run(Reason::BadRequest))?;
+        let mut request = head::request_of(head, request.body);
+        loop {
+            let idle = lane.take_idle().await;
+            let reused = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.open().await?,
+            };
+            let left = self.left();
+            if left.is_zero() {
+                lane.put_back(connection);
+                return Err(Failed::not_run(Reason::DeadlineHopeless));
+            }
+            head::set_deadline(&mut request, left);
+            let sent = connection.send(request, self.silence, self.deadline);
+            match sent.await {
+                Ok(response) => return self.receive(connection, response).await,
+                Err(Unanswered::Unused(unused)) if reused => {
+                    lane.metrics().resent.inc();
+                    request = *unused;
+                }
+                Err(unanswered) => return Err(self.judge(connection, unanswered).await),
+            }
+        }
     }
-}
 
-/// The incarnation that a response names, as a header of a reply.
-pub(crate) fn incarnation_in(headers: &HeaderMap) -> Option<(String, Vec<u8>)> {
-    let value = headers.get(header::INCARNATION)?;
-    Some((header::INCARNATION.to_owned(), value.as_bytes().to_vec()))
-}
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
 
-/// Writes a key so that it fits into a header field: bytes outside of `!` to `~`, and `%`, as `%XX`.
-pub(crate) fn encode_key(key: &str) -> String {
-    let mut text = String::with_capacity(key.len());
-    for byte in key.bytes() {
-        if byte.is_ascii_graphic() && byte != b'%' {
-            text.push(char::from(byte));
-        } else {
-            text.push_str(&format!("%{byte:02X}"));
-        }
+    async fn open(&self) -> Result<Connection, Failed> {
+        let opened = self.lane.open(self.left()).await;
+        opened.ok_or(Failed::not_run(Reason::ConnectionRefused))
     }
-    text
-}
 
-/// Header fields that this client sets itself.
-struct Own<'a>(&'a mut HeaderMap);
+    /// Closes a connection that gave no answer, and tells whether its request may have run.
+    async fn judge(&self, connection: Connection, unanswered: Unanswered) -> Failed {
+        let reason = match &unanswered {
+            Unanswered::Unused(_) => Reason::ConnectionRefused,
+            Unanswered::Lost(error) if error.is_user() => Reason::Cancelled,
+            Unanswered::Lost(error) if error.is_parse() => Reason::Protocol,
+            Unanswered::Lost(_) => Reason::ConnectionLost,
+            Unanswered::Silent => Reason::ConnectionSilent,
+            Unanswered::Late => Reason::DeadlinePassed,
+        };
+        if reason == Reason::ConnectionSilent {
+            self.lane.drop_unproven(connection.sent_at());
+        }
+        self.lane.count_closed(reason.as_str());
+        if connection.close().await {
+            return Failed::may_have_run(reason);
+        }
+        // Nothing left this machine.
+        Failed::not_run(match reason {
+            Reason::ConnectionLost | Reason::ConnectionSilent => Reason::ConnectionRefused,
+            Reason::DeadlinePassed => Reason::DeadlineHopeless,
+            other => other,
+        })
+    }
 
-impl Own<'_> {
-    fn set(&mut self, name: &'static str, value: impl AsRef<str>) -> Result<(), Unsendable> {
-        let value = HeaderValue::from_str(value.as_ref()).map_err(|_| Unsendable)?;
-        self.0.insert(HeaderName::from_static(name), value);
-        Ok(())
+    /// Passes on an answer: a small one once it is whole, another one as a stream.
+    async fn receive(
+        self,
+        connection: Connection,
+        response: http::Response<Incoming>,
+    ) -> Result<Response, Failed> {
+        let (head, incoming) = response.into_parts();
+        let size = incoming.size_hint().upper();
+        let small = size.is_some_and(|bytes| bytes <= SMALL_BYTES_MAX as u64);
+        if let Some(refused) = head::refusal_in(&head) {
+            if small {
+                self.finish_refusal(connection, incoming).await;
+            }
+            let mut response = Response::refusal(Verdict::NotRun, refused.reason);
+            response
+                .reply
+                .headers
+                .extend(head::incarnation_in(&head.headers));
+            response.reply.retry_after = refused.retry_after;
+            return Ok(response);
+        }
+        let reply = head::reply_of(&head);
+        let body = if small {
+            self.read_whole(connection, incoming).await?
+        } else {
+            let (to, body) = Body::channel();
+            tokio::spawn(self.pass_on(connection, incoming, to));
+            body
+        };
+        Ok(Response { reply, body })
     }
-}
 
-fn passes_to_server(name: &HeaderName) -> bool {
-    !is_hop_by_hop(name)
-        && !name.as_str().starts_with(OWN_PREFIX)
-        && name.as_str() != header::IDEMPOTENCY
-        && ![HOST, EXPECT].contains(name)
-}
+    /// Reads the body of a refusal, so that the connection can be used again.
+    async fn finish_refusal(&self, connection: Connection, incoming: Incoming) {
+        let limit = self.deadline.min(Instant::now() + READY_LIMIT);
+        if let Ok(Ok(_)) = timeout_at(limit, incoming.collect()).await {
+            self.lane.put_back(connection);
+        }
+    }
 
-fn passes_to_caller(name: &HeaderName) -> bool {
-    let own = name.as_str().starts_with(OWN_PREFIX) && name.as_str() != header::INCARNATION;
-    !is_hop_by_hop(name) && !own
-}
+    async fn read_whole(&self, connection: Connection, incoming: Incoming) -> Result<Body, Failed> {
+        let whole = Limited::new(incoming, SMALL_BYTES_MAX).collect();
+        let reason = tokio::select! {
+            biased;
+            whole = whole => match whole {
+                Ok(whole) => {
+                    self.lane.put_back(connection);
+                    return Ok(Body::full(whole.to_bytes()));
+                }
+                Err(_) => Reason::ConnectionLost,
+            },
+            () = sleep_until(self.deadline) => Reason::DeadlinePassed,
+            () = connection.traffic().silent(self.silence) => Reason::ConnectionSilent,
+        };
+        self.lane.count_closed(reason.as_str());
+        Err(Failed::may_have_run(reason))
+    }
 
-fn is_hop_by_hop(name: &HeaderName) -> bool {
-    [
-        CONNECTION,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ]
-    .contains(name)
-        || ["keep-alive", "proxy-connection"].contains(&name.as_str())
-}
+    /// Streams a body to its reader; whatever ends it early severs the body.
+    async fn pass_on(self, connection: Connection, mut incoming: Incoming, to: Sender) {
+        loop {
+            connection.traffic().mark();
+            let reason = tokio::select! {
+                biased;
+                frame = incoming.frame() => match frame {
+                    None => {
+                        self.lane.put_back(connection);
+                        to.end().await;
+                        return;
+                    }
+                    Some(Ok(frame)) => match self.pass_frame(frame, &to).await {
+                        Ok(()) => continue,
+                        Err(reason) => reason,
+                    },
+                    Some(Err(_)) => Reason::ConnectionLost,
+                },
+                () = to.closed() => Reason::Cancelled,
+                () = sleep_until(self.deadline) => Reason::DeadlinePassed,
+                () = connection.traffic().silent(self.silence) => Reason::ConnectionSilent,
+            };
+            self.lane.count_closed(reason.as_str());
+            return;
+        }
+    }
 
-/// Whether a reason is one that a server may give.
-fn is_servers(reason: &Reason) -> bool {
-    [Reason::Fenced, Reason::Shed, Reason::DeadlineHopeless].contains(reason)
+    /// Gives a frame to the reader, as long as that takes.
+    async fn pass_frame(&self, frame: Frame<Bytes>, to: &Sender) -> Result<(), Reason> {
+        let Ok(bytes) = frame.into_data() else {
+            // Trailers are not passed on.
+            return Ok(());
+        };
+        match timeout_at(self.deadline, to.send(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Reason::Cancelled),
+            Err(_) => Err(Reason::DeadlinePassed),
+        }
+    }
 }
 
-fn has_valid_length(headers: &HeaderMap) -> bool {
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    let first = lengths.next().and_then(|value| value.to_str().ok());
-    let digits = first
-        .is_some_and(|text| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit()));
-    digits && lengths.next().is_none()
-}
+impl Failed {
+    fn not_run(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            reason,
+        }
+    }
 
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
+    fn may_have_run(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            reason,
+        }
+    }
 }
--- /dev/null
+++ b/crates/backend/src/head.rs
@@ -0,0 +1,183 @@
+//! From a request's head to HTTP, and from HTTP to a reply.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{order::header, outgoing::Outgoing};
+use copperwell_keyspace::Epoch;
+use copperwell_message::{Body, Head, Reason, Repeat, Reply, Verdict};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri,
+    header::{
+        CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
+        RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+    request, response,
+};
+
+/// The prefix of header fields that belong to this protocol.
+const OWN_PREFIX: &str = "copperwell-";
+
+/// Why a head cannot be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Unsendable;
+
+/// The HTTP head of a request to a server.
+pub(crate) fn head_of(
+    to: SocketAddr,
+    head: &Head,
+    epoch: Epoch,
+) -> Result<request::Parts, Unsendable> {
+    let (mut parts, ()) = Request::new(()).into_parts();
+    parts.method = Method::from_bytes(head.method.as_bytes()).map_err(|_| Unsendable)?;
+    parts.uri = Uri::try_from(head.path.as_str()).map_err(|_| Unsendable)?;
+    for (name, value) in &head.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| Unsendable)?;
+        let value = HeaderValue::from_bytes(value).map_err(|_| Unsendable)?;
+        if passes_to_server(&name) {
+            parts.headers.append(name, value);
+        }
+    }
+    let mut own = Own(&mut parts.headers);
+    own.set(HOST.as_str(), to.to_string())?;
+    own.set(header::SERVICE, head.service.as_str())?;
+    own.set(header::KEY, encode_key(&head.key))?;
+    own.set(header::SHARD, head.shard.to_string())?;
+    own.set(header::EPOCH, epoch.to_string())?;
+    own.set(header::REQUEST, head.id.to_string())?;
+    if let Repeat::Once(key) = head.repeat {
+        own.set(header::IDEMPOTENCY, key.to_string())?;
+    }
+    Ok(parts)
+}
+
+/// Joins a head with a body; a head that gives a length keeps it for a streamed body.
+pub(crate) fn request_of(mut parts: request::Parts, body: Body) -> Request<Outgoing> {
+    if body.as_full().is_some() || !has_valid_length(&parts.headers) {
+        parts.headers.remove(CONTENT_LENGTH);
+    }
+    Request::from_parts(parts, Outgoing::new(body))
+}
+
+/// Tells the server how much time is left.
+pub(crate) fn set_deadline(request: &mut Request<Outgoing>, left: Duration) {
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let headers = request.headers_mut();
+    headers.insert(header::DEADLINE, HeaderValue::from(left_ms));
+}
+
+/// What a server says about a request that it did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refused {
+    pub(crate) reason: Reason,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// The refusal in a response, if the server says that the request did not run.
+pub(crate) fn refusal_in(head: &response::Parts) -> Option<Refused> {
+    let fallback = match head.status {
+        StatusCode::MISDIRECTED_REQUEST | StatusCode::CONFLICT => Reason::Fenced,
+        StatusCode::SERVICE_UNAVAILABLE => Reason::Shed,
+        _ => return None,
+    };
+    let verdict = head.headers.get(header::VERDICT)?.to_str().ok()?;
+    if Verdict::parse(verdict) != Some(Verdict::NotRun) {
+        return None;
+    }
+    let reason = head.headers.get(header::REASON);
+    let reason = reason.and_then(|value| Reason::parse(value.to_str().ok()?));
+    Some(Refused {
+        reason: reason.filter(is_servers).unwrap_or(fallback),
+        retry_after: retry_after(&head.headers),
+    })
+}
+
+/// The reply that passes a server's answer on.
+pub(crate) fn reply_of(head: &response::Parts) -> Reply {
+    let headers = head
+        .headers
+        .iter()
+        .filter(|(name, _)| passes_to_caller(name))
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect();
+    Reply {
+        status: head.status.as_u16(),
+        headers,
+        verdict: Verdict::Done,
+        reason: None,
+        retry_after: None,
+    }
+}
+
+/// The incarnation that a response names, as a header of a reply.
+pub(crate) fn incarnation_in(headers: &HeaderMap) -> Option<(String, Vec<u8>)> {
+    let value = headers.get(header::INCARNATION)?;
+    Some((header::INCARNATION.to_owned(), value.as_bytes().to_vec()))
+}
+
+/// Writes a key so that it fits into a header field: bytes outside of `!` to `~`, and `%`, as `%XX`.
+pub(crate) fn encode_key(key: &str) -> String {
+    let mut text = String::with_capacity(key.len());
+    for byte in key.bytes() {
+        if byte.is_ascii_graphic() && byte != b'%' {
+            text.push(char::from(byte));
+        } else {
+            text.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    text
+}
+
+/// Header fields that this client sets itself.
+struct Own<'a>(&'a mut HeaderMap);
+
+impl Own<'_> {
+    fn set(&mut self, name: &'static str, value: impl AsRef<str>) -> Result<(), Unsendable> {
+        let value = HeaderValue::from_str(value.as_ref()).map_err(|_| Unsendable)?;
+        self.0.insert(HeaderName::from_static(name), value);
+        Ok(())
+    }
+}
+
+fn passes_to_server(name: &HeaderName) -> bool {
+    !is_hop_by_hop(name)
+        && !name.as_str().starts_with(OWN_PREFIX)
+        && name.as_str() != header::IDEMPOTENCY
+        && ![HOST, EXPECT].contains(name)
+}
+
+fn passes_to_caller(name: &HeaderName) -> bool {
+    let own = name.as_str().starts_with(OWN_PREFIX) && name.as_str() != header::INCARNATION;
+    !is_hop_by_hop(name) && !own
+}
+
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    [
+        CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ]
+    .contains(name)
+        || ["keep-alive", "proxy-connection"].contains(&name.as_str())
+}
+
+/// Whether a reason is one that a server may give.
+fn is_servers(reason: &Reason) -> bool {
+    [Reason::Fenced, Reason::Shed, Reason::DeadlineHopeless].contains(reason)
+}
+
+fn has_valid_length(headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let first = lengths.next().and_then(|value| value.to_str().ok());
+    let digits = first
+        .is_some_and(|text| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit()));
+    digits && lengths.next().is_none()
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod client;
 mod connection;
 mod exchange;
+mod head;
+mod lane;
 pub mod metrics;
 pub mod order;
 mod outgoing;
