Test the stand-in's health, load and drain, and refusals of large bodies

Cause: these switches had no test of their own.

Change: tests of both endpoints, of misleading figures, of a draining server, and of a refusal that comes while the body is still being sent.

--- a/crates/backend/tests/backend/pool.rs
+++ b/crates/backend/tests/backend/pool.rs
@@ -447,3 +447,15 @@
         }],
     }
 }
+
+/// The refusal comes while the body is still on its way.
+#[tokio::test]
+async fn refusal_of_a_large_body_is_heard() {
+    let setup = Setup::new(Options::new("upstream-1")).await;
+    for _ in 0..20 {
+        let mut request = post(&[], Body::full(vec![7; 5_000_000]));
+        request.head.shard = 1;
+        let response = setup.forward(request).await;
+        expect_failure(&response, Verdict::NotRun, Reason::Fenced);
+    }
+}
--- a/crates/standin/tests/standin/server.rs
+++ b/crates/standin/tests/standin/server.rs
@@ -4,14 +4,18 @@
 
 use copperwell_backend::{
     Client, Control, Forward, Pool,
-    order::{Fence, Give, Order},
+    order::{Fence, Give, Held, Load, Order, path},
 };
 use copperwell_keyspace::{GroupId, manifest::Fencing};
 use copperwell_message::{Body, Class, Head, Repeat, Request, Response, Verdict};
 use copperwell_standin::backend::{
     Echo, Options, Record, Server, options::ColdStart, record::Outcome,
 };
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
 use uuid::Uuid;
 
 const EPOCH: u64 = 2;
@@ -32,7 +36,7 @@
         }
     }
 
-    async fn own(&self, server: &Server, lease: Duration) {
+    async fn own(&self, server: &Server, lease: Duration) -> Held {
         let group = GroupId {
             service: "calendar".into(),
             data_centre: "ro-nord-1".into(),
@@ -54,7 +58,7 @@
             until_ms: fenced.clock_ms + lease_ms,
             shards: vec![0],
         };
-        self.client.give(server.address(), &give).await.unwrap();
+        self.client.give(server.address(), &give).await.unwrap()
     }
 
     async fn post(&self, server: &Server, fields: &[(&str, &str)]) -> Response {
@@ -98,6 +102,18 @@
     timeout(PATIENCE, holds).await.unwrap();
 }
 
+/// The status line and the last line of an answer.
+async fn get(server: &Server, path: &str) -> [String; 2] {
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    let mut lines = text.lines();
+    let first = lines.next().unwrap().to_owned();
+    [first, lines.next_back().unwrap().to_owned()]
+}
+
 async fn echo(response: Response) -> Echo {
     let bytes = response.body.collect(1 << 20).await.unwrap();
     serde_json::from_slice(&bytes).unwrap()
@@ -212,15 +228,48 @@
     let server = Server::start(options, &Record::new()).await.unwrap();
     let mut streams = Vec::new();
     for _ in 0..10 {
-        streams.push(
-            tokio::net::TcpStream::connect(server.address())
-                .await
-                .unwrap(),
-        );
+        streams.push(TcpStream::connect(server.address()).await.unwrap());
     }
     let last = streams.last_mut().unwrap();
     let mut byte = [0];
-    let read = tokio::io::AsyncReadExt::read(last, &mut byte);
+    let read = last.read(&mut byte);
     assert_eq!(timeout(PATIENCE, read).await.unwrap().unwrap_or(0), 0);
     assert_eq!(server.counts().connections, 3);
 }
+
+#[tokio::test]
+async fn load_is_true_until_it_is_misleading() {
+    let server = Server::start(Options::new("a"), &Record::new())
+        .await
+        .unwrap();
+    let [_, text] = get(&server, path::LOAD).await;
+    let told: Load = serde_json::from_str(&text).unwrap();
+    let mut expected = Load {
+        in_flight: 0,
+        waiting: 0,
+        slots: 6,
+        draining: false,
+    };
+    assert_eq!(told, expected);
+    expected.in_flight = 99;
+    server.mislead(Some(expected.clone()));
+    let [_, text] = get(&server, path::LOAD).await;
+    assert_eq!(serde_json::from_str::<Load>(&text).unwrap(), expected);
+    assert_eq!(Caller::new().own(&server, PATIENCE).await.in_flight, 99);
+}
+
+#[tokio::test]
+async fn draining_server_says_so_and_serves_what_it_holds() {
+    let server = Server::start(Options::new("a"), &Record::new())
+        .await
+        .unwrap();
+    let caller = Caller::new();
+    let [status, _] = get(&server, path::HEALTH).await;
+    assert_eq!(status, "HTTP/1.1 200 OK");
+    server.drain(true);
+    let [status, _] = get(&server, path::HEALTH).await;
+    assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
+    assert!(caller.own(&server, PATIENCE).await.draining);
+    let response = caller.post(&server, &[]).await;
+    assert_eq!(response.reply.verdict, Verdict::Done);
+}
