--- a/crates/keyspace/src/batch.rs
+++ b/crates/keyspace/src/batch.rs
@@ -5,6 +5,9 @@
 use crate::id::LogOffset;
 use serde::{Deserialize, Serialize};
 
+/// The highest offset that a log may reach.
+const OFFSET_MAX: LogOffset = 1 << 62;
+
 /// A part of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Batch {
@@ -23,10 +26,19 @@
     /// Whether the batch can be an answer to a read from `from`.
     #[must_use]
     pub fn answers(&self, from: LogOffset) -> bool {
+        if self.next > OFFSET_MAX {
+            return false;
+        }
         let start = from.max(self.first);
+        if start > self.next {
+            return self.records.is_empty() && self.first <= self.next;
+        }
         let mut offsets = self.records.iter().zip(start..);
         let consecutive = offsets.all(|(entry, offset)| entry.offset == offset);
-        let end = self.records.last().map_or(0, |entry| entry.offset + 1);
+        let end = self
+            .records
+            .last()
+            .map_or(0, |entry| entry.offset.saturating_add(1));
         consecutive && self.first <= self.next && end <= self.next
     }
 }
--- a/crates/keyspace/src/reader.rs
+++ b/crates/keyspace/src/reader.rs
@@ -11,7 +11,7 @@
     batch::{Batch, Entry},
     id::LogOffset,
     record::{Body, Record, Snapshot},
-    replay::State,
+    replay::{LIFE_MAX, State},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -191,10 +191,10 @@
     pub fn checkpoint(&self) -> Snapshot {
         let mut snapshot = self.snapshot();
         if self.is_ahead() {
-            snapshot.state.life += 1;
+            snapshot.state.life = LIFE_MAX.min(snapshot.state.life + 1);
             snapshot.next = self.cursor;
         } else if self.is_stranded() {
-            snapshot.state.life += 1;
+            snapshot.state.life = LIFE_MAX.min(snapshot.state.life + 1);
             snapshot.next = self.kept_from();
         }
         snapshot
@@ -244,6 +244,9 @@
     /// Takes in a peer's state if it is ahead of this one; tells whether it was.
     pub fn adopt(&mut self, snapshot: &Snapshot) -> bool {
         let told = &snapshot.state;
+        if told.life > LIFE_MAX {
+            return false;
+        }
         let same_life = told.life == self.state.life;
         let is_later = same_life && snapshot.next > self.next && self.phase != Phase::Restarted;
         if told.life <= self.state.life && !is_later {
@@ -502,7 +505,7 @@
     }
 
     fn decode(&mut self, entry: &Entry) -> Option<Record> {
-        let record = Record::decode(&entry.bytes).ok();
+        let record = Record::decode(&entry.bytes).ok().filter(is_sound);
         if record.is_none() {
             self.counts.unreadable += 1;
         }
@@ -534,6 +537,14 @@
     }
 }
 
+/// Whether a snapshot's life is one that a state can have.
+fn is_sound(record: &Record) -> bool {
+    match &record.body {
+        Body::Snapshot(snapshot) => snapshot.state.life <= LIFE_MAX,
+        _ => true,
+    }
+}
+
 fn single(entry: &Entry) -> Batch {
     Batch {
         first: entry.offset,
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -27,9 +27,11 @@
 pub type Stamp = u64;
 
 /// Bits of a stamp that tell apart records of one offset, which a log that lost records has.
-const HASH_BITS: u32 = 16;
+const HASH_BITS: u32 = 12;
 /// Bits of a stamp that hold the offset.
 const OFFSET_BITS: u32 = 36;
+/// The last life that a state can have; the epochs of one more would not fit.
+pub const LIFE_MAX: u64 = (1 << (63 - HASH_BITS - OFFSET_BITS)) - 1;
 
 /// The agreed state.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -243,10 +245,28 @@
         self.groups.retain(|id, _| active.contains(id));
     }
 
+    fn drop_if_idle(&mut self, group: &GroupId) {
+        if !self.is_active(group) {
+            self.groups.remove(group);
+        }
+    }
+
+    /// Whether a group is among [`State::groups_in_force`].
+    fn is_active(&self, group: &GroupId) -> bool {
+        if self.may_take(group, &group.service) || self.former.contains_key(group) {
+            return true;
+        }
+        let manifest = self.manifest.as_ref();
+        let is_declared = manifest.is_some_and(|held| held.service(&group.service).is_some());
+        let owners = self.owners.get(&group.service);
+        is_declared && owners.is_some_and(|owners| owners.contains(group))
+    }
+
     fn stamp(&self, offset: LogOffset, id: &Id) -> Stamp {
         let name = format!("{}/{}/{}", id.writer, id.incarnation, id.sequence);
         let hash = xxh3_64(name.as_bytes()) & ((1 << HASH_BITS) - 1);
-        let position = (self.life << OFFSET_BITS) | (offset + 1).min((1 << OFFSET_BITS) - 1);
+        let place = offset.saturating_add(1).min((1 << OFFSET_BITS) - 1);
+        let position = (self.life.min(LIFE_MAX) << OFFSET_BITS) | place;
         (position << HASH_BITS) | hash
     }
 
@@ -300,15 +320,11 @@
 
     fn apply_appoint(&mut self, stamp: Stamp, appoint: &Appoint) -> bool {
         let current = self.groups.get(&appoint.group).map_or(0, |held| held.epoch);
-        let is_active = || {
-            let groups = self.groups_in_force();
-            groups.iter().any(|group| group.id == appoint.group)
-        };
         let stands_by_itself = appoint
             .standby
             .as_ref()
             .is_some_and(|standby| standby.name == appoint.leader.name);
-        if appoint.replaces != current || stands_by_itself || !is_active() {
+        if appoint.replaces != current || stands_by_itself || !self.is_active(&appoint.group) {
             return false;
         }
         let by_stamp = stamp.saturating_mul(EPOCH_STRIDE);
@@ -341,7 +357,7 @@
             owners[*shard as usize] = moved.to.clone();
             stamps.insert(*shard, stamp);
         }
-        self.drop_idle_groups();
+        self.drop_if_idle(&moved.from);
         true
     }
 
@@ -358,7 +374,7 @@
         if former.is_empty() {
             self.former.remove(&retire.group);
         }
-        self.drop_idle_groups();
+        self.drop_if_idle(&retire.group);
         changed
     }
 
--- a/crates/keyspace/tests/keyspace/decode.rs
+++ b/crates/keyspace/tests/keyspace/decode.rs
@@ -104,8 +104,9 @@
 
 #[test]
 fn any_batch_is_taken_without_harm() {
-    let entries = vec((0..9_u64, vec(any::<u8>(), 0..9)), 0..6);
-    let run = |(first, next, entries): (u64, u64, Vec<(u64, Vec<u8>)>)| {
+    let offset = || prop_oneof![4 => 0..9_u64, 1 => any::<u64>(), 1 => Just(u64::MAX)];
+    let entries = vec((offset(), vec(any::<u8>(), 0..9)), 0..6);
+    let run = |(from, first, next, entries): (u64, u64, u64, Vec<(u64, Vec<u8>)>)| {
         let records = entries
             .into_iter()
             .map(|(offset, bytes)| copperwell_keyspace::batch::Entry { offset, bytes })
@@ -119,11 +120,11 @@
         let json = serde_json::to_vec(&batch).expect("JSON");
         let read: Batch = serde_json::from_slice(&json).expect("the same batch");
         prop_assert_eq!(&read, &batch);
-        if batch.answers(0) {
+        if batch.answers(from) {
             Reader::new().take(&batch);
         }
         Ok(())
     };
-    let cases = (0..9_u64, 0..9_u64, entries);
+    let cases = (offset(), offset(), offset(), entries);
     runner(4000).run(&cases, run).expect("no case fails");
 }
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Batch, Error, Log, Relay, Relayed,
+    http::check,
     metrics::{Metrics, Source as SourceLabel},
 };
 use copperwell_keyspace::{
@@ -161,6 +162,7 @@
             snapshot_at: Instant::now(),
             ahead_since: None,
             stranded_since: None,
+            reads_log: false,
             tried_at: None,
             append: None,
         };
@@ -248,6 +250,8 @@
     ahead_since: Option<Instant>,
     /// Since when the reader misses records.
     stranded_since: Option<Instant>,
+    /// Whether the last read was of the log itself; only then snapshots are appended.
+    reads_log: bool,
     tried_at: Option<Instant>,
     append: Option<JoinHandle<()>>,
 }
@@ -260,6 +264,7 @@
             let settled = match self.read().await {
                 Ok(batch) => self.take(&batch).await,
                 Err(_) => {
+                    self.reads_log = false;
                     self.publish_away();
                     self.ask_peers().await;
                     false
@@ -310,7 +315,7 @@
         let read = timeout(wait + SNAPSHOT_TIMEOUT, self.relay.records(from, wait)).await;
         let read = read
             .change_context(Error::Unavailable)
-            .and_then(|batch| batch);
+            .and_then(|batch| check(batch?, from));
         self.count(read, "peer")
     }
 
@@ -331,6 +336,7 @@
 
     /// Takes a batch in; `false` if the next read should wait a little.
     async fn take(&mut self, batch: &Batch) -> bool {
+        self.reads_log = batch.relayed.is_none();
         let (outlived, stuck) = {
             let mut reader = lock(&self.reader);
             let (counts, position) = (reader.counts(), reader.position());
@@ -432,6 +438,9 @@
         let Some(writer) = self.settings.writer.clone() else {
             return;
         };
+        if !self.reads_log {
+            return;
+        }
         let now = Instant::now();
         if !self.is_due(&writer, now) {
             return;
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -193,7 +193,9 @@
             "/streams/{stream}/records?from={from}&wait_ms={}",
             wait.as_millis()
         );
-        let batch: Batch = self.get_json(&path, wait + self.call_timeout).await?;
+        let mut batch: Batch = self.get_json(&path, wait + self.call_timeout).await?;
+        // Only daemons hand records on.
+        batch.relayed = None;
         check(batch, from)
     }
 }
@@ -206,8 +208,7 @@
 }
 
 /// Passes a batch on if it can be an answer to a read from `from`.
-fn check(mut batch: Batch, from: LogOffset) -> Result<Batch, Report<Error>> {
-    batch.relayed = None;
+pub(crate) fn check(batch: Batch, from: LogOffset) -> Result<Batch, Report<Error>> {
     if batch.answers(from) {
         return Ok(batch);
     }
