--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -31,13 +31,15 @@
 impl<F: Forward> Inner<F> {
     /// Serves a request that is not repeatable.
     pub(crate) async fn serve_once(self: &Arc<Self>, id: Uuid, mut call: Call) -> Response {
+        // Once it has waited for another to end or to stop, nothing can rule out that it ran.
+        let mut unless = Verdict::NotRun;
         loop {
             let serving = match self.serving(&call.head.service) {
                 Ok(serving) => serving,
-                Err(failure) => return failure.into_response(),
+                Err(failure) => return Failure::new(unless, failure.reason).into_response(),
             };
             let Some(term) = self.term(&call) else {
-                return Failure::not_run(Reason::NotLeader).into_response();
+                return Failure::new(unless, Reason::NotLeader).into_response();
             };
             let claim = Claim {
                 id,
@@ -52,10 +54,22 @@
                 }
                 Claimed::Join(ended) => {
                     self.metrics.joins.inc();
+                    unless = Verdict::MayHaveRun;
                     if timeout_at(call.deadline, ended).await.is_err() {
                         return Failure::may_have_run(Reason::DeadlinePassed).into_response();
                     }
                 }
+                Claimed::Wait => {
+                    // Should no owner be found, it stays open whether the leader before ran it.
+                    unless = Verdict::MayHaveRun;
+                    if let Err(failure) = self.route(&call, &serving).await {
+                        return Failure {
+                            verdict: unless,
+                            ..failure
+                        }
+                        .into_response();
+                    }
+                }
                 Claimed::Kept(outcome) => {
                     self.metrics.kept.inc();
                     return replay(outcome);
