Tell the log's lag, and hold a new view back until the log's end

A daemon that started on a long log acted on the state of its first records. The view says Starting until the end was reached once.

--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -63,7 +63,7 @@
 /// How a view stands to the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Status {
-    /// Nothing was read yet.
+    /// The end of the log was not reached yet.
     Starting,
     /// The last read succeeded.
     Current,
@@ -380,10 +380,14 @@
         let age = batch.relayed.map_or(Duration::ZERO, |relayed| relayed.age);
         let now = Instant::now();
         let seen = now.checked_sub(age).unwrap_or(now);
+        let is_starting = self.to.borrow().status == Status::Starting;
         let (state, next, status) = {
             let reader = lock(&self.reader);
+            let is_behind = reader.next() < batch.next;
             let status = match reader.phase() {
                 _ if !is_fresh(batch) => Status::Away(seen),
+                // The state of an early record is no state to act on.
+                Phase::Following if is_starting && is_behind => Status::Starting,
                 Phase::Starting => Status::Starting,
                 Phase::Following | Phase::Short => Status::Current,
                 Phase::Gap => Status::Gap,
@@ -394,6 +398,8 @@
         self.metrics
             .next
             .set(i64::try_from(next).unwrap_or(i64::MAX));
+        let lag = batch.next.saturating_sub(next);
+        self.metrics.lag.set(i64::try_from(lag).unwrap_or(i64::MAX));
         let is_away = matches!(status, Status::Away(_));
         self.metrics.away.set(is_away.into());
         self.send(|view| View {
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -23,6 +23,7 @@
     restarts: Counter,
     joins: Counter,
     pub(crate) next: Gauge,
+    pub(crate) lag: Gauge,
     pub(crate) away: Gauge,
 }
 
@@ -88,6 +89,7 @@
             held.joins,
         );
         registry.register("log_next", "The first offset not read", held.next);
+        registry.register("log_lag", "Records known of and not read", held.lag);
         registry.register(
             "log_away",
             "1 if neither the log nor a peer that reads it answers",
