--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -1,7 +1,7 @@
 //! The client for control orders.
 //!
-//! Lock order: the map of lanes, then one lane's idle connections. No
-//! lock is held across an await.
+//! Lock order: the map of lanes, then one lane's idle connections. No lock is held across an
+//! await.
 
 use std::{
     net::SocketAddr,
--- a/crates/backend/tests/backend/pool.rs
+++ b/crates/backend/tests/backend/pool.rs
@@ -2,10 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::setup::{
-    DEADLINE, EPOCH, SILENCE, Setup, echo, expect_failure, fence, post, post_for, until,
-};
-use copperwell_backend::{Control, order::header};
+use crate::setup::{DEADLINE, EPOCH, SILENCE, Setup, echo, expect_failure, post, post_for, until};
+use copperwell_backend::order::header;
 use copperwell_message::{Body, Reason, Repeat, Severed, Verdict};
 use copperwell_standin::{
     backend::{Options, record::Outcome},
@@ -268,8 +266,7 @@
 #[tokio::test]
 async fn server_that_was_fenced_since_refuses() {
     let setup = Setup::new(Options::new("upstream-1")).await;
-    let to = setup.server.address();
-    setup.client.fence(to, &fence(EPOCH + 1)).await.unwrap();
+    setup.fence(EPOCH + 1).await;
     let response = setup.forward(post(&[], Body::full("grit"))).await;
     expect_failure(&response, Verdict::NotRun, Reason::Fenced);
     assert!(setup.record.runs().is_empty());
--- a/crates/standin/src/backend/grants.rs
+++ b/crates/standin/src/backend/grants.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 struct Rights {
     highest: Epoch,
+    /// The highest sequence seen of that epoch.
+    sequence: Sequence,
     shards: HashMap<ShardIndex, Right>,
 }
 
@@ -100,12 +102,11 @@
         })
     }
 
-    /// Takes a grant that lasts until `until`; orders about shards that are older than one seen
-    /// before have no effect on them.
+    /// Takes a grant that lasts until `until`; the same one again has no further effect.
     ///
     /// # Errors
     ///
-    /// [`Refusal`] if a higher epoch was seen.
+    /// [`Refusal`] if a higher epoch or a later sequence was seen, or it is for another run.
     pub fn give(
         &mut self,
         order: &Give,
@@ -114,7 +115,7 @@
     ) -> Result<Vec<Change>, Refusal> {
         let checked = self.fencing == Fencing::Checked;
         self.check_run(&order.group, order.incarnation)?;
-        let rights = self.admit(&order.group, order.epoch)?;
+        let rights = self.admit_in_turn(&order.group, order.epoch, order.sequence)?;
         let place = Place {
             epoch: order.epoch,
             sequence: order.sequence,
@@ -122,17 +123,20 @@
         let mut changes = Vec::new();
         for shard in &order.shards {
             // An order that comes twice must not prolong what it gave.
-            let seen = rights.shards.get(shard).map(|right| right.order);
+            let before = rights.shards.get(shard);
+            let seen = before.map(|right| right.order);
             if checked && (seen >= Some(place) || until <= now) {
                 continue;
             }
+            let until = before.and_then(|right| right.until).max(Some(until));
             let right = Right {
                 order: place,
                 epoch: order.epoch,
-                until: Some(until),
+                until,
                 accepting: true,
             };
             rights.shards.insert(*shard, right);
+            let until = until.unwrap_or(now);
             changes.push(Change::Until(order.group.service.clone(), *shard, until));
         }
         Ok(changes)
@@ -169,10 +173,10 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal`] if a higher epoch was seen.
+    /// [`Refusal`] if a higher epoch or a later sequence was seen.
     pub fn release(&mut self, order: &Release) -> Result<(), Refusal> {
         let checked = self.fencing == Fencing::Checked;
-        let rights = self.admit(&order.group, order.epoch)?;
+        let rights = self.admit_in_turn(&order.group, order.epoch, order.sequence)?;
         let place = Place {
             epoch: order.epoch,
             sequence: order.sequence,
@@ -301,7 +305,29 @@
                 epoch: rights.highest,
             });
         }
-        rights.highest = rights.highest.max(epoch);
+        if epoch > rights.highest {
+            rights.highest = epoch;
+            rights.sequence = 0;
+        }
+        Ok(rights)
+    }
+
+    /// As [`Grants::admit`], and refuses an order that comes after a later one of its epoch.
+    fn admit_in_turn(
+        &mut self,
+        group: &GroupId,
+        epoch: Epoch,
+        sequence: Sequence,
+    ) -> Result<&mut Rights, Refusal> {
+        let (incarnation, fencing) = (self.incarnation, self.fencing);
+        let rights = self.admit(group, epoch)?;
+        if sequence < rights.sequence && fencing == Fencing::Checked {
+            return Err(Refusal {
+                incarnation,
+                epoch: rights.highest,
+            });
+        }
+        rights.sequence = rights.sequence.max(sequence);
         Ok(rights)
     }
 }
