--- a/crates/copperwell/src/status.rs
+++ b/crates/copperwell/src/status.rs
@@ -36,12 +36,14 @@
         print(serde_json::to_string(&answer).unwrap_or_default());
         return Ok(Exit::Done);
     }
-    print(table::daemons(&fleet));
-    print(table::groups(&groups));
-    print(table::upstreams(&groups));
-    if let Some(manifest) = manifest {
-        print(table::services(&manifest));
-    }
+    let mut tables = vec![
+        table::daemons(&fleet),
+        table::groups(&groups),
+        table::upstreams(&groups),
+    ];
+    tables.extend(manifest.as_ref().map(table::services));
+    let tables: Vec<String> = tables.iter().map(ToString::to_string).collect();
+    print(tables.join("\n\n"));
     for address in &fleet.unreachable {
         eprintln!("copperwell: no daemon answers at {address}");
     }
