Share the owners of shards between views of the state

Each batch copied the owners of all shards, and each plan hashed them one by one. Owners are shared until they change, and runs of equal owners are counted at once.

--- a/crates/keyspace/src/balance.rs
+++ b/crates/keyspace/src/balance.rs
@@ -154,28 +154,32 @@
         .iter()
         .map(|share| (&share.group, share.target))
         .collect();
-    let mut from: Vec<GroupId> = count(owners).into_keys().collect();
+    let mut from: Vec<GroupId> = count(owners)
+        .into_iter()
+        .filter(|(group, held)| *held > targets.get(group).copied().unwrap_or(0))
+        .map(|(group, _)| group)
+        .collect();
     from.sort();
     from.into_iter()
-        .filter_map(|group| {
+        .map(|group| {
             let mut shards = shards_of(owners, &group);
             let kept = targets.get(&group).copied().unwrap_or(0);
-            let shards = shards.split_off(kept.min(shards.len()));
-            (!shards.is_empty()).then_some(Surplus {
+            let shards = shards.split_off(kept);
+            Surplus {
                 from: group,
                 shards,
-            })
+            }
         })
         .collect()
 }
 
 fn count(owners: &[GroupId]) -> HashMap<GroupId, usize> {
     let mut counts: HashMap<GroupId, usize> = HashMap::default();
-    for owner in owners {
-        match counts.get_mut(owner) {
-            Some(count) => *count += 1,
+    for run in owners.chunk_by(|one, other| one == other) {
+        match counts.get_mut(&run[0]) {
+            Some(count) => *count += run.len(),
             None => {
-                counts.insert(owner.clone(), 1);
+                counts.insert(run[0].clone(), run.len());
             }
         }
     }
--- a/crates/keyspace/src/merge.rs
+++ b/crates/keyspace/src/merge.rs
@@ -1,5 +1,7 @@
 //! Joins two states that grew apart, so that neither takes the other back.
 
+use std::sync::Arc;
+
 use crate::{
     HashMap,
     id::{GroupId, ServiceName},
@@ -65,9 +67,13 @@
             }
             continue;
         }
+        if ours == theirs && joined.moved.get(service) == older.moved.get(service) {
+            continue;
+        }
+        let ours = Arc::make_mut(ours);
         let moves = older.moved.get(service);
         let stamps = joined.moved.entry(service.clone()).or_default();
-        for (shard, (ours, theirs)) in (0..).zip(ours.iter_mut().zip(theirs)) {
+        for (shard, (ours, theirs)) in (0..).zip(ours.iter_mut().zip(theirs.iter())) {
             let held = stamps.get(&shard).copied();
             let stamp = moves.and_then(|moves| moves.get(&shard)).copied();
             // Of two owners without a move between them, one is taken by a fixed order.
--- a/crates/keyspace/src/ranges.rs
+++ b/crates/keyspace/src/ranges.rs
@@ -1,5 +1,7 @@
 //! Owners of shards as runs of equal owners, which keeps snapshots small.
 
+use std::sync::Arc;
+
 use crate::{
     HashMap,
     id::{GroupId, ServiceName},
@@ -8,7 +10,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 
 /// Owners of the shards of all services.
-type Owners = HashMap<ServiceName, Vec<GroupId>>;
+type Owners = HashMap<ServiceName, Arc<Vec<GroupId>>>;
 
 /// The owners of one service.
 #[derive(Serialize, Deserialize)]
@@ -50,7 +52,7 @@
     let mut owners = Owners::default();
     for (service, runs) in packed {
         let groups = unpack(&runs, &mut room).ok_or_else(|| D::Error::custom("bad runs"))?;
-        owners.insert(service, groups);
+        owners.insert(service, Arc::new(groups));
     }
     Ok(owners)
 }
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -4,7 +4,7 @@
 //! void for everybody if its parent is not the current one, which turns the append-only log into
 //! compare-and-swap.
 
-use std::{cmp::Ordering, time::Duration};
+use std::{cmp::Ordering, sync::Arc, time::Duration};
 
 use crate::{
     HashMap, HashSet,
@@ -44,7 +44,7 @@
     pub groups: HashMap<GroupId, Appointment>,
     /// The group of each shard, by service; those of removed services stay.
     #[serde(with = "ranges")]
-    pub owners: HashMap<ServiceName, Vec<GroupId>>,
+    pub owners: HashMap<ServiceName, Arc<Vec<GroupId>>>,
     /// The last move of each shard that ever moved, by service.
     pub moved: HashMap<ServiceName, HashMap<ShardIndex, Stamp>>,
     /// Upstreams that a manifest removed and that may still hold grants.
@@ -185,9 +185,12 @@
             for service in &manifest.services {
                 let groups = manifest.groups(service).into_iter();
                 active.extend(groups.map(|group| (group.id, group.upstreams)));
-                for owner in self.owners.get(&service.name).into_iter().flatten() {
-                    if !active.contains_key(owner) {
-                        active.insert(owner.clone(), Vec::new());
+                let Some(owners) = self.owners.get(&service.name) else {
+                    continue;
+                };
+                for run in owners.chunk_by(|one, other| one == other) {
+                    if !active.contains_key(&run[0]) {
+                        active.insert(run[0].clone(), Vec::new());
                     }
                 }
             }
@@ -309,7 +312,7 @@
         for service in &manifest.services {
             self.owners
                 .entry(service.name.clone())
-                .or_insert_with(|| manifest.initial_owners(service));
+                .or_insert_with(|| Arc::new(manifest.initial_owners(service)));
             let longest = self.leases.entry(service.name.clone()).or_default();
             *longest = service.lease.max(*longest);
         }
@@ -352,6 +355,7 @@
         if moved.shards.is_empty() || moved.from == moved.to || !moved.shards.iter().all(owned) {
             return false;
         }
+        let owners = Arc::make_mut(owners);
         let stamps = self.moved.entry(moved.service.clone()).or_default();
         for shard in &moved.shards {
             owners[*shard as usize] = moved.to.clone();
--- a/crates/keyspace/tests/keyspace/balance.rs
+++ b/crates/keyspace/tests/keyspace/balance.rs
@@ -1,9 +1,10 @@
 //! Plans that move the fewest shards.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::sample::{group, manifest, record, runner, service, upstream};
 use copperwell_keyspace::{
+    GroupId,
     balance::{TOLERANCE_PERCENT, plan},
     checkpoint::{EVERY, Need, RECORDS_MAX, STRANDED_AFTER, URGENT_AFTER, is_due},
     record::Body,
@@ -25,8 +26,8 @@
     let first = manifest(0, vec![service("calendar", shards, list)]);
     let mut state = State::default();
     state.apply(0, &record("one", 1, Body::Manifest(first)));
-    let owners = owners.iter().map(|north| group(side(*north))).collect();
-    state.owners.insert("calendar".into(), owners);
+    let owners: Vec<GroupId> = owners.iter().map(|north| group(side(*north))).collect();
+    state.owners.insert("calendar".into(), Arc::new(owners));
     state
 }
 
--- a/crates/keyspace/tests/keyspace/replay.rs
+++ b/crates/keyspace/tests/keyspace/replay.rs
@@ -202,7 +202,7 @@
             .owners
             .get("calendar")
             .into_iter()
-            .flatten()
+            .flat_map(|owners| owners.iter())
             .map(|owner| owner.data_centre.to_string())
             .collect();
         prop_assert_eq!(&self.owners, &owners);
