--- a/crates/caller/src/route.rs
+++ b/crates/caller/src/route.rs
@@ -204,6 +204,7 @@
         };
         match response.reply.reason {
             Some(reason) if is_untaken(&response) => self.metrics.retry(reason),
+            Some(reason) if is_silence(reason) => {}
             _ => way.took(hop),
         }
         response
@@ -304,6 +305,14 @@
     hops.collect()
 }
 
+/// Whether nobody answered, so that it is unknown who takes requests.
+fn is_silence(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::ConnectionSilent | Reason::ConnectionLost | Reason::DeadlinePassed
+    )
+}
+
 /// Whether the daemon did not lead or could not be reached, so that another one may be asked.
 fn is_untaken(response: &Response) -> bool {
     let elsewhere = matches!(
