Test each rule of a group by itself, and mend what that showed

They had missed a busy loop of fences in an isolated leader, removed servers that were never forgotten, unchecked servers granted to before the old leader's last orders had lapsed, and shards of a restarted server that went elsewhere at once.

--- a/crates/ownership/src/event.rs
+++ b/crates/ownership/src/event.rs
@@ -63,8 +63,6 @@
         /// The time before both.
         at: Instant,
     },
-    /// The VM of an upstream is gone.
-    Gone(UpstreamName),
     /// The log, or a peer that sees it, was asked at this time and has answered.
     Contact(Instant),
 }
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -169,9 +169,6 @@
             }
             Evidence::Alone(group) => self.send(&held, &group, Input::Stopped),
             Evidence::Confirmed { group, at } => self.send(&held, &group, Input::Confirmed(at)),
-            Evidence::Gone(upstream) => {
-                self.send_all(&held, |_| true, &Input::Gone(upstream));
-            }
             Evidence::Contact(at) => self.send_all(&held, |_| true, &Input::Contact(at)),
         }
     }
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -31,6 +31,15 @@
 /// Shards on their way from one upstream to another at a time.
 const MOVES_AT_ONCE: usize = 8;
 
+/// Shards that wait for the log to give them to another group at a time.
+const AWAY_MAX: usize = 64;
+
+/// Shards that are ready within this time of one another are told together.
+const AWAY_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often shards are told that the log still does not have with their new group.
+const AWAY_REPEAT: Duration = Duration::from_secs(3);
+
 /// From here on a draining upstream's shards are all moved at once.
 const DRAIN_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -160,16 +169,12 @@
         if self.phase == Phase::Stopped {
             return None;
         }
-        let orders = self
-            .servers
-            .values()
-            .filter(|server| !server.gone)
-            .map(|server| {
-                let due = server.pending.is_none().then_some(server.due);
-                let lapse = server.holds().then_some(server.lapse).flatten();
-                let patience = server.drained.map(|since| since + DRAIN_PATIENCE);
-                [due, lapse, patience]
-            });
+        let orders = self.servers.values().map(|server| {
+            let due = server.pending.is_none().then_some(server.due);
+            let lapse = server.holds().then_some(server.lapse).flatten();
+            let patience = server.drained.map(|since| since + DRAIN_PATIENCE);
+            [due, lapse, patience, server.unsure]
+        });
         let unknown = !self.unknown.is_empty();
         let others = [
             unknown.then(|| self.waited_out()).flatten(),
@@ -201,11 +206,6 @@
                 self.stopped.get_or_insert(now);
             }
             Input::Confirmed(at) => self.confirmed = self.confirmed.max(Some(at)),
-            Input::Gone(upstream) => {
-                if let Some(server) = self.servers.get_mut(&upstream) {
-                    server.gone = true;
-                }
-            }
             Input::Contact(at) => self.contact = self.contact.max(at),
             Input::Load(loads) => self.on_load(&loads, now),
             Input::GiveAway { shards, to } => self.on_give_away(&shards, &to),
@@ -222,7 +222,7 @@
         self.resolve(now);
         if self.phase == Phase::Leading {
             self.drain(now);
-            self.depart();
+            self.depart(now);
             self.balance(now);
         }
         self.prune(now);
@@ -267,16 +267,16 @@
     }
 
     /// Frees the shards that another group is to own, and sets them aside.
-    fn depart(&mut self) {
+    fn depart(&mut self, now: Instant) {
         for (shard, to) in self.departing.clone() {
+            let has_room = self.leaving.len() < MOVES_AT_ONCE && self.away.len() < AWAY_MAX;
             match self.shards.get(&shard) {
-                Some(Place::Owned { .. }) if self.leaving.len() < MOVES_AT_ONCE => {
+                Some(Place::Owned { .. }) if has_room => {
                     self.begin_move(shard, Goal::Anywhere);
                 }
-                Some(Place::Free(Free { since, .. }))
-                    if since.is_none_or(|since| self.is_confirmed(since)) =>
-                {
+                Some(Place::Free(free)) if self.is_ready(free, now) => {
                     self.put(shard, Place::Away { to });
+                    self.away_at = self.away_at.min(now + AWAY_PAUSE);
                 }
                 _ => {}
             }
@@ -377,7 +377,7 @@
         let all_known = self
             .servers
             .values()
-            .all(|server| server.gone || server.established().is_some());
+            .all(|server| server.established().is_some());
         let waited_out = self.waited_out().is_some_and(|at| at <= now);
         if !all_known && !waited_out {
             return;
@@ -390,7 +390,14 @@
                 _ => None,
             };
             let next = last.clone();
-            self.put(shard, Place::Free(Free { since, last, next }));
+            let free = Free {
+                since,
+                unsure: None,
+                last,
+                next,
+                patience: None,
+            };
+            self.put(shard, Place::Free(free));
         }
     }
 
@@ -474,7 +481,7 @@
         if self.away.is_empty() || now < self.away_at {
             return;
         }
-        self.away_at = now + balance::PERIOD;
+        self.away_at = now + AWAY_REPEAT;
         let mut away: BTreeMap<GroupId, Vec<ShardIndex>> = BTreeMap::new();
         for shard in &self.away {
             if let Some(Place::Away { to }) = self.shards.get(shard) {
--- a/crates/policy/src/group/answer.rs
+++ b/crates/policy/src/group/answer.rs
@@ -39,7 +39,7 @@
             Err(Failure::Refused { incarnation, .. }) => {
                 server.lapse = pending.lapse;
                 server.due = now;
-                if self.on_run(upstream, incarnation)
+                if self.on_run(upstream, incarnation, now)
                     && let Some(run) = self.run_mut(upstream)
                 {
                     run.doubtful = true;
@@ -52,6 +52,10 @@
                 self.changed.extend(&server.owned);
             }
             Err(Failure::Silent) => {
+                let is_give = matches!(pending.order, Order::Give { .. });
+                if is_give && !server.is_checked() {
+                    server.unsure = server.lapse;
+                }
                 server.misses += 1;
                 server.due = now;
                 self.changed.extend(&server.owned);
@@ -79,7 +83,7 @@
             ..
         }) = answer;
         let is_fence = matches!(answer, Answer::Fenced { .. });
-        let is_known = self.on_run(upstream, incarnation);
+        let is_known = self.on_run(upstream, incarnation, now);
         let Some(server) = self.servers.get_mut(upstream) else {
             return;
         };
@@ -103,7 +107,8 @@
     /// Notes which run of a server speaks; a later one than before holds nothing.
     ///
     /// False if it is not the run that this leader has fenced.
-    fn on_run(&mut self, upstream: &UpstreamName, incarnation: Incarnation) -> bool {
+    fn on_run(&mut self, upstream: &UpstreamName, incarnation: Incarnation, now: Instant) -> bool {
+        let patience = Some(now + self.heartbeat());
         let Some(server) = self.servers.get_mut(upstream) else {
             return false;
         };
@@ -122,13 +127,20 @@
         server.unwanted.clear();
         let held = server.held_shards();
         for shard in held {
-            self.put(shard, Place::dropped_by(upstream, None));
+            let free = Free {
+                next: Some(upstream.clone()),
+                last: Some(upstream.clone()),
+                patience,
+                ..Free::default()
+            };
+            self.put(shard, Place::Free(free));
         }
         false
     }
 
     /// Sets what a server holds to what it reports.
     fn on_fenced(&mut self, upstream: &UpstreamName, grants: &[Grant], now: Instant) {
+        let is_isolated = self.is_isolated(now);
         let mut live = BTreeSet::new();
         for grant in grants {
             if grant.service != self.id.service {
@@ -151,10 +163,9 @@
         if let Some(run) = &mut server.run {
             run.doubtful = false;
         }
-        // Grants that were not renewed while this was asked are renewed next.
-        server.due = now.max(server.due);
         let lapsed: Vec<ShardIndex> = server.owned.difference(&live).copied().collect();
-        if server.established().is_some() && !live.is_empty() {
+        // Grants that were not renewed while this was asked are renewed next.
+        if server.established().is_some() && !live.is_empty() && !is_isolated {
             server.due = now;
         }
         for shard in lapsed {
@@ -286,8 +297,10 @@
             };
             let free = Free {
                 since: None,
+                unsure: self.servers.get(upstream).and_then(|server| server.unsure),
                 last: Some(upstream.clone()),
                 next,
+                patience: None,
             };
             self.put(*shard, Place::Free(free));
         }
--- a/crates/policy/src/group/message.rs
+++ b/crates/policy/src/group/message.rs
@@ -83,8 +83,6 @@
     /// At this time nobody with a higher epoch led the group: the log was read to its end after
     /// it, and the standby has been asked after it.
     Confirmed(Instant),
-    /// The VM of this upstream is gone.
-    Gone(UpstreamName),
     /// At this time the log, or a peer that sees the log, was asked and has answered since.
     Contact(Instant),
     /// Requests of shards since the last such input.
--- a/crates/policy/src/group/order.rs
+++ b/crates/policy/src/group/order.rs
@@ -39,7 +39,7 @@
         let is_isolated = self.is_isolated(now);
         let is_settled = self.settled;
         let server = self.servers.get(name)?;
-        if server.pending.is_some() || server.gone {
+        if server.pending.is_some() {
             return None;
         }
         let is_due = server.due <= now;
@@ -145,7 +145,7 @@
         let Some(Place::Free(free)) = self.shards.get(&shard) else {
             return None;
         };
-        if free.since.is_some_and(|since| !self.is_confirmed(since)) {
+        if !self.is_ready(free, now) || self.is_awaited(free, now) {
             return None;
         }
         Some(Item {
@@ -169,7 +169,11 @@
             return;
         };
         let lapse = server.lapse;
-        let prolongs = matches!(order, Order::Give { .. } | Order::Renew { .. });
+        let prolongs = match order {
+            Order::Give { .. } => true,
+            Order::Renew { .. } => server.holds() || !server.unwanted.is_empty(),
+            Order::Fence | Order::Release { .. } => false,
+        };
         if prolongs && let Some(run) = &server.run {
             let end = run.latest(end);
             server.may_hold(end);
--- a/crates/policy/src/group/place.rs
+++ b/crates/policy/src/group/place.rs
@@ -43,10 +43,14 @@
     /// Where a server that is silent held it: a quorum has to confirm after this time that nobody
     /// else renews it there.
     pub(super) since: Option<Instant>,
+    /// Until when a delayed order may still bring it back to a server that does not check orders.
+    pub(super) unsure: Option<Instant>,
     /// The upstream that had it last.
     pub(super) last: Option<UpstreamName>,
     /// The upstream that is to have it.
     pub(super) next: Option<UpstreamName>,
+    /// Until when that one is waited for while a new run of it comes up.
+    pub(super) patience: Option<Instant>,
 }
 
 /// A shard that a server is to let go of.
@@ -97,8 +101,10 @@
     pub(super) fn dropped_by(upstream: &UpstreamName, since: Option<Instant>) -> Self {
         Self::Free(Free {
             since,
+            unsure: None,
             last: Some(upstream.clone()),
             next: Some(upstream.clone()),
+            patience: None,
         })
     }
 }
--- a/crates/policy/src/group/quorum.rs
+++ b/crates/policy/src/group/quorum.rs
@@ -1,6 +1,11 @@
 //! When a leader may count on a server, and when it may grant what a silent server held.
 
-use super::{Group, message::Predecessor, place::Place, server::Server};
+use super::{
+    Group,
+    message::Predecessor,
+    place::{Free, Place},
+    server::Server,
+};
 use copperwell_keyspace::UpstreamName;
 use tokio::time::Instant;
 
@@ -8,7 +13,10 @@
     /// Counts on the runs that no other leader can have got hold of.
     pub(super) fn establish(&mut self, now: Instant) {
         if self.stopped.is_some() {
-            self.settled = true;
+            if !self.settled {
+                self.settled = true;
+                self.changed.extend(&self.unknown);
+            }
             self.establish_first(now);
         }
         if !self.settled {
@@ -16,7 +24,7 @@
             self.settle(needed);
             return;
         }
-        self.establish_later();
+        self.establish_later(now);
     }
 
     /// Whether enough servers have taken an order of this epoch that was sent at `since` or later.
@@ -31,6 +39,20 @@
         confirming.count() >= self.needed_to_grant()
     }
 
+    /// Whether surely no server holds a shard, nor will.
+    pub(super) fn is_ready(&self, free: &Free, now: Instant) -> bool {
+        let is_sure = free.unsure.is_none_or(|unsure| unsure <= now);
+        is_sure && free.since.is_none_or(|since| self.is_confirmed(since))
+    }
+
+    /// Whether the upstream that is to have a shard comes up in a moment.
+    pub(super) fn is_awaited(&self, free: &Free, now: Instant) -> bool {
+        let next = free.next.as_ref().and_then(|next| self.servers.get(next));
+        let comes =
+            next.is_some_and(|next| next.misses == 0 && !next.is_open() && !next.is_leaving());
+        comes && free.patience.is_some_and(|patience| now < patience)
+    }
+
     /// The latest time for which a word of the servers is wanted.
     pub(super) fn confirm_since(&self) -> Option<Instant> {
         let freed = self.free.iter().filter_map(|shard| {
@@ -41,7 +63,7 @@
         });
         let runs = self.servers.values().filter_map(|server| {
             let run = server.run.as_ref()?;
-            let waits = !run.established && !server.gone;
+            let waits = !run.established;
             (waits && (server.is_checked() || self.stopped.is_some())).then_some(run.fenced)
         });
         freed.chain(runs).max()
@@ -50,7 +72,7 @@
     /// The servers whose word counts.
     fn counted(&self) -> impl Iterator<Item = &Server> {
         let servers = self.servers.values();
-        servers.filter(|server| server.is_checked() && !server.gone)
+        servers.filter(|server| server.is_checked())
     }
 
     /// How many servers must be fenced before this leader renews what they report.
@@ -66,12 +88,17 @@
         all - all / 2
     }
 
+    /// Whether no order of an earlier leader can reach a server that would take it.
+    fn counts_unchecked(&self, now: Instant) -> bool {
+        let waited_out = self.waited_out().is_some_and(|at| at <= now);
+        self.predecessor == Predecessor::None || waited_out
+    }
+
     /// Counts on the first runs that it sees, as no earlier leader gives orders.
     fn establish_first(&mut self, now: Instant) {
-        let waited_out = self.waited_out().is_some_and(|at| at <= now);
-        let is_new = self.predecessor == Predecessor::None;
+        let unchecked = self.counts_unchecked(now);
         for server in self.servers.values_mut() {
-            let may = server.is_checked() || is_new || waited_out;
+            let may = server.is_checked() || unchecked;
             if server.runs == 1
                 && may
                 && let Some(run) = &mut server.run
@@ -115,20 +142,21 @@
             None => return,
         };
         self.settled = true;
+        self.changed.extend(&self.unknown);
         for name in names {
             self.mark_established(&name);
         }
     }
 
     /// Counts on later runs once others confirm that nobody else has taken over since.
-    fn establish_later(&mut self) {
-        let may_be_unchecked = self.stopped.is_some();
+    fn establish_later(&mut self, now: Instant) {
+        let unchecked = self.counts_unchecked(now);
         let waiting: Vec<(UpstreamName, Instant)> = self
             .servers
             .iter()
             .filter_map(|(name, server)| {
                 let run = server.run.as_ref().filter(|run| !run.established)?;
-                let may = server.is_checked() || may_be_unchecked;
+                let may = server.is_checked() || unchecked;
                 may.then(|| (name.clone(), run.fenced))
             })
             .collect();
--- a/crates/policy/src/group/server.rs
+++ b/crates/policy/src/group/server.rs
@@ -29,6 +29,9 @@
     pub(super) pending: Option<Pending>,
     /// From here on nothing that this leader gave or heard of can still be held.
     pub(super) lapse: Option<Instant>,
+    /// Until when a grant that was not answered may still arrive, and be taken whatever came later;
+    /// only for a server that does not check orders.
+    pub(super) unsure: Option<Instant>,
     /// When the next order is due at the latest.
     pub(super) due: Instant,
     /// Orders in a row without answer.
@@ -39,8 +42,6 @@
     pub(super) draining: bool,
     /// Since when it is to get no new work.
     pub(super) drained: Option<Instant>,
-    /// Its VM is gone.
-    pub(super) gone: bool,
     /// Shards that it reported and is to let go of.
     pub(super) unwanted: BTreeSet<ShardIndex>,
     /// Shards that it holds, as far as this leader knows.
@@ -100,12 +101,12 @@
             run: None,
             pending: None,
             lapse: None,
+            unsure: None,
             due: now,
             misses: 0,
             removed: false,
             draining: false,
             drained: None,
-            gone: false,
             unwanted: BTreeSet::new(),
             owned: BTreeSet::new(),
             giving: BTreeSet::new(),
@@ -148,7 +149,7 @@
     /// Whether it can take shards now.
     pub(super) fn is_open(&self) -> bool {
         let known = self.established().is_some_and(|run| !run.doubtful);
-        known && !self.is_lost() && !self.is_leaving() && !self.gone
+        known && !self.is_lost() && !self.is_leaving()
     }
 
     /// Notes a run's answer to an order sent at `sent`.
--- a/crates/policy/tests/simulation/main.rs
+++ b/crates/policy/tests/group/faults.rs
@@ -2,13 +2,10 @@
 //!
 //! A fixed seed gives the same run. Time is counted, not waited for.
 
-mod server;
-mod world;
-
 use std::time::Duration;
 
+use crate::world::{Plan, World};
 use test_case::test_case;
-use world::{Plan, World};
 
 /// Runs for each kind of group and fault.
 const SEEDS: u64 = 200;
--- /dev/null
+++ b/crates/policy/tests/group/main.rs
@@ -0,0 +1,7 @@
+//! The state machine of a group, over fake servers and counted time.
+
+mod bench;
+mod faults;
+mod rules;
+mod server;
+mod world;
--- a/crates/policy/tests/simulation/server.rs
+++ b/crates/policy/tests/group/server.rs
@@ -22,6 +22,9 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) incarnation: Incarnation,
+    /// Whether it refuses what comes out of order.
+    pub(crate) is_checked: bool,
+    pub(crate) is_draining: bool,
     highest: Epoch,
     sequences: HashMap<Epoch, Sequence>,
     held: BTreeMap<ShardIndex, Held>,
@@ -42,6 +45,8 @@
     pub(crate) fn new(ahead: Duration) -> Self {
         Self {
             incarnation: 1,
+            is_checked: true,
+            is_draining: false,
             highest: 0,
             sequences: HashMap::new(),
             held: BTreeMap::new(),
@@ -85,13 +90,14 @@
             }
             Order::Fence | Order::Release { .. } => false,
         };
-        if epoch < self.highest || is_other_run || !self.is_next(epoch, order) {
+        let is_late = epoch < self.highest || is_other_run || !self.is_next(epoch, order);
+        if self.is_checked && is_late {
             return Err(Failure::Refused {
                 incarnation: self.incarnation,
                 epoch: self.highest,
             });
         }
-        self.highest = epoch;
+        self.highest = self.highest.max(epoch);
         match order {
             Order::Fence => return Ok(self.report(now)),
             Order::Give {
@@ -125,7 +131,7 @@
             incarnation: self.incarnation,
             shards: u32::try_from(live.clone().count()).unwrap(),
             digest: live.fold(0, |sum, (shard, _)| sum ^ digest(*shard)),
-            draining: false,
+            draining: self.is_draining,
             clock_ms: self.clock_ms(now),
         })
     }
@@ -151,7 +157,7 @@
         Answer::Fenced {
             incarnation: self.incarnation,
             grants: grants.collect(),
-            draining: false,
+            draining: self.is_draining,
             clock_ms: self.clock_ms(now),
         }
     }
@@ -179,7 +185,7 @@
         self.held.insert(shard, held);
     }
 
-    fn let_go(&mut self, shard: ShardIndex, now: Moment) {
+    pub(crate) fn let_go(&mut self, shard: ShardIndex, now: Moment) {
         if let Some(held) = self.held.remove(&shard) {
             self.spans.push(Span {
                 shard,
