--- a/crates/ownership/src/counter.rs
+++ b/crates/ownership/src/counter.rs
@@ -25,6 +25,8 @@
     pub(crate) led: Gauge<i64, AtomicI64>,
     /// Groups for which this daemon is the standby.
     pub(crate) standby: Gauge<i64, AtomicI64>,
+    /// Shards of groups led that nobody holds, by reason.
+    pub(crate) unserved: Family<Cause, Gauge<i64, AtomicI64>>,
 }
 
 /// Labels of an order.
@@ -71,6 +73,11 @@
             "Groups for which this daemon is the standby",
             counters.standby.clone(),
         );
+        registry.register(
+            "shards_unserved",
+            "Shards of groups led that nobody holds, by reason",
+            counters.unserved.clone(),
+        );
         counters
     }
 
@@ -82,6 +89,13 @@
         self.starts.get_or_create(&Cause { reason }).inc();
     }
 
+    /// Adds to the shards that nobody holds.
+    pub(crate) fn unserved(&self, reason: &'static str, more: i64) {
+        if more != 0 {
+            self.unserved.get_or_create(&Cause { reason }).inc_by(more);
+        }
+    }
+
     pub(crate) fn stop(&self, reason: &'static str) {
         self.stops.get_or_create(&Cause { reason }).inc();
     }
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -58,6 +58,14 @@
     leases: HashMap<UpstreamName, Held>,
     running: JoinSet<Input>,
     load_at: Instant,
+    unserved: Unserved,
+}
+
+/// Shards that nobody holds, as the gauges have them.
+#[derive(Default)]
+struct Unserved {
+    unreported: i64,
+    free: i64,
 }
 
 /// The lease of one run of a server.
@@ -87,6 +95,7 @@
             leases: HashMap::default(),
             running: JoinSet::new(),
             load_at: Instant::now() + LOAD_PERIOD,
+            unserved: Unserved::default(),
         }
     }
 
@@ -257,11 +266,23 @@
         }));
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
         let status = Status::of(&self.group);
+        self.gauge(&Unserved {
+            unreported: i64::try_from(status.unreported).unwrap_or(i64::MAX),
+            free: i64::try_from(status.free).unwrap_or(i64::MAX),
+        });
         *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
     }
 
+    fn gauge(&mut self, now: &Unserved) {
+        let counters = &self.shared.counters;
+        counters.unserved("unreported", now.unreported - self.unserved.unreported);
+        counters.unserved("free", now.free - self.unserved.free);
+        self.unserved.unreported = now.unreported;
+        self.unserved.free = now.free;
+    }
+
     fn tell_stepped_down(&self, by: Option<Epoch>) {
         let group = self.group.id().clone();
         let epoch = self.group.epoch();
@@ -273,6 +294,9 @@
 
 impl<C> Drop for Leader<C> {
     fn drop(&mut self) {
+        let counters = &self.shared.counters;
+        counters.unserved("unreported", -self.unserved.unreported);
+        counters.unserved("free", -self.unserved.free);
         // Whoever still holds a route of this leader stops sending on it.
         let now = Instant::now();
         for held in self.leases.values() {
--- a/crates/ownership/tests/groups/fake.rs
+++ b/crates/ownership/tests/groups/fake.rs
@@ -34,12 +34,15 @@
     until: Instant,
 }
 
-pub(crate) fn manifest(replaces: u64, shards: u32, upstreams: usize) -> Manifest {
-    let upstreams: Vec<serde_json::Value> = (0..upstreams)
-        .map(|index| {
+/// A manifest with one upstream for each data centre that is named.
+pub(crate) fn manifest(replaces: u64, shards: u32, upstreams: &[&str]) -> Manifest {
+    let upstreams: Vec<serde_json::Value> = upstreams
+        .iter()
+        .enumerate()
+        .map(|(index, data_centre)| {
             serde_json::json!({
                 "name": format!("u{index}"),
-                "data_centre": "cluj",
+                "data_centre": data_centre,
                 "address": format!("127.0.0.1:{}", index + 1),
                 "slots": 2,
                 "connections": 130,
@@ -48,7 +51,10 @@
         .collect();
     let manifest = serde_json::json!({
         "replaces": replaces,
-        "data_centres": [{"name": "cluj", "region": "ro-nord"}],
+        "data_centres": [
+            {"name": "cluj", "region": "ro-nord"},
+            {"name": "turda", "region": "ro-nord"},
+        ],
         "services": [{
             "name": "calendar",
             "class": "interactive",
--- a/crates/ownership/tests/groups/main.rs
+++ b/crates/ownership/tests/groups/main.rs
@@ -46,7 +46,7 @@
         assert_eq!(outcome, Outcome::Applied);
     }
 
-    fn manifest(&mut self, upstreams: usize) {
+    fn manifest(&mut self, upstreams: &[&str]) {
         let replaces = self
             .state
             .manifest
@@ -134,7 +134,7 @@
 async fn a_new_leader_grants_all_shards_evenly() {
     let fake = Arc::new(Fake::new(2));
     let mut log = Log::default();
-    log.manifest(2);
+    log.manifest(&["cluj", "cluj"]);
     log.appoint("a", None);
     let mut daemon = daemon("a", &fake);
     daemon.groups.apply(&log.state);
@@ -149,7 +149,7 @@
 async fn a_lost_upstream_is_replaced_within_four_seconds() {
     let fake = Arc::new(Fake::new(2));
     let mut log = Log::default();
-    log.manifest(2);
+    log.manifest(&["cluj", "cluj"]);
     log.appoint("a", None);
     let daemon = daemon("a", &fake);
     daemon.groups.apply(&log.state);
@@ -164,7 +164,7 @@
 async fn a_standby_takes_over_and_moves_no_shard() {
     let fake = Arc::new(Fake::new(3));
     let mut log = Log::default();
-    log.manifest(3);
+    log.manifest(&["cluj", "cluj", "cluj"]);
     log.appoint("a", Some("b"));
     let first = daemon("a", &fake);
     let second = daemon("b", &fake);
@@ -186,7 +186,7 @@
 async fn a_hand_over_waits_for_what_is_in_flight() {
     let fake = Arc::new(Fake::new(2));
     let mut log = Log::default();
-    log.manifest(2);
+    log.manifest(&["cluj", "cluj"]);
     log.appoint("a", Some("b"));
     let first = daemon("a", &fake);
     let second = daemon("b", &fake);
@@ -209,3 +209,94 @@
     assert!(second.groups.take_over(&group()).is_some());
     assert_eq!(second.owners().await, before);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_relinquished_a_group_never_acts_below_that_epoch() {
+    let fake = Arc::new(Fake::new(2));
+    let mut log = Log::default();
+    log.manifest(&["cluj", "cluj"]);
+    log.appoint("a", Some("b"));
+    let daemon = daemon("a", &fake);
+    daemon.groups.apply(&log.state);
+    daemon.owners().await;
+    let epoch = daemon.groups.status()[0].epoch;
+    assert!(!daemon.groups.relinquish(&group(), epoch).await);
+    assert!(daemon.groups.relinquish(&group(), epoch + 10).await);
+    daemon.is_elsewhere().await;
+    daemon.groups.apply(&log.state);
+    assert!(daemon.groups.status().is_empty());
+    // Whoever asks again hears the same.
+    assert!(daemon.groups.relinquish(&group(), epoch + 10).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_standby_that_took_over_goes_on_when_the_log_appoints_it() {
+    let fake = Arc::new(Fake::new(3));
+    let mut log = Log::default();
+    log.manifest(&["cluj", "cluj", "cluj"]);
+    log.appoint("a", Some("b"));
+    let first = daemon("a", &fake);
+    let second = daemon("b", &fake);
+    first.groups.apply(&log.state);
+    second.groups.apply(&log.state);
+    let before = first.owners().await;
+    let taken = second.groups.take_over(&group());
+    second.owners().await;
+    log.appoint("b", None);
+    second.groups.apply(&log.state);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(second.owners().await, before);
+    let status = second.groups.status();
+    assert_eq!(status.len(), 1);
+    assert!(Some(status[0].epoch) > taken);
+    assert!(status[0].settled);
+    // The standby epoch is used up.
+    assert_eq!(second.groups.take_over(&group()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn shards_go_to_a_new_group_and_are_told_until_the_log_has_them() {
+    let fake = Arc::new(Fake::new(2));
+    let mut log = Log::default();
+    log.manifest(&["cluj"]);
+    log.appoint("a", None);
+    let mut daemon = daemon("a", &fake);
+    daemon.groups.apply(&log.state);
+    daemon.owners().await;
+    log.manifest(&["cluj", "turda"]);
+    daemon.groups.apply(&log.state);
+    let moved = loop {
+        match daemon.events.recv().await {
+            Some(Event::Move(moved)) => break moved,
+            Some(_) => {}
+            None => panic!("no move"),
+        }
+    };
+    assert_eq!((moved.shards.len(), &*moved.to.data_centre), (4, "turda"));
+    let again = daemon.events.recv().await;
+    assert_eq!(again, Some(Event::Move(moved.clone())));
+    log.append(Body::Move(moved.clone()));
+    daemon.groups.apply(&log.state);
+    for shard in &moved.shards {
+        let is_here = |route: &Route| !matches!(route, Route::Elsewhere);
+        daemon.table.changed("calendar", *shard, is_here).await;
+    }
+    let status = daemon.groups.status();
+    assert_eq!(status[0].upstreams[0].shards, 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_came_late_does_not_think_itself_alone() {
+    let fake = Arc::new(Fake::new(2));
+    let mut log = Log::default();
+    log.manifest(&["cluj", "cluj"]);
+    log.appoint("a", None);
+    let first = daemon("a", &fake);
+    first.groups.apply(&log.state);
+    assert!(first.groups.knows_rivals(&group()));
+    log.appoint("b", None);
+    let second = daemon("b", &fake);
+    second.groups.apply(&log.state);
+    assert!(!second.groups.knows_rivals(&group()));
+    assert!(second.groups.rivals(&group()).is_empty());
+}
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -275,8 +275,14 @@
                     self.begin_move(shard, Goal::Anywhere);
                 }
                 Some(Place::Free(free)) if self.is_ready(free, now) => {
+                    let soon = now + AWAY_PAUSE;
+                    let is_first = self.away.is_empty();
+                    self.away_at = if is_first {
+                        soon
+                    } else {
+                        soon.min(self.away_at)
+                    };
                     self.put(shard, Place::Away { to });
-                    self.away_at = self.away_at.min(now + AWAY_PAUSE);
                 }
                 _ => {}
             }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
+pub mod sketch;
 pub mod slots;
 pub mod window;
