Bound exports of keys and deadlines from the wire

A full window could make a hand-over larger than a control message may be, and a deadline from the wire was taken as it came. Leave out the answers of the oldest keys, and hold deadlines to the service's longest.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -202,10 +202,11 @@
 
 impl<F: Forward> Inner<F> {
     async fn serve(self: &Arc<Self>, request: Request, arrived: Instant) -> Response {
-        let deadline = arrived + request.head.deadline;
-        if let Err(failure) = self.accept(&request.head) {
-            return failure.into_response();
-        }
+        let longest = match self.accept(&request.head) {
+            Ok(serving) => serving.service.limits.deadline,
+            Err(failure) => return failure.into_response(),
+        };
+        let deadline = arrived + request.head.deadline.min(longest);
         let repeat = request.head.repeat;
         let call = match Call::read(request, deadline, &self.room).await {
             Ok(call) => call,
@@ -242,14 +243,14 @@
     }
 
     /// Refuses what need not be read any further.
-    fn accept(&self, head: &Head) -> Result<(), Failure> {
+    fn accept(&self, head: &Head) -> Result<Arc<Serving>, Failure> {
         if self.stopping.load(Ordering::Acquire) {
             return Err(Failure::not_run(Reason::Stopping));
         }
-        self.serving(&head.service)?;
+        let serving = self.serving(&head.service)?;
         match self.table.route(&head.service, head.shard) {
             Route::Elsewhere => Err(Failure::not_run(Reason::NotLeader)),
-            _ => Ok(()),
+            _ => Ok(serving),
         }
     }
 }
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -31,7 +31,7 @@
 impl<F: Forward> Inner<F> {
     /// Serves a request that is not repeatable.
     pub(crate) async fn serve_once(self: &Arc<Self>, id: Uuid, mut call: Call) -> Response {
-        // Once it has waited for another to end or to stop, nothing can rule out that it ran.
+        // Once it has joined another, nothing can rule out that it ran.
         let mut unless = Verdict::NotRun;
         loop {
             let serving = match self.serving(&call.head.service) {
@@ -60,14 +60,8 @@
                     }
                 }
                 Claimed::Wait => {
-                    // Should no owner be found, it stays open whether the leader before ran it.
-                    unless = Verdict::MayHaveRun;
                     if let Err(failure) = self.route(&call, &serving).await {
-                        return Failure {
-                            verdict: unless,
-                            ..failure
-                        }
-                        .into_response();
+                        return unjudged(failure).into_response();
                     }
                 }
                 Claimed::Kept(outcome) => {
@@ -142,6 +136,18 @@
     }
 }
 
+/// A failure to find an owner: it stays open whether the leader before ran the request, unless the
+/// next leader can tell.
+fn unjudged(failure: Failure) -> Failure {
+    match failure.reason {
+        Reason::NotLeader => failure,
+        _ => Failure {
+            verdict: Verdict::MayHaveRun,
+            ..failure
+        },
+    }
+}
+
 fn outcome_of(reply: &Reply) -> Outcome {
     match reply.verdict {
         Verdict::NotRun => Outcome::NotRun,
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -13,7 +13,7 @@
     time::{Duration, SystemTime},
 };
 
-use copperwell_keyspace::{Epoch, HashMap, ServiceName, ShardIndex};
+use copperwell_keyspace::{Epoch, HashMap, HashSet, ServiceName, ShardIndex};
 use copperwell_message::{Reason, Reply, Verdict};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
@@ -27,6 +27,9 @@
 /// The most bytes of answers that one window keeps; beyond it, the oldest answers go first.
 pub const ANSWERS_MAX: usize = 4 << 20;
 
+/// The most bytes of answers that one export takes along; beyond it, the oldest keys go without.
+pub const ANSWERS_EXPORT_MAX: usize = 1 << 20;
+
 /// The most keys that one window keeps.
 pub const KEYS_MAX: usize = 1 << 17;
 
@@ -331,17 +334,11 @@
                 });
             }
         }
-        let gone: Vec<Uuid> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| shards.contains(&entry.shard))
-            .map(|(id, _)| *id)
-            .collect();
         Export {
             service: service.clone(),
             next,
             shards: led,
-            entries: gone.into_iter().filter_map(|id| self.take(id)).collect(),
+            entries: self.take_all(shards),
         }
     }
 
@@ -471,7 +468,27 @@
         true
     }
 
-    /// Takes an entry out, with its body.
+    /// Takes the entries of shards out, with the answers of the newest keys.
+    fn take_all(&mut self, shards: &[ShardIndex]) -> Vec<ExportEntry> {
+        let shards: HashSet<ShardIndex> = shards.iter().copied().collect();
+        let newest_first = self.entries.iter().rev();
+        let gone: Vec<Uuid> = newest_first
+            .filter(|(_, entry)| shards.contains(&entry.shard))
+            .map(|(id, _)| *id)
+            .collect();
+        let mut bytes = 0;
+        let entries = gone.into_iter().filter_map(|id| {
+            let mut entry = self.take(id)?;
+            bytes += entry.outcome.bytes();
+            if bytes > ANSWERS_EXPORT_MAX {
+                entry.outcome = entry.outcome.without_answer();
+            }
+            Some(entry)
+        });
+        entries.collect()
+    }
+
+    /// Takes an entry out, with its answer.
     fn take(&mut self, id: Uuid) -> Option<ExportEntry> {
         let entry = self.entries.remove(&id)?;
         let outcome = match entry.state {
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -4,7 +4,8 @@
 
 use copperwell_message::{Reason, Reply, Verdict};
 use copperwell_policy::window::{
-    ANSWER_MAX, ANSWERS_MAX, Answer, CLOCK_DIFFERENCE, Claim, Export, Outcome, Term, Whole, Window,
+    ANSWER_MAX, ANSWERS_EXPORT_MAX, ANSWERS_MAX, Answer, CLOCK_DIFFERENCE, Claim, Export,
+    ExportEntry, Outcome, Term, Whole, Window,
 };
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use test_case::test_case;
@@ -338,4 +339,11 @@
     assert_eq!(first, Answer::Kept(Outcome::Done { status: 201 }));
     let last = window.claim(world.claim(ids[keys - 1]), world.now);
     assert!(matches!(last, Answer::Kept(Outcome::Answered(_))));
+    let term = world.claim(ids[0]).term;
+    let export = window.export(&"payouts".into(), 3, &[SHARD], |_| term, world.now);
+    let is_whole = |entry: &&ExportEntry| matches!(entry.outcome, Outcome::Answered(_));
+    let whole = export.entries.iter().filter(is_whole).count();
+    assert_eq!(whole, ANSWERS_EXPORT_MAX / ANSWER_MAX);
+    assert_eq!(export.entries.len(), keys);
+    assert!(window.is_empty());
 }
