Split the window and the engine's tries into smaller modules

Move outcomes and exports, and the way to the owner's slot, to modules of their own; what they do stays the same.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -6,42 +6,29 @@
     answer::{Answer, Held},
     call::{Call, Failure},
     engine::Inner,
-    gate::{Gate, Slot, Want},
+    gate::Gate,
     observation::Observation,
-    serving::{Door, Serving},
-    table::{Owner, Pass, Route},
+    table::{Owner, Route},
+    target::Target,
 };
 use copperwell_backend::{
     Forward,
     order::{Order, header},
 };
 use copperwell_keyspace::{Incarnation, manifest::Upstream};
-use copperwell_message::{Class, Reason, Reply, Response, Verdict};
+use copperwell_message::{Reason, Reply, Response, Verdict};
 use copperwell_policy::{
     backoff::Backoff,
-    quarantine::{Admission, Suspect},
+    quarantine::Suspect,
     retry::{self, Retry},
     slots::End,
-    window::Term,
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// How long a request waits for a shard that has no owner and none in sight.
-const UNOWNED_WAIT: Duration = Duration::from_secs(2);
-
 /// Waits between the tries of one request.
 const RETRY_FIRST: Duration = Duration::from_millis(25);
 const RETRY_MOST: Duration = Duration::from_secs(1);
 
-/// Where a try goes, with all that it holds.
-struct Target {
-    serving: Arc<Serving>,
-    upstream: Upstream,
-    owner: Owner,
-    pass: Pass,
-    slot: Slot,
-}
-
 /// A failed try.
 struct Failed {
     failure: Failure,
@@ -78,130 +65,6 @@
         self.send(call, target).await
     }
 
-    /// Finds the owner and waits for a slot there.
-    async fn target(&self, call: &Call) -> Result<Target, Failure> {
-        loop {
-            let serving = self.serving(&call.head.service)?;
-            let owner = self.route(call, &serving).await?;
-            let Some(door) = serving.door(&owner.upstream) else {
-                return Err(Failure::not_run(Reason::Unowned));
-            };
-            if call
-                .pinned
-                .as_ref()
-                .is_some_and(|pin| *pin != owner.upstream)
-            {
-                return Err(Failure::not_run(Reason::ConnectionLost).with_final());
-            }
-            let alone = self.admit(call, &serving, door, &owner)?;
-            let Some(slot) = self.slot(call, door, &owner, alone).await? else {
-                continue;
-            };
-            let Ok((entered, pass)) = self.table.enter(&call.head.service, call.head.shard) else {
-                continue;
-            };
-            if !is_same(&entered, &owner) {
-                continue;
-            }
-            // A server may have crashed while this request waited.
-            if self.admit(call, &serving, door, &entered)? && !alone {
-                continue;
-            }
-            let upstream = door.upstream.clone();
-            return Ok(Target {
-                serving,
-                upstream,
-                owner: entered,
-                pass,
-                slot,
-            });
-        }
-    }
-
-    /// Waits until the shard has an owner.
-    pub(crate) async fn route(&self, call: &Call, serving: &Serving) -> Result<Owner, Failure> {
-        let head = &call.head;
-        let mut hold = None;
-        let unowned_until = call.deadline.min(Instant::now() + UNOWNED_WAIT);
-        loop {
-            let until = match self.table.route(&head.service, head.shard) {
-                Route::Elsewhere => return Err(Failure::not_run(Reason::NotLeader)),
-                Route::Owned(owner) => return Ok(owner),
-                Route::Unowned => unowned_until,
-                Route::Held => call.deadline,
-            };
-            if hold.is_none() {
-                let place = serving.kept.hold(head.caller);
-                hold = Some(place.map_err(Failure::not_run)?);
-            }
-            let same = |route: &Route| matches!(route, Route::Unowned | Route::Held);
-            let changed = self.table.changed(&head.service, head.shard, same);
-            if timeout_at(until, changed).await.is_err() {
-                return Err(Failure::not_run(Reason::Unowned));
-            }
-        }
-    }
-
-    /// Whether the request has to run alone.
-    fn admit(
-        &self,
-        call: &Call,
-        serving: &Serving,
-        door: &Door,
-        owner: &Owner,
-    ) -> Result<bool, Failure> {
-        let suspects = door.gate.meet(owner.incarnation);
-        self.guard
-            .crash(&suspects, serving.service.limits.quarantine);
-        match self.guard.admit(call.head.fingerprint) {
-            Admission::Free => Ok(false),
-            Admission::Alone => Ok(true),
-            Admission::Refused { remaining } => Err(Failure::not_run(Reason::Quarantined)
-                .with_retry_after(remaining)
-                .with_final()),
-        }
-    }
-
-    /// Waits for a slot; `None` if the shard's owner changed meanwhile.
-    async fn slot(
-        &self,
-        call: &Call,
-        door: &Door,
-        owner: &Owner,
-        alone: bool,
-    ) -> Result<Option<Slot>, Failure> {
-        let head = &call.head;
-        let want = Want {
-            class: self.class(call),
-            caller: head.caller,
-            deadline: call.deadline,
-            alone,
-        };
-        let began = Instant::now();
-        let same = |route: &Route| matches!(route, Route::Owned(now) if is_same(now, owner));
-        tokio::select! {
-            biased;
-            slot = door.gate.enter(want) => match slot {
-                Ok(slot) => {
-                    self.metrics.queueing.observe(began.elapsed().as_secs_f64());
-                    Ok(Some(slot))
-                }
-                Err(refusal) => {
-                    Err(Failure::not_run(refusal.reason).with_retry_after(refusal.retry_after))
-                }
-            },
-            () = self.table.changed(&head.service, head.shard, same) => Ok(None),
-        }
-    }
-
-    /// Batch services take no interactive requests.
-    fn class(&self, call: &Call) -> Class {
-        let declared = self
-            .serving(&call.head.service)
-            .map_or(call.head.class, |serving| serving.service.class);
-        declared.max(call.head.class)
-    }
-
     async fn send(&self, call: &mut Call, target: Target) -> Result<Answer, Failed> {
         let limits = &target.serving.service.limits;
         let suspect = Suspect {
@@ -214,7 +77,7 @@
             .ok_or(Failure::not_run(Reason::Protocol).with_final())?;
         // The process may have been paused at any point above, so both rights are checked last.
         let now = Instant::now();
-        check(call, &target, now)?;
+        target.check(call, now)?;
         if call.sends == 0 {
             target.serving.kept.first_try(limits.retry_percent);
         }
@@ -353,7 +216,7 @@
         let Some(sent) = &failed.sent_to else {
             return tokio::time::sleep(delay).await;
         };
-        let same = |route: &Route| matches!(route, Route::Owned(now) if is_same(now, &sent.owner));
+        let same = |route: &Route| matches!(route, Route::Owned(now) if now.is_same(&sent.owner));
         let changed = self
             .table
             .changed(&call.head.service, call.head.shard, same);
@@ -385,29 +248,3 @@
         .find(|(name, _)| name == header::INCARNATION)?;
     std::str::from_utf8(value).ok()?.parse().ok()
 }
-
-/// Checks, at the moment of sending, that the request may still be sent.
-fn check(call: &Call, target: &Target, now: Instant) -> Result<(), Failure> {
-    if now >= call.deadline {
-        return Err(Failure::not_run(Reason::DeadlineHopeless));
-    }
-    if !target.owner.lease.is_valid(now) {
-        return Err(Failure::not_run(Reason::LeaseLapsed));
-    }
-    let term = Term {
-        turn: target.pass.turn(),
-        epoch: Some(target.owner.epoch),
-    };
-    if call.term.is_some_and(|entered| !entered.is_same(term)) {
-        // Another leader may have run it meanwhile.
-        return Err(Failure::may_have_run(Reason::IdempotencyKeyUnknown));
-    }
-    Ok(())
-}
-
-/// Whether two owners are the same run of the same server under the same leader.
-fn is_same(one: &Owner, other: &Owner) -> bool {
-    one.upstream == other.upstream
-        && one.epoch == other.epoch
-        && one.incarnation == other.incarnation
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,3 +20,4 @@
 mod serving;
 mod status;
 pub mod table;
+mod target;
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -232,6 +232,15 @@
     }
 }
 
+impl Owner {
+    /// Whether two owners are the same run of the same server under the same leader.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        self.upstream == other.upstream
+            && self.epoch == other.epoch
+            && self.incarnation == other.incarnation
+    }
+}
+
 impl Pass {
     /// The turn of leading the shard in which the request entered.
     #[must_use]
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -9,7 +9,7 @@
 /// A token bucket that first tries fill and retries empty.
 ///
 /// It starts empty, so at every moment the retries made are at most the given share of the first
-/// tries made, and a burst of retries is at most [`SAVED_MAX`] more than its own time pays for.
+/// tries made, and a burst of retries is at most ten more than its own time pays for.
 ///
 /// # Examples
 ///
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -13,23 +13,23 @@
     time::{Duration, SystemTime},
 };
 
-use copperwell_keyspace::{Epoch, HashMap, HashSet, ServiceName, ShardIndex};
-use copperwell_message::{Reason, Reply, Verdict};
+pub use export::{ANSWERS_EXPORT_MAX, Export, ExportEntry, ExportShard};
+pub use outcome::{ANSWER_MAX, Outcome, Whole};
+
+use copperwell_keyspace::{Epoch, HashMap, ShardIndex};
+use copperwell_message::{Reason, Verdict};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+mod export;
+mod outcome;
+
 /// The most that the wall clocks of two daemons, or of a daemon and a caller, may differ.
 pub const CLOCK_DIFFERENCE: Duration = Duration::from_millis(500);
 
-/// The largest answer that is kept, in bytes of head and body.
-pub const ANSWER_MAX: usize = 8 << 10;
-
 /// The most bytes of answers that one window keeps; beyond it, the oldest answers go first.
 pub const ANSWERS_MAX: usize = 4 << 20;
 
-/// The most bytes of answers that one export takes along; beyond it, the oldest keys go without.
-pub const ANSWERS_EXPORT_MAX: usize = 1 << 20;
-
 /// The most keys that one window keeps.
 pub const KEYS_MAX: usize = 1 << 17;
 
@@ -80,70 +80,6 @@
     pub reason: Reason,
 }
 
-/// What became of a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Outcome {
-    /// It ran, and this is its whole answer.
-    Answered(Box<Whole>),
-    /// It ran and its answer was whole, but that answer is not kept.
-    Done {
-        /// The status of the answer.
-        status: u16,
-    },
-    /// It may have run, and will not again.
-    MayHaveRun {
-        /// Why its outcome is not known.
-        reason: Reason,
-    },
-    /// It did not run, so a resend may.
-    NotRun,
-}
-
-/// A whole answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Whole {
-    /// The head.
-    pub reply: Reply,
-    /// The body.
-    pub body: Vec<u8>,
-}
-
-/// The entries of some shards, for the leader that takes them over.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Export {
-    /// The service.
-    pub service: ServiceName,
-    /// The epoch of the leader that it is for; under any other one it says nothing.
-    pub next: Epoch,
-    /// The shards.
-    pub shards: Vec<ExportShard>,
-    /// The entries.
-    pub entries: Vec<ExportEntry>,
-}
-
-/// A shard of an [`Export`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ExportShard {
-    /// The shard.
-    pub shard: ShardIndex,
-    /// Every unknown key made up to then may have run.
-    pub unknown_before: SystemTime,
-}
-
-/// An entry of an [`Export`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ExportEntry {
-    /// The idempotency key.
-    pub id: Uuid,
-    /// The shard.
-    pub shard: ShardIndex,
-    /// What makes two requests the same.
-    pub fingerprint: u64,
-    /// What became of it.
-    pub outcome: Outcome,
-}
-
 /// The keys of one service.
 #[derive(Debug)]
 pub struct Window {
@@ -310,65 +246,6 @@
         self.entries.is_empty()
     }
 
-    /// Takes shards out for their next leader; from here on their keys are unknown here.
-    ///
-    /// `term` tells in which stretch each shard was led last: what is known of an earlier one says
-    /// nothing about keys that others took since. `next` is the epoch of the next leader. Requests
-    /// that still run go out as ones that may have run.
-    pub fn export(
-        &mut self,
-        service: &ServiceName,
-        next: Epoch,
-        shards: &[ShardIndex],
-        term: impl Fn(ShardIndex) -> Term,
-        wall: SystemTime,
-    ) -> Export {
-        self.advance(wall);
-        let mut led = Vec::new();
-        for shard in shards {
-            self.follow(*shard, term(*shard));
-            if let Some(lead) = self.shards.remove(shard) {
-                led.push(ExportShard {
-                    shard: *shard,
-                    unknown_before: lead.unknown_before.max(self.horizon()),
-                });
-            }
-        }
-        Export {
-            service: service.clone(),
-            next,
-            shards: led,
-            entries: self.take_all(shards),
-        }
-    }
-
-    /// Takes over what the leader before exported.
-    ///
-    /// `turn` tells in which stretch of leading each shard the entries count. An export that comes
-    /// after the shard was led here under its epoch or a later one is out of date: others may have
-    /// taken keys since, so it is left.
-    pub fn import(&mut self, export: Export, turn: impl Fn(ShardIndex) -> u64, wall: SystemTime) {
-        self.advance(wall);
-        let mut forgotten = SystemTime::UNIX_EPOCH;
-        for entry in &export.entries {
-            if !self.adopt(entry) {
-                forgotten = forgotten.max(made_at(entry.id).unwrap_or(forgotten));
-            }
-        }
-        for led in export.shards {
-            if self.epochs.get(&led.shard) >= Some(&export.next) {
-                continue;
-            }
-            let lead = Lead {
-                turn: turn(led.shard),
-                epoch: export.next,
-                unknown_before: led.unknown_before.max(forgotten),
-                confirmed: false,
-            };
-            self.lead(led.shard, lead);
-        }
-    }
-
     fn advance(&mut self, wall: SystemTime) {
         if wall <= self.wall {
             return;
@@ -451,43 +328,6 @@
             .is_none_or(|lead| made <= lead.unknown_before)
     }
 
-    fn adopt(&mut self, entry: &ExportEntry) -> bool {
-        if self.entries.contains_key(&entry.id) {
-            return true;
-        }
-        if self.entries.len() >= self.keys_max {
-            return false;
-        }
-        let running = Entry {
-            shard: entry.shard,
-            fingerprint: entry.fingerprint,
-            state: State::Running,
-        };
-        self.entries.insert(entry.id, running);
-        self.finish(entry.id, entry.outcome.clone());
-        true
-    }
-
-    /// Takes the entries of shards out, with the answers of the newest keys.
-    fn take_all(&mut self, shards: &[ShardIndex]) -> Vec<ExportEntry> {
-        let shards: HashSet<ShardIndex> = shards.iter().copied().collect();
-        let newest_first = self.entries.iter().rev();
-        let gone: Vec<Uuid> = newest_first
-            .filter(|(_, entry)| shards.contains(&entry.shard))
-            .map(|(id, _)| *id)
-            .collect();
-        let mut bytes = 0;
-        let entries = gone.into_iter().filter_map(|id| {
-            let mut entry = self.take(id)?;
-            bytes += entry.outcome.bytes();
-            if bytes > ANSWERS_EXPORT_MAX {
-                entry.outcome = entry.outcome.without_answer();
-            }
-            Some(entry)
-        });
-        entries.collect()
-    }
-
     /// Takes an entry out, with its answer.
     fn take(&mut self, id: Uuid) -> Option<ExportEntry> {
         let entry = self.entries.remove(&id)?;
@@ -534,41 +374,6 @@
     }
 }
 
-impl Outcome {
-    /// What the answer takes, if it is kept.
-    fn bytes(&self) -> usize {
-        match self {
-            Self::Answered(whole) => whole.bytes(),
-            _ => 0,
-        }
-    }
-
-    fn bounded(self) -> Self {
-        if self.bytes() > ANSWER_MAX {
-            self.without_answer()
-        } else {
-            self
-        }
-    }
-
-    fn without_answer(&self) -> Self {
-        match self {
-            Self::Answered(whole) => Self::Done {
-                status: whole.reply.status,
-            },
-            other => other.clone(),
-        }
-    }
-}
-
-impl Whole {
-    fn bytes(&self) -> usize {
-        let headers = self.reply.headers.iter();
-        let head: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
-        size_of::<Self>() + head + self.body.len()
-    }
-}
-
 /// When an idempotency key was made; `None` if it is not a UUIDv7.
 #[must_use]
 pub fn made_at(id: Uuid) -> Option<SystemTime> {
--- /dev/null
+++ b/crates/policy/src/window/outcome.rs
@@ -0,0 +1,71 @@
+//! What became of requests.
+
+use copperwell_message::{Reason, Reply};
+use serde::{Deserialize, Serialize};
+
+/// The largest answer that is kept, in bytes of head and body.
+pub const ANSWER_MAX: usize = 8 << 10;
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It ran, and this is its whole answer.
+    Answered(Box<Whole>),
+    /// It ran and its answer was whole, but that answer is not kept.
+    Done {
+        /// The status of the answer.
+        status: u16,
+    },
+    /// It may have run, and will not again.
+    MayHaveRun {
+        /// Why its outcome is not known.
+        reason: Reason,
+    },
+    /// It did not run, so a resend may.
+    NotRun,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Whole {
+    /// The head.
+    pub reply: Reply,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Outcome {
+    /// What the answer takes, if it is kept.
+    pub(super) fn bytes(&self) -> usize {
+        match self {
+            Self::Answered(whole) => whole.bytes(),
+            _ => 0,
+        }
+    }
+
+    pub(super) fn bounded(self) -> Self {
+        if self.bytes() > ANSWER_MAX {
+            self.without_answer()
+        } else {
+            self
+        }
+    }
+
+    pub(super) fn without_answer(&self) -> Self {
+        match self {
+            Self::Answered(whole) => Self::Done {
+                status: whole.reply.status,
+            },
+            other => other.clone(),
+        }
+    }
+}
+
+impl Whole {
+    fn bytes(&self) -> usize {
+        let headers = self.reply.headers.iter();
+        let head: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        size_of::<Self>() + head + self.body.len()
+    }
+}
