Let waiting requests go along with a planned hand-over

A request that waited while its group was handed over was told that it may have run, though it had not left. Entries now say whether they have left: what has not is left out of the hand-over and may not leave any more, and an old entry's end can no longer touch a later entry of the same key.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -52,6 +52,9 @@
                 Err(failed) => failed,
             };
             call.fail(&failed.failure, failed.sent_to.is_some());
+            if failed.failure.verdict == Verdict::NotRun {
+                self.stay(call);
+            }
             let Some(delay) = self.delay(call, &failed) else {
                 return Err(call.settle(failed.failure));
             };
@@ -60,6 +63,15 @@
         }
     }
 
+    /// Notes in the window that what has left did not run.
+    fn stay(&self, call: &Call) {
+        if let Some(entered) = call.entered
+            && let Ok(serving) = self.serving(&call.head.service)
+        {
+            serving.kept.ids.stay(entered);
+        }
+    }
+
     async fn attempt(&self, call: &mut Call) -> Result<Answer, Failed> {
         let target = self.target(call).await.map_err(Failed::from)?;
         self.send(call, target).await
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -8,10 +8,10 @@
     time::Duration,
 };
 
+use crate::ids::Entered;
 use bytes::{Bytes, BytesMut};
 use copperwell_keyspace::UpstreamName;
 use copperwell_message::{Body, Head, Reason, Repeat, Request, Response, Verdict};
-use copperwell_policy::window::Term;
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
     time::{Instant, timeout_at},
@@ -35,8 +35,8 @@
     pub(crate) head: Head,
     /// The deadline.
     pub(crate) deadline: Instant,
-    /// The stretch of leading in which a request that is not repeatable was entered.
-    pub(crate) term: Option<Term>,
+    /// The entry of a request that is not repeatable.
+    pub(crate) entered: Option<Entered>,
     /// Tries that have ended.
     pub(crate) tries: u32,
     /// Tries that left this daemon.
@@ -100,7 +100,7 @@
         Ok(Self {
             head,
             deadline,
-            term: None,
+            entered: None,
             tries: 0,
             sends: 0,
             pinned: None,
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -12,7 +12,7 @@
 
 use copperwell_keyspace::{Epoch, HashMap, ServiceName, ShardIndex};
 use copperwell_message::Reason;
-use copperwell_policy::window::{self, Answer, Claim, Export, Outcome, Term, Window};
+use copperwell_policy::window::{self, Answer, Claim, Export, Outcome, Term, Ticket, Window};
 use tokio::sync::{Notify, futures::OwnedNotified};
 use uuid::Uuid;
 
@@ -25,8 +25,8 @@
 /// What a claim is answered with.
 #[derive(Debug)]
 pub(crate) enum Claimed {
-    /// The request may run, in this stretch of leading its shard only.
-    Run(Term),
+    /// The request may run.
+    Run(Entered),
     /// The same request runs; this resolves when it has ended.
     Join(OwnedNotified),
     /// The claim can be judged once the shard has an owner.
@@ -37,11 +37,21 @@
     Refused(window::Refusal),
 }
 
+/// A request that is entered in the window.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Entered {
+    /// Its entry.
+    pub(crate) ticket: Ticket,
+    /// The stretch of leading its shard in which it may be sent.
+    pub(crate) term: Term,
+}
+
 /// Ends a claim that may run, at the latest when dropped.
 #[derive(Debug)]
 pub(crate) struct Running<'a> {
     ids: &'a Ids,
     id: Uuid,
+    ticket: Ticket,
     sent: Arc<AtomicBool>,
     ended: bool,
 }
@@ -73,9 +83,10 @@
     pub(crate) fn claim(&self, claim: Claim, wall: SystemTime) -> Claimed {
         let mut state = self.state();
         match state.window.claim(claim, wall) {
-            Answer::Run => {
+            Answer::Run(ticket) => {
                 state.running.insert(claim.id, Arc::default());
-                Claimed::Run(state.window.term(claim.shard).unwrap_or(claim.term))
+                let term = state.window.term(claim.shard).unwrap_or(claim.term);
+                Claimed::Run(Entered { ticket, term })
             }
             Answer::Join => {
                 let running = state.running.entry(claim.id).or_default();
@@ -88,10 +99,11 @@
     }
 
     /// Holds a claim that may run; `sent` tells whether it has left.
-    pub(crate) fn running(&self, id: Uuid, sent: Arc<AtomicBool>) -> Running<'_> {
+    pub(crate) fn running(&self, id: Uuid, ticket: Ticket, sent: Arc<AtomicBool>) -> Running<'_> {
         Running {
             ids: self,
             id,
+            ticket,
             sent,
             ended: false,
         }
@@ -125,9 +137,19 @@
         self.state().window.import(export, turn, wall);
     }
 
-    fn finish(&self, id: Uuid, outcome: Outcome) {
+    /// Notes that a request is about to leave; `false` if it must not.
+    pub(crate) fn leave(&self, entered: Entered) -> bool {
+        self.state().window.leave(entered.ticket)
+    }
+
+    /// Notes that what has left did not run.
+    pub(crate) fn stay(&self, entered: Entered) {
+        self.state().window.stay(entered.ticket);
+    }
+
+    fn finish(&self, id: Uuid, ticket: Ticket, outcome: Outcome) {
         let mut state = self.state();
-        state.window.finish(id, outcome);
+        state.window.finish(ticket, outcome);
         let waiting = state.running.remove(&id);
         drop(state);
         if let Some(waiting) = waiting {
@@ -149,7 +171,7 @@
     fn end(&mut self, outcome: Outcome) {
         if !self.ended {
             self.ended = true;
-            self.ids.finish(self.id, outcome);
+            self.ids.finish(self.id, self.ticket, outcome);
         }
     }
 }
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -8,7 +8,7 @@
 use crate::{
     call::{Call, Failure},
     engine::Inner,
-    ids::{Claimed, Running},
+    ids::{Claimed, Entered, Running},
     serving::Serving,
     table::Route,
 };
@@ -49,8 +49,8 @@
             };
             match serving.kept.ids.claim(claim, (self.wall)()) {
                 Claimed::Run(entered) => {
-                    call.term = Some(entered);
-                    return self.run_once(id, call, serving).await;
+                    call.entered = Some(entered);
+                    return self.run_once(id, entered, call, serving).await;
                 }
                 Claimed::Join(ended) => {
                     self.metrics.joins.inc();
@@ -79,14 +79,23 @@
     ///
     /// Once it has left, it goes on though its caller goes away: a resend then gets the outcome
     /// in place of a lasting doubt.
-    async fn run_once(self: &Arc<Self>, id: Uuid, call: Call, serving: Arc<Serving>) -> Response {
+    async fn run_once(
+        self: &Arc<Self>,
+        id: Uuid,
+        entered: Entered,
+        call: Call,
+        serving: Arc<Serving>,
+    ) -> Response {
         let (to, from) = oneshot::channel();
         let gone = call.gone.clone();
         let _going = gone.clone().drop_guard();
         let engine = Arc::clone(self);
         let sent = Arc::clone(&call.sent);
         tokio::spawn(async move {
-            let running = serving.kept.ids.running(id, Arc::clone(&sent));
+            let running = serving
+                .kept
+                .ids
+                .running(id, entered.ticket, Arc::clone(&sent));
             tokio::select! {
                 biased;
                 () = engine.run_claimed(call, running, to) => {}
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -159,7 +159,8 @@
 }
 
 impl Target {
-    /// Checks, at the moment of sending, that the request may still be sent.
+    /// Checks, at the moment of sending, that the request may still be sent, and notes in its
+    /// window that it is.
     pub(crate) fn check(&self, call: &Call, now: Instant) -> Result<(), Failure> {
         if now >= call.deadline {
             return Err(Failure::not_run(Reason::DeadlineHopeless));
@@ -171,10 +172,17 @@
             turn: self.pass.turn(),
             epoch: Some(self.owner.epoch),
         };
-        if call.term.is_some_and(|entered| !entered.is_same(term)) {
+        if call
+            .entered
+            .is_some_and(|entered| !entered.term.is_same(term))
+        {
             // Another leader may have run it meanwhile.
             return Err(Failure::may_have_run(Reason::IdempotencyKeyUnknown));
         }
+        let ids = &self.serving.kept.ids;
+        if call.entered.is_some_and(|entered| !ids.leave(entered)) {
+            return Err(Failure::not_run(Reason::NotLeader));
+        }
         Ok(())
     }
 }
--- a/crates/dispatch/tests/engine/once.rs
+++ b/crates/dispatch/tests/engine/once.rs
@@ -201,6 +201,20 @@
     assert_eq!(told(&new), (Verdict::Done, None));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_through_a_hand_over_runs_at_the_next_leader() {
+    let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    bench.table.set(SERVICE, 0, Route::Held);
+    let waits = spawn(&bench, once("/payout", new_id()));
+    sleep(ms(10)).await;
+    bench.table.set(SERVICE, 0, Route::Elsewhere);
+    let export = bench.engine.window_export(&SERVICE.into(), 10, &[0]);
+    assert!(export.unwrap().entries.is_empty(), "it has not left");
+    // Ingress asks the next leader, for which the key is new.
+    let elsewhere = (Verdict::NotRun, Some(Reason::NotLeader));
+    assert_eq!(told(&waits.await.unwrap()), elsewhere);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_leader_begins_only_when_the_one_before_has_stopped() {
     let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -59,7 +59,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
     /// The request is new and entered: it may run, and [`Window::finish`] is to follow.
-    Run,
+    Run(Ticket),
     /// The same request runs now; its outcome is the answer.
     Join,
     /// Whether the key is new can be judged only once the shard has an owner under this leader:
@@ -71,6 +71,13 @@
     Refused(Refusal),
 }
 
+/// Names one entry of a key; a later entry of the same key has another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket {
+    id: Uuid,
+    number: u64,
+}
+
 /// Why a claim is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
@@ -92,6 +99,8 @@
     epochs: HashMap<ShardIndex, Epoch>,
     /// A UUIDv7 begins with its time, so keys are in order of age.
     entries: BTreeMap<Uuid, Entry>,
+    /// Entries made so far.
+    numbers: u64,
     /// Keys whose answers are kept, oldest answer first, and some that are gone.
     answers: VecDeque<Uuid>,
     answers_bytes: usize,
@@ -109,6 +118,7 @@
 
 #[derive(Debug)]
 struct Entry {
+    number: u64,
     shard: ShardIndex,
     fingerprint: u64,
     state: State,
@@ -116,7 +126,10 @@
 
 #[derive(Debug)]
 enum State {
-    Running,
+    /// It has not left, or what left did not run.
+    Waiting,
+    /// It has left.
+    Sent,
     Finished(Outcome),
 }
 
@@ -143,6 +156,7 @@
             shards: HashMap::default(),
             epochs: HashMap::default(),
             entries: BTreeMap::new(),
+            numbers: 0,
             answers: VecDeque::new(),
             answers_bytes: 0,
         }
@@ -193,34 +207,37 @@
         if self.entries.len() >= self.keys_max {
             return refused(Verdict::NotRun, Reason::ServiceLimit);
         }
-        let entry = Entry {
-            shard: claim.shard,
-            fingerprint: claim.fingerprint,
-            state: State::Running,
-        };
-        self.entries.insert(claim.id, entry);
-        Answer::Run
+        Answer::Run(self.enter(claim))
+    }
+
+    /// Notes that a request is about to leave.
+    ///
+    /// `false` if it must not, since its entry has gone to the next leader.
+    #[must_use]
+    pub fn leave(&mut self, ticket: Ticket) -> bool {
+        let entry = self.open_entry(ticket);
+        entry.is_some_and(|entry| {
+            entry.state = State::Sent;
+            true
+        })
+    }
+
+    /// Notes that what has left did not run.
+    pub fn stay(&mut self, ticket: Ticket) {
+        if let Some(entry) = self.open_entry(ticket) {
+            entry.state = State::Waiting;
+        }
     }
 
     /// Keeps what became of a request that [`Window::claim`] let run.
-    pub fn finish(&mut self, id: Uuid, outcome: Outcome) {
-        let Some(entry) = self.entries.get_mut(&id) else {
-            return;
-        };
-        if matches!(entry.state, State::Finished(_)) {
+    pub fn finish(&mut self, ticket: Ticket, outcome: Outcome) {
+        if self.open_entry(ticket).is_none() {
             return;
         }
         if outcome == Outcome::NotRun {
-            self.entries.remove(&id);
-            return;
-        }
-        let outcome = outcome.bounded();
-        let bytes = outcome.bytes();
-        entry.state = State::Finished(outcome);
-        if bytes > 0 {
-            self.answers.push_back(id);
-            self.answers_bytes += bytes;
-            self.drop_answers();
+            self.entries.remove(&ticket.id);
+        } else {
+            self.settle(ticket.id, outcome);
         }
     }
 
@@ -281,6 +298,42 @@
         }
     }
 
+    fn enter(&mut self, claim: Claim) -> Ticket {
+        self.numbers += 1;
+        let entry = Entry {
+            number: self.numbers,
+            shard: claim.shard,
+            fingerprint: claim.fingerprint,
+            state: State::Waiting,
+        };
+        self.entries.insert(claim.id, entry);
+        Ticket {
+            id: claim.id,
+            number: self.numbers,
+        }
+    }
+
+    /// The entry that a ticket names, unless it is gone or finished.
+    fn open_entry(&mut self, ticket: Ticket) -> Option<&mut Entry> {
+        let entry = self.entries.get_mut(&ticket.id)?;
+        let is_open = !matches!(entry.state, State::Finished(_));
+        (is_open && entry.number == ticket.number).then_some(entry)
+    }
+
+    fn settle(&mut self, id: Uuid, outcome: Outcome) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        let outcome = outcome.bounded();
+        let bytes = outcome.bytes();
+        entry.state = State::Finished(outcome);
+        if bytes > 0 {
+            self.answers.push_back(id);
+            self.answers_bytes += bytes;
+            self.drop_answers();
+        }
+    }
+
     /// Begins anew if the shard came to this daemon again since its keys were last known whole.
     ///
     /// `false` if it cannot begin yet, since the shard has no owner.
@@ -328,11 +381,12 @@
             .is_none_or(|lead| made <= lead.unknown_before)
     }
 
-    /// Takes an entry out, with its answer.
+    /// Takes an entry out, with its answer; `None` if there is nothing to tell of it.
     fn take(&mut self, id: Uuid) -> Option<ExportEntry> {
         let entry = self.entries.remove(&id)?;
         let outcome = match entry.state {
-            State::Running => Outcome::MayHaveRun {
+            State::Waiting => return None,
+            State::Sent => Outcome::MayHaveRun {
                 reason: Reason::NotLeader,
             },
             State::Finished(outcome) => outcome,
@@ -368,7 +422,7 @@
             return refused(Verdict::NotRun, Reason::IdempotencyKeyReused);
         }
         match &self.state {
-            State::Running => Answer::Join,
+            State::Waiting | State::Sent => Answer::Join,
             State::Finished(outcome) => Answer::Kept(outcome.clone()),
         }
     }
--- a/crates/policy/src/window/export.rs
+++ b/crates/policy/src/window/export.rs
@@ -50,7 +50,8 @@
     ///
     /// `term` tells in which stretch each shard was led last: what is known of an earlier one says
     /// nothing about keys that others took since. `next` is the epoch of the next leader. Requests
-    /// that still run go out as ones that may have run.
+    /// that have left go out as ones that may have run, and those that have not may not leave any
+    /// more.
     pub fn export(
         &mut self,
         service: &ServiceName,
@@ -105,20 +106,27 @@
         }
     }
 
+    /// Takes an entry over; `false` if there is no room for it.
     fn adopt(&mut self, entry: &ExportEntry) -> bool {
-        if self.entries.contains_key(&entry.id) {
-            return true;
+        match self.entries.get(&entry.id) {
+            // What waits here has left elsewhere, so it may not leave from here.
+            Some(Entry {
+                state: State::Waiting,
+                ..
+            }) => {}
+            Some(_) => return true,
+            None if self.entries.len() >= self.keys_max => return false,
+            None => {}
         }
-        if self.entries.len() >= self.keys_max {
-            return false;
-        }
-        let running = Entry {
+        self.numbers += 1;
+        let waiting = Entry {
+            number: self.numbers,
             shard: entry.shard,
             fingerprint: entry.fingerprint,
-            state: State::Running,
+            state: State::Waiting,
         };
-        self.entries.insert(entry.id, running);
-        self.finish(entry.id, entry.outcome.clone());
+        self.entries.insert(entry.id, waiting);
+        self.settle(entry.id, entry.outcome.clone());
         true
     }
 
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -5,7 +5,7 @@
 use copperwell_message::{Reason, Reply, Verdict};
 use copperwell_policy::window::{
     ANSWER_MAX, ANSWERS_EXPORT_MAX, ANSWERS_MAX, Answer, CLOCK_DIFFERENCE, Claim, Export,
-    ExportEntry, Outcome, Term, Whole, Window,
+    ExportEntry, Outcome, Term, Ticket, Whole, Window,
 };
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use test_case::test_case;
@@ -23,6 +23,8 @@
     Make(usize, i64),
     /// A caller sends a key to the leader, whose clock is off.
     Send(usize, i64),
+    /// A request that waited leaves, if it may.
+    Leave(usize),
     /// The leader hears how a request ended.
     End(usize, u8),
     /// The leader hands over to the other daemon as planned.
@@ -57,7 +59,16 @@
 struct Key {
     id: Uuid,
     runs: u32,
-    running_at: Option<usize>,
+    entry: Option<Running>,
+}
+
+/// Where a request was entered, and whether it has left.
+#[derive(Clone, Copy)]
+struct Running {
+    at: usize,
+    ticket: Ticket,
+    term: Term,
+    left: bool,
 }
 
 fn off(time: SystemTime, milliseconds: i64) -> SystemTime {
@@ -75,7 +86,7 @@
     Key {
         id: Uuid::new_v7(at),
         runs: 0,
-        running_at: None,
+        entry: None,
     }
 }
 
@@ -121,35 +132,58 @@
         let answer = self.windows[at].claim(claim, off(self.now, skew));
         let key = &mut self.keys[index];
         match answer {
-            Answer::Run => {
-                key.runs += 1;
-                key.running_at = Some(at);
+            Answer::Run(ticket) => {
+                let term = self.windows[at].term(SHARD).unwrap();
+                key.entry = Some(Running {
+                    at,
+                    ticket,
+                    term,
+                    left: false,
+                });
+                if skew % 3 > 0 {
+                    self.leave(index);
+                }
             }
             Answer::Refused(refusal) if refusal.verdict == Verdict::NotRun => {
                 prop_assert_eq!(key.runs, 0, "told as not run: {:?}", refusal);
             }
-            Answer::Join => prop_assert!(key.running_at.is_some()),
+            Answer::Join => prop_assert!(key.entry.is_some()),
             Answer::Refused(_) | Answer::Kept(_) | Answer::Wait => {}
         }
-        prop_assert!(key.runs <= 1, "ran twice");
+        prop_assert!(self.keys[index].runs <= 1, "ran twice");
         Ok(())
     }
 
+    /// Lets a request leave, if its daemon leads in the stretch in which it was entered.
+    fn leave(&mut self, index: usize) {
+        let Some(mut entry) = self.keys[index].entry else {
+            return;
+        };
+        let now = self.claim(self.keys[index].id).term;
+        let may = entry.at == self.leader && entry.term.is_same(now) && !entry.left;
+        if may && self.windows[entry.at].leave(entry.ticket) {
+            entry.left = true;
+            self.keys[index].runs += 1;
+            self.keys[index].entry = Some(entry);
+        }
+    }
+
     fn end(&mut self, index: usize, how: u8) {
         let key = &mut self.keys[index];
-        let Some(at) = key.running_at.take() else {
+        let Some(entry) = key.entry.take() else {
             return;
         };
         let outcome = match how {
+            _ if !entry.left => Outcome::NotRun,
             0 => Outcome::NotRun,
             1 => Outcome::Done { status: 200 },
             _ => Outcome::MayHaveRun {
                 reason: Reason::ConnectionLost,
             },
         };
-        // Only a leader that still leads hears that nothing ran; what it exported stays in doubt.
-        key.runs -= u32::from(how == 0);
-        self.windows[at].finish(key.id, outcome);
+        // What was handed over stays in doubt, whatever its old leader hears.
+        key.runs -= u32::from(entry.left && how == 0);
+        self.windows[entry.at].finish(entry.ticket, outcome);
     }
 
     /// The other daemon leads from here on, under an epoch that is higher by `step`.
@@ -191,6 +225,10 @@
             Act::Pass(milliseconds) => self.now += Duration::from_millis(milliseconds),
             Act::Make(index, skew) => self.keys[index] = key(off(self.now, skew)),
             Act::Send(index, skew) => self.send(index, skew)?,
+            Act::Leave(index) => {
+                self.leave(index);
+                prop_assert!(self.keys[index].runs <= 1, "ran twice");
+            }
             Act::End(index, how) => self.end(index, how),
             Act::HandOver => {
                 self.export();
@@ -234,6 +272,7 @@
         4 => prop_oneof![0..50_u64, 300..2_000_u64, 5_000..12_000_u64].prop_map(Act::Pass),
         3 => (index.clone(), off).prop_map(|(index, off)| Act::Make(index, off)),
         8 => (index.clone(), skew).prop_map(|(index, skew)| Act::Send(index, skew)),
+        2 => index.clone().prop_map(Act::Leave),
         3 => (index, 0..3_u8).prop_map(|(index, how)| Act::End(index, how)),
         1 => Just(Act::HandOver),
         1 => Just(Act::TakeOver),
@@ -280,24 +319,25 @@
 }
 
 /// A window that leads and knows new keys, and a key that it lets run.
-fn running() -> (Window, World) {
+fn running() -> (Window, World, Ticket) {
     let mut world = World::new();
     let mut window = Window::new(LENGTH).with_keys(2);
     window.claim(world.claim(world.keys[0].id), world.now);
     world.now += Duration::from_secs(2);
     world.keys[0] = key(world.now);
-    assert_eq!(
-        window.claim(world.claim(world.keys[0].id), world.now),
-        Answer::Run
-    );
-    (window, world)
+    let answer = window.claim(world.claim(world.keys[0].id), world.now);
+    let Answer::Run(ticket) = answer else {
+        panic!("{answer:?}");
+    };
+    (window, world, ticket)
 }
 
 #[test]
 fn a_full_window_refuses_new_keys_and_forgets_none() {
-    let (mut window, world) = running();
+    let (mut window, world, _) = running();
     let second = key(world.now).id;
-    assert_eq!(window.claim(world.claim(second), world.now), Answer::Run);
+    let answer = window.claim(world.claim(second), world.now);
+    assert!(matches!(answer, Answer::Run(_)));
     let third = window.claim(world.claim(key(world.now).id), world.now);
     assert!(matches!(third, Answer::Refused(refusal)
         if (refusal.verdict, refusal.reason) == (Verdict::NotRun, Reason::ServiceLimit)));
@@ -306,9 +346,9 @@
 
 #[test]
 fn a_clock_that_jumps_ahead_and_back_lets_nothing_run_again() {
-    let (mut window, world) = running();
+    let (mut window, world, ticket) = running();
     let id = world.keys[0].id;
-    window.finish(id, Outcome::Done { status: 200 });
+    window.finish(ticket, Outcome::Done { status: 200 });
     let ahead = world.now + Duration::from_hours(1);
     window.claim(world.claim(key(ahead).id), ahead);
     let again = window.claim(world.claim(id), world.now);
@@ -324,7 +364,9 @@
     let keys = 2 * ANSWERS_MAX / ANSWER_MAX;
     let ids: Vec<Uuid> = (0..keys).map(|_| key(world.now).id).collect();
     for id in &ids {
-        window.claim(world.claim(*id), world.now);
+        let Answer::Run(ticket) = window.claim(world.claim(*id), world.now) else {
+            panic!("a new key is refused");
+        };
         let reply = Reply {
             status: 201,
             headers: Vec::new(),
@@ -333,7 +375,7 @@
             retry_after: None,
         };
         let body = vec![0; ANSWER_MAX - size_of::<Whole>()];
-        window.finish(*id, Outcome::Answered(Box::new(Whole { reply, body })));
+        window.finish(ticket, Outcome::Answered(Box::new(Whole { reply, body })));
     }
     let first = window.claim(world.claim(ids[0]), world.now);
     assert_eq!(first, Answer::Kept(Outcome::Done { status: 201 }));
