--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -13,17 +13,20 @@
     time::{Duration, SystemTime},
 };
 
-use copperwell_keyspace::{Epoch, HashMap, ServiceName, ShardIndex};
-use copperwell_message::{Reason, Reply, Verdict};
+pub use export::{ANSWERS_EXPORT_MAX, Export, ExportEntry, ExportShard};
+pub use outcome::{ANSWER_MAX, Outcome, Whole};
+
+use copperwell_keyspace::{Epoch, HashMap, ShardIndex};
+use copperwell_message::{Reason, Verdict};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+mod export;
+mod outcome;
+
 /// The most that the wall clocks of two daemons, or of a daemon and a caller, may differ.
 pub const CLOCK_DIFFERENCE: Duration = Duration::from_millis(500);
 
-/// The largest answer that is kept, in bytes of head and body.
-pub const ANSWER_MAX: usize = 8 << 10;
-
 /// The most bytes of answers that one window keeps; beyond it, the oldest answers go first.
 pub const ANSWERS_MAX: usize = 4 << 20;
 
@@ -58,7 +61,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
     /// The request is new and entered: it may run, and [`Window::finish`] is to follow.
-    Run,
+    Run(Ticket),
     /// The same request runs now; its outcome is the answer.
     Join,
     /// Whether the key is new can be judged only once the shard has an owner under this leader:
@@ -70,6 +73,13 @@
     Refused(Refusal),
 }
 
+/// Names one entry of a key; a later entry of the same key has another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket {
+    id: Uuid,
+    number: u64,
+}
+
 /// Why a claim is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
@@ -79,70 +89,6 @@
     pub reason: Reason,
 }
 
-/// What became of a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Outcome {
-    /// It ran, and this is its whole answer.
-    Answered(Box<Whole>),
-    /// It ran and its answer was whole, but that answer is not kept.
-    Done {
-        /// The status of the answer.
-        status: u16,
-    },
-    /// It may have run, and will not again.
-    MayHaveRun {
-        /// Why its outcome is not known.
-        reason: Reason,
-    },
-    /// It did not run, so a resend may.
-    NotRun,
-}
-
-/// A whole answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Whole {
-    /// The head.
-    pub reply: Reply,
-    /// The body.
-    pub body: Vec<u8>,
-}
-
-/// The entries of some shards, for the leader that takes them over.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Export {
-    /// The service.
-    pub service: ServiceName,
-    /// The epoch of the leader that it is for; under any other one it says nothing.
-    pub next: Epoch,
-    /// The shards.
-    pub shards: Vec<ExportShard>,
-    /// The entries.
-    pub entries: Vec<ExportEntry>,
-}
-
-/// A shard of an [`Export`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ExportShard {
-    /// The shard.
-    pub shard: ShardIndex,
-    /// Every unknown key made up to then may have run.
-    pub unknown_before: SystemTime,
-}
-
-/// An entry of an [`Export`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ExportEntry {
-    /// The idempotency key.
-    pub id: Uuid,
-    /// The shard.
-    pub shard: ShardIndex,
-    /// What makes two requests the same.
-    pub fingerprint: u64,
-    /// What became of it.
-    pub outcome: Outcome,
-}
-
 /// The keys of one service.
 #[derive(Debug)]
 pub struct Window {
@@ -155,6 +101,8 @@
     epochs: HashMap<ShardIndex, Epoch>,
     /// A UUIDv7 begins with its time, so keys are in order of age.
     entries: BTreeMap<Uuid, Entry>,
+    /// Entries made so far.
+    numbers: u64,
     /// Keys whose answers are kept, oldest answer first, and some that are gone.
     answers: VecDeque<Uuid>,
     answers_bytes: usize,
@@ -172,6 +120,7 @@
 
 #[derive(Debug)]
 struct Entry {
+    number: u64,
     shard: ShardIndex,
     fingerprint: u64,
     state: State,
@@ -179,7 +128,10 @@
 
 #[derive(Debug)]
 enum State {
-    Running,
+    /// It has not left, or what left did not run.
+    Waiting,
+    /// It has left.
+    Sent,
     Finished(Outcome),
 }
 
@@ -206,6 +158,7 @@
             shards: HashMap::default(),
             epochs: HashMap::default(),
             entries: BTreeMap::new(),
+            numbers: 0,
             answers: VecDeque::new(),
             answers_bytes: 0,
         }
@@ -256,34 +209,37 @@
         if self.entries.len() >= self.keys_max {
             return refused(Verdict::NotRun, Reason::ServiceLimit);
         }
-        let entry = Entry {
-            shard: claim.shard,
-            fingerprint: claim.fingerprint,
-            state: State::Running,
-        };
-        self.entries.insert(claim.id, entry);
-        Answer::Run
+        Answer::Run(self.enter(claim))
+    }
+
+    /// Notes that a request is about to leave.
+    ///
+    /// `false` if it must not, since its entry has gone to the next leader.
+    #[must_use]
+    pub fn leave(&mut self, ticket: Ticket) -> bool {
+        let entry = self.open_entry(ticket);
+        entry.is_some_and(|entry| {
+            entry.state = State::Sent;
+            true
+        })
+    }
+
+    /// Notes that what has left did not run.
+    pub fn stay(&mut self, ticket: Ticket) {
+        if let Some(entry) = self.open_entry(ticket) {
+            entry.state = State::Waiting;
+        }
     }
 
     /// Keeps what became of a request that [`Window::claim`] let run.
-    pub fn finish(&mut self, id: Uuid, outcome: Outcome) {
-        let Some(entry) = self.entries.get_mut(&id) else {
-            return;
-        };
-        if matches!(entry.state, State::Finished(_)) {
+    pub fn finish(&mut self, ticket: Ticket, outcome: Outcome) {
+        if self.open_entry(ticket).is_none() {
             return;
         }
         if outcome == Outcome::NotRun {
-            self.entries.remove(&id);
-            return;
-        }
-        let outcome = outcome.bounded();
-        let bytes = outcome.bytes();
-        entry.state = State::Finished(outcome);
-        if bytes > 0 {
-            self.answers.push_back(id);
-            self.answers_bytes += bytes;
-            self.drop_answers();
+            self.entries.remove(&ticket.id);
+        } else {
+            self.settle(ticket.id, outcome);
         }
     }
 
@@ -309,71 +265,6 @@
         self.entries.is_empty()
     }
 
-    /// Takes shards out for their next leader; from here on their keys are unknown here.
-    ///
-    /// `term` tells in which stretch each shard was led last: what is known of an earlier one says
-    /// nothing about keys that others took since. `next` is the epoch of the next leader. Requests
-    /// that still run go out as ones that may have run.
-    pub fn export(
-        &mut self,
-        service: &ServiceName,
-        next: Epoch,
-        shards: &[ShardIndex],
-        term: impl Fn(ShardIndex) -> Term,
-        wall: SystemTime,
-    ) -> Export {
-        self.advance(wall);
-        let mut led = Vec::new();
-        for shard in shards {
-            self.follow(*shard, term(*shard), Duration::ZERO);
-            if let Some(lead) = self.shards.remove(shard) {
-                led.push(ExportShard {
-                    shard: *shard,
-                    unknown_before: lead.unknown_before.max(self.horizon()),
-                });
-            }
-        }
-        let gone: Vec<Uuid> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| shards.contains(&entry.shard))
-            .map(|(id, _)| *id)
-            .collect();
-        Export {
-            service: service.clone(),
-            next,
-            shards: led,
-            entries: gone.into_iter().filter_map(|id| self.take(id)).collect(),
-        }
-    }
-
-    /// Takes over what the leader before exported.
-    ///
-    /// `turn` tells in which stretch of leading each shard the entries count. An export that comes
-    /// after the shard was led here under its epoch or a later one is out of date: others may have
-    /// taken keys since, so it is left.
-    pub fn import(&mut self, export: Export, turn: impl Fn(ShardIndex) -> u64, wall: SystemTime) {
-        self.advance(wall);
-        let mut forgotten = SystemTime::UNIX_EPOCH;
-        for entry in &export.entries {
-            if !self.adopt(entry) {
-                forgotten = forgotten.max(made_at(entry.id).unwrap_or(forgotten));
-            }
-        }
-        for led in export.shards {
-            if self.epochs.get(&led.shard) >= Some(&export.next) {
-                continue;
-            }
-            let lead = Lead {
-                turn: turn(led.shard),
-                epoch: export.next,
-                unknown_before: led.unknown_before.max(forgotten),
-                confirmed: false,
-            };
-            self.lead(led.shard, lead);
-        }
-    }
-
     fn advance(&mut self, wall: SystemTime) {
         if wall <= self.wall {
             return;
@@ -409,6 +300,42 @@
         }
     }
 
+    fn enter(&mut self, claim: Claim) -> Ticket {
+        self.numbers += 1;
+        let entry = Entry {
+            number: self.numbers,
+            shard: claim.shard,
+            fingerprint: claim.fingerprint,
+            state: State::Waiting,
+        };
+        self.entries.insert(claim.id, entry);
+        Ticket {
+            id: claim.id,
+            number: self.numbers,
+        }
+    }
+
+    /// The entry that a ticket names, unless it is gone or finished.
+    fn open_entry(&mut self, ticket: Ticket) -> Option<&mut Entry> {
+        let entry = self.entries.get_mut(&ticket.id)?;
+        let is_open = !matches!(entry.state, State::Finished(_));
+        (is_open && entry.number == ticket.number).then_some(entry)
+    }
+
+    fn settle(&mut self, id: Uuid, outcome: Outcome) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        let outcome = outcome.bounded();
+        let bytes = outcome.bytes();
+        entry.state = State::Finished(outcome);
+        if bytes > 0 {
+            self.answers.push_back(id);
+            self.answers_bytes += bytes;
+            self.drop_answers();
+        }
+    }
+
     /// Begins anew if the shard came to this daemon again since its keys were last known whole.
     ///
     /// `false` if it cannot begin yet, since the shard has no owner.
@@ -457,28 +384,12 @@
             .is_none_or(|lead| made <= lead.unknown_before)
     }
 
-    fn adopt(&mut self, entry: &ExportEntry) -> bool {
-        if self.entries.contains_key(&entry.id) {
-            return true;
-        }
-        if self.entries.len() >= self.keys_max {
-            return false;
-        }
-        let running = Entry {
-            shard: entry.shard,
-            fingerprint: entry.fingerprint,
-            state: State::Running,
-        };
-        self.entries.insert(entry.id, running);
-        self.finish(entry.id, entry.outcome.clone());
-        true
-    }
-
-    /// Takes an entry out, with its body.
+    /// Takes an entry out, with its answer; `None` if there is nothing to tell of it.
     fn take(&mut self, id: Uuid) -> Option<ExportEntry> {
         let entry = self.entries.remove(&id)?;
         let outcome = match entry.state {
-            State::Running => Outcome::MayHaveRun {
+            State::Waiting => return None,
+            State::Sent => Outcome::MayHaveRun {
                 reason: Reason::NotLeader,
             },
             State::Finished(outcome) => outcome,
@@ -514,47 +425,12 @@
             return refused(Verdict::NotRun, Reason::IdempotencyKeyReused);
         }
         match &self.state {
-            State::Running => Answer::Join,
+            State::Waiting | State::Sent => Answer::Join,
             State::Finished(outcome) => Answer::Kept(outcome.clone()),
         }
     }
 }
 
-impl Outcome {
-    /// What the answer takes, if it is kept.
-    fn bytes(&self) -> usize {
-        match self {
-            Self::Answered(whole) => whole.bytes(),
-            _ => 0,
-        }
-    }
-
-    fn bounded(self) -> Self {
-        if self.bytes() > ANSWER_MAX {
-            self.without_answer()
-        } else {
-            self
-        }
-    }
-
-    fn without_answer(&self) -> Self {
-        match self {
-            Self::Answered(whole) => Self::Done {
-                status: whole.reply.status,
-            },
-            other => other.clone(),
-        }
-    }
-}
-
-impl Whole {
-    fn bytes(&self) -> usize {
-        let headers = self.reply.headers.iter();
-        let head: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
-        size_of::<Self>() + head + self.body.len()
-    }
-}
-
 /// When an idempotency key was made; `None` if it is not a UUIDv7.
 #[must_use]
 pub fn made_at(id: Uuid) -> Option<SystemTime> {
