Keep the knowledge of idempotency keys when a standby that took over is appointed

Change: the owner of a shard names the first epoch of the unbroken leadership, which the appointment of an acting standby goes on with, since its appointment replaced the only one that could have come between. Conclusion: only a leader that re-appoints itself for a new standby still starts anew, because the old standby may have led meanwhile.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -150,9 +150,12 @@
     ) -> Option<Export> {
         let inner = &self.inner;
         let serving = inner.serving(service).ok()?;
-        let term = |shard| Term {
-            turn: inner.table.lead(service, shard).turn,
-            epoch: Some(epoch),
+        let term = |shard| {
+            let lead = inner.table.lead(service, shard);
+            Term {
+                turn: lead.turn,
+                epoch: lead.first.map(|first| first.tenure),
+            }
         };
         let ids = &serving.kept.ids;
         let next = epoch + 1;
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -131,7 +131,7 @@
         let lead = self.table.lead(&call.head.service, call.head.shard);
         let epoch = match lead.route {
             Route::Elsewhere => return None,
-            Route::Owned(owner) => Some(owner.epoch),
+            Route::Owned(owner) => Some(owner.tenure),
             Route::Unowned | Route::Held => None,
         };
         Some(Term {
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -41,6 +41,9 @@
     pub upstream: UpstreamName,
     /// The epoch under which requests are sent.
     pub epoch: Epoch,
+    /// The first epoch of this daemon's unbroken leadership; what it knows of idempotency keys since
+    /// then is whole.
+    pub tenure: Epoch,
     /// The server's run that holds the grant.
     pub incarnation: Incarnation,
     /// The lease of all grants of this upstream.
@@ -68,15 +71,17 @@
     pub route: Route,
     /// How often the shard has come from [`Route::Elsewhere`].
     pub turn: u64,
-    /// Since when upstreams have owned the shard under this daemon's present epoch.
-    pub since: Option<Since>,
+    /// The first grant of the shard in this daemon's latest unbroken leadership; it outlives that.
+    pub first: Option<First>,
 }
 
-/// The start of a leader's first grant of a shard under its epoch.
+/// The first grant of a shard in an unbroken leadership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Since {
-    epoch: Epoch,
-    at: Instant,
+pub struct First {
+    /// The leadership's first epoch.
+    pub tenure: Epoch,
+    /// When it was granted.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -240,24 +245,22 @@
         let was_elsewhere = matches!(self.route, Route::Elsewhere);
         let is_elsewhere = matches!(route, Route::Elsewhere);
         self.turn += u64::from(was_elsewhere && !is_elsewhere);
-        match &route {
-            Route::Elsewhere => self.since = None,
-            Route::Owned(owner) if self.since.is_none_or(|since| since.epoch != owner.epoch) => {
-                self.since = Some(Since {
-                    epoch: owner.epoch,
-                    at: Instant::now(),
-                });
-            }
-            Route::Owned(_) | Route::Unowned | Route::Held => {}
+        if let Route::Owned(owner) = &route
+            && self.first.is_none_or(|first| first.tenure != owner.tenure)
+        {
+            self.first = Some(First {
+                tenure: owner.tenure,
+                at: Instant::now(),
+            });
         }
         self.route = route;
     }
 
-    /// How long upstreams have owned the shard under this daemon's present epoch.
+    /// How long ago the shard was first granted in this daemon's latest unbroken leadership.
     #[must_use]
     pub fn owned_for(&self) -> Duration {
-        self.since
-            .map_or(Duration::ZERO, |since| since.at.elapsed())
+        self.first
+            .map_or(Duration::ZERO, |first| first.at.elapsed())
     }
 }
 
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -170,7 +170,7 @@
         }
         let term = Term {
             turn: self.pass.turn(),
-            epoch: Some(self.owner.epoch),
+            epoch: Some(self.owner.tenure),
         };
         if call
             .entered
--- a/crates/dispatch/tests/engine/support.rs
+++ b/crates/dispatch/tests/engine/support.rs
@@ -185,6 +185,7 @@
     Owner {
         upstream: upstream.into(),
         epoch,
+        tenure: epoch,
         incarnation,
         lease: Arc::new(Lease::new(Instant::now() + Duration::from_hours(1))),
     }
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -53,6 +53,8 @@
 #[derive(Debug)]
 struct Led {
     epoch: Epoch,
+    /// The first epoch of the unbroken leadership.
+    tenure: Epoch,
     commands: mpsc::Sender<Command>,
     status: Arc<Mutex<Status>>,
     end: End,
@@ -342,14 +344,16 @@
             epoch,
             recorded,
         });
+        let tenure = held.tenure(id, epoch, recorded);
         if let Some(led) = held.led.get_mut(id)
             && !led.is_ended()
-            && led
-                .commands
-                .try_send(Command::Start(Box::new(start.clone())))
-                .is_ok()
+            && led.tell(Command::Start {
+                start: Box::new(start.clone()),
+                tenure,
+            })
         {
             led.epoch = epoch;
+            led.tenure = tenure;
             return;
         }
         let led = self.spawn(start);
@@ -370,6 +374,7 @@
         });
         Led {
             epoch,
+            tenure: epoch,
             commands,
             status,
             end,
@@ -421,6 +426,17 @@
 }
 
 impl Held {
+    /// The first epoch of the leadership that goes on, or begins, under `epoch`.
+    ///
+    /// A standby that took over and is then appointed has led without a break: the appointment that
+    /// it replaces named no epoch above the standby's, so nobody can have come between.
+    fn tenure(&self, id: &GroupId, epoch: Epoch, recorded: bool) -> Epoch {
+        let replaces = self.state.groups.get(id).map_or(0, |held| held.replaces);
+        let led = self.led.get(id).filter(|led| !led.is_ended());
+        let unbroken = led.filter(|led| recorded && led.epoch == replaces + 1);
+        unbroken.map_or(epoch, |led| led.tenure)
+    }
+
     /// Whether this daemon has not led the group under this epoch or a later one.
     fn is_unused(&self, id: &GroupId, epoch: Epoch) -> bool {
         self.used.get(id).is_none_or(|used| *used < epoch)
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -35,7 +35,12 @@
     /// An input of the machine.
     Input(Input),
     /// Lead anew under a higher epoch.
-    Start(Box<Start>),
+    Start {
+        /// What to lead.
+        start: Box<Start>,
+        /// The first epoch of the unbroken leadership.
+        tenure: Epoch,
+    },
 }
 
 /// What the tasks of all groups share.
@@ -53,6 +58,8 @@
 pub(crate) struct Leader<C> {
     shared: Arc<Shared<C>>,
     group: Group,
+    /// The first epoch of the unbroken leadership.
+    tenure: Epoch,
     commands: mpsc::Receiver<Command>,
     status: Arc<Mutex<Status>>,
     leases: HashMap<UpstreamName, Held>,
@@ -89,6 +96,7 @@
     ) -> Self {
         Self {
             shared,
+            tenure: group.epoch(),
             group,
             commands,
             status,
@@ -136,8 +144,8 @@
         tokio::select! {
             command = self.commands.recv() => match command {
                 Some(Command::Input(input)) => input,
-                Some(Command::Start(start)) => {
-                    self.restart(*start);
+                Some(Command::Start { start, tenure }) => {
+                    self.restart(*start, tenure);
                     Input::Tick
                 }
                 None => Input::Stop,
@@ -158,7 +166,8 @@
     }
 
     /// Begins anew; the routes stay held until the servers have answered.
-    fn restart(&mut self, start: Start) {
+    fn restart(&mut self, start: Start, tenure: Epoch) {
+        self.tenure = tenure;
         self.running = JoinSet::new();
         self.leases.clear();
         self.group = Group::new(start, Instant::now());
@@ -230,6 +239,7 @@
             } => Route::Owned(Owner {
                 lease: self.lease(&upstream, incarnation),
                 epoch: self.group.epoch(),
+                tenure: self.tenure,
                 upstream,
                 incarnation,
             }),
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -38,7 +38,7 @@
 pub struct Term {
     /// How often the shard has come to this daemon.
     pub turn: u64,
-    /// The leader's epoch; `None` while the shard has no owner.
+    /// The first epoch of the leader's unbroken leadership; `None` while the shard has no owner.
     pub epoch: Option<Epoch>,
 }
 
