Count the servers that the log names, and retire removed ones

Cause: leader and successor each counted a quorum of the upstreams that they knew of; with a change of the manifest between them the two need not meet, and the leader could grant elsewhere what its successor renews. A removed upstream was not known to a later leader. Change: an appointment carries the servers that count (addresses, checked ones), and those of the one before; a leader whose group has others now is appointed anew. Former upstreams are fenced, emptied and retired through the log. A daemon that started late asks all daemons of its data centre before it counts itself alone, and confirms only under an appointment that the log's end still has.

--- a/crates/copperwelld/src/appointer.rs
+++ b/crates/copperwelld/src/appointer.rs
@@ -6,7 +6,7 @@
 use copperwell_backend::{Control, Forward};
 use copperwell_keyspace::{
     GroupId, Member,
-    record::{Appoint, Body, Move},
+    record::{Appoint, Body},
     replay::State,
 };
 use copperwell_platform::{Log, append::Appender};
@@ -30,14 +30,14 @@
 pub(crate) async fn run<C: Control, F: Forward, L: Log>(
     core: Arc<Core<C, F>>,
     mut appender: Appender<L>,
-    mut moves: mpsc::Receiver<Move>,
+    mut records: mpsc::Receiver<Body>,
 ) {
     let settled = Instant::now() + SETTLE;
     loop {
         tokio::select! {
-            moved = moves.recv() => {
-                let Some(moved) = moved else { return };
-                append(&core, &mut appender, Body::Move(moved)).await;
+            body = records.recv() => {
+                let Some(body) = body else { return };
+                append(&core, &mut appender, body).await;
             }
             () = sleep(LOOK) => {}
         }
--- a/crates/copperwelld/src/confirm.rs
+++ b/crates/copperwelld/src/confirm.rs
@@ -33,7 +33,7 @@
             .groups
             .status()
             .into_iter()
-            .filter(is_waiting)
+            .filter(|status| status.waits)
             .collect();
         if waiting.is_empty() {
             continue;
@@ -52,11 +52,6 @@
     }
 }
 
-fn is_waiting(status: &Status) -> bool {
-    let lost = status.upstreams.iter().any(|upstream| upstream.lost);
-    !status.settled || status.unreported > 0 || lost
-}
-
 /// Asks the other daemons about one group.
 async fn ask<C: Control, F: Forward>(
     core: &Core<C, F>,
@@ -75,8 +70,17 @@
     if !all_stopped {
         return;
     }
-    core.groups.evidence(Evidence::Alone(status.group.clone()));
-    let confirmed = at_end || nobody_else_here(core, client, status).await;
+    // Of a group that had leaders before this daemon started, it may not know them all.
+    let knows_all = core.groups.knows_rivals(&status.group);
+    let nobody_else = if knows_all && at_end {
+        false
+    } else {
+        nobody_else_here(core, client, status).await
+    };
+    if knows_all || nobody_else {
+        core.groups.evidence(Evidence::Alone(status.group.clone()));
+    }
+    let confirmed = nobody_else || (at_end && is_appointed(core, status));
     if confirmed {
         core.groups.evidence(Evidence::Confirmed {
             group: status.group.clone(),
@@ -85,6 +89,13 @@
     }
 }
 
+/// Whether the state that was read to the end of the log still names this daemon.
+fn is_appointed<C: Control, F: Forward>(core: &Core<C, F>, status: &Status) -> bool {
+    let state = core.state();
+    let held = state.groups.get(&status.group);
+    held.is_some_and(|held| [held.epoch, held.standby_epoch()].contains(&status.epoch))
+}
+
 /// Without the log, nobody acts if every daemon that could have been appointed says so.
 async fn nobody_else_here<C: Control, F: Forward>(
     core: &Core<C, F>,
--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -124,7 +124,7 @@
         let engine = Arc::new(engine);
         let way = Arc::new(Way::new(me.clone(), engine.clone(), links.clone()));
         let (events_to, events) = mpsc::channel(EVENTS);
-        let (moves_to, moves) = mpsc::channel(MOVES);
+        let (records_to, records) = mpsc::channel(MOVES);
         let servers = Arc::new(Servers::new());
         let groups = Groups::new(me.clone(), servers, table.clone(), events_to, &mut registry);
         let metrics = Metrics::new(&mut registry);
@@ -186,7 +186,7 @@
         spawn_until(&running, watch::states(core.clone()));
         spawn_until(&running, watch::members(core.clone()));
         spawn_until(&running, watch::vms(core.clone(), vms));
-        spawn_until(&running, watch::events(events, moves_to));
+        spawn_until(&running, watch::events(events, records_to));
         spawn_until(
             &running,
             confirm::run(core.clone(), client.clone(), log_reader),
@@ -194,7 +194,7 @@
         spawn_until(&running, watch::load(core.clone()));
         spawn_until(&running, watch::contact(core.clone()));
         spawn_until(&running, watch::observations(core.clone(), observations));
-        spawn_until(&running, appointer::run(core.clone(), appender, moves));
+        spawn_until(&running, appointer::run(core.clone(), appender, records));
 
         let daemon = Self {
             core,
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -6,7 +6,7 @@
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::Observation;
 use copperwell_keyspace::{
-    DaemonName, HashMap, HashSet, Member, ServiceName, record::Move, replay::State,
+    DaemonName, HashMap, HashSet, Member, ServiceName, record::Body, replay::State,
 };
 use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
@@ -77,7 +77,7 @@
 }
 
 /// Handles what the groups tell.
-pub(crate) async fn events(mut events: mpsc::Receiver<Event>, moves: mpsc::Sender<Move>) {
+pub(crate) async fn events(mut events: mpsc::Receiver<Event>, records: mpsc::Sender<Body>) {
     while let Some(event) = events.recv().await {
         match event {
             Event::Led { group, epoch, .. } => {
@@ -89,8 +89,11 @@
                 info!("stepped down", kv: { group, epoch });
             }
             Event::Move(moved) => {
-                // A full queue drops the move; its group asks again.
-                let _ = moves.try_send(moved);
+                // A full queue drops the record; its group asks again.
+                let _ = records.try_send(Body::Move(moved));
+            }
+            Event::Retire(retire) => {
+                let _ = records.try_send(Body::Retire(retire));
             }
         }
     }
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -4,7 +4,7 @@
 //! void for everybody if its parent is not the current one, which turns the append-only log into
 //! compare-and-swap.
 
-use std::{cmp::Ordering, time::Duration};
+use std::{cmp::Ordering, net::SocketAddr, time::Duration};
 
 use crate::{
     HashMap, HashSet,
@@ -12,7 +12,7 @@
         DaemonName, EPOCH_STRIDE, Epoch, GroupId, Incarnation, LogOffset, ManifestVersion,
         ServiceName, ShardIndex,
     },
-    manifest::{Manifest, Upstream},
+    manifest::{Fencing, Manifest, Upstream},
     member::Member,
     ranges,
     record::{Appoint, Body, Id, Move, Record, Retire},
@@ -64,6 +64,11 @@
     pub leader: Member,
     /// The standby.
     pub standby: Option<Member>,
+    /// The servers whose word counts for this leader and against its successor: those that
+    /// checked epochs and belonged to the group when the record was read.
+    pub voters: Vec<SocketAddr>,
+    /// The same of the appointment before.
+    pub former_voters: Vec<SocketAddr>,
 }
 
 impl Appointment {
@@ -207,6 +212,25 @@
         groups
     }
 
+    /// The servers of a group that check epochs, in order.
+    #[must_use]
+    pub fn voters(&self, group: &GroupId) -> Vec<SocketAddr> {
+        let manifest = self.manifest.as_ref();
+        let service = manifest.and_then(|held| held.service(&group.service));
+        let present = service.map_or(&[][..], |service| &service.upstreams);
+        let present = present
+            .iter()
+            .filter(|upstream| upstream.group(&group.service) == *group);
+        let former = self.former.get(group).into_iter().flatten();
+        let checked = present
+            .chain(former)
+            .filter(|upstream| upstream.fencing == Fencing::Checked);
+        let mut voters: Vec<SocketAddr> = checked.map(|upstream| upstream.address).collect();
+        voters.sort_unstable();
+        voters.dedup();
+        voters
+    }
+
     /// Adds the upstreams that `manifest` drops to `former`, and takes out those that it has again.
     pub(crate) fn remember_former(
         &self,
@@ -313,6 +337,10 @@
         }
         let by_stamp = stamp.saturating_mul(EPOCH_STRIDE);
         let step = (1 + stamp % (1 << HASH_BITS)) * EPOCH_STRIDE;
+        let former_voters = self
+            .groups
+            .get(&appoint.group)
+            .map_or_else(Vec::new, |held| held.voters.clone());
         // A life that has no offsets left to tell apart still gives rising epochs.
         let epoch = by_stamp.max(current.saturating_add(step));
         let appointment = Appointment {
@@ -320,6 +348,8 @@
             replaces: current,
             leader: appoint.leader.clone(),
             standby: appoint.standby.clone(),
+            voters: self.voters(&appoint.group),
+            former_voters,
         };
         self.groups.insert(appoint.group.clone(), appointment);
         true
--- a/crates/ownership/src/event.rs
+++ b/crates/ownership/src/event.rs
@@ -1,7 +1,8 @@
 //! What the ownership driver tells and is told.
 
 use copperwell_keyspace::{
-    DaemonName, Epoch, GroupId, Incarnation, ServiceName, UpstreamName, record::Move,
+    DaemonName, Epoch, GroupId, Incarnation, ServiceName, UpstreamName,
+    record::{Move, Retire},
 };
 use tokio::time::Instant;
 
@@ -28,6 +29,9 @@
     },
     /// The group has let go of shards, and the log is to say who owns them; repeated until it does.
     Move(Move),
+    /// Upstreams that the manifest dropped hold nothing, and the log is to say so; repeated until
+    /// it does.
+    Retire(Retire),
 }
 
 /// What ends the wait for an earlier leader.
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -15,12 +15,12 @@
 use copperwell_keyspace::{
     DaemonName, Epoch, GroupId, HashMap, Member, ShardIndex,
     balance::{Shift, plan},
-    manifest::{OnIsolation, shards_of},
+    manifest::{OnIsolation, Upstream, shards_of},
     replay::{Appointment, State},
 };
 use copperwell_policy::group::{
     Group,
-    message::{Config, Input, Predecessor, Start},
+    message::{Config, Input, Predecessor, Start, Voters},
 };
 use prometheus_client::registry::Registry;
 use spdlog::info;
@@ -325,11 +325,17 @@
         predecessor: Predecessor,
         recorded: bool,
     ) {
+        let appointment = held.state.groups.get(id);
+        let voters = appointment.map_or_else(Voters::default, |appointment| Voters {
+            own: appointment.voters.clone(),
+            former: appointment.former_voters.clone(),
+        });
         let start = Start {
             id: id.clone(),
             epoch,
             config,
             predecessor,
+            voters,
             recorded,
             digest: digest_of,
         };
@@ -465,22 +471,37 @@
     while end.changed().await.is_ok() {}
 }
 
-/// What manifest and log say of a group.
-///
-/// None if the manifest does not have its service, or neither has upstreams nor shards for it.
+/// What manifest and log say of a group; none if it needs no leader.
 fn config_of(state: &State, id: &GroupId) -> Option<Config> {
-    let manifest = state.manifest.as_ref()?;
-    let service = manifest.service(&id.service)?;
-    let mut groups = manifest.groups(service).into_iter();
-    let group = groups.find(|group| group.id == *id);
-    let shards = shards_of(state.owners.get(&id.service)?, id);
-    if group.is_none() && shards.is_empty() {
+    let former = state.former.get(id).cloned().unwrap_or_default();
+    let service = state.manifest.as_ref()?.service(&id.service);
+    let lease_max = state.leases.get(&id.service).copied();
+    let Some(service) = service else {
+        // Of a service that is gone, only the grants are left to be taken back.
+        let lease = lease_max.filter(|_| !former.is_empty())?;
+        return Some(Config {
+            upstreams: Vec::new(),
+            former,
+            shards: Vec::new(),
+            lease,
+            lease_max: lease,
+            isolation: None,
+        });
+    };
+    let upstreams = service.upstreams.iter();
+    let upstreams = upstreams.filter(|upstream| upstream.group(&id.service) == *id);
+    let upstreams: Vec<Upstream> = upstreams.cloned().collect();
+    let owners = state.owners.get(&id.service);
+    let shards = owners.map_or_else(Vec::new, |owners| shards_of(owners, id));
+    if upstreams.is_empty() && former.is_empty() && shards.is_empty() {
         return None;
     }
     Some(Config {
-        upstreams: group.map_or_else(Vec::new, |group| group.upstreams),
+        upstreams,
+        former,
         shards,
         lease: service.lease,
+        lease_max: lease_max.unwrap_or_default().max(service.lease),
         isolation: match service.on_isolation {
             OnIsolation::Keep => None,
             OnIsolation::Release => Some(service.limits.isolation),
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -13,7 +13,8 @@
 };
 use copperwell_dispatch::table::{Lease, Owner, Route, Table};
 use copperwell_keyspace::{
-    DaemonName, Epoch, GroupId, HashMap, Incarnation, ShardIndex, UpstreamName, record::Move,
+    DaemonName, Epoch, GroupId, HashMap, Incarnation, ShardIndex, UpstreamName,
+    record::{Move, Retire},
 };
 use copperwell_policy::group::{
     Group,
@@ -209,6 +210,7 @@
                 Action::StepDown { by } => end = Some(End::SteppedDown(by)),
                 Action::HandedOver => end = Some(End::HandedOver),
                 Action::LetGo { shards, to } => self.tell_move(shards, to),
+                Action::Retire(upstreams) => self.tell_retired(upstreams),
                 Action::Moved { from, .. } => {
                     if from.is_some() {
                         self.shared.counters.moves.inc();
@@ -266,6 +268,14 @@
         }));
     }
 
+    fn tell_retired(&self, upstreams: Vec<UpstreamName>) {
+        self.shared.tell(Event::Retire(Retire {
+            group: self.group.id().clone(),
+            epoch: self.group.epoch(),
+            upstreams,
+        }));
+    }
+
     fn publish(&mut self) {
         let status = Status::of(&self.group);
         self.gauge(&Unserved {
--- a/crates/ownership/src/status.rs
+++ b/crates/ownership/src/status.rs
@@ -13,6 +13,9 @@
     pub epoch: Epoch,
     /// Whether no earlier leader can act any more.
     pub settled: bool,
+    /// Whether evidence could end a wait: that an earlier leader has stopped, or that there is no
+    /// later one.
+    pub waits: bool,
     /// Shards that nobody has reported and that wait until nobody can hold them.
     pub unreported: usize,
     /// Shards that nobody holds and that can be given.
@@ -55,6 +58,7 @@
             group: group.id().clone(),
             epoch: group.epoch(),
             settled: summary.settled,
+            waits: summary.waits,
             unreported: summary.unknown,
             free: summary.free,
             moving: summary.moving,
--- a/crates/policy/src/appoint.rs
+++ b/crates/policy/src/appoint.rs
@@ -31,7 +31,9 @@
     here.sort();
     here.into_iter()
         .filter_map(|group| {
-            let proposal = proposal(state.groups.get(group), group, peers, &roles)?;
+            let held = state.groups.get(group);
+            let is_outdated = held.is_some_and(|held| held.voters != state.voters(group));
+            let proposal = proposal(held, is_outdated, group, peers, &roles)?;
             if let Some(standby) = &proposal.standby {
                 *roles.entry(standby.name.clone()).or_default() += 1;
             }
@@ -42,12 +44,13 @@
 
 fn proposal(
     held: Option<&Appointment>,
+    is_outdated: bool,
     group: &GroupId,
     peers: &Peers<'_>,
     roles: &HashMap<DaemonName, usize>,
 ) -> Option<Appoint> {
     let leader = match held {
-        Some(held) => leader_after(held, group, peers)?,
+        Some(held) => leader_after(held, is_outdated, group, peers)?,
         None => first_by_hash(group, peers.live)?,
     };
     if leader != peers.me {
@@ -63,12 +66,21 @@
 }
 
 /// Who should lead next; `None` if the appointment is fine as it is.
-fn leader_after<'a>(held: &Appointment, group: &GroupId, peers: &Peers<'a>) -> Option<&'a Member> {
+///
+/// One that is outdated counts on other servers than the group has now: its leader is appointed
+/// anew.
+fn leader_after<'a>(
+    held: &Appointment,
+    is_outdated: bool,
+    group: &GroupId,
+    peers: &Peers<'a>,
+) -> Option<&'a Member> {
     let standby = held
         .standby
         .as_ref()
         .and_then(|standby| find(peers.live, standby));
     match find(peers.live, &held.leader) {
+        Some(leader) if is_outdated => Some(leader),
         Some(_) if standby.is_some() => None,
         // Alone in its data centre, a leader has nobody to name.
         Some(leader) => (peers.live.len() > 1).then_some(leader),
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -10,7 +10,7 @@
 
 use balance::Decayed;
 use copperwell_keyspace::{Epoch, GroupId, Sequence, ShardIndex, UpstreamName, manifest::Upstream};
-use message::{Action, Config, Input, Predecessor, Route, Start, Ticket};
+use message::{Action, Config, Input, Predecessor, Route, Start, Ticket, Voters};
 use place::{Free, Goal, Leaving, Place};
 use server::{Run, Server, lapse_of};
 use tokio::time::Instant;
@@ -37,8 +37,8 @@
 /// Shards that are ready within this time of one another are told together.
 const AWAY_PAUSE: Duration = Duration::from_millis(100);
 
-/// How often shards are told that the log still does not have with their new group.
-const AWAY_REPEAT: Duration = Duration::from_secs(3);
+/// How often is told what the log still does not have.
+const REPEAT: Duration = Duration::from_secs(3);
 
 /// From here on a draining upstream's shards are all moved at once.
 const DRAIN_PATIENCE: Duration = Duration::from_secs(1);
@@ -50,6 +50,7 @@
     epoch: Epoch,
     config: Config,
     predecessor: Predecessor,
+    voters: Voters,
     recorded: bool,
     digest: fn(ShardIndex) -> u64,
     phase: Phase,
@@ -74,6 +75,8 @@
     balance_at: Instant,
     /// When the shards that are away are told again.
     away_at: Instant,
+    /// When removed servers that hold nothing are told again.
+    retire_at: Instant,
     /// Whether a server can take shards, as of the last routes.
     any_open: bool,
     changed: BTreeSet<ShardIndex>,
@@ -95,8 +98,11 @@
     /// Starts to lead; the first actions come with the first [`Input::Tick`].
     #[must_use]
     pub fn new(start: Start, now: Instant) -> Self {
-        let servers = start.config.upstreams.iter().map(|upstream| {
-            let server = Server::new(upstream.clone(), now);
+        let config = &start.config;
+        let upstreams = config.upstreams.iter().chain(&config.former);
+        let servers = upstreams.map(|upstream| {
+            let mut server = Server::new(upstream.clone(), now);
+            server.removed = !config.has(&upstream.name);
             (upstream.name.clone(), server)
         });
         let shards = start.config.shards.iter().copied();
@@ -120,6 +126,7 @@
             contact: now,
             settled: start.predecessor != Predecessor::Acting,
             predecessor: start.predecessor,
+            voters: start.voters,
             free: BTreeSet::new(),
             leaving: BTreeSet::new(),
             away: BTreeSet::new(),
@@ -127,6 +134,7 @@
             loads: BTreeMap::new(),
             balance_at: now + balance::PERIOD,
             away_at: now,
+            retire_at: now,
             any_open: false,
             routes: BTreeMap::new(),
             ticket: 0,
@@ -290,15 +298,11 @@
     }
 
     fn on_config(&mut self, config: Config, now: Instant) {
-        for upstream in &config.upstreams {
+        for upstream in config.upstreams.iter().chain(&config.former) {
             self.on_upstream(upstream, now);
         }
         for (name, server) in &mut self.servers {
-            let is_there = config
-                .upstreams
-                .iter()
-                .any(|upstream| upstream.name == *name);
-            server.removed = !is_there;
+            server.removed = !config.has(name);
             self.changed.extend(&server.owned);
         }
         let wanted: BTreeSet<ShardIndex> = config.shards.iter().copied().collect();
@@ -348,10 +352,26 @@
         self.servers.insert(aside, server);
     }
 
-    /// Forgets servers that the manifest has no more and that hold nothing.
+    /// Tells of removed servers that hold nothing, and forgets those that the log has dropped.
     fn prune(&mut self, now: Instant) {
-        if self.unknown.is_empty() {
-            self.servers.retain(|_, server| !server.is_done(now));
+        let waited_out = self.waited_out().is_some_and(|at| at <= now);
+        for server in self.servers.values_mut() {
+            let is_known = server.established().is_some() || waited_out;
+            let is_empty = is_known && self.unknown.is_empty() && server.is_empty(now);
+            server.emptied = is_empty.then(|| server.emptied.unwrap_or(now));
+        }
+        let former = &self.config.former;
+        let is_former = |name: &UpstreamName| former.iter().any(|upstream| upstream.name == *name);
+        self.servers
+            .retain(|name, server| server.emptied.is_none() || is_former(name));
+        let empty = self.servers.iter().filter(|(_, server)| {
+            let since = server.emptied;
+            since.is_some_and(|since| self.is_confirmed(since))
+        });
+        let empty: Vec<UpstreamName> = empty.map(|(name, _)| name.clone()).collect();
+        if !empty.is_empty() && now >= self.retire_at {
+            self.retire_at = now + REPEAT;
+            self.actions.push(Action::Retire(empty));
         }
     }
 
@@ -410,7 +430,7 @@
     /// When whatever the predecessor granted has surely lapsed.
     fn waited_out(&self) -> Option<Instant> {
         self.stopped
-            .map(|stopped| lapse_of(self.config.lease, stopped))
+            .map(|stopped| lapse_of(self.config.lease_max, stopped))
     }
 
     /// When a predecessor without the log has stopped, where the service wants that.
@@ -487,7 +507,7 @@
         if self.away.is_empty() || now < self.away_at {
             return;
         }
-        self.away_at = now + AWAY_REPEAT;
+        self.away_at = now + REPEAT;
         let mut away: BTreeMap<GroupId, Vec<ShardIndex>> = BTreeMap::new();
         for shard in &self.away {
             if let Some(Place::Away { to }) = self.shards.get(shard) {
--- a/crates/policy/src/group/message.rs
+++ b/crates/policy/src/group/message.rs
@@ -1,6 +1,6 @@
 //! What goes into a group's state machine and what comes out.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use copperwell_keyspace::{
     Epoch, GroupId, Incarnation, Sequence, ShardIndex, UpstreamName, grant::Grant,
@@ -22,6 +22,8 @@
     pub config: Config,
     /// Who led before.
     pub predecessor: Predecessor,
+    /// The servers whose word counts.
+    pub voters: Voters,
     /// Whether the log carries this daemon's appointment with this epoch as leader; a standby that
     /// takes over without the log has none.
     pub recorded: bool,
@@ -29,19 +31,45 @@
     pub digest: fn(ShardIndex) -> u64,
 }
 
+/// The servers whose word counts, by address. They check epochs.
+///
+/// A successor counts those that counted for its predecessor, as the log says, and not those that
+/// either of them happens to know of.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Voters {
+    /// Of this leader's appointment.
+    pub own: Vec<SocketAddr>,
+    /// Of the appointment before.
+    pub former: Vec<SocketAddr>,
+}
+
 /// What manifest and log say of a group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Config {
     /// The upstreams.
     pub upstreams: Vec<Upstream>,
+    /// Upstreams that the manifest has no more, and that may still hold grants.
+    pub former: Vec<Upstream>,
     /// The shards that the group owns.
     pub shards: Vec<ShardIndex>,
     /// How long a grant lasts without renewal.
     pub lease: Duration,
+    /// The longest that it ever was.
+    pub lease_max: Duration,
     /// How long to go on without the log, where the service wants the leader to stop then.
     pub isolation: Option<Duration>,
 }
 
+impl Config {
+    /// Whether the manifest has this upstream.
+    #[must_use]
+    pub fn has(&self, name: &str) -> bool {
+        self.upstreams
+            .iter()
+            .any(|upstream| *upstream.name == *name)
+    }
+}
+
 /// Who led a group before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Predecessor {
@@ -161,6 +189,8 @@
         /// The other group.
         to: GroupId,
     },
+    /// These former upstreams hold nothing any more; repeated until the log says so.
+    Retire(Vec<UpstreamName>),
     /// A shard went from one upstream to another.
     Moved {
         /// The shard.
--- a/crates/policy/src/group/quorum.rs
+++ b/crates/policy/src/group/quorum.rs
@@ -1,10 +1,12 @@
 //! When a leader may count on a server, and when it may grant what a silent server held.
 
+use std::net::SocketAddr;
+
 use super::{
     Group,
     message::Predecessor,
     place::{Free, Place},
-    server::Server,
+    server::{Run, Server},
 };
 use copperwell_keyspace::UpstreamName;
 use tokio::time::Instant;
@@ -20,8 +22,7 @@
             self.establish_first(now);
         }
         if !self.settled {
-            let needed = self.needed_to_take_over();
-            self.settle(needed);
+            self.settle(Self::suffices);
             return;
         }
         self.establish_later(now);
@@ -53,6 +54,13 @@
         comes && free.patience.is_some_and(|patience| now < patience)
     }
 
+    /// Whether evidence could end a wait.
+    pub(super) fn waits(&self) -> bool {
+        let unconfirmed = self.confirm_since();
+        let unconfirmed = unconfirmed.is_some_and(|since| !self.is_confirmed(since));
+        !self.settled || !self.unknown.is_empty() || unconfirmed
+    }
+
     /// The latest time for which a word of the servers is wanted.
     pub(super) fn confirm_since(&self) -> Option<Instant> {
         let freed = self.free.iter().filter_map(|shard| {
@@ -66,28 +74,47 @@
             let waits = !run.established;
             (waits && (server.is_checked() || self.stopped.is_some())).then_some(run.fenced)
         });
-        freed.chain(runs).max()
+        let emptied = self.servers.values().filter_map(|server| server.emptied);
+        freed.chain(runs).chain(emptied).max()
     }
 
-    /// The servers whose word counts.
+    /// The servers whose word counts for this leader.
     fn counted(&self) -> impl Iterator<Item = &Server> {
-        let servers = self.servers.values();
-        servers.filter(|server| server.is_checked())
-    }
-
-    /// How many servers must be fenced before this leader renews what they report.
-    ///
-    /// Any so many and any [`Group::needed_to_grant`] have one in common.
-    fn needed_to_take_over(&self) -> usize {
-        self.counted().count() / 2 + 1
+        self.servers
+            .values()
+            .filter(|server| server.is_among(&self.voters.own))
     }
 
     /// How many servers must confirm this leader before it grants what a silent one held.
+    ///
+    /// Any so many and any [`majority`] have one in common.
     fn needed_to_grant(&self) -> usize {
-        let all = self.counted().count();
+        let all = self.voters.own.len();
         all - all / 2
     }
 
+    /// Whether so many servers are fenced that no earlier leader can grant what a silent one held.
+    fn suffices(&self, fenced: &[&Server]) -> bool {
+        let is_quorum = |voters: &[SocketAddr]| {
+            let among = fenced.iter().filter(|server| server.is_among(voters));
+            among.count() >= majority(voters)
+        };
+        // A standby succeeds the leader of its own appointment, and maybe the one before.
+        let before = self.voters.former.is_empty() || is_quorum(&self.voters.former);
+        if self.recorded {
+            !self.voters.former.is_empty() && before
+        } else {
+            before && is_quorum(&self.voters.own)
+        }
+    }
+
+    /// Whether all servers whose word counts are fenced.
+    fn is_all(&self, fenced: &[&Server]) -> bool {
+        let own = &self.voters.own;
+        let among = fenced.iter().filter(|server| server.is_among(own));
+        among.count() >= own.len()
+    }
+
     /// Whether no order of an earlier leader can reach a server that would take it.
     fn counts_unchecked(&self, now: Instant) -> bool {
         let waited_out = self.waited_out().is_some_and(|at| at <= now);
@@ -111,36 +138,26 @@
         }
     }
 
-    /// Counts on servers that were all fenced at one moment, if there are as many as needed.
-    fn settle(&mut self, needed: usize) {
-        let counted: Vec<&Server> = self.counted().collect();
-        if counted.is_empty() {
-            return;
-        }
-        let mut moments: Vec<Instant> = counted
-            .iter()
-            .filter_map(|server| server.run.as_ref())
-            .map(|run| run.fenced)
-            .collect();
-        moments.sort_unstable();
-        let at = |moment: Instant| -> Vec<UpstreamName> {
-            let fenced = counted.iter().filter(|server| {
-                let run = server.run.as_ref();
-                run.is_some_and(|run| run.fenced <= moment && run.confirmed >= moment)
-            });
-            fenced.map(|server| server.upstream.name.clone()).collect()
-        };
-        let alone = needed == 1 && !moments.is_empty();
-        let first = moments.iter().find(|moment| at(**moment).len() >= needed);
-        let names = match first {
-            Some(moment) => at(*moment),
-            None if alone => counted
+    /// Counts on servers that were all fenced at one moment, if they are enough.
+    fn settle(&mut self, is_enough: impl Fn(&Self, &[&Server]) -> bool) {
+        let servers = self.servers.values().filter(|server| server.is_checked());
+        let runs = servers.filter_map(|server| Some((server, server.run.as_ref()?)));
+        let runs: Vec<(&Server, &Run)> = runs.collect();
+        let fenced_at = |moment: Instant| -> Vec<&Server> {
+            let fenced = runs
                 .iter()
-                .filter(|server| server.run.is_some())
-                .map(|server| server.upstream.name.clone())
-                .collect(),
-            None => return,
+                .filter(|(_, run)| run.fenced <= moment && run.confirmed >= moment);
+            fenced.map(|(server, _)| *server).collect()
+        };
+        let mut moments: Vec<Instant> = runs.iter().map(|(_, run)| run.fenced).collect();
+        moments.sort_unstable();
+        let sets = moments.into_iter().map(fenced_at);
+        let enough = sets.into_iter().find(|fenced| is_enough(self, fenced));
+        let Some(fenced) = enough else {
+            return;
         };
+        let names = fenced.iter().map(|server| server.upstream.name.clone());
+        let names: Vec<UpstreamName> = names.collect();
         self.settled = true;
         self.changed.extend(&self.unknown);
         for name in names {
@@ -170,7 +187,7 @@
             .counted()
             .filter(|server| server.established().is_some());
         if !waiting.is_empty() && established.count() < self.needed_to_grant() {
-            self.settle(self.counted().count());
+            self.settle(Self::is_all);
         }
     }
 
@@ -186,3 +203,8 @@
         self.changed.extend(&server.owned);
     }
 }
+
+/// How many of the voters make a take-over.
+fn majority(voters: &[SocketAddr]) -> usize {
+    voters.len() / 2 + 1
+}
--- a/crates/policy/src/group/server.rs
+++ b/crates/policy/src/group/server.rs
@@ -1,6 +1,6 @@
 //! What a leader knows of one server of its group.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use super::message::{Order, Ticket};
 use copperwell_keyspace::{
@@ -38,6 +38,8 @@
     pub(super) misses: u32,
     /// The manifest has it no more.
     pub(super) removed: bool,
+    /// Since when it is removed and holds nothing.
+    pub(super) emptied: Option<Instant>,
     /// It wants no new work, by its own word.
     pub(super) draining: bool,
     /// Since when it is to get no new work.
@@ -105,6 +107,7 @@
             due: now,
             misses: 0,
             removed: false,
+            emptied: None,
             draining: false,
             drained: None,
             unwanted: BTreeSet::new(),
@@ -120,6 +123,11 @@
         self.upstream.fencing == Fencing::Checked
     }
 
+    /// Whether it is one of the voters.
+    pub(super) fn is_among(&self, voters: &[SocketAddr]) -> bool {
+        voters.contains(&self.upstream.address)
+    }
+
     /// The run, if this leader may count on it.
     pub(super) fn established(&self) -> Option<&Run> {
         self.run.as_ref().filter(|run| run.established)
@@ -140,8 +148,8 @@
         !self.is_lost() && !self.removed
     }
 
-    /// Whether nothing has to be done about it any more.
-    pub(super) fn is_done(&self, now: Instant) -> bool {
+    /// Whether it was removed and holds nothing, as far as this leader gave or heard.
+    pub(super) fn is_empty(&self, now: Instant) -> bool {
         let lapsed = self.lapse.is_none_or(|lapse| lapse <= now);
         self.removed && lapsed && !self.holds() && self.unwanted.is_empty()
     }
--- a/crates/policy/src/group/summary.rs
+++ b/crates/policy/src/group/summary.rs
@@ -8,6 +8,9 @@
 pub struct Summary {
     /// Whether no earlier leader can act any more.
     pub settled: bool,
+    /// Whether evidence could end a wait: that an earlier leader has stopped, or that there is no
+    /// later one.
+    pub waits: bool,
     /// Shards that nobody has reported.
     pub unknown: usize,
     /// Shards that nobody holds.
@@ -49,6 +52,7 @@
         });
         Summary {
             settled: self.settled,
+            waits: self.waits(),
             unknown: self.unknown.len(),
             free: self.free.len(),
             moving: self.leaving.len(),
--- a/crates/policy/tests/group/bench.rs
+++ b/crates/policy/tests/group/bench.rs
@@ -13,7 +13,7 @@
 };
 use copperwell_policy::group::{
     Group,
-    message::{Action, Answer, Config, Failure, Input, Order, Predecessor, Route, Start},
+    message::{Action, Answer, Config, Failure, Input, Order, Predecessor, Route, Start, Voters},
 };
 use tokio::time::Instant;
 
@@ -41,6 +41,7 @@
     pub(crate) now: Duration,
     pub(crate) group: Group,
     pub(crate) config: Config,
+    voters: Vec<SocketAddr>,
     epoch: Epoch,
     pub(crate) servers: Vec<Server>,
     pub(crate) moods: Vec<Mood>,
@@ -83,7 +84,7 @@
     Upstream {
         name: name(server),
         data_centre: "cluj".into(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1 + server as u16)),
         slots: 2,
         connections: 130,
         fencing: Fencing::Checked,
@@ -95,12 +96,23 @@
 pub(crate) fn config(servers: usize, shards: u32) -> Config {
     Config {
         upstreams: (0..servers).map(upstream).collect(),
+        former: Vec::new(),
         shards: (0..shards).collect(),
         lease: LEASE,
+        lease_max: LEASE,
         isolation: None,
     }
 }
 
+/// The servers that check epochs.
+pub(crate) fn voters(config: &Config) -> Vec<SocketAddr> {
+    let checked = config
+        .upstreams
+        .iter()
+        .filter(|upstream| upstream.fencing == Fencing::Checked);
+    checked.map(|upstream| upstream.address).collect()
+}
+
 impl Bench {
     /// The first leader of a group with fresh servers.
     pub(crate) fn new(servers: usize, shards: u32) -> Self {
@@ -117,6 +129,10 @@
             epoch,
             config: config.clone(),
             predecessor,
+            voters: Voters {
+                own: voters(&config),
+                former: Vec::new(),
+            },
             recorded: true,
             digest,
         };
@@ -124,6 +140,7 @@
             base,
             now: Duration::ZERO,
             group: Group::new(start, base),
+            voters: voters(&config),
             config,
             epoch,
             moods: vec![Mood::Answers; servers.len()],
@@ -144,10 +161,15 @@
             epoch,
             config: self.config.clone(),
             predecessor,
+            voters: Voters {
+                own: voters(&self.config),
+                former: self.voters,
+            },
             recorded: true,
             digest,
         };
         Self {
+            voters: voters(&self.config),
             group: Group::new(start, self.base + self.now),
             epoch,
             routes: BTreeMap::new(),
--- a/crates/policy/tests/group/rules.rs
+++ b/crates/policy/tests/group/rules.rs
@@ -453,3 +453,56 @@
     assert_eq!(moved.count(), bench.count(2));
     assert_eq!(name(2), bench.config.upstreams[2].name);
 }
+
+#[test_case(Mood::Answers, 3; "it answers")]
+#[test_case(Mood::Cut, 5; "it is waited out")]
+fn a_former_upstream_is_retired_when_it_holds_nothing(mood: Mood, seconds: u32) {
+    let retired = Action::Retire(vec![name(2)]);
+    let mut bench = running(3, 12);
+    bench.moods[2] = mood;
+    bench.configure(|config| config.former.extend(config.upstreams.pop()));
+    bench.pass(LEASE / 2);
+    if mood == Mood::Cut {
+        assert!(!bench.actions.contains(&retired));
+    }
+    bench.pass(SECOND * seconds);
+    assert!(bench.actions.contains(&retired));
+    assert_eq!(bench.owners().len(), 12);
+    bench.configure(|config| config.former.clear());
+    bench.pass(SECOND);
+    assert_eq!(bench.group.summary().servers.len(), 2);
+}
+
+#[test]
+fn a_former_upstream_that_does_not_answer_a_new_leader_is_not_retired() {
+    let mut first = running(3, 12);
+    first.moods[2] = Mood::Cut;
+    let mut second = first.succeed(Predecessor::Acting);
+    second.configure(|config| config.former.extend(config.upstreams.pop()));
+    second.pass(SECOND * 20);
+    let is_retire = |action: &Action| matches!(action, Action::Retire(_));
+    assert!(!second.actions.iter().any(is_retire));
+    assert_eq!(second.owners().len(), 8);
+    second.tell(Input::Stopped);
+    second.pass(SECOND * 3);
+    assert!(second.actions.contains(&Action::Retire(vec![name(2)])));
+    assert_eq!(second.owners().len(), 12);
+}
+
+#[test]
+fn a_successor_counts_the_servers_that_counted_before() {
+    // The leader was appointed with two servers; a third came later, and the leader is cut off from
+    // the second, which it may have replaced with the first alone.
+    let mut first = running(2, 8);
+    first.servers.push(Server::new(SECOND));
+    first.moods.push(Mood::Answers);
+    first.moods[0] = Mood::Cut;
+    let mut second = first.succeed(Predecessor::Acting);
+    second.configure(|config| config.upstreams.push(upstream(2)));
+    second.pass(SECOND * 10);
+    // Two of three answer, but only one of the two that count.
+    assert_eq!(second.sent(1, is_renew), 0);
+    second.moods[0] = Mood::Answers;
+    second.pass(SECOND);
+    assert_eq!(second.owners().len(), 8);
+}
--- a/crates/policy/tests/group/world.rs
+++ b/crates/policy/tests/group/world.rs
@@ -3,26 +3,24 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
-    net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
-use crate::server::{Moment, Server, Span};
-use copperwell_keyspace::{
-    Epoch, GroupId, ShardIndex, UpstreamName,
-    manifest::{Fencing, Upstream},
+use crate::{
+    bench::{self, digest, group_id, name},
+    server::{Moment, Server, Span},
 };
+use copperwell_keyspace::{Epoch, ShardIndex, UpstreamName};
 use copperwell_policy::group::{
     Group,
     message::{
         Action, Answer, Config, Failure, Input, Load, Order, Predecessor, Route, Start, Ticket,
+        Voters,
     },
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use tokio::time::Instant;
 
-const LEASE: Duration = Duration::from_millis(1500);
-
 /// After the last fault every shard is to be served within this time.
 const RECOVERY: Duration = Duration::from_secs(4);
 
@@ -100,14 +98,6 @@
     End,
 }
 
-fn digest(shard: ShardIndex) -> u64 {
-    u64::from(shard + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
-fn name(server: usize) -> UpstreamName {
-    format!("u{server}").into()
-}
-
 impl World {
     pub(crate) fn new(seed: u64, plan: &Plan) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -260,26 +250,11 @@
     }
 
     fn config(&self) -> Config {
-        let upstreams = self
-            .servers
-            .iter()
-            .enumerate()
-            .map(|(server, node)| Upstream {
-                name: name(server),
-                data_centre: "cluj".into(),
-                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-                slots: 2,
-                connections: 130,
-                fencing: Fencing::Checked,
-                part: 0,
-                drain: node.drains,
-            });
-        Config {
-            upstreams: upstreams.collect(),
-            shards: self.shards.clone(),
-            lease: LEASE,
-            isolation: None,
+        let mut config = bench::config(self.servers.len(), self.shards.len() as u32);
+        for (upstream, node) in config.upstreams.iter_mut().zip(&self.servers) {
+            upstream.drain = node.drains;
         }
+        config
     }
 
     fn start(&mut self, leader: usize) {
@@ -287,11 +262,7 @@
             return;
         }
         let start = Start {
-            id: GroupId {
-                service: "calendar".into(),
-                data_centre: "cluj".into(),
-                part: 0,
-            },
+            id: group_id(0),
             epoch: self.leaders[leader].epoch,
             config: self.config(),
             predecessor: if leader == 0 {
@@ -299,6 +270,10 @@
             } else {
                 Predecessor::Acting
             },
+            voters: Voters {
+                own: bench::voters(&self.config()),
+                former: bench::voters(&self.config()),
+            },
             recorded: true,
             digest,
         };
