--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -389,3 +389,43 @@
     assert_eq!(export.entries.len(), keys);
     assert!(window.is_empty());
 }
+
+#[test]
+fn what_waits_leaves_no_more_once_it_is_handed_over() {
+    let (mut window, world, ticket) = running();
+    let claim = world.claim(world.keys[0].id);
+    let handed = window.export(&"payouts".into(), 3, &[SHARD], |_| claim.term, world.now);
+    assert!(handed.entries.is_empty());
+    assert!(!window.leave(ticket));
+
+    // The daemon leads again, and the key is entered anew.
+    window.import(handed, |_| 2, world.now);
+    let mut again = claim;
+    again.term = Term {
+        turn: 2,
+        epoch: Some(3),
+    };
+    let answer = window.claim(again, world.now);
+    let Answer::Run(later) = answer else {
+        panic!("{answer:?}");
+    };
+    window.finish(ticket, Outcome::NotRun);
+    assert_eq!(window.claim(again, world.now), Answer::Join);
+
+    // What ran elsewhere takes the place of what waits here.
+    let outcome = Outcome::Done { status: 200 };
+    let ran = Export {
+        service: "payouts".into(),
+        next: 5,
+        shards: Vec::new(),
+        entries: vec![ExportEntry {
+            id: claim.id,
+            shard: SHARD,
+            fingerprint: claim.fingerprint,
+            outcome: outcome.clone(),
+        }],
+    };
+    window.import(ran, |_| 3, world.now);
+    assert!(!window.leave(later));
+    assert_eq!(window.claim(again, world.now), Answer::Kept(outcome));
+}
