--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::core::Core;
-use copperwell_backend::{Control, Forward};
+use copperwell_backend::{Control, Forward, Pool};
 use copperwell_dispatch::Observation;
 use copperwell_keyspace::{
     DaemonName, HashMap, HashSet, Member, ServiceName, record::Move, replay::State,
@@ -33,12 +33,15 @@
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Passes each new agreed state on.
-pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>, pool: Arc<Pool>) {
     let mut view = core.view.clone();
     let mut before: Option<Arc<View>> = None;
     loop {
         let now = view.borrow_and_update().clone();
         report(before.as_deref(), &now);
+        if let Some(manifest) = &now.state.manifest {
+            pool.follow(manifest);
+        }
         core.take_view(&now);
         before = Some(now);
         if view.changed().await.is_err() {
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -4,7 +4,7 @@
 //! void for everybody if its parent is not the current one, which turns the append-only log into
 //! compare-and-swap.
 
-use std::{cmp::Ordering, time::Duration};
+use std::{cmp::Ordering, sync::Arc, time::Duration};
 
 use crate::{
     HashMap, HashSet,
@@ -27,9 +27,11 @@
 pub type Stamp = u64;
 
 /// Bits of a stamp that tell apart records of one offset, which a log that lost records has.
-const HASH_BITS: u32 = 16;
+const HASH_BITS: u32 = 12;
 /// Bits of a stamp that hold the offset.
 const OFFSET_BITS: u32 = 36;
+/// The last life that a state can have; the epochs of one more would not fit.
+pub const LIFE_MAX: u64 = (1 << (63 - HASH_BITS - OFFSET_BITS)) - 1;
 
 /// The agreed state.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,7 +44,7 @@
     pub groups: HashMap<GroupId, Appointment>,
     /// The group of each shard, by service; those of removed services stay.
     #[serde(with = "ranges")]
-    pub owners: HashMap<ServiceName, Vec<GroupId>>,
+    pub owners: HashMap<ServiceName, Arc<Vec<GroupId>>>,
     /// The last move of each shard that ever moved, by service.
     pub moved: HashMap<ServiceName, HashMap<ShardIndex, Stamp>>,
     /// Upstreams that a manifest removed and that may still hold grants.
@@ -183,9 +185,12 @@
             for service in &manifest.services {
                 let groups = manifest.groups(service).into_iter();
                 active.extend(groups.map(|group| (group.id, group.upstreams)));
-                for owner in self.owners.get(&service.name).into_iter().flatten() {
-                    if !active.contains_key(owner) {
-                        active.insert(owner.clone(), Vec::new());
+                let Some(owners) = self.owners.get(&service.name) else {
+                    continue;
+                };
+                for run in owners.chunk_by(|one, other| one == other) {
+                    if !active.contains_key(&run[0]) {
+                        active.insert(run[0].clone(), Vec::new());
                     }
                 }
             }
@@ -243,10 +248,28 @@
         self.groups.retain(|id, _| active.contains(id));
     }
 
+    fn drop_if_idle(&mut self, group: &GroupId) {
+        if !self.is_active(group) {
+            self.groups.remove(group);
+        }
+    }
+
+    /// Whether a group is among [`State::groups_in_force`].
+    fn is_active(&self, group: &GroupId) -> bool {
+        if self.may_take(group, &group.service) || self.former.contains_key(group) {
+            return true;
+        }
+        let manifest = self.manifest.as_ref();
+        let is_declared = manifest.is_some_and(|held| held.service(&group.service).is_some());
+        let owners = self.owners.get(&group.service);
+        is_declared && owners.is_some_and(|owners| owners.contains(group))
+    }
+
     fn stamp(&self, offset: LogOffset, id: &Id) -> Stamp {
         let name = format!("{}/{}/{}", id.writer, id.incarnation, id.sequence);
         let hash = xxh3_64(name.as_bytes()) & ((1 << HASH_BITS) - 1);
-        let position = (self.life << OFFSET_BITS) | (offset + 1).min((1 << OFFSET_BITS) - 1);
+        let place = offset.saturating_add(1).min((1 << OFFSET_BITS) - 1);
+        let position = (self.life.min(LIFE_MAX) << OFFSET_BITS) | place;
         (position << HASH_BITS) | hash
     }
 
@@ -289,7 +312,7 @@
         for service in &manifest.services {
             self.owners
                 .entry(service.name.clone())
-                .or_insert_with(|| manifest.initial_owners(service));
+                .or_insert_with(|| Arc::new(manifest.initial_owners(service)));
             let longest = self.leases.entry(service.name.clone()).or_default();
             *longest = service.lease.max(*longest);
         }
@@ -300,15 +323,11 @@
 
     fn apply_appoint(&mut self, stamp: Stamp, appoint: &Appoint) -> bool {
         let current = self.groups.get(&appoint.group).map_or(0, |held| held.epoch);
-        let is_active = || {
-            let groups = self.groups_in_force();
-            groups.iter().any(|group| group.id == appoint.group)
-        };
         let stands_by_itself = appoint
             .standby
             .as_ref()
             .is_some_and(|standby| standby.name == appoint.leader.name);
-        if appoint.replaces != current || stands_by_itself || !is_active() {
+        if appoint.replaces != current || stands_by_itself || !self.is_active(&appoint.group) {
             return false;
         }
         let by_stamp = stamp.saturating_mul(EPOCH_STRIDE);
@@ -336,12 +355,13 @@
         if moved.shards.is_empty() || moved.from == moved.to || !moved.shards.iter().all(owned) {
             return false;
         }
+        let owners = Arc::make_mut(owners);
         let stamps = self.moved.entry(moved.service.clone()).or_default();
         for shard in &moved.shards {
             owners[*shard as usize] = moved.to.clone();
             stamps.insert(*shard, stamp);
         }
-        self.drop_idle_groups();
+        self.drop_if_idle(&moved.from);
         true
     }
 
@@ -358,7 +378,7 @@
         if former.is_empty() {
             self.former.remove(&retire.group);
         }
-        self.drop_idle_groups();
+        self.drop_if_idle(&retire.group);
         changed
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
+pub mod sketch;
 pub mod slots;
 pub mod suspicion;
 pub mod window;
--- a/crates/policy/src/window/export.rs
+++ b/crates/policy/src/window/export.rs
@@ -1,6 +1,6 @@
 //! Keys that go along from one leader to the next.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use super::{Entry, Lead, Outcome, State, Term, Window, made_at};
 use copperwell_keyspace::{Epoch, HashSet, ServiceName, ShardIndex};
@@ -63,7 +63,7 @@
         self.advance(wall);
         let mut led = Vec::new();
         for shard in shards {
-            self.follow(*shard, term(*shard));
+            self.follow(*shard, term(*shard), Duration::ZERO);
             if let Some(lead) = self.shards.remove(shard) {
                 led.push(ExportShard {
                     shard: *shard,
