--- a/crates/copperwelld/src/log.rs
+++ b/crates/copperwelld/src/log.rs
@@ -44,6 +44,11 @@
     }
 }
 
+/// Writes no log lines, for programs that run daemons among other things.
+pub fn silence() {
+    spdlog::default_logger().set_level_filter(LevelFilter::Off);
+}
+
 fn install_with(formatter: impl Formatter + 'static) -> Result<(), Report<spdlog::Error>> {
     let sink = StdStreamSink::builder()
         .stderr()
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -13,6 +13,9 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+/// Overlaps that are told one by one.
+const OVERLAPS_TOLD: usize = 10;
+
 /// A shorter time without an answer counts as latency, not as lost service.
 const NOTICED: Duration = Duration::from_millis(100);
 
@@ -90,6 +93,9 @@
             .count() as u64,
         ..Summary::default()
     };
+    for overlap in record.overlaps().iter().take(OVERLAPS_TOLD) {
+        eprintln!("two owners: {overlap:?}");
+    }
     count(results, &mut summary);
     let runs = record.runs();
     summary.false_not_run = false_not_run(results, &runs);
--- a/crates/standin/examples/experiment.rs
+++ b/crates/standin/examples/experiment.rs
@@ -74,6 +74,7 @@
 }
 
 async fn measure(args: &Args) -> Result<String, Box<dyn Error>> {
+    copperwelld::log::silence();
     let mut scenario = load(&args.scenario)?;
     if let Some(seconds) = args.seconds {
         scenario.duration = Duration::from_secs(seconds);
