Let a frozen server's cancelled run own its shard only until it froze

Cause: the record called 19 instants of one shard double-owned when a server froze with a request of the hottest key in hand. The trace shows one run that began 7 s before the server woke, found its caller gone at that moment and took no effect; the server's hold had lapsed 0.5 s before the next server's began. Change: a run that ends as cancelled owns its shard until its server froze; runs that took effect, and those cancelled by a server that was awake, count in full as before.

--- a/crates/standin/src/backend/record.rs
+++ b/crates/standin/src/backend/record.rs
@@ -177,7 +177,8 @@
 
     /// Pairs of different servers that owned one shard at the same instant.
     ///
-    /// A server that checks fencing owns what it would accept; any server owns what it runs.
+    /// A server that checks fencing owns what it would accept; any server owns what it runs, up to
+    /// the moment when it froze if it found the caller gone after it woke.
     #[must_use]
     pub fn overlaps(&self) -> Vec<Overlap> {
         let now = Instant::now();
@@ -191,7 +192,7 @@
         }
         for run in &entries.runs {
             if run.outcome != Outcome::Undone {
-                let span = Span::new(&run.server, run.start, run.end.unwrap_or(now));
+                let span = Span::new(&run.server, run.start, entries.worked_until(run, now));
                 spans.entry(&run.shard).or_default().push(span);
             }
         }
@@ -347,6 +348,21 @@
 
 impl Entries {
     /// The parts of a hold before `until` in which its server was not frozen.
+    /// Until when a run did something; a frozen server does nothing, and a run that it finds
+    /// cancelled when it wakes goes no further.
+    fn worked_until(&self, run: &Run, now: Instant) -> Instant {
+        let end = run.end.unwrap_or(now);
+        if run.outcome != Outcome::Cancelled {
+            return end;
+        }
+        let frozen = self
+            .frozen
+            .iter()
+            .filter(|frozen| frozen.server == run.server);
+        let inside = frozen.filter(|frozen| run.start <= frozen.from && frozen.from < end);
+        inside.map(|frozen| frozen.from).min().unwrap_or(end)
+    }
+
     fn awake_pieces<'a>(&self, hold: &'a Hold, until: Instant) -> Vec<Span<'a>> {
         let mut pieces = Vec::new();
         let mut from = hold.from;
--- a/crates/standin/tests/standin/record.rs
+++ b/crates/standin/tests/standin/record.rs
@@ -104,6 +104,21 @@
     assert_eq!(bench.record.overlaps().len(), 1);
 }
 
+#[test_case(Outcome::Cancelled, 25 => 0; "cancelled when it woke")]
+#[test_case(Outcome::Done, 25 => 1; "done after it woke")]
+#[test_case(Outcome::Cancelled, 35 => 1; "cancelled though it froze later")]
+fn frozen_server_does_nothing_for_a_caller_that_is_gone(outcome: Outcome, froze: u64) -> usize {
+    let bench = Bench::new();
+    bench.run("a", 20, 40, outcome);
+    bench.hold("b", Fencing::Checked, 30, 50);
+    bench.record.add_frozen(Frozen {
+        server: "a".into(),
+        from: bench.at(froze),
+        until: Some(bench.at(39)),
+    });
+    bench.record.overlaps().len()
+}
+
 #[test_case(Outcome::Done => 1)]
 #[test_case(Outcome::Cancelled => 1)]
 #[test_case(Outcome::Crashed => 1)]
