--- a/crates/copperwell/src/exit.rs
+++ b/crates/copperwell/src/exit.rs
@@ -72,7 +72,9 @@
         match error {
             publish::Error::Conflict { .. } => Self::Conflict,
             publish::Error::Invalid(_) => Self::Invalid,
-            publish::Error::NotPublished | publish::Error::NoState => Self::Unreachable,
+            publish::Error::NotPublished
+            | publish::Error::Behind { .. }
+            | publish::Error::NoState => Self::Unreachable,
             publish::Error::Unknown => Self::Unknown,
         }
     }
--- a/crates/copperwell/src/publish.rs
+++ b/crates/copperwell/src/publish.rs
@@ -5,7 +5,7 @@
     exit::{self, Exit, from_load, from_publish, print},
 };
 use copperwell_operator::{
-    fleet::Reach,
+    fleet::{Fleet, Reach},
     load,
     publish::{self, Accepted},
 };
@@ -20,7 +20,11 @@
     if args.begin_anew {
         publish::begin_anew(&log).await.map_err(from_publish)?;
     }
-    let accepted = publish::publish(&log, &manifest, deadline).await;
+    let floor = match args.begin_anew {
+        false => Fleet::ask(&args.daemons).await.version(),
+        true => 0,
+    };
+    let accepted = publish::publish(&log, &manifest, floor, deadline).await;
     let version = manifest.version();
     match accepted.map_err(from_publish)? {
         Accepted::Now => print(format_args!("version {version} is accepted")),
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -103,6 +103,13 @@
         fleet
     }
 
+    /// The highest version that a daemon has in force; zero for none.
+    #[must_use]
+    pub fn version(&self) -> ManifestVersion {
+        let versions = self.daemons.values().map(|status| status.manifest);
+        versions.max().unwrap_or(0)
+    }
+
     /// How far a manifest has come in each data centre, the named ones included.
     #[must_use]
     pub fn reach(
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -41,6 +41,13 @@
     NotPublished,
     /// It may be in the log, or come to be there.
     Unknown,
+    /// The log tells of an older version than daemons have in force.
+    Behind {
+        /// The version that the log tells of.
+        log: ManifestVersion,
+        /// The highest version that a daemon has in force.
+        in_force: ManifestVersion,
+    },
     /// The log no longer has the records that the state follows from, nor a snapshot.
     NoState,
 }
@@ -62,6 +69,11 @@
                 "unknown: the manifest may be in the log, as an answer was lost and the log cannot \
                  be read. Publish the same file again to learn which",
             ),
+            Self::Behind { log, in_force } => write!(
+                f,
+                "not published: the log tells of version {log}, but daemons have version \
+                 {in_force} in force. The log lost records, which daemons put back; try again"
+            ),
             Self::NoState => f.write_str(
                 "the log no longer keeps its first records and has no snapshot yet. Daemons append \
                  one within minutes if any of them holds the state; if all of them were replaced \
@@ -85,6 +97,9 @@
 
 /// Publishes a manifest; returns when the log tells what became of it.
 ///
+/// `floor` is the highest version that daemons are known to have in force: a log that tells of an
+/// older one has lost records, and nothing is published before it has them back.
+///
 /// # Errors
 ///
 /// See [`Error`]. A lost answer is no error: the manifest is appended again with the same id, and
@@ -92,10 +107,12 @@
 pub async fn publish(
     log: &Client,
     manifest: &Manifest,
+    floor: ManifestVersion,
     deadline: Instant,
 ) -> Result<Accepted, Report<Error>> {
     let loaded = timeout_at(deadline, load_state(log)).await;
     let mut reader = loaded.unwrap_or_else(|_| Err(Report::new(Error::NoState)))?;
+    reach_floor(log, &mut reader, floor, deadline).await?;
     if let Some(accepted) = settled(reader.state(), manifest)? {
         return Ok(accepted);
     }
@@ -164,6 +181,27 @@
     loaded.change_context(Error::NotPublished)
 }
 
+/// Reads on until the log tells of a version that daemons have in force.
+async fn reach_floor(
+    log: &Client,
+    reader: &mut Reader,
+    floor: ManifestVersion,
+    deadline: Instant,
+) -> Result<(), Report<Error>> {
+    while reader.state().version() < floor {
+        if Instant::now() >= deadline {
+            return Err(Report::new(Error::Behind {
+                log: reader.state().version(),
+                in_force: floor,
+            }));
+        }
+        sleep(PAUSE).await;
+        let read = read_on(log, reader).await;
+        read.change_context(Error::NotPublished)?;
+    }
+    Ok(())
+}
+
 /// Whether the manifest needs no publication; an error if it cannot be published.
 fn settled(state: &State, manifest: &Manifest) -> Result<Option<Accepted>, Report<Error>> {
     if state.manifest.as_ref() == Some(manifest) {
--- a/crates/operator/tests/fleet.rs
+++ b/crates/operator/tests/fleet.rs
@@ -226,17 +226,17 @@
 async fn a_manifest_that_does_not_follow_changes_nothing() {
     let platform = Platform::start().await;
     let log = http::Client::new(platform.address());
-    let first = publish(&log, &manifest(), soon()).await;
+    let first = publish(&log, &manifest(), 0, soon()).await;
     assert_eq!(first.expect("accepted"), Accepted::Now);
     let mut next = manifest();
     next.replaces = 1;
     next.services[0].shards = 16;
-    let report = publish(&log, &next, soon()).await.expect_err("invalid");
+    let report = publish(&log, &next, 0, soon()).await.expect_err("invalid");
     assert!(matches!(report.current_context(), Error::Invalid(_)));
     assert_eq!(platform.appends(), 1);
     let mut stale = manifest();
     stale.services[0].limits.queue = 9;
-    let report = publish(&log, &stale, soon()).await.expect_err("stale");
+    let report = publish(&log, &stale, 0, soon()).await.expect_err("stale");
     let conflict = Error::Conflict {
         replaces: 0,
         in_force: 1,
@@ -251,7 +251,7 @@
     let manifest = manifest();
     platform.lose_answers(u64::MAX);
     let deadline = Instant::now() + Duration::from_millis(600);
-    let publishing = publish(&log, &manifest, deadline);
+    let publishing = publish(&log, &manifest, 0, deadline);
     let cutting = async {
         while platform.appends() == 0 {
             tokio::task::yield_now().await;
@@ -264,6 +264,21 @@
     assert_eq!(platform.records(STREAM).len(), 1);
 }
 
+#[tokio::test]
+async fn a_log_that_lost_what_daemons_have_takes_nothing() {
+    let platform = Platform::start().await;
+    let log = http::Client::new(platform.address());
+    let deadline = Instant::now() + Duration::from_millis(500);
+    let report = publish(&log, &manifest(), 3, deadline).await;
+    let report = report.expect_err("the log is behind");
+    let behind = Error::Behind {
+        log: 0,
+        in_force: 3,
+    };
+    assert_eq!(*report.current_context(), behind);
+    assert_eq!(platform.appends(), 0);
+}
+
 #[tokio::test]
 async fn a_slow_log_is_waited_for() {
     let platform = Platform::start().await;
@@ -272,7 +287,7 @@
         .await
         .expect("the platform is up");
     platform.set_delay(Duration::from_millis(300));
-    let accepted = publish(&log, &manifest(), soon()).await;
+    let accepted = publish(&log, &manifest(), 0, soon()).await;
     assert_eq!(accepted.expect("accepted"), Accepted::Now);
 }
 
