--- a/crates/keyspace/src/lib.rs
+++ b/crates/keyspace/src/lib.rs
@@ -18,6 +18,7 @@
 mod merge;
 mod ranges;
 pub mod reader;
+mod recent;
 pub mod record;
 pub mod replay;
 pub mod shard;
--- a/crates/keyspace/src/reader.rs
+++ b/crates/keyspace/src/reader.rs
@@ -5,20 +5,17 @@
 //! a snapshot stands in for it. Two readers that hold different states, for whatever reason, find
 //! that out at the next snapshot and join them.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::sync::Arc;
 
 use crate::{
     batch::{Batch, Entry},
     id::LogOffset,
+    recent::Recent,
     record::{Body, Record, Snapshot},
     replay::{LIFE_MAX, State},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The most bytes of records that are kept for peers and for snapshots that lag.
-pub const RECENT_BYTES_MAX: usize = 4 << 20;
-/// The most records that are kept.
-pub const RECENT_MAX: usize = 2048;
 /// How often in a row a log must be found shorter than before, until it counts as restarted.
 pub const SHORT_READS_MAX: u32 = 5;
 
@@ -58,11 +55,8 @@
     /// The first offset that the state does not include.
     next: LogOffset,
     phase: Phase,
-    /// The first offset that was not looked at; differs from `next` in a gap or after a restart.
-    cursor: LogOffset,
-    /// The last entries before `cursor`.
-    recent: VecDeque<Entry>,
-    recent_bytes: usize,
+    /// What was looked at; its end differs from `next` in a gap or after a restart.
+    recent: Recent,
     /// A digest of the entry before `next`.
     last: Option<u64>,
     /// Whether the entry before `next` is to be read again, to see that the log is the same.
@@ -89,9 +83,7 @@
             state: Arc::default(),
             next: 0,
             phase: Phase::Starting,
-            cursor: 0,
-            recent: VecDeque::new(),
-            recent_bytes: 0,
+            recent: Recent::default(),
             last: None,
             verifies: false,
             short_reads: 0,
@@ -135,7 +127,7 @@
     /// Records read since the last snapshot.
     #[must_use]
     pub fn since_snapshot(&self) -> u64 {
-        self.cursor.saturating_sub(self.snapshot_at)
+        self.recent.end().saturating_sub(self.snapshot_at)
     }
 
     /// Whether the log lacks something that the state holds.
@@ -163,13 +155,13 @@
         if verifies && self.phase != Phase::Gap && self.phase != Phase::Restarted {
             return self.next.saturating_sub(1);
         }
-        self.cursor
+        self.recent.end()
     }
 
     /// The offset to read from at a peer, which tells nothing about the log itself.
     #[must_use]
     pub fn position_at_peer(&self) -> LogOffset {
-        self.cursor
+        self.recent.end()
     }
 
     /// Tells that a read failed: the log may be another one when it comes back.
@@ -192,10 +184,10 @@
         let mut snapshot = self.snapshot();
         if self.is_ahead() {
             snapshot.state.life = LIFE_MAX.min(snapshot.state.life + 1);
-            snapshot.next = self.cursor;
+            snapshot.next = self.recent.end();
         } else if self.is_stranded() {
             snapshot.state.life = LIFE_MAX.min(snapshot.state.life + 1);
-            snapshot.next = self.kept_from();
+            snapshot.next = self.recent.first();
         }
         snapshot
     }
@@ -206,13 +198,10 @@
         if self.phase != Phase::Following {
             return None;
         }
-        let first = self.kept_from();
-        let skipped = from.checked_sub(first)?;
-        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
         Some(Batch {
-            first,
+            first: self.recent.first(),
             next: self.next,
-            records: self.recent.iter().skip(skipped).cloned().collect(),
+            records: self.recent.from(from)?.cloned().collect(),
             relayed: None,
         })
     }
@@ -229,7 +218,7 @@
     pub fn take(&mut self, batch: &Batch) {
         if let Some(relayed) = batch.relayed {
             // A peer's answer says nothing about what the log itself keeps.
-            let is_behind = batch.next < self.next || batch.first > self.cursor;
+            let is_behind = batch.next < self.next || batch.first > self.recent.end();
             if relayed.life != self.state.life || is_behind {
                 return;
             }
@@ -284,17 +273,13 @@
         self.verifies = false;
         self.last = None;
         self.snapshot_at = next;
-        let later: Vec<Entry> = self
-            .recent
-            .drain(..)
-            .skip_while(|entry| entry.offset < next)
-            .collect();
-        self.recent_bytes = 0;
-        self.cursor = next;
-        if later.first().is_some_and(|entry| entry.offset == next) {
-            for entry in later {
-                self.apply(&entry);
-            }
+        let later: Vec<Entry> = match self.recent.from(next) {
+            Some(entries) => entries.cloned().collect(),
+            None => Vec::new(),
+        };
+        self.recent.restart_at(next);
+        for entry in later {
+            self.apply(&entry);
         }
     }
 
@@ -337,7 +322,7 @@
     fn restart(&mut self) {
         self.counts.restarts += 1;
         self.short_reads = 0;
-        self.clear_recent(0);
+        self.recent.restart_at(0);
         self.phase = Phase::Restarted;
         // Without a manifest no record had an effect, and there is nothing to keep.
         if self.state.manifest.is_none() {
@@ -368,8 +353,8 @@
                 }
             }
         }
-        self.remember(entry);
-        self.next = self.cursor;
+        self.recent.push(entry);
+        self.next = self.recent.end();
         self.last = Some(xxh3_64(&entry.bytes));
     }
 
@@ -404,14 +389,9 @@
         if snapshot.next > offset {
             return None;
         }
-        if snapshot.next < self.kept_from() {
-            return None;
-        }
+        let between = self.recent.from(snapshot.next)?;
         let mut state = snapshot.state.clone();
-        for entry in &self.recent {
-            if entry.offset < snapshot.next || entry.offset >= offset {
-                continue;
-            }
+        for entry in between.take_while(|entry| entry.offset < offset) {
             if let Ok(record) = Record::decode(&entry.bytes) {
                 state.apply(entry.offset, &record);
             }
@@ -421,17 +401,17 @@
 
     /// Keeps what the log still has until a snapshot tells what came before.
     fn bridge(&mut self, batch: &Batch) {
-        if batch.next < self.cursor {
+        if batch.next < self.recent.end() {
             self.restart();
             return;
         }
-        if batch.first > self.cursor {
-            self.clear_recent(batch.first);
+        if batch.first > self.recent.end() {
+            self.recent.restart_at(batch.first);
         }
         for entry in &batch.records {
             if self.phase == Phase::Following {
                 self.apply_from(&single(entry));
-            } else if entry.offset == self.cursor {
+            } else if entry.offset == self.recent.end() {
                 self.bridge_entry(entry);
             }
         }
@@ -445,26 +425,26 @@
         {
             self.settle(entry, &snapshot);
         }
-        self.remember(entry);
+        self.recent.push(entry);
         if self.phase == Phase::Following {
-            self.next = self.cursor;
+            self.next = self.recent.end();
             self.last = Some(xxh3_64(&entry.bytes));
         }
     }
 
     /// Looks for a snapshot of a higher life in a log that restarted.
     fn search(&mut self, batch: &Batch) {
-        if batch.next < self.cursor {
-            self.clear_recent(0);
+        if batch.next < self.recent.end() {
+            self.recent.restart_at(0);
             return;
         }
-        if batch.first > self.cursor {
-            self.clear_recent(batch.first);
+        if batch.first > self.recent.end() {
+            self.recent.restart_at(batch.first);
         }
         for entry in &batch.records {
             if self.phase == Phase::Following {
                 self.apply_from(&single(entry));
-            } else if entry.offset == self.cursor {
+            } else if entry.offset == self.recent.end() {
                 self.search_entry(entry);
             }
         }
@@ -483,9 +463,9 @@
         {
             self.settle(entry, &snapshot);
         }
-        self.remember(entry);
+        self.recent.push(entry);
         if self.phase == Phase::Following {
-            self.next = self.cursor;
+            self.next = self.recent.end();
             self.last = Some(xxh3_64(&entry.bytes));
         }
     }
@@ -511,30 +491,6 @@
         }
         record
     }
-
-    /// Keeps an entry and steps over it.
-    fn remember(&mut self, entry: &Entry) {
-        self.cursor = entry.offset + 1;
-        self.recent_bytes += entry.bytes.len();
-        self.recent.push_back(entry.clone());
-        while self.recent_bytes > RECENT_BYTES_MAX || self.recent.len() > RECENT_MAX {
-            let Some(dropped) = self.recent.pop_front() else {
-                return;
-            };
-            self.recent_bytes -= dropped.bytes.len();
-        }
-    }
-
-    /// The first offset of the kept entries.
-    fn kept_from(&self) -> LogOffset {
-        self.cursor - self.recent.len() as u64
-    }
-
-    fn clear_recent(&mut self, cursor: LogOffset) {
-        self.recent.clear();
-        self.recent_bytes = 0;
-        self.cursor = cursor;
-    }
 }
 
 /// Whether a snapshot's life is one that a state can have.
