--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -9,12 +9,13 @@
     Batch, Error, Log, Relay, Relayed,
     http::check,
     metrics::{Metrics, Source as SourceLabel},
+    snapshots::Snapshots,
 };
 use copperwell_keyspace::{
     checkpoint,
     id::{DaemonName, LogOffset},
     reader::{Phase, Reader},
-    record::{Body, Id, Record, STREAM, Snapshot},
+    record::{STREAM, Snapshot},
     replay::State,
 };
 use error_stack::{Report, ResultExt};
@@ -41,9 +42,6 @@
 /// How long a peer may take to hand its state over.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The pause between two appends of a snapshot.
-const CHECKPOINT_PAUSE: Duration = Duration::from_secs(2);
-
 /// How old a peer's own reading may be before the platform is tried as well.
 const RELAY_AGE_MAX: Duration = Duration::from_secs(10);
 
@@ -151,20 +149,19 @@
             reader: reader.clone(),
             view,
         };
+        let every = settings.checkpoint_every;
+        let snapshots = settings
+            .writer
+            .map(|writer| Snapshots::new(writer, every, metrics.clone()));
         let task = Task {
             log,
             relay,
-            settings,
+            source: settings.source,
             metrics,
             reader,
             to,
-            snapshots: 0,
-            snapshot_at: Instant::now(),
-            ahead_since: None,
-            stranded_since: None,
+            snapshots,
             reads_log: false,
-            tried_at: None,
-            append: None,
         };
         Self {
             held,
@@ -239,21 +236,13 @@
 struct Task<L, R> {
     log: Arc<L>,
     relay: Arc<R>,
-    settings: Settings,
+    source: Source,
     metrics: Metrics,
     reader: Arc<Mutex<Reader>>,
     to: watch::Sender<Arc<View>>,
-    /// Snapshots read so far, and when the last one was.
-    snapshots: u64,
-    snapshot_at: Instant,
-    /// Since when the log lacks something that the reader holds.
-    ahead_since: Option<Instant>,
-    /// Since when the reader misses records.
-    stranded_since: Option<Instant>,
+    snapshots: Option<Snapshots>,
     /// Whether the last read was of the log itself; only then snapshots are appended.
     reads_log: bool,
-    tried_at: Option<Instant>,
-    append: Option<JoinHandle<()>>,
 }
 
 impl<L: Log, R: Relay> Task<L, R> {
@@ -282,7 +271,7 @@
     }
 
     async fn read(&self) -> Result<Batch, Report<Error>> {
-        match self.settings.source {
+        match self.source {
             Source::Platform => match self.read_log().await {
                 Ok(batch) => Ok(batch),
                 Err(_) => self.read_peer().await,
@@ -439,68 +428,20 @@
         }
     }
 
-    /// Appends a snapshot in the background if one is due.
+    /// Appends a snapshot if one is due and this reader sees the log itself.
     fn append_if_due(&mut self) {
-        let Some(writer) = self.settings.writer.clone() else {
+        let Some(snapshots) = &mut self.snapshots else {
             return;
         };
-        if !self.reads_log {
-            return;
-        }
         let now = Instant::now();
-        if !self.is_due(&writer, now) {
-            return;
-        }
-        self.tried_at = Some(now);
-        let snapshot = lock(&self.reader).checkpoint();
-        let record = Record {
-            id: Id {
-                writer: format!("{writer}/checkpoint").into(),
-                incarnation: snapshot.state.life,
-                sequence: snapshot.next,
-            },
-            body: Body::Snapshot(Box::new(snapshot)),
-        };
-        let Ok(bytes) = record.encode() else {
-            warn!("the state is too large for a snapshot; remove services or upstreams");
-            return;
+        let due = {
+            let reader = lock(&self.reader);
+            let is_due = self.reads_log && snapshots.is_due(&reader, now);
+            is_due.then(|| reader.checkpoint())
         };
-        let (log, metrics) = (self.log.clone(), self.metrics.clone());
-        self.append = Some(tokio::spawn(async move {
-            match log.append(STREAM, bytes).await {
-                Ok(_) => {
-                    metrics.snapshots_appended.inc();
-                }
-                Err(report) => metrics.fail_append(*report.current_context()),
-            }
-        }));
-    }
-
-    fn is_due(&mut self, writer: &DaemonName, now: Instant) -> bool {
-        let reader = lock(&self.reader);
-        if reader.snapshots() != self.snapshots {
-            self.snapshots = reader.snapshots();
-            self.snapshot_at = now;
+        if let Some(snapshot) = due {
+            snapshots.append(&self.log, snapshot, now);
         }
-        let since = |holds: bool, since: Option<Instant>| holds.then(|| since.unwrap_or(now));
-        self.ahead_since = since(reader.is_ahead(), self.ahead_since);
-        self.stranded_since = since(reader.is_stranded(), self.stranded_since);
-        let is_busy = self.append.as_ref().is_some_and(|task| !task.is_finished());
-        let is_early = self
-            .tried_at
-            .is_some_and(|tried| now - tried < CHECKPOINT_PAUSE);
-        let is_unsure = matches!(reader.phase(), Phase::Starting | Phase::Short);
-        if is_busy || is_early || is_unsure || reader.state().manifest.is_none() {
-            return false;
-        }
-        let need = checkpoint::Need {
-            since: now - self.snapshot_at,
-            records: reader.since_snapshot(),
-            urgent: self.ahead_since.map(|since| now - since),
-            stranded: self.stranded_since.map(|since| now - since),
-        };
-        let spread = checkpoint::spread_of(writer, reader.next());
-        checkpoint::is_due(&need, self.settings.checkpoint_every, spread)
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod follow;
 pub mod http;
 pub mod metrics;
+mod snapshots;
 
 /// An append-only log with streams.
 pub trait Log: Send + Sync + 'static {
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -17,6 +17,7 @@
     pub(crate) appends_failed: Family<Reason, Counter>,
     pub(crate) appends_repeated: Counter,
     pub(crate) snapshots_appended: Counter,
+    pub(crate) snapshots_too_large: Counter,
     pub(crate) snapshots_adopted: Counter,
     unreadable: Counter,
     gaps: Counter,
@@ -67,6 +68,11 @@
             "Snapshots appended",
             held.snapshots_appended,
         );
+        registry.register(
+            "log_snapshots_too_large",
+            "Snapshots that were not appended, as the state is too large",
+            held.snapshots_too_large,
+        );
         registry.register(
             "log_snapshots_adopted",
             "States taken from peers",
