--- a/crates/caller/tests/ingress/slow.rs
+++ b/crates/caller/tests/ingress/slow.rs
@@ -1,11 +1,12 @@
 //! Callers that are slow. The clock is paused and runs ahead while nothing happens.
 
-use crate::fake::{Fake, done, raw, whole};
+use crate::fake::{Fake, LONG, done, raw, whole};
 use bytes::Bytes;
 use copperwell_message::Body;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    time::timeout,
 };
 
 #[tokio::test(start_paused = true)]
@@ -47,7 +48,8 @@
     let handed = handed.recv().await.unwrap();
     handed.answer.send(done(body)).unwrap();
     // It ends when the connection, and with it the answer's reader, is gone.
-    while sender.send(Bytes::from(vec![0; 64 << 10])).await.is_ok() {}
+    let writing = async { while sender.send(Bytes::from(vec![0; 64 << 10])).await.is_ok() {} };
+    timeout(LONG, writing).await.unwrap();
     drop(stream);
 }
 
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use copperwell_message::{
     Body, Class, Head, Reason, Repeat, Reply, Request, Response, Sender, Serve, Severed, Verdict,
 };
@@ -19,12 +20,16 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::mpsc,
+    time::timeout,
 };
 use tokio_util::sync::CancellationToken;
 
 mod proxy;
 mod raw;
 
+/// Longer than any wait of these tests takes.
+const LONG: Duration = Duration::from_secs(20);
+
 /// The largest body of these tests.
 const LIMIT: usize = 16 << 20;
 
@@ -106,6 +111,11 @@
     address
 }
 
+async fn collect(body: Body) -> Bytes {
+    let read = timeout(LONG, body.collect(LIMIT)).await;
+    read.unwrap().unwrap()
+}
+
 fn verdict(response: &Response) -> (Verdict, Option<Reason>) {
     (response.reply.verdict, response.reply.reason)
 }
@@ -122,7 +132,7 @@
         .send(to, request(Body::full(sent.clone())))
         .await;
     assert_eq!(response.reply, answer(Body::empty()).reply);
-    assert!(response.body.collect(LIMIT).await.unwrap() == sent);
+    assert!(collect(response.body).await == sent);
 }
 
 #[tokio::test]
@@ -140,7 +150,7 @@
                 sender.end().await;
             });
             let response = links.send(to, request(body)).await;
-            assert!(response.body.collect(LIMIT).await.unwrap() == vec![fill; 400_000]);
+            assert!(collect(response.body).await == vec![fill; 400_000]);
         })
     });
     futures::future::try_join_all(exchanges).await.unwrap();
--- a/crates/policy/src/suspicion.rs
+++ b/crates/policy/src/suspicion.rs
@@ -151,9 +151,13 @@
     partners: HashSet<DaemonName>,
     vms: BTreeMap<DaemonName, Vm>,
     states: BTreeMap<DaemonName, State>,
+    /// Members of whom there is something new, and how often that was passed on.
+    news: BTreeMap<DaemonName, u32>,
     chosen: BTreeMap<DataCentreName, Chosen>,
     round: u64,
     revision: u64,
+    /// The digest of the revision for which it was worked out.
+    digest: Option<Digest>,
     random: StdRng,
 }
 
@@ -172,8 +176,12 @@
     failed: Option<Instant>,
     /// Was in the platform's list and no longer is.
     unlisted: bool,
-    /// How often the present state was passed on.
-    told: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Digest {
+    revision: u64,
+    value: u64,
 }
 
 /// A member of a data centre that is probed for a while.
@@ -195,9 +203,11 @@
             partners: HashSet::default(),
             vms: BTreeMap::new(),
             states: BTreeMap::new(),
+            news: BTreeMap::new(),
             chosen: BTreeMap::new(),
             round: 0,
             revision: 0,
+            digest: None,
             random: StdRng::seed_from_u64(random_seed),
         }
     }
@@ -300,11 +310,11 @@
         if heard_since || other || state.liveness > Liveness::Suspect {
             return Vec::new();
         }
+        state.failed.get_or_insert(now);
         if state.liveness == Liveness::Live {
             state.set(now, Liveness::Suspect);
-            self.revision += 1;
+            self.note_change(&subject.name);
         }
-        state.failed.get_or_insert(now);
         self.tick(now)
     }
 
@@ -342,6 +352,7 @@
     /// Lets time pass: suspects that stay silent are lost, and lost ones without a VM gone.
     pub fn tick(&mut self, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
+        let mut changed = Vec::new();
         for state in self.states.values_mut() {
             let listed = self.vms.get(&state.member.name);
             let leaving = state.leaving || listed.is_some_and(|vm| vm.leaving);
@@ -354,13 +365,17 @@
             if state.liveness == Liveness::Suspect && overdue {
                 state.set(now, Liveness::Lost);
                 changes.push(Change::Lost(state.member.clone()));
+                changed.push(state.member.name.clone());
             }
             if state.liveness == Liveness::Lost && state.unlisted {
                 state.set(now, Liveness::Gone);
                 changes.push(Change::Gone(state.member.clone()));
+                changed.push(state.member.name.clone());
             }
         }
-        self.revision += changes.len() as u64;
+        for name in changed {
+            self.note_change(&name);
+        }
         changes
     }
 
@@ -371,13 +386,13 @@
         let about = to.and_then(|name| self.states.get(name));
         let about = about.filter(|state| state.liveness > Liveness::Live);
         let mut rumours: Vec<Rumour> = about.map(State::rumour).into_iter().collect();
-        let news = self.states.values_mut().filter(|state| state.told < often);
-        let mut news: Vec<&mut State> = news.collect();
-        news.sort_by_key(|state| state.told);
-        for state in news.into_iter().take(RUMOURS_MAX - rumours.len()) {
-            state.told += 1;
-            rumours.push(state.rumour());
+        let mut news: Vec<(&DaemonName, &mut u32)> = self.news.iter_mut().collect();
+        news.sort_by_key(|(_, told)| **told);
+        for (name, told) in news.into_iter().take(RUMOURS_MAX - rumours.len()) {
+            *told += 1;
+            rumours.extend(self.states.get(name).map(State::rumour));
         }
+        self.news.retain(|_, told| *told < often);
         rumours
     }
 
@@ -389,12 +404,19 @@
     }
 
     /// Equal for daemons that think the same members alive.
-    #[must_use]
-    pub fn digest(&self) -> u64 {
+    pub fn digest(&mut self) -> u64 {
+        if let Some(known) = self.digest.filter(|known| known.revision == self.revision) {
+            return known.value;
+        }
         let live = self.states.values();
         let live = live.filter(|state| state.liveness <= Liveness::Suspect);
         let live = live.map(|state| digest_of(&state.member));
-        live.fold(digest_of(&self.me), |all, one| all ^ one)
+        let value = live.fold(digest_of(&self.me), |all, one| all ^ one);
+        self.digest = Some(Digest {
+            revision: self.revision,
+            value,
+        });
+        value
     }
 
     /// The members, this daemon included.
@@ -456,14 +478,15 @@
             (Evidence::Rumour, _) => before.max(Liveness::Suspect),
         };
         state.refutation = state.refutation.max(rumour.refutation);
-        if newer || (rumour.leaving && !state.leaving) {
-            state.told = 0;
-        }
-        if rumour.leaving && !state.leaving {
-            state.leaving = true;
-            self.revision += 1;
-        }
+        let leaves = rumour.leaving && !state.leaving;
+        state.leaving |= rumour.leaving;
+        let name = rumour.member.name;
         if next == before {
+            if leaves {
+                self.note_change(&name);
+            } else if newer {
+                self.news.insert(name, 0);
+            }
             return Vec::new();
         }
         if evidence == Evidence::Direct && !newer {
@@ -471,11 +494,16 @@
             state.refutation = state.refutation.saturating_add(1);
         }
         state.set(now, next);
+        let back = next == Liveness::Live && before >= Liveness::Lost;
+        let back = back.then(|| Change::Back(state.member.clone()));
+        self.note_change(&name);
+        back.into_iter().collect()
+    }
+
+    /// Notes that what is published and passed on of a member changed.
+    fn note_change(&mut self, name: &DaemonName) {
         self.revision += 1;
-        if next == Liveness::Live && before >= Liveness::Lost {
-            return vec![Change::Back(state.member.clone())];
-        }
-        Vec::new()
+        self.news.insert(name.clone(), 0);
     }
 
     fn add(&mut self, now: Instant, rumour: Rumour) -> Vec<Change> {
@@ -492,10 +520,9 @@
             heard: None,
             failed: None,
             unlisted: false,
-            told: 0,
         };
         self.states.insert(member.name.clone(), state);
-        self.revision += 1;
+        self.note_change(&member.name);
         vec![Change::Back(member)]
     }
 
@@ -503,7 +530,10 @@
         let before = self.states.len();
         self.states
             .retain(|_, state| state.liveness < Liveness::Lost || now < state.since + FORGET);
-        self.revision += (before - self.states.len()) as u64;
+        if self.states.len() < before {
+            self.revision += 1;
+            self.news.retain(|name, _| self.states.contains_key(name));
+        }
     }
 
     /// The next members on the ring of this daemon's data centre. The ring is ordered by hash, so
@@ -625,7 +655,6 @@
     fn set(&mut self, now: Instant, liveness: Liveness) {
         self.liveness = liveness;
         self.since = now;
-        self.told = 0;
         if liveness != Liveness::Suspect {
             self.failed = None;
         }
