--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -3,10 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::core::Core;
-use copperwell_backend::{Control, Forward};
+use copperwell_backend::{Control, Forward, Pool};
 use copperwell_dispatch::Observation;
 use copperwell_keyspace::{
-    DaemonName, HashMap, HashSet, Member, ServiceName, record::Move, replay::State,
+    DaemonName, HashMap, HashSet, Member, ServiceName, record::Body, replay::State,
 };
 use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
@@ -33,12 +33,15 @@
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Passes each new agreed state on.
-pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
+pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>, pool: Arc<Pool>) {
     let mut view = core.view.clone();
     let mut before: Option<Arc<View>> = None;
     loop {
         let now = view.borrow_and_update().clone();
         report(before.as_deref(), &now);
+        if let Some(manifest) = &now.state.manifest {
+            pool.follow(manifest);
+        }
         core.take_view(&now);
         before = Some(now);
         if view.changed().await.is_err() {
@@ -77,7 +80,7 @@
 }
 
 /// Handles what the groups tell.
-pub(crate) async fn events(mut events: mpsc::Receiver<Event>, moves: mpsc::Sender<Move>) {
+pub(crate) async fn events(mut events: mpsc::Receiver<Event>, records: mpsc::Sender<Body>) {
     while let Some(event) = events.recv().await {
         match event {
             Event::Led { group, epoch, .. } => {
@@ -89,8 +92,11 @@
                 info!("stepped down", kv: { group, epoch });
             }
             Event::Move(moved) => {
-                // A full queue drops the move; its group asks again.
-                let _ = moves.try_send(moved);
+                // A full queue drops the record; its group asks again.
+                let _ = records.try_send(Body::Move(moved));
+            }
+            Event::Retire(retire) => {
+                let _ = records.try_send(Body::Retire(retire));
             }
         }
     }
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -3,9 +3,12 @@
 //! Lock order: the table's map of services, then one shard's entry, then a lease. No lock is held
 //! across an await.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError, RwLock,
-    atomic::{AtomicU32, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use copperwell_keyspace::{Epoch, HashMap, Incarnation, ServiceName, ShardIndex, UpstreamName};
@@ -38,6 +41,9 @@
     pub upstream: UpstreamName,
     /// The epoch under which requests are sent.
     pub epoch: Epoch,
+    /// The first epoch of this daemon's unbroken leadership; what it knows of idempotency keys since
+    /// then is whole.
+    pub tenure: Epoch,
     /// The server's run that holds the grant.
     pub incarnation: Incarnation,
     /// The lease of all grants of this upstream.
@@ -65,6 +71,17 @@
     pub route: Route,
     /// How often the shard has come from [`Route::Elsewhere`].
     pub turn: u64,
+    /// The first grant of the shard in this daemon's latest unbroken leadership; it outlives that.
+    pub first: Option<First>,
+}
+
+/// The first grant of a shard in an unbroken leadership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct First {
+    /// The leadership's first epoch.
+    pub tenure: Epoch,
+    /// When it was granted.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -228,8 +245,32 @@
         let was_elsewhere = matches!(self.route, Route::Elsewhere);
         let is_elsewhere = matches!(route, Route::Elsewhere);
         self.turn += u64::from(was_elsewhere && !is_elsewhere);
+        if let Route::Owned(owner) = &route
+            && self.first.is_none_or(|first| first.tenure != owner.tenure)
+        {
+            self.first = Some(First {
+                tenure: owner.tenure,
+                at: Instant::now(),
+            });
+        }
         self.route = route;
     }
+
+    /// How long ago the shard was first granted in this daemon's latest unbroken leadership.
+    #[must_use]
+    pub fn owned_for(&self) -> Duration {
+        self.first
+            .map_or(Duration::ZERO, |first| first.at.elapsed())
+    }
+}
+
+impl Owner {
+    /// Whether two owners are the same run of the same server under the same leader.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        self.upstream == other.upstream
+            && self.epoch == other.epoch
+            && self.incarnation == other.incarnation
+    }
 }
 
 impl Pass {
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -10,7 +10,7 @@
 
 use balance::Decayed;
 use copperwell_keyspace::{Epoch, GroupId, Sequence, ShardIndex, UpstreamName, manifest::Upstream};
-use message::{Action, Config, Input, Predecessor, Route, Start, Ticket};
+use message::{Action, Config, Input, Predecessor, Route, Start, Ticket, Voters};
 use place::{Free, Goal, Leaving, Place};
 use server::{Run, Server, lapse_of};
 use tokio::time::Instant;
@@ -31,6 +31,15 @@
 /// Shards on their way from one upstream to another at a time.
 const MOVES_AT_ONCE: usize = 8;
 
+/// Shards that wait for the log to give them to another group at a time.
+const AWAY_MAX: usize = 64;
+
+/// Shards that are ready within this time of one another are told together.
+const AWAY_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often is told what the log still does not have.
+const REPEAT: Duration = Duration::from_secs(3);
+
 /// From here on a draining upstream's shards are all moved at once.
 const DRAIN_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -41,6 +50,7 @@
     epoch: Epoch,
     config: Config,
     predecessor: Predecessor,
+    voters: Voters,
     recorded: bool,
     digest: fn(ShardIndex) -> u64,
     phase: Phase,
@@ -65,6 +75,8 @@
     balance_at: Instant,
     /// When the shards that are away are told again.
     away_at: Instant,
+    /// When removed servers that hold nothing are told again.
+    retire_at: Instant,
     /// Whether a server can take shards, as of the last routes.
     any_open: bool,
     changed: BTreeSet<ShardIndex>,
@@ -86,8 +98,11 @@
     /// Starts to lead; the first actions come with the first [`Input::Tick`].
     #[must_use]
     pub fn new(start: Start, now: Instant) -> Self {
-        let servers = start.config.upstreams.iter().map(|upstream| {
-            let server = Server::new(upstream.clone(), now);
+        let config = &start.config;
+        let upstreams = config.upstreams.iter().chain(&config.former);
+        let servers = upstreams.map(|upstream| {
+            let mut server = Server::new(upstream.clone(), now);
+            server.removed = !config.has(&upstream.name);
             (upstream.name.clone(), server)
         });
         let shards = start.config.shards.iter().copied();
@@ -111,6 +126,7 @@
             contact: now,
             settled: start.predecessor != Predecessor::Acting,
             predecessor: start.predecessor,
+            voters: start.voters,
             free: BTreeSet::new(),
             leaving: BTreeSet::new(),
             away: BTreeSet::new(),
@@ -118,6 +134,7 @@
             loads: BTreeMap::new(),
             balance_at: now + balance::PERIOD,
             away_at: now,
+            retire_at: now,
             any_open: false,
             routes: BTreeMap::new(),
             ticket: 0,
@@ -160,16 +177,12 @@
         if self.phase == Phase::Stopped {
             return None;
         }
-        let orders = self
-            .servers
-            .values()
-            .filter(|server| !server.gone)
-            .map(|server| {
-                let due = server.pending.is_none().then_some(server.due);
-                let lapse = server.holds().then_some(server.lapse).flatten();
-                let patience = server.drained.map(|since| since + DRAIN_PATIENCE);
-                [due, lapse, patience]
-            });
+        let orders = self.servers.values().map(|server| {
+            let due = server.pending.is_none().then_some(server.due);
+            let lapse = server.holds().then_some(server.lapse).flatten();
+            let patience = server.drained.map(|since| since + DRAIN_PATIENCE);
+            [due, lapse, patience, server.unsure]
+        });
         let unknown = !self.unknown.is_empty();
         let others = [
             unknown.then(|| self.waited_out()).flatten(),
@@ -201,11 +214,6 @@
                 self.stopped.get_or_insert(now);
             }
             Input::Confirmed(at) => self.confirmed = self.confirmed.max(Some(at)),
-            Input::Gone(upstream) => {
-                if let Some(server) = self.servers.get_mut(&upstream) {
-                    server.gone = true;
-                }
-            }
             Input::Contact(at) => self.contact = self.contact.max(at),
             Input::Load(loads) => self.on_load(&loads, now),
             Input::GiveAway { shards, to } => self.on_give_away(&shards, &to),
@@ -222,7 +230,7 @@
         self.resolve(now);
         if self.phase == Phase::Leading {
             self.drain(now);
-            self.depart();
+            self.depart(now);
             self.balance(now);
         }
         self.prune(now);
@@ -267,15 +275,21 @@
     }
 
     /// Frees the shards that another group is to own, and sets them aside.
-    fn depart(&mut self) {
+    fn depart(&mut self, now: Instant) {
         for (shard, to) in self.departing.clone() {
+            let has_room = self.leaving.len() < MOVES_AT_ONCE && self.away.len() < AWAY_MAX;
             match self.shards.get(&shard) {
-                Some(Place::Owned { .. }) if self.leaving.len() < MOVES_AT_ONCE => {
+                Some(Place::Owned { .. }) if has_room => {
                     self.begin_move(shard, Goal::Anywhere);
                 }
-                Some(Place::Free(Free { since, .. }))
-                    if since.is_none_or(|since| self.is_confirmed(since)) =>
-                {
+                Some(Place::Free(free)) if self.is_ready(free, now) => {
+                    let soon = now + AWAY_PAUSE;
+                    let is_first = self.away.is_empty();
+                    self.away_at = if is_first {
+                        soon
+                    } else {
+                        soon.min(self.away_at)
+                    };
                     self.put(shard, Place::Away { to });
                 }
                 _ => {}
@@ -284,15 +298,11 @@
     }
 
     fn on_config(&mut self, config: Config, now: Instant) {
-        for upstream in &config.upstreams {
+        for upstream in config.upstreams.iter().chain(&config.former) {
             self.on_upstream(upstream, now);
         }
         for (name, server) in &mut self.servers {
-            let is_there = config
-                .upstreams
-                .iter()
-                .any(|upstream| upstream.name == *name);
-            server.removed = !is_there;
+            server.removed = !config.has(name);
             self.changed.extend(&server.owned);
         }
         let wanted: BTreeSet<ShardIndex> = config.shards.iter().copied().collect();
@@ -342,10 +352,26 @@
         self.servers.insert(aside, server);
     }
 
-    /// Forgets servers that the manifest has no more and that hold nothing.
+    /// Tells of removed servers that hold nothing, and forgets those that the log has dropped.
     fn prune(&mut self, now: Instant) {
-        if self.unknown.is_empty() {
-            self.servers.retain(|_, server| !server.is_done(now));
+        let waited_out = self.waited_out().is_some_and(|at| at <= now);
+        for server in self.servers.values_mut() {
+            let is_known = server.established().is_some() || waited_out;
+            let is_empty = is_known && self.unknown.is_empty() && server.is_empty(now);
+            server.emptied = is_empty.then(|| server.emptied.unwrap_or(now));
+        }
+        let former = &self.config.former;
+        let is_former = |name: &UpstreamName| former.iter().any(|upstream| upstream.name == *name);
+        self.servers
+            .retain(|name, server| server.emptied.is_none() || is_former(name));
+        let empty = self.servers.iter().filter(|(_, server)| {
+            let since = server.emptied;
+            since.is_some_and(|since| self.is_confirmed(since))
+        });
+        let empty: Vec<UpstreamName> = empty.map(|(name, _)| name.clone()).collect();
+        if !empty.is_empty() && now >= self.retire_at {
+            self.retire_at = now + REPEAT;
+            self.actions.push(Action::Retire(empty));
         }
     }
 
@@ -377,7 +403,7 @@
         let all_known = self
             .servers
             .values()
-            .all(|server| server.gone || server.established().is_some());
+            .all(|server| server.established().is_some());
         let waited_out = self.waited_out().is_some_and(|at| at <= now);
         if !all_known && !waited_out {
             return;
@@ -390,14 +416,21 @@
                 _ => None,
             };
             let next = last.clone();
-            self.put(shard, Place::Free(Free { since, last, next }));
+            let free = Free {
+                since,
+                unsure: None,
+                last,
+                next,
+                patience: None,
+            };
+            self.put(shard, Place::Free(free));
         }
     }
 
     /// When whatever the predecessor granted has surely lapsed.
     fn waited_out(&self) -> Option<Instant> {
         self.stopped
-            .map(|stopped| lapse_of(self.config.lease, stopped))
+            .map(|stopped| lapse_of(self.config.lease_max, stopped))
     }
 
     /// When a predecessor without the log has stopped, where the service wants that.
@@ -474,7 +507,7 @@
         if self.away.is_empty() || now < self.away_at {
             return;
         }
-        self.away_at = now + balance::PERIOD;
+        self.away_at = now + REPEAT;
         let mut away: BTreeMap<GroupId, Vec<ShardIndex>> = BTreeMap::new();
         for shard in &self.away {
             if let Some(Place::Away { to }) = self.shards.get(shard) {
--- a/crates/policy/src/group/server.rs
+++ b/crates/policy/src/group/server.rs
@@ -1,6 +1,6 @@
 //! What a leader knows of one server of its group.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use super::message::{Order, Ticket};
 use copperwell_keyspace::{
@@ -29,18 +29,21 @@
     pub(super) pending: Option<Pending>,
     /// From here on nothing that this leader gave or heard of can still be held.
     pub(super) lapse: Option<Instant>,
+    /// Until when a grant that was not answered may still arrive, and be taken whatever came later;
+    /// only for a server that does not check orders.
+    pub(super) unsure: Option<Instant>,
     /// When the next order is due at the latest.
     pub(super) due: Instant,
     /// Orders in a row without answer.
     pub(super) misses: u32,
     /// The manifest has it no more.
     pub(super) removed: bool,
+    /// Since when it is removed and holds nothing.
+    pub(super) emptied: Option<Instant>,
     /// It wants no new work, by its own word.
     pub(super) draining: bool,
     /// Since when it is to get no new work.
     pub(super) drained: Option<Instant>,
-    /// Its VM is gone.
-    pub(super) gone: bool,
     /// Shards that it reported and is to let go of.
     pub(super) unwanted: BTreeSet<ShardIndex>,
     /// Shards that it holds, as far as this leader knows.
@@ -100,12 +103,13 @@
             run: None,
             pending: None,
             lapse: None,
+            unsure: None,
             due: now,
             misses: 0,
             removed: false,
+            emptied: None,
             draining: false,
             drained: None,
-            gone: false,
             unwanted: BTreeSet::new(),
             owned: BTreeSet::new(),
             giving: BTreeSet::new(),
@@ -119,6 +123,11 @@
         self.upstream.fencing == Fencing::Checked
     }
 
+    /// Whether it is one of the voters.
+    pub(super) fn is_among(&self, voters: &[SocketAddr]) -> bool {
+        voters.contains(&self.upstream.address)
+    }
+
     /// The run, if this leader may count on it.
     pub(super) fn established(&self) -> Option<&Run> {
         self.run.as_ref().filter(|run| run.established)
@@ -139,8 +148,8 @@
         !self.is_lost() && !self.removed
     }
 
-    /// Whether nothing has to be done about it any more.
-    pub(super) fn is_done(&self, now: Instant) -> bool {
+    /// Whether it was removed and holds nothing, as far as this leader gave or heard.
+    pub(super) fn is_empty(&self, now: Instant) -> bool {
         let lapsed = self.lapse.is_none_or(|lapse| lapse <= now);
         self.removed && lapsed && !self.holds() && self.unwanted.is_empty()
     }
@@ -148,7 +157,7 @@
     /// Whether it can take shards now.
     pub(super) fn is_open(&self) -> bool {
         let known = self.established().is_some_and(|run| !run.doubtful);
-        known && !self.is_lost() && !self.is_leaving() && !self.gone
+        known && !self.is_lost() && !self.is_leaving()
     }
 
     /// Notes a run's answer to an order sent at `sent`.
