--- a/crates/policy/tests/group/bench.rs
+++ b/crates/policy/tests/group/bench.rs
@@ -32,6 +32,8 @@
     Mute,
     /// Takes orders and is heard, but for grants.
     MuteOnGive,
+    /// Grants do not arrive for now; all else does, and is heard.
+    LateOnGive,
     /// Takes nothing and is not heard.
     Cut,
 }
@@ -290,7 +292,10 @@
         let mood = self.moods.get(server).copied().unwrap_or(Mood::Down);
         match mood {
             Mood::Down => Err(Failure::Unreachable),
-            Mood::Cut => Err(Failure::Silent),
+            Mood::LateOnGive if !matches!(order, Order::Give { .. }) => {
+                self.servers[server].take(self.epoch, order, digest, self.now)
+            }
+            Mood::Cut | Mood::LateOnGive => Err(Failure::Silent),
             Mood::MuteOnGive if !matches!(order, Order::Give { .. }) => {
                 self.servers[server].take(self.epoch, order, digest, self.now)
             }
--- a/crates/policy/tests/group/rules.rs
+++ b/crates/policy/tests/group/rules.rs
@@ -531,3 +531,37 @@
     second.pass(SECOND);
     assert_eq!(second.owners().len(), 12);
 }
+
+#[test_case(Fencing::Unchecked; "that would still take it")]
+#[test_case(Fencing::Checked; "that refuses it")]
+fn a_late_grant_to_a_server_that_was_drained_since(fencing: Fencing) {
+    let mut bench = Bench::new(2, 8);
+    for server in &mut bench.servers {
+        server.is_checked = fencing == Fencing::Checked;
+    }
+    bench.moods[1] = Mood::LateOnGive;
+    bench.configure(|config| {
+        for upstream in &mut config.upstreams {
+            upstream.fencing = fencing;
+        }
+    });
+    let late = bench
+        .orders
+        .iter()
+        .find(|sent| sent.server == 1 && is_give(&sent.order));
+    let late = late.unwrap().order.clone();
+    bench.moods[1] = Mood::Answers;
+    bench.pass(Duration::from_millis(100));
+    assert_eq!(bench.count(1), 4);
+    bench.configure(|config| config.upstreams[1].drain = true);
+    bench.pass(Duration::from_millis(100));
+    assert!(
+        bench.servers[1].take(4, &late, digest, bench.now).is_ok() != (fencing == Fencing::Checked)
+    );
+    for shard in 0..8 {
+        let both = (0..2).all(|server| bench.servers[server].holds(shard, bench.now));
+        assert!(!both, "shard {shard}");
+    }
+    bench.pass(LEASE * 2);
+    assert_eq!(bench.count(0), 8);
+}
