--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -119,7 +119,7 @@
         let table = Arc::new(Table::new());
         let pool = Arc::new(Pool::new());
         pool.metrics().register(&mut registry);
-        let (engine, observations) = Engine::new(pool, table.clone());
+        let (engine, observations) = Engine::new(pool.clone(), table.clone());
         engine.register(&mut registry);
         let engine = Arc::new(engine);
         let way = Arc::new(Way::new(me.clone(), engine.clone(), links.clone()));
@@ -183,7 +183,7 @@
         });
         let probing = running.clone();
         spawn_until(&running, async move { members.run(probing).await });
-        spawn_until(&running, watch::states(core.clone()));
+        spawn_until(&running, watch::states(core.clone(), pool.clone()));
         spawn_until(&running, watch::members(core.clone()));
         spawn_until(&running, watch::vms(core.clone(), vms));
         spawn_until(&running, watch::events(events, records_to));
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -150,9 +150,12 @@
     ) -> Option<Export> {
         let inner = &self.inner;
         let serving = inner.serving(service).ok()?;
-        let term = |shard| Term {
-            turn: inner.table.lead(service, shard).turn,
-            epoch: Some(epoch),
+        let term = |shard| {
+            let lead = inner.table.lead(service, shard);
+            Term {
+                turn: lead.turn,
+                epoch: lead.first.map(|first| first.tenure),
+            }
         };
         let ids = &serving.kept.ids;
         let next = epoch + 1;
@@ -202,10 +205,11 @@
 
 impl<F: Forward> Inner<F> {
     async fn serve(self: &Arc<Self>, request: Request, arrived: Instant) -> Response {
-        let deadline = arrived + request.head.deadline;
-        if let Err(failure) = self.accept(&request.head) {
-            return failure.into_response();
-        }
+        let longest = match self.accept(&request.head) {
+            Ok(serving) => serving.service.limits.deadline,
+            Err(failure) => return failure.into_response(),
+        };
+        let deadline = arrived + request.head.deadline.min(longest);
         let repeat = request.head.repeat;
         let call = match Call::read(request, deadline, &self.room).await {
             Ok(call) => call,
@@ -242,14 +246,14 @@
     }
 
     /// Refuses what need not be read any further.
-    fn accept(&self, head: &Head) -> Result<(), Failure> {
+    fn accept(&self, head: &Head) -> Result<Arc<Serving>, Failure> {
         if self.stopping.load(Ordering::Acquire) {
             return Err(Failure::not_run(Reason::Stopping));
         }
-        self.serving(&head.service)?;
+        let serving = self.serving(&head.service)?;
         match self.table.route(&head.service, head.shard) {
             Route::Elsewhere => Err(Failure::not_run(Reason::NotLeader)),
-            _ => Ok(()),
+            _ => Ok(serving),
         }
     }
 }
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -8,7 +8,7 @@
 use crate::{
     call::{Call, Failure},
     engine::Inner,
-    ids::{Claimed, Running},
+    ids::{Claimed, Entered, Running},
     serving::Serving,
     table::Route,
 };
@@ -31,7 +31,7 @@
 impl<F: Forward> Inner<F> {
     /// Serves a request that is not repeatable.
     pub(crate) async fn serve_once(self: &Arc<Self>, id: Uuid, mut call: Call) -> Response {
-        // Once it has waited for another to end or to stop, nothing can rule out that it ran.
+        // Once it has joined another, nothing can rule out that it ran.
         let mut unless = Verdict::NotRun;
         loop {
             let serving = match self.serving(&call.head.service) {
@@ -53,8 +53,8 @@
             };
             match serving.kept.ids.claim(claim, (self.wall)()) {
                 Claimed::Run(entered) => {
-                    call.term = Some(entered);
-                    return self.run_once(id, call, serving).await;
+                    call.entered = Some(entered);
+                    return self.run_once(id, entered, call, serving).await;
                 }
                 Claimed::Join(ended) => {
                     self.metrics.joins.inc();
@@ -64,14 +64,8 @@
                     }
                 }
                 Claimed::Wait => {
-                    // Should no owner be found, it stays open whether the leader before ran it.
-                    unless = Verdict::MayHaveRun;
                     if let Err(failure) = self.route(&call, &serving).await {
-                        return Failure {
-                            verdict: unless,
-                            ..failure
-                        }
-                        .into_response();
+                        return unjudged(failure).into_response();
                     }
                 }
                 Claimed::Kept(outcome) => {
@@ -89,14 +83,23 @@
     ///
     /// Once it has left, it goes on though its caller goes away: a resend then gets the outcome
     /// in place of a lasting doubt.
-    async fn run_once(self: &Arc<Self>, id: Uuid, call: Call, serving: Arc<Serving>) -> Response {
+    async fn run_once(
+        self: &Arc<Self>,
+        id: Uuid,
+        entered: Entered,
+        call: Call,
+        serving: Arc<Serving>,
+    ) -> Response {
         let (to, from) = oneshot::channel();
         let gone = call.gone.clone();
         let _going = gone.clone().drop_guard();
         let engine = Arc::clone(self);
         let sent = Arc::clone(&call.sent);
         tokio::spawn(async move {
-            let running = serving.kept.ids.running(id, Arc::clone(&sent));
+            let running = serving
+                .kept
+                .ids
+                .running(id, entered.ticket, Arc::clone(&sent));
             tokio::select! {
                 biased;
                 () = engine.run_claimed(call, running, to) => {}
@@ -128,7 +131,7 @@
         let lead = self.table.lead(&call.head.service, call.head.shard);
         let epoch = match lead.route {
             Route::Elsewhere => return None,
-            Route::Owned(owner) => Some(owner.epoch),
+            Route::Owned(owner) => Some(owner.tenure),
             Route::Unowned | Route::Held => None,
         };
         Some(Term {
@@ -146,6 +149,18 @@
     }
 }
 
+/// A failure to find an owner: it stays open whether the leader before ran the request, unless the
+/// next leader can tell.
+fn unjudged(failure: Failure) -> Failure {
+    match failure.reason {
+        Reason::NotLeader => failure,
+        _ => Failure {
+            verdict: Verdict::MayHaveRun,
+            ..failure
+        },
+    }
+}
+
 fn outcome_of(reply: &Reply) -> Outcome {
     match reply.verdict {
         Verdict::NotRun => Outcome::NotRun,
