Hand shards over that took no key as well known

An export of a shard without keys counted from its own moment, so the next leader doubted every new key for a second. Count from when the shard was first owned, and only under the epoch that asks.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -27,7 +27,7 @@
 use copperwell_message::{Head, Reason, Repeat, Request, Response, Serve};
 use copperwell_policy::{
     quarantine::Share,
-    window::{Export, Term},
+    window::{Export, Tenure, Term},
 };
 use prometheus_client::registry::Registry;
 use tokio::{sync::mpsc, time::Instant};
@@ -150,13 +150,19 @@
     ) -> Option<Export> {
         let inner = &self.inner;
         let serving = inner.serving(service).ok()?;
-        let term = |shard| Term {
-            turn: inner.table.lead(service, shard).turn,
-            epoch: Some(epoch),
+        let tenure = |shard| {
+            let lead = inner.table.lead(service, shard);
+            Tenure {
+                term: Term {
+                    turn: lead.turn,
+                    epoch: Some(epoch),
+                },
+                length: lead.owned_for(epoch),
+            }
         };
         let ids = &serving.kept.ids;
         let next = epoch + 1;
-        Some(ids.export(service, next, shards, term, (inner.wall)()))
+        Some(ids.export(service, next, shards, tenure, (inner.wall)()))
     }
 
     /// Takes over the keys that the leader directly before exported.
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -12,7 +12,9 @@
 
 use copperwell_keyspace::{Epoch, HashMap, ServiceName, ShardIndex};
 use copperwell_message::Reason;
-use copperwell_policy::window::{self, Answer, Claim, Export, Outcome, Term, Ticket, Window};
+use copperwell_policy::window::{
+    self, Answer, Claim, Export, Outcome, Tenure, Term, Ticket, Window,
+};
 use tokio::sync::{Notify, futures::OwnedNotified};
 use uuid::Uuid;
 
@@ -85,7 +87,7 @@
         match state.window.claim(claim, wall) {
             Answer::Run(ticket) => {
                 state.running.insert(claim.id, Arc::default());
-                let term = state.window.term(claim.shard).unwrap_or(claim.term);
+                let term = state.window.term(claim.shard).unwrap_or(claim.tenure.term);
                 Claimed::Run(Entered { ticket, term })
             }
             Answer::Join => {
@@ -120,11 +122,11 @@
         service: &ServiceName,
         next: Epoch,
         shards: &[ShardIndex],
-        term: impl Fn(ShardIndex) -> Term,
+        tenure: impl Fn(ShardIndex) -> Tenure,
         wall: SystemTime,
     ) -> Export {
         let mut state = self.state();
-        state.window.export(service, next, shards, term, wall)
+        state.window.export(service, next, shards, tenure, wall)
     }
 
     /// Takes over what the leader before exported.
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -1,8 +1,11 @@
 //! Requests that are not repeatable: at most once, and a resend gets the outcome of the first.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use crate::{
@@ -14,7 +17,7 @@
 };
 use copperwell_backend::Forward;
 use copperwell_message::{Body, Reason, Reply, Response, Verdict};
-use copperwell_policy::window::{Claim, Outcome, Term};
+use copperwell_policy::window::{Claim, Outcome, Tenure, Term};
 use tokio::{sync::oneshot, time::timeout_at};
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
@@ -38,17 +41,13 @@
                 Ok(serving) => serving,
                 Err(failure) => return Failure::new(unless, failure.reason).into_response(),
             };
-            let Some(term) = self.term(&call) else {
+            let Some(tenure) = self.tenure(&call) else {
                 return Failure::new(unless, Reason::NotLeader).into_response();
             };
             let claim = Claim {
                 id,
                 shard: call.head.shard,
-                term,
-                led_for: self
-                    .table
-                    .lead(&call.head.service, call.head.shard)
-                    .owned_for(),
+                tenure,
                 fingerprint: call.head.fingerprint,
             };
             match serving.kept.ids.claim(claim, (self.wall)()) {
@@ -126,17 +125,20 @@
         }
     }
 
-    /// The stretch in which this daemon leads the request's shard; `None` if it does not.
-    fn term(&self, call: &Call) -> Option<Term> {
+    /// How long this daemon has led the request's shard; `None` if it does not.
+    fn tenure(&self, call: &Call) -> Option<Tenure> {
         let lead = self.table.lead(&call.head.service, call.head.shard);
-        let epoch = match lead.route {
+        let epoch = match &lead.route {
             Route::Elsewhere => return None,
             Route::Owned(owner) => Some(owner.epoch),
             Route::Unowned | Route::Held => None,
         };
-        Some(Term {
-            turn: lead.turn,
-            epoch,
+        Some(Tenure {
+            term: Term {
+                turn: lead.turn,
+                epoch,
+            },
+            length: epoch.map_or(Duration::ZERO, |epoch| lead.owned_for(epoch)),
         })
     }
 }
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -68,7 +68,7 @@
     pub route: Route,
     /// How often the shard has come from [`Route::Elsewhere`].
     pub turn: u64,
-    /// Since when upstreams have owned the shard under this daemon's present epoch.
+    /// Since when upstreams have owned the shard in this turn, under the last epoch.
     pub since: Option<Since>,
 }
 
@@ -239,25 +239,27 @@
     fn set(&mut self, route: Route) {
         let was_elsewhere = matches!(self.route, Route::Elsewhere);
         let is_elsewhere = matches!(route, Route::Elsewhere);
-        self.turn += u64::from(was_elsewhere && !is_elsewhere);
-        match &route {
-            Route::Elsewhere => self.since = None,
-            Route::Owned(owner) if self.since.is_none_or(|since| since.epoch != owner.epoch) => {
-                self.since = Some(Since {
-                    epoch: owner.epoch,
-                    at: Instant::now(),
-                });
-            }
-            Route::Owned(_) | Route::Unowned | Route::Held => {}
+        if was_elsewhere && !is_elsewhere {
+            self.turn += 1;
+            self.since = None;
+        }
+        if let Route::Owned(owner) = &route
+            && self.since.is_none_or(|since| since.epoch != owner.epoch)
+        {
+            self.since = Some(Since {
+                epoch: owner.epoch,
+                at: Instant::now(),
+            });
         }
         self.route = route;
     }
 
-    /// How long upstreams have owned the shard under this daemon's present epoch.
+    /// How long ago an upstream first owned the shard under an epoch in this turn; zero if none
+    /// did.
     #[must_use]
-    pub fn owned_for(&self) -> Duration {
-        self.since
-            .map_or(Duration::ZERO, |since| since.at.elapsed())
+    pub fn owned_for(&self, epoch: Epoch) -> Duration {
+        let since = self.since.filter(|since| since.epoch == epoch);
+        since.map_or(Duration::ZERO, |since| since.at.elapsed())
     }
 }
 
--- a/crates/dispatch/tests/engine/requests.rs
+++ b/crates/dispatch/tests/engine/requests.rs
@@ -31,7 +31,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_request_gets_its_owners_answer() {
     let bench = Bench::new(|_, _| Step::Answer(ms(1), "free"));
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(told(&response), (Verdict::Done, None));
     assert_eq!(text(response).await, "free");
     let seen = bench.fake.seen();
@@ -47,7 +47,7 @@
     let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
     bench.table.set(SERVICE, 0, route);
     let began = Instant::now();
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(told(&response), (Verdict::NotRun, Some(reason)));
     assert!(response.reply.retry_after.is_some());
     assert_eq!(began.elapsed().as_millis() as u64 / 100, after_ms / 100);
@@ -58,8 +58,7 @@
 async fn a_held_request_goes_to_the_next_owner() {
     let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
     bench.table.set(SERVICE, 0, Route::Held);
-    let engine = Arc::clone(&bench.engine);
-    let served = tokio::spawn(async move { engine.serve(request("/day")).await });
+    let served = bench.spawn(request("/day"));
     sleep(ms(300)).await;
     bench.own(0, "b", 12, 1);
     assert_eq!(told(&served.await.unwrap()), (Verdict::Done, None));
@@ -75,11 +74,7 @@
     };
     let bench = Bench::with_limits(limits, |_, _| Step::Answer(ms(1), ""));
     bench.table.set(SERVICE, 0, Route::Held);
-    let mut served = JoinSet::new();
-    for _ in 0..3 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let mut served = bench.burst(3);
     let first = served.join_next().await.unwrap().unwrap();
     assert_eq!(told(&first), (Verdict::NotRun, Some(Reason::QueueFull)));
 }
@@ -90,7 +85,7 @@
     let mut lapsed = owner("a", 10, 1);
     lapsed.lease = Arc::new(Lease::new(Instant::now()));
     bench.table.set(SERVICE, 0, Route::Owned(lapsed));
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(
         told(&response),
         (Verdict::NotRun, Some(Reason::LeaseLapsed))
@@ -111,11 +106,7 @@
             ..soon
         }),
     );
-    let mut served = JoinSet::new();
-    for _ in 0..2 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let served = bench.burst(2);
     let all = served.join_all().await;
     let ran = all
         .iter()
@@ -127,11 +118,7 @@
 #[tokio::test(start_paused = true)]
 async fn slots_are_never_exceeded_and_ramp_up() {
     let bench = Bench::new(|_, _| Step::Answer(ms(10), ""));
-    let mut served = JoinSet::new();
-    for _ in 0..20 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let served = bench.burst(20);
     settle().await;
     assert_eq!(
         bench.fake.running(),
@@ -154,7 +141,7 @@
         let first = step.lock().unwrap().take();
         first.unwrap_or(Step::Answer(ms(1), ""))
     });
-    let mut response = bench.engine.serve(request("/day")).await;
+    let mut response = bench.serve(request("/day")).await;
     assert_eq!(bench.engine.status()[0].in_flight, 1);
     assert_eq!(bench.table.in_flight(SERVICE, 0), 1);
     sender.send("one").await.unwrap();
@@ -172,7 +159,7 @@
     let (sender, step) = stream();
     let step = Mutex::new(Some(step));
     let bench = Bench::new(move |_, _| step.lock().unwrap().take().unwrap());
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     drop(response);
     sender.closed().await;
     settle().await;
@@ -184,7 +171,7 @@
     let (sender, step) = stream();
     let step = Mutex::new(Some(step));
     let bench = Bench::new(move |_, _| step.lock().unwrap().take().unwrap());
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     sender.send("half").await.unwrap();
     drop(sender);
     assert!(response.body.collect(1024).await.is_err());
@@ -193,11 +180,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_dropped_request_gives_up_its_slot_and_its_place() {
     let bench = Bench::new(|_, _| Step::Answer(Duration::from_secs(1), ""));
-    let mut served = JoinSet::new();
-    for _ in 0..5 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let mut served = bench.burst(5);
     settle().await;
     assert_eq!(bench.engine.status()[0].interactive, 4);
     served.shutdown().await;
@@ -210,17 +193,13 @@
 #[tokio::test(start_paused = true)]
 async fn a_hopeless_deadline_is_refused_at_once() {
     let bench = Bench::new(|_, _| Step::Answer(ms(500), ""));
-    bench.engine.serve(request("/day")).await;
-    let mut served = JoinSet::new();
-    for _ in 0..12 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    bench.serve(request("/day")).await;
+    let _served = bench.burst(12);
     settle().await;
     let began = Instant::now();
     let mut late = request("/day");
     late.head.deadline = ms(700);
-    let response = bench.engine.serve(late).await;
+    let response = bench.serve(late).await;
     assert_eq!(
         told(&response),
         (Verdict::NotRun, Some(Reason::DeadlineHopeless))
@@ -236,14 +215,10 @@
         ..Limits::default()
     };
     let bench = Bench::with_limits(limits, |_, _| Step::Answer(ms(500), ""));
-    let mut served = JoinSet::new();
-    for _ in 0..4 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let _served = bench.burst(4);
     settle().await;
     let began = Instant::now();
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(told(&response), (Verdict::NotRun, Some(Reason::QueueFull)));
     assert_eq!(began.elapsed(), Duration::ZERO);
 }
@@ -251,11 +226,7 @@
 #[tokio::test(start_paused = true)]
 async fn queued_requests_follow_their_shard() {
     let bench = Bench::new(|_, _| Step::Answer(ms(500), ""));
-    let mut served = JoinSet::new();
-    for _ in 0..3 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let served = bench.burst(3);
     settle().await;
     bench.own(0, "b", 10, 1);
     served.join_all().await;
@@ -276,12 +247,10 @@
         "/warm" => Step::Answer(ms(1), ""),
         _ => Step::Fail(ms(1), verdict, reason),
     });
-    for _ in 0..10 {
-        bench.engine.serve(request("/warm")).await;
-    }
+    bench.warm().await;
     let mut failing = request("/day");
     failing.head.deadline = ms(120);
-    let response = bench.engine.serve(failing).await;
+    let response = bench.serve(failing).await;
     assert_eq!(told(&response), (verdict, Some(reason)));
     let seen = bench.fake.count("/day");
     if reason == Reason::ConnectionRefused {
@@ -301,10 +270,8 @@
         }
         _ => Step::Fail(ms(1), Verdict::NotRun, Reason::TooLarge),
     });
-    for _ in 0..10 {
-        bench.engine.serve(request("/warm")).await;
-    }
-    let response = bench.engine.serve(request("/day")).await;
+    bench.warm().await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(
         told(&response),
         (Verdict::MayHaveRun, Some(Reason::TooLarge))
@@ -318,14 +285,11 @@
         "/warm" => Step::Answer(ms(1), ""),
         _ => Step::Fail(ms(1), Verdict::NotRun, Reason::ConnectionRefused),
     });
-    for _ in 0..10 {
-        bench.engine.serve(request("/warm")).await;
-    }
+    bench.warm().await;
     let (sender, body) = Body::channel();
     let mut long = request("/day");
     long.body = body;
-    let engine = Arc::clone(&bench.engine);
-    let served = tokio::spawn(async move { engine.serve(long).await });
+    let served = bench.spawn(long);
     for _ in 0..3 {
         sender.send(vec![0; 40 << 10]).await.unwrap();
     }
@@ -363,10 +327,8 @@
         "/warm" => Step::Answer(ms(1), ""),
         _ => Step::Shed(Duration::from_secs(2)),
     });
-    for _ in 0..10 {
-        bench.engine.serve(request("/warm")).await;
-    }
-    bench.engine.serve(request("/day")).await;
+    bench.warm().await;
+    bench.serve(request("/day")).await;
     let seen: Vec<Instant> = bench
         .fake
         .seen()
@@ -382,7 +344,7 @@
 async fn a_shed_request_whose_deadline_is_near_is_answered_at_once() {
     let bench = Bench::new(|_, _| Step::Shed(Duration::from_secs(10)));
     let began = Instant::now();
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(told(&response), (Verdict::NotRun, Some(Reason::Shed)));
     assert_eq!(response.reply.retry_after, Some(Duration::from_secs(10)));
     assert_eq!(began.elapsed(), Duration::ZERO);
@@ -394,11 +356,7 @@
         "a" => Step::Fail(ms(1), Verdict::NotRun, Reason::ConnectionRefused),
         _ => Step::Answer(ms(1), ""),
     });
-    let mut served = JoinSet::new();
-    for _ in 0..30 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let served = bench.burst(30);
     sleep(Duration::from_secs(3)).await;
     let tried = bench.fake.seen().len();
     assert!((2..=10).contains(&tried), "{tried} tries");
@@ -416,8 +374,8 @@
         "/fenced" => Step::Fail(ms(1), Verdict::NotRun, Reason::Fenced),
         _ => Step::Fail(ms(1), Verdict::MayHaveRun, Reason::ConnectionLost),
     });
-    bench.engine.serve(request("/fenced")).await;
-    bench.engine.serve(request("/lost")).await;
+    bench.serve(request("/fenced")).await;
+    bench.serve(request("/lost")).await;
     let fenced = Observation::Fenced {
         service: SERVICE.into(),
         shard: 0,
@@ -457,7 +415,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_deadline_that_passes_under_way_may_have_run() {
     let bench = Bench::new(|_, _| Step::Answer(Duration::from_secs(60), ""));
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(
         told(&response),
         (Verdict::MayHaveRun, Some(Reason::DeadlinePassed))
@@ -468,11 +426,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_paused_process_sends_nothing_when_it_wakes() {
     let bench = Bench::new(|_, _| Step::Answer(ms(100), ""));
-    let mut served = JoinSet::new();
-    for _ in 0..3 {
-        let engine = Arc::clone(&bench.engine);
-        served.spawn(async move { engine.serve(request("/day")).await });
-    }
+    let served = bench.burst(3);
     settle().await;
     advance(Duration::from_secs(30)).await;
     served.join_all().await;
@@ -484,7 +438,7 @@
     let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
     let mut other = request("/day");
     other.head.service = "calender".to_owned();
-    let response = bench.engine.serve(other).await;
+    let response = bench.serve(other).await;
     let unknown = (Verdict::NotRun, Some(Reason::UnknownService));
     assert_eq!(told(&response), unknown);
 }
@@ -495,10 +449,9 @@
     let (_sender, body) = Body::channel();
     let mut slow = request("/day");
     slow.body = body;
-    let engine = Arc::clone(&bench.engine);
-    let served = tokio::spawn(async move { engine.serve(slow).await });
+    let served = bench.spawn(slow);
     sleep(ms(100)).await;
-    let other = bench.engine.serve(request("/day")).await;
+    let other = bench.serve(request("/day")).await;
     assert_eq!(told(&other), (Verdict::Done, None));
     let slow = (Verdict::NotRun, Some(Reason::SlowCaller));
     assert_eq!(told(&served.await.unwrap()), slow);
@@ -509,7 +462,7 @@
 async fn a_stopping_engine_takes_nothing_new() {
     let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
     bench.engine.stop();
-    let response = bench.engine.serve(request("/day")).await;
+    let response = bench.serve(request("/day")).await;
     assert_eq!(told(&response), (Verdict::NotRun, Some(Reason::Stopping)));
 }
 
--- a/crates/dispatch/tests/engine/support.rs
+++ b/crates/dispatch/tests/engine/support.rs
@@ -20,10 +20,11 @@
     manifest::{DataCentre, Fencing, Limits, Manifest, Service, Upstream},
 };
 use copperwell_message::{
-    Body, Class, Head, Reason, Repeat, Reply, Request, Response, Sender, Verdict,
+    Body, Class, Head, Reason, Repeat, Reply, Request, Response, Sender, Serve, Verdict,
 };
 use tokio::{
     sync::mpsc,
+    task::{JoinHandle, JoinSet},
     time::{Instant, sleep},
 };
 use uuid::{NoContext, Timestamp, Uuid};
@@ -175,6 +176,32 @@
         bench
     }
 
+    pub(crate) async fn serve(&self, request: Request) -> Response {
+        self.engine.serve(request).await
+    }
+
+    pub(crate) fn spawn(&self, request: Request) -> JoinHandle<Response> {
+        let engine = Arc::clone(&self.engine);
+        tokio::spawn(async move { engine.serve(request).await })
+    }
+
+    /// Sends the same request several times at once.
+    pub(crate) fn burst(&self, requests: usize) -> JoinSet<Response> {
+        let mut served = JoinSet::new();
+        for _ in 0..requests {
+            let engine = Arc::clone(&self.engine);
+            served.spawn(async move { engine.serve(request("/day")).await });
+        }
+        served
+    }
+
+    /// Sends requests until the server has all its slots and the budget pays for a retry.
+    pub(crate) async fn warm(&self) {
+        for _ in 0..10 {
+            self.serve(request("/warm")).await;
+        }
+    }
+
     pub(crate) fn own(&self, shard: u32, upstream: &str, epoch: Epoch, run: Incarnation) {
         let owner = owner(upstream, epoch, run);
         self.table.set(SERVICE, shard, Route::Owned(owner));
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -42,6 +42,15 @@
     pub epoch: Option<Epoch>,
 }
 
+/// How long a shard has been led.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tenure {
+    /// The stretch of leading.
+    pub term: Term,
+    /// How long ago the leader before had surely stopped.
+    pub length: Duration,
+}
+
 /// What a request that is not repeatable asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Claim {
@@ -50,9 +59,7 @@
     /// The shard.
     pub shard: ShardIndex,
     /// The stretch in which this daemon leads the shard.
-    pub term: Term,
-    /// How long this daemon has surely led the shard in that stretch.
-    pub led_for: Duration,
+    pub tenure: Tenure,
     /// What makes two requests the same.
     pub fingerprint: u64,
 }
@@ -193,7 +200,7 @@
         if let Some(entry) = self.entries.get(&claim.id) {
             return entry.answer(claim.fingerprint);
         }
-        if !self.follow(claim.shard, claim.term, claim.led_for) {
+        if !self.follow(claim.shard, claim.tenure) {
             return Answer::Wait;
         }
         if made < self.horizon() {
@@ -339,7 +346,8 @@
     /// Begins anew if the shard came to this daemon again since its keys were last known whole.
     ///
     /// `false` if it cannot begin yet, since the shard has no owner.
-    fn follow(&mut self, shard: ShardIndex, term: Term, led_for: Duration) -> bool {
+    fn follow(&mut self, shard: ShardIndex, tenure: Tenure) -> bool {
+        let term = tenure.term;
         let lead = self.shards.get_mut(&shard);
         let lead = lead.filter(|lead| lead.turn == term.turn);
         match (lead, term.epoch) {
@@ -349,7 +357,7 @@
                 true
             }
             (_, Some(epoch)) => {
-                self.begin(shard, term.turn, epoch, led_for);
+                self.begin(shard, term.turn, epoch, tenure.length);
                 true
             }
             (None, None) => false,
--- a/crates/policy/src/window/export.rs
+++ b/crates/policy/src/window/export.rs
@@ -1,8 +1,8 @@
 //! Keys that go along from one leader to the next.
 
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
-use super::{Entry, Lead, Outcome, State, Term, Window, made_at};
+use super::{Entry, Lead, Outcome, State, Tenure, Window, made_at};
 use copperwell_keyspace::{Epoch, HashSet, ServiceName, ShardIndex};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
@@ -48,7 +48,7 @@
 impl Window {
     /// Takes shards out for their next leader; from here on their keys are unknown here.
     ///
-    /// `term` tells in which stretch each shard was led last: what is known of an earlier one says
+    /// `tenure` tells in which stretch each shard was led last: what is known of an earlier one says
     /// nothing about keys that others took since. `next` is the epoch of the next leader. Requests
     /// that have left go out as ones that may have run, and those that have not may not leave any
     /// more.
@@ -57,13 +57,13 @@
         service: &ServiceName,
         next: Epoch,
         shards: &[ShardIndex],
-        term: impl Fn(ShardIndex) -> Term,
+        tenure: impl Fn(ShardIndex) -> Tenure,
         wall: SystemTime,
     ) -> Export {
         self.advance(wall);
         let mut led = Vec::new();
         for shard in shards {
-            self.follow(*shard, term(*shard), Duration::ZERO);
+            self.follow(*shard, tenure(*shard));
             if let Some(lead) = self.shards.remove(shard) {
                 led.push(ExportShard {
                     shard: *shard,
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -5,7 +5,7 @@
 use copperwell_message::{Reason, Reply, Verdict};
 use copperwell_policy::window::{
     ANSWER_MAX, ANSWERS_EXPORT_MAX, ANSWERS_MAX, Answer, CLOCK_DIFFERENCE, Claim, Export,
-    ExportEntry, Outcome, Term, Ticket, Whole, Window,
+    ExportEntry, Outcome, Tenure, Term, Ticket, Whole, Window,
 };
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use test_case::test_case;
@@ -47,6 +47,7 @@
     windows: [Window; 2],
     turns: [u64; 2],
     leader: usize,
+    led_at: SystemTime,
     /// Whether the other daemon is about to lead but has no owner for the shard.
     taking: bool,
     epochs: [u64; 2],
@@ -98,6 +99,7 @@
             windows: [Window::new(LENGTH), Window::new(LENGTH)],
             turns: [1, 0],
             leader: 0,
+            led_at: now,
             taking: false,
             epochs: [2, 0],
             last_epoch: 2,
@@ -114,8 +116,10 @@
         Claim {
             id,
             shard: SHARD,
-            term,
-            led_for: Duration::ZERO,
+            tenure: Tenure {
+                term,
+                length: self.now.duration_since(self.led_at).unwrap(),
+            },
             fingerprint: 7,
         }
     }
@@ -125,7 +129,7 @@
         let mut at = self.leader;
         if self.taking && skew % 2 == 0 {
             at = 1 - at;
-            claim.term = Term {
+            claim.tenure.term = Term {
                 turn: self.turns[at],
                 epoch: None,
             };
@@ -160,7 +164,7 @@
         let Some(mut entry) = self.keys[index].entry else {
             return;
         };
-        let now = self.claim(self.keys[index].id).term;
+        let now = self.claim(self.keys[index].id).tenure.term;
         let may = entry.at == self.leader && entry.term.is_same(now) && !entry.left;
         if may && self.windows[entry.at].leave(entry.ticket) {
             entry.left = true;
@@ -197,15 +201,16 @@
     fn fence(&mut self, step: u64) {
         self.taking = false;
         self.leader = 1 - self.leader;
+        self.led_at = self.now;
         self.last_epoch += step;
         self.epochs[self.leader] = self.last_epoch;
     }
 
     fn export(&mut self) {
-        let term = self.claim(self.keys[0].id).term;
+        let tenure = self.claim(self.keys[0].id).tenure;
         let window = &mut self.windows[self.leader];
         let next = self.last_epoch + 1;
-        let export = window.export(&"payouts".into(), next, &[SHARD], |_| term, self.now);
+        let export = window.export(&"payouts".into(), next, &[SHARD], |_| tenure, self.now);
         self.exported = Some(export);
     }
 
@@ -254,6 +259,7 @@
             }
             Act::Move if self.epochs[1 - self.leader] > 0 => {
                 self.leader = 1 - self.leader;
+                self.led_at = self.now;
                 self.turns[self.leader] += 1;
             }
             Act::Move => {}
@@ -382,8 +388,8 @@
     assert_eq!(first, Answer::Kept(Outcome::Done { status: 201 }));
     let last = window.claim(world.claim(ids[keys - 1]), world.now);
     assert!(matches!(last, Answer::Kept(Outcome::Answered(_))));
-    let term = world.claim(ids[0]).term;
-    let export = window.export(&"payouts".into(), 3, &[SHARD], |_| term, world.now);
+    let tenure = world.claim(ids[0]).tenure;
+    let export = window.export(&"payouts".into(), 3, &[SHARD], |_| tenure, world.now);
     let is_whole = |entry: &&ExportEntry| matches!(entry.outcome, Outcome::Answered(_));
     let whole = export.entries.iter().filter(is_whole).count();
     assert_eq!(whole, ANSWERS_EXPORT_MAX / ANSWER_MAX);
@@ -395,14 +401,14 @@
 fn what_waits_leaves_no_more_once_it_is_handed_over() {
     let (mut window, world, ticket) = running();
     let claim = world.claim(world.keys[0].id);
-    let handed = window.export(&"payouts".into(), 3, &[SHARD], |_| claim.term, world.now);
+    let handed = window.export(&"payouts".into(), 3, &[SHARD], |_| claim.tenure, world.now);
     assert!(handed.entries.is_empty());
     assert!(!window.leave(ticket));
 
     // The daemon leads again, and the key is entered anew.
     window.import(handed, |_| 2, world.now);
     let mut again = claim;
-    again.term = Term {
+    again.tenure.term = Term {
         turn: 2,
         epoch: Some(3),
     };
