--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -155,9 +155,9 @@
             Tenure {
                 term: Term {
                     turn: lead.turn,
-                    epoch: Some(epoch),
+                    epoch: lead.first.map(|first| first.tenure),
                 },
-                length: lead.owned_for(epoch),
+                length: lead.owned_for(),
             }
         };
         let ids = &serving.kept.ids;
--- a/crates/dispatch/src/once.rs
+++ b/crates/dispatch/src/once.rs
@@ -1,11 +1,8 @@
 //! Requests that are not repeatable: at most once, and a resend gets the outcome of the first.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
 use crate::{
@@ -130,7 +127,7 @@
         let lead = self.table.lead(&call.head.service, call.head.shard);
         let epoch = match &lead.route {
             Route::Elsewhere => return None,
-            Route::Owned(owner) => Some(owner.epoch),
+            Route::Owned(owner) => Some(owner.tenure),
             Route::Unowned | Route::Held => None,
         };
         Some(Tenure {
@@ -138,7 +135,7 @@
                 turn: lead.turn,
                 epoch,
             },
-            length: epoch.map_or(Duration::ZERO, |epoch| lead.owned_for(epoch)),
+            length: lead.owned_for(),
         })
     }
 }
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -41,6 +41,9 @@
     pub upstream: UpstreamName,
     /// The epoch under which requests are sent.
     pub epoch: Epoch,
+    /// The first epoch of this daemon's unbroken leadership; what it knows of idempotency keys since
+    /// then is whole.
+    pub tenure: Epoch,
     /// The server's run that holds the grant.
     pub incarnation: Incarnation,
     /// The lease of all grants of this upstream.
@@ -68,15 +71,18 @@
     pub route: Route,
     /// How often the shard has come from [`Route::Elsewhere`].
     pub turn: u64,
-    /// Since when upstreams have owned the shard in this turn, under the last epoch.
-    pub since: Option<Since>,
+    /// The first grant of the shard in this turn and this daemon's latest unbroken leadership; it
+    /// outlives both.
+    pub first: Option<First>,
 }
 
-/// The start of a leader's first grant of a shard under its epoch.
+/// The first grant of a shard in an unbroken leadership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Since {
-    epoch: Epoch,
-    at: Instant,
+pub struct First {
+    /// The leadership's first epoch.
+    pub tenure: Epoch,
+    /// When it was granted.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -241,25 +247,25 @@
         let is_elsewhere = matches!(route, Route::Elsewhere);
         if was_elsewhere && !is_elsewhere {
             self.turn += 1;
-            self.since = None;
+            // The shard may have been led elsewhere meanwhile, though under the same tenure here.
+            self.first = None;
         }
         if let Route::Owned(owner) = &route
-            && self.since.is_none_or(|since| since.epoch != owner.epoch)
+            && self.first.is_none_or(|first| first.tenure != owner.tenure)
         {
-            self.since = Some(Since {
-                epoch: owner.epoch,
+            self.first = Some(First {
+                tenure: owner.tenure,
                 at: Instant::now(),
             });
         }
         self.route = route;
     }
 
-    /// How long ago an upstream first owned the shard under an epoch in this turn; zero if none
-    /// did.
+    /// How long ago the shard was first granted in this turn and unbroken leadership.
     #[must_use]
-    pub fn owned_for(&self, epoch: Epoch) -> Duration {
-        let since = self.since.filter(|since| since.epoch == epoch);
-        since.map_or(Duration::ZERO, |since| since.at.elapsed())
+    pub fn owned_for(&self) -> Duration {
+        self.first
+            .map_or(Duration::ZERO, |first| first.at.elapsed())
     }
 }
 
--- a/crates/dispatch/tests/engine/once.rs
+++ b/crates/dispatch/tests/engine/once.rs
@@ -181,13 +181,15 @@
     );
 }
 
+#[test_case(14; "under another epoch")]
+#[test_case(10; "after the shard had moved away and back")]
 #[tokio::test(start_paused = true)]
-async fn a_leader_without_the_table_says_that_older_keys_may_have_run() {
+async fn a_leader_without_the_table_says_that_older_keys_may_have_run(epoch: u64) {
     let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
     let id = new_id();
     bench.table.set(SERVICE, 0, Route::Elsewhere);
     sleep(ms(100)).await;
-    bench.own(0, "a", 14, 1);
+    bench.own(0, "a", epoch, 1);
     let old = bench.serve(once("/payout", id)).await;
     let unknown = (Verdict::MayHaveRun, Some(Reason::IdempotencyKeyUnknown));
     assert_eq!(told(&old), unknown);
@@ -215,6 +217,17 @@
     assert_eq!(told(&after.serve(quiet(2)).await), (Verdict::Done, None));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_never_owned_a_shard_hands_over_no_claim_to_know_it() {
+    let before = bench(|_, _| Step::Answer(ms(1), "paid")).await;
+    before.serve(once("/payout", new_id())).await;
+    before.table.set(SERVICE, 0, Route::Elsewhere);
+    before.table.set(SERVICE, 0, Route::Held);
+    before.table.set(SERVICE, 0, Route::Elsewhere);
+    let export = before.engine.window_export(&SERVICE.into(), 12, &[0]);
+    assert!(export.unwrap().shards.is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_that_waits_through_a_hand_over_runs_at_the_next_leader() {
     let bench = bench(|_, _| Step::Answer(ms(1), "paid")).await;
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -13,7 +13,8 @@
 };
 use copperwell_dispatch::table::{Lease, Owner, Route, Table};
 use copperwell_keyspace::{
-    DaemonName, Epoch, GroupId, HashMap, Incarnation, ShardIndex, UpstreamName, record::Move,
+    DaemonName, Epoch, GroupId, HashMap, Incarnation, ShardIndex, UpstreamName,
+    record::{Move, Retire},
 };
 use copperwell_policy::group::{
     Group,
@@ -35,7 +36,12 @@
     /// An input of the machine.
     Input(Input),
     /// Lead anew under a higher epoch.
-    Start(Box<Start>),
+    Start {
+        /// What to lead.
+        start: Box<Start>,
+        /// The first epoch of the unbroken leadership.
+        tenure: Epoch,
+    },
 }
 
 /// What the tasks of all groups share.
@@ -53,6 +59,8 @@
 pub(crate) struct Leader<C> {
     shared: Arc<Shared<C>>,
     group: Group,
+    /// The first epoch of the unbroken leadership.
+    tenure: Epoch,
     commands: mpsc::Receiver<Command>,
     status: Arc<Mutex<Status>>,
     leases: HashMap<UpstreamName, Held>,
@@ -89,6 +97,7 @@
     ) -> Self {
         Self {
             shared,
+            tenure: group.epoch(),
             group,
             commands,
             status,
@@ -136,8 +145,8 @@
         tokio::select! {
             command = self.commands.recv() => match command {
                 Some(Command::Input(input)) => input,
-                Some(Command::Start(start)) => {
-                    self.restart(*start);
+                Some(Command::Start { start, tenure }) => {
+                    self.restart(*start, tenure);
                     Input::Tick
                 }
                 None => Input::Stop,
@@ -158,7 +167,8 @@
     }
 
     /// Begins anew; the routes stay held until the servers have answered.
-    fn restart(&mut self, start: Start) {
+    fn restart(&mut self, start: Start, tenure: Epoch) {
+        self.tenure = tenure;
         self.running = JoinSet::new();
         self.leases.clear();
         self.group = Group::new(start, Instant::now());
@@ -209,6 +219,7 @@
                 Action::StepDown { by } => end = Some(End::SteppedDown(by)),
                 Action::HandedOver => end = Some(End::HandedOver),
                 Action::LetGo { shards, to } => self.tell_move(shards, to),
+                Action::Retire(upstreams) => self.tell_retired(upstreams),
                 Action::Moved { from, .. } => {
                     if from.is_some() {
                         self.shared.counters.moves.inc();
@@ -230,6 +241,7 @@
             } => Route::Owned(Owner {
                 lease: self.lease(&upstream, incarnation),
                 epoch: self.group.epoch(),
+                tenure: self.tenure,
                 upstream,
                 incarnation,
             }),
@@ -266,6 +278,14 @@
         }));
     }
 
+    fn tell_retired(&self, upstreams: Vec<UpstreamName>) {
+        self.shared.tell(Event::Retire(Retire {
+            group: self.group.id().clone(),
+            epoch: self.group.epoch(),
+            upstreams,
+        }));
+    }
+
     fn publish(&mut self) {
         let status = Status::of(&self.group);
         self.gauge(&Unserved {
--- a/crates/policy/src/window/export.rs
+++ b/crates/policy/src/window/export.rs
@@ -63,8 +63,10 @@
         self.advance(wall);
         let mut led = Vec::new();
         for shard in shards {
-            self.follow(*shard, tenure(*shard));
-            if let Some(lead) = self.shards.remove(shard) {
+            let is_known = self.follow(*shard, tenure(*shard));
+            // What is known of an earlier stretch goes, and says nothing of the last one.
+            let lead = self.shards.remove(shard);
+            if let Some(lead) = lead.filter(|_| is_known) {
                 led.push(ExportShard {
                     shard: *shard,
                     unknown_before: lead.unknown_before.max(self.horizon()),
