Heed the back-off of the next owner

A retry that followed its shard to another server did not ask whether that one sheds. It now waits out the back-off of whichever server it goes to.

--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -49,6 +49,9 @@
                 return Err(Failure::not_run(Reason::ConnectionLost).with_final());
             }
             let alone = self.admit(call, &serving, door, &owner)?;
+            if call.sends > 0 && self.heed(call, door, &owner).await? {
+                continue;
+            }
             let Some(slot) = self.slot(call, door, &owner, alone).await? else {
                 continue;
             };
@@ -117,6 +120,25 @@
         }
     }
 
+    /// Leaves a server alone that sheds, as long as it asks for; `true` if that took time.
+    async fn heed(&self, call: &Call, door: &Door, owner: &Owner) -> Result<bool, Failure> {
+        let now = Instant::now();
+        let Some(until) = door.gate.shed_until(now) else {
+            return Ok(false);
+        };
+        if until >= call.deadline {
+            return Err(Failure::not_run(Reason::Shed)
+                .with_retry_after(until - now)
+                .with_final());
+        }
+        let head = &call.head;
+        let same = |route: &Route| matches!(route, Route::Owned(now) if now.is_same(owner));
+        let changed = self.table.changed(&head.service, head.shard, same);
+        // Both ways the way is looked for anew.
+        let _ = timeout_at(until, changed).await;
+        Ok(true)
+    }
+
     /// Waits for a slot; `None` if the shard's owner changed meanwhile.
     async fn slot(
         &self,
--- a/crates/dispatch/tests/engine/requests.rs
+++ b/crates/dispatch/tests/engine/requests.rs
@@ -340,6 +340,33 @@
     assert!(seen[1] - seen[0] >= Duration::from_secs(2));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_retry_heeds_the_back_off_of_the_next_owner() {
+    let bench = Bench::new(|_, request| match request.head.path.as_str() {
+        "/shed" => Step::Shed(Duration::from_secs(2)),
+        "/day" if request.head.shard == 0 => Step::Fail(ms(1), Verdict::NotRun, Reason::Fenced),
+        _ => Step::Answer(ms(1), ""),
+    });
+    bench.warm().await;
+    bench.own(1, "b", 10, 1);
+    let mut shed = request("/shed");
+    shed.head.shard = 1;
+    shed.head.deadline = Duration::from_secs(1);
+    bench.serve(shed).await;
+    let served = bench.spawn(request("/day"));
+    sleep(ms(10)).await;
+    bench.own(0, "b", 10, 1);
+    served.await.unwrap();
+    let seen = bench.fake.seen();
+    let at_b: Vec<Instant> = seen
+        .iter()
+        .filter(|seen| seen.upstream == "b")
+        .map(|seen| seen.at)
+        .collect();
+    assert_eq!(at_b.len(), 2);
+    assert!(at_b[1] - at_b[0] >= Duration::from_secs(2));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_shed_request_whose_deadline_is_near_is_answered_at_once() {
     let bench = Bench::new(|_, _| Step::Shed(Duration::from_secs(10)));
