--- a/crates/copperwelld/tests/path.rs
+++ b/crates/copperwelld/tests/path.rs
@@ -60,6 +60,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn two_daemons_serve_each_others_keys() {
     let cluster = Cluster::start(plan()).await.unwrap();
+    cluster.wait_ready().await.unwrap();
     let caller = Caller {
         deadline: Duration::from_secs(5),
         resends: 0,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod measure;
 pub mod naive;
 pub mod node;
+pub mod probe;
 pub mod run;
 pub mod scenario;
 pub mod schedule;
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -5,7 +5,11 @@
     net::{IpAddr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Mutex, PoisonError, mpsc},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
     thread,
     time::Duration,
 };
@@ -24,6 +28,9 @@
 /// Time in which a daemon must say where it listens.
 const START_TIME: Duration = Duration::from_secs(20);
 
+/// The number of the next settings file.
+static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
+
 /// How daemons are started.
 #[derive(Debug, Clone)]
 pub enum Launch {
@@ -217,7 +224,9 @@
     let text = serde_norway::to_string(settings).map_err(io::Error::other)?;
     let folder = std::env::temp_dir().join(format!("copperwell-rig-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
-    let file = folder.join(format!("{}.yaml", settings.name));
+    // Clusters of one process may give their daemons the same names.
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let file = folder.join(format!("{number}-{}.yaml", settings.name));
     std::fs::write(&file, text)?;
     let mut child = Command::new(program)
         .arg("--settings")
