--- a/crates/copperwelld/src/appointer.rs
+++ b/crates/copperwelld/src/appointer.rs
@@ -7,7 +7,6 @@
 use copperwell_keyspace::{
     GroupId, Member,
     record::{Appoint, Body},
-    replay::State,
 };
 use copperwell_platform::{Log, append::Appender};
 use copperwell_policy::appoint::{Peers, proposals};
@@ -66,7 +65,12 @@
 
 fn current<C: Control, F: Forward>(core: &Core<C, F>) -> Vec<Appoint> {
     let state = core.state();
-    let groups = groups_of(&state);
+    // A departing group needs a leader too, until its last shard has been taken over.
+    let groups: Vec<GroupId> = state
+        .groups_in_force()
+        .into_iter()
+        .map(|group| group.id)
+        .collect();
     let live = core.live_here();
     let peers = Peers {
         me: &core.me,
@@ -91,14 +95,3 @@
 fn is_same(one: &Member, other: &Member) -> bool {
     one.name == other.name && one.incarnation == other.incarnation
 }
-
-fn groups_of(state: &State) -> Vec<GroupId> {
-    let services = state.manifest.iter().flat_map(|manifest| {
-        let groups = manifest
-            .services
-            .iter()
-            .map(|service| manifest.groups(service));
-        groups.flatten()
-    });
-    services.map(|group| group.id).collect()
-}
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -23,9 +23,6 @@
 /// How often a caller sends a request again that has no answer.
 pub(crate) const RESENDS: u32 = 2;
 
-/// Time after the start in which leaders come to know which idempotency keys are new.
-const BEGIN: Duration = Duration::from_secs(2);
-
 /// Time after the last answer in which what is still running ends.
 pub(crate) const SETTLE: Duration = Duration::from_millis(500);
 
@@ -75,8 +72,7 @@
 /// An error if the cluster does not start or a fault cannot strike.
 pub async fn copperwell(scenario: &Scenario, seed: u64, launch: Launch) -> io::Result<Summary> {
     let cluster = Cluster::start(plan(scenario, launch)?).await?;
-    // Leaders that have just begun answer keys made before as having perhaps run.
-    sleep(BEGIN).await;
+    cluster.wait_ready().await?;
     let entries = cluster.entries.clone();
     let record = cluster.record.clone();
     let manifest = cluster.manifest.clone();
