--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -33,7 +33,7 @@
 struct Failed {
     failure: Failure,
     /// Where it was sent, if it was.
-    sent_to: Option<Sent>,
+    sent_to: Option<Box<Sent>>,
 }
 
 /// Where a failed try was sent.
@@ -78,12 +78,6 @@
     }
 
     async fn send(&self, call: &mut Call, target: Target) -> Result<Answer, Failed> {
-        let limits = &target.serving.service.limits;
-        let suspect = Suspect {
-            fingerprint: call.head.fingerprint,
-            alone: target.slot.is_alone(),
-            incarnation: target.owner.incarnation,
-        };
         let request = call
             .request()
             .ok_or(Failure::not_run(Reason::Protocol).with_final())?;
@@ -91,6 +85,7 @@
         let now = Instant::now();
         target.check(call, now)?;
         if call.sends == 0 {
+            let limits = &target.serving.service.limits;
             target.serving.kept.first_try(limits.retry_percent);
         }
         call.leave();
@@ -103,11 +98,20 @@
         let response = timeout_at(call.deadline, forward)
             .await
             .unwrap_or_else(|_| Response::refusal(Verdict::MayHaveRun, Reason::DeadlinePassed));
+        self.conclude(call, target, response)
+    }
+
+    /// Tells an answer from a failed try.
+    fn conclude(&self, call: &Call, target: Target, response: Response) -> Result<Answer, Failed> {
         let held = Held {
+            suspect: Suspect {
+                fingerprint: call.head.fingerprint,
+                alone: target.slot.is_alone(),
+                incarnation: target.owner.incarnation,
+            },
             slot: target.slot,
             _pass: target.pass,
-            suspect,
-            quarantine: limits.quarantine,
+            quarantine: target.serving.service.limits.quarantine,
             guard: Arc::clone(&self.guard),
         };
         self.meet(&response.reply, &held);
@@ -132,7 +136,7 @@
         self.learn(call, &failure, &sent, held);
         Err(Failed {
             failure,
-            sent_to: Some(sent),
+            sent_to: Some(Box::new(sent)),
         })
     }
 
