--- a/crates/policy/tests/group/world.rs
+++ b/crates/policy/tests/group/world.rs
@@ -3,6 +3,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -32,6 +33,8 @@
     pub(crate) servers: usize,
     pub(crate) leaders: usize,
     pub(crate) fencing: Fencing,
+    /// Whether the last server comes and goes.
+    pub(crate) changes: bool,
     pub(crate) shards: u32,
     pub(crate) faults: Duration,
 }
@@ -39,6 +42,8 @@
 pub(crate) struct World {
     seed: u64,
     fencing: Fencing,
+    changes: bool,
+    last: Last,
     rng: StdRng,
     base: Instant,
     now: Moment,
@@ -66,6 +71,8 @@
     frozen_until: Moment,
     /// Until when it cannot reach a server.
     cut: Vec<Moment>,
+    /// The servers whose word counts, once it is appointed.
+    voters: Vec<SocketAddr>,
     /// When it is woken next.
     wakes: Option<Moment>,
     /// Its VM is gone.
@@ -75,6 +82,14 @@
     leases: BTreeMap<UpstreamName, Moment>,
 }
 
+/// What the log says of the last server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Last {
+    Present,
+    Former,
+    Absent,
+}
+
 /// A route and when it was set.
 #[derive(Debug)]
 struct Set {
@@ -103,6 +118,8 @@
         shard: ShardIndex,
         ticket: Ticket,
     },
+    /// A leader reads the log.
+    Read(usize),
     /// The platform tells which leaders are gone.
     Evidence,
     Load(usize),
@@ -133,6 +150,7 @@
                 frozen_until: Moment::ZERO,
                 cut: vec![Moment::ZERO; plan.servers],
                 wakes: None,
+                voters: Vec::new(),
                 is_dead: false,
                 routes: BTreeMap::new(),
                 leases: BTreeMap::new(),
@@ -142,6 +160,8 @@
         let mut world = Self {
             seed,
             fencing: plan.fencing,
+            changes: plan.changes,
+            last: Last::Present,
             rng,
             base: Instant::now(),
             now: Moment::ZERO,
@@ -211,7 +231,11 @@
                 continue;
             }
             let Route::Owned { upstream, .. } = &set.route else {
-                panic!("seed {}: shard {shard} goes to {set:?}", self.seed);
+                let group = leader.group.as_ref().map(Group::summary);
+                panic!(
+                    "seed {}: shard {shard} goes to {set:?} in {group:?}",
+                    self.seed
+                );
             };
             let server: usize = upstream[1..].parse().unwrap();
             let until = leader.leases.get(upstream);
@@ -261,6 +285,10 @@
                 shard,
                 ticket,
             } => self.tell(leader, Input::Idle { shard, ticket }),
+            Event::Read(leader) => {
+                let config = self.config();
+                self.tell(leader, Input::Config(config));
+            }
             Event::Evidence => self.evidence(),
             Event::Load(leader) => self.load(leader),
             Event::Fault => self.fault(),
@@ -268,15 +296,62 @@
         }
     }
 
+    /// What the log says now.
     fn config(&self) -> Config {
         let mut config = bench::config(self.servers.len(), self.shards.len() as u32);
         for (upstream, node) in config.upstreams.iter_mut().zip(&self.servers) {
             upstream.drain = node.drains;
             upstream.fencing = self.fencing;
         }
+        let last = config.upstreams.split_off(self.servers.len() - 1);
+        match self.last {
+            Last::Present => config.upstreams.extend(last),
+            Last::Former => config.former.extend(last),
+            Last::Absent => {}
+        }
         config
     }
 
+    /// Those whose word counts, as the log says now.
+    fn voters(&self) -> Vec<SocketAddr> {
+        let mut config = self.config();
+        config.upstreams.append(&mut config.former);
+        bench::voters(&config)
+    }
+
+    /// Adds or removes the last server.
+    fn change(&mut self) {
+        self.last = match self.last {
+            Last::Present if self.servers.len() > 1 => Last::Former,
+            _ => Last::Present,
+        };
+        self.publish();
+    }
+
+    /// Each leader reads the log at its own time.
+    fn publish(&mut self) {
+        for leader in 0..self.leaders.len() {
+            let late = if self.has_faults() && self.rng.random_bool(0.3) {
+                self.rng.random_range(0..6000)
+            } else {
+                0
+            };
+            let at = self.now + Duration::from_millis(late);
+            self.push(at.min(self.faults_end.max(self.now)), Event::Read(leader));
+        }
+    }
+
+    /// A record that a later appointment makes void.
+    fn retire(&mut self, leader: usize, upstreams: &[UpstreamName]) {
+        let is_last = upstreams.contains(&name(self.servers.len() - 1));
+        let later = self.leaders[leader + 1..].iter();
+        let leads = later.clone().all(|later| later.voters.is_empty());
+        if is_last && leads && self.last == Last::Former {
+            self.last = Last::Absent;
+            self.publish();
+        }
+    }
+
     fn start(&mut self, leader: usize) {
         if self.leaders[leader].is_dead {
             return;
@@ -291,17 +366,25 @@
                 Predecessor::Acting
             },
             voters: Voters {
-                own: bench::voters(&self.config()),
-                former: bench::voters(&self.config()),
+                own: self.voters(),
+                former: self.former_voters(leader),
             },
             recorded: true,
             digest,
         };
+        self.leaders[leader].voters = self.voters();
         let now = self.base + self.now;
         self.leaders[leader].group = Some(Group::new(start, now));
         self.tell(leader, Input::Tick);
     }
 
+    /// Those that counted for the leader that was appointed before.
+    fn former_voters(&self, leader: usize) -> Vec<SocketAddr> {
+        let before = self.leaders[..leader].iter().rev();
+        let mut before = before.map(|before| before.voters.clone());
+        before.find(|voters| !voters.is_empty()).unwrap_or_default()
+    }
+
     /// Tells each leader whether all earlier ones are gone.
     fn evidence(&mut self) {
         for leader in 1..self.leaders.len() {
@@ -310,6 +393,12 @@
                 self.tell(leader, Input::Stopped);
             }
         }
+        if self.changes && !self.has_faults() {
+            // Nobody comes after the last leader, and the log and its standby say so.
+            let confirmed = Input::Confirmed(self.base + self.now);
+            self.tell(self.leaders.len() - 1, confirmed);
+            self.push(self.now + Duration::from_millis(500), Event::Evidence);
+        }
     }
 
     /// A hot shard that moves with time.
@@ -343,6 +432,7 @@
                     shard,
                     ticket,
                 },
+                Input::Config(_) => Event::Read(leader),
                 _ => {
                     self.leaders[leader].wakes = Some(frozen);
                     Event::Wake(leader)
@@ -398,6 +488,7 @@
                 };
                 self.leaders[leader].routes.insert(shard, set);
             }
+            Action::Retire(upstreams) => self.retire(leader, &upstreams),
             Action::Lease {
                 upstream, until, ..
             } => {
@@ -489,7 +580,8 @@
         self.now < self.faults_end
     }
 
-    /// Leaves the last leader, which alone can serve servers that do not check.
+    /// Leaves the last leader, and tells it so: without that it need not get a majority of servers
+    /// of which one is gone, and cannot count on servers that do not check.
     fn end_earlier_leaders(&mut self) {
         let last = self.leaders.len() - 1;
         for leader in &mut self.leaders[..last] {
@@ -506,16 +598,20 @@
             node.drains = false;
         }
         self.servers[server].drains = drains && self.servers.len() > 1;
-        let config = self.config();
-        for leader in 0..self.leaders.len() {
-            self.tell(leader, Input::Config(config.clone()));
-        }
+        self.publish();
     }
 
     /// Strikes at random, and heals in time for the end.
     fn fault(&mut self) {
         if !self.has_faults() {
-            if self.fencing == Fencing::Unchecked {
+            if self.changes {
+                // The only server that is left must not drain.
+                for node in &mut self.servers {
+                    node.drains = false;
+                }
+                self.publish();
+            }
+            if self.fencing == Fencing::Unchecked || self.changes {
                 self.end_earlier_leaders();
             }
             return;
@@ -524,7 +620,7 @@
         let until = (self.now + lasts).min(self.faults_end);
         let server = self.rng.random_range(0..self.servers.len());
         let leader = self.rng.random_range(0..self.leaders.len());
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..10) {
             // What is late for a run that does not check may reach the next one: not covered.
             0 if self.fencing == Fencing::Checked => {
                 let node = &mut self.servers[server];
@@ -536,6 +632,7 @@
             2 => self.leaders[leader].frozen_until = until,
             3 | 4 => self.leaders[leader].cut[server] = until,
             5 => self.drain(server),
+            7 if self.changes => self.change(),
             6 if leader + 1 < self.leaders.len() && self.rng.random_bool(0.3) => {
                 self.leaders[leader].is_dead = true;
                 self.leaders[leader].group = None;
