--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -71,7 +71,8 @@
     pub route: Route,
     /// How often the shard has come from [`Route::Elsewhere`].
     pub turn: u64,
-    /// The first grant of the shard in this daemon's latest unbroken leadership; it outlives that.
+    /// The first grant of the shard in this turn and this daemon's latest unbroken leadership; it
+    /// outlives both.
     pub first: Option<First>,
 }
 
@@ -244,7 +245,11 @@
     fn set(&mut self, route: Route) {
         let was_elsewhere = matches!(self.route, Route::Elsewhere);
         let is_elsewhere = matches!(route, Route::Elsewhere);
-        self.turn += u64::from(was_elsewhere && !is_elsewhere);
+        if was_elsewhere && !is_elsewhere {
+            self.turn += 1;
+            // The shard may have been led elsewhere meanwhile, though under the same tenure here.
+            self.first = None;
+        }
         if let Route::Owned(owner) = &route
             && self.first.is_none_or(|first| first.tenure != owner.tenure)
         {
@@ -256,7 +261,7 @@
         self.route = route;
     }
 
-    /// How long ago the shard was first granted in this daemon's latest unbroken leadership.
+    /// How long ago the shard was first granted in this turn and unbroken leadership.
     #[must_use]
     pub fn owned_for(&self) -> Duration {
         self.first
