Share convictions between leaders, and decode what explain is asked for

A leader tells the leaders and standbys of its services, within a quarter of a second, which requests crash servers; a leader that takes over refuses them at once.

--- a/crates/copperwelld/src/admin.rs
+++ b/crates/copperwelld/src/admin.rs
@@ -112,19 +112,14 @@
 }
 
 fn explain(query: &str, inspect: &impl Inspect) -> Response<Full<Bytes>> {
-    let field = |name: &str| {
-        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs
-            .find(|(field, _)| *field == name)
-            .map(|(_, value)| value)
-    };
+    let field = |name| copperwell_operator::query::field(query, name);
     let (Some(service), Some(key)) = (field("service"), field("key")) else {
         return plain(
             StatusCode::BAD_REQUEST,
             "give service and key: /explain?service=S&key=K\n",
         );
     };
-    match inspect.explain(service, key) {
+    match inspect.explain(&service, &key) {
         Some(body) => json(body),
         None => plain(
             StatusCode::NOT_FOUND,
--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -19,7 +19,7 @@
     members::Members,
 };
 use copperwell_platform::follow::{Held, View};
-use copperwell_policy::window::Export;
+use copperwell_policy::{quarantine::Share, window::Export};
 use tokio::sync::watch;
 
 /// What the daemon's tasks share.
@@ -105,6 +105,10 @@
         self.groups.take_over(&hand_over.group).is_some()
     }
 
+    async fn quarantine(&self, shares: Vec<Share>) {
+        self.engine.quarantine_import(&shares);
+    }
+
     async fn relinquish(&self, relinquish: Relinquish) -> bool {
         self.groups
             .relinquish(&relinquish.group, relinquish.epoch)
--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -193,6 +193,7 @@
         );
         spawn_until(&running, watch::load(core.clone()));
         spawn_until(&running, watch::contact(core.clone()));
+        spawn_until(&running, watch::quarantine(core.clone(), client.clone()));
         spawn_until(&running, watch::observations(core.clone(), observations));
         spawn_until(&running, appointer::run(core.clone(), appender, records));
 
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -10,13 +10,15 @@
 };
 use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
-    control::Position,
+    control::{Client, Position},
     members::{self as membership},
 };
 use copperwell_platform::{
     VmList, VmState,
     follow::{Status, View},
 };
+use copperwell_policy::quarantine::Share;
+use futures::future::join_all;
 use spdlog::{info, warn};
 use tokio::{
     sync::{broadcast::error::RecvError, mpsc},
@@ -29,6 +31,9 @@
 /// How often the groups are told when the log was last seen.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often new convictions are looked for.
+const QUARANTINE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How often the shards' requests are counted.
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -112,6 +117,49 @@
     }
 }
 
+/// Tells the other leaders and the standbys which requests crash servers.
+pub(crate) async fn quarantine<C: Control, F: Forward>(core: Arc<Core<C, F>>, client: Client) {
+    let mut told: HashSet<u64> = HashSet::default();
+    loop {
+        sleep(QUARANTINE_INTERVAL).await;
+        let shares = core.engine.quarantine_export();
+        let known: HashSet<u64> = shares.iter().map(|share| share.fingerprint).collect();
+        let news: Vec<Share> = shares
+            .into_iter()
+            .filter(|share| !told.contains(&share.fingerprint))
+            .collect();
+        told = known;
+        if news.is_empty() {
+            continue;
+        }
+        let told = leaders_and_standbys(&core)
+            .into_iter()
+            .map(|member| client.quarantine(member.control, news.clone()));
+        // Whoever is not reached finds out by itself, at the price of two crashes.
+        let _ = join_all(told).await;
+    }
+}
+
+/// The other daemons that lead groups of services that this one leads groups of, and the standbys.
+fn leaders_and_standbys<C: Control, F: Forward>(core: &Core<C, F>) -> Vec<Member> {
+    let state = core.state();
+    let led: HashSet<ServiceName> = core
+        .groups
+        .led()
+        .into_iter()
+        .map(|group| group.service)
+        .collect();
+    let concerned = state
+        .groups
+        .iter()
+        .filter(|(group, _)| led.contains(&group.service));
+    let members =
+        concerned.flat_map(|(_, held)| std::iter::once(&held.leader).chain(&held.standby));
+    let others = members.filter(|member| member.name != core.me.name);
+    let others: HashSet<Member> = others.cloned().collect();
+    others.into_iter().collect()
+}
+
 /// Tells the groups which shards are asked for.
 pub(crate) async fn load<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
     let mut before: HashMap<ServiceName, Vec<u64>> = HashMap::default();
--- a/crates/peer/examples/membership.rs
+++ b/crates/peer/examples/membership.rs
@@ -14,6 +14,7 @@
     control::{Client, HandOver, Handler, Pong, Probe, Relinquish, Snapshot, serve},
     members::Members,
 };
+use copperwell_policy::quarantine::Share;
 use prometheus_client::{encoding::text::encode, registry::Registry};
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -57,6 +58,8 @@
     async fn relinquish(&self, _: Relinquish) -> bool {
         false
     }
+
+    async fn quarantine(&self, _: Vec<Share>) {}
 }
 
 #[tokio::main]
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -5,6 +5,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use copperwell_keyspace::{Epoch, GroupId, LogOffset, ManifestVersion, batch::Batch};
+use copperwell_policy::quarantine::Share;
 use serde::{Deserialize, Serialize};
 
 pub use client::{Client, Error};
@@ -111,6 +112,9 @@
 
     /// Stops leading a group below an epoch; true once this daemon has surely stopped.
     fn relinquish(&self, relinquish: Relinquish) -> impl Future<Output = bool> + Send;
+
+    /// Refuses requests that another leader found to crash servers.
+    fn quarantine(&self, shares: Vec<Share>) -> impl Future<Output = ()> + Send;
 }
 
 impl<T: Handler> Handler for Arc<T> {
@@ -137,4 +141,8 @@
     fn relinquish(&self, relinquish: Relinquish) -> impl Future<Output = bool> + Send {
         T::relinquish(self, relinquish)
     }
+
+    fn quarantine(&self, shares: Vec<Share>) -> impl Future<Output = ()> + Send {
+        T::quarantine(self, shares)
+    }
 }
--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -10,6 +10,7 @@
 use super::{FRAME_MAX, HandOver, Pong, Probe, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient};
 use crate::dial::Dial;
 use copperwell_keyspace::{HashMap, LogOffset, batch::Batch};
+use copperwell_policy::quarantine::Share;
 use error_stack::{Report, ResultExt};
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use tarpc::{client, context::Context, serde_transport};
@@ -208,6 +209,22 @@
         .await
     }
 
+    /// Tells another leader which requests crash servers, so that it refuses them too.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if no answer came within [`TIMEOUT`].
+    pub async fn quarantine(
+        &self,
+        to: SocketAddr,
+        shares: Vec<Share>,
+    ) -> Result<(), Report<Error>> {
+        self.call(to, TIMEOUT, async |client, context| {
+            client.quarantine(context, shares).await
+        })
+        .await
+    }
+
     async fn call<T>(
         &self,
         to: SocketAddr,
--- a/crates/peer/src/control/rpc.rs
+++ b/crates/peer/src/control/rpc.rs
@@ -4,6 +4,7 @@
 
 use super::{HandOver, Pong, Probe, Relinquish, Snapshot};
 use copperwell_keyspace::{LogOffset, batch::Batch};
+use copperwell_policy::quarantine::Share;
 
 /// Control calls.
 #[tarpc::service]
@@ -14,4 +15,5 @@
     async fn snapshot() -> Option<Snapshot>;
     async fn hand_over(hand_over: HandOver) -> bool;
     async fn relinquish(relinquish: Relinquish) -> bool;
+    async fn quarantine(shares: Vec<Share>);
 }
--- a/crates/peer/src/control/server.rs
+++ b/crates/peer/src/control/server.rs
@@ -4,6 +4,7 @@
 
 use super::{FRAME_MAX, HandOver, Handler, Pong, Probe, Relinquish, Snapshot, rpc::Control};
 use copperwell_keyspace::{LogOffset, batch::Batch};
+use copperwell_policy::quarantine::Share;
 use futures::{StreamExt, stream::FuturesUnordered};
 use tarpc::{
     context::Context,
@@ -117,4 +118,8 @@
     async fn relinquish(self, _: Context, relinquish: Relinquish) -> bool {
         self.handler.relinquish(relinquish).await
     }
+
+    async fn quarantine(self, _: Context, shares: Vec<Share>) {
+        self.handler.quarantine(shares).await;
+    }
 }
--- a/crates/peer/tests/control.rs
+++ b/crates/peer/tests/control.rs
@@ -13,6 +13,7 @@
     Client, Error, HandOver, Handler, Liveness, Pong, Position, Probe, Relinquish, Rumour,
     Snapshot, serve,
 };
+use copperwell_policy::quarantine::Share;
 use proxy::Proxy;
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
@@ -82,6 +83,8 @@
     async fn relinquish(&self, relinquish: Relinquish) -> bool {
         relinquish.epoch == 8
     }
+
+    async fn quarantine(&self, _: Vec<Share>) {}
 }
 
 fn rumour() -> Rumour {
--- a/crates/peer/tests/members.rs
+++ b/crates/peer/tests/members.rs
@@ -15,6 +15,7 @@
     link::{Links, Relay},
     members::{Event, Guard, Members, ROUND, Roster},
 };
+use copperwell_policy::quarantine::Share;
 use tokio::{
     net::TcpListener,
     sync::broadcast,
@@ -60,6 +61,8 @@
     async fn relinquish(&self, _: Relinquish) -> bool {
         false
     }
+
+    async fn quarantine(&self, _: Vec<Share>) {}
 }
 
 impl Daemon {
