Relay requests round a partial partition, and measure what control costs

Ingress sends through another daemon where it cannot reach a leader itself; daemons relay only to live members. A stopping daemon says so once its groups are handed over. Bytes of orders and of the platform are counted, and the capacity tool fits a line through sizes of fleet, group, shards and changes.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -24,6 +24,7 @@
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     sync::Semaphore,
@@ -47,6 +48,7 @@
 pub struct Client {
     timing: Timing,
     lanes: Mutex<HashMap<SocketAddr, Arc<Lane>>>,
+    bytes: Counter,
 }
 
 /// Time limits of control orders.
@@ -113,9 +115,19 @@
         Self {
             timing,
             lanes: Mutex::default(),
+            bytes: Counter::default(),
         }
     }
 
+    /// Registers the counter of bytes.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "backend_order_bytes",
+            "Bytes sent and received on connections for control orders",
+            self.bytes.clone(),
+        );
+    }
+
     /// Gives an order and reads its answer.
     async fn give_order<A: DeserializeOwned>(
         &self,
@@ -217,7 +229,7 @@
     async fn open(&self, errand: &Errand) -> Result<Connection, Failure> {
         let left = errand.until.saturating_duration_since(Instant::now());
         let limit = left.min(self.timing.connect);
-        let opened = Connection::open(errand.to, limit, ()).await;
+        let opened = Connection::open(errand.to, limit, (), self.bytes.clone()).await;
         opened.map_err(|_| Failure::Unreachable)
     }
 
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -11,6 +11,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::counter::Counter;
 use tokio::{
     net::TcpStream,
     task::JoinHandle,
@@ -56,11 +57,12 @@
 }
 
 impl Connection {
-    /// Opens a connection, which keeps `held` until its socket is closed.
+    /// Opens a connection, which keeps `held` until its socket is closed; `bytes` counts both ways.
     pub(crate) async fn open(
         to: SocketAddr,
         limit: Duration,
         held: impl Send + 'static,
+        bytes: Counter,
     ) -> Result<Self, Unopened> {
         let stream = timeout(limit, TcpStream::connect(to))
             .await
@@ -68,7 +70,7 @@
             .map_err(|_| Unopened::Refused)?;
         // Requests are small and somebody waits; without this they may wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
-        let traffic = Arc::new(Traffic::new());
+        let traffic = Arc::new(Traffic::new(bytes));
         let io = TokioIo::new(Metered::new(stream, traffic.clone()));
         let (sender, connection) = http1::Builder::new()
             .max_header_size(HEAD_BYTES_MAX)
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -86,7 +86,9 @@
     pub(crate) async fn open(&self, limit: Duration) -> Option<Connection> {
         let permit = self.room.clone().try_acquire_owned().ok()?;
         let limit = limit.min(self.timing.connect);
-        let connection = Connection::open(self.to, limit, permit).await.ok()?;
+        let connection = Connection::open(self.to, limit, permit, self.metrics.bytes.clone())
+            .await
+            .ok()?;
         self.metrics.opened.inc();
         Some(connection)
     }
--- a/crates/backend/src/metrics.rs
+++ b/crates/backend/src/metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) failed: Family<Label, Counter>,
     pub(crate) reused: Counter,
     pub(crate) resent: Counter,
+    pub(crate) bytes: Counter,
 }
 
 /// Why a connection was closed or a request failed.
@@ -52,6 +53,11 @@
             "Requests without a server's answer, by reason",
             self.failed.clone(),
         );
+        backend.register(
+            "request_bytes",
+            "Bytes sent and received on connections for requests",
+            self.bytes.clone(),
+        );
         backend.register(
             "requests_resent",
             "Requests sent again because an idle connection had closed before it took them",
--- a/crates/backend/src/traffic.rs
+++ b/crates/backend/src/traffic.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use prometheus_client::metrics::counter::Counter;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     time::{Instant, sleep_until},
@@ -22,14 +23,17 @@
     base: Instant,
     written: AtomicU64,
     progress_us: AtomicU64,
+    bytes: Counter,
 }
 
 impl Traffic {
-    pub(crate) fn new() -> Self {
+    /// Traffic that `bytes` counts, both ways.
+    pub(crate) fn new(bytes: Counter) -> Self {
         Self {
             base: Instant::now(),
             written: AtomicU64::new(0),
             progress_us: AtomicU64::new(0),
+            bytes,
         }
     }
 
@@ -86,6 +90,7 @@
         if let Poll::Ready(Ok(bytes)) = result {
             let bytes = u64::try_from(*bytes).unwrap_or(u64::MAX);
             self.traffic.written.fetch_add(bytes, Ordering::AcqRel);
+            self.traffic.bytes.inc_by(bytes);
             self.traffic.mark();
         }
     }
@@ -99,7 +104,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
-        if buf.filled().len() > before {
+        let read = buf.filled().len() - before;
+        if read > 0 {
+            self.traffic.bytes.inc_by(read as u64);
             self.traffic.mark();
         }
         result
--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -25,7 +25,7 @@
     control::{self, Client},
     dial::Dial,
     link::{self, Links},
-    members::Members,
+    members::{Guard, Members},
 };
 use copperwell_platform::{
     append::Appender,
@@ -33,7 +33,7 @@
     http, metrics as platform_metrics,
 };
 use error_stack::{Report, ResultExt};
-use prometheus_client::registry::Registry;
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use spdlog::info;
 use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
@@ -109,8 +109,14 @@
         let links = Links::with_dial(dial);
         links.register(&mut registry);
         let members = Members::new(me.clone(), settings.seeds.clone(), client.clone());
-        let log = Arc::new(http::Client::new(settings.platform.log));
-        let vms = Arc::new(http::Client::new(settings.platform.vms));
+        let bytes = Counter::default();
+        registry.register(
+            "platform_bytes",
+            "Bytes sent to and received from the platform",
+            bytes.clone(),
+        );
+        let log = Arc::new(http::Client::new(settings.platform.log).with_bytes(bytes.clone()));
+        let vms = Arc::new(http::Client::new(settings.platform.vms).with_bytes(bytes.clone()));
         let relay = Arc::new(Peers::new(members.clone(), client.clone()));
         let reading = follow::Settings::new(Source::Platform).with_writer(me.name.clone());
         let log_metrics = platform_metrics::Metrics::new(&mut registry);
@@ -122,10 +128,16 @@
         let (engine, observations) = Engine::new(pool.clone(), table.clone());
         engine.register(&mut registry);
         let engine = Arc::new(engine);
-        let way = Arc::new(Way::new(me.clone(), engine.clone(), links.clone()));
+        let way = Arc::new(Way::new(
+            me.clone(),
+            engine.clone(),
+            links.clone(),
+            members.roster(),
+        ));
         let (events_to, events) = mpsc::channel(EVENTS);
         let (records_to, records) = mpsc::channel(MOVES);
         let servers = Arc::new(Servers::new());
+        servers.register(&mut registry);
         let groups = Groups::new(me.clone(), servers, table.clone(), events_to, &mut registry);
         let metrics = Metrics::new(&mut registry);
         let ingress_metrics = metrics::Metrics::new(&mut registry);
@@ -155,8 +167,9 @@
         let log_reader = log.clone();
         let appender = Appender::new(log, follower.view(), me.name.clone(), me.incarnation)
             .with_metrics(log_metrics);
+        let guard = Guard::new(links, members.roster());
         let request_server =
-            link::serve_with_relay(listeners.requests, engine, links, serving.clone());
+            link::serve_with_relay(listeners.requests, engine, guard, serving.clone());
         let servers = vec![
             spawn_until(&running, {
                 let serving = serving.clone();
@@ -226,6 +239,8 @@
     /// Hands groups over, finishes what is in flight, and stops.
     pub async fn stop(mut self) {
         stop::hand_over_all(&self.core, &self.client).await;
+        // Only now: whoever hears of it may be appointed at once, without the keys handed over.
+        self.core.members.leave();
         self.serving.cancel();
         let servers = std::mem::take(&mut self.servers);
         let finished = futures::future::join_all(servers);
--- a/crates/copperwelld/src/network.rs
+++ b/crates/copperwelld/src/network.rs
@@ -10,13 +10,15 @@
     HashMap, Member, ServiceName, ShardIndex, manifest::Service, replay::State,
 };
 use copperwell_message::{Request, Response, Serve};
-use copperwell_peer::link::Links;
+use copperwell_peer::{link::Links, members::Roster};
+use tokio::sync::watch;
 
 /// Finds services and leaders in the agreed state, and sends to them.
 pub(crate) struct Way<F> {
     me: Member,
     engine: Arc<Engine<F>>,
     links: Links,
+    roster: watch::Receiver<Arc<Roster>>,
     index: ArcSwap<Index>,
 }
 
@@ -28,11 +30,17 @@
 }
 
 impl<F: Forward> Way<F> {
-    pub(crate) fn new(me: Member, engine: Arc<Engine<F>>, links: Links) -> Self {
+    pub(crate) fn new(
+        me: Member,
+        engine: Arc<Engine<F>>,
+        links: Links,
+        roster: watch::Receiver<Arc<Roster>>,
+    ) -> Self {
         Self {
             me,
             engine,
             links,
+            roster,
             index: ArcSwap::default(),
         }
     }
@@ -73,4 +81,15 @@
         }
         self.links.send(to.requests, request).await
     }
+
+    fn relays(&self, to: &Member) -> Vec<Member> {
+        let roster = self.roster.borrow();
+        roster.relays(&self.me, to).into_iter().cloned().collect()
+    }
+
+    async fn send_via(&self, relay: &Member, to: &Member, request: Request) -> Response {
+        self.links
+            .send_via(relay.requests, to.requests, request)
+            .await
+    }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -10,8 +10,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::counter::Counter;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, time::timeout};
+use tokio_util::io::{InspectReader, InspectWriter};
 
 /// The time in which the platform has to answer, beyond the wait of a read.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -51,6 +53,7 @@
 pub struct Client {
     address: SocketAddr,
     call_timeout: Duration,
+    bytes: Counter,
 }
 
 impl Client {
@@ -60,9 +63,17 @@
         Self {
             address,
             call_timeout: CALL_TIMEOUT,
+            bytes: Counter::default(),
         }
     }
 
+    /// Counts the bytes of all calls, both ways, in `bytes`.
+    #[must_use]
+    pub fn with_bytes(mut self, bytes: Counter) -> Self {
+        self.bytes = bytes;
+        self
+    }
+
     /// Sets the time in which the platform has to answer, beyond the wait of a read.
     #[must_use]
     pub fn with_timeout(mut self, call_timeout: Duration) -> Self {
@@ -75,6 +86,13 @@
             let stream = TcpStream::connect(self.address)
                 .await
                 .change_context(Error::Unavailable)?;
+            let (received, sent) = (self.bytes.clone(), self.bytes.clone());
+            let stream = InspectReader::new(stream, move |bytes: &[u8]| {
+                received.inc_by(bytes.len() as u64);
+            });
+            let stream = InspectWriter::new(stream, move |bytes: &[u8]| {
+                sent.inc_by(bytes.len() as u64);
+            });
             let (sender, connection) = http1::handshake(TokioIo::new(stream))
                 .await
                 .change_context(Error::Unavailable)?;
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -125,6 +125,9 @@
     ]) as u64;
     // What one daemon's client sends and receives, another one's server receives and sends.
     let control = 2.0 * grown(&["copperwell_control_client_bytes_total"])
-        + grown(&["copperwell_order_bytes_total", "copperwell_log_bytes_total"]);
+        + grown(&[
+            "copperwell_backend_order_bytes_total",
+            "copperwell_platform_bytes_total",
+        ]);
     summary.control_bytes_per_s = control / took.as_secs_f64() / daemons.max(1) as f64;
 }
--- /dev/null
+++ b/crates/standin/examples/capacity.rs
@@ -0,0 +1,298 @@
+//! What control costs a daemon, at several sizes, with the line that fits the figures.
+//!
+//! Daemons are processes of their own without callers; whatever they spend, they spend on control.
+
+use std::{error::Error, fs, path::PathBuf, process::ExitCode, str::FromStr, time::Duration};
+
+use bpaf::Bpaf;
+use copperwell_keyspace::{
+    HashMap,
+    manifest::{Fencing, Limits, Manifest, Service, Upstream},
+};
+use copperwell_message::Class;
+use copperwell_rig::{
+    cluster::{Cluster, Plan, metrics, status},
+    node::Launch,
+};
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+/// Clock ticks of `/proc/PID/stat` in a second.
+const TICKS: f64 = 100.0;
+
+/// Time after the start in which daemons come to rest.
+const REST: Duration = Duration::from_secs(4);
+
+/// Sizes of the sweep over daemons.
+const DAEMONS: &[usize] = &[3, 12, 48, 96];
+/// Sizes of the sweep over the upstreams that one daemon leads.
+const UPSTREAMS: &[usize] = &[8, 24, 72, 192];
+/// Sizes of the sweep over the shards that one daemon leads.
+const SHARDS: &[usize] = &[256, 4096, 16384, 65536];
+/// Sizes of the sweep over changes of the manifest in ten seconds.
+const CHANGES: &[usize] = &[0, 5, 20, 50];
+
+/// What grows.
+#[derive(Debug, Clone, Copy)]
+enum What {
+    Daemons,
+    Upstreams,
+    Shards,
+    Changes,
+}
+
+impl FromStr for What {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "daemons" => Ok(Self::Daemons),
+            "upstreams" => Ok(Self::Upstreams),
+            "shards" => Ok(Self::Shards),
+            "changes" => Ok(Self::Changes),
+            _ => Err(format!(
+                "`{text}` does not grow; use daemons, upstreams, shards or changes"
+            )),
+        }
+    }
+}
+
+/// Measures what control costs a daemon at several sizes.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Args {
+    /// `daemons`, `upstreams`, `shards` or `changes`.
+    #[bpaf(long, argument("WHAT"))]
+    what: What,
+    /// Program of the daemon.
+    #[bpaf(long, argument("FILE"))]
+    daemon: PathBuf,
+    /// Seconds of each measurement.
+    #[bpaf(long, argument("S"), fallback(10))]
+    seconds: u64,
+}
+
+/// What one size showed, for each daemon.
+#[derive(Debug, Clone, Serialize)]
+struct Point {
+    size: usize,
+    daemons: usize,
+    core_percent: f64,
+    resident_mb: f64,
+    control_bytes_per_s: f64,
+    in_force_ms_max: f64,
+}
+
+/// A straight line through points, and how far the farthest point lies off it.
+#[derive(Debug, Clone, Serialize)]
+struct Line {
+    of: &'static str,
+    per_unit: f64,
+    at_zero: f64,
+    error_max: f64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = args().run();
+    match sweep(&args).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("capacity: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn sweep(args: &Args) -> Result<(), Box<dyn Error>> {
+    let sizes = match args.what {
+        What::Daemons => DAEMONS,
+        What::Upstreams => UPSTREAMS,
+        What::Shards => SHARDS,
+        What::Changes => CHANGES,
+    };
+    let mut points = Vec::new();
+    for size in sizes {
+        let point = measure(args, *size).await?;
+        println!("{}", serde_json::to_string(&point)?);
+        points.push(point);
+    }
+    let lines = [
+        line("core_percent", &points, |point| point.core_percent),
+        line("resident_mb", &points, |point| point.resident_mb),
+        line("control_bytes_per_s", &points, |point| {
+            point.control_bytes_per_s
+        }),
+        line("in_force_ms_max", &points, |point| point.in_force_ms_max),
+    ];
+    for line in lines {
+        println!("{}", serde_json::to_string(&line)?);
+    }
+    Ok(())
+}
+
+async fn measure(args: &Args, size: usize) -> Result<Point, Box<dyn Error>> {
+    let (manifest, daemons) = match args.what {
+        What::Daemons => (manifest(3, 3, 256), size.div_ceil(3)),
+        What::Upstreams => (manifest(1, size, 1024), 1),
+        What::Shards => (manifest(1, 4, size), 1),
+        What::Changes => (manifest(3, 6, 256), 2),
+    };
+    let plan = Plan {
+        manifest,
+        daemons,
+        launch: Launch::Program(args.daemon.clone()),
+        is_proxied: false,
+        service_times: HashMap::default(),
+    };
+    let mut cluster = Cluster::start(plan).await?;
+    sleep(REST).await;
+    let span = Duration::from_secs(args.seconds);
+    let before = metrics(&cluster.nodes).await;
+    let spent = spent(&cluster)?;
+    let start = Instant::now();
+    let changes = if matches!(args.what, What::Changes) {
+        size
+    } else {
+        0
+    };
+    let in_force = change(&mut cluster, changes, span).await?;
+    sleep(span.saturating_sub(start.elapsed())).await;
+    let took = start.elapsed().as_secs_f64();
+    let used = self::spent(&cluster)? - spent;
+    let after = metrics(&cluster.nodes).await;
+    let count = cluster.nodes.len();
+    let grown = |name: &str| {
+        let sum =
+            |all: &std::collections::BTreeMap<String, f64>| all.get(name).copied().unwrap_or(0.0);
+        sum(&after) - sum(&before)
+    };
+    // What one daemon's client sends and receives, another one's server receives and sends.
+    let bytes = 2.0 * grown("copperwell_control_client_bytes_total")
+        + grown("copperwell_backend_order_bytes_total")
+        + grown("copperwell_platform_bytes_total");
+    Ok(Point {
+        size,
+        daemons: count,
+        core_percent: 100.0 * used / TICKS / took / count as f64,
+        resident_mb: resident(&cluster)?,
+        control_bytes_per_s: bytes / took / count as f64,
+        in_force_ms_max: in_force.as_secs_f64() * 1000.0,
+    })
+}
+
+/// Publishes changes, evenly over `span`; gives the longest time until one was in force everywhere.
+async fn change(
+    cluster: &mut Cluster,
+    count: usize,
+    span: Duration,
+) -> Result<Duration, Box<dyn Error>> {
+    let mut longest = Duration::ZERO;
+    for _ in 0..count {
+        let start = Instant::now();
+        let version = cluster.manifest.version();
+        cluster.manifest.replaces = version;
+        let queue = &mut cluster.manifest.services[0].limits.queue;
+        *queue = if *queue == 64 { 65 } else { 64 };
+        cluster.publish().await?;
+        for node in &cluster.nodes {
+            while status(node.addresses.admin)
+                .await
+                .is_none_or(|seen| seen.manifest <= version)
+            {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        longest = longest.max(start.elapsed());
+        sleep((span / u32::try_from(count)?).saturating_sub(start.elapsed())).await;
+    }
+    Ok(longest)
+}
+
+/// One service of `upstreams` upstreams, spread over data centres, in groups of at most 24.
+fn manifest(data_centres: usize, upstreams: usize, shards: usize) -> Manifest {
+    let names: Vec<String> = (0..data_centres)
+        .map(|index| format!("dc-{index}"))
+        .collect();
+    let places = names
+        .iter()
+        .map(|name| copperwell_keyspace::manifest::DataCentre {
+            name: name.as_str().into(),
+            region: "region".into(),
+        });
+    let all = (0..upstreams).map(|index| Upstream {
+        name: format!("up-{index}").into(),
+        data_centre: names[index % data_centres].as_str().into(),
+        address: ([127, 0, 0, 1], u16::try_from(index).unwrap_or(0) + 1).into(),
+        slots: 2,
+        connections: 130,
+        fencing: Fencing::Checked,
+        part: u16::try_from(index / data_centres / 24).unwrap_or(0),
+        drain: false,
+    });
+    Manifest {
+        replaces: 0,
+        data_centres: places.collect(),
+        services: vec![Service {
+            name: "calendar".into(),
+            class: Class::Interactive,
+            shards: u32::try_from(shards).unwrap_or(u32::MAX),
+            on_isolation: copperwell_keyspace::manifest::OnIsolation::Keep,
+            lease: Duration::from_millis(1500),
+            limits: Limits::default(),
+            upstreams: all.collect(),
+        }],
+    }
+}
+
+/// Processor time that all daemons have spent, in ticks.
+fn spent(cluster: &Cluster) -> Result<f64, Box<dyn Error>> {
+    let mut sum = 0.0;
+    for node in &cluster.nodes {
+        let id = node.process().ok_or("the daemon is no process")?;
+        let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+        let after = stat.rsplit_once(") ").map_or("", |(_, after)| after);
+        let fields: Vec<&str> = after.split(' ').collect();
+        let ticks = |index: usize| {
+            fields
+                .get(index)
+                .and_then(|field| field.parse::<f64>().ok())
+        };
+        sum += ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0);
+    }
+    Ok(sum)
+}
+
+/// The largest resident set of a daemon, in megabytes.
+fn resident(cluster: &Cluster) -> Result<f64, Box<dyn Error>> {
+    let mut most: f64 = 0.0;
+    for node in &cluster.nodes {
+        let id = node.process().ok_or("the daemon is no process")?;
+        let text = fs::read_to_string(format!("/proc/{id}/status"))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<f64>().ok());
+        most = most.max(kilobytes.unwrap_or(0.0) / 1024.0);
+    }
+    Ok(most)
+}
+
+/// The least-squares line through the points.
+fn line(of: &'static str, points: &[Point], value: impl Fn(&Point) -> f64) -> Line {
+    let count = points.len() as f64;
+    let mean = |value: &dyn Fn(&Point) -> f64| points.iter().map(value).sum::<f64>() / count;
+    let size = |point: &Point| point.size as f64;
+    let (x, y) = (mean(&size), mean(&value));
+    let covariance = mean(&|point| (size(point) - x) * (value(point) - y));
+    let variance = mean(&|point| (size(point) - x).powi(2));
+    let per_unit = covariance / variance;
+    let at_zero = y - per_unit * x;
+    let off = points
+        .iter()
+        .map(|point| (value(point) - at_zero - per_unit * size(point)).abs());
+    Line {
+        of,
+        per_unit,
+        at_zero,
+        error_max: off.fold(0.0, f64::max),
+    }
+}
