--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -1,16 +1,12 @@
 //! The task that leads one group.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
-use crate::{counter::Counters, event::Event, load::Loads, status::Status};
-use copperwell_backend::{
-    Control, Failure,
-    order::{Fence, Give, Release, Renew},
-};
+use crate::{counter::Counters, errand::Errand, event::Event, load::Loads, status::Status};
+use copperwell_backend::Control;
 use copperwell_dispatch::table::{Lease, Owner, Route, Table};
 use copperwell_keyspace::{
     DaemonName, Epoch, GroupId, HashMap, Incarnation, ShardIndex, UpstreamName,
@@ -18,13 +14,13 @@
 };
 use copperwell_policy::group::{
     Group,
-    message::{self, Action, Answer, Input, Order, Start},
+    message::{self, Action, Input, Start},
 };
 use spdlog::info;
 use tokio::{
     sync::mpsc,
     task::JoinSet,
-    time::{Instant, sleep_until, timeout},
+    time::{Instant, sleep_until},
 };
 
 /// How often the requests of shards are read.
@@ -332,132 +328,3 @@
         }
     }
 }
-
-/// Takes orders of one epoch to servers.
-struct Errand<C> {
-    shared: Arc<Shared<C>>,
-    group: GroupId,
-    epoch: Epoch,
-}
-
-impl<C: Control> Errand<C> {
-    async fn give(
-        self,
-        to: SocketAddr,
-        order: Order,
-        patience: Duration,
-    ) -> Result<Answer, message::Failure> {
-        let kind = kind_of(&order);
-        let result = match timeout(patience, self.send(to, order)).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(failure)) => Err(failure_of(failure)),
-            Err(_) => Err(message::Failure::Silent),
-        };
-        self.shared.counters.order(kind, result_of(&result));
-        result
-    }
-
-    async fn send(&self, to: SocketAddr, order: Order) -> Result<Answer, Failure> {
-        let group = self.group.clone();
-        let epoch = self.epoch;
-        let control = &self.shared.control;
-        let held = match order {
-            Order::Fence => {
-                let order = Fence {
-                    group,
-                    epoch,
-                    leader: self.shared.name.clone(),
-                };
-                let fenced = control.fence(to, &order).await?;
-                return Ok(Answer::Fenced {
-                    incarnation: fenced.incarnation,
-                    grants: fenced.grants,
-                    draining: fenced.draining,
-                    clock_ms: fenced.clock_ms,
-                });
-            }
-            Order::Give {
-                incarnation,
-                sequence,
-                lease,
-                until_ms,
-                shards,
-            } => {
-                let order = Give {
-                    group,
-                    epoch,
-                    sequence,
-                    incarnation,
-                    lease_ms: millis(lease),
-                    until_ms,
-                    shards,
-                };
-                control.give(to, &order).await?
-            }
-            Order::Renew {
-                incarnation,
-                lease,
-                until_ms,
-            } => {
-                let order = Renew {
-                    group,
-                    epoch,
-                    incarnation,
-                    lease_ms: millis(lease),
-                    until_ms,
-                };
-                control.renew(to, &order).await?
-            }
-            Order::Release { sequence, shards } => {
-                let order = Release {
-                    group,
-                    epoch,
-                    sequence,
-                    shards,
-                };
-                control.release(to, &order).await?
-            }
-        };
-        Ok(Answer::Held {
-            incarnation: held.incarnation,
-            shards: held.shards,
-            digest: held.digest,
-            draining: held.draining,
-            clock_ms: held.clock_ms,
-        })
-    }
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn kind_of(order: &Order) -> &'static str {
-    match order {
-        Order::Fence => "fence",
-        Order::Give { .. } => "grant",
-        Order::Renew { .. } => "renew",
-        Order::Release { .. } => "release",
-    }
-}
-
-fn result_of(result: &Result<Answer, message::Failure>) -> &'static str {
-    match result {
-        Ok(_) => "taken",
-        Err(message::Failure::Refused { .. }) => "refused",
-        Err(message::Failure::Unreachable) => "unreachable",
-        Err(message::Failure::Silent) => "silent",
-    }
-}
-
-fn failure_of(failure: Failure) -> message::Failure {
-    match failure {
-        Failure::Fenced(refusal) => message::Failure::Refused {
-            incarnation: refusal.incarnation,
-            epoch: refusal.epoch,
-        },
-        Failure::Unreachable => message::Failure::Unreachable,
-        // Whatever answers like this may have taken the order.
-        Failure::Silent | Failure::Invalid(_) => message::Failure::Silent,
-    }
-}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -7,6 +7,7 @@
 pub use status::{Status, UpstreamStatus};
 
 mod counter;
+mod errand;
 mod event;
 mod groups;
 mod leader;
