Let a standby answer for its own leader alone if that one has acted

Cause: a standby needed a majority of the servers that counted before its leader's appointment too, which a group whose upstreams were replaced no longer has; without the log it would wait for evidence. Change: a reported grant of the leader's epoch shows that the leader had its majority. Conclusion: a rule's test has both cases.

--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -53,6 +53,9 @@
     confirmed: Option<Instant>,
     /// When the log, or a peer that sees it, was asked last and has answered.
     contact: Instant,
+    /// Whether a server has reported a grant that the leader gave or kept for which this daemon
+    /// stood by.
+    leader_acted: bool,
     /// Whether no earlier leader can act behind this one's back.
     settled: bool,
     servers: BTreeMap<UpstreamName, Server>,
@@ -115,6 +118,7 @@
             started: now,
             stopped: (start.predecessor != Predecessor::Acting).then_some(now),
             confirmed: None,
+            leader_acted: false,
             contact: now,
             settled: start.predecessor != Predecessor::Acting,
             predecessor: start.predecessor,
--- a/crates/policy/src/group/answer.rs
+++ b/crates/policy/src/group/answer.rs
@@ -140,6 +140,7 @@
             if grant.service != self.id.service {
                 continue;
             }
+            self.leader_acted |= grant.epoch + 1 == self.epoch;
             if grant.remaining.is_zero() {
                 self.remember(upstream, grant.shard);
                 continue;
--- a/crates/policy/src/group/quorum.rs
+++ b/crates/policy/src/group/quorum.rs
@@ -99,13 +99,14 @@
             let among = fenced.iter().filter(|server| server.is_among(voters));
             among.count() >= majority(voters)
         };
-        // A standby succeeds the leader of its own appointment, and maybe the one before.
-        let before = self.voters.former.is_empty() || is_quorum(&self.voters.former);
+        let former = &self.voters.former;
         if self.recorded {
-            !self.voters.former.is_empty() && before
-        } else {
-            before && is_quorum(&self.voters.own)
+            return !former.is_empty() && is_quorum(former);
         }
+        // A standby succeeds the leader of its own appointment; if that one never acted, also the
+        // one before.
+        let is_succeeded = self.leader_acted || former.is_empty() || is_quorum(former);
+        is_succeeded && is_quorum(&self.voters.own)
     }
 
     /// Whether all servers whose word counts are fenced.
--- a/crates/policy/tests/group/rules.rs
+++ b/crates/policy/tests/group/rules.rs
@@ -565,3 +565,24 @@
     bench.pass(LEASE * 2);
     assert_eq!(bench.count(0), 8);
 }
+
+#[test_case(true, 12; "the leader has acted")]
+#[test_case(false, 0; "nobody has")]
+fn a_standby_answers_for_an_earlier_leader_if_its_own_never_acted(acted: bool, served: usize) {
+    let mut first = if acted {
+        running(3, 12)
+    } else {
+        Bench::new(3, 12)
+    };
+    first.moods[2] = Mood::Cut;
+    // Of the servers that counted for the leader before, none is left.
+    let gone = (1..3).map(|port| ([127, 0, 0, 9], port).into());
+    let mut standby = first.take_over(gone.collect());
+    standby.moods[2] = Mood::Answers;
+    standby.tell(Input::Tick);
+    standby.pass(SECOND * 5);
+    assert_eq!(standby.owners().len(), served);
+    standby.tell(Input::Stopped);
+    standby.pass(SECOND * 2);
+    assert_eq!(standby.owners().len(), 12);
+}
--- a/crates/policy/tests/group/server.rs
+++ b/crates/policy/tests/group/server.rs
@@ -121,6 +121,7 @@
                 let until = self.end(*lease, *until_ms, now);
                 for held in self.held.values_mut().filter(|held| held.until > now) {
                     held.until = held.until.max(until);
+                    held.epoch = epoch;
                 }
             }
             Order::Release { shards, .. } => {
