--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -43,6 +43,9 @@
 /// The third number of the first data centre's address.
 const FIRST_SOURCE: u8 = 10;
 
+/// Worker threads of a daemon.
+const WORKERS: usize = 2;
+
 /// How often conditions are looked at.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -76,7 +79,10 @@
     pub entries: Entries,
     /// The manifest in force.
     pub manifest: Manifest,
-    launch: Launch,
+    /// How further daemons are started.
+    pub launch: Launch,
+    /// Worker threads of further daemons.
+    pub workers: usize,
     started: usize,
     /// Whether a fault proxy stands before each daemon, and before the platform.
     is_proxied: bool,
@@ -140,6 +146,7 @@
             entries: Entries::new(Vec::new()),
             manifest,
             launch: Launch::InProcess,
+            workers: WORKERS,
             started: 0,
             is_proxied: false,
             gates: HashMap::default(),
@@ -190,7 +197,7 @@
             seeds: self.nodes.iter().take(SEEDS).map(Node::control).collect(),
             callers: Callers::default(),
             stop_time: Duration::from_secs(10),
-            workers: Some(2),
+            workers: Some(self.workers),
         };
         self.nodes
             .push(Node::start(&settings, &self.launch, doors)?);
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -140,6 +140,15 @@
         door.unwrap_or(self.addresses.control)
     }
 
+    /// The id of the daemon's process, if it has one of its own.
+    #[must_use]
+    pub fn process_id(&self) -> Option<u32> {
+        match &self.run {
+            Run::Process(child) => Some(child.id()),
+            Run::Runtime { .. } => None,
+        }
+    }
+
     /// Ends the daemon at once.
     pub fn kill(&mut self) {
         match &mut self.run {
