--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -140,9 +140,9 @@
         door.unwrap_or(self.addresses.control)
     }
 
-    /// The process of a daemon that has one of its own.
+    /// The id of the daemon's process, if it has one of its own.
     #[must_use]
-    pub fn process(&self) -> Option<u32> {
+    pub fn process_id(&self) -> Option<u32> {
         match &self.run {
             Run::Process(child) => Some(child.id()),
             Run::Runtime { .. } => None,
--- a/crates/standin/examples/capacity.rs
+++ b/crates/standin/examples/capacity.rs
@@ -249,7 +249,7 @@
 fn spent(cluster: &Cluster) -> Result<f64, Box<dyn Error>> {
     let mut sum = 0.0;
     for node in &cluster.nodes {
-        let id = node.process().ok_or("the daemon is no process")?;
+        let id = node.process_id().ok_or("the daemon is no process")?;
         let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
         let after = stat.rsplit_once(") ").map_or("", |(_, after)| after);
         let fields: Vec<&str> = after.split(' ').collect();
@@ -267,7 +267,7 @@
 fn resident(cluster: &Cluster) -> Result<f64, Box<dyn Error>> {
     let mut most: f64 = 0.0;
     for node in &cluster.nodes {
-        let id = node.process().ok_or("the daemon is no process")?;
+        let id = node.process_id().ok_or("the daemon is no process")?;
         let text = fs::read_to_string(format!("/proc/{id}/status"))?;
         let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<f64>().ok());
