Take no daemon for live that cannot be asked

Cause: a leader whose own outgoing calls work, while nothing reaches it, counted as alive: its probes were taken as signs of life, so its standby never took over and its group's keys were not served for as long as the one-way cut lasted.

--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -174,7 +174,8 @@
         let now = Instant::now();
         let mut state = self.state();
         let from = probe.own.member.name.clone();
-        let events = state.take(now, probe.own, probe.position, probe.gossip);
+        let spoke = state.suspicion.spoke(now, probe.own);
+        let events = state.take(now, spoke, from.clone(), probe.position, probe.gossip);
         self.publish(&mut state, events);
         let gossip = if probe.all {
             state.suspicion.all()
@@ -278,7 +279,10 @@
         {
             state.log_seen = state.log_seen.max(Some(seen));
         }
-        let events = state.take(Instant::now(), pong.own, pong.position, pong.gossip);
+        let now = Instant::now();
+        let name = pong.own.member.name.clone();
+        let heard = state.suspicion.heard(now, pong.own);
+        let events = state.take(now, heard, name, pong.position, pong.gossip);
         self.publish(&mut state, events);
     }
 
@@ -320,16 +324,15 @@
         }
     }
 
-    /// Takes in what a daemon says of itself and of others.
+    /// Takes in what a daemon says of others, after `events` came of what it says of itself.
     fn take(
         &mut self,
         now: Instant,
-        own: Rumour,
+        mut events: Vec<Event>,
+        name: DaemonName,
         position: Position,
         gossip: Vec<Rumour>,
     ) -> Vec<Event> {
-        let name = own.member.name.clone();
-        let mut events = self.suspicion.heard(now, own);
         for rumour in gossip.into_iter().take(MEMBERS_MAX) {
             events.extend(self.suspicion.hear(now, rumour));
         }
--- a/crates/policy/src/suspicion.rs
+++ b/crates/policy/src/suspicion.rs
@@ -174,6 +174,8 @@
     heard: Option<Instant>,
     /// When this daemon's own probes failed, helpers' included.
     failed: Option<Instant>,
+    /// Is lost here, but says that it lives, or others do, so it is probed again.
+    doubted: bool,
     /// Was in the platform's list and no longer is.
     unlisted: bool,
 }
@@ -260,7 +262,18 @@
         targets
     }
 
-    /// Notes a sign of life, with what the member says of itself.
+    /// Notes that a member sent something of its own accord.
+    ///
+    /// That shows one direction only: a member that cannot be asked may be unable to serve those
+    /// who need it. So it makes nobody live that this daemon's own probes do not reach.
+    pub fn spoke(&mut self, now: Instant, own: Rumour) -> Vec<Change> {
+        if own.member.name == self.me.name || !self.admits(&own.member) {
+            return Vec::new();
+        }
+        self.adopt(now, own, Evidence::Rumour)
+    }
+
+    /// Notes that a member answered, this daemon or a helper, with what it says of itself.
     pub fn heard(&mut self, now: Instant, own: Rumour) -> Vec<Change> {
         if own.member.name == self.me.name || !self.admits(&own.member) {
             return Vec::new();
@@ -472,8 +485,13 @@
         let before = state.liveness;
         let next = match (evidence, rumour.liveness) {
             (Evidence::Direct, _) => Liveness::Live,
-            (Evidence::Rumour, Liveness::Live) if newer => Liveness::Live,
-            (Evidence::Rumour, Liveness::Live) => before,
+            (Evidence::Rumour, Liveness::Live) if newer && state.is_only_rumoured() => {
+                Liveness::Live
+            }
+            (Evidence::Rumour, Liveness::Live) => {
+                state.doubted = before == Liveness::Lost;
+                before
+            }
             (Evidence::Rumour, _) if state.is_fresh(now) => before,
             (Evidence::Rumour, _) => before.max(Liveness::Suspect),
         };
@@ -519,6 +537,7 @@
             since: now,
             heard: None,
             failed: None,
+            doubted: false,
             unlisted: false,
         };
         self.states.insert(member.name.clone(), state);
@@ -563,10 +582,11 @@
         partners.take(PARTNERS_MAX).cloned().collect()
     }
 
-    /// Members that somebody thinks lost, and such as left the list and were not heard since.
+    /// Members that somebody thinks lost, lost ones that seem to live, and such as left the list and were not heard since.
     fn suspects(&mut self) -> Vec<DaemonName> {
         let suspects = self.states.values().filter(|state| {
             state.liveness == Liveness::Suspect
+                || state.doubted
                 || (state.liveness == Liveness::Live && state.unlisted)
         });
         let names = suspects.map(|state| state.member.name.clone());
@@ -655,11 +675,17 @@
     fn set(&mut self, now: Instant, liveness: Liveness) {
         self.liveness = liveness;
         self.since = now;
+        self.doubted = false;
         if liveness != Liveness::Suspect {
             self.failed = None;
         }
     }
 
+    /// Whether only others doubt the member.
+    fn is_only_rumoured(&self) -> bool {
+        self.liveness == Liveness::Suspect && self.failed.is_none()
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         self.heard.is_some_and(|heard| now < heard + FRESH)
     }
