Restrain duels of leaders, relay through any data centre, and read the list of VMs less often

Departing groups of a data centre without daemons get a leader from elsewhere. Log reading through peers is a setting; metrics and log lines that stood twice are gone.

--- a/crates/copperwelld/src/appointer.rs
+++ b/crates/copperwelld/src/appointer.rs
@@ -5,11 +5,15 @@
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
 use copperwell_keyspace::{
-    GroupId, Member,
+    GroupId, HashSet, Member,
     record::{Appoint, Body},
+    replay::State,
 };
 use copperwell_platform::{Log, append::Appender};
-use copperwell_policy::appoint::{Peers, proposals};
+use copperwell_policy::{
+    appoint::{Peers, proposals},
+    restraint::Restraint,
+};
 use spdlog::info;
 use tokio::{
     sync::mpsc,
@@ -32,6 +36,7 @@
     mut records: mpsc::Receiver<Body>,
 ) {
     let settled = Instant::now() + SETTLE;
+    let mut restraint = Restraint::new();
     loop {
         tokio::select! {
             body = records.recv() => {
@@ -40,13 +45,19 @@
             }
             () = sleep(LOOK) => {}
         }
+        restraint.observe(&core.state(), Instant::now());
         if Instant::now() < settled || core.is_leaving() {
             continue;
         }
         for proposal in current(&core) {
-            if !still_wanted(&core, &proposal) {
+            let state = core.state();
+            if !still_wanted(&state, &proposal)
+                || !restraint.allows(&state, &proposal, Instant::now())
+            {
                 continue;
             }
+            restraint.proposed(&state, &proposal);
+            tell(&state, &proposal);
             append(&core, &mut appender, Body::Appoint(proposal)).await;
         }
     }
@@ -65,31 +76,34 @@
 
 fn current<C: Control, F: Forward>(core: &Core<C, F>) -> Vec<Appoint> {
     let state = core.state();
+    let active = state.groups_in_force();
     // A departing group needs a leader too, until its last shard has been taken over.
-    let groups: Vec<GroupId> = state
-        .groups_in_force()
-        .into_iter()
-        .map(|group| group.id)
-        .collect();
+    let departing = active.iter().filter(|group| group.is_departing());
+    let departing: HashSet<GroupId> = departing.map(|group| group.id.clone()).collect();
+    let groups: Vec<GroupId> = active.into_iter().map(|group| group.id).collect();
+    let everywhere = core.live();
     let live = core.live_here();
     let peers = Peers {
         me: &core.me,
         live: &live,
+        everywhere: &everywhere,
     };
-    proposals(&state, &groups, &peers)
+    proposals(&state, &groups, &departing, &peers)
 }
 
 /// Whether the proposal's parent still leads; it may have been settled while others were appended.
-fn still_wanted<C: Control, F: Forward>(core: &Core<C, F>, proposal: &Appoint) -> bool {
-    let state = core.state();
+fn still_wanted(state: &State, proposal: &Appoint) -> bool {
+    let held = state.groups.get(&proposal.group);
+    held.map_or(0, |held| held.epoch) == proposal.replaces
+}
+
+fn tell(state: &State, proposal: &Appoint) {
     let held = state.groups.get(&proposal.group);
-    let wanted = held.map_or(0, |held| held.epoch) == proposal.replaces;
-    if wanted && held.is_none_or(|held| !is_same(&held.leader, &proposal.leader)) {
+    if held.is_none_or(|held| !is_same(&held.leader, &proposal.leader)) {
         let group = proposal.group.to_string();
         let leader = proposal.leader.name.to_string();
         info!("proposing a leader", kv: { group, leader });
     }
-    wanted
 }
 
 fn is_same(one: &Member, other: &Member) -> bool {
--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -47,11 +47,24 @@
         self.leaving.load(Ordering::Acquire)
     }
 
+    /// Whether the platform's list of VMs may end a wait, or names daemons that are not known yet.
+    pub(crate) fn wants_vms(&self, listed: usize) -> bool {
+        let waits = self.groups.status().iter().any(|status| status.waits);
+        waits || self.members.roster().borrow().live().len() < listed.max(2)
+    }
+
     /// The daemons of this data centre that are alive and stay, in the order of names.
     pub(crate) fn live_here(&self) -> Vec<Member> {
+        let mut live = self.live();
+        live.retain(|member| member.data_centre == self.me.data_centre);
+        live
+    }
+
+    /// The daemons that are alive and stay, in the order of names.
+    pub(crate) fn live(&self) -> Vec<Member> {
         let roster = self.members.roster().borrow().clone();
-        let here = roster.live_in(&self.me.data_centre);
-        let mut live: Vec<Member> = here
+        let mut live: Vec<Member> = roster
+            .live()
             .into_iter()
             .filter(|member| {
                 roster
--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -13,7 +13,7 @@
     metrics::Metrics,
     network::Way,
     relay::Peers,
-    settings::{Advertise, Settings},
+    settings::{Advertise, ReadLog, Settings},
     stop, watch,
 };
 use copperwell_backend::{client::Client as Servers, pool::Pool};
@@ -118,7 +118,11 @@
         let log = Arc::new(http::Client::new(settings.platform.log).with_bytes(bytes.clone()));
         let vms = Arc::new(http::Client::new(settings.platform.vms).with_bytes(bytes.clone()));
         let relay = Arc::new(Peers::new(members.clone(), client.clone()));
-        let reading = follow::Settings::new(Source::Platform).with_writer(me.name.clone());
+        let source = match settings.platform.read_log {
+            ReadLog::Directly => Source::Platform,
+            ReadLog::ThroughPeers => Source::Peer,
+        };
+        let reading = follow::Settings::new(source).with_writer(me.name.clone());
         let log_metrics = platform_metrics::Metrics::new(&mut registry);
         let follower = Follower::start_with(log.clone(), relay, reading, log_metrics.clone());
 
--- a/crates/copperwelld/src/metrics.rs
+++ b/crates/copperwelld/src/metrics.rs
@@ -12,7 +12,6 @@
 pub(crate) struct Metrics {
     appends: Family<Label, Counter>,
     pub(crate) manifest: Gauge,
-    pub(crate) groups_led: Gauge,
     pub(crate) members_live: Gauge,
 }
 
@@ -31,11 +30,6 @@
             all.appends,
         );
         registry.register("manifest_version", "Manifest in force", all.manifest);
-        registry.register(
-            "groups_led",
-            "Groups that this daemon leads",
-            all.groups_led,
-        );
         registry.register(
             "members_live",
             "Daemons known to be alive",
--- a/crates/copperwelld/src/settings.rs
+++ b/crates/copperwelld/src/settings.rs
@@ -85,6 +85,20 @@
     pub log: SocketAddr,
     /// The list of VMs.
     pub vms: SocketAddr,
+    /// How this daemon reads the log first; the other way serves when that one fails.
+    #[serde(default)]
+    pub read_log: ReadLog,
+}
+
+/// How a daemon reads the log first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReadLog {
+    /// From the platform; two or three daemons of each data centre are enough.
+    #[default]
+    Directly,
+    /// From other daemons.
+    ThroughPeers,
 }
 
 /// Limits on callers' connections.
--- a/crates/copperwelld/src/status.rs
+++ b/crates/copperwelld/src/status.rs
@@ -64,9 +64,6 @@
         let view = self.view.borrow().clone();
         let version = view.state.manifest.as_ref().map_or(0, Manifest::version);
         self.metrics.manifest.set(signed(version));
-        self.metrics
-            .groups_led
-            .set(signed(self.groups.led().len() as u64));
         let roster = self.members.roster().borrow().clone();
         self.metrics
             .members_live
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -19,15 +19,23 @@
 };
 use copperwell_policy::quarantine::Share;
 use futures::future::join_all;
+use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::{
     sync::{broadcast::error::RecvError, mpsc},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
-/// How often the platform's list of VMs is read.
+/// How often the platform's list of VMs is read while a group waits for evidence from it, or while
+/// too few daemons are known.
 const VMS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often it is read at rest, for each VM that it lists: reading a long list costs more.
+const VMS_INTERVAL_BY_VM: Duration = Duration::from_millis(120);
+
+/// The shortest time between two readings at rest.
+const VMS_INTERVAL_REST: Duration = Duration::from_secs(10);
+
 /// How often the groups are told when the log was last seen.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -74,8 +82,10 @@
 
 /// Reads the platform's list of VMs.
 pub(crate) async fn vms<C: Control, F: Forward>(core: Arc<Core<C, F>>, list: Arc<impl VmList>) {
+    let mut listed = 0;
     loop {
         if let Ok(vms) = list.list().await {
+            listed = vms.len();
             let vms = vms.into_iter().map(|vm| membership::Vm {
                 name: vm.name,
                 data_centre: vm.data_centre,
@@ -84,7 +94,16 @@
             });
             core.members.update_vms(vms.collect());
         }
-        sleep(VMS_INTERVAL).await;
+        let rest = VMS_INTERVAL_BY_VM.saturating_mul(u32::try_from(listed).unwrap_or(u32::MAX));
+        let until = Instant::now() + rest.max(VMS_INTERVAL_REST);
+        loop {
+            // Spread, so that the platform is not asked by all daemons at once.
+            let part = rand::rng().random_range(0.7..1.3);
+            sleep(VMS_INTERVAL.mul_f64(part)).await;
+            if Instant::now() >= until || core.wants_vms(listed) {
+                break;
+            }
+        }
     }
 }
 
@@ -204,7 +223,9 @@
     match event {
         membership::Event::Lost(member) => {
             warn!("lost a daemon", kv: { name = member.name.to_string() });
-            core.groups.suspect(&member.name);
+            if !core.is_leaving() {
+                core.groups.suspect(&member.name);
+            }
         }
         membership::Event::Back(member) => {
             info!("heard of a daemon", kv: { name = member.name.to_string() });
@@ -301,8 +322,4 @@
     if version(now) != was {
         info!("manifest in force", kv: { version = version(now) });
     }
-    let standing = |status: Status| std::mem::discriminant(&status);
-    if before.is_none_or(|before| standing(before.status) != standing(now.status)) {
-        info!("log", kv: { status:? = now.status });
-    }
 }
--- a/crates/dispatch/src/gauges.rs
+++ b/crates/dispatch/src/gauges.rs
@@ -77,22 +77,22 @@
             metric.encode(to)
         };
         encode(
-            "copperwell_dispatch_in_flight",
+            "dispatch_in_flight",
             "Requests that an upstream runs",
             &reading.in_flight,
         )?;
         encode(
-            "copperwell_dispatch_slots",
+            "dispatch_slots",
             "Requests that an upstream may run now",
             &reading.slots,
         )?;
         encode(
-            "copperwell_dispatch_waiting",
+            "dispatch_waiting",
             "Requests that wait for an upstream",
             &reading.waiting,
         )?;
         encode(
-            "copperwell_dispatch_keys",
+            "dispatch_keys",
             "Idempotency keys that are kept",
             &reading.keys,
         )
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -75,7 +75,7 @@
 
     /// Registers every counter.
     pub(crate) fn register(&self, registry: &mut Registry) {
-        let registry = registry.sub_registry_with_prefix("copperwell_dispatch");
+        let registry = registry.sub_registry_with_prefix("dispatch");
         registry.register("requests", "Requests that came", self.requests.clone());
         registry.register("sends", "Requests sent to upstreams", self.sends.clone());
         registry.register(
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -23,7 +23,6 @@
     message::{Config, Input, Predecessor, Start, Voters},
 };
 use prometheus_client::registry::Registry;
-use spdlog::info;
 use tokio::sync::{mpsc, watch};
 
 /// Inputs that may wait for one group.
@@ -342,7 +341,6 @@
             digest: digest_of,
         };
         held.used.insert(id.clone(), epoch);
-        info!("group {id}: led under epoch {epoch}");
         let reason = if recorded { "appointed" } else { "took-over" };
         self.shared.counters.start(reason);
         self.shared.tell(Event::Led {
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -16,7 +16,6 @@
     Group,
     message::{self, Action, Input, Start},
 };
-use spdlog::info;
 use tokio::{
     sync::mpsc,
     task::JoinSet,
@@ -302,7 +301,6 @@
     fn tell_stepped_down(&self, by: Option<Epoch>) {
         let group = self.group.id().clone();
         let epoch = self.group.epoch();
-        info!("group {group}: led no longer under epoch {epoch}");
         self.shared.counters.led.dec();
         self.shared.tell(Event::SteppedDown { group, epoch, by });
     }
--- a/crates/peer/src/members/roster.rs
+++ b/crates/peer/src/members/roster.rs
@@ -51,20 +51,24 @@
     }
 
     /// Members that may reach `target` where `me` cannot: those of its own data centre first, then
-    /// those of `me`'s; in another order for each run of a daemon, so that the load is spread.
+    /// those of `me`'s, then those of others; in another order for each run of a daemon, so that the load is spread.
     #[must_use]
     pub fn relays<'a>(&'a self, me: &Member, target: &Member) -> Vec<&'a Member> {
-        let near = |data_centre: &str| {
-            let mut near = self.live_in(data_centre);
+        let turned = |mut near: Vec<&'a Member>| {
             near.retain(|relay| relay.name != me.name && relay.name != target.name);
             let turn = me.incarnation.checked_rem(near.len() as u64);
             near.rotate_left(usize::try_from(turn.unwrap_or(0)).unwrap_or(0));
             near
         };
-        let mut relays = near(&target.data_centre);
+        let mut relays = turned(self.live_in(&target.data_centre));
         if me.data_centre != target.data_centre {
-            relays.extend(near(&me.data_centre));
+            relays.extend(turned(self.live_in(&me.data_centre)));
         }
+        let mut others = self.live();
+        others.retain(|relay| {
+            relay.data_centre != target.data_centre && relay.data_centre != me.data_centre
+        });
+        relays.extend(turned(others));
         relays
     }
 }
--- a/crates/peer/tests/members.rs
+++ b/crates/peer/tests/members.rs
@@ -238,5 +238,5 @@
     };
     let relays = roster.relays(&members[0], &members[2]);
     let names: Vec<&str> = relays.iter().map(|member| &*member.name).collect();
-    assert_eq!(names, ["d", "b"]);
+    assert_eq!(names, ["d", "b", "e"]);
 }
--- a/crates/policy/src/appoint.rs
+++ b/crates/policy/src/appoint.rs
@@ -1,11 +1,12 @@
 //! Who leads which group.
 //!
-//! A daemon proposes only for groups of its own data centre, and only where it has a part in the
-//! group, so one loss makes one proposal for each group. Two proposals that race are settled by
+//! A daemon proposes for groups of its own data centre, and only where it has a part in the group,
+//! so one loss makes one proposal for each group. A group that the manifest no longer has, in a data
+//! centre without a daemon, gets a leader from elsewhere, so that its shards can go to others. Two proposals that race are settled by
 //! the log: the first with the right parent wins.
 
 use copperwell_keyspace::{
-    DaemonName, GroupId, HashMap, Incarnation, Member,
+    DaemonName, GroupId, HashMap, HashSet, Incarnation, Member,
     record::Appoint,
     replay::{Appointment, State},
 };
@@ -18,22 +19,33 @@
     pub me: &'a Member,
     /// The daemons that are alive and not leaving, this one included unless it is leaving.
     pub live: &'a [Member],
+    /// The same of all data centres.
+    pub everywhere: &'a [Member],
 }
 
 /// The appointments that this daemon should propose now, in the order of groups.
 #[must_use]
-pub fn proposals(state: &State, groups: &[GroupId], peers: &Peers<'_>) -> Vec<Appoint> {
+pub fn proposals(
+    state: &State,
+    groups: &[GroupId],
+    departing: &HashSet<GroupId>,
+    peers: &Peers<'_>,
+) -> Vec<Appoint> {
     let mut roles = roles(state, peers);
-    let mut here: Vec<&GroupId> = groups
-        .iter()
-        .filter(|group| group.data_centre == peers.me.data_centre)
-        .collect();
-    here.sort();
-    here.into_iter()
+    let mut all: Vec<&GroupId> = groups.iter().collect();
+    all.sort();
+    all.into_iter()
         .filter_map(|group| {
+            let peers = if group.data_centre == peers.me.data_centre {
+                peers.clone()
+            } else if departing.contains(group) && peers.is_empty(&group.data_centre) {
+                peers.widened()
+            } else {
+                return None;
+            };
             let held = state.groups.get(group);
             let is_outdated = held.is_some_and(|held| held.voters != state.voters(group));
-            let proposal = proposal(held, is_outdated, group, peers, &roles)?;
+            let proposal = proposal(held, is_outdated, group, &peers, &roles)?;
             if let Some(standby) = &proposal.standby {
                 *roles.entry(standby.name.clone()).or_default() += 1;
             }
@@ -42,6 +54,23 @@
         .collect()
 }
 
+impl<'a> Peers<'a> {
+    /// Whether no daemon of a data centre is alive.
+    fn is_empty(&self, data_centre: &str) -> bool {
+        self.everywhere
+            .iter()
+            .all(|member| &*member.data_centre != data_centre)
+    }
+
+    /// The same with the daemons of all data centres.
+    fn widened(&self) -> Peers<'a> {
+        Peers {
+            live: self.everywhere,
+            ..self.clone()
+        }
+    }
+}
+
 fn proposal(
     held: Option<&Appointment>,
     is_outdated: bool,
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -26,7 +26,9 @@
     platform::Platform,
     proxy::Proxy,
 };
-use copperwelld::settings::{Advertise, Callers, Listen, Platform as PlatformSettings, Settings};
+use copperwelld::settings::{
+    Advertise, Callers, Listen, Platform as PlatformSettings, ReadLog, Settings,
+};
 use http_body_util::{BodyExt, Empty};
 use hyper_util::{client::legacy, rt::TokioExecutor};
 use tokio::time::{Instant, sleep, timeout};
@@ -193,6 +195,7 @@
             platform: PlatformSettings {
                 log: platform,
                 vms: platform,
+                read_log: ReadLog::Directly,
             },
             seeds: self.nodes.iter().take(SEEDS).map(Node::control).collect(),
             callers: Callers::default(),
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -121,7 +121,7 @@
     };
     summary.retries = grown(&[
         "copperwell_ingress_retried_total",
-        "copperwell_engine_retries_total",
+        "copperwell_dispatch_retries_total",
     ]) as u64;
     // What one daemon's client sends and receives, another one's server receives and sends.
     let control = 2.0 * grown(&["copperwell_control_client_bytes_total"])
