--- a/crates/standin/src/backend/service.rs
+++ b/crates/standin/src/backend/service.rs
@@ -220,13 +220,13 @@
     }
     let own_time = process.next_service_time();
     let time = number(&head.headers, fault::SERVICE_MS).map_or(own_time, Duration::from_millis);
-    sleep(time).await;
+    pause(time).await;
     process.gate.passed().await;
     let count = match running.finish(&ask.key, head.method != Method::GET) {
         Ok(count) => count,
         Err(refused) => return fenced(process, refused),
     };
-    sleep(process.switches.answer_delay()).await;
+    pause(process.switches.answer_delay()).await;
     let echo = ask.echo(process, head, digest, body.len() as u64, count);
     let half = fault.is_some_and(|value| value == fault::HALF)
         || process.switches.half_answer.load(Ordering::Acquire);
@@ -234,6 +234,13 @@
     respond(&echo, usize::min(padding, PADDING_MAX), half)
 }
 
+/// Sleeps, but not for no time, which the timer would round up to its next tick.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
+
 /// Writes an answer: whole at once if it is small, in chunks if it is padded, or its first half.
 fn respond(echo: &Echo, padding: usize, half: bool) -> Response<Body> {
     let mut text = serde_json::to_string(echo).unwrap_or_default();
