--- a/crates/copperwelld/tests/faults/leader.rs
+++ b/crates/copperwelld/tests/faults/leader.rs
@@ -2,7 +2,7 @@
 
 use copperwell_rig::load::Entries;
 
-use crate::support::{Bench, GROUP, Load};
+use crate::support::{Bench, GROUP, HERE, Load, OTHER_GROUP};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_leader_moves_no_shard() {
@@ -70,3 +70,34 @@
     bench.serves().await;
     bench.check(load).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_leaders_killed_in_turn() {
+    let mut bench = Bench::start().await;
+    let load = bench.load();
+    for _ in 0..2 {
+        let old = bench.leader(GROUP).await;
+        let _old = bench.kill(&old);
+        bench.new_leader(GROUP, &old).await;
+        bench.cluster.add_node(HERE).await.unwrap();
+        bench.serves().await;
+        bench.wait_standby(GROUP).await;
+    }
+    bench.check(load).await;
+    assert_eq!(bench.moves(), []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaders_of_both_data_centres_killed_together() {
+    let mut bench = Bench::start().await;
+    let load = bench.load();
+    let here = bench.leader(GROUP).await;
+    let there = bench.leader(OTHER_GROUP).await;
+    let _here = bench.kill(&here);
+    let _there = bench.kill(&there);
+    bench.new_leader(GROUP, &here).await;
+    bench.new_leader(OTHER_GROUP, &there).await;
+    bench.serves().await;
+    bench.check(load).await;
+    assert_eq!(bench.moves(), []);
+}
--- a/crates/copperwelld/tests/faults/support.rs
+++ b/crates/copperwelld/tests/faults/support.rs
@@ -64,6 +64,9 @@
 /// The group in which faults strike.
 pub(crate) const GROUP: &str = "calendar/ro-nord-a/0";
 
+/// The group of the other data centre.
+pub(crate) const OTHER_GROUP: &str = "calendar/ro-nord-b/0";
+
 const MANIFEST: &str = "
 replaces: 0
 data_centres:
@@ -227,6 +230,21 @@
         }
     }
 
+    /// Waits until some daemon stands by for the group.
+    pub(crate) async fn wait_standby(&self, group: &str) {
+        let until = Instant::now() + CONDITION_TIME;
+        loop {
+            for node in &self.cluster.nodes {
+                let status = cluster::status(node.addresses.admin).await;
+                if status.is_some_and(|status| has_role(&status, group, Role::Standby)) {
+                    return;
+                }
+            }
+            assert!(Instant::now() < until, "nobody stands by for {group}");
+            sleep(LOOK).await;
+        }
+    }
+
     /// Waits until a daemon's status fulfils a condition.
     pub(crate) async fn wait_status(
         &self,
@@ -357,13 +375,13 @@
 /// Whether a daemon says that it leads a group.
 pub(crate) async fn leads(node: &Node, group: &str) -> bool {
     let status = cluster::status(node.addresses.admin).await;
-    status.is_some_and(|status| is_leader(&status, group))
+    status.is_some_and(|status| has_role(&status, group, Role::Leader))
 }
 
-/// Whether a daemon leads a group by its status.
-pub(crate) fn is_leader(status: &Status, group: &str) -> bool {
+/// Whether a daemon has a role in a group by its status.
+fn has_role(status: &Status, group: &str, role: Role) -> bool {
     let mut groups = status.groups.iter();
-    groups.any(|held| held.role == Role::Leader && held.group.to_string() == group)
+    groups.any(|held| held.role == role && held.group.to_string() == group)
 }
 
 /// Whether a daemon wants callers' requests.
