--- a/crates/standin/examples/requests/main.rs
+++ b/crates/standin/examples/requests/main.rs
@@ -204,9 +204,11 @@
             deadline: DEADLINE,
         };
         for (name, way) in contenders(&cluster).await? {
+            let before = ran(&cluster);
             let answers = open_loop(&way, load, args.seconds, args.seed).await;
             let name = format!("{name}, {factor} times capacity");
-            figures.push(Figure::new(name, &answers, load, args.seconds));
+            let figure = Figure::new(name, &answers, load, args.seconds);
+            figures.push(figure.with_ran(ran(&cluster) - before));
         }
     }
     Ok(figures)
@@ -228,16 +230,18 @@
     let mut figures = Vec::new();
     for (name, way) in contenders(&cluster).await? {
         let alone = open_loop(&way, interactive, args.seconds, args.seed).await;
+        let before = ran(&cluster);
         let (first, second) = tokio::join!(
             open_loop(&way, interactive, args.seconds, args.seed),
             open_loop(&way, batch, args.seconds, args.seed.wrapping_add(1)),
         );
+        let ran = ran(&cluster) - before;
         let figure = |what: &str, answers: &[Answer], load| {
             Figure::new(format!("{name}, {what}"), answers, load, args.seconds)
         };
         figures.push(figure("interactive alone", &alone, interactive));
         figures.push(figure("interactive beside batch", &first, interactive));
-        figures.push(figure("batch", &second, batch));
+        figures.push(figure("batch", &second, batch).with_ran(ran));
     }
     Ok(figures)
 }
@@ -250,7 +254,7 @@
             .servers
             .values()
             .map(|server| server.counts().refused);
-        refused.sum::<u64>() + cluster.record.runs().len() as u64 + cluster.record.lost()
+        refused.sum::<u64>() + ran(&cluster)
     };
     let load = Load {
         rate: SMALL.capacity(),
@@ -274,6 +278,11 @@
     }])
 }
 
+/// What servers have run so far, or begun to.
+fn ran(cluster: &Cluster) -> u64 {
+    cluster.record.runs().len() as u64 + cluster.record.lost()
+}
+
 /// Copperwell at two hops, and the plain FIFO.
 async fn contenders(cluster: &Cluster) -> io::Result<[(&'static str, Way); 2]> {
     let (_, other) = roles(cluster).await?;
--- a/crates/standin/examples/requests/pace.rs
+++ b/crates/standin/examples/requests/pace.rs
@@ -69,6 +69,9 @@
     pub(crate) p50_ms: f64,
     pub(crate) p99_ms: f64,
     pub(crate) p999_ms: f64,
+    /// What servers ran meanwhile, also to warm up and for other loads.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) ran: Option<u64>,
 }
 
 /// Figures of a closed loop: one daemon in one role.
@@ -104,8 +107,15 @@
             p50_ms: millis(0.5),
             p99_ms: millis(0.99),
             p999_ms: millis(0.999),
+            ran: None,
         }
     }
+
+    /// Adds what servers ran meanwhile.
+    pub(crate) fn with_ran(mut self, ran: u64) -> Self {
+        self.ran = Some(ran);
+        self
+    }
 }
 
 /// A request to send: when, and for which keys.
--- a/crates/standin/examples/requests/way.rs
+++ b/crates/standin/examples/requests/way.rs
@@ -20,7 +20,6 @@
 use tokio::sync::Semaphore;
 
 /// The client of all callers.
-
 pub(crate) type Client = legacy::Client<HttpConnector, Empty<Bytes>>;
 
 /// A way to the owners of keys.
