--- a/crates/standin/examples/requests/pace.rs
+++ b/crates/standin/examples/requests/pace.rs
@@ -1,6 +1,7 @@
 //! Open and closed loops of requests.
 
 use std::{
+    collections::BTreeMap,
     fs, io,
     sync::{
         Arc,
@@ -9,7 +10,7 @@
     time::Duration,
 };
 
-use crate::way::{Way, client};
+use crate::way::{Failure, Way, client};
 use copperwell_rig::node::Node;
 use futures::future::join_all;
 use hdrhistogram::Histogram;
@@ -33,6 +34,9 @@
 /// How long callers of overloaded servers wait beyond their deadline.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// The caller hung up.
+const HUNG_UP: Failure = "hung-up";
+
 /// Requests at a time when throughput is measured.
 const CONCURRENCY: usize = 64;
 
@@ -53,7 +57,7 @@
 /// What became of one request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Answer {
-    pub(crate) is_done: bool,
+    pub(crate) outcome: Result<(), Failure>,
     pub(crate) latency: Duration,
 }
 
@@ -64,6 +68,8 @@
     pub(crate) offered: usize,
     /// Answers of owners, in time or not.
     pub(crate) done: usize,
+    /// Why the others have none.
+    pub(crate) failed: BTreeMap<Failure, u64>,
     /// Answers of owners within the deadline, per second.
     pub(crate) good_per_s: f64,
     pub(crate) p50_ms: f64,
@@ -90,7 +96,7 @@
     pub(crate) fn new(name: String, answers: &[Answer], load: Load, seconds: u64) -> Self {
         let mut histogram = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3)
             .expect("the bounds and three digits are supported");
-        let done = answers.iter().filter(|answer| answer.is_done);
+        let done = answers.iter().filter(|answer| answer.outcome.is_ok());
         for answer in done.clone() {
             let micros = u64::try_from(answer.latency.as_micros()).unwrap_or(u64::MAX);
             histogram.saturating_record(micros);
@@ -98,11 +104,16 @@
         let good = done
             .clone()
             .filter(|answer| answer.latency <= load.deadline);
+        let mut failed = BTreeMap::new();
+        for failure in answers.iter().filter_map(|answer| answer.outcome.err()) {
+            *failed.entry(failure).or_default() += 1;
+        }
         let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
         Self {
             name,
             offered: answers.len(),
             done: done.count(),
+            failed,
             good_per_s: good.count() as f64 / seconds as f64,
             p50_ms: millis(0.5),
             p99_ms: millis(0.99),
@@ -158,9 +169,9 @@
             // The timer is as coarse as the latencies, so the clock runs from the sending.
             let sent = Instant::now();
             let answer = way.send(&client, &keys, load);
-            let is_done = timeout(load.deadline + PATIENCE, answer).await;
+            let outcome = timeout(load.deadline + PATIENCE, answer).await;
             Answer {
-                is_done: is_done.unwrap_or(false),
+                outcome: outcome.unwrap_or(Err(HUNG_UP)),
                 latency: sent.elapsed(),
             }
         }));
@@ -191,8 +202,8 @@
         let mut random = StdRng::seed_from_u64(seed.wrapping_mul(31).wrapping_add(index));
         callers.spawn(async move {
             loop {
-                let is_done = way.send(&client, &[key(&mut random)], load).await;
-                let counter = if is_done { &done } else { &failed };
+                let outcome = way.send(&client, &[key(&mut random)], load).await;
+                let counter = if outcome.is_ok() { &done } else { &failed };
                 counter.fetch_add(1, Ordering::Relaxed);
             }
         });
--- a/crates/standin/examples/requests/way.rs
+++ b/crates/standin/examples/requests/way.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use copperwell_backend::order::header;
 use copperwell_keyspace::{Epoch, HashMap, shard};
+use copperwell_message::Reason;
 use copperwell_rig::{cluster::Cluster, node::Node};
 use futures::future::join_all;
 use http::{Request, StatusCode, request::Builder};
@@ -19,6 +20,15 @@
 };
 use tokio::sync::Semaphore;
 
+/// Why there is no owner's answer.
+pub(crate) type Failure = &'static str;
+
+/// The connection was lost, or the answer is not whole.
+const NO_ANSWER: Failure = "no-answer";
+
+/// The owner is unknown.
+const NO_OWNER: Failure = "no-owner";
+
 /// The client of all callers.
 pub(crate) type Client = legacy::Client<HttpConnector, Empty<Bytes>>;
 
@@ -68,8 +78,13 @@
         Ok(Self::Plain(Arc::new(Plain { owners, epoch })))
     }
 
-    /// Whether the owners of all keys answered, and the answer is whole.
-    pub(crate) async fn send(&self, client: &Client, keys: &[String], load: Load) -> bool {
+    /// Asks the owners of all keys for a whole answer.
+    pub(crate) async fn send(
+        &self,
+        client: &Client,
+        keys: &[String],
+        load: Load,
+    ) -> Result<(), Failure> {
         match self {
             Self::Daemon(entry) => {
                 let uri = format!("http://{entry}/{SERVICE}/{}/load", keys.join(","));
@@ -79,21 +94,17 @@
             }
             Self::Plain(plain) => {
                 let parts = keys.iter().map(|key| plain.send(client, key, load));
-                join_all(parts).await.into_iter().all(|is_done| is_done)
+                join_all(parts).await.into_iter().collect()
             }
         }
     }
 }
 
 impl Plain {
-    async fn send(&self, client: &Client, key: &str, load: Load) -> bool {
+    async fn send(&self, client: &Client, key: &str, load: Load) -> Result<(), Failure> {
         let shard = shard::index_of(key, SHARDS);
-        let Some(owner) = self.owners.get(&shard) else {
-            return false;
-        };
-        let Ok(_slot) = owner.slots.acquire().await else {
-            return false;
-        };
+        let owner = self.owners.get(&shard).ok_or(NO_OWNER)?;
+        let _slot = owner.slots.acquire().await.map_err(|_| NO_OWNER)?;
         let request = Request::get(format!("http://{}/load", owner.address))
             .header(header::SERVICE, SERVICE)
             .header(header::KEY, key)
@@ -105,19 +116,25 @@
 }
 
 /// Sends one request and reads the answer.
-async fn ask(client: &Client, request: Builder, load: Load) -> bool {
+async fn ask(client: &Client, request: Builder, load: Load) -> Result<(), Failure> {
     let request = request.header("x-standin-ms", load.service_ms);
-    let Ok(request) = request.body(Empty::new()) else {
-        return false;
-    };
-    let Ok(response) = client.request(request).await else {
-        return false;
-    };
+    let request = request.body(Empty::new()).map_err(|_| NO_ANSWER)?;
+    let response = client.request(request).await.map_err(|_| NO_ANSWER)?;
     let (parts, body) = response.into_parts();
-    let verdict = parts.headers.get(header::VERDICT);
-    let is_done = verdict.is_none_or(|verdict| verdict == "done");
-    let whole = body.collect().await.is_ok();
-    parts.status == StatusCode::OK && is_done && whole
+    let whole = body.collect().await;
+    let text = |name| {
+        parts
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    // A server that was asked directly names no verdict.
+    let is_done = text(header::VERDICT).is_none_or(|verdict| verdict == "done");
+    if parts.status == StatusCode::OK && is_done && whole.is_ok() {
+        return Ok(());
+    }
+    let reason = text(header::REASON).and_then(Reason::parse);
+    Err(reason.map_or(NO_ANSWER, Reason::as_str))
 }
 
 pub(crate) fn client() -> Client {
