--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Clusters of daemons and stand-ins on loopback, for tests, experiments and the demo.
 
 pub mod cluster;
+pub mod difference;
 pub mod faults;
 pub mod load;
 pub mod measure;
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -65,6 +65,8 @@
     pub latency: Duration,
     /// Whether the answer was another request's, or not whole.
     pub wrong: bool,
+    /// What the owner answered, but for who it is: a hash of key, path and body.
+    pub content: Option<u64>,
 }
 
 /// An answer to one sending.
@@ -72,6 +74,7 @@
     verdict: Verdict,
     reason: Option<Reason>,
     wrong: bool,
+    content: Option<u64>,
 }
 
 impl Entries {
@@ -170,6 +173,7 @@
                 reason: answer.reason,
                 latency: due.elapsed(),
                 wrong: answer.wrong,
+                content: answer.content,
             };
         }
     }
@@ -192,6 +196,7 @@
             verdict: Verdict::MayHaveRun,
             reason: None,
             wrong: false,
+            content: None,
         }
     }
 
@@ -238,25 +243,35 @@
             verdict: Verdict::MayHaveRun,
             reason,
             wrong: false,
+            content: None,
         },
-        (Verdict::Done, Some(whole)) => Answer {
-            verdict,
-            reason,
-            wrong: parts.status != StatusCode::OK || !is_own(offer, &whole),
-        },
+        (Verdict::Done, Some(whole)) => {
+            let answer = serde_json::from_slice(&whole).unwrap_or_default();
+            Answer {
+                verdict,
+                reason,
+                wrong: parts.status != StatusCode::OK || !is_own(offer, &answer),
+                content: Some(content_of(&answer)),
+            }
+        }
         (_, _) => Answer {
             verdict,
             reason,
             wrong: false,
+            content: None,
         },
     }
 }
 
 /// Whether an answer names the key and the number of the request.
-fn is_own(offer: &Offer, whole: &[u8]) -> bool {
-    let Ok(answer) = serde_json::from_slice::<Value>(whole) else {
-        return false;
-    };
+fn is_own(offer: &Offer, answer: &Value) -> bool {
     let path = format!("/load/{}", offer.number);
     answer["key"] == offer.key.as_str() && answer["path"] == path
 }
+
+/// What any owner would answer.
+fn content_of(answer: &Value) -> u64 {
+    let parts = ["service", "key", "path", "digest", "length"];
+    let text: Vec<String> = parts.iter().map(|part| answer[part].to_string()).collect();
+    xxhash_rust::xxh3::xxh3_64(text.join("/").as_bytes())
+}
--- a/crates/rig/src/naive.rs
+++ b/crates/rig/src/naive.rs
@@ -18,8 +18,8 @@
     cluster::{Cluster, Plan},
     faults,
     load::{self, Caller},
-    measure::{self, Summary},
-    run,
+    measure,
+    run::{self, Outcome},
     scenario::{Scenario, What},
     schedule,
 };
@@ -65,7 +65,7 @@
 /// # Errors
 ///
 /// An error if something does not start.
-pub async fn run(scenario: &Scenario, seed: u64) -> io::Result<Summary> {
+pub async fn run(scenario: &Scenario, seed: u64) -> io::Result<Outcome> {
     let Plan {
         manifest,
         service_times,
@@ -106,7 +106,7 @@
     summary.scenario.clone_from(&scenario.name);
     summary.router = "naive".to_owned();
     summary.seed = seed;
-    Ok(summary)
+    Ok(Outcome { summary, results })
 }
 
 fn is_of_upstream(what: &What) -> bool {
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -65,12 +65,21 @@
     })
 }
 
+/// What a run gave.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// Its measures.
+    pub summary: Summary,
+    /// What became of each request.
+    pub results: Vec<load::Result>,
+}
+
 /// Runs copperwell under a scenario.
 ///
 /// # Errors
 ///
 /// An error if the cluster does not start or a fault cannot strike.
-pub async fn copperwell(scenario: &Scenario, seed: u64, launch: Launch) -> io::Result<Summary> {
+pub async fn copperwell(scenario: &Scenario, seed: u64, launch: Launch) -> io::Result<Outcome> {
     let cluster = Cluster::start(plan(scenario, launch)?).await?;
     cluster.wait_ready().await?;
     let entries = cluster.entries.clone();
@@ -102,7 +111,7 @@
     summary.seed = seed;
     summary.appends = cluster.platform.appends() - appends;
     add_counters(&mut summary, &before, &after, took, cluster.nodes.len());
-    Ok(summary)
+    Ok(Outcome { summary, results })
 }
 
 /// Counters that only the daemons know.
--- a/crates/standin/examples/experiment.rs
+++ b/crates/standin/examples/experiment.rs
@@ -9,13 +9,15 @@
 };
 
 use bpaf::Bpaf;
-use copperwell_rig::{naive, node::Launch, run, scenario::Scenario};
+use copperwell_rig::{difference, naive, node::Launch, run, scenario::Scenario};
 
 /// Which router runs.
 #[derive(Debug, Clone, Copy)]
 enum Router {
     Copperwell,
     Naive,
+    /// One after the other, and their answers are compared.
+    Both,
 }
 
 impl FromStr for Router {
@@ -25,8 +27,9 @@
         match text {
             "copperwell" => Ok(Self::Copperwell),
             "naive" => Ok(Self::Naive),
+            "both" => Ok(Self::Both),
             _ => Err(format!(
-                "router `{text}` is unknown; use `copperwell` or `naive`"
+                "router `{text}` is unknown; use `copperwell`, `naive` or `both`"
             )),
         }
     }
@@ -44,7 +47,7 @@
     /// Seed of the offered load.
     #[bpaf(long, argument("N"), fallback(1))]
     seed: u64,
-    /// `copperwell` or `naive`.
+    /// `copperwell`, `naive`, or `both` to compare their answers request by request.
     #[bpaf(long, argument("ROUTER"), fallback(Router::Copperwell))]
     router: Router,
     /// Seconds of load, instead of the scenario's.
@@ -83,11 +86,21 @@
         .daemon
         .clone()
         .map_or(Launch::InProcess, Launch::Program);
-    let summary = match args.router {
-        Router::Copperwell => run::copperwell(&scenario, args.seed, launch).await?,
-        Router::Naive => naive::run(&scenario, args.seed).await?,
+    let line = match args.router {
+        Router::Copperwell => {
+            let outcome = run::copperwell(&scenario, args.seed, launch).await?;
+            serde_json::to_string(&outcome.summary)?
+        }
+        Router::Naive => {
+            let outcome = naive::run(&scenario, args.seed).await?;
+            serde_json::to_string(&outcome.summary)?
+        }
+        Router::Both => {
+            let ours = run::copperwell(&scenario, args.seed, launch).await?;
+            let naive = naive::run(&scenario, args.seed).await?;
+            serde_json::to_string(&difference::between(&ours.results, &naive.results))?
+        }
     };
-    let line = serde_json::to_string(&summary)?;
     if let Some(file) = &args.json {
         std::fs::write(file, format!("{line}\n"))?;
     }
