Read the list of VMs until every live daemon has been on it

Cause: at rest the list is read every 10 s, and a VM counts as gone only if the list before had it. Change: the list is read each second while a live daemon has not been on it.

--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -12,7 +12,7 @@
 use crate::{metrics::Metrics, network::Way};
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::{Engine, table::Table};
-use copperwell_keyspace::{LogOffset, Member, batch::Batch, replay::State};
+use copperwell_keyspace::{DaemonName, HashSet, LogOffset, Member, batch::Batch, replay::State};
 use copperwell_ownership::Groups;
 use copperwell_peer::{
     control::{HandOver, Handler, Pong, Probe, RECORDS_MAX, Relinquish, Snapshot},
@@ -47,10 +47,14 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Whether the platform's list of VMs may end a wait, or names daemons that are not known yet.
-    pub(crate) fn wants_vms(&self, listed: usize) -> bool {
+    /// Whether the platform's list of VMs may end a wait, names daemons that are not known yet, or
+    /// lacks one that is alive: only a VM that was seen on the list can be found to have left it.
+    pub(crate) fn wants_vms(&self, listed: &HashSet<DaemonName>) -> bool {
         let waits = self.groups.status().iter().any(|status| status.waits);
-        waits || self.members.roster().borrow().live().len() < listed.max(2)
+        let roster = self.members.roster().borrow().clone();
+        let live = roster.live();
+        let is_missing = live.iter().any(|member| !listed.contains(&member.name));
+        waits || is_missing || live.len() < listed.len().max(2)
     }
 
     /// The daemons of this data centre that are alive and stay, in the order of names.
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -82,10 +82,10 @@
 
 /// Reads the platform's list of VMs.
 pub(crate) async fn vms<C: Control, F: Forward>(core: Arc<Core<C, F>>, list: Arc<impl VmList>) {
-    let mut listed = 0;
+    let mut listed = HashSet::default();
     loop {
         if let Ok(vms) = list.list().await {
-            listed = vms.len();
+            listed = vms.iter().map(|vm| vm.name.clone()).collect();
             let vms = vms.into_iter().map(|vm| membership::Vm {
                 name: vm.name,
                 data_centre: vm.data_centre,
@@ -94,13 +94,14 @@
             });
             core.members.update_vms(vms.collect());
         }
-        let rest = VMS_INTERVAL_BY_VM.saturating_mul(u32::try_from(listed).unwrap_or(u32::MAX));
+        let rest =
+            VMS_INTERVAL_BY_VM.saturating_mul(u32::try_from(listed.len()).unwrap_or(u32::MAX));
         let until = Instant::now() + rest.max(VMS_INTERVAL_REST);
         loop {
             // Spread, so that the platform is not asked by all daemons at once.
             let part = rand::rng().random_range(0.7..1.3);
             sleep(VMS_INTERVAL.mul_f64(part)).await;
-            if Instant::now() >= until || core.wants_vms(listed) {
+            if Instant::now() >= until || core.wants_vms(&listed) {
                 break;
             }
         }
