--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -178,7 +178,7 @@
             spawn_until(&running, {
                 let serving = serving.clone();
                 async move {
-                    // Only a lost listening socket ends it, and then readiness tells.
+                    // It ends with an error only if its listening socket is lost.
                     let _ = server::serve(listeners.callers, ingress, limits, serving).await;
                 }
             }),
@@ -245,6 +245,7 @@
         stop::hand_over_all(&self.core, &self.client).await;
         // Only now: whoever hears of it may be appointed at once, without the keys handed over.
         self.core.members.leave();
+        self.core.engine.stop();
         self.serving.cancel();
         let servers = std::mem::take(&mut self.servers);
         let finished = futures::future::join_all(servers);
--- a/crates/copperwelld/tests/path.rs
+++ b/crates/copperwelld/tests/path.rs
@@ -17,6 +17,7 @@
 data_centres:
   - { name: ro-nord-a, region: ro-nord }
   - { name: ro-nord-b, region: ro-nord }
+  - { name: ro-nord-c, region: ro-nord }
 services:
   - name: calendar
     class: interactive
@@ -24,6 +25,7 @@
     upstreams:
       - { name: cal-a1, data_centre: ro-nord-a, address: '127.0.0.1:1', slots: 2, connections: 130 }
       - { name: cal-b1, data_centre: ro-nord-b, address: '127.0.0.1:2', slots: 2, connections: 130 }
+      - { name: cal-c1, data_centre: ro-nord-c, address: '127.0.0.1:3', slots: 2, connections: 130 }
 ";
 
 fn plan() -> Plan {
@@ -58,7 +60,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn two_daemons_serve_each_others_keys() {
+async fn three_daemons_in_three_data_centres_serve_each_others_keys() {
     let cluster = Cluster::start(plan()).await.unwrap();
     cluster.wait_ready().await.unwrap();
     let caller = Caller {
