Let requests over several keys take turns

Cause: beside batch load of twice the capacity 65 of 597 requests over eight keys came back whole, though the servers ran 3,094 parts: every request began all its parts at once, and each part found its place or missed the deadline alone. The wait of batch was also judged by slots that are kept for interactive requests. Change: an ingress daemon has parts under way for its share of twice the service's slots, and requests take turns, whole; the wait of batch counts the slots that batch may use.

--- a/crates/caller/src/join.rs
+++ b/crates/caller/src/join.rs
@@ -13,12 +13,15 @@
 use copperwell_policy::backoff::Backoff;
 use futures::{StreamExt, stream::FuturesOrdered};
 use serde::Serialize;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 use uuid::Uuid;
 
 /// Parts under way at a time.
 const PARTS_AT_ONCE: usize = 8;
 
+/// When a caller may come back whose request never had its turn.
+const RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Bytes of a part's body that are held; a part that is longer is streamed.
 const PART_HELD: usize = 64 << 10;
 
@@ -84,6 +87,11 @@
 impl<N: Network> Join<N> {
     /// Asks the owners of all keys and joins their answers.
     pub(crate) async fn run(self) -> Response {
+        let turn = self.gate.turn(self.at_once(), self.at_once_most());
+        let Ok(Some(turn)) = timeout_at(self.deadline, turn).await else {
+            return Response::refusal(Verdict::NotRun, Reason::DeadlineHopeless)
+                .with_retry_after(RETRY_AFTER);
+        };
         let join = Arc::new(self);
         let asking = join.clone();
         let mut parts = Parts {
@@ -110,10 +118,33 @@
         let (to, body) = Body::channel();
         let boundary = boundary();
         let response = answer(&boundary, body);
-        tokio::spawn(async move { join.stream(to, &boundary, held, parts).await });
+        tokio::spawn(async move {
+            join.stream(to, &boundary, held, parts).await;
+            drop(turn);
+        });
         response
     }
 
+    /// Parts of this request that are under way at a time.
+    fn at_once(&self) -> usize {
+        self.keys.len().min(PARTS_AT_ONCE)
+    }
+
+    /// Parts of all such requests that this daemon may have under way at a time: its share of what
+    /// keeps every slot of the service busy and one part waiting for each.
+    fn at_once_most(&self) -> usize {
+        let slots: u64 = self
+            .service
+            .upstreams
+            .iter()
+            .map(|upstream| u64::from(upstream.slots))
+            .sum();
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
+        slots
+            .saturating_mul(2)
+            .div_ceil(self.router.ingresses().max(1))
+    }
+
     /// Sends parts as they come; returning early cuts the answer short.
     async fn stream<F, S>(
         &self,
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -35,6 +35,11 @@
     /// Sends a request to a daemon, which may be this one.
     fn send(&self, to: &Member, request: Request) -> impl Future<Output = Response> + Send;
 
+    /// How many daemons take callers' requests, this one included, as far as it knows.
+    fn ingresses(&self) -> usize {
+        1
+    }
+
     /// Daemons that may reach `to` where this one cannot, the likeliest first.
     fn relays(&self, to: &Member) -> Vec<Member> {
         let _ = to;
--- a/crates/caller/src/route.rs
+++ b/crates/caller/src/route.rs
@@ -94,6 +94,11 @@
 }
 
 impl<N: Network> Router<N> {
+    /// How many daemons take callers' requests.
+    pub(crate) fn ingresses(&self) -> usize {
+        self.network.ingresses()
+    }
+
     pub(crate) fn new(network: Arc<N>, metrics: Metrics) -> Self {
         Self {
             network,
--- a/crates/copperwelld/src/network.rs
+++ b/crates/copperwelld/src/network.rs
@@ -82,6 +82,10 @@
         self.links.send(to.requests, request).await
     }
 
+    fn ingresses(&self) -> usize {
+        self.roster.borrow().live().len()
+    }
+
     fn relays(&self, to: &Member) -> Vec<Member> {
         let roster = self.roster.borrow();
         roster.relays(&self.me, to).into_iter().cloned().collect()
--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -221,13 +221,16 @@
             return Ok(Entry::Slot(self.slot(run)));
         }
         let ahead = state.queue.ahead(want.class, want.caller);
-        let retry_after = state.slots.wait(now, ahead).max(RETRY_AFTER_LEAST);
+        let retry_after = state
+            .slots
+            .wait(now, want.class, ahead)
+            .max(RETRY_AFTER_LEAST);
         let refused = |reason| Refusal {
             reason,
             retry_after,
         };
         let service = state.slots.mean(want.class) * SERVICE_MARGIN;
-        if now + state.slots.wait(now, ahead) + service >= want.deadline {
+        if now + state.slots.wait(now, want.class, ahead) + service >= want.deadline {
             return Err(refused(Reason::DeadlineHopeless));
         }
         let wait = Wait {
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -121,10 +121,14 @@
     /// Whether batch may start now: it leaves a slot to interactive requests that come and go.
     #[must_use]
     pub fn is_free_for_batch(&self, now: Instant) -> bool {
+        self.is_free(now) && self.batch < self.limit_for_batch(now)
+    }
+
+    fn limit_for_batch(&self, now: Instant) -> u32 {
         let reserved = self
             .interactive_at
             .is_some_and(|seen| now < seen + RESERVE && self.limit > 1);
-        self.is_free(now) && self.batch < self.limit - u32::from(reserved)
+        self.limit - u32::from(reserved)
     }
 
     /// Whether nothing runs.
@@ -191,9 +195,13 @@
         .unwrap_or_default()
     }
 
-    /// How long a request has to wait that finds `ahead` before it.
+    /// How long a request of `class` has to wait that finds `ahead` before it.
     #[must_use]
-    pub fn wait(&self, now: Instant, ahead: Ahead) -> Duration {
+    pub fn wait(&self, now: Instant, class: Class, ahead: Ahead) -> Duration {
+        let limit = match class {
+            Class::Interactive => self.limit,
+            Class::Batch => self.limit_for_batch(now),
+        };
         let interactive = self
             .mean(Class::Interactive)
             .saturating_mul(clamped(ahead.interactive));
@@ -201,7 +209,7 @@
         let pause = self
             .paused_until(now)
             .map_or(Duration::ZERO, |until| until - now);
-        pause + interactive.saturating_add(batch) / self.limit
+        pause + interactive.saturating_add(batch) / limit
     }
 
     fn learn(&mut self, class: Class, took: Duration) {
