--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -5,8 +5,8 @@
 //! older than the window. A leader that took over without its predecessor's entries cannot tell
 //! whether a key made before it took over has run, and says so.
 //!
-//! This is the one place that reads wall time. It never goes back: a clock that jumps ahead and
-//! back again lets no key run a second time.
+//! Wall time is an input, and never goes back here: a clock that jumps ahead and back again lets no
+//! key run a second time.
 
 use std::{
     collections::{BTreeMap, VecDeque},
