Begin requests over several keys only while they can come back whole

Cause: turns alone made it worse. Change: a part begins only when no earlier request has one to begin, room passes on part by part, and from the decayed mean of a part's time a request that would not be whole within three quarters of its deadline is refused at once, with the time until its turn in Retry-After. What waits is refused when only its own time is left. The decisions are in policy::turns; caller::turn joins them to tasks.

Conclusion: servers' work goes to what comes back whole. What bounds batch now is the slot of each server that is kept for interactive requests.

--- a/crates/caller/src/admission.rs
+++ b/crates/caller/src/admission.rs
@@ -7,13 +7,13 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
+use crate::turn::Rota;
 use copperwell_keyspace::{HashMap, ServiceName, manifest::Service};
 use copperwell_message::Reason;
 use copperwell_policy::{
     budget::Budget,
     limit::{Limit, Refusal},
 };
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Services that are remembered; more are forgotten while nothing of them runs.
 const SERVICES_MAX: usize = 1024;
@@ -28,15 +28,13 @@
 #[derive(Debug)]
 pub(crate) struct Gate {
     state: Mutex<State>,
-    parts: Arc<Semaphore>,
+    rota: Arc<Rota>,
 }
 
 #[derive(Debug)]
 struct State {
     limit: Limit<IpAddr>,
     budget: Budget,
-    /// Parts of requests over several keys that may be under way.
-    parts_most: usize,
 }
 
 /// A request's place; it is given back when this is dropped.
@@ -73,34 +71,16 @@
         let state = State {
             limit: Limit::new(most),
             budget: Budget::new(),
-            parts_most: 0,
         };
         Self {
             state: Mutex::new(state),
-            parts: Arc::new(Semaphore::new(0)),
+            rota: Arc::default(),
         }
     }
 
-    /// Waits in turn for room for the parts of a request over several keys; `most` of all such
-    /// requests may be under way. Dropping the permit gives the room back.
-    ///
-    /// A request that began before its turn would only take slots from those before it, and all
-    /// would miss their deadlines half done.
-    pub(crate) async fn turn(&self, parts: usize, most: usize) -> Option<OwnedSemaphorePermit> {
-        self.resize(most.max(parts));
-        let parts = u32::try_from(parts).ok()?;
-        self.parts.clone().acquire_many_owned(parts).await.ok()
-    }
-
-    fn resize(&self, most: usize) {
-        let mut state = self.state();
-        if most > state.parts_most {
-            self.parts.add_permits(most - state.parts_most);
-            state.parts_most = most;
-        } else {
-            let too_many = state.parts_most - most;
-            state.parts_most -= self.parts.forget_permits(too_many);
-        }
+    /// The turns of requests over several keys.
+    pub(crate) fn rota(&self) -> &Arc<Rota> {
+        &self.rota
     }
 
     /// Counts the first try of a request, or of a part of one.
--- a/crates/caller/src/join.rs
+++ b/crates/caller/src/join.rs
@@ -6,22 +6,30 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{Network, admission::Gate, header, metrics::Metrics, parse, route::Router};
+use crate::{
+    Network,
+    admission::Gate,
+    header,
+    metrics::Metrics,
+    parse,
+    route::Router,
+    turn::{Pass, Turn},
+};
 use bytes::{Bytes, BytesMut};
 use copperwell_keyspace::manifest::Service;
 use copperwell_message::{Body, Head, Reason, Reply, Request, Response, Sender, Severed, Verdict};
-use copperwell_policy::backoff::Backoff;
+use copperwell_policy::{
+    backoff::Backoff,
+    turns::{Hopeless, Want},
+};
 use futures::{StreamExt, stream::FuturesOrdered};
 use serde::Serialize;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
 /// Parts under way at a time.
 const PARTS_AT_ONCE: usize = 8;
 
-/// When a caller may come back whose request never had its turn.
-const RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Bytes of a part's body that are held; a part that is longer is streamed.
 const PART_HELD: usize = 64 << 10;
 
@@ -55,8 +63,8 @@
     reply: Reply,
     /// The first bytes, or all.
     held: Bytes,
-    /// What follows the first bytes.
-    rest: Option<Body>,
+    /// What follows the first bytes, and the pass of a part that still runs.
+    rest: Option<(Body, Pass)>,
 }
 
 /// A key without an answer.
@@ -87,16 +95,19 @@
 impl<N: Network> Join<N> {
     /// Asks the owners of all keys and joins their answers.
     pub(crate) async fn run(self) -> Response {
-        let turn = self.gate.turn(self.at_once(), self.at_once_most());
-        let Ok(Some(turn)) = timeout_at(self.deadline, turn).await else {
-            return Response::refusal(Verdict::NotRun, Reason::DeadlineHopeless)
-                .with_retry_after(RETRY_AFTER);
+        let turn = self.gate.rota().turn(self.want(), self.at_once_most());
+        let turn = match turn.await {
+            Ok(turn) => Arc::new(turn),
+            Err(Hopeless { retry_after }) => {
+                return Response::refusal(Verdict::NotRun, Reason::DeadlineHopeless)
+                    .with_retry_after(retry_after);
+            }
         };
         let join = Arc::new(self);
         let asking = join.clone();
         let mut parts = Parts {
             running: FuturesOrdered::new(),
-            start: move |index| asking.clone().fetch(index),
+            start: move |index| asking.clone().part(turn.clone(), index),
             begun: 0,
             count: join.keys.len(),
         };
@@ -118,20 +129,22 @@
         let (to, body) = Body::channel();
         let boundary = boundary();
         let response = answer(&boundary, body);
-        tokio::spawn(async move {
-            join.stream(to, &boundary, held, parts).await;
-            drop(turn);
-        });
+        tokio::spawn(async move { join.stream(to, &boundary, held, parts).await });
         response
     }
 
-    /// Parts of this request that are under way at a time.
-    fn at_once(&self) -> usize {
-        self.keys.len().min(PARTS_AT_ONCE)
+    /// What this request asks of the turns.
+    fn want(&self) -> Want {
+        Want {
+            parts: self.keys.len(),
+            at_once: self.keys.len().min(PARTS_AT_ONCE),
+            deadline: self.deadline,
+        }
     }
 
     /// Parts of all such requests that this daemon may have under way at a time: its share of what
-    /// keeps every slot of the service busy and one part waiting for each.
+    /// keeps every slot of the service busy and one part waiting for each, but those of one request
+    /// at least.
     fn at_once_most(&self) -> usize {
         let slots: u64 = self
             .service
@@ -143,6 +156,7 @@
         slots
             .saturating_mul(2)
             .div_ceil(self.router.ingresses().max(1))
+            .max(PARTS_AT_ONCE)
     }
 
     /// Sends parts as they come; returning early cuts the answer short.
@@ -182,8 +196,25 @@
         }
     }
 
+    /// Waits until a part may begin, and runs it.
+    async fn part(self: Arc<Self>, turn: Arc<Turn>, index: usize) -> Result<Part, Failure> {
+        let Some(mut pass) = turn.part(index).await else {
+            return Err(Failure {
+                key: self.keys[index].clone(),
+                verdict: Verdict::NotRun,
+                reason: Reason::Cancelled,
+            });
+        };
+        let (mut part, rest) = self.fetch(index).await?;
+        match rest {
+            Some(rest) => part.rest = Some((rest, pass)),
+            None => pass.answered(),
+        }
+        Ok(part)
+    }
+
     /// Asks the owner of one key until it answers, the deadline is near or nothing can change.
-    async fn fetch(self: Arc<Self>, index: usize) -> Result<Part, Failure> {
+    async fn fetch(&self, index: usize) -> Result<(Part, Option<Body>), Failure> {
         let key = &self.keys[index];
         self.gate.first_try(&self.service);
         let backoff = Backoff::new(PAUSE_FIRST, PAUSE_MOST);
@@ -261,7 +292,7 @@
 }
 
 /// Reads the first bytes of an answer.
-async fn hold(key: &str, response: Response) -> Result<Part, Failure> {
+async fn hold(key: &str, response: Response) -> Result<(Part, Option<Body>), Failure> {
     let Response { reply, mut body } = response;
     let failure = |verdict, reason| Failure {
         key: key.to_owned(),
@@ -282,12 +313,13 @@
             break;
         }
     }
-    Ok(Part {
+    let part = Part {
         key: key.to_owned(),
         reply,
         held: held.freeze(),
-        rest,
-    })
+        rest: None,
+    };
+    Ok((part, rest))
 }
 
 /// Whether nothing changes the outcome of a further try.
@@ -342,7 +374,7 @@
 async fn send(to: &Sender, boundary: &str, part: Part) -> Result<(), Severed> {
     to.send(head(boundary, &part)).await?;
     to.send(part.held).await?;
-    if let Some(mut rest) = part.rest {
+    if let Some((mut rest, _pass)) = part.rest {
         loop {
             let chunk = tokio::select! {
                 biased;
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -23,6 +23,7 @@
 mod parse;
 mod patience;
 mod route;
+mod turn;
 
 /// What ingress knows of services and leaders, and the way to them.
 pub trait Network: Send + Sync + 'static {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod sketch;
 pub mod slots;
 pub mod suspicion;
+pub mod turns;
 pub mod window;
