Measure batch through all daemons, and what of servers' work was needed

Cause: batch went through one daemon only, and what servers ran could not be told from what they ran in vain, as whole answers in the second to warm up were not counted. Change: with classes, batch goes to all daemons in equal parts; `--daemons` says how many there are, and `needed` how many runs whole answers needed, the time to warm up included.

--- a/crates/standin/examples/requests/main.rs
+++ b/crates/standin/examples/requests/main.rs
@@ -13,7 +13,9 @@
 use bpaf::Bpaf;
 use copperwell_rig::cluster::Cluster;
 use futures::future::join_all;
-use pace::{Answer, Core, Figure, LONG, Load, asks, closed_loop, open_loop, send_all};
+use pace::{
+    Answer, Core, Figure, LONG, Load, Offer, asks, closed_loop, open_loop, send_all, whole_loop,
+};
 use serde::Serialize;
 use setup::{Size, roles, start};
 use way::Way;
@@ -81,6 +83,9 @@
     /// Program of the daemon, to run daemons as processes of their own.
     #[bpaf(long, argument("FILE"))]
     daemon: Option<PathBuf>,
+    /// Daemons, two at least; with classes, batch requests go to all of them in equal parts.
+    #[bpaf(long, argument("N"), fallback(2))]
+    daemons: usize,
 }
 
 /// The last line of a run.
@@ -142,7 +147,7 @@
         slots: 16,
         service_ms: 0,
     };
-    let cluster = start(args.daemon.as_deref(), size, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, size, 2).await?;
     let (leader, other) = roles(&cluster).await?;
     let ways = [
         ("direct", Way::plain(&cluster, size)?),
@@ -179,7 +184,7 @@
         slots: 64,
         service_ms: 0,
     };
-    let cluster = start(args.daemon.as_deref(), size, 1).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, size, 1).await?;
     let (leader, other) = roles(&cluster).await?;
     let mut figures = closed_loop(
         args.seconds,
@@ -194,7 +199,7 @@
 }
 
 async fn goodput(args: &Args) -> Result<Vec<Figure>, Box<dyn Error>> {
-    let cluster = start(args.daemon.as_deref(), SMALL, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
     let mut figures = Vec::new();
     for factor in [0.5, 1.0, 2.0, 4.0] {
         let load = Load {
@@ -215,7 +220,7 @@
 }
 
 async fn classes(args: &Args) -> Result<Vec<Figure>, Box<dyn Error>> {
-    let cluster = start(args.daemon.as_deref(), SMALL, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
     let interactive = Load {
         rate: SMALL.capacity() * 0.3,
         keys: 1,
@@ -231,23 +236,40 @@
     for (name, way) in contenders(&cluster).await? {
         let alone = open_loop(&way, interactive, args.seconds, args.seed).await;
         let before = ran(&cluster);
-        let (first, second) = tokio::join!(
-            open_loop(&way, interactive, args.seconds, args.seed),
-            open_loop(&way, batch, args.seconds, args.seed.wrapping_add(1)),
+        let entries = match way {
+            Way::Daemon(_) => cluster.nodes.iter().map(Way::daemon).collect(),
+            Way::Plain(_) => vec![way.clone()],
+        };
+        let part = Load {
+            rate: batch.rate / entries.len() as f64,
+            ..batch
+        };
+        let parts = entries.iter().zip(args.seed + 1..);
+        let parts = parts.map(|(way, seed)| whole_loop(way, part, args.seconds, seed));
+        let (first, parts) = tokio::join!(
+            whole_loop(&way, interactive, args.seconds, args.seed),
+            join_all(parts),
         );
         let ran = ran(&cluster) - before;
+        let second = parts.into_iter().fold(Offer::default(), Offer::join);
+        let needed = first.done() + second.done() * BATCH_KEYS;
         let figure = |what: &str, answers: &[Answer], load| {
             Figure::new(format!("{name}, {what}"), answers, load, args.seconds)
         };
         figures.push(figure("interactive alone", &alone, interactive));
-        figures.push(figure("interactive beside batch", &first, interactive));
-        figures.push(figure("batch", &second, batch).with_ran(ran));
+        figures.push(figure(
+            "interactive beside batch",
+            &first.counted,
+            interactive,
+        ));
+        let batch = figure("batch", &second.counted, batch);
+        figures.push(batch.with_ran(ran).with_needed(needed));
     }
     Ok(figures)
 }
 
 async fn retries(args: &Args) -> Result<Vec<Offered>, Box<dyn Error>> {
-    let cluster = start(args.daemon.as_deref(), SMALL, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
     let (_, other) = roles(&cluster).await?;
     let offered = || {
         let refused = cluster
--- a/crates/standin/examples/requests/pace.rs
+++ b/crates/standin/examples/requests/pace.rs
@@ -78,6 +78,9 @@
     /// What servers ran meanwhile, also to warm up and for other loads.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) ran: Option<u64>,
+    /// What of that whole answers needed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) needed: Option<usize>,
 }
 
 /// Figures of a closed loop: one daemon in one role.
@@ -119,6 +122,7 @@
             p99_ms: millis(0.99),
             p999_ms: millis(0.999),
             ran: None,
+            needed: None,
         }
     }
 
@@ -127,16 +131,53 @@
         self.ran = Some(ran);
         self
     }
+
+    /// Adds what of that whole answers needed.
+    pub(crate) fn with_needed(mut self, needed: usize) -> Self {
+        self.needed = Some(needed);
+        self
+    }
 }
 
 /// A request to send: when, and for which keys.
 pub(crate) type Ask = (Duration, Vec<String>);
 
+/// What became of an open loop.
+#[derive(Debug, Default)]
+pub(crate) struct Offer {
+    /// In the time to warm up.
+    warm: Vec<Answer>,
+    /// After it.
+    pub(crate) counted: Vec<Answer>,
+}
+
+impl Offer {
+    /// Owners' answers, also in the time to warm up.
+    pub(crate) fn done(&self) -> usize {
+        let all = self.warm.iter().chain(&self.counted);
+        all.filter(|answer| answer.outcome.is_ok()).count()
+    }
+
+    /// What became of both.
+    pub(crate) fn join(mut self, other: Self) -> Self {
+        self.warm.extend(other.warm);
+        self.counted.extend(other.counted);
+        self
+    }
+}
+
 /// Offers load and gives what became of it after the time to warm up.
 pub(crate) async fn open_loop(way: &Way, load: Load, seconds: u64, seed: u64) -> Vec<Answer> {
+    whole_loop(way, load, seconds, seed).await.counted
+}
+
+/// Offers load and gives what became of it.
+pub(crate) async fn whole_loop(way: &Way, load: Load, seconds: u64, seed: u64) -> Offer {
     let asks = asks(load, seconds, seed);
     let warm = asks.iter().take_while(|(at, _)| *at < WARM_UP).count();
-    send_all(way, load, asks).await.split_off(warm)
+    let mut all = send_all(way, load, asks).await;
+    let counted = all.split_off(warm.min(all.len()));
+    Offer { warm: all, counted }
 }
 
 pub(crate) fn asks(load: Load, seconds: u64, seed: u64) -> Vec<Ask> {
--- a/crates/standin/examples/requests/setup.rs
+++ b/crates/standin/examples/requests/setup.rs
@@ -25,9 +25,10 @@
     pub(crate) service_ms: u64,
 }
 
-/// Starts two daemons and servers, and waits until they serve.
+/// Starts daemons and servers, and waits until they serve.
 pub(crate) async fn start(
     daemon: Option<&Path>,
+    daemons: usize,
     size: Size,
     workers: usize,
 ) -> io::Result<Cluster> {
@@ -39,7 +40,7 @@
     }
     cluster.workers = workers;
     cluster.publish().await?;
-    for _ in 0..2 {
+    for _ in 0..daemons.max(2) {
         cluster.add_node(SERVICE).await?;
     }
     cluster.wait_ready().await?;
