--- /dev/null
+++ b/crates/peer/examples/links.rs
@@ -0,0 +1,213 @@
+//! What request links cost by the number of peers that the same requests go to.
+//!
+//! `links REQUESTS_PER_SECOND SECONDS` prints one line of JSON for each number of peers. Both ends of
+//! all links are in this process, so the figures are those of an ingress and a leader together.
+
+use std::{
+    fs,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use copperwell_message::{Body, Class, Head, Repeat, Reply, Request, Response, Serve, Verdict};
+use copperwell_peer::link::{Links, serve};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use tokio::{
+    net::TcpListener,
+    time::{Instant, MissedTickBehavior, interval, sleep},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Numbers of peers.
+const PEERS: [usize; 4] = [1, 16, 128, 1024];
+
+/// Clock ticks of `/proc/self/stat` in a second.
+const TICKS: f64 = 100.0;
+
+/// How often requests start.
+const TICK: Duration = Duration::from_millis(1);
+
+/// Bytes of each request's and each answer's body.
+const BODY: usize = 100;
+
+/// Time that links get to open, and requests to end.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// The seed of the order in which peers are asked.
+const SEED: u64 = 1;
+
+/// The cost at one number of peers.
+#[derive(Serialize)]
+struct Cost {
+    peers: usize,
+    requests: u64,
+    failed: u64,
+    open_files: usize,
+    resident_kb: u64,
+    cpu_us_per_request: f64,
+    latency_us_mean: f64,
+}
+
+/// Answers with the request's own body.
+struct Echo;
+
+impl Serve for Echo {
+    async fn serve(&self, request: Request) -> Response {
+        let reply = Reply {
+            status: 200,
+            headers: Vec::new(),
+            verdict: Verdict::Done,
+            reason: None,
+            retry_after: None,
+        };
+        Response {
+            reply,
+            body: request.body,
+        }
+    }
+}
+
+/// What became of the requests.
+#[derive(Default)]
+struct Counts {
+    done: AtomicU64,
+    failed: AtomicU64,
+    latency_us: AtomicU64,
+}
+
+#[tokio::main]
+async fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let mut number = || arguments.next().and_then(|text| text.parse().ok());
+    let (Some(rate), Some(seconds)) = (number(), number()) else {
+        eprintln!("usage: links REQUESTS_PER_SECOND SECONDS");
+        std::process::exit(2);
+    };
+    for peers in PEERS {
+        let cost = measure(peers, rate, Duration::from_secs(seconds)).await;
+        println!("{}", serde_json::to_string(&cost).expect("plain numbers"));
+    }
+}
+
+async fn measure(peers: usize, rate: u64, span: Duration) -> Cost {
+    let stop = CancellationToken::new();
+    let mut addresses = Vec::with_capacity(peers);
+    for _ in 0..peers {
+        addresses.push(start(stop.clone()).await);
+    }
+    let links = Links::new();
+    for address in &addresses {
+        links.send(*address, request()).await;
+    }
+    offer(&links, &addresses, rate, SETTLE).await;
+    let before = ticks();
+    let counts = offer(&links, &addresses, rate, span).await;
+    let spent = (ticks() - before) as f64 / TICKS;
+    let done = counts.done.load(Ordering::Relaxed);
+    let cost = Cost {
+        peers,
+        requests: done,
+        failed: counts.failed.load(Ordering::Relaxed),
+        open_files: fs::read_dir("/proc/self/fd").map_or(0, Iterator::count),
+        resident_kb: resident_kb(),
+        cpu_us_per_request: 1e6 * spent / done.max(1) as f64,
+        latency_us_mean: counts.latency_us.load(Ordering::Relaxed) as f64 / done.max(1) as f64,
+    };
+    stop.cancel();
+    drop(links);
+    sleep(SETTLE).await;
+    cost
+}
+
+/// Starts one peer.
+async fn start(stop: CancellationToken) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("loopback has a free port");
+    let address = listener.local_addr().expect("the socket is bound");
+    tokio::spawn(serve(listener, Echo, stop));
+    address
+}
+
+/// Sends requests to peers in random order, and waits for all answers.
+async fn offer(links: &Links, peers: &[SocketAddr], rate: u64, span: Duration) -> Arc<Counts> {
+    let counts = Arc::new(Counts::default());
+    let mut random = StdRng::seed_from_u64(SEED);
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let start = Instant::now();
+    let mut begun = 0;
+    while start.elapsed() < span {
+        ticks.tick().await;
+        let due = (start.elapsed().as_secs_f64() * rate as f64) as u64;
+        for _ in begun..due {
+            let to = peers[random.random_range(0..peers.len())];
+            tokio::spawn(ask(links.clone(), to, counts.clone()));
+        }
+        begun = due;
+    }
+    let ended = || counts.done.load(Ordering::Relaxed) + counts.failed.load(Ordering::Relaxed);
+    while ended() < begun {
+        sleep(TICK).await;
+    }
+    counts
+}
+
+async fn ask(links: Links, to: SocketAddr, counts: Arc<Counts>) {
+    let start = Instant::now();
+    let response = links.send(to, request()).await;
+    let is_done = response.reply.verdict == Verdict::Done;
+    let is_whole = response.body.collect(BODY).await.is_ok();
+    if !is_done || !is_whole {
+        counts.failed.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    let latency = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+    counts.latency_us.fetch_add(latency, Ordering::Relaxed);
+    counts.done.fetch_add(1, Ordering::Relaxed);
+}
+
+fn request() -> Request {
+    let head = Head {
+        id: uuid::Uuid::nil(),
+        service: "calendar".to_owned(),
+        key: "cabin-17".to_owned(),
+        shard: 3,
+        class: Class::Interactive,
+        repeat: Repeat::Repeatable,
+        deadline: Duration::from_secs(5),
+        caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        fingerprint: 0,
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        hops: 0,
+    };
+    Request {
+        head,
+        body: Body::full(Bytes::from_static(&[7; BODY])),
+    }
+}
+
+/// The resident set of this process.
+fn resident_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0)
+}
+
+/// Processor time of this process, in clock ticks.
+fn ticks() -> u64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let fields = fields.split_whitespace();
+    let times = fields.skip(11).take(2);
+    times.filter_map(|field| field.parse::<u64>().ok()).sum()
+}
