Measure the agreed state up to the target's size

Cause: the example's largest size had 4,608 upstreams with 21 shards each, and told nothing of memory.

Change: groups of 24 upstreams with 16 shards each, up to 92 services in 12 data centres (26,496 upstreams, 423,936 shards), and the heap of manifest and state.

--- a/crates/keyspace/examples/slopes.rs
+++ b/crates/keyspace/examples/slopes.rs
@@ -3,7 +3,9 @@
 //! `cargo run --release -p copperwell-keyspace --example slopes`
 
 use std::{
+    alloc::{GlobalAlloc, Layout, System},
     net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
@@ -21,11 +23,11 @@
 /// Data centres of the fleet.
 const DATA_CENTRES: u32 = 12;
 /// Upstreams of a group.
-const UPSTREAMS: u32 = 4;
-/// Shards of a service.
-const SHARDS: u32 = 1024;
-/// Services at each size; each has a group in each data centre.
-const SIZES: [u32; 5] = [2, 8, 24, 48, 96];
+const UPSTREAMS: u32 = 24;
+/// Shards of a service: 16 for each upstream.
+const SHARDS: u32 = 16 * DATA_CENTRES * UPSTREAMS;
+/// Services at each size, up to the target; each has a group in each data centre.
+const SIZES: [u32; 6] = [1, 4, 12, 23, 46, 92];
 
 /// The cost at one size.
 #[derive(Serialize)]
@@ -34,23 +36,67 @@
     groups: u32,
     upstreams: u32,
     shards: u32,
+    /// The record of the whole manifest.
     manifest_bytes: usize,
     snapshot_bytes: Option<usize>,
+    /// The manifest's bytes as the manifest's own bound counts them.
+    plain_bytes: u64,
+    /// Heap of a manifest that was read from a record.
+    manifest_heap: usize,
+    /// Heap of the rest of the state: owners, appointments, writers.
+    state_heap: usize,
     manifest_us: u128,
     appoint_us: u128,
     clone_us: u128,
     plan_us: u128,
 }
 
+/// Counts the bytes that are allocated.
+struct Counting;
+
+static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+// SAFETY: Both functions hand their arguments on to the system's allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: The caller keeps the contract of `alloc`, which is the same.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: The caller keeps the contract of `dealloc`, which is the same.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+/// Runs `make` and returns its value with the heap that it holds.
+fn heap_of<T>(make: impl FnOnce() -> T) -> (T, usize) {
+    let before = ALLOCATED.load(Ordering::Relaxed);
+    let made = make();
+    let after = ALLOCATED.load(Ordering::Relaxed);
+    (made, after.saturating_sub(before))
+}
+
 fn main() {
     for services in SIZES {
-        let cost = measure(services);
-        println!("{}", serde_json::to_string(&cost).expect("plain numbers"));
+        match measure(services) {
+            Some(cost) => println!("{}", serde_json::to_string(&cost).expect("plain numbers")),
+            None => println!("{services} services: the manifest is refused"),
+        }
     }
 }
 
-fn measure(services: u32) -> Cost {
+/// The cost at a size; none if the log or the check refuses the manifest.
+fn measure(services: u32) -> Option<Cost> {
     let manifest = manifest(services);
+    let bytes = encode(Body::Manifest(manifest.clone()))?;
+    let (_decoded, manifest_heap) = heap_of(|| Record::decode(&bytes).expect("a record"));
+    manifest.check().ok()?;
     let mut log = Log::default();
     let manifest_us = log.append(Body::Manifest(manifest.clone())).as_micros();
     let mut appoint = Duration::ZERO;
@@ -61,23 +107,31 @@
     let started = Instant::now();
     let state = log.reader.state().as_ref().clone();
     let clone_us = started.elapsed().as_micros();
+    let snapshot = Body::Snapshot(Box::new(log.reader.snapshot()));
+    let snapshot_bytes = encode(snapshot);
+    let (_held, snapshot_heap) = heap_of(|| {
+        let bytes = snapshot_bytes.as_ref()?;
+        Some(Record::decode(bytes).expect("a record"))
+    });
     let started = Instant::now();
     let shifts = plan(&state);
     let plan_us = started.elapsed().as_micros();
     assert!(shifts.is_empty(), "the first owners are balanced");
-    let snapshot = Body::Snapshot(Box::new(log.reader.snapshot()));
-    Cost {
+    Some(Cost {
         services,
         groups: groups.len() as u32,
         upstreams: services * DATA_CENTRES * UPSTREAMS,
         shards: services * SHARDS,
-        manifest_bytes: encode(Body::Manifest(manifest)).map_or(0, |bytes| bytes.len()),
-        snapshot_bytes: encode(snapshot).map(|bytes| bytes.len()),
+        manifest_bytes: bytes.len(),
+        snapshot_bytes: snapshot_bytes.map(|bytes| bytes.len()),
+        plain_bytes: bincode::serialized_size(&manifest).expect("plain data"),
+        manifest_heap,
+        state_heap: snapshot_heap.saturating_sub(manifest_heap),
         manifest_us,
         appoint_us: appoint.as_micros() / groups.len() as u128,
         clone_us,
         plan_us,
-    }
+    })
 }
 
 /// A log that one reader follows record by record.
