Keep owners and moves of shards as runs in memory

The manifest in a state is shared, so that a state is copied without it and a daemon's engine holds the same one. Tests of balance, replay and follow read the changed types; the decoder tests put the new format's byte in front.

Conclusion: owners cost by runs, not by shards.

--- a/crates/copperwell/src/manifest.rs
+++ b/crates/copperwell/src/manifest.rs
@@ -1,6 +1,6 @@
 //! `check` and `diff`.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     args::{Base, CheckArgs, DiffArgs},
@@ -48,9 +48,9 @@
     let new = load::manifest(&args.file).await.map_err(from_load)?;
     let old = match &args.base {
         Base::InForce(platform) => state(*platform, args.timeout).await?.manifest,
-        Base::File { against } => Some(load::manifest(against).await.map_err(from_load)?),
+        Base::File { against } => Some(Arc::new(load::manifest(against).await.map_err(from_load)?)),
     };
-    let changes = difference::between(old.as_ref(), &new);
+    let changes = difference::between(old.as_deref(), &new);
     if args.json {
         print(serde_json::to_string(&changes).unwrap_or_default());
         return Ok(Exit::Done);
--- a/crates/copperwell/src/status.rs
+++ b/crates/copperwell/src/status.rs
@@ -1,5 +1,7 @@
 //! `status`.
 
+use std::sync::Arc;
+
 use crate::{
     args::StatusArgs,
     exit::{self, Exit, print},
@@ -16,7 +18,7 @@
 struct Answer {
     groups: Vec<GroupReport>,
     fleet: Fleet,
-    manifest: Option<Manifest>,
+    manifest: Option<Arc<Manifest>>,
 }
 
 /// Shows groups, daemons and limits.
@@ -41,7 +43,7 @@
         table::groups(&groups),
         table::upstreams(&groups),
     ];
-    tables.extend(manifest.as_ref().map(table::services));
+    tables.extend(manifest.as_deref().map(table::services));
     let tables: Vec<String> = tables.iter().map(ToString::to_string).collect();
     print(tables.join("\n\n"));
     for address in &fleet.unreachable {
--- a/crates/copperwelld/src/status.rs
+++ b/crates/copperwelld/src/status.rs
@@ -20,7 +20,7 @@
 
     async fn status(&self) -> Vec<u8> {
         let view = self.view.borrow().clone();
-        let manifest = view.state.manifest.as_ref();
+        let manifest = view.state.manifest.as_deref();
         let status = Status {
             daemon: self.me.clone(),
             manifest: manifest.map_or(0, Manifest::version),
@@ -62,7 +62,7 @@
 
     fn refresh(&self) {
         let view = self.view.borrow().clone();
-        let version = view.state.manifest.as_ref().map_or(0, Manifest::version);
+        let version = view.state.manifest.as_deref().map_or(0, Manifest::version);
         self.metrics.manifest.set(signed(version));
         let roster = self.members.roster().borrow().clone();
         self.metrics
--- a/crates/copperwelld/src/stop.rs
+++ b/crates/copperwelld/src/stop.rs
@@ -4,7 +4,7 @@
 
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
-use copperwell_keyspace::{GroupId, Member, ShardIndex, manifest};
+use copperwell_keyspace::{GroupId, Member, ShardIndex};
 use copperwell_peer::control::{Client, HandOver};
 use spdlog::info;
 use tokio::time::timeout;
@@ -55,6 +55,6 @@
     let state = core.state();
     let owners = state.owners.get(&group.service);
     owners
-        .map(|owners| manifest::shards_of(owners, group))
+        .map(|owners| owners.positions_of(group))
         .unwrap_or_default()
 }
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -278,7 +278,7 @@
         let state = &view.state;
         self.way.set_state(state.clone());
         if let Some(manifest) = &state.manifest {
-            self.engine.set_manifest(Arc::new(manifest.clone()));
+            self.engine.set_manifest(manifest.clone());
         }
         self.groups.apply(state);
         self.members.watch_closely(partners(state, &self.me.name));
--- a/crates/copperwelld/tests/faults/ask.rs
+++ b/crates/copperwelld/tests/faults/ask.rs
@@ -43,9 +43,12 @@
     pub(crate) fn new(bench: &Bench, group: &str, service_time: Duration) -> Self {
         let manifest = &bench.cluster.manifest;
         let service = &manifest.services[0];
-        let owners = manifest.initial_owners(service).into_iter();
+        let owners = manifest.initial_owners(service);
         let is_own = |owner: &GroupId| owner.to_string() == group;
-        let (index, _) = (0..).zip(owners).find(|(_, owner)| is_own(owner)).unwrap();
+        let (index, _) = (0..)
+            .zip(owners.iter())
+            .find(|(_, owner)| is_own(owner))
+            .unwrap();
         let key = probe::key_of(index, service.shards);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         Self {
--- a/crates/keyspace/src/balance.rs
+++ b/crates/keyspace/src/balance.rs
@@ -6,7 +6,7 @@
 use crate::{
     HashMap,
     id::{GroupId, ServiceName, ShardIndex},
-    manifest::{Group, Manifest, Service, shards_of},
+    manifest::{Group, Manifest, Owners, Service},
     replay::State,
 };
 
@@ -98,9 +98,9 @@
 /// Each open group's share of the shards, whole numbers that sum up to all of them.
 ///
 /// Groups keep what they hold where that is within the tolerance; the rest is divided by slots.
-fn shares(open: &[Group], owners: &[GroupId]) -> Vec<Share> {
+fn shares(open: &[Group], owners: &Owners) -> Vec<Share> {
     let held = count(owners);
-    let ideal = apportion(open, owners.len());
+    let ideal = apportion(open, owners.len() as usize);
     let mut shares: Vec<Share> = open
         .iter()
         .zip(&ideal)
@@ -115,7 +115,7 @@
         share.held.abs_diff(share.target) as u64 <= slack
     };
     if shares.iter().all(is_near) {
-        let homeless = owners.len() - shares.iter().map(|share| share.held).sum::<usize>();
+        let homeless = owners.len() as usize - shares.iter().map(|share| share.held).sum::<usize>();
         keep_held(&mut shares, homeless);
     }
     shares
@@ -149,7 +149,7 @@
 }
 
 /// What groups give: all of those without an open upstream, and what others hold too much.
-fn surplus(owners: &[GroupId], shares: &[Share]) -> Vec<Surplus> {
+fn surplus(owners: &Owners, shares: &[Share]) -> Vec<Surplus> {
     let targets: HashMap<&GroupId, usize> = shares
         .iter()
         .map(|share| (&share.group, share.target))
@@ -162,7 +162,7 @@
     from.sort();
     from.into_iter()
         .map(|group| {
-            let mut shards = shards_of(owners, &group);
+            let mut shards = owners.positions_of(&group);
             let kept = targets.get(&group).copied().unwrap_or(0);
             let shards = shards.split_off(kept);
             Surplus {
@@ -173,13 +173,13 @@
         .collect()
 }
 
-fn count(owners: &[GroupId]) -> HashMap<GroupId, usize> {
+fn count(owners: &Owners) -> HashMap<GroupId, usize> {
     let mut counts: HashMap<GroupId, usize> = HashMap::default();
-    for run in owners.chunk_by(|one, other| one == other) {
-        match counts.get_mut(&run[0]) {
-            Some(count) => *count += run.len(),
+    for (shards, group) in owners.runs() {
+        match counts.get_mut(group) {
+            Some(count) => *count += shards.len(),
             None => {
-                counts.insert(run[0].clone(), run.len());
+                counts.insert(group.clone(), shards.len());
             }
         }
     }
--- a/crates/keyspace/src/check.rs
+++ b/crates/keyspace/src/check.rs
@@ -7,9 +7,8 @@
     id::{GroupId, UpstreamName},
     manifest::{
         GROUP_UPSTREAMS_MAX, LEASE_MAX, LEASE_MIN, MANIFEST_SIZE_MAX, Manifest, OnIsolation,
-        SHARDS_TOTAL_MAX, Service, Upstream,
+        SHARDS_KEPT_MAX, SHARDS_TOTAL_MAX, Service, Upstream,
     },
-    ranges::SHARDS_KEPT_MAX,
     replay::State,
 };
 use error_stack::Report;
@@ -293,7 +292,7 @@
         let Some(owners) = state.owners.get(&service.name) else {
             continue;
         };
-        if owners.len() != service.shards as usize {
+        if owners.len() != service.shards {
             let remedy = format!(
                 "the number of shards is fixed at {} for the life of a service; declare a new \
                  service",
@@ -306,16 +305,16 @@
         let remedy = format!("a log knows at most {SERVICES_MAX} names of services; use one again");
         faults.add("services", format!("{} names", names.len()), &remedy);
     }
-    let mut kept: BTreeMap<_, usize> = state
+    let mut kept: BTreeMap<_, u32> = state
         .owners
         .iter()
         .map(|(name, owners)| (name, owners.len()))
         .collect();
     for service in &manifest.services {
-        kept.insert(&service.name, service.shards as usize);
+        kept.insert(&service.name, service.shards);
     }
-    let shards: usize = kept.values().sum();
-    if shards > SHARDS_KEPT_MAX as usize {
+    let shards: u64 = kept.values().map(|shards| u64::from(*shards)).sum();
+    if shards > u64::from(SHARDS_KEPT_MAX) {
         let remedy = format!(
             "services of now and before have at most {SHARDS_KEPT_MAX} shards together; use a \
              removed service's name again"
--- a/crates/keyspace/src/lib.rs
+++ b/crates/keyspace/src/lib.rs
@@ -6,6 +6,7 @@
     ManifestVersion, RegionName, Sequence, ServiceName, ShardIndex, UpstreamName,
 };
 pub use member::Member;
+pub use runs::Runs;
 
 pub mod balance;
 pub mod batch;
@@ -16,9 +17,9 @@
 pub mod manifest;
 pub mod member;
 mod merge;
-mod ranges;
 pub mod reader;
 mod recent;
 pub mod record;
 pub mod replay;
+mod runs;
 pub mod shard;
--- a/crates/keyspace/src/manifest.rs
+++ b/crates/keyspace/src/manifest.rs
@@ -2,8 +2,9 @@
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
-use crate::id::{
-    DataCentreName, GroupId, ManifestVersion, RegionName, ServiceName, ShardIndex, UpstreamName,
+use crate::{
+    id::{DataCentreName, GroupId, ManifestVersion, RegionName, ServiceName, UpstreamName},
+    runs::Runs,
 };
 use copperwell_message::Class;
 use error_stack::Report;
@@ -14,6 +15,8 @@
 pub const GROUP_UPSTREAMS_MAX: usize = 24;
 /// The most shards of all services together.
 pub const SHARDS_TOTAL_MAX: u32 = 1 << 18;
+/// The most shards that a state keeps, those of removed services included.
+pub const SHARDS_KEPT_MAX: u32 = 2 * SHARDS_TOTAL_MAX;
 /// The largest encoded manifest, in bytes; leaves room in a record for the rest of a state.
 pub const MANIFEST_SIZE_MAX: u64 = 1 << 19;
 /// The largest manifest as YAML, in bytes.
@@ -23,6 +26,9 @@
 /// The longest lease.
 pub const LEASE_MAX: Duration = Duration::from_secs(10);
 
+/// The group of each shard of a service.
+pub type Owners = Runs<GroupId>;
+
 /// A manifest.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -262,15 +268,15 @@
 
     /// The group of each shard of a service that is new: ranges in proportion to slots.
     #[must_use]
-    pub fn initial_owners(&self, service: &Service) -> Vec<GroupId> {
+    pub fn initial_owners(&self, service: &Service) -> Owners {
         let groups = self.groups(service);
         let slots: u64 = groups.iter().map(Group::open_slots).sum();
-        let mut owners = Vec::with_capacity(service.shards as usize);
+        let mut owners = Owners::default();
         let mut before = 0;
         for group in groups {
             before += group.open_slots();
             let end = u64::from(service.shards) * before / slots.max(1);
-            owners.resize(usize::try_from(end).unwrap_or(usize::MAX), group.id);
+            owners.extend_to(u32::try_from(end).unwrap_or(u32::MAX), group.id);
         }
         owners
     }
@@ -310,13 +316,3 @@
 fn default_lease() -> Duration {
     Duration::from_millis(1500)
 }
-
-/// The shards of one group, ascending.
-#[must_use]
-pub fn shards_of(owners: &[GroupId], group: &GroupId) -> Vec<ShardIndex> {
-    let indexed = owners.iter().zip(0..);
-    indexed
-        .filter(|(owner, _)| *owner == group)
-        .map(|(_, shard)| shard)
-        .collect()
-}
--- a/crates/keyspace/src/merge.rs
+++ b/crates/keyspace/src/merge.rs
@@ -6,7 +6,8 @@
     HashMap,
     id::{GroupId, ServiceName},
     manifest::Manifest,
-    replay::{Appointment, State, Writer},
+    replay::{Appointment, Stamp, State, Writer},
+    runs::Runs,
 };
 
 impl State {
@@ -46,7 +47,7 @@
 }
 
 /// Orders manifests: by version, and two of one version in some fixed order.
-fn rank(manifest: &Option<Manifest>) -> Option<(u64, u64)> {
+fn rank(manifest: &Option<Arc<Manifest>>) -> Option<(u64, u64)> {
     let manifest = manifest.as_ref()?;
     Some((manifest.version(), manifest.digest()))
 }
@@ -70,24 +71,31 @@
         if ours == theirs && joined.moved.get(service) == older.moved.get(service) {
             continue;
         }
-        let ours = Arc::make_mut(ours);
-        let moves = older.moved.get(service);
-        let stamps = joined.moved.entry(service.clone()).or_default();
-        for (shard, (ours, theirs)) in (0..).zip(ours.iter_mut().zip(theirs.iter())) {
-            let held = stamps.get(&shard).copied();
-            let stamp = moves.and_then(|moves| moves.get(&shard)).copied();
-            // Of two owners without a move between them, one is taken by a fixed order.
-            if (stamp, theirs) > (held, &*ours) {
-                ours.clone_from(theirs);
-                stamps.extend(stamp.map(|stamp| (shard, stamp)));
-            }
-        }
-        if stamps.is_empty() {
+        let shards = ours.len();
+        let held = stamps(joined.moved.get(service), shards);
+        let told = stamps(older.moved.get(service), shards);
+        let ours = held.iter().copied().zip(ours.iter());
+        let theirs = told.iter().copied().zip(theirs.iter());
+        // Of two owners without a move between them, one is taken by a fixed order.
+        let latest = ours.zip(theirs).map(|(ours, theirs)| ours.max(theirs));
+        let (stamps, owners): (Vec<Stamp>, Vec<&GroupId>) = latest.unzip();
+        let owners = owners.into_iter().cloned().collect();
+        let moves: Runs<Stamp> = stamps.into_iter().collect();
+        joined.owners.insert(service.clone(), Arc::new(owners));
+        if moves == Runs::new(0, shards) {
             joined.moved.remove(service);
+        } else {
+            joined.moved.insert(service.clone(), Arc::new(moves));
         }
     }
 }
 
+/// The last move of each of a service's shards.
+fn stamps(moves: Option<&Arc<Runs<Stamp>>>, shards: u32) -> Arc<Runs<Stamp>> {
+    let moves = moves.filter(|moves| moves.len() == shards);
+    moves.map_or_else(|| Arc::new(Runs::new(0, shards)), Arc::clone)
+}
+
 fn copy_moved(joined: &mut State, older: &State, service: &ServiceName) {
     if let Some(moves) = older.moved.get(service) {
         joined.moved.insert(service.clone(), moves.clone());
--- a/crates/keyspace/src/record.rs
+++ b/crates/keyspace/src/record.rs
@@ -16,7 +16,7 @@
 pub const STREAM: &str = "copperwell";
 
 /// The format that [`Record::encode`] writes.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// The largest encoded record, in bytes; the platform refuses longer ones.
 pub const SIZE_MAX: usize = 1 << 20;
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -12,10 +12,10 @@
         DaemonName, EPOCH_STRIDE, Epoch, GroupId, Incarnation, LogOffset, ManifestVersion,
         ServiceName, ShardIndex,
     },
-    manifest::{Fencing, Manifest, Upstream},
+    manifest::{Fencing, Manifest, Owners, Upstream},
     member::Member,
-    ranges,
     record::{Appoint, Body, Id, Move, Record, Retire},
+    runs::Runs,
 };
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -39,14 +39,13 @@
     /// Rises whenever the log has lost records, with the snapshot that puts them back.
     pub life: u64,
     /// The manifest in force.
-    pub manifest: Option<Manifest>,
+    pub manifest: Option<Arc<Manifest>>,
     /// The appointment in force for each group.
     pub groups: HashMap<GroupId, Appointment>,
     /// The group of each shard, by service; those of removed services stay.
-    #[serde(with = "ranges")]
-    pub owners: HashMap<ServiceName, Arc<Vec<GroupId>>>,
-    /// The last move of each shard that ever moved, by service.
-    pub moved: HashMap<ServiceName, HashMap<ShardIndex, Stamp>>,
+    pub owners: HashMap<ServiceName, Arc<Owners>>,
+    /// The last move of each shard, zero for none, by service that a shard of ever moved.
+    pub moved: HashMap<ServiceName, Arc<Runs<Stamp>>>,
     /// Upstreams that a manifest removed and that may still hold grants.
     pub former: HashMap<GroupId, Vec<Upstream>>,
     /// The longest lease that each service ever had.
@@ -169,13 +168,13 @@
     /// The version of the manifest in force; zero for none.
     #[must_use]
     pub fn version(&self) -> ManifestVersion {
-        self.manifest.as_ref().map_or(0, Manifest::version)
+        self.manifest.as_deref().map_or(0, Manifest::version)
     }
 
     /// The group that owns a shard.
     #[must_use]
     pub fn owner_of(&self, service: &str, shard: ShardIndex) -> Option<&GroupId> {
-        self.owners.get(service)?.get(shard as usize)
+        self.owners.get(service)?.get(shard)
     }
 
     /// The groups that need a leader, in order: those of the manifest, and those that it dropped
@@ -193,9 +192,9 @@
                 let Some(owners) = self.owners.get(&service.name) else {
                     continue;
                 };
-                for run in owners.chunk_by(|one, other| one == other) {
-                    if !active.contains_key(&run[0]) {
-                        active.insert(run[0].clone(), Vec::new());
+                for (_, group) in owners.runs() {
+                    if !active.contains_key(group) {
+                        active.insert(group.clone(), Vec::new());
                     }
                 }
             }
@@ -340,7 +339,7 @@
             let longest = self.leases.entry(service.name.clone()).or_default();
             *longest = service.lease.max(*longest);
         }
-        self.manifest = Some(manifest.clone());
+        self.manifest = Some(Arc::new(manifest.clone()));
         self.drop_idle_groups();
         true
     }
@@ -381,15 +380,17 @@
         let Some(owners) = self.owners.get_mut(&moved.service) else {
             return false;
         };
-        let owned = |shard: &ShardIndex| owners.get(*shard as usize) == Some(&moved.from);
+        let owned = |shard: &ShardIndex| owners.get(*shard) == Some(&moved.from);
         if moved.shards.is_empty() || moved.from == moved.to || !moved.shards.iter().all(owned) {
             return false;
         }
         let owners = Arc::make_mut(owners);
-        let stamps = self.moved.entry(moved.service.clone()).or_default();
+        let stamps = self.moved.entry(moved.service.clone());
+        let stamps = stamps.or_insert_with(|| Arc::new(Runs::new(0, owners.len())));
+        let stamps = Arc::make_mut(stamps);
         for shard in &moved.shards {
-            owners[*shard as usize] = moved.to.clone();
-            stamps.insert(*shard, stamp);
+            owners.set(*shard, moved.to.clone());
+            stamps.set(*shard, stamp);
         }
         self.drop_if_idle(&moved.from);
         true
--- a/crates/keyspace/tests/keyspace/balance.rs
+++ b/crates/keyspace/tests/keyspace/balance.rs
@@ -4,9 +4,9 @@
 
 use crate::sample::{group, manifest, record, runner, service, upstream};
 use copperwell_keyspace::{
-    GroupId,
     balance::{TOLERANCE_PERCENT, plan},
     checkpoint::{EVERY, Need, RECORDS_MAX, STRANDED_AFTER, URGENT_AFTER, is_due},
+    manifest::Owners,
     record::Body,
     replay::State,
 };
@@ -26,7 +26,7 @@
     let first = manifest(0, vec![service("calendar", shards, list)]);
     let mut state = State::default();
     state.apply(0, &record("one", 1, Body::Manifest(first)));
-    let owners: Vec<GroupId> = owners.iter().map(|north| group(side(*north))).collect();
+    let owners: Owners = owners.iter().map(|north| group(side(*north))).collect();
     state.owners.insert("calendar".into(), Arc::new(owners));
     state
 }
--- a/crates/keyspace/tests/keyspace/decode.rs
+++ b/crates/keyspace/tests/keyspace/decode.rs
@@ -44,7 +44,7 @@
 fn any_bytes_are_a_record_or_an_error() {
     let run = |mut bytes: Vec<u8>| {
         let _ = Record::decode(&bytes);
-        bytes.insert(0, 1);
+        bytes.insert(0, 2);
         let _ = Record::decode(&bytes);
         Ok(())
     };
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_record_that_is_too_long_is_refused() {
-    let mut bytes = vec![1];
+    let mut bytes = vec![2];
     bytes.resize(SIZE_MAX + 2, 0);
     assert!(Record::decode(&bytes).is_err());
     let mut large = simple(0);
--- a/crates/keyspace/tests/keyspace/main.rs
+++ b/crates/keyspace/tests/keyspace/main.rs
@@ -5,4 +5,5 @@
 mod decode;
 mod reader;
 mod replay;
+mod runs;
 mod sample;
--- a/crates/keyspace/tests/keyspace/replay.rs
+++ b/crates/keyspace/tests/keyspace/replay.rs
@@ -286,7 +286,7 @@
     let first = state.apply(0, &record("one", 1, Body::Manifest(simple(0))));
     let second = state.apply(1, &record("two", 1, Body::Manifest(other)));
     assert_eq!((first, second), (Outcome::Applied, Outcome::Void));
-    assert_eq!(state.manifest, Some(simple(0)));
+    assert_eq!(state.manifest.as_deref(), Some(&simple(0)));
 }
 
 #[test]
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -204,7 +204,7 @@
 
 /// Whether the manifest needs no publication; an error if it cannot be published.
 fn settled(state: &State, manifest: &Manifest) -> Result<Option<Accepted>, Report<Error>> {
-    if state.manifest.as_ref() == Some(manifest) {
+    if state.manifest.as_deref() == Some(manifest) {
         return Ok(Some(Accepted::Before));
     }
     if state.version() != manifest.replaces {
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -15,7 +15,7 @@
 use copperwell_keyspace::{
     DaemonName, Epoch, GroupId, HashMap, Member, ShardIndex,
     balance::{Shift, plan},
-    manifest::{OnIsolation, Upstream, shards_of},
+    manifest::{OnIsolation, Upstream},
     replay::{Appointment, State},
 };
 use copperwell_policy::group::{
@@ -506,7 +506,7 @@
     let upstreams = upstreams.filter(|upstream| upstream.group(&id.service) == *id);
     let upstreams: Vec<Upstream> = upstreams.cloned().collect();
     let owners = state.owners.get(&id.service);
-    let shards = owners.map_or_else(Vec::new, |owners| shards_of(owners, id));
+    let shards = owners.map_or_else(Vec::new, |owners| owners.positions_of(id));
     if upstreams.is_empty() && former.is_empty() && shards.is_empty() {
         return None;
     }
--- a/crates/platform/tests/follow.rs
+++ b/crates/platform/tests/follow.rs
@@ -103,7 +103,7 @@
     assert_eq!(outcomes, [Outcome::Applied, Outcome::Void]);
     for writer in [&one, &two] {
         let seen = writer.until(|view| view.next == 2).await;
-        assert_eq!(seen.state.manifest, Some(manifest(0)));
+        assert_eq!(seen.state.manifest.as_deref(), Some(&manifest(0)));
     }
 }
 
--- a/crates/rig/src/probe.rs
+++ b/crates/rig/src/probe.rs
@@ -74,8 +74,8 @@
     service: &Service,
     groups: impl Fn(&GroupId) -> bool,
 ) -> Vec<Offer> {
-    let owners = manifest.initial_owners(service).into_iter();
-    let shards = (0..).zip(owners).filter(|(_, owner)| groups(owner));
+    let owners = manifest.initial_owners(service);
+    let shards = (0..).zip(owners.iter()).filter(|(_, owner)| groups(owner));
     let offers = (0..).zip(shards).map(|(number, (index, _))| Offer {
         at: Duration::ZERO,
         service: service.name.to_string(),
