Compress long records, and take manifests of the target's size

Cause: a record takes 1 MiB and a manifest was refused above 512 KiB, at 7,500 upstreams; the target has 26,400.

Change: records of 2 KiB and more are compressed with DEFLATE (miniz_oxide), told by the format byte. Decompression stops at 8 MiB, which is also the most that is encoded, so that no bytes grow beyond that. A manifest may have 3 MiB before it is compressed, 8 MiB as YAML, and 524,288 shards.

--- a/crates/keyspace/src/manifest.rs
+++ b/crates/keyspace/src/manifest.rs
@@ -14,13 +14,14 @@
 /// The most upstreams that one group takes; a data centre with more needs several parts.
 pub const GROUP_UPSTREAMS_MAX: usize = 24;
 /// The most shards of all services together.
-pub const SHARDS_TOTAL_MAX: u32 = 1 << 18;
+pub const SHARDS_TOTAL_MAX: u32 = 1 << 19;
 /// The most shards that a state keeps, those of removed services included.
 pub const SHARDS_KEPT_MAX: u32 = 2 * SHARDS_TOTAL_MAX;
-/// The largest encoded manifest, in bytes; leaves room in a record for the rest of a state.
-pub const MANIFEST_SIZE_MAX: u64 = 1 << 19;
+/// The largest manifest before it is compressed, in bytes; leaves room in a record for the rest
+/// of a state.
+pub const MANIFEST_SIZE_MAX: u64 = 3 << 20;
 /// The largest manifest as YAML, in bytes.
-pub const YAML_SIZE_MAX: usize = 4 << 20;
+pub const YAML_SIZE_MAX: usize = 8 << 20;
 /// The shortest lease.
 pub const LEASE_MIN: Duration = Duration::from_millis(200);
 /// The longest lease.
--- a/crates/keyspace/src/record.rs
+++ b/crates/keyspace/src/record.rs
@@ -10,16 +10,26 @@
 };
 use bincode::{DefaultOptions, Options};
 use error_stack::{Report, ResultExt};
+use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
 
 /// The one stream that carries manifests and ownership.
 pub const STREAM: &str = "copperwell";
 
-/// The format that [`Record::encode`] writes.
-const FORMAT: u8 = 2;
+/// The format of short records: bincode.
+const FORMAT_PLAIN: u8 = 2;
+/// The format of long records: bincode, compressed with DEFLATE.
+const FORMAT_COMPRESSED: u8 = 3;
+
+/// The length from which a record is compressed, in bytes.
+const COMPRESSED_FROM: usize = 2048;
+/// How hard the compressor tries, from 0 to 10.
+const LEVEL: u8 = 6;
 
 /// The largest encoded record, in bytes; the platform refuses longer ones.
 pub const SIZE_MAX: usize = 1 << 20;
+/// The largest record before it is compressed, in bytes.
+pub const PLAIN_SIZE_MAX: usize = 8 << 20;
 
 /// Identifies a record, so that one appended twice counts once.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -120,23 +130,25 @@
 impl std::error::Error for Error {}
 
 impl Record {
-    /// Writes the record as bytes.
+    /// Writes the record as bytes, compressed if it is long.
     ///
     /// # Errors
     ///
-    /// [`Error`] if the record is longer than [`SIZE_MAX`].
+    /// [`Error`] if the record is longer than [`SIZE_MAX`], or than [`PLAIN_SIZE_MAX`] before it
+    /// is compressed.
     pub fn encode(&self) -> Result<Vec<u8>, Report<Error>> {
-        let mut bytes = vec![FORMAT];
+        let mut bytes = vec![FORMAT_PLAIN];
         DefaultOptions::new()
             .serialize_into(&mut bytes, self)
             .change_context(Error)?;
-        if bytes.len() > SIZE_MAX {
-            let text = format!(
-                "{} bytes, at most {SIZE_MAX} fit; split the service",
-                bytes.len()
-            );
-            return Err(Report::new(Error).attach(text));
+        check_size(bytes.len(), PLAIN_SIZE_MAX)?;
+        if bytes.len() >= COMPRESSED_FROM {
+            let compressed = compress_to_vec(&bytes[1..], LEVEL);
+            bytes.truncate(0);
+            bytes.push(FORMAT_COMPRESSED);
+            bytes.extend(compressed);
         }
+        check_size(bytes.len(), SIZE_MAX)?;
         Ok(bytes)
     }
 
@@ -146,12 +158,29 @@
     ///
     /// [`Error`] if the bytes are not a record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Report<Error>> {
-        let Some((&FORMAT, rest)) = bytes.split_first() else {
-            return Err(Report::new(Error));
-        };
-        DefaultOptions::new()
-            .with_limit(SIZE_MAX as u64)
-            .deserialize(rest)
-            .change_context(Error)
+        match bytes.split_first() {
+            Some((&FORMAT_PLAIN, plain)) => decode_plain(plain, SIZE_MAX),
+            Some((&FORMAT_COMPRESSED, compressed)) => {
+                check_size(bytes.len(), SIZE_MAX)?;
+                let plain = decompress_to_vec_with_limit(compressed, PLAIN_SIZE_MAX);
+                decode_plain(&plain.map_err(|_| Error)?, PLAIN_SIZE_MAX)
+            }
+            _ => Err(Report::new(Error)),
+        }
+    }
+}
+
+fn decode_plain(bytes: &[u8], limit: usize) -> Result<Record, Report<Error>> {
+    DefaultOptions::new()
+        .with_limit(limit as u64)
+        .deserialize(bytes)
+        .change_context(Error)
+}
+
+fn check_size(size: usize, limit: usize) -> Result<(), Report<Error>> {
+    if size <= limit {
+        return Ok(());
     }
+    let text = format!("{size} bytes, at most {limit} fit; declare fewer upstreams");
+    Err(Report::new(Error).attach(text))
 }
