Publish a manifest as its difference to the one in force

Cause: each change of a manifest was the whole manifest in the log.

Change: a record may tell what a manifest changes of its parent: entries of lists that go, by place, entries that come, settings of services that change, and the digest of the manifest that results. It is void if the version or the digest does not fit, or if the result does not pass the check. A record that turns out void while its manifest still could be published is followed by another one with an id of its own, until the deadline; before, that was reported as a conflict of a version with itself. The naive replay of the tests takes differences as the manifests that they were made of, also such to another parent of the same version.

What people are shown (`operator::difference`) is by field and without regard to order, this one is exact and by place, so they share nothing.

--- a/crates/keyspace/examples/slopes.rs
+++ b/crates/keyspace/examples/slopes.rs
@@ -47,6 +47,8 @@
     /// The snapshot after every shard has moved, to a random group.
     scattered_bytes: Option<usize>,
     yaml_bytes: usize,
+    /// The record of a manifest that changes one upstream, as a difference.
+    change_bytes: usize,
     /// The manifest's bytes as the manifest's own bound counts them.
     plain_bytes: u64,
     /// Heap of a manifest that was read from a record.
@@ -58,6 +60,7 @@
     encode_us: u128,
     decode_us: u128,
     manifest_us: u128,
+    change_us: u128,
     appoint_us: u128,
     clone_us: u128,
     plan_us: u128,
@@ -111,6 +114,13 @@
     manifest.check().ok()?;
     let mut log = Log::default();
     let manifest_us = log.append(Body::Manifest(manifest.clone())).as_micros();
+    let mut next = manifest.clone();
+    next.replaces = manifest.version();
+    next.services[0].upstreams[0].drain = true;
+    let change = Body::publication(Some(&manifest), &next);
+    let change_bytes = encode(change.clone())?.len();
+    let change_us = log.append(change).as_micros();
+    assert_eq!(log.reader.state().manifest.as_deref(), Some(&next));
     let mut appoint = Duration::ZERO;
     let groups = groups(&manifest);
     for (number, group) in (0..).zip(&groups) {
@@ -151,7 +161,9 @@
         scattered_heap: scattered_heap.saturating_sub(manifest_heap),
         encode_us,
         decode_us,
+        change_bytes,
         manifest_us,
+        change_us,
         appoint_us: appoint.as_micros() / groups.len() as u128,
         clone_us,
         plan_us,
--- a/crates/keyspace/src/lib.rs
+++ b/crates/keyspace/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod batch;
 pub mod check;
 pub mod checkpoint;
+pub mod difference;
 pub mod grant;
 pub mod id;
 pub mod manifest;
--- a/crates/keyspace/src/record.rs
+++ b/crates/keyspace/src/record.rs
@@ -1,6 +1,7 @@
 //! Records of the log.
 
 use crate::{
+    difference::Difference,
     id::{
         DaemonName, Epoch, GroupId, Incarnation, LogOffset, ServiceName, ShardIndex, UpstreamName,
     },
@@ -54,7 +55,7 @@
 /// What a record says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
-    /// A manifest, which names the version that it replaces.
+    /// A whole manifest, which names the version that it replaces.
     Manifest(Manifest),
     /// Appoints leader and standby of a group.
     Appoint(Appoint),
@@ -64,6 +65,8 @@
     Snapshot(Box<Snapshot>),
     /// Tells that removed upstreams have let go.
     Retire(Retire),
+    /// A manifest, told as what it changes of the one that it replaces.
+    Difference(Box<Difference>),
 }
 
 /// Appoints leader and standby of a group.
--- a/crates/keyspace/src/replay.rs
+++ b/crates/keyspace/src/replay.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     HashMap, HashSet,
+    difference::Difference,
     id::{
         DaemonName, EPOCH_STRIDE, Epoch, GroupId, Incarnation, LogOffset, ManifestVersion,
         ServiceName, ShardIndex,
@@ -136,11 +137,12 @@
         }
         let stamp = self.stamp(offset, &record.id);
         let applied = match &record.body {
-            Body::Manifest(manifest) => self.apply_manifest(manifest),
+            Body::Manifest(manifest) => self.apply_manifest(manifest.clone()),
             Body::Appoint(appoint) => self.apply_appoint(stamp, appoint),
             Body::Move(moved) => self.apply_move(stamp, moved),
             Body::Retire(retire) => self.apply_retire(retire),
             Body::Snapshot(_) => false,
+            Body::Difference(difference) => self.apply_difference(difference),
         };
         self.note_writer(offset, record, applied);
         if applied {
@@ -325,12 +327,18 @@
         }
     }
 
-    fn apply_manifest(&mut self, manifest: &Manifest) -> bool {
+    fn apply_difference(&mut self, difference: &Difference) -> bool {
+        let held = self.manifest.as_ref();
+        let manifest = held.and_then(|parent| difference.apply(parent));
+        manifest.is_some_and(|manifest| self.apply_manifest(manifest))
+    }
+
+    fn apply_manifest(&mut self, manifest: Manifest) -> bool {
         if manifest.replaces != self.version() || manifest.check_after(self).is_err() {
             return false;
         }
         let mut former = std::mem::take(&mut self.former);
-        self.remember_former(manifest, &mut former);
+        self.remember_former(&manifest, &mut former);
         self.former = former;
         for service in &manifest.services {
             self.owners
@@ -339,7 +347,7 @@
             let longest = self.leases.entry(service.name.clone()).or_default();
             *longest = service.lease.max(*longest);
         }
-        self.manifest = Some(Arc::new(manifest.clone()));
+        self.manifest = Some(Arc::new(manifest));
         self.drop_idle_groups();
         true
     }
--- a/crates/keyspace/tests/keyspace/decode.rs
+++ b/crates/keyspace/tests/keyspace/decode.rs
@@ -38,6 +38,11 @@
     let many = (0..100).map(|number| upstream(number, "north")).collect();
     let mut long = simple(0);
     long.services.push(service("stock", 100, many));
+    let mut next = long.clone();
+    next.replaces = 1;
+    next.services[1].upstreams[50].slots = 9;
+    next.services[1].limits.queue = 9;
+    records.push(record("two", 3, Body::publication(Some(&long), &next)));
     records.push(record("two", 2, Body::Manifest(long)));
     records
 }
--- a/crates/keyspace/tests/keyspace/main.rs
+++ b/crates/keyspace/tests/keyspace/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod check;
 mod decode;
+mod difference;
 mod reader;
 mod replay;
 mod runs;
--- a/crates/keyspace/tests/keyspace/replay.rs
+++ b/crates/keyspace/tests/keyspace/replay.rs
@@ -5,11 +5,12 @@
 use crate::sample::{appoint, group, manifest, record, runner, service, simple, upstream};
 use copperwell_keyspace::{
     GroupId,
+    difference::Difference,
     manifest::Manifest,
     record::{Body, Move, Record, Retire},
     replay::{Outcome, State},
 };
-use proptest::{collection::vec, prelude::*, test_runner::TestCaseError};
+use proptest::{collection::vec, prelude::*, sample::select, test_runner::TestCaseError};
 use test_case::test_case;
 
 /// One step of a random log; parents are chosen relative to what is current.
@@ -18,6 +19,7 @@
     Manifest {
         stale: bool,
         south: bool,
+        way: Way,
     },
     Appoint {
         north: bool,
@@ -36,9 +38,50 @@
     },
 }
 
+/// How a manifest is published.
+#[derive(Debug, Clone, Copy)]
+enum Way {
+    Whole,
+    /// As a difference to the manifest in force, if there is one.
+    Difference,
+    /// As a difference to another manifest of the version in force.
+    Foreign,
+}
+
+/// A record, and for a difference the manifests that it was made of.
+#[derive(Debug, Clone)]
+struct Logged {
+    record: Record,
+    difference: Option<(Manifest, Manifest)>,
+}
+
+impl Logged {
+    fn new(record: Record) -> Self {
+        Self {
+            record,
+            difference: None,
+        }
+    }
+
+    /// A difference between two manifests.
+    fn with_difference(sequence: u64, parent: Manifest, next: Manifest) -> Self {
+        let difference = Difference::between(&parent, &next);
+        let body = Body::Difference(Box::new(difference));
+        Self {
+            record: record("writer", sequence, body),
+            difference: Some((parent, next)),
+        }
+    }
+}
+
 fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let way = select(vec![Way::Whole, Way::Difference, Way::Foreign]);
     let step = prop_oneof![
-        (any::<bool>(), any::<bool>()).prop_map(|(stale, south)| Step::Manifest { stale, south }),
+        (any::<bool>(), any::<bool>(), way).prop_map(|(stale, south, way)| Step::Manifest {
+            stale,
+            south,
+            way
+        }),
         (any::<bool>(), any::<bool>()).prop_map(|(north, stale)| Step::Appoint { north, stale }),
         (0..9_u32, any::<bool>(), any::<bool>()).prop_map(|(shard, stale, to_north)| Step::Move {
             shard,
@@ -56,16 +99,25 @@
 }
 
 /// The record of a step, with parents taken from `state`.
-fn record_of(step: &Step, state: &State, log: &[Record]) -> Record {
+fn record_of(step: &Step, state: &State, log: &[Logged]) -> Logged {
     let sequence = log.len() as u64 + 1;
     let epoch_of = |group: &GroupId| state.groups.get(group).map_or(0, |held| held.epoch);
     let body = match step {
-        Step::Manifest { stale, south } => {
+        Step::Manifest { stale, south, way } => {
             let mut next = simple(state.version().saturating_sub(u64::from(*stale)));
             if !south {
                 next.services[0].upstreams.pop();
             }
-            Body::Manifest(next)
+            let mut parent = state.manifest.as_deref().cloned();
+            if let (Way::Foreign, Some(parent)) = (way, &mut parent) {
+                for manifest in [parent, &mut next] {
+                    manifest.data_centres[0].region = "elsewhere".into();
+                }
+            }
+            match (way, parent) {
+                (Way::Whole, _) | (_, None) => Body::Manifest(next),
+                (_, Some(parent)) => return Logged::with_difference(sequence, parent, next),
+            }
         }
         Step::Appoint { north, stale } => {
             let group = side(*north);
@@ -103,13 +155,14 @@
             }
         }
     };
-    record("writer", sequence, body)
+    Logged::new(record("writer", sequence, body))
 }
 
 /// A replay that is plain: maps with names, one rule after the other, no shared code.
 #[derive(Default)]
 struct Naive {
     version: u64,
+    manifest: Option<Manifest>,
     has_south: bool,
     epochs: BTreeMap<String, u64>,
     owners: Vec<String>,
@@ -118,7 +171,8 @@
 }
 
 impl Naive {
-    fn apply(&mut self, record: &Record, epoch_if_applied: u64) {
+    fn apply(&mut self, logged: &Logged, epoch_if_applied: u64) {
+        let record = &logged.record;
         if record.id.sequence <= self.seen {
             return;
         }
@@ -139,6 +193,12 @@
                 }
             }
             Body::Snapshot(_) => {}
+            Body::Difference(_) => {
+                let (parent, next) = logged.difference.as_ref().expect("what it was made of");
+                if self.manifest.as_ref() == Some(parent) {
+                    self.manifest(next);
+                }
+            }
         }
         let names: Vec<String> = self.epochs.keys().cloned().collect();
         for name in names {
@@ -166,6 +226,7 @@
             self.former.remove("south");
         }
         self.has_south = south;
+        self.manifest = Some(next.clone());
         self.version += 1;
     }
 
@@ -192,6 +253,7 @@
 
     fn agrees(&self, state: &State) -> Result<(), TestCaseError> {
         prop_assert_eq!(self.version, state.version());
+        prop_assert_eq!(self.manifest.as_ref(), state.manifest.as_deref());
         let epochs: BTreeMap<String, u64> = state
             .groups
             .iter()
@@ -225,22 +287,22 @@
         let (mut state, mut naive, mut log) = (State::default(), Naive::default(), Vec::new());
         let mut highest = 0;
         for (offset, step) in (0..).zip(&steps) {
-            let record = record_of(step, &state, &log);
+            let logged = record_of(step, &state, &log);
             let before = state.clone();
-            let outcome = state.apply(offset, &record);
+            let outcome = state.apply(offset, &logged.record);
             let epochs = state.groups.values().map(|held| held.epoch);
             let newest = epochs.max().unwrap_or(0);
-            naive.apply(&record, newest);
+            naive.apply(&logged, newest);
             naive.agrees(&state)?;
             if outcome != Outcome::Applied {
                 prop_assert!(before.agrees_with(&state));
             }
-            if outcome == Outcome::Applied && matches!(record.body, Body::Appoint(_)) {
+            if outcome == Outcome::Applied && matches!(logged.record.body, Body::Appoint(_)) {
                 prop_assert!(newest > highest, "an epoch was given twice");
                 highest = newest;
             }
             prop_assert!(state.version() >= before.version());
-            log.push(record);
+            log.push(logged);
         }
         Ok(())
     };
@@ -253,9 +315,9 @@
         let replay = |steps: &[Step]| {
             let (mut state, mut log) = (State::default(), Vec::new());
             for (offset, step) in (0..).zip(steps) {
-                let record = record_of(step, &state, &log);
-                state.apply(offset, &record);
-                log.push(record);
+                let logged = record_of(step, &state, &log);
+                state.apply(offset, &logged.record);
+                log.push(logged);
             }
             state
         };
@@ -278,6 +340,37 @@
         .expect("no case fails");
 }
 
+#[test]
+fn of_two_differences_with_one_parent_the_first_wins() {
+    let mut state = State::default();
+    state.apply(0, &record("one", 1, Body::Manifest(simple(0))));
+    let with_queue = |queue: u32| {
+        let mut next = simple(1);
+        next.services[0].limits.queue = queue;
+        Body::publication(Some(&simple(0)), &next)
+    };
+    assert!(matches!(with_queue(9), Body::Difference(_)));
+    let first = record("two", 1, with_queue(9));
+    assert_eq!(state.apply(1, &first), Outcome::Applied);
+    let second = record("three", 1, with_queue(8));
+    assert_eq!(state.apply(2, &second), Outcome::Void);
+    assert_eq!(state.apply(3, &first), Outcome::Repeated);
+    let queue = state.manifest.expect("a manifest").services[0].limits.queue;
+    assert_eq!(queue, 9);
+}
+
+#[test]
+fn a_difference_that_gives_a_bad_manifest_is_void() {
+    let mut state = State::default();
+    state.apply(0, &record("one", 1, Body::Manifest(simple(0))));
+    let mut bad = simple(1);
+    bad.services[0].upstreams[0].slots = 0;
+    let body = Body::publication(Some(&simple(0)), &bad);
+    assert!(matches!(body, Body::Difference(_)));
+    assert_eq!(state.apply(1, &record("one", 2, body)), Outcome::Void);
+    assert_eq!(state.version(), 1);
+}
+
 #[test]
 fn of_two_manifests_with_one_parent_the_first_wins() {
     let mut state = State::default();
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -113,20 +113,22 @@
     let loaded = timeout_at(deadline, load_state(log)).await;
     let mut reader = loaded.unwrap_or_else(|_| Err(Report::new(Error::NoState)))?;
     reach_floor(log, &mut reader, floor, deadline).await?;
-    if let Some(accepted) = settled(reader.state(), manifest)? {
-        return Ok(accepted);
-    }
-    let record = Record {
-        id: fresh_id(),
-        body: Body::Manifest(manifest.clone()),
-    };
-    match append(log, &mut reader, &record, deadline).await? {
-        Outcome::Applied => Ok(Accepted::Now),
-        Outcome::Repeated | Outcome::Void => match settled(reader.state(), manifest)? {
-            Some(accepted) => Ok(accepted),
-            // It was published in the same moment and replaced since.
-            None => Err(conflict(reader.state(), manifest)),
-        },
+    loop {
+        if let Some(accepted) = settled(reader.state(), manifest)? {
+            return Ok(accepted);
+        }
+        let parent = reader.state().manifest.as_deref();
+        let record = Record {
+            id: fresh_id(),
+            body: Body::publication(parent, manifest),
+        };
+        match append(log, &mut reader, &record, deadline).await? {
+            Outcome::Applied => return Ok(Accepted::Now),
+            // It was published in the same moment, or the log lost the parent that the record is
+            // to and has another one of the same version. It is void for good, so that the
+            // manifest can be published again.
+            Outcome::Repeated | Outcome::Void => {}
+        }
     }
 }
 
