--- a/crates/keyspace/src/lib.rs
+++ b/crates/keyspace/src/lib.rs
@@ -6,19 +6,21 @@
     ManifestVersion, RegionName, Sequence, ServiceName, ShardIndex, UpstreamName,
 };
 pub use member::Member;
+pub use runs::Runs;
 
 pub mod balance;
 pub mod batch;
 pub mod check;
 pub mod checkpoint;
+pub mod difference;
 pub mod grant;
 pub mod id;
 pub mod manifest;
 pub mod member;
 mod merge;
-mod ranges;
 pub mod reader;
 mod recent;
 pub mod record;
 pub mod replay;
+mod runs;
 pub mod shard;
