Refuse request streams of another version

Cause: links send their version as the path of each stream, but the serving side never looked at it, though the design note said that it refuses other versions. A message of a later version that happens to decode would have been served as something else.

Change: a stream on another path is reset as refused, which the sender takes as not run and `no-leader`.

Before: the new test's stream of version 2 was served. After: it is refused, and one of version 1 on the same daemon is served.

--- a/crates/peer/src/link/server.rs
+++ b/crates/peer/src/link/server.rs
@@ -3,7 +3,7 @@
 use std::{future::poll_fn, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    FRAMES_BUDGET, GIVEN_UP_MAX, HEADERS_MAX, LINK_WINDOW, Links, STREAM_WINDOW, STREAMS_MAX,
+    FRAMES_BUDGET, GIVEN_UP_MAX, HEADERS_MAX, LINK_WINDOW, Links, PATH, STREAM_WINDOW, STREAMS_MAX,
     keepalive::{End, Pulse},
     pump,
 };
@@ -173,6 +173,10 @@
     }
 
     async fn stream(&self, request: http::Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+        if request.uri().path() != PATH {
+            // Of another version: its message could be mistaken for one of this version.
+            return respond.send_reset(h2::Reason::REFUSED_STREAM);
+        }
         let response = tokio::select! {
             biased;
             _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -442,6 +442,20 @@
     verdict(&response)
 }
 
+#[tokio::test]
+async fn stream_of_a_later_version_is_refused() {
+    let (listener, own) = listen().await;
+    let receiving = tokio::spawn(raw::receive(listener));
+    let _ = Links::new().send(own, request(Body::empty())).await;
+    let mut sent = receiving.await.unwrap();
+    let to = start(Echo).await;
+    sent.path = sent.path.replace("/1", "/2");
+    let reset = raw::send(to, &sent).await;
+    assert_eq!(reset, Some(h2::Reason::REFUSED_STREAM));
+    sent.path = sent.path.replace("/2", "/1");
+    assert_eq!(raw::send(to, &sent).await, None);
+}
+
 #[test_case::test_case(raw::Fault::Short; "shorter than announced")]
 #[test_case::test_case(raw::Fault::Long; "longer than announced")]
 #[test_case::test_case(raw::Fault::Unmarked; "no mark at the end")]
--- a/crates/peer/tests/raw/mod.rs
+++ b/crates/peer/tests/raw/mod.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use copperwell_message::{Reply, Verdict};
 use h2::{Reason, server::SendResponse};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// What the peer does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +44,40 @@
     address
 }
 
+/// What a daemon sends first on a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Sent {
+    /// The path, which ends with the version of the messages.
+    pub(crate) path: String,
+    /// The message.
+    pub(crate) message: Bytes,
+}
+
+/// Takes in the first stream that a daemon opens.
+pub(crate) async fn receive(listener: TcpListener) -> Sent {
+    let (stream, _) = listener.accept().await.unwrap();
+    let mut link = h2::server::handshake(stream).await.unwrap();
+    let (request, _respond) = link.accept().await.unwrap().unwrap();
+    let path = request.uri().path().to_owned();
+    let mut body = request.into_body();
+    let message = tokio::select! {
+        message = body.data() => message.unwrap().unwrap(),
+        _ = link.accept() => panic!("the link ended"),
+    };
+    Sent { path, message }
+}
+
+/// Sends the same to another daemon; gives why that one reset the stream, if it did.
+pub(crate) async fn send(to: SocketAddr, sent: &Sent) -> Option<Reason> {
+    let stream = TcpStream::connect(to).await.unwrap();
+    let (mut link, connection) = h2::client::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    let request = http::Request::post(&sent.path).body(()).unwrap();
+    let (response, mut body) = link.send_request(request, false).unwrap();
+    body.send_data(sent.message.clone(), true).unwrap();
+    response.await.err().map(|error| error.reason().unwrap())
+}
+
 fn act(fault: Fault, mut respond: SendResponse<Bytes>) {
     let body = match fault {
         Fault::RefuseStream => return respond.send_reset(Reason::REFUSED_STREAM),
