Name the version of control messages in the first bytes of their connections

Cause: control messages carried no version. Daemons of two releases whose messages differ failed in decoding at best, and could take one message for another at worst, without a counter or a line that says so.

Change: a control connection begins with a mark and a version, eight bytes that never change their form. A daemon of before this change reads the mark as a frame beyond its limit and closes the connection, and its own first frame is refused as `protocol`.

Weighed and left: an answer to the greeting, which adds a round trip to the first probe between regions.

--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -159,6 +159,7 @@
         self.spawn(control::serve(
             listeners.control,
             core.clone(),
+            parts.peering.refusals.clone(),
             running.clone(),
         ));
         let admin = admin::serve(
--- a/crates/copperwelld/src/parts.rs
+++ b/crates/copperwelld/src/parts.rs
@@ -14,7 +14,12 @@
 use copperwell_dispatch::{Engine, Observation, table::Table};
 use copperwell_keyspace::Member;
 use copperwell_ownership::{Event, Groups};
-use copperwell_peer::{control::Client, dial::Dial, link::Links, members::Members};
+use copperwell_peer::{
+    control::{Client, Refusals},
+    dial::Dial,
+    link::Links,
+    members::Members,
+};
 use copperwell_platform::{
     append::Appender,
     follow::{self, Follower, Source},
@@ -42,6 +47,7 @@
 /// The ways to other daemons.
 pub(crate) struct Peering {
     pub(crate) client: Client,
+    pub(crate) refusals: Refusals,
     pub(crate) links: Links,
     pub(crate) members: Arc<Members>,
 }
@@ -103,11 +109,14 @@
         let dial = dial(settings);
         let client = Client::with_dial(dial);
         client.register(registry);
+        let refusals = Refusals::new();
+        refusals.register(registry);
         let links = Links::with_dial(dial);
         links.register(registry);
         let members = Members::new(me.clone(), settings.seeds.clone(), client.clone());
         Self {
             client,
+            refusals,
             links,
             members,
         }
--- a/crates/peer/examples/membership.rs
+++ b/crates/peer/examples/membership.rs
@@ -11,7 +11,7 @@
 
 use copperwell_keyspace::{LogOffset, Member, batch::Batch};
 use copperwell_peer::{
-    control::{Client, HandOver, Handler, Pong, Probe, Relinquish, Snapshot, serve},
+    control::{Client, HandOver, Handler, Pong, Probe, Refusals, Relinquish, Snapshot, serve},
     members::Members,
 };
 use copperwell_policy::quarantine::Share;
@@ -112,7 +112,12 @@
         let answers = Answers {
             members: members.clone(),
         };
-        tokio::spawn(serve(listener, answers, CancellationToken::new()));
+        tokio::spawn(serve(
+            listener,
+            answers,
+            Refusals::new(),
+            CancellationToken::new(),
+        ));
         let probing = members.clone();
         tokio::spawn(async move { probing.run(CancellationToken::new()).await });
         daemons.push(Daemon { members, registry });
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -10,9 +10,13 @@
 
 pub use client::{Client, Error};
 pub use copperwell_policy::suspicion::{Liveness, Rumour};
+pub use greeting::{Refusal, VERSION};
+pub use refusals::Refusals;
 pub use server::serve;
 
 mod client;
+mod greeting;
+mod refusals;
 mod rpc;
 mod server;
 
--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use super::{FRAME_MAX, HandOver, Pong, Probe, Relinquish, Snapshot, TIMEOUT, rpc::ControlClient};
+use super::{
+    FRAME_MAX, HandOver, Pong, Probe, Relinquish, Snapshot, TIMEOUT, greeting, rpc::ControlClient,
+};
 use crate::dial::Dial;
 use copperwell_keyspace::{HashMap, LogOffset, batch::Batch};
 use copperwell_policy::quarantine::Share;
@@ -268,9 +270,16 @@
             .attach(to)?
             .change_context(Error::Unreachable)
             .attach(to)?;
+        let mut stream = self.traffic.count(stream);
+        timeout_at(deadline, greeting::write(&mut stream))
+            .await
+            .change_context(Error::Unreachable)
+            .attach(to)?
+            .change_context(Error::Unreachable)
+            .attach(to)?;
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(FRAME_MAX)
-            .new_framed(self.traffic.count(stream));
+            .new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let mut config = client::Config::default();
         config.max_in_flight_requests = CALLS_MAX;
--- a/crates/peer/src/control/server.rs
+++ b/crates/peer/src/control/server.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{FRAME_MAX, HandOver, Handler, Pong, Probe, Relinquish, Snapshot, rpc::Control};
+use super::{
+    FRAME_MAX, HandOver, Handler, Pong, Probe, Refusals, Relinquish, Snapshot, greeting,
+    rpc::Control,
+};
 use copperwell_keyspace::{LogOffset, batch::Batch};
 use copperwell_policy::quarantine::Share;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -33,8 +36,13 @@
     handler: Arc<H>,
 }
 
-/// Serves control calls until `shutdown`.
-pub async fn serve(listener: TcpListener, handler: impl Handler, shutdown: CancellationToken) {
+/// Serves control calls until `shutdown`, of daemons with the same version of the messages.
+pub async fn serve(
+    listener: TcpListener,
+    handler: impl Handler,
+    refusals: Refusals,
+    shutdown: CancellationToken,
+) {
     let handler = Arc::new(handler);
     let room = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     let tasks = TaskTracker::new();
@@ -44,16 +52,22 @@
                 return;
             };
             // A failed accept concerns one connection, or open files that others will free.
-            let Ok((stream, _)) = listener.accept().await else {
+            let Ok((mut stream, source)) = listener.accept().await else {
                 tokio::task::yield_now().await;
                 continue;
             };
             let handler = handler.clone();
+            let refusals = refusals.clone();
             let shutdown = shutdown.clone();
             tasks.spawn(async move {
-                shutdown
-                    .run_until_cancelled(connection(stream, handler))
-                    .await;
+                let serving = async {
+                    match greeting::read(&mut stream).await {
+                        Ok(()) => refusals.taken(source.ip()),
+                        Err(refusal) => return refusals.refused(source.ip(), refusal),
+                    }
+                    connection(stream, handler).await;
+                };
+                shutdown.run_until_cancelled(serving).await;
                 drop(permit);
             });
         }
--- a/crates/peer/tests/control.rs
+++ b/crates/peer/tests/control.rs
@@ -10,8 +10,8 @@
     batch::{Batch, Entry, Relayed},
 };
 use copperwell_peer::control::{
-    Client, Error, HandOver, Handler, Liveness, Pong, Position, Probe, Relinquish, Rumour,
-    Snapshot, serve,
+    Client, Error, HandOver, Handler, Liveness, Pong, Position, Probe, Refusal, Refusals,
+    Relinquish, Rumour, Snapshot, VERSION, serve,
 };
 use copperwell_policy::quarantine::Share;
 use proxy::Proxy;
@@ -133,7 +133,12 @@
 
 async fn start() -> SocketAddr {
     let (listener, address) = listen().await;
-    tokio::spawn(serve(listener, Echo, CancellationToken::new()));
+    tokio::spawn(serve(
+        listener,
+        Echo,
+        Refusals::new(),
+        CancellationToken::new(),
+    ));
     address
 }
 
@@ -195,14 +200,19 @@
 async fn connection_that_was_closed_is_replaced() {
     let (listener, to) = listen().await;
     let shutdown = CancellationToken::new();
-    let server = tokio::spawn(serve(listener, Echo, shutdown.clone()));
+    let server = tokio::spawn(serve(listener, Echo, Refusals::new(), shutdown.clone()));
     let client = Client::new();
     client.probe(to, probe(), LONG).await.unwrap();
     shutdown.cancel();
     server.await.unwrap();
     assert_eq!(fails(&client, to, LONG).await, Error::Broken);
     let listener = TcpListener::bind(to).await.unwrap();
-    tokio::spawn(serve(listener, Echo, CancellationToken::new()));
+    tokio::spawn(serve(
+        listener,
+        Echo,
+        Refusals::new(),
+        CancellationToken::new(),
+    ));
     client.probe(to, probe(), LONG).await.unwrap();
 }
 
@@ -229,3 +239,51 @@
         client.probe(to, probe(), LONG).await.unwrap();
     }
 }
+
+#[tokio::test]
+async fn later_version_is_refused_and_counted() {
+    let (listener, to) = listen().await;
+    let refusals = Refusals::new();
+    let shutdown = CancellationToken::new();
+    tokio::spawn(serve(listener, Echo, refusals.clone(), shutdown));
+    // A peer of this version, by way of what its client sends first.
+    let (reader, own) = listen().await;
+    let client = Client::new();
+    let asked = client.probe(own, probe(), LONG);
+    let greeting = async {
+        let (mut stream, _) = reader.accept().await.unwrap();
+        let mut greeting = [0; 8];
+        stream.read_exact(&mut greeting).await.unwrap();
+        greeting
+    };
+    let (failure, greeting) = tokio::join!(asked, greeting);
+    assert_eq!(*failure.unwrap_err().current_context(), Error::Broken);
+    assert_eq!(greeting[4..], VERSION.to_be_bytes());
+    let later = VERSION + 1;
+    let later = [&greeting[..4], &later.to_be_bytes()].concat();
+    let refused = Refusal::Version(VERSION + 1);
+    for count in 1..=2 {
+        let mut stream = TcpStream::connect(to).await.unwrap();
+        stream.write_all(&later).await.unwrap();
+        let mut read = Vec::new();
+        // It ends without an answer, by an end of file or a reset.
+        let _ = stream.read_to_end(&mut read).await;
+        assert!(read.is_empty(), "{read:?}");
+        assert_eq!(refusals.count(refused), count);
+        // Daemons of this version are served as before.
+        Client::new().probe(to, probe(), LONG).await.unwrap();
+    }
+    assert_eq!(refusals.count(Refusal::Protocol), 0);
+}
+
+#[tokio::test]
+async fn connection_without_a_greeting_is_closed() {
+    let (listener, to) = listen().await;
+    let refusals = Refusals::new();
+    let shutdown = CancellationToken::new();
+    tokio::spawn(serve(listener, Echo, refusals.clone(), shutdown));
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let mut read = Vec::new();
+    stream.read_to_end(&mut read).await.unwrap();
+    assert_eq!(refusals.count(Refusal::Slow), 1);
+}
--- a/crates/peer/tests/members.rs
+++ b/crates/peer/tests/members.rs
@@ -10,7 +10,8 @@
 use copperwell_message::{Body, Class, Head, Reason, Repeat, Request, Verdict};
 use copperwell_peer::{
     control::{
-        Client, HandOver, Handler, Liveness, Pong, Position, Probe, Relinquish, Snapshot, serve,
+        Client, HandOver, Handler, Liveness, Pong, Position, Probe, Refusals, Relinquish, Snapshot,
+        serve,
     },
     link::{Links, Relay},
     members::{Event, Guard, Members, ROUND, Roster},
@@ -82,7 +83,7 @@
         let answers = Answers {
             members: members.clone(),
         };
-        tokio::spawn(serve(listener, answers, shutdown.clone()));
+        tokio::spawn(serve(listener, answers, Refusals::new(), shutdown.clone()));
         let probing = members.clone();
         let token = shutdown.clone();
         tokio::spawn(async move { probing.run(token).await });
