Read the list of VMs each second only for a group that waits

Cause: a daemon read the whole list each second while anybody on it did not answer, for as long as the list lagged, and while anybody alive was missing from it. Change: policy::listing spaces the readings: each second for a group that waits for evidence, with doubling pauses while somebody alive is not listed, at rest otherwise. A VM that is listed and does not answer is no reason any more.

--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -19,9 +19,12 @@
     members::Members,
 };
 use copperwell_platform::follow::{Held, View};
-use copperwell_policy::{quarantine::Share, window::Export};
+use copperwell_policy::{listing::Need, quarantine::Share, window::Export};
 use tokio::sync::watch;
 
+/// Below so many daemons, this one included, there may be others that only the list knows.
+const LIVE_MIN: usize = 2;
+
 /// What the daemon's tasks share.
 pub(crate) struct Core<C, F> {
     pub(crate) me: Member,
@@ -47,14 +50,19 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Whether the platform's list of VMs may end a wait, names daemons that are not known yet, or
-    /// lacks one that is alive: only a VM that was seen on the list can be found to have left it.
-    pub(crate) fn wants_vms(&self, listed: &HashSet<DaemonName>) -> bool {
-        let waits = self.groups.status().iter().any(|status| status.waits);
+    /// What the platform's list of VMs could bring, with those that it had when last read.
+    pub(crate) fn need_of_vms(&self, listed: &HashSet<DaemonName>) -> Need {
+        if self.groups.status().iter().any(|status| status.waits) {
+            return Need::Evidence;
+        }
         let roster = self.members.roster().borrow().clone();
         let live = roster.live();
         let is_missing = live.iter().any(|member| !listed.contains(&member.name));
-        waits || is_missing || live.len() < listed.len().max(2)
+        if is_missing || live.len() < LIVE_MIN {
+            Need::Unlisted
+        } else {
+            Need::Rest
+        }
     }
 
     /// The daemons of this data centre that are alive and stay, in the order of names.
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -14,10 +14,13 @@
     members::{self as membership},
 };
 use copperwell_platform::{
-    VmList, VmState,
+    Vm, VmList, VmState,
     follow::{Status, View},
 };
-use copperwell_policy::quarantine::Share;
+use copperwell_policy::{
+    listing::{self, Schedule},
+    quarantine::Share,
+};
 use futures::future::join_all;
 use rand::RngExt;
 use spdlog::{info, warn};
@@ -26,16 +29,6 @@
     time::{Instant, sleep},
 };
 
-/// How often the platform's list of VMs is read while a group waits for evidence from it, or while
-/// too few daemons are known.
-const VMS_INTERVAL: Duration = Duration::from_secs(1);
-
-/// How often it is read at rest, for each VM that it lists: reading a long list costs more.
-const VMS_INTERVAL_BY_VM: Duration = Duration::from_millis(120);
-
-/// The shortest time between two readings at rest.
-const VMS_INTERVAL_REST: Duration = Duration::from_secs(10);
-
 /// How often the groups are told when the log was last seen.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -83,28 +76,20 @@
 /// Reads the platform's list of VMs.
 pub(crate) async fn vms<C: Control, F: Forward>(core: Arc<Core<C, F>>, list: Arc<impl VmList>) {
     let mut listed = HashSet::default();
+    let mut schedule = Schedule::new();
     loop {
-        if let Ok(vms) = list.list().await {
-            listed = vms.iter().map(|vm| vm.name.clone()).collect();
-            let vms = vms.into_iter().map(|vm| membership::Vm {
-                name: vm.name,
-                data_centre: vm.data_centre,
-                control: vm.control,
-                leaving: vm.state == VmState::Leaving,
-            });
-            core.members.update_vms(vms.collect());
-        }
-        let rest =
-            VMS_INTERVAL_BY_VM.saturating_mul(u32::try_from(listed.len()).unwrap_or(u32::MAX));
-        let until = Instant::now() + rest.max(VMS_INTERVAL_REST);
-        loop {
-            // Spread, so that the platform is not asked by all daemons at once.
-            let part = rand::rng().random_range(0.7..1.3);
-            sleep(VMS_INTERVAL.mul_f64(part)).await;
-            if Instant::now() >= until || core.wants_vms(&listed) {
-                break;
+        let need = core.need_of_vms(&listed);
+        if schedule.is_due(need, listed.len(), Instant::now()) {
+            if let Ok(vms) = list.list().await {
+                listed = vms.iter().map(|vm| vm.name.clone()).collect();
+                core.members
+                    .update_vms(vms.into_iter().map(listed_vm).collect());
             }
+            schedule.note(need, listed.len(), Instant::now());
         }
+        // Spread, so that the platform is not asked by all daemons at once.
+        let part = rand::rng().random_range(0.7..1.3);
+        sleep(listing::INTERVAL.mul_f64(part)).await;
     }
 }
 
@@ -324,3 +309,12 @@
         info!("manifest in force", kv: { version = version(now) });
     }
 }
+
+fn listed_vm(vm: Vm) -> membership::Vm {
+    membership::Vm {
+        name: vm.name,
+        data_centre: vm.data_centre,
+        control: vm.control,
+        leaving: vm.state == VmState::Leaving,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod group;
 pub mod limit;
+pub mod listing;
 pub mod placement;
 pub mod quarantine;
 pub mod queue;
