--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -108,7 +108,7 @@
         let held = self.held.snapshot().ok()?;
         Some(Snapshot {
             next: held.next,
-            state: bincode::serialize(&held.state).ok()?,
+            state: held.state.encode().ok()?,
         })
     }
 
--- a/crates/copperwelld/src/relay.rs
+++ b/crates/copperwelld/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use copperwell_keyspace::{LogOffset, Member, record::Snapshot};
+use copperwell_keyspace::{LogOffset, Member, record::Snapshot, replay::State};
 use copperwell_peer::{control::Client, members::Members};
 use copperwell_platform::{Batch, Error, Relay};
 use error_stack::Report;
@@ -69,8 +69,8 @@
         let read = self.client.snapshot(peer.control).await;
         let read = read.map_err(|report| report.change_context(Error::Unavailable))?;
         let read = read.ok_or_else(unavailable)?;
-        let state = bincode::deserialize(&read.state)
-            .map_err(|error| Report::new(error).change_context(Error::Invalid))?;
+        let state = State::decode(&read.state);
+        let state = state.map_err(|report| report.change_context(Error::Invalid))?;
         Ok(Snapshot {
             next: read.next,
             state,
--- a/crates/keyspace/src/check.rs
+++ b/crates/keyspace/src/check.rs
@@ -148,14 +148,10 @@
     let mut seen = HashSet::default();
     for (place, data_centre) in manifest.data_centres.iter().enumerate() {
         let field = format!("data_centres[{place}]");
-        check_name(&format!("{field}.name"), &data_centre.name, faults);
-        check_name(&format!("{field}.region"), &data_centre.region, faults);
-        check_unique(
-            &format!("{field}.name"),
-            &data_centre.name,
-            &mut seen,
-            faults,
-        );
+        let name = format_args!("{field}.name");
+        check_name(name, &data_centre.name, faults);
+        check_name(format_args!("{field}.region"), &data_centre.region, faults);
+        check_unique(name, &data_centre.name, &mut seen, faults);
     }
 }
 
@@ -163,8 +159,9 @@
     let mut seen = HashSet::default();
     for (place, service) in manifest.services.iter().enumerate() {
         let field = format!("services[{place}]");
-        check_name(&format!("{field}.name"), &service.name, faults);
-        check_unique(&format!("{field}.name"), &service.name, &mut seen, faults);
+        let name = format_args!("{field}.name");
+        check_name(name, &service.name, faults);
+        check_unique(name, &service.name, &mut seen, faults);
         check_times(&field, service, faults);
         check_room(&field, service, faults);
         check_parts(&field, manifest, service, faults);
@@ -252,14 +249,11 @@
     let mut names = HashSet::default();
     let mut addresses = HashSet::default();
     for (field, _, upstream) in upstreams(manifest) {
-        check_name(&format!("{field}.name"), &upstream.name, faults);
-        check_unique(&format!("{field}.name"), &upstream.name, &mut names, faults);
-        check_unique(
-            &format!("{field}.address"),
-            &upstream.address,
-            &mut addresses,
-            faults,
-        );
+        let name = format_args!("{field}.name");
+        check_name(name, &upstream.name, faults);
+        check_unique(name, &upstream.name, &mut names, faults);
+        let address = format_args!("{field}.address");
+        check_unique(address, &upstream.address, &mut addresses, faults);
         if upstream.address.port() == 0 || upstream.address.ip().is_unspecified() {
             let remedy = "give the IP number and port that the server listens on";
             faults.add(format!("{field}.address"), upstream.address, remedy);
@@ -399,19 +393,35 @@
     known
 }
 
+/// The field of an upstream, written only where there is a fault.
+#[derive(Clone, Copy)]
+struct Field {
+    service: usize,
+    upstream: usize,
+}
+
+impl fmt::Display for Field {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "services[{}].upstreams[{}]", self.service, self.upstream)
+    }
+}
+
 /// All upstreams with their field and service.
-fn upstreams(manifest: &Manifest) -> impl Iterator<Item = (String, &Service, &Upstream)> {
+fn upstreams(manifest: &Manifest) -> impl Iterator<Item = (Field, &Service, &Upstream)> {
     let services = manifest.services.iter().enumerate();
     services.flat_map(|(place, service)| {
         let upstreams = service.upstreams.iter().enumerate();
         upstreams.map(move |(nested, upstream)| {
-            let field = format!("services[{place}].upstreams[{nested}]");
+            let field = Field {
+                service: place,
+                upstream: nested,
+            };
             (field, service, upstream)
         })
     })
 }
 
-fn check_name(field: &str, name: &str, faults: &mut Faults) {
+fn check_name(field: impl fmt::Display, name: &str, faults: &mut Faults) {
     let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if name.is_empty() || name.len() > NAME_MAX || !name.bytes().all(is_plain) {
         let remedy = format!("use 1 to {NAME_MAX} of letters, digits, `-`, `_` and `.`");
@@ -419,13 +429,13 @@
     }
 }
 
-fn check_unique<T: Eq + Hash + Clone + fmt::Display>(
-    field: &str,
-    value: &T,
-    seen: &mut HashSet<T>,
+fn check_unique<'a, T: Eq + Hash + fmt::Display>(
+    field: impl fmt::Display,
+    value: &'a T,
+    seen: &mut HashSet<&'a T>,
     faults: &mut Faults,
 ) {
-    if !seen.insert(value.clone()) {
+    if !seen.insert(value) {
         faults.add(field, value, "used twice; give each its own");
     }
 }
--- a/crates/keyspace/src/record.rs
+++ b/crates/keyspace/src/record.rs
@@ -12,7 +12,7 @@
 use bincode::{DefaultOptions, Options};
 use error_stack::{Report, ResultExt};
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// The one stream that carries manifests and ownership.
 pub const STREAM: &str = "copperwell";
@@ -173,7 +173,30 @@
     }
 }
 
-fn decode_plain(bytes: &[u8], limit: usize) -> Result<Record, Report<Error>> {
+impl State {
+    /// Writes the state as bytes for peers, not compressed.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the state is longer than [`PLAIN_SIZE_MAX`].
+    pub fn encode(&self) -> Result<Vec<u8>, Report<Error>> {
+        let bytes = DefaultOptions::new().serialize(self);
+        let bytes = bytes.change_context(Error)?;
+        check_size(bytes.len(), PLAIN_SIZE_MAX)?;
+        Ok(bytes)
+    }
+
+    /// Reads a state.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the bytes are not a state.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Report<Error>> {
+        decode_plain(bytes, PLAIN_SIZE_MAX)
+    }
+}
+
+fn decode_plain<T: DeserializeOwned>(bytes: &[u8], limit: usize) -> Result<T, Report<Error>> {
     DefaultOptions::new()
         .with_limit(limit as u64)
         .deserialize(bytes)
--- a/crates/platform/src/snapshots.rs
+++ b/crates/platform/src/snapshots.rs
@@ -1,6 +1,12 @@
 //! Appends snapshots of the state when they are due.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use crate::{Log, metrics::Metrics};
 use copperwell_keyspace::{
@@ -10,7 +16,10 @@
     record::{Body, Id, Record, STREAM, Snapshot},
 };
 use spdlog::warn;
-use tokio::{task::JoinHandle, time::Instant};
+use tokio::{
+    task::{JoinHandle, spawn_blocking},
+    time::Instant,
+};
 
 /// The pause between two appends of a snapshot.
 const PAUSE: Duration = Duration::from_secs(2);
@@ -30,7 +39,8 @@
     stranded_since: Option<Instant>,
     tried_at: Option<Instant>,
     append: Option<JoinHandle<()>>,
-    is_too_large: bool,
+    /// Whether the last snapshot did not fit a record.
+    is_too_large: Arc<AtomicBool>,
 }
 
 impl Snapshots {
@@ -46,7 +56,7 @@
             stranded_since: None,
             tried_at: None,
             append: None,
-            is_too_large: false,
+            is_too_large: Arc::default(),
         }
     }
 
@@ -86,16 +96,19 @@
             },
             body: Body::Snapshot(Box::new(snapshot)),
         };
-        let Ok(bytes) = record.encode() else {
-            if !std::mem::replace(&mut self.is_too_large, true) {
-                warn!("the state is too large for a snapshot; remove services or upstreams");
-            }
-            self.metrics.snapshots_too_large.inc();
-            return;
-        };
-        self.is_too_large = false;
         let (log, metrics) = (log.clone(), self.metrics.clone());
+        let is_too_large = self.is_too_large.clone();
         self.append = Some(tokio::spawn(async move {
+            // To compress a large state takes longer than a worker may be kept from requests.
+            let encoded = spawn_blocking(move || record.encode().ok()).await;
+            let Some(bytes) = encoded.ok().flatten() else {
+                if !is_too_large.swap(true, Ordering::Relaxed) {
+                    warn!("the state is too large for a snapshot; remove services or upstreams");
+                }
+                metrics.snapshots_too_large.inc();
+                return;
+            };
+            is_too_large.store(false, Ordering::Relaxed);
             match log.append(STREAM, bytes).await {
                 Ok(_) => {
                     metrics.snapshots_appended.inc();
