--- a/crates/keyspace/src/runs.rs
+++ b/crates/keyspace/src/runs.rs
@@ -186,17 +186,14 @@
     /// Takes over runs whose values are known to exist.
     fn from_plain(plain: Plain<T>) -> Self {
         let mut end = 0;
-        let mut runs = Vec::with_capacity(plain.runs.len());
-        for run in plain.runs {
-            end += run.shards;
-            runs.push(Run {
-                end,
-                value: run.group,
-            });
-        }
+        let runs = plain.positions.into_iter().zip(plain.lengths);
+        let runs = runs.map(|(value, length)| {
+            end += length;
+            Run { end, value }
+        });
         Self {
-            values: plain.groups,
-            runs,
+            runs: runs.collect(),
+            values: plain.values,
         }
     }
 }
@@ -219,36 +216,32 @@
 
 impl<T: Clone + Eq + Hash> Eq for Runs<T> {}
 
-/// Runs as they are written.
+/// Runs as they are written: column by column, which compresses best.
 #[derive(Serialize, Deserialize)]
 struct Plain<T> {
-    groups: Vec<T>,
-    runs: Vec<PlainRun>,
-}
-
-/// Consecutive shards of one value.
-#[derive(Serialize, Deserialize)]
-struct PlainRun {
-    /// Position in [`Plain::groups`].
-    group: u32,
-    /// How many shards.
-    shards: u32,
+    /// Distinct values in the order of their first run.
+    values: Vec<T>,
+    /// For each run, the position of its value.
+    positions: Vec<u32>,
+    /// For each run, how many shards it has.
+    lengths: Vec<u32>,
 }
 
 impl<T: Clone + Eq + Hash> From<Runs<T>> for Plain<T> {
     fn from(from: Runs<T>) -> Self {
         let mut positions: HashMap<&T, u32> = HashMap::default();
         let mut plain = Self {
-            groups: Vec::new(),
-            runs: Vec::with_capacity(from.runs.len()),
+            values: Vec::new(),
+            positions: Vec::with_capacity(from.runs.len()),
+            lengths: Vec::with_capacity(from.runs.len()),
         };
         for (shards, value) in from.runs() {
-            let group = *positions.entry(value).or_insert_with(|| {
-                plain.groups.push(value.clone());
-                plain.groups.len() as u32 - 1
+            let position = *positions.entry(value).or_insert_with(|| {
+                plain.values.push(value.clone());
+                plain.values.len() as u32 - 1
             });
-            let shards = shards.len() as u32;
-            plain.runs.push(PlainRun { group, shards });
+            plain.positions.push(position);
+            plain.lengths.push(shards.len() as u32);
         }
         plain
     }
@@ -260,17 +253,20 @@
     /// Takes runs in if they are what [`Runs`] would write.
     fn try_from(plain: Plain<T>) -> Result<Self, &'static str> {
         let mut left = LENGTH_MAX;
-        let mut before = None;
-        for run in &plain.runs {
-            let is_known = (run.group as usize) < plain.groups.len();
-            if !is_known || run.shards == 0 || before == Some(run.group) {
-                return Err("a run without shards or of no value of its own");
-            }
-            left = left.checked_sub(run.shards).ok_or("too many shards")?;
-            before = Some(run.group);
+        for length in &plain.lengths {
+            left = left.checked_sub(*length).ok_or("too many shards")?;
+        }
+        let positions = &plain.positions;
+        let is_known = |position: &u32| (*position as usize) < plain.values.len();
+        let is_joined = positions.windows(2).all(|pair| pair[0] != pair[1]);
+        if positions.len() != plain.lengths.len() || plain.lengths.contains(&0) {
+            return Err("a run without shards");
+        }
+        if !is_joined || !positions.iter().all(is_known) {
+            return Err("a run of no value of its own");
         }
         let mut seen = HashSet::default();
-        if !plain.groups.iter().all(|value| seen.insert(value)) {
+        if !plain.values.iter().all(|value| seen.insert(value)) {
             return Err("a value twice");
         }
         Ok(Self::from_plain(plain))
