Test late, severed and refused answers, lost data centres and faults together with real processes

Cause: some rows of the table of failures had tests on a fake server side only, nothing had shown that the shards of a lost data centre come back, and some faults were tested alone but not together.

Requests: answers that cross, late ones, half of one, resets in mid-body, callers that hang up, idempotency keys of every kind, shed by all servers, misleading load, several keys with one owner lost, a request that crashes its servers and meets another leader, silent connections to servers and between daemons. A data centre lost for good, in both orders of the operators' steps. The log down with a data centre cut and a leader lost; a server frozen twice; standby and leader lost; lost answers of appends at a hand-over; a paused ingress; a data centre replaced without the log; control calls refused by everybody. The rig can put fault proxies before servers.

--- a/crates/copperwelld/tests/faults/main.rs
+++ b/crates/copperwelld/tests/faults/main.rs
@@ -2,14 +2,19 @@
 //!
 //! What the servers held and ran, by their own word, tells whether a promise was broken.
 
+mod answers;
 mod ask;
 mod drain;
 mod leader;
 mod log;
+mod lost;
 mod partition;
 mod publish;
+mod refuse;
 mod replace;
 mod request;
+mod silence;
 mod stop;
 mod support;
+mod together;
 mod upstream;
--- a/crates/copperwelld/tests/faults/support.rs
+++ b/crates/copperwelld/tests/faults/support.rs
@@ -10,7 +10,10 @@
 };
 
 use bytes::Bytes;
-use copperwell_keyspace::{GroupId, HashMap, manifest::Manifest};
+use copperwell_keyspace::{
+    DataCentreName, GroupId, HashMap,
+    manifest::{DataCentre, Manifest, Upstream},
+};
 use copperwell_operator::status::{LogState, Role, Status};
 use copperwell_rig::{
     cluster::{self, Cluster, Plan},
@@ -32,7 +35,7 @@
 };
 
 /// Clusters that run at a time.
-static CLUSTERS: Semaphore = Semaphore::const_new(2);
+static CLUSTERS: Semaphore = Semaphore::const_new(3);
 
 /// Time in which a condition must come to hold, however slow the machine is.
 const CONDITION_TIME: Duration = Duration::from_secs(30);
@@ -67,6 +70,9 @@
 /// The group of the other data centre.
 pub(crate) const OTHER_GROUP: &str = "calendar/ro-nord-b/0";
 
+/// The data centre that only some tests have.
+const THIRD: &str = "ro-nord-c";
+
 const MANIFEST: &str = "
 replaces: 0
 data_centres:
@@ -84,6 +90,27 @@
       - { name: cal-b2, data_centre: ro-nord-b, address: '127.0.0.1:4', slots: 2, connections: 130 }
 ";
 
+/// Adds a third data centre with two servers.
+pub(crate) fn with_third_data_centre(plan: &mut Plan) {
+    let third = manifest().data_centres.pop().unwrap();
+    let name: DataCentreName = THIRD.into();
+    plan.manifest.data_centres.push(DataCentre {
+        name: name.clone(),
+        ..third
+    });
+    let service = &mut plan.manifest.services[0];
+    let others = service.upstreams.iter().rev().take(2).cloned();
+    let own = others
+        .zip(["cal-c1", "cal-c2"])
+        .map(|(other, own)| Upstream {
+            name: own.into(),
+            data_centre: name.clone(),
+            ..other
+        });
+    let own: Vec<Upstream> = own.collect();
+    service.upstreams.extend(own);
+}
+
 /// The manifest that most tests begin with.
 fn manifest() -> Manifest {
     Manifest::from_yaml(MANIFEST).unwrap()
@@ -111,39 +138,44 @@
 impl Bench {
     /// Starts a cluster and waits until it serves every shard.
     pub(crate) async fn start() -> Self {
-        Self::start_with(manifest(), false).await
+        Self::start_with(|_| {}).await
     }
 
     /// Starts a cluster with fault proxies before the daemons and the platform.
     pub(crate) async fn start_proxied() -> Self {
-        Self::start_with(manifest(), true).await
+        Self::start_with(|plan| plan.is_proxied = true).await
     }
 
     /// Starts a cluster whose servers may be at a request for long.
     pub(crate) async fn start_patient() -> Self {
-        let mut manifest = manifest();
-        for service in &mut manifest.services {
-            service.limits.silence = PATIENCE;
-            service.limits.deadline = PATIENCE;
-        }
-        Self::start_with(manifest, false).await
+        Self::start_with(|plan| {
+            for service in &mut plan.manifest.services {
+                service.limits.silence = PATIENCE;
+                service.limits.deadline = PATIENCE;
+            }
+        })
+        .await
     }
 
-    async fn start_with(manifest: Manifest, is_proxied: bool) -> Self {
+    /// Starts a cluster as planned, but for what is changed.
+    pub(crate) async fn start_with(change: impl FnOnce(&mut Plan)) -> Self {
         let permit = CLUSTERS.acquire().await.unwrap();
+        let manifest = manifest();
         let names = manifest
             .services
             .iter()
             .map(|service| service.name.to_string());
         let service_times: HashMap<String, Duration> =
             names.map(|name| (name, SERVICE_TIME)).collect();
-        let plan = Plan {
+        let mut plan = Plan {
             manifest,
             daemons: 2,
             launch: Launch::Program(PathBuf::from(env!("CARGO_BIN_EXE_copperwelld"))),
-            is_proxied,
+            is_proxied: false,
+            proxies_servers: false,
             service_times,
         };
+        change(&mut plan);
         let cluster = Cluster::start(plan).await.unwrap();
         cluster.wait_ready().await.unwrap();
         Self {
@@ -281,6 +313,13 @@
         .await;
     }
 
+    /// A daemon that does not lead the group.
+    pub(crate) async fn ingress(&self, group: &str) -> &Node {
+        let leader = self.leader(group).await;
+        let mut nodes = self.cluster.nodes.iter();
+        nodes.find(|node| *node.name != *leader).unwrap()
+    }
+
     /// Waits until a server of the data centre runs a request.
     pub(crate) async fn wait_running(&self, data_centre: &str) {
         self.wait("a request runs", |cluster| {
--- a/crates/copperwelld/tests/manifest.rs
+++ b/crates/copperwelld/tests/manifest.rs
@@ -39,6 +39,7 @@
         daemons: 1,
         launch: Launch::Program(PathBuf::from(env!("CARGO_BIN_EXE_copperwelld"))),
         is_proxied,
+        proxies_servers: false,
         service_times: HashMap::default(),
     };
     Cluster::start(plan).await.unwrap()
--- a/crates/copperwelld/tests/path.rs
+++ b/crates/copperwelld/tests/path.rs
@@ -35,6 +35,7 @@
         daemons: 1,
         launch: Launch::Program(PathBuf::from(env!("CARGO_BIN_EXE_copperwelld"))),
         is_proxied: false,
+        proxies_servers: false,
         service_times: HashMap::default(),
     }
 }
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -62,6 +62,8 @@
     pub launch: Launch,
     /// Whether fault proxies stand between data centres.
     pub is_proxied: bool,
+    /// Whether fault proxies stand between daemons and servers.
+    pub proxies_servers: bool,
     /// How long a request runs, by service.
     pub service_times: HashMap<String, Duration>,
 }
@@ -75,6 +77,8 @@
     pub record: Record,
     /// The servers, by upstream.
     pub servers: HashMap<String, Server>,
+    /// The ways from daemons to servers, by upstream, where a fault proxy stands there.
+    pub ways: HashMap<String, Proxy>,
     /// The daemons.
     pub nodes: Vec<Node>,
     /// Where callers find daemons.
@@ -102,6 +106,9 @@
         let mut cluster = Self::start_servers(plan.manifest, &plan.service_times).await?;
         cluster.launch = plan.launch;
         cluster.is_proxied = plan.is_proxied;
+        if plan.proxies_servers {
+            cluster.start_ways().await?;
+        }
         cluster.publish().await?;
         let places = cluster.manifest.data_centres.clone();
         for place in &places {
@@ -144,6 +151,7 @@
             platform,
             record,
             servers,
+            ways: HashMap::default(),
             nodes: Vec::new(),
             entries: Entries::new(Vec::new()),
             manifest,
@@ -155,6 +163,17 @@
         })
     }
 
+    /// Puts a fault proxy before each server.
+    async fn start_ways(&mut self) -> io::Result<()> {
+        let services = self.manifest.services.iter_mut();
+        for upstream in services.flat_map(|service| &mut service.upstreams) {
+            let way = Proxy::start(upstream.address).await?;
+            upstream.address = way.address();
+            self.ways.insert(upstream.name.to_string(), way);
+        }
+        Ok(())
+    }
+
     /// Starts one more daemon and lists its VM.
     ///
     /// # Errors
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -61,6 +61,7 @@
             .faults
             .iter()
             .any(|fault| matches!(fault.what, What::CutDataCentre(_))),
+        proxies_servers: false,
         service_times: times.collect(),
     })
 }
--- a/crates/standin/examples/capacity.rs
+++ b/crates/standin/examples/capacity.rs
@@ -143,6 +143,7 @@
         daemons,
         launch: Launch::Program(args.daemon.clone()),
         is_proxied: false,
+        proxies_servers: false,
         service_times: HashMap::default(),
     };
     let mut cluster = Cluster::start(plan).await?;
--- a/crates/standin/examples/demo.rs
+++ b/crates/standin/examples/demo.rs
@@ -79,6 +79,7 @@
         daemons: 1,
         launch: Launch::InProcess,
         is_proxied: false,
+        proxies_servers: false,
         service_times: times.collect(),
     };
     let mut cluster = Cluster::start(plan).await?;
