--- a/crates/copperwelld/tests/faults/ask.rs
+++ b/crates/copperwelld/tests/faults/ask.rs
@@ -164,9 +164,12 @@
 pub(crate) fn key_of(bench: &Bench, group: &str) -> String {
     let manifest = &bench.cluster.manifest;
     let service = &manifest.services[0];
-    let owners = manifest.initial_owners(service).into_iter();
+    let owners = manifest.initial_owners(service);
     let is_own = |owner: &GroupId| owner.to_string() == group;
-    let (index, _) = (0..).zip(owners).find(|(_, owner)| is_own(owner)).unwrap();
+    let (index, _) = (0..)
+        .zip(owners.iter())
+        .find(|(_, owner)| is_own(owner))
+        .unwrap();
     probe::key_of(index, service.shards)
 }
 
