Tell later leaders and standbys too which requests crash servers

Cause: a conviction was told once, to who led or stood by at that moment, whether the call succeeded or not. A daemon that was appointed later, or could not be reached just then, never heard of it. The new test has a standby replaced after the conviction and then its leader killed: the next leader ran the request again, which crashed a server once more before the verdict `may-have-run`, `quarantined`.

Change: each leader keeps whom it has told, and tells live leaders and standbys whatever they have not confirmed. A counter tells what a daemon has heard. With no conviction in force nothing is sent, as before.

--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -124,6 +124,7 @@
 
     async fn quarantine(&self, shares: Vec<Share>) {
         self.engine.quarantine_import(&shares);
+        self.metrics.quarantine_heard.inc_by(shares.len() as u64);
     }
 
     async fn relinquish(&self, relinquish: Relinquish) -> bool {
--- a/crates/copperwelld/src/metrics.rs
+++ b/crates/copperwelld/src/metrics.rs
@@ -13,6 +13,8 @@
     appends: Family<Label, Counter>,
     pub(crate) manifest: Gauge,
     pub(crate) members_live: Gauge,
+    /// Convictions of requests that others told this daemon of.
+    pub(crate) quarantine_heard: Counter,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -35,6 +37,11 @@
             "Daemons known to be alive",
             all.members_live,
         );
+        registry.register(
+            "quarantine_heard",
+            "Requests that crash servers, as other leaders told this daemon",
+            all.quarantine_heard,
+        );
         metrics
     }
 
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -141,32 +141,46 @@
     }
 }
 
-/// Tells the other leaders and the standbys which requests crash servers.
+/// Tells the other leaders and the standbys which requests crash servers, each one once it can be
+/// reached, and those that are appointed later too.
 pub(crate) async fn quarantine<C: Control, F: Forward>(core: Arc<Core<C, F>>, client: Client) {
-    let mut told: HashSet<u64> = HashSet::default();
+    let mut told: HashMap<Member, HashSet<u64>> = HashMap::default();
     loop {
         sleep(QUARANTINE_INTERVAL).await;
         let shares = core.engine.quarantine_export();
-        let known: HashSet<u64> = shares.iter().map(|share| share.fingerprint).collect();
-        let news: Vec<Share> = shares
-            .into_iter()
-            .filter(|share| !told.contains(&share.fingerprint))
-            .collect();
-        told = known;
-        if news.is_empty() {
+        if shares.is_empty() {
+            told.clear();
             continue;
         }
-        let told = leaders_and_standbys(&core)
-            .into_iter()
-            .map(|member| client.quarantine(member.control, news.clone()));
-        // Whoever is not reached finds out by itself, at the price of two crashes.
-        let _ = join_all(told).await;
+        let concerned = leaders_and_standbys(&core);
+        told.retain(|member, _| concerned.contains(member));
+        let news = concerned.into_iter().filter_map(|member| {
+            let known = told.get(&member);
+            let is_news =
+                |share: &&Share| known.is_none_or(|known| !known.contains(&share.fingerprint));
+            let news: Vec<Share> = shares.iter().filter(is_news).copied().collect();
+            (!news.is_empty()).then_some((member, news))
+        });
+        let telling = news.map(|(member, news)| {
+            let telling = client.quarantine(member.control, news);
+            async move { telling.await.is_ok().then_some(member) }
+        });
+        let known: HashSet<u64> = shares.iter().map(|share| share.fingerprint).collect();
+        for member in join_all(telling).await.into_iter().flatten() {
+            told.insert(member, known.clone());
+        }
+        for known_there in told.values_mut() {
+            // One that lapsed is news if it comes again.
+            known_there.retain(|fingerprint| known.contains(fingerprint));
+        }
     }
 }
 
-/// The other daemons that lead groups of services that this one leads groups of, and the standbys.
-fn leaders_and_standbys<C: Control, F: Forward>(core: &Core<C, F>) -> Vec<Member> {
+/// The other live daemons that lead groups of services that this one leads groups of, and the
+/// standbys.
+fn leaders_and_standbys<C: Control, F: Forward>(core: &Core<C, F>) -> HashSet<Member> {
     let state = core.state();
+    let live: HashSet<Member> = core.live().into_iter().collect();
     let led: HashSet<ServiceName> = core
         .groups
         .led()
@@ -180,8 +194,10 @@
     let members =
         concerned.flat_map(|(_, held)| std::iter::once(&held.leader).chain(&held.standby));
     let others = members.filter(|member| member.name != core.me.name);
-    let others: HashSet<Member> = others.cloned().collect();
-    others.into_iter().collect()
+    others
+        .filter(|member| live.contains(*member))
+        .cloned()
+        .collect()
 }
 
 /// Tells the groups which shards are asked for.
--- a/crates/copperwelld/tests/faults/refuse.rs
+++ b/crates/copperwelld/tests/faults/refuse.rs
@@ -4,14 +4,17 @@
 
 use copperwell_backend::order::Load;
 use copperwell_message::{Reason, Verdict};
+use copperwell_operator::status::Role;
+use copperwell_rig::{cluster, node::Node};
 use copperwell_standin::backend::switch::header::{CRASH, FAULT};
 use serde_json::Value;
 use test_case::test_case;
+use tokio::time::{Instant, sleep};
 use uuid::Uuid;
 
 use crate::{
     ask::{Ask, id_from_ahead, id_of_age, key_of},
-    support::{Bench, GROUP, OTHER_GROUP},
+    support::{Bench, CONDITION_TIME, GROUP, HERE, LOOK, OTHER_GROUP, has_role},
 };
 
 /// How long a caller waits for what nobody can answer.
@@ -29,6 +32,10 @@
 /// The servers of the first data centre.
 const HERE_SERVERS: [&str; 3] = ["cal-a1", "cal-a2", "cal-a3"];
 
+/// What is answered to a request that crashed two servers.
+const QUARANTINED: (Option<Verdict>, Option<Reason>) =
+    (Some(Verdict::NotRun), Some(Reason::Quarantined));
+
 /// The servers of the second data centre.
 const THERE_SERVERS: [&str; 2] = ["cal-b1", "cal-b2"];
 
@@ -177,22 +184,7 @@
     let mut bench = Bench::start().await;
     let load = bench.load();
     let ask = Ask::repeatable(&bench, GROUP, Duration::ZERO).with_field(FAULT, CRASH);
-    let quarantined = (Some(Verdict::NotRun), Some(Reason::Quarantined));
-    let crashes = |bench: &Bench| {
-        let servers = bench.cluster.servers.values();
-        servers.map(|server| server.counts().crashes).sum::<u64>()
-    };
-    // Its caller sends it again, to one daemon after the other.
-    let mut entries = bench.cluster.nodes.iter().cycle();
-    loop {
-        let entry = entries.next().unwrap().addresses.callers;
-        let answer = ask.send(entry).await.unwrap();
-        assert_ne!(answer.verdict, Some(Verdict::Done), "{answer:?}");
-        if answer.outcome() == quarantined {
-            break;
-        }
-        assert!(crashes(&bench) <= 2, "it went on crashing servers");
-    }
+    send_until_refused(&bench, &ask).await;
     assert_eq!(crashes(&bench), 2);
     bench.serves().await;
     // The other data centre's leader takes the key over, and refuses the request too.
@@ -212,8 +204,77 @@
     bench.serves().await;
     for node in &bench.cluster.nodes {
         let answer = ask.send(node.addresses.callers).await.unwrap();
-        assert_eq!(answer.outcome(), quarantined, "{answer:?}");
+        assert_eq!(answer.outcome(), QUARANTINED, "{answer:?}");
+    }
+    assert_eq!(crashes(&bench), 2);
+    bench.check(load).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_servers_is_refused_by_later_leaders() {
+    let mut bench = Bench::start().await;
+    let load = bench.load();
+    let ask = Ask::repeatable(&bench, GROUP, Duration::ZERO).with_field(FAULT, CRASH);
+    send_until_refused(&bench, &ask).await;
+    // Neither was there when the request was found out.
+    for _ in 0..2 {
+        let pair = bench.pair().await;
+        let (leader, standby) = (pair.leader.name.clone(), pair.standby.name.clone());
+        let _standby = bench.kill(&standby);
+        bench.cluster.add_node(HERE).await.unwrap();
+        bench.cluster.list();
+        let new = bench.cluster.nodes.last().unwrap();
+        bench
+            .wait_status("the standby's part", new, |status| {
+                has_role(status, GROUP, Role::Standby)
+            })
+            .await;
+        wait_told(new).await;
+        bench.serves().await;
+        let _leader = bench.kill(&leader);
+        bench.new_leader(GROUP, &leader).await;
+        bench.cluster.add_node(HERE).await.unwrap();
+        bench.cluster.list();
+        bench.wait_standby(GROUP).await;
+        bench.serves().await;
+        for node in &bench.cluster.nodes {
+            let answer = ask.send(node.addresses.callers).await.unwrap();
+            assert_eq!(answer.outcome(), QUARANTINED, "{answer:?}");
+        }
     }
     assert_eq!(crashes(&bench), 2);
     bench.check(load).await;
 }
+
+/// Sends a request to one daemon after the other until it is refused for its crashes.
+async fn send_until_refused(bench: &Bench, ask: &Ask) {
+    for node in bench.cluster.nodes.iter().cycle() {
+        let answer = ask.send(node.addresses.callers).await.unwrap();
+        assert_ne!(answer.verdict, Some(Verdict::Done), "{answer:?}");
+        if answer.outcome() == QUARANTINED {
+            break;
+        }
+        assert!(crashes(bench) <= 2, "it went on crashing servers");
+    }
+    bench.serves().await;
+}
+
+/// Waits until a daemon was told of a request that crashes servers.
+async fn wait_told(node: &Node) {
+    let until = Instant::now() + CONDITION_TIME;
+    loop {
+        let metrics = cluster::metrics(std::slice::from_ref(node)).await;
+        let heard = metrics.get("copperwell_quarantine_heard_total");
+        if heard.is_some_and(|heard| *heard > 0.0) {
+            return;
+        }
+        assert!(Instant::now() < until, "{} was never told", node.name);
+        sleep(LOOK).await;
+    }
+}
+
+/// How often servers crashed by a request.
+fn crashes(bench: &Bench) -> u64 {
+    let servers = bench.cluster.servers.values();
+    servers.map(|server| server.counts().crashes).sum()
+}
--- a/crates/copperwelld/tests/faults/support.rs
+++ b/crates/copperwelld/tests/faults/support.rs
@@ -38,10 +38,10 @@
 static CLUSTERS: Semaphore = Semaphore::const_new(3);
 
 /// Time in which a condition must come to hold, however slow the machine is.
-const CONDITION_TIME: Duration = Duration::from_secs(30);
+pub(crate) const CONDITION_TIME: Duration = Duration::from_secs(30);
 
 /// How often conditions are looked at.
-const LOOK: Duration = Duration::from_millis(20);
+pub(crate) const LOOK: Duration = Duration::from_millis(20);
 
 /// The length of one piece of the load.
 const PIECE: Duration = Duration::from_millis(500);
@@ -418,7 +418,7 @@
 }
 
 /// Whether a daemon has a role in a group by its status.
-fn has_role(status: &Status, group: &str, role: Role) -> bool {
+pub(crate) fn has_role(status: &Status, group: &str, role: Role) -> bool {
     let mut groups = status.groups.iter();
     groups.any(|held| held.role == role && held.group.to_string() == group)
 }
