--- a/crates/keyspace/examples/slopes.rs
+++ b/crates/keyspace/examples/slopes.rs
@@ -3,7 +3,12 @@
 //! `cargo run --release -p copperwell-keyspace --example slopes`
 
 use std::{
+    alloc::{GlobalAlloc, Layout, System},
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -14,18 +19,20 @@
     manifest::{DataCentre, Fencing, Limits, Manifest, OnIsolation, Service, Upstream},
     reader::Reader,
     record::{Appoint, Body, Id, Record},
+    replay::State,
 };
 use copperwell_message::Class;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Data centres of the fleet.
 const DATA_CENTRES: u32 = 12;
 /// Upstreams of a group.
-const UPSTREAMS: u32 = 4;
-/// Shards of a service.
-const SHARDS: u32 = 1024;
-/// Services at each size; each has a group in each data centre.
-const SIZES: [u32; 5] = [2, 8, 24, 48, 96];
+const UPSTREAMS: u32 = 24;
+/// Shards of a service: 16 for each upstream.
+const SHARDS: u32 = 16 * DATA_CENTRES * UPSTREAMS;
+/// Services at each size, up to the target; each has a group in each data centre.
+const SIZES: [u32; 6] = [1, 4, 12, 23, 46, 92];
 
 /// The cost at one size.
 #[derive(Serialize)]
@@ -34,25 +41,86 @@
     groups: u32,
     upstreams: u32,
     shards: u32,
+    /// The record of the whole manifest.
     manifest_bytes: usize,
     snapshot_bytes: Option<usize>,
+    /// The snapshot after every shard has moved, to a random group.
+    scattered_bytes: Option<usize>,
+    yaml_bytes: usize,
+    /// The record of a manifest that changes one upstream, as a difference.
+    change_bytes: usize,
+    /// The manifest's bytes as the manifest's own bound counts them.
+    plain_bytes: u64,
+    /// Heap of a manifest that was read from a record.
+    manifest_heap: usize,
+    /// Heap of the rest of the state: owners, appointments, writers.
+    state_heap: usize,
+    /// The same after every shard has moved.
+    scattered_heap: usize,
+    encode_us: u128,
+    decode_us: u128,
     manifest_us: u128,
+    change_us: u128,
     appoint_us: u128,
     clone_us: u128,
     plan_us: u128,
 }
 
+/// Counts the bytes that are allocated.
+struct Counting;
+
+static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+// SAFETY: Both functions hand their arguments on to the system's allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: The caller keeps the contract of `alloc`, which is the same.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: The caller keeps the contract of `dealloc`, which is the same.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+/// Runs `make` and returns its value with the heap that it holds.
+fn heap_of<T>(make: impl FnOnce() -> T) -> (T, usize) {
+    let before = ALLOCATED.load(Ordering::Relaxed);
+    let made = make();
+    let after = ALLOCATED.load(Ordering::Relaxed);
+    (made, after.saturating_sub(before))
+}
+
 fn main() {
     for services in SIZES {
-        let cost = measure(services);
-        println!("{}", serde_json::to_string(&cost).expect("plain numbers"));
+        match measure(services) {
+            Some(cost) => println!("{}", serde_json::to_string(&cost).expect("plain numbers")),
+            None => println!("{services} services: the manifest is refused"),
+        }
     }
 }
 
-fn measure(services: u32) -> Cost {
+/// The cost at a size; none if the log or the check refuses the manifest.
+fn measure(services: u32) -> Option<Cost> {
     let manifest = manifest(services);
+    let bytes = encode(Body::Manifest(manifest.clone()))?;
+    let (_decoded, manifest_heap) = heap_of(|| Record::decode(&bytes).expect("a record"));
+    manifest.check().ok()?;
     let mut log = Log::default();
     let manifest_us = log.append(Body::Manifest(manifest.clone())).as_micros();
+    let mut next = manifest.clone();
+    next.replaces = manifest.version();
+    next.services[0].upstreams[0].drain = true;
+    let change = Body::publication(Some(&manifest), &next);
+    let change_bytes = encode(change.clone())?.len();
+    let change_us = log.append(change).as_micros();
+    assert_eq!(log.reader.state().manifest.as_deref(), Some(&next));
     let mut appoint = Duration::ZERO;
     let groups = groups(&manifest);
     for (number, group) in (0..).zip(&groups) {
@@ -61,22 +129,74 @@
     let started = Instant::now();
     let state = log.reader.state().as_ref().clone();
     let clone_us = started.elapsed().as_micros();
+    let snapshot = Body::Snapshot(Box::new(log.reader.snapshot()));
+    let snapshot_bytes = encode(snapshot);
+    let snapshot_heap = held_heap(snapshot_bytes.as_deref());
+    let mut scattered = log.reader.snapshot();
+    scatter(&mut scattered.state, &groups);
+    let started = Instant::now();
+    let scattered_bytes = encode(Body::Snapshot(Box::new(scattered)));
+    let encode_us = started.elapsed().as_micros();
+    let started = Instant::now();
+    let scattered_heap = held_heap(scattered_bytes.as_deref());
+    let decode_us = started.elapsed().as_micros();
     let started = Instant::now();
     let shifts = plan(&state);
     let plan_us = started.elapsed().as_micros();
     assert!(shifts.is_empty(), "the first owners are balanced");
-    let snapshot = Body::Snapshot(Box::new(log.reader.snapshot()));
-    Cost {
+    Some(Cost {
         services,
         groups: groups.len() as u32,
         upstreams: services * DATA_CENTRES * UPSTREAMS,
         shards: services * SHARDS,
-        manifest_bytes: encode(Body::Manifest(manifest)).map_or(0, |bytes| bytes.len()),
-        snapshot_bytes: encode(snapshot).map(|bytes| bytes.len()),
+        manifest_bytes: bytes.len(),
+        snapshot_bytes: snapshot_bytes.map(|bytes| bytes.len()),
+        scattered_bytes: scattered_bytes.map(|bytes| bytes.len()),
+        yaml_bytes: serde_norway::to_string(&manifest)
+            .expect("plain data")
+            .len(),
+        plain_bytes: bincode::serialized_size(&manifest).expect("plain data"),
+        manifest_heap,
+        state_heap: snapshot_heap.saturating_sub(manifest_heap),
+        scattered_heap: scattered_heap.saturating_sub(manifest_heap),
+        encode_us,
+        decode_us,
+        change_bytes,
         manifest_us,
+        change_us,
         appoint_us: appoint.as_micros() / groups.len() as u128,
         clone_us,
         plan_us,
+    })
+}
+
+/// The heap that the record holds once it is read; zero if there is none.
+fn held_heap(bytes: Option<&[u8]>) -> usize {
+    let read = |bytes| Record::decode(bytes).expect("a record");
+    bytes.map_or(0, |bytes| heap_of(|| read(bytes)).1)
+}
+
+/// Gives each shard to some group, in four moves for each group.
+fn scatter(state: &mut State, groups: &[GroupId]) {
+    for (service, owners) in &mut state.owners {
+        let own = groups.iter().filter(|group| group.service == *service);
+        let own: Vec<&GroupId> = own.collect();
+        let places = 0..owners.len() as usize;
+        let scattered = places.clone();
+        let salt = xxh3_64(service.as_bytes()) as u32;
+        let scattered = scattered.map(|shard| {
+            let place = hash(salt ^ shard as u32) as usize % own.len();
+            own[place].clone()
+        });
+        *owners = Arc::new(scattered.collect());
+        let moves = 4 * own.len() as u32;
+        let stamps = places.map(|shard| {
+            let moved = hash(!salt ^ shard as u32) % moves;
+            u64::from(hash(moved)) << 12 | 1
+        });
+        state
+            .moved
+            .insert(service.clone(), Arc::new(stamps.collect()));
     }
 }
 
@@ -137,9 +257,11 @@
 fn service(number: u32, data_centres: &[DataCentre]) -> Service {
     let upstreams = (0..DATA_CENTRES * UPSTREAMS).map(|place| {
         let unique = number * DATA_CENTRES * UPSTREAMS + place;
-        let [_, high, middle, low] = unique.to_be_bytes();
+        let spread = hash(unique);
+        // An odd factor gives each upstream an address of its own, in no order.
+        let [_, high, middle, low] = unique.wrapping_mul(0x9e_3779).to_be_bytes();
         Upstream {
-            name: format!("service-{number}-up-{place}").into(),
+            name: format!("service-{number}-{spread:08x}").into(),
             data_centre: data_centres[(place % DATA_CENTRES) as usize].name.clone(),
             address: SocketAddr::from(([10, high, middle, low], 9000)),
             slots: 6,
@@ -160,6 +282,11 @@
     }
 }
 
+/// Spreads numbers evenly, the same on every run.
+fn hash(number: u32) -> u32 {
+    xxh3_64(&number.to_be_bytes()) as u32
+}
+
 fn groups(manifest: &Manifest) -> Vec<GroupId> {
     let services = manifest.services.iter();
     services
