--- a/crates/standin/examples/requests/main.rs
+++ b/crates/standin/examples/requests/main.rs
@@ -8,7 +8,9 @@
 mod setup;
 mod way;
 
-use std::{error::Error, io, path::PathBuf, process::ExitCode, str::FromStr, time::Duration};
+use std::{
+    error::Error, io, net::Ipv4Addr, path::PathBuf, process::ExitCode, str::FromStr, time::Duration,
+};
 
 use bpaf::Bpaf;
 use copperwell_rig::cluster::Cluster;
@@ -33,6 +35,12 @@
     service_ms: 20,
 };
 
+/// The address of a caller that asks for little.
+const CALM: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
+/// The address of a caller that asks for too much.
+const BUSY: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
 /// Keys of a request that is batch.
 const BATCH_KEYS: usize = 8;
 
@@ -44,6 +52,7 @@
     Throughput,
     Goodput,
     Classes,
+    Fairness,
     Retries,
 }
 
@@ -56,10 +65,11 @@
             "throughput" => Ok(Self::Throughput),
             "goodput" => Ok(Self::Goodput),
             "classes" => Ok(Self::Classes),
+            "fairness" => Ok(Self::Fairness),
             "retries" => Ok(Self::Retries),
             _ => Err(format!(
-                "`{text}` is unknown; use `added-latency`, `throughput`, `goodput`, `classes` or \
-                 `retries`"
+                "`{text}` is unknown; use `added-latency`, `throughput`, `goodput`, `classes`, \
+                 `fairness` or `retries`"
             )),
         }
     }
@@ -71,7 +81,7 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 struct Args {
-    /// `added-latency`, `throughput`, `goodput`, `classes` or `retries`.
+    /// `added-latency`, `throughput`, `goodput`, `classes`, `fairness` or `retries`.
     #[bpaf(long, argument("WHAT"))]
     what: What,
     /// Seconds of load for each figure, after one second to warm up.
@@ -115,6 +125,7 @@
         What::Throughput => throughput(&args).await.and_then(|all| line(&args, all)),
         What::Goodput => goodput(&args).await.and_then(|all| line(&args, all)),
         What::Classes => classes(&args).await.and_then(|all| line(&args, all)),
+        What::Fairness => fairness(&args).await.and_then(|all| line(&args, all)),
         What::Retries => retries(&args).await.and_then(|all| line(&args, all)),
     };
     match line {
@@ -161,6 +172,7 @@
             keys: 1,
             service_ms,
             deadline: LONG,
+            from: CALM,
         };
         let running = ways.iter().zip(0..).map(|((_, way), index)| {
             let seed = args.seed.wrapping_mul(31).wrapping_add(index);
@@ -207,6 +219,7 @@
             keys: 1,
             service_ms: SMALL.service_ms,
             deadline: DEADLINE,
+            from: CALM,
         };
         for (name, way) in contenders(&cluster).await? {
             let before = ran(&cluster);
@@ -226,6 +239,7 @@
         keys: 1,
         service_ms: SMALL.service_ms,
         deadline: LONG,
+        from: CALM,
     };
     let batch = Load {
         rate: SMALL.capacity() * 2.0 / BATCH_KEYS as f64,
@@ -268,6 +282,38 @@
     Ok(figures)
 }
 
+/// A calm caller alone, and beside one that asks for four times the capacity.
+async fn fairness(args: &Args) -> Result<Vec<Figure>, Box<dyn Error>> {
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
+    let calm = Load {
+        rate: SMALL.capacity() * 0.2,
+        keys: 1,
+        service_ms: SMALL.service_ms,
+        deadline: DEADLINE,
+        from: CALM,
+    };
+    let busy = Load {
+        rate: SMALL.capacity() * 4.0,
+        from: BUSY,
+        ..calm
+    };
+    let mut figures = Vec::new();
+    for (name, way) in contenders(&cluster).await? {
+        let alone = open_loop(&way, calm, args.seconds, args.seed).await;
+        let (beside, burst) = tokio::join!(
+            open_loop(&way, calm, args.seconds, args.seed),
+            open_loop(&way, busy, args.seconds, args.seed.wrapping_add(1)),
+        );
+        let figure = |what: &str, answers: &[Answer], load| {
+            Figure::new(format!("{name}, {what}"), answers, load, args.seconds)
+        };
+        figures.push(figure("calm caller alone", &alone, calm));
+        figures.push(figure("calm caller beside a busy one", &beside, calm));
+        figures.push(figure("busy caller", &burst, busy));
+    }
+    Ok(figures)
+}
+
 async fn retries(args: &Args) -> Result<Vec<Offered>, Box<dyn Error>> {
     let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
     let (_, other) = roles(&cluster).await?;
@@ -283,6 +329,7 @@
         keys: 1,
         service_ms: SMALL.service_ms,
         deadline: LONG,
+        from: CALM,
     };
     cluster
         .servers
--- a/crates/standin/examples/requests/pace.rs
+++ b/crates/standin/examples/requests/pace.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     fs, io,
+    net::Ipv4Addr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -52,6 +53,8 @@
     /// How long each runs at its server.
     pub(crate) service_ms: u64,
     pub(crate) deadline: Duration,
+    /// The caller's address.
+    pub(crate) from: Ipv4Addr,
 }
 
 /// What became of one request.
@@ -200,7 +203,7 @@
 
 /// Sends each request at its time, however slow the answers are; the order stays.
 pub(crate) async fn send_all(way: &Way, load: Load, asks: Vec<Ask>) -> Vec<Answer> {
-    let client = client();
+    let client = client(load.from);
     let start = Instant::now();
     let mut running = Vec::with_capacity(asks.len());
     for (at, keys) in asks {
@@ -233,10 +236,11 @@
         keys: 1,
         service_ms: 0,
         deadline: LONG,
+        from: Ipv4Addr::LOCALHOST,
     };
     let (done, failed) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
     let mut callers = JoinSet::new();
-    let client = client();
+    let client = client(load.from);
     for index in 0..CONCURRENCY as u64 {
         let (way, client) = (Way::daemon(entry), client.clone());
         let (done, failed) = (done.clone(), failed.clone());
--- a/crates/standin/examples/requests/way.rs
+++ b/crates/standin/examples/requests/way.rs
@@ -1,6 +1,6 @@
 //! Ways to the owners of keys.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, net::Ipv4Addr, sync::Arc, time::Duration};
 
 use crate::{
     pace::Load,
@@ -137,9 +137,10 @@
     Err(reason.map_or(NO_ANSWER, Reason::as_str))
 }
 
-pub(crate) fn client() -> Client {
+pub(crate) fn client(from: Ipv4Addr) -> Client {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
+    connector.set_local_address(Some(from.into()));
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(Duration::from_secs(30))
