Put data centres as far apart in experiments as the users' are

Cause: in the experiments all data centres were on one loopback, while the users' are 0.5 and 1.5 ms apart one way, so hops between them cost nothing. Change: a proxy can be a distance away from everybody but one address; those before the daemons take the user's. The naive router reaches servers of other data centres through proxies of the same delay, so that both pay. Tokio's timer rounds each delay up to a whole millisecond. The way to callers stays without a delay.

--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -92,6 +92,8 @@
     started: usize,
     /// Whether a fault proxy stands before each daemon, and before the platform.
     is_proxied: bool,
+    /// The time that bytes take between data centres, one way.
+    distance: Duration,
     /// The platform as each data centre sees it.
     gates: HashMap<String, Proxy>,
 }
@@ -159,6 +161,7 @@
             workers: WORKERS,
             started: 0,
             is_proxied: false,
+            distance: Duration::ZERO,
             gates: HashMap::default(),
         })
     }
@@ -174,6 +177,17 @@
         Ok(())
     }
 
+    /// Sets the time that bytes take between the daemons of two data centres, one way; needs
+    /// the fault proxies between data centres.
+    pub fn set_distance(&mut self, distance: Duration) {
+        self.distance = distance;
+        for node in &self.nodes {
+            if let Some(doors) = &node.doors {
+                doors.set_distance(distance, self.source_of(&node.data_centre));
+            }
+        }
+    }
+
     /// Starts one more daemon and lists its VM.
     ///
     /// # Errors
@@ -187,7 +201,9 @@
         let source = self.source_of(data_centre);
         let any = SocketAddr::new(source, 0);
         let doors = if self.is_proxied {
-            Some(Doors::start().await?)
+            let doors = Doors::start().await?;
+            doors.set_distance(self.distance, source);
+            Some(doors)
         } else {
             None
         };
--- a/crates/rig/src/naive.rs
+++ b/crates/rig/src/naive.rs
@@ -30,9 +30,10 @@
 use copperwell_caller::{Ingress, Network, metrics::Metrics, server};
 use copperwell_keyspace::{
     GroupId, HashMap, Member, ServiceName, ShardIndex, UpstreamName,
-    manifest::{Manifest, Service, Upstream},
+    manifest::{DataCentre, Manifest, Service, Upstream},
 };
 use copperwell_message::{Reason, Request, Response, Verdict};
+use copperwell_standin::proxy::Proxy;
 use futures::future::join_all;
 use tokio::{
     net::TcpListener,
@@ -77,10 +78,14 @@
     let stop = CancellationToken::new();
     let sequence = Arc::new(AtomicU64::new(1));
     let mut addresses = Vec::new();
-    for _ in 0..scenario.daemons * manifest.data_centres.len() {
-        let router = Arc::new(Router::new(&manifest, sequence.clone()));
-        router.check(&HashMap::default()).await;
-        addresses.push(router.start(stop.clone()).await?);
+    let ways = start_ways(&manifest, scenario.user.distance()).await?;
+    for place in &manifest.data_centres {
+        let seen = seen_from(place, &manifest, &ways);
+        for _ in 0..scenario.daemons {
+            let router = Arc::new(Router::new(&seen, sequence.clone()));
+            router.check(&HashMap::default()).await;
+            addresses.push(router.start(stop.clone()).await?);
+        }
     }
     cluster.entries.set(addresses);
     cluster.wait_owned().await?;
@@ -109,6 +114,36 @@
     Ok(Outcome { summary, results })
 }
 
+/// Starts a proxy before each server, which is as far away as another data centre.
+async fn start_ways(
+    manifest: &Manifest,
+    distance: Duration,
+) -> io::Result<HashMap<UpstreamName, Proxy>> {
+    let mut ways = HashMap::default();
+    for upstream in manifest.services.iter().flat_map(|held| &held.upstreams) {
+        let way = Proxy::start(upstream.address).await?;
+        way.delay(distance);
+        ways.insert(upstream.name.clone(), way);
+    }
+    Ok(ways)
+}
+
+/// The manifest with the addresses by which a data centre reaches the servers.
+fn seen_from(
+    place: &DataCentre,
+    manifest: &Manifest,
+    ways: &HashMap<UpstreamName, Proxy>,
+) -> Manifest {
+    let mut seen = manifest.clone();
+    let upstreams = seen.services.iter_mut();
+    for upstream in upstreams.flat_map(|service| &mut service.upstreams) {
+        if upstream.data_centre != place.name {
+            upstream.address = ways[&upstream.name].address();
+        }
+    }
+    seen
+}
+
 fn is_of_upstream(what: &What) -> bool {
     matches!(
         what,
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -63,6 +63,12 @@
         })
     }
 
+    /// Delays what passes, each way, but for what comes from the daemon's own data centre.
+    pub fn set_distance(&self, delay: Duration, near: IpAddr) {
+        self.requests.set_distance(delay, near);
+        self.control.set_distance(delay, near);
+    }
+
     /// Holds back all bytes in one direction.
     pub fn cut_way(&self, direction: Direction) {
         self.requests.cut(direction);
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -8,7 +8,7 @@
     load::{self, Caller},
     measure::{self, Summary},
     node::Launch,
-    scenario::{Scenario, User, What},
+    scenario::{Scenario, User},
     schedule,
 };
 use copperwell_keyspace::manifest::Manifest;
@@ -36,6 +36,15 @@
         })
     }
 
+    /// The time that bytes take between two of the user's data centres, one way.
+    #[must_use]
+    pub fn distance(self) -> Duration {
+        match self {
+            Self::Abraziv => Duration::from_micros(500),
+            Self::Tazza => Duration::from_micros(1500),
+        }
+    }
+
     /// The user's example manifest.
     ///
     /// # Errors
@@ -57,10 +66,7 @@
         manifest: scenario.user.manifest()?,
         daemons: scenario.daemons,
         launch,
-        is_proxied: scenario
-            .faults
-            .iter()
-            .any(|fault| matches!(fault.what, What::CutDataCentre(_))),
+        is_proxied: true,
         proxies_servers: false,
         service_times: times.collect(),
     })
@@ -81,7 +87,8 @@
 ///
 /// An error if the cluster does not start or a fault cannot strike.
 pub async fn copperwell(scenario: &Scenario, seed: u64, launch: Launch) -> io::Result<Outcome> {
-    let cluster = Cluster::start(plan(scenario, launch)?).await?;
+    let mut cluster = Cluster::start(plan(scenario, launch)?).await?;
+    cluster.set_distance(scenario.user.distance());
     cluster.wait_ready().await?;
     let entries = cluster.entries.clone();
     let record = cluster.record.clone();
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -75,6 +75,13 @@
     accept: Accept,
 }
 
+/// How far the target is from everybody but one address.
+#[derive(Debug, Clone, Copy)]
+struct Distance {
+    delay: Duration,
+    near: IpAddr,
+}
+
 /// One direction of a connection that came from some address.
 #[derive(Debug, Clone, Copy)]
 struct Lane {
@@ -85,6 +92,7 @@
 #[derive(Debug)]
 struct Shared {
     target: Mutex<SocketAddr>,
+    distance: Mutex<Option<Distance>>,
     stop: CancellationToken,
     faults: watch::Sender<Faults>,
     present: Mutex<Present>,
@@ -110,6 +118,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             target: Mutex::new(target),
+            distance: Mutex::default(),
             stop: CancellationToken::new(),
             faults: watch::Sender::default(),
             present: Mutex::default(),
@@ -136,6 +145,18 @@
         *held = target;
     }
 
+    /// Delays all bytes by this time, each way, on connections that do not come from `near`.
+    ///
+    /// This is where the target is, and no fault that could be healed.
+    pub fn set_distance(&self, delay: Duration, near: IpAddr) {
+        let mut held = self
+            .shared
+            .distance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *held = Some(Distance { delay, near });
+    }
+
     /// Delays all bytes by this time, each way.
     pub fn delay(&self, delay: Duration) {
         self.change(|faults| faults.delay = delay);
@@ -214,6 +235,13 @@
         *self.target.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The time that bytes take to or from `source`.
+    fn distance_of(&self, source: IpAddr) -> Duration {
+        let held = self.distance.lock().unwrap_or_else(PoisonError::into_inner);
+        let far = held.filter(|distance| distance.near != source);
+        far.map_or(Duration::ZERO, |distance| distance.delay)
+    }
+
     fn present(&self) -> MutexGuard<'_, Present> {
         self.present.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -338,18 +366,19 @@
     to: impl AsyncWrite + Unpin,
 ) -> io::Result<()> {
     let (queue, queued) = mpsc::channel(CHUNKS);
-    let read = read_chunks(shared.faults.subscribe(), lane, from, queue);
+    let read = read_chunks(shared, lane, from, queue);
     let write = write_chunks(shared.faults.subscribe(), lane, to, queued);
     tokio::try_join!(read, write)?;
     Ok(())
 }
 
 async fn read_chunks(
-    mut faults: watch::Receiver<Faults>,
+    shared: &Shared,
     lane: Lane,
     mut from: impl AsyncRead + Unpin,
     queue: mpsc::Sender<Delayed>,
 ) -> io::Result<()> {
+    let mut faults = shared.faults.subscribe();
     loop {
         let delay = pass_when_whole(&mut faults, lane).await?.delay;
         let mut chunk = BytesMut::with_capacity(CHUNK_BYTES);
@@ -360,7 +389,7 @@
                 if read? == 0 {
                     return Ok(());
                 }
-                let due = Instant::now() + delay;
+                let due = Instant::now() + shared.distance_of(lane.source) + delay;
                 let delayed = Delayed { due, bytes: chunk.freeze() };
                 queue.send(delayed).await.map_err(|_| io::ErrorKind::BrokenPipe)?;
             }
--- a/crates/standin/tests/standin/proxy.rs
+++ b/crates/standin/tests/standin/proxy.rs
@@ -62,6 +62,17 @@
     assert!(received == expected);
 }
 
+#[test_case([127, 0, 0, 1], true; "from nearby")]
+#[test_case([127, 0, 0, 9], false; "from far away")]
+#[tokio::test]
+async fn distance_holds_back_what_comes_from_elsewhere(near: [u8; 4], passes: bool) {
+    let proxy = echoing().await;
+    proxy.set_distance(Duration::from_secs(3600), near.into());
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    let limit = if passes { PATIENCE } else { QUIET };
+    assert_eq!(echoes_within(&mut stream, limit).await, passes);
+}
+
 #[tokio::test]
 async fn delay_holds_bytes_back() {
     let proxy = echoing().await;
