Let random histories of the log publish differences, and measure the peak of a comparison

Change: in the test of three readers over 600 random histories, every other manifest is a difference to what a reader holds, and manifests of one version differ, so that a lost tail leaves readers with other parents.

--- a/crates/keyspace/examples/slopes.rs
+++ b/crates/keyspace/examples/slopes.rs
@@ -57,6 +57,9 @@
     state_heap: usize,
     /// The same after every shard has moved.
     scattered_heap: usize,
+    /// The most heap beyond what is held while a snapshot is read and compared with the state.
+    compare_peak: usize,
+    compare_us: u128,
     encode_us: u128,
     decode_us: u128,
     manifest_us: u128,
@@ -70,6 +73,7 @@
 struct Counting;
 
 static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+static PEAK: AtomicUsize = AtomicUsize::new(0);
 
 #[global_allocator]
 static COUNTING: Counting = Counting;
@@ -77,7 +81,8 @@
 // SAFETY: Both functions hand their arguments on to the system's allocator.
 unsafe impl GlobalAlloc for Counting {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        let before = ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        PEAK.fetch_max(before + layout.size(), Ordering::Relaxed);
         // SAFETY: The caller keeps the contract of `alloc`, which is the same.
         unsafe { System.alloc(layout) }
     }
@@ -140,6 +145,11 @@
     let started = Instant::now();
     let scattered_heap = held_heap(scattered_bytes.as_deref());
     let decode_us = started.elapsed().as_micros();
+    let compared = Body::Snapshot(Box::new(log.reader.snapshot()));
+    let before = ALLOCATED.load(Ordering::Relaxed);
+    PEAK.store(before, Ordering::Relaxed);
+    let compare_us = log.append(compared).as_micros();
+    let compare_peak = PEAK.load(Ordering::Relaxed) - before;
     let started = Instant::now();
     let shifts = plan(&state);
     let plan_us = started.elapsed().as_micros();
@@ -159,6 +169,8 @@
         manifest_heap,
         state_heap: snapshot_heap.saturating_sub(manifest_heap),
         scattered_heap: scattered_heap.saturating_sub(manifest_heap),
+        compare_peak,
+        compare_us,
         encode_us,
         decode_us,
         change_bytes,
--- a/crates/keyspace/tests/keyspace/reader.rs
+++ b/crates/keyspace/tests/keyspace/reader.rs
@@ -232,8 +232,12 @@
         let sequence = self.sequence;
         match event {
             Event::Publish => {
-                let held = self.readers[sequence as usize % 3].state().version();
-                publish(&mut self.log, sequence, held);
+                let state = self.readers[sequence as usize % 3].state().clone();
+                let mut next = simple(state.version());
+                next.services[0].limits.queue = 1 + sequence as u32 % 5;
+                let parent = state.manifest.as_deref().filter(|_| sequence % 2 == 0);
+                let body = Body::publication(parent, &next);
+                self.log.append(&record("operator", sequence, body));
             }
             Event::Appoint => {
                 let state = self.readers[sequence as usize % 3].state().clone();
