--- a/crates/copperwell/tests/command.rs
+++ b/crates/copperwell/tests/command.rs
@@ -4,8 +4,10 @@
     fs,
     path::{Path, PathBuf},
     process::{Output, Stdio},
+    time::Duration,
 };
 
+use copperwell_keyspace::record::{Body, Record, STREAM};
 use copperwell_platform::Log;
 use copperwell_standin::platform::Platform;
 use test_case::test_case;
@@ -110,6 +112,25 @@
     );
 }
 
+#[tokio::test]
+async fn a_change_is_published_as_a_difference() {
+    let platform = Platform::start().await;
+    for (replaces, queue) in [(0, 1), (1, 2)] {
+        let path = manifest("change.yaml", replaces, queue);
+        let output = publish(&platform, &path, &[]).await;
+        assert_eq!(code(&output), Some(0), "{}", errors(&output));
+    }
+    let log = copperwell_platform::http::Client::new(platform.address());
+    let read = log.read(STREAM, 0, Duration::ZERO).await;
+    let records = read.expect("the platform is up").records;
+    let bodies = records.iter().map(|entry| Record::decode(&entry.bytes));
+    let bodies: Vec<Body> = bodies.map(|read| read.expect("a record").body).collect();
+    assert!(
+        matches!(bodies[..], [Body::Manifest(_), Body::Difference(_)]),
+        "{bodies:?}"
+    );
+}
+
 #[tokio::test]
 async fn a_lost_answer_is_no_refusal() {
     let platform = Platform::start().await;
@@ -143,7 +164,7 @@
     let platform = Platform::start().await;
     let log = copperwell_platform::http::Client::new(platform.address());
     for _ in 0..3 {
-        log.append(copperwell_keyspace::record::STREAM, vec![0])
+        log.append(STREAM, vec![0])
             .await
             .expect("the platform is up");
     }
--- a/crates/keyspace/src/runs.rs
+++ b/crates/keyspace/src/runs.rs
@@ -99,7 +99,7 @@
             .flat_map(|(shards, value)| shards.map(move |_| value))
     }
 
-    /// Whether a shard has this value.
+    /// Whether any shard has this value.
     #[must_use]
     pub fn contains(&self, value: &T) -> bool {
         self.runs().any(|(_, held)| held == value)
--- a/crates/keyspace/tests/keyspace/reader.rs
+++ b/crates/keyspace/tests/keyspace/reader.rs
@@ -235,7 +235,10 @@
                 let state = self.readers[sequence as usize % 3].state().clone();
                 let mut next = simple(state.version());
                 next.services[0].limits.queue = 1 + sequence as u32 % 5;
-                let parent = state.manifest.as_deref().filter(|_| sequence % 2 == 0);
+                let parent = state
+                    .manifest
+                    .as_deref()
+                    .filter(|_| sequence.is_multiple_of(2));
                 let body = Body::publication(parent, &next);
                 self.log.append(&record("operator", sequence, body));
             }
