Count hot keys at their leader and show them

Those on call could see a hot shard's upstream fall behind, but not which key made it.

`status` lists up to 8 hot keys for each service and leader under their group with their share, `explain` asked of the leader tells a hot key's share, and `dispatch_hottest_key_permille` has one value for each service.

--- a/crates/copperwell/src/status.rs
+++ b/crates/copperwell/src/status.rs
@@ -41,6 +41,13 @@
         table::groups(&groups),
         table::upstreams(&groups),
     ];
+    if groups
+        .iter()
+        .flat_map(|group| &group.told)
+        .any(|told| !told.hot_keys.is_empty())
+    {
+        tables.push(table::hot_keys(&groups));
+    }
     tables.extend(manifest.as_ref().map(table::services));
     let tables: Vec<String> = tables.iter().map(ToString::to_string).collect();
     print(tables.join("\n\n"));
--- a/crates/copperwell/src/table.rs
+++ b/crates/copperwell/src/table.rs
@@ -88,6 +88,21 @@
     table
 }
 
+/// One row for each key that is asked for often.
+pub(crate) fn hot_keys(groups: &[GroupReport]) -> Table {
+    let mut table = start(&["HOT KEY", "GROUP", "SHARE %"]);
+    for report in groups {
+        for hot in report.told.iter().flat_map(|group| &group.hot_keys) {
+            table.add_row([
+                hot.key.clone(),
+                report.id.to_string(),
+                format!("{}.{}", hot.permille / 10, hot.permille % 10),
+            ]);
+        }
+    }
+    table
+}
+
 /// One row for each service with its limits.
 pub(crate) fn services(manifest: &Manifest) -> Table {
     let mut table = start(&[
--- a/crates/copperwelld/src/status.rs
+++ b/crates/copperwelld/src/status.rs
@@ -4,10 +4,13 @@
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::{self as dispatch, table::Route};
 use copperwell_keyspace::{
-    GroupId, Member, UpstreamName, manifest::Manifest, replay::Appointment, shard,
+    GroupId, Member, UpstreamName,
+    manifest::Manifest,
+    replay::{Appointment, State},
+    shard,
 };
 use copperwell_operator::status::{
-    Explanation, Group, Log, LogState, MemberStatus, Role, Status, Upstream,
+    Explanation, Group, HotKey, Log, LogState, MemberStatus, Role, Status, Upstream,
 };
 use copperwell_ownership as ownership;
 use copperwell_peer::control::Liveness;
@@ -39,6 +42,15 @@
         let group = state.owner_of(service, shard).cloned();
         let held = group.as_ref().and_then(|group| state.groups.get(group));
         let route = self.table.route(service, shard);
+        let mut because = because(
+            declared.shards,
+            shard,
+            group.as_ref(),
+            held,
+            &route,
+            &self.me,
+        );
+        because.extend(self.heat(service, key));
         let explanation = Explanation {
             service: declared.name.clone(),
             key: key.to_owned(),
@@ -48,14 +60,7 @@
             data_centre: held.map(|held| held.leader.data_centre.clone()),
             epoch: held.map_or(0, |held| held.epoch),
             upstream: upstream_of(&route),
-            because: because(
-                declared.shards,
-                shard,
-                group.as_ref(),
-                held,
-                &route,
-                &self.me,
-            ),
+            because,
         };
         serde_json::to_vec(&explanation).ok()
     }
@@ -74,8 +79,14 @@
 impl<C: Control, F: Forward> Core<C, F> {
     fn group_statuses(&self, view: &View) -> Vec<Group> {
         let engine = self.engine.status();
+        let hot = self.engine.hot_keys();
         let led = self.groups.status().into_iter();
-        let mut groups: Vec<Group> = led.map(|led| led_status(led, &engine)).collect();
+        let mut groups: Vec<Group> = led
+            .map(|led| {
+                let hot_keys = hot_keys_of(&led.group, &hot, &view.state);
+                led_status(led, &engine, hot_keys)
+            })
+            .collect();
         let standing_by = view.state.groups.iter().filter(|(id, held)| {
             let me = held
                 .standby
@@ -91,6 +102,16 @@
         groups
     }
 
+    /// Tells the part of a key that is asked for often.
+    fn heat(&self, service: &str, key: &str) -> Option<String> {
+        let mut hot = self.engine.hot_keys().into_iter();
+        let hot = hot.find(|hot| &*hot.service == service && hot.key == key)?;
+        Some(format!(
+            "{} counts {} of 1000 requests of the service for this key",
+            self.me.name, hot.permille
+        ))
+    }
+
     fn member_statuses(&self) -> Vec<MemberStatus> {
         let roster = self.members.roster().borrow().clone();
         let mut members: Vec<MemberStatus> = roster
@@ -106,7 +127,7 @@
     }
 }
 
-fn led_status(led: ownership::Status, engine: &[dispatch::Status]) -> Group {
+fn led_status(led: ownership::Status, engine: &[dispatch::Status], hot_keys: Vec<HotKey>) -> Group {
     let phase = match (led.settled, led.unreported + led.free + led.moving) {
         (false, _) => "taking-over",
         (true, 0) => "steady",
@@ -129,9 +150,30 @@
         phase: phase.to_owned(),
         upstreams: upstreams.collect(),
         unassigned: count(led.unreported + led.free),
+        hot_keys,
     }
 }
 
+/// The service's hot keys whose shards the group owns.
+fn hot_keys_of(group: &GroupId, hot: &[dispatch::HotKey], state: &State) -> Vec<HotKey> {
+    let service = state
+        .manifest
+        .as_ref()
+        .and_then(|manifest| manifest.service(&group.service));
+    let Some(service) = service else {
+        return Vec::new();
+    };
+    let own = hot.iter().filter(|hot| {
+        let shard = shard::index_of(&hot.key, service.shards);
+        hot.service == group.service && state.owner_of(&group.service, shard) == Some(group)
+    });
+    own.map(|hot| HotKey {
+        key: hot.key.clone(),
+        permille: hot.permille,
+    })
+    .collect()
+}
+
 fn upstream_state(upstream: &ownership::UpstreamStatus) -> &'static str {
     match upstream {
         upstream if upstream.lost => "down",
@@ -153,6 +195,7 @@
         phase: "standing-by".to_owned(),
         upstreams: Vec::new(),
         unassigned: 0,
+        hot_keys: Vec::new(),
     }
 }
 
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -18,7 +18,7 @@
     metrics::Metrics,
     observation::{CHANNEL, Observation},
     serving::{Config, Serving},
-    status::Status,
+    status::{HotKey, Status},
     table::{Route, Table},
 };
 use arc_swap::ArcSwap;
@@ -134,6 +134,22 @@
         all
     }
 
+    /// The keys of every service that are asked for most, the first one first within a service.
+    #[must_use]
+    pub fn hot_keys(&self) -> Vec<HotKey> {
+        let config = self.inner.config.load();
+        let now = Instant::now();
+        let hot = config.services.values().flat_map(|serving| {
+            let parts = serving.kept.hot.top(now).into_iter();
+            parts.map(|part| HotKey {
+                service: serving.service.name.clone(),
+                key: part.key,
+                permille: part.permille,
+            })
+        });
+        hot.collect()
+    }
+
     /// Takes the keys of shards, led last under `epoch`, out for the standby of that appointment.
     ///
     /// The standby takes them over under the next epoch and no other, so that a hand-over that
@@ -209,7 +225,10 @@
 impl<F: Forward> Inner<F> {
     async fn serve(self: &Arc<Self>, request: Request, arrived: Instant) -> Response {
         let longest = match self.accept(&request.head) {
-            Ok(serving) => serving.service.limits.deadline,
+            Ok(serving) => {
+                serving.kept.hot.count(&request.head.key, arrived);
+                serving.service.limits.deadline
+            }
             Err(failure) => return failure.into_response(),
         };
         let deadline = arrived + request.head.deadline.min(longest);
--- a/crates/dispatch/src/gauges.rs
+++ b/crates/dispatch/src/gauges.rs
@@ -11,6 +11,7 @@
     encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric},
     metrics::{family::Family, gauge::Gauge},
 };
+use tokio::time::Instant;
 
 /// Gauges of upstreams, read from their gates when they are asked for.
 ///
@@ -44,6 +45,7 @@
     slots: Family<UpstreamLabel, Gauge>,
     waiting: Family<QueueLabel, Gauge>,
     keys: Family<ServiceLabel, Gauge>,
+    hottest: Family<ServiceLabel, Gauge>,
 }
 
 impl Gauges {
@@ -54,6 +56,7 @@
 
     fn read(&self) -> Reading {
         let reading = Reading::default();
+        let now = Instant::now();
         for serving in self.config.load().services.values() {
             let service = &serving.service.name;
             for door in serving.doors() {
@@ -64,6 +67,9 @@
             };
             let keys = i64::try_from(serving.kept.ids.len()).unwrap_or(i64::MAX);
             reading.keys.get_or_create(&label).set(keys);
+            let hot = serving.kept.hot.top(now);
+            let hottest = hot.first().map_or(0, |part| i64::from(part.permille));
+            reading.hottest.get_or_create(&label).set(hottest);
         }
         reading
     }
@@ -95,6 +101,11 @@
             "dispatch_keys",
             "Idempotency keys that are kept",
             &reading.keys,
+        )?;
+        encode(
+            "dispatch_hottest_key_permille",
+            "Part of the requests that went to the key asked for most, in thousandths",
+            &reading.hottest,
         )
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 
 pub use engine::Engine;
 pub use observation::Observation;
-pub use status::Status;
+pub use status::{HotKey, Status};
 
 mod answer;
 mod attempt;
@@ -13,6 +13,7 @@
 mod gate;
 mod gauges;
 mod guard;
+mod hot;
 mod ids;
 mod metrics;
 mod observation;
--- a/crates/dispatch/src/serving.rs
+++ b/crates/dispatch/src/serving.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use crate::{gate::Gate, ids::Ids};
+use crate::{gate::Gate, hot::Hot, ids::Ids};
 use copperwell_keyspace::{
     HashMap, ServiceName, UpstreamName,
     manifest::{Manifest, Service, Upstream},
@@ -47,6 +47,8 @@
 pub(crate) struct Kept {
     /// The keys of requests that are not repeatable.
     pub(crate) ids: Ids,
+    /// The keys that are asked for most.
+    pub(crate) hot: Hot,
     budget: Mutex<Budget>,
     holds: Mutex<Limit<IpAddr>>,
 }
@@ -123,6 +125,7 @@
     fn new(service: &Service) -> Self {
         Self {
             ids: Ids::new(service.limits.window),
+            hot: Hot::new(),
             budget: Mutex::new(Budget::new()),
             holds: Mutex::new(Limit::new(service.limits.queue)),
         }
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -21,3 +21,15 @@
     /// Whether nothing is sent for now, since it takes no connection.
     pub paused: bool,
 }
+
+/// A key that is asked for often.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HotKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The key.
+    pub key: String,
+    /// Its part of the service's requests that this daemon took as leader, in thousandths; older
+    /// requests count less.
+    pub permille: u32,
+}
--- a/crates/dispatch/tests/engine/requests.rs
+++ b/crates/dispatch/tests/engine/requests.rs
@@ -548,3 +548,32 @@
     assert!(p99 <= ms(40), "{p99:?}");
     assert!(batch.len() >= 800, "{} batch requests", batch.len());
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_keys_that_are_asked_for_most_are_told_with_their_part() {
+    let bench = Bench::new(|_, _| Step::Answer(ms(1), ""));
+    let ask = async |key: &str| {
+        let mut request = request("/day");
+        request.head.key = key.to_owned();
+        told(&bench.serve(request).await)
+    };
+    // Every third request is for one key, and none of the others comes twice.
+    for number in 0..2100 {
+        let key = match number % 3 {
+            0 => "hot".to_owned(),
+            _ => format!("k{number}"),
+        };
+        assert_eq!(ask(&key).await, (Verdict::Done, None));
+    }
+    let hot = bench.engine.hot_keys();
+    assert_eq!((&*hot[0].service, hot[0].key.as_str()), (SERVICE, "hot"));
+    assert!((250..=334).contains(&hot[0].permille), "{hot:?}");
+    assert!(hot.len() <= 8, "{hot:?}");
+    // Another key is hot now; the old one fades.
+    sleep(Duration::from_mins(2)).await;
+    for _ in 0..100 {
+        ask("next").await;
+    }
+    let hot = bench.engine.hot_keys();
+    assert_eq!(hot[0].key, "next", "{hot:?}");
+}
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -71,6 +71,18 @@
     pub upstreams: Vec<Upstream>,
     /// Shards that no upstream holds at present.
     pub unassigned: u32,
+    /// The keys of the group that are asked for most, as far as the daemon leads it.
+    #[serde(default)]
+    pub hot_keys: Vec<HotKey>,
+}
+
+/// A key that is asked for often.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HotKey {
+    /// The key.
+    pub key: String,
+    /// Its part of the service's requests at this leader, in thousandths.
+    pub permille: u32,
 }
 
 /// What a daemon is to a group.
--- a/crates/operator/tests/fleet.rs
+++ b/crates/operator/tests/fleet.rs
@@ -186,6 +186,7 @@
             queue: 0,
         }],
         unassigned: 0,
+        hot_keys: Vec::new(),
     };
     one.change(|status| status.groups.push(group(2, Role::Leader)));
     two.change(|status| status.groups.push(group(4, Role::Leader)));
