Move shards earlier where it pays, and not for chance or crumbs

In a group with a key above a server's share, in contrast, the counted run shows up to 48 moves a minute of ever smaller shards.

Change: shards move from 1.15 times the mean on, until 1.05. A move away from an upstream with too much has to gain a twentieth of the mean, and what the root of the load explains is taken for chance.

tests/placement.rs: the bound there has the new fields at zero, so that its cases stand as they were; the random one now draws all three.

--- a/crates/policy/src/group/balance.rs
+++ b/crates/policy/src/group/balance.rs
@@ -25,9 +25,11 @@
 
 /// When shards move.
 const BOUND: Bound = Bound {
-    high: 1.3,
-    enough: 1.15,
+    high: 1.15,
+    enough: 1.05,
     low: 0.5,
+    gain: 0.05,
+    chance: 3.0,
     moves: 4,
 };
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -42,6 +42,12 @@
     pub enough: f64,
     /// Below so many times the mean level an upstream has too little.
     pub low: f64,
+    /// By so many times the mean level a move away from an upstream that has too much has to lower
+    /// the higher one of its two levels.
+    pub gain: f64,
+    /// What an upstream has above the mean is chance unless it is more than so many times the
+    /// square root of its load. Load counts requests, so chance alone makes it vary by that root.
+    pub chance: f64,
     /// The most moves at a time.
     pub moves: usize,
 }
@@ -100,11 +106,16 @@
         return targets;
     };
     let level = |holders: &[Holder], index: usize| holders[index].bin().level();
-    let is_high = level(&holders, worst) > mean * bound.high;
+    let most = holders[worst].bin();
+    let excess = most.load - mean * f64::from(most.slots);
+    let is_chance = excess <= bound.chance * most.load.sqrt();
+    let is_high = most.level() > mean * bound.high && !is_chance;
     let is_low = level(&holders, least) < mean * bound.low;
     if !is_high && !is_low {
         return targets;
     }
+    // An upstream that has too little is filled however small its shards are.
+    let gain = if is_low { 0.0 } else { bound.gain };
     while targets.len() < bound.moves {
         let Some((worst, least)) = extremes(&holders) else {
             break;
@@ -114,7 +125,7 @@
         if relieved && filled {
             break;
         }
-        let Some(index) = choose(&holders[worst], &holders[least], mean) else {
+        let Some(index) = choose(&holders[worst], &holders[least], mean, gain) else {
             break;
         };
         let item = holders[worst].shards.swap_remove(index);
@@ -142,15 +153,20 @@
 }
 
 /// The shard whose move from `from` to `to` leaves both nearest to the mean and the higher one
-/// lower than before.
-fn choose(from: &Holder, to: &Holder, mean: f64) -> Option<usize> {
+/// lower than before, by `gain` times the mean at least.
+fn choose(from: &Holder, to: &Holder, mean: f64, gain: f64) -> Option<usize> {
     let before = from.bin().level();
     let far = |item: &Item| {
         let left = from.bin().with(-item.load).level();
         let right = to.bin().with(item.load).level();
         (left - mean).abs().max((right - mean).abs())
     };
-    let helps = |item: &Item| item.load > 0.0 && to.bin().with(item.load).level() < before;
+    let helps = |item: &Item| {
+        let left = from.bin().with(-item.load).level();
+        let right = to.bin().with(item.load).level();
+        let after = left.max(right);
+        after < before && before - after >= gain * mean
+    };
     let items = from.shards.iter().enumerate();
     items
         .filter(|(_, item)| helps(item))
--- a/crates/policy/tests/group/main.rs
+++ b/crates/policy/tests/group/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod faults;
+mod load;
 mod rules;
 mod server;
 mod world;
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -8,6 +8,8 @@
     high: 1.3,
     enough: 1.15,
     low: 0.5,
+    gain: 0.0,
+    chance: 0.0,
     moves: 100,
 };
 
@@ -65,6 +67,23 @@
     assert!(targets.iter().all(|target| &*target.upstream == "u1"));
 }
 
+/// Only what gains much and is not chance moves.
+#[test_case(&[400.0, 400.0, 150.0, 150.0], &[400.0, 400.0], 1; "one move gains much")]
+#[test_case(&[20.0; 60], &[20.0; 45], 0; "each move gains little")]
+#[test_case(&[4.0, 4.0, 3.0], &[4.0, 4.0], 0; "too few requests to tell from chance")]
+#[test_case(&[1000.0, 100.0], &[900.0], 0; "within the bound")]
+fn a_move_has_to_pay(left: &[f64], right: &[f64], moves: usize) {
+    let holders = vec![holder(0, 2, 0, left), holder(1, 2, 100, right)];
+    let bound = Bound {
+        high: 1.1,
+        enough: 1.05,
+        gain: 0.05,
+        chance: 2.0,
+        ..BOUND
+    };
+    assert_eq!(rebalance(holders, &bound).len(), moves);
+}
+
 #[test]
 fn an_upstream_with_more_slots_gets_more() {
     let bins = [1, 3].map(|slots| Bin {
@@ -109,7 +128,11 @@
     fn moves_lower_the_worst_level_and_come_to_rest(
         loads in vec(vec(0.1..20.0f64, 0..12), 2..8),
         slots in vec(1..7u32, 8),
+        high in 1.0..2.0f64,
+        gain in 0.0..0.2f64,
+        chance in 0.0..3.0f64,
     ) {
+        let bound = Bound { high, gain, chance, ..BOUND };
         let holders: Vec<Holder> = loads
             .iter()
             .enumerate()
@@ -120,7 +143,7 @@
             .collect();
         let worst = |levels: &[f64]| levels.iter().copied().fold(0.0, f64::max);
         let before = worst(&levels(&holders, &[]));
-        let targets = rebalance(holders.clone(), &BOUND);
+        let targets = rebalance(holders.clone(), &bound);
         let after = worst(&levels(&holders, &targets));
         prop_assert!(after <= before + 1e-9, "{before} {after}");
         let mut shards: Vec<u32> = targets.iter().map(|target| target.shard).collect();
