--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -14,10 +14,13 @@
     members::{self as membership},
 };
 use copperwell_platform::{
-    VmList, VmState,
+    Vm, VmList, VmState,
     follow::{Status, View},
 };
-use copperwell_policy::quarantine::Share;
+use copperwell_policy::{
+    listing::{self, Schedule},
+    quarantine::Share,
+};
 use futures::future::join_all;
 use rand::RngExt;
 use spdlog::{info, warn};
@@ -26,16 +29,6 @@
     time::{Instant, sleep},
 };
 
-/// How often the platform's list of VMs is read while a group waits for evidence from it, or while
-/// too few daemons are known.
-const VMS_INTERVAL: Duration = Duration::from_secs(1);
-
-/// How often it is read at rest, for each VM that it lists: reading a long list costs more.
-const VMS_INTERVAL_BY_VM: Duration = Duration::from_millis(120);
-
-/// The shortest time between two readings at rest.
-const VMS_INTERVAL_REST: Duration = Duration::from_secs(10);
-
 /// How often the groups are told when the log was last seen.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -83,28 +76,20 @@
 /// Reads the platform's list of VMs.
 pub(crate) async fn vms<C: Control, F: Forward>(core: Arc<Core<C, F>>, list: Arc<impl VmList>) {
     let mut listed = HashSet::default();
+    let mut schedule = Schedule::new();
     loop {
-        if let Ok(vms) = list.list().await {
-            listed = vms.iter().map(|vm| vm.name.clone()).collect();
-            let vms = vms.into_iter().map(|vm| membership::Vm {
-                name: vm.name,
-                data_centre: vm.data_centre,
-                control: vm.control,
-                leaving: vm.state == VmState::Leaving,
-            });
-            core.members.update_vms(vms.collect());
-        }
-        let rest =
-            VMS_INTERVAL_BY_VM.saturating_mul(u32::try_from(listed.len()).unwrap_or(u32::MAX));
-        let until = Instant::now() + rest.max(VMS_INTERVAL_REST);
-        loop {
-            // Spread, so that the platform is not asked by all daemons at once.
-            let part = rand::rng().random_range(0.7..1.3);
-            sleep(VMS_INTERVAL.mul_f64(part)).await;
-            if Instant::now() >= until || core.wants_vms(&listed) {
-                break;
+        let need = core.need_of_vms(&listed);
+        if schedule.is_due(need, listed.len(), Instant::now()) {
+            if let Ok(vms) = list.list().await {
+                listed = vms.iter().map(|vm| vm.name.clone()).collect();
+                core.members
+                    .update_vms(vms.into_iter().map(listed_vm).collect());
             }
+            schedule.note(need, listed.len(), Instant::now());
         }
+        // Spread, so that the platform is not asked by all daemons at once.
+        let part = rand::rng().random_range(0.7..1.3);
+        sleep(listing::INTERVAL.mul_f64(part)).await;
     }
 }
 
@@ -141,32 +126,46 @@
     }
 }
 
-/// Tells the other leaders and the standbys which requests crash servers.
+/// Tells the other leaders and the standbys which requests crash servers, each one once it can be
+/// reached, and those that are appointed later too.
 pub(crate) async fn quarantine<C: Control, F: Forward>(core: Arc<Core<C, F>>, client: Client) {
-    let mut told: HashSet<u64> = HashSet::default();
+    let mut told: HashMap<Member, HashSet<u64>> = HashMap::default();
     loop {
         sleep(QUARANTINE_INTERVAL).await;
         let shares = core.engine.quarantine_export();
-        let known: HashSet<u64> = shares.iter().map(|share| share.fingerprint).collect();
-        let news: Vec<Share> = shares
-            .into_iter()
-            .filter(|share| !told.contains(&share.fingerprint))
-            .collect();
-        told = known;
-        if news.is_empty() {
+        if shares.is_empty() {
+            told.clear();
             continue;
         }
-        let told = leaders_and_standbys(&core)
-            .into_iter()
-            .map(|member| client.quarantine(member.control, news.clone()));
-        // Whoever is not reached finds out by itself, at the price of two crashes.
-        let _ = join_all(told).await;
+        let concerned = leaders_and_standbys(&core);
+        told.retain(|member, _| concerned.contains(member));
+        let news = concerned.into_iter().filter_map(|member| {
+            let known = told.get(&member);
+            let is_news =
+                |share: &&Share| known.is_none_or(|known| !known.contains(&share.fingerprint));
+            let news: Vec<Share> = shares.iter().filter(is_news).copied().collect();
+            (!news.is_empty()).then_some((member, news))
+        });
+        let telling = news.map(|(member, news)| {
+            let telling = client.quarantine(member.control, news);
+            async move { telling.await.is_ok().then_some(member) }
+        });
+        let known: HashSet<u64> = shares.iter().map(|share| share.fingerprint).collect();
+        for member in join_all(telling).await.into_iter().flatten() {
+            told.insert(member, known.clone());
+        }
+        for known_there in told.values_mut() {
+            // One that lapsed is news if it comes again.
+            known_there.retain(|fingerprint| known.contains(fingerprint));
+        }
     }
 }
 
-/// The other daemons that lead groups of services that this one leads groups of, and the standbys.
-fn leaders_and_standbys<C: Control, F: Forward>(core: &Core<C, F>) -> Vec<Member> {
+/// The other live daemons that lead groups of services that this one leads groups of, and the
+/// standbys.
+fn leaders_and_standbys<C: Control, F: Forward>(core: &Core<C, F>) -> HashSet<Member> {
     let state = core.state();
+    let live: HashSet<Member> = core.live().into_iter().collect();
     let led: HashSet<ServiceName> = core
         .groups
         .led()
@@ -180,8 +179,10 @@
     let members =
         concerned.flat_map(|(_, held)| std::iter::once(&held.leader).chain(&held.standby));
     let others = members.filter(|member| member.name != core.me.name);
-    let others: HashSet<Member> = others.cloned().collect();
-    others.into_iter().collect()
+    others
+        .filter(|member| live.contains(*member))
+        .cloned()
+        .collect()
 }
 
 /// Tells the groups which shards are asked for.
@@ -278,7 +279,7 @@
         let state = &view.state;
         self.way.set_state(state.clone());
         if let Some(manifest) = &state.manifest {
-            self.engine.set_manifest(Arc::new(manifest.clone()));
+            self.engine.set_manifest(manifest.clone());
         }
         self.groups.apply(state);
         self.members.watch_closely(partners(state, &self.me.name));
@@ -324,3 +325,12 @@
         info!("manifest in force", kv: { version = version(now) });
     }
 }
+
+fn listed_vm(vm: Vm) -> membership::Vm {
+    membership::Vm {
+        name: vm.name,
+        data_centre: vm.data_centre,
+        control: vm.control,
+        leaving: vm.state == VmState::Leaving,
+    }
+}
