--- a/crates/standin/examples/requests/main.rs
+++ b/crates/standin/examples/requests/main.rs
@@ -8,12 +8,16 @@
 mod setup;
 mod way;
 
-use std::{error::Error, io, path::PathBuf, process::ExitCode, str::FromStr, time::Duration};
+use std::{
+    error::Error, io, net::Ipv4Addr, path::PathBuf, process::ExitCode, str::FromStr, time::Duration,
+};
 
 use bpaf::Bpaf;
 use copperwell_rig::cluster::Cluster;
 use futures::future::join_all;
-use pace::{Answer, Core, Figure, LONG, Load, asks, closed_loop, open_loop, send_all};
+use pace::{
+    Answer, Core, Figure, LONG, Load, Offer, asks, closed_loop, open_loop, send_all, whole_loop,
+};
 use serde::Serialize;
 use setup::{Size, roles, start};
 use way::Way;
@@ -31,6 +35,12 @@
     service_ms: 20,
 };
 
+/// The address of a caller that asks for little.
+const CALM: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
+/// The address of a caller that asks for too much.
+const BUSY: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
 /// Keys of a request that is batch.
 const BATCH_KEYS: usize = 8;
 
@@ -42,6 +52,7 @@
     Throughput,
     Goodput,
     Classes,
+    Fairness,
     Retries,
 }
 
@@ -54,10 +65,11 @@
             "throughput" => Ok(Self::Throughput),
             "goodput" => Ok(Self::Goodput),
             "classes" => Ok(Self::Classes),
+            "fairness" => Ok(Self::Fairness),
             "retries" => Ok(Self::Retries),
             _ => Err(format!(
-                "`{text}` is unknown; use `added-latency`, `throughput`, `goodput`, `classes` or \
-                 `retries`"
+                "`{text}` is unknown; use `added-latency`, `throughput`, `goodput`, `classes`, \
+                 `fairness` or `retries`"
             )),
         }
     }
@@ -69,7 +81,7 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 struct Args {
-    /// `added-latency`, `throughput`, `goodput`, `classes` or `retries`.
+    /// `added-latency`, `throughput`, `goodput`, `classes`, `fairness` or `retries`.
     #[bpaf(long, argument("WHAT"))]
     what: What,
     /// Seconds of load for each figure, after one second to warm up.
@@ -81,6 +93,9 @@
     /// Program of the daemon, to run daemons as processes of their own.
     #[bpaf(long, argument("FILE"))]
     daemon: Option<PathBuf>,
+    /// Daemons, two at least; with classes, batch requests go to all of them in equal parts.
+    #[bpaf(long, argument("N"), fallback(2))]
+    daemons: usize,
 }
 
 /// The last line of a run.
@@ -110,6 +125,7 @@
         What::Throughput => throughput(&args).await.and_then(|all| line(&args, all)),
         What::Goodput => goodput(&args).await.and_then(|all| line(&args, all)),
         What::Classes => classes(&args).await.and_then(|all| line(&args, all)),
+        What::Fairness => fairness(&args).await.and_then(|all| line(&args, all)),
         What::Retries => retries(&args).await.and_then(|all| line(&args, all)),
     };
     match line {
@@ -142,7 +158,7 @@
         slots: 16,
         service_ms: 0,
     };
-    let cluster = start(args.daemon.as_deref(), size, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, size, 2).await?;
     let (leader, other) = roles(&cluster).await?;
     let ways = [
         ("direct", Way::plain(&cluster, size)?),
@@ -156,6 +172,7 @@
             keys: 1,
             service_ms,
             deadline: LONG,
+            from: CALM,
         };
         let running = ways.iter().zip(0..).map(|((_, way), index)| {
             let seed = args.seed.wrapping_mul(31).wrapping_add(index);
@@ -179,7 +196,7 @@
         slots: 64,
         service_ms: 0,
     };
-    let cluster = start(args.daemon.as_deref(), size, 1).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, size, 1).await?;
     let (leader, other) = roles(&cluster).await?;
     let mut figures = closed_loop(
         args.seconds,
@@ -194,7 +211,7 @@
 }
 
 async fn goodput(args: &Args) -> Result<Vec<Figure>, Box<dyn Error>> {
-    let cluster = start(args.daemon.as_deref(), SMALL, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
     let mut figures = Vec::new();
     for factor in [0.5, 1.0, 2.0, 4.0] {
         let load = Load {
@@ -202,6 +219,7 @@
             keys: 1,
             service_ms: SMALL.service_ms,
             deadline: DEADLINE,
+            from: CALM,
         };
         for (name, way) in contenders(&cluster).await? {
             let before = ran(&cluster);
@@ -215,12 +233,13 @@
 }
 
 async fn classes(args: &Args) -> Result<Vec<Figure>, Box<dyn Error>> {
-    let cluster = start(args.daemon.as_deref(), SMALL, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
     let interactive = Load {
         rate: SMALL.capacity() * 0.3,
         keys: 1,
         service_ms: SMALL.service_ms,
         deadline: LONG,
+        from: CALM,
     };
     let batch = Load {
         rate: SMALL.capacity() * 2.0 / BATCH_KEYS as f64,
@@ -231,23 +250,72 @@
     for (name, way) in contenders(&cluster).await? {
         let alone = open_loop(&way, interactive, args.seconds, args.seed).await;
         let before = ran(&cluster);
-        let (first, second) = tokio::join!(
-            open_loop(&way, interactive, args.seconds, args.seed),
-            open_loop(&way, batch, args.seconds, args.seed.wrapping_add(1)),
+        let entries = match way {
+            Way::Daemon(_) => cluster.nodes.iter().map(Way::daemon).collect(),
+            Way::Plain(_) => vec![way.clone()],
+        };
+        let part = Load {
+            rate: batch.rate / entries.len() as f64,
+            ..batch
+        };
+        let parts = entries.iter().zip(args.seed + 1..);
+        let parts = parts.map(|(way, seed)| whole_loop(way, part, args.seconds, seed));
+        let (first, parts) = tokio::join!(
+            whole_loop(&way, interactive, args.seconds, args.seed),
+            join_all(parts),
         );
         let ran = ran(&cluster) - before;
+        let second = parts.into_iter().fold(Offer::default(), Offer::join);
+        let needed = first.done() + second.done() * BATCH_KEYS;
         let figure = |what: &str, answers: &[Answer], load| {
             Figure::new(format!("{name}, {what}"), answers, load, args.seconds)
         };
         figures.push(figure("interactive alone", &alone, interactive));
-        figures.push(figure("interactive beside batch", &first, interactive));
-        figures.push(figure("batch", &second, batch).with_ran(ran));
+        figures.push(figure(
+            "interactive beside batch",
+            &first.counted,
+            interactive,
+        ));
+        let batch = figure("batch", &second.counted, batch);
+        figures.push(batch.with_ran(ran).with_needed(needed));
+    }
+    Ok(figures)
+}
+
+/// A calm caller alone, and beside one that asks for four times the capacity.
+async fn fairness(args: &Args) -> Result<Vec<Figure>, Box<dyn Error>> {
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
+    let calm = Load {
+        rate: SMALL.capacity() * 0.2,
+        keys: 1,
+        service_ms: SMALL.service_ms,
+        deadline: DEADLINE,
+        from: CALM,
+    };
+    let busy = Load {
+        rate: SMALL.capacity() * 4.0,
+        from: BUSY,
+        ..calm
+    };
+    let mut figures = Vec::new();
+    for (name, way) in contenders(&cluster).await? {
+        let alone = open_loop(&way, calm, args.seconds, args.seed).await;
+        let (beside, burst) = tokio::join!(
+            open_loop(&way, calm, args.seconds, args.seed),
+            open_loop(&way, busy, args.seconds, args.seed.wrapping_add(1)),
+        );
+        let figure = |what: &str, answers: &[Answer], load| {
+            Figure::new(format!("{name}, {what}"), answers, load, args.seconds)
+        };
+        figures.push(figure("calm caller alone", &alone, calm));
+        figures.push(figure("calm caller beside a busy one", &beside, calm));
+        figures.push(figure("busy caller", &burst, busy));
     }
     Ok(figures)
 }
 
 async fn retries(args: &Args) -> Result<Vec<Offered>, Box<dyn Error>> {
-    let cluster = start(args.daemon.as_deref(), SMALL, 2).await?;
+    let cluster = start(args.daemon.as_deref(), args.daemons, SMALL, 2).await?;
     let (_, other) = roles(&cluster).await?;
     let offered = || {
         let refused = cluster
@@ -261,6 +329,7 @@
         keys: 1,
         service_ms: SMALL.service_ms,
         deadline: LONG,
+        from: CALM,
     };
     cluster
         .servers
