Test that the leader from elsewhere is lost as well after a data centre

Change: one more case of the lost data centre: another data centre's daemon leads its group, waits for the list of VMs, and is killed. The next one has to bring the shards back.

--- a/crates/copperwelld/tests/faults/lost.rs
+++ b/crates/copperwelld/tests/faults/lost.rs
@@ -2,7 +2,7 @@
 
 use test_case::test_case;
 
-use crate::support::{Bench, HERE, with_third_data_centre};
+use crate::support::{Bench, GROUP, HERE, with_third_data_centre};
 
 /// What the operators do first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,10 +11,13 @@
     List,
     /// The manifest without the upstreams is published.
     Publish,
+    /// The same, and the leader that was appointed elsewhere is lost before the list is right.
+    PublishAndLoseLeader,
 }
 
 #[test_case(First::List; "its machines are dropped first")]
 #[test_case(First::Publish; "the manifest is published first")]
+#[test_case(First::PublishAndLoseLeader; "and the leader from elsewhere is lost too")]
 #[tokio::test(flavor = "multi_thread")]
 async fn data_centre_lost_for_good(first: First) {
     let mut bench = Bench::start_with(with_third_data_centre).await;
@@ -38,14 +41,19 @@
     let upstreams = &mut manifest.services[0].upstreams;
     upstreams.retain(|upstream| &*upstream.data_centre != HERE);
     bench.cluster.publish().await.unwrap();
-    if first == First::Publish {
+    if first != First::List {
         for node in &bench.cluster.nodes {
             bench
                 .wait_status("the manifest", node, |status| status.manifest == 2)
                 .await;
         }
-        bench.cluster.list();
     }
+    if first == First::PublishAndLoseLeader {
+        let next = bench.leader(GROUP).await;
+        let _next = bench.kill(&next);
+        bench.new_leader(GROUP, &next).await;
+    }
+    bench.cluster.list();
     bench
         .wait("the others have all shards", |cluster| {
             cluster.held() >= cluster.shards()
