Give each test load idempotency keys of its own

Cause: two loads in one test drew the same random numbers, so callers that sent in the same millisecond shared an idempotency key. In the test of the paused leader 467 requests had 332 distinct keys. One caller may rightly hear `not-run` and the other's request then run, which the check counts as a false `not-run`.

Seen: that test failed once in four runs of the whole suite, with two false `not-run` under a load average near 48. The two requests were not looked at themselves, so a fault of the daemon is not excluded.

Change: loads have seeds of their own. The check is as strict as before.

After: 518 requests, 518 distinct keys.

--- a/crates/copperwelld/tests/faults/support.rs
+++ b/crates/copperwelld/tests/faults/support.rs
@@ -4,7 +4,7 @@
     path::PathBuf,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -49,6 +49,12 @@
 /// Numbers of offers that are kept for one piece of the load.
 const PIECE_NUMBERS: u64 = 1 << 20;
 
+/// Seeds of one load; no two loads share one, so that no two callers share an idempotency key.
+const LOAD_SEEDS: u64 = 1 << 24;
+
+/// Loads that were started.
+static LOADS: AtomicU64 = AtomicU64::new(0);
+
 /// Shards of the service.
 const SHARDS: u32 = 20;
 
@@ -440,7 +446,7 @@
 async fn offer(entries: Entries, ends: Arc<AtomicBool>) -> Vec<load::Result> {
     let mut pieces = JoinSet::new();
     let mut ticks = interval(PIECE);
-    let mut seed = 0;
+    let mut seed = LOADS.fetch_add(1, Ordering::Relaxed) * LOAD_SEEDS;
     while !ends.load(Ordering::Acquire) {
         ticks.tick().await;
         seed += 1;
@@ -453,7 +459,7 @@
         }
         let caller = Caller {
             deadline: Duration::from_secs(2),
-            resends: if seed % 2 == 0 { 2 } else { 0 },
+            resends: if seed.is_multiple_of(2) { 2 } else { 0 },
         };
         pieces.spawn(load::run(offers, entries.clone(), caller));
     }
