Drop what was kept of a lost log when a higher life is taken over

A reader that followed a log, and learnt from a peer's state that the log had restarted, applied the records that it had kept of the old log after the end of that state. Six followers of which two read the log, on a paused clock, showed it: after the loss of the log, the next manifest was in force everywhere only after 630 s.

Whatever was kept is dropped when the life rises; the reader asks for it again.

--- a/crates/keyspace/src/reader.rs
+++ b/crates/keyspace/src/reader.rs
@@ -241,6 +241,10 @@
         if told.life <= self.state.life && !is_later {
             return false;
         }
+        if !same_life {
+            // What is kept may be of the log that was lost, whose offsets mean other records now.
+            self.recent.restart_at(snapshot.next);
+        }
         self.catch_up(told);
         let state = State::clone(&self.state);
         self.jump(snapshot.next, state);
