Let a few daemons of each data centre read the log for the others

Who read the log was a setting of each VM, although all VMs are alike; with its default every daemon read the platform.

The three live daemons with the highest rendezvous hashes read the log; the others keep one call open at one of them, which is answered when there is a record. An answer whose reading is older than 2.5 s is no news: the daemon then reads the platform in the same step and passes the source over. Rings without a reader therefore end at that age. The fixed settings stay.

A view now says whether it was read from the log itself; before, records that a peer handed on within 100 ms counted as this daemon's own sight of the log.

On a paused clock, with rings, cut readers, an outage and a lost log, a manifest is in force in all followers within 3 s. Real daemons with one reader killed and one paused, and with all readers cut off from the platform, take the manifest too.

--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -92,9 +92,8 @@
         self.members.probe_through(target).await
     }
 
-    async fn records(&self, from: LogOffset) -> Option<Batch> {
-        // Whoever asks has seen in a probe that there are records, so there is nothing to wait for.
-        let mut batch = self.held.records(from, Duration::ZERO).await.ok()?;
+    async fn records(&self, from: LogOffset, wait: Duration) -> Option<Batch> {
+        let mut batch = self.held.records(from, wait).await.ok()?;
         let mut room = RECORDS_MAX;
         batch.records.retain(|entry| {
             let fits = room > 0;
--- a/crates/copperwelld/src/parts.rs
+++ b/crates/copperwelld/src/parts.rs
@@ -125,8 +125,9 @@
         let log = http::Client::new(settings.platform.log).with_bytes(bytes.clone());
         let log = Arc::new(log);
         let vms = http::Client::new(settings.platform.vms).with_bytes(bytes);
-        let relay = Peers::new(peering.members.clone(), peering.client.clone());
+        let relay = Peers::new(me.clone(), peering.members.clone(), peering.client.clone());
         let source = match settings.platform.read_log {
+            ReadLog::Automatic => Source::Chosen,
             ReadLog::Directly => Source::Platform,
             ReadLog::ThroughPeers => Source::Peer,
         };
--- a/crates/copperwelld/src/relay.rs
+++ b/crates/copperwelld/src/relay.rs
@@ -1,71 +1,103 @@
 //! The log's records by way of other daemons.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use copperwell_keyspace::{LogOffset, Member, record::Snapshot};
-use copperwell_peer::{control::Client, members::Members};
-use copperwell_platform::{Batch, Error, Relay};
+use copperwell_peer::{
+    control::Client,
+    members::{Members, Roster},
+};
+use copperwell_platform::{Batch, Error, Relay, follow::is_news};
+use copperwell_policy::readers::Readers;
 use error_stack::Report;
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
-/// How often the members' positions in the log are looked at.
-const LOOK: Duration = Duration::from_millis(100);
-
-/// Reads the log from peers that are further along.
+/// Reads the log from peers that read it themselves.
+///
+/// Its lock is never held across an await.
 pub(crate) struct Peers {
     members: Arc<Members>,
     client: Client,
+    choice: Mutex<Choice>,
+}
+
+struct Choice {
+    readers: Readers,
+    /// The source that was asked last.
+    asked: Option<Member>,
 }
 
 impl Peers {
-    pub(crate) fn new(members: Arc<Members>, client: Client) -> Self {
-        Self { members, client }
+    pub(crate) fn new(me: Member, members: Arc<Members>, client: Client) -> Self {
+        let choice = Choice {
+            readers: Readers::new(me),
+            asked: None,
+        };
+        Self {
+            members,
+            client,
+            choice: Mutex::new(choice),
+        }
     }
 
-    /// A live member that has read beyond `from`.
-    fn ahead(&self, from: LogOffset) -> Option<Member> {
+    /// The next source; noted as the one that was asked.
+    fn choose(&self) -> Option<Member> {
         let roster = self.members.roster().borrow().clone();
-        let live = roster.live();
-        let ahead: Vec<&&Member> = live
-            .iter()
-            .filter(|member| {
-                let seen = roster.members.get(&member.name);
-                seen.is_some_and(|seen| seen.position.log_next > from)
-            })
-            .collect();
-        ahead
-            .choose(&mut rand::rng())
-            .map(|member| (**member).clone())
+        let mut choice = self.choice();
+        let source = choice.readers.source(Instant::now(), &staying(&roster));
+        choice.asked = source.cloned();
+        choice.asked.clone()
     }
 
-    async fn wait_ahead(&self, from: LogOffset, wait: Duration) -> Option<Member> {
-        let until = Instant::now() + wait;
-        loop {
-            if let Some(member) = self.ahead(from) {
-                return Some(member);
-            }
-            if Instant::now() >= until {
-                return None;
-            }
-            sleep(LOOK).await;
-        }
+    async fn read(&self, from: LogOffset, wait: Duration) -> Result<Batch, Report<Error>> {
+        let Some(peer) = self.choose() else {
+            return Err(Report::new(Error::Unavailable).attach("no peer is known"));
+        };
+        let read = self.client.records(peer.control, from, wait).await;
+        let read = read.map_err(|report| report.change_context(Error::Unavailable))?;
+        read.ok_or_else(|| Report::new(Error::Unavailable).attach("the peer holds no such records"))
+    }
+
+    fn choice(&self) -> MutexGuard<'_, Choice> {
+        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Relay for Peers {
+    fn is_reader(&self) -> bool {
+        let roster = self.members.roster().borrow().clone();
+        let choice = self.choice();
+        choice.readers.is_reader(Instant::now(), &staying(&roster))
+    }
+
     async fn records(&self, from: LogOffset, wait: Duration) -> Result<Batch, Report<Error>> {
-        let Some(peer) = self.wait_ahead(from, wait).await else {
-            return Err(Report::new(Error::Unavailable).attach("no peer has read further"));
-        };
-        let read = self.client.records(peer.control, from).await;
-        let read = read.map_err(|report| report.change_context(Error::Unavailable))?;
-        read.ok_or_else(|| Report::new(Error::Unavailable).attach("the peer holds no such records"))
+        let read = self.read(from, wait).await;
+        if !read.as_ref().is_ok_and(is_news) {
+            self.choice().readers.fail();
+        }
+        read
+    }
+
+    fn avoid(&self) {
+        let mut choice = self.choice();
+        if let Some(source) = choice.asked.take() {
+            choice.readers.avoid(Instant::now(), &source);
+        }
     }
 
     async fn snapshot(&self) -> Result<Snapshot, Report<Error>> {
         let unavailable = || Report::new(Error::Unavailable);
-        let peer = self.ahead(0).ok_or_else(unavailable)?;
+        let roster = self.members.roster().borrow().clone();
+        let mut ahead = roster.live();
+        ahead.retain(|member| {
+            let seen = roster.members.get(&member.name);
+            seen.is_some_and(|seen| seen.position.log_next > 0)
+        });
+        let peer = ahead.choose(&mut rand::rng()).ok_or_else(unavailable)?;
         let read = self.client.snapshot(peer.control).await;
         let read = read.map_err(|report| report.change_context(Error::Unavailable))?;
         let read = read.ok_or_else(unavailable)?;
@@ -77,3 +109,13 @@
         })
     }
 }
+
+/// The members that are alive and stay.
+fn staying(roster: &Roster) -> Vec<&Member> {
+    let mut live = roster.live();
+    live.retain(|member| {
+        let seen = roster.members.get(&member.name);
+        seen.is_some_and(|seen| !seen.leaving)
+    });
+    live
+}
--- a/crates/copperwelld/src/settings.rs
+++ b/crates/copperwelld/src/settings.rs
@@ -94,8 +94,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ReadLog {
-    /// From the platform; two or three daemons of each data centre are enough.
+    /// From the platform in a few daemons of each data centre, chosen by the daemons themselves, and
+    /// from those in the others.
     #[default]
+    Automatic,
+    /// From the platform.
     Directly,
     /// From other daemons.
     ThroughPeers,
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -39,10 +39,6 @@
 /// How often the groups are told when the log was last seen.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How old a reading of the log may be that counts as this daemon's own; one that comes by way of a
-/// peer is older.
-const LOG_FRESH: Duration = Duration::from_millis(100);
-
 /// How often new convictions are looked for.
 const QUARANTINE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -282,8 +278,7 @@
         }
         self.groups.apply(state);
         self.members.watch_closely(partners(state, &self.me.name));
-        let is_fresh = view.seen.is_some_and(|seen| seen.elapsed() < LOG_FRESH);
-        let sees_log = view.status == Status::Current && is_fresh;
+        let sees_log = view.status == Status::Current && view.reads_log;
         let version = state
             .manifest
             .as_ref()
--- a/crates/copperwelld/tests/faults/main.rs
+++ b/crates/copperwelld/tests/faults/main.rs
@@ -8,6 +8,7 @@
 mod log;
 mod partition;
 mod publish;
+mod readers;
 mod replace;
 mod request;
 mod stop;
--- a/crates/copperwelld/tests/faults/support.rs
+++ b/crates/copperwelld/tests/faults/support.rs
@@ -10,8 +10,9 @@
 };
 
 use bytes::Bytes;
-use copperwell_keyspace::{GroupId, HashMap, manifest::Manifest};
+use copperwell_keyspace::{GroupId, HashMap, Member, manifest::Manifest};
 use copperwell_operator::status::{LogState, Role, Status};
+use copperwell_policy::readers::{READERS, Readers};
 use copperwell_rig::{
     cluster::{self, Cluster, Plan},
     load::{self, Caller, Entries},
@@ -119,6 +120,19 @@
         Self::start_with(manifest(), true).await
     }
 
+    /// Starts a cluster with fault proxies, and with more daemons in its one data centre than read the
+    /// log themselves.
+    pub(crate) async fn start_crowded() -> Self {
+        let mut manifest = manifest();
+        manifest.data_centres.truncate(1);
+        for service in &mut manifest.services {
+            service
+                .upstreams
+                .retain(|upstream| &*upstream.data_centre == HERE);
+        }
+        Self::start_sized(manifest, true, 2 * READERS).await
+    }
+
     /// Starts a cluster whose servers may be at a request for long.
     pub(crate) async fn start_patient() -> Self {
         let mut manifest = manifest();
@@ -130,6 +144,10 @@
     }
 
     async fn start_with(manifest: Manifest, is_proxied: bool) -> Self {
+        Self::start_sized(manifest, is_proxied, 2).await
+    }
+
+    async fn start_sized(manifest: Manifest, is_proxied: bool, daemons: usize) -> Self {
         let permit = CLUSTERS.acquire().await.unwrap();
         let names = manifest
             .services
@@ -139,7 +157,7 @@
             names.map(|name| (name, SERVICE_TIME)).collect();
         let plan = Plan {
             manifest,
-            daemons: 2,
+            daemons,
             launch: Launch::Program(PathBuf::from(env!("CARGO_BIN_EXE_copperwelld"))),
             is_proxied,
             service_times,
@@ -193,6 +211,38 @@
         }
     }
 
+    /// Waits until every daemon sees all others alive, and names those that read the log.
+    pub(crate) async fn readers(&self) -> Vec<String> {
+        let nodes = &self.cluster.nodes;
+        let sees_all = |status: &Status| {
+            let live = status.members.iter().filter(|seen| seen.reachable);
+            live.count() == nodes.len()
+        };
+        for node in nodes {
+            self.wait_status("all others", node, sees_all).await;
+        }
+        let status = cluster::status(nodes[0].addresses.admin).await.unwrap();
+        let members: Vec<&Member> = status.members.iter().map(|seen| &seen.member).collect();
+        let reads = |member: &&&Member| {
+            let readers = Readers::new((**member).clone());
+            readers.is_reader(Instant::now(), &members)
+        };
+        let readers = members.iter().filter(reads);
+        readers.map(|member| member.name.to_string()).collect()
+    }
+
+    /// Publishes a change, and waits until it is in force in every daemon.
+    pub(crate) async fn publish(&mut self) {
+        let version = self.cluster.manifest.version();
+        self.cluster.manifest.replaces = version;
+        self.cluster.manifest.services[0].limits.queue += 1;
+        self.cluster.publish().await.unwrap();
+        for node in &self.cluster.nodes {
+            self.wait_status("the manifest", node, |status| status.manifest > version)
+                .await;
+        }
+    }
+
     /// The leader of the group in which faults strike, and the other daemon of its data centre.
     pub(crate) async fn pair(&self) -> Pair<'_> {
         let leader = self.leader(GROUP).await;
--- a/crates/peer/examples/membership.rs
+++ b/crates/peer/examples/membership.rs
@@ -43,7 +43,7 @@
         self.members.probe_through(target).await
     }
 
-    async fn records(&self, _: LogOffset) -> Option<Batch> {
+    async fn records(&self, _: LogOffset, _: Duration) -> Option<Batch> {
         None
     }
 
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -8,7 +8,7 @@
 use copperwell_policy::quarantine::Share;
 use serde::{Deserialize, Serialize};
 
-pub use client::{Client, Error};
+pub use client::{Client, Error, RECORDS_SLACK};
 pub use copperwell_policy::suspicion::{Liveness, Rumour};
 pub use server::serve;
 
@@ -25,6 +25,9 @@
 /// Bytes of records in one answer, unless a single record is longer.
 pub const RECORDS_MAX: usize = 1 << 20;
 
+/// The longest wait for records.
+pub const RECORDS_WAIT_MAX: Duration = Duration::from_secs(5);
+
 /// Asks a daemon whether it is alive, and says the same of the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Probe {
@@ -102,7 +105,13 @@
     fn probe_through(&self, target: SocketAddr) -> impl Future<Output = Option<Pong>> + Send;
 
     /// Records from an offset on, at most [`RECORDS_MAX`] bytes; `None` if they are not held.
-    fn records(&self, from: LogOffset) -> impl Future<Output = Option<Batch>> + Send;
+    ///
+    /// Waits up to `wait`, and no longer than [`RECORDS_WAIT_MAX`], if there are none yet.
+    fn records(
+        &self,
+        from: LogOffset,
+        wait: Duration,
+    ) -> impl Future<Output = Option<Batch>> + Send;
 
     /// The agreed state; `None` if nothing has been read yet.
     fn snapshot(&self) -> impl Future<Output = Option<Snapshot>> + Send;
@@ -126,8 +135,12 @@
         T::probe_through(self, target)
     }
 
-    fn records(&self, from: LogOffset) -> impl Future<Output = Option<Batch>> + Send {
-        T::records(self, from)
+    fn records(
+        &self,
+        from: LogOffset,
+        wait: Duration,
+    ) -> impl Future<Output = Option<Batch>> + Send {
+        T::records(self, from, wait)
     }
 
     fn snapshot(&self) -> impl Future<Output = Option<Snapshot>> + Send {
--- a/crates/peer/src/control/client.rs
+++ b/crates/peer/src/control/client.rs
@@ -31,6 +31,9 @@
 /// Time after which an unused connection is closed.
 const IDLE: Duration = Duration::from_mins(1);
 
+/// The time in which records have to come, beyond the wait for them.
+pub const RECORDS_SLACK: Duration = Duration::from_secs(1);
+
 /// Calls under way on one connection.
 const CALLS_MAX: usize = 64;
 
@@ -149,18 +152,19 @@
         .await
     }
 
-    /// Reads records of the log from another daemon.
+    /// Reads records of the log from another daemon, which waits up to `wait` if it has none yet.
     ///
     /// # Errors
     ///
-    /// An [`Error`] if no answer came within [`TIMEOUT`].
+    /// An [`Error`] if no answer came within [`RECORDS_SLACK`] after the wait.
     pub async fn records(
         &self,
         to: SocketAddr,
         from: LogOffset,
+        wait: Duration,
     ) -> Result<Option<Batch>, Report<Error>> {
-        self.call(to, TIMEOUT, async |client, context| {
-            client.records(context, from).await
+        self.call(to, wait + RECORDS_SLACK, async |client, context| {
+            client.records(context, from, wait).await
         })
         .await
     }
--- a/crates/peer/src/control/rpc.rs
+++ b/crates/peer/src/control/rpc.rs
@@ -1,6 +1,6 @@
 //! The calls as tarpc sees them.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use super::{HandOver, Pong, Probe, Relinquish, Snapshot};
 use copperwell_keyspace::{LogOffset, batch::Batch};
@@ -11,7 +11,7 @@
 pub(crate) trait Control {
     async fn probe(probe: Probe) -> Pong;
     async fn probe_through(target: SocketAddr) -> Option<Pong>;
-    async fn records(from: LogOffset) -> Option<Batch>;
+    async fn records(from: LogOffset, wait: Duration) -> Option<Batch>;
     async fn snapshot() -> Option<Snapshot>;
     async fn hand_over(hand_over: HandOver) -> bool;
     async fn relinquish(relinquish: Relinquish) -> bool;
--- a/crates/peer/src/control/server.rs
+++ b/crates/peer/src/control/server.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{FRAME_MAX, HandOver, Handler, Pong, Probe, Relinquish, Snapshot, rpc::Control};
+use super::{
+    FRAME_MAX, HandOver, Handler, Pong, Probe, RECORDS_WAIT_MAX, Relinquish, Snapshot, rpc::Control,
+};
 use copperwell_keyspace::{LogOffset, batch::Batch};
 use copperwell_policy::quarantine::Share;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -103,8 +105,8 @@
         self.handler.probe_through(target).await
     }
 
-    async fn records(self, _: Context, from: LogOffset) -> Option<Batch> {
-        self.handler.records(from).await
+    async fn records(self, _: Context, from: LogOffset, wait: Duration) -> Option<Batch> {
+        self.handler.records(from, wait.min(RECORDS_WAIT_MAX)).await
     }
 
     async fn snapshot(self, _: Context) -> Option<Snapshot> {
--- a/crates/peer/tests/control.rs
+++ b/crates/peer/tests/control.rs
@@ -56,7 +56,7 @@
         Some(self.probe(probe).await)
     }
 
-    async fn records(&self, from: LogOffset) -> Option<Batch> {
+    async fn records(&self, from: LogOffset, _: Duration) -> Option<Batch> {
         let entry = |offset, bytes| Entry { offset, bytes };
         Some(Batch {
             first: from,
@@ -151,8 +151,8 @@
     assert_eq!(pong.gossip, [rumour()]);
     let through = client.probe_through(to, to, LONG).await.unwrap();
     assert_eq!(through.unwrap().own.member.control, to);
-    let records = client.records(to, 5).await.unwrap();
-    assert_eq!(records, Echo.records(5).await);
+    let records = client.records(to, 5, Duration::ZERO).await.unwrap();
+    assert_eq!(records, Echo.records(5, Duration::ZERO).await);
     let snapshot = client.snapshot(to).await.unwrap();
     assert_eq!(snapshot, Echo.snapshot().await);
     let hand_over = HandOver {
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -24,12 +24,17 @@
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 /// How long one read of the log may wait for a record.
 pub const READ_WAIT: Duration = Duration::from_secs(4);
 
+/// The wait of a read whose outcome others wait for: by a reader for its peers, and at a reader.
+///
+/// Each read that ends renews the sign that the log is read, also when it brings no record.
+const READ_WAIT_SHARED: Duration = Duration::from_secs(1);
+
 /// The wait of a read while a snapshot may have to be appended soon.
 const READ_WAIT_URGENT: Duration = Duration::from_millis(300);
 
@@ -42,8 +47,15 @@
 /// How long a peer may take to hand its state over.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How old a peer's own reading may be before the platform is tried as well.
-const RELAY_AGE_MAX: Duration = Duration::from_secs(10);
+/// How old a peer's own reading may be before the log counts as away.
+const RELAY_AGE_MAX: Duration = Duration::from_secs(5);
+
+/// How old a peer's own reading may be before the platform is tried, and then another peer: twice
+/// the wait of a read, for a peer that itself reads from a reader, and half of one for the way.
+const RELAY_AGE_NEWS: Duration = Duration::from_millis(2500);
+
+/// How long a reader for others leaves the platform alone after it did not answer.
+const LOG_REST: Duration = Duration::from_secs(3);
 
 /// The agreed state as this process knows it.
 #[derive(Debug, Clone)]
@@ -56,6 +68,8 @@
     pub status: Status,
     /// When the log was last read, by this process or by the peer that told of it.
     pub seen: Option<Instant>,
+    /// Whether the last read was of the log itself.
+    pub reads_log: bool,
 }
 
 /// How a view stands to the log.
@@ -81,6 +95,9 @@
     Platform,
     /// Peers; the platform when none answers.
     Peer,
+    /// The platform if [`Relay::is_reader`] says so, and peers otherwise; each when the other does
+    /// not answer.
+    Chosen,
 }
 
 /// How a follower reads and what it writes.
@@ -143,6 +160,7 @@
             next: 0,
             status: Status::Starting,
             seen: None,
+            reads_log: false,
         }));
         let reader = Arc::new(Mutex::new(reader));
         let held = Held {
@@ -162,6 +180,7 @@
             to,
             snapshots,
             reads_log: false,
+            rests: Instant::now(),
         };
         Self {
             held,
@@ -196,15 +215,27 @@
 }
 
 impl Held {
-    /// Records from an offset on; waits up to `wait` if there are none yet.
+    /// Records from an offset on; waits up to `wait` if there are none yet, but not beyond the time
+    /// at which the answer would be too old to be of use.
     ///
     /// # Errors
     ///
     /// [`Error::Unavailable`] if records from there on are not held.
     pub async fn records(&self, from: LogOffset, wait: Duration) -> Result<Batch, Report<Error>> {
         let mut view = self.view.clone();
-        // Without a new record the answer is an empty batch.
-        let _ = timeout(wait, view.wait_for(|view| view.next != from)).await;
+        let wait = Instant::now() + wait;
+        loop {
+            let seen = view.borrow_and_update().clone();
+            let until = match seen.seen {
+                Some(read) => wait.min(read + RELAY_AGE_NEWS),
+                None => wait,
+            };
+            // Without a new record the answer is an empty batch.
+            let has_news = seen.next > from;
+            if has_news || !matches!(timeout_at(until, view.changed()).await, Ok(Ok(()))) {
+                break;
+            }
+        }
         let seen = view.borrow().seen;
         let reader = lock(&self.reader);
         let mut batch = reader
@@ -243,6 +274,8 @@
     snapshots: Option<Snapshots>,
     /// Whether the last read was of the log itself; only then snapshots are appended.
     reads_log: bool,
+    /// Until when the platform is left alone.
+    rests: Instant,
 }
 
 impl<L: Log, R: Relay> Task<L, R> {
@@ -270,28 +303,48 @@
         }
     }
 
-    async fn read(&self) -> Result<Batch, Report<Error>> {
-        match self.source {
-            Source::Platform => match self.read_log().await {
+    async fn read(&mut self) -> Result<Batch, Report<Error>> {
+        let (reads_log, wait) = match self.source {
+            Source::Platform => (true, READ_WAIT),
+            Source::Peer => (false, READ_WAIT),
+            Source::Chosen if self.relay.is_reader() => (true, READ_WAIT_SHARED),
+            Source::Chosen => (false, READ_WAIT),
+        };
+        if reads_log && !self.rests() {
+            return match self.read_log(wait).await {
                 Ok(batch) => Ok(batch),
                 Err(_) => self.read_peer().await,
-            },
-            Source::Peer => match self.read_peer().await {
-                Ok(batch) if is_fresh(&batch) => Ok(batch),
-                Ok(batch) => Ok(self.read_log().await.unwrap_or(batch)),
-                Err(_) => self.read_log().await,
-            },
+            };
         }
+        let read = self.read_peer().await;
+        if read.as_ref().is_ok_and(is_news) || self.rests() {
+            return read;
+        }
+        match (self.read_log(wait).await, read) {
+            (Ok(batch), _) => {
+                self.relay.avoid();
+                self.metrics.peers_avoided.inc();
+                Ok(batch)
+            }
+            (Err(_), Ok(batch)) => Ok(batch),
+            (Err(report), Err(_)) => Err(report),
+        }
+    }
+
+    /// Whether the platform is left alone, so that trying it does not hold up reading from peers.
+    fn rests(&self) -> bool {
+        self.source == Source::Chosen && Instant::now() < self.rests
     }
 
-    async fn read_log(&self) -> Result<Batch, Report<Error>> {
+    async fn read_log(&mut self, wait: Duration) -> Result<Batch, Report<Error>> {
         let (from, wait) = {
             let reader = lock(&self.reader);
-            (reader.position(), wait_of(&reader))
+            (reader.position(), wait_of(&reader, wait))
         };
         let read = self.log.read(STREAM, from, wait).await;
         if read.is_err() {
             lock(&self.reader).lose_contact();
+            self.rests = Instant::now() + LOG_REST;
         }
         self.count(read, "platform")
     }
@@ -299,7 +352,10 @@
     async fn read_peer(&self) -> Result<Batch, Report<Error>> {
         let (from, wait) = {
             let reader = lock(&self.reader);
-            (reader.position_at_peer(), wait_of(&reader))
+            (
+                reader.position_at_peer(),
+                wait_of(&reader, READ_WAIT_SHARED),
+            )
         };
         let read = timeout(wait + SNAPSHOT_TIMEOUT, self.relay.records(from, wait)).await;
         let read = read
@@ -340,7 +396,8 @@
         if outlived || wants {
             self.ask_peers().await;
         }
-        !stuck && !outlived
+        // An old answer came at once.
+        !stuck && !outlived && is_news(batch)
     }
 
     /// Takes a peer's state if it is ahead.
@@ -396,6 +453,7 @@
             next,
             status,
             seen: view.seen.max(Some(seen)),
+            reads_log: batch.relayed.is_none(),
         });
     }
 
@@ -408,6 +466,7 @@
             };
             View {
                 status,
+                reads_log: false,
                 ..view.clone()
             }
         });
@@ -449,14 +508,22 @@
     reader.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn wait_of(reader: &Reader) -> Duration {
+fn wait_of(reader: &Reader, wait: Duration) -> Duration {
     if reader.is_ahead() || reader.is_stranded() {
         READ_WAIT_URGENT
     } else {
-        READ_WAIT
+        wait
     }
 }
 
+/// Whether the peer that answered, or one that it reads from, read the log itself just now.
+#[must_use]
+pub fn is_news(batch: &Batch) -> bool {
+    batch
+        .relayed
+        .is_none_or(|relayed| relayed.age < RELAY_AGE_NEWS)
+}
+
 /// Whether the peer that answered read the log itself not long ago.
 fn is_fresh(batch: &Batch) -> bool {
     batch
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -55,6 +55,11 @@
 
 /// The log as other daemons hold it.
 pub trait Relay: Send + Sync + 'static {
+    /// Whether this process is among those that read the log themselves, for others to read from.
+    fn is_reader(&self) -> bool {
+        true
+    }
+
     /// Reads records of [`copperwell_keyspace::record::STREAM`] that a peer has kept.
     ///
     /// # Errors
@@ -66,6 +71,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Batch, Report<Error>>> + Send;
 
+    /// Notes that the platform answered after the last peer had no fresh records.
+    fn avoid(&self) {}
+
     /// Reads the state that a peer holds.
     ///
     /// # Errors
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -19,6 +19,8 @@
     pub(crate) snapshots_appended: Counter,
     pub(crate) snapshots_too_large: Counter,
     pub(crate) snapshots_adopted: Counter,
+    /// Peers passed over, as the platform answered where they had no fresh records.
+    pub(crate) peers_avoided: Counter,
     unreadable: Counter,
     gaps: Counter,
     restarts: Counter,
@@ -94,6 +96,11 @@
             "States joined that had grown apart",
             held.joins,
         );
+        registry.register(
+            "log_peers_avoided",
+            "Peers passed over that had no fresh records when the platform had",
+            held.peers_avoided,
+        );
         registry.register("log_next", "The first offset not read", held.next);
         registry.register("log_lag", "Records known of and not read", held.lag);
         registry.register(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod queue;
+pub mod readers;
 pub mod restraint;
 pub mod retry;
 pub mod sketch;
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -167,16 +167,19 @@
         let place = place.ok_or_else(|| missing("data centre", data_centre))?;
         let source = self.source_of(data_centre);
         let any = SocketAddr::new(source, 0);
+        let gate = match self.gates.get(data_centre) {
+            Some(gate) => gate.address(),
+            None => self.platform.address(),
+        };
         let doors = if self.is_proxied {
-            Some(Doors::start().await?)
+            Some(Doors::start(gate).await?)
         } else {
             None
         };
         let name = format!("{data_centre}-entry-{}", self.started);
-        let platform = match self.gates.get(data_centre) {
-            Some(gate) => gate.address(),
-            None => self.platform.address(),
-        };
+        let platform = doors
+            .as_ref()
+            .map_or(gate, |doors| doors.platform.address());
         let settings = Settings {
             name: name.into(),
             data_centre: data_centre.into(),
@@ -195,7 +198,7 @@
             platform: PlatformSettings {
                 log: platform,
                 vms: platform,
-                read_log: ReadLog::Directly,
+                read_log: ReadLog::Automatic,
             },
             seeds: self.nodes.iter().take(SEEDS).map(Node::control).collect(),
             callers: Callers::default(),
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -47,6 +47,8 @@
     pub requests: Proxy,
     /// For control calls.
     pub control: Proxy,
+    /// For the daemon's own calls to the platform.
+    pub platform: Proxy,
 }
 
 impl Doors {
@@ -55,11 +57,12 @@
     /// # Errors
     ///
     /// An error if no port can be listened on.
-    pub async fn start() -> io::Result<Self> {
+    pub async fn start(platform: SocketAddr) -> io::Result<Self> {
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
         Ok(Self {
             requests: Proxy::start(nowhere).await?,
             control: Proxy::start(nowhere).await?,
+            platform: Proxy::start(platform).await?,
         })
     }
 
