Keep routes and counts only for shards that have or had them here

Table and load counts held an entry for every shard of every service in every daemon, and each second the load loop read all of them and kept a copy.

An entry is made when a shard first gets a route here, and stays, since its turn and first grant outlive the route. Whoever waits on a shard that is elsewhere gets an entry too. Requests are taken out of the entries that had any. The path of a request has one more hash lookup and one more read lock; the maps are let go before an entry is locked. The state that groups work from is shared rather than copied.

The tests of table, engine and groups pass; those of groups hold the state shared, and are otherwise as before.

--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -6,7 +6,7 @@
 use copperwell_backend::{Control, Forward, Pool};
 use copperwell_dispatch::Observation;
 use copperwell_keyspace::{
-    DaemonName, HashMap, HashSet, Member, ServiceName, record::Body, replay::State,
+    DaemonName, HashSet, Member, ServiceName, record::Body, replay::State,
 };
 use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
@@ -182,7 +182,6 @@
 
 /// Tells the groups which shards are asked for.
 pub(crate) async fn load<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
-    let mut before: HashMap<ServiceName, Vec<u64>> = HashMap::default();
     loop {
         sleep(LOAD_INTERVAL).await;
         let state = core.state();
@@ -191,17 +190,9 @@
             .iter()
             .flat_map(|manifest| &manifest.services);
         for service in services {
-            let now = core.table.requests(&service.name);
-            let last = before.entry(service.name.clone()).or_default();
-            last.resize(now.len(), 0);
-            for (shard, (now, last)) in (0..).zip(now.iter().zip(&*last)) {
-                let more = now.saturating_sub(*last);
-                if more > 0 {
-                    let more = u32::try_from(more).unwrap_or(u32::MAX);
-                    core.groups.load(&service.name, shard, more);
-                }
+            for (shard, requests) in core.table.take_requests(&service.name) {
+                core.groups.load(&service.name, shard, requests);
             }
-            *last = now;
         }
     }
 }
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -1,12 +1,15 @@
 //! Which upstream serves which shard, as the leader of its group knows it.
 //!
-//! Lock order: the table's map of services, then one shard's entry, then a lease. No lock is held
-//! across an await.
+//! A daemon knows of far more shards than it leads, so there is an entry only for those that have a
+//! route here, or had one: how often a shard came and its first grant outlive its route.
+//!
+//! Lock order: the table's map of services, then a service's map of shards, then one shard's entry,
+//! then a lease. The maps are let go before an entry is locked. No lock is held across an await.
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard,
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -17,7 +20,15 @@
 /// The routes of every shard that this daemon leads.
 #[derive(Debug, Default)]
 pub struct Table {
-    services: RwLock<HashMap<ServiceName, Arc<[Entry]>>>,
+    services: RwLock<HashMap<ServiceName, Arc<Shards>>>,
+}
+
+/// The shards of a service that have or had a route here.
+#[derive(Debug)]
+struct Shards {
+    /// All shards of the service.
+    count: u32,
+    entries: RwLock<HashMap<ShardIndex, Arc<Entry>>>,
 }
 
 /// Where the requests of a shard go.
@@ -59,8 +70,7 @@
 /// Counts a request in flight on a shard until it is dropped.
 #[derive(Debug)]
 pub struct Pass {
-    entries: Arc<[Entry]>,
-    shard: ShardIndex,
+    entry: Arc<Entry>,
     turn: u64,
 }
 
@@ -89,7 +99,8 @@
 struct Entry {
     lead: Mutex<Lead>,
     in_flight: AtomicU32,
-    requests: AtomicU64,
+    /// Since they were last taken.
+    requests: AtomicU32,
     changed: Notify,
     idle: Notify,
 }
@@ -101,26 +112,32 @@
         Self::default()
     }
 
-    /// Makes room for a service of `shards` shards; keeps routes that are there.
+    /// Lets a service of `shards` shards have routes; keeps those that are there.
     pub fn add_service(&self, service: &ServiceName, shards: u32) {
+        let is_known = |held: &Arc<Shards>| held.count == shards;
+        if self.shards(service).as_ref().is_some_and(is_known) {
+            return;
+        }
         let mut services = self
             .services
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        let known = services
-            .get(service)
-            .is_some_and(|entries| entries.len() == shards as usize);
-        if !known {
-            let entries = (0..shards).map(|_| Entry::default()).collect();
-            services.insert(service.clone(), entries);
+        if !services.get(service).is_some_and(is_known) {
+            services.insert(service.clone(), Arc::new(Shards::new(shards)));
         }
     }
 
     /// Sets the route of a shard and wakes those that wait for it.
     pub fn set(&self, service: &str, shard: ShardIndex, route: Route) {
-        if let Some(entries) = self.entries(service)
-            && let Some(entry) = entries.get(shard as usize)
-        {
+        let Some(shards) = self.shards(service) else {
+            return;
+        };
+        let entry = match route {
+            // Without an entry it is elsewhere already.
+            Route::Elsewhere => shards.entry(shard),
+            _ => shards.entry_or_new(shard),
+        };
+        if let Some(entry) = entry {
             entry.lead().set(route);
             entry.changed.notify_waiters();
         }
@@ -135,22 +152,24 @@
     /// The route of a shard together with its turn.
     #[must_use]
     pub fn lead(&self, service: &str, shard: ShardIndex) -> Lead {
-        self.entries(service)
-            .and_then(|entries| {
-                let entry = entries.get(shard as usize)?;
-                Some(entry.lead().clone())
-            })
+        self.entry(service, shard)
+            .map(|entry| entry.lead().clone())
             .unwrap_or_default()
     }
 
-    /// Requests that each shard of a service has had so far, by shard.
+    /// Takes the requests that each shard of a service has had since the last call, but for shards
+    /// that had none.
     #[must_use]
-    pub fn requests(&self, service: &str) -> Vec<u64> {
-        let entries = self.entries(service);
-        let entries = entries.iter().flat_map(|entries| entries.iter());
-        entries
-            .map(|entry| entry.requests.load(Ordering::Relaxed))
-            .collect()
+    pub fn take_requests(&self, service: &str) -> Vec<(ShardIndex, u32)> {
+        let Some(shards) = self.shards(service) else {
+            return Vec::new();
+        };
+        let entries = shards.entries();
+        let counts = entries.iter().map(|(shard, entry)| {
+            let requests = entry.requests.swap(0, Ordering::Relaxed);
+            (*shard, requests)
+        });
+        counts.filter(|(_, requests)| *requests > 0).collect()
     }
 
     /// Counts a request in flight, if an upstream owns the shard at this moment.
@@ -161,8 +180,7 @@
     ///
     /// The route, if it is not [`Route::Owned`].
     pub fn enter(&self, service: &str, shard: ShardIndex) -> Result<(Owner, Pass), Route> {
-        let entries = self.entries(service).ok_or(Route::Elsewhere)?;
-        let entry = entries.get(shard as usize).ok_or(Route::Elsewhere)?;
+        let entry = self.entry(service, shard).ok_or(Route::Elsewhere)?;
         let lead = entry.lead();
         let Route::Owned(owner) = &lead.route else {
             return Err(lead.route.clone());
@@ -172,20 +190,12 @@
         entry.in_flight.fetch_add(1, Ordering::AcqRel);
         drop(lead);
         entry.requests.fetch_add(1, Ordering::Relaxed);
-        let pass = Pass {
-            entries,
-            shard,
-            turn,
-        };
-        Ok((owner, pass))
+        Ok((owner, Pass { entry, turn }))
     }
 
     /// Resolves at the next change of the shard's route that comes after the call.
     pub async fn changed(&self, service: &str, shard: ShardIndex, seen: impl Fn(&Route) -> bool) {
-        let Some(entries) = self.entries(service) else {
-            return;
-        };
-        let Some(entry) = entries.get(shard as usize) else {
+        let Some(entry) = self.entry_to_watch(service, shard, &seen) else {
             return;
         };
         loop {
@@ -202,20 +212,13 @@
     /// Requests in flight on a shard.
     #[must_use]
     pub fn in_flight(&self, service: &str, shard: ShardIndex) -> u32 {
-        self.entries(service)
-            .and_then(|entries| {
-                let entry = entries.get(shard as usize)?;
-                Some(entry.in_flight.load(Ordering::Acquire))
-            })
-            .unwrap_or(0)
+        self.entry(service, shard)
+            .map_or(0, |entry| entry.in_flight.load(Ordering::Acquire))
     }
 
     /// Resolves when no request is in flight on the shard.
     pub async fn idle(&self, service: &str, shard: ShardIndex) {
-        let Some(entries) = self.entries(service) else {
-            return;
-        };
-        let Some(entry) = entries.get(shard as usize) else {
+        let Some(entry) = self.entry(service, shard) else {
             return;
         };
         loop {
@@ -229,12 +232,59 @@
         }
     }
 
-    fn entries(&self, service: &str) -> Option<Arc<[Entry]>> {
+    fn entry(&self, service: &str, shard: ShardIndex) -> Option<Arc<Entry>> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.get(service)?.entry(shard)
+    }
+
+    /// The entry to wait on; none if there is nothing to wait for.
+    fn entry_to_watch(
+        &self,
+        service: &str,
+        shard: ShardIndex,
+        seen: impl Fn(&Route) -> bool,
+    ) -> Option<Arc<Entry>> {
+        match self.entry(service, shard) {
+            None if seen(&Route::Elsewhere) => self.shards(service)?.entry_or_new(shard),
+            held => held,
+        }
+    }
+
+    fn shards(&self, service: &str) -> Option<Arc<Shards>> {
         let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
         services.get(service).cloned()
     }
 }
 
+impl Shards {
+    fn new(count: u32) -> Self {
+        Self {
+            count,
+            entries: RwLock::default(),
+        }
+    }
+
+    fn entry(&self, shard: ShardIndex) -> Option<Arc<Entry>> {
+        self.entries().get(&shard).cloned()
+    }
+
+    /// None if the service has no such shard.
+    fn entry_or_new(&self, shard: ShardIndex) -> Option<Arc<Entry>> {
+        if shard >= self.count {
+            return None;
+        }
+        if let Some(entry) = self.entry(shard) {
+            return Some(entry);
+        }
+        let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
+        Some(entries.entry(shard).or_default().clone())
+    }
+
+    fn entries(&self) -> RwLockReadGuard<'_, HashMap<ShardIndex, Arc<Entry>>> {
+        self.entries.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Entry {
     fn lead(&self) -> MutexGuard<'_, Lead> {
         self.lead.lock().unwrap_or_else(PoisonError::into_inner)
@@ -288,9 +338,8 @@
 
 impl Drop for Pass {
     fn drop(&mut self) {
-        let entry = &self.entries[self.shard as usize];
-        if entry.in_flight.fetch_sub(1, Ordering::AcqRel) == 1 {
-            entry.idle.notify_waiters();
+        if self.entry.in_flight.fetch_sub(1, Ordering::AcqRel) == 1 {
+            self.entry.idle.notify_waiters();
         }
     }
 }
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -13,7 +13,7 @@
 use copperwell_backend::{Control, order::digest_of};
 use copperwell_dispatch::table::Table;
 use copperwell_keyspace::{
-    DaemonName, Epoch, GroupId, HashMap, Member, ShardIndex,
+    DaemonName, Epoch, GroupId, HashMap, Member, ServiceName, ShardIndex,
     balance::{Shift, plan},
     manifest::{OnIsolation, Upstream, shards_of},
     replay::{Appointment, State},
@@ -38,7 +38,7 @@
 
 #[derive(Debug, Default)]
 struct Held {
-    state: State,
+    state: Arc<State>,
     led: HashMap<GroupId, Led>,
     /// The last epoch under which this daemon led each group; none is used twice.
     used: HashMap<GroupId, Epoch>,
@@ -89,7 +89,7 @@
     /// Follows the agreed state: starts, changes and ends what this daemon leads.
     ///
     /// Must be called on a runtime.
-    pub fn apply(&self, state: &State) {
+    pub fn apply(&self, state: &Arc<State>) {
         let mut held = self.held();
         held.led.retain(|_, led| !led.is_ended());
         for ending in held.ending.values_mut() {
@@ -100,7 +100,6 @@
         if let Some(manifest) = &state.manifest {
             for service in &manifest.services {
                 self.shared.table.add_service(&service.name, service.shards);
-                self.shared.loads.add_service(&service.name, service.shards);
             }
         }
         for (id, appointment) in &state.groups {
@@ -182,7 +181,7 @@
     }
 
     /// Counts requests of a shard, for balance.
-    pub fn load(&self, service: &str, shard: ShardIndex, requests: u32) {
+    pub fn load(&self, service: &ServiceName, shard: ShardIndex, requests: u32) {
         self.shared.loads.add(service, shard, requests);
     }
 
--- a/crates/ownership/src/load.rs
+++ b/crates/ownership/src/load.rs
@@ -1,40 +1,24 @@
 //! Requests of each shard since they were last asked for.
 
-use std::sync::{
-    Arc, PoisonError, RwLock,
-    atomic::{AtomicU32, Ordering},
-};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use copperwell_keyspace::{HashMap, ServiceName, ShardIndex};
 use copperwell_policy::group::message::Load;
 
-/// Counts requests; cheap enough for each of them.
+/// Counts requests of the shards that had any.
 #[derive(Debug, Default)]
 pub(crate) struct Loads {
-    services: RwLock<HashMap<ServiceName, Arc<[AtomicU32]>>>,
+    services: Mutex<HashMap<ServiceName, Counts>>,
 }
 
-impl Loads {
-    pub(crate) fn add_service(&self, service: &ServiceName, shards: u32) {
-        let mut services = self
-            .services
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        let known = services.get(service).map(|counts| counts.len());
-        if known != Some(shards as usize) {
-            let counts = (0..shards).map(|_| AtomicU32::new(0)).collect();
-            services.insert(service.clone(), counts);
-        }
-    }
+type Counts = HashMap<ShardIndex, u32>;
 
-    pub(crate) fn add(&self, service: &str, shard: ShardIndex, requests: u32) {
-        let counts = self.counts(service);
-        let count = counts
-            .as_ref()
-            .and_then(|counts| counts.get(shard as usize));
-        if let Some(count) = count {
-            count.fetch_add(requests, Ordering::Relaxed);
-        }
+impl Loads {
+    pub(crate) fn add(&self, service: &ServiceName, shard: ShardIndex, requests: u32) {
+        let mut services = self.services();
+        let counts = services.entry(service.clone()).or_default();
+        let count = counts.entry(shard).or_default();
+        *count = count.saturating_add(requests);
     }
 
     /// The requests of these shards since the last call.
@@ -43,18 +27,18 @@
         service: &str,
         shards: impl Iterator<Item = ShardIndex>,
     ) -> Vec<Load> {
-        let Some(counts) = self.counts(service) else {
+        let mut services = self.services();
+        let Some(counts) = services.get_mut(service) else {
             return Vec::new();
         };
         let taken = shards.filter_map(|shard| {
-            let requests = counts.get(shard as usize)?.swap(0, Ordering::Relaxed);
-            (requests > 0).then_some(Load { shard, requests })
+            let requests = counts.remove(&shard)?;
+            Some(Load { shard, requests })
         });
         taken.collect()
     }
 
-    fn counts(&self, service: &str) -> Option<Arc<[AtomicU32]>> {
-        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
-        services.get(service).cloned()
+    fn services(&self) -> MutexGuard<'_, HashMap<ServiceName, Counts>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/ownership/tests/groups/main.rs
+++ b/crates/ownership/tests/groups/main.rs
@@ -27,7 +27,7 @@
 /// The log, replayed.
 #[derive(Default)]
 struct Log {
-    state: State,
+    state: Arc<State>,
     next: u64,
 }
 
@@ -41,7 +41,7 @@
             },
             body,
         };
-        let outcome = self.state.apply(self.next, &record);
+        let outcome = Arc::make_mut(&mut self.state).apply(self.next, &record);
         self.next += 1;
         assert_eq!(outcome, Outcome::Applied);
     }
