Rebuild from the agreed state only what changed

Each read of the log, also an empty one, passed the whole state to pool, engine, ingress and groups, and the appointer looked at all groups and all upstreams ten times a second.

A view with the same state passes only the position on; groups are told anew every 4 s, for what did not reach them. Pool and engine are told when the manifest differs. The appointer works proposals out when state or roster changed, and the roster is published anew only for a position that differs.

--- a/crates/copperwelld/src/appointer.rs
+++ b/crates/copperwelld/src/appointer.rs
@@ -9,6 +9,7 @@
     record::{Appoint, Body},
     replay::State,
 };
+use copperwell_peer::members::Roster;
 use copperwell_platform::{Log, append::Appender};
 use copperwell_policy::{
     appoint::{Peers, proposals},
@@ -37,6 +38,7 @@
 ) {
     let settled = Instant::now() + SETTLE;
     let mut restraint = Restraint::new();
+    let mut wanted = Wanted::default();
     loop {
         tokio::select! {
             body = records.recv() => {
@@ -45,20 +47,22 @@
             }
             () = sleep(LOOK) => {}
         }
-        restraint.observe(&core.state(), Instant::now());
+        if wanted.update(&core) {
+            restraint.observe(&wanted.state, Instant::now());
+        }
         if Instant::now() < settled || core.is_leaving() {
             continue;
         }
-        for proposal in current(&core) {
+        for proposal in &wanted.proposals {
             let state = core.state();
-            if !still_wanted(&state, &proposal)
-                || !restraint.allows(&state, &proposal, Instant::now())
+            if !still_wanted(&state, proposal)
+                || !restraint.allows(&state, proposal, Instant::now())
             {
                 continue;
             }
-            restraint.proposed(&state, &proposal);
-            tell(&state, &proposal);
-            append(&core, &mut appender, Body::Appoint(proposal)).await;
+            restraint.proposed(&state, proposal);
+            tell(&state, proposal);
+            append(&core, &mut appender, Body::Appoint(proposal.clone())).await;
         }
     }
 }
@@ -74,8 +78,30 @@
     }
 }
 
-fn current<C: Control, F: Forward>(core: &Core<C, F>) -> Vec<Appoint> {
-    let state = core.state();
+/// The proposals that follow from a state and the live daemons.
+#[derive(Default)]
+struct Wanted {
+    state: Arc<State>,
+    roster: Arc<Roster>,
+    proposals: Vec<Appoint>,
+}
+
+impl Wanted {
+    /// Looks at all groups if anything changed; tells whether the state did.
+    fn update<C: Control, F: Forward>(&mut self, core: &Core<C, F>) -> bool {
+        let state = core.state();
+        let roster = core.members.roster().borrow().clone();
+        let is_same_state = Arc::ptr_eq(&state, &self.state);
+        if !is_same_state || !Arc::ptr_eq(&roster, &self.roster) {
+            self.proposals = current(core, &state);
+            self.roster = roster;
+            self.state = state;
+        }
+        !is_same_state
+    }
+}
+
+fn current<C: Control, F: Forward>(core: &Core<C, F>, state: &State) -> Vec<Appoint> {
     let active = state.groups_in_force();
     // A departing group needs a leader too, until its last shard has been taken over.
     let departing = active.iter().filter(|group| group.is_departing());
@@ -88,7 +114,7 @@
         live: &live,
         everywhere: &everywhere,
     };
-    proposals(&state, &groups, &departing, &peers)
+    proposals(state, &groups, &departing, &peers)
 }
 
 /// Whether the proposal's parent still leads; it may have been settled while others were appended.
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -5,9 +5,7 @@
 use crate::core::Core;
 use copperwell_backend::{Control, Forward, Pool};
 use copperwell_dispatch::Observation;
-use copperwell_keyspace::{
-    DaemonName, HashSet, Member, ServiceName, record::Body, replay::State,
-};
+use copperwell_keyspace::{DaemonName, HashSet, Member, ServiceName, record::Body, replay::State};
 use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
     control::{Client, Position},
@@ -36,6 +34,9 @@
 /// The shortest time between two readings at rest.
 const VMS_INTERVAL_REST: Duration = Duration::from_secs(10);
 
+/// How often the groups are told of a state that did not change, for what did not reach them.
+const APPLY_INTERVAL: Duration = Duration::from_secs(4);
+
 /// How often the groups are told when the log was last seen.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -45,18 +46,24 @@
 /// How often the shards' requests are counted.
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Passes each new agreed state on.
+/// Passes each new agreed state on; most views tell only that the log was read.
 pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>, pool: Arc<Pool>) {
     let mut view = core.view.clone();
-    let mut before: Option<Arc<View>> = None;
+    let mut before = Arc::new(State::default());
+    let mut applied = Instant::now();
     loop {
         let now = view.borrow_and_update().clone();
-        report(before.as_deref(), &now);
-        if let Some(manifest) = &now.state.manifest {
-            pool.follow(manifest);
+        let is_same = Arc::ptr_eq(&before, &now.state);
+        if !is_same {
+            report(&before, &now.state);
+            core.take_state(&before, &now.state, &pool);
         }
-        core.take_view(&now);
-        before = Some(now);
+        if !is_same || applied.elapsed() >= APPLY_INTERVAL {
+            core.groups.apply(&now.state);
+            applied = Instant::now();
+        }
+        core.take_position(&now);
+        before = now.state.clone();
         if view.changed().await.is_err() {
             return;
         }
@@ -261,22 +268,23 @@
 }
 
 impl<C: Control, F: Forward> Core<C, F> {
-    fn take_view(&self, view: &View) {
-        let state = &view.state;
+    fn take_state(&self, before: &State, state: &Arc<State>, pool: &Pool) {
         self.way.set_state(state.clone());
-        if let Some(manifest) = &state.manifest {
+        self.members.watch_closely(partners(state, &self.me.name));
+        // Comparing two manifests costs less than what follows, and most records change none.
+        if let Some(manifest) = &state.manifest
+            && before.manifest.as_ref() != Some(manifest)
+        {
+            pool.follow(manifest);
             self.engine.set_manifest(Arc::new(manifest.clone()));
         }
-        self.groups.apply(state);
-        self.members.watch_closely(partners(state, &self.me.name));
+    }
+
+    fn take_position(&self, view: &View) {
         let sees_log = view.status == Status::Current && view.reads_log;
-        let version = state
-            .manifest
-            .as_ref()
-            .map_or(0, |manifest| manifest.version());
         self.members.set_position(Position {
             log_next: view.next,
-            manifest: version,
+            manifest: view.state.version(),
             sees_log,
         });
     }
@@ -298,15 +306,9 @@
     partners
 }
 
-fn report(before: Option<&View>, now: &View) {
-    let version = |view: &View| {
-        view.state
-            .manifest
-            .as_ref()
-            .map_or(0, |manifest| manifest.version())
-    };
-    let was = before.map_or(0, version);
-    if version(now) != was {
-        info!("manifest in force", kv: { version = version(now) });
+fn report(before: &State, now: &State) {
+    let version = now.version();
+    if version != before.version() {
+        info!("manifest in force", kv: { version });
     }
 }
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -158,8 +158,8 @@
         if position.sees_log || state.position.sees_log {
             state.log_seen = Some(Instant::now());
         }
+        state.moved |= state.position != position;
         state.position = position;
-        state.moved = true;
     }
 
     /// When this daemon, or anybody from whom it heard since, last saw the log.
