--- a/crates/standin/examples/capacity.rs
+++ b/crates/standin/examples/capacity.rs
@@ -7,7 +7,7 @@
 use bpaf::Bpaf;
 use copperwell_keyspace::{
     HashMap,
-    manifest::{Fencing, Limits, Manifest, Service, Upstream},
+    manifest::{DataCentre, Fencing, Limits, Manifest, Service, Upstream},
 };
 use copperwell_message::Class;
 use copperwell_rig::{
@@ -31,6 +31,21 @@
 const SHARDS: &[usize] = &[256, 4096, 16384, 65536];
 /// Sizes of the sweep over changes of the manifest in ten seconds.
 const CHANGES: &[usize] = &[0, 5, 20, 50];
+/// Sizes of the sweep over the upstreams of data centres without daemons, with [`FLEET_SHARDS`] each.
+const FLEET: &[usize] = &[0, 480, 1920, 5760];
+/// Sizes of the sweep over the daemons of one data centre.
+const READERS: &[usize] = &[4, 12, 46, 92];
+/// Changes of the manifest in the sweep over the daemons of one data centre.
+const READERS_CHANGES: usize = 5;
+
+/// Shards for each upstream of a data centre without daemons.
+const FLEET_SHARDS: usize = 16;
+/// Upstreams of one service of a data centre without daemons.
+const FLEET_SERVICE: usize = 240;
+/// The address of servers that do not exist; nobody leads their groups, so nobody calls them.
+const FLEET_ADDRESS: [u8; 4] = [127, 9, 9, 9];
+/// Data centres without daemons.
+const FLEET_PLACES: usize = 11;
 
 /// What grows.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +54,8 @@
     Upstreams,
     Shards,
     Changes,
+    Fleet,
+    Readers,
 }
 
 impl FromStr for What {
@@ -50,8 +67,10 @@
             "upstreams" => Ok(Self::Upstreams),
             "shards" => Ok(Self::Shards),
             "changes" => Ok(Self::Changes),
+            "fleet" => Ok(Self::Fleet),
+            "readers" => Ok(Self::Readers),
             _ => Err(format!(
-                "`{text}` does not grow; use daemons, upstreams, shards or changes"
+                "`{text}` does not grow; use daemons, upstreams, shards, changes, fleet or readers"
             )),
         }
     }
@@ -61,7 +80,7 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
 struct Args {
-    /// `daemons`, `upstreams`, `shards` or `changes`.
+    /// `daemons`, `upstreams`, `shards`, `changes`, `fleet` or `readers`.
     #[bpaf(long, argument("WHAT"))]
     what: What,
     /// Program of the daemon.
@@ -110,6 +129,8 @@
         What::Upstreams => UPSTREAMS,
         What::Shards => SHARDS,
         What::Changes => CHANGES,
+        What::Fleet => FLEET,
+        What::Readers => READERS,
     };
     let mut points = Vec::new();
     for size in sizes {
@@ -137,6 +158,8 @@
         What::Upstreams => (manifest(1, size, 1024), 1),
         What::Shards => (manifest(1, 4, size), 1),
         What::Changes => (manifest(3, 6, 256), 2),
+        What::Fleet => (manifest(1, 4, 256), 2),
+        What::Readers => (manifest(1, 4, 256), size),
     };
     let plan = Plan {
         manifest,
@@ -146,15 +169,19 @@
         service_times: HashMap::default(),
     };
     let mut cluster = Cluster::start(plan).await?;
+    if matches!(args.what, What::Fleet) {
+        declare_fleet(&mut cluster.manifest, size);
+        change(&mut cluster, 1, Duration::ZERO).await?;
+    }
     sleep(REST).await;
     let span = Duration::from_secs(args.seconds);
     let before = metrics(&cluster.nodes).await;
     let spent = spent(&cluster)?;
     let start = Instant::now();
-    let changes = if matches!(args.what, What::Changes) {
-        size
-    } else {
-        0
+    let changes = match args.what {
+        What::Changes => size,
+        What::Readers => READERS_CHANGES,
+        _ => 0,
     };
     let in_force = change(&mut cluster, changes, span).await?;
     sleep(span.saturating_sub(start.elapsed())).await;
@@ -214,12 +241,10 @@
     let names: Vec<String> = (0..data_centres)
         .map(|index| format!("dc-{index}"))
         .collect();
-    let places = names
-        .iter()
-        .map(|name| copperwell_keyspace::manifest::DataCentre {
-            name: name.as_str().into(),
-            region: "region".into(),
-        });
+    let places = names.iter().map(|name| DataCentre {
+        name: name.as_str().into(),
+        region: "region".into(),
+    });
     let all = (0..upstreams).map(|index| Upstream {
         name: format!("up-{index}").into(),
         data_centre: names[index % data_centres].as_str().into(),
@@ -245,6 +270,33 @@
     }
 }
 
+/// Adds services in data centres without daemons, whose groups nobody leads.
+fn declare_fleet(manifest: &mut Manifest, upstreams: usize) {
+    let model = manifest.services[0].clone();
+    let place = |index: usize| format!("far-{}", index % FLEET_PLACES);
+    let places = (0..FLEET_PLACES).map(|index| DataCentre {
+        name: place(index).into(),
+        region: "far".into(),
+    });
+    manifest.data_centres.extend(places);
+    for first in (0..upstreams).step_by(FLEET_SERVICE) {
+        let count = FLEET_SERVICE.min(upstreams - first);
+        let mut service = model.clone();
+        service.name = format!("far-{first}").into();
+        service.shards = u32::try_from(count * FLEET_SHARDS).unwrap_or(u32::MAX);
+        service.upstreams = (first..first + count)
+            .map(|index| Upstream {
+                name: format!("far-up-{index}").into(),
+                data_centre: place(index).as_str().into(),
+                address: (FLEET_ADDRESS, u16::try_from(index + 1).unwrap_or(u16::MAX)).into(),
+                part: 0,
+                ..model.upstreams[0].clone()
+            })
+            .collect();
+        manifest.services.push(service);
+    }
+}
+
 /// Processor time that all daemons have spent, in ticks.
 fn spent(cluster: &Cluster) -> Result<f64, Box<dyn Error>> {
     let mut sum = 0.0;
