--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -276,7 +276,7 @@
             && before.manifest.as_ref() != Some(manifest)
         {
             pool.follow(manifest);
-            self.engine.set_manifest(Arc::new(manifest.clone()));
+            self.engine.set_manifest(manifest.clone());
         }
     }
 
