--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -29,31 +29,36 @@
     time::{Instant, sleep},
 };
 
+/// How often the groups are told of a state that did not change, for what did not reach them.
+const APPLY_INTERVAL: Duration = Duration::from_secs(4);
+
 /// How often the groups are told when the log was last seen.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How old a reading of the log may be that counts as this daemon's own; one that comes by way of a
-/// peer is older.
-const LOG_FRESH: Duration = Duration::from_millis(100);
-
 /// How often new convictions are looked for.
 const QUARANTINE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How often the shards' requests are counted.
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Passes each new agreed state on.
+/// Passes each new agreed state on; most views tell only that the log was read.
 pub(crate) async fn states<C: Control, F: Forward>(core: Arc<Core<C, F>>, pool: Arc<Pool>) {
     let mut view = core.view.clone();
-    let mut before: Option<Arc<View>> = None;
+    let mut before = Arc::new(State::default());
+    let mut applied = Instant::now();
     loop {
         let now = view.borrow_and_update().clone();
-        report(before.as_deref(), &now);
-        if let Some(manifest) = &now.state.manifest {
-            pool.follow(manifest);
+        let is_same = Arc::ptr_eq(&before, &now.state);
+        if !is_same {
+            report(&before, &now.state);
+            core.take_state(&before, &now.state, &pool);
         }
-        core.take_view(&now);
-        before = Some(now);
+        if !is_same || applied.elapsed() >= APPLY_INTERVAL {
+            core.groups.apply(&now.state);
+            applied = Instant::now();
+        }
+        core.take_position(&now);
+        before = now.state.clone();
         if view.changed().await.is_err() {
             return;
         }
@@ -187,7 +192,6 @@
 
 /// Tells the groups which shards are asked for.
 pub(crate) async fn load<C: Control, F: Forward>(core: Arc<Core<C, F>>) {
-    let mut before: HashMap<ServiceName, Vec<u64>> = HashMap::default();
     loop {
         sleep(LOAD_INTERVAL).await;
         let state = core.state();
@@ -196,17 +200,9 @@
             .iter()
             .flat_map(|manifest| &manifest.services);
         for service in services {
-            let now = core.table.requests(&service.name);
-            let last = before.entry(service.name.clone()).or_default();
-            last.resize(now.len(), 0);
-            for (shard, (now, last)) in (0..).zip(now.iter().zip(&*last)) {
-                let more = now.saturating_sub(*last);
-                if more > 0 {
-                    let more = u32::try_from(more).unwrap_or(u32::MAX);
-                    core.groups.load(&service.name, shard, more);
-                }
+            for (shard, requests) in core.table.take_requests(&service.name) {
+                core.groups.load(&service.name, shard, requests);
             }
-            *last = now;
         }
     }
 }
@@ -275,23 +271,23 @@
 }
 
 impl<C: Control, F: Forward> Core<C, F> {
-    fn take_view(&self, view: &View) {
-        let state = &view.state;
+    fn take_state(&self, before: &State, state: &Arc<State>, pool: &Pool) {
         self.way.set_state(state.clone());
-        if let Some(manifest) = &state.manifest {
+        self.members.watch_closely(partners(state, &self.me.name));
+        // Comparing two manifests costs less than what follows, and most records change none.
+        if let Some(manifest) = &state.manifest
+            && before.manifest.as_ref() != Some(manifest)
+        {
+            pool.follow(manifest);
             self.engine.set_manifest(manifest.clone());
         }
-        self.groups.apply(state);
-        self.members.watch_closely(partners(state, &self.me.name));
-        let is_fresh = view.seen.is_some_and(|seen| seen.elapsed() < LOG_FRESH);
-        let sees_log = view.status == Status::Current && is_fresh;
-        let version = state
-            .manifest
-            .as_ref()
-            .map_or(0, |manifest| manifest.version());
+    }
+
+    fn take_position(&self, view: &View) {
+        let sees_log = view.status == Status::Current && view.reads_log;
         self.members.set_position(Position {
             log_next: view.next,
-            manifest: version,
+            manifest: view.state.version(),
             sees_log,
         });
     }
@@ -313,16 +309,10 @@
     partners
 }
 
-fn report(before: Option<&View>, now: &View) {
-    let version = |view: &View| {
-        view.state
-            .manifest
-            .as_ref()
-            .map_or(0, |manifest| manifest.version())
-    };
-    let was = before.map_or(0, version);
-    if version(now) != was {
-        info!("manifest in force", kv: { version = version(now) });
+fn report(before: &State, now: &State) {
+    let version = now.version();
+    if version != before.version() {
+        info!("manifest in force", kv: { version });
     }
 }
 
--- a/crates/copperwelld/tests/faults/main.rs
+++ b/crates/copperwelld/tests/faults/main.rs
@@ -10,6 +10,7 @@
 mod lost;
 mod partition;
 mod publish;
+mod readers;
 mod refuse;
 mod replace;
 mod request;
--- a/crates/peer/src/control/greeting.rs
+++ b/crates/peer/src/control/greeting.rs
@@ -10,7 +10,7 @@
 };
 
 /// The version of the control messages; any change to them raises it.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// Tells a control connection from others. As the length of a frame it would be beyond the limit,
 /// so daemons that expect no greeting close the connection.
--- a/crates/peer/src/control/server.rs
+++ b/crates/peer/src/control/server.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    FRAME_MAX, HandOver, Handler, Pong, Probe, Refusals, Relinquish, Snapshot, greeting,
-    rpc::Control,
+    FRAME_MAX, HandOver, Handler, Pong, Probe, RECORDS_WAIT_MAX, Refusals, Relinquish, Snapshot,
+    greeting, rpc::Control,
 };
 use copperwell_keyspace::{LogOffset, batch::Batch};
 use copperwell_policy::quarantine::Share;
@@ -117,8 +117,8 @@
         self.handler.probe_through(target).await
     }
 
-    async fn records(self, _: Context, from: LogOffset) -> Option<Batch> {
-        self.handler.records(from).await
+    async fn records(self, _: Context, from: LogOffset, wait: Duration) -> Option<Batch> {
+        self.handler.records(from, wait.min(RECORDS_WAIT_MAX)).await
     }
 
     async fn snapshot(self, _: Context) -> Option<Snapshot> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod queue;
+pub mod readers;
 pub mod restraint;
 pub mod retry;
 pub mod sketch;
