Make the gate of an upstream with the first request that comes to it

Gauges and status listed them all. Change: dispatch::cell holds the limits, and makes the gate for the first request; a service is kept without its upstreams. Gauges and status list upstreams to which requests have come.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -123,7 +123,7 @@
         self.inner.stopping.store(true, Ordering::Release);
     }
 
-    /// The upstreams of every service as the engine sees them.
+    /// The upstreams to which requests have come, as the engine sees them.
     #[must_use]
     pub fn status(&self) -> Vec<Status> {
         let config = self.inner.config.load();
@@ -315,9 +315,9 @@
 
 fn status_of(serving: &Arc<Serving>) -> impl Iterator<Item = Status> {
     let clamped = |count| u32::try_from(count).unwrap_or(u32::MAX);
-    serving.doors().map(move |door| {
-        let view = door.gate.view();
-        Status {
+    serving.doors().filter_map(move |door| {
+        let view = door.used_gate()?.view();
+        Some(Status {
             service: Arc::clone(&serving.service.name),
             upstream: Arc::clone(&door.upstream.name),
             slots: view.limit,
@@ -325,6 +325,6 @@
             interactive: clamped(view.interactive),
             batch: clamped(view.batch),
             paused: view.paused,
-        }
+        })
     })
 }
--- a/crates/dispatch/src/gauges.rs
+++ b/crates/dispatch/src/gauges.rs
@@ -111,8 +111,12 @@
 }
 
 impl Reading {
+    /// Adds an upstream to which a request has come; the others are those of other daemons.
     fn add(&self, service: &ServiceName, door: &Door) {
-        let view = door.gate.view();
+        let Some(gate) = door.used_gate() else {
+            return;
+        };
+        let view = gate.view();
         let label = UpstreamLabel {
             service: service.to_string(),
             upstream: door.upstream.name.to_string(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod attempt;
 mod call;
+mod cell;
 mod engine;
 mod gate;
 mod gauges;
--- a/crates/dispatch/src/serving.rs
+++ b/crates/dispatch/src/serving.rs
@@ -5,7 +5,12 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use crate::{gate::Gate, hot::Hot, ids::Ids};
+use crate::{
+    cell::{Cell, Limits},
+    gate::Gate,
+    hot::Hot,
+    ids::Ids,
+};
 use copperwell_keyspace::{
     HashMap, ServiceName, UpstreamName,
     manifest::{Manifest, Service, Upstream},
@@ -26,7 +31,7 @@
 /// A service in force.
 #[derive(Debug)]
 pub(crate) struct Serving {
-    /// As the manifest declares it.
+    /// As the manifest declares it, without its upstreams.
     pub(crate) service: Service,
     /// What outlives a manifest.
     pub(crate) kept: Arc<Kept>,
@@ -38,8 +43,7 @@
 pub(crate) struct Door {
     /// As the manifest declares it.
     pub(crate) upstream: Upstream,
-    /// Its slots and queue.
-    pub(crate) gate: Arc<Gate>,
+    cell: Arc<Cell>,
 }
 
 /// What is kept of a service from one manifest to the next.
@@ -87,7 +91,7 @@
             (upstream.name.clone(), door)
         });
         Self {
-            service: service.clone(),
+            service: service.settings(),
             kept,
             doors: doors.collect(),
         }
@@ -106,19 +110,33 @@
 
 impl Door {
     fn new(upstream: &Upstream, queue: u32, before: Option<&Self>) -> Self {
-        let gate = match before {
+        let limits = Limits {
+            slots: upstream.slots,
+            queue,
+        };
+        let cell = match before {
             // Another server behind the same name starts afresh.
             Some(old) if old.upstream.address == upstream.address => {
-                old.gate.resize(upstream.slots, queue);
-                Arc::clone(&old.gate)
+                old.cell.resize(limits);
+                Arc::clone(&old.cell)
             }
-            _ => Arc::new(Gate::new(upstream.slots, queue)),
+            _ => Arc::new(Cell::new(limits)),
         };
         Self {
             upstream: upstream.clone(),
-            gate,
+            cell,
         }
     }
+
+    /// Its slots and queue.
+    pub(crate) fn gate(&self) -> &Arc<Gate> {
+        self.cell.gate()
+    }
+
+    /// The same, if any request has come to it.
+    pub(crate) fn used_gate(&self) -> Option<&Arc<Gate>> {
+        self.cell.made()
+    }
 }
 
 impl Kept {
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -108,7 +108,7 @@
         door: &Door,
         owner: &Owner,
     ) -> Result<bool, Failure> {
-        let suspects = door.gate.meet(owner.incarnation);
+        let suspects = door.gate().meet(owner.incarnation);
         self.guard
             .crash(&suspects, serving.service.limits.quarantine);
         match self.guard.admit(call.head.fingerprint) {
@@ -123,7 +123,7 @@
     /// Leaves a server alone that sheds, as long as it asks for; `true` if that took time.
     async fn heed(&self, call: &Call, door: &Door, owner: &Owner) -> Result<bool, Failure> {
         let now = Instant::now();
-        let Some(until) = door.gate.shed_until(now) else {
+        let Some(until) = door.gate().shed_until(now) else {
             return Ok(false);
         };
         if until >= call.deadline {
@@ -158,7 +158,7 @@
         let same = |route: &Route| matches!(route, Route::Owned(now) if now.is_same(owner));
         tokio::select! {
             biased;
-            slot = door.gate.enter(want) => match slot {
+            slot = door.gate().enter(want) => match slot {
                 Ok(slot) => {
                     self.metrics.queueing.observe(began.elapsed().as_secs_f64());
                     Ok(Some(slot))
--- a/crates/keyspace/src/difference.rs
+++ b/crates/keyspace/src/difference.rs
@@ -121,7 +121,7 @@
         if old == new {
             return None;
         }
-        let (before, after) = (settings(old), settings(new));
+        let (before, after) = (old.settings(), new.settings());
         Some(Self {
             place: place as u32,
             settings: (before != after).then_some(after),
@@ -144,16 +144,6 @@
     }
 }
 
-/// A service without its upstreams.
-fn settings(service: &Service) -> Service {
-    Service {
-        name: service.name.clone(),
-        limits: service.limits.clone(),
-        upstreams: Vec::new(),
-        ..*service
-    }
-}
-
 impl<T: Clone> Edits<T> {
     /// What makes `new` of `old`.
     ///
--- a/crates/keyspace/src/manifest.rs
+++ b/crates/keyspace/src/manifest.rs
@@ -83,6 +83,19 @@
     pub upstreams: Vec<Upstream>,
 }
 
+impl Service {
+    /// The service without its upstreams.
+    #[must_use]
+    pub fn settings(&self) -> Self {
+        Self {
+            name: self.name.clone(),
+            limits: self.limits.clone(),
+            upstreams: Vec::new(),
+            ..*self
+        }
+    }
+}
+
 /// What a leader does that sees neither the log nor a peer that sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
