Read what processes use of the machine in one place

Cause: four programs read processor time, resident set and open files from the kernel, each in its own way, and two of them stood in a package that ships. Change: rig::usage reads them; the programs membership and links are examples of the stand-ins' package, as the other measuring programs are.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod run;
 pub mod scenario;
 pub mod schedule;
+pub mod usage;
--- a/crates/standin/examples/capacity.rs
+++ b/crates/standin/examples/capacity.rs
@@ -2,7 +2,7 @@
 //!
 //! Daemons are processes of their own without callers; whatever they spend, they spend on control.
 
-use std::{error::Error, fs, path::PathBuf, process::ExitCode, str::FromStr, time::Duration};
+use std::{error::Error, io, path::PathBuf, process::ExitCode, str::FromStr, time::Duration};
 
 use bpaf::Bpaf;
 use copperwell_keyspace::{
@@ -13,12 +13,13 @@
 use copperwell_rig::{
     cluster::{Cluster, Plan, metrics, status},
     node::Launch,
+    usage::Usage,
 };
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
-/// Clock ticks of `/proc/PID/stat` in a second.
-const TICKS: f64 = 100.0;
+/// Bytes of a megabyte.
+const MB: f64 = 1024.0 * 1024.0;
 
 /// Time after the start in which daemons come to rest.
 const REST: Duration = Duration::from_secs(4);
@@ -202,7 +203,7 @@
     Ok(Point {
         size,
         daemons: count,
-        core_percent: 100.0 * used / TICKS / took / count as f64,
+        core_percent: 100.0 * used.as_secs_f64() / took / count as f64,
         resident_mb: resident(&cluster)?,
         control_bytes_per_s: bytes / took / count as f64,
         in_force_ms_max: in_force.as_secs_f64() * 1000.0,
@@ -298,35 +299,19 @@
     }
 }
 
-/// Processor time that all daemons have spent, in ticks.
-fn spent(cluster: &Cluster) -> Result<f64, Box<dyn Error>> {
-    let mut sum = 0.0;
-    for node in &cluster.nodes {
-        let id = node.process_id().ok_or("the daemon is no process")?;
-        let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
-        let after = stat.rsplit_once(") ").map_or("", |(_, after)| after);
-        let fields: Vec<&str> = after.split(' ').collect();
-        let ticks = |index: usize| {
-            fields
-                .get(index)
-                .and_then(|field| field.parse::<f64>().ok())
-        };
-        sum += ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0);
-    }
-    Ok(sum)
+/// Processor time that all daemons have spent.
+fn spent(cluster: &Cluster) -> io::Result<Duration> {
+    let times = cluster.nodes.iter();
+    times.map(|node| Usage::of(node)?.processor_time()).sum()
 }
 
 /// The largest resident set of a daemon, in megabytes.
-fn resident(cluster: &Cluster) -> Result<f64, Box<dyn Error>> {
-    let mut most: f64 = 0.0;
+fn resident(cluster: &Cluster) -> io::Result<f64> {
+    let mut most = 0;
     for node in &cluster.nodes {
-        let id = node.process_id().ok_or("the daemon is no process")?;
-        let text = fs::read_to_string(format!("/proc/{id}/status"))?;
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<f64>().ok());
-        most = most.max(kilobytes.unwrap_or(0.0) / 1024.0);
+        most = most.max(Usage::of(node)?.resident()?);
     }
-    Ok(most)
+    Ok(most as f64 / MB)
 }
 
 /// The least-squares line through the points.
--- a/crates/peer/examples/links.rs
+++ b/crates/standin/examples/links.rs
@@ -4,7 +4,6 @@
 //! all links are in this process, so the figures are those of an ingress and a leader together.
 
 use std::{
-    fs,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{
         Arc,
@@ -16,6 +15,7 @@
 use bytes::Bytes;
 use copperwell_message::{Body, Class, Head, Repeat, Reply, Request, Response, Serve, Verdict};
 use copperwell_peer::link::{Links, serve};
+use copperwell_rig::usage::Usage;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::Serialize;
 use tokio::{
@@ -27,9 +27,6 @@
 /// Numbers of peers.
 const PEERS: [usize; 4] = [1, 16, 128, 1024];
 
-/// Clock ticks of `/proc/self/stat` in a second.
-const TICKS: f64 = 100.0;
-
 /// How often requests start.
 const TICK: Duration = Duration::from_millis(1);
 
@@ -106,16 +103,18 @@
         links.send(*address, request()).await;
     }
     offer(&links, &addresses, rate, SETTLE).await;
-    let before = ticks();
+    let usage = Usage::of_self();
+    let before = usage.processor_time().expect("this process runs");
     let counts = offer(&links, &addresses, rate, span).await;
-    let spent = (ticks() - before) as f64 / TICKS;
+    let after = usage.processor_time().expect("this process runs");
+    let spent = (after - before).as_secs_f64();
     let done = counts.done.load(Ordering::Relaxed);
     let cost = Cost {
         peers,
         requests: done,
         failed: counts.failed.load(Ordering::Relaxed),
-        open_files: fs::read_dir("/proc/self/fd").map_or(0, Iterator::count),
-        resident_kb: resident_kb(),
+        open_files: usage.open_files().unwrap_or(0),
+        resident_kb: usage.resident().unwrap_or(0) / 1024,
         cpu_us_per_request: 1e6 * spent / done.max(1) as f64,
         latency_us_mean: counts.latency_us.load(Ordering::Relaxed) as f64 / done.max(1) as f64,
     };
@@ -194,20 +193,3 @@
         body: Body::full(Bytes::from_static(&[7; BODY])),
     }
 }
-
-/// The resident set of this process.
-fn resident_kb() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-    number.unwrap_or(0)
-}
-
-/// Processor time of this process, in clock ticks.
-fn ticks() -> u64 {
-    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields = stat.rsplit(')').next().unwrap_or_default();
-    let fields = fields.split_whitespace();
-    let times = fields.skip(11).take(2);
-    times.filter_map(|field| field.parse::<u64>().ok()).sum()
-}
--- a/crates/peer/examples/membership.rs
+++ b/crates/standin/examples/membership.rs
@@ -3,7 +3,6 @@
 //! All daemons run in this process, on loopback, in three data centres; nothing else runs in them.
 
 use std::{
-    fs,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -15,13 +14,11 @@
     members::Members,
 };
 use copperwell_policy::quarantine::Share;
+use copperwell_rig::usage::Usage;
 use prometheus_client::{encoding::text::encode, registry::Registry};
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-/// Clock ticks of `/proc/self/stat` in a second.
-const TICKS: f64 = 100.0;
-
 /// Time that daemons get to find each other.
 const SETTLE: Duration = Duration::from_secs(60);
 
@@ -75,11 +72,11 @@
     let known = daemons.iter().map(|daemon| live(&daemon.members));
     let known = known.min().unwrap_or(0);
     let bytes_before = bytes(&daemons);
-    let ticks_before = ticks();
+    let before = spent();
     sleep(Duration::from_secs(seconds as u64)).await;
     let share = 1.0 / (size * seconds) as f64;
     let bytes = (bytes(&daemons) - bytes_before) as f64 * share;
-    let core = (ticks() - ticks_before) as f64 / TICKS * share * 100.0;
+    let core = (spent() - before).as_secs_f64() * share * 100.0;
     println!(
         "{{\"daemons\": {size}, \"known_min\": {known}, \"sent_bytes_per_s\": {bytes:.0}, \
          \"core_percent\": {core:.3}}}"
@@ -144,11 +141,8 @@
     counts.sum()
 }
 
-/// Processor time of this process, in clock ticks.
-fn ticks() -> u64 {
-    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields = stat.rsplit(')').next().unwrap_or_default();
-    let fields = fields.split_whitespace();
-    let times = fields.skip(11).take(2);
-    times.filter_map(|field| field.parse::<u64>().ok()).sum()
+/// Processor time of this process.
+fn spent() -> Duration {
+    let spent = Usage::of_self().processor_time();
+    spent.expect("this process runs")
 }
--- a/crates/standin/examples/requests/pace.rs
+++ b/crates/standin/examples/requests/pace.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    fs, io,
+    io,
     net::Ipv4Addr,
     sync::{
         Arc,
@@ -12,7 +12,7 @@
 };
 
 use crate::way::{Failure, Way, client};
-use copperwell_rig::node::Node;
+use copperwell_rig::{node::Node, usage::Usage};
 use futures::future::join_all;
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -41,9 +41,6 @@
 /// Requests at a time when throughput is measured.
 const CONCURRENCY: usize = 64;
 
-/// Clock ticks per second in `/proc`, as Linux shows them to programs.
-const TICKS_PER_S: f64 = 100.0;
-
 /// An open loop of requests.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Load {
@@ -257,14 +254,17 @@
     let begin = Instant::now();
     let (done_before, failed_before) =
         (done.load(Ordering::Relaxed), failed.load(Ordering::Relaxed));
-    let before: io::Result<Vec<f64>> = daemons.iter().map(|(_, node)| cpu_seconds(node)).collect();
+    let before: io::Result<Vec<Duration>> = daemons
+        .iter()
+        .map(|(_, node)| processor_time(node))
+        .collect();
     sleep(Duration::from_secs(seconds)).await;
     let count = done.load(Ordering::Relaxed) - done_before;
     let failed = failed.load(Ordering::Relaxed) - failed_before;
     let took = begin.elapsed().as_secs_f64();
     let mut figures = Vec::new();
     for ((role, node), before) in daemons.iter().zip(before?) {
-        let cpu = cpu_seconds(node)? - before;
+        let cpu = (processor_time(node)? - before).as_secs_f64();
         figures.push(Core {
             role,
             done_per_s: count as f64 / took,
@@ -276,14 +276,6 @@
     Ok(figures)
 }
 
-/// CPU time that a daemon's process has used.
-fn cpu_seconds(node: &Node) -> io::Result<f64> {
-    let id = node.process_id();
-    let id = id.ok_or_else(|| io::Error::other("the daemon has no process of its own"))?;
-    let text = fs::read_to_string(format!("/proc/{id}/stat"))?;
-    // The name in parentheses may hold spaces; user and system time are the 12th and 13th after it.
-    let (_, rest) = text.rsplit_once(')').unwrap_or_default();
-    let ticks = rest.split_whitespace().skip(11).take(2);
-    let ticks: Result<Vec<f64>, _> = ticks.map(str::parse).collect();
-    Ok(ticks.map_err(io::Error::other)?.iter().sum::<f64>() / TICKS_PER_S)
+fn processor_time(node: &Node) -> io::Result<Duration> {
+    Usage::of(node)?.processor_time()
 }
