Compare and rank members in one place

Cause: whether two members are the same run of one daemon was written five times, and the rendezvous hash of a member twice, for leaders and for readers of the log. Change: Member::is_same_run and Member::rendezvous, with the same formula as before. Conclusion: the tests of policy, keyspace and ownership pass unchanged.

--- a/crates/copperwelld/src/appointer.rs
+++ b/crates/copperwelld/src/appointer.rs
@@ -5,7 +5,7 @@
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
 use copperwell_keyspace::{
-    GroupId, HashSet, Member,
+    GroupId, HashSet,
     record::{Appoint, Body},
     replay::State,
 };
@@ -125,13 +125,9 @@
 
 fn tell(state: &State, proposal: &Appoint) {
     let held = state.groups.get(&proposal.group);
-    if held.is_none_or(|held| !is_same(&held.leader, &proposal.leader)) {
+    if held.is_none_or(|held| !held.leader.is_same_run(&proposal.leader)) {
         let group = proposal.group.to_string();
         let leader = proposal.leader.name.to_string();
         info!("proposing a leader", kv: { group, leader });
     }
 }
-
-fn is_same(one: &Member, other: &Member) -> bool {
-    one.name == other.name && one.incarnation == other.incarnation
-}
--- a/crates/copperwelld/src/network.rs
+++ b/crates/copperwelld/src/network.rs
@@ -76,7 +76,7 @@
     }
 
     async fn send(&self, to: &Member, request: Request) -> Response {
-        if to.name == self.me.name && to.incarnation == self.me.incarnation {
+        if to.is_same_run(&self.me) {
             return self.engine.serve(request).await;
         }
         self.links.send(to.requests, request).await
--- a/crates/keyspace/src/member.rs
+++ b/crates/keyspace/src/member.rs
@@ -1,9 +1,10 @@
 //! Daemons as members.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use crate::id::{DaemonName, DataCentreName, Incarnation};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A daemon and where to reach it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -21,3 +22,18 @@
     /// Where it serves metrics and status.
     pub admin: SocketAddr,
 }
+
+impl Member {
+    /// Whether two members are the same run of the same daemon.
+    #[must_use]
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.name == other.name && self.incarnation == other.incarnation
+    }
+
+    /// The rendezvous hash of this run for a role: whoever has the highest takes it.
+    #[must_use]
+    pub fn rendezvous(&self, role: impl fmt::Display) -> u64 {
+        let text = format!("{role}/{}", self.name);
+        xxh3_64_with_seed(text.as_bytes(), self.incarnation)
+    }
+}
--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -413,7 +413,7 @@
     }
 
     fn is_me(&self, member: &Member) -> bool {
-        member.name == self.me.name && member.incarnation == self.me.incarnation
+        member.is_same_run(&self.me)
     }
 
     fn is_standby(&self, appointment: &Appointment) -> bool {
--- a/crates/policy/src/appoint.rs
+++ b/crates/policy/src/appoint.rs
@@ -6,11 +6,10 @@
 //! the log: the first with the right parent wins.
 
 use copperwell_keyspace::{
-    DaemonName, GroupId, HashMap, HashSet, Incarnation, Member,
+    DaemonName, GroupId, HashMap, HashSet, Member,
     record::Appoint,
     replay::{Appointment, State},
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a daemon knows of the daemons of its data centre.
 #[derive(Debug, Clone)]
@@ -118,18 +117,14 @@
 }
 
 fn find<'a>(live: &'a [Member], member: &Member) -> Option<&'a Member> {
-    let same = |other: &&Member| is_same_run(other, member);
+    let same = |other: &&Member| other.is_same_run(member);
     live.iter().find(same)
 }
 
-fn is_same_run(one: &Member, other: &Member) -> bool {
-    one.name == other.name && one.incarnation == other.incarnation
-}
-
 /// The live daemon with the highest rendezvous hash for the group.
 fn first_by_hash<'a>(group: &GroupId, live: &'a [Member]) -> Option<&'a Member> {
     live.iter()
-        .max_by_key(|member| (score(group, &member.name, member.incarnation), &member.name))
+        .max_by_key(|member| (member.rendezvous(group), &member.name))
 }
 
 /// The live daemon with the fewest parts, so that a loss spreads over the rest.
@@ -140,13 +135,10 @@
     roles: &HashMap<DaemonName, usize>,
 ) -> Option<&'a Member> {
     live.iter()
-        .filter(|member| !is_same_run(member, leader))
+        .filter(|member| !member.is_same_run(leader))
         .min_by_key(|member| {
             let parts = roles.get(&member.name).copied().unwrap_or(0);
-            (
-                parts,
-                std::cmp::Reverse(score(group, &member.name, member.incarnation)),
-            )
+            (parts, std::cmp::Reverse(member.rendezvous(group)))
         })
 }
 
@@ -162,8 +154,3 @@
     }
     roles
 }
-
-fn score(group: &GroupId, name: &DaemonName, incarnation: Incarnation) -> u64 {
-    let text = format!("{group}/{name}");
-    xxh3_64_with_seed(text.as_bytes(), incarnation)
-}
--- a/crates/policy/src/readers.rs
+++ b/crates/policy/src/readers.rs
@@ -8,7 +8,6 @@
 
 use copperwell_keyspace::{DaemonName, HashMap, Incarnation, Member};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Daemons of each data centre that read the log themselves.
 pub const READERS: usize = 3;
@@ -41,7 +40,7 @@
     #[must_use]
     pub fn is_reader(&self, now: Instant, live: &[&Member]) -> bool {
         let readers = self.of_data_centre(now, live, &self.me.data_centre);
-        readers.iter().any(|reader| is_same_run(reader, &self.me))
+        readers.iter().any(|reader| reader.is_same_run(&self.me))
     }
 
     /// From whom to read, given the live members that stay: a reader of this data centre, or, after
@@ -51,7 +50,7 @@
     pub fn source<'a>(&self, now: Instant, live: &[&'a Member]) -> Option<&'a Member> {
         let mut sources = self.sources_here(now, live);
         // Each daemon begins with another one, so that each reader has as many to answer.
-        sources.sort_by_key(|reader| Reverse(score(&self.me.name, reader)));
+        sources.sort_by_key(|reader| Reverse(reader.rendezvous(&self.me.name)));
         sources.extend(self.remote(now, live));
         sources.extend(self.neighbour(now, live));
         let index = self.turn.checked_rem(sources.len())?;
@@ -73,7 +72,7 @@
 
     /// The readers of this data centre, or, when all of them are passed over, whoever follows.
     fn sources_here<'a>(&self, now: Instant, live: &[&'a Member]) -> Vec<&'a Member> {
-        let is_other = |member: &&Member| !is_same_run(member, &self.me);
+        let is_other = |member: &&Member| !member.is_same_run(&self.me);
         let mut sources = ranked(live, &self.me.data_centre);
         sources.truncate(READERS);
         sources.retain(|member| is_other(member) && !self.avoids(now, member));
@@ -90,7 +89,7 @@
         others.retain(|name| *name != &*self.me.data_centre);
         others.sort_unstable();
         others.dedup();
-        let own = usize::try_from(score(&self.me.name, &self.me) % 1024).unwrap_or(0);
+        let own = usize::try_from(self.me.rendezvous(&self.me.name) % 1024).unwrap_or(0);
         let index = self.turn.wrapping_add(own).checked_rem(others.len())?;
         let readers = self.of_data_centre(now, live, others[index]);
         let index = own.checked_rem(readers.len())?;
@@ -101,7 +100,7 @@
     fn neighbour<'a>(&self, now: Instant, live: &[&'a Member]) -> Option<&'a Member> {
         let mut others = ranked(live, &self.me.data_centre);
         others.drain(..READERS.min(others.len()));
-        others.retain(|member| !is_same_run(member, &self.me) && !self.avoids(now, member));
+        others.retain(|member| !member.is_same_run(&self.me) && !self.avoids(now, member));
         let index = self.turn.checked_rem(others.len())?;
         others.get(index).copied()
     }
@@ -129,15 +128,6 @@
 fn ranked<'a>(live: &[&'a Member], data_centre: &str) -> Vec<&'a Member> {
     let mut members = live.to_vec();
     members.retain(|member| *member.data_centre == *data_centre);
-    members.sort_by_key(|member| Reverse((score(data_centre, member), &member.name)));
+    members.sort_by_key(|member| Reverse((member.rendezvous(data_centre), &member.name)));
     members
 }
-
-fn is_same_run(one: &Member, other: &Member) -> bool {
-    one.name == other.name && one.incarnation == other.incarnation
-}
-
-fn score(of: &str, member: &Member) -> u64 {
-    let text = format!("{of}/{}", member.name);
-    xxh3_64_with_seed(text.as_bytes(), member.incarnation)
-}
