Write the set-up of process tests once

Cause: tests took the log away and waited for it in eleven places, one-way cuts had one test for leaders and the same for standbys, and the tests of the path and of manifests had one manifest and plan twice. Change: Bench::lose_log and regain_log; one table of four cuts; tests/common has the plan of three data centres. All cases and assertions stay.

--- a/crates/copperwelld/tests/faults/log.rs
+++ b/crates/copperwelld/tests/faults/log.rs
@@ -9,13 +9,11 @@
     let mut bench = Bench::start().await;
     let load = bench.load();
     let old = bench.leader(GROUP).await;
-    bench.cluster.platform.set_down(true);
-    bench.wait_log(LogState::Away).await;
+    bench.lose_log().await;
     let _old = bench.kill(&old);
     bench.new_leader(GROUP, &old).await;
     bench.serves().await;
-    bench.cluster.platform.set_down(false);
-    bench.wait_log(LogState::Current).await;
+    bench.regain_log().await;
     bench.serves().await;
     bench.check(load).await;
     assert_eq!(bench.moves(), []);
@@ -25,14 +23,12 @@
 async fn upstream_lost_while_the_log_is_down() {
     let bench = Bench::start().await;
     let load = bench.load();
-    bench.cluster.platform.set_down(true);
-    bench.wait_log(LogState::Away).await;
+    bench.lose_log().await;
     bench.serves().await;
     bench.cluster.server("cal-a1").unwrap().kill();
     bench.wait_lost("cal-a1").await;
     bench.serves().await;
-    bench.cluster.platform.set_down(false);
-    bench.wait_log(LogState::Current).await;
+    bench.regain_log().await;
     bench.serves().await;
     bench.check(load).await;
 }
@@ -42,8 +38,7 @@
     let mut bench = Bench::start().await;
     let load = bench.load();
     let old = bench.leader(GROUP).await;
-    bench.cluster.platform.set_down(true);
-    bench.wait_log(LogState::Away).await;
+    bench.lose_log().await;
     bench.cluster.server("cal-a1").unwrap().kill();
     let _old = bench.kill(&old);
     bench.new_leader(GROUP, &old).await;
@@ -86,16 +81,14 @@
 async fn daemon_that_starts_while_the_platform_is_down() {
     let mut bench = Bench::start().await;
     let load = bench.load();
-    bench.cluster.platform.set_down(true);
-    bench.wait_log(LogState::Away).await;
+    bench.lose_log().await;
     bench.cluster.add_node(HERE).await.unwrap();
     let new = bench.cluster.nodes.last().unwrap();
     bench
         .wait_status("the manifest", new, |status| status.manifest == 1)
         .await;
     bench.serves_through(new).await;
-    bench.cluster.platform.set_down(false);
-    bench.wait_log(LogState::Current).await;
+    bench.regain_log().await;
     bench.serves().await;
     bench.check(load).await;
     assert_eq!(bench.moves(), []);
--- a/crates/copperwelld/tests/faults/partition.rs
+++ b/crates/copperwelld/tests/faults/partition.rs
@@ -1,5 +1,6 @@
 //! Daemons that cannot reach one another.
 
+use copperwell_operator::status::Role;
 use copperwell_standin::proxy::Direction;
 use test_case::test_case;
 
@@ -72,31 +73,22 @@
     assert_eq!(bench.moves(), []);
 }
 
-#[test_case(Direction::ToTarget; "nothing reaches it")]
-#[test_case(Direction::FromTarget; "nothing comes back")]
+#[test_case(Role::Standby, Direction::ToTarget; "nothing reaches the standby")]
+#[test_case(Role::Standby, Direction::FromTarget; "nothing comes back from the standby")]
+#[test_case(Role::Leader, Direction::ToTarget; "nothing reaches the leader")]
+#[test_case(Role::Leader, Direction::FromTarget; "nothing comes back from the leader")]
 #[tokio::test(flavor = "multi_thread")]
-async fn one_way_cut_before_the_standby(direction: Direction) {
+async fn one_way_cut(before: Role, direction: Direction) {
     let bench = Bench::start_proxied().await;
     let load = bench.load();
-    let standby = bench.pair().await.standby;
-    standby.doors.as_ref().unwrap().cut_way(direction);
-    bench.serves().await;
-    standby.doors.as_ref().unwrap().heal();
-    bench.serves().await;
-    bench.check(load).await;
-    assert_eq!(bench.moves(), []);
-}
-
-#[test_case(Direction::ToTarget; "nothing reaches it")]
-#[test_case(Direction::FromTarget; "nothing comes back")]
-#[tokio::test(flavor = "multi_thread")]
-async fn one_way_cut_before_the_leader(direction: Direction) {
-    let bench = Bench::start_proxied().await;
-    let load = bench.load();
-    let leader = bench.pair().await.leader;
-    leader.doors.as_ref().unwrap().cut_way(direction);
+    let pair = bench.pair().await;
+    let node = match before {
+        Role::Standby => pair.standby,
+        Role::Leader => pair.leader,
+    };
+    node.doors.as_ref().unwrap().cut_way(direction);
     bench.serves().await;
-    leader.doors.as_ref().unwrap().heal();
+    node.doors.as_ref().unwrap().heal();
     bench.serves().await;
     bench.check(load).await;
     assert_eq!(bench.moves(), []);
--- a/crates/copperwelld/tests/faults/support.rs
+++ b/crates/copperwelld/tests/faults/support.rs
@@ -239,6 +239,18 @@
         }
     }
 
+    /// Takes the platform's log away, and waits until every daemon knows.
+    pub(crate) async fn lose_log(&self) {
+        self.cluster.platform.set_down(true);
+        self.wait_log(LogState::Away).await;
+    }
+
+    /// Brings the platform's log back, and waits until every daemon follows it.
+    pub(crate) async fn regain_log(&self) {
+        self.cluster.platform.set_down(false);
+        self.wait_log(LogState::Current).await;
+    }
+
     /// Waits until every daemon stands to the log in a given way.
     pub(crate) async fn wait_log(&self, state: LogState) {
         for node in &self.cluster.nodes {
--- a/crates/copperwelld/tests/faults/together.rs
+++ b/crates/copperwelld/tests/faults/together.rs
@@ -4,7 +4,6 @@
 
 use copperwell_keyspace::GroupId;
 use copperwell_message::Verdict;
-use copperwell_operator::status::LogState;
 use copperwell_rig::load::Entries;
 use copperwell_standin::proxy::Accept;
 use tokio::task::spawn_blocking;
@@ -22,8 +21,7 @@
     let mut bench = Bench::start_proxied().await;
     let load = bench.load();
     let old = bench.leader(GROUP).await;
-    bench.cluster.platform.set_down(true);
-    bench.wait_log(LogState::Away).await;
+    bench.lose_log().await;
     bench.cluster.cut(HERE, true);
     bench.wait_cut(HERE).await;
     let _old = bench.kill(&old);
@@ -31,8 +29,7 @@
     bench.serves_apart().await;
     bench.cluster.cut(HERE, false);
     bench.serves().await;
-    bench.cluster.platform.set_down(false);
-    bench.wait_log(LogState::Current).await;
+    bench.regain_log().await;
     bench.serves().await;
     bench.check(load).await;
     assert_eq!(bench.moves(), []);
@@ -143,8 +140,7 @@
 async fn all_daemons_of_a_data_centre_replaced_while_the_log_is_down() {
     let mut bench = Bench::start().await;
     let load = bench.load();
-    bench.cluster.platform.set_down(true);
-    bench.wait_log(LogState::Away).await;
+    bench.lose_log().await;
     let nodes = bench.cluster.nodes.iter();
     let old = nodes.filter(|node| &*node.data_centre == HERE);
     let old: Vec<String> = old.map(|node| node.name.to_string()).collect();
@@ -166,8 +162,7 @@
         let served = bench.cluster.wait_groups_served(others, &entries).await;
         served.unwrap();
     }
-    bench.cluster.platform.set_down(false);
-    bench.wait_log(LogState::Current).await;
+    bench.regain_log().await;
     bench.serves().await;
     bench.check(load).await;
     assert_eq!(bench.moves(), []);
--- a/crates/copperwelld/tests/manifest.rs
+++ b/crates/copperwelld/tests/manifest.rs
@@ -1,48 +1,23 @@
 //! Manifests with real daemons: one wins a race, none goes back, all get it in the end.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
-use copperwell_keyspace::{HashMap, manifest::Manifest};
+use copperwell_keyspace::manifest::Manifest;
 use copperwell_operator::{
     fleet::Reach,
     publish::{Accepted, Error, publish, wait},
 };
 use copperwell_platform::http::Client;
-use copperwell_rig::{
-    cluster::{Cluster, Plan},
-    node::Launch,
-};
+use copperwell_rig::cluster::Cluster;
 use tokio::{sync::Mutex, time::Instant};
 
-const MANIFEST: &str = "
-replaces: 0
-data_centres:
-  - { name: ro-nord-a, region: ro-nord }
-  - { name: ro-nord-b, region: ro-nord }
-  - { name: ro-nord-c, region: ro-nord }
-services:
-  - name: calendar
-    class: interactive
-    shards: 16
-    upstreams:
-      - { name: cal-a1, data_centre: ro-nord-a, address: '127.0.0.1:1', slots: 2, connections: 130 }
-      - { name: cal-b1, data_centre: ro-nord-b, address: '127.0.0.1:2', slots: 2, connections: 130 }
-      - { name: cal-c1, data_centre: ro-nord-c, address: '127.0.0.1:3', slots: 2, connections: 130 }
-";
+mod common;
 
 /// A cluster's daemons have fixed addresses, so there is one cluster at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
 
 async fn start(is_proxied: bool) -> Cluster {
-    let plan = Plan {
-        manifest: Manifest::from_yaml(MANIFEST).unwrap(),
-        daemons: 1,
-        launch: Launch::Program(PathBuf::from(env!("CARGO_BIN_EXE_copperwelld"))),
-        is_proxied,
-        proxies_servers: false,
-        service_times: HashMap::default(),
-    };
-    Cluster::start(plan).await.unwrap()
+    Cluster::start(common::plan(is_proxied)).await.unwrap()
 }
 
 /// A successor of the cluster's manifest, told apart by its queue limit.
