Do not slow down reading from a peer while the platform does not answer

Cause: the test of a reader that is cut off for long failed in a run of all checks: a manifest was in force there after 3.1 s, where 3 s is the bound. After a failed read the reader wants the last record of the log again, so its position there is one less than at a peer. Each quiet answer of a peer then looked stuck, and pauses grew to 2 s between reads. Ruled out: the peers' own readings, which were fresh. Change: whether an answer brought nothing is judged by the position at where it came from. A test publishes 39 manifests, each after a quiet time in which those pauses grow. Conclusion: a fault of the follower, not of the test; bound and check stay.

--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -384,10 +384,10 @@
         self.reads_log = batch.relayed.is_none();
         let (outlived, stuck) = {
             let mut reader = lock(&self.reader);
-            let (counts, position) = (reader.counts(), reader.position());
+            let (counts, position) = (reader.counts(), position_in(&reader, batch));
             reader.take(batch);
             self.metrics.add(counts, reader.counts());
-            let is_same = reader.position() == position;
+            let is_same = position_in(&reader, batch) == position;
             let stuck = is_same && batch.next != position;
             (reader.is_outlived_by(batch), stuck)
         };
@@ -516,6 +516,14 @@
     }
 }
 
+/// The offset to read from next at where a batch came from.
+fn position_in(reader: &Reader, batch: &Batch) -> LogOffset {
+    match batch.relayed {
+        Some(_) => reader.position_at_peer(),
+        None => reader.position(),
+    }
+}
+
 /// Whether the peer that answered, or one that it reads from, read the log itself just now.
 #[must_use]
 pub fn is_news(batch: &Batch) -> bool {
--- a/crates/platform/tests/relay.rs
+++ b/crates/platform/tests/relay.rs
@@ -239,6 +239,21 @@
     assert!(took <= IN_FORCE, "{took:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_is_cut_off_gets_all_news_through_another() {
+    let fleet = Fleet::start(2, 2, |index| vec![1 - index]);
+    fleet.until(|view| view.status == Status::Current).await;
+    fleet.publish(0).await;
+    fleet.ways[0].is_cut.store(true, Ordering::SeqCst);
+    sleep(Duration::from_mins(1)).await;
+    for version in 1..40 {
+        let took = fleet.publish(version).await;
+        assert!(took <= IN_FORCE, "version {version}: {took:?}");
+        // Long enough for pauses that grow with quiet reads to show.
+        sleep(Duration::from_millis(17_300)).await;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_ring_without_a_reader_still_gets_the_news() {
     let fleet = Fleet::start(6, 0, |index| vec![(index + 1) % 6]);
