Let other protocols use the HTTP server and the connections to servers

Cause: ingress and backend knew one set of header fields, so a second protocol towards callers and servers would have needed a second server and a second client.

A connection that is given up is reset, so that nothing of it is delivered later. Keep-Alive of servers is kept to.

Conclusion: no second client and no second server.

--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -24,6 +24,9 @@
 /// How long a connection may take to be ready again after a whole answer.
 pub(crate) const READY_LIMIT: Duration = Duration::from_millis(50);
 
+/// How long before the server's time limit an idle connection is used for the last time.
+const REUSE_MARGIN: Duration = Duration::from_millis(500);
+
 /// An open connection; dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -32,11 +35,13 @@
     traffic: Arc<Traffic>,
     before: u64,
     sent_at: Instant,
+    /// How long the server keeps it without a request, if it says.
+    kept: Option<Duration>,
 }
 
 /// Why a connection could not be opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Unopened {
+pub enum Unopened {
     /// Nobody listens, or the network says that there is no way.
     Refused,
     /// No answer in time.
@@ -70,6 +75,8 @@
             .map_err(|_| Unopened::Refused)?;
         // Requests are small and somebody waits; without this they may wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
+        // A connection that is given up must not deliver later what is still on its way.
+        let _ = stream.set_zero_linger();
         let traffic = Arc::new(Traffic::new(bytes));
         let io = TokioIo::new(Metered::new(stream, traffic.clone()));
         let (sender, connection) = http1::Builder::new()
@@ -88,6 +95,7 @@
             traffic,
             before: 0,
             sent_at: Instant::now(),
+            kept: None,
         })
     }
 
@@ -96,6 +104,17 @@
         self.sender.is_closed()
     }
 
+    /// Notes how long the server keeps the connection without a request.
+    pub(crate) fn limit_reuse(&mut self, kept: Option<Duration>) {
+        self.kept = kept.or(self.kept);
+    }
+
+    /// Whether a request may be sent now, without crossing the server's close on its way.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let unused = Instant::now().saturating_duration_since(self.last_progress());
+        self.kept.is_none_or(|kept| unused + REUSE_MARGIN < kept)
+    }
+
     /// When bytes last passed.
     pub(crate) fn last_progress(&self) -> Instant {
         self.traffic.last_progress()
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -4,12 +4,12 @@
 
 use crate::{
     connection::{Connection, READY_LIMIT, Unanswered},
-    head::{self, Unsendable},
+    framing::{Framing, Read, Unsendable},
+    head,
     lane::Lane,
-    order::Order,
 };
 use bytes::Bytes;
-use copperwell_message::{Body, Reason, Request, Response, Sender, Verdict};
+use copperwell_message::{Body, Reason, Response, Sender, Verdict};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Frame, Incoming};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -19,7 +19,7 @@
 
 /// One request on its way, and its time limits.
 #[derive(Debug, Clone)]
-pub(crate) struct Exchange {
+pub struct Exchange {
     lane: Arc<Lane>,
     silence: Duration,
     deadline: Instant,
@@ -27,14 +27,17 @@
 
 /// A request that failed before its response head arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Failed {
-    pub(crate) verdict: Verdict,
-    pub(crate) reason: Reason,
+pub struct Failed {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// What went wrong.
+    pub reason: Reason,
 }
 
 impl Exchange {
-    /// An exchange over the connections of `lane`.
-    pub(crate) fn new(lane: Arc<Lane>, silence: Duration, deadline: Instant) -> Self {
+    /// An exchange over the connections of `lane`, which ends when no byte passes for `silence`.
+    #[must_use]
+    pub fn new(lane: Arc<Lane>, silence: Duration, deadline: Instant) -> Self {
         Self {
             lane,
             silence,
@@ -43,11 +46,23 @@
     }
 
     /// Sends a request and reads the head of its answer.
-    pub(crate) async fn run(self, order: Order, request: Request) -> Result<Response, Failed> {
+    ///
+    /// Dropping the future closes the connection, which cancels the request.
+    ///
+    /// # Errors
+    ///
+    /// [`Failed`] if the request was not sent, or its answer did not arrive.
+    pub async fn run<F: Framing>(
+        self,
+        framing: &F,
+        asked: &F::Head,
+        body: Body,
+    ) -> Result<Response, Failed> {
         let lane = &self.lane;
-        let head = head::head_of(lane.address(), &request.head, order.epoch)
+        let head = framing
+            .head(lane.address(), asked)
             .map_err(|Unsendable| Failed::not_run(Reason::BadRequest))?;
-        let mut request = head::request_of(head, request.body);
+        let mut request = head::request_of(head, body);
         loop {
             let idle = lane.take_idle().await;
             let reused = idle.is_some();
@@ -60,10 +75,13 @@
                 lane.put_back(connection);
                 return Err(Failed::not_run(Reason::DeadlineHopeless));
             }
-            head::set_deadline(&mut request, left);
+            framing.set_deadline(request.headers_mut(), left);
             let sent = connection.send(request, self.silence, self.deadline);
             match sent.await {
-                Ok(response) => return self.receive(connection, response).await,
+                Ok(response) => {
+                    let read = framing.read(asked, response.headers(), response.status());
+                    return self.receive(connection, response, read).await;
+                }
                 Err(Unanswered::Unused(unused)) if reused => {
                     lane.metrics().resent.inc();
                     request = *unused;
@@ -110,25 +128,29 @@
     /// Passes on an answer: a small one once it is whole, another one as a stream.
     async fn receive(
         self,
-        connection: Connection,
+        mut connection: Connection,
         response: http::Response<Incoming>,
+        read: Read,
     ) -> Result<Response, Failed> {
         let (head, incoming) = response.into_parts();
+        connection.limit_reuse(head::keep_alive_in(&head.headers));
         let size = incoming.size_hint().upper();
         let small = size.is_some_and(|bytes| bytes <= SMALL_BYTES_MAX as u64);
-        if let Some(refused) = head::refusal_in(&head) {
-            if small {
-                self.finish_refusal(connection, incoming).await;
+        let reply = match read {
+            Read::Answer(reply) => reply,
+            Read::Refused(reply) => {
+                if small {
+                    self.finish_refusal(connection, incoming).await;
+                }
+                let body = Body::empty();
+                return Ok(Response { reply, body });
             }
-            let mut response = Response::refusal(Verdict::NotRun, refused.reason);
-            response
-                .reply
-                .headers
-                .extend(head::incarnation_in(&head.headers));
-            response.reply.retry_after = refused.retry_after;
-            return Ok(response);
-        }
-        let reply = head::reply_of(&head);
+            Read::Foreign => {
+                // Whatever else this connection brings cannot be told apart either.
+                self.lane.count_closed("foreign");
+                return Err(Failed::may_have_run(Reason::Protocol));
+            }
+        };
         let body = if small {
             self.read_whole(connection, incoming).await?
         } else {
--- a/crates/backend/src/head.rs
+++ b/crates/backend/src/head.rs
@@ -1,32 +1,62 @@
-//! From a request's head to HTTP, and from HTTP to a reply.
+//! The product's own framing: from a request's head to HTTP, and from HTTP to a reply.
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{order::header, outgoing::Outgoing};
+use crate::{
+    framing::{Framing, Read, Unsendable},
+    order::header,
+    outgoing::Outgoing,
+};
 use copperwell_keyspace::Epoch;
-use copperwell_message::{Body, Head, Reason, Repeat, Reply, Verdict};
+use copperwell_message::{Body, Head, Reason, Repeat, Reply, Response, Verdict};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri,
     header::{
         CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
         RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
     },
-    request, response,
+    request,
 };
 
 /// The prefix of header fields that belong to this protocol.
 const OWN_PREFIX: &str = "copperwell-";
 
-/// Why a head cannot be sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Unsendable;
+/// A request's head, and the epoch under which it is sent.
+#[derive(Debug)]
+pub(crate) struct Ordered {
+    pub(crate) head: Head,
+    pub(crate) epoch: Epoch,
+}
+
+/// The product's own framing.
+#[derive(Debug)]
+pub(crate) struct Own;
+
+impl Framing for Own {
+    type Head = Ordered;
+
+    fn head(&self, to: SocketAddr, asked: &Ordered) -> Result<request::Parts, Unsendable> {
+        head_of(to, &asked.head, asked.epoch)
+    }
+
+    fn set_deadline(&self, headers: &mut HeaderMap, left: Duration) {
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(header::DEADLINE, HeaderValue::from(left_ms));
+    }
+
+    fn read(&self, _: &Ordered, headers: &HeaderMap, status: StatusCode) -> Read {
+        let Some(refused) = refusal_in(headers, status) else {
+            return Read::Answer(reply_of(headers, status));
+        };
+        let mut reply = Response::refusal(Verdict::NotRun, refused.reason).reply;
+        reply.headers.extend(incarnation_in(headers));
+        reply.retry_after = refused.retry_after;
+        Read::Refused(reply)
+    }
+}
 
 /// The HTTP head of a request to a server.
-pub(crate) fn head_of(
-    to: SocketAddr,
-    head: &Head,
-    epoch: Epoch,
-) -> Result<request::Parts, Unsendable> {
+fn head_of(to: SocketAddr, head: &Head, epoch: Epoch) -> Result<request::Parts, Unsendable> {
     let (mut parts, ()) = Request::new(()).into_parts();
     parts.method = Method::from_bytes(head.method.as_bytes()).map_err(|_| Unsendable)?;
     parts.uri = Uri::try_from(head.path.as_str()).map_err(|_| Unsendable)?;
@@ -37,7 +67,7 @@
             parts.headers.append(name, value);
         }
     }
-    let mut own = Own(&mut parts.headers);
+    let mut own = Fields(&mut parts.headers);
     own.set(HOST.as_str(), to.to_string())?;
     own.set(header::SERVICE, head.service.as_str())?;
     own.set(header::KEY, encode_key(&head.key))?;
@@ -58,49 +88,41 @@
     Request::from_parts(parts, Outgoing::new(body))
 }
 
-/// Tells the server how much time is left.
-pub(crate) fn set_deadline(request: &mut Request<Outgoing>, left: Duration) {
-    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    let headers = request.headers_mut();
-    headers.insert(header::DEADLINE, HeaderValue::from(left_ms));
-}
-
 /// What a server says about a request that it did not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Refused {
-    pub(crate) reason: Reason,
-    pub(crate) retry_after: Option<Duration>,
+struct Refused {
+    reason: Reason,
+    retry_after: Option<Duration>,
 }
 
 /// The refusal in a response, if the server says that the request did not run.
-pub(crate) fn refusal_in(head: &response::Parts) -> Option<Refused> {
-    let fallback = match head.status {
+fn refusal_in(headers: &HeaderMap, status: StatusCode) -> Option<Refused> {
+    let fallback = match status {
         StatusCode::MISDIRECTED_REQUEST | StatusCode::CONFLICT => Reason::Fenced,
         StatusCode::SERVICE_UNAVAILABLE => Reason::Shed,
         _ => return None,
     };
-    let verdict = head.headers.get(header::VERDICT)?.to_str().ok()?;
+    let verdict = headers.get(header::VERDICT)?.to_str().ok()?;
     if Verdict::parse(verdict) != Some(Verdict::NotRun) {
         return None;
     }
-    let reason = head.headers.get(header::REASON);
+    let reason = headers.get(header::REASON);
     let reason = reason.and_then(|value| Reason::parse(value.to_str().ok()?));
     Some(Refused {
         reason: reason.filter(is_servers).unwrap_or(fallback),
-        retry_after: retry_after(&head.headers),
+        retry_after: retry_after(headers),
     })
 }
 
 /// The reply that passes a server's answer on.
-pub(crate) fn reply_of(head: &response::Parts) -> Reply {
-    let headers = head
-        .headers
+fn reply_of(headers: &HeaderMap, status: StatusCode) -> Reply {
+    let headers = headers
         .iter()
         .filter(|(name, _)| passes_to_caller(name))
         .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
         .collect();
     Reply {
-        status: head.status.as_u16(),
+        status: status.as_u16(),
         headers,
         verdict: Verdict::Done,
         reason: None,
@@ -109,13 +131,13 @@
 }
 
 /// The incarnation that a response names, as a header of a reply.
-pub(crate) fn incarnation_in(headers: &HeaderMap) -> Option<(String, Vec<u8>)> {
+fn incarnation_in(headers: &HeaderMap) -> Option<(String, Vec<u8>)> {
     let value = headers.get(header::INCARNATION)?;
     Some((header::INCARNATION.to_owned(), value.as_bytes().to_vec()))
 }
 
 /// Writes a key so that it fits into a header field: bytes outside of `!` to `~`, and `%`, as `%XX`.
-pub(crate) fn encode_key(key: &str) -> String {
+fn encode_key(key: &str) -> String {
     let mut text = String::with_capacity(key.len());
     for byte in key.bytes() {
         if byte.is_ascii_graphic() && byte != b'%' {
@@ -128,9 +150,9 @@
 }
 
 /// Header fields that this client sets itself.
-struct Own<'a>(&'a mut HeaderMap);
+struct Fields<'a>(&'a mut HeaderMap);
 
-impl Own<'_> {
+impl Fields<'_> {
     fn set(&mut self, name: &'static str, value: impl AsRef<str>) -> Result<(), Unsendable> {
         let value = HeaderValue::from_str(value.as_ref()).map_err(|_| Unsendable)?;
         self.0.insert(HeaderName::from_static(name), value);
@@ -150,7 +172,9 @@
     !is_hop_by_hop(name) && !own
 }
 
-fn is_hop_by_hop(name: &HeaderName) -> bool {
+/// Whether a header field concerns one connection only.
+#[must_use]
+pub fn is_hop_by_hop(name: &HeaderName) -> bool {
     [
         CONNECTION,
         PROXY_AUTHENTICATE,
@@ -177,6 +201,15 @@
     digits && lengths.next().is_none()
 }
 
+/// How long an idle connection is kept, as a `Keep-Alive` field says in whole seconds.
+pub(crate) fn keep_alive_in(headers: &HeaderMap) -> Option<Duration> {
+    let fields = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = fields
+        .split(',')
+        .find_map(|field| field.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
     text.parse().ok().map(Duration::from_secs)
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     client,
-    connection::{Connection, READY_LIMIT},
+    connection::{Connection, READY_LIMIT, Unopened},
     metrics::{Label, Metrics},
     pool::Timing,
 };
@@ -23,7 +23,7 @@
 
 /// The connections to one server.
 #[derive(Debug)]
-pub(crate) struct Lane {
+pub struct Lane {
     to: SocketAddr,
     limit: u32,
     warm: usize,
@@ -35,12 +35,21 @@
 }
 
 impl Lane {
-    pub(crate) fn new(upstream: &Upstream, timing: Timing, metrics: Metrics) -> Self {
-        let limit = limit_of(upstream);
+    pub(crate) fn to_upstream(upstream: &Upstream, timing: Timing, metrics: Metrics) -> Self {
+        let timing = Timing {
+            warm: upstream.slots.min(timing.warm),
+            ..timing
+        };
+        Self::new(upstream.address, limit_of(upstream), timing, metrics)
+    }
+
+    /// At most `limit` connections to one server.
+    #[must_use]
+    pub fn new(to: SocketAddr, limit: u32, timing: Timing, metrics: Metrics) -> Self {
         Self {
-            to: upstream.address,
+            to,
             limit,
-            warm: upstream.slots.min(timing.warm).min(limit) as usize,
+            warm: timing.warm.min(limit) as usize,
             timing,
             metrics,
             room: Arc::new(Semaphore::new(limit as usize)),
@@ -57,12 +66,15 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn open_connections(&self) -> usize {
+    /// Connections that are open.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
         self.limit as usize - self.room.available_permits()
     }
 
     /// Where the server listens.
-    pub(crate) fn address(&self) -> SocketAddr {
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
         self.to
     }
 
@@ -75,7 +87,7 @@
     pub(crate) async fn take_idle(&self) -> Option<Connection> {
         loop {
             let mut connection = self.idle().pop()?;
-            if connection.is_ready_within(READY_LIMIT).await {
+            if connection.is_fresh() && connection.is_ready_within(READY_LIMIT).await {
                 self.metrics.reused.inc();
                 return Some(connection);
             }
@@ -84,13 +96,18 @@
 
     /// A new connection; `None` if there is no room for one or the server takes none.
     pub(crate) async fn open(&self, limit: Duration) -> Option<Connection> {
-        let permit = self.room.clone().try_acquire_owned().ok()?;
+        self.try_open(limit).await.ok()
+    }
+
+    /// A new connection, or why there is none.
+    pub(crate) async fn try_open(&self, limit: Duration) -> Result<Connection, Unopened> {
+        let permit = self.room.clone().try_acquire_owned();
+        let permit = permit.map_err(|_| Unopened::TimedOut)?;
         let limit = limit.min(self.timing.connect);
-        let connection = Connection::open(self.to, limit, permit, self.metrics.bytes.clone())
-            .await
-            .ok()?;
+        let connection =
+            Connection::open(self.to, limit, permit, self.metrics.bytes.clone()).await?;
         self.metrics.opened.inc();
-        Some(connection)
+        Ok(connection)
     }
 
     /// Closes idle connections that have not carried bytes since `at`, when one is found silent.
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -9,11 +9,13 @@
 pub use client::Client;
 pub use pool::Pool;
 
+pub mod call;
 pub mod client;
-mod connection;
-mod exchange;
-mod head;
-mod lane;
+pub mod connection;
+pub mod exchange;
+pub mod framing;
+pub mod head;
+pub mod lane;
 pub mod metrics;
 pub mod order;
 mod outgoing;
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -12,6 +12,7 @@
 use crate::{
     Forward,
     exchange::Exchange,
+    head::{Ordered, Own},
     lane::Lane,
     metrics::{Label, Metrics},
     order::Order,
@@ -141,7 +142,11 @@
         if lanes.len() >= LANES_MAX {
             lanes.retain(|_, lane| Arc::strong_count(lane) > 1);
         }
-        let lane = Arc::new(Lane::new(upstream, self.timing, self.metrics.clone()));
+        let lane = Arc::new(Lane::to_upstream(
+            upstream,
+            self.timing,
+            self.metrics.clone(),
+        ));
         lanes.insert(upstream.address, lane.clone());
         lane
     }
@@ -158,7 +163,11 @@
         let silence = self.silence_of(&request.head.service);
         let lane = self.lane(upstream);
         let exchange = Exchange::new(lane.clone(), silence, deadline);
-        let answer = exchange.run(order, request).await;
+        let asked = Ordered {
+            head: request.head,
+            epoch: order.epoch,
+        };
+        let answer = exchange.run(&Own, &asked, request.body).await;
         lane.keep_warm();
         answer.unwrap_or_else(|failed| {
             let label = Label::new(failed.reason.as_str());
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -25,24 +25,32 @@
 #[derive(Debug)]
 pub struct Answer {
     body: Body,
-    _place: Option<Place>,
+    #[expect(dead_code, reason = "held until the answer is read")]
+    place: Option<Place>,
 }
 
 /// The first part of a request's body, and all of it as it is to be sent on.
-pub(crate) struct Read {
+#[derive(Debug)]
+pub struct Read {
     /// The first part.
-    pub(crate) seen: Bytes,
+    pub seen: Bytes,
     /// The whole body.
-    pub(crate) body: Body,
+    pub body: Body,
 }
 
 impl Answer {
-    pub(crate) fn new(body: Body, place: Option<Place>) -> Self {
+    pub(crate) fn placed(body: Body, place: Option<Place>) -> Self {
         Self {
-            body,
-            _place: place,
+            place,
+            ..Self::new(body)
         }
     }
+
+    /// An answer's body that nothing else depends on.
+    #[must_use]
+    pub fn new(body: Body) -> Self {
+        Self { body, place: None }
+    }
 }
 
 impl http_body::Body for Answer {
@@ -66,11 +74,11 @@
 }
 
 /// Reads the first part of a body and streams the rest.
-pub(crate) async fn read(
-    mut incoming: Incoming,
-    limit: u64,
-    deadline: Instant,
-) -> Result<Read, Refusal> {
+///
+/// # Errors
+///
+/// A [`Refusal`] if the body is too long, malformed, or comes too slowly.
+pub async fn read(mut incoming: Incoming, limit: u64, deadline: Instant) -> Result<Read, Refusal> {
     let announced = http_body::Body::size_hint(&incoming).lower();
     if announced > limit {
         return Err(too_large(limit));
--- a/crates/caller/src/explain.rs
+++ b/crates/caller/src/explain.rs
@@ -4,16 +4,17 @@
 
 /// A refusal by ingress itself; the request did not run.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Refusal {
+pub struct Refusal {
     /// Why.
-    pub(crate) reason: Reason,
+    pub reason: Reason,
     /// What exactly is wrong, where more is known than the reason says.
     detail: Option<String>,
 }
 
 impl Refusal {
     /// A refusal that names the thing that is wrong.
-    pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
+    #[must_use]
+    pub fn new(reason: Reason, detail: impl Into<String>) -> Self {
         Self {
             reason,
             detail: Some(detail.into()),
@@ -21,7 +22,8 @@
     }
 
     /// The response to the caller.
-    pub(crate) fn response(self) -> Response {
+    #[must_use]
+    pub fn response(self) -> Response {
         let mut response = Response::refusal(Verdict::NotRun, self.reason);
         let detail = self.detail.as_deref();
         response.body = body(&response.reply, detail);
@@ -39,7 +41,8 @@
 }
 
 /// The body of a refusal: reason and verdict for programs, then sentences for people.
-pub(crate) fn body(reply: &Reply, detail: Option<&str>) -> Body {
+#[must_use]
+pub fn body(reply: &Reply, detail: Option<&str>) -> Body {
     let Some(reason) = reply.reason else {
         return Body::empty();
     };
@@ -56,6 +59,10 @@
 /// What a caller can do.
 fn remedy(reason: Reason) -> &'static str {
     match reason {
+        Reason::NoRoute => "Ask for a host and path that the configuration in force serves.",
+        Reason::NoConfiguration => "Send it again once this daemon has read its configuration.",
+        Reason::NoUpstream => "Send it again once an upstream of the service is there.",
+        Reason::UpstreamFailed => "Find out what it did before it is sent again.",
         Reason::BadRequest => "Correct the request; it fails the same way if it is sent again.",
         Reason::IdempotencyKeyMissing => {
             "Send an idempotency-key header with a fresh UUIDv7, and the same one with a resend."
--- a/crates/caller/src/ingress.rs
+++ b/crates/caller/src/ingress.rs
@@ -173,7 +173,7 @@
     if reply.reason.is_some() && body.is_end() {
         body = explain::body(&reply, None);
     }
-    let mut http = http::Response::new(Answer::new(body, place));
+    let mut http = http::Response::new(Answer::placed(body, place));
     *http.status_mut() =
         StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = http.headers_mut();
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -11,14 +11,14 @@
 use copperwell_keyspace::{Member, ShardIndex, manifest::Service};
 use copperwell_message::{Reason, Request, Response, Verdict};
 
+pub mod body;
+pub mod explain;
 pub mod header;
 pub mod ingress;
 pub mod metrics;
 pub mod server;
 
 mod admission;
-mod body;
-mod explain;
 mod join;
 mod parse;
 mod patience;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,9 +1,15 @@
 //! The HTTP server for callers.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
-use crate::{Network, ingress::Ingress, patience::Patience};
-use hyper::{server::conn::http1, service::service_fn};
+use crate::{Network, body::Answer, ingress::Ingress, patience::Patience};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     io::AsyncWriteExt,
@@ -29,6 +35,24 @@
     \r\n\
     slow-caller, not-run: Send the whole request head without long pauses.";
 
+/// What a daemon does with callers' requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Serves one request.
+    ///
+    /// Dropping the future, or the answer's body, cancels the request.
+    fn handle(
+        &self,
+        request: http::Request<Incoming>,
+        caller: IpAddr,
+    ) -> impl Future<Output = http::Response<Answer>> + Send;
+
+    /// Hears of a caller that was too slow in sending a head.
+    fn slow(&self);
+
+    /// The limits on new connections.
+    fn limits(&self) -> Limits;
+}
+
 /// Limits on callers' connections.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -64,7 +88,21 @@
     limits: Limits,
     shutdown: CancellationToken,
 ) -> io::Result<()> {
-    let slots = Arc::new(Semaphore::new(limits.connections));
+    let handler = Arc::new(Limited { ingress, limits });
+    serve_with(listener, handler, shutdown).await
+}
+
+/// Serves callers with any handler until `shutdown`, then finishes what is in flight.
+///
+/// # Errors
+///
+/// An error of the listening socket.
+pub async fn serve_with<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    shutdown: CancellationToken,
+) -> io::Result<()> {
+    let slots = Arc::new(Semaphore::new(handler.limits().connections));
     let connections = TaskTracker::new();
     loop {
         let accepted = tokio::select! {
@@ -77,11 +115,11 @@
             tokio::task::yield_now().await;
             continue;
         };
-        let ingress = ingress.clone();
+        let handler = handler.clone();
         let shutdown = shutdown.clone();
         connections.spawn(async move {
             let Accepted { stream, peer, slot } = accepted;
-            connection(stream, peer, &ingress, limits, shutdown).await;
+            connection(stream, peer, &handler, shutdown).await;
             drop(slot);
         });
     }
@@ -91,6 +129,30 @@
     Ok(())
 }
 
+/// Ingress with fixed limits.
+struct Limited<N> {
+    ingress: Arc<Ingress<N>>,
+    limits: Limits,
+}
+
+impl<N: Network> Handler for Limited<N> {
+    async fn handle(
+        &self,
+        request: http::Request<Incoming>,
+        caller: IpAddr,
+    ) -> http::Response<Answer> {
+        self.ingress.handle(request, caller).await
+    }
+
+    fn slow(&self) {
+        self.ingress.metrics().slow();
+    }
+
+    fn limits(&self) -> Limits {
+        self.limits
+    }
+}
+
 /// A connection and its slot.
 struct Accepted {
     stream: TcpStream,
@@ -105,17 +167,17 @@
     Ok(Accepted { stream, peer, slot })
 }
 
-async fn connection<N: Network>(
+async fn connection<H: Handler>(
     stream: TcpStream,
     peer: SocketAddr,
-    ingress: &Arc<Ingress<N>>,
-    limits: Limits,
+    handler: &Arc<H>,
     shutdown: CancellationToken,
 ) {
+    let limits = handler.limits();
     // Without the option small answers are late, but they come.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| async move {
-        Ok::<_, Infallible>(ingress.handle(request, peer.ip()).await)
+        Ok::<_, Infallible>(handler.handle(request, peer.ip()).await)
     });
     let stream = TokioIo::new(Patience::new(stream, READ_SILENCE));
     let mut connection = http1::Builder::new()
@@ -137,7 +199,7 @@
         // A broken connection concerns only its caller.
         return;
     }
-    ingress.metrics().slow();
+    handler.slow();
     let parts = connection.into_parts();
     if !parts.read_buf.is_empty() {
         let mut stream = parts.io.into_inner();
--- a/crates/message/src/verdict.rs
+++ b/crates/message/src/verdict.rs
@@ -86,6 +86,14 @@
     IdempotencyKeyUnknown = "idempotency-key-unknown", 409;
     /// No service of this name is in force.
     UnknownService = "unknown-service", 404;
+    /// No route fits the request's host and path.
+    NoRoute = "no-route", 404;
+    /// This daemon knows no configuration yet.
+    NoConfiguration = "no-configuration", 503;
+    /// No upstream of the service takes requests.
+    NoUpstream = "no-upstream", 503;
+    /// The upstream ran the request and answered that it failed.
+    UpstreamFailed = "upstream-failed", 502;
     /// The body or the headers exceed their limit.
     TooLarge = "too-large", 413;
     /// The caller was too slow in sending its request.
