--- /dev/null
+++ b/crates/assignment/src/clock.rs
@@ -0,0 +1,71 @@
+//! Time that goes on while the machine is suspended.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
+
+/// A clock whose time never stands still and never jumps.
+///
+/// The runtime's clock stands still while a machine is suspended, and the time of day jumps, so
+/// neither can end a lease.
+pub trait Clock: Send + Sync + 'static {
+    /// The time since some fixed moment.
+    fn now(&self) -> Duration;
+}
+
+/// The time since the machine was booted, suspensions included.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Boot;
+
+impl Clock for Boot {
+    fn now(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+        Duration::new(seconds, nanos)
+    }
+}
+
+/// The runtime's clock, which tests pause, and suspensions that tests add.
+#[derive(Debug)]
+pub struct Driven {
+    began: Instant,
+    suspended: std::sync::Mutex<Duration>,
+}
+
+impl Default for Driven {
+    fn default() -> Self {
+        Self {
+            began: Instant::now(),
+            suspended: std::sync::Mutex::default(),
+        }
+    }
+}
+
+impl Driven {
+    /// Lets time pass that the runtime's clock does not see.
+    pub fn suspend(&self, time: Duration) {
+        let mut suspended = self
+            .suspended
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        *suspended += time;
+    }
+}
+
+impl Clock for Driven {
+    fn now(&self) -> Duration {
+        let suspended = self
+            .suspended
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        self.began.elapsed() + *suspended
+    }
+}
+
+impl<C: Clock> Clock for std::sync::Arc<C> {
+    fn now(&self) -> Duration {
+        C::now(self)
+    }
+}
--- /dev/null
+++ b/crates/assignment/src/driver.rs
@@ -0,0 +1,296 @@
+//! Follows the leader, or leads.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use crate::{
+    DaemonName,
+    clock::Clock,
+    demand::{Counts, Report},
+    exchange::{Call, Desk, Line},
+    lease::{self, Lead, Watch},
+    machine,
+    metrics::Metrics,
+    order::Command,
+    plan::Plan,
+    register::{Failure, Register, Snapshot},
+    table::{Directory, Table, Tables, Version},
+};
+use copperwell_routing::{ServiceName, registry::Upstream};
+use rand::RngExt;
+use spdlog::{info, warn};
+use tokio::{sync::mpsc, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+use leading::Leading;
+
+mod leading;
+
+/// The entry that says who leads.
+const LEAD: &str = "lead";
+
+/// The start of the entries that hold plans; the service's name follows.
+const PLAN: &str = "plan/";
+
+/// How long a daemon waits before it reads the store again.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// How much longer at most, so that daemons do not read it at the same moment.
+const JITTER: Duration = Duration::from_millis(200);
+
+/// What the daemon knows of services and their upstreams.
+pub trait Scene: Send + Sync + 'static {
+    /// The services that are divided by key; `None` while no configuration is known.
+    fn keyed_services(&self) -> Option<Vec<ServiceName>>;
+
+    /// The upstreams of a service, those that are draining included.
+    fn upstreams(&self, service: &str) -> Vec<Arc<Upstream>>;
+
+    /// When the reading of the newest list of upstreams began, by the boot clock; `None` before
+    /// the first one.
+    fn listed_at(&self) -> Option<Duration>;
+}
+
+/// Who this daemon is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Its name.
+    pub name: DaemonName,
+    /// Its run, which differs from those before.
+    pub run: u64,
+    /// Where it takes reports.
+    pub address: SocketAddr,
+}
+
+/// Time limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Timing {
+    /// Of leadership.
+    pub lease: lease::Timing,
+    /// Of grants.
+    pub grants: machine::Timing,
+}
+
+/// What the driver shares with the rest of the daemon.
+#[derive(Debug, Clone, Default)]
+pub struct Shared {
+    /// The tables by which requests are routed.
+    pub directory: Arc<Directory>,
+    /// What callers asked for.
+    pub counts: Arc<Counts>,
+    /// How many daemons there are, as far as is known; 0 if it is not.
+    pub daemons: Arc<AtomicU32>,
+}
+
+/// Follows the leader, or leads.
+#[derive(Debug)]
+pub struct Driver<R, C, K, S> {
+    /// Who this daemon is.
+    pub identity: Identity,
+    /// Time limits.
+    pub timing: Timing,
+    /// The entries by which daemons agree.
+    pub register: Arc<R>,
+    /// Gives orders.
+    pub command: Arc<C>,
+    /// The boot clock.
+    pub clock: K,
+    /// What is known of upstreams.
+    pub scene: Arc<S>,
+    /// What is shared with the rest of the daemon.
+    pub shared: Shared,
+    /// The leader's end of the exchange.
+    pub desk: Desk,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+impl<R: Register, C: Command, K: Clock, S: Scene> Driver<R, C, K, S> {
+    /// Runs until `stopping`, then hands leadership over.
+    ///
+    /// `reports` are those that other daemons give to this one.
+    pub async fn run(self, mut reports: mpsc::Receiver<Vec<Report>>, stopping: CancellationToken) {
+        let stop = stopping.clone();
+        tokio::select! {
+            () = self.work(&mut reports, &stopping) => {}
+            () = async { stop.cancelled().await; sleep(self.timing.lease.beat).await } => {}
+        }
+        self.desk.set_leads(false);
+    }
+
+    async fn work(&self, reports: &mut mpsc::Receiver<Vec<Report>>, stopping: &CancellationToken) {
+        let mut watch = Watch::default();
+        while !stopping.is_cancelled() {
+            let lead = match self.register.read().await {
+                Ok(snapshot) => {
+                    let lead = self.see(&snapshot, &mut watch);
+                    if let Some(term) = self.take_over(&snapshot, lead.as_ref(), &watch).await {
+                        let leading = Leading::new(self, term, lead, snapshot);
+                        leading.run(reports, stopping).await;
+                        continue;
+                    }
+                    lead
+                }
+                Err(failure) => {
+                    warn!("the store does not answer", kv: { dependency = "store", failure = failure.as_str() });
+                    None
+                }
+            };
+            if let Some(lead) = lead {
+                self.follow(&lead, stopping).await;
+            }
+            let jitter = JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
+            tokio::select! {
+                () = sleep(PAUSE + jitter) => {}
+                () = stopping.cancelled() => {}
+            }
+        }
+    }
+
+    /// Takes what the store says of leader and plans.
+    fn see(&self, snapshot: &Snapshot, watch: &mut Watch) -> Option<Lead> {
+        let lead: Option<Lead> = decode(snapshot, LEAD);
+        watch.see(lead.as_ref(), self.clock.now());
+        if let Some(lead) = &lead {
+            // A plan is what the leader means to be; its own tables are better while it answers.
+            let version = Version {
+                term: lead.term,
+                number: lead.number,
+            };
+            let plans = snapshot.entries.keys().filter_map(|key| {
+                let service = key.strip_prefix(PLAN)?;
+                let plan: Plan = decode(snapshot, key)?;
+                Some((ServiceName::from(service), Table::of(&plan)))
+            });
+            let services = plans.collect();
+            self.shared.directory.take(Tables { version, services });
+        }
+        lead
+    }
+
+    /// Becomes the leader if it is time; gives the new term and position.
+    async fn take_over(
+        &self,
+        snapshot: &Snapshot,
+        lead: Option<&Lead>,
+        watch: &Watch,
+    ) -> Option<Term> {
+        let services = self.scene.keyed_services()?;
+        self.scene.listed_at()?;
+        let me = &self.identity;
+        let timing = &self.timing.lease;
+        let now = self.clock.now();
+        if services.is_empty() || !watch.may_take_over(lead, &me.name, me.address, now, timing) {
+            return None;
+        }
+        let term = snapshot.end + 1;
+        let entry = self.lead(term, 0, 0, false);
+        let swapped = self
+            .register
+            .swap(snapshot.end, &[encode(LEAD, &entry)])
+            .await;
+        self.metrics.swapped(outcome_of(&swapped));
+        match swapped {
+            Ok(end) => {
+                info!("leads now", kv: { event = "lead", term, from = lead.map_or("nobody", |lead| &*lead.name) });
+                Some(Term {
+                    number: term,
+                    end,
+                    began: now,
+                })
+            }
+            Err(failure) => {
+                info!("does not lead", kv: { event = "lead-lost", term, failure = failure.as_str() });
+                None
+            }
+        }
+    }
+
+    fn lead(&self, term: u64, beat: u64, number: u64, is_over: bool) -> Lead {
+        Lead {
+            name: self.identity.name.clone(),
+            run: self.identity.run,
+            address: self.identity.address,
+            term,
+            beat,
+            number,
+            is_over,
+        }
+    }
+
+    /// Exchanges with the leader until it does not answer any more, or does not lead.
+    async fn follow(&self, lead: &Lead, stopping: &CancellationToken) {
+        if lead.is_over || lead.address == self.identity.address {
+            return;
+        }
+        let Some(line) = Line::open(lead.address).await else {
+            return;
+        };
+        let mut knows = self.shared.directory.tables().version;
+        while !stopping.is_cancelled() {
+            let call = Call {
+                from: self.identity.name.clone(),
+                knows,
+                reports: self.shared.counts.take(),
+            };
+            let Some(answer) = line.call(call).await else {
+                warn!("the leader does not answer", kv: { dependency = "leader", leader = &*lead.name, term = lead.term });
+                return;
+            };
+            let daemons = &self.shared.daemons;
+            daemons.store(answer.daemons, Ordering::Relaxed);
+            if let Some(tables) = answer.tables {
+                self.shared.directory.take(tables);
+            }
+            if !answer.leads {
+                return;
+            }
+            let newest = self.shared.directory.tables().version;
+            if newest == knows {
+                continue;
+            }
+            knows = newest;
+            // News in quick succession are told together.
+            sleep(TOGETHER).await;
+        }
+    }
+}
+
+/// How long a daemon waits after news before it asks for more.
+const TOGETHER: Duration = Duration::from_millis(20);
+
+/// A leadership that the store acknowledged.
+#[derive(Debug, Clone, Copy)]
+struct Term {
+    number: u64,
+    /// The position after its first entry.
+    end: u64,
+    /// When that entry was sent.
+    began: Duration,
+}
+
+fn outcome_of(swapped: &Result<u64, Failure>) -> &'static str {
+    match swapped {
+        Ok(_) => "done",
+        Err(failure) => failure.as_str(),
+    }
+}
+
+fn encode(key: impl Into<String>, value: &impl serde::Serialize) -> (String, Vec<u8>) {
+    (key.into(), bincode::serialize(value).unwrap_or_default())
+}
+
+fn decode<T: serde::de::DeserializeOwned>(snapshot: &Snapshot, key: &str) -> Option<T> {
+    let value = snapshot.entries.get(key)?;
+    let decoded = bincode::deserialize(value);
+    if let Err(error) = &decoded {
+        warn!("an entry of the store cannot be read", kv: { event = "entry-unreadable", key, error:? = error });
+    }
+    decoded.ok()
+}
--- /dev/null
+++ b/crates/assignment/src/driver/leading.rs
@@ -0,0 +1,425 @@
+//! What the daemon that leads does.
+
+use std::{pin::Pin, sync::atomic::Ordering, time::Duration};
+
+use super::{Driver, LEAD, PLAN, Scene, Term, decode, encode, outcome_of};
+use crate::{
+    clock::Clock,
+    demand::Report,
+    lease::{Lead, Lease},
+    machine::{Machine, Sight},
+    order::{Action, Command, Order, Outcome},
+    plan::Plan,
+    register::{Failure, Register, Snapshot},
+    table::{Tables, Version},
+};
+use copperwell_message::HashMap;
+use copperwell_routing::{Key, ServiceName};
+use futures::{StreamExt, stream::FuturesUnordered};
+use spdlog::{debug, info, warn};
+use tokio::{
+    sync::mpsc,
+    time::{MissedTickBehavior, interval},
+};
+use tokio_util::sync::CancellationToken;
+
+/// How often the leader looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+
+/// How often the leader takes its own daemon's counts.
+const COUNT: Duration = Duration::from_millis(400);
+
+type Running<'a> = Pin<Box<dyn Future<Output = (ServiceName, Order, Outcome)> + Send + 'a>>;
+type Storing<'a> = Pin<Box<dyn Future<Output = Stored> + Send + 'a>>;
+
+/// One leadership.
+pub(super) struct Leading<'a, R, C, K, S> {
+    driver: &'a Driver<R, C, K, S>,
+    term: u64,
+    end: u64,
+    lease: Lease,
+    machines: Vec<Machine>,
+    /// The predecessor's plans of services that no machine leads yet.
+    plans: HashMap<ServiceName, Plan>,
+    beat: u64,
+    beat_at: Duration,
+    number: u64,
+    is_store_away: bool,
+    /// When the call to the store was sent that has no answer yet.
+    asked_at: Option<Duration>,
+    is_lost: bool,
+    counted_at: Duration,
+}
+
+/// What became of a call to the store.
+enum Stored {
+    Written(Written),
+    Read(Result<Snapshot, Failure>),
+}
+
+/// A write and what became of it.
+struct Written {
+    sent: Duration,
+    editions: Vec<(ServiceName, u64)>,
+    result: Result<u64, Failure>,
+}
+
+impl<'a, R: Register, C: Command, K: Clock, S: Scene> Leading<'a, R, C, K, S> {
+    /// A leadership that begins with the plans of `snapshot`.
+    pub(super) fn new(
+        driver: &'a Driver<R, C, K, S>,
+        term: Term,
+        predecessor: Option<Lead>,
+        snapshot: Snapshot,
+    ) -> Self {
+        let mut lease = Lease::default();
+        lease.renew(term.began, &driver.timing.lease);
+        let services = snapshot.entries.keys().filter_map(|key| {
+            let service = key.strip_prefix(PLAN)?;
+            Some((ServiceName::from(service), decode(&snapshot, key)?))
+        });
+        debug!("takes plans over", kv: { event = "plans", count = snapshot.entries.len(), from:? = predecessor });
+        Self {
+            driver,
+            term: term.number,
+            end: term.end,
+            lease,
+            machines: Vec::new(),
+            plans: services.collect(),
+            beat: 0,
+            beat_at: term.began + driver.timing.lease.beat,
+            number: 0,
+            is_store_away: false,
+            asked_at: None,
+            is_lost: false,
+            counted_at: term.began,
+        }
+    }
+
+    /// Leads until another daemon does, or `stopping`.
+    pub(super) async fn run(
+        mut self,
+        reports: &mut mpsc::Receiver<Vec<Report>>,
+        stopping: &CancellationToken,
+    ) {
+        let driver = self.driver;
+        driver.desk.set_leads(true);
+        driver.metrics.leading.set(1);
+        driver.metrics.terms.inc();
+        let mut running: FuturesUnordered<Running<'a>> = FuturesUnordered::new();
+        let mut storing: Option<Storing<'a>> = None;
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while !self.is_lost && !stopping.is_cancelled() {
+            self.act(&running);
+            for (service, order) in self.orders() {
+                running.push(Box::pin(carry_out(driver, service, order)));
+            }
+            if storing.is_none() {
+                storing = self.write();
+            }
+            tokio::select! {
+                Some((service, order, outcome)) = running.next() => {
+                    self.take(&service, &order, outcome);
+                }
+                stored = wait_for(&mut storing) => storing = self.stored(stored),
+                Some(report) = reports.recv() => self.count(report),
+                _ = ticks.tick() => {}
+                () = stopping.cancelled() => {}
+            }
+        }
+        driver.desk.set_leads(false);
+        driver.metrics.leading.set(0);
+        if stopping.is_cancelled() && !self.is_lost {
+            self.hand_over(running, storing).await;
+        }
+        info!("leads no more", kv: { event = "lead-end", term = self.term, lost = self.is_lost });
+    }
+
+    /// Brings machines up to date and publishes what changed.
+    fn act(&mut self, running: &FuturesUnordered<Running<'a>>) {
+        let driver = self.driver;
+        let now = driver.clock.now();
+        for service in driver.scene.keyed_services().unwrap_or_default() {
+            if self.machines.iter().all(|one| *one.service() != service) {
+                let plan = self.plans.remove(&service);
+                info!("leads a service", kv: { event = "lead-service", service = &*service, ranges = plan.as_ref().map_or(0, |plan| plan.ranges.len()), term = self.term });
+                let machine = Machine::new(service, plan, driver.timing.grants, now);
+                self.machines.push(machine);
+            }
+        }
+        if self.asked_at.is_some_and(|asked| now >= asked + SLOW) {
+            self.note_store(true);
+        }
+        if now >= self.counted_at + COUNT {
+            self.counted_at = now;
+            self.count(driver.shared.counts.take());
+            let daemons = driver.desk.daemons();
+            driver.shared.daemons.store(daemons, Ordering::Relaxed);
+            debug!("orders in flight", kv: { count = running.len() });
+        }
+    }
+
+    /// The orders that are due.
+    fn orders(&mut self) -> Vec<(ServiceName, Order)> {
+        let driver = self.driver;
+        let now = driver.clock.now();
+        let Some(listed_at) = driver.scene.listed_at() else {
+            return Vec::new();
+        };
+        if !self.lease.may_act(now) {
+            return Vec::new();
+        }
+        let mut orders = Vec::new();
+        for machine in &mut self.machines {
+            let upstreams = driver.scene.upstreams(machine.service());
+            let sight = Sight {
+                upstreams: &upstreams,
+                listed_at,
+                is_store_away: self.is_store_away,
+            };
+            let due = machine.step(now, &sight);
+            orders.extend(
+                due.into_iter()
+                    .map(|order| (machine.service().clone(), order)),
+            );
+        }
+        self.publish();
+        orders
+    }
+
+    fn publish(&mut self) {
+        let tables = self
+            .machines
+            .iter()
+            .map(|machine| (machine.service().clone(), machine.table()));
+        let services: HashMap<_, _> = tables.collect();
+        let directory = &self.driver.shared.directory;
+        if directory.tables().services == services && directory.tables().version.term == self.term {
+            return;
+        }
+        self.number += 1;
+        let version = Version {
+            term: self.term,
+            number: self.number,
+        };
+        directory.take(Tables { version, services });
+        let ranges = self.machines.iter().map(Machine::ranges);
+        let (all, unserved) = ranges.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.driver.metrics.ranges.set(gauge(all));
+        self.driver.metrics.unserved.set(gauge(unserved));
+    }
+
+    /// A write of what changed, or of the lease alone if that is due.
+    fn write(&mut self) -> Option<Storing<'a>> {
+        let driver = self.driver;
+        let now = driver.clock.now();
+        let plans = self.machines.iter().filter_map(|machine| {
+            let (edition, plan) = machine.plan_to_store()?;
+            Some((machine.service().clone(), edition, plan))
+        });
+        let plans: Vec<_> = plans.collect();
+        if plans.is_empty() && now < self.beat_at {
+            return None;
+        }
+        self.beat += 1;
+        self.beat_at = now + driver.timing.lease.beat;
+        let lead = driver.lead(self.term, self.beat, self.number, false);
+        let mut entries = vec![encode(LEAD, &lead)];
+        let mut editions = Vec::new();
+        for (service, edition, plan) in plans {
+            entries.push(encode(format!("{PLAN}{service}"), &plan));
+            editions.push((service, edition));
+        }
+        let at = self.end;
+        self.asked_at = Some(now);
+        Some(Box::pin(async move {
+            let result = driver.register.swap(at, &entries).await;
+            Stored::Written(Written {
+                sent: now,
+                editions,
+                result,
+            })
+        }))
+    }
+
+    /// Takes what became of a call to the store; gives the call that must follow.
+    fn stored(&mut self, stored: Stored) -> Option<Storing<'a>> {
+        self.asked_at = None;
+        match stored {
+            Stored::Written(written) => self.written(written),
+            Stored::Read(read) => {
+                self.compare(read);
+                None
+            }
+        }
+    }
+
+    fn written(&mut self, written: Written) -> Option<Storing<'a>> {
+        let driver = self.driver;
+        driver.metrics.swapped(outcome_of(&written.result));
+        let now = driver.clock.now();
+        match written.result {
+            Ok(end) => {
+                self.end = end;
+                self.lease.renew(written.sent, &driver.timing.lease);
+                self.note_store(false);
+                for (service, edition) in written.editions {
+                    if let Some(machine) = self.machine(&service) {
+                        machine.stored(edition, now);
+                    }
+                }
+                None
+            }
+            Err(failure) => {
+                warn!("the lease was not renewed", kv: { event = "beat-failed", term = self.term, failure = failure.as_str() });
+                self.beat_at = now + RETRY;
+                if failure != Failure::Conflict {
+                    self.note_store(true);
+                }
+                let read = driver.register.read();
+                Some(Box::pin(async move { Stored::Read(read.await) }))
+            }
+        }
+    }
+
+    /// Compares with the store after a write whose outcome is not known, or that came too late.
+    fn compare(&mut self, read: Result<Snapshot, Failure>) {
+        let Ok(snapshot) = read else { return };
+        let lead: Option<Lead> = decode(&snapshot, LEAD);
+        let is_mine = lead.as_ref().is_some_and(|lead| {
+            lead.term == self.term && lead.run == self.driver.identity.run && !lead.is_over
+        });
+        if !is_mine {
+            self.is_lost = true;
+            self.lease.end();
+            info!("another daemon leads", kv: { event = "superseded", term = self.term, leader = lead.map_or(String::new(), |lead| lead.name.to_string()) });
+            return;
+        }
+        // What was written may be there or not; it is written again from here.
+        self.end = snapshot.end;
+        self.beat_at = self.driver.clock.now();
+    }
+
+    fn note_store(&mut self, is_away: bool) {
+        if self.is_store_away != is_away {
+            self.is_store_away = is_away;
+            info!("the store's state changed for the leader", kv: { dependency = "store", away = is_away, term = self.term });
+        }
+    }
+
+    fn take(&mut self, service: &ServiceName, order: &Order, outcome: Outcome) {
+        let now = self.driver.clock.now();
+        note(service, order, &outcome);
+        let Some(machine) = self.machine(service) else {
+            return;
+        };
+        machine.take(order, outcome, now);
+        if machine.take_fenced() {
+            // The store says whether another daemon leads.
+            self.beat_at = now;
+        }
+    }
+
+    fn count(&mut self, reports: Vec<Report>) {
+        for Report { service, counts } in reports {
+            if let Some(machine) = self.machine(&service) {
+                let counts: Vec<(Key, u32)> = counts;
+                machine.count(counts);
+            }
+        }
+    }
+
+    fn machine(&mut self, service: &ServiceName) -> Option<&mut Machine> {
+        self.machines
+            .iter_mut()
+            .find(|machine| machine.service() == service)
+    }
+
+    /// Lets orders end and tells the others that they may take over.
+    async fn hand_over(
+        &mut self,
+        mut running: FuturesUnordered<Running<'a>>,
+        storing: Option<Storing<'a>>,
+    ) {
+        let driver = self.driver;
+        let limit = driver.timing.grants.order_limit;
+        let ended = async { while running.next().await.is_some() {} };
+        let _ = tokio::time::timeout(limit, ended).await;
+        let mut storing = storing;
+        while let Some(call) = storing {
+            storing = self.stored(call.await);
+        }
+        if self.is_lost {
+            return;
+        }
+        let lead = driver.lead(self.term, self.beat + 1, self.number, true);
+        let swapped = driver.register.swap(self.end, &[encode(LEAD, &lead)]).await;
+        driver.metrics.swapped(outcome_of(&swapped));
+        info!("leadership is free", kv: { event = "hand-over", term = self.term, outcome = outcome_of(&swapped) });
+    }
+}
+
+/// How long a call to the store may take before the store counts as away.
+const SLOW: Duration = Duration::from_millis(500);
+
+/// How long after a failed write the next one follows.
+const RETRY: Duration = Duration::from_millis(200);
+
+async fn carry_out<R: Register, C: Command, K: Clock, S: Scene>(
+    driver: &Driver<R, C, K, S>,
+    service: ServiceName,
+    order: Order,
+) -> (ServiceName, Order, Outcome) {
+    let limit = match order.action {
+        Action::Grant { .. } => driver.timing.grants.order_limit,
+        Action::Release => driver.timing.grants.release_limit,
+    };
+    let outcome = driver.command.give(&order, limit).await;
+    driver.metrics.ordered(action_of(&order), word_of(&outcome));
+    (service, order, outcome)
+}
+
+async fn wait_for(storing: &mut Option<Storing<'_>>) -> Stored {
+    match storing {
+        Some(storing) => storing.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Logs an order that moves keys, or that failed; renewals that went well are only counted.
+fn note(service: &str, order: &Order, outcome: &Outcome) {
+    let is_renewal = matches!(&order.action, Action::Grant { handover: None, .. });
+    if is_renewal && matches!(outcome, Outcome::Done { .. }) {
+        return;
+    }
+    info!("an order ended", kv: {
+        event = "order",
+        service,
+        action = action_of(order),
+        outcome = word_of(outcome),
+        server = &*order.holder.id,
+        first = order.first,
+        last = order.last,
+        fence = order.fence
+    });
+}
+
+fn action_of(order: &Order) -> &'static str {
+    match order.action {
+        Action::Grant { .. } => "grant",
+        Action::Release => "release",
+    }
+}
+
+fn word_of(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done { .. } => "done",
+        Outcome::Fenced => "fenced",
+        Outcome::Refused => "refused",
+        Outcome::Unsent => "unsent",
+        Outcome::Unknown => "unknown",
+        Outcome::Broken => "broken",
+    }
+}
--- /dev/null
+++ b/crates/assignment/src/metrics.rs
@@ -0,0 +1,55 @@
+//! Counters and gauges of leadership and grants.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+
+/// Counters and gauges of leadership and grants; clones count together.
+#[derive(Debug, Clone, Default)]
+pub struct Metrics {
+    pub(crate) leading: Gauge,
+    pub(crate) terms: Counter,
+    pub(crate) orders: Family<Label, Counter>,
+    pub(crate) swaps: Family<Label, Counter>,
+    pub(crate) ranges: Gauge,
+    pub(crate) unserved: Gauge,
+}
+
+/// What became of something.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Label {
+    pub(crate) action: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
+impl Metrics {
+    /// Counters that are registered in `registry`.
+    #[must_use]
+    pub fn new(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let all = metrics.clone();
+        let registry = registry.sub_registry_with_prefix("assignment");
+        registry.register("leading", "Whether this daemon leads", all.leading);
+        registry.register("terms", "Times that this daemon began to lead", all.terms);
+        registry.register("orders", "Orders to upstreams, by outcome", all.orders);
+        registry.register("swaps", "Conditional writes, by outcome", all.swaps);
+        registry.register(
+            "ranges",
+            "Ranges of keys that this daemon leads",
+            all.ranges,
+        );
+        registry.register("unserved", "Ranges that nobody serves now", all.unserved);
+        metrics
+    }
+
+    pub(crate) fn ordered(&self, action: &'static str, outcome: &'static str) {
+        self.orders.get_or_create(&Label { action, outcome }).inc();
+    }
+
+    pub(crate) fn swapped(&self, outcome: &'static str) {
+        let action = "swap";
+        self.swaps.get_or_create(&Label { action, outcome }).inc();
+    }
+}
--- a/crates/copperwell/src/exit.rs
+++ b/crates/copperwell/src/exit.rs
@@ -6,8 +6,8 @@
     process::ExitCode,
 };
 
+use copperwell_log::Error as PlatformError;
 use copperwell_operator::{load, publish};
-use copperwell_platform::Error as PlatformError;
 use error_stack::{AttachmentKind, FrameKind, Report};
 
 /// What a command comes to.
--- a/crates/copperwell/src/manifest.rs
+++ b/crates/copperwell/src/manifest.rs
@@ -7,8 +7,8 @@
     exit::{self, Exit, from_load, print},
 };
 use copperwell_keyspace::replay::State;
+use copperwell_log::http::Client;
 use copperwell_operator::{difference, load};
-use copperwell_platform::http::Client;
 use error_stack::{Report, ResultExt};
 use tokio::time::timeout;
 
--- a/crates/copperwell/src/publish.rs
+++ b/crates/copperwell/src/publish.rs
@@ -4,12 +4,12 @@
     args::PublishArgs,
     exit::{self, Exit, from_load, from_publish, print},
 };
+use copperwell_log::http::Client;
 use copperwell_operator::{
     fleet::{Fleet, Reach},
     load,
     publish::{self, Accepted},
 };
-use copperwell_platform::http::Client;
 use tokio::time::Instant;
 
 /// Publishes a manifest and tells how far it came.
--- a/crates/copperwell/tests/command.rs
+++ b/crates/copperwell/tests/command.rs
@@ -8,7 +8,7 @@
 };
 
 use copperwell_keyspace::record::{Body, Record, STREAM};
-use copperwell_platform::Log;
+use copperwell_log::Log;
 use copperwell_standin::platform::Platform;
 use test_case::test_case;
 use tokio::process::Command;
@@ -120,7 +120,7 @@
         let output = publish(&platform, &path, &[]).await;
         assert_eq!(code(&output), Some(0), "{}", errors(&output));
     }
-    let log = copperwell_platform::http::Client::new(platform.address());
+    let log = copperwell_log::http::Client::new(platform.address());
     let read = log.read(STREAM, 0, Duration::ZERO).await;
     let records = read.expect("the platform is up").records;
     let bodies = records.iter().map(|entry| Record::decode(&entry.bytes));
@@ -162,7 +162,7 @@
 #[tokio::test]
 async fn a_log_without_state_is_begun_anew_only_when_told() {
     let platform = Platform::start().await;
-    let log = copperwell_platform::http::Client::new(platform.address());
+    let log = copperwell_log::http::Client::new(platform.address());
     for _ in 0..3 {
         log.append(STREAM, vec![0])
             .await
--- a/crates/copperwelld/src/admin.rs
+++ b/crates/copperwelld/src/admin.rs
@@ -22,6 +22,11 @@
     /// Whether callers' requests are welcome.
     fn is_ready(&self) -> bool;
 
+    /// The path under which that is asked for.
+    fn ready_path(&self) -> &str {
+        "/readyz"
+    }
+
     /// The status page, as JSON.
     fn status(&self) -> impl Future<Output = Vec<u8>> + Send;
 
@@ -84,8 +89,7 @@
     }
     match request.uri().path() {
         "/healthz" => plain(StatusCode::OK, "ok\n"),
-        "/readyz" if inspect.is_ready() => plain(StatusCode::OK, "ready\n"),
-        "/readyz" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        path if path == inspect.ready_path() => ready(inspect),
         "/metrics" => metrics(inspect, registry),
         "/status" => json(inspect.status().await),
         "/explain" => explain(request.uri().query().unwrap_or_default(), inspect),
@@ -96,6 +100,14 @@
     }
 }
 
+fn ready(inspect: &impl Inspect) -> Response<Full<Bytes>> {
+    if inspect.is_ready() {
+        plain(StatusCode::OK, "ready\n")
+    } else {
+        plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
 fn metrics(inspect: &impl Inspect, registry: &Registry) -> Response<Full<Bytes>> {
     inspect.refresh();
     let mut text = String::new();
--- a/crates/copperwelld/src/appointer.rs
+++ b/crates/copperwelld/src/appointer.rs
@@ -9,8 +9,8 @@
     record::{Appoint, Body},
     replay::State,
 };
+use copperwell_log::{Log, append::Appender};
 use copperwell_peer::members::Roster;
-use copperwell_platform::{Log, append::Appender};
 use copperwell_policy::{
     appoint::{Peers, proposals},
     restraint::Restraint,
--- a/crates/copperwelld/src/confirm.rs
+++ b/crates/copperwelld/src/confirm.rs
@@ -9,9 +9,9 @@
 use crate::core::Core;
 use copperwell_backend::{Control, Forward};
 use copperwell_keyspace::{DaemonName, GroupId, Member, record::STREAM};
+use copperwell_log::Log;
 use copperwell_ownership::{Evidence, Status};
 use copperwell_peer::control::{Client, Relinquish};
-use copperwell_platform::Log;
 use futures::future::join_all;
 use tokio::time::{Instant, sleep, timeout};
 
--- a/crates/copperwelld/src/core.rs
+++ b/crates/copperwelld/src/core.rs
@@ -13,12 +13,12 @@
 use copperwell_backend::{Control, Forward};
 use copperwell_dispatch::{Engine, table::Table};
 use copperwell_keyspace::{DaemonName, HashSet, LogOffset, Member, batch::Batch, replay::State};
+use copperwell_log::follow::{Held, View};
 use copperwell_ownership::Groups;
 use copperwell_peer::{
     control::{HandOver, Handler, Pong, Probe, RECORDS_MAX, Relinquish, Snapshot},
     members::Members,
 };
-use copperwell_platform::follow::{Held, View};
 use copperwell_policy::{listing::Need, quarantine::Share, window::Export};
 use tokio::sync::watch;
 
--- a/crates/copperwelld/src/daemon.rs
+++ b/crates/copperwelld/src/daemon.rs
@@ -9,12 +9,12 @@
 use copperwell_backend::{Client as Servers, Pool};
 use copperwell_caller::server;
 use copperwell_keyspace::Member;
+use copperwell_log::follow::Follower;
 use copperwell_peer::{
     control::{self, Client},
     link,
     members::Guard,
 };
-use copperwell_platform::follow::Follower;
 use error_stack::{Report, ResultExt};
 use spdlog::info;
 use tokio::{sync::mpsc, task::JoinHandle, time::timeout};
--- /dev/null
+++ b/crates/copperwelld/src/gateway.rs
@@ -0,0 +1,297 @@
+//! The daemon on the users' platform: requests go straight to upstreams that register themselves.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use crate::admin::{self, Inspect};
+use copperwell_assignment::{
+    clock::{Boot, Clock},
+    driver::{self, Driver, Identity},
+    exchange::Desk,
+    machine,
+    metrics::Metrics as AssignmentMetrics,
+};
+use copperwell_caller::server;
+use copperwell_gateway::{Beliefs, Gateway, metrics::Metrics, watch};
+use copperwell_platform::{
+    Entries, Orders, Published, Settings, Store, Wire, settings::READY_PATH,
+};
+use copperwell_routing::Key;
+use error_stack::{Report, ResultExt};
+use prometheus_client::registry::Registry;
+use serde::Serialize;
+use spdlog::{info, warn};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    task::JoinHandle,
+    time::{Instant, sleep, sleep_until, timeout_at},
+};
+use tokio_util::sync::CancellationToken;
+
+/// The share of its descriptors that a daemon uses for callers' connections.
+const CALLERS_SHARE: f64 = 0.6;
+
+/// How long a daemon that stops goes on taking connections: until nobody is sent to it any more.
+const ROTATION_TIME: Duration = Duration::from_millis(2_500);
+
+/// How long before the platform ends it a daemon that stops has ended by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// A running daemon.
+pub struct Daemon {
+    gateway: Arc<Gateway<Wire>>,
+    watcher: Arc<Watcher>,
+    grace: Duration,
+    /// Ends leadership.
+    leading: CancellationToken,
+    /// Ends the taking of connections.
+    serving: CancellationToken,
+    callers: JoinHandle<()>,
+    driver: JoinHandle<()>,
+}
+
+/// A daemon that cannot start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Error;
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the daemon cannot start")
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// What the admin endpoint tells.
+struct Watcher {
+    beliefs: Arc<Beliefs>,
+    is_stopping: AtomicBool,
+}
+
+/// The status page.
+#[derive(Debug, Serialize)]
+struct Status {
+    ready: bool,
+    configuration: Option<u64>,
+    upstreams: usize,
+    daemons: u32,
+    term: u64,
+    table: u64,
+}
+
+/// Who serves a key.
+#[derive(Debug, Serialize)]
+struct Explanation {
+    service: String,
+    key: Key,
+    holder: Option<String>,
+    term: u64,
+    table: u64,
+}
+
+impl Daemon {
+    /// Starts a daemon; it is ready once it has read configuration and upstreams.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if an address cannot be listened on.
+    pub async fn start(settings: &Settings) -> Result<Self, Report<Error>> {
+        let callers = listen(settings.callers).await?;
+        let ready = listen(settings.ready).await?;
+        let control = listen(settings.control).await?;
+        let exchange_port = *settings.internal_ports.start();
+        let address = SocketAddr::new(settings.callers.ip(), exchange_port);
+        let exchange = listen(address).await?;
+
+        let mut registry = Registry::with_prefix("copperwell");
+        let metrics = Metrics::new(&mut registry);
+        let store = Arc::new(Store::new(settings.store));
+        let zone = settings.zone.clone();
+        let beliefs = Arc::new(Beliefs::new(zone, settings.allowance));
+        let connections = (settings.descriptors as f64 * CALLERS_SHARE) as usize;
+        let gateway = Gateway::new(Wire, beliefs.clone(), metrics.clone(), connections.max(1));
+        gateway.lanes().register(&mut registry);
+        let gateway = Arc::new(gateway);
+
+        let source = Arc::new(Published::new(store.clone()));
+        tokio::spawn(watch::configurations(
+            source.clone(),
+            beliefs.clone(),
+            metrics.clone(),
+        ));
+        let tidied = gateway.clone();
+        tokio::spawn(watch::upstreams(
+            source,
+            beliefs.clone(),
+            Boot,
+            metrics,
+            move || tidied.tidy(),
+        ));
+
+        let leading = CancellationToken::new();
+        let (desk, reports) = Desk::new(beliefs.keys.directory.clone());
+        tokio::spawn(desk.clone().serve(exchange));
+        let driver = Driver {
+            identity: Identity {
+                name: settings.name.as_str().into(),
+                run: run_number(),
+                address,
+            },
+            timing: timing(settings),
+            register: Arc::new(Entries::new(store)),
+            command: Arc::new(Orders::default()),
+            clock: Boot,
+            scene: beliefs.clone(),
+            shared: beliefs.keys.clone(),
+            desk,
+            metrics: AssignmentMetrics::new(&mut registry),
+        };
+        let driver = tokio::spawn(driver.run(reports, leading.clone()));
+
+        let serving = CancellationToken::new();
+        let watcher = Arc::new(Watcher {
+            beliefs,
+            is_stopping: AtomicBool::new(false),
+        });
+        let registry = Arc::new(registry);
+        for listener in [ready, control] {
+            let never = CancellationToken::new();
+            let serve = admin::serve(listener, watcher.clone(), registry.clone(), never);
+            tokio::spawn(serve);
+        }
+        let serve = server::serve_with(callers, gateway.clone(), serving.clone());
+        let callers = tokio::spawn(async move {
+            // It ends with its listening socket.
+            let _ = serve.await;
+        });
+        info!("started", kv: { event = "start", name = settings.name.as_str(), zone = &*settings.zone, version = env!("CARGO_PKG_VERSION") });
+        Ok(Self {
+            gateway,
+            watcher,
+            grace: settings.grace,
+            leading,
+            serving,
+            callers,
+            driver,
+        })
+    }
+
+    /// Hands leadership over, lets callers go elsewhere, and ends what is in flight.
+    pub async fn stop(mut self) {
+        let began = Instant::now();
+        info!("stopping", kv: { event = "stop" });
+        self.watcher.is_stopping.store(true, Ordering::Release);
+        self.gateway.stop();
+        self.leading.cancel();
+        let end = began + self.grace.saturating_sub(GRACE_MARGIN);
+        sleep_until(end.min(began + ROTATION_TIME)).await;
+        self.serving.cancel();
+        let ended = timeout_at(end, &mut self.callers).await;
+        let _ = timeout_at(end, &mut self.driver).await;
+        info!("stopped", kv: { event = "stopped", whole = ended.is_ok() });
+        // The last line is on its way.
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Checks the settings file again at each SIGHUP and says what a change asks for.
+///
+/// Addresses and names are in use, so a change of them needs a start.
+pub async fn reload(path: PathBuf) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
+        warn!("cannot listen for SIGHUP", kv: { event = "reload-off" });
+        return;
+    };
+    let mut known = Settings::load(&path).ok();
+    while hangups.recv().await.is_some() {
+        match Settings::load(&path) {
+            Ok(settings) => {
+                let changed = known.as_ref() != Some(&settings);
+                info!("settings were read again", kv: { event = "reload", changed });
+                known = Some(settings);
+            }
+            Err(report) => {
+                warn!("settings cannot be used; the earlier ones stay in force", kv: { event = "reload-failed", report:? });
+            }
+        }
+    }
+}
+
+impl Inspect for Watcher {
+    fn is_ready(&self) -> bool {
+        self.beliefs.is_complete() && !self.is_stopping.load(Ordering::Acquire)
+    }
+
+    fn ready_path(&self) -> &str {
+        READY_PATH
+    }
+
+    async fn status(&self) -> Vec<u8> {
+        let version = self.beliefs.keys.directory.tables().version;
+        let configuration = self.beliefs.configuration();
+        let status = Status {
+            ready: self.is_ready(),
+            configuration: configuration.map(|known| known.version),
+            upstreams: self.beliefs.registry().len(),
+            daemons: self.beliefs.keys.daemons.load(Ordering::Relaxed),
+            term: version.term,
+            table: version.number,
+        };
+        serde_json::to_vec(&status).unwrap_or_default()
+    }
+
+    fn explain(&self, service: &str, key: &str) -> Option<Vec<u8>> {
+        let configuration = self.beliefs.configuration()?;
+        configuration.service(service)?;
+        let key = key.parse().ok()?;
+        let directory = &self.beliefs.keys.directory;
+        let version = directory.tables().version;
+        let explanation = Explanation {
+            service: service.to_owned(),
+            key,
+            holder: directory.holder(service, key).map(|id| id.to_string()),
+            term: version.term,
+            table: version.number,
+        };
+        serde_json::to_vec(&explanation).ok()
+    }
+
+    fn refresh(&self) {}
+}
+
+fn timing(settings: &Settings) -> driver::Timing {
+    let usual = machine::Timing::default();
+    driver::Timing {
+        grants: machine::Timing {
+            hold: usual.hold.min(settings.hold_max),
+            hold_max: settings.hold_max,
+            ..usual
+        },
+        ..driver::Timing::default()
+    }
+}
+
+/// A number that differs from that of earlier runs.
+fn run_number() -> u64 {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    let wall = wall.unwrap_or_default().as_nanos();
+    let boot = Boot.now().as_nanos();
+    // The time of day may jump back; the time since the machine was started does not.
+    u64::try_from((wall ^ (boot << 1)) & u128::from(u64::MAX)).unwrap_or(0)
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(Error)
+        .attach_with(|| format!("listening on {address}"))
+}
--- a/crates/copperwelld/src/lib.rs
+++ b/crates/copperwelld/src/lib.rs
@@ -1,6 +1,7 @@
-//! The entry daemon: ingress for callers and leader of groups.
+//! The entry daemon: ingress for callers and leader of groups, or a gateway on the users' platform.
 
 pub mod daemon;
+pub mod gateway;
 pub mod log;
 pub mod settings;
 
--- a/crates/copperwelld/src/log.rs
+++ b/crates/copperwelld/src/log.rs
@@ -44,6 +44,20 @@
     }
 }
 
+/// Sends log lines as JSON objects to standard output.
+///
+/// # Errors
+///
+/// An error if the logger cannot be built.
+pub fn install_on_stdout() -> Result<(), Report<spdlog::Error>> {
+    let sink = StdStreamSink::builder()
+        .stdout()
+        .formatter(JsonFormatter::new())
+        .build_arc()
+        .attach("building the log sink")?;
+    set_default(sink)
+}
+
 /// Writes no log lines, for programs that run daemons among other things.
 pub fn silence() {
     spdlog::default_logger().set_level_filter(LevelFilter::Off);
@@ -55,6 +69,10 @@
         .formatter(formatter)
         .build_arc()
         .attach("building the log sink")?;
+    set_default(sink)
+}
+
+fn set_default(sink: Arc<StdStreamSink>) -> Result<(), Report<spdlog::Error>> {
     let logger = Logger::builder()
         .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(Level::Info))
--- a/crates/copperwelld/src/main.rs
+++ b/crates/copperwelld/src/main.rs
@@ -1,16 +1,22 @@
 //! The entry daemon's command line.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    future::Future,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
+use copperwell_platform::settings;
 use copperwelld::{
     daemon::Daemon,
+    gateway,
     log::{self, Format},
     settings::Settings,
 };
 use spdlog::{critical, info};
 use tokio::{
-    runtime,
+    runtime::{self, Runtime},
     signal::unix::{Signal, SignalKind, signal},
 };
 
@@ -21,36 +27,55 @@
 
 /// Routes requests to servers that own keys exclusively.
 ///
-/// SIGTERM hands groups over and finishes requests in flight; a second one stops at once.
+/// SIGTERM hands leadership over and finishes requests in flight; a second one stops at once.
 /// Exit codes: 0 stopped, 1 failed to start or stopped at once, 2 unusable settings.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
-struct Args {
-    /// Settings file in YAML.
-    #[bpaf(long, argument("FILE"))]
-    settings: PathBuf,
-    /// Check the settings and exit.
-    #[bpaf(long)]
-    check: bool,
-    /// Shape of log lines on standard error: `text` or `json`.
-    #[bpaf(long, argument("FORMAT"), fallback(Format::Text))]
-    log_format: Format,
+enum Args {
+    /// Runs on the users' platform, whose settings file and store it reads.
+    #[bpaf(command)]
+    Gateway {
+        /// Settings file in the platform's format; without it, the one that the platform names.
+        #[bpaf(long, argument("FILE"))]
+        settings: Option<PathBuf>,
+        /// Check the settings and exit.
+        #[bpaf(long)]
+        check: bool,
+    },
+    Entry {
+        /// Settings file in YAML.
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+        /// Check the settings and exit.
+        #[bpaf(long)]
+        check: bool,
+        /// Shape of log lines on standard error: `text` or `json`.
+        #[bpaf(long, argument("FORMAT"), fallback(Format::Text))]
+        log_format: Format,
+    },
 }
 
 fn main() -> ExitCode {
-    let args = args().run();
-    let settings = match Settings::load(&args.settings) {
+    match args().run() {
+        Args::Gateway { settings, check } => run_gateway(settings, check),
+        Args::Entry {
+            settings,
+            check,
+            log_format,
+        } => run_entry(&settings, check, log_format),
+    }
+}
+
+fn run_entry(path: &Path, check: bool, format: Format) -> ExitCode {
+    let settings = match Settings::load(path) {
         Ok(settings) => settings,
-        Err(report) => {
-            eprintln!("copperwelld: {report:?}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
+        Err(report) => return unusable(&report),
     };
-    if args.check {
-        println!("{}: fine", args.settings.display());
+    if check {
+        println!("{}: fine", path.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(report) = log::install(args.log_format) {
+    if let Err(report) = log::install(format) {
         eprintln!("copperwelld: {report:?}");
         return ExitCode::from(EXIT_FAILED);
     }
@@ -58,19 +83,68 @@
     if let Some(workers) = settings.workers {
         builder.worker_threads(workers);
     }
-    let runtime = match builder.enable_all().build() {
+    run_on(builder, async {
+        match Daemon::start(settings).await {
+            Ok(daemon) => run_until_stopped(daemon.stop()).await,
+            Err(report) => cannot_start(&report),
+        }
+    })
+}
+
+fn run_gateway(path: Option<PathBuf>, check: bool) -> ExitCode {
+    let Some(path) = path.or_else(settings::path) else {
+        eprintln!("copperwelld: no settings file; name one with --settings");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match copperwell_platform::Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(report) => return unusable(&report),
+    };
+    if check {
+        println!("{}: fine", path.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(report) = log::install_on_stdout() {
+        eprintln!("copperwelld: {report:?}");
+        return ExitCode::from(EXIT_FAILED);
+    }
+    // The machines have one small core, which one thread uses best.
+    run_on(runtime::Builder::new_current_thread(), async {
+        match gateway::Daemon::start(&settings).await {
+            Ok(daemon) => {
+                tokio::spawn(gateway::reload(path));
+                run_until_stopped(daemon.stop()).await
+            }
+            Err(report) => cannot_start(&report),
+        }
+    })
+}
+
+fn unusable(report: &impl std::fmt::Debug) -> ExitCode {
+    eprintln!("copperwelld: {report:?}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn cannot_start(report: &impl std::fmt::Debug) -> ExitCode {
+    critical!("cannot start", kv: { report:? });
+    ExitCode::from(EXIT_FAILED)
+}
+
+fn run_on(mut builder: runtime::Builder, run: impl Future<Output = ExitCode>) -> ExitCode {
+    let runtime: Runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             critical!("cannot start worker threads", kv: { error:? });
             return ExitCode::from(EXIT_FAILED);
         }
     };
-    let code = runtime.block_on(run(settings));
+    let code = runtime.block_on(run);
     runtime.shutdown_background();
     code
 }
 
-async fn run(settings: Settings) -> ExitCode {
+/// Waits for a signal, and then for `stop` or another signal.
+async fn run_until_stopped(stop: impl Future<Output = ()>) -> ExitCode {
     let signals = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -79,16 +153,9 @@
         critical!("cannot listen for signals");
         return ExitCode::from(EXIT_FAILED);
     };
-    let daemon = match Daemon::start(settings).await {
-        Ok(daemon) => daemon,
-        Err(report) => {
-            critical!("cannot start", kv: { report:? });
-            return ExitCode::from(EXIT_FAILED);
-        }
-    };
     next_signal(&mut terminate, &mut interrupt).await;
     tokio::select! {
-        () = daemon.stop() => {
+        () = stop => {
             info!("stopped");
             ExitCode::SUCCESS
         }
--- a/crates/copperwelld/src/parts.rs
+++ b/crates/copperwelld/src/parts.rs
@@ -13,6 +13,11 @@
 use copperwell_caller::{Ingress, metrics::Metrics as IngressMetrics};
 use copperwell_dispatch::{Engine, Observation, table::Table};
 use copperwell_keyspace::Member;
+use copperwell_log::{
+    append::Appender,
+    follow::{self, Follower, Source},
+    http, metrics as platform,
+};
 use copperwell_ownership::{Event, Groups};
 use copperwell_peer::{
     control::{Client, Refusals},
@@ -20,11 +25,6 @@
     link::Links,
     members::Members,
 };
-use copperwell_platform::{
-    append::Appender,
-    follow::{self, Follower, Source},
-    http, metrics as platform,
-};
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use tokio::sync::mpsc;
 
--- a/crates/copperwelld/src/relay.rs
+++ b/crates/copperwelld/src/relay.rs
@@ -6,11 +6,11 @@
 };
 
 use copperwell_keyspace::{LogOffset, Member, record::Snapshot, replay::State};
+use copperwell_log::{Batch, Error, Relay, follow::is_news};
 use copperwell_peer::{
     control::Client,
     members::{Members, Roster},
 };
-use copperwell_platform::{Batch, Error, Relay, follow::is_news};
 use copperwell_policy::readers::Readers;
 use error_stack::Report;
 use rand::seq::IndexedRandom;
--- a/crates/copperwelld/src/status.rs
+++ b/crates/copperwelld/src/status.rs
@@ -9,12 +9,12 @@
     replay::{Appointment, State},
     shard,
 };
+use copperwell_log::follow::{self, View};
 use copperwell_operator::status::{
     Explanation, Group, HotKey, Log, LogState, MemberStatus, Role, Status, Upstream,
 };
 use copperwell_ownership as ownership;
 use copperwell_peer::control::Liveness;
-use copperwell_platform::follow::{self, View};
 
 impl<C: Control, F: Forward> Inspect for Core<C, F> {
     fn is_ready(&self) -> bool {
--- a/crates/copperwelld/src/watch.rs
+++ b/crates/copperwelld/src/watch.rs
@@ -8,15 +8,15 @@
 use copperwell_keyspace::{
     DaemonName, HashMap, HashSet, Member, ServiceName, record::Body, replay::State,
 };
+use copperwell_log::{
+    Vm, VmList, VmState,
+    follow::{Status, View},
+};
 use copperwell_ownership::{self as ownership, Event, Evidence};
 use copperwell_peer::{
     control::{Client, Position},
     members::{self as membership},
 };
-use copperwell_platform::{
-    Vm, VmList, VmState,
-    follow::{Status, View},
-};
 use copperwell_policy::{
     listing::{self, Schedule},
     quarantine::Share,
--- a/crates/copperwelld/tests/faults/publish.rs
+++ b/crates/copperwelld/tests/faults/publish.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use copperwell_log::http::Client;
 use copperwell_operator::publish::{Accepted, Error, publish};
-use copperwell_platform::http::Client;
 use tokio::time::Instant;
 
 use crate::support::Bench;
--- a/crates/copperwelld/tests/manifest.rs
+++ b/crates/copperwelld/tests/manifest.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use copperwell_keyspace::manifest::Manifest;
+use copperwell_log::http::Client;
 use copperwell_operator::{
     fleet::Reach,
     publish::{Accepted, Error, publish, wait},
 };
-use copperwell_platform::http::Client;
 use copperwell_rig::cluster::Cluster;
 use tokio::{sync::Mutex, time::Instant};
 
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,253 @@
+//! One request from its arrival to its answer.
+
+use std::{
+    net::IpAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use crate::{
+    beliefs::Beliefs,
+    dialect::{Asked, Dialect},
+    metrics::{Metrics, Stage},
+    refusal::Refusal,
+    room::Rooms,
+    target::Finder,
+    tries::{Lanes, Tries},
+};
+use copperwell_caller::{
+    body::{self, Answer},
+    server::{Handler, Limits},
+};
+use copperwell_message::{Body, Reason, Response};
+use copperwell_routing::configuration::{Configuration, Route};
+use http::{
+    HeaderName, HeaderValue, StatusCode,
+    header::{CONNECTION, HOST},
+    request::Parts,
+};
+use hyper::body::Incoming;
+use spdlog::info;
+use tokio::time::Instant;
+
+/// The largest request head before a configuration says otherwise, in bytes.
+const HEAD_BYTES: usize = 32 << 10;
+
+/// The smallest buffer that the HTTP library takes for a head, in bytes.
+const HEAD_BYTES_MIN: usize = 8 << 10;
+
+/// How long a caller may take or stay idle before a configuration says otherwise.
+const HEAD_TIME: Duration = Duration::from_secs(15);
+
+/// The most header fields of a request.
+const HEADERS: usize = 100;
+
+/// Sends callers' requests straight to upstreams.
+#[derive(Debug)]
+pub struct Gateway<D> {
+    dialect: D,
+    beliefs: Arc<Beliefs>,
+    finder: Finder,
+    lanes: Lanes,
+    metrics: Metrics,
+    connections: usize,
+    is_stopping: AtomicBool,
+}
+
+/// A request that was understood.
+struct Accepted {
+    asked: Asked,
+    route: Arc<Route>,
+    parts: Parts,
+    body: Body,
+    arrived: Instant,
+    until: Instant,
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// A gateway that goes by `beliefs` and keeps at most `connections` callers' connections.
+    #[must_use]
+    pub fn new(dialect: D, beliefs: Arc<Beliefs>, metrics: Metrics, connections: usize) -> Self {
+        let rooms = Arc::new(Rooms::default());
+        Self {
+            dialect,
+            finder: Finder {
+                beliefs: beliefs.clone(),
+                rooms,
+            },
+            lanes: Lanes::default(),
+            beliefs,
+            metrics,
+            connections,
+            is_stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Asks callers from now on to go elsewhere with their next request.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Closes what is kept for upstreams that are gone.
+    pub fn tidy(&self) {
+        let registry = self.beliefs.registry();
+        self.lanes.retain(|id| registry.get(id).is_some());
+        self.finder.rooms.tidy();
+    }
+
+    /// The counters of connections to upstreams.
+    #[must_use]
+    pub fn lanes(&self) -> &copperwell_backend::metrics::Metrics {
+        self.lanes.metrics()
+    }
+
+    async fn accept(
+        &self,
+        request: http::Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Accepted, (Refusal, Option<HeaderValue>)> {
+        let (parts, incoming) = request.into_parts();
+        let asked = self.dialect.asked(&parts.headers);
+        let asked = asked.map_err(|_| (Refusal::not_run(Reason::BadRequest), None))?;
+        let id = asked.id.clone();
+        let refuse = |reason| (Refusal::not_run(reason), Some(id.clone()));
+        let configuration = self.beliefs.configuration();
+        let configuration = configuration.ok_or_else(|| refuse(Reason::NoConfiguration))?;
+        let route = route_of(&configuration, &parts).ok_or_else(|| refuse(Reason::NoRoute))?;
+        let deadline = asked.deadline.unwrap_or(route.timeout);
+        let until = arrived + deadline.min(route.timeout);
+        let body = if http_body::Body::is_end_stream(&incoming) {
+            Body::empty()
+        } else {
+            let limit = configuration.limits.body_bytes;
+            let read = body::read(incoming, limit, until).await;
+            read.map_err(|refusal| refuse(refusal.reason))?.body
+        };
+        Ok(Accepted {
+            asked,
+            route,
+            parts,
+            body,
+            arrived,
+            until,
+        })
+    }
+
+    async fn serve(&self, accepted: Accepted) -> http::Response<Answer> {
+        let Accepted {
+            asked,
+            route,
+            parts,
+            body,
+            arrived,
+            until,
+        } = accepted;
+        let is_repeatable = route.is_repeatable;
+        let tries = Tries {
+            dialect: &self.dialect,
+            beliefs: &self.beliefs,
+            finder: &self.finder,
+            lanes: &self.lanes,
+            metrics: &self.metrics,
+            route: &route,
+            asked: &asked,
+            arrived,
+            until,
+        };
+        let outcome = tries.run(parts, body).await;
+        let whole = arrived.elapsed();
+        self.metrics.time(Stage::Whole, is_repeatable, whole);
+        match outcome {
+            Ok(response) => {
+                self.metrics.answer(response.reply.status);
+                pass_on(response)
+            }
+            Err(refusal) => {
+                self.note(&refusal, &asked.id, Some(&route), whole);
+                refusal.answer(&self.dialect, Some(&asked.id))
+            }
+        }
+    }
+
+    /// Counts and logs a request that gets no upstream's answer.
+    fn note(&self, refusal: &Refusal, id: &HeaderValue, route: Option<&Route>, whole: Duration) {
+        self.metrics.refuse(refusal.reason);
+        let configuration = self.beliefs.configuration();
+        info!("a request got no answer", kv: {
+            event = "request-refused",
+            request = id.to_str().unwrap_or("?"),
+            route = route.map_or("", |route| route.name.as_str()),
+            reason = refusal.reason.as_str(),
+            verdict = refusal.verdict.as_str(),
+            status = refusal.status().as_u16(),
+            whole_ms = whole.as_millis() as u64,
+            configuration = configuration.map_or(0, |known| known.version)
+        });
+    }
+}
+
+impl<D: Dialect> Handler for Gateway<D> {
+    async fn handle(&self, request: http::Request<Incoming>, _: IpAddr) -> http::Response<Answer> {
+        let arrived = Instant::now();
+        self.metrics.requests.inc();
+        let mut answer = match self.accept(request, arrived).await {
+            Ok(accepted) => self.serve(accepted).await,
+            Err((refusal, id)) => {
+                let unknown = HeaderValue::from_static("?");
+                let named = id.as_ref().unwrap_or(&unknown);
+                self.note(&refusal, named, None, arrived.elapsed());
+                refusal.answer(&self.dialect, id.as_ref())
+            }
+        };
+        if self.is_stopping.load(Ordering::Acquire) {
+            let headers = answer.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    fn slow(&self) {
+        self.metrics.slow_heads.inc();
+    }
+
+    fn limits(&self) -> Limits {
+        let configuration = self.beliefs.configuration();
+        let limits = configuration.map(|known| known.limits);
+        Limits {
+            connections: self.connections,
+            // An idle connection waits for the next head, so the longer of both limits counts.
+            head_time: limits.map_or(HEAD_TIME, |limits| limits.head_time.max(limits.idle_time)),
+            headers: HEADERS,
+            head_bytes: limits
+                .map_or(HEAD_BYTES, |limits| limits.head_bytes)
+                .max(HEAD_BYTES_MIN),
+        }
+    }
+}
+
+fn route_of(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
+    let host = match parts.headers.get(HOST) {
+        Some(host) => host.to_str().ok()?,
+        None => parts.uri.host()?,
+    };
+    let host = host.split_once(':').map_or(host, |(name, _)| name);
+    configuration.route(host, parts.uri.path()).cloned()
+}
+
+/// An upstream's answer for the caller.
+fn pass_on(response: Response) -> http::Response<Answer> {
+    let Response { reply, body } = response;
+    let mut http = http::Response::new(Answer::new(body));
+    *http.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = http.headers_mut();
+    for (name, value) in &reply.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            headers.append(name, value);
+        }
+    }
+    http
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,177 @@
+//! Counters and histograms of requests.
+
+use std::time::Duration;
+
+use copperwell_message::Reason;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// The upper bound of the first bucket of latencies, in seconds.
+const FIRST_BUCKET_S: f64 = 0.001;
+
+/// How many buckets latencies have; each reaches twice as far as the one before.
+const BUCKETS: u16 = 15;
+
+/// Counters and histograms of requests; clones count together.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    pub(crate) requests: Counter,
+    refused: Family<ReasonLabel, Counter>,
+    retried: Family<ReasonLabel, Counter>,
+    not_retried: Family<ReasonLabel, Counter>,
+    answered: Family<StatusLabel, Counter>,
+    pub(crate) slow_heads: Counter,
+    latency: Family<StageLabel, Histogram, fn() -> Histogram>,
+    pub(crate) configuration: Gauge,
+    pub(crate) upstreams: Gauge,
+    pub(crate) unreadable: Counter,
+    pub(crate) unread: Family<SourceLabel, Counter>,
+}
+
+/// A part of the time that a request takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Until an upstream was chosen.
+    Queue,
+    /// From sending it to an upstream to the answer.
+    Upstream,
+    /// From its arrival to the answer.
+    Whole,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StatusLabel {
+    status: u16,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabel {
+    stage: &'static str,
+    kind: &'static str,
+}
+
+/// What could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SourceLabel {
+    pub(crate) what: &'static str,
+}
+
+impl Metrics {
+    /// Counters that are registered in `registry`.
+    #[must_use]
+    pub fn new(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let all = metrics.clone();
+        let registry = registry.sub_registry_with_prefix("gateway");
+        registry.register("requests", "Requests from callers", all.requests);
+        registry.register(
+            "refused",
+            "Requests answered without an upstream's answer",
+            all.refused,
+        );
+        registry.register(
+            "retried",
+            "Requests sent once more, by the reason before",
+            all.retried,
+        );
+        registry.register(
+            "not_retried",
+            "Requests not sent once more though that was allowed, for lack of budget",
+            all.not_retried,
+        );
+        registry.register("answered", "Upstreams' answers passed on", all.answered);
+        registry.register(
+            "slow_heads",
+            "Callers too slow in sending a head",
+            all.slow_heads,
+        );
+        registry.register(
+            "latency_seconds",
+            "Time that requests take, by stage",
+            all.latency,
+        );
+        registry.register(
+            "configuration_version",
+            "Configuration in force",
+            all.configuration,
+        );
+        registry.register("upstreams", "Upstreams that are registered", all.upstreams);
+        registry.register(
+            "unreadable",
+            "Registrations that could not be understood",
+            all.unreadable,
+        );
+        registry.register("unread", "Readings of the store that failed", all.unread);
+        metrics
+    }
+
+    pub(crate) fn refuse(&self, reason: Reason) {
+        let reason = reason.as_str();
+        self.refused.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    pub(crate) fn retry(&self, reason: Reason) {
+        let reason = reason.as_str();
+        self.retried.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    pub(crate) fn no_retry(&self, reason: Reason) {
+        let reason = reason.as_str();
+        self.not_retried
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
+    pub(crate) fn answer(&self, status: u16) {
+        self.answered.get_or_create(&StatusLabel { status }).inc();
+    }
+
+    pub(crate) fn time(&self, stage: Stage, is_repeatable: bool, time: Duration) {
+        let label = StageLabel {
+            stage: match stage {
+                Stage::Queue => "queue",
+                Stage::Upstream => "upstream",
+                Stage::Whole => "whole",
+            },
+            kind: if is_repeatable { "repeatable" } else { "once" },
+        };
+        self.latency
+            .get_or_create(&label)
+            .observe(time.as_secs_f64());
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            requests: Counter::default(),
+            refused: Family::default(),
+            retried: Family::default(),
+            not_retried: Family::default(),
+            answered: Family::default(),
+            slow_heads: Counter::default(),
+            latency: Family::new_with_constructor(new_histogram),
+            configuration: Gauge::default(),
+            upstreams: Gauge::default(),
+            unreadable: Counter::default(),
+            unread: Family::default(),
+        }
+    }
+}
+
+fn new_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+}
--- /dev/null
+++ b/crates/gateway/src/tries.rs
@@ -0,0 +1,295 @@
+//! The tries of one request, until an answer or a failure that stands.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use crate::{
+    beliefs::Beliefs,
+    dialect::{Asked, Dialect, Outbound},
+    metrics::{Metrics, Stage},
+    refusal::Refusal,
+    target::{Finder, Wish},
+};
+use copperwell_backend::{
+    exchange::{Exchange, Failed},
+    lane::Lane,
+    metrics::Metrics as LaneMetrics,
+    pool::Timing,
+};
+use copperwell_message::{Body, HashMap, Reason, Response, Verdict};
+use copperwell_routing::{
+    ServiceName, UpstreamId,
+    configuration::Route,
+    load::End,
+    registry::Upstream,
+    retry::{self, Tried},
+};
+use http::request::Parts;
+use spdlog::info;
+use tokio::time::Instant;
+
+/// How long a new connection to an upstream may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// How long an unused connection is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Connections to an upstream that this daemon keeps at most, whatever the upstream takes.
+const CONNECTIONS_MAX: u32 = 32;
+
+/// The statuses from which on an upstream says that it failed.
+const FAILURE_STATUS: u16 = 500;
+
+/// The part of the objective within which a request must have found an upstream.
+const PATIENCE: f64 = 0.7;
+
+/// The connections to each upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    lanes: Mutex<HashMap<UpstreamId, Arc<Lane>>>,
+    metrics: LaneMetrics,
+}
+
+/// The tries of one request.
+pub(crate) struct Tries<'a, D> {
+    pub(crate) dialect: &'a D,
+    pub(crate) beliefs: &'a Arc<Beliefs>,
+    pub(crate) finder: &'a Finder,
+    pub(crate) lanes: &'a Lanes,
+    pub(crate) metrics: &'a Metrics,
+    pub(crate) route: &'a Route,
+    pub(crate) asked: &'a Asked,
+    pub(crate) arrived: Instant,
+    pub(crate) until: Instant,
+}
+
+/// What became of one try.
+struct Try {
+    end: End,
+    outcome: Result<Response, Failed>,
+}
+
+impl Lanes {
+    /// The counters of connections.
+    pub(crate) fn metrics(&self) -> &LaneMetrics {
+        &self.metrics
+    }
+
+    /// Closes the connections to upstreams that are gone.
+    pub(crate) fn retain(&self, is_alive: impl Fn(&str) -> bool) {
+        let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        lanes.retain(|id, _| is_alive(id));
+    }
+
+    fn of(&self, upstream: &Upstream, connections: u32) -> Arc<Lane> {
+        let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = lanes.get(&upstream.id);
+        if let Some(lane) = known.filter(|lane| lane.address() == upstream.address) {
+            return lane.clone();
+        }
+        let timing = Timing {
+            connect: CONNECT_LIMIT,
+            idle: IDLE_LIMIT,
+            warm: 0,
+        };
+        let limit = connections.clamp(1, CONNECTIONS_MAX);
+        let lane = Lane::new(upstream.address, limit, timing, self.metrics.clone());
+        let lane = Arc::new(lane);
+        lanes.insert(upstream.id.clone(), lane.clone());
+        lane
+    }
+}
+
+impl<D: Dialect> Tries<'_, D> {
+    /// Sends the request until there is an answer or a failure that stands.
+    pub(crate) async fn run(&self, parts: Parts, body: Body) -> Result<Response, Refusal> {
+        let service = self.route.deal().cloned();
+        let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?;
+        self.beliefs.count_request(&service);
+        let wish = self.wish(&service)?;
+        let whole = body.as_full();
+        let mut once = Some(body);
+        let mut sent: Vec<UpstreamId> = Vec::new();
+        let mut stale = None;
+        // The answer or failure that stands unless another try does better.
+        let mut last: Option<Result<Response, Refusal>> = None;
+        loop {
+            let found = self.finder.find(&wish, &sent, stale.take()).await;
+            let upstream = match found {
+                Ok(upstream) => upstream,
+                Err(refusal) => return last.unwrap_or(Err(refusal)),
+            };
+            if sent.is_empty() {
+                let waited = self.arrived.elapsed();
+                self.metrics
+                    .time(Stage::Queue, self.route.is_repeatable, waited);
+            }
+            let body = match &whole {
+                Some(whole) => Body::full(whole.clone()),
+                None => match once.take() {
+                    Some(body) => body,
+                    None => return last.unwrap_or(Err(Refusal::not_run(Reason::QueueFull))),
+                },
+            };
+            let version = self.beliefs.keys.directory.tables().version;
+            let tried = self.send(&upstream, &parts, body).await;
+            sent.push(upstream.id.clone());
+            let judged = self.judge(tried, &upstream, sent.len());
+            let (result, failed) = match judged {
+                Judged::Final(result) => return result,
+                Judged::Again(result, failed) => (result, failed),
+            };
+            if whole.is_none() || !self.beliefs.take_retry(&service) {
+                self.metrics.no_retry(failed.reason);
+                return result;
+            }
+            self.metrics.retry(failed.reason);
+            if failed.reason == Reason::Fenced {
+                stale = Some(version);
+            }
+            last = Some(result);
+        }
+    }
+
+    fn wish(&self, service: &ServiceName) -> Result<Wish, Refusal> {
+        let configuration = self.beliefs.configuration();
+        let is_keyed = configuration
+            .as_ref()
+            .and_then(|known| known.service(service))
+            .is_some_and(|service| service.is_keyed);
+        let key = match (is_keyed, self.asked.key) {
+            (false, _) => None,
+            (true, Some(key)) => {
+                self.beliefs.keys.counts.count(service, key);
+                Some(key)
+            }
+            (true, None) => return Err(Refusal::not_run(Reason::BadRequest)),
+        };
+        let patience = self.route.objective.mul_f64(PATIENCE);
+        Ok(Wish {
+            service: service.clone(),
+            key,
+            until: self.until.min(self.arrived + patience),
+        })
+    }
+
+    async fn send(&self, upstream: &Arc<Upstream>, parts: &Parts, body: Body) -> Try {
+        let connections = self.connections_to(upstream);
+        let lane = self.lanes.of(upstream, connections);
+        let outbound = Outbound {
+            method: parts.method.clone(),
+            target: parts.uri.clone(),
+            headers: parts.headers.clone(),
+            id: self.asked.id.clone(),
+            upstream: upstream.id.clone(),
+        };
+        let flight = self.finder.rooms.begin(self.beliefs, &upstream.id);
+        let left = self.until.saturating_duration_since(Instant::now());
+        let exchange = Exchange::new(lane, left, self.until);
+        let outcome = exchange.run(self.dialect, &outbound, body).await;
+        let end = end_of(&outcome);
+        let took = flight.end(end);
+        self.metrics
+            .time(Stage::Upstream, self.route.is_repeatable, took);
+        Try { end, outcome }
+    }
+
+    /// This daemon's share of the connections that an upstream takes.
+    fn connections_to(&self, upstream: &Upstream) -> u32 {
+        let configuration = self.beliefs.configuration();
+        let service = configuration
+            .as_ref()
+            .and_then(|known| known.service(&upstream.service));
+        let all = service.map_or(CONNECTIONS_MAX, |service| service.connections);
+        let daemons = &self.beliefs.keys.daemons;
+        let daemons = daemons.load(std::sync::atomic::Ordering::Relaxed).max(1);
+        (all / daemons).max(upstream.slots)
+    }
+
+    /// Whether a try is the last one.
+    fn judge(&self, tried: Try, upstream: &Upstream, sent: usize) -> Judged {
+        let (failed, result) = match tried.outcome {
+            Ok(response) if tried.end == End::Answered => return Judged::Final(Ok(response)),
+            Ok(response) => match response.reply.reason {
+                Some(reason) => {
+                    let mut refusal = Refusal::not_run(reason);
+                    refusal.retry_after = response.reply.retry_after;
+                    (
+                        Failed {
+                            verdict: Verdict::NotRun,
+                            reason,
+                        },
+                        Err(refusal),
+                    )
+                }
+                None => {
+                    let reason = Reason::UpstreamFailed;
+                    (
+                        Failed {
+                            verdict: Verdict::MayHaveRun,
+                            reason,
+                        },
+                        Ok(response),
+                    )
+                }
+            },
+            Err(failed) => {
+                let refusal = match failed.verdict {
+                    Verdict::NotRun => Refusal::not_run(failed.reason),
+                    _ => Refusal::may_have_run(failed.reason),
+                };
+                (failed, Err(refusal))
+            }
+        };
+        let may_follow = retry::may_follow(&Tried {
+            verdict: failed.verdict,
+            reason: failed.reason,
+            is_repeatable: self.route.is_repeatable,
+            sent: u32::try_from(sent).unwrap_or(u32::MAX),
+            attempts: self.route.attempts,
+            left: self.until.saturating_duration_since(Instant::now()),
+        });
+        info!("a try failed", kv: {
+            event = "try-failed",
+            request = self.asked.id.to_str().unwrap_or("?"),
+            route = self.route.name.as_str(),
+            server = &*upstream.id,
+            zone = &*upstream.zone,
+            number = sent,
+            reason = failed.reason.as_str(),
+            verdict = failed.verdict.as_str(),
+            again = may_follow
+        });
+        if may_follow {
+            Judged::Again(result, failed)
+        } else {
+            Judged::Final(result)
+        }
+    }
+}
+
+/// What follows from a try.
+enum Judged {
+    /// Its outcome stands.
+    Final(Result<Response, Refusal>),
+    /// Another try may do better, if the budget pays for it.
+    Again(Result<Response, Refusal>, Failed),
+}
+
+fn end_of(outcome: &Result<Response, Failed>) -> End {
+    match outcome {
+        Ok(response) => match response.reply.reason {
+            Some(Reason::Fenced) => End::Misdirected,
+            Some(_) => End::Shed,
+            None if response.reply.status >= FAILURE_STATUS => End::Failed,
+            None => End::Answered,
+        },
+        Err(failed) => match failed.reason {
+            Reason::DeadlinePassed | Reason::ConnectionSilent => End::Silent,
+            Reason::DeadlineHopeless => End::Cancelled,
+            _ => End::Lost,
+        },
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,142 @@
+//! Keeps what a daemon believes up to date.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    beliefs::Beliefs,
+    metrics::{Metrics, SourceLabel},
+};
+use copperwell_assignment::clock::Clock;
+use copperwell_message::HashSet;
+use copperwell_routing::{
+    registry::Changes,
+    source::{Listing, Source, Unread},
+};
+use spdlog::{info, warn};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// How long a reading waits for a newer configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(2);
+
+/// How long after a failed reading the next one follows.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// How often the list of upstreams is read.
+const LIST_TIME: Duration = Duration::from_millis(1_000);
+
+/// Reads configurations as they come, for ever.
+pub async fn configurations(source: Arc<impl Source>, beliefs: Arc<Beliefs>, metrics: Metrics) {
+    let mut reader = Reader::new("configuration", metrics.clone());
+    loop {
+        let above = beliefs.configuration().map(|known| known.version);
+        let read = source.configuration(above, CONFIGURATION_WAIT).await;
+        match reader.note(read) {
+            Some(Some(configuration)) => {
+                let version = configuration.version;
+                metrics
+                    .configuration
+                    .set(i64::try_from(version).unwrap_or(i64::MAX));
+                if beliefs.take_configuration(configuration) {
+                    info!("a configuration is in force", kv: { event = "configuration", version, before = above.unwrap_or(0) });
+                }
+            }
+            Some(None) if above.is_none() => sleep(RETRY).await,
+            Some(None) => {}
+            None => sleep(RETRY).await,
+        }
+    }
+}
+
+/// Reads the list of upstreams at a steady pace, for ever; `changed` is called after each.
+pub async fn upstreams(
+    source: Arc<impl Source>,
+    beliefs: Arc<Beliefs>,
+    clock: impl Clock,
+    metrics: Metrics,
+    changed: impl Fn(),
+) {
+    let mut reader = Reader::new("upstreams", metrics.clone());
+    let mut unreadable: HashSet<String> = HashSet::default();
+    let mut ticks = interval(LIST_TIME);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let listed_at = clock.now();
+        let read = source.upstreams().await;
+        let Some(listing) = reader.note(read) else {
+            beliefs.miss_upstreams();
+            continue;
+        };
+        note_unreadable(&listing, &mut unreadable, &metrics);
+        let changes = beliefs.take_upstreams(listing.upstreams, listed_at);
+        let count = beliefs.registry().len();
+        metrics
+            .upstreams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+        log(&changes);
+        changed();
+    }
+}
+
+/// Tells when a dependency is lost and when it is back.
+struct Reader {
+    what: &'static str,
+    metrics: Metrics,
+    is_lost: bool,
+}
+
+impl Reader {
+    fn new(what: &'static str, metrics: Metrics) -> Self {
+        Self {
+            what,
+            metrics,
+            is_lost: false,
+        }
+    }
+
+    fn note<T>(&mut self, read: Result<T, Unread>) -> Option<T> {
+        let what = self.what;
+        match read {
+            Ok(read) => {
+                if std::mem::take(&mut self.is_lost) {
+                    info!("the store answers again", kv: { dependency = "store", what });
+                }
+                Some(read)
+            }
+            Err(unread) => {
+                let label = SourceLabel { what };
+                self.metrics.unread.get_or_create(&label).inc();
+                if !std::mem::replace(&mut self.is_lost, true) {
+                    warn!("the store does not answer", kv: { dependency = "store", what, why = unread.why.as_str() });
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Logs each registration that cannot be understood once.
+fn note_unreadable(listing: &Listing, known: &mut HashSet<String>, metrics: &Metrics) {
+    for name in &listing.unreadable {
+        metrics.unreadable.inc();
+        if known.insert(name.clone()) {
+            warn!("a registration cannot be understood and is passed over", kv: { event = "registration-unreadable", server = name.as_str() });
+        }
+    }
+    known.retain(|name| listing.unreadable.contains(name));
+}
+
+fn log(changes: &Changes) {
+    for upstream in &changes.joined {
+        info!("an upstream joined", kv: { event = "joined", server = &*upstream.id, service = &*upstream.service, zone = &*upstream.zone, born = upstream.born, slots = upstream.slots });
+    }
+    for upstream in &changes.draining {
+        info!("an upstream drains", kv: { event = "draining", server = &*upstream.id, service = &*upstream.service });
+    }
+    for upstream in &changes.gone {
+        info!("an upstream is gone", kv: { event = "gone", server = &*upstream.id, service = &*upstream.service });
+    }
+    if changes.kept > 0 {
+        info!("upstreams that the list lacks are kept for now", kv: { event = "kept", count = changes.kept });
+    }
+}
--- a/crates/platform/tests/decode.rs
+++ b/crates/log/tests/decode.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Debug;
 
-use copperwell_platform::{
+use copperwell_log::{
     Batch,
     http::{Append, Appended, Vms},
 };
--- a/crates/platform/tests/follow.rs
+++ b/crates/log/tests/follow.rs
@@ -8,14 +8,14 @@
     record::{Body, STREAM, Snapshot},
     replay::Outcome,
 };
-use copperwell_message::Class;
-use copperwell_platform::{
+use copperwell_log::{
     Batch, Error, Log, NoRelay, Relay, Vm, VmList, VmState,
     append::Appender,
     follow::{Follower, Held, Settings, Source, Status, View},
     http::Client,
     metrics::Metrics,
 };
+use copperwell_message::Class;
 use copperwell_standin::platform::Platform;
 use error_stack::Report;
 use test_case::test_case;
--- a/crates/platform/tests/relay.rs
+++ b/crates/log/tests/relay.rs
@@ -13,7 +13,7 @@
     manifest::Manifest,
     record::{Body, Id, Record, Snapshot},
 };
-use copperwell_platform::{
+use copperwell_log::{
     Batch, Entry, Error, Log, Relay,
     follow::{Follower, Held, Settings, Source, Status, View},
     metrics::Metrics,
--- a/crates/operator/src/admin.rs
+++ b/crates/operator/src/admin.rs
@@ -6,7 +6,7 @@
     query::encode,
     status::{EXPLAIN_PATH, Explanation, STATUS_PATH, Status},
 };
-use copperwell_platform::{Error, http};
+use copperwell_log::{Error, http};
 use error_stack::Report;
 
 /// How long a daemon may take to answer.
--- a/crates/operator/src/load.rs
+++ b/crates/operator/src/load.rs
@@ -7,7 +7,7 @@
     reader::{Phase, Reader},
     record::STREAM,
 };
-use copperwell_platform::{Log, http::Client};
+use copperwell_log::{Log, http::Client};
 use error_stack::{Report, ResultExt};
 use tokio::{fs, time::sleep};
 
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -14,7 +14,7 @@
     record::{Body, Id, Record, STREAM, Snapshot},
     replay::{Outcome, State},
 };
-use copperwell_platform::{Error as PlatformError, Log, http::Client};
+use copperwell_log::{Error as PlatformError, Log, http::Client};
 use error_stack::{Report, ResultExt};
 use rand::RngExt;
 use serde::Serialize;
--- a/crates/operator/tests/fleet.rs
+++ b/crates/operator/tests/fleet.rs
@@ -12,6 +12,7 @@
     manifest::Manifest,
     record::STREAM,
 };
+use copperwell_log::{Log as _, http};
 use copperwell_operator::{
     admin::Client,
     fleet::Fleet,
@@ -19,7 +20,6 @@
     query,
     status::{Explanation, Group, Log, LogState, MemberStatus, Role, Status, Upstream},
 };
-use copperwell_platform::{Log as _, http};
 use copperwell_standin::platform::Platform;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -19,8 +19,8 @@
     manifest::{Manifest, Upstream},
     record::{Body, Id, Record as LogRecord, STREAM},
 };
+use copperwell_log::{Log, http::Client};
 use copperwell_operator::status::{STATUS_PATH, Status};
-use copperwell_platform::{Log, http::Client};
 use copperwell_standin::{
     backend::{Options, Record, Server},
     platform::Platform,
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -15,7 +15,7 @@
 };
 
 use copperwell_keyspace::{DaemonName, DataCentreName};
-use copperwell_platform::{Vm, VmState};
+use copperwell_log::{Vm, VmState};
 use copperwell_standin::proxy::{Direction, Proxy};
 use copperwelld::{
     daemon::{Daemon, Listening},
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use copperwell_keyspace::{HashMap, id::LogOffset, record::SIZE_MAX};
-use copperwell_platform::{
+use copperwell_log::{
     Batch, Entry, Vm,
     http::{Append, Appended, Vms},
 };
