Balance keys by work and by how fast servers are

Cause: servers of a service differ in speed and requests in work, but the balance counted requests, so that slow servers had queues (the busiest 1.5 to 1.8 times the mean). The first plan was made with 14 of 19 servers registered, and the others stayed idle until load was seen.

Change: daemons report work for each key and how long servers took; the leader estimates each server's speed without its queue (Little's law) and balances work by it. The first plan waits 3 s for servers to register.

--- a/crates/assignment/src/balance.rs
+++ b/crates/assignment/src/balance.rs
@@ -4,10 +4,13 @@
 
 /// A difference between the most and the least loaded upstream, as a share of the mean, that is
 /// left alone.
-const TOLERATED: f64 = 0.25;
+const TOLERATED: f64 = 0.15;
 
-/// How many standard deviations of the counted requests a difference must exceed.
-const SIGNIFICANT: f64 = 2.5;
+/// How many standard deviations of the counted work a difference must exceed.
+const SIGNIFICANT: f64 = 1.5;
+
+/// The share of all load that is taken to lie evenly on all keys, besides what was counted.
+const EVEN_SHARE: f64 = 0.05;
 
 /// How far a move may overshoot what it is meant to even out.
 const OVERSHOOT: f64 = 1.15;
@@ -39,12 +42,49 @@
     pub to: usize,
 }
 
+/// The load of any range of keys.
+#[derive(Debug, Clone)]
+pub struct Loads {
+    /// The load of all keys below each key.
+    below: Vec<f64>,
+    /// The load that a single request brings.
+    grain: f64,
+}
+
+impl Loads {
+    /// The loads of keys, of which a request brings about `grain`.
+    ///
+    /// Keys without any load count a little, so that they are spread too.
+    #[must_use]
+    pub fn new(loads: &[f32], grain: f64) -> Self {
+        let total: f64 = loads.iter().map(|load| f64::from(*load)).sum();
+        let even = if total > 0.0 {
+            EVEN_SHARE * total / loads.len() as f64
+        } else {
+            1.0
+        };
+        let mut below = Vec::with_capacity(loads.len() + 1);
+        let mut sum = 0.0;
+        below.push(sum);
+        for load in loads {
+            sum += f64::from(*load) + even;
+            below.push(sum);
+        }
+        Self { below, grain }
+    }
+
+    /// The load of the keys from `first` to `last`.
+    #[must_use]
+    pub fn of(&self, first: Key, last: Key) -> f64 {
+        self.below[usize::from(last) + 1] - self.below[usize::from(first)]
+    }
+}
+
 /// The fewest moves, at most `most`, that bring the loads of holders together.
 ///
-/// `loads` has the load of each key, in counted requests; `weights` says how much each holder can
-/// take. A piece is cut where only a part of it is to move.
+/// `weights` says how much each holder can take. A piece is cut where only a part of it is to move.
 #[must_use]
-pub fn moves(pieces: &[Piece], loads: &[f32], weights: &[f64], most: usize) -> Vec<Move> {
+pub fn moves(pieces: &[Piece], loads: &Loads, weights: &[f64], most: usize) -> Vec<Move> {
     let mut state = State::new(pieces, loads, weights);
     let mut moves = Vec::new();
     while moves.len() < most
@@ -58,24 +98,24 @@
 
 /// The load of each holder.
 #[must_use]
-pub fn totals(pieces: &[Piece], loads: &[f32], holders: usize) -> Vec<f64> {
+pub fn totals(pieces: &[Piece], loads: &Loads, holders: usize) -> Vec<f64> {
     let mut totals = vec![0.0; holders];
     for piece in pieces {
-        totals[piece.holder] += load_of(loads, piece.first, piece.last);
+        totals[piece.holder] += loads.of(piece.first, piece.last);
     }
     totals
 }
 
 struct State<'a> {
     pieces: Vec<Piece>,
-    loads: &'a [f32],
+    loads: &'a Loads,
     weights: &'a [f64],
     totals: Vec<f64>,
     mean: f64,
 }
 
 impl<'a> State<'a> {
-    fn new(pieces: &[Piece], loads: &'a [f32], weights: &'a [f64]) -> Self {
+    fn new(pieces: &[Piece], loads: &'a Loads, weights: &'a [f64]) -> Self {
         let totals = totals(pieces, loads, weights.len());
         let weight: f64 = weights.iter().sum();
         Self {
@@ -103,7 +143,7 @@
     fn is_uneven(&self, most: usize, least: usize) -> bool {
         let difference =
             self.totals[most] / self.weights[most] - self.totals[least] / self.weights[least];
-        let noise = (2.0 * self.mean).sqrt();
+        let noise = (self.mean * self.loads.grain).sqrt();
         difference > (TOLERATED * self.mean).max(SIGNIFICANT * noise)
     }
 
@@ -126,14 +166,12 @@
     /// The longest start of a piece whose load is at most what is wanted.
     fn part_of(&self, piece: &Piece, wanted: f64) -> Option<(f64, (Key, Key))> {
         let limit = wanted * OVERSHOOT;
-        let whole = load_of(self.loads, piece.first, piece.last);
+        let whole = self.loads.of(piece.first, piece.last);
         if whole <= limit {
             return Some((whole, (piece.first, piece.last)));
         }
-        let from_start = self.run(piece.first..=piece.last, limit);
-        let from_end = self.run((piece.first..=piece.last).rev(), limit);
-        let start = from_start.map(|(load, last)| (load, (piece.first, last)));
-        let end = from_end.map(|(load, first)| (load, (first, piece.last)));
+        let start = self.longest_start(piece, limit);
+        let end = self.longest_end(piece, limit);
         match (start, end) {
             (Some(start), Some(end)) if end.0 > start.0 => Some(end),
             (Some(start), _) => Some(start),
@@ -141,22 +179,27 @@
         }
     }
 
-    /// How far keys in this order go until their load exceeds `limit`, and that load.
-    fn run(&self, keys: impl Iterator<Item = Key>, limit: f64) -> Option<(f64, Key)> {
-        let mut reached = None;
-        let mut load = 0.0;
-        for key in keys {
-            load += f64::from(self.loads[usize::from(key)]);
-            if load > limit {
-                break;
-            }
-            reached = Some((load, key));
-        }
-        reached
+    fn longest_start(&self, piece: &Piece, limit: f64) -> Option<(f64, (Key, Key))> {
+        let below = &self.loads.below;
+        let first = usize::from(piece.first);
+        let ends = &below[first + 1..=usize::from(piece.last) + 1];
+        let keys = ends.partition_point(|end| end - below[first] <= limit);
+        let last = piece.first + Key::try_from(keys.checked_sub(1)?).ok()?;
+        Some((self.loads.of(piece.first, last), (piece.first, last)))
+    }
+
+    fn longest_end(&self, piece: &Piece, limit: f64) -> Option<(f64, (Key, Key))> {
+        let below = &self.loads.below;
+        let last = usize::from(piece.last);
+        let starts = &below[usize::from(piece.first)..=last];
+        let heavy = starts.partition_point(|start| below[last + 1] - start > limit);
+        let keys = starts.len() - heavy;
+        let first = piece.last - Key::try_from(keys.checked_sub(1)?).ok()?;
+        Some((self.loads.of(first, piece.last), (first, piece.last)))
     }
 
     fn carry_out(&mut self, next: Move) {
-        let load = load_of(self.loads, next.first, next.last);
+        let load = self.loads.of(next.first, next.last);
         let is_cut = |piece: &Piece| piece.first <= next.first && next.last <= piece.last;
         let Some(at) = self.pieces.iter().position(is_cut) else {
             return;
@@ -175,8 +218,3 @@
         }
     }
 }
-
-fn load_of(loads: &[f32], first: Key, last: Key) -> f64 {
-    let keys = &loads[usize::from(first)..=usize::from(last)];
-    keys.iter().map(|load| f64::from(*load)).sum()
-}
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -14,7 +14,7 @@
     table::{Tables, Version},
 };
 use copperwell_message::HashMap;
-use copperwell_routing::{Key, ServiceName};
+use copperwell_routing::ServiceName;
 use futures::{StreamExt, stream::FuturesUnordered};
 use spdlog::{debug, info, warn};
 use tokio::{
@@ -323,10 +323,9 @@
     }
 
     fn count(&mut self, reports: Vec<Report>) {
-        for Report { service, counts } in reports {
-            if let Some(machine) = self.machine(&service) {
-                let counts: Vec<(Key, u32)> = counts;
-                machine.count(counts);
+        for report in reports {
+            if let Some(machine) = self.machine(&report.service) {
+                machine.count(&report);
             }
         }
     }
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod news;
 pub mod order;
+pub mod pace;
 pub mod plan;
 pub mod register;
 pub mod table;
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -15,9 +15,10 @@
 
 use crate::{
     Fence, Holder,
-    balance::{self, Piece},
-    demand::Demand,
+    balance::{self, Loads, Piece},
+    demand::{Demand, Report},
     order::{Action, Order, Outcome},
+    pace::Estimate,
     plan::{Plan, Range},
     table::Table,
 };
@@ -26,10 +27,10 @@
 
 /// Ranges that each upstream gets in the first plan, so that keys that lie close together and are
 /// busy together have several holders.
-const FIRST_RANGES: usize = 4;
+const FIRST_RANGES: usize = 6;
 
 /// How long the first plan waits for more upstreams to register.
-const FIRST_WAIT: Duration = Duration::from_millis(1_500);
+const FIRST_WAIT: Duration = Duration::from_secs(3);
 
 /// How much longer a holder may think its grant lasts, by its own clock, as a part of the grant.
 const CLOCK_DRIFT: f64 = 0.02;
@@ -172,6 +173,8 @@
     unanswered: u32,
     /// When a connection to it was refused or broke: what listens there now may be another run.
     broke: Option<Duration>,
+    /// How fast it works.
+    pace: Estimate,
 }
 
 impl Machine {
@@ -208,9 +211,14 @@
         &self.service
     }
 
-    /// Adds requests that a daemon counted.
-    pub fn count(&mut self, counts: impl IntoIterator<Item = (Key, u32)>) {
-        self.demand.add(counts);
+    /// Adds what a daemon counted.
+    pub fn count(&mut self, report: &Report) {
+        self.demand.add(report.requests, &report.keys);
+        for (id, pace) in &report.upstreams {
+            if let Some(state) = self.holders.get_mut(id) {
+                state.pace.add(pace);
+            }
+        }
     }
 
     /// The orders that are due now; the caller has the right to give them.
@@ -232,7 +240,7 @@
     /// Takes what became of an order.
     pub fn take(&mut self, order: &Order, outcome: Outcome, now: Duration) {
         let known = self.holders.entry(order.holder.id.clone());
-        let state = known.or_insert_with(|| State::at(order.address));
+        let state = known.or_insert_with(|| State::at(order.address, now));
         match outcome {
             Outcome::Done { .. } | Outcome::Fenced => {
                 state.heard = now;
@@ -362,7 +370,7 @@
                 }
             }
         }
-        self.note_addresses(sight);
+        self.note_addresses(sight, now);
         for tract in &mut self.tracts {
             let holder = tract.holder.as_ref();
             let state = holder.and_then(|holder| self.holders.get(&holder.id));
@@ -374,7 +382,7 @@
     }
 
     /// Remembers where upstreams listen, also after their registration is gone.
-    fn note_addresses(&mut self, sight: &Sight<'_>) {
+    fn note_addresses(&mut self, sight: &Sight<'_>, now: Duration) {
         let tracts = &self.tracts;
         let holds = |id: &UpstreamId| {
             let mut holders = tracts.iter().filter_map(|tract| tract.holder.as_ref());
@@ -384,8 +392,9 @@
         self.holders.retain(|id, _| is_listed(id) || holds(id));
         for upstream in sight.upstreams {
             let known = self.holders.entry(upstream.id.clone());
-            let state = known.or_insert_with(|| State::at(upstream.address));
+            let state = known.or_insert_with(|| State::at(upstream.address, now));
             state.address = upstream.address;
+            state.pace.settle(upstream.slots, now);
         }
     }
 
@@ -402,8 +411,8 @@
         }
         let seats = Seats::new(sight, &self.holders, now);
         let pieces = self.pieces(&seats);
-        let loads = self.demand.loads();
-        let moves = balance::moves(&pieces, loads, &seats.weights, MOVES_MAX - moving);
+        let loads = self.loads();
+        let moves = balance::moves(&pieces, &loads, &seats.weights, MOVES_MAX - moving);
         for next in moves {
             let to = seats.holders[next.to].clone();
             self.cut(next.first, next.last);
@@ -424,8 +433,8 @@
         if seats.holders.is_empty() {
             return;
         }
-        let loads = self.demand.loads();
-        let mut totals = balance::totals(&self.pieces(&seats), loads, seats.holders.len());
+        let loads = self.loads();
+        let mut totals = balance::totals(&self.pieces(&seats), &loads, seats.holders.len());
         self.edition += 1;
         for tract in &mut self.tracts {
             if tract.stage != Stage::Free {
@@ -435,13 +444,17 @@
             let Some(seat) = wanted.or_else(|| seats.least(&totals)) else {
                 continue;
             };
-            totals[seat] += tract.weight(loads);
+            totals[seat] += loads.of(tract.first, tract.last);
             tract.holder = Some(seats.holders[seat].clone());
             self.fence += 1;
             tract.choose(self.fence, self.edition);
         }
     }
 
+    fn loads(&self) -> Loads {
+        Loads::new(self.demand.loads(), self.demand.grain())
+    }
+
     /// The ranges as the balance sees them; those that nobody can have are left out.
     fn pieces(&self, seats: &Seats) -> Vec<Piece> {
         let piece = |tract: &Tract| {
@@ -525,12 +538,6 @@
         }
     }
 
-    fn weight(&self, loads: &[f32]) -> f64 {
-        let keys = &loads[usize::from(self.first)..=usize::from(self.last)];
-        // Ranges without load are dealt out by their number.
-        1e-3 + keys.iter().map(|load| f64::from(*load)).sum::<f64>()
-    }
-
     /// Takes a new fencing token, which must be stored before it is used.
     fn choose(&mut self, fence: Fence, edition: u64) {
         let is_served = self.is_served();
@@ -693,9 +700,10 @@
 }
 
 impl State {
-    fn at(address: SocketAddr) -> Self {
+    fn at(address: SocketAddr, now: Duration) -> Self {
         Self {
             address,
+            pace: Estimate::new(now),
             heard: Duration::ZERO,
             unanswered: 0,
             broke: None,
@@ -724,12 +732,15 @@
             id: one.id.clone(),
             born: one.born,
         };
+        let weight = |one: &&Arc<Upstream>| {
+            let slowness = states
+                .get(&one.id)
+                .map_or(1.0, |state| state.pace.slowness());
+            f64::from(one.slots.max(1)) / slowness
+        };
         Self {
             holders: usable.iter().map(holder).collect(),
-            weights: usable
-                .iter()
-                .map(|one| f64::from(one.slots.max(1)))
-                .collect(),
+            weights: usable.iter().map(weight).collect(),
         }
     }
 
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -23,6 +23,7 @@
     configuration::Configuration,
     load::Loads,
     registry::{Changes, Registry, Upstream},
+    work::Works,
 };
 use tokio::time::Instant;
 
@@ -44,6 +45,7 @@
     listed_us: AtomicU64,
     heard: Mutex<Heard>,
     loads: Mutex<Loads>,
+    works: Mutex<Works>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     allowance: Allowance,
 }
@@ -70,6 +72,7 @@
             listed_us: AtomicU64::new(0),
             heard: Mutex::default(),
             loads: Mutex::default(),
+            works: Mutex::default(),
             budgets: Mutex::default(),
             allowance,
         }
@@ -148,6 +151,11 @@
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How long requests of each route take.
+    pub fn works(&self) -> MutexGuard<'_, Works> {
+        self.works.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a caller's request for a service.
     pub fn count_request(&self, service: &ServiceName) {
         self.with_budget(service, |budget| budget.request(Instant::now()));
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -162,7 +162,8 @@
         let key = match (is_keyed, self.asked.key) {
             (false, _) => None,
             (true, Some(key)) => {
-                self.beliefs.keys.counts.count(service, key);
+                let work = self.work();
+                self.beliefs.keys.counts.ask(service, key, work);
                 Some(key)
             }
             (true, None) => return Err(Refusal::not_run(Reason::BadRequest)),
@@ -191,11 +192,29 @@
         let outcome = exchange.run(self.dialect, &outbound, body).await;
         let end = end_of(&outcome);
         let took = flight.end(end);
+        if end == End::Answered {
+            self.note_answer(upstream, took);
+        }
         self.metrics
             .time(Stage::Upstream, self.route.is_repeatable, took);
         Try { end, outcome }
     }
 
+    /// How long a request like this one usually takes at an upstream.
+    fn work(&self) -> Duration {
+        let works = self.beliefs.works();
+        works.of(&self.route.name, self.route.objective)
+    }
+
+    fn note_answer(&self, upstream: &Upstream, took: Duration) {
+        let usual = self.work();
+        self.beliefs.works().note(&self.route.name, took);
+        if self.asked.key.is_some() {
+            let counts = &self.beliefs.keys.counts;
+            counts.answer(&upstream.service, &upstream.id, took, usual);
+        }
+    }
+
     /// This daemon's share of the connections that an upstream takes.
     fn connections_to(&self, upstream: &Upstream) -> u32 {
         let configuration = self.beliefs.configuration();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod registry;
 pub mod retry;
 pub mod source;
+pub mod work;
 
 /// The name of a service.
 pub type ServiceName = Arc<str>;
