Let in what the holder of a busy key can take

Change: the leader compares the work that is asked of each holder with what its slots do and tells the share that it can take; daemons let in that share, urgent requests first, and send the others away at once with a time to come back. A key that alone is more than a fair share goes to the strongest holder.

--- a/crates/assignment/src/balance.rs
+++ b/crates/assignment/src/balance.rs
@@ -9,6 +9,9 @@
 /// How many standard deviations of the counted work a difference must exceed.
 const SIGNIFICANT: f64 = 1.5;
 
+/// How many times as strong a holder must be to get a key that is too busy for its own.
+const STRONGER: f64 = 1.2;
+
 /// The share of all load that is taken to lie evenly on all keys, besides what was counted.
 const EVEN_SHARE: f64 = 0.05;
 
@@ -47,6 +50,8 @@
 pub struct Loads {
     /// The load of all keys below each key.
     below: Vec<f64>,
+    /// The key with the most load, and that load.
+    busiest: Option<(Key, f64)>,
     /// The load that a single request brings.
     grain: f64,
 }
@@ -70,7 +75,19 @@
             sum += f64::from(*load) + even;
             below.push(sum);
         }
-        Self { below, grain }
+        let by_load = |one: &(usize, &f32), other: &(usize, &f32)| one.1.total_cmp(other.1);
+        let busiest = loads.iter().enumerate().max_by(by_load);
+        let busiest = busiest.filter(|(_, load)| **load > 0.0);
+        Self {
+            below,
+            busiest: busiest
+                .and_then(|(key, load)| Some((Key::try_from(key).ok()?, f64::from(*load)))),
+            grain,
+        }
+    }
+
+    fn busiest(&self) -> Option<(Key, f64)> {
+        self.busiest
     }
 
     /// The load of the keys from `first` to `last`.
@@ -128,6 +145,32 @@
     }
 
     fn next_move(&self) -> Option<Move> {
+        self.lone_key().or_else(|| self.evening())
+    }
+
+    /// Moves the busiest key to the strongest holder, if it alone is more than a fair share.
+    fn lone_key(&self) -> Option<Move> {
+        let (key, load) = self.loads.busiest()?;
+        let piece = self
+            .pieces
+            .iter()
+            .find(|piece| piece.first <= key && key <= piece.last)?;
+        let weight = self.weights[piece.holder];
+        if !piece.is_movable || load <= self.mean * weight {
+            return None;
+        }
+        let by_weight =
+            |one: &usize, other: &usize| self.weights[*one].total_cmp(&self.weights[*other]);
+        let to = (0..self.weights.len()).max_by(by_weight)?;
+        let is_stronger = self.weights[to] > STRONGER * weight;
+        is_stronger.then_some(Move {
+            first: key,
+            last: key,
+            to,
+        })
+    }
+
+    fn evening(&self) -> Option<Move> {
         let relative = |holder: &usize| self.totals[*holder] / self.weights[*holder];
         let by_load = |one: &usize, other: &usize| relative(one).total_cmp(&relative(other));
         let usable = || (0..self.weights.len()).filter(|holder| self.weights[*holder] > 0.0);
--- a/crates/assignment/src/demand.rs
+++ b/crates/assignment/src/demand.rs
@@ -153,6 +153,12 @@
         }
     }
 
+    /// The work that a load stands for, in milliseconds a second.
+    #[must_use]
+    pub fn rate(load: f64) -> f64 {
+        load * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    }
+
     /// The work of each key, in milliseconds.
     #[must_use]
     pub fn loads(&self) -> &[f32] {
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -20,7 +20,7 @@
     order::{Action, Order, Outcome},
     pace::Estimate,
     plan::{Plan, Range},
-    table::Table,
+    table::{ALL, Table},
 };
 use copperwell_message::HashMap;
 use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
@@ -56,6 +56,9 @@
 /// Ranges that move at a time to even out load, at most.
 const MOVES_MAX: usize = 8;
 
+/// The use of a holder's slots above which it gets only a share of the requests for its keys.
+const FULL: f64 = 1.0;
+
 /// Time limits of grants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
@@ -175,6 +178,8 @@
     broke: Option<Duration>,
     /// How fast it works.
     pace: Estimate,
+    /// The share of requests that it can take, in parts of [`ALL`].
+    admits: u8,
 }
 
 impl Machine {
@@ -300,10 +305,15 @@
     /// The table by which daemons route.
     #[must_use]
     pub fn table(&self) -> Table {
-        Table::new(self.tracts.iter().map(|tract| {
+        let admits = |id: &UpstreamId| {
+            let state = self.holders.get(id);
+            state.map_or(ALL, |state| state.admits)
+        };
+        let table = Table::new(self.tracts.iter().map(|tract| {
             let holder = tract.holder.as_ref().filter(|_| tract.is_served());
             (tract.first, holder.map(|holder| &holder.id))
-        }))
+        }));
+        table.with_admits(admits)
     }
 
     /// How many ranges there are, and how many of them nobody serves.
@@ -405,13 +415,17 @@
         }
         self.balance_at = now + BALANCE_TIME;
         self.demand.decay(now);
+        let seats = Seats::new(sight, &self.holders, now);
+        let pieces = self.pieces(&seats);
+        let loads = self.loads();
+        self.limit(
+            &seats,
+            &balance::totals(&pieces, &loads, seats.holders.len()),
+        );
         let moving = self.tracts.iter().filter(|tract| tract.is_leaving).count();
         if moving >= MOVES_MAX || sight.is_store_away {
             return;
         }
-        let seats = Seats::new(sight, &self.holders, now);
-        let pieces = self.pieces(&seats);
-        let loads = self.loads();
         let moves = balance::moves(&pieces, &loads, &seats.weights, MOVES_MAX - moving);
         for next in moves {
             let to = seats.holders[next.to].clone();
@@ -424,6 +438,19 @@
         }
     }
 
+    /// Says what share of requests each holder can take, from the work that is asked of it.
+    fn limit(&mut self, seats: &Seats, totals: &[f64]) {
+        for (seat, holder) in seats.holders.iter().enumerate() {
+            // A slot does a second of usual work each second.
+            let capacity_ms = seats.weights[seat] * 1e3;
+            let use_of = Demand::rate(totals[seat]) / capacity_ms;
+            let admits = (FULL / use_of.max(FULL)) * f64::from(ALL);
+            if let Some(state) = self.holders.get_mut(&holder.id) {
+                state.admits = admits.ceil() as u8;
+            }
+        }
+    }
+
     /// Gives each free range a holder.
     fn fill(&mut self, now: Duration, sight: &Sight<'_>) {
         if self.tracts.iter().all(|tract| tract.stage != Stage::Free) {
@@ -704,6 +731,7 @@
         Self {
             address,
             pace: Estimate::new(now),
+            admits: ALL,
             heard: Duration::ZERO,
             unanswered: 0,
             broke: None,
--- a/crates/assignment/src/table.rs
+++ b/crates/assignment/src/table.rs
@@ -34,10 +34,24 @@
 pub struct Table {
     /// The upstreams that the ranges name.
     holders: Vec<UpstreamId>,
+    /// The share of requests that each of the holders can take, in parts of [`ALL`].
+    admits: Vec<u8>,
     /// Ranges in order; each reaches up to the next one.
     ranges: Vec<Stretch>,
 }
 
+/// Admits all requests.
+pub const ALL: u8 = 20;
+
+/// Who serves a key.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Served {
+    /// The upstream.
+    pub by: UpstreamId,
+    /// The share of requests that it can take.
+    pub admits: f64,
+}
+
 /// A range of keys, by its first one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct Stretch {
@@ -73,6 +87,13 @@
         table
     }
 
+    /// Says what share of its requests each holder can take, in parts of [`ALL`].
+    #[must_use]
+    pub fn with_admits(mut self, admits: impl Fn(&UpstreamId) -> u8) -> Self {
+        self.admits = self.holders.iter().map(admits).collect();
+        self
+    }
+
     /// The table that follows from a plan, if all its grants are in force.
     #[must_use]
     pub fn of(plan: &Plan) -> Self {
@@ -83,12 +104,17 @@
         }))
     }
 
-    /// The upstream that serves a key.
+    /// Who serves a key.
     #[must_use]
-    pub fn holder(&self, key: Key) -> Option<&UpstreamId> {
+    pub fn served(&self, key: Key) -> Option<Served> {
         let after = self.ranges.partition_point(|range| range.first <= key);
         let range = self.ranges.get(after.checked_sub(1)?)?;
-        self.holders.get(usize::from(range.holder?))
+        let index = usize::from(range.holder?);
+        let admits = self.admits.get(index).copied().unwrap_or(ALL);
+        Some(Served {
+            by: self.holders.get(index)?.clone(),
+            admits: f64::from(admits) / f64::from(ALL),
+        })
     }
 }
 
@@ -109,11 +135,11 @@
         self.tables.load_full()
     }
 
-    /// The upstream that serves a key of a service.
+    /// Who serves a key of a service.
     #[must_use]
-    pub fn holder(&self, service: &str, key: Key) -> Option<UpstreamId> {
+    pub fn served(&self, service: &str, key: Key) -> Option<Served> {
         let tables = self.tables.load();
-        tables.services.get(service)?.holder(key).cloned()
+        tables.services.get(service)?.served(key)
     }
 
     /// Resolves once the tables are newer than `version`.
--- a/crates/caller/src/explain.rs
+++ b/crates/caller/src/explain.rs
@@ -62,6 +62,7 @@
         Reason::NoRoute => "Ask for a host and path that the configuration in force serves.",
         Reason::NoConfiguration => "Send it again once this daemon has read its configuration.",
         Reason::NoUpstream => "Send it again once an upstream of the service is there.",
+        Reason::Overload => "Send it again after a while; the key is asked for too often.",
         Reason::UpstreamFailed => "Find out what it did before it is sent again.",
         Reason::BadRequest => "Correct the request; it fails the same way if it is sent again.",
         Reason::IdempotencyKeyMissing => {
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -259,7 +259,9 @@
         let explanation = Explanation {
             service: service.to_owned(),
             key,
-            holder: directory.holder(service, key).map(|id| id.to_string()),
+            holder: directory
+                .served(service, key)
+                .map(|served| served.by.to_string()),
             term: version.term,
             table: version.number,
         };
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -19,12 +19,14 @@
 use copperwell_message::HashMap;
 use copperwell_routing::{
     ServiceName, UpstreamId, ZoneName,
+    admission::Admission,
     budget::{Allowance, Budget},
     configuration::Configuration,
     load::Loads,
     registry::{Changes, Registry, Upstream},
     work::Works,
 };
+use rand::RngExt;
 use tokio::time::Instant;
 
 /// Daemons that share the retry budget while nobody knows how many there are.
@@ -46,6 +48,7 @@
     heard: Mutex<Heard>,
     loads: Mutex<Loads>,
     works: Mutex<Works>,
+    admissions: Mutex<HashMap<ServiceName, Admission>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     allowance: Allowance,
 }
@@ -73,6 +76,7 @@
             heard: Mutex::default(),
             loads: Mutex::default(),
             works: Mutex::default(),
+            admissions: Mutex::default(),
             budgets: Mutex::default(),
             allowance,
         }
@@ -156,6 +160,18 @@
         self.works.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a request goes to an upstream that can take the share `admits` of those for its keys.
+    #[must_use]
+    pub fn admits(&self, service: &ServiceName, priority: u32, admits: f64) -> bool {
+        let draw = rand::rng().random_range(0.0..1.0);
+        let mut admissions = self
+            .admissions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let admission = admissions.entry(service.clone()).or_default();
+        admission.admit(priority, admits, draw)
+    }
+
     /// Counts a caller's request for a service.
     pub fn count_request(&self, service: &ServiceName) {
         self.with_budget(service, |budget| budget.request(Instant::now()));
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -18,6 +18,8 @@
     pub(crate) service: ServiceName,
     /// The key, if the service is divided by key.
     pub(crate) key: Option<Key>,
+    /// The rank among requests for the service; the lowest goes first.
+    pub(crate) priority: u32,
     /// Until when it may wait for an upstream.
     pub(crate) until: Instant,
 }
@@ -71,10 +73,21 @@
         if let Some(after) = after {
             let _ = timeout_at(wish.until, directory.newer_than(after)).await;
         }
+        // A request is let in, or not, once.
+        let mut is_admitted = after.is_some();
         loop {
             let version = directory.tables().version;
-            let holder = directory.holder(&wish.service, key);
-            let upstream = holder.and_then(|id| self.usable(&id));
+            let served = directory.served(&wish.service, key);
+            if let Some(served) = &served
+                && !is_admitted
+            {
+                let beliefs = &self.beliefs;
+                is_admitted = beliefs.admits(&wish.service, wish.priority, served.admits);
+                if !is_admitted {
+                    return Err(Refusal::not_run(Reason::Overload));
+                }
+            }
+            let upstream = served.and_then(|served| self.usable(&served.by));
             let Some(upstream) = upstream else {
                 let news = timeout_at(wish.until, directory.newer_than(version));
                 if news.await.is_err() {
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -172,6 +172,7 @@
         Ok(Wish {
             service: service.clone(),
             key,
+            priority: self.route.priority,
             until: self.until.min(self.arrived + patience),
         })
     }
--- a/crates/message/src/verdict.rs
+++ b/crates/message/src/verdict.rs
@@ -92,6 +92,8 @@
     NoConfiguration = "no-configuration", 503;
     /// No upstream of the service takes requests.
     NoUpstream = "no-upstream", 503;
+    /// The key's upstream cannot take all that is asked of it.
+    Overload = "overload", 503;
     /// The upstream ran the request and answered that it failed.
     UpstreamFailed = "upstream-failed", 502;
     /// The body or the headers exceed their limit.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+pub mod admission;
 pub mod budget;
 pub mod configuration;
 pub mod load;
