Give keys on at once when another server has their holder's address

Change: a server that registers at the address, or answers an order there with its own name, proves that the holder has ended. The predecessor's right is counted from the last renewal that was seen, which the successor has let pass already.

Test: an_upstream_whose_address_another_one_has_is_replaced_at_once.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -53,6 +53,9 @@
     /// The upstreams of a service, those that are draining included.
     fn upstreams(&self, service: &str) -> Vec<Arc<Upstream>>;
 
+    /// The upstreams of all services.
+    fn all_upstreams(&self) -> Vec<Arc<Upstream>>;
+
     /// When the reading of the newest list of upstreams began, by the boot clock; `None` before
     /// the first one.
     fn listed_at(&self) -> Option<Duration>;
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -170,11 +170,13 @@
         if !self.lease.may_act(now) {
             return Vec::new();
         }
+        let all = driver.scene.all_upstreams();
         let mut orders = Vec::new();
         for machine in &mut self.machines {
             let upstreams = driver.scene.upstreams(machine.service());
             let sight = Sight {
                 upstreams: &upstreams,
+                all: &all,
                 listed_at,
                 is_store_away: self.is_store_away,
             };
@@ -416,6 +418,7 @@
     match outcome {
         Outcome::Done { .. } => "done",
         Outcome::Fenced => "fenced",
+        Outcome::Elsewhere => "elsewhere",
         Outcome::Refused => "refused",
         Outcome::Unsent => "unsent",
         Outcome::Unknown => "unknown",
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -85,7 +85,7 @@
             renew: Duration::from_millis(1_500),
             order_limit: Duration::from_millis(500),
             release_limit: Duration::from_secs(4),
-            predecessor: Duration::from_secs(4),
+            predecessor: Duration::from_millis(1_500),
         }
     }
 }
@@ -95,6 +95,8 @@
 pub struct Sight<'a> {
     /// The upstreams of the service.
     pub upstreams: &'a [Arc<Upstream>],
+    /// The upstreams of all services.
+    pub all: &'a [Arc<Upstream>],
     /// When the reading that gave them began.
     pub listed_at: Duration,
     /// Whether the store does not answer.
@@ -251,7 +253,7 @@
         let known = self.holders.entry(order.holder.id.clone());
         let state = known.or_insert_with(|| State::at(order.address, now));
         match outcome {
-            Outcome::Done { .. } | Outcome::Fenced => {
+            Outcome::Done { .. } | Outcome::Fenced | Outcome::Elsewhere => {
                 state.heard = now;
                 state.unanswered = 0;
             }
@@ -265,6 +267,12 @@
         let tract = self.tracts.iter_mut().find(|tract| tract.awaits(order));
         let Some(tract) = tract else { return };
         tract.is_ordered = false;
+        if outcome == Outcome::Elsewhere {
+            // The holder's process has ended, since another one has its address.
+            tract.vacate(None);
+            self.edition += 1;
+            return;
+        }
         match &order.action {
             Action::Grant { hold, .. } => {
                 if tract.granted(*hold, &outcome, now, &self.timing) {
@@ -377,6 +385,10 @@
             match fate(holder, sight, &self.holders, now) {
                 Fate::Stays => {}
                 Fate::Leaves => tract.is_leaving = true,
+                Fate::Gone => {
+                    tract.vacate(None);
+                    self.edition += 1;
+                }
                 Fate::Reborn(born) => {
                     // The new run holds nothing, or by a late renewal what the old one held. Either
                     // way nobody else does, and it needs a higher token.
@@ -693,7 +705,7 @@
                 self.due = now + RETRY;
             }
             Outcome::Refused | Outcome::Unsent => self.due = now + RETRY,
-            Outcome::Fenced => return false,
+            Outcome::Fenced | Outcome::Elsewhere => return false,
         }
         true
     }
@@ -716,6 +728,8 @@
 enum Fate {
     Stays,
     Leaves,
+    /// The holder's process has surely ended.
+    Gone,
     /// The holder has begun another run.
     Reborn(Birth),
 }
@@ -726,15 +740,15 @@
     states: &HashMap<UpstreamId, State>,
     now: Duration,
 ) -> Fate {
+    let state = states.get(&holder.id);
     let Some(upstream) = sight.upstreams.iter().find(|one| one.id == holder.id) else {
-        return Fate::Leaves;
+        let is_gone = state.is_some_and(|state| state.is_replaced(holder, sight));
+        return if is_gone { Fate::Gone } else { Fate::Leaves };
     };
     if upstream.born > holder.born {
         return Fate::Reborn(upstream.born);
     }
-    let is_silent = states
-        .get(&holder.id)
-        .is_some_and(|state| state.is_silent(now));
+    let is_silent = state.is_some_and(|state| state.is_silent(now));
     if upstream.is_draining || is_silent {
         return Fate::Leaves;
     }
@@ -753,6 +767,14 @@
         }
     }
 
+    /// Whether another upstream has the address of a holder, whose process has ended then.
+    fn is_replaced(&self, holder: &Holder, sight: &Sight<'_>) -> bool {
+        sight
+            .all
+            .iter()
+            .any(|one| one.address == self.address && one.id != holder.id && one.born > holder.born)
+    }
+
     fn is_silent(&self, now: Duration) -> bool {
         self.unanswered >= SILENT_ORDERS && now.saturating_sub(self.heard) > SILENT_TIME
     }
--- a/crates/assignment/src/order.rs
+++ b/crates/assignment/src/order.rs
@@ -46,6 +46,8 @@
     },
     /// The upstream has seen a higher fencing token.
     Fenced,
+    /// Another upstream has the address, so the one that was meant has ended.
+    Elsewhere,
     /// Nobody listens there, or the order was turned down; it will not be carried out.
     Refused,
     /// It was not sent, since no connection could be made in time.
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -63,6 +63,22 @@
     assert_eq!(world.served(), all());
 }
 
+/// The next upstream at its address proves that the old one has ended, also to a successor.
+#[test]
+fn an_upstream_whose_address_another_one_has_is_replaced_at_once() {
+    let mut world = started();
+    world.change_leader();
+    let old = world.servers[0].upstream.clone();
+    world.servers[0].crash();
+    world.servers[0].is_listed = false;
+    let mut other = (*upstream(7, 2)).clone();
+    other.address = old.address;
+    other.service = "plates".into();
+    world.all = vec![other.into()];
+    world.run(Duration::from_millis(1_500));
+    assert_eq!(world.served(), all());
+}
+
 /// The successor cannot know what its predecessor has sent last, so it gives the holder a higher
 /// token before it moves anything; that must happen once, not again and again.
 #[test_case(Duration::ZERO; "at once")]
--- a/crates/assignment/tests/machine/world.rs
+++ b/crates/assignment/tests/machine/world.rs
@@ -73,6 +73,8 @@
     write: Option<(u64, Plan, Duration)>,
     listed_at: Duration,
     listed: Vec<Arc<Upstream>>,
+    /// Upstreams of all services.
+    pub(crate) all: Vec<Arc<Upstream>>,
     highest: BTreeMap<Key, (u64, usize)>,
     random: SmallRng,
 }
@@ -108,6 +110,7 @@
             write: None,
             listed_at: now,
             listed: Vec::new(),
+            all: Vec::new(),
             highest: BTreeMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
@@ -157,6 +160,7 @@
         self.store();
         let sight = Sight {
             upstreams: &self.listed,
+            all: &self.all,
             listed_at: self.listed_at,
             is_store_away: self.is_store_away,
         };
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -252,6 +252,10 @@
         self.registry().of(service).to_vec()
     }
 
+    fn all_upstreams(&self) -> Vec<Arc<Upstream>> {
+        self.registry().all().cloned().collect()
+    }
+
     fn listed_at(&self) -> Option<Duration> {
         match self.listed_us.load(Ordering::Acquire) {
             0 => None,
