Keep the retry budget across partitions and restarts

While a zone was cut off each part divided the slack among the daemons that it saw, and after the end of all processes each new one had its share again.

Change: a share counts the most daemons that were seen within the last four windows; a new run earns its share over its first window; nine tenths of the allowance are used.

--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -51,6 +51,7 @@
     admissions: Mutex<HashMap<ServiceName, Admission>>,
     budgets: Mutex<HashMap<ServiceName, Budget>>,
     allowance: Allowance,
+    began: Instant,
 }
 
 /// What the leader told last.
@@ -79,6 +80,7 @@
             admissions: Mutex::default(),
             budgets: Mutex::default(),
             allowance,
+            began: Instant::now(),
         }
     }
 
@@ -192,7 +194,7 @@
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.allowance));
+            .or_insert_with(|| Budget::new(self.allowance, self.began));
         act(budget)
     }
 
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -7,6 +7,13 @@
 /// The parts into which a window is divided.
 const PARTS: u32 = 20;
 
+/// The share of the allowance that is used, so that arrivals that daemons count at different times
+/// do not add up to more than is allowed.
+const USED: f64 = 0.9;
+
+/// How many windows a daemon that is not seen any more keeps its share: it may just be cut off.
+const REMEMBERED: u32 = 4;
+
 /// What all daemons together may spend on one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Allowance {
@@ -20,11 +27,17 @@
 
 /// The retries of one daemon for one service.
 ///
-/// A daemon takes an even share of the slack, and the ratio of its own requests.
+/// A daemon takes an even share of the slack, and the ratio of its own requests. What an earlier run
+/// of it may have spent is not spent again, so a new run gets its share of the slack little by little
+/// within the first window.
 #[derive(Debug)]
 pub struct Budget {
     allowance: Allowance,
+    began: Instant,
     parts: VecDeque<Part>,
+    /// The most daemons that were seen lately, and when.
+    daemons: usize,
+    seen: Instant,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -35,12 +48,15 @@
 }
 
 impl Budget {
-    /// An unused budget.
+    /// The budget of a daemon's run that began at `began`.
     #[must_use]
-    pub fn new(allowance: Allowance) -> Self {
+    pub fn new(allowance: Allowance, began: Instant) -> Self {
         Self {
             allowance,
+            began,
             parts: VecDeque::new(),
+            daemons: 0,
+            seen: began,
         }
     }
 
@@ -52,10 +68,14 @@
     /// Takes one retry out of the budget, of which `daemons` have a share; `false` if none is left.
     pub fn retry(&mut self, now: Instant, daemons: usize) -> bool {
         self.part(now);
+        let daemons = self.note_daemons(daemons, now);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let retries: u32 = self.parts.iter().map(|part| part.retries).sum();
-        let share = self.allowance.slack / daemons.max(1) as f64;
-        let most = self.allowance.ratio * f64::from(requests) + share;
+        let window = self.allowance.window.as_secs_f64();
+        let age = now.saturating_duration_since(self.began).as_secs_f64();
+        let earned = (age / window).min(1.0);
+        let share = earned * self.allowance.slack / daemons as f64;
+        let most = USED * (self.allowance.ratio * f64::from(requests) + share);
         let is_paid = f64::from(retries) + 1.0 <= most;
         if is_paid {
             self.part(now).retries += 1;
@@ -63,6 +83,16 @@
         is_paid
     }
 
+    /// The most daemons that were seen within the last windows.
+    fn note_daemons(&mut self, daemons: usize, now: Instant) -> usize {
+        let forgets_at = self.seen + self.allowance.window * REMEMBERED;
+        if daemons >= self.daemons || now >= forgets_at {
+            self.daemons = daemons.max(1);
+            self.seen = now;
+        }
+        self.daemons
+    }
+
     fn part(&mut self, now: Instant) -> &mut Part {
         while let Some(part) = self.parts.front()
             && now.saturating_duration_since(part.began) >= self.allowance.window
--- /dev/null
+++ b/crates/routing/tests/budget.rs
@@ -0,0 +1,69 @@
+//! All daemons together stay within the allowance, whatever they know of each other.
+
+use std::time::Duration;
+
+use copperwell_routing::budget::{Allowance, Budget};
+use test_case::test_case;
+use tokio::time::Instant;
+
+const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    slack: 60.0,
+    window: Duration::from_secs(10),
+};
+
+const DAEMONS: usize = 12;
+
+/// Takes as many retries as a budget gives.
+fn drain(budget: &mut Budget, now: Instant, daemons: usize) -> u32 {
+    let mut taken = 0;
+    while budget.retry(now, daemons) {
+        taken += 1;
+    }
+    taken
+}
+
+#[test]
+fn a_share_of_requests_and_of_the_slack() {
+    let began = Instant::now();
+    let mut budget = Budget::new(ALLOWANCE, began);
+    let now = began + ALLOWANCE.window;
+    for _ in 0..100 {
+        budget.request(now);
+    }
+    // Nine tenths of 20 for the requests and 5 of the slack.
+    assert_eq!(drain(&mut budget, now, DAEMONS), 22);
+    // What was spent is spent until the window is over.
+    assert_eq!(drain(&mut budget, now + Duration::from_secs(9), DAEMONS), 0);
+    let later = now + ALLOWANCE.window;
+    assert_eq!(drain(&mut budget, later, DAEMONS), 4);
+}
+
+/// Daemons that are cut off from each other see fewer, and spend no more for that.
+#[test_case(7; "the larger part")]
+#[test_case(4; "the smaller part")]
+#[test_case(1; "alone")]
+fn a_partition_does_not_multiply_the_slack(seen: usize) {
+    let began = Instant::now();
+    let mut budget = Budget::new(ALLOWANCE, began);
+    let now = began + ALLOWANCE.window;
+    assert!(budget.retry(now, DAEMONS));
+    let cut = now + ALLOWANCE.window;
+    assert_eq!(drain(&mut budget, cut, seen), 4);
+}
+
+/// All daemons end and begin again: what both runs spend within one window is allowed for one.
+#[test]
+fn a_new_run_does_not_spend_the_slack_again() {
+    let began = Instant::now();
+    let mut first = Budget::new(ALLOWANCE, began);
+    let end = began + ALLOWANCE.window;
+    let spent = drain(&mut first, end, DAEMONS);
+    let mut second = Budget::new(ALLOWANCE, end);
+    assert_eq!(
+        drain(&mut second, end + Duration::from_millis(100), DAEMONS),
+        0
+    );
+    let half = end + ALLOWANCE.window / 2;
+    assert!(drain(&mut second, half, DAEMONS) <= spent / 2 + 1);
+}
