--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -37,7 +37,7 @@
 const LEAD: &str = "lead";
 
 /// The start of the entries that hold plans; the service's name follows.
-const PLAN: &str = "plan/";
+const PLAN: &str = "plan.";
 
 /// How long a daemon waits before it reads the store again.
 const PAUSE: Duration = Duration::from_millis(500);
--- a/crates/assignment/src/table.rs
+++ b/crates/assignment/src/table.rs
@@ -135,6 +135,12 @@
         self.tables.load_full()
     }
 
+    /// The version of the tables.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.tables.load().version
+    }
+
     /// Who serves a key of a service.
     #[must_use]
     pub fn served(&self, service: &str, key: Key) -> Option<Served> {
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -6,7 +6,7 @@
     path::PathBuf,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -26,7 +26,7 @@
 };
 use copperwell_routing::Key;
 use error_stack::{Report, ResultExt};
-use prometheus_client::registry::Registry;
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use serde::Serialize;
 use spdlog::{info, warn};
 use tokio::{
@@ -75,6 +75,8 @@
 struct Watcher {
     beliefs: Arc<Beliefs>,
     is_stopping: AtomicBool,
+    dropped: Arc<AtomicU64>,
+    dropped_shown: Counter,
 }
 
 /// The status page.
@@ -104,7 +106,11 @@
     /// # Errors
     ///
     /// [`Error`] if an address cannot be listened on.
-    pub async fn start(settings: &Settings) -> Result<Self, Report<Error>> {
+    /// `dropped` counts log lines that were not written.
+    pub async fn start(
+        settings: &Settings,
+        dropped: Arc<AtomicU64>,
+    ) -> Result<Self, Report<Error>> {
         let callers = listen(settings.callers).await?;
         let ready = listen(settings.ready).await?;
         let control = listen(settings.control).await?;
@@ -114,6 +120,8 @@
 
         let mut registry = Registry::with_prefix("copperwell");
         let metrics = Metrics::new(&mut registry);
+        let lines: Counter = Counter::default();
+        registry.register("log_dropped", "Log lines that did not fit", lines.clone());
         let store = Arc::new(Store::new(settings.store));
         let zone = settings.zone.clone();
         let run = run_number();
@@ -162,6 +170,8 @@
         let watcher = Arc::new(Watcher {
             beliefs,
             is_stopping: AtomicBool::new(false),
+            dropped,
+            dropped_shown: lines,
         });
         let registry = Arc::new(registry);
         for listener in [ready, control] {
@@ -268,7 +278,11 @@
         serde_json::to_vec(&explanation).ok()
     }
 
-    fn refresh(&self) {}
+    fn refresh(&self) {
+        let dropped = self.dropped.load(Ordering::Relaxed);
+        let shown = self.dropped_shown.get();
+        self.dropped_shown.inc_by(dropped.saturating_sub(shown));
+    }
 }
 
 fn timing(settings: &Settings) -> driver::Timing {
--- a/crates/copperwelld/src/main.rs
+++ b/crates/copperwelld/src/main.rs
@@ -104,13 +104,16 @@
         println!("{}: fine", path.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(report) = log::install_on_stdout() {
-        eprintln!("copperwelld: {report:?}");
-        return ExitCode::from(EXIT_FAILED);
-    }
+    let dropped = match log::install_bounded(std::io::stdout()) {
+        Ok(dropped) => dropped,
+        Err(report) => {
+            eprintln!("copperwelld: {report:?}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     // The machines have one small core, which one thread uses best.
     run_on(runtime::Builder::new_current_thread(), async {
-        match gateway::Daemon::start(&settings).await {
+        match gateway::Daemon::start(&settings, dropped).await {
             Ok(daemon) => {
                 tokio::spawn(gateway::reload(path));
                 run_until_stopped(daemon.stop()).await
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use crate::watch;
+use crate::{story::Basis, watch};
 use arc_swap::ArcSwapOption;
 use copperwell_assignment::{
     driver::{Scene, Shared},
@@ -140,6 +140,17 @@
         self.configuration.load().is_some() && self.listed_us.load(Ordering::Acquire) > 0
     }
 
+    /// What decisions go by now.
+    pub(crate) fn basis(&self) -> Basis {
+        let known = self.configuration.load();
+        let version = self.keys.directory.version();
+        Basis {
+            configuration: known.as_ref().map_or(0, |known| known.version),
+            term: version.term,
+            table: version.number,
+        }
+    }
+
     /// How long an upstream has been draining, as far as this daemon knows.
     #[must_use]
     pub fn draining_for(&self, id: &str) -> Option<Duration> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
     metrics::{Metrics, Stage},
     refusal::Refusal,
     room::Rooms,
+    story::{Story, Subject},
     target::Finder,
     tries::{Lanes, Tries},
 };
@@ -30,7 +31,6 @@
     request::Parts,
 };
 use hyper::body::Incoming;
-use spdlog::info;
 use tokio::time::Instant;
 
 /// The largest request head before a configuration says otherwise, in bytes.
@@ -53,6 +53,7 @@
     finder: Finder,
     lanes: Lanes,
     metrics: Metrics,
+    story: Story,
     connections: usize,
     is_stopping: AtomicBool,
 }
@@ -80,6 +81,7 @@
             },
             lanes: Lanes::default(),
             beliefs,
+            story: Story::new(metrics.clone()),
             metrics,
             connections,
             is_stopping: AtomicBool::new(false),
@@ -146,7 +148,21 @@
             until,
         } = accepted;
         let is_repeatable = route.is_repeatable;
+        let subject = Subject {
+            id: &asked.id,
+            route: Some(&route),
+            key: asked.key,
+            basis: self.beliefs.basis(),
+        };
+        let mut leaving = Leaving {
+            story: &self.story,
+            subject,
+            arrived,
+            is_over: false,
+        };
         let tries = Tries {
+            story: &self.story,
+            subject,
             dialect: &self.dialect,
             beliefs: &self.beliefs,
             finder: &self.finder,
@@ -157,36 +173,23 @@
             arrived,
             until,
         };
-        let outcome = tries.run(parts, body).await;
+        let (outcome, sent) = tries.run(parts, body).await;
+        leaving.is_over = true;
         let whole = arrived.elapsed();
         self.metrics.time(Stage::Whole, is_repeatable, whole);
         match outcome {
             Ok(response) => {
-                self.metrics.answer(response.reply.status);
+                let status = response.reply.status;
+                self.metrics.answer(status);
+                self.story.answered(subject, status, sent, whole);
                 pass_on(response)
             }
             Err(refusal) => {
-                self.note(&refusal, &asked.id, Some(&route), whole);
+                self.story.refused(subject, &refusal, whole);
                 refusal.answer(&self.dialect, Some(&asked.id))
             }
         }
     }
-
-    /// Counts and logs a request that gets no upstream's answer.
-    fn note(&self, refusal: &Refusal, id: &HeaderValue, route: Option<&Route>, whole: Duration) {
-        self.metrics.refuse(refusal.reason);
-        let configuration = self.beliefs.configuration();
-        info!("a request got no answer", kv: {
-            event = "request-refused",
-            request = id.to_str().unwrap_or("?"),
-            route = route.map_or("", |route| route.name.as_str()),
-            reason = refusal.reason.as_str(),
-            verdict = refusal.verdict.as_str(),
-            status = refusal.status().as_u16(),
-            whole_ms = whole.as_millis() as u64,
-            configuration = configuration.map_or(0, |known| known.version)
-        });
-    }
 }
 
 impl<D: Dialect> Handler for Gateway<D> {
@@ -197,8 +200,13 @@
             Ok(accepted) => self.serve(accepted).await,
             Err((refusal, id)) => {
                 let unknown = HeaderValue::from_static("?");
-                let named = id.as_ref().unwrap_or(&unknown);
-                self.note(&refusal, named, None, arrived.elapsed());
+                let subject = Subject {
+                    id: id.as_ref().unwrap_or(&unknown),
+                    route: None,
+                    key: None,
+                    basis: self.beliefs.basis(),
+                };
+                self.story.refused(subject, &refusal, arrived.elapsed());
                 refusal.answer(&self.dialect, id.as_ref())
             }
         };
@@ -228,6 +236,22 @@
     }
 }
 
+/// Logs that the caller left, if it is dropped before the request is over.
+struct Leaving<'a> {
+    story: &'a Story,
+    subject: Subject<'a>,
+    arrived: Instant,
+    is_over: bool,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.story.cancelled(self.subject, self.arrived.elapsed());
+        }
+    }
+}
+
 fn route_of(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
     let host = match parts.headers.get(HOST) {
         Some(host) => host.to_str().ok()?,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,5 +15,6 @@
 
 mod refusal;
 mod room;
+mod story;
 mod target;
 mod tries;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     not_retried: Family<ReasonLabel, Counter>,
     answered: Family<StatusLabel, Counter>,
     pub(crate) slow_heads: Counter,
+    pub(crate) cancelled: Counter,
+    pub(crate) thinned: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
     pub(crate) configuration: Gauge,
     pub(crate) upstreams: Gauge,
@@ -98,6 +100,16 @@
             "Callers too slow in sending a head",
             all.slow_heads,
         );
+        registry.register(
+            "cancelled",
+            "Callers that left before their answer",
+            all.cancelled,
+        );
+        registry.register(
+            "log_thinned",
+            "Lines about failures that were left out, to bound the log",
+            all.thinned,
+        );
         registry.register(
             "latency_seconds",
             "Time that requests take, by stage",
@@ -163,6 +175,8 @@
             not_retried: Family::default(),
             answered: Family::default(),
             slow_heads: Counter::default(),
+            cancelled: Counter::default(),
+            thinned: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -10,6 +10,7 @@
     dialect::{Asked, Dialect, Outbound},
     metrics::{Metrics, Stage},
     refusal::Refusal,
+    story::{Story, Subject},
     target::{Finder, Wish},
 };
 use copperwell_backend::{
@@ -27,7 +28,6 @@
     retry::{self, Tried},
 };
 use http::request::Parts;
-use spdlog::info;
 use tokio::time::Instant;
 
 /// How long a new connection to an upstream may take.
@@ -54,6 +54,8 @@
 
 /// The tries of one request.
 pub(crate) struct Tries<'a, D> {
+    pub(crate) story: &'a Story,
+    pub(crate) subject: Subject<'a>,
     pub(crate) dialect: &'a D,
     pub(crate) beliefs: &'a Arc<Beliefs>,
     pub(crate) finder: &'a Finder,
@@ -68,6 +70,7 @@
 /// What became of one try.
 struct Try {
     end: End,
+    took: Duration,
     outcome: Result<Response, Failed>,
 }
 
@@ -103,20 +106,31 @@
 }
 
 impl<D: Dialect> Tries<'_, D> {
-    /// Sends the request until there is an answer or a failure that stands.
-    pub(crate) async fn run(&self, parts: Parts, body: Body) -> Result<Response, Refusal> {
+    /// Sends the request until there is an answer or a failure that stands; tells how often it was
+    /// sent.
+    pub(crate) async fn run(&self, parts: Parts, body: Body) -> (Result<Response, Refusal>, usize) {
+        let mut sent = Vec::new();
+        let outcome = self.send_all(parts, body, &mut sent).await;
+        (outcome, sent.len())
+    }
+
+    async fn send_all(
+        &self,
+        parts: Parts,
+        body: Body,
+        sent: &mut Vec<UpstreamId>,
+    ) -> Result<Response, Refusal> {
         let service = self.route.deal().cloned();
         let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?;
         self.beliefs.count_request(&service);
         let wish = self.wish(&service)?;
         let whole = body.as_full();
         let mut once = Some(body);
-        let mut sent: Vec<UpstreamId> = Vec::new();
         let mut stale = None;
         // The answer or failure that stands unless another try does better.
         let mut last: Option<Result<Response, Refusal>> = None;
         loop {
-            let found = self.finder.find(&wish, &sent, stale.take()).await;
+            let found = self.finder.find(&wish, sent, stale.take()).await;
             let upstream = match found {
                 Ok(upstream) => upstream,
                 Err(refusal) => return last.unwrap_or(Err(refusal)),
@@ -133,17 +147,31 @@
                     None => return last.unwrap_or(Err(Refusal::not_run(Reason::QueueFull))),
                 },
             };
-            let version = self.beliefs.keys.directory.tables().version;
+            let version = self.beliefs.keys.directory.version();
             let tried = self.send(&upstream, &parts, body).await;
             sent.push(upstream.id.clone());
-            let judged = self.judge(tried, &upstream, sent.len());
-            let (result, failed) = match judged {
-                Judged::Final(result) => return result,
-                Judged::Again(result, failed) => (result, failed),
+            let took = tried.took;
+            let (result, failed) = match judge(tried) {
+                Judged::Answer(response) => return Ok(response),
+                Judged::Failure(result, failed) => (result, failed),
             };
-            if whole.is_none() || !self.beliefs.take_retry(&service) {
-                self.metrics.no_retry(failed.reason);
-                return result;
+            let follows = self.follows(failed, sent.len(), whole.is_some(), &service);
+            let story = self.story;
+            story.failed(
+                self.subject,
+                &upstream,
+                failed,
+                sent.len(),
+                took,
+                follows.as_str(),
+            );
+            match follows {
+                Follows::Try => {}
+                Follows::NoBudget => {
+                    self.metrics.no_retry(failed.reason);
+                    return result;
+                }
+                Follows::Nothing => return result,
             }
             self.metrics.retry(failed.reason);
             if failed.reason == Reason::Fenced {
@@ -198,7 +226,7 @@
         }
         self.metrics
             .time(Stage::Upstream, self.route.is_repeatable, took);
-        Try { end, outcome }
+        Try { end, took, outcome }
     }
 
     /// How long a request like this one usually takes at an upstream.
@@ -228,41 +256,14 @@
         (all / daemons).max(upstream.slots)
     }
 
-    /// Whether a try is the last one.
-    fn judge(&self, tried: Try, upstream: &Upstream, sent: usize) -> Judged {
-        let (failed, result) = match tried.outcome {
-            Ok(response) if tried.end == End::Answered => return Judged::Final(Ok(response)),
-            Ok(response) => match response.reply.reason {
-                Some(reason) => {
-                    let mut refusal = Refusal::not_run(reason);
-                    refusal.retry_after = response.reply.retry_after;
-                    (
-                        Failed {
-                            verdict: Verdict::NotRun,
-                            reason,
-                        },
-                        Err(refusal),
-                    )
-                }
-                None => {
-                    let reason = Reason::UpstreamFailed;
-                    (
-                        Failed {
-                            verdict: Verdict::MayHaveRun,
-                            reason,
-                        },
-                        Ok(response),
-                    )
-                }
-            },
-            Err(failed) => {
-                let refusal = match failed.verdict {
-                    Verdict::NotRun => Refusal::not_run(failed.reason),
-                    _ => Refusal::may_have_run(failed.reason),
-                };
-                (failed, Err(refusal))
-            }
-        };
+    /// What may follow a try that failed.
+    fn follows(
+        &self,
+        failed: Failed,
+        sent: usize,
+        is_whole: bool,
+        service: &ServiceName,
+    ) -> Follows {
         let may_follow = retry::may_follow(&Tried {
             verdict: failed.verdict,
             reason: failed.reason,
@@ -271,31 +272,67 @@
             attempts: self.route.attempts,
             left: self.until.saturating_duration_since(Instant::now()),
         });
-        info!("a try failed", kv: {
-            event = "try-failed",
-            request = self.asked.id.to_str().unwrap_or("?"),
-            route = self.route.name.as_str(),
-            server = &*upstream.id,
-            zone = &*upstream.zone,
-            number = sent,
-            reason = failed.reason.as_str(),
-            verdict = failed.verdict.as_str(),
-            again = may_follow
-        });
-        if may_follow {
-            Judged::Again(result, failed)
-        } else {
-            Judged::Final(result)
+        match may_follow && is_whole {
+            false => Follows::Nothing,
+            true if self.beliefs.take_retry(service) => Follows::Try,
+            true => Follows::NoBudget,
         }
     }
 }
 
-/// What follows from a try.
+/// What follows a try that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Follows {
+    /// Another try.
+    Try,
+    /// Nothing, since the budget does not pay for another try.
+    NoBudget,
+    /// Nothing, since another try is not allowed or of no use.
+    Nothing,
+}
+
+impl Follows {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Try => "yes",
+            Self::NoBudget => "no-budget",
+            Self::Nothing => "no",
+        }
+    }
+}
+
+/// What a try came to.
 enum Judged {
-    /// Its outcome stands.
-    Final(Result<Response, Refusal>),
-    /// Another try may do better, if the budget pays for it.
-    Again(Result<Response, Refusal>, Failed),
+    /// The answer that the caller gets.
+    Answer(Response),
+    /// A failure, and what the caller gets unless another try does better.
+    Failure(Result<Response, Refusal>, Failed),
+}
+
+fn judge(tried: Try) -> Judged {
+    match tried.outcome {
+        Ok(response) if tried.end == End::Answered => Judged::Answer(response),
+        Ok(response) => match response.reply.reason {
+            Some(reason) => {
+                let mut refusal = Refusal::not_run(reason);
+                refusal.retry_after = response.reply.retry_after;
+                let verdict = Verdict::NotRun;
+                Judged::Failure(Err(refusal), Failed { verdict, reason })
+            }
+            None => {
+                let reason = Reason::UpstreamFailed;
+                let verdict = Verdict::MayHaveRun;
+                Judged::Failure(Ok(response), Failed { verdict, reason })
+            }
+        },
+        Err(failed) => {
+            let refusal = match failed.verdict {
+                Verdict::NotRun => Refusal::not_run(failed.reason),
+                _ => Refusal::may_have_run(failed.reason),
+            };
+            Judged::Failure(Err(refusal), failed)
+        }
+    }
 }
 
 fn end_of(outcome: &Result<Response, Failed>) -> End {
