--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -156,7 +156,7 @@
                 Ok(snapshot) => {
                     let lead = self.see(&snapshot, &mut watch);
                     if let Some(term) = self.take_over(&snapshot, lead.as_ref(), &watch).await {
-                        let leading = Leading::new(self, term, lead, snapshot);
+                        let leading = Leading::new(self, term, &snapshot);
                         leading.run(reports, stopping).await;
                         continue;
                     }
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -16,7 +16,7 @@
 use copperwell_message::HashMap;
 use copperwell_routing::ServiceName;
 use futures::{StreamExt, stream::FuturesUnordered};
-use spdlog::{debug, info, warn};
+use spdlog::{info, warn};
 use tokio::{
     sync::mpsc,
     time::{MissedTickBehavior, interval},
@@ -66,19 +66,13 @@
 
 impl<'a, R: Register, C: Command, K: Clock, S: Scene> Leading<'a, R, C, K, S> {
     /// A leadership that begins with the plans of `snapshot`.
-    pub(super) fn new(
-        driver: &'a Driver<R, C, K, S>,
-        term: Term,
-        predecessor: Option<Lead>,
-        snapshot: Snapshot,
-    ) -> Self {
+    pub(super) fn new(driver: &'a Driver<R, C, K, S>, term: Term, snapshot: &Snapshot) -> Self {
         let mut lease = Lease::default();
         lease.renew(term.began, &driver.timing.lease);
         let services = snapshot.entries.keys().filter_map(|key| {
             let service = key.strip_prefix(PLAN)?;
-            Some((ServiceName::from(service), decode(&snapshot, key)?))
+            Some((ServiceName::from(service), decode(snapshot, key)?))
         });
-        debug!("takes plans over", kv: { event = "plans", count = snapshot.entries.len(), from:? = predecessor });
         Self {
             driver,
             term: term.number,
@@ -111,7 +105,7 @@
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.is_lost && !stopping.is_cancelled() {
-            self.act(&running);
+            self.act();
             for (service, order) in self.orders() {
                 running.push(Box::pin(carry_out(driver, service, order)));
             }
@@ -137,7 +131,7 @@
     }
 
     /// Brings machines up to date and publishes what changed.
-    fn act(&mut self, running: &FuturesUnordered<Running<'a>>) {
+    fn act(&mut self) {
         let driver = self.driver;
         let now = driver.clock.now();
         for service in driver.scene.keyed_services().unwrap_or_default() {
@@ -156,7 +150,6 @@
             self.count(driver.shared.counts.take());
             let daemons = driver.desk.daemons();
             driver.shared.daemons.store(daemons, Ordering::Relaxed);
-            debug!("orders in flight", kv: { count = running.len() });
         }
     }
 
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -5,26 +5,31 @@
 //! - a holder is written to the store before it gets its first grant ([`Machine::plan_to_store`]),
 //!   with a fencing token that is higher than any before;
 //! - it is replaced only once its grant has surely ended: it answered a release, or the time that it
-//!   was given is over by the slowest clock ([`Tract::ends`]);
+//!   was given is over by the slowest clock (`Tract::ends`);
 //! - a holder that begins another run keeps its ranges, under a higher fencing token;
 //! - an order that may still be on its way makes a range doubtful. The holder of a doubtful range
 //!   gets a higher fencing token before it is asked to release, so that it refuses what comes late.
 //!
 //! All times are of the boot clock.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use crate::{
-    Fence, Holder,
+    Fence,
     balance::{self, Loads, Piece},
     demand::{Demand, Report},
     order::{Action, Order, Outcome},
-    pace::Estimate,
     plan::{Plan, Range},
     table::{ALL, Table},
 };
 use copperwell_message::HashMap;
-use copperwell_routing::{Birth, Key, ServiceName, UpstreamId, registry::Upstream};
+use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
+
+use holder::{Fate, Seats, State, fate};
+use tract::{Stage, Tract, lasting};
+
+mod holder;
+mod tract;
 
 /// Ranges that each upstream gets in the first plan, so that keys that lie close together and are
 /// busy together have several holders.
@@ -33,24 +38,6 @@
 /// How long the first plan waits for more upstreams to register.
 const FIRST_WAIT: Duration = Duration::from_secs(3);
 
-/// How much longer a holder may think its grant lasts, by its own clock, as a part of the grant.
-const CLOCK_DRIFT: f64 = 0.02;
-
-/// What is added to the end of a grant, for scheduling at both ends.
-const MARGIN: Duration = Duration::from_millis(150);
-
-/// How long daemons have to hear that keys are about to be released, so that they hold requests.
-const NOTICE: Duration = Duration::from_millis(8);
-
-/// How long after a failed order the next one follows.
-const RETRY: Duration = Duration::from_millis(150);
-
-/// Orders in a row without an answer that make a holder silent.
-const SILENT_ORDERS: u32 = 3;
-
-/// How long a holder has not answered any order before it is silent.
-const SILENT_TIME: Duration = Duration::from_millis(1_200);
-
 /// How often the balance is looked at.
 const BALANCE_TIME: Duration = Duration::from_millis(500);
 
@@ -123,70 +110,6 @@
     long_hold: bool,
 }
 
-/// A range of keys and what happens to it.
-#[derive(Debug, Clone)]
-struct Tract {
-    first: Key,
-    last: Key,
-    holder: Option<Holder>,
-    fence: Fence,
-    stage: Stage,
-    /// Whether the holder is to lose it.
-    is_leaving: bool,
-    /// Who is to have it next, if that is decided.
-    to: Option<Holder>,
-    /// Whether an order about it has no outcome yet.
-    is_ordered: bool,
-    /// When the next order is due.
-    due: Duration,
-    /// When the holder's grant has surely ended.
-    ends: Duration,
-    /// Until when an order may arrive that this leader does not know of.
-    doubtful_until: Duration,
-    /// The highest fencing token of such an order.
-    doubtful_fence: Fence,
-    /// What its last holder left for the next one.
-    handover: Option<String>,
-}
-
-/// What happens to a range.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// Nobody holds it.
-    Free,
-    /// Its holder or fencing token is new and not stored yet.
-    Chosen {
-        /// The edition of the plan that must be stored.
-        edition: u64,
-        /// Whether its holder serves it under a lower fencing token meanwhile.
-        is_served: bool,
-    },
-    /// Its holder gets grants.
-    Granted {
-        /// Whether the holder has said that it holds it.
-        is_served: bool,
-    },
-    /// Its holder is asked to let go.
-    Releasing,
-}
-
-/// What the leader has seen of an upstream.
-#[derive(Debug, Clone, Copy)]
-struct State {
-    /// Where it listens.
-    address: SocketAddr,
-    /// When it last answered an order.
-    heard: Duration,
-    /// Orders without an answer since then.
-    unanswered: u32,
-    /// When a connection to it was refused or broke: what listens there now may be another run.
-    broke: Option<Duration>,
-    /// How fast it works.
-    pace: Estimate,
-    /// The share of requests that it can take, in parts of [`ALL`].
-    admits: u8,
-}
-
 impl Machine {
     /// Takes over from an earlier leader, whose plan is `plan`; `None` for a new service.
     #[must_use]
@@ -531,295 +454,3 @@
         self.edition += 1;
     }
 }
-
-impl Tract {
-    fn inherited(range: Range, doubtful_until: Duration, now: Duration) -> Self {
-        let is_held = range.holder.is_some();
-        Self {
-            first: range.first,
-            last: range.last,
-            holder: range.holder,
-            fence: range.fence,
-            stage: if is_held {
-                Stage::Granted { is_served: true }
-            } else {
-                Stage::Free
-            },
-            is_leaving: false,
-            to: None,
-            is_ordered: false,
-            due: now,
-            ends: doubtful_until,
-            doubtful_until: if is_held {
-                doubtful_until
-            } else {
-                Duration::ZERO
-            },
-            doubtful_fence: range.fence,
-            handover: None,
-        }
-    }
-
-    /// Whether an order is the one whose outcome is awaited.
-    fn awaits(&self, order: &Order) -> bool {
-        self.is_ordered
-            && self.first == order.first
-            && self.last == order.last
-            && self.fence == order.fence
-            && self.holder.as_ref() == Some(&order.holder)
-    }
-
-    fn is_served(&self) -> bool {
-        match self.stage {
-            Stage::Granted { is_served } | Stage::Chosen { is_served, .. } => is_served,
-            Stage::Free | Stage::Releasing => false,
-        }
-    }
-
-    /// Takes a new fencing token, which must be stored before it is used.
-    fn choose(&mut self, fence: Fence, edition: u64) {
-        let is_served = self.is_served();
-        self.fence = fence;
-        self.stage = Stage::Chosen { edition, is_served };
-    }
-
-    /// Gives the range to the next run of its holder.
-    fn follow(&mut self, born: Birth, fence: Fence, edition: u64) {
-        if let Some(holder) = &mut self.holder {
-            holder.born = born;
-        }
-        self.stage = Stage::Free;
-        self.is_ordered = false;
-        self.handover = None;
-        self.choose(fence, edition);
-    }
-
-    fn vacate(&mut self, handover: Option<String>) {
-        self.holder = None;
-        self.stage = Stage::Free;
-        self.is_leaving = false;
-        self.is_ordered = false;
-        self.handover = handover;
-        self.doubtful_until = Duration::ZERO;
-        self.ends = Duration::ZERO;
-    }
-
-    /// Takes a range that is leaving one step further; `true` if the plan changed.
-    ///
-    /// `answers` says whether its holder answers orders.
-    fn advance(&mut self, now: Duration, answers: bool, fence: &mut Fence, edition: u64) -> bool {
-        let waits = self.is_ordered && self.stage != Stage::Releasing;
-        if !self.is_leaving || waits {
-            return false;
-        }
-        if now >= self.ends.max(self.doubtful_until) {
-            let handover = self.handover.take();
-            self.vacate(handover);
-            return true;
-        }
-        if !matches!(self.stage, Stage::Granted { .. }) {
-            return false;
-        }
-        if now < self.doubtful_until && answers {
-            if self.fence > self.doubtful_fence {
-                // The grant with a higher token is due and will tell.
-                return false;
-            }
-            // Once it has seen a higher token, the holder refuses late orders.
-            *fence += 1;
-            self.choose(*fence, edition);
-            return true;
-        }
-        self.stage = Stage::Releasing;
-        self.due = now + NOTICE;
-        false
-    }
-
-    fn order(
-        &mut self,
-        now: Duration,
-        sight: &Sight<'_>,
-        states: &HashMap<UpstreamId, State>,
-        timing: &Timing,
-        long_hold: bool,
-    ) -> Option<Order> {
-        let holder = self.holder.as_ref()?;
-        if self.is_ordered || now < self.due {
-            return None;
-        }
-        let state = states.get(&holder.id)?;
-        let action = match self.stage {
-            Stage::Granted { .. } => {
-                if state.broke.is_some_and(|broke| sight.listed_at <= broke) {
-                    return None;
-                }
-                Action::Grant {
-                    hold: if long_hold {
-                        timing.hold_max
-                    } else {
-                        timing.hold
-                    },
-                    handover: self.handover.clone(),
-                }
-            }
-            Stage::Releasing => Action::Release,
-            Stage::Free | Stage::Chosen { .. } => return None,
-        };
-        self.is_ordered = true;
-        Some(Order {
-            holder: holder.clone(),
-            address: state.address,
-            first: self.first,
-            last: self.last,
-            fence: self.fence,
-            action,
-        })
-    }
-
-    /// Takes what became of a grant; `false` if the holder has seen a higher fencing token.
-    fn granted(
-        &mut self,
-        hold: Duration,
-        outcome: &Outcome,
-        now: Duration,
-        timing: &Timing,
-    ) -> bool {
-        let ends = now + lasting(hold);
-        match outcome {
-            Outcome::Done { .. } => {
-                self.ends = self.ends.max(ends);
-                self.handover = None;
-                self.due = now + timing.renew;
-                if self.fence > self.doubtful_fence {
-                    // The holder refuses what still is on its way.
-                    self.doubtful_until = Duration::ZERO;
-                }
-                if let Stage::Granted { is_served } = &mut self.stage {
-                    *is_served = true;
-                }
-            }
-            Outcome::Unknown | Outcome::Broken => {
-                self.ends = self.ends.max(ends);
-                self.doubtful_until = self.doubtful_until.max(ends);
-                self.doubtful_fence = self.fence;
-                self.due = now + RETRY;
-            }
-            Outcome::Refused | Outcome::Unsent => self.due = now + RETRY,
-            Outcome::Fenced | Outcome::Elsewhere => return false,
-        }
-        true
-    }
-
-    fn released(&mut self, outcome: Outcome, now: Duration) {
-        match outcome {
-            Outcome::Done { handover } if now >= self.doubtful_until => self.vacate(handover),
-            Outcome::Done { handover } => {
-                // A late order could give it back until then.
-                self.handover = handover;
-                self.ends = self.doubtful_until;
-                self.due = self.doubtful_until;
-            }
-            _ => self.due = now + RETRY,
-        }
-    }
-}
-
-/// What is to become of a holder's keys.
-enum Fate {
-    Stays,
-    Leaves,
-    /// The holder's process has surely ended.
-    Gone,
-    /// The holder has begun another run.
-    Reborn(Birth),
-}
-
-fn fate(
-    holder: &Holder,
-    sight: &Sight<'_>,
-    states: &HashMap<UpstreamId, State>,
-    now: Duration,
-) -> Fate {
-    let state = states.get(&holder.id);
-    let Some(upstream) = sight.upstreams.iter().find(|one| one.id == holder.id) else {
-        let is_gone = state.is_some_and(|state| state.is_replaced(holder, sight));
-        return if is_gone { Fate::Gone } else { Fate::Leaves };
-    };
-    if upstream.born > holder.born {
-        return Fate::Reborn(upstream.born);
-    }
-    let is_silent = state.is_some_and(|state| state.is_silent(now));
-    if upstream.is_draining || is_silent {
-        return Fate::Leaves;
-    }
-    Fate::Stays
-}
-
-impl State {
-    fn at(address: SocketAddr, now: Duration) -> Self {
-        Self {
-            address,
-            pace: Estimate::new(now),
-            admits: ALL,
-            heard: Duration::ZERO,
-            unanswered: 0,
-            broke: None,
-        }
-    }
-
-    /// Whether another upstream has the address of a holder, whose process has ended then.
-    fn is_replaced(&self, holder: &Holder, sight: &Sight<'_>) -> bool {
-        sight
-            .all
-            .iter()
-            .any(|one| one.address == self.address && one.id != holder.id && one.born > holder.born)
-    }
-
-    fn is_silent(&self, now: Duration) -> bool {
-        self.unanswered >= SILENT_ORDERS && now.saturating_sub(self.heard) > SILENT_TIME
-    }
-}
-
-/// The upstreams that can be given keys.
-struct Seats {
-    holders: Vec<Holder>,
-    weights: Vec<f64>,
-}
-
-impl Seats {
-    fn new(sight: &Sight<'_>, states: &HashMap<UpstreamId, State>, now: Duration) -> Self {
-        let is_usable = |one: &&Arc<Upstream>| {
-            let state = states.get(&one.id);
-            !one.is_draining && !state.is_some_and(|state| state.is_silent(now))
-        };
-        let usable: Vec<_> = sight.upstreams.iter().filter(is_usable).collect();
-        let holder = |one: &&Arc<Upstream>| Holder {
-            id: one.id.clone(),
-            born: one.born,
-        };
-        let weight = |one: &&Arc<Upstream>| {
-            let slowness = states
-                .get(&one.id)
-                .map_or(1.0, |state| state.pace.slowness());
-            f64::from(one.slots.max(1)) / slowness
-        };
-        Self {
-            holders: usable.iter().map(holder).collect(),
-            weights: usable.iter().map(weight).collect(),
-        }
-    }
-
-    fn index(&self, holder: &Holder) -> Option<usize> {
-        self.holders.iter().position(|one| one == holder)
-    }
-
-    fn least(&self, totals: &[f64]) -> Option<usize> {
-        let relative = |seat: usize| totals[seat] / self.weights[seat];
-        (0..self.holders.len()).min_by(|one, other| relative(*one).total_cmp(&relative(*other)))
-    }
-}
-
-/// How long a grant may last by the slowest clock.
-fn lasting(hold: Duration) -> Duration {
-    hold.mul_f64(1.0 + CLOCK_DRIFT) + MARGIN
-}
--- /dev/null
+++ b/crates/assignment/src/machine/holder.rs
@@ -0,0 +1,131 @@
+//! Upstreams as holders of keys: what the leader has seen of them, and who can be given keys.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use super::Sight;
+use crate::{Holder, pace::Estimate, table::ALL};
+use copperwell_message::HashMap;
+use copperwell_routing::{Birth, UpstreamId, registry::Upstream};
+
+/// Orders in a row without an answer that make a holder silent.
+const SILENT_ORDERS: u32 = 3;
+
+/// How long a holder has not answered any order before it is silent.
+const SILENT_TIME: Duration = Duration::from_millis(1_200);
+
+/// What the leader has seen of an upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct State {
+    /// Where it listens.
+    pub(super) address: SocketAddr,
+    /// When it last answered an order.
+    pub(super) heard: Duration,
+    /// Orders without an answer since then.
+    pub(super) unanswered: u32,
+    /// When a connection to it was refused or broke: what listens there now may be another run.
+    pub(super) broke: Option<Duration>,
+    /// How fast it works.
+    pub(super) pace: Estimate,
+    /// The share of requests that it can take, in parts of [`ALL`].
+    pub(super) admits: u8,
+}
+
+/// What is to become of a holder's keys.
+pub(super) enum Fate {
+    Stays,
+    Leaves,
+    /// The holder's process has surely ended.
+    Gone,
+    /// The holder has begun another run.
+    Reborn(Birth),
+}
+
+/// What is to become of a holder's keys.
+pub(super) fn fate(
+    holder: &Holder,
+    sight: &Sight<'_>,
+    states: &HashMap<UpstreamId, State>,
+    now: Duration,
+) -> Fate {
+    let state = states.get(&holder.id);
+    let Some(upstream) = sight.upstreams.iter().find(|one| one.id == holder.id) else {
+        let is_gone = state.is_some_and(|state| state.is_replaced(holder, sight));
+        return if is_gone { Fate::Gone } else { Fate::Leaves };
+    };
+    if upstream.born > holder.born {
+        return Fate::Reborn(upstream.born);
+    }
+    let is_silent = state.is_some_and(|state| state.is_silent(now));
+    if upstream.is_draining || is_silent {
+        return Fate::Leaves;
+    }
+    Fate::Stays
+}
+
+impl State {
+    pub(super) fn at(address: SocketAddr, now: Duration) -> Self {
+        Self {
+            address,
+            pace: Estimate::new(now),
+            admits: ALL,
+            heard: Duration::ZERO,
+            unanswered: 0,
+            broke: None,
+        }
+    }
+
+    /// Whether another upstream has the address of a holder, whose process has ended then.
+    pub(super) fn is_replaced(&self, holder: &Holder, sight: &Sight<'_>) -> bool {
+        sight
+            .all
+            .iter()
+            .any(|one| one.address == self.address && one.id != holder.id && one.born > holder.born)
+    }
+
+    pub(super) fn is_silent(&self, now: Duration) -> bool {
+        self.unanswered >= SILENT_ORDERS && now.saturating_sub(self.heard) > SILENT_TIME
+    }
+}
+
+/// The upstreams that can be given keys.
+pub(super) struct Seats {
+    pub(super) holders: Vec<Holder>,
+    pub(super) weights: Vec<f64>,
+}
+
+impl Seats {
+    pub(super) fn new(
+        sight: &Sight<'_>,
+        states: &HashMap<UpstreamId, State>,
+        now: Duration,
+    ) -> Self {
+        let is_usable = |one: &&Arc<Upstream>| {
+            let state = states.get(&one.id);
+            !one.is_draining && !state.is_some_and(|state| state.is_silent(now))
+        };
+        let usable: Vec<_> = sight.upstreams.iter().filter(is_usable).collect();
+        let holder = |one: &&Arc<Upstream>| Holder {
+            id: one.id.clone(),
+            born: one.born,
+        };
+        let weight = |one: &&Arc<Upstream>| {
+            let slowness = states
+                .get(&one.id)
+                .map_or(1.0, |state| state.pace.slowness());
+            f64::from(one.slots.max(1)) / slowness
+        };
+        Self {
+            holders: usable.iter().map(holder).collect(),
+            weights: usable.iter().map(weight).collect(),
+        }
+    }
+
+    pub(super) fn index(&self, holder: &Holder) -> Option<usize> {
+        self.holders.iter().position(|one| one == holder)
+    }
+
+    pub(super) fn least(&self, totals: &[f64]) -> Option<usize> {
+        let relative = |seat: usize| totals[seat] / self.weights[seat];
+        (0..self.holders.len()).min_by(|one, other| relative(*one).total_cmp(&relative(*other)))
+    }
+}
