Read configurations with a wait of one second

Change: readings wait 1 s.

Test: gateway/tests/watch.rs with a store that does not wake readers; two of its three cases failed before.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -16,7 +16,10 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// How long a reading waits for a newer configuration.
-const CONFIGURATION_WAIT: Duration = Duration::from_secs(2);
+///
+/// A reading that begins while one is being written may hear of it only when its wait is over, and it
+/// must be in force everywhere within two seconds.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
 /// How long after a failed reading the next one follows.
 const RETRY: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/crates/gateway/tests/watch.rs
@@ -0,0 +1,168 @@
+//! Configurations and upstreams are read as often as they must be, and no more.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use copperwell_assignment::{
+    clock::Driven,
+    driver::Scene,
+    news::{ListNumber, News},
+};
+use copperwell_gateway::{Beliefs, metrics::Metrics, watch};
+use copperwell_routing::{
+    budget::Allowance,
+    configuration::{Configuration, Limits},
+    registry::Upstream,
+    source::{Listing, Source, Unread},
+};
+use tokio::time::sleep;
+
+/// A store that tells of a new configuration only when the wait for it is over.
+#[derive(Default)]
+struct Deaf {
+    version: AtomicU64,
+    lists: AtomicUsize,
+    readings: AtomicUsize,
+}
+
+fn configuration(version: u64) -> Configuration {
+    let limits = Limits {
+        head_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    Configuration::new(version, limits, [], [])
+}
+
+fn upstream() -> Upstream {
+    Upstream {
+        id: "u1".into(),
+        born: 1,
+        service: "cups".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        zone: "here".into(),
+        slots: 2,
+        is_draining: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+impl Source for Deaf {
+    async fn configuration(
+        &self,
+        above: Option<u64>,
+        wait: Duration,
+    ) -> Result<Option<Configuration>, Unread> {
+        self.readings.fetch_add(1, Ordering::Relaxed);
+        let version = self.version.load(Ordering::Relaxed);
+        if wait.is_zero() || above.is_none() {
+            sleep(Duration::from_millis(4)).await;
+        } else {
+            sleep(wait).await;
+        }
+        let version = version.max(self.version.load(Ordering::Relaxed));
+        let is_newer = above.is_none_or(|above| version > above);
+        Ok(is_newer.then(|| configuration(version)))
+    }
+
+    async fn upstreams(&self) -> Result<Listing, Unread> {
+        self.lists.fetch_add(1, Ordering::Relaxed);
+        sleep(Duration::from_millis(4)).await;
+        Ok(Listing {
+            upstreams: vec![upstream()],
+            unreadable: Vec::new(),
+        })
+    }
+}
+
+struct Bench {
+    source: Arc<Deaf>,
+    beliefs: Arc<Beliefs>,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let source = Arc::new(Deaf::default());
+        source.version.store(1, Ordering::Relaxed);
+        let allowance = Allowance {
+            ratio: 0.2,
+            slack: 60.0,
+            window: Duration::from_secs(10),
+        };
+        let beliefs = Arc::new(Beliefs::new(7, "here".into(), allowance));
+        let metrics = Metrics::default();
+        tokio::spawn(watch::configurations(
+            source.clone(),
+            beliefs.clone(),
+            metrics.clone(),
+        ));
+        let clock = Driven::default();
+        clock.suspend(Duration::from_secs(1));
+        let listing = watch::upstreams(source.clone(), beliefs.clone(), clock, metrics, || {});
+        tokio::spawn(listing);
+        sleep(Duration::from_secs(3)).await;
+        assert!(beliefs.is_complete());
+        Self { source, beliefs }
+    }
+
+    fn version(&self) -> u64 {
+        self.beliefs.configuration().unwrap().version
+    }
+
+    /// Hears the leader for a while, who has this configuration.
+    async fn hear(&self, configuration: u64, time: Duration) {
+        let step = Duration::from_millis(400);
+        for _ in 0..time.as_millis() / step.as_millis() {
+            self.beliefs.hear(News {
+                configuration,
+                list: ListNumber { run: 9, number: 1 },
+                age: Duration::from_millis(300),
+                upstreams: Some(vec![upstream()]),
+            });
+            sleep(step).await;
+        }
+    }
+}
+
+/// The store's answer to a waiting reading is no promise to come at once.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_is_in_force_soon_though_a_reading_is_not_woken() {
+    let bench = Bench::start().await;
+    for version in 2..12 {
+        bench.source.version.store(version, Ordering::Relaxed);
+        sleep(Duration::from_millis(1_100)).await;
+        assert_eq!(bench.version(), version);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_hears_from_the_leader_leaves_the_reading_to_it() {
+    let bench = Bench::start().await;
+    bench.hear(1, Duration::from_secs(4)).await;
+    let lists = bench.source.lists.load(Ordering::Relaxed);
+    let readings = bench.source.readings.load(Ordering::Relaxed);
+    bench.hear(1, Duration::from_secs(20)).await;
+    assert_eq!(bench.source.lists.load(Ordering::Relaxed), lists);
+    assert_eq!(bench.source.readings.load(Ordering::Relaxed), readings);
+    // The leader has a newer one: that is read at once.
+    bench.source.version.store(6, Ordering::Relaxed);
+    bench.hear(6, Duration::from_millis(400)).await;
+    assert_eq!(bench.version(), 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_does_not_hear_any_more_reads_itself() {
+    let bench = Bench::start().await;
+    bench.hear(1, Duration::from_secs(4)).await;
+    let lists = bench.source.lists.load(Ordering::Relaxed);
+    bench.source.version.store(8, Ordering::Relaxed);
+    sleep(Duration::from_millis(2_600)).await;
+    assert!(bench.source.lists.load(Ordering::Relaxed) > lists);
+    assert_eq!(bench.version(), 8);
+}
