--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -43,6 +43,8 @@
     plans: HashMap<ServiceName, Plan>,
     beat: u64,
     beat_at: Duration,
+    /// Nothing is written before, since a write has just failed.
+    write_at: Duration,
     number: u64,
     is_store_away: bool,
     /// When the call to the store was sent that has no answer yet.
@@ -82,6 +84,7 @@
             plans: services.collect(),
             beat: 0,
             beat_at: term.began + driver.timing.lease.beat,
+            write_at: Duration::ZERO,
             number: 0,
             is_store_away: false,
             asked_at: None,
@@ -210,6 +213,9 @@
     fn write(&mut self) -> Option<Storing<'a>> {
         let driver = self.driver;
         let now = driver.clock.now();
+        if now < self.write_at {
+            return None;
+        }
         let plans = self.machines.iter().filter_map(|machine| {
             let (edition, plan) = machine.plan_to_store()?;
             Some((machine.service().clone(), edition, plan))
@@ -269,7 +275,8 @@
             }
             Err(failure) => {
                 warn!("the lease was not renewed", kv: { event = "beat-failed", term = self.term, failure = failure.as_str() });
-                self.beat_at = now + RETRY;
+                self.beat_at = now;
+                self.write_at = now + RETRY;
                 if failure != Failure::Conflict {
                     self.note_store(true);
                 }
@@ -294,7 +301,7 @@
         }
         // What was written may be there or not; it is written again from here.
         self.end = snapshot.end;
-        self.beat_at = self.driver.clock.now();
+        self.write_at = self.driver.clock.now();
     }
 
     fn note_store(&mut self, is_away: bool) {
--- /dev/null
+++ b/crates/assignment/tests/driver.rs
@@ -0,0 +1,240 @@
+//! Daemons that lead and follow, over a store in memory.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use copperwell_assignment::{
+    clock::Driven,
+    driver::{Driver, Identity, Scene, Shared, Timing},
+    exchange::Desk,
+    metrics::Metrics,
+    news::{ListNumber, News},
+    order::{Command, Order, Outcome},
+    register::{Failure, Position, Register, Snapshot},
+};
+use copperwell_routing::{ServiceName, registry::Upstream};
+use tokio::{task::JoinHandle, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+/// How long a call to the store takes.
+const CALL: Duration = Duration::from_millis(4);
+
+#[derive(Default)]
+struct Store {
+    snapshot: Mutex<Snapshot>,
+    is_away: AtomicBool,
+    calls: AtomicUsize,
+}
+
+impl Store {
+    async fn call(&self) -> Result<(), Failure> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        sleep(CALL).await;
+        match self.is_away.load(Ordering::Relaxed) {
+            true => Err(Failure::NotDone),
+            false => Ok(()),
+        }
+    }
+
+    fn calls(&self) -> usize {
+        self.calls.swap(0, Ordering::Relaxed)
+    }
+}
+
+impl Register for Store {
+    async fn read(&self) -> Result<Snapshot, Failure> {
+        self.call().await?;
+        Ok(self.snapshot.lock().unwrap().clone())
+    }
+
+    async fn swap(&self, at: Position, entries: &[(String, Vec<u8>)]) -> Result<Position, Failure> {
+        self.call().await?;
+        let mut snapshot = self.snapshot.lock().unwrap();
+        if snapshot.end != at {
+            return Err(Failure::Conflict);
+        }
+        snapshot.entries.extend(entries.iter().cloned());
+        snapshot.end += entries.len() as u64;
+        Ok(snapshot.end)
+    }
+}
+
+/// Servers that do as they are told.
+#[derive(Default)]
+struct Servers {
+    orders: AtomicUsize,
+}
+
+impl Command for Servers {
+    async fn give(&self, _: &Order, _: Duration) -> Outcome {
+        self.orders.fetch_add(1, Ordering::Relaxed);
+        sleep(Duration::from_millis(1)).await;
+        Outcome::Done { handover: None }
+    }
+}
+
+struct Stage {
+    upstreams: Mutex<Vec<Arc<Upstream>>>,
+}
+
+impl Scene for Stage {
+    fn keyed_services(&self) -> Option<Vec<ServiceName>> {
+        Some(vec!["cups".into()])
+    }
+
+    fn upstreams(&self, _: &str) -> Vec<Arc<Upstream>> {
+        self.upstreams.lock().unwrap().clone()
+    }
+
+    fn all_upstreams(&self) -> Vec<Arc<Upstream>> {
+        self.upstreams("")
+    }
+
+    fn listed_at(&self) -> Option<Duration> {
+        Some(Duration::from_millis(1))
+    }
+
+    fn has(&self) -> (u64, ListNumber) {
+        (1, ListNumber::default())
+    }
+
+    fn hear(&self, _: News) {}
+}
+
+struct Daemon {
+    shared: Shared,
+    servers: Arc<Servers>,
+    stage: Arc<Stage>,
+    clock: Arc<Driven>,
+    stopping: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+fn upstreams(count: u16) -> Vec<Arc<Upstream>> {
+    let one = |number: u16| Upstream {
+        id: format!("u{number}").into(),
+        born: 1,
+        service: "cups".into(),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        zone: "here".into(),
+        slots: 2,
+        is_draining: false,
+        warmup: Duration::ZERO,
+    };
+    (0..count).map(|number| Arc::new(one(number))).collect()
+}
+
+impl Daemon {
+    fn start(name: &str, run: u64, store: &Arc<Store>) -> Self {
+        let shared = Shared::new(run);
+        let servers = Arc::new(Servers::default());
+        let stage = Arc::new(Stage {
+            upstreams: Mutex::new(upstreams(3)),
+        });
+        let clock = Arc::new(Driven::default());
+        let (desk, reports) = Desk::new(shared.directory.clone(), shared.board.clone());
+        let port = 20_000 + u16::try_from(run).unwrap();
+        let driver = Driver {
+            identity: Identity {
+                name: name.into(),
+                run,
+                address: ([127, 0, 0, 1], port).into(),
+            },
+            timing: Timing::default(),
+            register: store.clone(),
+            command: servers.clone(),
+            clock: clock.clone(),
+            scene: stage.clone(),
+            shared: shared.clone(),
+            desk,
+            metrics: Metrics::default(),
+        };
+        let stopping = CancellationToken::new();
+        let task = tokio::spawn(driver.run(reports, stopping.clone()));
+        Self {
+            shared,
+            servers,
+            stage,
+            clock,
+            stopping,
+            task,
+        }
+    }
+
+    fn serves(&self) -> bool {
+        let directory = &self.shared.directory;
+        [0, 30_000, u16::MAX]
+            .iter()
+            .all(|key| directory.served("cups", *key).is_some())
+    }
+
+    fn orders(&self) -> usize {
+        self.servers.orders.swap(0, Ordering::Relaxed)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_calm_leader_writes_little() {
+    let store = Arc::new(Store::default());
+    let daemon = Daemon::start("one", 1, &store);
+    sleep(Duration::from_secs(6)).await;
+    assert!(daemon.serves());
+    store.calls();
+    sleep(Duration::from_secs(7)).await;
+    // A renewal each 700 ms.
+    let calls = store.calls();
+    assert!((8..=11).contains(&calls), "{calls}");
+}
+
+/// The plan cannot be written, since the store is away; that is tried at a pace, not all the time.
+#[tokio::test(start_paused = true)]
+async fn a_leader_does_not_press_a_store_that_is_away() {
+    let store = Arc::new(Store::default());
+    let daemon = Daemon::start("one", 1, &store);
+    sleep(Duration::from_secs(6)).await;
+    store.is_away.store(true, Ordering::Relaxed);
+    // Its keys need new holders, which must be written first.
+    *daemon.stage.upstreams.lock().unwrap() = upstreams(2);
+    sleep(Duration::from_secs(1)).await;
+    store.calls();
+    sleep(Duration::from_secs(5)).await;
+    let calls = store.calls();
+    assert!(calls <= 55, "{calls} calls");
+    store.is_away.store(false, Ordering::Relaxed);
+    sleep(Duration::from_secs(12)).await;
+    assert!(daemon.serves());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_stops_hands_over_at_once() {
+    let store = Arc::new(Store::default());
+    let first = Daemon::start("one", 1, &store);
+    sleep(Duration::from_secs(6)).await;
+    let second = Daemon::start("two", 2, &store);
+    sleep(Duration::from_secs(1)).await;
+    first.stopping.cancel();
+    sleep(Duration::from_millis(1_200)).await;
+    assert!(first.task.is_finished());
+    assert!(second.orders() > 0);
+    assert!(second.serves());
+}
+
+/// The machine of the leader is suspended, which the runtime's clock does not see.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_was_suspended_gives_no_orders() {
+    let store = Arc::new(Store::default());
+    let daemon = Daemon::start("one", 1, &store);
+    sleep(Duration::from_secs(6)).await;
+    store.is_away.store(true, Ordering::Relaxed);
+    sleep(Duration::from_millis(100)).await;
+    daemon.clock.suspend(Duration::from_secs(4));
+    sleep(Duration::from_millis(50)).await;
+    daemon.orders();
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(daemon.orders(), 0);
+}
