Wait before a full holder is asked again, and leave one that ended

Cause: a keyed request that was refused went to the same server again at once, which was still full, or not there; that cost an arrival of the retry budget and the caller's next try.

Change: half the usual time of such requests passes before a full holder is asked again; where nobody listens the caller hears at once.

--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -25,10 +25,10 @@
     configuration::Route,
     load::End,
     registry::Upstream,
-    retry::{self, Tried},
+    retry::{self, Next, Tried},
 };
 use http::request::Parts;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// How long a new connection to an upstream may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -166,7 +166,7 @@
                 follows.as_str(),
             );
             match follows {
-                Follows::Try => {}
+                Follows::Try(pause) => sleep(pause).await,
                 Follows::NoBudget => {
                     self.metrics.no_retry(failed.reason);
                     return result;
@@ -181,13 +181,16 @@
         }
     }
 
-    fn wish(&self, service: &ServiceName) -> Result<Wish, Refusal> {
+    fn is_keyed(&self, service: &ServiceName) -> bool {
         let configuration = self.beliefs.configuration();
-        let is_keyed = configuration
+        let known = configuration
             .as_ref()
-            .and_then(|known| known.service(service))
-            .is_some_and(|service| service.is_keyed);
-        let key = match (is_keyed, self.asked.key) {
+            .and_then(|known| known.service(service));
+        known.is_some_and(|service| service.is_keyed)
+    }
+
+    fn wish(&self, service: &ServiceName) -> Result<Wish, Refusal> {
+        let key = match (self.is_keyed(service), self.asked.key) {
             (false, _) => None,
             (true, Some(key)) => {
                 let work = self.work();
@@ -264,18 +267,25 @@
         is_whole: bool,
         service: &ServiceName,
     ) -> Follows {
-        let may_follow = retry::may_follow(&Tried {
+        let next = retry::next(&Tried {
             verdict: failed.verdict,
             reason: failed.reason,
             is_repeatable: self.route.is_repeatable,
             sent: u32::try_from(sent).unwrap_or(u32::MAX),
             attempts: self.route.attempts,
+            is_keyed: self.asked.key.is_some() && self.is_keyed(service),
+            usual: self.work(),
             left: self.until.saturating_duration_since(Instant::now()),
         });
-        match may_follow && is_whole {
-            false => Follows::Nothing,
-            true if self.beliefs.take_retry(service) => Follows::Try,
-            true => Follows::NoBudget,
+        match next {
+            Next::After(pause) if is_whole => {
+                if self.beliefs.take_retry(service) {
+                    Follows::Try(pause)
+                } else {
+                    Follows::NoBudget
+                }
+            }
+            _ => Follows::Nothing,
         }
     }
 }
@@ -283,8 +293,8 @@
 /// What follows a try that failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Follows {
-    /// Another try.
-    Try,
+    /// Another try after this pause.
+    Try(Duration),
     /// Nothing, since the budget does not pay for another try.
     NoBudget,
     /// Nothing, since another try is not allowed or of no use.
@@ -294,7 +304,7 @@
 impl Follows {
     fn as_str(self) -> &'static str {
         match self {
-            Self::Try => "yes",
+            Self::Try(_) => "yes",
             Self::NoBudget => "no-budget",
             Self::Nothing => "no",
         }
