--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -1,7 +1,6 @@
 //! The daemon on the users' platform: requests go straight to upstreams that register themselves.
 
 use std::{
-    fmt,
     net::SocketAddr,
     path::PathBuf,
     sync::{
@@ -11,7 +10,10 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use crate::admin::{self, Inspect};
+use crate::{
+    admin::{self, Inspect},
+    daemon::Error,
+};
 use copperwell_assignment::{
     clock::{Boot, Clock},
     driver::{self, Driver, Identity},
@@ -59,18 +61,6 @@
     driver: JoinHandle<()>,
 }
 
-/// A daemon that cannot start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Error;
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the daemon cannot start")
-    }
-}
-
-impl std::error::Error for Error {}
-
 /// What the admin endpoint tells.
 struct Watcher {
     beliefs: Arc<Beliefs>,
