Keep the retry budget right after a restart of all

After a restart of all, daemons hear of one, two, three others, and each took its share of the slack by that count. And what was counted left the window up to half a second too soon.

Change: at least 16 daemons share while a run is younger than a window; a part of the window counts until its end has left it; 0.85 of the allowance is used.

Test: a_new_run_does_not_take_the_share_of_those_that_it_has_not_heard_of.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -9,7 +9,11 @@
 
 /// The share of the allowance that is used, so that arrivals that daemons count at different times
 /// do not add up to more than is allowed.
-const USED: f64 = 0.9;
+const USED: f64 = 0.85;
+
+/// Daemons that share the slack, at least, while a daemon's run is younger than a window and may not
+/// have heard of all.
+const FIRST_DAEMONS: usize = 16;
 
 /// How many windows a daemon that is not seen any more keeps its share: it may just be cut off.
 const REMEMBERED: u32 = 4;
@@ -74,6 +78,10 @@
         let window = self.allowance.window.as_secs_f64();
         let age = now.saturating_duration_since(self.began).as_secs_f64();
         let earned = (age / window).min(1.0);
+        let daemons = match earned < 1.0 {
+            true => daemons.max(FIRST_DAEMONS),
+            false => daemons,
+        };
         let share = earned * self.allowance.slack / daemons as f64;
         let most = USED * (self.allowance.ratio * f64::from(requests) + share);
         let is_paid = f64::from(retries) + 1.0 <= most;
@@ -94,12 +102,13 @@
     }
 
     fn part(&mut self, now: Instant) -> &mut Part {
+        let length = self.allowance.window / PARTS;
+        // A part counts until its end has left the window.
         while let Some(part) = self.parts.front()
-            && now.saturating_duration_since(part.began) >= self.allowance.window
+            && now.saturating_duration_since(part.began) >= self.allowance.window + length
         {
             self.parts.pop_front();
         }
-        let length = self.allowance.window / PARTS;
         let is_current = self
             .parts
             .back()
