Tell the story of one request from daemons' logs

copperwell trace REQUEST [LOG...] prints the lines about a request and those that tell what was decided about its key, its servers, its configuration and the leadership it went by. Lines that are no log lines are named and passed over. The line on dropped lines has a time now, as all others do.

A test that waits for a lost server's shards shows every daemon's status when they do not come.

--- a/crates/copperwell/src/args.rs
+++ b/crates/copperwell/src/args.rs
@@ -7,7 +7,8 @@
 /// What `--help` tells of exit codes.
 const EXIT_CODES: &str = "Exit codes: 0 done; 1 wrong usage; 2 the manifest is not valid; 3 \
     another manifest was published first; 4 nothing done, as platform or daemons do not answer; 5 \
-    unknown, as an answer was lost; 6 accepted, but not in force everywhere in time.";
+    unknown, as an answer was lost; 6 accepted, but not in force everywhere in time; \
+    7 nothing found.";
 
 /// Checks, publishes and follows the manifest of copperwell, and shows what the daemons do.
 ///
@@ -35,6 +36,12 @@
     /// Show where the requests for a key go, and why.
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_args))] ExplainArgs),
+    /// Tell the story of one request from daemons' logs.
+    ///
+    /// Lines about the request have a star; the others tell what was decided about its key, its
+    /// servers, its configuration and the leadership that it went by.
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace_args))] TraceArgs),
     /// Print a line for each change of manifest, leaders and daemons.
     #[bpaf(command)]
     Watch(#[bpaf(external(watch_args))] WatchArgs),
@@ -133,6 +140,17 @@
     pub(crate) key: String,
 }
 
+/// Options of `trace`.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct TraceArgs {
+    /// The request's id.
+    #[bpaf(positional("REQUEST"))]
+    pub(crate) request: String,
+    /// Logs in JSON, one of each daemon; without any, standard input is read.
+    #[bpaf(positional("LOG"), many)]
+    pub(crate) logs: Vec<PathBuf>,
+}
+
 /// Options of `watch`.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct WatchArgs {
--- a/crates/copperwell/src/exit.rs
+++ b/crates/copperwell/src/exit.rs
@@ -28,6 +28,8 @@
     Unknown,
     /// The manifest is accepted, but not in force everywhere in time.
     Late,
+    /// Nothing was found.
+    NotFound,
 }
 
 impl fmt::Display for Exit {
@@ -39,6 +41,7 @@
             Self::Unreachable => "nothing was done",
             Self::Unknown => "the outcome is not known",
             Self::Late => "not in force everywhere",
+            Self::NotFound => "nothing was found",
         })
     }
 }
@@ -54,6 +57,7 @@
             Exit::Unreachable => 4,
             Exit::Unknown => 5,
             Exit::Late => 6,
+            Exit::NotFound => 7,
         })
     }
 }
--- a/crates/copperwell/src/main.rs
+++ b/crates/copperwell/src/main.rs
@@ -12,6 +12,7 @@
 mod publish;
 mod status;
 mod table;
+mod trace;
 mod watch;
 
 fn main() -> ExitCode {
@@ -42,6 +43,7 @@
         Command::Publish(args) => publish::run(&args).await,
         Command::Status(args) => status::run(&args).await,
         Command::Explain(args) => explain::run(&args).await,
+        Command::Trace(args) => trace::run(&args),
         Command::Watch(args) => watch::run(&args).await,
     }
 }
--- /dev/null
+++ b/crates/copperwell/src/trace.rs
@@ -0,0 +1,68 @@
+//! `trace`.
+
+use std::{
+    fs::File,
+    io::{self, BufReader},
+    path::Path,
+};
+
+use crate::{
+    args::TraceArgs,
+    exit::{self, Exit, print},
+};
+use copperwell_operator::story::{Collector, Story};
+use error_stack::{Report, ResultExt};
+
+/// Lines that cannot be read which are named; the others are counted.
+const NAMED_MAX: usize = 5;
+
+/// Tells the story of one request from daemons' logs.
+pub(crate) fn run(args: &TraceArgs) -> exit::Result {
+    let mut collector = Collector::new(&*args.request);
+    if args.logs.is_empty() {
+        let read = collector.read("standard input", io::stdin().lock());
+        read.change_context(Exit::Unreachable)
+            .attach("cannot read standard input")?;
+    }
+    for path in &args.logs {
+        read(&mut collector, path)
+            .change_context(Exit::Unreachable)
+            .attach_with(|| format!("cannot read {}", path.display()))?;
+    }
+    let story = collector.finish();
+    complain(&story);
+    let Some(began) = story.began else {
+        let remedy =
+            "give the logs of all daemons; of requests that went well, one in 64 is logged";
+        return Err(Report::new(Exit::NotFound)
+            .attach(format!("no line about request {}", args.request))
+            .attach(remedy));
+    };
+    for entry in &story.entries {
+        let after = i128::from(entry.line.timestamp) - i128::from(began);
+        let mark = if entry.is_own { '*' } else { ' ' };
+        let line = &entry.line;
+        print(format_args!(
+            "{after:>+7} ms {mark} {}: {} {}",
+            entry.source, line.payload, line.kv
+        ));
+    }
+    Ok(Exit::Done)
+}
+
+fn read(collector: &mut Collector, path: &Path) -> io::Result<()> {
+    let name = path.file_stem().unwrap_or(path.as_os_str());
+    let log = BufReader::new(File::open(path)?);
+    collector.read(&name.to_string_lossy(), log)
+}
+
+/// Names lines that could not be read.
+fn complain(story: &Story) {
+    for line in story.unreadable.iter().take(NAMED_MAX) {
+        eprintln!("copperwell: {line}");
+    }
+    let more = story.unreadable.len().saturating_sub(NAMED_MAX);
+    if more > 0 {
+        eprintln!("copperwell: {more} more lines are no log lines");
+    }
+}
--- a/crates/copperwell/tests/command.rs
+++ b/crates/copperwell/tests/command.rs
@@ -210,3 +210,44 @@
         errors(&output)
     );
 }
+
+const LOG: &str = r#"{"timestamp":100,"payload":"started","kv":{"event":"start","name":"north-1"}}
+no line
+{"timestamp":900,"payload":"a request got no answer","kv":{"event":"request-refused","request":"r1","reason":"overload","whole_ms":50}}
+"#;
+
+#[tokio::test]
+async fn a_request_is_traced_through_logs() {
+    let path = file("trace.log", LOG);
+    let output = run(&["trace", "r1", &path.to_string_lossy()]).await;
+    assert_eq!(code(&output), Some(0), "{}", errors(&output));
+    let told = String::from_utf8_lossy(&output.stdout);
+    let expected = "    +50 ms * north-1: a request got no answer event=request-refused \
+        reason=overload whole_ms=50\n";
+    assert_eq!(told, expected);
+    let errors = errors(&output);
+    assert!(errors.contains("trace:2: not a log line"), "{errors}");
+}
+
+#[test_case(&["trace", "r2", "trace-none.log"], 7, "no line about request r2"; "unknown request")]
+#[test_case(&["trace", "r1"], 7, "no line about request r1"; "nothing on standard input")]
+#[test_case(&["trace", "r1", "not-there.log"], 4, "cannot read"; "no such file")]
+#[test_case(&["trace"], 1, "REQUEST"; "no request")]
+#[tokio::test]
+async fn a_trace_without_lines_says_why(args: &[&str], expected: i32, message: &str) {
+    file("trace-none.log", LOG);
+    let paths = args.iter().map(|arg| {
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(arg);
+        let is_log = arg.ends_with(".log");
+        if is_log {
+            path.to_string_lossy().into_owned()
+        } else {
+            (*arg).to_owned()
+        }
+    });
+    let args: Vec<String> = paths.collect();
+    let output = run(&args.iter().map(String::as_str).collect::<Vec<_>>()).await;
+    let errors = errors(&output);
+    assert_eq!(code(&output), Some(expected), "{errors}");
+    assert!(errors.contains(message), "{errors}");
+}
--- a/crates/copperwelld/src/log.rs
+++ b/crates/copperwelld/src/log.rs
@@ -9,6 +9,7 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::SystemTime,
 };
 
 use error_stack::{Report, ResultExt};
@@ -119,7 +120,8 @@
         let count = dropped.load(Ordering::Relaxed);
         if count > told {
             let line = format!(
-                "{{\"level\":\"warn\",\"payload\":\"log lines were dropped\",\"kv\":{{\"event\":\"log-dropped\",\"count\":{}}}}}\n",
+                "{{\"level\":\"warn\",\"timestamp\":{},\"payload\":\"log lines were dropped\",\"kv\":{{\"event\":\"log-dropped\",\"count\":{}}}}}\n",
+                now_millis(),
                 count - told
             );
             bytes.extend_from_slice(line.as_bytes());
@@ -130,6 +132,12 @@
     }
 }
 
+/// Milliseconds since the Unix epoch.
+fn now_millis() -> u128 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis()
+}
+
 /// Writes no log lines, for programs that run daemons among other things.
 pub fn silence() {
     spdlog::default_logger().set_level_filter(LevelFilter::Off);
--- a/crates/copperwelld/tests/faults/support.rs
+++ b/crates/copperwelld/tests/faults/support.rs
@@ -373,10 +373,24 @@
 
     /// Waits until no shard is held by a server.
     pub(crate) async fn wait_lost(&self, server: &str) {
-        self.wait("the lost server's shards have others", |cluster| {
-            cluster.held_by_others(server) >= cluster.shards()
-        })
-        .await;
+        let cluster = &self.cluster;
+        let condition = || cluster.held_by_others(server) >= cluster.shards();
+        let waited = cluster
+            .wait("the lost server's shards have others", condition)
+            .await;
+        if let Err(error) = waited {
+            panic!("{error}\n{}", self.statuses().await);
+        }
+    }
+
+    /// What every daemon says of itself, for the message of a failed test.
+    async fn statuses(&self) -> String {
+        let mut lines = String::new();
+        for node in &self.cluster.nodes {
+            let status = cluster::status(node.addresses.admin).await;
+            lines.push_str(&format!("{}: {status:?}\n", node.name));
+        }
+        lines
     }
 
     /// A daemon that does not lead the group.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod publish;
 pub mod query;
 pub mod status;
+pub mod story;
