Take a lost daemon for gone when another one saw it leave the list

Cause: a leader that is killed within a second of its start may be off the platform's list before its successor reads the list again. The successor never saw it there, so it never took it for gone, and the shards of a server that was lost at the same time waited for ever. Seen in two process tests (leader_and_upstream_killed_together and the same while the log is down): status pages of a run that failed show the successor that started 7 ms before the leader and waits with four shards unreported.

Ruled out: load (the run had three clusters at a time), the servers' answers (both that were left were up), an earlier leader (none).

Change: a rumour that a member is gone counts once this daemon's own probes have lost it. An answer takes it back. Tests in policy/tests/suspicion.rs fail without it.

--- a/crates/policy/src/suspicion.rs
+++ b/crates/policy/src/suspicion.rs
@@ -183,7 +183,7 @@
         self.tick(now)
     }
 
-    /// Lets time pass: suspects that stay silent are lost, and lost ones without a VM gone.
+    /// Lets time pass: suspects that stay silent are lost, and lost ones without a VM are gone.
     pub fn tick(&mut self, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         let mut changed = Vec::new();
@@ -201,7 +201,7 @@
                 changes.push(Change::Lost(state.member.clone()));
                 changed.push(state.member.name.clone());
             }
-            if state.liveness == Liveness::Lost && state.unlisted {
+            if state.liveness == Liveness::Lost && state.has_left() {
                 state.set(now, Liveness::Gone);
                 changes.push(Change::Gone(state.member.clone()));
                 changed.push(state.member.name.clone());
--- a/crates/policy/src/suspicion/gossip.rs
+++ b/crates/policy/src/suspicion/gossip.rs
@@ -20,7 +20,9 @@
         if !self.admits(&rumour.member) {
             return Vec::new();
         }
-        self.adopt(now, rumour, Evidence::Rumour)
+        let mut changes = self.adopt(now, rumour, Evidence::Rumour);
+        changes.extend(self.tick(now));
+        changes
     }
 
     /// What to tell a member: its own loss first, so that it can refute it, then the news that were
@@ -113,6 +115,10 @@
             (Evidence::Rumour, _) if state.is_fresh(now) => before,
             (Evidence::Rumour, _) => before.max(Liveness::Suspect),
         };
+        state.gone_elsewhere = match evidence {
+            Evidence::Direct => false,
+            Evidence::Rumour => state.gone_elsewhere || rumour.liveness == Liveness::Gone,
+        };
         state.refutation = state.refutation.max(rumour.refutation);
         let leaves = rumour.leaving && !state.leaving;
         state.leaving |= rumour.leaving;
@@ -157,6 +163,7 @@
             failed: None,
             doubted: false,
             unlisted: false,
+            gone_elsewhere: false,
         };
         self.states.insert(member.name.clone(), state);
         self.note_change(&member.name);
--- a/crates/policy/src/suspicion/state.rs
+++ b/crates/policy/src/suspicion/state.rs
@@ -27,6 +27,9 @@
     pub(super) doubted: bool,
     /// Was in the platform's list and no longer is.
     pub(super) unlisted: bool,
+    /// Others say that it is gone: it left the platform's list, which this daemon may have read too
+    /// late to see it there.
+    pub(super) gone_elsewhere: bool,
 }
 
 /// How something became known.
@@ -48,6 +51,11 @@
         }
     }
 
+    /// Whether its VM is no more, as far as anybody read the list.
+    pub(super) fn has_left(&self) -> bool {
+        self.unlisted || self.gone_elsewhere
+    }
+
     /// Whether only others doubt the member.
     pub(super) fn is_only_rumoured(&self) -> bool {
         self.liveness == Liveness::Suspect && self.failed.is_none()
--- a/crates/policy/tests/suspicion.rs
+++ b/crates/policy/tests/suspicion.rs
@@ -498,6 +498,49 @@
     assert_eq!(changes, [Change::Lost(member(3, 1))]);
 }
 
+/// What a daemon says of a member that left the list before this one saw it there.
+#[test_case(true, rumour(3, 0, Liveness::Gone), Liveness::Gone; "after it was lost here")]
+#[test_case(false, rumour(3, 0, Liveness::Gone), Liveness::Gone; "before it was lost here")]
+#[test_case(true, rumour(3, 0, Liveness::Lost), Liveness::Lost; "lost is not gone")]
+#[test_case(true, Rumour { member: member(3, 0), ..rumour(3, 0, Liveness::Gone) }, Liveness::Lost; "an earlier run")]
+fn daemon_that_others_saw_leave_the_list_is_gone(
+    lost_first: bool,
+    said: Rumour,
+    expected: Liveness,
+) {
+    let now = Instant::now();
+    let mut suspicion = acquainted(now);
+    let begun = now + Duration::from_millis(1);
+    let later = begun + CONFIRM;
+    let mut changes = Vec::new();
+    if !lost_first {
+        changes.extend(suspicion.hear(begun, said.clone()));
+    }
+    changes.extend(suspicion.failed(begun, begun, &subject(3)));
+    changes.extend(suspicion.tick(later));
+    if lost_first {
+        changes.extend(suspicion.hear(later, said));
+    }
+    let gone = Change::Gone(member(3, 1));
+    assert_eq!(changes.contains(&gone), expected == Liveness::Gone);
+    assert_eq!(liveness(&suspicion, 3), expected);
+}
+
+#[test]
+fn daemon_that_answers_is_not_gone_whatever_others_say() {
+    let now = Instant::now();
+    let mut suspicion = acquainted(now);
+    assert_eq!(suspicion.hear(now, rumour(3, 0, Liveness::Gone)), []);
+    suspicion.heard(now, rumour(3, 0, Liveness::Live));
+    assert_eq!(suspicion.tick(now + CONFIRM), []);
+    assert_eq!(liveness(&suspicion, 3), Liveness::Live);
+    // What was said before it answered does not count any more.
+    let begun = now + Duration::from_millis(1);
+    suspicion.failed(begun, begun, &subject(3));
+    suspicion.tick(begun + CONFIRM);
+    assert_eq!(liveness(&suspicion, 3), Liveness::Lost);
+}
+
 #[test]
 fn leaving_daemon_is_lost_without_delay() {
     let now = Instant::now();
