--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::{
     admin::{self, Inspect},
     daemon::Error,
+    reload::Reload,
 };
 use copperwell_assignment::{
     clock::{Boot, Clock},
@@ -30,10 +31,9 @@
 use error_stack::{Report, ResultExt};
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use serde::Serialize;
-use spdlog::{info, warn};
+use spdlog::info;
 use tokio::{
     net::TcpListener,
-    signal::unix::{SignalKind, signal},
     task::JoinHandle,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
@@ -52,7 +52,7 @@
 pub struct Daemon {
     gateway: Arc<Gateway<Wire>>,
     watcher: Arc<Watcher>,
-    grace: Duration,
+    reload: Arc<Reload>,
     /// Ends leadership.
     leading: CancellationToken,
     /// Ends the taking of connections.
@@ -121,6 +121,8 @@
         gateway.lanes().register(&mut registry);
         let gateway = Arc::new(gateway);
 
+        let reload = Reload::new(settings.clone(), beliefs.clone(), store.clone());
+
         let source = Arc::new(Published::new(store.clone()));
         tokio::spawn(watch::configurations(
             source.clone(),
@@ -178,7 +180,7 @@
         Ok(Self {
             gateway,
             watcher,
-            grace: settings.grace,
+            reload: Arc::new(reload),
             leading,
             serving,
             callers,
@@ -186,6 +188,11 @@
         })
     }
 
+    /// Takes changes of the settings file at `path` from here on.
+    pub fn follow(&self, path: PathBuf) {
+        tokio::spawn(self.reload.clone().run(path));
+    }
+
     /// Hands leadership over, lets callers go elsewhere, and ends what is in flight.
     pub async fn stop(mut self) {
         let began = Instant::now();
@@ -193,7 +200,7 @@
         self.watcher.is_stopping.store(true, Ordering::Release);
         self.gateway.stop();
         self.leading.cancel();
-        let end = began + self.grace.saturating_sub(GRACE_MARGIN);
+        let end = began + self.reload.grace().saturating_sub(GRACE_MARGIN);
         sleep_until(end.min(began + ROTATION_TIME)).await;
         self.serving.cancel();
         let ended = timeout_at(end, &mut self.callers).await;
@@ -204,29 +211,6 @@
     }
 }
 
-/// Checks the settings file again at each SIGHUP and says what a change asks for.
-///
-/// Addresses and names are in use, so a change of them needs a start.
-pub async fn reload(path: PathBuf) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        warn!("cannot listen for SIGHUP", kv: { event = "reload-off" });
-        return;
-    };
-    let mut known = Settings::load(&path).ok();
-    while hangups.recv().await.is_some() {
-        match Settings::load(&path) {
-            Ok(settings) => {
-                let changed = known.as_ref() != Some(&settings);
-                info!("settings were read again", kv: { event = "reload", changed });
-                known = Some(settings);
-            }
-            Err(report) => {
-                warn!("settings cannot be used; the earlier ones stay in force", kv: { event = "reload-failed", report:? });
-            }
-        }
-    }
-}
-
 impl Inspect for Watcher {
     fn is_ready(&self) -> bool {
         self.beliefs.is_complete() && !self.is_stopping.load(Ordering::Acquire)
--- a/crates/copperwelld/src/lib.rs
+++ b/crates/copperwelld/src/lib.rs
@@ -14,6 +14,7 @@
 mod network;
 mod parts;
 mod relay;
+mod reload;
 mod status;
 mod stop;
 mod watch;
--- a/crates/copperwelld/src/main.rs
+++ b/crates/copperwelld/src/main.rs
@@ -115,7 +115,7 @@
     run_on(runtime::Builder::new_current_thread(), async {
         match gateway::Daemon::start(&settings, dropped).await {
             Ok(daemon) => {
-                tokio::spawn(gateway::reload(path));
+                daemon.follow(path);
                 run_until_stopped(daemon.stop()).await
             }
             Err(report) => cannot_start(&report),
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -29,9 +29,6 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-/// Daemons that share the retry budget while nobody knows how many there are.
-const DAEMONS_DEFAULT: u32 = 16;
-
 /// What a daemon believes.
 #[derive(Debug)]
 pub struct Beliefs {
@@ -49,11 +46,17 @@
     loads: Mutex<Loads>,
     works: Mutex<Works>,
     admissions: Mutex<HashMap<ServiceName, Admission>>,
-    budgets: Mutex<HashMap<ServiceName, Budget>>,
-    allowance: Allowance,
+    budgets: Mutex<Budgets>,
     began: Instant,
 }
 
+/// The retries of each service.
+#[derive(Debug)]
+struct Budgets {
+    allowance: Allowance,
+    services: HashMap<ServiceName, Budget>,
+}
+
 /// What the leader told last.
 #[derive(Debug, Default)]
 struct Heard {
@@ -78,8 +81,10 @@
             loads: Mutex::default(),
             works: Mutex::default(),
             admissions: Mutex::default(),
-            budgets: Mutex::default(),
-            allowance,
+            budgets: Mutex::new(Budgets {
+                allowance,
+                services: HashMap::default(),
+            }),
             began: Instant::now(),
         }
     }
@@ -192,20 +197,28 @@
 
     /// Takes a retry out of the budget of a service; `false` if none is left.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
-        let daemons = match self.keys.daemons.load(Ordering::Relaxed) {
-            0 => DAEMONS_DEFAULT,
-            known => known,
-        };
+        let daemons = self.keys.daemons.load(Ordering::Relaxed);
         self.with_budget(service, |budget| {
             budget.retry(Instant::now(), daemons as usize)
         })
     }
 
+    /// Allows another part of requests to be sent once more, from here on.
+    pub fn set_allowance(&self, allowance: Allowance) {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets.allowance = allowance;
+        for budget in budgets.services.values_mut() {
+            budget.set_allowance(allowance);
+        }
+    }
+
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let allowance = budgets.allowance;
         let budget = budgets
+            .services
             .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.allowance, self.began));
+            .or_insert_with(|| Budget::new(allowance, self.began));
         act(budget)
     }
 
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -12,7 +12,7 @@
 const USED: f64 = 0.85;
 
 /// Daemons that share the slack, at least, while a daemon's run is younger than a window and may not
-/// have heard of all.
+/// have heard of all; and while it has heard of none.
 const FIRST_DAEMONS: usize = 16;
 
 /// How many windows a daemon that is not seen any more keeps its share: it may just be cut off.
@@ -64,12 +64,19 @@
         }
     }
 
+    /// Allows another part of requests from here on.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// Counts a request that a caller sent.
     pub fn request(&mut self, now: Instant) {
         self.part(now).requests += 1;
     }
 
-    /// Takes one retry out of the budget, of which `daemons` have a share; `false` if none is left.
+    /// Takes one retry out of the budget; `false` if none is left.
+    ///
+    /// `daemons` have a share of it, 0 if nobody knows how many there are.
     pub fn retry(&mut self, now: Instant, daemons: usize) -> bool {
         self.part(now);
         let daemons = self.note_daemons(daemons, now);
@@ -93,9 +100,13 @@
 
     /// The most daemons that were seen within the last windows.
     fn note_daemons(&mut self, daemons: usize, now: Instant) -> usize {
+        let daemons = match daemons {
+            0 => FIRST_DAEMONS,
+            known => known,
+        };
         let forgets_at = self.seen + self.allowance.window * REMEMBERED;
         if daemons >= self.daemons || now >= forgets_at {
-            self.daemons = daemons.max(1);
+            self.daemons = daemons;
             self.seen = now;
         }
         self.daemons
