--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -107,23 +107,33 @@
         let mut storing: Option<Storing<'a>> = None;
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        // A look costs by ranges and upstreams, so there is none where nothing can follow from it.
+        let mut looks = true;
         while !self.is_lost && !stopping.is_cancelled() {
-            self.act();
-            for (service, order) in self.orders() {
-                running.push(Box::pin(carry_out(driver, service, order)));
+            if looks {
+                self.act();
+                for (service, order) in self.orders() {
+                    running.push(Box::pin(carry_out(driver, service, order)));
+                }
             }
             if storing.is_none() {
                 storing = self.write();
             }
-            tokio::select! {
+            looks = tokio::select! {
                 Some((service, order, outcome)) = running.next() => {
-                    self.take(&service, &order, outcome);
+                    self.take(&service, &order, outcome)
                 }
-                stored = wait_for(&mut storing) => storing = self.stored(stored),
-                Some(report) = reports.recv() => self.count(report),
-                _ = ticks.tick() => {}
-                () = stopping.cancelled() => {}
-            }
+                stored = wait_for(&mut storing) => {
+                    storing = self.stored(stored);
+                    true
+                }
+                Some(report) = reports.recv() => {
+                    self.count(report);
+                    false
+                }
+                _ = ticks.tick() => true,
+                () = stopping.cancelled() => false,
+            };
         }
         driver.desk.set_leads(false);
         driver.metrics.leading.set(0);
@@ -170,12 +180,8 @@
         let mut orders = Vec::new();
         for machine in &mut self.machines {
             let upstreams = driver.scene.upstreams(machine.service());
-            let sight = Sight {
-                upstreams: &upstreams,
-                all: &all,
-                listed_at,
-                is_store_away: self.is_store_away,
-            };
+            let sight = Sight::new(&upstreams, &all, listed_at);
+            let sight = sight.with_store_away(self.is_store_away);
             let due = machine.step(now, &sight);
             orders.extend(
                 due.into_iter()
@@ -311,17 +317,19 @@
         }
     }
 
-    fn take(&mut self, service: &ServiceName, order: &Order, outcome: Outcome) {
+    /// Takes what became of an order; tells whether there may be something to do at once.
+    fn take(&mut self, service: &ServiceName, order: &Order, outcome: Outcome) -> bool {
         let now = self.driver.clock.now();
         note(service, order, &outcome);
         let Some(machine) = self.machine(service) else {
-            return;
+            return false;
         };
-        machine.take(order, outcome, now);
+        let looks = machine.take(order, outcome, now);
         if machine.take_fenced() {
             // The store says whether another daemon leads.
             self.beat_at = now;
         }
+        looks
     }
 
     fn count(&mut self, reports: Vec<Report>) {
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -22,7 +22,7 @@
     plan::{Plan, Range},
     table::{ALL, Table},
 };
-use copperwell_message::HashMap;
+use copperwell_message::{HashMap, HashSet};
 use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
 
 use holder::{Fate, Seats, State, fate};
@@ -35,6 +35,10 @@
 /// busy together have several holders.
 const FIRST_RANGES: usize = 6;
 
+/// Ranges of the first plan, since each costs the leader an order in each renewal; every upstream
+/// gets one, however many there are.
+const FIRST_RANGES_MAX: usize = 256;
+
 /// How long the first plan waits for more upstreams to register.
 const FIRST_WAIT: Duration = Duration::from_secs(3);
 
@@ -78,16 +82,17 @@
 }
 
 /// What the leader knows beside its own orders.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Sight<'a> {
     /// The upstreams of the service.
-    pub upstreams: &'a [Arc<Upstream>],
+    upstreams: &'a [Arc<Upstream>],
+    by_id: HashMap<&'a UpstreamId, &'a Upstream>,
     /// The upstreams of all services.
-    pub all: &'a [Arc<Upstream>],
+    all: &'a [Arc<Upstream>],
     /// When the reading that gave them began.
-    pub listed_at: Duration,
+    listed_at: Duration,
     /// Whether the store does not answer.
-    pub is_store_away: bool,
+    is_store_away: bool,
 }
 
 /// The decisions for one service.
@@ -110,6 +115,37 @@
     long_hold: bool,
 }
 
+impl<'a> Sight<'a> {
+    /// The upstreams of the service, and those of all services, as a reading that began at
+    /// `listed_at` gave them.
+    #[must_use]
+    pub fn new(
+        upstreams: &'a [Arc<Upstream>],
+        all: &'a [Arc<Upstream>],
+        listed_at: Duration,
+    ) -> Self {
+        Self {
+            upstreams,
+            by_id: upstreams.iter().map(|one| (&one.id, &**one)).collect(),
+            all,
+            listed_at,
+            is_store_away: false,
+        }
+    }
+
+    /// Says whether the store does not answer.
+    #[must_use]
+    pub fn with_store_away(mut self, is_away: bool) -> Self {
+        self.is_store_away = is_away;
+        self
+    }
+
+    /// The upstream of the service with this name.
+    fn of(&self, id: &UpstreamId) -> Option<&'a Upstream> {
+        self.by_id.get(id).copied()
+    }
+}
+
 impl Machine {
     /// Takes over from an earlier leader, whose plan is `plan`; `None` for a new service.
     #[must_use]
@@ -171,8 +207,10 @@
         orders
     }
 
-    /// Takes what became of an order.
-    pub fn take(&mut self, order: &Order, outcome: Outcome, now: Duration) {
+    /// Takes what became of an order; tells whether there may be something to do at once.
+    ///
+    /// Nothing follows from a renewal that went well.
+    pub fn take(&mut self, order: &Order, outcome: Outcome, now: Duration) -> bool {
         let known = self.holders.entry(order.holder.id.clone());
         let state = known.or_insert_with(|| State::at(order.address, now));
         match outcome {
@@ -188,18 +226,19 @@
         }
         // An order about a range that has changed since concerns nobody any more.
         let tract = self.tracts.iter_mut().find(|tract| tract.awaits(order));
-        let Some(tract) = tract else { return };
+        let Some(tract) = tract else { return true };
         tract.is_ordered = false;
         if outcome == Outcome::Elsewhere {
             // The holder's process has ended, since another one has its address.
             tract.vacate(None);
             self.edition += 1;
-            return;
+            return true;
         }
         match &order.action {
             Action::Grant { hold, .. } => {
+                let is_renewal = tract.is_served() && matches!(outcome, Outcome::Done { .. });
                 if tract.granted(*hold, &outcome, now, &self.timing) {
-                    return;
+                    return !is_renewal || tract.is_leaving;
                 }
                 self.is_fenced = true;
                 self.fence += 1;
@@ -208,6 +247,7 @@
             }
             Action::Release => tract.released(outcome, now),
         }
+        true
     }
 
     /// Whether an upstream said that it has seen a higher fencing token, since the last call.
@@ -278,11 +318,12 @@
         if count == 0 {
             return;
         }
+        let each = (FIRST_RANGES_MAX / count).clamp(1, FIRST_RANGES);
         let first_seen = *self.first_seen.get_or_insert(now);
         if now < first_seen + FIRST_WAIT {
             return;
         }
-        let ranges = Plan::vacant(count * FIRST_RANGES).ranges;
+        let ranges = Plan::vacant(count * each).ranges;
         self.tracts = ranges
             .into_iter()
             .map(|range| Tract::inherited(range, Duration::ZERO, now))
@@ -334,13 +375,11 @@
 
     /// Remembers where upstreams listen, also after their registration is gone.
     fn note_addresses(&mut self, sight: &Sight<'_>, now: Duration) {
-        let tracts = &self.tracts;
-        let holds = |id: &UpstreamId| {
-            let mut holders = tracts.iter().filter_map(|tract| tract.holder.as_ref());
-            holders.any(|holder| holder.id == *id)
-        };
-        let is_listed = |id: &UpstreamId| sight.upstreams.iter().any(|one| one.id == *id);
-        self.holders.retain(|id, _| is_listed(id) || holds(id));
+        let holders = self.tracts.iter().filter_map(|tract| tract.holder.as_ref());
+        let unlisted = holders.filter(|holder| sight.of(&holder.id).is_none());
+        let unlisted: HashSet<&UpstreamId> = unlisted.map(|holder| &holder.id).collect();
+        self.holders
+            .retain(|id, _| sight.of(id).is_some() || unlisted.contains(id));
         for upstream in sight.upstreams {
             let known = self.holders.entry(upstream.id.clone());
             let state = known.or_insert_with(|| State::at(upstream.address, now));
--- a/crates/assignment/src/machine/holder.rs
+++ b/crates/assignment/src/machine/holder.rs
@@ -48,7 +48,7 @@
     now: Duration,
 ) -> Fate {
     let state = states.get(&holder.id);
-    let Some(upstream) = sight.upstreams.iter().find(|one| one.id == holder.id) else {
+    let Some(upstream) = sight.of(&holder.id) else {
         let is_gone = state.is_some_and(|state| state.is_replaced(holder, sight));
         return if is_gone { Fate::Gone } else { Fate::Leaves };
     };
@@ -91,6 +91,7 @@
 pub(super) struct Seats {
     pub(super) holders: Vec<Holder>,
     pub(super) weights: Vec<f64>,
+    indices: HashMap<UpstreamId, usize>,
 }
 
 impl Seats {
@@ -114,14 +115,17 @@
                 .map_or(1.0, |state| state.pace.slowness());
             f64::from(one.slots.max(1)) / slowness
         };
+        let indices = usable.iter().enumerate();
         Self {
             holders: usable.iter().map(holder).collect(),
             weights: usable.iter().map(weight).collect(),
+            indices: indices.map(|(at, one)| (one.id.clone(), at)).collect(),
         }
     }
 
     pub(super) fn index(&self, holder: &Holder) -> Option<usize> {
-        self.holders.iter().position(|one| one == holder)
+        let at = *self.indices.get(&holder.id)?;
+        (self.holders[at] == *holder).then_some(at)
     }
 
     pub(super) fn least(&self, totals: &[f64]) -> Option<usize> {
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -80,6 +80,7 @@
 
 struct Stage {
     upstreams: Mutex<Vec<Arc<Upstream>>>,
+    looks: AtomicUsize,
 }
 
 impl Scene for Stage {
@@ -88,11 +89,12 @@
     }
 
     fn upstreams(&self, _: &str) -> Vec<Arc<Upstream>> {
+        self.looks.fetch_add(1, Ordering::Relaxed);
         self.upstreams.lock().unwrap().clone()
     }
 
     fn all_upstreams(&self) -> Vec<Arc<Upstream>> {
-        self.upstreams("")
+        self.upstreams.lock().unwrap().clone()
     }
 
     fn listed_at(&self) -> Option<Duration> {
@@ -135,6 +137,7 @@
         let servers = Arc::new(Servers::default());
         let stage = Arc::new(Stage {
             upstreams: Mutex::new(upstreams(3)),
+            looks: AtomicUsize::new(0),
         });
         let clock = Arc::new(Driven::default());
         let (desk, reports) = Desk::new(shared.directory.clone(), shared.board.clone());
@@ -191,6 +194,22 @@
     assert!((8..=11).contains(&calls), "{calls}");
 }
 
+/// Its work at a look grows with ranges and upstreams, so it must not grow with the orders too.
+#[tokio::test(start_paused = true)]
+async fn a_calm_leader_of_many_upstreams_looks_as_seldom_as_one_of_few() {
+    let store = Arc::new(Store::default());
+    let one = Daemon::start("one", 1, &store);
+    *one.stage.upstreams.lock().unwrap() = upstreams(200);
+    sleep(Duration::from_secs(10)).await;
+    one.stage.looks.store(0, Ordering::Relaxed);
+    one.orders();
+    sleep(Duration::from_secs(10)).await;
+    let looks = one.stage.looks.load(Ordering::Relaxed);
+    assert!(looks <= 600, "{looks} looks");
+    let orders = one.orders();
+    assert!(orders <= 3_000, "{orders} orders");
+}
+
 /// The plan cannot be written, since the store is away; that is tried at a pace, not all the time.
 #[tokio::test(start_paused = true)]
 async fn a_leader_does_not_press_a_store_that_is_away() {
--- a/crates/assignment/tests/machine/world.rs
+++ b/crates/assignment/tests/machine/world.rs
@@ -158,12 +158,8 @@
         }
         self.carry_out();
         self.store();
-        let sight = Sight {
-            upstreams: &self.listed,
-            all: &self.all,
-            listed_at: self.listed_at,
-            is_store_away: self.is_store_away,
-        };
+        let sight = Sight::new(&self.listed, &self.all, self.listed_at);
+        let sight = sight.with_store_away(self.is_store_away);
         for order in self.machine.step(self.now, &sight) {
             self.send(order);
         }
