Let another daemon lead when the leader alone is cut off from the store

Change: the leader says that its lease has lapsed, with the last beat that it had begun and when its grants end; it yields at once when others tell that the store answers them. A write that it begins later may renew its lease, and an entry with a later beat takes the statement back. The successor tells the leader before, which passes it on to those that are cut off with it. Grants become long only when the store has been away for 2 s. The right to lead lasts 2.5 s (3 s), so an earlier leader counts for 0.8 s (1.5 s) after a change.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -13,8 +13,8 @@
     DaemonName,
     clock::Clock,
     demand::{Counts, Report},
-    exchange::{Call, Desk, Line},
-    lease::{self, Lead, Watch},
+    exchange::{Call, Desk, Line, Standing},
+    lease::{self, Lapse, Lead, Watch},
     machine,
     metrics::Metrics,
     news::{Board, ListNumber, News},
@@ -42,9 +42,15 @@
 /// How long a daemon waits before it reads the store again.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// How long it waits at most once the store has not answered several times.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+
 /// How much longer at most, so that daemons do not read it at the same moment.
 const JITTER: Duration = Duration::from_millis(200);
 
+/// The same for each daemon that is known.
+const JITTER_EACH: Duration = Duration::from_millis(10);
+
 /// What the daemon knows of services and their upstreams.
 pub trait Scene: Send + Sync + 'static {
     /// The services that are divided by key; `None` while no configuration is known.
@@ -146,38 +152,59 @@
             () = self.work(&mut reports, &stopping) => {}
             () = async { stop.cancelled().await; sleep(self.timing.lease.beat).await } => {}
         }
-        self.desk.set_leads(false);
+        self.desk.set_standing(Standing::Follows);
     }
 
     async fn work(&self, reports: &mut mpsc::Receiver<Vec<Report>>, stopping: &CancellationToken) {
         let mut watch = Watch::default();
+        let mut pause = PAUSE;
+        let mut lead: Option<Lead> = None;
         while !stopping.is_cancelled() {
-            let lead = match self.register.read().await {
+            match self.register.read().await {
                 Ok(snapshot) => {
-                    let lead = self.see(&snapshot, &mut watch);
+                    pause = PAUSE;
+                    lead = self.see(&snapshot, &mut watch);
                     if let Some(term) = self.take_over(&snapshot, lead.as_ref(), &watch).await {
-                        let leading = Leading::new(self, term, &snapshot);
+                        let before = lead.take();
+                        let grants_end = before.as_ref().and_then(|lead| watch.grants_end(lead));
+                        self.tell(before, self.lead(term.number, 0, 0, false));
+                        let leading = Leading::new(self, term, &snapshot, grants_end);
                         leading.run(reports, stopping).await;
+                        lead = self.desk.successor();
                         continue;
                     }
-                    lead
                 }
                 Err(failure) => {
                     warn!("the store does not answer", kv: { dependency = "store", failure = failure.as_str() });
-                    None
+                    pause = PAUSE_MAX.min(2 * pause);
                 }
-            };
-            if let Some(lead) = lead {
-                self.follow(&lead, stopping).await;
             }
-            let jitter = JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
+            // The last leader that is known may know of a later one.
+            while let Some(known) = &lead {
+                match self.follow(known, stopping).await {
+                    Followed::Lost => break,
+                    Followed::Lapsed(lapse) => {
+                        watch.note_lapse(lapse, self.clock.now());
+                        break;
+                    }
+                    Followed::Succeeded(later) => lead = Some(later),
+                }
+            }
+            let jitter = self.jitter().mul_f64(rand::rng().random_range(0.0..1.0));
             tokio::select! {
-                () = sleep(PAUSE + jitter) => {}
+                () = sleep(pause + jitter) => {}
                 () = stopping.cancelled() => {}
             }
         }
     }
 
+    /// The more daemons there are, the longer they spread their readings, since the first of them to
+    /// read may lead and be followed by the others.
+    fn jitter(&self) -> Duration {
+        let daemons = self.shared.daemons.load(Ordering::Relaxed);
+        JITTER.max(JITTER_EACH * daemons)
+    }
+
     /// Takes what the store says of leader and plans.
     fn see(&self, snapshot: &Snapshot, watch: &mut Watch) -> Option<Lead> {
         let lead: Option<Lead> = decode(snapshot, LEAD);
@@ -249,35 +276,55 @@
         }
     }
 
+    /// Tells the leader before that this daemon leads; it may be cut off from the store.
+    fn tell(&self, before: Option<Lead>, lead: Lead) {
+        let Some(before) = before.filter(|before| !before.is_over) else {
+            return;
+        };
+        tokio::spawn(async move {
+            if let Some(line) = Line::open(before.address).await {
+                line.succeed(lead).await;
+            }
+        });
+    }
+
     /// Exchanges with the leader until it does not answer any more, or does not lead.
-    async fn follow(&self, lead: &Lead, stopping: &CancellationToken) {
+    async fn follow(&self, lead: &Lead, stopping: &CancellationToken) -> Followed {
         if lead.is_over || lead.address == self.identity.address {
-            return;
+            return Followed::Lost;
         }
         let Some(line) = Line::open(lead.address).await else {
-            return;
+            return Followed::Lost;
         };
         let mut knows = self.shared.directory.tables().version;
         while !stopping.is_cancelled() {
             let (configuration, list) = self.scene.has();
+            let now = self.clock.now();
+            let listed_at = self.scene.listed_at();
             let call = Call {
                 from: self.identity.name.clone(),
                 knows,
                 configuration,
                 list,
+                store_age: listed_at.map(|at| now.saturating_sub(at)),
                 reports: self.shared.counts.take(),
             };
             let Some(answer) = line.call(call).await else {
                 warn!("the leader does not answer", kv: { dependency = "leader", leader = &*lead.name, term = lead.term });
-                return;
+                return Followed::Lost;
             };
             let daemons = &self.shared.daemons;
             daemons.store(answer.daemons, Ordering::Relaxed);
             if let Some(tables) = answer.tables {
                 self.shared.directory.take(tables);
             }
-            if !answer.leads {
-                return;
+            if let Some(later) = answer.successor.filter(|later| later.term > lead.term) {
+                return Followed::Succeeded(later);
+            }
+            match answer.standing {
+                Standing::Leads => {}
+                Standing::Follows => return Followed::Lost,
+                Standing::Lapsed(lapse) => return Followed::Lapsed(lapse),
             }
             if let Some(news) = answer.news {
                 self.scene.hear(news);
@@ -286,9 +333,20 @@
             // Changes in quick succession are told together.
             sleep(TOGETHER).await;
         }
+        Followed::Lost
     }
 }
 
+/// How following a leader ended.
+enum Followed {
+    /// It does not answer, or does not lead.
+    Lost,
+    /// It says that its lease has lapsed.
+    Lapsed(Lapse),
+    /// It knows of a later leader.
+    Succeeded(Lead),
+}
+
 /// How long a daemon waits after an answer before it asks for more.
 const TOGETHER: Duration = Duration::from_millis(20);
 
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -6,7 +6,8 @@
 use crate::{
     clock::Clock,
     demand::Report,
-    lease::{Lead, Lease},
+    exchange::Standing,
+    lease::{Lapse, Lead, Lease},
     machine::{Machine, Sight},
     order::{Action, Command, Order, Outcome},
     plan::Plan,
@@ -41,12 +42,18 @@
     machines: Vec<Machine>,
     /// The predecessor's plans of services that no machine leads yet.
     plans: HashMap<ServiceName, Plan>,
+    grants_end: Option<Duration>,
     beat: u64,
     beat_at: Duration,
     /// Nothing is written before, since a write has just failed.
     write_at: Duration,
     number: u64,
-    is_store_away: bool,
+    /// Since when the store does not answer this daemon.
+    store_away: Option<Duration>,
+    /// What was said of the lease, once it had lapsed; it binds until a later write renews it.
+    lapse: Option<Lapse>,
+    /// When the last write was sent, if nobody knows whether it is in the store.
+    unsure: Option<Duration>,
     /// When the call to the store was sent that has no answer yet.
     asked_at: Option<Duration>,
     is_lost: bool,
@@ -62,13 +69,21 @@
 /// A write and what became of it.
 struct Written {
     sent: Duration,
+    beat: u64,
     editions: Vec<(ServiceName, u64)>,
     result: Result<u64, Failure>,
 }
 
 impl<'a, R: Register, C: Command, K: Clock, S: Scene> Leading<'a, R, C, K, S> {
     /// A leadership that begins with the plans of `snapshot`.
-    pub(super) fn new(driver: &'a Driver<R, C, K, S>, term: Term, snapshot: &Snapshot) -> Self {
+    ///
+    /// `grants_end` says when the grants of the leader before end, if that is known.
+    pub(super) fn new(
+        driver: &'a Driver<R, C, K, S>,
+        term: Term,
+        snapshot: &Snapshot,
+        grants_end: Option<Duration>,
+    ) -> Self {
         let mut lease = Lease::default();
         lease.renew(term.began, &driver.timing.lease);
         let services = snapshot.entries.keys().filter_map(|key| {
@@ -82,11 +97,14 @@
             lease,
             machines: Vec::new(),
             plans: services.collect(),
+            grants_end,
             beat: 0,
             beat_at: term.began + driver.timing.lease.beat,
             write_at: Duration::ZERO,
             number: 0,
-            is_store_away: false,
+            store_away: None,
+            lapse: None,
+            unsure: None,
             asked_at: None,
             is_lost: false,
             counted_at: term.began,
@@ -100,7 +118,6 @@
         stopping: &CancellationToken,
     ) {
         let driver = self.driver;
-        driver.desk.set_leads(true);
         driver.metrics.leading.set(1);
         driver.metrics.terms.inc();
         let mut running: FuturesUnordered<Running<'a>> = FuturesUnordered::new();
@@ -135,7 +152,7 @@
                 () = stopping.cancelled() => false,
             };
         }
-        driver.desk.set_leads(false);
+        driver.desk.set_standing(Standing::Follows);
         driver.metrics.leading.set(0);
         if stopping.is_cancelled() && !self.is_lost {
             self.hand_over(running, storing).await;
@@ -147,16 +164,18 @@
     fn act(&mut self) {
         let driver = self.driver;
         let now = driver.clock.now();
+        self.stand(now);
         for service in driver.scene.keyed_services().unwrap_or_default() {
             if self.machines.iter().all(|one| *one.service() != service) {
                 let plan = self.plans.remove(&service);
                 info!("leads a service", kv: { event = "lead-service", service = &*service, ranges = plan.as_ref().map_or(0, |plan| plan.ranges.len()), term = self.term });
-                let machine = Machine::new(service, plan, driver.timing.grants, now);
+                let machine =
+                    Machine::new(service, plan, driver.timing.grants, self.grants_end, now);
                 self.machines.push(machine);
             }
         }
-        if self.asked_at.is_some_and(|asked| now >= asked + SLOW) {
-            self.note_store(true);
+        if let Some(asked) = self.asked_at.filter(|asked| now >= *asked + SLOW) {
+            self.note_store(Some(asked));
         }
         if now >= self.counted_at + COUNT {
             self.counted_at = now;
@@ -166,6 +185,43 @@
         }
     }
 
+    /// Tells the others whether this daemon may give orders; if not, they need not wait for it.
+    fn stand(&mut self, now: Duration) {
+        let successor = self.driver.desk.successor();
+        if successor.is_some_and(|later| later.term > self.term) {
+            self.is_lost = true;
+            self.lease.end();
+        }
+        if self.is_cut_off(now) {
+            // Another daemon can lead at once, while this one's grants still last.
+            self.lease.end();
+        }
+        let before = self.lapse;
+        let is_asked = self.asked_at.is_some();
+        self.lapse = match before {
+            _ if self.lease.may_act(now) => None,
+            // A write that is on its way may still renew the lease.
+            Some(lapse) if is_asked => Some(lapse),
+            _ => Some(Lapse {
+                term: self.term,
+                beat: self.beat,
+                grants_end: self.grants_end_after(now),
+            }),
+        };
+        let standing = self.lapse.map_or(Standing::Leads, Standing::Lapsed);
+        self.driver.desk.set_standing(standing);
+        if before.is_some() != self.lapse.is_some() {
+            let lapsed = self.lapse.is_some();
+            info!("the lease changed", kv: { event = "lease", term = self.term, lapsed });
+        }
+    }
+
+    /// After how much time the grants of this leader have ended.
+    fn grants_end_after(&self, now: Duration) -> Duration {
+        let ends = self.machines.iter().map(Machine::grants_end);
+        ends.max().unwrap_or_default().saturating_sub(now)
+    }
+
     /// The orders that are due.
     fn orders(&mut self) -> Vec<(ServiceName, Order)> {
         let driver = self.driver;
@@ -181,7 +237,10 @@
         for machine in &mut self.machines {
             let upstreams = driver.scene.upstreams(machine.service());
             let sight = Sight::new(&upstreams, &all, listed_at);
-            let sight = sight.with_store_away(self.is_store_away);
+            let is_away = self
+                .store_away
+                .is_some_and(|since| now >= since + LONG_HOLD);
+            let sight = sight.with_store_away(is_away);
             let due = machine.step(now, &sight);
             orders.extend(
                 due.into_iter()
@@ -239,12 +298,13 @@
             entries.push(encode(format!("{PLAN}{service}"), &plan));
             editions.push((service, edition));
         }
-        let at = self.end;
+        let (at, beat) = (self.end, self.beat);
         self.asked_at = Some(now);
         Some(Box::pin(async move {
             let result = driver.register.swap(at, &entries).await;
             Stored::Written(Written {
                 sent: now,
+                beat,
                 editions,
                 result,
             })
@@ -270,8 +330,11 @@
         match written.result {
             Ok(end) => {
                 self.end = end;
-                self.lease.renew(written.sent, &driver.timing.lease);
-                self.note_store(false);
+                let is_bound = self.lapse.is_some_and(|lapse| written.beat <= lapse.beat);
+                if !is_bound {
+                    self.lease.renew(written.sent, &driver.timing.lease);
+                }
+                self.note_store(None);
                 for (service, edition) in written.editions {
                     if let Some(machine) = self.machine(&service) {
                         machine.stored(edition, now);
@@ -283,8 +346,9 @@
                 warn!("the lease was not renewed", kv: { event = "beat-failed", term = self.term, failure = failure.as_str() });
                 self.beat_at = now;
                 self.write_at = now + RETRY;
+                self.unsure = Some(written.sent);
                 if failure != Failure::Conflict {
-                    self.note_store(true);
+                    self.note_store(Some(written.sent));
                 }
                 let read = driver.register.read();
                 Some(Box::pin(async move { Stored::Read(read.await) }))
@@ -295,6 +359,7 @@
     /// Compares with the store after a write whose outcome is not known, or that came too late.
     fn compare(&mut self, read: Result<Snapshot, Failure>) {
         let Ok(snapshot) = read else { return };
+        self.note_store(None);
         let lead: Option<Lead> = decode(&snapshot, LEAD);
         let is_mine = lead.as_ref().is_some_and(|lead| {
             lead.term == self.term && lead.run == self.driver.identity.run && !lead.is_over
@@ -307,16 +372,35 @@
         }
         // What was written may be there or not; it is written again from here.
         self.end = snapshot.end;
+        let is_there = lead.is_some_and(|lead| lead.beat == self.beat);
+        if let Some(sent) = self
+            .unsure
+            .take()
+            .filter(|_| is_there && self.lapse.is_none())
+        {
+            self.lease.renew(sent, &self.driver.timing.lease);
+        }
         self.write_at = self.driver.clock.now();
     }
 
-    fn note_store(&mut self, is_away: bool) {
-        if self.is_store_away != is_away {
-            self.is_store_away = is_away;
-            info!("the store's state changed for the leader", kv: { dependency = "store", away = is_away, term = self.term });
+    /// Notes since when the store does not answer; `None` if it does.
+    fn note_store(&mut self, away: Option<Duration>) {
+        let is_same = self.store_away.is_some() == away.is_some();
+        if !is_same {
+            self.store_away = away;
+            info!("the store's state changed for the leader", kv: { dependency = "store", away = away.is_some(), term = self.term });
         }
     }
 
+    /// Whether others have read the store since this daemon last did.
+    fn is_cut_off(&self, now: Duration) -> bool {
+        let Some(since) = self.store_away else {
+            return false;
+        };
+        let seen = self.driver.desk.store_age();
+        seen.is_some_and(|age| now.saturating_sub(age) > since + SLOW)
+    }
+
     /// Takes what became of an order; tells whether there may be something to do at once.
     fn take(&mut self, service: &ServiceName, order: &Order, outcome: Outcome) -> bool {
         let now = self.driver.clock.now();
@@ -370,6 +454,10 @@
     }
 }
 
+/// How long the store must be away before grants last as long as they may. Until then others tell
+/// whether it answers them; if so, one of them leads, and needs grants that end soon.
+const LONG_HOLD: Duration = Duration::from_millis(2_000);
+
 /// How long a call to the store may take before the store counts as away.
 const SLOW: Duration = Duration::from_millis(500);
 
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -3,16 +3,14 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use crate::{
     DaemonName,
     demand::Report,
+    lease::{Lapse, Lead},
     news::{Board, ListNumber, News},
     table::{Directory, Tables, Version},
 };
@@ -60,15 +58,31 @@
     pub configuration: u64,
     /// The list of upstreams that it has.
     pub list: ListNumber,
+    /// How long ago it last read the store; `None` for never.
+    pub store_age: Option<Duration>,
     /// What callers asked for since its last call.
     pub reports: Vec<Report>,
 }
 
+/// What a daemon is to the others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It does not lead.
+    #[default]
+    Follows,
+    /// It leads.
+    Leads,
+    /// It leads, but its lease has lapsed.
+    Lapsed(Lapse),
+}
+
 /// What the leader answers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Answer {
-    /// Whether the answering daemon leads; it may have stopped.
-    pub leads: bool,
+    /// What the answering daemon is; it may have stopped.
+    pub standing: Standing,
+    /// The leader after it, if that has told.
+    pub successor: Option<Lead>,
     /// How many daemons have called lately, the leader included.
     pub daemons: u32,
     /// The tables, if they are newer.
@@ -81,6 +95,10 @@
 trait Rpc {
     /// Tells what is asked for, and asks for newer tables.
     async fn exchange(call: Call) -> Answer;
+
+    /// Tells a leader that another daemon has taken over, which it cannot see while it is cut off from
+    /// the store; nor can those that are cut off with it, who ask it.
+    async fn succeed(lead: Lead);
 }
 
 /// The leader's end, which exists whether or not this daemon leads.
@@ -94,8 +112,11 @@
     directory: Arc<Directory>,
     board: Arc<Board>,
     reports: mpsc::Sender<Vec<Report>>,
-    leads: AtomicBool,
+    standing: Mutex<Standing>,
+    successor: Mutex<Option<Lead>>,
     present: Mutex<HashMap<DaemonName, Instant>>,
+    /// When another daemon last read the store.
+    store_seen: Mutex<Option<Instant>>,
 }
 
 impl Desk {
@@ -111,17 +132,26 @@
             directory,
             board,
             reports,
-            leads: false.into(),
+            standing: Mutex::default(),
+            successor: Mutex::default(),
             present: Mutex::default(),
+            store_seen: Mutex::default(),
         };
         let shared = Arc::new(shared);
         (Self { shared }, received)
     }
 
-    /// Says whether this daemon leads.
-    pub fn set_leads(&self, leads: bool) {
-        let flag = &self.shared.leads;
-        flag.store(leads, Ordering::Release);
+    /// Says what this daemon is to the others.
+    pub fn set_standing(&self, standing: Standing) {
+        let known = self.shared.standing.lock();
+        *known.unwrap_or_else(PoisonError::into_inner) = standing;
+    }
+
+    /// The newest leader that told this daemon that it leads.
+    #[must_use]
+    pub fn successor(&self) -> Option<Lead> {
+        let known = self.shared.successor.lock();
+        known.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// How many daemons have called lately, this one included.
@@ -157,22 +187,41 @@
         Rpc::serve(self)
     }
 
+    /// How long ago another daemon last read the store, as far as is known.
+    #[must_use]
+    pub fn store_age(&self) -> Option<Duration> {
+        let seen = self.shared.store_seen.lock();
+        let seen = *seen.unwrap_or_else(PoisonError::into_inner);
+        seen.map(|at| at.elapsed())
+    }
+
+    fn note_store(&self, age: Duration) {
+        let at = Instant::now().checked_sub(age);
+        let seen = self.shared.store_seen.lock();
+        let mut seen = seen.unwrap_or_else(PoisonError::into_inner);
+        *seen = at.max(*seen);
+    }
+
     fn note_present(&self, name: DaemonName) {
         let present = self.shared.present.lock();
         let mut present = present.unwrap_or_else(PoisonError::into_inner);
         present.insert(name, Instant::now());
     }
 
-    fn leads(&self) -> bool {
-        self.shared.leads.load(Ordering::Acquire)
+    fn standing(&self) -> Standing {
+        let known = self.shared.standing.lock();
+        *known.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Rpc for Desk {
     async fn exchange(self, _: context::Context, call: Call) -> Answer {
         let shared = &self.shared;
-        if self.leads() {
+        if self.standing() == Standing::Leads {
             self.note_present(call.from);
+            if let Some(age) = call.store_age {
+                self.note_store(age);
+            }
             if !call.reports.is_empty() {
                 // A leader that cannot keep up does without some counts.
                 let _ = shared.reports.try_send(call.reports);
@@ -188,15 +237,24 @@
         let tables = shared.directory.tables();
         let is_newer = tables.version > call.knows;
         Answer {
-            leads: self.leads(),
+            standing: self.standing(),
+            successor: self.successor(),
             daemons: self.daemons(),
             tables: is_newer.then(|| (*tables).clone()),
             news: shared.board.news(call.list),
         }
     }
+
+    async fn succeed(self, _: context::Context, lead: Lead) {
+        let known = self.shared.successor.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        if known.as_ref().is_none_or(|known| known.term < lead.term) {
+            *known = Some(lead);
+        }
+    }
 }
 
-/// A connection to the leader.
+/// A connection to another daemon, mostly the leader.
 #[derive(Debug)]
 pub struct Line {
     client: RpcClient,
@@ -212,6 +270,14 @@
         Some(Self { client })
     }
 
+    /// Tells an earlier leader who leads now; `false` if it does not answer.
+    pub async fn succeed(&self, lead: Lead) -> bool {
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + SLACK;
+        let told = timeout(SLACK, self.client.succeed(context, lead)).await;
+        matches!(told, Ok(Ok(())))
+    }
+
     /// Calls the leader; `None` if it does not answer.
     pub async fn call(&self, call: Call) -> Option<Answer> {
         let limit = WAIT + SLACK;
--- a/crates/assignment/src/lease.rs
+++ b/crates/assignment/src/lease.rs
@@ -20,7 +20,7 @@
     fn default() -> Self {
         Self {
             beat: Duration::from_millis(700),
-            right: Duration::from_secs(3),
+            right: Duration::from_millis(2_500),
             patience: Duration::from_secs(2),
         }
     }
@@ -45,6 +45,19 @@
     pub is_over: bool,
 }
 
+/// What a leader says once its lease has lapsed.
+///
+/// It gives no orders any more, unless it renews the lease by a write that it begins from here on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lapse {
+    /// Its leadership.
+    pub term: u64,
+    /// The last [`Lead::beat`] of the writes that it had begun before.
+    pub beat: u64,
+    /// After how much time its grants have surely ended.
+    pub grants_end: Duration,
+}
+
 /// The leader's own right to give orders.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Lease {
@@ -56,6 +69,8 @@
 pub struct Watch {
     seen: Option<(u64, u64)>,
     since: Duration,
+    /// What a leader said last of its lease.
+    lapse: Option<(Lapse, Duration)>,
 }
 
 impl Lease {
@@ -86,6 +101,21 @@
         }
     }
 
+    /// Notes that a leader says at `now` that its lease has lapsed.
+    pub fn note_lapse(&mut self, lapse: Lapse, now: Duration) {
+        self.lapse = Some((lapse, now));
+    }
+
+    /// When the grants of `lead` have ended, if it has said that its lease has lapsed.
+    #[must_use]
+    pub fn grants_end(&self, lead: &Lead) -> Option<Duration> {
+        // An entry that was written since means that the leader has its right again.
+        let said = self
+            .lapse
+            .filter(|(lapse, _)| lapse.term == lead.term && lead.beat <= lapse.beat);
+        said.map(|(lapse, at)| at + lapse.grants_end)
+    }
+
     /// Whether the daemon `name` at `address` may take over from `lead` now.
     ///
     /// A daemon may follow its own earlier run at once, since that one has ended.
@@ -100,6 +130,7 @@
     ) -> bool {
         let Some(lead) = lead else { return true };
         let is_own = &*lead.name == name && lead.address == address;
-        lead.is_over || is_own || now.saturating_sub(self.since) >= timing.patience
+        let is_lapsed = self.grants_end(lead).is_some();
+        lead.is_over || is_own || is_lapsed || now.saturating_sub(self.since) >= timing.patience
     }
 }
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -76,7 +76,7 @@
             renew: Duration::from_millis(1_500),
             order_limit: Duration::from_millis(500),
             release_limit: Duration::from_secs(4),
-            predecessor: Duration::from_millis(1_500),
+            predecessor: Duration::from_millis(800),
         }
     }
 }
@@ -148,11 +148,19 @@
 
 impl Machine {
     /// Takes over from an earlier leader, whose plan is `plan`; `None` for a new service.
+    ///
+    /// `grants_end` says when the grants of that leader end, if it told.
     #[must_use]
-    pub fn new(service: ServiceName, plan: Option<Plan>, timing: Timing, now: Duration) -> Self {
+    pub fn new(
+        service: ServiceName,
+        plan: Option<Plan>,
+        timing: Timing,
+        grants_end: Option<Duration>,
+        now: Duration,
+    ) -> Self {
         let plan = plan.filter(Plan::is_whole);
-        let doubtful_until =
-            now + timing.predecessor + lasting(timing.hold_max) + timing.order_limit;
+        let latest = now + timing.predecessor + lasting(timing.hold_max);
+        let doubtful_until = grants_end.unwrap_or(latest).min(latest) + timing.order_limit;
         let fence = plan.as_ref().map_or(0, |plan| plan.fence);
         let ranges = plan.map_or(Vec::new(), |plan| plan.ranges);
         Self {
@@ -291,6 +299,13 @@
         table.with_admits(admits)
     }
 
+    /// When the last of its grants has surely ended.
+    #[must_use]
+    pub fn grants_end(&self) -> Duration {
+        let ends = self.tracts.iter().map(Tract::surely_ends);
+        ends.max().unwrap_or_default()
+    }
+
     /// How many ranges there are, and how many of them nobody serves.
     #[must_use]
     pub fn ranges(&self) -> (usize, usize) {
--- a/crates/assignment/src/machine/tract.rs
+++ b/crates/assignment/src/machine/tract.rs
@@ -41,6 +41,8 @@
     pub(super) due: Duration,
     /// When the holder's grant has surely ended.
     pub(super) ends: Duration,
+    /// When the grant that was ordered last ends, if it arrives as late as it may.
+    pub(super) ordered_until: Duration,
     /// Until when an order may arrive that this leader does not know of.
     pub(super) doubtful_until: Duration,
     /// The highest fencing token of such an order.
@@ -88,6 +90,7 @@
             is_ordered: false,
             due: now,
             ends: doubtful_until,
+            ordered_until: Duration::ZERO,
             doubtful_until: if is_held {
                 doubtful_until
             } else {
@@ -107,6 +110,11 @@
             && self.holder.as_ref() == Some(&order.holder)
     }
 
+    /// When what its holder was granted has surely ended, whatever becomes of an order on its way.
+    pub(super) fn surely_ends(&self) -> Duration {
+        self.ends.max(self.doubtful_until).max(self.ordered_until)
+    }
+
     pub(super) fn is_served(&self) -> bool {
         match self.stage {
             Stage::Granted { is_served } | Stage::Chosen { is_served, .. } => is_served,
@@ -197,12 +205,13 @@
                 if state.broke.is_some_and(|broke| sight.listed_at <= broke) {
                     return None;
                 }
+                let hold = match long_hold {
+                    true => timing.hold_max,
+                    false => timing.hold,
+                };
+                self.ordered_until = now + timing.order_limit + lasting(hold);
                 Action::Grant {
-                    hold: if long_hold {
-                        timing.hold_max
-                    } else {
-                        timing.hold
-                    },
+                    hold,
                     handover: self.handover.clone(),
                 }
             }
--- a/crates/assignment/tests/machine/random.rs
+++ b/crates/assignment/tests/machine/random.rs
@@ -40,7 +40,7 @@
 
 fn trouble(world: &mut World) {
     let number = world.random().random_range(0..SERVERS);
-    let kind = world.random().random_range(0..9);
+    let kind = world.random().random_range(0..10);
     let server = &mut world.servers[number];
     match kind {
         0 => server.crash(),
@@ -49,7 +49,8 @@
         3 | 4 => server.is_reachable = !server.is_reachable,
         5 => world.is_store_away = !world.is_store_away,
         6 => world.change_leader(),
-        7 => {
+        7 => world.change_leader_that_tells(),
+        8 => {
             let share = world.random().random_range(0.0..0.6);
             world.unanswered = share;
         }
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -108,6 +108,18 @@
     assert_eq!(world.writes, writes);
 }
 
+/// A leader that is cut off from the store tells when its grants end, so that a server that was lost
+/// with it is replaced as soon as by the leader itself.
+#[test]
+fn an_upstream_that_is_lost_with_its_leader_is_replaced_when_its_grants_have_ended() {
+    let mut world = started();
+    world.servers[0].is_reachable = false;
+    world.run(Duration::from_millis(100));
+    world.change_leader_that_tells();
+    world.run(Duration::from_millis(7_500));
+    assert_eq!(world.served(), all());
+}
+
 #[test]
 fn grants_carry_through_an_outage_of_the_store() {
     let mut world = started();
--- a/crates/assignment/tests/machine/world.rs
+++ b/crates/assignment/tests/machine/world.rs
@@ -100,7 +100,7 @@
         Self {
             now,
             servers: servers.collect(),
-            machine: Machine::new("cups".into(), None, Timing::default(), now),
+            machine: Machine::new("cups".into(), None, Timing::default(), None, now),
             stored: None,
             writes: 0,
             unanswered: 0.0,
@@ -130,10 +130,20 @@
 
     /// Another daemon leads from now on; orders of the one before may still be on their way.
     pub(crate) fn change_leader(&mut self) {
+        self.lead(None);
+    }
+
+    /// Another daemon leads from now on, and knows when the grants of the one before end.
+    pub(crate) fn change_leader_that_tells(&mut self) {
+        self.lead(Some(self.machine.grants_end()));
+    }
+
+    fn lead(&mut self, grants_end: Option<Duration>) {
         self.leader += 1;
         self.write = None;
         let plan = self.stored.clone();
-        self.machine = Machine::new("cups".into(), plan, Timing::default(), self.now);
+        let timing = Timing::default();
+        self.machine = Machine::new("cups".into(), plan, timing, grants_end, self.now);
     }
 
     /// The server that serves a key, by its own word.
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -264,7 +264,7 @@
     driver::Timing {
         grants: machine::Timing {
             hold: usual.hold.min(settings.hold_max),
-            hold_max: settings.hold_max,
+            hold_max: usual.hold_max.min(settings.hold_max),
             ..usual
         },
         ..driver::Timing::default()
--- a/crates/copperwelld/tests/gateway/bench.rs
+++ b/crates/copperwelld/tests/gateway/bench.rs
@@ -83,10 +83,17 @@
         format!("http://{}:{}{path}", self.ip, self.port + offset)
     }
 
+    pub(crate) fn name(&self) -> String {
+        self.file
+            .file_stem()
+            .unwrap()
+            .to_string_lossy()
+            .into_owned()
+    }
+
     /// Writes settings as they come at the start, but for the first `old`, which becomes `new`.
     pub(crate) fn change(&self, store: &Store, old: &str, new: &str) {
-        let name = self.file.file_stem().unwrap().to_string_lossy();
-        let text = settings(&name, &self.ip, self.port, store.address);
+        let text = settings(&self.name(), &self.ip, self.port, store.address);
         assert!(text.contains(old), "{old}");
         fs::write(&self.file, text.replacen(old, new, 1)).unwrap();
     }
--- a/crates/copperwelld/tests/gateway/keys.rs
+++ b/crates/copperwelld/tests/gateway/keys.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    bench::{Bench, CONDITION, configure},
+    bench::{Bench, CONDITION, Daemon, configure},
     standin::{server::Server, store},
 };
 use http::StatusCode;
@@ -45,6 +45,25 @@
     }
 }
 
+/// The leader alone cannot reach the store any more. It goes on answering the others, who must not
+/// wait for it: keys of a server that ends meanwhile get another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_cannot_reach_the_store_lets_another_lead() {
+    let mut bench = Bench::start(3).await;
+    bench.serves().await;
+    let lead = bench.store.newest("keyed.copperwell", "lead").unwrap();
+    let leads = |daemon: &Daemon| {
+        let name = daemon.name();
+        lead.windows(name.len()).any(|part| part == name.as_bytes())
+    };
+    let at = bench.daemons.iter().position(leads);
+    let leader = bench.daemons.remove(at.expect("one of them leads"));
+    let address = bench.store.address.to_string();
+    leader.change(&bench.store, &address, "127.0.0.1:9");
+    bench.servers[0].kill();
+    bench.serves().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_of_a_server_that_ends_get_another_one() {
     let mut bench = Bench::start(2).await;
