Let the strongest daemons lead, and press a store that is away less

While the store was away each daemon asked it 8 times a second.

Change: daemons tell their share of a processor; the leader names the three strongest as heirs, who try in turn before the others; a leader gives way to one that is twice as strong, and says when its grants end. Failed readings back off to 1 s and 2 s. When the store is back, the leader before has the first try.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -22,6 +22,7 @@
     plan::Plan,
     register::{Failure, Register, Snapshot},
     table::{Directory, Table, Tables, Version},
+    turn,
 };
 use copperwell_routing::{ServiceName, registry::Upstream};
 use rand::RngExt;
@@ -40,17 +41,11 @@
 const PLAN: &str = "plan.";
 
 /// How long a daemon waits before it reads the store again.
-const PAUSE: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(300);
 
 /// How long it waits at most once the store has not answered several times.
 const PAUSE_MAX: Duration = Duration::from_secs(2);
 
-/// How much longer at most, so that daemons do not read it at the same moment.
-const JITTER: Duration = Duration::from_millis(200);
-
-/// The same for each daemon that is known.
-const JITTER_EACH: Duration = Duration::from_millis(10);
-
 /// What the daemon knows of services and their upstreams.
 pub trait Scene: Send + Sync + 'static {
     /// The services that are divided by key; `None` while no configuration is known.
@@ -82,6 +77,8 @@
     pub run: u64,
     /// Where it takes reports.
     pub address: SocketAddr,
+    /// Its share of a processor, in thousandths.
+    pub strength: u32,
 }
 
 /// Time limits.
@@ -159,19 +156,25 @@
         let mut watch = Watch::default();
         let mut pause = PAUSE;
         let mut lead: Option<Lead> = None;
+        let mut heirs: Vec<DaemonName> = Vec::new();
+        sleep(turn::first(self.identity.strength)).await;
         while !stopping.is_cancelled() {
             match self.register.read().await {
                 Ok(snapshot) => {
-                    pause = PAUSE;
+                    let is_back = std::mem::replace(&mut pause, PAUSE) > PAUSE;
                     lead = self.see(&snapshot, &mut watch);
-                    if let Some(term) = self.take_over(&snapshot, lead.as_ref(), &watch).await {
+                    // A leader that only waited for the store knows more than any successor.
+                    if !is_back
+                        && let Some(term) = self.take_over(&snapshot, lead.as_ref(), &watch).await
+                    {
                         let before = lead.take();
                         let grants_end = before.as_ref().and_then(|lead| watch.grants_end(lead));
                         self.tell(before, self.lead(term.number, 0, 0, false));
                         let leading = Leading::new(self, term, &snapshot, grants_end);
                         leading.run(reports, stopping).await;
+                        // One that gave way lets the others try first.
                         lead = self.desk.successor();
-                        continue;
+                        heirs = self.desk.heirs();
                     }
                 }
                 Err(failure) => {
@@ -181,7 +184,7 @@
             }
             // The last leader that is known may know of a later one.
             while let Some(known) = &lead {
-                match self.follow(known, stopping).await {
+                match self.follow(known, &mut heirs, stopping).await {
                     Followed::Lost => break,
                     Followed::Lapsed(lapse) => {
                         watch.note_lapse(lapse, self.clock.now());
@@ -190,21 +193,17 @@
                     Followed::Succeeded(later) => lead = Some(later),
                 }
             }
-            let jitter = self.jitter().mul_f64(rand::rng().random_range(0.0..1.0));
+            let rank = heirs.iter().position(|heir| *heir == self.identity.name);
+            let daemons = self.shared.daemons.load(Ordering::Relaxed);
+            let jitter = turn::jitter(rank, &heirs, daemons);
+            let jitter = jitter.mul_f64(rand::rng().random_range(0.0..1.0));
             tokio::select! {
-                () = sleep(pause + jitter) => {}
+                () = sleep(pause + turn::later(rank, &heirs) + jitter) => {}
                 () = stopping.cancelled() => {}
             }
         }
     }
 
-    /// The more daemons there are, the longer they spread their readings, since the first of them to
-    /// read may lead and be followed by the others.
-    fn jitter(&self) -> Duration {
-        let daemons = self.shared.daemons.load(Ordering::Relaxed);
-        JITTER.max(JITTER_EACH * daemons)
-    }
-
     /// Takes what the store says of leader and plans.
     fn see(&self, snapshot: &Snapshot, watch: &mut Watch) -> Option<Lead> {
         let lead: Option<Lead> = decode(snapshot, LEAD);
@@ -273,6 +272,7 @@
             beat,
             number,
             is_over,
+            grants_end: Duration::ZERO,
         }
     }
 
@@ -289,7 +289,12 @@
     }
 
     /// Exchanges with the leader until it does not answer any more, or does not lead.
-    async fn follow(&self, lead: &Lead, stopping: &CancellationToken) -> Followed {
+    async fn follow(
+        &self,
+        lead: &Lead,
+        heirs: &mut Vec<DaemonName>,
+        stopping: &CancellationToken,
+    ) -> Followed {
         if lead.is_over || lead.address == self.identity.address {
             return Followed::Lost;
         }
@@ -303,6 +308,7 @@
             let listed_at = self.scene.listed_at();
             let call = Call {
                 from: self.identity.name.clone(),
+                strength: self.identity.strength,
                 knows,
                 configuration,
                 list,
@@ -315,6 +321,9 @@
             };
             let daemons = &self.shared.daemons;
             daemons.store(answer.daemons, Ordering::Relaxed);
+            if answer.standing == Standing::Leads {
+                *heirs = answer.heirs;
+            }
             if let Some(tables) = answer.tables {
                 self.shared.directory.take(tables);
             }
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -13,6 +13,7 @@
     plan::Plan,
     register::{Failure, Register, Snapshot},
     table::{Tables, Version},
+    turn,
 };
 use copperwell_message::HashMap;
 use copperwell_routing::ServiceName;
@@ -57,6 +58,8 @@
     /// When the call to the store was sent that has no answer yet.
     asked_at: Option<Duration>,
     is_lost: bool,
+    /// Whether a much stronger daemon is to lead in its place.
+    gives_way: bool,
     counted_at: Duration,
 }
 
@@ -107,6 +110,7 @@
             unsure: None,
             asked_at: None,
             is_lost: false,
+            gives_way: false,
             counted_at: term.began,
         }
     }
@@ -126,7 +130,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         // A look costs by ranges and upstreams, so there is none where nothing can follow from it.
         let mut looks = true;
-        while !self.is_lost && !stopping.is_cancelled() {
+        while !self.is_lost && !stopping.is_cancelled() && !self.gives_way {
             if looks {
                 self.act();
                 for (service, order) in self.orders() {
@@ -154,7 +158,7 @@
         }
         driver.desk.set_standing(Standing::Follows);
         driver.metrics.leading.set(0);
-        if stopping.is_cancelled() && !self.is_lost {
+        if !self.is_lost {
             self.hand_over(running, storing).await;
         }
         info!("leads no more", kv: { event = "lead-end", term = self.term, lost = self.is_lost });
@@ -182,6 +186,8 @@
             self.count(driver.shared.counts.take());
             let daemons = driver.desk.daemons();
             driver.shared.daemons.store(daemons, Ordering::Relaxed);
+            let strongest = driver.desk.strongest();
+            self.gives_way = turn::gives_way(driver.identity.strength, strongest);
         }
     }
 
@@ -447,7 +453,8 @@
         if self.is_lost {
             return;
         }
-        let lead = driver.lead(self.term, self.beat + 1, self.number, true);
+        let mut lead = driver.lead(self.term, self.beat + 1, self.number, true);
+        lead.grants_end = self.grants_end_after(driver.clock.now());
         let swapped = driver.register.swap(self.end, &[encode(LEAD, &lead)]).await;
         driver.metrics.swapped(outcome_of(&swapped));
         info!("leadership is free", kv: { event = "hand-over", term = self.term, outcome = outcome_of(&swapped) });
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -44,6 +44,9 @@
 /// How long a daemon counts after its last call.
 const PRESENT: Duration = Duration::from_secs(3);
 
+/// Daemons that are told to lead next.
+pub(crate) const HEIRS: usize = 3;
+
 /// Reports that may wait for the leader.
 const REPORTS_MAX: usize = 1024;
 
@@ -52,6 +55,8 @@
 pub struct Call {
     /// Who tells it.
     pub from: DaemonName,
+    /// Its share of a processor, in thousandths.
+    pub strength: u32,
     /// The tables that it has.
     pub knows: Version,
     /// The configuration that it has.
@@ -81,6 +86,8 @@
 pub struct Answer {
     /// What the answering daemon is; it may have stopped.
     pub standing: Standing,
+    /// Who is to lead next, the first one first.
+    pub heirs: Vec<DaemonName>,
     /// The leader after it, if that has told.
     pub successor: Option<Lead>,
     /// How many daemons have called lately, the leader included.
@@ -91,6 +98,13 @@
     pub news: Option<News>,
 }
 
+/// A daemon that has called.
+#[derive(Debug, Clone, Copy)]
+struct Presence {
+    at: Instant,
+    strength: u32,
+}
+
 #[tarpc::service]
 trait Rpc {
     /// Tells what is asked for, and asks for newer tables.
@@ -114,7 +128,7 @@
     reports: mpsc::Sender<Vec<Report>>,
     standing: Mutex<Standing>,
     successor: Mutex<Option<Lead>>,
-    present: Mutex<HashMap<DaemonName, Instant>>,
+    present: Mutex<HashMap<DaemonName, Presence>>,
     /// When another daemon last read the store.
     store_seen: Mutex<Option<Instant>>,
 }
@@ -157,11 +171,36 @@
     /// How many daemons have called lately, this one included.
     #[must_use]
     pub fn daemons(&self) -> u32 {
+        u32::try_from(self.present().len()).unwrap_or(u32::MAX) + 1
+    }
+
+    /// The strength of the strongest daemon that has called lately.
+    #[must_use]
+    pub fn strongest(&self) -> u32 {
+        let present = self.present();
+        let strengths = present.values().map(|presence| presence.strength);
+        strengths.max().unwrap_or(0)
+    }
+
+    /// The strongest daemons that have called lately, the first one first.
+    #[must_use]
+    pub fn heirs(&self) -> Vec<DaemonName> {
+        let present = self.present();
+        let mut ranked: Vec<(&DaemonName, u32)> = present
+            .iter()
+            .map(|(name, presence)| (name, presence.strength))
+            .collect();
+        ranked.sort_by(|one, other| other.1.cmp(&one.1).then(one.0.cmp(other.0)));
+        let heirs = ranked.into_iter().take(HEIRS);
+        heirs.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn present(&self) -> MutexGuard<'_, HashMap<DaemonName, Presence>> {
         let now = Instant::now();
         let present = self.shared.present.lock();
         let mut present = present.unwrap_or_else(PoisonError::into_inner);
-        present.retain(|_, at| now.saturating_duration_since(*at) < PRESENT);
-        u32::try_from(present.len()).unwrap_or(u32::MAX) + 1
+        present.retain(|_, presence| now.saturating_duration_since(presence.at) < PRESENT);
+        present
     }
 
     /// Takes calls until the future is dropped.
@@ -202,10 +241,12 @@
         *seen = at.max(*seen);
     }
 
-    fn note_present(&self, name: DaemonName) {
-        let present = self.shared.present.lock();
-        let mut present = present.unwrap_or_else(PoisonError::into_inner);
-        present.insert(name, Instant::now());
+    fn note_present(&self, name: DaemonName, strength: u32) {
+        let presence = Presence {
+            at: Instant::now(),
+            strength,
+        };
+        self.present().insert(name, presence);
     }
 
     fn standing(&self) -> Standing {
@@ -218,7 +259,7 @@
     async fn exchange(self, _: context::Context, call: Call) -> Answer {
         let shared = &self.shared;
         if self.standing() == Standing::Leads {
-            self.note_present(call.from);
+            self.note_present(call.from, call.strength);
             if let Some(age) = call.store_age {
                 self.note_store(age);
             }
@@ -238,6 +279,7 @@
         let is_newer = tables.version > call.knows;
         Answer {
             standing: self.standing(),
+            heirs: self.heirs(),
             successor: self.successor(),
             daemons: self.daemons(),
             tables: is_newer.then(|| (*tables).clone()),
--- a/crates/assignment/src/lease.rs
+++ b/crates/assignment/src/lease.rs
@@ -43,6 +43,8 @@
     pub number: u64,
     /// Whether the leader has stopped giving orders, so that another may begin at once.
     pub is_over: bool,
+    /// After how much time its grants have surely ended, counted from when it stopped.
+    pub grants_end: Duration,
 }
 
 /// What a leader says once its lease has lapsed.
@@ -106,9 +108,12 @@
         self.lapse = Some((lapse, now));
     }
 
-    /// When the grants of `lead` have ended, if it has said that its lease has lapsed.
+    /// When the grants of `lead` have ended, if it has stopped, or has said that its lease lapsed.
     #[must_use]
     pub fn grants_end(&self, lead: &Lead) -> Option<Duration> {
+        if lead.is_over {
+            return Some(self.since + lead.grants_end);
+        }
         // An entry that was written since means that the leader has its right again.
         let said = self
             .lapse
@@ -130,7 +135,7 @@
     ) -> bool {
         let Some(lead) = lead else { return true };
         let is_own = &*lead.name == name && lead.address == address;
-        let is_lapsed = self.grants_end(lead).is_some();
-        lead.is_over || is_own || is_lapsed || now.saturating_sub(self.since) >= timing.patience
+        let has_yielded = self.grants_end(lead).is_some();
+        has_yielded || is_own || now.saturating_sub(self.since) >= timing.patience
     }
 }
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod plan;
 pub mod register;
 pub mod table;
+pub mod turn;
 
 /// The fencing token of a grant; upstreams refuse a lower one than they have seen for a key.
 pub type Fence = u64;
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -147,6 +147,7 @@
                 name: name.into(),
                 run,
                 address: ([127, 0, 0, 1], port).into(),
+                strength: 200,
             },
             timing: Timing::default(),
             register: store.clone(),
--- a/crates/assignment/tests/lease.rs
+++ b/crates/assignment/tests/lease.rs
@@ -18,6 +18,7 @@
         beat: BEAT,
         number: 1,
         is_over: false,
+        grants_end: Duration::ZERO,
     }
 }
 
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -146,6 +146,7 @@
                 name: settings.name.as_str().into(),
                 run,
                 address,
+                strength: settings.strength,
             },
             timing: timing(settings),
             register: Arc::new(Entries::new(store)),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -21,9 +21,12 @@
 /// must be in force everywhere within two seconds.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
-/// How long after a failed reading the next one follows.
+/// How long after a failed reading the next one follows; twice as long after each further one.
 const RETRY: Duration = Duration::from_millis(250);
 
+/// How long at most.
+const RETRY_MAX: Duration = Duration::from_secs(1);
+
 /// How often the list of upstreams is read by a daemon that reads it.
 const LIST_TIME: Duration = Duration::from_millis(600);
 
@@ -61,7 +64,7 @@
             Some(None) if above.is_none() => sleep(RETRY).await,
             Some(None) if wait.is_zero() => sleep(LOOK).await,
             Some(None) => {}
-            None => sleep(RETRY).await,
+            None => sleep(reader.retry()).await,
         }
     }
 }
@@ -87,7 +90,7 @@
         let read = source.upstreams().await;
         let Some(listing) = reader.note(read) else {
             beliefs.miss_upstreams();
-            sleep(RETRY).await;
+            sleep(reader.retry()).await;
             continue;
         };
         note_unreadable(&listing, &mut unreadable, &metrics);
@@ -106,7 +109,8 @@
 struct Reader {
     what: &'static str,
     metrics: Metrics,
-    is_lost: bool,
+    /// Readings in a row that failed.
+    failures: u32,
 }
 
 impl Reader {
@@ -114,15 +118,21 @@
         Self {
             what,
             metrics,
-            is_lost: false,
+            failures: 0,
         }
     }
 
+    /// How long after the last failed reading the next one follows.
+    fn retry(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(1);
+        RETRY_MAX.min(RETRY.saturating_mul(2_u32.saturating_pow(doublings)))
+    }
+
     fn note<T>(&mut self, read: Result<T, Unread>) -> Option<T> {
         let what = self.what;
         match read {
             Ok(read) => {
-                if std::mem::take(&mut self.is_lost) {
+                if std::mem::take(&mut self.failures) > 0 {
                     info!("the store answers again", kv: { dependency = "store", what });
                 }
                 Some(read)
@@ -130,7 +140,8 @@
             Err(unread) => {
                 let label = SourceLabel { what };
                 self.metrics.unread.get_or_create(&label).inc();
-                if !std::mem::replace(&mut self.is_lost, true) {
+                self.failures = self.failures.saturating_add(1);
+                if self.failures == 1 {
                     warn!("the store does not answer", kv: { dependency = "store", what, why = unread.why.as_str() });
                 }
                 None
