Give long grants before a lease lapses, not after

Change: long grants in the last 700 ms of the lease, which lasts 3 s again, so that others can tell before whether the store answers them.

--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -243,9 +243,7 @@
         for machine in &mut self.machines {
             let upstreams = driver.scene.upstreams(machine.service());
             let sight = Sight::new(&upstreams, &all, listed_at);
-            let is_away = self
-                .store_away
-                .is_some_and(|since| now >= since + LONG_HOLD);
+            let is_away = self.store_away.is_some() && self.lease.left(now) < LONG_HOLD;
             let sight = sight.with_store_away(is_away);
             let due = machine.step(now, &sight);
             orders.extend(
@@ -461,9 +459,10 @@
     }
 }
 
-/// How long the store must be away before grants last as long as they may. Until then others tell
-/// whether it answers them; if so, one of them leads, and needs grants that end soon.
-const LONG_HOLD: Duration = Duration::from_millis(2_000);
+/// How long before its lease lapses a leader without the store gives grants that last as long as they
+/// may. Until then others tell whether the store answers them; if so, one of them leads, and needs
+/// grants that end soon.
+const LONG_HOLD: Duration = Duration::from_millis(700);
 
 /// How long a call to the store may take before the store counts as away.
 const SLOW: Duration = Duration::from_millis(500);
--- a/crates/assignment/src/lease.rs
+++ b/crates/assignment/src/lease.rs
@@ -20,7 +20,7 @@
     fn default() -> Self {
         Self {
             beat: Duration::from_millis(700),
-            right: Duration::from_millis(2_500),
+            right: Duration::from_secs(3),
             patience: Duration::from_secs(2),
         }
     }
@@ -87,6 +87,12 @@
         now < self.until
     }
 
+    /// How long orders may still be sent.
+    #[must_use]
+    pub fn left(&self, now: Duration) -> Duration {
+        self.until.saturating_sub(now)
+    }
+
     /// Ends the right.
     pub fn end(&mut self) {
         self.until = Duration::ZERO;
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -76,7 +76,7 @@
             renew: Duration::from_millis(1_500),
             order_limit: Duration::from_millis(500),
             release_limit: Duration::from_secs(4),
-            predecessor: Duration::from_millis(800),
+            predecessor: Duration::from_millis(1_300),
         }
     }
 }
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -1,6 +1,7 @@
 //! Daemons that lead and follow, over a store in memory.
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -14,10 +15,10 @@
     exchange::Desk,
     metrics::Metrics,
     news::{ListNumber, News},
-    order::{Command, Order, Outcome},
+    order::{Action, Command, Order, Outcome},
     register::{Failure, Position, Register, Snapshot},
 };
-use copperwell_routing::{ServiceName, registry::Upstream};
+use copperwell_routing::{Key, ServiceName, registry::Upstream};
 use tokio::{task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -68,10 +69,15 @@
 #[derive(Default)]
 struct Servers {
     orders: AtomicUsize,
+    /// For how long each range was granted last, by its first key.
+    holds: Mutex<BTreeMap<Key, Duration>>,
 }
 
 impl Command for Servers {
-    async fn give(&self, _: &Order, _: Duration) -> Outcome {
+    async fn give(&self, order: &Order, _: Duration) -> Outcome {
+        if let Action::Grant { hold, .. } = order.action {
+            self.holds.lock().unwrap().insert(order.first, hold);
+        }
         self.orders.fetch_add(1, Ordering::Relaxed);
         sleep(Duration::from_millis(1)).await;
         Outcome::Done { handover: None }
@@ -230,6 +236,22 @@
     assert!(daemon.serves());
 }
 
+/// Nobody can renew grants while the store is away for longer than a lease, so the last ones are long.
+#[tokio::test(start_paused = true)]
+async fn the_last_grants_before_a_lease_lapses_are_long() {
+    let store = Arc::new(Store::default());
+    let daemon = Daemon::start("one", 1, &store);
+    sleep(Duration::from_secs(6)).await;
+    store.is_away.store(true, Ordering::Relaxed);
+    sleep(Duration::from_secs(5)).await;
+    let timing = Timing::default().grants;
+    let holds = daemon.servers.holds.lock().unwrap().clone();
+    assert!(holds.len() > 1);
+    for (first, hold) in holds {
+        assert_eq!(hold, timing.hold_max, "the range from {first}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_leader_that_stops_hands_over_at_once() {
     let store = Arc::new(Store::default());
