Try upstreams again that were silent

Cause: an upstream that left three orders unanswered got no more keys, so no more orders, so it was silent for good; if all were, no key had an owner any more, and the leader chose and dropped holders by turns.

Change: a silent upstream is tried again after 15 s; while none answers, none loses its keys for that. Tests in assignment/tests/machine/steps.rs fail without it.

--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -25,7 +25,7 @@
 use copperwell_message::{HashMap, HashSet};
 use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
 
-use holder::{Fate, Seats, State, fate};
+use holder::{Fate, Seats, State, fate, is_any_heard};
 use tract::{Stage, Tract, lasting};
 
 mod holder;
@@ -228,9 +228,13 @@
             }
             Outcome::Refused | Outcome::Broken => {
                 state.unanswered += 1;
+                state.failed = now;
                 state.broke = Some(now);
             }
-            Outcome::Unknown | Outcome::Unsent => state.unanswered += 1,
+            Outcome::Unknown | Outcome::Unsent => {
+                state.unanswered += 1;
+                state.failed = now;
+            }
         }
         // An order about a range that has changed since concerns nobody any more.
         let tract = self.tracts.iter_mut().find(|tract| tract.awaits(order));
@@ -357,11 +361,12 @@
 
     /// Takes keys from holders that leave, are lost, or have begun another run.
     fn judge_holders(&mut self, now: Duration, sight: &Sight<'_>) {
+        let others = is_any_heard(sight, &self.holders, now);
         for tract in &mut self.tracts {
             let Some(holder) = &tract.holder else {
                 continue;
             };
-            match fate(holder, sight, &self.holders, now) {
+            match fate(holder, others, sight, &self.holders, now) {
                 Fate::Stays => {}
                 Fate::Leaves => tract.is_leaving = true,
                 Fate::Gone => {
--- a/crates/assignment/src/machine/holder.rs
+++ b/crates/assignment/src/machine/holder.rs
@@ -13,6 +13,9 @@
 /// How long a holder has not answered any order before it is silent.
 const SILENT_TIME: Duration = Duration::from_millis(1_200);
 
+/// How long after its last unanswered order a silent upstream is tried again.
+const SILENCE: Duration = Duration::from_secs(15);
+
 /// What the leader has seen of an upstream.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct State {
@@ -22,6 +25,8 @@
     pub(super) heard: Duration,
     /// Orders without an answer since then.
     pub(super) unanswered: u32,
+    /// When the last of them failed.
+    pub(super) failed: Duration,
     /// When a connection to it was refused or broke: what listens there now may be another run.
     pub(super) broke: Option<Duration>,
     /// How fast it works.
@@ -40,9 +45,22 @@
     Reborn(Birth),
 }
 
-/// What is to become of a holder's keys.
+/// Whether some upstream that stays answers orders. If none does, it is of no use to take keys from
+/// those that are silent.
+pub(super) fn is_any_heard(
+    sight: &Sight<'_>,
+    states: &HashMap<UpstreamId, State>,
+    now: Duration,
+) -> bool {
+    let is_silent = |id| states.get(id).is_some_and(|state| state.is_silent(now));
+    let mut staying = sight.upstreams.iter().filter(|one| !one.is_draining);
+    staying.any(|one| !is_silent(&one.id))
+}
+
+/// What is to become of a holder's keys; `others` says whether any upstream answers orders.
 pub(super) fn fate(
     holder: &Holder,
+    others: bool,
     sight: &Sight<'_>,
     states: &HashMap<UpstreamId, State>,
     now: Duration,
@@ -56,7 +74,7 @@
         return Fate::Reborn(upstream.born);
     }
     let is_silent = state.is_some_and(|state| state.is_silent(now));
-    if upstream.is_draining || is_silent {
+    if upstream.is_draining || (is_silent && others) {
         return Fate::Leaves;
     }
     Fate::Stays
@@ -70,6 +88,7 @@
             admits: ALL,
             heard: Duration::ZERO,
             unanswered: 0,
+            failed: Duration::ZERO,
             broke: None,
         }
     }
@@ -83,7 +102,9 @@
     }
 
     pub(super) fn is_silent(&self, now: Duration) -> bool {
-        self.unanswered >= SILENT_ORDERS && now.saturating_sub(self.heard) > SILENT_TIME
+        self.unanswered >= SILENT_ORDERS
+            && now.saturating_sub(self.heard) > SILENT_TIME
+            && now < self.failed + SILENCE
     }
 }
 
@@ -104,7 +125,12 @@
             let state = states.get(&one.id);
             !one.is_draining && !state.is_some_and(|state| state.is_silent(now))
         };
-        let usable: Vec<_> = sight.upstreams.iter().filter(is_usable).collect();
+        let mut usable: Vec<_> = sight.upstreams.iter().filter(is_usable).collect();
+        if usable.is_empty() {
+            // No order would ever show that one of them answers again.
+            let stay = sight.upstreams.iter().filter(|one| !one.is_draining);
+            usable = stay.collect();
+        }
         let holder = |one: &&Arc<Upstream>| Holder {
             id: one.id.clone(),
             born: one.born,
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -108,6 +108,34 @@
     assert_eq!(world.writes, writes);
 }
 
+/// Nobody answers the leader for a while: when they do again, they hold keys again, once grants that
+/// nobody answered have ended.
+#[test]
+fn upstreams_that_were_all_silent_get_keys_again() {
+    let mut world = started();
+    for server in &mut world.servers {
+        server.is_reachable = false;
+    }
+    world.run(Duration::from_secs(30));
+    for server in &mut world.servers {
+        server.is_reachable = true;
+    }
+    world.run(Duration::from_millis(7_500));
+    assert_eq!(world.served(), all());
+}
+
+/// One that was silent and has lost its keys is not passed over for good.
+#[test]
+fn an_upstream_that_was_silent_gets_keys_again() {
+    let mut world = started();
+    world.servers[0].is_reachable = false;
+    world.run(Duration::from_secs(10));
+    assert_eq!(keys_of(&world, 0), 0);
+    world.servers[0].is_reachable = true;
+    world.run(Duration::from_secs(20));
+    assert!(keys_of(&world, 0) > 0);
+}
+
 /// A leader that is cut off from the store tells when its grants end, so that a server that was lost
 /// with it is replaced as soon as by the leader itself.
 #[test]
