Show queue and age of the list, and never pass over a closed connection

Gauges copperwell_gateway_queue and copperwell_gateway_upstreams_age_seconds. A strict call looked for closed connections before it took one; one that closed in between was dropped and another opened, so that an order could have reached the next run of a server. Taking and looking are one step now.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -116,12 +116,12 @@
             return Err(Lost::Unsent);
         };
         let lane = &line.lane;
-        if self.is_strict && lane.take_broken() {
-            return Err(Lost::Broken);
-        }
         let mut request = request_to(to, call);
         loop {
-            let idle = lane.take_idle().await;
+            let idle = match self.is_strict {
+                true => lane.take_proven().await.map_err(|_| Lost::Broken)?,
+                false => lane.take_idle().await,
+            };
             let reused = idle.is_some();
             let left = deadline.saturating_duration_since(Instant::now());
             let mut connection = match idle {
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -34,6 +34,10 @@
     warming: AtomicBool,
 }
 
+/// The server has closed a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Closed;
+
 impl Lane {
     pub(crate) fn to_upstream(upstream: &Upstream, timing: Timing, metrics: Metrics) -> Self {
         let timing = Timing {
@@ -94,8 +98,28 @@
         }
     }
 
+    /// An idle connection that can take a request, if the server has closed none of those that are
+    /// found before it: what listens there now may be another run.
+    pub(crate) async fn take_proven(&self) -> Result<Option<Connection>, Closed> {
+        if self.take_broken() {
+            return Err(Closed);
+        }
+        loop {
+            let Some(mut connection) = self.idle().pop() else {
+                return Ok(None);
+            };
+            if connection.is_fresh() && connection.is_ready_within(READY_LIMIT).await {
+                self.metrics.reused.inc();
+                return Ok(Some(connection));
+            }
+            if connection.is_closed() {
+                return Err(Closed);
+            }
+        }
+    }
+
     /// Whether the server has closed a connection that lay idle; those are dropped.
-    pub(crate) fn take_broken(&self) -> bool {
+    fn take_broken(&self) -> bool {
         let mut idle = self.idle();
         let before = idle.len();
         idle.retain(|connection| !connection.is_closed());
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -67,6 +67,7 @@
     is_stopping: AtomicBool,
     dropped: Arc<AtomicU64>,
     dropped_shown: Counter,
+    metrics: Metrics,
 }
 
 /// The status page.
@@ -134,7 +135,7 @@
             source,
             beliefs.clone(),
             Boot,
-            metrics,
+            metrics.clone(),
             move || tidied.tidy(),
         ));
 
@@ -165,6 +166,7 @@
             is_stopping: AtomicBool::new(false),
             dropped,
             dropped_shown: lines,
+            metrics,
         });
         let registry = Arc::new(registry);
         for listener in [ready, control] {
@@ -255,6 +257,7 @@
 
     fn refresh(&self) {
         let dropped = self.dropped.load(Ordering::Relaxed);
+        self.metrics.refresh(&self.beliefs);
         let shown = self.dropped_shown.get();
         self.dropped_shown.inc_by(dropped.saturating_sub(shown));
     }
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -222,6 +222,14 @@
         act(budget)
     }
 
+    /// How long ago the list of upstreams was read, by this daemon or by the leader that told it.
+    #[must_use]
+    pub fn upstreams_age(&self) -> Option<Duration> {
+        let heard = self.heard().read_at;
+        let read = self.registry().read_at();
+        heard.max(read).map(|at| at.elapsed())
+    }
+
     /// Whether the daemon must read the list of upstreams itself, since what the leader told is
     /// older than `age`.
     #[must_use]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,7 +72,7 @@
     /// A gateway that goes by `beliefs` and keeps at most `connections` callers' connections.
     #[must_use]
     pub fn new(dialect: D, beliefs: Arc<Beliefs>, metrics: Metrics, connections: usize) -> Self {
-        let rooms = Arc::new(Rooms::default());
+        let rooms = Arc::new(Rooms::new(metrics.queue.clone()));
         Self {
             dialect,
             finder: Finder {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and histograms of requests.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
+use crate::beliefs::Beliefs;
 use copperwell_message::Reason;
 use prometheus_client::{
     encoding::EncodeLabelSet,
@@ -34,6 +35,8 @@
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
     pub(crate) configuration: Gauge,
     pub(crate) upstreams: Gauge,
+    pub(crate) queue: Gauge,
+    upstreams_age: Gauge<f64, AtomicU64>,
     pub(crate) unreadable: Counter,
     pub(crate) unread: Family<SourceLabel, Counter>,
 }
@@ -121,6 +124,16 @@
             all.configuration,
         );
         registry.register("upstreams", "Upstreams that are registered", all.upstreams);
+        registry.register(
+            "queue",
+            "Requests that wait for a holder of their key, or for room there",
+            all.queue,
+        );
+        registry.register(
+            "upstreams_age_seconds",
+            "How long ago the list of upstreams was read, here or by the leader; -1 for never",
+            all.upstreams_age,
+        );
         registry.register(
             "unreadable",
             "Registrations that could not be understood",
@@ -130,6 +143,13 @@
         metrics
     }
 
+    /// Brings gauges up to date that follow from what is believed.
+    pub fn refresh(&self, beliefs: &Beliefs) {
+        let age = beliefs.upstreams_age();
+        let age_s = age.map_or(-1.0, |age| age.as_secs_f64());
+        self.upstreams_age.set(age_s);
+    }
+
     pub(crate) fn refuse(&self, reason: Reason) {
         let reason = reason.as_str();
         self.refused.get_or_create(&ReasonLabel { reason }).inc();
@@ -180,6 +200,8 @@
             latency: Family::new_with_constructor(new_histogram),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
+            queue: Gauge::default(),
+            upstreams_age: Gauge::default(),
             unreadable: Counter::default(),
             unread: Family::default(),
         }
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -8,6 +8,7 @@
 use crate::beliefs::Beliefs;
 use copperwell_message::HashMap;
 use copperwell_routing::{UpstreamId, load::End};
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::{
     sync::Notify,
     time::{Instant, timeout_at},
@@ -17,8 +18,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct Rooms {
     waiting: Mutex<HashMap<UpstreamId, Arc<Notify>>>,
+    /// Requests that wait, for room or for a holder of their key.
+    queue: Gauge,
 }
 
+/// A request that waits; dropped, it does not any more.
+#[derive(Debug)]
+pub(crate) struct Waiting<'a>(&'a Gauge);
+
 /// A request in flight; dropped before it is ended, it counts as cancelled.
 #[derive(Debug)]
 pub(crate) struct Flight {
@@ -30,6 +37,20 @@
 }
 
 impl Rooms {
+    /// Rooms whose waiting requests `queue` counts.
+    pub(crate) fn new(queue: Gauge) -> Self {
+        Self {
+            waiting: Mutex::default(),
+            queue,
+        }
+    }
+
+    /// Counts a request that waits.
+    pub(crate) fn queue(&self) -> Waiting<'_> {
+        self.queue.inc();
+        Waiting(&self.queue)
+    }
+
     /// Waits until a request at an upstream has ended, at most until `until`.
     pub(crate) async fn wait(&self, id: &UpstreamId, until: Instant) {
         let notify = self.of(id);
@@ -68,6 +89,12 @@
     }
 }
 
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 impl Flight {
     /// Ends the request.
     pub(crate) fn end(mut self, end: End) -> Duration {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -70,6 +70,7 @@
         after: Option<Version>,
     ) -> Result<Arc<Upstream>, Refusal> {
         let directory = &self.beliefs.keys.directory;
+        let _waiting = self.rooms.queue();
         if let Some(after) = after {
             let _ = timeout_at(wish.until, directory.newer_than(after)).await;
         }
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -47,6 +47,8 @@
     /// Until when an upstream that the list lacks is kept.
     settles_at: Option<Instant>,
     is_away: bool,
+    /// When the last list was taken.
+    read_at: Option<Instant>,
 }
 
 /// What a new list changed.
@@ -68,8 +70,15 @@
         self.is_away = true;
     }
 
+    /// When the last list that was read here was taken; `None` before the first one.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read_at
+    }
+
     /// Takes a list that was read at `now`.
     pub fn take(&mut self, listed: impl IntoIterator<Item = Upstream>, now: Instant) -> Changes {
+        self.read_at = Some(now);
         if std::mem::take(&mut self.is_away) {
             self.settles_at = Some(now + SETTLE);
         }
