Say that the end of grants is not known where it is not

A leader that lapses or hands over told when the grants of the services that it leads end. Of a service that it had not begun to lead it knows nothing, and a successor must not take its grants for over.

--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -222,10 +222,15 @@
         }
     }
 
-    /// After how much time the grants of this leader have ended.
+    /// After how much time the grants of this leader, and of those before, have ended.
     fn grants_end_after(&self, now: Duration) -> Duration {
+        if !self.plans.is_empty() {
+            // Of services that it does not lead, it knows nothing.
+            return UNKNOWN_END;
+        }
         let ends = self.machines.iter().map(Machine::grants_end);
-        ends.max().unwrap_or_default().saturating_sub(now)
+        let ends = ends.max().map(|end| end.saturating_sub(now));
+        ends.unwrap_or(UNKNOWN_END)
     }
 
     /// The orders that are due.
@@ -459,6 +464,9 @@
     }
 }
 
+/// After how much time grants have ended of which nothing is known; longer than any lasts.
+const UNKNOWN_END: Duration = Duration::from_secs(60);
+
 /// How long before its lease lapses a leader without the store gives grants that last as long as they
 /// may. Until then others tell whether the store answers them; if so, one of them leads, and needs
 /// grants that end soon.
