--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -12,7 +12,7 @@
 //!
 //! All times are of the boot clock.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use crate::{
     Fence,
@@ -23,12 +23,15 @@
     table::{ALL, Table},
 };
 use copperwell_message::{HashMap, HashSet};
-use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
+use copperwell_routing::{Key, ServiceName, UpstreamId};
 
 use holder::{Fate, Seats, State, fate, is_any_heard};
 use tract::{Stage, Tract, lasting};
 
+pub use sight::Sight;
+
 mod holder;
+mod sight;
 mod tract;
 
 /// Ranges that each upstream gets in the first plan, so that keys that lie close together and are
@@ -81,20 +84,6 @@
     }
 }
 
-/// What the leader knows beside its own orders.
-#[derive(Debug, Clone)]
-pub struct Sight<'a> {
-    /// The upstreams of the service.
-    upstreams: &'a [Arc<Upstream>],
-    by_id: HashMap<&'a UpstreamId, &'a Upstream>,
-    /// The upstreams of all services.
-    all: &'a [Arc<Upstream>],
-    /// When the reading that gave them began.
-    listed_at: Duration,
-    /// Whether the store does not answer.
-    is_store_away: bool,
-}
-
 /// The decisions for one service.
 #[derive(Debug)]
 pub struct Machine {
@@ -115,37 +104,6 @@
     long_hold: bool,
 }
 
-impl<'a> Sight<'a> {
-    /// The upstreams of the service, and those of all services, as a reading that began at
-    /// `listed_at` gave them.
-    #[must_use]
-    pub fn new(
-        upstreams: &'a [Arc<Upstream>],
-        all: &'a [Arc<Upstream>],
-        listed_at: Duration,
-    ) -> Self {
-        Self {
-            upstreams,
-            by_id: upstreams.iter().map(|one| (&one.id, &**one)).collect(),
-            all,
-            listed_at,
-            is_store_away: false,
-        }
-    }
-
-    /// Says whether the store does not answer.
-    #[must_use]
-    pub fn with_store_away(mut self, is_away: bool) -> Self {
-        self.is_store_away = is_away;
-        self
-    }
-
-    /// The upstream of the service with this name.
-    fn of(&self, id: &UpstreamId) -> Option<&'a Upstream> {
-        self.by_id.get(id).copied()
-    }
-}
-
 impl Machine {
     /// Takes over from an earlier leader, whose plan is `plan`; `None` for a new service.
     ///
