--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -94,10 +94,11 @@
 impl Daemon {
     /// Starts a daemon; it is ready once it has read configuration and upstreams.
     ///
+    /// `dropped` counts log lines that were not written.
+    ///
     /// # Errors
     ///
     /// [`Error`] if an address cannot be listened on.
-    /// `dropped` counts log lines that were not written.
     pub async fn start(
         settings: &Settings,
         dropped: Arc<AtomicU64>,
--- a/crates/copperwelld/tests/pages.rs
+++ b/crates/copperwelld/tests/pages.rs
@@ -34,7 +34,11 @@
             &mut logged,
         );
     }
-    let daemon = fs::read_to_string(root().join("crates/copperwelld/src/gateway.rs")).unwrap();
+    let daemon = ["gateway.rs", "reload.rs"].map(|file| {
+        let path = root().join("crates/copperwelld/src").join(file);
+        fs::read_to_string(path).unwrap()
+    });
+    let daemon = daemon.concat();
     for rest in daemon.split("event = \"").skip(1) {
         logged.insert(rest.split('"').next().unwrap().to_owned());
     }
