Keep the platform's names in platform/ in process tests, too

What callers and servers say on connections stands in the stand-in now, once; the tests of the gateway as a process call it. Assertions are as they were.

--- a/crates/copperwelld/tests/gateway/bench.rs
+++ b/crates/copperwelld/tests/gateway/bench.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use crate::standin::{cluster, config, rule, server::Server, settings, store::Store};
+use crate::standin::{caller, cluster, config, rule, server::Server, settings, store::Store};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -158,11 +158,8 @@
         id: &str,
         key: u16,
     ) -> Option<(StatusCode, String)> {
-        let request = Request::get(self.daemons[daemon].url(0, path))
-            .header("host", "app.example")
-            .header("request-id", id)
-            .header("deadline-ms", "3000")
-            .header("shard-key", key.to_string())
+        let request = Request::get(self.daemons[daemon].url(0, path)).header("host", "app.example");
+        let request = caller::asking(request, id, key)
             .body(Full::default())
             .unwrap();
         let response = timeout(CONDITION, self.client.request(request))
@@ -175,7 +172,7 @@
     }
 
     pub(crate) async fn is_ready(&self, daemon: usize) -> bool {
-        let request = Request::get(self.daemons[daemon].url(1, "/readiness"));
+        let request = Request::get(self.daemons[daemon].url(1, caller::READY_PATH));
         let request = request.body(Full::default()).unwrap();
         let answer = self.client.request(request).await;
         answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
--- a/crates/copperwelld/tests/gateway/http1.rs
+++ b/crates/copperwelld/tests/gateway/http1.rs
@@ -4,12 +4,8 @@
 
 use crate::{
     bench::{Bench, CONDITION, SERVERS},
-    standin::{
-        cluster, config, rule,
-        server::{self, Faults},
-    },
+    standin::{caller, cluster, config, rule, server::Faults, with_limits},
 };
-use serde_json::{Value, json};
 use test_case::test_case;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -21,15 +17,11 @@
 /// The limits of [`strict`].
 const HEAD_BYTES: usize = 16 << 10;
 const BODY_BYTES: usize = 4 << 10;
-
-/// How often the registration of a server in bytes is written.
-const BEAT: Duration = Duration::from_millis(300);
+const TIME_MS: u64 = 300;
 
 /// The head of a request for the service that is not divided by key.
 fn head(method: &str, id: &str, more: &str) -> String {
-    format!(
-        "{method} /pay/1 HTTP/1.1\r\nhost: app.example\r\nrequest-id: {id}\r\ndeadline-ms: 3000\r\n{more}\r\n"
-    )
+    caller::request_head(method, "/pay/1", id, more)
 }
 
 /// The request after which the daemon closes the connection.
@@ -73,7 +65,7 @@
 async fn strict() -> Bench {
     let bench = Bench::start(1).await;
     bench.serves().await;
-    let mut config = config(
+    let config = config(
         7,
         &[
             rule("cups", "idempotent", "cups"),
@@ -81,10 +73,7 @@
         ],
         &[cluster("cups", true), cluster("pay", false)],
     );
-    config["limits"] = json!({
-        "maxHeaderBytes": HEAD_BYTES, "maxBodyBytes": BODY_BYTES,
-        "headerTimeout": "300ms", "idleTimeout": "300ms"
-    });
+    let config = with_limits(config, HEAD_BYTES, BODY_BYTES, TIME_MS);
     bench.store.configure(&config);
     let until = Instant::now() + CONDITION;
     while bench.daemons[0]
@@ -107,7 +96,7 @@
     let said = talk(&bench, (first + &last("p5")).as_bytes()).await;
     let ids = said
         .lines()
-        .filter_map(|line| line.strip_prefix("request-id: "));
+        .filter_map(|line| line.strip_prefix(caller::ID_LINE));
     assert_eq!(
         ids.collect::<Vec<_>>(),
         ["p0", "p1", "p2", "p3", "p4", "p5"]
@@ -193,14 +182,8 @@
 async fn server_in_bytes(bench: &mut Bench) -> (TcpListener, JoinHandle<()>) {
     bench.servers[SERVERS].kill();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let entry: Value = server::entry("pay", listener.local_addr().unwrap());
-    let writer = bench.store.writer();
-    let beating = tokio::spawn(async move {
-        loop {
-            writer.write("keyed.servers", "p1", entry.to_string().into_bytes());
-            sleep(BEAT).await;
-        }
-    });
+    let address = listener.local_addr().unwrap();
+    let beating = caller::register(bench.store.writer(), "p1", "pay", address);
     (listener, beating)
 }
 
@@ -211,7 +194,7 @@
         let mut caller = connect(bench).await;
         let request = head("GET", id, "connection: close\r\n");
         caller.write_all(request.as_bytes()).await.unwrap();
-        if let Ok(taken) = timeout(BEAT, listener.accept()).await {
+        if let Ok(taken) = timeout(caller::BEAT, listener.accept()).await {
             let (mut server, _) = taken.unwrap();
             read_until(&mut server, "\r\n\r\n").await;
             return (caller, server);
@@ -220,11 +203,6 @@
     }
 }
 
-/// The head of the answer of a server in bytes.
-fn answer_head(id: &str, field: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s\r\n{field}\r\n\r\n")
-}
-
 /// An answer goes on as it comes, before its end is there.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_is_streamed() {
@@ -232,7 +210,7 @@
     bench.serves().await;
     let (listener, beating) = server_in_bytes(&mut bench).await;
     let (mut caller, mut server) = reach(&bench, &listener, "s1").await;
-    let head = answer_head("s1", "transfer-encoding: chunked");
+    let head = caller::answer_head("s1", "transfer-encoding: chunked");
     server
         .write_all((head + "5\r\nfirst\r\n").as_bytes())
         .await
@@ -257,7 +235,7 @@
     bench.serves().await;
     let (listener, beating) = server_in_bytes(&mut bench).await;
     let (mut caller, mut server) = reach(&bench, &listener, "c1").await;
-    let head = answer_head("c1", field);
+    let head = caller::answer_head("c1", field);
     server.write_all((head + body).as_bytes()).await.unwrap();
     drop(server);
     let said = read_to_end(&mut caller).await;
--- a/crates/copperwelld/tests/gateway/keys.rs
+++ b/crates/copperwelld/tests/gateway/keys.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     bench::{Bench, CONDITION, Daemon, configure},
-    standin::{server::Server, store},
+    standin::{caller, server::Server, store},
 };
 use http::StatusCode;
 use tokio::time::{Instant, sleep};
@@ -51,11 +51,7 @@
 async fn a_leader_that_cannot_reach_the_store_lets_another_lead() {
     let mut bench = Bench::start(3).await;
     bench.serves().await;
-    let lead = bench.store.newest("keyed.copperwell", "lead").unwrap();
-    let leads = |daemon: &Daemon| {
-        let name = daemon.name();
-        lead.windows(name.len()).any(|part| part == name.as_bytes())
-    };
+    let leads = |daemon: &Daemon| caller::leads(&bench.store, &daemon.name());
     let at = bench.daemons.iter().position(leads);
     let leader = bench.daemons.remove(at.expect("one of them leads"));
     let address = bench.store.address.to_string();
--- a/crates/copperwelld/tests/gateway/requests.rs
+++ b/crates/copperwelld/tests/gateway/requests.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     bench::{Bench, CONDITION, Daemon, SERVERS},
-    standin::{server::Faults, store::Store},
+    standin::{caller, server::Faults, store::Store},
 };
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -22,7 +22,7 @@
     bench.serves().await;
     let mut request = Request::get(bench.daemons[0].url(0, path)).header("host", "app.example");
     if !id.is_empty() {
-        request = request.header("request-id", id);
+        request = caller::identified(request, id);
     }
     let request = request.body(Full::default()).unwrap();
     let answer = bench.client.request(request).await.unwrap();
