Use the backoff that is there, and one lock for what a leader knows of the others

Two waits after failed readings doubled by hand what policy::backoff does; it gives the bound without jitter now, so the waits are as they were. The exchange had a lock each for standing, successor, daemons present and the store; they are one piece of state. No change in what it does.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -24,6 +24,7 @@
     table::{Directory, Table, Tables, Version},
     turn,
 };
+use copperwell_policy::backoff::Backoff;
 use copperwell_routing::{ServiceName, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
@@ -154,14 +155,14 @@
 
     async fn work(&self, reports: &mut mpsc::Receiver<Vec<Report>>, stopping: &CancellationToken) {
         let mut watch = Watch::default();
-        let mut pause = PAUSE;
+        let mut failures = 0;
         let mut lead: Option<Lead> = None;
         let mut heirs: Vec<DaemonName> = Vec::new();
         sleep(turn::first(self.identity.strength)).await;
         while !stopping.is_cancelled() {
             match self.register.read().await {
                 Ok(snapshot) => {
-                    let is_back = std::mem::replace(&mut pause, PAUSE) > PAUSE;
+                    let is_back = std::mem::take(&mut failures) > 0;
                     lead = self.see(&snapshot, &mut watch);
                     // A leader that only waited for the store knows more than any successor.
                     if !is_back
@@ -179,7 +180,7 @@
                 }
                 Err(failure) => {
                     warn!("the store does not answer", kv: { dependency = "store", failure = failure.as_str() });
-                    pause = PAUSE_MAX.min(2 * pause);
+                    failures += 1;
                 }
             }
             // The last leader that is known may know of a later one.
@@ -197,6 +198,7 @@
             let daemons = self.shared.daemons.load(Ordering::Relaxed);
             let jitter = turn::jitter(rank, &heirs, daemons);
             let jitter = jitter.mul_f64(rand::rng().random_range(0.0..1.0));
+            let pause = Backoff::new(PAUSE, PAUSE_MAX).bound(failures + 1);
             tokio::select! {
                 () = sleep(pause + turn::later(rank, &heirs) + jitter) => {}
                 () = stopping.cancelled() => {}
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -126,11 +126,18 @@
     directory: Arc<Directory>,
     board: Arc<Board>,
     reports: mpsc::Sender<Vec<Report>>,
-    standing: Mutex<Standing>,
-    successor: Mutex<Option<Lead>>,
-    present: Mutex<HashMap<DaemonName, Presence>>,
+    known: Mutex<Known>,
+}
+
+/// What a daemon knows of itself and the others as leader.
+#[derive(Debug, Default)]
+struct Known {
+    standing: Standing,
+    /// The newest leader that told this daemon that it leads.
+    successor: Option<Lead>,
+    present: HashMap<DaemonName, Presence>,
     /// When another daemon last read the store.
-    store_seen: Mutex<Option<Instant>>,
+    store_seen: Option<Instant>,
 }
 
 impl Desk {
@@ -146,10 +153,7 @@
             directory,
             board,
             reports,
-            standing: Mutex::default(),
-            successor: Mutex::default(),
-            present: Mutex::default(),
-            store_seen: Mutex::default(),
+            known: Mutex::default(),
         };
         let shared = Arc::new(shared);
         (Self { shared }, received)
@@ -157,36 +161,35 @@
 
     /// Says what this daemon is to the others.
     pub fn set_standing(&self, standing: Standing) {
-        let known = self.shared.standing.lock();
-        *known.unwrap_or_else(PoisonError::into_inner) = standing;
+        self.known().standing = standing;
     }
 
     /// The newest leader that told this daemon that it leads.
     #[must_use]
     pub fn successor(&self) -> Option<Lead> {
-        let known = self.shared.successor.lock();
-        known.unwrap_or_else(PoisonError::into_inner).clone()
+        self.known().successor.clone()
     }
 
     /// How many daemons have called lately, this one included.
     #[must_use]
     pub fn daemons(&self) -> u32 {
-        u32::try_from(self.present().len()).unwrap_or(u32::MAX) + 1
+        u32::try_from(self.known().present().len()).unwrap_or(u32::MAX) + 1
     }
 
     /// The strength of the strongest daemon that has called lately.
     #[must_use]
     pub fn strongest(&self) -> u32 {
-        let present = self.present();
-        let strengths = present.values().map(|presence| presence.strength);
+        let mut known = self.known();
+        let strengths = known.present().values().map(|presence| presence.strength);
         strengths.max().unwrap_or(0)
     }
 
     /// The strongest daemons that have called lately, the first one first.
     #[must_use]
     pub fn heirs(&self) -> Vec<DaemonName> {
-        let present = self.present();
-        let mut ranked: Vec<(&DaemonName, u32)> = present
+        let mut known = self.known();
+        let mut ranked: Vec<(&DaemonName, u32)> = known
+            .present()
             .iter()
             .map(|(name, presence)| (name, presence.strength))
             .collect();
@@ -195,14 +198,6 @@
         heirs.map(|(name, _)| name.clone()).collect()
     }
 
-    fn present(&self) -> MutexGuard<'_, HashMap<DaemonName, Presence>> {
-        let now = Instant::now();
-        let present = self.shared.present.lock();
-        let mut present = present.unwrap_or_else(PoisonError::into_inner);
-        present.retain(|_, presence| now.saturating_duration_since(presence.at) < PRESENT);
-        present
-    }
-
     /// Takes calls until the future is dropped.
     ///
     /// # Errors
@@ -229,40 +224,43 @@
     /// How long ago another daemon last read the store, as far as is known.
     #[must_use]
     pub fn store_age(&self) -> Option<Duration> {
-        let seen = self.shared.store_seen.lock();
-        let seen = *seen.unwrap_or_else(PoisonError::into_inner);
-        seen.map(|at| at.elapsed())
-    }
-
-    fn note_store(&self, age: Duration) {
-        let at = Instant::now().checked_sub(age);
-        let seen = self.shared.store_seen.lock();
-        let mut seen = seen.unwrap_or_else(PoisonError::into_inner);
-        *seen = at.max(*seen);
+        self.known().store_seen.map(|at| at.elapsed())
     }
 
-    fn note_present(&self, name: DaemonName, strength: u32) {
+    /// Notes that a daemon has called.
+    fn note(&self, call: &Call) {
+        let now = Instant::now();
+        let read_at = call.store_age.and_then(|age| now.checked_sub(age));
         let presence = Presence {
-            at: Instant::now(),
-            strength,
+            at: now,
+            strength: call.strength,
         };
-        self.present().insert(name, presence);
+        let mut known = self.known();
+        known.present.insert(call.from.clone(), presence);
+        known.store_seen = known.store_seen.max(read_at);
     }
 
-    fn standing(&self) -> Standing {
-        let known = self.shared.standing.lock();
-        *known.unwrap_or_else(PoisonError::into_inner)
+    fn known(&self) -> MutexGuard<'_, Known> {
+        let known = self.shared.known.lock();
+        known.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Known {
+    /// The daemons that have called lately.
+    fn present(&mut self) -> &HashMap<DaemonName, Presence> {
+        let now = Instant::now();
+        self.present
+            .retain(|_, presence| now.saturating_duration_since(presence.at) < PRESENT);
+        &self.present
     }
 }
 
 impl Rpc for Desk {
     async fn exchange(self, _: context::Context, call: Call) -> Answer {
         let shared = &self.shared;
-        if self.standing() == Standing::Leads {
-            self.note_present(call.from, call.strength);
-            if let Some(age) = call.store_age {
-                self.note_store(age);
-            }
+        if self.known().standing == Standing::Leads {
+            self.note(&call);
             if !call.reports.is_empty() {
                 // A leader that cannot keep up does without some counts.
                 let _ = shared.reports.try_send(call.reports);
@@ -275,10 +273,12 @@
             };
             let _ = timeout(WAIT, newer).await;
         }
+        // Taken by itself, so that the lock is free again for what follows.
+        let standing = self.known().standing;
         let tables = shared.directory.tables();
         let is_newer = tables.version > call.knows;
         Answer {
-            standing: self.standing(),
+            standing,
             heirs: self.heirs(),
             successor: self.successor(),
             daemons: self.daemons(),
@@ -288,10 +288,13 @@
     }
 
     async fn succeed(self, _: context::Context, lead: Lead) {
-        let known = self.shared.successor.lock();
-        let mut known = known.unwrap_or_else(PoisonError::into_inner);
-        if known.as_ref().is_none_or(|known| known.term < lead.term) {
-            *known = Some(lead);
+        let mut known = self.known();
+        let successor = &mut known.successor;
+        if successor
+            .as_ref()
+            .is_none_or(|known| known.term < lead.term)
+        {
+            *successor = Some(lead);
         }
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -8,6 +8,7 @@
 };
 use copperwell_assignment::clock::Clock;
 use copperwell_message::HashSet;
+use copperwell_policy::backoff::Backoff;
 use copperwell_routing::{
     registry::Changes,
     source::{Listing, Source, Unread},
@@ -124,8 +125,7 @@
 
     /// How long after the last failed reading the next one follows.
     fn retry(&self) -> Duration {
-        let doublings = self.failures.saturating_sub(1);
-        RETRY_MAX.min(RETRY.saturating_mul(2_u32.saturating_pow(doublings)))
+        Backoff::new(RETRY, RETRY_MAX).bound(self.failures)
     }
 
     fn note<T>(&mut self, read: Result<T, Unread>) -> Option<T> {
--- a/crates/policy/src/backoff.rs
+++ b/crates/policy/src/backoff.rs
@@ -24,8 +24,13 @@
     /// The wait after try number `tries`, counted from one.
     #[must_use]
     pub fn delay(&self, tries: u32, random: &mut impl Rng) -> Duration {
+        self.bound(tries).mul_f64(random.random_range(0.5..=1.0))
+    }
+
+    /// The longest wait after try number `tries`, counted from one.
+    #[must_use]
+    pub fn bound(&self, tries: u32) -> Duration {
         let doublings = tries.saturating_sub(1).min(u32::BITS - 1);
-        let bound = self.first.saturating_mul(1 << doublings).min(self.most);
-        bound.mul_f64(random.random_range(0.5..=1.0))
+        self.first.saturating_mul(1 << doublings).min(self.most)
     }
 }
