Answer what outlasts the grace of a daemon that stops

A process test with a grace of 1 s shows it each time.

Change: 300 ms before, such requests get an answer, 502 if they may have run and 503 if nothing was sent, and go on no further.

--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -48,6 +48,9 @@
 /// How long before the platform ends it a daemon that stops has ended by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long before that it answers what cannot end in time.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// A running daemon.
 pub struct Daemon {
     gateway: Arc<Gateway<Wire>>,
@@ -207,7 +210,12 @@
         let end = began + self.reload.grace().saturating_sub(GRACE_MARGIN);
         sleep_until(end.min(began + ROTATION_TIME)).await;
         self.serving.cancel();
-        let ended = timeout_at(end, &mut self.callers).await;
+        let cut_at = end.checked_sub(ANSWER_TIME).unwrap_or(end);
+        let mut ended = timeout_at(cut_at, &mut self.callers).await;
+        if ended.is_err() {
+            self.gateway.cut();
+            ended = timeout_at(end, &mut self.callers).await;
+        }
         let _ = timeout_at(end, &mut self.driver).await;
         info!("stopped", kv: { event = "stopped", whole = ended.is_ok() });
         // The last line is on its way.
--- a/crates/copperwelld/tests/gateway/bench.rs
+++ b/crates/copperwelld/tests/gateway/bench.rs
@@ -50,6 +50,15 @@
 
 impl Daemon {
     pub(crate) fn start(store: &Store, output: Stdio) -> Self {
+        Self::start_with(store, output, |settings| settings)
+    }
+
+    /// Starts a daemon whose settings are changed.
+    pub(crate) fn start_with(
+        store: &Store,
+        output: Stdio,
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
         let number = DAEMONS.fetch_add(1, Ordering::Relaxed);
         // An address of its own, so that no two daemons want the same port.
         let process = std::process::id();
@@ -58,7 +67,8 @@
         let port = PORT;
         let name = format!("front-{number}");
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.conf"));
-        fs::write(&file, settings(&name, &ip, port, store.address)).unwrap();
+        let text = change(settings(&name, &ip, port, store.address));
+        fs::write(&file, text).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_copperwelld"))
             .arg("gateway")
             .arg("--settings")
--- a/crates/copperwelld/tests/gateway/requests.rs
+++ b/crates/copperwelld/tests/gateway/requests.rs
@@ -88,3 +88,28 @@
     bench.daemons.remove(0);
     bench.serves().await;
 }
+
+/// What cannot end within the grace gets an answer all the same, and one that says what is known.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_outlasts_the_grace_is_answered() {
+    let mut bench = Bench::start(1).await;
+    let short = |settings: String| settings.replacen("grace=6s", "grace=1s", 1);
+    bench.daemons = vec![Daemon::start_with(&bench.store, Stdio::null(), short)];
+    bench.serves().await;
+    bench.servers[SERVERS].set(Faults {
+        work: CONDITION,
+        ..Faults::default()
+    });
+    let asking = bench.ask(0, "/pay/1", "long", 1);
+    let stopping = async {
+        while bench.servers[SERVERS].runs().is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        bench.daemons[0].signal(Signal::TERM);
+    };
+    let (answer, ()) = tokio::join!(asking, stopping);
+    let (status, body) = answer.expect("a whole answer");
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert!(body.contains("stopping"), "{body}");
+    assert_eq!(bench.daemons[0].ended().await, Some(0));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 };
 use hyper::body::Incoming;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// The largest request head before a configuration says otherwise, in bytes.
 const HEAD_BYTES: usize = 32 << 10;
@@ -56,6 +57,8 @@
     story: Story,
     connections: usize,
     is_stopping: AtomicBool,
+    /// Ends what still waits for an upstream's answer.
+    cut: CancellationToken,
 }
 
 /// A request that was understood.
@@ -85,6 +88,7 @@
             metrics,
             connections,
             is_stopping: AtomicBool::new(false),
+            cut: CancellationToken::new(),
         }
     }
 
@@ -93,6 +97,11 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Answers every request that still waits for an upstream's answer, now and from now on.
+    pub fn cut(&self) {
+        self.cut.cancel();
+    }
+
     /// Closes what is kept for upstreams that are gone.
     pub fn tidy(&self) {
         let registry = self.beliefs.registry();
@@ -173,7 +182,14 @@
             arrived,
             until,
         };
-        let (outcome, sent) = tries.run(parts, body).await;
+        let mut sent = Vec::new();
+        let outcome = tokio::select! {
+            outcome = tries.run(parts, body, &mut sent) => outcome,
+            () = self.cut.cancelled() => Err(match sent.is_empty() {
+                true => Refusal::not_run(Reason::Stopping),
+                false => Refusal::may_have_run(Reason::Stopping),
+            }),
+        };
         leaving.is_over = true;
         let whole = arrived.elapsed();
         self.metrics.time(Stage::Whole, is_repeatable, whole);
@@ -181,7 +197,7 @@
             Ok(response) => {
                 let status = response.reply.status;
                 self.metrics.answer(status);
-                self.story.answered(subject, status, sent, whole);
+                self.story.answered(subject, status, sent.len(), whole);
                 pass_on(response)
             }
             Err(refusal) => {
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -106,15 +106,9 @@
 }
 
 impl<D: Dialect> Tries<'_, D> {
-    /// Sends the request until there is an answer or a failure that stands; tells how often it was
-    /// sent.
-    pub(crate) async fn run(&self, parts: Parts, body: Body) -> (Result<Response, Refusal>, usize) {
-        let mut sent = Vec::new();
-        let outcome = self.send_all(parts, body, &mut sent).await;
-        (outcome, sent.len())
-    }
-
-    async fn send_all(
+    /// Sends the request until there is an answer or a failure that stands; `sent` gets each upstream
+    /// before it is asked.
+    pub(crate) async fn run(
         &self,
         parts: Parts,
         body: Body,
@@ -148,8 +142,8 @@
                 },
             };
             let version = self.beliefs.keys.directory.version();
-            let tried = self.send(&upstream, &parts, body).await;
             sent.push(upstream.id.clone());
+            let tried = self.send(&upstream, &parts, body).await;
             let took = tried.took;
             let (result, failed) = match judge(tried) {
                 Judged::Answer(response) => return Ok(response),
