Begin requests that wait behind others on their connection

The HTTP library serves the requests of a connection one after the other, so these are late for the one before them.

Change: the daemon reads along what the library gets, begins waiting requests without a body whose route allows repeating, up to 16 on a connection, and keeps their answers until the library comes to them. Answers leave in order. What may run only once waits. A daemon that stops begins none early, and closes a connection only after all that began there. A caller that leaves is noticed also while its next request waits in the library's buffer.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -73,12 +73,22 @@
     }
 }
 
-/// Reads the first part of a body and streams the rest.
+/// Reads the first part of a body, if there is one, and streams the rest.
 ///
 /// # Errors
 ///
 /// A [`Refusal`] if the body is too long, malformed, or comes too slowly.
-pub async fn read(mut incoming: Incoming, limit: u64, deadline: Instant) -> Result<Read, Refusal> {
+pub async fn read(
+    incoming: Option<Incoming>,
+    limit: u64,
+    deadline: Instant,
+) -> Result<Read, Refusal> {
+    let Some(mut incoming) = incoming else {
+        return Ok(Read {
+            seen: Bytes::new(),
+            body: Body::empty(),
+        });
+    };
     let announced = http_body::Body::size_hint(&incoming).lower();
     if announced > limit {
         return Err(too_large(limit));
--- a/crates/caller/src/ingress.rs
+++ b/crates/caller/src/ingress.rs
@@ -71,7 +71,7 @@
     /// Dropping the future, or the answer's body, cancels the request.
     pub async fn handle(
         &self,
-        request: http::Request<Incoming>,
+        request: http::Request<Option<Incoming>>,
         caller: IpAddr,
     ) -> http::Response<Answer> {
         self.metrics.requests.inc();
@@ -91,7 +91,7 @@
 
     async fn accept(
         &self,
-        request: http::Request<Incoming>,
+        request: http::Request<Option<Incoming>>,
         caller: IpAddr,
     ) -> Result<Accepted, Refusal> {
         let (parts, incoming) = request.into_parts();
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod server;
 
 mod admission;
+mod ahead;
 mod join;
 mod parse;
 mod patience;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -2,23 +2,27 @@
 
 use std::{
     convert::Infallible,
-    io,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     sync::Arc,
     time::Duration,
 };
 
-use crate::{Network, body::Answer, ingress::Ingress, patience::Patience};
+use crate::{Network, ahead::Ahead, body::Answer, ingress::Ingress, patience::Patience};
+use http::request::Parts;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    io::AsyncWriteExt,
+    io::{self, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
     time::timeout,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+/// Bytes of a caller that wait for the HTTP library, at most.
+const UNREAD_MAX: usize = 16 << 10;
+
 /// How long a caller may pause in reading an answer.
 const READ_SILENCE: Duration = Duration::from_secs(10);
 
@@ -42,10 +46,22 @@
     /// Dropping the future, or the answer's body, cancels the request.
     fn handle(
         &self,
-        request: http::Request<Incoming>,
+        request: http::Request<Option<Incoming>>,
         caller: IpAddr,
     ) -> impl Future<Output = http::Response<Answer>> + Send;
 
+    /// Whether a request without a body may begin before those that came before it on its connection
+    /// are answered. It must be one that may run more than once: the caller may never get its answer.
+    fn may_begin_early(&self, head: &Parts) -> bool {
+        let _ = head;
+        false
+    }
+
+    /// Whether callers are to go elsewhere with their next request.
+    fn is_stopping(&self) -> bool {
+        false
+    }
+
     /// Hears of a caller that was too slow in sending a head.
     fn slow(&self);
 
@@ -138,7 +154,7 @@
 impl<N: Network> Handler for Limited<N> {
     async fn handle(
         &self,
-        request: http::Request<Incoming>,
+        request: http::Request<Option<Incoming>>,
         caller: IpAddr,
     ) -> http::Response<Answer> {
         self.ingress.handle(request, caller).await
@@ -176,22 +192,34 @@
     let limits = handler.limits();
     // Without the option small answers are late, but they come.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(|request| async move {
-        Ok::<_, Infallible>(handler.handle(request, peer.ip()).await)
-    });
-    let stream = TokioIo::new(Patience::new(stream, READ_SILENCE));
+    let (from_caller, to_caller) = stream.into_split();
+    let (from_reader, to_library) = io::simplex(UNREAD_MAX);
+    let ahead = Ahead::new(handler.clone(), peer.ip(), limits.headers);
+    let mut reading = pin!(ahead.read(from_caller, to_library));
+    let service = service_fn(|request| async { Ok::<_, Infallible>(ahead.serve(request).await) });
+    let stream = io::join(from_reader, Patience::new(to_caller, READ_SILENCE));
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_time)
         .max_headers(limits.headers)
         .max_buf_size(limits.head_bytes)
-        .serve_connection(stream, service);
-    let ended = tokio::select! {
-        biased;
-        ended = &mut connection => ended,
-        () = shutdown.cancelled() => {
-            std::pin::Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+        .serve_connection(TokioIo::new(stream), service);
+    let (mut is_read, mut is_closing) = (false, false);
+    let ended = loop {
+        tokio::select! {
+            biased;
+            ended = &mut connection => break ended,
+            () = &mut reading, if !is_read => {
+                is_read = true;
+                if ahead.is_busy() {
+                    // The caller has left, which cancels its requests.
+                    return;
+                }
+            }
+            () = ahead.may_close(&shutdown), if !is_closing => {
+                is_closing = true;
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+            }
         }
     };
     let Err(failure) = ended else { return };
@@ -202,9 +230,9 @@
     handler.slow();
     let parts = connection.into_parts();
     if !parts.read_buf.is_empty() {
-        let mut stream = parts.io.into_inner();
+        let (_, mut to_caller) = parts.io.into_inner().into_inner();
         // The caller may be gone.
-        let _ = timeout(FAREWELL, stream.write_all(SLOW_HEAD)).await;
-        let _ = timeout(FAREWELL, stream.shutdown()).await;
+        let _ = timeout(FAREWELL, to_caller.write_all(SLOW_HEAD)).await;
+        let _ = timeout(FAREWELL, to_caller.shutdown()).await;
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,11 +25,7 @@
 };
 use copperwell_message::{Body, Reason, Response};
 use copperwell_routing::configuration::{Configuration, Route};
-use http::{
-    HeaderName, HeaderValue, StatusCode,
-    header::{CONNECTION, HOST},
-    request::Parts,
-};
+use http::{HeaderName, HeaderValue, StatusCode, header::HOST, request::Parts};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -117,7 +113,7 @@
 
     async fn accept(
         &self,
-        request: http::Request<Incoming>,
+        request: http::Request<Option<Incoming>>,
         arrived: Instant,
     ) -> Result<Accepted, (Refusal, Option<HeaderValue>)> {
         let (parts, incoming) = request.into_parts();
@@ -130,13 +126,9 @@
         let route = route_of(&configuration, &parts).ok_or_else(|| refuse(Reason::NoRoute))?;
         let deadline = asked.deadline.unwrap_or(route.timeout);
         let until = arrived + deadline.min(route.timeout);
-        let body = if http_body::Body::is_end_stream(&incoming) {
-            Body::empty()
-        } else {
-            let limit = configuration.limits.body_bytes;
-            let read = body::read(incoming, limit, until).await;
-            read.map_err(|refusal| refuse(refusal.reason))?.body
-        };
+        let limit = configuration.limits.body_bytes;
+        let read = body::read(incoming, limit, until).await;
+        let body = read.map_err(|refusal| refuse(refusal.reason))?.body;
         Ok(Accepted {
             asked,
             route,
@@ -209,10 +201,14 @@
 }
 
 impl<D: Dialect> Handler for Gateway<D> {
-    async fn handle(&self, request: http::Request<Incoming>, _: IpAddr) -> http::Response<Answer> {
+    async fn handle(
+        &self,
+        request: http::Request<Option<Incoming>>,
+        _: IpAddr,
+    ) -> http::Response<Answer> {
         let arrived = Instant::now();
         self.metrics.requests.inc();
-        let mut answer = match self.accept(request, arrived).await {
+        match self.accept(request, arrived).await {
             Ok(accepted) => self.serve(accepted).await,
             Err((refusal, id)) => {
                 let unknown = HeaderValue::from_static("?");
@@ -225,12 +221,17 @@
                 self.story.refused(subject, &refusal, arrived.elapsed());
                 refusal.answer(&self.dialect, id.as_ref())
             }
-        };
-        if self.is_stopping.load(Ordering::Acquire) {
-            let headers = answer.headers_mut();
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        answer
+    }
+
+    fn may_begin_early(&self, head: &Parts) -> bool {
+        let configuration = self.beliefs.configuration();
+        let route = configuration.and_then(|known| route_of(&known, head));
+        route.is_some_and(|route| route.is_repeatable)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
     }
 
     fn slow(&self) {
