--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -97,18 +97,25 @@
 impl Daemon {
     /// Starts a daemon; it is ready once it has read configuration and upstreams.
     ///
-    /// `dropped` counts log lines that were not written.
+    /// `metrics_port` is one more port at which operators' tools are served; `dropped` counts log lines
+    /// that were not written.
     ///
     /// # Errors
     ///
     /// [`Error`] if an address cannot be listened on.
     pub async fn start(
         settings: &Settings,
+        metrics_port: Option<u16>,
         dropped: Arc<AtomicU64>,
     ) -> Result<Self, Report<Error>> {
         let callers = listen(settings.callers).await?;
-        let ready = listen(settings.ready).await?;
-        let control = listen(settings.control).await?;
+        let mut tools = vec![
+            listen(settings.ready).await?,
+            listen(settings.control).await?,
+        ];
+        if let Some(port) = metrics_port {
+            tools.push(listen(SocketAddr::new(settings.callers.ip(), port)).await?);
+        }
         let exchange_port = *settings.internal_ports.start();
         let address = SocketAddr::new(settings.callers.ip(), exchange_port);
         let exchange = listen(address).await?;
@@ -173,7 +180,7 @@
             metrics,
         });
         let registry = Arc::new(registry);
-        for listener in [ready, control] {
+        for listener in tools {
             let never = CancellationToken::new();
             let serve = admin::serve(listener, watcher.clone(), registry.clone(), never);
             tokio::spawn(serve);
--- a/crates/copperwelld/src/main.rs
+++ b/crates/copperwelld/src/main.rs
@@ -38,6 +38,9 @@
         /// Settings file in the platform's format; without it, the one that the platform names.
         #[bpaf(long, argument("FILE"))]
         settings: Option<PathBuf>,
+        /// One more port for metrics, readiness and status, at the address for callers.
+        #[bpaf(long, argument("PORT"))]
+        metrics_port: Option<u16>,
         /// Check the settings and exit.
         #[bpaf(long)]
         check: bool,
@@ -57,7 +60,11 @@
 
 fn main() -> ExitCode {
     match args().run() {
-        Args::Gateway { settings, check } => run_gateway(settings, check),
+        Args::Gateway {
+            settings,
+            metrics_port,
+            check,
+        } => run_gateway(settings, metrics_port, check),
         Args::Entry {
             settings,
             check,
@@ -91,7 +98,7 @@
     })
 }
 
-fn run_gateway(path: Option<PathBuf>, check: bool) -> ExitCode {
+fn run_gateway(path: Option<PathBuf>, metrics_port: Option<u16>, check: bool) -> ExitCode {
     let Some(path) = path.or_else(settings::path) else {
         eprintln!("copperwelld: no settings file; name one with --settings");
         return ExitCode::from(EXIT_SETTINGS);
@@ -113,7 +120,7 @@
     };
     // The machines have one small core, which one thread uses best.
     run_on(runtime::Builder::new_current_thread(), async {
-        match gateway::Daemon::start(&settings, dropped).await {
+        match gateway::Daemon::start(&settings, metrics_port, dropped).await {
             Ok(daemon) => {
                 daemon.follow(path);
                 run_until_stopped(daemon.stop()).await
--- a/crates/copperwelld/tests/gateway/bench.rs
+++ b/crates/copperwelld/tests/gateway/bench.rs
@@ -28,6 +28,9 @@
 /// The first port of each daemon.
 const PORT: u16 = 7_000;
 
+/// How far from it the port for metrics lies.
+const METRICS: u16 = 20;
+
 static DAEMONS: AtomicU16 = AtomicU16::new(0);
 
 /// A client that keeps connections.
@@ -73,6 +76,8 @@
             .arg("gateway")
             .arg("--settings")
             .arg(&file)
+            .arg("--metrics-port")
+            .arg((port + METRICS).to_string())
             .stdout(output)
             .spawn()
             .unwrap();
@@ -110,13 +115,23 @@
 
     /// What its status page says of a field.
     pub(crate) async fn status(&self, client: &HttpClient, field: &str) -> Option<Value> {
-        let request = Request::get(self.url(1, "/status"));
-        let answer = client.request(request.body(Full::default()).unwrap()).await;
-        let body = answer.ok()?.into_body().collect().await.ok()?.to_bytes();
+        let body = self.page(client, 1, "/status").await?;
         let status: Value = serde_json::from_slice(&body).ok()?;
         status.get(field).cloned()
     }
 
+    /// Its metrics, by the port that is for them.
+    pub(crate) async fn metrics(&self, client: &HttpClient) -> Option<String> {
+        let body = self.page(client, METRICS, "/metrics").await?;
+        Some(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    async fn page(&self, client: &HttpClient, offset: u16, path: &str) -> Option<Bytes> {
+        let request = Request::get(self.url(offset, path));
+        let answer = client.request(request.body(Full::default()).unwrap()).await;
+        Some(answer.ok()?.into_body().collect().await.ok()?.to_bytes())
+    }
+
     /// Waits until the process has ended.
     pub(crate) async fn ended(&mut self) -> Option<i32> {
         let until = Instant::now() + CONDITION;
--- a/crates/copperwelld/tests/gateway/daemon.rs
+++ b/crates/copperwelld/tests/gateway/daemon.rs
@@ -24,6 +24,28 @@
     bench.serves().await;
 }
 
+/// Metrics say what was asked, how old beliefs are, and are there at the port that the command names.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_are_served_at_their_port() {
+    let bench = Bench::start(1).await;
+    bench.serves().await;
+    let metrics = bench.daemons[0].metrics(&bench.client).await.unwrap();
+    for name in [
+        "copperwell_gateway_requests_total",
+        "copperwell_gateway_latency_seconds_bucket",
+        "copperwell_gateway_configuration_age_seconds",
+        "copperwell_gateway_leader_age_seconds",
+        "copperwell_gateway_daemons",
+        "copperwell_gateway_retries_left{service=\"cups\"}",
+        "copperwell_assignment_leading",
+    ] {
+        let line = metrics.lines().find(|line| line.starts_with(name));
+        assert!(line.is_some(), "{name} is missing:\n{metrics}");
+    }
+    let age = "copperwell_gateway_configuration_age_seconds -1";
+    assert!(!metrics.contains(age), "{metrics}");
+}
+
 /// The store moves, and the settings file says so without a signal; one that makes no sense before
 /// changes nothing.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -37,6 +37,8 @@
     /// Who serves which keys, and what is asked for.
     pub keys: Shared,
     configuration: ArcSwapOption<Configuration>,
+    /// When the store last told this daemon that its configuration is the newest, or gave it.
+    configuration_read: Mutex<Option<Instant>>,
     registry: RwLock<Registry>,
     /// When each upstream that is draining was first seen to be.
     draining: Mutex<HashMap<UpstreamId, Instant>>,
@@ -60,6 +62,8 @@
 /// What the leader told last.
 #[derive(Debug, Default)]
 struct Heard {
+    /// When it told that; `None` if it never did.
+    at: Option<Instant>,
     /// When the list that it has was read; `None` if it never told.
     read_at: Option<Instant>,
     configuration: u64,
@@ -74,6 +78,7 @@
             zone,
             keys: Shared::new(run),
             configuration: ArcSwapOption::empty(),
+            configuration_read: Mutex::default(),
             registry: RwLock::default(),
             draining: Mutex::default(),
             listed_us: AtomicU64::new(0),
@@ -109,6 +114,32 @@
         is_newer
     }
 
+    /// Notes that the store has told of the newest configuration.
+    pub(crate) fn note_configuration_read(&self) {
+        let read = &self.configuration_read;
+        *read.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    /// How long ago this daemon, or the leader that told it, last saw that its configuration is the newest.
+    #[must_use]
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let read = *self
+            .configuration_read
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let known = self.configuration.load();
+        let version = known.as_ref()?.version;
+        let heard = self.heard();
+        let told = heard.at.filter(|_| heard.configuration <= version);
+        told.max(read).map(|at| at.elapsed())
+    }
+
+    /// How long ago the leader last told this daemon what it knows.
+    #[must_use]
+    pub fn leader_age(&self) -> Option<Duration> {
+        self.heard().at.map(|at| at.elapsed())
+    }
+
     /// Takes a list of upstreams that this daemon read, whose reading began at `listed_at` of the boot clock.
     pub fn take_upstreams(
         &self,
@@ -203,6 +234,18 @@
         })
     }
 
+    /// The retries that the budget of each service pays for now.
+    #[must_use]
+    pub fn retries_left(&self) -> Vec<(ServiceName, f64)> {
+        let now = Instant::now();
+        let daemons = self.keys.daemons.load(Ordering::Relaxed) as usize;
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let services = budgets.services.iter_mut();
+        services
+            .map(|(service, budget)| (service.clone(), budget.left(now, daemons)))
+            .collect()
+    }
+
     /// Allows another part of requests to be sent once more, from here on.
     pub fn set_allowance(&self, allowance: Allowance) {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
@@ -306,6 +349,7 @@
     fn hear(&self, news: News) {
         let now = Instant::now();
         let mut heard = self.heard();
+        heard.at = Some(now);
         heard.read_at = now.checked_sub(news.age);
         heard.configuration = news.configuration;
         heard.list = news.list;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and histograms of requests.
 
-use std::{sync::atomic::AtomicU64, time::Duration};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use crate::beliefs::Beliefs;
 use copperwell_message::Reason;
@@ -37,6 +40,10 @@
     pub(crate) upstreams: Gauge,
     pub(crate) queue: Gauge,
     upstreams_age: Gauge<f64, AtomicU64>,
+    configuration_age: Gauge<f64, AtomicU64>,
+    leader_age: Gauge<f64, AtomicU64>,
+    daemons: Gauge,
+    retries_left: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     pub(crate) unreadable: Counter,
     pub(crate) unread: Family<SourceLabel, Counter>,
 }
@@ -68,6 +75,11 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
 /// What could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct SourceLabel {
@@ -134,6 +146,26 @@
             "How long ago the list of upstreams was read, here or by the leader; -1 for never",
             all.upstreams_age,
         );
+        registry.register(
+            "configuration_age_seconds",
+            "How long ago the configuration was seen to be the newest; -1 for never",
+            all.configuration_age,
+        );
+        registry.register(
+            "leader_age_seconds",
+            "How long ago the leader told what it knows; -1 for never",
+            all.leader_age,
+        );
+        registry.register(
+            "daemons",
+            "Daemons that share the retry budget, as far as is known",
+            all.daemons,
+        );
+        registry.register(
+            "retries_left",
+            "Retries that the budget of a service pays for now",
+            all.retries_left,
+        );
         registry.register(
             "unreadable",
             "Registrations that could not be understood",
@@ -145,9 +177,20 @@
 
     /// Brings gauges up to date that follow from what is believed.
     pub fn refresh(&self, beliefs: &Beliefs) {
-        let age = beliefs.upstreams_age();
-        let age_s = age.map_or(-1.0, |age| age.as_secs_f64());
-        self.upstreams_age.set(age_s);
+        let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
+        self.upstreams_age.set(seconds(beliefs.upstreams_age()));
+        self.configuration_age
+            .set(seconds(beliefs.configuration_age()));
+        self.leader_age.set(seconds(beliefs.leader_age()));
+        let daemons = beliefs.keys.daemons.load(Ordering::Relaxed);
+        self.daemons.set(i64::from(daemons));
+        // Services that are gone from the configuration leave the page.
+        self.retries_left.clear();
+        for (service, left) in beliefs.retries_left() {
+            let service = service.to_string();
+            let label = ServiceLabel { service };
+            self.retries_left.get_or_create(&label).set(left);
+        }
     }
 
     pub(crate) fn refuse(&self, reason: Reason) {
@@ -202,6 +245,10 @@
             upstreams: Gauge::default(),
             queue: Gauge::default(),
             upstreams_age: Gauge::default(),
+            configuration_age: Gauge::default(),
+            leader_age: Gauge::default(),
+            daemons: Gauge::default(),
+            retries_left: Family::default(),
             unreadable: Counter::default(),
             unread: Family::default(),
         }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -52,7 +52,11 @@
             false => CONFIGURATION_WAIT,
         };
         let read = source.configuration(above, wait).await;
-        match reader.note(read) {
+        let read = reader.note(read);
+        if read.is_some() {
+            beliefs.note_configuration_read();
+        }
+        match read {
             Some(Some(configuration)) => {
                 let version = configuration.version;
                 metrics
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -81,6 +81,12 @@
     }
 }
 
+const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    slack: 60.0,
+    window: Duration::from_secs(10),
+};
+
 struct Bench {
     source: Arc<Deaf>,
     beliefs: Arc<Beliefs>,
@@ -90,12 +96,7 @@
     async fn start() -> Self {
         let source = Arc::new(Deaf::default());
         source.version.store(1, Ordering::Relaxed);
-        let allowance = Allowance {
-            ratio: 0.2,
-            slack: 60.0,
-            window: Duration::from_secs(10),
-        };
-        let beliefs = Arc::new(Beliefs::new(7, "here".into(), allowance));
+        let beliefs = Arc::new(Beliefs::new(7, "here".into(), ALLOWANCE));
         let metrics = Metrics::default();
         tokio::spawn(watch::configurations(
             source.clone(),
@@ -166,3 +167,37 @@
     assert!(bench.source.lists.load(Ordering::Relaxed) > lists);
     assert_eq!(bench.version(), 8);
 }
+
+/// Ages say how old a belief is, and nothing before it is there.
+#[tokio::test(start_paused = true)]
+async fn beliefs_have_an_age() {
+    let beliefs = Arc::new(Beliefs::new(1, "here".into(), ALLOWANCE));
+    assert_eq!(beliefs.configuration_age(), None);
+    assert_eq!(beliefs.leader_age(), None);
+    let source = Arc::new(Deaf::default());
+    source.version.store(3, Ordering::Relaxed);
+    let metrics = Metrics::default();
+    let reading = tokio::spawn(watch::configurations(source, beliefs.clone(), metrics));
+    while beliefs.configuration().is_none() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    reading.abort();
+    sleep(Duration::from_secs(3)).await;
+    let age = beliefs.configuration_age().unwrap();
+    assert!(age >= Duration::from_secs(3), "{age:?}");
+    // The leader has no newer one.
+    let news = |configuration| News {
+        configuration,
+        list: ListNumber::default(),
+        age: Duration::ZERO,
+        upstreams: None,
+    };
+    beliefs.hear(news(3));
+    assert_eq!(beliefs.configuration_age(), Some(Duration::ZERO));
+    sleep(Duration::from_secs(1)).await;
+    // It has one, so what this daemon has is as old as when it was the newest.
+    beliefs.hear(news(4));
+    let age = beliefs.configuration_age().unwrap();
+    assert!(age >= Duration::from_secs(4), "{age:?}");
+    assert_eq!(beliefs.leader_age(), Some(Duration::ZERO));
+}
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -82,6 +82,15 @@
     ///
     /// `daemons` have a share of it, 0 if nobody knows how many there are.
     pub fn retry(&mut self, now: Instant, daemons: usize) -> bool {
+        let is_paid = self.left(now, daemons) >= 1.0;
+        if is_paid {
+            self.part(now).retries += 1;
+        }
+        is_paid
+    }
+
+    /// How many retries the budget pays for now; below 0 if more daemons share it than when they were taken.
+    pub fn left(&mut self, now: Instant, daemons: usize) -> f64 {
         self.part(now);
         let daemons = self.note_daemons(daemons, now);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
@@ -95,11 +104,7 @@
         };
         let share = earned * self.allowance.slack / daemons as f64;
         let most = used * self.allowance.ratio * f64::from(requests) + USED * share;
-        let is_paid = f64::from(retries) + 1.0 <= most;
-        if is_paid {
-            self.part(now).retries += 1;
-        }
-        is_paid
+        most - f64::from(retries)
     }
 
     /// The most daemons that were seen within the last windows.
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -122,3 +122,19 @@
     let allowed = ALLOWANCE.ratio * f64::from(requests) + share;
     assert!(f64::from(retries) <= allowed, "{retries} of {allowed}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn what_is_left_falls_with_each_retry() {
+    let now = Instant::now();
+    let mut budget = Budget::new(ALLOWANCE, now);
+    let later = now + ALLOWANCE.window;
+    for _ in 0..100 {
+        budget.request(later);
+    }
+    let before = budget.left(later, 10);
+    assert!(before >= 1.0, "{before}");
+    assert!(budget.retry(later, 10));
+    assert!((before - budget.left(later, 10) - 1.0).abs() < 1e-9);
+    while budget.retry(later, 10) {}
+    assert!(budget.left(later, 10) < 1.0);
+}
