Tell daemons what changed in the tables, not all of them

A VM of the fleet has a link of 10 to 200 Mbit/s.

Change: the leader keeps the last 64 changes of its tables; a daemon says which tables it has from the leader and gets the changes since, or all of them if it is further behind, follows another leader, or goes by the store's plan.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -312,6 +312,7 @@
                 from: self.identity.name.clone(),
                 strength: self.identity.strength,
                 knows,
+                base: self.shared.directory.base(),
                 configuration,
                 list,
                 store_age: listed_at.map(|at| now.saturating_sub(at)),
@@ -326,8 +327,8 @@
             if answer.standing == Standing::Leads {
                 *heirs = answer.heirs;
             }
-            if let Some(tables) = answer.tables {
-                self.shared.directory.take(tables);
+            if let Some(update) = answer.tables {
+                self.shared.directory.apply(update);
             }
             if let Some(later) = answer.successor.filter(|later| later.term > lead.term) {
                 return Followed::Succeeded(later);
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -223,7 +223,7 @@
             term: self.term,
             number: self.number,
         };
-        directory.take(Tables { version, services });
+        directory.publish(Tables { version, services });
         let ranges = self.machines.iter().map(Machine::ranges);
         let (all, unserved) = ranges.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -12,7 +12,8 @@
     demand::Report,
     lease::{Lapse, Lead},
     news::{Board, ListNumber, News},
-    table::{Directory, Tables, Version},
+    table::{Directory, Version},
+    update::Update,
 };
 use copperwell_message::HashMap;
 use futures::StreamExt;
@@ -59,6 +60,8 @@
     pub strength: u32,
     /// The tables that it has.
     pub knows: Version,
+    /// The same, if a leader told them, so that what it changed since is enough.
+    pub base: Option<Version>,
     /// The configuration that it has.
     pub configuration: u64,
     /// The list of upstreams that it has.
@@ -93,7 +96,7 @@
     /// How many daemons have called lately, the leader included.
     pub daemons: u32,
     /// The tables, if they are newer.
-    pub tables: Option<Tables>,
+    pub tables: Option<Update>,
     /// What the leader has read of the store.
     pub news: Option<News>,
 }
@@ -275,14 +278,12 @@
         }
         // Taken by itself, so that the lock is free again for what follows.
         let standing = self.known().standing;
-        let tables = shared.directory.tables();
-        let is_newer = tables.version > call.knows;
         Answer {
             standing,
             heirs: self.heirs(),
             successor: self.successor(),
             daemons: self.daemons(),
-            tables: is_newer.then(|| (*tables).clone()),
+            tables: shared.directory.update(call.knows, call.base),
             news: shared.board.news(call.list),
         }
     }
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod register;
 pub mod table;
 pub mod turn;
+pub mod update;
 
 /// The fencing token of a grant; upstreams refuse a lower one than they have seen for a key.
 pub type Fence = u64;
--- a/crates/assignment/src/table.rs
+++ b/crates/assignment/src/table.rs
@@ -1,8 +1,14 @@
 //! The table by which daemons route keys.
 
-use std::sync::Arc;
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
-use crate::plan::Plan;
+use crate::{
+    plan::Plan,
+    update::{Change, Span, Step, Update},
+};
 use arc_swap::ArcSwap;
 use copperwell_message::HashMap;
 use copperwell_routing::{Key, ServiceName, UpstreamId};
@@ -65,6 +71,19 @@
 pub struct Directory {
     tables: ArcSwap<Tables>,
     changed: Notify,
+    history: Mutex<History>,
+}
+
+/// Steps that are kept for daemons that are some versions behind.
+const STEPS_MAX: usize = 64;
+
+/// How the newest tables came about.
+#[derive(Debug, Default)]
+struct History {
+    /// The last changes that this daemon published, up to the newest tables.
+    steps: VecDeque<Step>,
+    /// The newest tables that are a leader's own, so that what it changed can be applied to them.
+    base: Option<Version>,
 }
 
 impl Table {
@@ -104,6 +123,72 @@
         }))
     }
 
+    /// What must change for this to be the table `other`.
+    pub(crate) fn change_to(&self, other: &Self) -> Change {
+        let mut spans: Vec<Span> = Vec::new();
+        let firsts = self.ranges.iter().chain(&other.ranges);
+        let mut firsts: Vec<Key> = firsts.map(|range| range.first).collect();
+        firsts.sort_unstable();
+        firsts.dedup();
+        for (at, first) in firsts.iter().copied().enumerate() {
+            let holder = other.holder(first);
+            if self.holder(first) == holder {
+                continue;
+            }
+            let last = firsts.get(at + 1).map_or(Key::MAX, |next| next - 1);
+            match spans.last_mut() {
+                Some(span) if span.holder.as_ref() == holder && span.last == first - 1 => {
+                    span.last = last;
+                }
+                _ => spans.push(Span {
+                    first,
+                    last,
+                    holder: holder.cloned(),
+                }),
+            }
+        }
+        let known: HashMap<_, _> = self.shares().collect();
+        let admits = other
+            .shares()
+            .filter(|(id, admits)| known.get(id).copied().unwrap_or(ALL) != *admits);
+        Change {
+            spans,
+            admits: admits.map(|(id, admits)| (id.clone(), admits)).collect(),
+        }
+    }
+
+    /// The table after a change.
+    pub(crate) fn with_change(&self, change: &Change) -> Self {
+        let own = self.ranges.iter().map(|range| range.first);
+        let spans = change.spans.iter();
+        let edges = spans.flat_map(|span| [Some(span.first), span.last.checked_add(1)]);
+        let mut firsts: Vec<Key> = own.chain(edges.flatten()).chain([0]).collect();
+        firsts.sort_unstable();
+        firsts.dedup();
+        let holder = |key| match change.span_of(key) {
+            Some(span) => span.holder.as_ref(),
+            None => self.holder(key),
+        };
+        let ranges = firsts.into_iter().map(|first| (first, holder(first)));
+        let mut shares: HashMap<&UpstreamId, u8> = self.shares().collect();
+        shares.extend(change.admits.iter().map(|(id, admits)| (id, *admits)));
+        Self::new(ranges).with_admits(|id| shares.get(id).copied().unwrap_or(ALL))
+    }
+
+    fn holder(&self, key: Key) -> Option<&UpstreamId> {
+        let after = self.ranges.partition_point(|range| range.first <= key);
+        let range = self.ranges.get(after.checked_sub(1)?)?;
+        self.holders.get(usize::from(range.holder?))
+    }
+
+    /// The upstreams and the shares that they can take.
+    fn shares(&self) -> impl Iterator<Item = (&UpstreamId, u8)> {
+        let admits = self.admits.iter().copied();
+        self.holders
+            .iter()
+            .zip(admits.chain(std::iter::repeat(ALL)))
+    }
+
     /// Who serves a key.
     #[must_use]
     pub fn served(&self, key: Key) -> Option<Served> {
@@ -119,8 +204,82 @@
 }
 
 impl Directory {
-    /// Takes tables, if they are newer than those that are known.
+    /// Takes tables that follow from the store's plans, if they are newer than those that are known.
     pub fn take(&self, tables: Tables) -> bool {
+        let _history = self.history();
+        self.replace(tables)
+    }
+
+    /// Publishes the tables of this daemon, which leads.
+    pub fn publish(&self, tables: Tables) {
+        let mut history = self.history();
+        let before = self.tables();
+        let is_own = history.base == Some(before.version);
+        match Step::between(&before, &tables).filter(|_| is_own) {
+            Some(step) => history.steps.push_back(step),
+            None => history.steps.clear(),
+        }
+        if history.steps.len() > STEPS_MAX {
+            history.steps.pop_front();
+        }
+        history.base = Some(tables.version);
+        self.replace(tables);
+    }
+
+    /// Takes what a leader told; `false` if it does not follow on what is known.
+    pub fn apply(&self, update: Update) -> bool {
+        let mut history = self.history();
+        let tables = match update {
+            Update::Whole(tables) => tables,
+            Update::Steps(steps) => {
+                let base = self.tables();
+                if history.base != Some(base.version) {
+                    return false;
+                }
+                let mut tables = (*base).clone();
+                for step in &steps {
+                    match step.apply(&tables) {
+                        Some(after) => tables = after,
+                        None => return false,
+                    }
+                }
+                tables
+            }
+        };
+        let version = tables.version;
+        let is_newer = self.replace(tables);
+        if is_newer {
+            history.base = Some(version);
+            history.steps.clear();
+        }
+        is_newer
+    }
+
+    /// The newest tables that a leader told, which its changes can be applied to.
+    #[must_use]
+    pub fn base(&self) -> Option<Version> {
+        let version = self.version();
+        self.history().base.filter(|base| *base == version)
+    }
+
+    /// What a daemon needs that knows tables of version `knows`, and has those of version `base` from
+    /// this daemon; `None` if it knows the newest.
+    #[must_use]
+    pub fn update(&self, knows: Version, base: Option<Version>) -> Option<Update> {
+        let history = self.history();
+        let tables = self.tables();
+        if tables.version <= knows {
+            return None;
+        }
+        let steps = history.steps.iter();
+        let start = steps.clone().position(|step| Some(step.from) == base);
+        Some(match start {
+            Some(start) => Update::Steps(steps.skip(start).cloned().collect()),
+            None => Update::Whole((*tables).clone()),
+        })
+    }
+
+    fn replace(&self, tables: Tables) -> bool {
         if tables.version <= self.tables.load().version {
             return false;
         }
@@ -129,6 +288,10 @@
         true
     }
 
+    fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The tables.
     #[must_use]
     pub fn tables(&self) -> Arc<Tables> {
--- /dev/null
+++ b/crates/assignment/tests/update.rs
@@ -0,0 +1,184 @@
+//! Daemons that get only what changed have the same tables as the leader.
+
+use copperwell_assignment::{
+    table::{ALL, Directory, Table, Tables, Version},
+    update::Update,
+};
+use copperwell_routing::{Key, UpstreamId};
+use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
+use test_case::test_case;
+
+const SERVICE: &str = "cups";
+
+/// Who serves what, as the leader sees it.
+#[derive(Clone)]
+struct Model {
+    /// Ranges by their first key, in order; the first one begins at 0.
+    ranges: Vec<(Key, Option<UpstreamId>)>,
+    admits: Vec<(UpstreamId, u8)>,
+}
+
+impl Model {
+    fn new(upstreams: usize, ranges: usize) -> Self {
+        let id = |number| UpstreamId::from(format!("i-{number:010}"));
+        let ids: Vec<_> = (0..upstreams).map(id).collect();
+        let width = (usize::from(Key::MAX) + 1) / ranges;
+        let range = |number: usize| {
+            let first = Key::try_from(number * width).unwrap();
+            (first, Some(ids[number % upstreams].clone()))
+        };
+        Self {
+            ranges: (0..ranges).map(range).collect(),
+            admits: ids.into_iter().map(|id| (id, ALL)).collect(),
+        }
+    }
+
+    /// Cuts, moves and frees ranges, and changes shares.
+    fn disturb(&mut self, random: &mut impl Rng) {
+        for _ in 0..random.random_range(0..4) {
+            let most = if random.random_bool(0.5) {
+                2_000
+            } else {
+                Key::MAX
+            };
+            let cut = random.random_range(1..=most);
+            let at = self.ranges.partition_point(|(first, _)| *first <= cut);
+            if self.ranges[at - 1].0 < cut {
+                let holder = self.ranges[at - 1].1.clone();
+                self.ranges.insert(at, (cut, holder));
+            }
+        }
+        for _ in 0..random.random_range(0..6) {
+            let at = random.random_range(0..self.ranges.len());
+            let other = random.random_range(0..self.admits.len());
+            let holder = random
+                .random_bool(0.7)
+                .then(|| self.admits[other].0.clone());
+            self.ranges[at].1 = holder;
+        }
+        let at = random.random_range(0..self.admits.len());
+        self.admits[at].1 = random.random_range(1..=ALL);
+    }
+
+    fn tables(&self, term: u64, number: u64) -> Tables {
+        let ranges = self.ranges.iter();
+        let table = Table::new(ranges.map(|(first, holder)| (*first, holder.as_ref())));
+        let admits = |id: &UpstreamId| self.admits.iter().find(|(own, _)| own == id).unwrap().1;
+        let table = table.with_admits(admits);
+        Tables {
+            version: Version { term, number },
+            services: [(SERVICE.into(), table)].into_iter().collect(),
+        }
+    }
+}
+
+/// Looks at each key of a stretch, and at some of the others.
+fn assert_same(one: &Directory, other: &Directory) {
+    assert_eq!(one.version(), other.version());
+    for key in (0..2_000).chain((2_000..=Key::MAX).step_by(37)) {
+        let served = one.served(SERVICE, key);
+        assert_eq!(served, other.served(SERVICE, key), "key {key}");
+    }
+}
+
+/// Asks the leader as a follower does; gives what it answered.
+fn follow(follower: &Directory, leader: &Directory) -> Option<Update> {
+    let update = leader.update(follower.version(), follower.base())?;
+    let bytes = bincode::serialize(&update).unwrap();
+    assert!(follower.apply(bincode::deserialize(&bytes).unwrap()));
+    Some(update)
+}
+
+#[test_case(1, 1; "one upstream")]
+#[test_case(5, 12; "few upstreams")]
+#[test_case(60, 90; "many upstreams")]
+fn a_follower_has_what_the_leader_has(upstreams: usize, ranges: usize) {
+    for seed in 0..6 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let (leader, follower) = (Directory::default(), Directory::default());
+        let mut model = Model::new(upstreams, ranges);
+        for number in 1..40 {
+            model.disturb(&mut random);
+            leader.publish(model.tables(1, number));
+            if random.random_bool(0.4) {
+                let is_first = follower.base().is_none();
+                let update = follow(&follower, &leader);
+                assert_eq!(matches!(update, Some(Update::Whole(_))), is_first);
+                assert_same(&follower, &leader);
+            }
+        }
+        follow(&follower, &leader);
+        assert_same(&follower, &leader);
+        assert!(follow(&follower, &leader).is_none());
+    }
+}
+
+/// A follower that is too far behind, follows another leader, or goes by the store's plan gets all.
+#[test_case(|leader, model| { for number in 2..200 { leader.publish(model.tables(1, number)); } }; "far behind")]
+#[test_case(|leader, model| leader.publish(model.tables(9, 1)); "another leader")]
+fn a_follower_gets_all_tables(change: fn(&Directory, &Model)) {
+    let (leader, follower) = (Directory::default(), Directory::default());
+    let model = Model::new(5, 12);
+    leader.publish(model.tables(1, 1));
+    follow(&follower, &leader);
+    change(&leader, &model);
+    assert!(matches!(follow(&follower, &leader), Some(Update::Whole(_))));
+    assert_same(&follower, &leader);
+}
+
+/// The first tables of a service have no ranges, since nobody has keys yet.
+#[test]
+fn the_first_tables_are_empty() {
+    let (leader, follower) = (Directory::default(), Directory::default());
+    let model = Model::new(5, 12);
+    let mut empty = model.clone();
+    empty.ranges.clear();
+    leader.publish(empty.tables(1, 1));
+    follow(&follower, &leader);
+    let mut some = model.clone();
+    some.ranges[0].1 = None;
+    some.ranges[6].1 = None;
+    for (number, next) in [(2, some), (3, model), (4, empty)] {
+        leader.publish(next.tables(1, number));
+        let update = follow(&follower, &leader);
+        assert!(matches!(update, Some(Update::Steps(_))), "{update:?}");
+        assert_same(&follower, &leader);
+    }
+}
+
+#[test]
+fn what_follows_from_the_plan_is_no_base() {
+    let (leader, follower) = (Directory::default(), Directory::default());
+    let mut model = Model::new(5, 12);
+    leader.publish(model.tables(1, 1));
+    follow(&follower, &leader);
+    // The plan names holders that the leader has not granted to yet.
+    let mut plan = model.clone();
+    plan.ranges[3].1 = Some(plan.admits[0].0.clone());
+    leader.publish(model.tables(1, 2));
+    assert!(follower.take(plan.tables(1, 2)));
+    assert_eq!(follower.base(), None);
+    model.ranges[5].1 = None;
+    leader.publish(model.tables(1, 3));
+    assert!(matches!(follow(&follower, &leader), Some(Update::Whole(_))));
+    assert_same(&follower, &leader);
+}
+
+/// A move in a large service costs the bytes of the move.
+#[test]
+fn what_changed_is_small() {
+    let (leader, follower) = (Directory::default(), Directory::default());
+    let mut model = Model::new(200, 260);
+    leader.publish(model.tables(1, 1));
+    let whole = follow(&follower, &leader).unwrap();
+    model.ranges[7].1 = None;
+    leader.publish(model.tables(1, 2));
+    let step = follow(&follower, &leader).unwrap();
+    let size = |update| bincode::serialized_size(update).unwrap();
+    assert!(
+        size(&step) * 20 < size(&whole),
+        "{} of {}",
+        size(&step),
+        size(&whole)
+    );
+}
