Tell small configurations with the leader's news

Change: the leader's answer carries the configuration itself for a daemon that has an older one, if it has 8 KB or less; above that the store is cheaper than the leader's link. It is in force a call earlier, too.

--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -284,7 +284,7 @@
             successor: self.successor(),
             daemons: self.daemons(),
             tables: shared.directory.update(call.knows, call.base),
-            news: shared.board.news(call.list),
+            news: shared.board.news(call.configuration, call.list),
         }
     }
 
--- a/crates/assignment/src/news.rs
+++ b/crates/assignment/src/news.rs
@@ -5,10 +5,14 @@
     time::Duration,
 };
 
-use copperwell_routing::registry::Upstream;
+use copperwell_routing::{configuration::Configuration, registry::Upstream};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::Instant};
 
+/// The largest configuration that is told to others, in bytes; a larger one is better read from the store
+/// than sent through one daemon's link.
+const TOLD_BYTES_MAX: u64 = 8 << 10;
+
 /// Which list of upstreams, by the run of the daemon that read it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListNumber {
@@ -19,10 +23,12 @@
 }
 
 /// What a daemon has read of the store, as it tells others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct News {
     /// The version of the newest configuration.
     pub configuration: u64,
+    /// That configuration, for a daemon that has an older one, if it is not too large.
+    pub told: Option<Arc<Configuration>>,
     /// Which list of upstreams it has.
     pub list: ListNumber,
     /// How long ago that list was read.
@@ -42,6 +48,8 @@
 #[derive(Debug)]
 struct Read {
     configuration: u64,
+    /// That configuration, if it is not too large to be told.
+    told: Option<Arc<Configuration>>,
     list: ListNumber,
     upstreams: Vec<Arc<Upstream>>,
     /// When the list was read; `None` before the first time.
@@ -54,6 +62,7 @@
     pub fn new(run: u64) -> Self {
         let read = Read {
             configuration: 0,
+            told: None,
             list: ListNumber { run, number: 0 },
             upstreams: Vec::new(),
             at: None,
@@ -64,9 +73,14 @@
         }
     }
 
-    /// Notes a configuration that this daemon has read.
-    pub fn note_configuration(&self, version: u64) {
-        self.with(|read| read.configuration = read.configuration.max(version));
+    /// Notes the configuration that this daemon has, which is newer than those before.
+    pub fn note_configuration(&self, configuration: &Arc<Configuration>) {
+        let is_told =
+            bincode::serialized_size(&**configuration).is_ok_and(|bytes| bytes <= TOLD_BYTES_MAX);
+        self.with(|read| {
+            read.configuration = configuration.version;
+            read.told = is_told.then(|| configuration.clone());
+        });
         self.changes.send_replace(());
     }
 
@@ -87,16 +101,19 @@
         }
     }
 
-    /// What there is to tell a daemon that has the list `knows`; `None` if nothing was read yet.
+    /// What there is to tell a daemon that has a configuration and the list `knows`; `None` if nothing was
+    /// read yet.
     #[must_use]
-    pub fn news(&self, knows: ListNumber) -> Option<News> {
+    pub fn news(&self, configuration: u64, knows: ListNumber) -> Option<News> {
         self.with(|read| {
+            let is_newer = read.configuration > configuration;
             let upstreams = (read.list != knows).then(|| {
                 let upstreams = read.upstreams.iter();
                 upstreams.map(|upstream| (**upstream).clone()).collect()
             });
             Some(News {
                 configuration: read.configuration,
+                told: read.told.clone().filter(|_| is_newer),
                 list: read.list,
                 age: read.at?.elapsed(),
                 upstreams,
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -27,6 +27,7 @@
     work::Works,
 };
 use rand::RngExt;
+use spdlog::info;
 use tokio::time::Instant;
 
 /// What a daemon believes.
@@ -101,15 +102,16 @@
     }
 
     /// Takes a configuration, if it is newer.
-    pub fn take_configuration(&self, configuration: Configuration) -> bool {
+    pub fn take_configuration(&self, configuration: impl Into<Arc<Configuration>>) -> bool {
+        let configuration = configuration.into();
+        let version = configuration.version;
         let known = self.configuration.load();
-        let is_newer = known
-            .as_ref()
-            .is_none_or(|known| known.version < configuration.version);
+        let before = known.as_ref().map_or(0, |known| known.version);
+        let is_newer = known.is_none() || before < version;
         if is_newer {
-            let version = configuration.version;
-            self.configuration.store(Some(Arc::new(configuration)));
-            self.keys.board.note_configuration(version);
+            self.keys.board.note_configuration(&configuration);
+            self.configuration.store(Some(configuration));
+            info!("a configuration is in force", kv: { event = "configuration", version, before });
         }
         is_newer
     }
@@ -348,6 +350,9 @@
 
     fn hear(&self, news: News) {
         let now = Instant::now();
+        if let Some(configuration) = news.told {
+            self.take_configuration(configuration);
+        }
         let mut heard = self.heard();
         heard.at = Some(now);
         heard.read_at = now.checked_sub(news.age);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,7 +36,7 @@
     pub(crate) cancelled: Counter,
     pub(crate) thinned: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
-    pub(crate) configuration: Gauge,
+    configuration: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) queue: Gauge,
     upstreams_age: Gauge<f64, AtomicU64>,
@@ -178,6 +178,10 @@
     /// Brings gauges up to date that follow from what is believed.
     pub fn refresh(&self, beliefs: &Beliefs) {
         let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
+        let configuration = beliefs.configuration();
+        let version = configuration.map_or(0, |known| known.version);
+        self.configuration
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
         self.upstreams_age.set(seconds(beliefs.upstreams_age()));
         self.configuration_age
             .set(seconds(beliefs.configuration_age()));
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -58,13 +58,7 @@
         }
         match read {
             Some(Some(configuration)) => {
-                let version = configuration.version;
-                metrics
-                    .configuration
-                    .set(i64::try_from(version).unwrap_or(i64::MAX));
-                if beliefs.take_configuration(configuration) {
-                    info!("a configuration is in force", kv: { event = "configuration", version, before = above.unwrap_or(0) });
-                }
+                beliefs.take_configuration(configuration);
             }
             Some(None) if above.is_none() => sleep(RETRY).await,
             Some(None) if wait.is_zero() => sleep(LOOK).await,
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -122,6 +122,7 @@
         for _ in 0..time.as_millis() / step.as_millis() {
             self.beliefs.hear(News {
                 configuration,
+                told: None,
                 list: ListNumber { run: 9, number: 1 },
                 age: Duration::from_millis(300),
                 upstreams: Some(vec![upstream()]),
@@ -188,6 +189,7 @@
     // The leader has no newer one.
     let news = |configuration| News {
         configuration,
+        told: None,
         list: ListNumber::default(),
         age: Duration::ZERO,
         upstreams: None,
@@ -201,3 +203,25 @@
     assert!(age >= Duration::from_secs(4), "{age:?}");
     assert_eq!(beliefs.leader_age(), Some(Duration::ZERO));
 }
+
+/// A configuration that the leader tells is in force at once, and the store is not asked for it.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_is_told_is_not_read() {
+    let bench = Bench::start().await;
+    bench.hear(1, Duration::from_secs(2)).await;
+    let readings = bench.source.readings.load(Ordering::Relaxed);
+    let told = |version| News {
+        configuration: version,
+        told: Some(Arc::new(configuration(version))),
+        list: ListNumber { run: 9, number: 1 },
+        age: Duration::ZERO,
+        upstreams: None,
+    };
+    bench.beliefs.hear(told(5));
+    assert_eq!(bench.version(), 5);
+    // One that is older changes nothing.
+    bench.beliefs.hear(told(4));
+    assert_eq!(bench.version(), 5);
+    bench.hear(5, Duration::from_secs(2)).await;
+    assert_eq!(bench.source.readings.load(Ordering::Relaxed), readings);
+}
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -19,7 +19,7 @@
 const EVEN_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
 
 /// A configuration in force.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Configuration {
     /// Its version.
     pub version: Version,
@@ -55,7 +55,7 @@
 }
 
 /// Where requests for a host and prefix go.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: String,
@@ -76,6 +76,7 @@
     /// Where its requests go, by weight.
     pub parts: Vec<Part>,
     /// Requests that were given a part.
+    #[serde(skip)]
     dealt: AtomicU64,
 }
 
