Let the strongest look first when the whole system starts

Weak machines that happened to start first led, and gave way up to four times.

Change: at the first start of the whole system, which the settings tell by `bootstrap`, a daemon waits by its strength (and up to 400 ms by chance) before it looks for a leader, and reads the store itself only if it finds none. A list that the leader told makes a daemon ready as one that it read does. Daemons that start again do as before.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -28,7 +28,10 @@
 use copperwell_routing::{ServiceName, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep,
+};
 use tokio_util::sync::CancellationToken;
 
 use leading::Leading;
@@ -80,6 +83,8 @@
     pub address: SocketAddr,
     /// Its share of a processor, in thousandths.
     pub strength: u32,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
 }
 
 /// Time limits.
@@ -102,6 +107,8 @@
     pub daemons: Arc<AtomicU32>,
     /// What this daemon has read of the store, for others.
     pub board: Arc<Board>,
+    /// Whether this daemon has looked for a leader: it follows one, or must read the store itself.
+    pub looked: Arc<watch::Sender<bool>>,
 }
 
 impl Shared {
@@ -113,8 +120,15 @@
             counts: Arc::default(),
             daemons: Arc::default(),
             board: Arc::new(Board::new(run)),
+            looked: Arc::new(watch::Sender::new(false)),
         }
     }
+
+    /// Waits until this daemon has looked for a leader, or hears from one.
+    pub async fn has_looked(&self) {
+        // The sender is this one, so it does not go away.
+        let _ = self.looked.subscribe().wait_for(|looked| *looked).await;
+    }
 }
 
 /// Follows the leader, or leads.
@@ -158,12 +172,15 @@
         let mut failures = 0;
         let mut lead: Option<Lead> = None;
         let mut heirs: Vec<DaemonName> = Vec::new();
-        sleep(turn::first(self.identity.strength)).await;
+        sleep(self.first_wait()).await;
         while !stopping.is_cancelled() {
             match self.register.read().await {
                 Ok(snapshot) => {
                     let is_back = std::mem::take(&mut failures) > 0;
                     lead = self.see(&snapshot, &mut watch);
+                    if lead.is_none() {
+                        self.shared.looked.send_replace(true);
+                    }
                     // A leader that only waited for the store knows more than any successor.
                     if !is_back
                         && let Some(term) = self.take_over(&snapshot, lead.as_ref(), &watch).await
@@ -181,6 +198,7 @@
                 Err(failure) => {
                     warn!("the store does not answer", kv: { dependency = "store", failure = failure.as_str() });
                     failures += 1;
+                    self.shared.looked.send_replace(true);
                 }
             }
             // The last leader that is known may know of a later one.
@@ -194,6 +212,7 @@
                     Followed::Succeeded(later) => lead = Some(later),
                 }
             }
+            self.shared.looked.send_replace(true);
             let rank = heirs.iter().position(|heir| *heir == self.identity.name);
             let daemons = self.shared.daemons.load(Ordering::Relaxed);
             let jitter = turn::jitter(rank, &heirs, daemons);
@@ -206,6 +225,16 @@
         }
     }
 
+    fn first_wait(&self) -> Duration {
+        let strength = self.identity.strength;
+        if self.identity.is_first_start {
+            return turn::first_start(strength, rand::rng().random_range(0.0..1.0));
+        }
+        // Whoever starts again serves callers at once, whether or not somebody leads.
+        self.shared.looked.send_replace(true);
+        turn::first(strength)
+    }
+
     /// Takes what the store says of leader and plans.
     fn see(&self, snapshot: &Snapshot, watch: &mut Watch) -> Option<Lead> {
         let lead: Option<Lead> = decode(snapshot, LEAD);
@@ -340,6 +369,7 @@
             }
             if let Some(news) = answer.news {
                 self.scene.hear(news);
+                self.shared.looked.send_replace(true);
             }
             knows = self.shared.directory.tables().version;
             // Changes in quick succession are told together.
--- a/crates/assignment/src/turn.rs
+++ b/crates/assignment/src/turn.rs
@@ -10,6 +10,14 @@
 /// How long the weakest daemon waits for stronger ones when nobody is known to lead.
 const FIRST: Duration = Duration::from_millis(500);
 
+/// The same when the whole system starts for the first time: nobody leads, and machines start some
+/// hundred milliseconds apart, so that the strongest go first only if the others wait for longer.
+const FIRST_START: Duration = Duration::from_secs(2);
+
+/// How much longer at most a daemon waits then, so that equally strong ones do not all read the store
+/// before one of them leads.
+const FIRST_SPREAD: Duration = Duration::from_millis(400);
+
 /// The strength of a daemon with a whole processor.
 const WHOLE: u32 = 1_000;
 
@@ -28,7 +36,18 @@
 /// How long a daemon waits after its start before it tries to lead.
 #[must_use]
 pub fn first(strength: u32) -> Duration {
-    FIRST * (WHOLE - strength.min(WHOLE)) / WHOLE
+    part(FIRST, strength)
+}
+
+/// The same when the whole system starts for the first time; `draw` is evenly random from 0 to 1.
+#[must_use]
+pub fn first_start(strength: u32, draw: f64) -> Duration {
+    part(FIRST_START, strength) + FIRST_SPREAD.mul_f64(draw)
+}
+
+/// The part of a time that a daemon lets stronger ones go first.
+fn part(of: Duration, strength: u32) -> Duration {
+    of * (WHOLE - strength.min(WHOLE)) / WHOLE
 }
 
 /// How much longer a daemon waits than the first heir, by its rank among the heirs.
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -154,6 +154,7 @@
                 run,
                 address: ([127, 0, 0, 1], port).into(),
                 strength: 200,
+                is_first_start: false,
             },
             timing: Timing::default(),
             register: store.clone(),
--- a/crates/assignment/tests/turn.rs
+++ b/crates/assignment/tests/turn.rs
@@ -17,6 +17,14 @@
     assert_eq!(waits[4], Duration::ZERO);
 }
 
+/// Machines start up to 300 ms apart, and the strongest lead all the same.
+#[test]
+fn the_strongest_lead_when_all_start_for_the_first_time() {
+    let earliest_weak = turn::first_start(200, 0.0);
+    let latest_strong = turn::first_start(500, 1.0) + Duration::from_millis(150);
+    assert!(latest_strong < earliest_weak, "{latest_strong:?}");
+}
+
 /// No heir waits as long as the one after it, whatever it draws, nor as those that are none.
 #[test]
 fn heirs_try_in_turn() {
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -159,6 +159,7 @@
                 run,
                 address,
                 strength: settings.strength,
+                is_first_start: settings.is_first_start,
             },
             timing: timing(settings),
             register: Arc::new(Entries::new(store)),
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -175,7 +175,8 @@
     /// Whether requests can be served: a configuration and a list of upstreams are known.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.configuration.load().is_some() && self.listed_us.load(Ordering::Acquire) > 0
+        let is_listed = self.listed_us.load(Ordering::Acquire) > 0 || self.heard().list.number > 0;
+        self.configuration.load().is_some() && is_listed
     }
 
     /// What decisions go by now.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -42,6 +42,7 @@
 /// A daemon that hears from the leader reads only what the leader says is there.
 pub async fn configurations(source: Arc<impl Source>, beliefs: Arc<Beliefs>, metrics: Metrics) {
     let mut reader = Reader::new("configuration", metrics.clone());
+    beliefs.keys.has_looked().await;
     loop {
         let above = beliefs.configuration().map(|known| known.version);
         while above.is_some() && !beliefs.must_read_configuration(NEWS_AGE_MAX) {
@@ -80,6 +81,7 @@
 ) {
     let mut reader = Reader::new("upstreams", metrics.clone());
     let mut unreadable: HashSet<String> = HashSet::default();
+    beliefs.keys.has_looked().await;
     loop {
         while beliefs.is_complete() && !beliefs.must_read_upstreams(NEWS_AGE_MAX) {
             sleep(LOOK).await;
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -97,6 +97,7 @@
         let source = Arc::new(Deaf::default());
         source.version.store(1, Ordering::Relaxed);
         let beliefs = Arc::new(Beliefs::new(7, "here".into(), ALLOWANCE));
+        beliefs.keys.looked.send_replace(true);
         let metrics = Metrics::default();
         tokio::spawn(watch::configurations(
             source.clone(),
@@ -177,6 +178,7 @@
     assert_eq!(beliefs.leader_age(), None);
     let source = Arc::new(Deaf::default());
     source.version.store(3, Ordering::Relaxed);
+    beliefs.keys.looked.send_replace(true);
     let metrics = Metrics::default();
     let reading = tokio::spawn(watch::configurations(source, beliefs.clone(), metrics));
     while beliefs.configuration().is_none() {
@@ -225,3 +227,35 @@
     bench.hear(5, Duration::from_secs(2)).await;
     assert_eq!(bench.source.readings.load(Ordering::Relaxed), readings);
 }
+
+/// A daemon that follows a leader from its start is complete without one reading of the store.
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_hears_from_the_start_reads_nothing() {
+    let source = Arc::new(Deaf::default());
+    source.version.store(1, Ordering::Relaxed);
+    let beliefs = Arc::new(Beliefs::new(7, "here".into(), ALLOWANCE));
+    let metrics = Metrics::default();
+    let reading = watch::configurations(source.clone(), beliefs.clone(), metrics.clone());
+    tokio::spawn(reading);
+    let clock = Driven::default();
+    let listing = watch::upstreams(source.clone(), beliefs.clone(), clock, metrics, || {});
+    tokio::spawn(listing);
+    // It has not looked for a leader yet.
+    sleep(Duration::from_secs(1)).await;
+    let bench = Bench { source, beliefs };
+    bench.beliefs.hear(News {
+        configuration: 1,
+        told: Some(Arc::new(configuration(1))),
+        list: ListNumber { run: 9, number: 1 },
+        age: Duration::ZERO,
+        upstreams: Some(vec![upstream()]),
+    });
+    bench.beliefs.keys.looked.send_replace(true);
+    assert!(bench.beliefs.is_complete());
+    bench.hear(1, Duration::from_secs(2)).await;
+    let reads = [&bench.source.readings, &bench.source.lists];
+    assert_eq!(reads.map(|count| count.load(Ordering::Relaxed)), [0, 0]);
+    // Once the leader is silent it reads for itself.
+    sleep(Duration::from_secs(3)).await;
+    assert!(bench.source.lists.load(Ordering::Relaxed) > 0);
+}
