Tell daemons what changed in the list of upstreams

Change: the leader remembers in which list each upstream changed last; a daemon gets what changed since the list that it has, or all if it has another leader's, is too far behind, or has read one itself meanwhile. Found in reading: a daemon that never read the list itself, as those that hear from their start, could not lead at once when the leader hands over; it asks for one reading now. Callers' bytes are read 4 KB at a time in place of 8.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -109,6 +109,8 @@
     pub board: Arc<Board>,
     /// Whether this daemon has looked for a leader: it follows one, or must read the store itself.
     pub looked: Arc<watch::Sender<bool>>,
+    /// Whether this daemon would lead, and has not read the list of upstreams itself yet.
+    pub lacks_list: Arc<AtomicBool>,
 }
 
 impl Shared {
@@ -121,6 +123,7 @@
             daemons: Arc::default(),
             board: Arc::new(Board::new(run)),
             looked: Arc::new(watch::Sender::new(false)),
+            lacks_list: Arc::default(),
         }
     }
 
@@ -264,7 +267,11 @@
         watch: &Watch,
     ) -> Option<Term> {
         let services = self.scene.keyed_services()?;
-        self.scene.listed_at()?;
+        let lacks_list = self.scene.listed_at().is_none();
+        self.shared.lacks_list.store(lacks_list, Ordering::Relaxed);
+        if lacks_list {
+            return None;
+        }
         let me = &self.identity;
         let timing = &self.timing.lease;
         let now = self.clock.now();
--- a/crates/assignment/src/news.rs
+++ b/crates/assignment/src/news.rs
@@ -1,11 +1,13 @@
 //! What the daemon that leads has read of the store, for those that leave the reading to it.
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
-use copperwell_routing::{configuration::Configuration, registry::Upstream};
+use copperwell_message::HashMap;
+use copperwell_routing::{UpstreamId, configuration::Configuration, registry::Upstream};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::Instant};
 
@@ -13,6 +15,9 @@
 /// than sent through one daemon's link.
 const TOLD_BYTES_MAX: u64 = 8 << 10;
 
+/// Upstreams that are gone and still remembered, at most.
+const GONE_MAX: usize = 1_024;
+
 /// Which list of upstreams, by the run of the daemon that read it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListNumber {
@@ -34,7 +39,23 @@
     /// How long ago that list was read.
     pub age: Duration,
     /// The list, for a daemon that has another one.
-    pub upstreams: Option<Vec<Upstream>>,
+    pub upstreams: Option<Listed>,
+}
+
+/// A list of upstreams, for a daemon that may have an earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Listed {
+    /// All of it.
+    Whole(Vec<Upstream>),
+    /// What changed.
+    Changed {
+        /// The list that it is a change of.
+        from: ListNumber,
+        /// Upstreams that are new or have changed.
+        changed: Vec<Upstream>,
+        /// Upstreams that are gone.
+        gone: Vec<UpstreamId>,
+    },
 }
 
 /// What this daemon has read of the store.
@@ -51,7 +72,11 @@
     /// That configuration, if it is not too large to be told.
     told: Option<Arc<Configuration>>,
     list: ListNumber,
-    upstreams: Vec<Arc<Upstream>>,
+    upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
+    /// In which list each upstream changed last, or was found to be gone.
+    changed: HashMap<UpstreamId, u64>,
+    /// The earliest list of which all changes since are known.
+    known_from: u64,
     /// When the list was read; `None` before the first time.
     at: Option<Instant>,
 }
@@ -64,7 +89,9 @@
             configuration: 0,
             told: None,
             list: ListNumber { run, number: 0 },
-            upstreams: Vec::new(),
+            upstreams: BTreeMap::new(),
+            changed: HashMap::default(),
+            known_from: 0,
             at: None,
         };
         Self {
@@ -85,16 +112,12 @@
     }
 
     /// Notes a list that this daemon has read at `at`.
-    pub fn note_list(&self, mut upstreams: Vec<Arc<Upstream>>, at: Instant) {
-        upstreams.sort_by(|one, other| one.id.cmp(&other.id));
+    pub fn note_list(&self, upstreams: impl IntoIterator<Item = Arc<Upstream>>, at: Instant) {
+        let upstreams = upstreams.into_iter();
+        let upstreams = upstreams.map(|one| (one.id.clone(), one)).collect();
         let is_new = self.with(|read| {
             read.at = Some(at);
-            let is_new = read.upstreams != upstreams;
-            if is_new {
-                read.list.number += 1;
-                read.upstreams = upstreams;
-            }
-            is_new
+            read.take(upstreams)
         });
         if is_new {
             self.changes.send_replace(());
@@ -107,16 +130,12 @@
     pub fn news(&self, configuration: u64, knows: ListNumber) -> Option<News> {
         self.with(|read| {
             let is_newer = read.configuration > configuration;
-            let upstreams = (read.list != knows).then(|| {
-                let upstreams = read.upstreams.iter();
-                upstreams.map(|upstream| (**upstream).clone()).collect()
-            });
             Some(News {
                 configuration: read.configuration,
                 told: read.told.clone().filter(|_| is_newer),
                 list: read.list,
                 age: read.at?.elapsed(),
-                upstreams,
+                upstreams: (read.list != knows).then(|| read.listed(knows)),
             })
         })
     }
@@ -137,3 +156,55 @@
         act(&mut self.read.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
+
+impl Read {
+    /// Takes a list; `false` if it is the one that is known.
+    fn take(&mut self, upstreams: BTreeMap<UpstreamId, Arc<Upstream>>) -> bool {
+        let new = upstreams
+            .iter()
+            .filter(|(id, upstream)| self.upstreams.get(*id) != Some(*upstream));
+        let gone = self
+            .upstreams
+            .keys()
+            .filter(|id| !upstreams.contains_key(*id));
+        let changed: Vec<UpstreamId> = new.map(|(id, _)| id).chain(gone).cloned().collect();
+        if changed.is_empty() {
+            return false;
+        }
+        self.list.number += 1;
+        let number = self.list.number;
+        self.changed
+            .extend(changed.into_iter().map(|id| (id, number)));
+        self.upstreams = upstreams;
+        if self.changed.len() > self.upstreams.len() + GONE_MAX {
+            let upstreams = &self.upstreams;
+            self.changed.retain(|id, _| upstreams.contains_key(id));
+            self.known_from = number;
+        }
+        true
+    }
+
+    /// The list, for a daemon that has the list `knows`.
+    fn listed(&self, knows: ListNumber) -> Listed {
+        let is_known = knows.run == self.list.run
+            && (self.known_from.max(1)..self.list.number).contains(&knows.number);
+        if !is_known {
+            let all = self.upstreams.values();
+            return Listed::Whole(all.map(|upstream| (**upstream).clone()).collect());
+        }
+        let since = self.changed.iter();
+        let since = since.filter(|(_, number)| **number > knows.number);
+        let (mut changed, mut gone) = (Vec::new(), Vec::new());
+        for (id, _) in since {
+            match self.upstreams.get(id) {
+                Some(upstream) => changed.push((**upstream).clone()),
+                None => gone.push(id.clone()),
+            }
+        }
+        Listed::Changed {
+            from: knows,
+            changed,
+            gone,
+        }
+    }
+}
--- a/crates/caller/src/ahead.rs
+++ b/crates/caller/src/ahead.rs
@@ -35,7 +35,7 @@
 const UNSERVED_MAX: usize = 64 << 10;
 
 /// The bytes that are read from a caller at a time.
-const READ_BYTES: usize = 8 << 10;
+const READ_BYTES: usize = 4 << 10;
 
 /// Fields of requests that have a body, or after which the connection may be another one's.
 const DECISIVE: [HeaderName; 5] = [
--- a/crates/gateway/src/beliefs.rs
+++ b/crates/gateway/src/beliefs.rs
@@ -14,7 +14,7 @@
 use arc_swap::ArcSwapOption;
 use copperwell_assignment::{
     driver::{Scene, Shared},
-    news::{ListNumber, News},
+    news::{ListNumber, Listed, News},
 };
 use copperwell_message::HashMap;
 use copperwell_routing::{
@@ -154,8 +154,11 @@
             .write()
             .unwrap_or_else(PoisonError::into_inner);
         let changes = registry.take(listed, now);
-        let all = registry.all().cloned().collect();
+        let all: Vec<_> = registry.all().cloned().collect();
         drop(registry);
+        // What the leader changed since its last list does not apply to this one.
+        self.heard().list = ListNumber::default();
+        self.keys.lacks_list.store(false, Ordering::Relaxed);
         self.keys.board.note_list(all, now);
         self.note(&changes, now);
         let listed_us = u64::try_from(listed_at.as_micros()).unwrap_or(u64::MAX);
@@ -175,7 +178,7 @@
     /// Whether requests can be served: a configuration and a list of upstreams are known.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        let is_listed = self.listed_us.load(Ordering::Acquire) > 0 || self.heard().list.number > 0;
+        let is_listed = self.registry().read_at().is_some();
         self.configuration.load().is_some() && is_listed
     }
 
@@ -277,9 +280,13 @@
     }
 
     /// Whether the daemon must read the list of upstreams itself, since what the leader told is
-    /// older than `age`.
+    /// older than `age`, or since it would lead and never read it.
     #[must_use]
     pub fn must_read_upstreams(&self, age: Duration) -> bool {
+        self.keys.lacks_list.load(Ordering::Relaxed) || self.is_news_older_than(age)
+    }
+
+    fn is_news_older_than(&self, age: Duration) -> bool {
         let read_at = self.heard().read_at;
         read_at.is_none_or(|at| at.elapsed() > age)
     }
@@ -288,7 +295,7 @@
     /// told is older than `age`.
     #[must_use]
     pub fn must_read_configuration(&self, age: Duration) -> bool {
-        self.hears_newer_configuration() || self.must_read_upstreams(age)
+        self.hears_newer_configuration() || self.is_news_older_than(age)
     }
 
     /// Whether the leader has a newer configuration.
@@ -358,16 +365,29 @@
         heard.at = Some(now);
         heard.read_at = now.checked_sub(news.age);
         heard.configuration = news.configuration;
-        heard.list = news.list;
+        let had = heard.list;
+        // A list that was read meanwhile is none of the leader's, which then tells all next time.
+        let applies = match &news.upstreams {
+            Some(Listed::Whole(_)) => true,
+            Some(Listed::Changed { from, .. }) => *from == had,
+            None => news.list == had,
+        };
+        heard.list = match applies {
+            true => news.list,
+            false => ListNumber::default(),
+        };
         drop(heard);
-        let Some(upstreams) = news.upstreams else {
+        let Some(listed) = news.upstreams.filter(|_| applies) else {
             return;
         };
         let mut registry = self
             .registry
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        let changes = registry.adopt(upstreams, now);
+        let changes = match listed {
+            Listed::Whole(upstreams) => registry.adopt(upstreams, now),
+            Listed::Changed { changed, gone, .. } => registry.adopt_changes(changed, gone, now),
+        };
         drop(registry);
         self.note(&changes, now);
         watch::log(&changes);
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -11,7 +11,7 @@
 use copperwell_assignment::{
     clock::Driven,
     driver::Scene,
-    news::{ListNumber, News},
+    news::{ListNumber, Listed, News},
 };
 use copperwell_gateway::{Beliefs, metrics::Metrics, watch};
 use copperwell_routing::{
@@ -126,7 +126,7 @@
                 told: None,
                 list: ListNumber { run: 9, number: 1 },
                 age: Duration::from_millis(300),
-                upstreams: Some(vec![upstream()]),
+                upstreams: Some(Listed::Whole(vec![upstream()])),
             });
             sleep(step).await;
         }
@@ -248,14 +248,60 @@
         told: Some(Arc::new(configuration(1))),
         list: ListNumber { run: 9, number: 1 },
         age: Duration::ZERO,
-        upstreams: Some(vec![upstream()]),
+        upstreams: Some(Listed::Whole(vec![upstream()])),
     });
     bench.beliefs.keys.looked.send_replace(true);
     assert!(bench.beliefs.is_complete());
     bench.hear(1, Duration::from_secs(2)).await;
     let reads = [&bench.source.readings, &bench.source.lists];
     assert_eq!(reads.map(|count| count.load(Ordering::Relaxed)), [0, 0]);
+    // A daemon that would lead reads the list at once, and once.
+    bench.beliefs.keys.lacks_list.store(true, Ordering::Relaxed);
+    bench.hear(1, Duration::from_secs(2)).await;
+    assert_eq!(bench.source.lists.swap(0, Ordering::Relaxed), 1);
     // Once the leader is silent it reads for itself.
     sleep(Duration::from_secs(3)).await;
     assert!(bench.source.lists.load(Ordering::Relaxed) > 0);
 }
+
+/// What the leader changed in its list applies to that list alone, not to one that was read meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_change_of_another_list_is_not_taken() {
+    let bench = Bench::start().await;
+    let number = |number| ListNumber { run: 9, number };
+    let news = |list, listed| News {
+        configuration: 1,
+        told: None,
+        list,
+        age: Duration::ZERO,
+        upstreams: Some(listed),
+    };
+    let without = || Listed::Changed {
+        from: number(1),
+        changed: Vec::new(),
+        gone: vec!["u1".into()],
+    };
+    bench
+        .beliefs
+        .hear(news(number(1), Listed::Whole(vec![upstream()])));
+    assert_eq!(bench.beliefs.has().1, number(1));
+    // The leader is silent, so the list is read.
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(bench.beliefs.has().1, ListNumber::default());
+    // An answer that was on its way says nothing of the list, since that is the one that it had.
+    let same = News {
+        upstreams: None,
+        ..news(number(1), without())
+    };
+    bench.beliefs.hear(same);
+    assert_eq!(bench.beliefs.has().1, ListNumber::default());
+    bench.beliefs.hear(news(number(2), without()));
+    assert_eq!(bench.beliefs.registry().len(), 1);
+    assert_eq!(bench.beliefs.has().1, ListNumber::default());
+    assert!(bench.beliefs.is_complete());
+    bench
+        .beliefs
+        .hear(news(number(1), Listed::Whole(vec![upstream()])));
+    bench.beliefs.hear(news(number(2), without()));
+    assert!(bench.beliefs.registry().is_empty());
+}
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -109,6 +109,26 @@
         self.take(listed, now)
     }
 
+    /// Takes what has changed since a list from such a daemon.
+    pub fn adopt_changes(
+        &mut self,
+        changed: impl IntoIterator<Item = Upstream>,
+        gone: impl IntoIterator<Item = UpstreamId>,
+        now: Instant,
+    ) -> Changes {
+        self.is_away = false;
+        self.settles_at = None;
+        self.read_at = Some(now);
+        let mut changes = Changes::default();
+        for upstream in changed {
+            self.take_one(upstream, &mut changes);
+        }
+        let gone = gone.into_iter();
+        changes.gone = gone.filter_map(|id| self.upstreams.remove(&id)).collect();
+        self.index();
+        changes
+    }
+
     /// All upstreams, in no order.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.upstreams.values()
