Refuse requests that crash upstreams, at all daemons

Change: a connection that breaks under a request and an upstream that then refuses one are taken for a crash, as in the product's engine. A request that was in flight at the crash of three runs without an answer in between is refused for a minute; daemons tell the leader what they see and hear from it what is refused. While nothing is under suspicion no request is looked up. What is kept for upstreams that are gone is given up every 2 s at each daemon, where before only those that read the list themselves did.

A process test with two daemons and three servers that end at a request; it fails without the change, since nothing gives that reason.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -25,12 +25,12 @@
     turn,
 };
 use copperwell_policy::backoff::Backoff;
-use copperwell_routing::{ServiceName, registry::Upstream};
+use copperwell_routing::{ServiceName, quarantine::Quarantine, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::{
     sync::{mpsc, watch},
-    time::sleep,
+    time::{Instant, sleep},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -107,6 +107,8 @@
     pub daemons: Arc<AtomicU32>,
     /// What this daemon has read of the store, for others.
     pub board: Arc<Board>,
+    /// Requests that crash upstreams.
+    pub quarantine: Arc<Mutex<Quarantine>>,
     /// Whether this daemon has looked for a leader: it follows one, or must read the store itself.
     pub looked: Arc<watch::Sender<bool>>,
     /// Whether this daemon would lead, and has not read the list of upstreams itself yet.
@@ -122,11 +124,19 @@
             counts: Arc::default(),
             daemons: Arc::default(),
             board: Arc::new(Board::new(run)),
+            quarantine: Arc::default(),
             looked: Arc::new(watch::Sender::new(false)),
             lacks_list: Arc::default(),
         }
     }
 
+    /// The requests that crash upstreams.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until this daemon has looked for a leader, or hears from one.
     pub async fn has_looked(&self) {
         // The sender is this one, so it does not go away.
@@ -344,6 +354,7 @@
             let (configuration, list) = self.scene.has();
             let now = self.clock.now();
             let listed_at = self.scene.listed_at();
+            let sightings = self.shared.quarantine().take_untold();
             let call = Call {
                 from: self.identity.name.clone(),
                 strength: self.identity.strength,
@@ -353,8 +364,10 @@
                 list,
                 store_age: listed_at.map(|at| now.saturating_sub(at)),
                 reports: self.shared.counts.take(),
+                sightings: sightings.clone(),
             };
             let Some(answer) = line.call(call).await else {
+                self.shared.quarantine().put_back(sightings);
                 warn!("the leader does not answer", kv: { dependency = "leader", leader = &*lead.name, term = lead.term });
                 return Followed::Lost;
             };
@@ -363,6 +376,9 @@
             if answer.standing == Standing::Leads {
                 *heirs = answer.heirs;
             }
+            self.shared
+                .quarantine()
+                .adopt(&answer.refused, Instant::now());
             if let Some(update) = answer.tables {
                 self.shared.directory.apply(update);
             }
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -10,14 +10,17 @@
 use crate::{
     DaemonName,
     demand::Report,
+    driver,
     lease::{Lapse, Lead},
     news::{Board, ListNumber, News},
     table::{Directory, Version},
     update::Update,
 };
 use copperwell_message::HashMap;
+use copperwell_routing::quarantine::{Quarantine, Refused, Sightings};
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
+use spdlog::warn;
 use tarpc::{
     client, context,
     serde_transport::tcp,
@@ -70,6 +73,8 @@
     pub store_age: Option<Duration>,
     /// What callers asked for since its last call.
     pub reports: Vec<Report>,
+    /// What it has seen of requests that may crash upstreams.
+    pub sightings: Sightings,
 }
 
 /// What a daemon is to the others.
@@ -99,6 +104,8 @@
     pub tables: Option<Update>,
     /// What the leader has read of the store.
     pub news: Option<News>,
+    /// Requests that are refused, since they crash upstreams.
+    pub refused: Vec<Refused>,
 }
 
 /// A daemon that has called.
@@ -128,6 +135,7 @@
 struct Shared {
     directory: Arc<Directory>,
     board: Arc<Board>,
+    quarantine: Arc<Mutex<Quarantine>>,
     reports: mpsc::Sender<Vec<Report>>,
     known: Mutex<Known>,
 }
@@ -144,17 +152,14 @@
 }
 
 impl Desk {
-    /// A desk that gives out the tables of `directory` and the news of `board`, and the end at which
-    /// reports arrive.
+    /// A desk that gives out what a daemon `knows`, and the end at which reports arrive.
     #[must_use]
-    pub fn new(
-        directory: Arc<Directory>,
-        board: Arc<Board>,
-    ) -> (Self, mpsc::Receiver<Vec<Report>>) {
+    pub fn new(knows: &driver::Shared) -> (Self, mpsc::Receiver<Vec<Report>>) {
         let (reports, received) = mpsc::channel(REPORTS_MAX);
         let shared = Shared {
-            directory,
-            board,
+            directory: knows.directory.clone(),
+            board: knows.board.clone(),
+            quarantine: knows.quarantine.clone(),
             reports,
             known: Mutex::default(),
         };
@@ -230,6 +235,18 @@
         self.known().store_seen.map(|at| at.elapsed())
     }
 
+    /// Notes what a daemon has seen of requests that may crash upstreams.
+    fn sight(&self, sightings: Sightings) {
+        for fingerprint in self.quarantine().merge(sightings, Instant::now()) {
+            warn!("a request crashed several upstreams and is refused", kv: { event = "quarantined", fingerprint });
+        }
+    }
+
+    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        let quarantine = self.shared.quarantine.lock();
+        quarantine.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that a daemon has called.
     fn note(&self, call: &Call) {
         let now = Instant::now();
@@ -264,6 +281,7 @@
         let shared = &self.shared;
         if self.known().standing == Standing::Leads {
             self.note(&call);
+            self.sight(call.sightings);
             if !call.reports.is_empty() {
                 // A leader that cannot keep up does without some counts.
                 let _ = shared.reports.try_send(call.reports);
@@ -285,6 +303,7 @@
             daemons: self.daemons(),
             tables: shared.directory.update(call.knows, call.base),
             news: shared.board.news(call.configuration, call.list),
+            refused: self.quarantine().refused(Instant::now()),
         }
     }
 
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -146,7 +146,7 @@
             looks: AtomicUsize::new(0),
         });
         let clock = Arc::new(Driven::default());
-        let (desk, reports) = Desk::new(shared.directory.clone(), shared.board.clone());
+        let (desk, reports) = Desk::new(&shared);
         let port = 20_000 + u16::try_from(run).unwrap();
         let driver = Driver {
             identity: Identity {
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -45,6 +45,9 @@
 /// How long a daemon that stops goes on taking connections: until nobody is sent to it any more.
 const ROTATION_TIME: Duration = Duration::from_millis(2_500);
 
+/// How often what is kept for upstreams that are gone is given up.
+const TIDY_TIME: Duration = Duration::from_secs(2);
+
 /// How long before the platform ends it a daemon that stops has ended by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -141,17 +144,22 @@
             beliefs.clone(),
             metrics.clone(),
         ));
-        let tidied = gateway.clone();
         tokio::spawn(watch::upstreams(
             source,
             beliefs.clone(),
             Boot,
             metrics.clone(),
-            move || tidied.tidy(),
         ));
+        let tidied = gateway.clone();
+        tokio::spawn(async move {
+            loop {
+                sleep(TIDY_TIME).await;
+                tidied.tidy();
+            }
+        });
 
         let leading = CancellationToken::new();
-        let (desk, reports) = Desk::new(beliefs.keys.directory.clone(), beliefs.keys.board.clone());
+        let (desk, reports) = Desk::new(&beliefs.keys);
         tokio::spawn(desk.clone().serve(exchange));
         let driver = Driver {
             identity: Identity {
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod standin;
 
 mod bench;
+mod crash;
 mod daemon;
 mod http1;
 mod keys;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::{
     beliefs::Beliefs,
     dialect::{Asked, Dialect},
+    guard::Guard,
     metrics::{Metrics, Stage},
     refusal::Refusal,
     room::Rooms,
@@ -49,6 +50,7 @@
     beliefs: Arc<Beliefs>,
     finder: Finder,
     lanes: Lanes,
+    guard: Guard,
     metrics: Metrics,
     story: Story,
     connections: usize,
@@ -79,6 +81,7 @@
                 rooms,
             },
             lanes: Lanes::default(),
+            guard: Guard::new(beliefs.keys.quarantine.clone(), metrics.clone()),
             beliefs,
             story: Story::new(metrics.clone()),
             metrics,
@@ -102,6 +105,7 @@
     pub fn tidy(&self) {
         let registry = self.beliefs.registry();
         self.lanes.retain(|id| registry.get(id).is_some());
+        self.guard.tidy(|id| registry.get(id).is_some());
         self.finder.rooms.tidy();
     }
 
@@ -168,6 +172,7 @@
             beliefs: &self.beliefs,
             finder: &self.finder,
             lanes: &self.lanes,
+            guard: &self.guard,
             metrics: &self.metrics,
             route: &route,
             asked: &asked,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod watch;
 
+mod guard;
 mod refusal;
 mod room;
 mod story;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     pub(crate) slow_heads: Counter,
     pub(crate) cancelled: Counter,
     pub(crate) thinned: Counter,
+    pub(crate) suspects: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
     configuration: Gauge,
     pub(crate) upstreams: Gauge,
@@ -125,6 +126,11 @@
             "Lines about failures that were left out, to bound the log",
             all.thinned,
         );
+        registry.register(
+            "suspects",
+            "Requests that were in flight when an upstream crashed",
+            all.suspects,
+        );
         registry.register(
             "latency_seconds",
             "Time that requests take, by stage",
@@ -244,6 +250,7 @@
             slow_heads: Counter::default(),
             cancelled: Counter::default(),
             thinned: Counter::default(),
+            suspects: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
--- a/crates/gateway/src/tries.rs
+++ b/crates/gateway/src/tries.rs
@@ -8,6 +8,7 @@
 use crate::{
     beliefs::Beliefs,
     dialect::{Asked, Dialect, Outbound},
+    guard::Guard,
     metrics::{Metrics, Stage},
     refusal::Refusal,
     story::{Story, Subject},
@@ -19,15 +20,16 @@
     metrics::Metrics as LaneMetrics,
     pool::Timing,
 };
-use copperwell_message::{Body, HashMap, Reason, Response, Verdict};
+use copperwell_message::{Body, HashMap, Head, Reason, Response, Verdict};
 use copperwell_routing::{
-    ServiceName, UpstreamId,
+    Key, ServiceName, UpstreamId,
     configuration::Route,
     load::End,
+    quarantine::Fingerprint,
     registry::Upstream,
     retry::{self, Next, Tried},
 };
-use http::request::Parts;
+use http::{HeaderValue, header::HOST, request::Parts};
 use tokio::time::{Instant, sleep};
 
 /// How long a new connection to an upstream may take.
@@ -60,6 +62,7 @@
     pub(crate) beliefs: &'a Arc<Beliefs>,
     pub(crate) finder: &'a Finder,
     pub(crate) lanes: &'a Lanes,
+    pub(crate) guard: &'a Guard,
     pub(crate) metrics: &'a Metrics,
     pub(crate) route: &'a Route,
     pub(crate) asked: &'a Asked,
@@ -123,7 +126,14 @@
         let mut stale = None;
         // The answer or failure that stands unless another try does better.
         let mut last: Option<Result<Response, Refusal>> = None;
+        let fingerprint = || fingerprint_of(&parts, self.asked.key, whole.as_deref());
         loop {
+            if let Some(left) = self.refused_for(fingerprint) {
+                return last.unwrap_or(Err(Refusal {
+                    retry_after: Some(left),
+                    ..Refusal::not_run(Reason::Quarantined)
+                }));
+            }
             let found = self.finder.find(&wish, sent, stale.take()).await;
             let upstream = match found {
                 Ok(upstream) => upstream,
@@ -145,6 +155,7 @@
             sent.push(upstream.id.clone());
             let tried = self.send(&upstream, &parts, body).await;
             let took = tried.took;
+            self.look_for_crash(&upstream, &tried, fingerprint);
             let (result, failed) = match judge(tried) {
                 Judged::Answer(response) => return Ok(response),
                 Judged::Failure(result, failed) => (result, failed),
@@ -175,6 +186,38 @@
         }
     }
 
+    /// How long the request is refused still, since it crashes upstreams.
+    fn refused_for(&self, fingerprint: impl Fn() -> Fingerprint) -> Option<Duration> {
+        if self.guard.is_idle() {
+            return None;
+        }
+        self.guard.refuses(fingerprint())
+    }
+
+    /// Notes what a try says of crashes.
+    fn look_for_crash(
+        &self,
+        upstream: &Upstream,
+        tried: &Try,
+        fingerprint: impl Fn() -> Fingerprint,
+    ) {
+        match &tried.outcome {
+            Ok(response) if response.reply.reason.is_none() => {
+                if !self.guard.is_idle() {
+                    self.guard.answered(fingerprint());
+                }
+            }
+            Ok(_) => {}
+            Err(failed) => match (failed.reason, failed.verdict) {
+                (Reason::ConnectionLost, Verdict::MayHaveRun) => {
+                    self.guard.lost(upstream, fingerprint());
+                }
+                (Reason::ConnectionRefused, _) => self.guard.ended(&upstream.id, upstream.born),
+                _ => {}
+            },
+        }
+    }
+
     fn is_keyed(&self, service: &ServiceName) -> bool {
         let configuration = self.beliefs.configuration();
         let known = configuration
@@ -339,6 +382,19 @@
     }
 }
 
+/// What makes two requests the same to an upstream.
+fn fingerprint_of(parts: &Parts, key: Option<Key>, body: Option<&[u8]>) -> Fingerprint {
+    let host = parts
+        .headers
+        .get(HOST)
+        .map_or(&b""[..], HeaderValue::as_bytes);
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let key = key.map_or(String::new(), |key| key.to_string());
+    let host = String::from_utf8_lossy(host);
+    let method = parts.method.as_str();
+    Head::fingerprint_of(&host, &key, method, path, body.unwrap_or_default())
+}
+
 fn end_of(outcome: &Result<Response, Failed>) -> End {
     match outcome {
         Ok(response) => match response.reply.reason {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// Reads the list of upstreams at a steady pace, for ever; `changed` is called after each.
+/// Reads the list of upstreams at a steady pace, for ever.
 ///
 /// A daemon that hears from the leader leaves the reading to it.
 pub async fn upstreams(
@@ -77,7 +77,6 @@
     beliefs: Arc<Beliefs>,
     clock: impl Clock,
     metrics: Metrics,
-    changed: impl Fn(),
 ) {
     let mut reader = Reader::new("upstreams", metrics.clone());
     let mut unreadable: HashSet<String> = HashSet::default();
@@ -101,7 +100,6 @@
             .upstreams
             .set(i64::try_from(count).unwrap_or(i64::MAX));
         log(&changes);
-        changed();
         sleep_until(began + LIST_TIME).await;
     }
 }
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -106,7 +106,7 @@
         ));
         let clock = Driven::default();
         clock.suspend(Duration::from_secs(1));
-        let listing = watch::upstreams(source.clone(), beliefs.clone(), clock, metrics, || {});
+        let listing = watch::upstreams(source.clone(), beliefs.clone(), clock, metrics);
         tokio::spawn(listing);
         sleep(Duration::from_secs(3)).await;
         assert!(beliefs.is_complete());
@@ -238,7 +238,7 @@
     let reading = watch::configurations(source.clone(), beliefs.clone(), metrics.clone());
     tokio::spawn(reading);
     let clock = Driven::default();
-    let listing = watch::upstreams(source.clone(), beliefs.clone(), clock, metrics, || {});
+    let listing = watch::upstreams(source.clone(), beliefs.clone(), clock, metrics);
     tokio::spawn(listing);
     // It has not looked for a leader yet.
     sleep(Duration::from_secs(1)).await;
