--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -18,7 +18,7 @@
     Fence,
     balance::{self, Loads, Piece},
     demand::{Demand, Report},
-    order::{Action, Limits, Order, Outcome},
+    order::{Action, Order, Outcome},
     plan::{Plan, Range},
     table::{ALL, Table},
 };
@@ -29,9 +29,11 @@
 use tract::{Stage, Tract, lasting};
 
 pub use sight::Sight;
+pub use timing::Timing;
 
 mod holder;
 mod sight;
+mod timing;
 mod tract;
 
 /// Ranges that each upstream gets in the first plan, so that keys that lie close together and are
@@ -54,64 +56,6 @@
 /// The use of a holder's slots above which it gets only a share of the requests for its keys.
 const FULL: f64 = 1.0;
 
-/// Time limits of grants.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Timing {
-    /// How long a grant lasts.
-    pub hold: Duration,
-    /// How long a grant lasts that is given while the store does not answer.
-    pub hold_max: Duration,
-    /// How often a grant is renewed.
-    pub renew: Duration,
-    /// How long a grant's answer may take.
-    pub order_limit: Duration,
-    /// How long it may take on a new connection, which a busy upstream does not read at once.
-    pub new_order_limit: Duration,
-    /// How long after it was sent on a new connection a busy upstream may read an order.
-    pub read: Duration,
-    /// How long a release's answer may take.
-    pub release_limit: Duration,
-    /// How long after a change of leader the earlier one may still give orders.
-    pub predecessor: Duration,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self {
-            hold: Duration::from_secs(5),
-            hold_max: Duration::from_secs(10),
-            renew: Duration::from_millis(1_500),
-            order_limit: Duration::from_millis(500),
-            new_order_limit: Duration::from_secs(2),
-            read: Duration::from_millis(4_500),
-            release_limit: Duration::from_secs(4),
-            predecessor: Duration::from_millis(1_300),
-        }
-    }
-}
-
-impl Timing {
-    /// How long after an order was given up on a new connection the upstream may still read it.
-    fn unread(&self) -> Duration {
-        self.read.saturating_sub(self.new_order_limit)
-    }
-
-    /// How long an order may take.
-    #[must_use]
-    pub fn limits(&self, action: &Action) -> Limits {
-        match action {
-            Action::Grant { .. } => Limits {
-                answered: self.order_limit,
-                new: self.new_order_limit,
-            },
-            Action::Release => Limits {
-                answered: self.release_limit,
-                new: self.release_limit,
-            },
-        }
-    }
-}
-
 /// The decisions for one service.
 #[derive(Debug)]
 pub struct Machine {
