Read answers of up to 64 KB whole before they are passed on

Cause: a request that was begun behind another on its connection gets no answer when that one's streamed answer breaks off, since the connection must be closed (LOST). Answers of the users' deployments have up to 30 KB, and those above 16 KB were streamed.

Change: the size up to which an answer with a length is read whole rises from 16 to 64 KB. One that breaks off is a failed try then, which repeatable requests outlive, and not a cut for the caller.

A test with the start of a long body failed before.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Answers up to this size are read whole before they are passed on, in bytes.
-const SMALL_BYTES_MAX: usize = 16 * 1024;
+const SMALL_BYTES_MAX: usize = 64 * 1024;
 
 /// One request on its way, and its time limits.
 #[derive(Debug, Clone)]
--- a/crates/backend/tests/backend/answer.rs
+++ b/crates/backend/tests/backend/answer.rs
@@ -81,6 +81,7 @@
 #[test_case("" => LOST; "nothing")]
 #[test_case("HTTP/1.1 200 O\r\ncontent-le" => LOST; "half a head")]
 #[test_case("HTTP/1.1 200 O\r\ncontent-length: 9\r\n\r\nhalf" => LOST; "half a body")]
+#[test_case("HTTP/1.1 200 O\r\ncontent-length: 60000\r\n\r\nhalf" => LOST; "the start of a long body")]
 #[tokio::test]
 async fn verdict(answer: &'static str) -> (Verdict, Option<Reason>) {
     let address = scripted(answer, true).await;
