Log and count requests whose connection was lost, and those of no proof

Lines request-lost and suspect name the fingerprint; gateway_lost_requests counts losses, and gateway_unproved_losses those that were forgotten without proof of a crash.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -15,7 +15,7 @@
     quarantine::{Crash, Fingerprint, Quarantine},
     registry::Upstream,
 };
-use spdlog::warn;
+use spdlog::{info, warn};
 use tokio::time::Instant;
 
 /// Correlates lost connections with crashed upstreams and quarantines requests that cause crashes.
@@ -52,6 +52,8 @@
 
     /// Records a request whose connection was lost before the response.
     pub(crate) fn record_lost_connection(&self, upstream: &Upstream, request: Fingerprint) {
+        self.metrics.lost_requests.inc();
+        info!("connection lost under a request", kv: { event = "request-lost", fingerprint = request, server = &*upstream.id, born = upstream.born });
         let suspect = Suspect {
             fingerprint: request,
             is_exclusive: false,
@@ -73,7 +75,15 @@
 
     /// Removes unregistered upstreams and expired quarantine entries.
     pub(crate) fn remove_stale(&self, is_registered: impl Fn(&str) -> bool) {
-        self.lost_requests().retain(|id, _| is_registered(id));
+        let now = Instant::now();
+        let mut lost_requests = self.lost_requests();
+        let unproved: usize = lost_requests
+            .values_mut()
+            .map(|lost_requests| lost_requests.take_unproved(now))
+            .sum();
+        lost_requests.retain(|id, _| is_registered(id));
+        drop(lost_requests);
+        self.metrics.unproved_losses.inc_by(unproved as u64);
         self.quarantine().remove_expired(Instant::now());
     }
 
@@ -93,6 +103,7 @@
                 born: suspect.incarnation,
             };
             self.metrics.suspects.inc();
+            info!("upstream crashed under a request", kv: { event = "suspect", fingerprint = suspect.fingerprint, server = &**id, born = suspect.incarnation });
             if self.quarantine().record_crash(crash, now) {
                 warn!("request quarantined: it crashed several upstreams", kv: { event = "quarantined", fingerprint = suspect.fingerprint });
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,10 @@
     pub(crate) suppressed_lines: Counter,
     /// Requests that were in flight when an upstream crashed, counted once for each crash.
     pub(crate) suspects: Counter,
+    /// Requests whose connection was lost before the response.
+    pub(crate) lost_requests: Counter,
+    /// Lost requests that were forgotten without evidence of a crash.
+    pub(crate) unproved_losses: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
     configuration: Gauge,
     pub(crate) upstreams: Gauge,
@@ -134,6 +138,16 @@
             "Requests that were in flight when an upstream crashed",
             all.suspects,
         );
+        registry.register(
+            "lost_requests",
+            "Requests whose connection was lost before the response",
+            all.lost_requests,
+        );
+        registry.register(
+            "unproved_losses",
+            "Lost requests that were forgotten without evidence that the upstream had crashed",
+            all.unproved_losses,
+        );
         registry.register(
             "latency_seconds",
             "Time that requests take, by stage",
@@ -258,6 +272,8 @@
             cancelled: Counter::default(),
             suppressed_lines: Counter::default(),
             suspects: Counter::default(),
+            lost_requests: Counter::default(),
+            unproved_losses: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -70,6 +70,9 @@
 pub struct LostRequests {
     lost: Vec<LostRequest>,
     last_crash: Option<Crash>,
+    /// Lost requests that were forgotten without evidence since the last call of
+    /// [`LostRequests::take_unproved`].
+    unproved: usize,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -247,8 +250,16 @@
         suspects
     }
 
+    /// Returns how many lost requests were forgotten without evidence of a crash since the last call.
+    pub fn take_unproved(&mut self, now: Instant) -> usize {
+        self.expire(now);
+        std::mem::take(&mut self.unproved)
+    }
+
     fn expire(&mut self, now: Instant) {
+        let before = self.lost.len();
         self.lost
             .retain(|lost_request| now < lost_request.at + EVIDENCE_TIMEOUT);
+        self.unproved += before - self.lost.len();
     }
 }
