--- a/crates/copperwelld/tests/gateway/crash.rs
+++ b/crates/copperwelld/tests/gateway/crash.rs
@@ -1,20 +1,43 @@
 //! Requests that crash servers.
 
+use std::{
+    process::Stdio,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
 use crate::{
+    crashing_servers::{CRASH_PATH, CrashingServers, End, SLOW_PATH},
     harness::{CONDITION_TIMEOUT, Daemon, Harness, SERVERS},
     standin::{caller, cluster, config, rule, store::Store},
 };
 use http::StatusCode;
-use std::{process::Stdio, time::Duration};
+use rustix::process::Signal;
+use test_case::test_case;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    task::JoinHandle,
+    task::{JoinHandle, JoinSet},
     time::{Instant, sleep},
 };
 
-/// The path that crashes a server which receives it.
-const CRASH_PATH: &str = "/read/poison";
+/// The interval at which the caller of the crashing request sends it.
+const SEND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The crashes after which a request has to be refused.
+const CRASHES_MIN: usize = 3;
+
+/// The sends that may still arrive after these: those of the next three seconds, and three more.
+const ARRIVALS_AFTER: usize = 6 + 3;
+
+/// Refusals in a row that show that every daemon refuses the request.
+const REFUSALS_IN_TURN: usize = 6;
+
+/// The most sends of the crashing request.
+const SENDS_MAX: usize = 60;
 
 /// Registers a server of `pay` that stops when it receives a request for [`CRASH_PATH`].
 async fn register_crashing_server(store: &Store, id: &str) -> [JoinHandle<()>; 2] {
@@ -111,3 +134,169 @@
         task.abort();
     }
 }
+
+/// Starts daemons that route `/read/` to a service without keys.
+async fn start(daemons: usize) -> Harness {
+    let mut harness = Harness::start(0).await;
+    harness.servers.truncate(SERVERS);
+    let rules = [
+        rule("cups", "idempotent", "cups"),
+        rule("read", "idempotent", "pay"),
+    ];
+    let clusters = [cluster("cups", true), cluster("pay", false)];
+    harness.store.configure(&config(5, &rules, &clusters));
+    for _ in 0..daemons {
+        let daemon = Daemon::start(&harness.store, Stdio::null());
+        harness.daemons.push(daemon);
+    }
+    harness
+}
+
+/// What becomes of the sends of a caller whose request crashes servers.
+struct Caller {
+    harness: Arc<Harness>,
+    sends: JoinSet<()>,
+    /// Refusals since the last send that was not refused.
+    refusals: Arc<AtomicUsize>,
+    count: usize,
+}
+
+impl Caller {
+    fn new(harness: &Arc<Harness>) -> Self {
+        Self {
+            harness: harness.clone(),
+            sends: JoinSet::new(),
+            refusals: Arc::default(),
+            count: 0,
+        }
+    }
+
+    /// Sends the request to the next daemon and waits until the next send is due.
+    async fn send_next(&mut self) {
+        let (harness, refusals) = (self.harness.clone(), self.refusals.clone());
+        let number = self.count;
+        self.count += 1;
+        self.sends.spawn(async move {
+            let daemon = number % harness.daemons.len();
+            let id = format!("crash-{number}");
+            let response = harness.send(daemon, CRASH_PATH, &id, 1).await;
+            if response.is_some_and(|(_, body)| body.contains("quarantined")) {
+                refusals.fetch_add(1, Ordering::Relaxed);
+            } else {
+                refusals.store(0, Ordering::Relaxed);
+            }
+        });
+        sleep(SEND_INTERVAL).await;
+    }
+
+    /// Sends the request until every daemon refuses it, or has been given every chance to.
+    async fn send_until_refused(&mut self) {
+        while self.refusals.load(Ordering::Relaxed) < REFUSALS_IN_TURN && self.count < SENDS_MAX {
+            self.send_next().await;
+        }
+    }
+}
+
+#[test_case(End::Refuses; "refuses connections")]
+#[test_case(End::BackAtOnce; "back at once")]
+#[test_case(End::Replaced; "replaced")]
+#[test_case(End::Silent; "silent")]
+#[test_case(End::InBody; "in the body of its response")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_is_sent_alone_crashes_servers_without_end(end: End) {
+    let harness = Arc::new(start(3).await);
+    let servers = CrashingServers::start(&harness.store, 6, end);
+    harness.wait_served().await;
+    let mut caller = Caller::new(&harness);
+    caller.send_until_refused().await;
+    let crashes = servers.crashes();
+    assert!(
+        (CRASHES_MIN..=CRASHES_MIN + ARRIVALS_AFTER).contains(&crashes),
+        "{crashes} crashes"
+    );
+}
+
+/// Waits until a daemon leads, and takes it out of the harness.
+async fn remove_leader(harness: &mut Harness) -> Daemon {
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    loop {
+        let daemons = harness.daemons.iter().enumerate();
+        let leading = daemons.filter(|(_, daemon)| caller::leads(&harness.store, &daemon.name()));
+        // The name of one daemon may begin with that of another.
+        let leader = leading.max_by_key(|(_, daemon)| daemon.name().len());
+        if let Some((index, _)) = leader {
+            return harness.daemons.remove(index);
+        }
+        assert!(Instant::now() < deadline, "no daemon leads");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_are_forgotten_when_the_leader_is_lost() {
+    let mut harness = start(3).await;
+    let servers = CrashingServers::start(&harness.store, 6, End::Refuses);
+    harness.wait_served().await;
+    for lost in [1, 2] {
+        let mut caller = Caller::new(&Arc::new(harness));
+        while servers.crashes() < lost {
+            caller.send_next().await;
+        }
+        while caller.sends.join_next().await.is_some() {}
+        harness = Arc::into_inner(caller.harness).unwrap();
+        let mut leader = remove_leader(&mut harness).await;
+        leader.signal(Signal::KILL);
+        leader.wait_exited().await;
+        let daemon = Daemon::start(&harness.store, Stdio::null());
+        harness.daemons.push(daemon);
+        harness.wait_served().await;
+    }
+    let mut caller = Caller::new(&Arc::new(harness));
+    caller.send_until_refused().await;
+    let crashes = servers.crashes();
+    assert!(
+        (CRASHES_MIN..=CRASHES_MIN + ARRIVALS_AFTER).contains(&crashes),
+        "{crashes} crashes"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn harmless_requests_beside_a_crashing_one_are_refused() {
+    let harness = Arc::new(start(3).await);
+    let servers = CrashingServers::start(&harness.store, 6, End::Refuses);
+    harness.wait_served().await;
+    let refused = Arc::new(AtomicUsize::new(0));
+    let mut beside = JoinSet::new();
+    let mut caller = Caller::new(&harness);
+    while caller.refusals.load(Ordering::Relaxed) < REFUSALS_IN_TURN && caller.count < SENDS_MAX {
+        for number in 0..6 {
+            let (harness, refused) = (harness.clone(), refused.clone());
+            let send = caller.count;
+            beside.spawn(async move {
+                let path = format!("{SLOW_PATH}/{number}");
+                let id = format!("slow-{number}-{send}");
+                let daemon = send % harness.daemons.len();
+                let response = harness.send(daemon, &path, &id, 1).await;
+                if response.is_some_and(|(_, body)| body.contains("quarantined")) {
+                    refused.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+        caller.send_next().await;
+    }
+    while beside.join_next().await.is_some() {}
+    for number in 0..6 {
+        let path = format!("{SLOW_PATH}/{number}");
+        let deadline = Instant::now() + CONDITION_TIMEOUT;
+        while send(&harness, 0, &path, 1_000).await.0 != StatusCode::OK {
+            assert!(Instant::now() < deadline, "{path} is not served");
+            sleep(SEND_INTERVAL).await;
+        }
+    }
+    assert_eq!(refused.load(Ordering::Relaxed), 0);
+    let crashes = servers.crashes();
+    assert!(
+        (CRASHES_MIN..=CRASHES_MIN + ARRIVALS_AFTER).contains(&crashes),
+        "{crashes} crashes"
+    );
+}
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod standin;
 
 mod crash;
+mod crashing_servers;
 mod daemon;
 mod harness;
 mod http1;
