Recognise a request that its caller sends again, and no other

Callers saw a request that crashes servers sent on under other fingerprints: the gateway hashed the key, which services without keys ignore, and the host of the header field only; of a body of over 64 KB it took nothing, and the product's own ingress took as much as had arrived, which differs between sends. It left the caller out, so that another caller's answer cleared it.

Now a request is its caller, method, host, path and the first 64 KB of its body.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -32,7 +32,7 @@
 /// The body of a request, of which the start has been read.
 #[derive(Debug)]
 pub struct RequestBody {
-    /// The bytes that have been read: the whole body if it is short, else its start.
+    /// The whole body if it is short, else its start, of a length that does not depend on how it arrives.
     pub prefix: Bytes,
     /// The whole body, to be forwarded.
     pub body: Body,
@@ -123,7 +123,7 @@
     tokio::spawn(forward_rest(incoming, sender, remaining));
     Ok(RequestBody {
         body: body.with_prefix(prefix.clone()),
-        prefix,
+        prefix: prefix.slice(..PREFIX_BYTES),
     })
 }
 
--- a/crates/caller/tests/ingress/route.rs
+++ b/crates/caller/tests/ingress/route.rs
@@ -355,3 +355,29 @@
     let received = response.into_body().collect().await.unwrap().to_bytes();
     assert_eq!(received, "one two three");
 }
+
+#[tokio::test]
+async fn long_request_that_arrives_in_other_chunks_is_not_recognised() {
+    let mut fingerprints = Vec::new();
+    for chunk_bytes in [1_000, 30_000, 65_536, 200_000] {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let fake = FakeNetwork::immediate(move |sent| {
+            sender.send(sent.request.head.fingerprint).unwrap();
+            done_response(Body::empty())
+        });
+        let bytes = vec![b'x'; 200_000];
+        let chunks: Vec<_> = bytes
+            .chunks(chunk_bytes)
+            .map(|chunk| {
+                let frame = http_body::Frame::data(Bytes::copy_from_slice(chunk));
+                Ok::<_, std::convert::Infallible>(frame)
+            })
+            .collect();
+        let body = StreamBody::new(futures::stream::iter(chunks)).boxed();
+        let request = request("PUT", PATH, "").map(|_: Full<Bytes>| body);
+        open_response(fake.start().await, request).await;
+        fingerprints.push(receiver.recv().unwrap());
+    }
+    fingerprints.dedup();
+    assert_eq!(fingerprints.len(), 1, "{fingerprints:?}");
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -20,16 +20,16 @@
     metrics::Metrics as ConnectionMetrics,
     pool::Timing,
 };
-use copperwell_message::{Body, HashMap, Head, Reason, Response, Verdict};
+use copperwell_message::{Body, HashMap, Reason, Response, Verdict};
 use copperwell_routing::{
-    Key, ServiceName, UpstreamId,
+    ServiceName, UpstreamId,
     configuration::Route,
     load::Outcome,
     quarantine::Fingerprint,
     registry::Upstream,
     retry::{self, Decision, FailedAttempt},
 };
-use http::{HeaderValue, header::HOST, request::Parts};
+use http::request::Parts;
 use tokio::time::{Instant, sleep};
 
 /// The timeout for opening a connection to an upstream.
@@ -64,6 +64,7 @@
     pub(crate) selector: &'a Selector,
     pub(crate) pools: &'a ConnectionPools,
     pub(crate) crash_tracker: &'a CrashTracker,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) metrics: &'a Metrics,
     pub(crate) route: &'a Route,
     pub(crate) metadata: &'a Metadata,
@@ -128,9 +129,8 @@
         let mut stale_version = None;
         // The result that is returned unless a later attempt succeeds.
         let mut last_result: Option<Result<Response, Refusal>> = None;
-        let fingerprint = || fingerprint_of(&parts, self.metadata.key, buffered.as_deref());
         loop {
-            if let Some(left) = self.quarantined_for(fingerprint) {
+            if let Some(left) = self.quarantined_for() {
                 return last_result.unwrap_or(Err(Refusal {
                     retry_after: Some(left),
                     ..Refusal::not_run(Reason::Quarantined)
@@ -160,7 +160,7 @@
             attempted.push(upstream.id.clone());
             let attempt = self.send(&upstream, &parts, body).await;
             let elapsed = attempt.elapsed;
-            self.record_crash_evidence(&upstream, &attempt, fingerprint);
+            self.record_crash_evidence(&upstream, &attempt);
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
                 Classified::Failure(result, failed) => (result, failed),
@@ -192,31 +192,21 @@
     }
 
     /// Returns how much longer the request is quarantined because it crashes upstreams.
-    fn quarantined_for(&self, fingerprint: impl Fn() -> Fingerprint) -> Option<Duration> {
-        if self.crash_tracker.is_empty() {
-            return None;
-        }
-        self.crash_tracker.quarantined_for(fingerprint())
+    fn quarantined_for(&self) -> Option<Duration> {
+        self.crash_tracker.quarantined_for(self.fingerprint)
     }
 
     /// Passes the result of an attempt to the crash tracker.
-    fn record_crash_evidence(
-        &self,
-        upstream: &Upstream,
-        attempt: &Attempt,
-        fingerprint: impl Fn() -> Fingerprint,
-    ) {
+    fn record_crash_evidence(&self, upstream: &Upstream, attempt: &Attempt) {
         match &attempt.result {
             Ok(response) if response.reply.reason.is_none() => {
-                if !self.crash_tracker.is_empty() {
-                    self.crash_tracker.record_answer(fingerprint());
-                }
+                self.crash_tracker.record_answer(self.fingerprint);
             }
             Ok(_) => {}
             Err(failed) => match (failed.reason, failed.verdict) {
                 (Reason::ConnectionLost, Verdict::MayHaveRun) => {
                     self.crash_tracker
-                        .record_lost_connection(upstream, fingerprint());
+                        .record_lost_connection(upstream, self.fingerprint);
                 }
                 (Reason::ConnectionRefused, _) => self
                     .crash_tracker
@@ -404,19 +394,6 @@
     }
 }
 
-/// Returns the fingerprint of a request, which is the same for requests that are the same to an upstream.
-fn fingerprint_of(parts: &Parts, key: Option<Key>, body: Option<&[u8]>) -> Fingerprint {
-    let host = parts
-        .headers
-        .get(HOST)
-        .map_or(&b""[..], HeaderValue::as_bytes);
-    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    let key = key.map_or(String::new(), |key| key.to_string());
-    let host = String::from_utf8_lossy(host);
-    let method = parts.method.as_str();
-    Head::fingerprint_of(&host, &key, method, path, body.unwrap_or_default())
-}
-
 /// Returns how an attempt ended, for load balancing.
 fn outcome_of(result: &Result<Response, Failed>) -> Outcome {
     match result {
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -35,11 +35,6 @@
         }
     }
 
-    /// Returns whether no request is suspected or quarantined.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.quarantine().is_empty()
-    }
-
     /// Returns how much longer a request is quarantined; `None` if it is not.
     pub(crate) fn quarantined_for(&self, request: Fingerprint) -> Option<Duration> {
         self.quarantine().refused_for(request, Instant::now())
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     attempts::{Attempts, ConnectionPools},
     crash_tracker::CrashTracker,
     dialect::{Dialect, Metadata},
+    fingerprint::{fingerprint_of, host_of},
     metrics::{Metrics, Stage},
     queue::Queues,
     refusal::Refusal,
@@ -21,12 +22,15 @@
     view::View,
 };
 use copperwell_caller::{
-    body::{self, ResponseBody},
+    body::{self, RequestBody, ResponseBody},
     server::{Handler, Limits},
 };
 use copperwell_message::{Body, Reason, Response};
-use copperwell_routing::configuration::{Configuration, Route};
-use http::{HeaderName, HeaderValue, StatusCode, header::HOST, request::Parts};
+use copperwell_routing::{
+    configuration::{Configuration, Route},
+    quarantine::Fingerprint,
+};
+use http::{HeaderName, HeaderValue, StatusCode, request::Parts};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -65,6 +69,7 @@
     route: Arc<Route>,
     parts: Parts,
     body: Body,
+    fingerprint: Fingerprint,
     arrived: Instant,
     deadline: Instant,
 }
@@ -119,6 +124,7 @@
     async fn accept(
         &self,
         request: http::Request<Option<Incoming>>,
+        caller: IpAddr,
         arrived: Instant,
     ) -> Result<Accepted, (Refusal, Option<HeaderValue>)> {
         let (parts, incoming) = request.into_parts();
@@ -133,8 +139,9 @@
         let deadline = arrived + timeout.min(route.timeout);
         let limit = configuration.limits.body_bytes;
         let read = body::read_request(incoming, limit, deadline).await;
-        let body = read.map_err(|refusal| refuse(refusal.reason))?.body;
+        let RequestBody { prefix, body } = read.map_err(|refusal| refuse(refusal.reason))?;
         Ok(Accepted {
+            fingerprint: fingerprint_of(caller, &parts, &prefix),
             metadata,
             route,
             parts,
@@ -150,6 +157,7 @@
             route,
             parts,
             body,
+            fingerprint,
             arrived,
             deadline,
         } = accepted;
@@ -174,6 +182,7 @@
             selector: &self.selector,
             pools: &self.pools,
             crash_tracker: &self.crash_tracker,
+            fingerprint,
             metrics: &self.metrics,
             route: &route,
             metadata: &metadata,
@@ -211,11 +220,11 @@
     async fn handle(
         &self,
         request: http::Request<Option<Incoming>>,
-        _: IpAddr,
+        caller: IpAddr,
     ) -> http::Response<ResponseBody> {
         let arrived = Instant::now();
         self.metrics.requests.inc();
-        match self.accept(request, arrived).await {
+        match self.accept(request, caller, arrived).await {
             Ok(accepted) => self.serve(accepted).await,
             Err((refusal, id)) => {
                 let unknown_id = HeaderValue::from_static("?");
@@ -281,11 +290,7 @@
 }
 
 fn route_of(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
-    let host = match parts.headers.get(HOST) {
-        Some(host) => host.to_str().ok()?,
-        None => parts.uri.host()?,
-    };
-    let host = host.split_once(':').map_or(host, |(name, _)| name);
+    let host = host_of(parts)?;
     configuration.route(host, parts.uri.path()).cloned()
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod attempts;
 mod crash_tracker;
+mod fingerprint;
 mod queue;
 mod refusal;
 mod request_log;
