Prove the crash of a server without another request to it, in the engine

On the product's own interface a request that crashes servers was sent to a third one if nothing else was asked of the servers that it had crashed. A lost request became a suspect only if the next request to that very server showed its end within 2 s; a server that was down for longer, that lost its shard, or that fell silent was never found to have crashed.

Any route of the service that names a later run is proof, and timeouts and silent connections are recorded like lost ones; an answer of the same run refutes a refused connection.

request_that_is_sent_alone_crashes_servers_without_end (engine) failed in its three cases before: 3 runs where the third has to be refused.

--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -171,6 +171,7 @@
     /// Frees the permit after a complete answer.
     fn finish_answered(mut self) {
         self.slot.set_end(End::Answered);
+        self.slot.limiter().record_answer(self.suspect.incarnation);
         if self.slot.is_exclusive() {
             self.quarantine.clear(self.suspect.fingerprint);
         }
@@ -178,9 +179,11 @@
 
     /// Frees the permit after the connection was lost in the middle of the answer.
     fn finish_connection_lost(self) {
-        let suspects = self.slot.limiter().record_lost_connection(self.suspect);
-        self.quarantine
-            .record_crash(&suspects, self.quarantine_duration);
+        self.quarantine.record_unanswered(
+            self.slot.limiter(),
+            self.suspect,
+            self.quarantine_duration,
+        );
     }
 }
 
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -181,13 +181,21 @@
                     .record_crash(&suspects, permit.quarantine_duration);
                 self.report_unreachable(call, destination);
             }
-            Reason::ConnectionLost => {
-                let suspects = destination.limiter.record_lost_connection(permit.suspect);
-                self.quarantine
-                    .record_crash(&suspects, permit.quarantine_duration);
+            Reason::ConnectionLost | Reason::ConnectionSilent | Reason::DeadlinePassed
+                if failure.verdict == Verdict::MayHaveRun =>
+            {
+                self.quarantine.record_unanswered(
+                    &destination.limiter,
+                    permit.suspect,
+                    permit.quarantine_duration,
+                );
+                if failure.reason != Reason::DeadlinePassed {
+                    self.report_unreachable(call, destination);
+                }
+            }
+            Reason::ConnectionLost | Reason::ConnectionSilent => {
                 self.report_unreachable(call, destination);
             }
-            Reason::ConnectionSilent => self.report_unreachable(call, destination),
             Reason::Fenced => self.report(Observation::Fenced {
                 service: call.head.service.as_str().into(),
                 shard: call.head.shard,
--- a/crates/dispatch/src/limiter.rs
+++ b/crates/dispatch/src/limiter.rs
@@ -12,9 +12,10 @@
 use copperwell_message::{Class, Reason};
 use copperwell_policy::{
     backoff::Backoff,
-    quarantine::{LostRequests, Suspect},
+    quarantine::Suspect,
     queue::{self, Queue, Request, Ticket},
     slots::{End, Run, Slots},
+    unanswered::Unanswered,
 };
 use tokio::{
     sync::oneshot,
@@ -90,7 +91,7 @@
     queue: Queue,
     slots: Slots,
     waiting: HashMap<Ticket, Waiter>,
-    lost_requests: LostRequests,
+    unanswered: Unanswered<Suspect>,
     incarnation: Incarnation,
     /// The number of connections refused since the last answer.
     refused_connections: u32,
@@ -119,7 +120,7 @@
             queue: Queue::new(queue as usize),
             slots: Slots::new(slots),
             waiting: HashMap::default(),
-            lost_requests: LostRequests::new(),
+            unanswered: Unanswered::new(),
             incarnation: 0,
             refused_connections: 0,
         };
@@ -170,9 +171,7 @@
         let backoff = Backoff::new(RECONNECT_BACKOFF_INITIAL, RECONNECT_BACKOFF_MAX);
         let until = now + backoff.delay(state.refused_connections, &mut rand::rng());
         state.slots.pause(now, until);
-        let suspects = state
-            .lost_requests
-            .record_refused_connection(now, incarnation);
+        let suspects = state.unanswered.record_end(now, incarnation);
         drop(state);
         self.grant_slots_at(until);
         suspects
@@ -189,12 +188,22 @@
         self.state().slots.shed_until(now)
     }
 
-    /// Records a connection lost during a request and returns the suspects of a crash that is
-    /// proven already.
-    pub(crate) fn record_lost_connection(&self, suspect: Suspect) -> Vec<Suspect> {
+    /// Records a request that the server left unanswered, and returns it if the server is known to have
+    /// ended.
+    pub(crate) fn record_unanswered(&self, suspect: Suspect) -> Option<Suspect> {
         self.state()
-            .lost_requests
-            .record_lost_connection(Instant::now(), suspect)
+            .unanswered
+            .record(Instant::now(), suspect.incarnation, suspect)
+    }
+
+    /// Returns whether any request without an answer waits for proof that the server has ended.
+    pub(crate) fn has_unanswered(&self) -> bool {
+        self.state().unanswered.has_requests()
+    }
+
+    /// Records an answer of `incarnation`, which therefore has not ended.
+    pub(crate) fn record_answer(&self, incarnation: Incarnation) {
+        self.state().unanswered.record_answer(incarnation);
     }
 
     /// Records the server's incarnation and returns the suspects of a crash that it proves.
@@ -208,9 +217,12 @@
             }
             state.incarnation = incarnation;
         }
-        state
-            .lost_requests
-            .record_incarnation(Instant::now(), incarnation)
+        match incarnation.checked_sub(1) {
+            Some(ended) if state.unanswered.has_requests() => {
+                state.unanswered.record_end(Instant::now(), ended)
+            }
+            _ => Vec::new(),
+        }
     }
 
     /// Returns the current load.
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -7,14 +7,19 @@
     time::Duration,
 };
 
-use crate::metrics::Metrics;
-use copperwell_policy::quarantine::{Admission, Conviction, Quarantine, Suspect};
+use crate::{limiter::Limiter, metrics::Metrics};
+use copperwell_policy::{
+    quarantine::{Admission, Conviction, Quarantine, Suspect},
+    unanswered::PROOF_TIMEOUT,
+};
 use tokio::time::Instant;
 
 /// A quarantine of the requests that crash servers, with its metrics.
 #[derive(Debug)]
 pub(crate) struct SharedQuarantine {
     quarantine: Mutex<Quarantine>,
+    /// Until when an unanswered request may turn out to be the suspect of a crash.
+    awaits_proof_until: Mutex<Option<Instant>>,
     metrics: Metrics,
 }
 
@@ -23,6 +28,7 @@
     pub(crate) fn new(metrics: Metrics) -> Self {
         Self {
             quarantine: Mutex::new(Quarantine::new()),
+            awaits_proof_until: Mutex::default(),
             metrics,
         }
     }
@@ -32,6 +38,25 @@
         self.quarantine().admit(Instant::now(), fingerprint)
     }
 
+    /// Returns whether any request was left unanswered recently, so that proof of a crash matters.
+    pub(crate) fn awaits_proof(&self) -> bool {
+        let until = *self.awaits_proof_until();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Records a request that the server of `limiter` left unanswered, as a suspect for `duration` if the
+    /// server has crashed.
+    pub(crate) fn record_unanswered(
+        &self,
+        limiter: &Limiter,
+        suspect: Suspect,
+        duration: Duration,
+    ) {
+        *self.awaits_proof_until() = Some(Instant::now() + PROOF_TIMEOUT);
+        let crashed = limiter.record_unanswered(suspect);
+        self.record_crash(crashed.as_slice(), duration);
+    }
+
     /// Attributes a crash to `suspects`, each of which is remembered for `duration`.
     pub(crate) fn record_crash(&self, suspects: &[Suspect], duration: Duration) {
         if suspects.is_empty() {
@@ -67,6 +92,12 @@
             .import(Instant::now(), convictions, duration);
     }
 
+    fn awaits_proof_until(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.awaits_proof_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine
             .lock()
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -157,6 +157,20 @@
             .unwrap_or_default()
     }
 
+    /// Returns the latest incarnation of an upstream that owns a shard of a service.
+    #[must_use]
+    pub fn incarnation(&self, service: &str, upstream: &str) -> Option<Incarnation> {
+        let shards = self.shards(service)?;
+        let entries = shards.entries();
+        let incarnations = entries
+            .values()
+            .filter_map(|entry| match &entry.leadership().route {
+                Route::Owned(owner) if &*owner.upstream == upstream => Some(owner.incarnation),
+                _ => None,
+            });
+        incarnations.max()
+    }
+
     /// Returns and resets the number of requests of each shard of a service since the last call.
     ///
     /// Shards without requests are left out.
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -120,6 +120,7 @@
         let suspects = upstream.limiter().observe_incarnation(owner.incarnation);
         self.quarantine
             .record_crash(&suspects, service.settings.limits.quarantine);
+        self.record_restarts(service);
         match self.quarantine.admit(call.head.fingerprint) {
             Admission::Free => Ok(false),
             Admission::Exclusive => Ok(true),
@@ -129,6 +130,25 @@
         }
     }
 
+    /// Records the crashes that the routes show, of servers to which this request need not go.
+    fn record_restarts(&self, service: &ActiveService) {
+        if !self.quarantine.awaits_proof() {
+            return;
+        }
+        for upstream in service.upstreams() {
+            let limiter = upstream.existing_limiter();
+            let Some(limiter) = limiter.filter(|limiter| limiter.has_unanswered()) else {
+                continue;
+            };
+            let name = &upstream.settings.name;
+            if let Some(incarnation) = self.table.incarnation(&service.settings.name, name) {
+                let suspects = limiter.observe_incarnation(incarnation);
+                self.quarantine
+                    .record_crash(&suspects, service.settings.limits.quarantine);
+            }
+        }
+    }
+
     /// Waits for the backoff of a server that sheds load; returns whether there was a wait.
     async fn wait_for_shed_backoff(
         &self,
--- a/crates/dispatch/tests/engine/at_most_once.rs
+++ b/crates/dispatch/tests/engine/at_most_once.rs
@@ -336,6 +336,7 @@
 fn crashing_server(_: &Upstream, request: &Request) -> Action {
     match request.head.path.as_str() {
         "/crash" | "/beside" => Action::Fail(ms(50), Verdict::MayHaveRun, Reason::ConnectionLost),
+        "/freeze" => Action::Fail(ms(50), Verdict::MayHaveRun, Reason::ConnectionSilent),
         _ => Action::Answer(ms(1), "fine"),
     }
 }
@@ -445,3 +446,35 @@
     assert_eq!(harness.backend.count("/crash"), 3);
     assert!(harness.engine.quarantine_export().is_empty());
 }
+
+/// How a leader learns that the server of a lost request has crashed.
+#[derive(Debug, Clone, Copy)]
+enum Restart {
+    /// The server owns the shard again, after it was down.
+    Late,
+    /// Another server owns the shard; the server has got another one after its restart.
+    OfAnotherShard,
+}
+
+#[test_case(Restart::Late, "/crash"; "server that is down for seconds")]
+#[test_case(Restart::Late, "/freeze"; "silent server")]
+#[test_case(Restart::OfAnotherShard, "/crash"; "server that loses its shard")]
+#[tokio::test(start_paused = true)]
+async fn request_that_is_sent_alone_crashes_servers_without_end(restart: Restart, path: &str) {
+    let harness = harness(crashing_server).await;
+    let owners = match restart {
+        Restart::Late => [("a", 2), ("a", 3)],
+        Restart::OfAnotherShard => [("b", 1), ("a", 2)],
+    };
+    harness.serve(new_once_request(path)).await;
+    for (number, (upstream, incarnation)) in (0..).zip(owners) {
+        advance(Duration::from_secs(3)).await;
+        harness.set_owner(0, upstream, 10, incarnation);
+        if let Restart::OfAnotherShard = restart {
+            let crashed = ["a", "b"][number];
+            harness.set_owner(1, crashed, 10, 2);
+        }
+        harness.serve(new_once_request(path)).await;
+    }
+    assert_eq!(harness.backend.count(path), 2);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod sketch;
 pub mod slots;
 pub mod suspicion;
+pub mod unanswered;
 pub mod window;
