Prove the crash of an upstream without another request to it, in the gateway

A daemon took a lost connection for a crash only if its next connection to that upstream was refused within 2 s, and only other requests made one; a timeout, or a connection lost in a streamed body, was no loss at all (a streamed answer even cleared the request at its head).

Each send is now tracked until its answer is complete. What is left unanswered becomes a suspect if the upstream is found to have ended within 10 s: by a connection that is opened for that purpose and refused, or by a registry that removes it or lists a later run. A connection that times out, or that the pool has no room for, proves nothing any more. An answer with a status from 500 clears nothing.

On two servers, harmless requests beside the culprit are still refused.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -12,19 +12,28 @@
 use copperwell_message::{Body, Reason, Response, Sender, Verdict};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Frame, Incoming};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep_until, timeout_at},
+};
 
 /// The largest response body that is buffered completely instead of streamed, in bytes.
 const BUFFERED_BYTES_MAX: usize = 64 * 1024;
 
 /// Sends one request over a server's connections, within time limits.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Exchange {
     lane: Arc<Lane>,
     inactivity_timeout: Duration,
     deadline: Instant,
+    body_end: Option<BodyEnd>,
 }
 
+/// Receives how a streamed response body ended: completely, or why not.
+///
+/// It is dropped when the exchange returns a response that is not streamed.
+pub type BodyEnd = oneshot::Sender<Result<(), Reason>>;
+
 /// A request that failed before its response head arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Failed {
@@ -44,6 +53,16 @@
             lane,
             inactivity_timeout,
             deadline,
+            body_end: None,
+        }
+    }
+
+    /// Reports to `body_end` how a streamed response body ended.
+    #[must_use]
+    pub fn with_body_end(self, body_end: BodyEnd) -> Self {
+        Self {
+            body_end: Some(body_end),
+            ..self
         }
     }
 
@@ -192,16 +211,33 @@
     }
 
     /// Streams a body to its reader; a body that ends early is incomplete.
-    async fn stream_body(self, connection: Connection, mut incoming: Incoming, sender: Sender) {
+    async fn stream_body(mut self, connection: Connection, incoming: Incoming, sender: Sender) {
+        let body_end = self.body_end.take();
+        let result = self.forward_body(connection, incoming, sender).await;
+        if let Err(reason) = result {
+            self.lane.count_closed(reason.as_str());
+        }
+        if let Some(body_end) = body_end {
+            // The receiver may not be interested any more.
+            let _ = body_end.send(result);
+        }
+    }
+
+    async fn forward_body(
+        &self,
+        connection: Connection,
+        mut incoming: Incoming,
+        sender: Sender,
+    ) -> Result<(), Reason> {
         loop {
             connection.traffic().restart_timer();
-            let reason = tokio::select! {
+            return Err(tokio::select! {
                 biased;
                 frame = incoming.frame() => match frame {
                     None => {
                         self.lane.put_back(connection);
                         sender.end().await;
-                        return;
+                        return Ok(());
                     }
                     Some(Ok(frame)) => match self.send_frame(frame, &sender).await {
                         Ok(()) => continue,
@@ -213,9 +249,7 @@
                 () = sleep_until(self.deadline) => Reason::DeadlinePassed,
                 () = connection.traffic().wait_until_inactive(self.inactivity_timeout) =>
                     Reason::ConnectionSilent,
-            };
-            self.lane.count_closed(reason.as_str());
-            return;
+            });
         }
     }
 
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod order;
 mod outgoing;
 pub mod pool;
+pub mod probe;
 mod traffic;
 
 /// Sends control orders to backend servers.
--- a/crates/copperwelld/tests/gateway/crash.rs
+++ b/crates/copperwelld/tests/gateway/crash.rs
@@ -260,10 +260,14 @@
     );
 }
 
+#[test_case(6, End::Refuses; "on six servers")]
+#[test_case(2, End::Refuses; "on two servers")]
+#[test_case(3, End::BackAtOnce; "on three servers that are back at once")]
+#[test_case(6, End::Silent; "on silent servers")]
 #[tokio::test(flavor = "multi_thread")]
-async fn harmless_requests_beside_a_crashing_one_are_refused() {
+async fn harmless_requests_beside_a_crashing_one_are_refused(count: usize, end: End) {
     let harness = Arc::new(start(3).await);
-    let servers = CrashingServers::start(&harness.store, 6, End::Refuses);
+    let servers = CrashingServers::start(&harness.store, count, end);
     harness.wait_served().await;
     let refused = Arc::new(AtomicUsize::new(0));
     let mut beside = JoinSet::new();
--- a/crates/copperwelld/tests/gateway/crashing_servers.rs
+++ b/crates/copperwelld/tests/gateway/crashing_servers.rs
@@ -35,8 +35,8 @@
 /// How long a crashed server is down.
 const DOWN_TIME: Duration = Duration::from_secs(3);
 
-/// The intervals after which the store removes a registration that is not renewed.
-const BEATS_MISSED: u32 = 3;
+/// When the store removes a registration that is not renewed.
+const EXPIRY: Duration = Duration::from_millis(2_600);
 
 /// The length of a response body that is announced and never sent whole.
 const LONG_BODY: usize = 200_000;
@@ -144,10 +144,9 @@
                 connections.abort_all();
                 while connections.join_next().await.is_some() {}
             }
-            let expiry = BEAT * BEATS_MISSED;
-            sleep(expiry).await;
+            sleep(EXPIRY).await;
             self.writer.write("keyed.servers", &id, Vec::new());
-            sleep(DOWN_TIME - expiry).await;
+            sleep(DOWN_TIME - EXPIRY).await;
         }
     }
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    crash_tracker::CrashTracker,
+    crash_tracker::Send,
     dialect::{Dialect, Metadata, Outbound},
     metrics::{Metrics, Stage},
     refusal::Refusal,
@@ -30,7 +30,10 @@
     retry::{self, Decision, FailedAttempt},
 };
 use http::request::Parts;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::oneshot::{self, error::TryRecvError},
+    time::{Instant, sleep},
+};
 
 /// The timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -63,7 +66,6 @@
     pub(crate) view: &'a Arc<View>,
     pub(crate) selector: &'a Selector,
     pub(crate) pools: &'a ConnectionPools,
-    pub(crate) crash_tracker: &'a CrashTracker,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) metrics: &'a Metrics,
     pub(crate) route: &'a Route,
@@ -130,7 +132,7 @@
         // The result that is returned unless a later attempt succeeds.
         let mut last_result: Option<Result<Response, Refusal>> = None;
         loop {
-            if let Some(left) = self.quarantined_for() {
+            if let Some(left) = self.view.crash_tracker.quarantined_for(self.fingerprint) {
                 return last_result.unwrap_or(Err(Refusal {
                     retry_after: Some(left),
                     ..Refusal::not_run(Reason::Quarantined)
@@ -138,9 +140,8 @@
             }
             let selected = self
                 .selector
-                .select(&requirements, attempted, stale_version.take())
-                .await;
-            let upstream = match selected {
+                .select(&requirements, attempted, stale_version.take());
+            let upstream = match selected.await {
                 Ok(upstream) => upstream,
                 Err(refusal) => return last_result.unwrap_or(Err(refusal)),
             };
@@ -160,7 +161,6 @@
             attempted.push(upstream.id.clone());
             let attempt = self.send(&upstream, &parts, body).await;
             let elapsed = attempt.elapsed;
-            self.record_crash_evidence(&upstream, &attempt);
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
                 Classified::Failure(result, failed) => (result, failed),
@@ -191,31 +191,6 @@
         }
     }
 
-    /// Returns how much longer the request is quarantined because it crashes upstreams.
-    fn quarantined_for(&self) -> Option<Duration> {
-        self.crash_tracker.quarantined_for(self.fingerprint)
-    }
-
-    /// Passes the result of an attempt to the crash tracker.
-    fn record_crash_evidence(&self, upstream: &Upstream, attempt: &Attempt) {
-        match &attempt.result {
-            Ok(response) if response.reply.reason.is_none() => {
-                self.crash_tracker.record_answer(self.fingerprint);
-            }
-            Ok(_) => {}
-            Err(failed) => match (failed.reason, failed.verdict) {
-                (Reason::ConnectionLost, Verdict::MayHaveRun) => {
-                    self.crash_tracker
-                        .record_lost_connection(upstream, self.fingerprint);
-                }
-                (Reason::ConnectionRefused, _) => self
-                    .crash_tracker
-                    .record_refused_connection(&upstream.id, upstream.born),
-                _ => {}
-            },
-        }
-    }
-
     fn is_keyed(&self, service: &ServiceName) -> bool {
         let configuration = self.view.configuration();
         let known = configuration
@@ -260,8 +235,14 @@
         };
         let in_flight = self.selector.queues.start(self.view, &upstream.id);
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let exchange = Exchange::new(pool, left, self.deadline);
+        let (body_end, streamed) = oneshot::channel();
+        let exchange = Exchange::new(pool, left, self.deadline).with_body_end(body_end);
+        let send = self.view.crash_tracker.start(upstream, self.fingerprint);
         let result = exchange.run(self.dialect, &outbound, body).await;
+        if matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused) {
+            self.view.crash_tracker.record_unreachable(upstream);
+        }
+        end_send(send, &result, streamed);
         let outcome = outcome_of(&result);
         let elapsed = in_flight.end(outcome);
         if outcome == Outcome::Answered {
@@ -394,6 +375,33 @@
     }
 }
 
+/// Records how a send ended, or has a task record it when the response body has ended.
+fn end_send(
+    send: Send,
+    result: &Result<Response, Failed>,
+    mut streamed: oneshot::Receiver<Result<(), Reason>>,
+) {
+    match result {
+        Ok(response) if response.reply.reason.is_some() => send.not_run(),
+        Ok(response) if response.reply.status >= FAILURE_STATUS => send.failed(),
+        Ok(_) if streamed.try_recv() == Err(TryRecvError::Closed) => send.answered(),
+        Ok(_) => {
+            tokio::spawn(async move {
+                match streamed.await {
+                    Ok(Ok(())) => send.answered(),
+                    Ok(Err(Reason::ConnectionLost)) => send.connection_lost(),
+                    Ok(Err(_)) | Err(_) => drop(send),
+                }
+            });
+        }
+        Err(failed) => match (failed.verdict, failed.reason) {
+            (Verdict::MayHaveRun, Reason::ConnectionLost) => send.connection_lost(),
+            (Verdict::MayHaveRun, _) => drop(send),
+            _ => send.not_run(),
+        },
+    }
+}
+
 /// Returns how an attempt ended, for load balancing.
 fn outcome_of(result: &Result<Response, Failed>) -> Outcome {
     match result {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,6 @@
 
 use crate::{
     attempts::{Attempts, ConnectionPools},
-    crash_tracker::CrashTracker,
     dialect::{Dialect, Metadata},
     fingerprint::{fingerprint_of, host_of},
     metrics::{Metrics, Stage},
@@ -54,7 +53,6 @@
     view: Arc<View>,
     selector: Selector,
     pools: ConnectionPools,
-    crash_tracker: CrashTracker,
     metrics: Metrics,
     request_log: RequestLog,
     connections_max: usize,
@@ -86,7 +84,6 @@
                 queues,
             },
             pools: ConnectionPools::default(),
-            crash_tracker: CrashTracker::new(view.keys.quarantine.clone(), metrics.clone()),
             view,
             request_log: RequestLog::new(metrics.clone()),
             metrics,
@@ -110,8 +107,8 @@
     pub fn remove_stale(&self) {
         let registry = self.view.registry();
         self.pools.retain(|id| registry.get(id).is_some());
-        self.crash_tracker
-            .remove_stale(|id| registry.get(id).is_some());
+        drop(registry);
+        self.view.crash_tracker.maintain();
         self.selector.queues.remove_unused();
     }
 
@@ -181,7 +178,6 @@
             view: &self.view,
             selector: &self.selector,
             pools: &self.pools,
-            crash_tracker: &self.crash_tracker,
             fingerprint,
             metrics: &self.metrics,
             route: &route,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! retries where they are allowed. Routing decisions are based on [`View`], which [`watch`] keeps up
 //! to date.
 
+pub use crash_tracker::CrashTracker;
 pub use dialect::{Dialect, Metadata, Outbound};
 pub use gateway::Gateway;
 pub use view::View;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,12 +36,6 @@
     pub(crate) slow_heads: Counter,
     pub(crate) cancelled: Counter,
     pub(crate) suppressed_lines: Counter,
-    /// Requests that were in flight when an upstream crashed, counted once for each crash.
-    pub(crate) suspects: Counter,
-    /// Requests whose connection was lost before the response.
-    pub(crate) lost_requests: Counter,
-    /// Lost requests that were forgotten without evidence of a crash.
-    pub(crate) unproved_losses: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
     configuration: Gauge,
     pub(crate) upstreams: Gauge,
@@ -133,21 +127,6 @@
             "Lines about failures that were left out, to bound the log",
             all.suppressed_lines,
         );
-        registry.register(
-            "suspects",
-            "Requests that were in flight when an upstream crashed",
-            all.suspects,
-        );
-        registry.register(
-            "lost_requests",
-            "Requests whose connection was lost before the response",
-            all.lost_requests,
-        );
-        registry.register(
-            "unproved_losses",
-            "Lost requests that were forgotten without evidence that the upstream had crashed",
-            all.unproved_losses,
-        );
         registry.register(
             "latency_seconds",
             "Time that requests take, by stage",
@@ -271,9 +250,6 @@
             slow_heads: Counter::default(),
             cancelled: Counter::default(),
             suppressed_lines: Counter::default(),
-            suspects: Counter::default(),
-            lost_requests: Counter::default(),
-            unproved_losses: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use crate::{request_log::RoutingVersions, watch};
+use crate::{crash_tracker::CrashTracker, request_log::RoutingVersions, watch};
 use arc_swap::ArcSwapOption;
 use copperwell_assignment::{
     driver::{Environment, Shared},
@@ -39,6 +39,8 @@
     pub zone: ZoneName,
     /// The state that is shared with the driver of key assignment.
     pub keys: Shared,
+    /// The requests at upstreams, and those that crash upstreams.
+    pub crash_tracker: Arc<CrashTracker>,
     configuration: ArcSwapOption<Configuration>,
     /// When a read of the store last returned or confirmed the newest configuration.
     configuration_read_at: Mutex<Option<Instant>>,
@@ -80,9 +82,11 @@
     /// Creates an empty view for a daemon in its run `run`.
     #[must_use]
     pub fn new(run: u64, zone: ZoneName, allowance: Allowance) -> Self {
+        let keys = Shared::new(run);
         Self {
             zone,
-            keys: Shared::new(run),
+            crash_tracker: Arc::new(CrashTracker::new(keys.quarantine.clone())),
+            keys,
             configuration: ArcSwapOption::empty(),
             configuration_read_at: Mutex::default(),
             registry: RwLock::default(),
@@ -336,6 +340,7 @@
         let registry = self.registry();
         self.loads().retain(|id| registry.get(id).is_some());
         drop(registry);
+        self.crash_tracker.record_changes(changes);
         let mut draining = self.draining.lock().unwrap_or_else(PoisonError::into_inner);
         for upstream in &changes.joined {
             draining.remove(&upstream.id);
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -18,12 +18,6 @@
 /// Maximum number of convictions in one exchange between leaders.
 pub const CONVICTIONS_MAX: usize = 256;
 
-/// Maximum time between a lost connection and the evidence that the server crashed.
-const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Maximum number of lost requests of one upstream that wait for evidence of a crash.
-const LOST_MAX: usize = 256;
-
 /// How a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -64,35 +58,12 @@
     entries: HashMap<u64, Entry>,
 }
 
-/// The requests of one upstream whose connections were lost, until there is evidence of a crash or
-/// the time for it is over.
-#[derive(Debug, Default)]
-pub struct LostRequests {
-    lost: Vec<LostRequest>,
-    last_crash: Option<Crash>,
-    /// Lost requests that were forgotten without evidence since the last call of
-    /// [`LostRequests::take_unproved`].
-    unproved: usize,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     convicted: bool,
     expires: Instant,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct LostRequest {
-    suspect: Suspect,
-    at: Instant,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Crash {
-    incarnation: Incarnation,
-    at: Instant,
-}
-
 impl Quarantine {
     /// Creates a quarantine without suspects.
     #[must_use]
@@ -188,78 +159,3 @@
         }
     }
 }
-
-impl LostRequests {
-    /// Creates an instance without lost requests.
-    #[must_use]
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Records that the connection of a request was lost; returns the suspects of a proved crash.
-    pub fn record_lost_connection(&mut self, now: Instant, suspect: Suspect) -> Vec<Suspect> {
-        self.expire(now);
-        let is_proved = self.last_crash.is_some_and(|crash| {
-            crash.incarnation == suspect.incarnation && now < crash.at + EVIDENCE_TIMEOUT
-        });
-        if is_proved {
-            return vec![suspect];
-        }
-        if self.lost.len() < LOST_MAX {
-            self.lost.push(LostRequest { suspect, at: now });
-        }
-        Vec::new()
-    }
-
-    /// Records a refused connection, which proves that the last known incarnation has ended;
-    /// returns the suspects of the crash.
-    pub fn record_refused_connection(
-        &mut self,
-        now: Instant,
-        incarnation: Incarnation,
-    ) -> Vec<Suspect> {
-        self.prove_crash(now, |suspect| suspect.incarnation == incarnation)
-    }
-
-    /// Records that the server runs as `incarnation`, which proves that earlier ones have ended;
-    /// returns the suspects of the crash.
-    pub fn record_incarnation(&mut self, now: Instant, incarnation: Incarnation) -> Vec<Suspect> {
-        if self.lost.is_empty() {
-            return Vec::new();
-        }
-        self.prove_crash(now, |suspect| suspect.incarnation < incarnation)
-    }
-
-    fn prove_crash(
-        &mut self,
-        now: Instant,
-        has_crashed: impl Fn(&Suspect) -> bool,
-    ) -> Vec<Suspect> {
-        self.expire(now);
-        let suspects: Vec<Suspect> = self
-            .lost
-            .extract_if(.., |lost_request| has_crashed(&lost_request.suspect))
-            .map(|lost_request| lost_request.suspect)
-            .collect();
-        if let Some(suspect) = suspects.first() {
-            self.last_crash = Some(Crash {
-                incarnation: suspect.incarnation,
-                at: now,
-            });
-        }
-        suspects
-    }
-
-    /// Returns how many lost requests were forgotten without evidence of a crash since the last call.
-    pub fn take_unproved(&mut self, now: Instant) -> usize {
-        self.expire(now);
-        std::mem::take(&mut self.unproved)
-    }
-
-    fn expire(&mut self, now: Instant) {
-        let before = self.lost.len();
-        self.lost
-            .retain(|lost_request| now < lost_request.at + EVIDENCE_TIMEOUT);
-        self.unproved += before - self.lost.len();
-    }
-}
