--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -20,17 +20,18 @@
     metrics::Metrics,
     order::Sender,
     plan::Plan,
+    quarantine::SharedQuarantine,
     register::{Failure, Register, Snapshot},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Table, Tables, Version},
 };
 use copperwell_policy::backoff::Backoff;
-use copperwell_routing::{ServiceName, quarantine::Quarantine, registry::Upstream};
+use copperwell_routing::{ServiceName, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::{
     sync::{mpsc, watch},
-    time::{Instant, sleep},
+    time::sleep,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -108,7 +109,7 @@
     /// This daemon's data from the store, for other daemons.
     pub store_state: Arc<StoreState>,
     /// The quarantine of requests that crash upstreams.
-    pub quarantine: Arc<Mutex<Quarantine>>,
+    pub quarantine: Arc<SharedQuarantine>,
     /// Whether this daemon has looked for a leader, or need not wait for that since it was
     /// restarted. From then on it follows one, or must read the store itself.
     pub has_looked_for_leader: Arc<watch::Sender<bool>>,
@@ -132,13 +133,6 @@
         }
     }
 
-    /// Locks the quarantine of requests that crash upstreams.
-    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Waits until this daemon has looked for a leader, has received data from one, or need not wait
     /// for that since it was restarted.
     pub async fn wait_for_leader_lookup(&self) {
@@ -216,6 +210,7 @@
                             .as_ref()
                             .and_then(|leader| observer.grants_end(leader));
                         self.announce_to(predecessor, self.leader_entry(term.number, 0, 0, false));
+                        self.shared.quarantine.lead();
                         let leadership = Leadership::new(self, term, &snapshot, grants_end);
                         leadership.run(reports, stopping).await;
                         // A leader that stepped down follows its successor and lets the others try
@@ -373,12 +368,48 @@
         let Some(client) = Client::connect(leader.address).await else {
             return FollowOutcome::Lost;
         };
+        let reporting = self.report_crashes(&client);
+        let following = self.exchange_with(&client, leader, candidates, stopping);
+        tokio::select! {
+            outcome = following => outcome,
+            () = reporting => FollowOutcome::Lost,
+        }
+    }
+
+    /// Reports requests that may crash upstreams to the leader, until the future is dropped.
+    ///
+    /// The leader may be a new one, so it is told again what earlier ones knew.
+    async fn report_crashes(&self, client: &Client) {
+        let quarantine = &self.shared.quarantine;
+        quarantine.report_again();
+        loop {
+            quarantine.wait_for_unreported().await;
+            loop {
+                let entries = quarantine.take_unreported();
+                if entries.is_empty() {
+                    break;
+                }
+                if !client.report_crashes(entries).await {
+                    quarantine.report_again();
+                    sleep(REPORT_RETRY_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    async fn exchange_with(
+        &self,
+        client: &Client,
+        leader: &LeaderEntry,
+        candidates: &mut Vec<DaemonName>,
+        stopping: &CancellationToken,
+    ) -> FollowOutcome {
         let mut knows = self.shared.routing_tables.tables().version;
+        let mut known_quarantine = 0;
         while !stopping.is_cancelled() {
             let (configuration, list) = self.environment.versions();
             let now = self.clock.now();
             let list_read_at = self.environment.list_read_at();
-            let observations = self.shared.quarantine().take_unreported();
             let request = Request {
                 from: self.identity.name.clone(),
                 strength: self.identity.strength,
@@ -388,10 +419,9 @@
                 list,
                 store_age: list_read_at.map(|at| now.saturating_sub(at)),
                 reports: self.shared.load_counts.take(),
-                observations: observations.clone(),
+                quarantine: known_quarantine,
             };
             let Some(response) = client.exchange(request).await else {
-                self.shared.quarantine().put_back(observations);
                 warn!("the leader does not answer", kv: { dependency = "leader", leader = &*leader.name, term = leader.term });
                 return FollowOutcome::Lost;
             };
@@ -399,10 +429,10 @@
             daemons.store(response.daemons, Ordering::Relaxed);
             if response.standing == Standing::Leads {
                 *candidates = response.candidates;
+                let snapshot = response.quarantine.as_ref();
+                known_quarantine = snapshot.map_or(known_quarantine, |snapshot| snapshot.version);
+                self.shared.quarantine.follow(snapshot);
             }
-            self.shared
-                .quarantine()
-                .import(&response.refused, Instant::now());
             if let Some(update) = response.tables {
                 self.shared.routing_tables.apply(update);
             }
@@ -439,6 +469,9 @@
     Superseded(LeaderEntry),
 }
 
+/// How long a daemon waits before it repeats a report that the leader did not take.
+const REPORT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How long a daemon waits after a response before the next request.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -13,15 +13,15 @@
     demand::Report,
     driver,
     lease::{Lapse, LeaderEntry},
+    quarantine::{SharedQuarantine, Snapshot},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Version},
     update::Update,
 };
 use copperwell_message::HashMap;
-use copperwell_routing::quarantine::{Observations, Quarantine, Refused};
+use copperwell_routing::quarantine::Entry;
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
-use spdlog::warn;
 use tarpc::{
     client, context,
     serde_transport::tcp,
@@ -75,9 +75,8 @@
     pub store_age: Option<Duration>,
     /// The load that it counted since its last call.
     pub reports: Vec<Report>,
-    /// Its observations of requests that may crash upstreams.
-    #[serde(rename = "sightings")]
-    pub observations: Observations,
+    /// The version of the quarantine that it has from this leader; 0 for none.
+    pub quarantine: u64,
 }
 
 /// Whether a daemon leads, as it announces to the others.
@@ -109,8 +108,8 @@
     /// The leader's data from the store that the daemon lacks.
     #[serde(rename = "news")]
     pub delta: Option<Delta>,
-    /// Requests in quarantine, since they crash upstreams.
-    pub refused: Vec<Refused>,
+    /// The requests that may crash upstreams, if there are changes.
+    pub quarantine: Option<Snapshot>,
 }
 
 /// A daemon that has called recently.
@@ -125,6 +124,10 @@
     /// Reports load and asks for newer tables.
     async fn exchange(request: Request) -> Response;
 
+    /// Reports requests that may crash upstreams; returns whether the daemon leads and has taken the
+    /// report.
+    async fn report_crashes(entries: Vec<Entry>) -> bool;
+
     /// Announces to a leader that another daemon has taken over. A leader that is cut off from the
     /// store cannot find out by itself, nor can the daemons that are cut off with it and ask it.
     async fn announce_successor(leader: LeaderEntry);
@@ -141,7 +144,7 @@
 struct Shared {
     routing_tables: Arc<RoutingTables>,
     store_state: Arc<StoreState>,
-    quarantine: Arc<Mutex<Quarantine>>,
+    quarantine: Arc<SharedQuarantine>,
     reports: mpsc::Sender<Vec<Report>>,
     state: Mutex<State>,
 }
@@ -242,18 +245,6 @@
         self.state().store_read_at.map(|at| at.elapsed())
     }
 
-    /// Merges a daemon's observations of requests that may crash upstreams.
-    fn merge_observations(&self, observations: Observations) {
-        for fingerprint in self.quarantine().merge(observations, Instant::now()) {
-            warn!("request quarantined: it crashed several upstreams", kv: { event = "quarantined", fingerprint });
-        }
-    }
-
-    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        let quarantine = self.shared.quarantine.lock();
-        quarantine.unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Records that a daemon has called.
     fn record_peer(&self, request: &Request) {
         let now = Instant::now();
@@ -288,7 +279,6 @@
         let shared = &self.shared;
         if self.state().standing == Standing::Leads {
             self.record_peer(&request);
-            self.merge_observations(request.observations);
             if !request.reports.is_empty() {
                 // If the leader cannot keep up, some load reports are dropped.
                 let _ = shared.reports.try_send(request.reports);
@@ -297,6 +287,7 @@
                 tokio::select! {
                     () = shared.routing_tables.newer_than(request.knows) => {}
                     () = shared.store_state.newer_than(request.configuration, request.list) => {}
+                    () = shared.quarantine.wait_newer_than(request.quarantine) => {}
                 }
             };
             let _ = timeout(LONG_POLL_TIMEOUT, newer).await;
@@ -312,10 +303,18 @@
             delta: shared
                 .store_state
                 .delta_for(request.configuration, request.list),
-            refused: self.quarantine().refused(Instant::now()),
+            quarantine: shared.quarantine.newer_than(request.quarantine),
         }
     }
 
+    async fn report_crashes(self, _: context::Context, entries: Vec<Entry>) -> bool {
+        let leads = self.state().standing == Standing::Leads;
+        if leads {
+            self.shared.quarantine.merge_report(&entries);
+        }
+        leads
+    }
+
     async fn announce_successor(self, _: context::Context, leader: LeaderEntry) {
         let mut state = self.state();
         let successor = &mut state.successor;
@@ -353,6 +352,14 @@
         matches!(acknowledged, Ok(Ok(())))
     }
 
+    /// Reports requests that may crash upstreams; returns whether the leader has taken the report.
+    pub async fn report_crashes(&self, entries: Vec<Entry>) -> bool {
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + CALL_MARGIN;
+        let report = self.client.report_crashes(context, entries);
+        matches!(timeout(CALL_MARGIN, report).await, Ok(Ok(true)))
+    }
+
     /// Sends a request to the leader; `None` if it does not answer.
     pub async fn exchange(&self, request: Request) -> Option<Response> {
         let limit = LONG_POLL_TIMEOUT + CALL_MARGIN;
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod order;
 pub mod pace;
 pub mod plan;
+pub mod quarantine;
 pub mod register;
 pub mod store_state;
 pub mod table;
--- a/crates/copperwelld/tests/gateway/crash.rs
+++ b/crates/copperwelld/tests/gateway/crash.rs
@@ -12,7 +12,11 @@
 use crate::{
     crashing_servers::{CRASH_PATH, CrashingServers, End, SLOW_PATH},
     harness::{CONDITION_TIMEOUT, Daemon, Harness, SERVERS},
-    standin::{caller, cluster, config, rule, store::Store},
+    standin::{
+        caller, cluster, config, rule,
+        server::{Faults, Server},
+        store::Store,
+    },
 };
 use http::StatusCode;
 use rustix::process::Signal;
@@ -137,13 +141,18 @@
 
 /// Starts daemons that route `/read/` to a service without keys.
 async fn start(daemons: usize) -> Harness {
+    start_with(daemons, false).await
+}
+
+/// Starts daemons that route `/read/` to a service that may be divided by key.
+async fn start_with(daemons: usize, is_keyed: bool) -> Harness {
     let mut harness = Harness::start(0).await;
     harness.servers.truncate(SERVERS);
     let rules = [
         rule("cups", "idempotent", "cups"),
         rule("read", "idempotent", "pay"),
     ];
-    let clusters = [cluster("cups", true), cluster("pay", false)];
+    let clusters = [cluster("cups", true), cluster("pay", is_keyed)];
     harness.store.configure(&config(5, &rules, &clusters));
     for _ in 0..daemons {
         let daemon = Daemon::start(&harness.store, Stdio::null());
@@ -189,12 +198,27 @@
         sleep(SEND_INTERVAL).await;
     }
 
+    /// Returns whether every daemon refuses the request.
+    fn is_refused(&self) -> bool {
+        self.refusals.load(Ordering::Relaxed) >= REFUSALS_IN_TURN
+    }
+
     /// Sends the request until every daemon refuses it, or has been given every chance to.
     async fn send_until_refused(&mut self) {
-        while self.refusals.load(Ordering::Relaxed) < REFUSALS_IN_TURN && self.count < SENDS_MAX {
+        while !self.is_refused() && self.count < SENDS_MAX {
             self.send_next().await;
         }
     }
+
+    /// Checks that every daemon refuses the request, and that it was stopped soon enough.
+    fn check_stopped(&self, servers: &CrashingServers) {
+        let crashes = servers.crashes();
+        assert!(
+            (CRASHES_MIN..=CRASHES_MIN + ARRIVALS_AFTER).contains(&crashes),
+            "{crashes} crashes"
+        );
+        assert!(self.is_refused(), "not refused after {crashes} crashes");
+    }
 }
 
 #[test_case(End::Refuses; "refuses connections")]
@@ -209,11 +233,39 @@
     harness.wait_served().await;
     let mut caller = Caller::new(&harness);
     caller.send_until_refused().await;
-    let crashes = servers.crashes();
-    assert!(
-        (CRASHES_MIN..=CRASHES_MIN + ARRIVALS_AFTER).contains(&crashes),
-        "{crashes} crashes"
-    );
+    caller.check_stopped(&servers);
+}
+
+#[test_case(End::Refuses; "refuses connections")]
+#[test_case(End::Silent; "silent")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_a_key_crashes_servers_without_end(end: End) {
+    let harness = Arc::new(start_with(3, true).await);
+    let servers = CrashingServers::start(&harness.store, 6, end);
+    harness.wait_served().await;
+    let mut caller = Caller::new(&harness);
+    caller.send_until_refused().await;
+    caller.check_stopped(&servers);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_answers_are_lost_by_living_servers_is_refused() {
+    let mut harness = start(1).await;
+    let writer = harness.store.writer();
+    let server = Server::start("p0", "pay", false, writer).await;
+    server.set(Faults {
+        loses_answers: true,
+        ..Faults::default()
+    });
+    harness.servers.push(server);
+    harness.wait_served().await;
+    for number in 0..10 {
+        let (_, body) = send(&harness, 0, "/read/lost", number).await;
+        assert!(!body.contains("quarantined"), "{body}");
+        sleep(SEND_INTERVAL).await;
+    }
+    let runs = harness.servers.last().unwrap().runs();
+    assert!(runs.len() >= 10, "{runs:?}");
 }
 
 /// Waits until a daemon leads, and takes it out of the harness.
@@ -232,11 +284,15 @@
     }
 }
 
+#[test_case(Signal::KILL; "killed")]
+#[test_case(Signal::STOP; "paused")]
 #[tokio::test(flavor = "multi_thread")]
-async fn crashes_are_forgotten_when_the_leader_is_lost() {
+async fn crashes_are_forgotten_when_the_leader_is_lost(signal: Signal) {
     let mut harness = start(3).await;
     let servers = CrashingServers::start(&harness.store, 6, End::Refuses);
     harness.wait_served().await;
+    // Paused daemons stay so until the end of the test.
+    let mut leaders = Vec::new();
     for lost in [1, 2] {
         let mut caller = Caller::new(&Arc::new(harness));
         while servers.crashes() < lost {
@@ -244,20 +300,16 @@
         }
         while caller.sends.join_next().await.is_some() {}
         harness = Arc::into_inner(caller.harness).unwrap();
-        let mut leader = remove_leader(&mut harness).await;
-        leader.signal(Signal::KILL);
-        leader.wait_exited().await;
+        let leader = remove_leader(&mut harness).await;
+        leader.signal(signal);
+        leaders.push(leader);
         let daemon = Daemon::start(&harness.store, Stdio::null());
         harness.daemons.push(daemon);
         harness.wait_served().await;
     }
     let mut caller = Caller::new(&Arc::new(harness));
     caller.send_until_refused().await;
-    let crashes = servers.crashes();
-    assert!(
-        (CRASHES_MIN..=CRASHES_MIN + ARRIVALS_AFTER).contains(&crashes),
-        "{crashes} crashes"
-    );
+    caller.check_stopped(&servers);
 }
 
 #[test_case(6, End::Refuses; "on six servers")]
@@ -272,7 +324,7 @@
     let refused = Arc::new(AtomicUsize::new(0));
     let mut beside = JoinSet::new();
     let mut caller = Caller::new(&harness);
-    while caller.refusals.load(Ordering::Relaxed) < REFUSALS_IN_TURN && caller.count < SENDS_MAX {
+    while !caller.is_refused() && caller.count < SENDS_MAX {
         for number in 0..6 {
             let (harness, refused) = (harness.clone(), refused.clone());
             let send = caller.count;
@@ -298,9 +350,5 @@
         }
     }
     assert_eq!(refused.load(Ordering::Relaxed), 0);
-    let crashes = servers.crashes();
-    assert!(
-        (CRASHES_MIN..=CRASHES_MIN + ARRIVALS_AFTER).contains(&crashes),
-        "{crashes} crashes"
-    );
+    caller.check_stopped(&servers);
 }
--- a/crates/copperwelld/tests/gateway/crashing_servers.rs
+++ b/crates/copperwelld/tests/gateway/crashing_servers.rs
@@ -41,6 +41,9 @@
 /// The length of a response body that is announced and never sent whole.
 const LONG_BODY: usize = 200_000;
 
+/// The response to an order about keys.
+const ORDER_DONE: &[u8] = b"HTTP/1.1 200 OK\r\nhandover: h\r\ncontent-length: 0\r\n\r\n";
+
 /// How a server ends when a request crashes it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum End {
@@ -154,6 +157,15 @@
 impl Run {
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
         while let Some(head) = read_head(&mut stream).await {
+            if let Some(length) = order_length(&head) {
+                let mut order = vec![0; length];
+                if stream.read_exact(&mut order).await.is_err()
+                    || stream.write_all(ORDER_DONE).await.is_err()
+                {
+                    return;
+                }
+                continue;
+            }
             let mut lines = head.lines();
             let id = lines.find_map(|line| line.strip_prefix(caller::ID_LINE));
             let id = id.unwrap();
@@ -185,6 +197,14 @@
     String::from_utf8(head).ok()
 }
 
+/// Returns the length of the body if a request is an order about keys.
+fn order_length(head: &str) -> Option<usize> {
+    let is_order = head.starts_with("POST /grant ") || head.starts_with("POST /release ");
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length: "))?;
+    is_order.then(|| length.parse().unwrap())
+}
+
 async fn renew(writer: Writer, id: String, address: SocketAddr, born: u64) {
     let mut value = registration("pay", address);
     value["born"] = json!(born);
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -132,12 +132,6 @@
         // The result that is returned unless a later attempt succeeds.
         let mut last_result: Option<Result<Response, Refusal>> = None;
         loop {
-            if let Some(left) = self.view.crash_tracker.quarantined_for(self.fingerprint) {
-                return last_result.unwrap_or(Err(Refusal {
-                    retry_after: Some(left),
-                    ..Refusal::not_run(Reason::Quarantined)
-                }));
-            }
             let selected = self
                 .selector
                 .select(&requirements, attempted, stale_version.take());
@@ -215,6 +209,7 @@
         };
         let selection_time = self.route.objective.mul_f64(SELECTION_TIME_RATIO);
         Ok(Requirements {
+            request: self.fingerprint,
             service: service.clone(),
             key,
             priority: self.route.priority,
@@ -307,6 +302,13 @@
             time_left: self.deadline.saturating_duration_since(Instant::now()),
         });
         match decision {
+            // A request that may crash upstreams is not sent to a further one.
+            Decision::RetryAfter(_)
+                if failed.verdict == Verdict::MayHaveRun
+                    && self.view.crash_tracker.is_suspect(self.fingerprint) =>
+            {
+                RetryDecision::GiveUp
+            }
             Decision::RetryAfter(delay) if is_buffered => {
                 if self.view.try_spend_retry(service) {
                     RetryDecision::Retry(delay)
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -9,17 +9,19 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
+use crate::line_limit::LineLimit;
+use copperwell_assignment::quarantine::SharedQuarantine;
 use copperwell_backend::probe;
 use copperwell_message::HashMap;
 use copperwell_policy::unanswered::Unanswered;
 use copperwell_routing::{
     Incarnation, UpstreamId,
-    quarantine::{Crash, Fingerprint, Quarantine},
+    quarantine::{Admission, CrashedRun, Fingerprint},
     registry::{Changes, Upstream},
 };
 use prometheus_client::{
@@ -27,7 +29,7 @@
     metrics::{counter::Counter, family::Family},
     registry::Registry,
 };
-use spdlog::{info, warn};
+use spdlog::info;
 use tokio::time::{Instant, sleep};
 
 /// When an upstream is probed after a request was left unanswered: its sockets close one after the other.
@@ -40,12 +42,15 @@
 #[derive(Debug)]
 pub struct CrashTracker {
     upstreams: Mutex<HashMap<UpstreamId, Sends>>,
-    quarantine: Arc<Mutex<Quarantine>>,
+    quarantine: Arc<SharedQuarantine>,
     next_send: AtomicU64,
-    suspects: Counter,
+    /// The number of requests in flight that are to be kept apart.
+    kept_apart: AtomicUsize,
     lost_requests: Family<EndLabel, Counter>,
     unproved: Counter,
     proofs: Family<ProofLabel, Counter>,
+    suppressed_lines: Counter,
+    line_limit: LineLimit,
 }
 
 /// A request at an upstream, which counts as unanswered if it is dropped before another end.
@@ -71,6 +76,11 @@
 struct Run {
     request: Fingerprint,
     born: Incarnation,
+    sent_at: Instant,
+    /// When the connection was lost; when the request was sent, if it was not.
+    ended_at: Instant,
+    /// Whether the request is to be kept apart from others like it.
+    is_apart: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -84,26 +94,25 @@
 }
 
 impl CrashTracker {
-    pub(crate) fn new(quarantine: Arc<Mutex<Quarantine>>) -> Self {
+    pub(crate) fn new(quarantine: Arc<SharedQuarantine>) -> Self {
+        let suppressed_lines = Counter::default();
         Self {
             upstreams: Mutex::default(),
             quarantine,
             next_send: AtomicU64::new(0),
-            suspects: Counter::default(),
+            kept_apart: AtomicUsize::new(0),
             lost_requests: Family::default(),
             unproved: Counter::default(),
             proofs: Family::default(),
+            line_limit: LineLimit::new(suppressed_lines.clone()),
+            suppressed_lines,
         }
     }
 
     /// Registers the counters in `registry`.
     pub fn register(&self, registry: &mut Registry) {
+        self.quarantine.register(registry);
         let registry = registry.sub_registry_with_prefix("gateway");
-        registry.register(
-            "suspects",
-            "Requests that were in flight when an upstream crashed",
-            self.suspects.clone(),
-        );
         registry.register(
             "lost_requests",
             "Requests that an upstream left unanswered, by how they ended",
@@ -119,19 +128,55 @@
             "Ends of upstreams with unanswered requests, by what proved them",
             self.proofs.clone(),
         );
+        registry.register(
+            "crash_log_thinned",
+            "Lines about unanswered requests that were left out, to bound the log",
+            self.suppressed_lines.clone(),
+        );
+    }
+
+    /// Returns how a request may run now.
+    pub(crate) fn admit(&self, request: Fingerprint) -> Admission {
+        self.quarantine.admit(request)
     }
 
-    /// Returns how much longer a request is quarantined; `None` if it is not.
-    pub(crate) fn quarantined_for(&self, request: Fingerprint) -> Option<Duration> {
-        self.quarantine().refused_for(request, Instant::now())
+    /// Returns whether a request ran at a crash and was not answered since.
+    pub(crate) fn is_suspect(&self, request: Fingerprint) -> bool {
+        self.quarantine.is_suspect(request)
+    }
+
+    /// Returns whether a request that is to be kept apart is in flight at an upstream.
+    pub(crate) fn has_kept_apart(&self, id: &str) -> bool {
+        let upstreams = self.upstreams();
+        let sends = upstreams.get(id);
+        sends.is_some_and(|sends| sends.in_flight.values().any(|run| run.is_apart))
+    }
+
+    /// Returns the upstreams at which requests that are to be kept apart are in flight.
+    pub(crate) fn upstreams_kept_apart(&self) -> Vec<UpstreamId> {
+        if self.kept_apart.load(Ordering::Relaxed) == 0 {
+            return Vec::new();
+        }
+        let upstreams = self.upstreams();
+        let kept_apart = upstreams
+            .iter()
+            .filter(|(_, sends)| sends.in_flight.values().any(|run| run.is_apart));
+        kept_apart.map(|(id, _)| id.clone()).collect()
     }
 
     /// Records that a request is sent to an upstream.
     pub(crate) fn start(self: &Arc<Self>, upstream: &Arc<Upstream>, request: Fingerprint) -> Send {
+        let now = Instant::now();
         let run = Run {
             request,
             born: upstream.born,
+            sent_at: now,
+            ended_at: now,
+            is_apart: self.admit(request) == Admission::Apart,
         };
+        if run.is_apart {
+            self.kept_apart.fetch_add(1, Ordering::Relaxed);
+        }
         let number = self.next_send.fetch_add(1, Ordering::Relaxed);
         let mut upstreams = self.upstreams();
         let sends = upstreams.entry(upstream.id.clone()).or_default();
@@ -179,7 +224,7 @@
             !sends.in_flight.is_empty() || !sends.unanswered.is_empty(now)
         });
         self.unproved.inc_by(unproved);
-        self.quarantine().remove_expired(now);
+        self.quarantine.maintain();
     }
 
     /// Records proof that an incarnation and all earlier ones have ended.
@@ -202,19 +247,15 @@
             return;
         }
         self.proofs.get_or_create(&ProofLabel { by }).inc();
-        let now = Instant::now();
-        for run in runs {
-            self.suspects.inc();
-            info!("upstream crashed under a request", kv: { event = "suspect", fingerprint = run.request, server = &**id, born = run.born });
-            let crash = Crash {
-                request: run.request,
+        self.quarantine.record_crashes(runs.iter().map(|run| {
+            let crashed = CrashedRun {
                 upstream: id.clone(),
                 born: run.born,
+                sent_at: run.sent_at,
+                ended_at: run.ended_at,
             };
-            if self.quarantine().record_crash(crash, now) {
-                warn!("request quarantined: it crashed several upstreams", kv: { event = "quarantined", fingerprint = run.request });
-            }
-        }
+            (run.request, crashed)
+        }));
     }
 
     /// Finds out whether an upstream refuses connections, unless that is being done.
@@ -239,12 +280,6 @@
         }
     }
 
-    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn upstreams(&self) -> MutexGuard<'_, HashMap<UpstreamId, Sends>> {
         self.upstreams
             .lock()
@@ -256,7 +291,7 @@
     /// Records a complete answer, which shows that the request does not crash upstreams.
     pub(crate) fn answered(mut self) {
         self.finish(|sends, run| sends.unanswered.record_answer(run.born));
-        self.tracker.quarantine().clear(self.run.request);
+        self.tracker.quarantine.record_answer(self.run.request);
     }
 
     /// Records a response that shows that the upstream lives, but not that it has run the request well.
@@ -271,6 +306,7 @@
 
     /// Records that the connection was lost before the response had ended.
     pub(crate) fn connection_lost(mut self) {
+        self.run.ended_at = Instant::now();
         self.unanswered("connection-lost");
         self.tracker.probe(&self.upstream);
     }
@@ -279,7 +315,9 @@
         let tracker = &self.tracker;
         tracker.lost_requests.get_or_create(&EndLabel { end }).inc();
         let run = self.run;
-        info!("request left unanswered", kv: { event = "request-lost", end, fingerprint = run.request, server = &*self.upstream.id, born = run.born });
+        if tracker.line_limit.allows_line() {
+            info!("request left unanswered", kv: { event = "request-lost", end, fingerprint = run.request, server = &*self.upstream.id, born = run.born });
+        }
         let mut crashed = None;
         self.finish(|sends, run| {
             crashed = sends.unanswered.record(Instant::now(), run.born, *run);
@@ -290,6 +328,9 @@
 
     fn finish(&mut self, update: impl FnOnce(&mut Sends, &Run)) {
         self.is_over = true;
+        if self.run.is_apart {
+            self.tracker.kept_apart.fetch_sub(1, Ordering::Relaxed);
+        }
         let mut upstreams = self.tracker.upstreams();
         if let Some(sends) = upstreams.get_mut(&self.upstream.id) {
             sends.in_flight.remove(&self.number);
@@ -305,3 +346,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -163,6 +163,7 @@
             id: &metadata.id,
             route: Some(&route),
             key: metadata.key,
+            fingerprint,
             versions: self.view.routing_versions(),
         };
         let mut cancellation_guard = CancellationGuard {
@@ -228,6 +229,7 @@
                     id: id.as_ref().unwrap_or(&unknown_id),
                     route: None,
                     key: None,
+                    fingerprint: 0,
                     versions: self.view.routing_versions(),
                 };
                 self.request_log
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod attempts;
 mod crash_tracker;
 mod fingerprint;
+mod line_limit;
 mod queue;
 mod refusal;
 mod request_log;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -3,38 +3,22 @@
 //! Failures are logged up to a rate limit. Requests that got an upstream's response, whatever its status, are
 //! sampled by a hash of their id, so that all daemons log the same ones.
 
-use std::{
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::time::Duration;
 
-use crate::{metrics::Metrics, refusal::Refusal};
+use crate::{line_limit::LineLimit, metrics::Metrics, refusal::Refusal};
 use copperwell_backend::exchange::Failed;
-use copperwell_routing::{configuration::Route, registry::Upstream};
+use copperwell_routing::{configuration::Route, quarantine::Fingerprint, registry::Upstream};
 use http::HeaderValue;
 use spdlog::info;
-use tokio::time::Instant;
 
 /// One in this many answered requests is logged.
 const SAMPLE_INTERVAL: u64 = 64;
 
-/// The most log lines about failures in one [`WINDOW`].
-const FAILURE_LINES_MAX: u32 = 200;
-
-/// The window in which log lines about failures are counted.
-const WINDOW: Duration = Duration::from_secs(1);
-
 /// Writes log lines about requests.
 #[derive(Debug)]
 pub(crate) struct RequestLog {
     metrics: Metrics,
-    failures: Mutex<Window>,
-}
-
-#[derive(Debug)]
-struct Window {
-    started_at: Instant,
-    lines: u32,
+    failures: LineLimit,
 }
 
 /// The versions of the data on which a routing decision was based.
@@ -54,6 +38,8 @@
     pub(crate) id: &'a HeaderValue,
     pub(crate) route: Option<&'a Route>,
     pub(crate) key: Option<u16>,
+    /// The fingerprint, by which lines about crashes name the request; 0 if it was not read whole.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) versions: RoutingVersions,
 }
 
@@ -69,13 +55,9 @@
 
 impl RequestLog {
     pub(crate) fn new(metrics: Metrics) -> Self {
-        let window = Window {
-            started_at: Instant::now(),
-            lines: 0,
-        };
         Self {
+            failures: LineLimit::new(metrics.suppressed_lines.clone()),
             metrics,
-            failures: Mutex::new(window),
         }
     }
 
@@ -107,12 +89,13 @@
     /// Counts and logs a request that got no upstream's response.
     pub(crate) fn refused(&self, context: RequestContext<'_>, refusal: &Refusal, total: Duration) {
         self.metrics.record_refusal(refusal.reason);
-        if !self.allows_line() {
+        if !self.failures.allows_line() {
             return;
         }
         info!("request refused", kv: {
             event = "request-refused",
             request = context.id(),
+            fingerprint = context.fingerprint,
             route = context.route(),
             key = context.key.map_or(-1, i32::from),
             reason = refusal.reason.as_str(),
@@ -136,12 +119,13 @@
         elapsed: Duration,
         again: &'static str,
     ) {
-        if !self.allows_line() {
+        if !self.failures.allows_line() {
             return;
         }
         info!("attempt failed", kv: {
             event = "try-failed",
             request = context.id(),
+            fingerprint = context.fingerprint,
             route = context.route(),
             key = context.key.map_or(-1, i32::from),
             server = &*upstream.id,
@@ -161,38 +145,19 @@
     /// Counts and logs a request whose caller disconnected before the response.
     pub(crate) fn cancelled(&self, context: RequestContext<'_>, total: Duration) {
         self.metrics.cancelled.inc();
-        if !self.allows_line() {
+        if !self.failures.allows_line() {
             return;
         }
         info!("request cancelled: caller disconnected", kv: {
             event = "request-cancelled",
             request = context.id(),
+            fingerprint = context.fingerprint,
             route = context.route(),
             key = context.key.map_or(-1, i32::from),
             whole_ms = millis(total),
             configuration = context.versions.configuration
         });
     }
-
-    /// Returns whether the rate limit allows one more log line about a failure, and counts the line.
-    fn allows_line(&self) -> bool {
-        let now = Instant::now();
-        let mut window = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
-        if now.saturating_duration_since(window.started_at) >= WINDOW {
-            let suppressed = window.lines.saturating_sub(FAILURE_LINES_MAX);
-            window.started_at = now;
-            window.lines = 0;
-            if suppressed > 0 {
-                info!("log lines about failures suppressed by rate limit", kv: { event = "log-thinned", count = suppressed });
-            }
-        }
-        window.lines += 1;
-        let allows_line = window.lines <= FAILURE_LINES_MAX;
-        if !allows_line {
-            self.metrics.suppressed_lines.inc();
-        }
-        allows_line
-    }
 }
 
 /// Returns whether an answered request is logged.
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -5,15 +5,24 @@
 use crate::{queue::Queues, refusal::Refusal, view::View};
 use copperwell_assignment::table::Version;
 use copperwell_message::Reason;
-use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
+use copperwell_routing::{
+    Key, ServiceName, UpstreamId,
+    quarantine::{Admission, Fingerprint},
+    registry::Upstream,
+};
 use tokio::time::{Instant, timeout_at};
 
 /// How long a draining holder still gets requests for its keys while they migrate.
 const DRAINING_GRACE: Duration = Duration::from_millis(200);
 
+/// How often a request that is to be kept apart looks whether the other one has ended.
+const APART_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The requirements of a request for its upstream.
 #[derive(Debug, Clone)]
 pub(crate) struct Requirements {
+    /// The request.
+    pub(crate) request: Fingerprint,
     /// The service.
     pub(crate) service: ServiceName,
     /// The key, if the service is partitioned by key.
@@ -35,24 +44,45 @@
     /// Returns the upstream for the next attempt of a request, once it has capacity.
     ///
     /// `attempted` are the upstreams of earlier attempts. `stale_version` is a version of the routing
-    /// tables by which an attempt was misdirected.
+    /// tables by which an attempt was misdirected. A request that crashes upstreams is refused, and one that
+    /// may do so is not sent to an upstream that has another such request.
     pub(crate) async fn select(
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
         stale_version: Option<Version>,
     ) -> Result<Arc<Upstream>, Refusal> {
-        match requirements.key {
-            Some(key) => self.select_holder(requirements, key, stale_version).await,
-            None => self.select_any(requirements, attempted).await,
+        let is_apart = self.check_quarantine(requirements.request)? == Admission::Apart;
+        let upstream = match requirements.key {
+            Some(key) => {
+                self.select_holder(requirements, key, stale_version, is_apart)
+                    .await?
+            }
+            None => self.select_any(requirements, attempted)?,
+        };
+        Ok(upstream)
+    }
+
+    /// Returns how a request may run, or the refusal if it crashes upstreams.
+    fn check_quarantine(&self, request: Fingerprint) -> Result<Admission, Refusal> {
+        match self.view.crash_tracker.admit(request) {
+            Admission::Refused(left) => Err(Refusal {
+                retry_after: Some(left),
+                ..Refusal::not_run(Reason::Quarantined)
+            }),
+            admission => Ok(admission),
         }
     }
 
-    async fn select_any(
+    /// Returns the upstream that can serve a request soonest, if possible not one of `attempted` and without
+    /// requests that may crash it.
+    fn select_any(
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
     ) -> Result<Arc<Upstream>, Refusal> {
+        let mut avoided = self.view.crash_tracker.upstreams_kept_apart();
+        avoided.extend_from_slice(attempted);
         let registry = self.view.registry();
         let upstreams = registry.of_service(&requirements.service);
         if upstreams.iter().all(|upstream| upstream.is_draining) {
@@ -62,7 +92,7 @@
         let zone = &self.view.zone;
         let mut random = rand::rng();
         let loads = self.view.loads();
-        let chosen = loads.choose(upstreams, zone, attempted, now, &mut random);
+        let chosen = loads.choose(upstreams, zone, &avoided, now, &mut random);
         chosen.cloned().ok_or(Refusal::not_run(Reason::QueueFull))
     }
 
@@ -72,6 +102,7 @@
         requirements: &Requirements,
         key: Key,
         stale_version: Option<Version>,
+        is_apart: bool,
     ) -> Result<Arc<Upstream>, Refusal> {
         let routing_tables = &self.view.keys.routing_tables;
         let _queued = self.queues.enter();
@@ -108,13 +139,21 @@
                 }
                 continue;
             };
-            if self.view.loads().has_capacity(&upstream) {
+            let is_blocked = is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id);
+            if !is_blocked && self.view.loads().has_capacity(&upstream) {
                 return Ok(upstream);
             }
             if Instant::now() >= requirements.deadline {
                 return Err(Refusal::not_run(Reason::QueueFull));
             }
-            self.queues.wait(&upstream.id, requirements.deadline).await;
+            let until = match is_blocked {
+                // A streamed response ends without freeing a place in the queue.
+                true => requirements
+                    .deadline
+                    .min(Instant::now() + APART_POLL_INTERVAL),
+                false => requirements.deadline,
+            };
+            self.queues.wait(&upstream.id, until).await;
         }
     }
 
@@ -128,3 +167,6 @@
         is_eligible.then_some(upstream)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/selector/tests.rs
@@ -0,0 +1,121 @@
+use std::{sync::Arc, time::Duration};
+
+use super::{Requirements, Selector};
+use crate::{queue::Queues, refusal::Refusal, view::View};
+use copperwell_assignment::table::{Table, Tables, Version};
+use copperwell_message::Reason;
+use copperwell_routing::{
+    UpstreamId,
+    budget::Allowance,
+    quarantine::{CrashedRun, Fingerprint},
+    registry::Upstream,
+};
+use tokio::time::{Instant, advance};
+
+const CULPRIT: Fingerprint = 7;
+const OTHER: Fingerprint = 8;
+const KEY: u16 = 5;
+
+fn upstream(id: &str) -> Upstream {
+    Upstream {
+        id: id.into(),
+        born: 1,
+        service: "cups".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "here".into(),
+        slots: 2,
+        is_draining: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn selector() -> Arc<Selector> {
+    let allowance = Allowance {
+        ratio: 0.2,
+        slack: 10.0,
+        window: Duration::from_secs(10),
+    };
+    let view = Arc::new(View::new(1, "here".into(), allowance));
+    view.update_upstreams([upstream("a"), upstream("b")], Duration::from_secs(1));
+    Arc::new(Selector {
+        view,
+        queues: Arc::new(Queues::new(Default::default())),
+    })
+}
+
+fn requirements(request: Fingerprint, key: Option<u16>) -> Requirements {
+    Requirements {
+        request,
+        service: "cups".into(),
+        key,
+        priority: 0,
+        deadline: Instant::now() + Duration::from_secs(30),
+    }
+}
+
+fn publish_holder(selector: &Selector, holder: &str) {
+    let holder: UpstreamId = holder.into();
+    let table = Table::new([(0, Some(&holder))]);
+    let version = Version { term: 1, number: 1 };
+    let services = [("cups".into(), table)].into_iter().collect();
+    let tables = Tables { version, services };
+    selector.view.keys.routing_tables.publish(tables);
+}
+
+/// Records crashes of a request, one after the other, at other upstreams than those of the selector.
+fn crash(selector: &Selector, request: Fingerprint, times: u64) {
+    let runs = (0..times).map(|number| {
+        let sent_at = Instant::now() + Duration::from_secs(number);
+        let run = CrashedRun {
+            upstream: format!("{request}-{number}").as_str().into(),
+            born: 1,
+            sent_at,
+            ended_at: sent_at,
+        };
+        (request, run)
+    });
+    selector.view.keys.quarantine.record_crashes(runs);
+}
+
+fn reason(result: Result<Arc<Upstream>, Refusal>) -> Result<String, Reason> {
+    let id = result.map(|upstream| upstream.id.to_string());
+    id.map_err(|refusal| refusal.reason)
+}
+
+#[tokio::test(start_paused = true)]
+async fn suspects_share_the_holder_of_their_key() {
+    let selector = selector();
+    publish_holder(&selector, "a");
+    crash(&selector, CULPRIT, 2);
+    crash(&selector, OTHER, 2);
+    let holder = selector.view.registry().get("a").cloned().unwrap();
+    let send = selector.view.crash_tracker.start(&holder, CULPRIT);
+    let in_flight = selector.queues.start(&selector.view, &holder.id);
+    let waiting = tokio::spawn({
+        let selector = selector.clone();
+        let requirements = requirements(OTHER, Some(KEY));
+        async move { selector.select(&requirements, &[], None).await }
+    });
+    advance(Duration::from_secs(5)).await;
+    assert!(!waiting.is_finished());
+    // What is not suspected does not wait.
+    let free = requirements(9, Some(KEY));
+    let free = selector.select(&free, &[], None).await;
+    assert_eq!(reason(free), Ok("a".to_owned()));
+    send.answered();
+    drop(in_flight);
+    assert_eq!(reason(waiting.await.unwrap()), Ok("a".to_owned()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_joins_a_suspect_though_another_upstream_is_free() {
+    let selector = selector();
+    crash(&selector, CULPRIT, 2);
+    let suspected = selector.view.registry().get("a").cloned().unwrap();
+    let _send = selector.view.crash_tracker.start(&suspected, CULPRIT);
+    for _ in 0..100 {
+        let requirements = requirements(OTHER, None);
+        let selected = selector.select(&requirements, &[], None).await;
+        assert_eq!(reason(selected), Ok("b".to_owned()));
+    }
+}
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -1,12 +1,21 @@
 //! Quarantine of requests that crash upstreams.
 //!
-//! If a connection to an upstream is lost and the upstream is then found to have ended, it crashed while
-//! requests were in flight there. One of them may be the cause, and callers may send it again. A request that
-//! was in flight when several incarnations crashed, and was never answered in between, is refused for a time.
-//! Daemons share their observations through the leader, since such a request may reach any of them.
+//! If an upstream ends while requests are in flight there, one of them may be the cause, and its caller may
+//! send it again. A request is refused for a time if it ran, one time after another, when three incarnations
+//! ended, was not answered in between, and no other request ran at all of these crashes. What merely ran
+//! beside it is answered once it runs elsewhere, or is explained by the one that is refused. If several
+//! requests ran at all of the crashes, one more crash decides, and then the one that ended its upstreams
+//! soonest after its send is refused.
+//!
+//! Daemons share what they observe through the leader, since such a request may reach any of them. All of it
+//! can be merged in any order and more than once. A daemon that follows a leader leaves the decision to it,
+//! as it has seen only a part of what ran at a crash.
+
+mod record;
 
 use std::time::Duration;
 
+use self::record::Record;
 use crate::{Incarnation, UpstreamId};
 use copperwell_message::HashMap;
 use serde::{Deserialize, Serialize};
@@ -15,189 +24,345 @@
 /// A hash that is the same for equal requests.
 pub type Fingerprint = u64;
 
-/// The number of crashed incarnations after which a request is refused.
+/// The number of successive crashes after which a request is refused.
 const CRASH_THRESHOLD: usize = 3;
 
-/// How long a crash is remembered, and how long a request is refused after the last crash.
+/// The number of successive crashes after which a request on probation is refused again.
+const CRASH_THRESHOLD_ON_PROBATION: usize = 1;
+
+/// How many more crashes it takes if another request ran at all of them.
+const CRASHES_TO_TELL_APART: usize = 1;
+
+/// The number of crashes from which a request is kept apart from others like it.
+const CRASHES_TO_KEEP_APART: usize = 2;
+
+/// How long a crash is known before it counts, so that all daemons can report what else ran at it.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+
+/// How long a request is refused for the first time.
 const QUARANTINE_TIME: Duration = Duration::from_secs(60);
 
-/// The most requests that are tracked. Beyond that, suspected requests are evicted before refused ones, and
-/// those that expire first before others.
+/// The longest time for which a request is refused at once.
+const QUARANTINE_TIME_MAX: Duration = Duration::from_mins(10);
+
+/// How long crashes and refusals are remembered.
+const PROBATION: Duration = Duration::from_mins(10);
+
+/// How long a daemon leaves decisions to a leader that it does not hear of.
+const FOLLOW_TIME: Duration = Duration::from_millis(1_500);
+
+/// The most requests that are tracked.
 const REQUESTS_MAX: usize = 1_024;
 
-/// A crash of an upstream while a request was in flight there.
+/// The most requests in one message to another daemon.
+const ENTRIES_MAX: usize = 128;
+
+/// A run of a request that ended with its upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashedRun {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The incarnation that ended.
+    pub born: Incarnation,
+    /// When the request was sent.
+    pub sent_at: Instant,
+    /// When its connection was lost; when it was sent, if nothing shows when the upstream ended.
+    pub ended_at: Instant,
+}
+
+/// A [`CrashedRun`] in the form in which daemons exchange it, with ages for times.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
-    /// The request.
-    pub request: Fingerprint,
     /// The upstream.
     pub upstream: UpstreamId,
-    /// The incarnation that crashed.
+    /// The incarnation that ended.
     pub born: Incarnation,
+    /// How long ago the request was sent.
+    pub sent: Duration,
+    /// How long ago the run ended.
+    pub ended: Duration,
 }
 
-/// A refused request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refused {
+/// What a daemon knows of a request, for other daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
     /// The request.
     pub request: Fingerprint,
-    /// How much longer it is refused.
-    pub left: Duration,
+    /// Its crashed runs since it was last answered or refused.
+    pub crashes: Vec<Crash>,
+    /// The incarnations that it crashed before it was refused.
+    pub explains: Vec<(UpstreamId, Incarnation)>,
+    /// How long ago it was last answered, if that matters.
+    pub answered: Option<Duration>,
+    /// How often it has been refused for a time.
+    pub refusals: u32,
+    /// How much longer it is refused; `None` if it is not.
+    pub left: Option<Duration>,
 }
 
-/// The observations of a daemon since its last report.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Observations {
-    /// The crashes.
-    pub crashes: Vec<Crash>,
-    /// Requests that were suspected and then answered.
-    pub cleared: Vec<Fingerprint>,
+/// How a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// Like any other request.
+    Free,
+    /// Not beside another request that is to be kept apart.
+    Apart,
+    /// Not at all for this time.
+    Refused(Duration),
 }
 
 /// The suspected and refused requests.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     records: HashMap<Fingerprint, Record>,
-    /// Observations that are not reported to the leader yet.
-    unreported: Observations,
+    /// Changes with each change of what other daemons have to know.
+    version: u64,
+    /// Until when the decisions of a leader are waited for.
+    following_until: Option<Instant>,
 }
 
-#[derive(Debug)]
-struct Record {
-    incarnations: Vec<(UpstreamId, Incarnation)>,
-    is_refused: bool,
-    expires_at: Instant,
+impl CrashedRun {
+    /// Returns whether two runs ended with the same incarnation.
+    fn is_at_same(&self, other: &Self) -> bool {
+        self.upstream == other.upstream && self.born == other.born
+    }
 }
 
 impl Quarantine {
-    /// Returns whether no request is suspected or refused, so that no fingerprint needs to be computed.
+    /// Returns whether nothing is known of any request.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Returns how much longer a request is refused; `None` if it is not.
+    /// Returns a number that changes with what other daemons have to know.
     #[must_use]
-    pub fn refused_for(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
-        let record = self.records.get(&request)?;
-        let left = record.expires_at.saturating_duration_since(now);
-        (record.is_refused && !left.is_zero()).then_some(left)
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
-    /// Records a crash that this daemon observed; returns whether the request is refused from now on.
-    pub fn record_crash(&mut self, crash: Crash, now: Instant) -> bool {
-        if self.unreported.crashes.len() < REQUESTS_MAX {
-            self.unreported.crashes.push(crash.clone());
+    /// Returns how a request may run now.
+    #[must_use]
+    pub fn admit(&self, request: Fingerprint, now: Instant) -> Admission {
+        let Some(record) = self.records.get(&request) else {
+            return Admission::Free;
+        };
+        match record.refused_for(now) {
+            Some(left) => Admission::Refused(left),
+            None if record.crashes() >= CRASHES_TO_KEEP_APART || record.is_on_probation(now) => {
+                Admission::Apart
+            }
+            None => Admission::Free,
         }
-        self.add_crash(crash, now)
     }
 
-    /// Clears a suspected request that was answered and therefore does not crash upstreams.
-    pub fn clear(&mut self, request: Fingerprint) {
-        if self.remove_suspect(request) && self.unreported.cleared.len() < REQUESTS_MAX {
-            self.unreported.cleared.push(request);
-        }
+    /// Returns whether a request ran at a crash and was not answered since.
+    #[must_use]
+    pub fn is_suspect(&self, request: Fingerprint) -> bool {
+        let record = self.records.get(&request);
+        record.is_some_and(|record| record.crashes() > 0)
     }
 
-    /// Takes the observations since the last call, to report them to the leader.
-    pub fn take_unreported(&mut self) -> Observations {
-        std::mem::take(&mut self.unreported)
+    /// Records a crash that this daemon observed; returns whether it is news.
+    pub fn record_crash(&mut self, request: Fingerprint, run: CrashedRun, now: Instant) -> bool {
+        let is_new = self.add_run(request, run, now);
+        if is_new && let Some(record) = self.records.get_mut(&request) {
+            record.is_reported = false;
+        }
+        is_new
     }
 
-    /// Puts back observations that could not be reported, for the next report.
-    pub fn put_back(&mut self, observations: Observations) {
-        let Observations { crashes, cleared } =
-            std::mem::replace(&mut self.unreported, observations);
-        self.unreported.crashes.extend(crashes);
-        self.unreported.cleared.extend(cleared);
+    /// Records a complete answer, which shows that a request does not crash upstreams; returns whether it was
+    /// suspected.
+    pub fn record_answer(&mut self, request: Fingerprint, now: Instant) -> bool {
+        let Some(record) = self.records.get_mut(&request) else {
+            return false;
+        };
+        let is_cleared = record.record_answer(now, now);
+        if is_cleared {
+            record.is_reported = false;
+            self.version += u64::from(record.is_shared());
+        }
+        is_cleared
     }
 
-    /// Merges the observations of another daemon; returns the requests that are refused from now on.
-    pub fn merge(&mut self, observations: Observations, now: Instant) -> Vec<Fingerprint> {
-        for request in observations.cleared {
-            self.remove_suspect(request);
-        }
+    /// Decides which requests are refused from now on, and returns them.
+    pub fn decide(&mut self, now: Instant) -> Vec<Fingerprint> {
         let mut refused = Vec::new();
-        for crash in observations.crashes {
-            let request = crash.request;
-            if self.add_crash(crash, now) {
-                refused.push(request);
-            }
+        if self.following_until.is_some_and(|until| now < until) {
+            return refused;
+        }
+        while let Some(request) = self.next_culprit(now) {
+            self.refuse(request, now);
+            refused.push(request);
         }
         refused
     }
 
-    /// Returns the refused requests, for other daemons.
-    #[must_use]
-    pub fn refused(&self, now: Instant) -> Vec<Refused> {
-        let requests = self.records.keys();
-        let refused = requests.filter_map(|request| {
-            let left = self.refused_for(*request, now)?;
-            Some(Refused {
-                request: *request,
-                left,
-            })
+    /// Takes what this daemon has observed since the last call, to report it to the leader.
+    pub fn take_unreported(&mut self, now: Instant) -> Vec<Entry> {
+        let records = self.records.iter_mut();
+        let unreported = records.filter(|(_, record)| !record.is_reported);
+        let entries = unreported.take(ENTRIES_MAX).map(|(request, record)| {
+            record.is_reported = true;
+            record.entry(*request, now)
         });
-        refused.collect()
+        entries.collect()
+    }
+
+    /// Reports everything again, as a report was lost or a new leader may know nothing.
+    pub fn report_again(&mut self) {
+        for record in self.records.values_mut() {
+            record.is_reported = false;
+        }
+    }
+
+    /// Returns the requests that all daemons have to know of.
+    #[must_use]
+    pub fn shared(&self, now: Instant) -> Vec<Entry> {
+        let records = self.records.iter();
+        let mut shared: Vec<_> = records.filter(|(_, record)| record.is_shared()).collect();
+        shared.sort_by_key(|(_, record)| std::cmp::Reverse(record.worth()));
+        let shared = shared.into_iter().take(ENTRIES_MAX);
+        shared
+            .map(|(request, record)| record.entry(*request, now))
+            .collect()
     }
 
-    /// Refuses the requests that another daemon refuses.
-    pub fn import(&mut self, refused: &[Refused], now: Instant) {
-        for entry in refused {
+    /// Takes over what another daemon knows.
+    pub fn merge(&mut self, entries: &[Entry], now: Instant) {
+        for entry in entries {
             let record = self.record_of(entry.request, now);
-            record.is_refused = true;
-            record.expires_at = record.expires_at.max(now + entry.left.min(QUARANTINE_TIME));
+            let is_news = record.merge(entry, now) && record.is_shared();
+            self.version += u64::from(is_news);
+            self.remove_explained(entry.request, &entry.explains);
+            for crash in &entry.crashes {
+                let time = |age| now.checked_sub(age).unwrap_or(now);
+                let run = CrashedRun {
+                    upstream: crash.upstream.clone(),
+                    born: crash.born,
+                    sent_at: time(crash.sent),
+                    ended_at: time(crash.ended),
+                };
+                self.add_run(entry.request, run, now);
+            }
         }
     }
 
-    /// Removes expired requests.
+    /// Leaves decisions to a leader that this daemon has just heard of.
+    pub fn follow(&mut self, now: Instant) {
+        self.following_until = Some(now + FOLLOW_TIME);
+    }
+
+    /// Takes decisions without waiting for a leader.
+    pub fn lead(&mut self) {
+        self.following_until = None;
+    }
+
+    /// Forgets what has expired.
     pub fn remove_expired(&mut self, now: Instant) {
-        self.records.retain(|_, record| now < record.expires_at);
+        self.records.retain(|_, record| !record.has_expired(now));
     }
 
-    fn add_crash(&mut self, crash: Crash, now: Instant) -> bool {
-        let record = self.record_of(crash.request, now);
-        record.expires_at = now + QUARANTINE_TIME;
-        let incarnation = (crash.upstream, crash.born);
-        if !record.incarnations.contains(&incarnation) {
-            record.incarnations.push(incarnation);
-        }
-        let is_new = !record.is_refused && record.incarnations.len() >= CRASH_THRESHOLD;
-        record.is_refused |= is_new;
-        is_new
+    /// Returns a request that is to be refused; `None` if there is none.
+    fn next_culprit(&self, now: Instant) -> Option<Fingerprint> {
+        let settled_before = now.checked_sub(SETTLE_TIME)?;
+        let mut suspects = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.crashes() > 0 && record.refused_for(now).is_none());
+        let culprit = suspects.find(|(request, record)| {
+            let threshold = if record.is_on_probation(now) {
+                CRASH_THRESHOLD_ON_PROBATION
+            } else {
+                CRASH_THRESHOLD
+            };
+            let crashes = record.successive_crashes(settled_before);
+            if crashes < threshold {
+                return false;
+            }
+            let mut rivals = self.rivals(**request, record);
+            if crashes < threshold + CRASHES_TO_TELL_APART {
+                return rivals.next().is_none();
+            }
+            rivals
+                .filter(|rival| rival.successive_crashes(now) >= crashes)
+                .all(|rival| {
+                    rival.crashes() <= record.crashes()
+                        && record.mean_run_time() <= rival.mean_run_time()
+                })
+        });
+        culprit.map(|(request, _)| *request)
     }
 
-    /// Removes a request if it is suspected and not refused; returns whether it was.
-    fn remove_suspect(&mut self, request: Fingerprint) -> bool {
-        let is_suspect = self
+    /// Iterates over the other requests that ran at every crash at which `record` ran.
+    fn rivals<'a>(
+        &'a self,
+        request: Fingerprint,
+        record: &'a Record,
+    ) -> impl Iterator<Item = &'a Record> {
+        let others = self
             .records
-            .get(&request)
-            .is_some_and(|record| !record.is_refused);
-        if is_suspect {
-            self.records.remove(&request);
+            .iter()
+            .filter(move |(other, _)| **other != request);
+        others
+            .map(|(_, other)| other)
+            .filter(|other| other.covers(record))
+    }
+
+    fn refuse(&mut self, request: Fingerprint, now: Instant) {
+        let Some(record) = self.records.get_mut(&request) else {
+            return;
+        };
+        record.refuse(now);
+        let explained = record.explained().to_vec();
+        self.remove_explained(request, &explained);
+        self.version += 1;
+    }
+
+    /// Removes crashes that `culprit` caused from the other requests.
+    fn remove_explained(&mut self, culprit: Fingerprint, explained: &[(UpstreamId, Incarnation)]) {
+        if explained.is_empty() {
+            return;
+        }
+        let others = self
+            .records
+            .iter_mut()
+            .filter(|(request, _)| **request != culprit);
+        for (_, record) in others {
+            record.remove_explained(explained);
         }
-        is_suspect
+    }
+
+    fn add_run(&mut self, request: Fingerprint, run: CrashedRun, now: Instant) -> bool {
+        if self.records.values().any(|record| record.explains(&run)) {
+            return false;
+        }
+        let record = self.record_of(request, now);
+        let is_new = record.add_run(run, now);
+        let is_news = is_new && record.is_shared();
+        self.version += u64::from(is_news);
+        is_new
     }
 
     fn record_of(&mut self, request: Fingerprint, now: Instant) -> &mut Record {
         if self.records.len() >= REQUESTS_MAX && !self.records.contains_key(&request) {
             self.evict(now);
         }
-        self.records.entry(request).or_insert_with(|| Record {
-            incarnations: Vec::new(),
-            is_refused: false,
-            expires_at: now + QUARANTINE_TIME,
-        })
+        self.records
+            .entry(request)
+            .or_insert_with(|| Record::new(now))
     }
 
     fn evict(&mut self, now: Instant) {
         self.remove_expired(now);
+        if self.records.len() < REQUESTS_MAX {
+            return;
+        }
         let records = self.records.iter();
-        let first = records.min_by_key(|(_, record)| (record.is_refused, record.expires_at));
-        if let Some(first) = first.map(|(request, _)| *request)
-            && self.records.len() >= REQUESTS_MAX
-        {
-            self.records.remove(&first);
+        let least = records.min_by_key(|(_, record)| record.worth());
+        if let Some(least) = least.map(|(request, _)| *request) {
+            self.records.remove(&least);
         }
     }
 }
