Check a request that waited again before it is sent

Callers saw a request reach a server after it had been found to crash them: one that passed the check and then waited for a holder of its key, or for room there, was sent although its other sends had been convicted meanwhile. The selector now checks before the wait and after it.

request_that_is_refused_while_it_waits_is_sent fails without the second check.

--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -60,6 +60,8 @@
             }
             None => self.select_any(requirements, attempted)?,
         };
+        // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
+        self.check_quarantine(requirements.request)?;
         Ok(upstream)
     }
 
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -77,11 +77,33 @@
     selector.view.keys.quarantine.record_crashes(runs);
 }
 
+async fn convict(selector: &Selector, request: Fingerprint) {
+    crash(selector, request, 3);
+    advance(Duration::from_secs(1)).await;
+    selector.view.keys.quarantine.maintain();
+}
+
 fn reason(result: Result<Arc<Upstream>, Refusal>) -> Result<String, Reason> {
     let id = result.map(|upstream| upstream.id.to_string());
     id.map_err(|refusal| refusal.reason)
 }
 
+#[tokio::test(start_paused = true)]
+async fn request_that_is_refused_while_it_waits_is_sent() {
+    let selector = selector();
+    let waiting = [CULPRIT, OTHER].map(|request| {
+        let selector = selector.clone();
+        let requirements = requirements(request, Some(KEY));
+        tokio::spawn(async move { selector.select(&requirements, &[], None).await })
+    });
+    tokio::task::yield_now().await;
+    convict(&selector, CULPRIT).await;
+    publish_holder(&selector, "a");
+    let [culprit, other] = waiting;
+    assert_eq!(reason(culprit.await.unwrap()), Err(Reason::Quarantined));
+    assert_eq!(reason(other.await.unwrap()), Ok("a".to_owned()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn suspects_share_the_holder_of_their_key() {
     let selector = selector();
