--- a/crates/policy/src/unanswered.rs
+++ b/crates/policy/src/unanswered.rs
@@ -68,9 +68,9 @@
             .collect()
     }
 
-    /// Records an answer of `incarnation`, which refutes any proof that it has ended.
-    pub fn record_answer(&mut self, incarnation: Incarnation) {
-        self.ended = self.ended.filter(|(ended, _)| *ended < incarnation);
+    /// Records a sign of life of `incarnation`, which refutes a proof that it was the last to end.
+    pub fn record_life(&mut self, incarnation: Incarnation) {
+        self.ended = self.ended.filter(|(ended, _)| *ended != incarnation);
     }
 
     /// Returns whether nothing is known that matters from now on.
--- a/crates/policy/tests/unanswered.rs
+++ b/crates/policy/tests/unanswered.rs
@@ -51,7 +51,7 @@
     let now = Instant::now();
     let mut unanswered = Unanswered::new();
     unanswered.record_end(now, 1);
-    unanswered.record_answer(answered);
+    unanswered.record_life(answered);
     assert_eq!(unanswered.record(now, 1, "request").is_some(), expected);
 }
 
