Bound what daemons tell each other about suspects, and refute removals

A follower told a new leader all that it knew: after a large crash each of 1,100 daemons would send the same requests, at most 1,024 of them, at once. Now each reports again only what it has observed itself; the new leader knows the rest, as it followed the old one. The leader tells 32 requests at a time, those refused and those with most crashes first; it told 128 before.

An upstream whose registration expired with the store away, and that was listed again, still counted as ended: for 10 s each request that its caller gave up was a suspect. Being listed is a sign of life now.

new_leader_is_told_by_every_daemon_what_all_know and upstream_that_is_listed_again_counts_as_ended fail without the change.

--- a/crates/dispatch/src/limiter.rs
+++ b/crates/dispatch/src/limiter.rs
@@ -203,7 +203,7 @@
 
     /// Records an answer of `incarnation`, which therefore has not ended.
     pub(crate) fn record_answer(&self, incarnation: Incarnation) {
-        self.state().unanswered.record_answer(incarnation);
+        self.state().unanswered.record_life(incarnation);
     }
 
     /// Records the server's incarnation and returns the suspects of a crash that it proves.
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -83,6 +83,19 @@
     is_apart: bool,
 }
 
+/// What proves that an incarnation of an upstream has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Proof {
+    /// It refuses connections.
+    Refused,
+    /// The registry lists a later incarnation.
+    Incarnation,
+    /// The registry lists it no more; it may only have lost its way to the store.
+    Removed,
+    /// It was known before the request ended.
+    Known,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EndLabel {
     end: &'static str,
@@ -205,13 +218,15 @@
     /// Records what the registry shows of the ends of upstreams.
     pub(crate) fn record_changes(&self, changes: &Changes) {
         for upstream in &changes.joined {
+            if let Some(sends) = self.upstreams().get_mut(&upstream.id) {
+                sends.unanswered.record_life(upstream.born);
+            }
             if let Some(ended) = upstream.born.checked_sub(1) {
-                self.record_end(&upstream.id, ended, "incarnation");
+                self.record_end(&upstream.id, ended, Proof::Incarnation);
             }
         }
         for upstream in &changes.gone {
-            // The upstream may only have lost its way to the store, and answer what is in flight.
-            self.record_end(&upstream.id, upstream.born, "removed");
+            self.record_end(&upstream.id, upstream.born, Proof::Removed);
         }
     }
 
@@ -228,13 +243,14 @@
     }
 
     /// Records proof that an incarnation and all earlier ones have ended.
-    fn record_end(&self, id: &UpstreamId, ended: Incarnation, by: &'static str) {
+    fn record_end(&self, id: &UpstreamId, ended: Incarnation, by: Proof) {
         let mut upstreams = self.upstreams();
         let Some(sends) = upstreams.get_mut(id) else {
             return;
         };
         let mut crashed = sends.unanswered.record_end(Instant::now(), ended);
-        if by == "incarnation" {
+        // After any other proof, what is in flight may still be answered.
+        if by == Proof::Incarnation {
             let in_flight = sends.in_flight.values();
             crashed.extend(in_flight.filter(|run| run.born <= ended));
         }
@@ -242,11 +258,12 @@
         self.record_crashes(id, &crashed, by);
     }
 
-    fn record_crashes(&self, id: &UpstreamId, runs: &[Run], by: &'static str) {
+    fn record_crashes(&self, id: &UpstreamId, runs: &[Run], by: Proof) {
         if runs.is_empty() {
             return;
         }
-        self.proofs.get_or_create(&ProofLabel { by }).inc();
+        let label = ProofLabel { by: by.as_str() };
+        self.proofs.get_or_create(&label).inc();
         self.quarantine.record_crashes(runs.iter().map(|run| {
             let crashed = CrashedRun {
                 upstream: id.clone(),
@@ -271,7 +288,7 @@
         for delay in PROBE_DELAYS {
             sleep(delay).await;
             if probe::is_refused(upstream.address, PROBE_TIMEOUT).await {
-                self.record_end(&upstream.id, upstream.born, "refused");
+                self.record_end(&upstream.id, upstream.born, Proof::Refused);
                 break;
             }
         }
@@ -287,16 +304,27 @@
     }
 }
 
+impl Proof {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Incarnation => "incarnation",
+            Self::Removed => "removed",
+            Self::Known => "known",
+        }
+    }
+}
+
 impl Send {
     /// Records a complete answer, which shows that the request does not crash upstreams.
     pub(crate) fn answered(mut self) {
-        self.finish(|sends, run| sends.unanswered.record_answer(run.born));
+        self.finish(|sends, run| sends.unanswered.record_life(run.born));
         self.tracker.quarantine.record_answer(self.run.request);
     }
 
     /// Records a response that shows that the upstream lives, but not that it has run the request well.
     pub(crate) fn failed(mut self) {
-        self.finish(|sends, run| sends.unanswered.record_answer(run.born));
+        self.finish(|sends, run| sends.unanswered.record_life(run.born));
     }
 
     /// Records that the request did not run.
@@ -323,7 +351,7 @@
             crashed = sends.unanswered.record(Instant::now(), run.born, *run);
         });
         self.tracker
-            .record_crashes(&self.upstream.id, crashed.as_slice(), "known");
+            .record_crashes(&self.upstream.id, crashed.as_slice(), Proof::Known);
     }
 
     fn finish(&mut self, update: impl FnOnce(&mut Sends, &Run)) {
--- a/crates/gateway/src/crash_tracker/tests.rs
+++ b/crates/gateway/src/crash_tracker/tests.rs
@@ -113,6 +113,17 @@
     assert!(tracker.upstreams().is_empty());
 }
 
+/// The registration of an upstream that has lost its way to the store expires.
+#[tokio::test(start_paused = true)]
+async fn upstream_that_is_listed_again_counts_as_ended() {
+    let tracker = tracker();
+    drop(tracker.start(&upstream(1, BORN), 1));
+    tracker.record_changes(&removed());
+    tracker.record_changes(&listed(BORN));
+    drop(tracker.start(&upstream(1, BORN), REQUEST));
+    assert!(!tracker.is_suspect(REQUEST));
+}
+
 /// Nothing else is sent to the upstream, so that only a probe can show whether it has ended.
 #[test_case(false, true; "refuses connections")]
 #[test_case(true, false; "accepts connections")]
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -54,8 +54,11 @@
 /// The most requests that are tracked.
 const REQUESTS_MAX: usize = 1_024;
 
-/// The most requests in one message to another daemon.
-const ENTRIES_MAX: usize = 128;
+/// The most requests in one report to the leader.
+const REPORTED_MAX: usize = 128;
+
+/// The most requests in one message to all daemons.
+const SHARED_MAX: usize = 32;
 
 /// A run of a request that ended with its upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -167,7 +170,7 @@
     pub fn record_crash(&mut self, request: Fingerprint, run: CrashedRun, now: Instant) -> bool {
         let is_new = self.add_run(request, run, now);
         if is_new && let Some(record) = self.records.get_mut(&request) {
-            record.is_reported = false;
+            record.record_observation();
         }
         is_new
     }
@@ -180,7 +183,7 @@
         };
         let is_cleared = record.record_answer(now, now);
         if is_cleared {
-            record.is_reported = false;
+            record.record_observation();
             self.version += u64::from(record.is_shared());
         }
         is_cleared
@@ -202,18 +205,18 @@
     /// Takes what this daemon has observed since the last call, to report it to the leader.
     pub fn take_unreported(&mut self, now: Instant) -> Vec<Entry> {
         let records = self.records.iter_mut();
-        let unreported = records.filter(|(_, record)| !record.is_reported);
-        let entries = unreported.take(ENTRIES_MAX).map(|(request, record)| {
-            record.is_reported = true;
+        let unreported = records.filter(|(_, record)| record.is_unreported());
+        let entries = unreported.take(REPORTED_MAX).map(|(request, record)| {
+            record.set_reported();
             record.entry(*request, now)
         });
         entries.collect()
     }
 
-    /// Reports everything again, as a report was lost or a new leader may know nothing.
+    /// Reports again what this daemon has observed, as a report was lost or the leader is a new one.
     pub fn report_again(&mut self) {
         for record in self.records.values_mut() {
-            record.is_reported = false;
+            record.report_again();
         }
     }
 
@@ -223,7 +226,7 @@
         let records = self.records.iter();
         let mut shared: Vec<_> = records.filter(|(_, record)| record.is_shared()).collect();
         shared.sort_by_key(|(_, record)| std::cmp::Reverse(record.worth()));
-        let shared = shared.into_iter().take(ENTRIES_MAX);
+        let shared = shared.into_iter().take(SHARED_MAX);
         shared
             .map(|(request, record)| record.entry(*request, now))
             .collect()
--- a/crates/routing/src/quarantine/record.rs
+++ b/crates/routing/src/quarantine/record.rs
@@ -27,8 +27,10 @@
     refusals: u32,
     refused_until: Option<Instant>,
     updated_at: Instant,
+    /// Whether this daemon has observed any of this itself.
+    is_own: bool,
     /// Whether this daemon has reported all that it observed.
-    pub(super) is_reported: bool,
+    is_reported: bool,
     /// Whether other daemons know of the request.
     is_shared: bool,
 }
@@ -49,6 +51,7 @@
             refusals: 0,
             refused_until: None,
             updated_at: now,
+            is_own: false,
             is_reported: true,
             is_shared: false,
         }
@@ -146,9 +149,29 @@
         let excess = self.explained.len().saturating_sub(RUNS_MAX);
         self.explained.drain(..excess);
         self.updated_at = now;
+        self.record_observation();
+    }
+
+    /// Records that this daemon has observed what changed.
+    pub(super) fn record_observation(&mut self) {
+        self.is_own = true;
         self.is_reported = false;
     }
 
+    /// Returns whether there is something to report to the leader.
+    pub(super) fn is_unreported(&self) -> bool {
+        !self.is_reported
+    }
+
+    pub(super) fn set_reported(&mut self) {
+        self.is_reported = true;
+    }
+
+    /// Reports again what this daemon has observed itself.
+    pub(super) fn report_again(&mut self) {
+        self.is_reported &= !self.is_own;
+    }
+
     /// Returns whether the request caused the crash of an incarnation.
     pub(super) fn explains(&self, run: &CrashedRun) -> bool {
         let mut explained = self.explained.iter();
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use copperwell_routing::quarantine::{Admission, CrashedRun, Entry, Fingerprint, Quarantine};
+use copperwell_routing::quarantine::{Admission, CrashedRun, Fingerprint, Quarantine};
 use test_case::test_case;
 use tokio::time::Instant;
 
@@ -225,6 +225,20 @@
     assert_eq!(next.decide(start + SETTLED), [REQUEST]);
 }
 
+/// All daemons know the same shared requests; a new leader is told only what each has observed itself.
+#[test]
+fn new_leader_is_told_by_every_daemon_what_all_know() {
+    let start = Instant::now();
+    let (mut leader, mut follower) = (Quarantine::default(), Quarantine::default());
+    crash(&mut leader, REQUEST, "a b", start);
+    crash(&mut follower, OTHER, "c", start);
+    follower.merge(&leader.shared(start), start);
+    follower.report_again();
+    let told = follower.take_unreported(start);
+    let told: Vec<_> = told.iter().map(|entry| entry.request).collect();
+    assert_eq!(told, [OTHER]);
+}
+
 #[test]
 fn follower_leaves_the_decision_to_a_leader_that_it_hears() {
     let start = Instant::now();
@@ -255,9 +269,8 @@
     for request in 0..1_000 {
         crash(&mut quarantine, request, "a b", start);
     }
-    let is_bounded = |entries: Vec<Entry>| entries.len() <= 128;
-    assert!(is_bounded(quarantine.shared(start)));
-    assert!(is_bounded(quarantine.take_unreported(start)));
+    assert_eq!(quarantine.shared(start).len(), 32);
+    assert_eq!(quarantine.take_unreported(start).len(), 128);
 }
 
 /// Memory is bounded however many requests fail, and refused requests are not evicted by suspected ones.
