--- a/crates/copperwelld/tests/gateway/crashing_servers.rs
+++ b/crates/copperwelld/tests/gateway/crashing_servers.rs
@@ -10,11 +10,9 @@
 };
 
 use crate::standin::{
-    caller::{self, BEAT},
-    server::registration,
+    caller,
     store::{Store, Writer},
 };
-use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -122,7 +120,7 @@
                 End::Replaced => format!("{}-{born}", self.id),
                 _ => self.id.clone(),
             };
-            let renewal = tokio::spawn(renew(self.writer.clone(), id.clone(), address, born));
+            let renewal = caller::register_born(self.writer.clone(), &id, "pay", address, born);
             let run = Arc::new(Run {
                 end: self.end,
                 crashes: self.crashes.clone(),
@@ -148,7 +146,7 @@
                 while connections.join_next().await.is_some() {}
             }
             sleep(EXPIRY).await;
-            self.writer.write("keyed.servers", &id, Vec::new());
+            caller::unregister(&self.writer, &id);
             sleep(DOWN_TIME - EXPIRY).await;
         }
     }
@@ -204,12 +202,3 @@
     let length = lines.find_map(|line| line.strip_prefix("content-length: "))?;
     is_order.then(|| length.parse().unwrap())
 }
-
-async fn renew(writer: Writer, id: String, address: SocketAddr, born: u64) {
-    let mut value = registration("pay", address);
-    value["born"] = json!(born);
-    loop {
-        writer.write("keyed.servers", &id, value.to_string().into_bytes());
-        sleep(BEAT).await;
-    }
-}
