Record the end of a streamed body that is over at once, and pass on a place

A streamed body that had ended before the attempt looked at it was polled a second time, which panics in the task; found by reading. A request that is refused after it waited for room kept the wake-up that the next one waits for; it passes it on now.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -386,16 +386,17 @@
     match result {
         Ok(response) if response.reply.reason.is_some() => send.not_run(),
         Ok(response) if response.reply.status >= FAILURE_STATUS => send.failed(),
-        Ok(_) if streamed.try_recv() == Err(TryRecvError::Closed) => send.answered(),
-        Ok(_) => {
-            tokio::spawn(async move {
-                match streamed.await {
-                    Ok(Ok(())) => send.answered(),
-                    Ok(Err(Reason::ConnectionLost)) => send.connection_lost(),
-                    Ok(Err(_)) | Err(_) => drop(send),
-                }
-            });
-        }
+        Ok(_) => match streamed.try_recv() {
+            Ok(end) => end_streamed(send, end),
+            // The body was read whole.
+            Err(TryRecvError::Closed) => send.answered(),
+            Err(TryRecvError::Empty) => {
+                tokio::spawn(async move {
+                    let end = streamed.await;
+                    end_streamed(send, end.unwrap_or(Err(Reason::Cancelled)));
+                });
+            }
+        },
         Err(failed) => match (failed.verdict, failed.reason) {
             (Verdict::MayHaveRun, Reason::ConnectionLost) => send.connection_lost(),
             (Verdict::MayHaveRun, _) => drop(send),
@@ -404,6 +405,15 @@
     }
 }
 
+/// Records how a send ended whose response body was streamed.
+fn end_streamed(send: Send, end: Result<(), Reason>) {
+    match end {
+        Ok(()) => send.answered(),
+        Err(Reason::ConnectionLost) => send.connection_lost(),
+        Err(_) => drop(send),
+    }
+}
+
 /// Returns how an attempt ended, for load balancing.
 fn outcome_of(result: &Result<Response, Failed>) -> Outcome {
     match result {
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -87,7 +87,8 @@
         notifiers.entry(id.clone()).or_default().clone()
     }
 
-    fn notify_one(&self, id: &UpstreamId) {
+    /// Wakes a request that is queued for capacity at an upstream.
+    pub(crate) fn notify_one(&self, id: &UpstreamId) {
         let notifiers = self
             .notifiers
             .lock()
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -61,7 +61,11 @@
             None => self.select_any(requirements, attempted)?,
         };
         // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
-        self.check_quarantine(requirements.request)?;
+        if let Err(refusal) = self.check_quarantine(requirements.request) {
+            // Its place is free for the next one that waits.
+            self.queues.notify_one(&upstream.id);
+            return Err(refusal);
+        }
         Ok(upstream)
     }
 
