Log the caller, target and body of a request that was left unanswered

The log did not tell which part of the request differed: caller, target or body. The line request-lost has them now, target and body as hashes. No logic changes.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -8,6 +8,7 @@
 use crate::{
     crash_tracker::Send,
     dialect::{Dialect, Metadata, Outbound},
+    fingerprint::Identity,
     metrics::{Metrics, Stage},
     refusal::Refusal,
     request_log::{RequestContext, RequestLog},
@@ -25,7 +26,6 @@
     ServiceName, UpstreamId,
     configuration::Route,
     load::Outcome,
-    quarantine::Fingerprint,
     registry::Upstream,
     retry::{self, Decision, FailedAttempt},
 };
@@ -66,7 +66,7 @@
     pub(crate) view: &'a Arc<View>,
     pub(crate) selector: &'a Selector,
     pub(crate) pools: &'a ConnectionPools,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) identity: Identity,
     pub(crate) metrics: &'a Metrics,
     pub(crate) route: &'a Route,
     pub(crate) metadata: &'a Metadata,
@@ -209,7 +209,7 @@
         };
         let selection_time = self.route.objective.mul_f64(SELECTION_TIME_RATIO);
         Ok(Requirements {
-            request: self.fingerprint,
+            request: self.identity.fingerprint,
             service: service.clone(),
             key,
             priority: self.route.priority,
@@ -232,7 +232,7 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         let (body_end, streamed) = oneshot::channel();
         let exchange = Exchange::new(pool, left, self.deadline).with_body_end(body_end);
-        let send = self.view.crash_tracker.start(upstream, self.fingerprint);
+        let send = self.view.crash_tracker.start(upstream, self.identity);
         let result = exchange.run(self.dialect, &outbound, body).await;
         if matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused) {
             self.view.crash_tracker.record_unreachable(upstream);
@@ -305,7 +305,10 @@
             // A request that may crash upstreams is not sent to a further one.
             Decision::RetryAfter(_)
                 if failed.verdict == Verdict::MayHaveRun
-                    && self.view.crash_tracker.is_suspect(self.fingerprint) =>
+                    && self
+                        .view
+                        .crash_tracker
+                        .is_suspect(self.identity.fingerprint) =>
             {
                 RetryDecision::GiveUp
             }
--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use crate::line_limit::LineLimit;
+use crate::{fingerprint::Identity, line_limit::LineLimit};
 use copperwell_assignment::quarantine::SharedQuarantine;
 use copperwell_backend::probe;
 use copperwell_message::HashMap;
@@ -61,6 +61,7 @@
 pub(crate) struct Send {
     tracker: Arc<CrashTracker>,
     upstream: Arc<Upstream>,
+    identity: Identity,
     number: u64,
     run: Run,
     is_over: bool,
@@ -181,8 +182,9 @@
     }
 
     /// Records that a request is sent to an upstream.
-    pub(crate) fn start(self: &Arc<Self>, upstream: &Arc<Upstream>, request: Fingerprint) -> Send {
+    pub(crate) fn start(self: &Arc<Self>, upstream: &Arc<Upstream>, identity: Identity) -> Send {
         let now = Instant::now();
+        let request = identity.fingerprint;
         let run = Run {
             request,
             born: upstream.born,
@@ -201,6 +203,7 @@
         Send {
             tracker: self.clone(),
             upstream: upstream.clone(),
+            identity,
             number,
             run,
             is_over: false,
@@ -349,7 +352,13 @@
         tracker.lost_requests.get_or_create(&EndLabel { end }).inc();
         let run = self.run;
         if tracker.line_limit.allows_line() {
-            info!("request left unanswered", kv: { event = "request-lost", end, fingerprint = run.request, server = &*self.upstream.id, born = run.born });
+            let Identity {
+                caller,
+                target,
+                body,
+                ..
+            } = self.identity;
+            info!("request left unanswered", kv: { event = "request-lost", end, fingerprint = run.request, caller: = caller, target, body, server = &*self.upstream.id, born = run.born });
         }
         let mut crashed = None;
         self.finish(|sends, run| {
--- a/crates/gateway/src/crash_tracker/tests.rs
+++ b/crates/gateway/src/crash_tracker/tests.rs
@@ -60,11 +60,11 @@
 #[tokio::test(start_paused = true)]
 async fn crash_that_the_registry_shows_is_missed(end: fn(Send), changes: Changes, expected: bool) {
     let lost_first = tracker();
-    end(lost_first.start(&upstream(1, BORN), REQUEST));
+    end(lost_first.start(&upstream(1, BORN), REQUEST.into()));
     lost_first.record_changes(&changes);
     assert_eq!(lost_first.is_suspect(REQUEST), expected);
     let ended_first = tracker();
-    let send = ended_first.start(&upstream(1, BORN), REQUEST);
+    let send = ended_first.start(&upstream(1, BORN), REQUEST.into());
     ended_first.record_changes(&changes);
     end(send);
     assert_eq!(ended_first.is_suspect(REQUEST), expected);
@@ -80,7 +80,7 @@
     expected: bool,
 ) {
     let tracker = tracker();
-    let _send = tracker.start(&upstream(1, BORN), REQUEST);
+    let _send = tracker.start(&upstream(1, BORN), REQUEST.into());
     advance(Duration::from_secs(seconds)).await;
     tracker.record_changes(&changes);
     assert_eq!(tracker.is_suspect(REQUEST), expected);
@@ -92,17 +92,17 @@
 #[tokio::test(start_paused = true)]
 async fn suspect_is_cleared_by_mistake(end: fn(Send), expected: bool) {
     let tracker = tracker();
-    drop(tracker.start(&upstream(1, BORN), REQUEST));
+    drop(tracker.start(&upstream(1, BORN), REQUEST.into()));
     tracker.record_changes(&removed());
     advance(Duration::from_millis(1)).await;
-    end(tracker.start(&upstream(1, BORN + 1), REQUEST));
+    end(tracker.start(&upstream(1, BORN + 1), REQUEST.into()));
     assert_eq!(tracker.is_suspect(REQUEST), expected);
 }
 
 #[tokio::test(start_paused = true)]
 async fn loss_long_before_the_end_of_an_upstream_is_taken_for_its_crash() {
     let tracker = tracker();
-    drop(tracker.start(&upstream(1, BORN), REQUEST));
+    drop(tracker.start(&upstream(1, BORN), REQUEST.into()));
     advance(Duration::from_secs(11)).await;
     tracker.record_changes(&removed());
     assert!(!tracker.is_suspect(REQUEST));
@@ -120,10 +120,10 @@
 #[tokio::test(start_paused = true)]
 async fn upstream_that_is_listed_again_counts_as_ended() {
     let tracker = tracker();
-    drop(tracker.start(&upstream(1, BORN), 1));
+    drop(tracker.start(&upstream(1, BORN), 1.into()));
     tracker.record_changes(&removed());
     tracker.record_changes(&listed(BORN));
-    drop(tracker.start(&upstream(1, BORN), REQUEST));
+    drop(tracker.start(&upstream(1, BORN), REQUEST.into()));
     assert!(!tracker.is_suspect(REQUEST));
 }
 
@@ -137,7 +137,7 @@
     let listener = is_listening.then_some(listener);
     let tracker = tracker();
     let upstream = upstream(port, BORN);
-    tracker.start(&upstream, REQUEST).connection_lost();
+    tracker.start(&upstream, REQUEST.into()).connection_lost();
     while tracker.upstreams()["a"].is_probed {
         sleep(Duration::from_millis(5)).await;
     }
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -6,15 +6,37 @@
 use copperwell_routing::quarantine::Fingerprint;
 use http::{header::HOST, request::Parts};
 
-/// Returns the fingerprint of a request, which is the same if its caller sends it again, to any daemon.
-///
-/// `body` is the start of the body. The id, the deadline and the key of a request are left out: they differ
-/// between attempts, or are not looked at by every service.
-pub(crate) fn fingerprint_of(caller: IpAddr, parts: &Parts, body: &[u8]) -> Fingerprint {
-    let caller = caller.to_canonical().to_string();
-    let host = host_of(parts).unwrap_or_default();
-    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    Head::fingerprint_of(host, &caller, parts.method.as_str(), path, body)
+/// The fingerprint of a request, and the parts that it is made of.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Identity {
+    /// The same if the caller sends the request again, to any daemon.
+    pub(crate) fingerprint: Fingerprint,
+    /// The address of the caller.
+    pub(crate) caller: IpAddr,
+    /// A hash of method, host and path.
+    pub(crate) target: Fingerprint,
+    /// A hash of the start of the body.
+    pub(crate) body: Fingerprint,
+}
+
+impl Identity {
+    /// Creates the identity of a request.
+    ///
+    /// `body` is the start of the body. The id, the deadline and the key of a request are left out: they differ
+    /// between attempts, or are not looked at by every service.
+    pub(crate) fn new(caller: IpAddr, parts: &Parts, body: &[u8]) -> Self {
+        let caller = caller.to_canonical();
+        let host = host_of(parts).unwrap_or_default();
+        let method = parts.method.as_str();
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let address = caller.to_string();
+        Self {
+            fingerprint: Head::fingerprint_of(host, &address, method, path, body),
+            caller,
+            target: Head::fingerprint_of(host, "", method, path, b""),
+            body: Head::fingerprint_of("", "", "", "", body),
+        }
+    }
 }
 
 /// Returns the host that a request names, in a header field or in its target, without a port.
--- a/crates/gateway/src/fingerprint/tests.rs
+++ b/crates/gateway/src/fingerprint/tests.rs
@@ -1,9 +1,21 @@
-use std::net::IpAddr;
+use std::net::{IpAddr, Ipv4Addr};
 
-use super::fingerprint_of;
+use super::Identity;
+use copperwell_routing::quarantine::Fingerprint;
 use http::Request;
 use test_case::test_case;
 
+impl From<Fingerprint> for Identity {
+    fn from(fingerprint: Fingerprint) -> Self {
+        Self {
+            fingerprint,
+            caller: Ipv4Addr::LOCALHOST.into(),
+            target: 0,
+            body: 0,
+        }
+    }
+}
+
 /// A request of which a test changes some parts.
 #[derive(Debug, Clone, Copy)]
 struct Sample {
@@ -29,7 +41,7 @@
         request = request.header(*name, *value);
     }
     let (parts, ()) = request.body(()).unwrap().into_parts();
-    fingerprint_of(caller, &parts, sample.body.as_bytes())
+    Identity::new(caller, &parts, sample.body.as_bytes()).fingerprint
 }
 
 #[test_case(Sample { fields: &[("host", "app.example"), ("id", "2")], ..FIRST }; "another id")]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use crate::{
     attempts::{Attempts, ConnectionPools},
     dialect::{Dialect, Metadata},
-    fingerprint::{fingerprint_of, host_of},
+    fingerprint::{Identity, host_of},
     metrics::{Metrics, Stage},
     queue::Queues,
     refusal::Refusal,
@@ -25,10 +25,7 @@
     server::{Handler, Limits},
 };
 use copperwell_message::{Body, Reason, Response};
-use copperwell_routing::{
-    configuration::{Configuration, Route},
-    quarantine::Fingerprint,
-};
+use copperwell_routing::configuration::{Configuration, Route};
 use http::{HeaderName, HeaderValue, StatusCode, request::Parts};
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -67,7 +64,7 @@
     route: Arc<Route>,
     parts: Parts,
     body: Body,
-    fingerprint: Fingerprint,
+    identity: Identity,
     arrived: Instant,
     deadline: Instant,
 }
@@ -138,7 +135,7 @@
         let read = body::read_request(incoming, limit, deadline).await;
         let RequestBody { prefix, body } = read.map_err(|refusal| refuse(refusal.reason))?;
         Ok(Accepted {
-            fingerprint: fingerprint_of(caller, &parts, &prefix),
+            identity: Identity::new(caller, &parts, &prefix),
             metadata,
             route,
             parts,
@@ -154,7 +151,7 @@
             route,
             parts,
             body,
-            fingerprint,
+            identity,
             arrived,
             deadline,
         } = accepted;
@@ -163,7 +160,7 @@
             id: &metadata.id,
             route: Some(&route),
             key: metadata.key,
-            fingerprint,
+            fingerprint: identity.fingerprint,
             versions: self.view.routing_versions(),
         };
         let mut cancellation_guard = CancellationGuard {
@@ -179,7 +176,7 @@
             view: &self.view,
             selector: &self.selector,
             pools: &self.pools,
-            fingerprint,
+            identity,
             metrics: &self.metrics,
             route: &route,
             metadata: &metadata,
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -111,7 +111,7 @@
     crash(&selector, CULPRIT, 2);
     crash(&selector, OTHER, 2);
     let holder = selector.view.registry().get("a").cloned().unwrap();
-    let send = selector.view.crash_tracker.start(&holder, CULPRIT);
+    let send = selector.view.crash_tracker.start(&holder, CULPRIT.into());
     let in_flight = selector.queues.start(&selector.view, &holder.id);
     let waiting = tokio::spawn({
         let selector = selector.clone();
@@ -134,7 +134,10 @@
     let selector = selector();
     crash(&selector, CULPRIT, 2);
     let suspected = selector.view.registry().get("a").cloned().unwrap();
-    let _send = selector.view.crash_tracker.start(&suspected, CULPRIT);
+    let _send = selector
+        .view
+        .crash_tracker
+        .start(&suspected, CULPRIT.into());
     for _ in 0..100 {
         let requirements = requirements(OTHER, None);
         let selected = selector.select(&requirements, &[], None).await;
