--- a/crates/copperwelld/tests/gateway/crash.rs
+++ b/crates/copperwelld/tests/gateway/crash.rs
@@ -1,6 +1,7 @@
 //! Requests that crash servers.
 
 use std::{
+    net::IpAddr,
     process::Stdio,
     sync::{
         Arc,
@@ -11,7 +12,7 @@
 
 use crate::{
     crashing_servers::{CRASH_PATH, CrashingServers, End, SLOW_PATH},
-    harness::{CONDITION_TIMEOUT, Daemon, Harness, SERVERS},
+    harness::{CONDITION_TIMEOUT, Daemon, Harness, HttpClient, SERVERS, client_at},
     standin::{
         caller, cluster, config, rule,
         server::{Faults, Server},
@@ -164,6 +165,8 @@
 /// What becomes of the sends of a caller whose request crashes servers.
 struct Caller {
     harness: Arc<Harness>,
+    /// The clients that send in turn.
+    clients: Vec<HttpClient>,
     sends: JoinSet<()>,
     /// Refusals since the last send that was not refused.
     refusals: Arc<AtomicUsize>,
@@ -174,21 +177,29 @@
     fn new(harness: &Arc<Harness>) -> Self {
         Self {
             harness: harness.clone(),
+            clients: vec![harness.client.clone()],
             sends: JoinSet::new(),
             refusals: Arc::default(),
             count: 0,
         }
     }
 
+    /// Sends from several addresses in turn.
+    fn with_addresses(mut self, addresses: impl IntoIterator<Item = IpAddr>) -> Self {
+        self.clients = addresses.into_iter().map(client_at).collect();
+        self
+    }
+
     /// Sends the request to the next daemon and waits until the next send is due.
     async fn send_next(&mut self) {
         let (harness, refusals) = (self.harness.clone(), self.refusals.clone());
         let number = self.count;
         self.count += 1;
+        let client = self.clients[number % self.clients.len()].clone();
         self.sends.spawn(async move {
             let daemon = number % harness.daemons.len();
             let id = format!("crash-{number}");
-            let response = harness.send(daemon, CRASH_PATH, &id, 1).await;
+            let response = harness.send_with(&client, daemon, CRASH_PATH, &id, 1).await;
             if response.is_some_and(|(_, body)| body.contains("quarantined")) {
                 refusals.fetch_add(1, Ordering::Relaxed);
             } else {
@@ -236,6 +247,19 @@
     caller.check_stopped(&servers);
 }
 
+#[test_case(false, End::Refuses; "without a key")]
+#[test_case(true, End::Replaced; "with a key")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_from_several_addresses_crashes_servers_without_end(is_keyed: bool, end: End) {
+    let harness = Arc::new(start_with(3, is_keyed).await);
+    let servers = CrashingServers::start(&harness.store, 6, end);
+    harness.wait_served().await;
+    let addresses = (1..=5).map(|number| IpAddr::from([127, 0, 1, number]));
+    let mut caller = Caller::new(&harness).with_addresses(addresses);
+    caller.send_until_refused().await;
+    caller.check_stopped(&servers);
+}
+
 #[test_case(End::Refuses; "refuses connections")]
 #[test_case(End::Silent; "silent")]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/copperwelld/tests/gateway/harness.rs
+++ b/crates/copperwelld/tests/gateway/harness.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs,
+    net::IpAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU16, Ordering},
@@ -153,6 +154,13 @@
     }
 }
 
+/// Returns a client whose connections come from `address`.
+pub(crate) fn client_at(address: IpAddr) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_local_address(Some(address));
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
 impl Harness {
     pub(crate) async fn start(daemons: usize) -> Self {
         let store = Store::start().await;
@@ -182,12 +190,24 @@
         path: &str,
         id: &str,
         key: u16,
+    ) -> Option<(StatusCode, String)> {
+        self.send_with(&self.client, daemon, path, id, key).await
+    }
+
+    /// Sends a request through a client of its own, as [`Self::send`] does.
+    pub(crate) async fn send_with(
+        &self,
+        client: &HttpClient,
+        daemon: usize,
+        path: &str,
+        id: &str,
+        key: u16,
     ) -> Option<(StatusCode, String)> {
         let request = Request::get(self.daemons[daemon].url(0, path)).header("host", "app.example");
         let request = caller::asking(request, id, key)
             .body(Full::default())
             .unwrap();
-        let response = timeout(CONDITION_TIMEOUT, self.client.request(request))
+        let response = timeout(CONDITION_TIMEOUT, client.request(request))
             .await
             .ok()?
             .ok()?;
