Test how a large configuration reaches daemons, red so far

Callers saw: requests handled by version 16 or older 2.6 s after version 18 was acknowledged (CONFIG).

--- /dev/null
+++ b/crates/copperwelld/tests/gateway/configuration.rs
@@ -0,0 +1,67 @@
+//! How configurations reach the daemons.
+
+use std::time::Duration;
+
+use crate::{
+    harness::{CONDITION_TIMEOUT, Harness},
+    standin::{cluster, config, rule},
+};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+/// The topic to which the operator writes.
+const OPERATOR: &str = "keyed.op";
+
+/// The routes of a large configuration.
+const ROUTES: usize = 3_000;
+
+/// Returns a configuration with `routes` routes more than the others.
+fn with_routes(version: u64, routes: usize) -> Value {
+    let more = (0..routes).map(|number| rule(&format!("more{number}"), "idempotent", "cups"));
+    let rules: Vec<_> = [rule("cups", "idempotent", "cups")]
+        .into_iter()
+        .chain(more)
+        .collect();
+    config(
+        version,
+        &rules,
+        &[cluster("cups", true), cluster("pay", false)],
+    )
+}
+
+/// Waits until a configuration is in force at all daemons.
+async fn wait_in_force(harness: &Harness, version: u64) {
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    for daemon in &harness.daemons {
+        while daemon.status(&harness.client, "configuration").await != Some(json!(version)) {
+            assert!(
+                Instant::now() < deadline,
+                "{} lacks {version}",
+                daemon.name()
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_daemon_reads_a_large_configuration_from_the_store() {
+    let harness = Harness::start(4).await;
+    harness.wait_served().await;
+    for (version, routes) in [(3, ROUTES), (4, ROUTES + 1)] {
+        let sent_before = harness.store.sent(OPERATOR);
+        let configuration = with_routes(version, routes);
+        harness.store.configure(&configuration);
+        wait_in_force(&harness, version).await;
+        let sent = harness.store.sent(OPERATOR) - sent_before;
+        let size = configuration.to_string().len();
+        assert!(sent < 2 * size, "{sent} bytes sent of {size}");
+        for (number, daemon) in harness.daemons.iter().enumerate() {
+            let path = format!("/more{}/1", routes - 1);
+            let id = format!("{version}-{number}");
+            let response = harness.send(number, &path, &id, 1).await;
+            let status = response.map(|(status, _)| status.as_u16());
+            assert_eq!(status, Some(200), "{}", daemon.name());
+        }
+    }
+}
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #[path = "../../../../platform/tests/standin/mod.rs"]
 mod standin;
 
+mod configuration;
 mod crash;
 mod crashing_servers;
 mod daemon;
