Let a large response of the store arrive while bytes do, not by the call's timeout

Callers saw (CONFIG): requests handled by older versions, 2.5 s and more after the acknowledgement, at daemons with small links.

Cause: a read of the store had to end 1 s after its wait. On a link of 10 Mbit/s a configuration of 1.3 MB takes longer, so the read was thrown away and began anew, through a page that is a third longer; such a daemon never had it. Class: a timeout for the whole of something whose size has no bound; a reader that is a little too slow loses all that it had.

Now the timeout is for the head.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -3,10 +3,11 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use crate::{
-    connection::{ConnectError, SendError},
+    connection::{ConnectError, Connection, SendError},
     head::keep_alive_in,
     lane::Lane,
     metrics::Metrics,
@@ -19,15 +20,19 @@
     HeaderMap, HeaderValue, Request, StatusCode,
     header::{CONTENT_TYPE, HOST},
 };
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, Collected, Limited};
+use hyper::body::Incoming;
 use tokio::{
     sync::Semaphore,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep_until, timeout, timeout_at},
 };
 
 /// Number of addresses above which connection pools that are not in use are dropped.
 const ADDRESSES_MAX: usize = 4096;
 
+/// How long a body that may take long may pause before the call fails.
+const BODY_INACTIVITY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Makes calls over HTTP/1.1 on pooled connections.
 #[derive(Debug)]
 pub struct Caller {
@@ -35,6 +40,8 @@
     connections_max: u32,
     answer_bytes_max: usize,
     is_strict: bool,
+    /// How long a body may take while bytes arrive; `None` if it must be complete by the deadline.
+    body_time: Option<Duration>,
     addresses: Mutex<HashMap<SocketAddr, Arc<Address>>>,
     metrics: Metrics,
 }
@@ -103,6 +110,7 @@
             connections_max,
             answer_bytes_max,
             is_strict: false,
+            body_time: None,
             addresses: Mutex::default(),
             metrics: Metrics::default(),
         }
@@ -117,6 +125,16 @@
         self
     }
 
+    /// Lets the body of a response arrive after the deadline, for at most `body_time` while bytes arrive.
+    ///
+    /// A body that is large for its link is thus not read again and again from its start. The deadline still
+    /// applies to the head.
+    #[must_use]
+    pub fn with_body_time(mut self, body_time: Duration) -> Self {
+        self.body_time = Some(body_time);
+        self
+    }
+
     /// Returns the connection counters.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
@@ -170,12 +188,7 @@
                 Ok(response) => {
                     let (head, body) = response.into_parts();
                     connection.update_keep_alive(keep_alive_in(&head.headers));
-                    let collect = Limited::new(body, self.answer_bytes_max).collect();
-                    let body = match timeout_at(deadline, collect).await {
-                        Ok(Ok(body)) => body.to_bytes(),
-                        Ok(Err(_)) => return Err(Lost::Broken),
-                        Err(_) => return Err(Lost::Silent),
-                    };
+                    let body = self.collect(body, &connection, deadline).await?;
                     lane.put_back(connection);
                     lane.spawn_warm_up();
                     return Ok(Whole {
@@ -206,6 +219,30 @@
         }
     }
 
+    /// Reads a response body.
+    async fn collect(
+        &self,
+        body: Incoming,
+        connection: &Connection,
+        deadline: Instant,
+    ) -> Result<Bytes, Lost> {
+        let collect = Limited::new(body, self.answer_bytes_max).collect();
+        let too_late = async {
+            let Some(body_time) = self.body_time else {
+                return sleep_until(deadline).await;
+            };
+            let traffic = connection.traffic();
+            let inactive = traffic.wait_until_inactive(BODY_INACTIVITY_TIMEOUT);
+            // Both end the wait alike.
+            let _ = timeout(body_time, inactive).await;
+        };
+        tokio::select! {
+            biased;
+            body = collect => body.map(Collected::to_bytes).map_err(|_| Lost::Broken),
+            () = too_late => Err(Lost::Silent),
+        }
+    }
+
     fn address(&self, to: SocketAddr) -> Arc<Address> {
         let mut addresses = self
             .addresses
