Pass configurations on from daemon to daemon as differences

Callers saw (CONFIG): requests handled by versions that had been replaced more than configApply before, on both grown sites, from some thousand routes on.

Cause: each daemon read the whole configuration from the store whenever it was larger than 8 KiB, and then spun on the leader's long poll. What travelled grew with routes times daemons, for one changed route as for all. Class: state is sent whole where a change is known.

Now only the leader reads it. A follower gets it from a daemon that has it already, the leader last, and goes on if the leader is lost. The store is read if no part has arrived for 1 s, or no leader is heard of. Unchanged routes are shared between versions, so the shares of their parts go on.

store_is_not_read_while_updates_from_the_leader_arrive said that a daemon reads the store at once when the leader announces a version; now it is to wait for other daemons, and reads after 1 s. store_is_read_beside_a_transfer guards the new rule.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -71,6 +71,13 @@
 
     /// Applies data that the leader has read from the store.
     fn apply_update(&self, delta: Delta);
+
+    /// Records that a part of a configuration arrived from another daemon.
+    fn record_transfer(&self);
+
+    /// Puts a configuration in force that another daemon has sent as a difference; returns whether it could be
+    /// read and applied.
+    fn apply_difference(&self, encoded: &[u8]) -> bool;
 }
 
 /// The identity of this daemon.
@@ -97,6 +104,15 @@
     pub grants: machine::Timing,
 }
 
+/// A configuration that other daemons have.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Offer {
+    /// Its version.
+    pub version: u64,
+    /// The daemons that have it, the leader last.
+    pub holders: Vec<SocketAddr>,
+}
+
 /// State that the driver shares with the rest of the daemon.
 #[derive(Debug, Clone)]
 pub struct Shared {
@@ -113,6 +129,8 @@
     /// Whether this daemon has looked for a leader, or need not wait for that since it was
     /// restarted. From then on it follows one, or must read the store itself.
     pub has_looked_for_leader: Arc<watch::Sender<bool>>,
+    /// The last offer of a configuration that this daemon lacks.
+    pub offer: Arc<watch::Sender<Offer>>,
     /// Whether this daemon must read the list of upstreams: it has never read the list itself, and
     /// cannot lead without it.
     pub needs_upstream_list: Arc<AtomicBool>,
@@ -129,6 +147,7 @@
             store_state: Arc::new(StoreState::new(run)),
             quarantine: Arc::default(),
             has_looked_for_leader: Arc::new(watch::Sender::new(false)),
+            offer: Arc::default(),
             needs_upstream_list: Arc::default(),
         }
     }
@@ -177,6 +196,7 @@
         tokio::select! {
             () = self.run_until_stopped(&mut reports, &stopping) => {}
             () = async { stop.cancelled().await; sleep(self.timing.lease.renew_interval).await } => {}
+            () = self.fetch_configurations() => {}
         }
         self.server.set_standing(Standing::Follows);
     }
@@ -408,6 +428,7 @@
         let mut known_quarantine = 0;
         while !stopping.is_cancelled() {
             let (configuration, list) = self.environment.versions();
+            let announced = self.shared.offer.borrow().version.max(configuration);
             let now = self.clock.now();
             let list_read_at = self.environment.list_read_at();
             let request = Request {
@@ -415,7 +436,9 @@
                 strength: self.identity.strength,
                 knows,
                 base: self.shared.routing_tables.base(),
+                address: self.identity.address,
                 configuration,
+                announced,
                 list,
                 store_age: list_read_at.map(|at| now.saturating_sub(at)),
                 reports: self.shared.load_counts.take(),
@@ -448,7 +471,14 @@
                 Standing::Lapsed(lapse) => return FollowOutcome::Lapsed(lapse),
             }
             if let Some(delta) = response.delta {
+                let version = delta.configuration;
                 self.environment.apply_update(delta);
+                if self.environment.versions().0 < version {
+                    let mut holders = response.holders;
+                    holders.push(leader.address);
+                    let offer = Offer { version, holders };
+                    self.shared.offer.send_replace(offer);
+                }
                 self.shared.has_looked_for_leader.send_replace(true);
             }
             knows = self.shared.routing_tables.tables().version;
@@ -459,6 +489,42 @@
     }
 }
 
+impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
+    /// Fetches configurations that other daemons offer, forever.
+    ///
+    /// This goes on without the leader, which may be lost meanwhile.
+    async fn fetch_configurations(&self) {
+        let mut offers = self.shared.offer.subscribe();
+        // `self` owns the sender, so the channel stays open.
+        while offers.changed().await.is_ok() {
+            let offer = offers.borrow_and_update().clone();
+            self.fetch_configuration(&offer).await;
+        }
+    }
+
+    /// Fetches a configuration from one of its holders, the leader last.
+    async fn fetch_configuration(&self, offer: &Offer) {
+        for holder in &offer.holders {
+            let known = self.environment.versions().0;
+            if known >= offer.version {
+                return;
+            }
+            let Some(client) = Client::connect(*holder).await else {
+                continue;
+            };
+            let on_progress = || self.environment.record_transfer();
+            let encoded = client.read_configuration(known, offer.version, on_progress);
+            let is_applied = match encoded.await {
+                Some(encoded) => self.environment.apply_difference(&encoded),
+                None => false,
+            };
+            if !is_applied {
+                info!("another daemon did not pass on a configuration", kv: { event = "configuration-missed", version = offer.version, known, holder: = holder });
+            }
+        }
+    }
+}
+
 /// Why a daemon stopped following a leader.
 enum FollowOutcome {
     /// The leader does not answer, or no longer leads.
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -16,11 +16,13 @@
     quarantine::{SharedQuarantine, Snapshot},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Version},
+    transfer::{Chunk, ENCODED_BYTES_MAX},
     update::Update,
 };
 use copperwell_message::HashMap;
 use copperwell_routing::quarantine::Entry;
 use futures::StreamExt;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tarpc::{
     client, context,
@@ -40,6 +42,9 @@
 /// How much longer than [`LONG_POLL_TIMEOUT`] an exchange may take, and the timeout of other calls.
 const CALL_MARGIN: Duration = Duration::from_millis(600);
 
+/// The timeout of a part of a configuration.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The timeout of a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -52,6 +57,9 @@
 /// The maximum number of candidates for the next leadership.
 pub(crate) const CANDIDATES_MAX: usize = 3;
 
+/// The maximum number of daemons that a daemon is told to get a configuration from.
+const HOLDERS_MAX: usize = 3;
+
 /// The maximum number of queued reports.
 const REPORTS_MAX: usize = 1024;
 
@@ -67,8 +75,12 @@
     /// The version of its tables if they come from a leader, so that the leader can send just the
     /// changes since.
     pub base: Option<Version>,
+    /// The address at which it accepts calls.
+    pub address: SocketAddr,
     /// The version of the configuration that it has.
     pub configuration: u64,
+    /// The latest version of the configuration of which it knows.
+    pub announced: u64,
     /// The list of upstreams that it has.
     pub list: ListVersion,
     /// How long ago it last read the store; `None` if it never did.
@@ -108,6 +120,8 @@
     /// The leader's data from the store that the daemon lacks.
     #[serde(rename = "news")]
     pub delta: Option<Delta>,
+    /// Daemons that have the newest configuration, if the daemon lacks it.
+    pub holders: Vec<SocketAddr>,
     /// The requests that may crash upstreams, if there are changes.
     pub quarantine: Option<Snapshot>,
 }
@@ -117,6 +131,8 @@
 struct Peer {
     seen_at: Instant,
     strength: u32,
+    address: SocketAddr,
+    configuration: u64,
 }
 
 #[tarpc::service]
@@ -128,6 +144,9 @@
     /// report.
     async fn report_crashes(entries: Vec<Entry>) -> bool;
 
+    /// Returns a part of the difference from a version of the configuration to a later one.
+    async fn read_configuration(known: u64, version: u64, start: usize) -> Option<Chunk>;
+
     /// Announces to a leader that another daemon has taken over. A leader that is cut off from the
     /// store cannot find out by itself, nor can the daemons that are cut off with it and ask it.
     async fn announce_successor(leader: LeaderEntry);
@@ -216,6 +235,16 @@
         candidates.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns some of the daemons that have a configuration.
+    fn holders(&self, version: u64) -> Vec<SocketAddr> {
+        let mut state = self.state();
+        let peers = state.peers().values();
+        let holders = peers.filter(|peer| peer.configuration >= version);
+        holders
+            .map(|peer| peer.address)
+            .sample(&mut rand::rng(), HOLDERS_MAX)
+    }
+
     /// Serves calls until the future is dropped.
     ///
     /// # Errors
@@ -252,6 +281,8 @@
         let peer = Peer {
             seen_at: now,
             strength: request.strength,
+            address: request.address,
+            configuration: request.configuration,
         };
         let mut state = self.state();
         state.peers.insert(request.from.clone(), peer);
@@ -286,7 +317,7 @@
             let newer = async {
                 tokio::select! {
                     () = shared.routing_tables.newer_than(request.knows) => {}
-                    () = shared.store_state.newer_than(request.configuration, request.list) => {}
+                    () = shared.store_state.newer_than(request.announced, request.list) => {}
                     () = shared.quarantine.wait_newer_than(request.quarantine) => {}
                 }
             };
@@ -294,19 +325,36 @@
         }
         // A separate statement, so that the lock is released before the calls below take it again.
         let standing = self.state().standing;
+        let delta = shared
+            .store_state
+            .delta_for(request.configuration, request.list);
         Response {
             standing,
             candidates: self.candidates(),
             successor: self.successor(),
             daemons: self.daemons(),
             tables: shared.routing_tables.update(request.knows, request.base),
-            delta: shared
-                .store_state
-                .delta_for(request.configuration, request.list),
+            holders: match &delta {
+                Some(delta) if request.configuration < delta.configuration => {
+                    self.holders(delta.configuration)
+                }
+                _ => Vec::new(),
+            },
+            delta,
             quarantine: shared.quarantine.newer_than(request.quarantine),
         }
     }
 
+    async fn read_configuration(
+        self,
+        _: context::Context,
+        known: u64,
+        version: u64,
+        start: usize,
+    ) -> Option<Chunk> {
+        self.shared.store_state.chunk(known, version, start)
+    }
+
     async fn report_crashes(self, _: context::Context, entries: Vec<Entry>) -> bool {
         let leads = self.state().standing == Standing::Leads;
         if leads {
@@ -360,6 +408,33 @@
         matches!(timeout(CALL_MARGIN, report).await, Ok(Ok(true)))
     }
 
+    /// Reads a configuration, as the difference from `known`; `None` if the daemon does not have it or does not
+    /// answer. `on_progress` is called for each part that arrives.
+    pub async fn read_configuration(
+        &self,
+        known: u64,
+        version: u64,
+        on_progress: impl Fn(),
+    ) -> Option<Vec<u8>> {
+        let mut encoded = Vec::new();
+        loop {
+            let mut context = context::current();
+            context.deadline = std::time::Instant::now() + CHUNK_TIMEOUT;
+            let chunk = self
+                .client
+                .read_configuration(context, known, version, encoded.len());
+            let chunk = timeout(CHUNK_TIMEOUT, chunk).await.ok()?.ok()??;
+            encoded.extend(&chunk.bytes);
+            on_progress();
+            if encoded.len() >= chunk.length {
+                return Some(encoded);
+            }
+            if chunk.bytes.is_empty() || chunk.length > ENCODED_BYTES_MAX {
+                return None;
+            }
+        }
+    }
+
     /// Sends a request to the leader; `None` if it does not answer.
     pub async fn exchange(&self, request: Request) -> Option<Response> {
         let limit = LONG_POLL_TIMEOUT + CALL_MARGIN;
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod register;
 pub mod store_state;
 pub mod table;
+pub mod transfer;
 pub mod update;
 
 /// A fencing token of a grant. An upstream refuses a token lower than the highest that it has seen
--- a/crates/assignment/src/store_state.rs
+++ b/crates/assignment/src/store_state.rs
@@ -7,15 +7,12 @@
     time::Duration,
 };
 
+use crate::transfer::{Chunk, Encoded, History};
 use copperwell_message::HashMap;
 use copperwell_routing::{UpstreamId, configuration::Configuration, registry::Upstream};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::Instant};
 
-/// The largest configuration that is passed on, in bytes. A larger one is better read from the
-/// store by each daemon than sent over the link of one.
-const SENT_CONFIGURATION_BYTES_MAX: u64 = 8 << 10;
-
 /// The maximum number of removed upstreams that are remembered.
 const REMOVED_MAX: usize = 1_024;
 
@@ -33,8 +30,9 @@
 pub struct Delta {
     /// The version of the newest configuration.
     pub configuration: u64,
-    /// The configuration itself, if the other daemon has an older one and it is not too large.
-    pub told: Option<Arc<Configuration>>,
+    /// What changes from the configuration of the other daemon, if that is older and the difference is short.
+    /// A longer one has to be asked for.
+    pub difference: Option<Encoded>,
     /// The version of the list of upstreams.
     pub list: ListVersion,
     /// How long ago that list was read.
@@ -69,9 +67,7 @@
 
 #[derive(Debug)]
 struct State {
-    configuration: u64,
-    /// The configuration, if it is not too large to pass on.
-    sendable: Option<Arc<Configuration>>,
+    configurations: History,
     list: ListVersion,
     upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
     /// The number of the list in which each upstream last changed or was removed.
@@ -87,8 +83,7 @@
     #[must_use]
     pub fn new(run: u64) -> Self {
         let state = State {
-            configuration: 0,
-            sendable: None,
+            configurations: History::default(),
             list: ListVersion { run, number: 0 },
             upstreams: BTreeMap::new(),
             changed_in: HashMap::default(),
@@ -103,12 +98,7 @@
 
     /// Sets this daemon's configuration, which is newer than the ones before.
     pub fn set_configuration(&self, configuration: &Arc<Configuration>) {
-        let is_sendable = bincode::serialized_size(&**configuration)
-            .is_ok_and(|bytes| bytes <= SENT_CONFIGURATION_BYTES_MAX);
-        self.with(|state| {
-            state.configuration = configuration.version;
-            state.sendable = is_sendable.then(|| configuration.clone());
-        });
+        self.with(|state| state.configurations.add(configuration.clone()));
         self.changes.send_replace(());
     }
 
@@ -130,23 +120,33 @@
     #[must_use]
     pub fn delta_for(&self, configuration: u64, known: ListVersion) -> Option<Delta> {
         self.with(|state| {
-            let is_newer = state.configuration > configuration;
+            let age = state.read_at?.elapsed();
+            let newest = state.configurations.version();
+            let is_newer = newest > configuration;
+            let difference = is_newer.then(|| state.configurations.inline(configuration));
             Some(Delta {
-                configuration: state.configuration,
-                told: state.sendable.clone().filter(|_| is_newer),
+                configuration: newest,
+                difference: difference.flatten(),
                 list: state.list,
-                age: state.read_at?.elapsed(),
+                age,
                 upstreams: (state.list != known).then(|| state.list_for(known)),
             })
         })
     }
 
+    /// Returns a part of the difference from the configuration `known` to `version`, from the byte `start` on;
+    /// `None` if this daemon does not have `version`.
+    #[must_use]
+    pub fn chunk(&self, known: u64, version: u64, start: usize) -> Option<Chunk> {
+        self.with(|state| state.configurations.chunk(known, version, start))
+    }
+
     /// Waits until there is newer data than the given configuration and list.
     pub async fn newer_than(&self, configuration: u64, list: ListVersion) {
         let mut changes = self.changes.subscribe();
         loop {
-            let is_newer =
-                self.with(|state| state.configuration > configuration || state.list != list);
+            let is_newer = self
+                .with(|state| state.configurations.version() > configuration || state.list != list);
             if is_newer || changes.changed().await.is_err() {
                 return;
             }
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -116,6 +116,12 @@
     }
 
     fn apply_update(&self, _: Delta) {}
+
+    fn record_transfer(&self) {}
+
+    fn apply_difference(&self, _: &[u8]) -> bool {
+        false
+    }
 }
 
 struct Daemon {
--- a/crates/assignment/tests/store_state.rs
+++ b/crates/assignment/tests/store_state.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use copperwell_assignment::store_state::{Delta, ListVersion, StoreState, UpstreamList};
+use copperwell_assignment::{
+    store_state::{Delta, ListVersion, StoreState, UpstreamList},
+    transfer::decode,
+};
 use copperwell_routing::{
     configuration::{Configuration, Limits, Part, Route},
     registry::{Registry, Upstream},
@@ -46,17 +49,60 @@
 
 #[test_case(4, 10, Some(7); "an older version")]
 #[test_case(7, 10, None; "the same version")]
-#[test_case(4, 400, None; "an older version, and the newer one is large")]
+#[test_case(4, 4_000, None; "an older version, and the newer one is large")]
+#[test_case(6, 4_000, Some(7); "the version before, and few routes of many are new")]
 fn a_configuration_is_passed_on(has: u64, routes: usize, expected: Option<u64>) {
     let state = StoreState::new(1);
     state.set_upstreams(Vec::new(), Instant::now());
+    let before = configuration(6, routes - 5);
+    state.set_configuration(&before);
     state.set_configuration(&configuration(7, routes));
     let delta = received(&state, has);
     assert_eq!(delta.configuration, 7);
-    assert_eq!(delta.told.as_ref().map(|told| told.version), expected);
-    if let Some(told) = delta.told {
-        assert_eq!(told.route("a.example", "/p3/x").unwrap().name, "r3");
+    let difference = delta.difference.map(|encoded| decode(&encoded).unwrap());
+    assert_eq!(
+        difference.as_ref().map(|difference| difference.to),
+        expected
+    );
+    if let Some(difference) = difference {
+        let later = difference.apply(Some(&before)).unwrap();
+        for number in 0..routes {
+            let route = later.route("a.example", &format!("/p{number}/x"));
+            assert_eq!(route.unwrap().name, format!("r{number}"));
+        }
+    }
+}
+
+/// A daemon of which nothing is known asks for the whole, one with the version before for the difference.
+#[test_case(4; "the whole")]
+#[test_case(6; "the difference from the version before")]
+fn a_long_difference_arrives_in_chunks(has: u64) {
+    let state = StoreState::new(1);
+    let before = configuration(6, 2_000);
+    state.set_configuration(&before);
+    state.set_configuration(&configuration(7, 20_000));
+    // The version that was offered stays readable while a newer one is in force.
+    state.set_configuration(&configuration(8, 20_001));
+    let mut encoded = Vec::new();
+    let mut chunks = 0;
+    loop {
+        let chunk = state.chunk(has, 7, encoded.len()).unwrap();
+        assert!(!chunk.bytes.is_empty());
+        encoded.extend(chunk.bytes);
+        chunks += 1;
+        if encoded.len() == chunk.length {
+            break;
+        }
+    }
+    assert!(chunks > 1, "{} bytes", encoded.len());
+    let later = decode(&encoded).unwrap().apply(Some(&before)).unwrap();
+    assert_eq!(later.version, 7);
+    for number in 0..20_000 {
+        let route = later.route("a.example", &format!("/p{number}/x"));
+        assert_eq!(route.unwrap().name, format!("r{number}"));
     }
+    assert_eq!(state.chunk(has, 9, 0), None);
+    assert_eq!(state.chunk(has, 7, encoded.len() + 1), None);
 }
 
 fn upstream(number: usize, slots: u32) -> Arc<Upstream> {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -15,6 +15,7 @@
 use copperwell_assignment::{
     driver::{Environment, Shared},
     store_state::{Delta, ListVersion, UpstreamList},
+    transfer,
 };
 use copperwell_message::HashMap;
 use copperwell_routing::{
@@ -27,7 +28,7 @@
     registry::{Changes, Registry, Upstream},
 };
 use rand::RngExt;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::time::Instant;
 
 /// A daemon's view of the system, by which it routes requests.
@@ -74,6 +75,8 @@
     read_at: Option<Instant>,
     /// The version of the leader's configuration.
     configuration: u64,
+    /// Since when this daemon lacks it, or when a part of it last arrived.
+    behind_since: Option<Instant>,
     /// The leader's list that is applied to the registry; the default if the registry has another one.
     list: ListVersion,
 }
@@ -111,13 +114,17 @@
     }
 
     /// Puts a configuration in force if it is newer; returns whether it is.
-    pub fn update_configuration(&self, configuration: impl Into<Arc<Configuration>>) -> bool {
-        let configuration = configuration.into();
+    pub fn update_configuration(&self, configuration: Configuration) -> bool {
+        let mut configuration = configuration;
         let version = configuration.version;
         let known = self.configuration.load();
         let before = known.as_ref().map_or(0, |known| known.version);
         let is_newer = known.is_none() || before < version;
         if is_newer {
+            if let Some(known) = known.as_ref() {
+                configuration.share_routes(known);
+            }
+            let configuration = Arc::new(configuration);
             self.keys.store_state.set_configuration(&configuration);
             self.configuration.store(Some(configuration));
             info!("configuration in force", kv: { event = "configuration", version, before });
@@ -312,11 +319,13 @@
         read_at.is_none_or(|at| at.elapsed() > age)
     }
 
-    /// Returns whether this daemon must read the configuration itself, because the leader has a newer one or
-    /// the leader's last read is older than `age`.
+    /// Returns whether this daemon must read the configuration itself, because the leader's last read is older
+    /// than `age`, or because the leader has a newer one and no part of it has arrived for `patience`.
     #[must_use]
-    pub fn must_read_configuration(&self, age: Duration) -> bool {
-        self.is_configuration_stale() || self.is_leader_list_older_than(age)
+    pub fn must_read_configuration(&self, age: Duration, patience: Duration) -> bool {
+        let behind_since = self.leader_update().behind_since;
+        let is_stuck = behind_since.is_some_and(|since| since.elapsed() > patience);
+        is_stuck && self.is_configuration_stale() || self.is_leader_list_older_than(age)
     }
 
     /// Returns whether the leader has a newer configuration, or this daemon has none.
@@ -382,15 +391,38 @@
         (version, self.leader_update().list)
     }
 
+    fn record_transfer(&self) {
+        let mut update = self.leader_update();
+        update.behind_since = update.behind_since.map(|_| Instant::now());
+    }
+
+    fn apply_difference(&self, encoded: &[u8]) -> bool {
+        let Some(difference) = transfer::decode(encoded) else {
+            warn!("configuration from another daemon is unreadable", kv: { event = "configuration-unreadable", bytes = encoded.len() });
+            return false;
+        };
+        let known = self.configuration();
+        let Some(configuration) = difference.apply(known.as_deref()) else {
+            return false;
+        };
+        self.update_configuration(configuration);
+        true
+    }
+
     fn apply_update(&self, delta: Delta) {
         let now = Instant::now();
-        if let Some(configuration) = delta.told {
-            self.update_configuration(configuration);
+        if let Some(encoded) = &delta.difference {
+            self.apply_difference(encoded);
         }
+        let is_behind = self.versions().0 < delta.configuration;
         let mut update = self.leader_update();
         update.received_at = Some(now);
         update.read_at = now.checked_sub(delta.age);
         update.configuration = delta.configuration;
+        update.behind_since = match is_behind {
+            true => update.behind_since.or(Some(now)),
+            false => None,
+        };
         let previous = update.list;
         // Changes apply only to the leader's list. If this daemon has read a list of its own in the meantime,
         // they are ignored, and the reset version makes the leader send its whole list next time.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -34,20 +34,25 @@
 /// The largest age of the leader's list of upstreams before a daemon reads the store itself.
 const LEADER_LIST_AGE_MAX: Duration = Duration::from_millis(1_400);
 
+/// How long a daemon waits for a part of a newer configuration from other daemons before it reads the store
+/// itself.
+const TRANSFER_PATIENCE: Duration = Duration::from_secs(1);
+
 /// The interval at which a daemon checks whether it must read the store itself.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Reads new configurations from the store, forever.
 ///
-/// While updates from the leader arrive, the store is read only if the leader announces a newer configuration.
+/// While updates from the leader arrive, the store is read only if a newer configuration that the leader
+/// announces does not arrive from other daemons.
 pub async fn configurations(source: Arc<impl Source>, view: Arc<View>, metrics: Metrics) {
     let mut monitor = ReadMonitor::new("configuration", metrics.clone());
     view.keys.wait_for_leader_lookup().await;
     loop {
-        let above = view.configuration().map(|known| known.version);
-        while above.is_some() && !view.must_read_configuration(LEADER_LIST_AGE_MAX) {
+        while !view.must_read_configuration(LEADER_LIST_AGE_MAX, TRANSFER_PATIENCE) {
             sleep(POLL_INTERVAL).await;
         }
+        let above = view.configuration().map(|known| known.version);
         let wait = match view.is_configuration_stale() {
             true => Duration::ZERO,
             false => CONFIGURATION_WAIT,
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -11,7 +11,8 @@
 use copperwell_assignment::{
     clock::Simulated,
     driver::Environment,
-    store_state::{Delta, ListVersion, UpstreamList},
+    store_state::{Delta, ListVersion, StoreState, UpstreamList},
+    transfer::Encoded,
 };
 use copperwell_gateway::{View, metrics::Metrics, watch};
 use copperwell_routing::{
@@ -53,6 +54,13 @@
     }
 }
 
+/// Returns a configuration as another daemon sends it.
+fn encoded(version: u64) -> Encoded {
+    let state = StoreState::new(9);
+    state.set_configuration(&Arc::new(configuration(version)));
+    state.chunk(0, version, 0).unwrap().bytes.into()
+}
+
 impl Source for LateSource {
     async fn configuration(
         &self,
@@ -123,7 +131,7 @@
         for _ in 0..duration.as_millis() / interval.as_millis() {
             self.view.apply_update(Delta {
                 configuration,
-                told: None,
+                difference: None,
                 list: ListVersion { run: 9, number: 1 },
                 age: Duration::from_millis(300),
                 upstreams: Some(UpstreamList::Whole(vec![upstream()])),
@@ -159,9 +167,11 @@
         fixture.source.configuration_reads.load(Ordering::Relaxed),
         configuration_reads
     );
-    // The leader announces a newer configuration, which is read at once.
+    // The leader announces a newer configuration, of which no part arrives from other daemons.
     fixture.source.version.store(6, Ordering::Relaxed);
-    fixture.receive_updates(6, Duration::from_millis(400)).await;
+    fixture.receive_updates(6, Duration::from_millis(800)).await;
+    assert_eq!(fixture.version(), 1);
+    fixture.receive_updates(6, Duration::from_millis(800)).await;
     assert_eq!(fixture.version(), 6);
 }
 
@@ -197,7 +207,7 @@
     // The leader confirms that the configuration is the newest.
     let delta = |configuration| Delta {
         configuration,
-        told: None,
+        difference: None,
         list: ListVersion::default(),
         age: Duration::ZERO,
         upstreams: None,
@@ -220,7 +230,7 @@
     let configuration_reads = fixture.source.configuration_reads.load(Ordering::Relaxed);
     let update = |version| Delta {
         configuration: version,
-        told: Some(Arc::new(configuration(version))),
+        difference: Some(encoded(version)),
         list: ListVersion { run: 9, number: 1 },
         age: Duration::ZERO,
         upstreams: None,
@@ -237,6 +247,26 @@
     );
 }
 
+/// While parts of a configuration arrive from other daemons, it is not read from the store as well.
+#[tokio::test(start_paused = true)]
+async fn store_is_read_beside_a_transfer() {
+    let fixture = Fixture::start().await;
+    fixture.receive_updates(1, Duration::from_secs(2)).await;
+    fixture.source.version.store(6, Ordering::Relaxed);
+    let reads = fixture.source.configuration_reads.load(Ordering::Relaxed);
+    for _ in 0..10 {
+        fixture.receive_updates(6, Duration::from_millis(400)).await;
+        fixture.view.record_transfer();
+    }
+    assert_eq!(
+        fixture.source.configuration_reads.load(Ordering::Relaxed),
+        reads
+    );
+    assert!(!fixture.view.apply_difference(b"no difference"));
+    assert!(fixture.view.apply_difference(&encoded(6)));
+    assert_eq!(fixture.version(), 6);
+}
+
 /// A daemon that follows a leader from its start is complete without any read of the store.
 #[tokio::test(start_paused = true)]
 async fn follower_does_not_read_the_store_at_start() {
@@ -254,7 +284,7 @@
     let fixture = Fixture { source, view };
     fixture.view.apply_update(Delta {
         configuration: 1,
-        told: Some(Arc::new(configuration(1))),
+        difference: Some(encoded(1)),
         list: ListVersion { run: 9, number: 1 },
         age: Duration::ZERO,
         upstreams: Some(UpstreamList::Whole(vec![upstream()])),
@@ -287,7 +317,7 @@
     let version = |number| ListVersion { run: 9, number };
     let delta = |list, upstreams| Delta {
         configuration: 1,
-        told: None,
+        difference: None,
         list,
         age: Duration::ZERO,
         upstreams: Some(upstreams),
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -12,6 +12,8 @@
 use copperwell_message::HashMap;
 use serde::{Deserialize, Serialize};
 
+pub mod difference;
+
 /// The version of a configuration; later ones are higher.
 pub type Version = u64;
 
@@ -21,7 +23,7 @@
 const GOLDEN_RATIO_INCREMENT: u64 = 0x9E37_79B9_7F4A_7C15;
 
 /// The configuration of a gateway.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
 pub struct Configuration {
     /// The version.
     pub version: Version,
@@ -100,11 +102,22 @@
         limits: Limits,
         services: impl IntoIterator<Item = Service>,
         routes: impl IntoIterator<Item = Route>,
+    ) -> Self {
+        let routes = routes.into_iter().map(Arc::new);
+        Self::from_shared(version, limits, services, routes)
+    }
+
+    /// Creates a configuration from routes that others may have, too.
+    fn from_shared(
+        version: Version,
+        limits: Limits,
+        services: impl IntoIterator<Item = Service>,
+        routes: impl IntoIterator<Item = Arc<Route>>,
     ) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::default();
         for route in routes {
             let host = hosts.entry(route.host.clone()).or_default();
-            host.push(Arc::new(route));
+            host.push(route);
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
@@ -200,6 +213,31 @@
         self
     }
 
+    /// Returns whether two routes are the same, apart from the requests that were assigned to their parts.
+    fn is_same_as(&self, other: &Self) -> bool {
+        let Self {
+            name,
+            host,
+            prefix,
+            is_repeatable,
+            timeout,
+            attempts,
+            objective,
+            priority,
+            parts,
+            dealt: _,
+        } = self;
+        *name == other.name
+            && *host == other.host
+            && *prefix == other.prefix
+            && *is_repeatable == other.is_repeatable
+            && *timeout == other.timeout
+            && *attempts == other.attempts
+            && *objective == other.objective
+            && *priority == other.priority
+            && *parts == other.parts
+    }
+
     /// Returns the service for the next request.
     ///
     /// The shares are kept over any sequence of requests, not only on average. Returns `None` if no part has
