--- a/crates/copperwelld/tests/gateway/crash.rs
+++ b/crates/copperwelld/tests/gateway/crash.rs
@@ -293,7 +293,7 @@
 }
 
 /// Waits until a daemon leads, and takes it out of the harness.
-async fn remove_leader(harness: &mut Harness) -> Daemon {
+pub(crate) async fn remove_leader(harness: &mut Harness) -> Daemon {
     let deadline = Instant::now() + CONDITION_TIMEOUT;
     loop {
         let daemons = harness.daemons.iter().enumerate();
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -10,4 +10,5 @@
 mod harness;
 mod http1;
 mod keys;
+mod limits;
 mod requests;
