Keep the limits that upstreams name, over all daemons

Callers saw (second1, LIMIT): an upstream that had named 1 request a second got 15 in 4 s, allowed 11. Cause: the field was not read. Class: what bounds the sum over all daemons needs one that counts; each by itself sends a share that fits only by chance.

An answer that names a limit is told to the leader, which tells all. The leader reserves a time for each request to such an upstream, half a second's burst at most; a daemon asks it before each send, first ones, retries and requests with a key alike. Upstreams without room are passed over; if only such are left, the request waits if its time comes before its deadline, else it is refused at once (upstream-limit) with the time at which there is room. An answer without a limit ends it if its request was sent after the limit was last named.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -16,6 +16,7 @@
     election,
     exchange::{Client, Request, Server, Standing},
     lease::{self, Lapse, LeaderEntry, Observer},
+    limits::SharedLimits,
     machine,
     metrics::Metrics,
     order::Sender,
@@ -126,6 +127,8 @@
     pub store_state: Arc<StoreState>,
     /// The quarantine of requests that crash upstreams.
     pub quarantine: Arc<SharedQuarantine>,
+    /// The limits that upstreams name.
+    pub limits: Arc<SharedLimits>,
     /// Whether this daemon has looked for a leader, or need not wait for that since it was
     /// restarted. From then on it follows one, or must read the store itself.
     pub has_looked_for_leader: Arc<watch::Sender<bool>>,
@@ -140,10 +143,12 @@
     /// Creates the shared state of a daemon in its run `run`.
     #[must_use]
     pub fn new(run: u64) -> Self {
+        let daemons = Arc::<AtomicU32>::default();
         Self {
             routing_tables: Arc::default(),
             load_counts: Arc::default(),
-            daemons: Arc::default(),
+            limits: Arc::new(SharedLimits::new(daemons.clone())),
+            daemons,
             store_state: Arc::new(StoreState::new(run)),
             quarantine: Arc::default(),
             has_looked_for_leader: Arc::new(watch::Sender::new(false)),
@@ -231,8 +236,10 @@
                             .and_then(|leader| observer.grants_end(leader));
                         self.announce_to(predecessor, self.leader_entry(term.number, 0, 0, false));
                         self.shared.quarantine.lead();
+                        self.shared.limits.lead();
                         let leadership = Leadership::new(self, term, &snapshot, grants_end);
                         leadership.run(reports, stopping).await;
+                        self.shared.limits.follow_nobody();
                         // A leader that stepped down follows its successor and lets the others try
                         // first.
                         leader = self.server.successor();
@@ -388,12 +395,16 @@
         let Some(client) = Client::connect(leader.address).await else {
             return FollowOutcome::Lost;
         };
+        let client = Arc::new(client);
+        self.shared.limits.follow(client.clone());
         let reporting = self.report_crashes(&client);
         let following = self.exchange_with(&client, leader, candidates, stopping);
-        tokio::select! {
+        let outcome = tokio::select! {
             outcome = following => outcome,
             () = reporting => FollowOutcome::Lost,
-        }
+        };
+        self.shared.limits.follow_nobody();
+        outcome
     }
 
     /// Reports requests that may crash upstreams to the leader, until the future is dropped.
@@ -426,6 +437,7 @@
     ) -> FollowOutcome {
         let mut knows = self.shared.routing_tables.tables().version;
         let mut known_quarantine = 0;
+        let mut known_limits = 0;
         while !stopping.is_cancelled() {
             let (configuration, list) = self.environment.versions();
             let announced = self.shared.offer.borrow().version.max(configuration);
@@ -443,6 +455,8 @@
                 store_age: list_read_at.map(|at| now.saturating_sub(at)),
                 reports: self.shared.load_counts.take(),
                 quarantine: known_quarantine,
+                limits: self.shared.limits.take_unreported(),
+                limits_version: known_limits,
             };
             let Some(response) = client.exchange(request).await else {
                 warn!("the leader does not answer", kv: { dependency = "leader", leader = &*leader.name, term = leader.term });
@@ -455,6 +469,10 @@
                 let snapshot = response.quarantine.as_ref();
                 known_quarantine = snapshot.map_or(known_quarantine, |snapshot| snapshot.version);
                 self.shared.quarantine.follow(snapshot);
+                if let Some(snapshot) = &response.limits {
+                    known_limits = snapshot.version;
+                    self.shared.limits.merge(&snapshot.entries);
+                }
             }
             if let Some(update) = response.tables {
                 self.shared.routing_tables.apply(update);
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -13,6 +13,7 @@
     demand::Report,
     driver,
     lease::{Lapse, LeaderEntry},
+    limits::{SharedLimits, Snapshot as LimitSnapshot},
     quarantine::{SharedQuarantine, Snapshot},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Version},
@@ -20,7 +21,7 @@
     update::Update,
 };
 use copperwell_message::HashMap;
-use copperwell_routing::quarantine::Entry;
+use copperwell_routing::{limit::Entry, quarantine::Entry as Suspect};
 use futures::StreamExt;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -42,6 +43,9 @@
 /// How much longer than [`LONG_POLL_TIMEOUT`] an exchange may take, and the timeout of other calls.
 const CALL_MARGIN: Duration = Duration::from_millis(600);
 
+/// The timeout of a reservation, for which a caller's request waits.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The timeout of a part of a configuration.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -89,6 +93,10 @@
     pub reports: Vec<Report>,
     /// The version of the quarantine that it has from this leader; 0 for none.
     pub quarantine: u64,
+    /// The limits of upstreams that it observed since its last call.
+    pub limits: Vec<Entry>,
+    /// The version of the limits that it has from this leader; 0 for none.
+    pub limits_version: u64,
 }
 
 /// Whether a daemon leads, as it announces to the others.
@@ -124,6 +132,8 @@
     pub holders: Vec<SocketAddr>,
     /// The requests that may crash upstreams, if there are changes.
     pub quarantine: Option<Snapshot>,
+    /// The limits of upstreams, if there are changes.
+    pub limits: Option<LimitSnapshot>,
 }
 
 /// A daemon that has called recently.
@@ -142,7 +152,11 @@
 
     /// Reports requests that may crash upstreams; returns whether the daemon leads and has taken the
     /// report.
-    async fn report_crashes(entries: Vec<Entry>) -> bool;
+    async fn report_crashes(entries: Vec<Suspect>) -> bool;
+
+    /// Reserves a request to an upstream with a limit, if it is due within `patience`; returns how long it has
+    /// to wait, or would have to. Returns `None` if the daemon does not lead.
+    async fn reserve(limit: Entry, patience: Duration) -> Option<Result<Duration, Duration>>;
 
     /// Returns a part of the difference from a version of the configuration to a later one.
     async fn read_configuration(known: u64, version: u64, start: usize) -> Option<Chunk>;
@@ -164,6 +178,7 @@
     routing_tables: Arc<RoutingTables>,
     store_state: Arc<StoreState>,
     quarantine: Arc<SharedQuarantine>,
+    limits: Arc<SharedLimits>,
     reports: mpsc::Sender<Vec<Report>>,
     state: Mutex<State>,
 }
@@ -189,6 +204,7 @@
             routing_tables: shared.routing_tables.clone(),
             store_state: shared.store_state.clone(),
             quarantine: shared.quarantine.clone(),
+            limits: shared.limits.clone(),
             reports,
             state: Mutex::default(),
         };
@@ -310,6 +326,7 @@
         let shared = &self.shared;
         if self.state().standing == Standing::Leads {
             self.record_peer(&request);
+            shared.limits.merge(&request.limits);
             if !request.reports.is_empty() {
                 // If the leader cannot keep up, some load reports are dropped.
                 let _ = shared.reports.try_send(request.reports);
@@ -319,6 +336,7 @@
                     () = shared.routing_tables.newer_than(request.knows) => {}
                     () = shared.store_state.newer_than(request.announced, request.list) => {}
                     () = shared.quarantine.wait_newer_than(request.quarantine) => {}
+                    () = shared.limits.wait_newer_than(request.limits_version) => {}
                 }
             };
             let _ = timeout(LONG_POLL_TIMEOUT, newer).await;
@@ -342,6 +360,7 @@
             },
             delta,
             quarantine: shared.quarantine.newer_than(request.quarantine),
+            limits: shared.limits.newer_than(request.limits_version),
         }
     }
 
@@ -355,7 +374,17 @@
         self.shared.store_state.chunk(known, version, start)
     }
 
-    async fn report_crashes(self, _: context::Context, entries: Vec<Entry>) -> bool {
+    async fn reserve(
+        self,
+        _: context::Context,
+        limit: Entry,
+        patience: Duration,
+    ) -> Option<Result<Duration, Duration>> {
+        let leads = self.state().standing == Standing::Leads;
+        leads.then(|| self.shared.limits.reserve_for(&limit, patience))
+    }
+
+    async fn report_crashes(self, _: context::Context, entries: Vec<Suspect>) -> bool {
         let leads = self.state().standing == Standing::Leads;
         if leads {
             self.shared.quarantine.merge_report(&entries);
@@ -401,13 +430,26 @@
     }
 
     /// Reports requests that may crash upstreams; returns whether the leader has taken the report.
-    pub async fn report_crashes(&self, entries: Vec<Entry>) -> bool {
+    pub async fn report_crashes(&self, entries: Vec<Suspect>) -> bool {
         let mut context = context::current();
         context.deadline = std::time::Instant::now() + CALL_MARGIN;
         let report = self.client.report_crashes(context, entries);
         matches!(timeout(CALL_MARGIN, report).await, Ok(Ok(true)))
     }
 
+    /// Reserves a request to an upstream with a limit, as [`SharedLimits::acquire`] does; `None` if the daemon
+    /// does not answer or does not lead.
+    pub(crate) async fn reserve(
+        &self,
+        limit: Entry,
+        patience: Duration,
+    ) -> Option<Result<Duration, Duration>> {
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + RESERVE_TIMEOUT;
+        let reserve = self.client.reserve(context, limit, patience);
+        timeout(RESERVE_TIMEOUT, reserve).await.ok()?.ok()?
+    }
+
     /// Reads a configuration, as the difference from `known`; `None` if the daemon does not have it or does not
     /// answer. `on_progress` is called for each part that arrives.
     pub async fn read_configuration(
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod election;
 pub mod exchange;
 pub mod lease;
+pub mod limits;
 pub mod machine;
 pub mod metrics;
 pub mod order;
--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -100,6 +100,9 @@
             "The connection to the owner ended before the answer was whole."
         }
         Reason::Quarantined => "The request crashed servers that ran it; do not send it as it is.",
+        Reason::UpstreamLimit => {
+            "The servers take no more requests for now; send the request again later."
+        }
         Reason::Stopping => "The daemon is stopping; send the request again.",
         Reason::Cancelled => "The caller went away.",
         Reason::Protocol => "Daemons or servers of different versions may be at work.",
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -139,6 +139,7 @@
         let view = Arc::new(View::new(run, zone, settings.allowance));
         let connections_max = (settings.descriptors as f64 * CALLERS_SHARE) as usize;
         view.crash_tracker.register(&mut registry);
+        view.keys.limits.register(&mut registry);
         let gateway = Gateway::new(Wire, view.clone(), metrics.clone(), connections_max.max(1));
         gateway.connection_metrics().register(&mut registry);
         let gateway = Arc::new(gateway);
--- a/crates/copperwelld/tests/gateway/configuration.rs
+++ b/crates/copperwelld/tests/gateway/configuration.rs
@@ -9,9 +9,6 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-/// The topic to which the operator writes.
-const OPERATOR: &str = "keyed.op";
-
 /// The routes of a large configuration.
 const ROUTES: usize = 3_000;
 
@@ -49,11 +46,11 @@
     let harness = Harness::start(4).await;
     harness.wait_served().await;
     for (version, routes) in [(3, ROUTES), (4, ROUTES + 1)] {
-        let sent_before = harness.store.sent(OPERATOR);
+        let sent_before = harness.store.configuration_bytes_sent();
         let configuration = with_routes(version, routes);
         harness.store.configure(&configuration);
         wait_in_force(&harness, version).await;
-        let sent = harness.store.sent(OPERATOR) - sent_before;
+        let sent = harness.store.configuration_bytes_sent() - sent_before;
         let size = configuration.to_string().len();
         assert!(sent < 2 * size, "{sent} bytes sent of {size}");
         for (number, daemon) in harness.daemons.iter().enumerate() {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -21,10 +21,11 @@
     metrics::Metrics as ConnectionMetrics,
     pool::Timing,
 };
-use copperwell_message::{Body, HashMap, Reason, Response, Verdict};
+use copperwell_message::{Body, HashMap, Reason, Reply, Response, Verdict};
 use copperwell_routing::{
     ServiceName, UpstreamId,
     configuration::Route,
+    limit::Observation,
     load::Outcome,
     registry::Upstream,
     retry::{self, Decision, FailedAttempt},
@@ -233,7 +234,11 @@
         let (body_end, streamed) = oneshot::channel();
         let exchange = Exchange::new(pool, left, self.deadline).with_body_end(body_end);
         let send = self.view.crash_tracker.start(upstream, self.identity);
+        let sent_at = Instant::now();
         let result = exchange.run(self.dialect, &outbound, body).await;
+        if let Ok(response) = &result {
+            self.observe_limit(upstream, &response.reply, sent_at);
+        }
         if matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused) {
             self.view.crash_tracker.record_unreachable(upstream);
         }
@@ -252,6 +257,20 @@
         }
     }
 
+    /// Records whether a reply names a limit of the upstream. A refusal without one says nothing.
+    fn observe_limit(&self, upstream: &Upstream, reply: &Reply, sent_at: Instant) {
+        let rate = self.dialect.limit_in(reply);
+        if rate.is_none() && reply.reason.is_some() {
+            return;
+        }
+        let observation = Observation {
+            born: upstream.born,
+            rate,
+            sent_at,
+        };
+        self.view.keys.limits.observe(&upstream.id, observation);
+    }
+
     /// Returns how long a request of this route usually takes at an upstream.
     fn usual_time(&self) -> Duration {
         let latencies = self.view.route_latencies();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use copperwell_backend::framing::Framing;
-use copperwell_routing::{Key, UpstreamId};
+use copperwell_message::Reply;
+use copperwell_routing::{Key, UpstreamId, limit::Rate};
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
 /// A protocol that callers and upstreams speak over HTTP/1.1.
@@ -15,6 +16,9 @@
     /// Returns a description of the invalid field for the caller.
     fn parse_metadata(&self, headers: &HeaderMap) -> Result<Metadata, &'static str>;
 
+    /// Returns the requests a second that an upstream takes from all daemons together, if a reply names them.
+    fn limit_in(&self, reply: &Reply) -> Option<Rate>;
+
     /// Adds the protocol's header fields to a response that this daemon generates itself.
     fn set_response_headers(
         &self,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -104,6 +104,10 @@
     pub fn remove_stale(&self) {
         let registry = self.view.registry();
         self.pools.retain(|id| registry.get(id).is_some());
+        self.view
+            .keys
+            .limits
+            .retain(|id| registry.get(id).is_some());
         drop(registry);
         self.view.crash_tracker.maintain();
         self.selector.queues.remove_unused();
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -10,7 +10,8 @@
     quarantine::{Admission, Fingerprint},
     registry::Upstream,
 };
-use tokio::time::{Instant, timeout_at};
+use rand::RngExt;
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// How long a draining holder still gets requests for its keys while they migrate.
 const DRAINING_GRACE: Duration = Duration::from_millis(200);
@@ -58,7 +59,7 @@
                 self.select_holder(requirements, key, stale_version, is_apart)
                     .await?
             }
-            None => self.select_any(requirements, attempted)?,
+            None => self.select_any(requirements, attempted).await?,
         };
         // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
         if let Err(refusal) = self.check_quarantine(requirements.request) {
@@ -82,18 +83,54 @@
 
     /// Returns the upstream that can serve a request soonest, if possible not one of `attempted` and without
     /// requests that may crash it.
-    fn select_any(
+    ///
+    /// If only upstreams are left that have no room by their limit, waits for the one that has room first, or
+    /// refuses the request at once if that is too late.
+    async fn select_any(
+        &self,
+        requirements: &Requirements,
+        attempted: &[UpstreamId],
+    ) -> Result<Arc<Upstream>, Refusal> {
+        let limits = &self.view.keys.limits;
+        let mut full: Vec<(Duration, Arc<Upstream>)> = Vec::new();
+        loop {
+            match self.choose(requirements, attempted, &full) {
+                Ok(upstream) => match limits.acquire(&upstream, Duration::ZERO).await {
+                    Ok(_) => return Ok(upstream),
+                    Err(wait) => full.push((wait, upstream)),
+                },
+                Err(refusal) => {
+                    let Some((_, upstream)) = full.iter().min_by_key(|(wait, _)| *wait) else {
+                        return Err(refusal);
+                    };
+                    self.wait_for_limit(upstream, requirements).await?;
+                    return Ok(upstream.clone());
+                }
+            }
+        }
+    }
+
+    /// Chooses an upstream, but none of `full`.
+    fn choose(
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
+        full: &[(Duration, Arc<Upstream>)],
     ) -> Result<Arc<Upstream>, Refusal> {
         let mut avoided = self.view.crash_tracker.upstreams_kept_apart();
         avoided.extend_from_slice(attempted);
         let registry = self.view.registry();
-        let upstreams = registry.of_service(&requirements.service);
+        let mut upstreams = registry.of_service(&requirements.service);
         if upstreams.iter().all(|upstream| upstream.is_draining) {
             return Err(Refusal::not_run(Reason::NoUpstream));
         }
+        let with_room: Vec<_>;
+        if !full.is_empty() {
+            let is_full = |id: &UpstreamId| full.iter().any(|(_, upstream)| upstream.id == *id);
+            let others = upstreams.iter().filter(|upstream| !is_full(&upstream.id));
+            with_room = others.cloned().collect();
+            upstreams = &with_room;
+        }
         let now = Instant::now();
         let zone = &self.view.zone;
         let mut random = rand::rng();
@@ -102,6 +139,31 @@
         chosen.cloned().ok_or(Refusal::not_run(Reason::QueueFull))
     }
 
+    /// Reserves a request to an upstream and waits until it is due by the upstream's limit.
+    async fn wait_for_limit(
+        &self,
+        upstream: &Upstream,
+        requirements: &Requirements,
+    ) -> Result<(), Refusal> {
+        let patience = requirements
+            .deadline
+            .saturating_duration_since(Instant::now());
+        match self.view.keys.limits.acquire(upstream, patience).await {
+            Ok(wait) => {
+                sleep(wait).await;
+                Ok(())
+            }
+            Err(wait) => {
+                // Spreads the callers that are told the same time.
+                let spread = rand::rng().random_range(1.0..2.0);
+                Err(Refusal {
+                    retry_after: Some(wait.mul_f64(spread)),
+                    ..Refusal::not_run(Reason::UpstreamLimit)
+                })
+            }
+        }
+    }
+
     /// Waits until a key has a holder with capacity, and returns the holder.
     async fn select_holder(
         &self,
@@ -121,6 +183,7 @@
         }
         // Admission control applies once, and not to a retry after a stale routing table.
         let mut is_admitted = stale_version.is_some();
+        let mut reserved = None;
         loop {
             let version = routing_tables.tables().version;
             let served = routing_tables.served(&requirements.service, key);
@@ -147,7 +210,13 @@
             };
             let is_blocked = is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id);
             if !is_blocked && self.view.loads().has_capacity(&upstream) {
-                return Ok(upstream);
+                if reserved.as_ref() == Some(&upstream.id) {
+                    return Ok(upstream);
+                }
+                self.wait_for_limit(&upstream, requirements).await?;
+                // The key may have moved meanwhile.
+                reserved = Some(upstream.id.clone());
+                continue;
             }
             if Instant::now() >= requirements.deadline {
                 return Err(Refusal::not_run(Reason::QueueFull));
--- a/crates/message/src/verdict.rs
+++ b/crates/message/src/verdict.rs
@@ -136,6 +136,8 @@
     Stopping = "stopping", 503;
     /// The caller cancelled the request.
     Cancelled = "cancelled", 499;
+    /// The upstream takes no more requests at present, by the limit that it has named.
+    UpstreamLimit = "upstream-limit", 503;
     /// A hop violated the protocol.
     Protocol = "protocol", 502;
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod configuration;
 pub mod latency;
+pub mod limit;
 pub mod load;
 pub mod quarantine;
 pub mod registry;
