--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -12,3 +12,4 @@
 mod keys;
 mod limits;
 mod requests;
+mod rewind;
