Trust no plan of a copy from which the store has come back

Cause: the entries that were written since the copy are lost, and offsets are given out again. The next leader took the copy's plan for the newest and renewed what it says, beside the true holder; terms and tokens, made from offsets, could come twice. Class: a counter that others hold on to is derived from a store that may go back.

The store's era is read from every answer and stands above the offset in every position, so terms and tokens rise over losses. A conditional write holds for one era. The leader writes all its plans again while nobody can have taken over; any other daemon waits for that, then clears the holders of the copy in the same write as its own entry, and assigns no key before all unknown grants have ended; its entry hands that wait on. Configuration and registrations are read anew when the era changes; an earlier run of an upstream in the copy does not replace a known one.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -22,10 +22,11 @@
     order::Sender,
     plan::Plan,
     quarantine::SharedQuarantine,
-    register::{Failure, Register, Snapshot},
+    register::{Failure, Register, Snapshot, generation},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Table, Tables, Version},
 };
+use copperwell_message::HashMap;
 use copperwell_policy::backoff::Backoff;
 use copperwell_routing::{ServiceName, registry::Upstream};
 use rand::RngExt;
@@ -234,10 +235,12 @@
                         let grants_end = predecessor
                             .as_ref()
                             .and_then(|leader| observer.grants_end(leader));
-                        self.announce_to(predecessor, self.leader_entry(term.number, 0, 0, false));
+                        let generation = generation(term.number);
+                        let entry = self.leader_entry(term.number, 0, 0, false, generation);
+                        self.announce_to(predecessor, entry);
                         self.shared.quarantine.lead();
                         self.shared.limits.lead();
-                        let leadership = Leadership::new(self, term, &snapshot, grants_end);
+                        let leadership = Leadership::new(self, term, grants_end);
                         leadership.run(reports, stopping).await;
                         self.shared.limits.follow_nobody();
                         // A leader that stepped down follows its successor and lets the others try
@@ -291,7 +294,9 @@
     /// Applies the leader's entry and the plans in the store.
     fn apply_snapshot(&self, snapshot: &Snapshot, observer: &mut Observer) -> Option<LeaderEntry> {
         let leader: Option<LeaderEntry> = decode(snapshot, LEAD);
-        observer.observe(leader.as_ref(), self.clock.now());
+        let now = self.clock.now();
+        observer.observe(leader.as_ref(), now);
+        observer.observe_generation(generation(snapshot.end), now);
         if let Some(leader) = &leader {
             // A plan holds intended assignments; while the leader answers, its own tables are more
             // accurate.
@@ -299,12 +304,10 @@
                 term: leader.term,
                 number: leader.number,
             };
-            let plans = snapshot.entries.keys().filter_map(|key| {
-                let service = key.strip_prefix(PLAN)?;
-                let plan: Plan = decode(snapshot, key)?;
-                Some((ServiceName::from(service), Table::from_plan(&plan)))
-            });
-            let services = plans.collect();
+            let plans = plans_of(snapshot).into_iter();
+            let services = plans
+                .map(|(service, plan)| (service, Table::from_plan(&plan)))
+                .collect();
             self.shared
                 .routing_tables
                 .adopt_plans(Tables { version, services });
@@ -330,16 +333,27 @@
         let me = &self.identity;
         let timing = &self.timing.lease;
         let now = self.clock.now();
-        if services.is_empty() || !observer.may_take_over(leader, &me.name, me.address, now, timing)
-        {
+        let may_take_over = match self.has_lost_entries(snapshot, leader) {
+            true => observer.may_take_over_after_loss(now, timing),
+            false => observer.may_take_over(leader, &me.name, me.address, now, timing),
+        };
+        if services.is_empty() || !may_take_over {
             return None;
         }
         let term = snapshot.end + 1;
-        let entry = self.leader_entry(term, 0, 0, false);
-        let result = self
-            .register
-            .compare_and_swap(snapshot.end, &[encode(LEAD, &entry)])
-            .await;
+        let unknown_until = self.unknown_until(snapshot, leader, now);
+        let mut entry = self.leader_entry(term, 0, 0, false, generation(term));
+        entry.unknown_for = unknown_until.saturating_sub(now);
+        let mut plans = plans_of(snapshot);
+        let mut entries = vec![encode(LEAD, &entry)];
+        if !entry.unknown_for.is_zero() {
+            // Their holders may have been replaced in plans that are lost.
+            for (service, plan) in &mut plans {
+                *plan = std::mem::take(plan).without_holders();
+                entries.push(encode(format!("{PLAN}{service}"), plan));
+            }
+        }
+        let result = self.register.compare_and_swap(snapshot.end, &entries).await;
         self.metrics.count_swap(swap_outcome_name(&result));
         match result {
             Ok(position) => {
@@ -348,6 +362,8 @@
                     number: term,
                     position,
                     started_at: now,
+                    plans,
+                    unknown_until,
                 })
             }
             Err(failure) => {
@@ -357,7 +373,37 @@
         }
     }
 
-    fn leader_entry(&self, term: u64, beat: u64, number: u64, is_over: bool) -> LeaderEntry {
+    /// Returns whether entries of later leaders may be lost, since the log has lost its end after the leader's
+    /// last entry was written.
+    fn has_lost_entries(&self, snapshot: &Snapshot, leader: Option<&LeaderEntry>) -> bool {
+        let generation = generation(snapshot.end);
+        match leader {
+            Some(leader) => leader.generation < generation,
+            None => generation > 0 && !self.identity.is_first_start,
+        }
+    }
+
+    /// Returns until when grants may be in force that no plan in the store names.
+    fn unknown_until(
+        &self,
+        snapshot: &Snapshot,
+        leader: Option<&LeaderEntry>,
+        now: Duration,
+    ) -> Duration {
+        if self.has_lost_entries(snapshot, leader) {
+            return machine::latest_grant_end(&self.timing.grants, now);
+        }
+        leader.map_or(Duration::ZERO, |leader| now + leader.unknown_for)
+    }
+
+    fn leader_entry(
+        &self,
+        term: u64,
+        beat: u64,
+        number: u64,
+        is_over: bool,
+        generation: u64,
+    ) -> LeaderEntry {
         LeaderEntry {
             name: self.identity.name.clone(),
             run: self.identity.run,
@@ -367,6 +413,8 @@
             number,
             is_over,
             grants_end: Duration::ZERO,
+            generation,
+            unknown_for: Duration::ZERO,
         }
     }
 
@@ -560,13 +608,26 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A term of leadership that the store has acknowledged.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Term {
     number: u64,
     /// The position after the first entry of the term.
     position: u64,
     /// When that entry was sent.
     started_at: Duration,
+    /// The plans in the store.
+    plans: HashMap<ServiceName, Plan>,
+    /// Until when grants may be in force that no plan names.
+    unknown_until: Duration,
+}
+
+/// Returns the plans of all services.
+fn plans_of(snapshot: &Snapshot) -> HashMap<ServiceName, Plan> {
+    let plans = snapshot.entries.keys().filter_map(|key| {
+        let service = key.strip_prefix(PLAN)?;
+        Some((ServiceName::from(service), decode(snapshot, key)?))
+    });
+    plans.collect()
 }
 
 /// Returns the name of the result of a compare-and-swap, for logs and metrics.
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::Pin, sync::atomic::Ordering, time::Duration};
 
-use super::{Driver, Environment, LEAD, PLAN, Term, decode, encode, swap_outcome_name};
+use super::{Driver, Environment, LEAD, Term, encode, swap_outcome_name};
 use crate::{
     clock::Clock,
     demand::Report,
@@ -12,7 +12,7 @@
     machine::{Machine, Observation},
     order::{Action, Order, Outcome, Sender},
     plan::Plan,
-    register::{Register, Snapshot},
+    register::{Register, generation, position},
     table::{Tables, Version},
 };
 use copperwell_message::HashMap;
@@ -52,6 +52,10 @@
     plans: HashMap<ServiceName, Plan>,
     /// When the grants of the previous leader expire, if known.
     grants_end: Option<Duration>,
+    /// Until when grants may be in force that no plan names.
+    unknown_until: Duration,
+    /// Whether all entries must be written again, as the log has lost its end.
+    must_restore: bool,
     /// The number of writes in this term after the first entry.
     beat: u64,
     renew_at: Duration,
@@ -75,29 +79,26 @@
 }
 
 impl<'a, R: Register, S: Sender, K: Clock, E: Environment> Leadership<'a, R, S, K, E> {
-    /// Starts a term with the plans of `snapshot`.
+    /// Starts a term.
     ///
     /// `grants_end` is when the grants of the previous leader expire, if known.
     pub(super) fn new(
         driver: &'a Driver<R, S, K, E>,
         term: Term,
-        snapshot: &Snapshot,
         grants_end: Option<Duration>,
     ) -> Self {
         let mut lease = Lease::default();
         lease.renew(term.started_at, &driver.timing.lease);
-        let services = snapshot.entries.keys().filter_map(|key| {
-            let service = key.strip_prefix(PLAN)?;
-            Some((ServiceName::from(service), decode(snapshot, key)?))
-        });
         Self {
             driver,
             term: term.number,
             position: term.position,
             lease,
             machines: Vec::new(),
-            plans: services.collect(),
+            plans: term.plans,
             grants_end,
+            unknown_until: term.unknown_until,
+            must_restore: false,
             beat: 0,
             renew_at: term.started_at + driver.timing.lease.renew_interval,
             next_write_at: Duration::ZERO,
@@ -171,8 +172,10 @@
             if self.machines.iter().all(|one| *one.service() != service) {
                 let plan = self.plans.remove(&service);
                 info!("assigning the keys of a service", kv: { event = "lead-service", service = &*service, ranges = plan.as_ref().map_or(0, |plan| plan.ranges.len()), term = self.term });
-                let machine =
-                    Machine::new(service, plan, driver.timing.grants, self.grants_end, now);
+                let timing = driver.timing.grants;
+                let machine = Machine::new(service, plan, timing, self.grants_end, now)
+                    .with_fence_from(position(generation(self.term), 0))
+                    .with_unassigned_until(self.unknown_until);
                 self.machines.push(machine);
             }
         }
@@ -293,8 +296,12 @@
         if self.is_lost {
             return;
         }
-        let mut leader = driver.leader_entry(self.term, self.beat + 1, self.table_number, true);
-        leader.grants_end = self.remaining_grant_time(driver.clock.now());
+        let generation = generation(self.position);
+        let (beat, number) = (self.beat + 1, self.table_number);
+        let mut leader = driver.leader_entry(self.term, beat, number, true, generation);
+        let now = driver.clock.now();
+        leader.grants_end = self.remaining_grant_time(now);
+        leader.unknown_for = self.unknown_until.saturating_sub(now);
         let result = driver
             .register
             .compare_and_swap(self.position, &[encode(LEAD, &leader)])
--- a/crates/assignment/src/driver/leading/store.rs
+++ b/crates/assignment/src/driver/leading/store.rs
@@ -10,7 +10,7 @@
     lease::{Lapse, LeaderEntry},
     machine::Machine,
     order::Sender,
-    register::{Failure, Register, Snapshot},
+    register::{Failure, Position, Register, Snapshot, generation, position},
 };
 use copperwell_routing::ServiceName;
 use spdlog::{info, warn};
@@ -102,19 +102,26 @@
             Some((machine.service().clone(), edition, plan))
         });
         let plans: Vec<_> = plans.collect();
-        if plans.is_empty() && now < self.renew_at {
+        if plans.is_empty() && now < self.renew_at && !self.must_restore {
             return None;
         }
         self.beat += 1;
         self.renew_at = now + driver.timing.lease.renew_interval;
-        let leader = driver.leader_entry(self.term, self.beat, self.table_number, false);
+        let generation = generation(self.position);
+        let (beat, number) = (self.beat, self.table_number);
+        let mut leader = driver.leader_entry(self.term, beat, number, false, generation);
+        leader.unknown_for = self.unknown_until.saturating_sub(now);
         let mut entries = vec![encode(LEAD, &leader)];
+        if self.must_restore {
+            let unused = self.plans.iter();
+            entries.extend(unused.map(|(service, plan)| encode(format!("{PLAN}{service}"), plan)));
+        }
         let mut editions = Vec::new();
         for (service, edition, plan) in plans {
             entries.push(encode(format!("{PLAN}{service}"), &plan));
             editions.push((service, edition));
         }
-        let (at, beat) = (self.position, self.beat);
+        let at = self.position;
         self.call_sent_at = Some(now);
         Some(Box::pin(async move {
             let result = driver.register.compare_and_swap(at, &entries).await;
@@ -146,6 +153,7 @@
         match write.result {
             Ok(position) => {
                 self.position = position;
+                self.must_restore = false;
                 let is_lapse_binding = self.lapse.is_some_and(|lapse| write.beat <= lapse.beat);
                 if !is_lapse_binding {
                     self.lease.renew(write.sent, &driver.timing.lease);
@@ -178,6 +186,13 @@
         let Ok(snapshot) = read else { return };
         self.set_store_unreachable(None);
         let leader: Option<LeaderEntry> = decode(&snapshot, LEAD);
+        let is_lost = |leader: &LeaderEntry| leader.generation < generation(snapshot.end);
+        let has_lost_entries = leader
+            .as_ref()
+            .map_or(generation(snapshot.end) > 0, is_lost);
+        if has_lost_entries && self.restore(snapshot.end) {
+            return;
+        }
         let is_own = leader.as_ref().is_some_and(|leader| {
             leader.term == self.term && leader.run == self.driver.identity.run && !leader.is_over
         });
@@ -200,6 +215,25 @@
         self.next_write_at = self.driver.clock.now();
     }
 
+    /// Starts to write all entries again after the log has lost its end; `false` if another daemon may have
+    /// taken over before, whose entries are lost too.
+    fn restore(&mut self, end: Position) -> bool {
+        let driver = self.driver;
+        let now = driver.clock.now();
+        if !self.lease.is_exclusive(now, &driver.timing.lease) {
+            return false;
+        }
+        info!("writing plans again that the store has lost", kv: { event = "restore", term = self.term, position = end });
+        self.position = end;
+        self.must_restore = true;
+        self.unconfirmed_write_at = None;
+        for machine in &mut self.machines {
+            machine.store_again(position(generation(end), 0));
+        }
+        self.next_write_at = now;
+        true
+    }
+
     /// Sets the time since which the store has not answered; `None` if it answers.
     pub(super) fn set_store_unreachable(&mut self, since: Option<Duration>) {
         let is_same = self.store_unreachable_since.is_some() == since.is_some();
--- a/crates/assignment/src/lease.rs
+++ b/crates/assignment/src/lease.rs
@@ -45,6 +45,12 @@
     pub is_over: bool,
     /// The time from when the leader stopped until all of its grants have expired.
     pub grants_end: Duration,
+    /// The generation of the log in which the entry was written. If the log has a later one, later entries may
+    /// be lost.
+    pub generation: u64,
+    /// The time from when the entry was written until all grants have expired that no plan names, since a plan was
+    /// lost.
+    pub unknown_for: Duration,
 }
 
 /// Announcement by a leader that its lease has lapsed.
@@ -72,6 +78,8 @@
     /// The term and the beat of the entry; `None` if there is no entry.
     observed: Option<(u64, u64)>,
     unchanged_since: Duration,
+    /// The generation of the log, and since when it is known.
+    generation: Option<(u64, Duration)>,
     /// The last lapse that a leader announced, and when it was received.
     lapse: Option<(Lapse, Duration)>,
 }
@@ -82,6 +90,12 @@
         self.valid_until = self.valid_until.max(sent + timing.duration);
     }
 
+    /// Returns whether no other daemon can have taken over since the last renewal.
+    #[must_use]
+    pub fn is_exclusive(&self, now: Duration, timing: &Timing) -> bool {
+        self.remaining(now) > timing.duration.saturating_sub(timing.takeover_timeout)
+    }
+
     /// Returns whether an order may be sent now.
     #[must_use]
     pub fn is_valid(&self, now: Duration) -> bool {
@@ -110,6 +124,22 @@
         }
     }
 
+    /// Records the generation of the log, read at `now`.
+    pub fn observe_generation(&mut self, generation: u64, now: Duration) {
+        if self.generation.is_none_or(|(known, _)| known != generation) {
+            self.generation = Some((generation, now));
+        }
+    }
+
+    /// Returns whether a daemon may take over though the entries of later leaders may be lost.
+    ///
+    /// The last one, if it lives, gets the chance to write its own again.
+    #[must_use]
+    pub fn may_take_over_after_loss(&self, now: Duration, timing: &Timing) -> bool {
+        let known_for = self.generation.map(|(_, since)| now.saturating_sub(since));
+        known_for.is_some_and(|known_for| known_for >= timing.takeover_timeout)
+    }
+
     /// Records the announcement, received at `now`, that a leader's lease has lapsed.
     pub fn record_lapse(&mut self, lapse: Lapse, now: Duration) {
         self.lapse = Some((lapse, now));
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -76,6 +76,8 @@
     stored_edition: u64,
     is_fenced: bool,
     has_long_grants: bool,
+    /// Until when keys are not assigned, as unknown grants of theirs may be in force.
+    unassigned_until: Duration,
 }
 
 impl Machine {
@@ -92,10 +94,7 @@
         now: Duration,
     ) -> Self {
         let plan = plan.filter(Plan::is_whole);
-        let latest = now
-            + timing.predecessor_limit
-            + timing.read_delay_max
-            + max_grant_duration(timing.grant_duration_max);
+        let latest = latest_grant_end(&timing, now);
         let uncertain_until = grants_end.unwrap_or(latest).min(latest) + timing.grant_timeout;
         let fence = plan.as_ref().map_or(0, |plan| plan.fence);
         let ranges = plan.map_or(Vec::new(), |plan| plan.ranges);
@@ -116,9 +115,30 @@
             stored_edition: 0,
             is_fenced: false,
             has_long_grants: false,
+            unassigned_until: Duration::ZERO,
         }
     }
 
+    /// Makes new fencing tokens higher than `fence`.
+    #[must_use]
+    pub fn with_fence_from(mut self, fence: Fence) -> Self {
+        self.fence = self.fence.max(fence);
+        self
+    }
+
+    /// Assigns no keys until `until`, as grants of theirs may be in force that no plan names.
+    #[must_use]
+    pub fn with_unassigned_until(mut self, until: Duration) -> Self {
+        self.unassigned_until = until;
+        self
+    }
+
+    /// Has the plan stored again after it was lost, and makes new fencing tokens higher than `fence`.
+    pub fn store_again(&mut self, fence: Fence) {
+        self.fence = self.fence.max(fence);
+        self.edition += 1;
+    }
+
     /// Returns the service.
     #[must_use]
     pub fn service(&self) -> &ServiceName {
@@ -137,7 +157,7 @@
 
     /// Returns the orders that are due now. The caller must hold the leader's lease.
     pub fn step(&mut self, now: Duration, observation: &Observation<'_>) -> Vec<Order> {
-        if self.ranges.is_empty() {
+        if self.ranges.is_empty() && now >= self.unassigned_until {
             self.create_ranges(now, observation);
         }
         self.set_store_unreachable(observation.is_store_unreachable, now);
@@ -252,7 +272,7 @@
     #[must_use]
     pub fn grants_end(&self) -> Duration {
         let ends = self.ranges.iter().map(KeyRange::latest_grant_end);
-        ends.max().unwrap_or_default()
+        ends.max().unwrap_or_default().max(self.unassigned_until)
     }
 
     /// Returns the number of ranges, and how many of them no upstream serves.
@@ -410,7 +430,8 @@
 
     /// Assigns a holder to each free range.
     fn assign_free_ranges(&mut self, now: Duration, observation: &Observation<'_>) {
-        if self.ranges.iter().all(|range| range.stage != Stage::Free) {
+        if now < self.unassigned_until || self.ranges.iter().all(|range| range.stage != Stage::Free)
+        {
             return;
         }
         let targets = Targets::new(observation, &self.states, now);
@@ -474,3 +495,12 @@
         self.edition += 1;
     }
 }
+
+/// Returns when all grants have expired that leaders sent before `now`, and that they may still send before
+/// they find out that they lead no more.
+#[must_use]
+pub fn latest_grant_end(timing: &Timing, now: Duration) -> Duration {
+    now + timing.predecessor_limit
+        + timing.read_delay_max
+        + max_grant_duration(timing.grant_duration_max)
+}
--- a/crates/assignment/src/plan.rs
+++ b/crates/assignment/src/plan.rs
@@ -48,6 +48,15 @@
         }
     }
 
+    /// Returns the plan without its holders.
+    #[must_use]
+    pub fn without_holders(mut self) -> Self {
+        for range in &mut self.ranges {
+            range.holder = None;
+        }
+        self
+    }
+
     /// Returns whether the ranges are in order, cover all keys and have valid fencing tokens.
     #[must_use]
     pub fn is_whole(&self) -> bool {
--- a/crates/assignment/src/register.rs
+++ b/crates/assignment/src/register.rs
@@ -5,8 +5,34 @@
 use copperwell_message::HashMap;
 
 /// A position in the log of all changes.
+///
+/// The log may lose its end, and offsets are given out again; each time its generation rises. A position holds
+/// the generation above the offset, so that later positions are higher whatever was lost. Terms and fencing
+/// tokens, which are derived from positions, then rise too.
 pub type Position = u64;
 
+/// The number of bits of an offset in a position. Generations up to 8,191 leave positions exact as JSON numbers.
+const OFFSET_BITS: u32 = 40;
+
+/// Returns the position of an offset in a generation of the log.
+#[must_use]
+pub fn position(generation: u64, offset: u64) -> Position {
+    generation << OFFSET_BITS | offset
+}
+
+/// Returns the generation of the log and the offset at a position.
+#[must_use]
+pub fn generation_and_offset(position: Position) -> (u64, u64) {
+    let offset = position & ((1 << OFFSET_BITS) - 1);
+    (position >> OFFSET_BITS, offset)
+}
+
+/// Returns the generation of the log at a position, or in a term that began there.
+#[must_use]
+pub fn generation(position: Position) -> u64 {
+    generation_and_offset(position).0
+}
+
 /// The state of all entries at one position.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Snapshot {
--- a/crates/assignment/tests/lease.rs
+++ b/crates/assignment/tests/lease.rs
@@ -18,6 +18,8 @@
         beat: BEAT,
         number: 1,
         is_over: false,
+        generation: 0,
+        unknown_for: Duration::ZERO,
         grants_end: Duration::ZERO,
     }
 }
--- a/crates/assignment/tests/machine/random.rs
+++ b/crates/assignment/tests/machine/random.rs
@@ -14,14 +14,33 @@
 /// How long after the last fault all keys must be served again.
 const RECOVERY_TIME: Duration = Duration::from_secs(40);
 
+/// What happens beside the faults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Further {
+    Nothing,
+    /// The store comes back from copies.
+    Losses,
+}
+
 /// Injects random faults; the simulation checks after each step that no key has two holders.
-fn run(seed: u64, unanswered: f64, read_late: f64) {
+fn run(seed: u64, unanswered: f64, read_late: f64, further: Further) {
     let mut simulation = Simulation::new(SERVERS, seed);
     simulation.run(Duration::from_secs(5));
     simulation.unanswered = unanswered;
     simulation.read_late = read_late;
+    let mut copy = None;
     for _ in 0..FAULTS {
         inject_fault(&mut simulation);
+        if further == Further::Nothing {
+            let pause = simulation.random().random_range(20..1_500);
+            simulation.run(Duration::from_millis(pause));
+            continue;
+        }
+        match simulation.random().random_range(0..30) {
+            0 | 1 => copy = simulation.stored.clone(),
+            2 if further == Further::Losses => simulation.change_leader_after_loss(copy.clone()),
+            _ => {}
+        }
         let pause = simulation.random().random_range(20..1_500);
         simulation.run(Duration::from_millis(pause));
     }
@@ -67,6 +86,14 @@
 #[test_case(0.2, 0.3; "some unanswered and some read late")]
 fn no_key_has_two_holders(unanswered: f64, read_late: f64) {
     for seed in 0..15 {
-        run(seed, unanswered, read_late);
+        run(seed, unanswered, read_late, Further::Nothing);
+    }
+}
+
+#[test_case(0.0, 0.0; "all answered")]
+#[test_case(0.2, 0.3; "some unanswered and some read late")]
+fn keys_have_two_holders_after_the_store_comes_back(unanswered: f64, read_late: f64) {
+    for seed in 100..110 {
+        run(seed, unanswered, read_late, Further::Losses);
     }
 }
--- a/crates/assignment/tests/machine/simulation.rs
+++ b/crates/assignment/tests/machine/simulation.rs
@@ -3,9 +3,10 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use copperwell_assignment::{
-    machine::{Machine, Observation, Timing},
+    machine::{Machine, Observation, Timing, latest_grant_end},
     order::{Action, Order, Outcome},
     plan::Plan,
+    register::position,
 };
 use copperwell_routing::{Incarnation, Key, registry::Upstream};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -68,6 +69,10 @@
     pub(crate) servers: Vec<Server>,
     pub(crate) machine: Machine,
     pub(crate) stored: Option<Plan>,
+    /// How often the store has come back from a copy.
+    generation: u64,
+    /// Until when grants may be in force that no plan names.
+    unknown_until: Duration,
     pub(crate) writes: usize,
     /// The share of orders without an answer.
     pub(crate) unanswered: f64,
@@ -109,6 +114,8 @@
             servers: servers.collect(),
             machine: Machine::new("cups".into(), None, Timing::default(), None, now),
             stored: None,
+            generation: 0,
+            unknown_until: Duration::ZERO,
             writes: 0,
             unanswered: 0.0,
             read_late: 0.0,
@@ -151,7 +158,18 @@
         self.write = None;
         let plan = self.stored.clone();
         let timing = Timing::default();
-        self.machine = Machine::new("cups".into(), plan, timing, grants_end, self.now);
+        self.machine = Machine::new("cups".into(), plan, timing, grants_end, self.now)
+            .with_fence_from(position(self.generation, 0))
+            .with_unassigned_until(self.unknown_until);
+    }
+
+    /// Starts a new leader after the store has come back with the plan `copy`, or without any.
+    pub(crate) fn change_leader_after_loss(&mut self, copy: Option<Plan>) {
+        self.generation += 1;
+        self.unknown_until = latest_grant_end(&Timing::default(), self.now);
+        // The plan is written together with the entry of the new leader.
+        self.stored = copy.map(Plan::without_holders);
+        self.start_leader(None);
     }
 
     /// Returns the server that holds a key by its own state.
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -96,6 +96,19 @@
     assert!(writes <= 10, "{writes} writes");
 }
 
+/// The plan of the copy names holders that a lost plan may have replaced.
+#[test_case(true; "with an earlier plan")]
+#[test_case(false; "without any plan")]
+fn keys_have_no_holder_after_the_store_comes_back_from_a_copy(has_copy: bool) {
+    let mut simulation = started();
+    let copy = simulation.stored.clone().filter(|_| has_copy);
+    simulation.servers[0].drain();
+    simulation.run(Duration::from_secs(3));
+    simulation.change_leader_after_loss(copy);
+    simulation.run(Duration::from_secs(25));
+    assert_eq!(simulation.served(), key_count());
+}
+
 #[test]
 fn a_change_of_leader_moves_no_keys() {
     let mut simulation = started();
--- a/crates/copperwelld/tests/gateway/rewind.rs
+++ b/crates/copperwelld/tests/gateway/rewind.rs
@@ -61,7 +61,6 @@
         assert!(Instant::now() < deadline, "the keys do not move");
         sleep(Duration::from_millis(20)).await;
     }
-    harness.servers[0].set_ready();
     harness.wait_served().await;
     if loss == Loss::WhileAway {
         drop(remove_leader(&mut harness).await);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -85,6 +85,7 @@
 ) {
     let mut monitor = ReadMonitor::new("upstreams", metrics.clone());
     let mut known_invalid: HashSet<String> = HashSet::default();
+    let mut generation = None;
     view.keys.wait_for_leader_lookup().await;
     loop {
         while view.is_complete() && !view.must_read_upstreams(LEADER_LIST_AGE_MAX) {
@@ -98,6 +99,12 @@
             sleep(monitor.retry_delay()).await;
             continue;
         };
+        let known = generation.replace(listing.generation);
+        if known.is_some_and(|known| known != listing.generation) {
+            warn!("store has come back from a copy", kv: { dependency = "store", event = "store-copy", generation = listing.generation });
+            // What was registered since the copy is about to be written again.
+            view.record_list_failure();
+        }
         log_invalid_registrations(&listing, &mut known_invalid, &metrics);
         let changes = view.update_upstreams(listing.upstreams, list_read_at);
         let count = view.registry().len();
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -85,6 +85,7 @@
         Ok(Listing {
             upstreams: vec![upstream()],
             invalid: Vec::new(),
+            generation: 0,
         })
     }
 }
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -87,11 +87,16 @@
         }
         let mut changes = Changes::default();
         let mut seen = HashSet::default();
+        let is_in_grace = self.grace_ends_at.is_some_and(|at| now < at);
         for upstream in listed {
             seen.insert(upstream.id.clone());
+            let known = self.upstreams.get(&upstream.id);
+            // A store that comes back from a copy lists an earlier incarnation until the upstream writes again.
+            if is_in_grace && known.is_some_and(|known| known.born > upstream.born) {
+                continue;
+            }
             self.update_one(upstream, &mut changes);
         }
-        let is_in_grace = self.grace_ends_at.is_some_and(|at| now < at);
         let missing = self.upstreams.keys().filter(|id| !seen.contains(*id));
         let missing: Vec<_> = missing.cloned().collect();
         let have_expired = missing.len() as f64 > EXPIRED_RATIO * self.upstreams.len() as f64;
--- a/crates/routing/src/source.rs
+++ b/crates/routing/src/source.rs
@@ -35,6 +35,8 @@
     pub upstreams: Vec<Upstream>,
     /// The names of registrations that could not be parsed.
     pub invalid: Vec<String>,
+    /// How often the store has come back from a copy and lost what was written since.
+    pub generation: u64,
 }
 
 /// The error of a failed read from the store.
