List a case of two holders that a further draw has found

The simulation of key assignment, with one more draw of its random numbers after each fault, fails in seed 9: by single faults and changes of leader, none of them new.

--- a/crates/assignment/tests/machine/random.rs
+++ b/crates/assignment/tests/machine/random.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Further {
     Nothing,
+    /// Nothing, but the seeds lead to other faults.
+    Draws,
     /// The store comes back from copies.
     Losses,
 }
@@ -97,3 +99,8 @@
         run(seed, unanswered, read_late, Further::Losses);
     }
 }
+
+#[test]
+fn key_has_two_holders_after_faults_of_seed_9() {
+    run(9, 0.0, 0.0, Further::Draws);
+}
