Give up a lead whose own entry is that of a copy

Found in reading: a leader whose entry was in the copy took it for its own and went on, also where the store had been away for so long that another may have led and its entry been lost; its next renewal made the copy's plan pass for a new one. Now it goes on only while nobody can have taken over, and gives up otherwise, as any other daemon would wait.

leader_goes_on_though_the_store_has_lost_later_entries: its second case failed before.

--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -174,7 +174,7 @@
                 info!("assigning the keys of a service", kv: { event = "lead-service", service = &*service, ranges = plan.as_ref().map_or(0, |plan| plan.ranges.len()), term = self.term });
                 let timing = driver.timing.grants;
                 let machine = Machine::new(service, plan, timing, self.grants_end, now)
-                    .with_fence_from(position(generation(self.term), 0))
+                    .with_fence_from(position(generation(self.position), 0))
                     .with_unassigned_until(self.unknown_until);
                 self.machines.push(machine);
             }
--- a/crates/assignment/src/driver/leading/store.rs
+++ b/crates/assignment/src/driver/leading/store.rs
@@ -193,7 +193,9 @@
         if has_lost_entries && self.restore(snapshot.end) {
             return;
         }
-        let is_own = leader.as_ref().is_some_and(|leader| {
+        // If others may have led since, even an entry of its own is from before.
+        let is_own = leader.as_ref().filter(|_| !has_lost_entries);
+        let is_own = is_own.is_some_and(|leader| {
             leader.term == self.term && leader.run == self.driver.identity.run && !leader.is_over
         });
         if !is_own {
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -15,10 +15,11 @@
     exchange::Server,
     metrics::Metrics,
     order::{Action, Order, Outcome, Sender, Timeouts},
-    register::{Failure, Position, Register, Snapshot},
+    register::{Failure, Position, Register, Snapshot, position},
     store_state::{Delta, ListVersion},
 };
 use copperwell_routing::{Key, ServiceName, registry::Upstream};
+use test_case::test_case;
 use tokio::{task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -293,3 +294,27 @@
     sleep(Duration::from_secs(5)).await;
     assert_eq!(daemon.orders(), 0);
 }
+
+/// A store that was away for longer than a leader is sure to be the only one may have lost the next one's entry.
+#[test_case(Duration::from_millis(500), true; "away for a moment")]
+#[test_case(Duration::from_secs(4), false; "away for longer")]
+#[tokio::test(start_paused = true)]
+async fn leader_goes_on_though_the_store_has_lost_later_entries(away: Duration, goes_on: bool) {
+    let store = Arc::new(Store::default());
+    let daemon = Daemon::start("one", 1, &store);
+    sleep(Duration::from_secs(6)).await;
+    let mut copy = store.snapshot.lock().unwrap().clone();
+    copy.end = position(1, copy.end);
+    store.is_unreachable.store(true, Ordering::Relaxed);
+    sleep(away).await;
+    *store.snapshot.lock().unwrap() = copy;
+    store.is_unreachable.store(false, Ordering::Relaxed);
+    sleep(Duration::from_secs(3)).await;
+    daemon.orders();
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(daemon.orders() > 0, goes_on);
+    // By then all grants that may be unknown have ended.
+    sleep(Duration::from_secs(12)).await;
+    assert!(daemon.orders() > 0);
+    assert!(daemon.has_all_keys_served());
+}
