--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -14,8 +14,8 @@
     clock::Clock,
     demand::{Counts, Report},
     election,
-    exchange::{Client, Request, Server, Standing},
-    lease::{self, Lapse, LeaderEntry, Observer},
+    exchange::{Client, Server, Standing},
+    lease::{self, LeaderEntry, Observer},
     limits::SharedLimits,
     machine,
     metrics::Metrics,
@@ -37,8 +37,11 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use following::FollowOutcome;
 use leading::Leadership;
 
+mod fetch;
+mod following;
 mod leading;
 
 /// The store entry that names the leader.
@@ -429,184 +432,8 @@
             }
         });
     }
-
-    /// Exchanges data with the leader until it no longer answers or leads.
-    async fn follow(
-        &self,
-        leader: &LeaderEntry,
-        candidates: &mut Vec<DaemonName>,
-        stopping: &CancellationToken,
-    ) -> FollowOutcome {
-        if leader.is_over || leader.address == self.identity.address {
-            return FollowOutcome::Lost;
-        }
-        let Some(client) = Client::connect(leader.address).await else {
-            return FollowOutcome::Lost;
-        };
-        let client = Arc::new(client);
-        self.shared.limits.follow(client.clone());
-        let reporting = self.report_crashes(&client);
-        let following = self.exchange_with(&client, leader, candidates, stopping);
-        let outcome = tokio::select! {
-            outcome = following => outcome,
-            () = reporting => FollowOutcome::Lost,
-        };
-        self.shared.limits.follow_nobody();
-        outcome
-    }
-
-    /// Reports requests that may crash upstreams to the leader, until the future is dropped.
-    ///
-    /// The leader may be a new one, so it is told again what earlier ones knew.
-    async fn report_crashes(&self, client: &Client) {
-        let quarantine = &self.shared.quarantine;
-        quarantine.report_again();
-        loop {
-            quarantine.wait_for_unreported().await;
-            loop {
-                let entries = quarantine.take_unreported();
-                if entries.is_empty() {
-                    break;
-                }
-                if !client.report_crashes(entries).await {
-                    quarantine.report_again();
-                    sleep(REPORT_RETRY_INTERVAL).await;
-                }
-            }
-        }
-    }
-
-    async fn exchange_with(
-        &self,
-        client: &Client,
-        leader: &LeaderEntry,
-        candidates: &mut Vec<DaemonName>,
-        stopping: &CancellationToken,
-    ) -> FollowOutcome {
-        let mut knows = self.shared.routing_tables.tables().version;
-        let mut known_quarantine = 0;
-        let mut known_limits = 0;
-        while !stopping.is_cancelled() {
-            let (configuration, list) = self.environment.versions();
-            let announced = self.shared.offer.borrow().version.max(configuration);
-            let now = self.clock.now();
-            let list_read_at = self.environment.list_read_at();
-            let request = Request {
-                from: self.identity.name.clone(),
-                strength: self.identity.strength,
-                knows,
-                base: self.shared.routing_tables.base(),
-                address: self.identity.address,
-                configuration,
-                announced,
-                list,
-                store_age: list_read_at.map(|at| now.saturating_sub(at)),
-                reports: self.shared.load_counts.take(),
-                quarantine: known_quarantine,
-                limits: self.shared.limits.take_unreported(),
-                limits_version: known_limits,
-            };
-            let Some(response) = client.exchange(request).await else {
-                warn!("the leader does not answer", kv: { dependency = "leader", leader = &*leader.name, term = leader.term });
-                return FollowOutcome::Lost;
-            };
-            let daemons = &self.shared.daemons;
-            daemons.store(response.daemons, Ordering::Relaxed);
-            if response.standing == Standing::Leads {
-                *candidates = response.candidates;
-                let snapshot = response.quarantine.as_ref();
-                known_quarantine = snapshot.map_or(known_quarantine, |snapshot| snapshot.version);
-                self.shared.quarantine.follow(snapshot);
-                if let Some(snapshot) = &response.limits {
-                    known_limits = snapshot.version;
-                    self.shared.limits.merge(&snapshot.entries);
-                }
-            }
-            if let Some(update) = response.tables {
-                self.shared.routing_tables.apply(update);
-            }
-            if let Some(newer_leader) = response
-                .successor
-                .filter(|newer_leader| newer_leader.term > leader.term)
-            {
-                return FollowOutcome::Superseded(newer_leader);
-            }
-            match response.standing {
-                Standing::Leads => {}
-                Standing::Follows => return FollowOutcome::Lost,
-                Standing::Lapsed(lapse) => return FollowOutcome::Lapsed(lapse),
-            }
-            if let Some(delta) = response.delta {
-                let version = delta.configuration;
-                self.environment.apply_update(delta);
-                if self.environment.versions().0 < version {
-                    let mut holders = response.holders;
-                    holders.push(leader.address);
-                    let offer = Offer { version, holders };
-                    self.shared.offer.send_replace(offer);
-                }
-                self.shared.has_looked_for_leader.send_replace(true);
-            }
-            knows = self.shared.routing_tables.tables().version;
-            // Lets the leader send changes that follow each other quickly in one response.
-            sleep(EXCHANGE_INTERVAL).await;
-        }
-        FollowOutcome::Lost
-    }
 }
 
-impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
-    /// Fetches configurations that other daemons offer, forever.
-    ///
-    /// This goes on without the leader, which may be lost meanwhile.
-    async fn fetch_configurations(&self) {
-        let mut offers = self.shared.offer.subscribe();
-        // `self` owns the sender, so the channel stays open.
-        while offers.changed().await.is_ok() {
-            let offer = offers.borrow_and_update().clone();
-            self.fetch_configuration(&offer).await;
-        }
-    }
-
-    /// Fetches a configuration from one of its holders, the leader last.
-    async fn fetch_configuration(&self, offer: &Offer) {
-        for holder in &offer.holders {
-            let known = self.environment.versions().0;
-            if known >= offer.version {
-                return;
-            }
-            let Some(client) = Client::connect(*holder).await else {
-                continue;
-            };
-            let on_progress = || self.environment.record_transfer();
-            let encoded = client.read_configuration(known, offer.version, on_progress);
-            let is_applied = match encoded.await {
-                Some(encoded) => self.environment.apply_difference(&encoded),
-                None => false,
-            };
-            if !is_applied {
-                info!("another daemon did not pass on a configuration", kv: { event = "configuration-missed", version = offer.version, known, holder: = holder });
-            }
-        }
-    }
-}
-
-/// Why a daemon stopped following a leader.
-enum FollowOutcome {
-    /// The leader does not answer, or no longer leads.
-    Lost,
-    /// The leader has announced that its lease lapsed.
-    Lapsed(Lapse),
-    /// The leader knows of a later leader.
-    Superseded(LeaderEntry),
-}
-
-/// How long a daemon waits before it repeats a report that the leader did not take.
-const REPORT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
-
-/// How long a daemon waits after a response before the next request.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(20);
-
 /// A term of leadership that the store has acknowledged.
 #[derive(Debug)]
 struct Term {
--- a/crates/assignment/src/limits.rs
+++ b/crates/assignment/src/limits.rs
@@ -24,6 +24,9 @@
 use spdlog::info;
 use tokio::{sync::watch, time::Instant};
 
+/// How the log says that an upstream has no limit.
+const NO_LIMIT: f64 = -1.0;
+
 /// The limits of upstreams that are shared, with their metrics and log lines.
 #[derive(Debug)]
 pub struct SharedLimits {
@@ -101,8 +104,7 @@
         if !limits.observe(upstream, observation, phase, Instant::now()) {
             return;
         }
-        let text = |rate: Option<f64>| rate.map_or(-1.0, |rate| rate);
-        info!("upstream changed its limit", kv: { event = "upstream-limit", server = &**upstream, born = observation.born, per_s = text(observation.rate), before_per_s = text(before) });
+        info!("upstream changed its limit", kv: { event = "upstream-limit", server = &**upstream, born = observation.born, per_s = observation.rate.unwrap_or(NO_LIMIT), before_per_s = before.unwrap_or(NO_LIMIT) });
         self.announce(&limits);
     }
 
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -27,10 +27,10 @@
 use copperwell_routing::{Key, ServiceName, UpstreamId};
 
 use holder::{State, Status, Targets, is_any_responsive, status_of};
-use key_range::{KeyRange, Stage, max_grant_duration};
+use key_range::{KeyRange, Stage};
 
 pub use observation::Observation;
-pub use timing::Timing;
+pub use timing::{Timing, latest_grant_end};
 
 mod holder;
 mod key_range;
@@ -495,12 +495,3 @@
         self.edition += 1;
     }
 }
-
-/// Returns when all grants have expired that leaders sent before `now`, and that they may still send before
-/// they find out that they lead no more.
-#[must_use]
-pub fn latest_grant_end(timing: &Timing, now: Duration) -> Duration {
-    now + timing.predecessor_limit
-        + timing.read_delay_max
-        + max_grant_duration(timing.grant_duration_max)
-}
--- a/crates/assignment/src/machine/timing.rs
+++ b/crates/assignment/src/machine/timing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::key_range::max_grant_duration;
+
 use crate::order::{Action, Timeouts};
 
 /// Durations of grants and timeouts of orders.
@@ -64,3 +66,12 @@
         }
     }
 }
+
+/// Returns when all grants have expired that leaders sent before `now`, and that they may still send before
+/// they find out that they lead no more.
+#[must_use]
+pub fn latest_grant_end(timing: &Timing, now: Duration) -> Duration {
+    now + timing.predecessor_limit
+        + timing.read_delay_max
+        + max_grant_duration(timing.grant_duration_max)
+}
--- a/crates/assignment/src/metrics.rs
+++ b/crates/assignment/src/metrics.rs
@@ -13,6 +13,7 @@
     pub(crate) terms: Counter,
     pub(crate) orders: Family<Label, Counter>,
     pub(crate) swaps: Family<Label, Counter>,
+    pub(crate) transfers: Family<Label, Counter>,
     pub(crate) ranges: Gauge,
     pub(crate) unserved: Gauge,
 }
@@ -35,6 +36,11 @@
         registry.register("terms", "Times that this daemon began to lead", all.terms);
         registry.register("orders", "Orders to upstreams, by outcome", all.orders);
         registry.register("swaps", "Conditional writes, by outcome", all.swaps);
+        registry.register(
+            "transfers",
+            "Configurations fetched from other daemons, by outcome",
+            all.transfers,
+        );
         registry.register(
             "ranges",
             "Ranges of keys that this daemon leads",
@@ -48,6 +54,12 @@
         self.orders.get_or_create(&Label { action, outcome }).inc();
     }
 
+    pub(crate) fn count_transfer(&self, outcome: &'static str) {
+        let action = "fetch";
+        let label = Label { action, outcome };
+        self.transfers.get_or_create(&label).inc();
+    }
+
     pub(crate) fn count_swap(&self, outcome: &'static str) {
         let action = "swap";
         self.swaps.get_or_create(&Label { action, outcome }).inc();
--- a/crates/copperwelld/tests/gateway/limits.rs
+++ b/crates/copperwelld/tests/gateway/limits.rs
@@ -30,8 +30,10 @@
 /// The window in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// How often a limit is named before, while and after it holds, in rounds.
+/// The rounds before a limit is named, and after it has ended.
 const ROUNDS_BEFORE: usize = 5;
+
+/// The rounds while a limit is named.
 const ROUNDS_LIMITED: usize = 50;
 
 /// What becomes of a daemon while a limit holds.
