--- a/crates/copperwelld/tests/gateway/configuration.rs
+++ b/crates/copperwelld/tests/gateway/configuration.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Harness},
-    standin::{cluster, config, rule},
+    standin::{caller::leads, cluster, config, rule},
 };
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -62,3 +63,42 @@
         }
     }
 }
+
+/// Waits until each daemon knows whom to ask while there is no leader.
+async fn wait_for_successors(harness: &Harness, leader: usize) {
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    for (_, daemon) in (0..).zip(&harness.daemons).filter(|(at, _)| *at != leader) {
+        let is_known = |text: String| text.contains("copperwell_assignment_successors 3\n");
+        while !daemon
+            .metrics(&harness.client)
+            .await
+            .is_some_and(is_known)
+        {
+            assert!(
+                Instant::now() < deadline,
+                "{} knows no successors",
+                daemon.name()
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_daemon_reads_a_large_configuration_from_the_store_while_no_leader_passes_it_on() {
+    let mut harness = Harness::start(7).await;
+    harness.wait_served().await;
+    let leader = (0..harness.daemons.len())
+        .find(|at| leads(&harness.store, &harness.daemons[*at].name()))
+        .unwrap();
+    wait_for_successors(&harness, leader).await;
+    let sent_before = harness.store.configuration_bytes_sent();
+    harness.daemons.remove(leader).signal(Signal::KILL);
+    let configuration = with_routes(3, ROUTES);
+    harness.store.configure(&configuration);
+    wait_in_force(&harness, 3).await;
+    let sent = harness.store.configuration_bytes_sent() - sent_before;
+    let size = configuration.to_string().len();
+    // Three successors read the store themselves.
+    assert!(sent < 5 * size, "{sent} bytes sent of {size}");
+}
