Pass configurations on while there is no leader

Callers of daemons on small links were handled by an older configuration for 3 to 5 s, if the leader was lost just as a large one arrived. Cause: holders of a configuration were named by the leader alone, with the offer of a version, so a daemon that lost the leader before knew nobody to ask, and all of them read the store whole.

Now the leader tells its successors' addresses ahead. While it is silent, daemons ask them and fetch differences; successors read the store. New calls stand at the end of the interface and use connections of their own, so the exchange with daemons of the release before goes on.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -14,7 +14,7 @@
     clock::Clock,
     demand::{Counts, Report},
     election,
-    exchange::{Client, Server, Standing},
+    exchange::{Client, Newest, Server, Standing},
     lease::{self, LeaderEntry, Observer},
     limits::SharedLimits,
     machine,
@@ -43,6 +43,7 @@
 mod fetch;
 mod following;
 mod leading;
+mod succession;
 
 /// The store entry that names the leader.
 const LEAD: &str = "lead";
@@ -77,6 +78,12 @@
     /// Applies data that the leader has read from the store.
     fn apply_update(&self, delta: Delta);
 
+    /// Returns how long ago the leader last sent data; `None` if it never did.
+    fn leader_age(&self) -> Option<Duration>;
+
+    /// Records the answer of a daemon that should lead next: what it knows of the newest configuration.
+    fn record_successor(&self, newest: Option<Newest>);
+
     /// Records that a part of a configuration arrived from another daemon.
     fn record_transfer(&self);
 
@@ -138,6 +145,8 @@
     pub has_looked_for_leader: Arc<watch::Sender<bool>>,
     /// The last offer of a configuration that this daemon lacks.
     pub offer: Arc<watch::Sender<Offer>>,
+    /// The addresses of the daemons that should lead next, which pass configurations on while there is no leader.
+    pub successors: Arc<watch::Sender<Vec<SocketAddr>>>,
     /// Whether this daemon must read the list of upstreams: it has never read the list itself, and
     /// cannot lead without it.
     pub needs_upstream_list: Arc<AtomicBool>,
@@ -157,6 +166,7 @@
             quarantine: Arc::default(),
             has_looked_for_leader: Arc::new(watch::Sender::new(false)),
             offer: Arc::default(),
+            successors: Arc::default(),
             needs_upstream_list: Arc::default(),
         }
     }
@@ -206,6 +216,7 @@
             () = self.run_until_stopped(&mut reports, &stopping) => {}
             () = async { stop.cancelled().await; sleep(self.timing.lease.renew_interval).await } => {}
             () = self.fetch_configurations() => {}
+            () = self.ask_successors() => {}
         }
         self.server.set_standing(Standing::Follows);
     }
--- a/crates/assignment/src/driver/following.rs
+++ b/crates/assignment/src/driver/following.rs
@@ -55,6 +55,7 @@
         let outcome = tokio::select! {
             outcome = following => outcome,
             () = reporting => FollowOutcome::Lost,
+            () = self.refresh_successors(leader) => FollowOutcome::Lost,
         };
         self.shared.limits.follow_nobody();
         outcome
--- /dev/null
+++ b/crates/assignment/src/driver/succession.rs
@@ -0,0 +1,92 @@
+//! Passes configurations on while there is no leader: daemons ask those that should lead next.
+
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+
+use super::{Driver, Environment, Offer};
+use crate::{
+    clock::Clock,
+    exchange::{CANDIDATES_MAX, Client},
+    lease::LeaderEntry,
+    order::Sender,
+    register::Register,
+};
+use futures::future::join_all;
+use tokio::time::sleep;
+
+/// How often a daemon asks the leader who should lead next.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The interval while the leader has heard of few daemons.
+const REFRESH_INTERVAL_MIN: Duration = Duration::from_secs(1);
+
+/// How long the leader must be silent before a daemon asks the successors. It is longer than an exchange without
+/// news.
+const LEADER_SILENCE: Duration = Duration::from_millis(700);
+
+/// How often a daemon without a leader asks the successors.
+const ASK_INTERVAL: Duration = Duration::from_millis(150);
+
+impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
+    /// Asks the leader for its successors, until the future is dropped.
+    ///
+    /// A leader of an earlier release closes a connection with an unknown call, so each call has its own.
+    pub(super) async fn refresh_successors(&self, leader: &LeaderEntry) {
+        loop {
+            let mut interval = REFRESH_INTERVAL;
+            if let Some(client) = Client::connect(leader.address).await
+                && let Some(successors) = client.successors().await
+            {
+                let known = successors.len();
+                let daemons = self.shared.daemons.load(Ordering::Relaxed) as usize;
+                if known < CANDIDATES_MAX.min(daemons.saturating_sub(1)) {
+                    interval = REFRESH_INTERVAL_MIN;
+                }
+                self.metrics
+                    .successors
+                    .set(i64::try_from(known).unwrap_or(i64::MAX));
+                self.shared.successors.send_replace(successors);
+            }
+            sleep(interval).await;
+        }
+    }
+
+    /// Asks the successors for newer configurations whenever the leader is silent, forever.
+    pub(super) async fn ask_successors(&self) {
+        loop {
+            sleep(ASK_INTERVAL).await;
+            let leader_age = self.environment.leader_age();
+            if leader_age.is_none_or(|age| age < LEADER_SILENCE) {
+                continue;
+            }
+            let successors = self.shared.successors.borrow().clone();
+            // A successor reads the store itself.
+            if successors.contains(&self.identity.address) {
+                continue;
+            }
+            // One that is lost must not hold back the answers of the others.
+            let asked = successors
+                .into_iter()
+                .map(|address| self.ask_successor(address));
+            join_all(asked).await;
+        }
+    }
+
+    /// Asks a successor for the newest configuration, and has it fetched if this daemon lacks it.
+    async fn ask_successor(&self, address: SocketAddr) {
+        let Some(client) = Client::connect(address).await else {
+            return;
+        };
+        let Some(newest) = client.newest_configuration().await else {
+            return;
+        };
+        self.environment.record_successor(newest);
+        let Some(newest) = newest else { return };
+        if newest.version > self.environment.versions().0 {
+            let offer = Offer {
+                version: newest.version,
+                holders: vec![address],
+            };
+            self.shared.offer.send_replace(offer);
+        }
+    }
+}
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -17,7 +17,7 @@
     quarantine::{SharedQuarantine, Snapshot},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Version},
-    transfer::{Chunk, ENCODED_BYTES_MAX},
+    transfer::Chunk,
     update::Update,
 };
 use copperwell_message::HashMap;
@@ -26,7 +26,7 @@
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tarpc::{
-    client, context,
+    context,
     serde_transport::tcp,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
@@ -37,20 +37,12 @@
     time::{Instant, timeout},
 };
 
-/// How long the leader waits for newer data before it answers without any.
-pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// How much longer than [`LONG_POLL_TIMEOUT`] an exchange may take, and the timeout of other calls.
-const CALL_MARGIN: Duration = Duration::from_millis(600);
+pub use client::Client;
 
-/// The timeout of a reservation, for which a caller's request waits.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(200);
+mod client;
 
-/// The timeout of a part of a configuration.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The timeout of a new connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the leader waits for newer data before it answers without any.
+pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The longest message, in bytes.
 const FRAME_MAX: usize = 4 << 20;
@@ -136,6 +128,15 @@
     pub limits: Option<LimitSnapshot>,
 }
 
+/// What a daemon knows of the newest configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Newest {
+    /// The version of its configuration.
+    pub version: u64,
+    /// How long ago the store returned or confirmed it.
+    pub age: Duration,
+}
+
 /// A daemon that has called recently.
 #[derive(Debug, Clone, Copy)]
 struct Peer {
@@ -164,6 +165,12 @@
     /// Announces to a leader that another daemon has taken over. A leader that is cut off from the
     /// store cannot find out by itself, nor can the daemons that are cut off with it and ask it.
     async fn announce_successor(leader: LeaderEntry);
+
+    /// Returns the addresses of the daemons that should lead next, in order of preference.
+    async fn successors() -> Vec<SocketAddr>;
+
+    /// Returns what the daemon knows of the newest configuration; `None` before it has read one.
+    async fn newest_configuration() -> Option<Newest>;
 }
 
 /// The server side of the exchange, which exists whether or not this daemon leads.
@@ -240,15 +247,8 @@
     /// Returns the strongest daemons that have called recently, the strongest first.
     #[must_use]
     pub fn candidates(&self) -> Vec<DaemonName> {
-        let mut state = self.state();
-        let mut ranked: Vec<(&DaemonName, u32)> = state
-            .peers()
-            .iter()
-            .map(|(name, peer)| (name, peer.strength))
-            .collect();
-        ranked.sort_by(|one, other| other.1.cmp(&one.1).then(one.0.cmp(other.0)));
-        let candidates = ranked.into_iter().take(CANDIDATES_MAX);
-        candidates.map(|(name, _)| name.clone()).collect()
+        let candidates = self.state().candidates();
+        candidates.into_iter().map(|(name, _)| name).collect()
     }
 
     /// Returns some of the daemons that have a configuration.
@@ -319,6 +319,19 @@
             .retain(|_, peer| now.saturating_duration_since(peer.seen_at) < PEER_TTL);
         &self.peers
     }
+
+    /// Returns the strongest daemons that have called recently, the strongest first.
+    fn candidates(&mut self) -> Vec<(DaemonName, Peer)> {
+        let mut ranked: Vec<(&DaemonName, &Peer)> = self.peers().iter().collect();
+        ranked.sort_by(|(name, peer), (other_name, other)| {
+            let by_strength = other.strength.cmp(&peer.strength);
+            by_strength.then(name.cmp(other_name))
+        });
+        let candidates = ranked.into_iter().take(CANDIDATES_MAX);
+        candidates
+            .map(|(name, peer)| (name.clone(), *peer))
+            .collect()
+    }
 }
 
 impl Rpc for Server {
@@ -402,87 +415,13 @@
             *successor = Some(leader);
         }
     }
-}
-
-/// A connection to another daemon, usually the leader.
-#[derive(Debug)]
-pub struct Client {
-    client: RpcClient,
-}
-
-impl Client {
-    /// Opens a connection; `None` if the daemon is unreachable.
-    pub async fn connect(to: SocketAddr) -> Option<Self> {
-        let mut connect = tcp::connect(to, Bincode::default);
-        connect.config_mut().max_frame_length(FRAME_MAX);
-        let transport = timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
-        let client = RpcClient::new(client::Config::default(), transport).spawn();
-        Some(Self { client })
-    }
-
-    /// Announces the new leader to an earlier one; `false` if that does not answer.
-    pub async fn announce_successor(&self, leader: LeaderEntry) -> bool {
-        let mut context = context::current();
-        context.deadline = std::time::Instant::now() + CALL_MARGIN;
-        let acknowledged =
-            timeout(CALL_MARGIN, self.client.announce_successor(context, leader)).await;
-        matches!(acknowledged, Ok(Ok(())))
-    }
-
-    /// Reports requests that may crash upstreams; returns whether the leader has taken the report.
-    pub async fn report_crashes(&self, entries: Vec<Suspect>) -> bool {
-        let mut context = context::current();
-        context.deadline = std::time::Instant::now() + CALL_MARGIN;
-        let report = self.client.report_crashes(context, entries);
-        matches!(timeout(CALL_MARGIN, report).await, Ok(Ok(true)))
-    }
-
-    /// Reserves a request to an upstream with a limit, as [`SharedLimits::acquire`] does; `None` if the daemon
-    /// does not answer or does not lead.
-    pub(crate) async fn reserve(
-        &self,
-        limit: Entry,
-        patience: Duration,
-    ) -> Option<Result<Duration, Duration>> {
-        let mut context = context::current();
-        context.deadline = std::time::Instant::now() + RESERVE_TIMEOUT;
-        let reserve = self.client.reserve(context, limit, patience);
-        timeout(RESERVE_TIMEOUT, reserve).await.ok()?.ok()?
-    }
 
-    /// Reads a configuration, as the difference from `known`; `None` if the daemon does not have it or does not
-    /// answer. `on_progress` is called for each part that arrives.
-    pub async fn read_configuration(
-        &self,
-        known: u64,
-        version: u64,
-        on_progress: impl Fn(),
-    ) -> Option<Vec<u8>> {
-        let mut encoded = Vec::new();
-        loop {
-            let mut context = context::current();
-            context.deadline = std::time::Instant::now() + CHUNK_TIMEOUT;
-            let chunk = self
-                .client
-                .read_configuration(context, known, version, encoded.len());
-            let chunk = timeout(CHUNK_TIMEOUT, chunk).await.ok()?.ok()??;
-            encoded.extend(&chunk.bytes);
-            on_progress();
-            if encoded.len() >= chunk.length {
-                return Some(encoded);
-            }
-            if chunk.bytes.is_empty() || chunk.length > ENCODED_BYTES_MAX {
-                return None;
-            }
-        }
+    async fn successors(self, _: context::Context) -> Vec<SocketAddr> {
+        let candidates = self.state().candidates();
+        candidates.iter().map(|(_, peer)| peer.address).collect()
     }
 
-    /// Sends a request to the leader; `None` if it does not answer.
-    pub async fn exchange(&self, request: Request) -> Option<Response> {
-        let limit = LONG_POLL_TIMEOUT + CALL_MARGIN;
-        let mut context = context::current();
-        context.deadline = std::time::Instant::now() + limit;
-        let response = self.client.exchange(context, request);
-        timeout(limit, response).await.ok()?.ok()
+    async fn newest_configuration(self, _: context::Context) -> Option<Newest> {
+        self.shared.store_state.newest_configuration()
     }
 }
--- a/crates/assignment/src/metrics.rs
+++ b/crates/assignment/src/metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) orders: Family<Label, Counter>,
     pub(crate) swaps: Family<Label, Counter>,
     pub(crate) transfers: Family<Label, Counter>,
+    pub(crate) successors: Gauge,
     pub(crate) ranges: Gauge,
     pub(crate) unserved: Gauge,
 }
@@ -41,6 +42,11 @@
             "Configurations fetched from other daemons, by outcome",
             all.transfers,
         );
+        registry.register(
+            "successors",
+            "Daemons that are asked for configurations while there is no leader",
+            all.successors,
+        );
         registry.register(
             "ranges",
             "Ranges of keys that this daemon leads",
--- a/crates/assignment/src/store_state.rs
+++ b/crates/assignment/src/store_state.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use crate::transfer::{Chunk, Encoded, History};
+use crate::{
+    exchange::Newest,
+    transfer::{Chunk, Encoded, History},
+};
 use copperwell_message::HashMap;
 use copperwell_routing::{UpstreamId, configuration::Configuration, registry::Upstream};
 use serde::{Deserialize, Serialize};
@@ -76,6 +79,8 @@
     history_start: u64,
     /// When the list was last read; `None` if it never was.
     read_at: Option<Instant>,
+    /// When the store last returned or confirmed the newest configuration; `None` if it never did.
+    confirmed_at: Option<Instant>,
 }
 
 impl StoreState {
@@ -89,6 +94,7 @@
             changed_in: HashMap::default(),
             history_start: 0,
             read_at: None,
+            confirmed_at: None,
         };
         Self {
             state: Mutex::new(state),
@@ -102,6 +108,21 @@
         self.changes.send_replace(());
     }
 
+    /// Records that the store has returned or confirmed the newest configuration.
+    pub fn confirm_configuration(&self) {
+        self.with(|state| state.confirmed_at = Some(Instant::now()));
+    }
+
+    /// Returns what this daemon has read of the newest configuration; `None` if it has not read the store.
+    #[must_use]
+    pub fn newest_configuration(&self) -> Option<Newest> {
+        self.with(|state| {
+            let age = state.confirmed_at?.elapsed();
+            let version = state.configurations.version();
+            Some(Newest { version, age })
+        })
+    }
+
     /// Sets the list of upstreams, which this daemon read at `at`.
     pub fn set_upstreams(&self, upstreams: impl IntoIterator<Item = Arc<Upstream>>, at: Instant) {
         let upstreams = upstreams.into_iter();
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -12,7 +12,7 @@
 use copperwell_assignment::{
     clock::Simulated,
     driver::{Driver, Environment, Identity, Shared, Timing},
-    exchange::Server,
+    exchange::{Newest, Server},
     metrics::Metrics,
     order::{Action, Order, Outcome, Sender, Timeouts},
     register::{Failure, Position, Register, Snapshot, position},
@@ -118,6 +118,12 @@
 
     fn apply_update(&self, _: Delta) {}
 
+    fn leader_age(&self) -> Option<Duration> {
+        None
+    }
+
+    fn record_successor(&self, _: Option<Newest>) {}
+
     fn record_transfer(&self) {}
 
     fn apply_difference(&self, _: &[u8]) -> bool {
--- a/crates/copperwelld/tests/gateway/configuration.rs
+++ b/crates/copperwelld/tests/gateway/configuration.rs
@@ -69,11 +69,7 @@
     let deadline = Instant::now() + CONDITION_TIMEOUT;
     for (_, daemon) in (0..).zip(&harness.daemons).filter(|(at, _)| *at != leader) {
         let is_known = |text: String| text.contains("copperwell_assignment_successors 3\n");
-        while !daemon
-            .metrics(&harness.client)
-            .await
-            .is_some_and(is_known)
-        {
+        while !daemon.metrics(&harness.client).await.is_some_and(is_known) {
             assert!(
                 Instant::now() < deadline,
                 "{} knows no successors",
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -14,6 +14,7 @@
 use arc_swap::ArcSwapOption;
 use copperwell_assignment::{
     driver::{Environment, Shared},
+    exchange::Newest,
     store_state::{Delta, ListVersion, UpstreamList},
     transfer,
 };
@@ -31,6 +32,9 @@
 use spdlog::{info, warn};
 use tokio::time::Instant;
 
+/// How long a successor of the leader counts as alive after an answer.
+const SUCCESSOR_TTL: Duration = Duration::from_secs(1);
+
 /// A daemon's view of the system, by which it routes requests.
 ///
 /// It may be stale: [`View::configuration_age`] and [`View::upstreams_age`] tell how old it is.
@@ -79,6 +83,10 @@
     behind_since: Option<Instant>,
     /// The leader's list that is applied to the registry; the default if the registry has another one.
     list: ListVersion,
+    /// When a daemon that should lead next last answered; `None` if none was asked.
+    successor_answered_at: Option<Instant>,
+    /// When the store last confirmed the configuration to such a daemon.
+    successor_confirmed_at: Option<Instant>,
 }
 
 impl View {
@@ -136,6 +144,7 @@
     pub(crate) fn record_configuration_read(&self) {
         let read_at = &self.configuration_read_at;
         *read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        self.keys.store_state.confirm_configuration();
     }
 
     /// Returns how long ago the configuration was last confirmed to be the newest, by the store or the leader.
@@ -319,13 +328,26 @@
         read_at.is_none_or(|at| at.elapsed() > age)
     }
 
-    /// Returns whether this daemon must read the configuration itself, because the leader's last read is older
-    /// than `age`, or because the leader has a newer one and no part of it has arrived for `patience`.
+    /// Returns whether this daemon must read the configuration itself, because the last read of the leader and
+    /// its successors is older than `age`, or because they have a newer one and no part of it has arrived for
+    /// `patience`.
+    ///
+    /// While successors answer, they also have `patience` to read the store.
     #[must_use]
     pub fn must_read_configuration(&self, age: Duration, patience: Duration) -> bool {
-        let behind_since = self.leader_update().behind_since;
-        let is_stuck = behind_since.is_some_and(|since| since.elapsed() > patience);
-        is_stuck && self.is_configuration_stale() || self.is_leader_list_older_than(age)
+        let update = self.leader_update();
+        let is_stuck = update
+            .behind_since
+            .is_some_and(|since| since.elapsed() > patience);
+        let answered_at = update.successor_answered_at;
+        let age_max = match answered_at.is_some_and(|at| at.elapsed() < SUCCESSOR_TTL) {
+            true => age + patience,
+            false => age,
+        };
+        let confirmed_at = update.read_at.max(update.successor_confirmed_at);
+        drop(update);
+        let is_unconfirmed = confirmed_at.is_none_or(|at| at.elapsed() > age_max);
+        is_stuck && self.is_configuration_stale() || is_unconfirmed
     }
 
     /// Returns whether the leader has a newer configuration, or this daemon has none.
@@ -391,6 +413,25 @@
         (version, self.leader_update().list)
     }
 
+    fn leader_age(&self) -> Option<Duration> {
+        Self::leader_age(self)
+    }
+
+    fn record_successor(&self, newest: Option<Newest>) {
+        let now = Instant::now();
+        let version = self.versions().0;
+        let mut update = self.leader_update();
+        update.successor_answered_at = Some(now);
+        let Some(newest) = newest else { return };
+        let confirmed_at = now.checked_sub(newest.age);
+        update.successor_confirmed_at = update.successor_confirmed_at.max(confirmed_at);
+        update.configuration = update.configuration.max(newest.version);
+        update.behind_since = match version < update.configuration {
+            true => update.behind_since.or(Some(now)),
+            false => None,
+        };
+    }
+
     fn record_transfer(&self) {
         let mut update = self.leader_update();
         update.behind_since = update.behind_since.map(|_| Instant::now());
