--- /dev/null
+++ b/crates/assignment/tests/balance.rs
@@ -0,0 +1,87 @@
+//! Which keys move, and how soon the loads of all holders are level.
+
+use copperwell_assignment::balance::{Loads, Segment, moves, totals};
+use copperwell_routing::Key;
+use test_case::test_case;
+
+const HOLDERS: usize = 17;
+
+/// The keys of a segment.
+const SEGMENT_KEYS: Key = 512;
+
+/// The most moves of one round.
+const MOVES_MAX: usize = 8;
+
+/// The rounds in five seconds.
+const ROUNDS: usize = 10;
+
+/// The load of one request.
+const REQUEST_LOAD: f64 = 350.0;
+
+/// Returns the load of the busiest holder, as a multiple of the mean.
+fn imbalance(segments: &[Segment], loads: &Loads) -> f64 {
+    let totals = totals(segments, loads, HOLDERS);
+    let mean = totals.iter().sum::<f64>() / HOLDERS as f64;
+    totals.into_iter().fold(0.0, f64::max) / mean
+}
+
+/// Moves the keys `first` to `last` to the holder `to`.
+fn apply(segments: &mut Vec<Segment>, first: Key, last: Key, to: usize) {
+    let at = segments
+        .iter()
+        .position(|segment| segment.first <= first && last <= segment.last)
+        .unwrap();
+    let whole = segments.remove(at);
+    if whole.first < first {
+        segments.push(Segment {
+            last: first - 1,
+            ..whole
+        });
+    }
+    if last < whole.last {
+        segments.push(Segment {
+            first: last + 1,
+            ..whole
+        });
+    }
+    segments.push(Segment {
+        first,
+        last,
+        holder: to,
+        is_movable: true,
+    });
+}
+
+#[test_case(0.0; "evenly busy keys")]
+#[test_case(0.3; "three tenths of the load on neighbouring keys")]
+fn keys_stay_piled_on_one_holder(hot_share: f64) {
+    let count = usize::from(Key::MAX) + 1;
+    let total = 190_000.0;
+    let mut demand = vec![((1.0 - hot_share) * total / count as f64) as f32; count];
+    for load in &mut demand[27_000..28_000] {
+        *load += (hot_share * total / 1_000.0) as f32;
+    }
+    let loads = Loads::new(&demand, REQUEST_LOAD);
+    let firsts = (0..=Key::MAX).step_by(usize::from(SEGMENT_KEYS));
+    let mut segments: Vec<Segment> = firsts
+        .map(|first| Segment {
+            first,
+            last: first + (SEGMENT_KEYS - 1),
+            holder: 0,
+            is_movable: true,
+        })
+        .collect();
+    let mut needed = 0;
+    for _ in 0..ROUNDS {
+        let next = moves(&segments, &loads, &[2.0; HOLDERS], MOVES_MAX);
+        needed += next.len();
+        for one in next {
+            apply(&mut segments, one.first, one.last, one.to);
+        }
+    }
+    let imbalance = imbalance(&segments, &loads);
+    assert!(
+        imbalance <= 1.3,
+        "{imbalance} times the mean after {needed} moves"
+    );
+}
