Test daemons that are cut off from all servers, red so far

Servers reset the connections of chosen daemons, by the process that holds the other end. All four cases fail: nothing is served at the daemons that are cut off.

--- /dev/null
+++ b/crates/copperwelld/tests/gateway/cut.rs
@@ -0,0 +1,114 @@
+//! Daemons that are cut off from all servers, while callers, the store and the other daemons reach them.
+
+use std::{collections::HashSet, time::Duration};
+
+use crate::{
+    harness::{CONDITION_TIMEOUT, Harness},
+    standin::caller::leads,
+};
+use http::StatusCode;
+use test_case::test_case;
+use tokio::time::{Instant, sleep};
+
+const DAEMONS: usize = 4;
+
+/// The requests that are sent to each daemon and service while the cut lasts.
+const REQUESTS: usize = 60;
+
+/// The least share of the requests at daemons that are cut off, compared with the others, that must be served.
+const SERVED_RATIO: f64 = 2.0 / 3.0;
+
+/// Which daemons are cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Who {
+    Follower,
+    Leader,
+    /// All but one that follows.
+    Most,
+}
+
+fn cut_off(who: Who, harness: &Harness) -> Vec<usize> {
+    let is_leader = |daemon: &usize| leads(&harness.store, &harness.daemons[*daemon].name());
+    let all = 0..harness.daemons.len();
+    match who {
+        Who::Leader => all.filter(is_leader).collect(),
+        Who::Follower => all.filter(|daemon| !is_leader(daemon)).take(1).collect(),
+        Who::Most => {
+            let spared = all.clone().find(|daemon| !is_leader(daemon));
+            all.filter(|daemon| Some(*daemon) != spared).collect()
+        }
+    }
+}
+
+async fn is_served(harness: &Harness, daemon: usize, path: &str, id: &str, key: u16) -> bool {
+    let response = harness.send(daemon, path, id, key).await;
+    response.is_some_and(|(status, _)| status == StatusCode::OK)
+}
+
+/// Waits until a daemon serves requests of both services.
+async fn wait_served(harness: &Harness, daemon: usize) {
+    for path in ["/cups/1", "/pay/1"] {
+        let deadline = Instant::now() + CONDITION_TIMEOUT / 3;
+        let mut number = 0;
+        while !is_served(
+            harness,
+            daemon,
+            path,
+            &format!("w{daemon}{path}{number}"),
+            7,
+        )
+        .await
+        {
+            number += 1;
+            assert!(
+                Instant::now() < deadline,
+                "daemon {daemon}: {path} is not served"
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+#[test_case(Who::Follower, false; "one daemon")]
+#[test_case(Who::Leader, false; "the leader")]
+#[test_case(Who::Most, false; "most daemons with the leader")]
+#[test_case(Who::Follower, true; "one daemon whose open connections go on")]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_reaches_no_server_serves_nobody(who: Who, spares_open: bool) {
+    let harness = Harness::start(DAEMONS).await;
+    harness.wait_served().await;
+    let cut_off = cut_off(who, &harness);
+    let ids = cut_off
+        .iter()
+        .map(|daemon| harness.daemons[*daemon].child.id());
+    let ids: Vec<u32> = ids.collect();
+    for server in &harness.servers {
+        server.cut.set(&ids, spares_open);
+    }
+    for daemon in 0..DAEMONS {
+        wait_served(&harness, daemon).await;
+    }
+    for path in ["/cups/1", "/pay/1"] {
+        let mut served = [0; DAEMONS];
+        for number in 0..REQUESTS {
+            for (daemon, served) in served.iter_mut().enumerate() {
+                let id = format!("{path}-{daemon}-{number}");
+                let key = u16::try_from(number * 1_009).unwrap();
+                *served += usize::from(is_served(&harness, daemon, path, &id, key).await);
+            }
+        }
+        let others = (0..DAEMONS).filter(|daemon| !cut_off.contains(daemon));
+        let best = others.map(|daemon| served[daemon]).max().unwrap();
+        for daemon in &cut_off {
+            let share = served[*daemon] as f64 / best as f64;
+            assert!(
+                share >= SERVED_RATIO,
+                "{path}: {served:?}, cut off: {cut_off:?}"
+            );
+        }
+        assert!(best > REQUESTS / 2, "{path}: {served:?}");
+    }
+    let pay = harness.servers.last().unwrap().runs();
+    let once: HashSet<_> = pay.iter().collect();
+    assert_eq!(once.len(), pay.len(), "a request ran twice");
+}
