--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -22,13 +22,14 @@
     order::Sender,
     plan::Plan,
     quarantine::SharedQuarantine,
+    reach::{self, Helper},
     register::{Failure, Register, Snapshot, generation},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Table, Tables, Version},
 };
 use copperwell_message::HashMap;
 use copperwell_policy::backoff::Backoff;
-use copperwell_routing::{ServiceName, registry::Upstream};
+use copperwell_routing::{ServiceName, UpstreamId, ZoneName, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::{
@@ -57,6 +58,9 @@
 /// The maximum of that interval after repeated failures of the store.
 const POLL_INTERVAL_MAX: Duration = Duration::from_secs(2);
 
+/// How much longer a daemon that reaches far fewer upstreams than others waits before it leads.
+const REACH_DELAY: Duration = Duration::from_millis(1_500);
+
 /// The daemon's knowledge of services and upstreams.
 pub trait Environment: Send + Sync + 'static {
     /// Returns the services whose keys are sharded; `None` if there is no configuration yet.
@@ -84,6 +88,9 @@
     /// Records the answer of a daemon that should lead next: what it knows of the newest configuration.
     fn record_successor(&self, newest: Option<Newest>);
 
+    /// Records that no connection to an upstream could be opened for an order.
+    fn record_unconnected(&self, id: &UpstreamId);
+
     /// Records that a part of a configuration arrived from another daemon.
     fn record_transfer(&self);
 
@@ -101,6 +108,10 @@
     pub run: u64,
     /// The address at which the daemon accepts reports.
     pub address: SocketAddr,
+    /// The address at which it accepts requests of other daemons to upstreams.
+    pub helper_address: SocketAddr,
+    /// Its data centre.
+    pub zone: ZoneName,
     /// Its share of a processor, in thousandths.
     pub strength: u32,
     /// Whether the whole system starts for the first time.
@@ -145,6 +156,10 @@
     pub has_looked_for_leader: Arc<watch::Sender<bool>>,
     /// The last offer of a configuration that this daemon lacks.
     pub offer: Arc<watch::Sender<Offer>>,
+    /// The upstreams to which this daemon cannot open a connection, in order.
+    pub lost: Arc<watch::Sender<Vec<UpstreamId>>>,
+    /// Daemons that accept this daemon's requests to upstreams that it does not reach.
+    pub helpers: Arc<watch::Sender<Vec<Helper>>>,
     /// The addresses of the daemons that should lead next, which pass configurations on while there is no leader.
     pub successors: Arc<watch::Sender<Vec<SocketAddr>>>,
     /// Whether this daemon must read the list of upstreams: it has never read the list itself, and
@@ -167,6 +182,8 @@
             has_looked_for_leader: Arc::new(watch::Sender::new(false)),
             offer: Arc::default(),
             successors: Arc::default(),
+            lost: Arc::default(),
+            helpers: Arc::default(),
             needs_upstream_list: Arc::default(),
         }
     }
@@ -288,8 +305,9 @@
             let jitter = election::max_jitter(rank, &candidates, daemons);
             let jitter = jitter.mul_f64(rand::rng().random_range(0.0..1.0));
             let interval = Backoff::new(POLL_INTERVAL, POLL_INTERVAL_MAX).bound(failures + 1);
+            let delay = election::candidate_delay(rank, &candidates) + self.reach_delay() + jitter;
             tokio::select! {
-                () = sleep(interval + election::candidate_delay(rank, &candidates) + jitter) => {}
+                () = sleep(interval + delay) => {}
                 () = stopping.cancelled() => {}
             }
         }
@@ -305,6 +323,29 @@
         election::startup_delay(strength)
     }
 
+    /// Returns how much longer this daemon waits before it leads, if others reach far more upstreams.
+    fn reach_delay(&self) -> Duration {
+        let lost = self.shared.lost.borrow().len();
+        let helpers = self.shared.helpers.borrow();
+        let best = helpers.iter().map(|helper| helper.lost.len()).min();
+        let is_worse = best.is_some_and(|best| reach::is_much_worse(lost, best));
+        if is_worse {
+            REACH_DELAY
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Returns what this daemon reaches, for the leader.
+    fn reach_report(&self) -> Helper {
+        Helper {
+            name: self.identity.name.clone(),
+            address: self.identity.helper_address,
+            zone: self.identity.zone.clone(),
+            lost: self.shared.lost.borrow().clone(),
+        }
+    }
+
     /// Applies the leader's entry and the plans in the store.
     fn apply_snapshot(&self, snapshot: &Snapshot, observer: &mut Observer) -> Option<LeaderEntry> {
         let leader: Option<LeaderEntry> = decode(snapshot, LEAD);
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -12,11 +12,12 @@
     machine::{Machine, Observation},
     order::{Action, Order, Outcome, Sender},
     plan::Plan,
+    reach,
     register::{Register, generation, position},
     table::{Tables, Version},
 };
-use copperwell_message::HashMap;
-use copperwell_routing::ServiceName;
+use copperwell_message::{HashMap, HashSet};
+use copperwell_routing::{ServiceName, UpstreamId};
 use futures::{StreamExt, stream::FuturesUnordered};
 use spdlog::info;
 use tokio::{
@@ -35,6 +36,10 @@
 /// How often the leader collects the counts of its own daemon.
 const COUNT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// For how long another daemon must reach far more upstreams before the leader steps down, so that daemons that hear
+/// of crashes later than the leader do not count as better.
+const REACH_PATIENCE: Duration = Duration::from_millis(700);
+
 /// An order in flight, which ends with its outcome.
 type OrderCall<'a> = Pin<Box<dyn Future<Output = (ServiceName, Order, Outcome)> + Send + 'a>>;
 /// A call to the store in flight.
@@ -75,6 +80,8 @@
     is_lost: bool,
     /// Whether a much stronger daemon should lead instead.
     should_step_down: bool,
+    /// Since when another daemon reaches far more upstreams.
+    is_worse_since: Option<Duration>,
     counted_at: Duration,
 }
 
@@ -109,6 +116,7 @@
             call_sent_at: None,
             is_lost: false,
             should_step_down: false,
+            is_worse_since: None,
             counted_at: term.started_at,
         }
     }
@@ -191,11 +199,34 @@
             self.add_reports(driver.shared.load_counts.take());
             let daemons = driver.server.daemons();
             driver.shared.daemons.store(daemons, Ordering::Relaxed);
-            let strongest = driver.server.strongest();
-            self.should_step_down = election::should_step_down(driver.identity.strength, strongest);
+            self.should_step_down = self.is_other_better(now);
         }
     }
 
+    /// Returns whether the daemon that should lead next is much stronger, or has reached far more upstreams than
+    /// this one for a time.
+    fn is_other_better(&mut self, now: Duration) -> bool {
+        let driver = self.driver;
+        let report = driver.reach_report();
+        let lost = report.lost.len();
+        let helpers = driver.server.report_own_reach(report);
+        driver.shared.helpers.send_replace(helpers);
+        let Some(candidate) = driver.server.first_candidate() else {
+            return false;
+        };
+        if !reach::is_much_worse(lost, candidate.lost) {
+            self.is_worse_since = None;
+            return !reach::is_much_worse(candidate.lost, lost)
+                && election::should_step_down(driver.identity.strength, candidate.strength);
+        }
+        let since = *self.is_worse_since.get_or_insert(now);
+        let is_due = now >= since + REACH_PATIENCE;
+        if is_due {
+            info!("another daemon reaches far more upstreams and should lead", kv: { event = "lead-cut-off", term = self.term, lost, candidate_lost = candidate.lost });
+        }
+        is_due
+    }
+
     /// Returns the orders that are due.
     fn due_orders(&mut self) -> Vec<(ServiceName, Order)> {
         let driver = self.driver;
@@ -207,13 +238,16 @@
             return Vec::new();
         }
         let all = driver.environment.all_upstreams();
+        let lost: HashSet<UpstreamId> = driver.shared.lost.borrow().iter().cloned().collect();
         let mut orders = Vec::new();
         for machine in &mut self.machines {
             let upstreams = driver.environment.upstreams(machine.service());
             let observation = Observation::new(&upstreams, &all, list_read_at);
             let is_unreachable = self.store_unreachable_since.is_some()
                 && self.lease.remaining(now) < LONG_GRANT_MARGIN;
-            let observation = observation.with_store_unreachable(is_unreachable);
+            let observation = observation
+                .with_store_unreachable(is_unreachable)
+                .with_lost(&lost);
             let due = machine.step(now, &observation);
             orders.extend(
                 due.into_iter()
@@ -254,6 +288,9 @@
     fn apply_outcome(&mut self, service: &ServiceName, order: &Order, outcome: Outcome) -> bool {
         let now = self.driver.clock.now();
         log_outcome(service, order, &outcome);
+        if matches!(outcome, Outcome::Refused | Outcome::Unsent) {
+            self.driver.environment.record_unconnected(&order.holder.id);
+        }
         let Some(machine) = self.machine(service) else {
             return false;
         };
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -1,4 +1,4 @@
-//! Passes configurations on while there is no leader: daemons ask those that should lead next.
+//! What a daemon learns from the leader for the time after its loss: who leads next, and who reaches what.
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
@@ -11,7 +11,7 @@
     register::Register,
 };
 use futures::future::join_all;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How often a daemon asks the leader who should lead next.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
@@ -50,6 +50,39 @@
         }
     }
 
+    /// Reports to the leader which upstreams this daemon reaches, at once when that changes, until the future is
+    /// dropped.
+    pub(super) async fn report_reach(&self, leader: &LeaderEntry) {
+        let mut lost = self.shared.lost.subscribe();
+        let mut client = None;
+        loop {
+            if client.is_none() {
+                client = Client::connect(leader.address).await;
+            }
+            let is_lost = !lost.borrow_and_update().is_empty();
+            let helpers = match &client {
+                Some(client) => client.report_reach(self.reach_report()).await,
+                None => None,
+            };
+            let interval = match helpers {
+                Some(helpers) if helpers.is_empty() || is_lost => {
+                    self.shared.helpers.send_replace(helpers);
+                    REFRESH_INTERVAL_MIN
+                }
+                Some(helpers) => {
+                    self.shared.helpers.send_replace(helpers);
+                    REFRESH_INTERVAL
+                }
+                None => {
+                    client = None;
+                    REFRESH_INTERVAL_MIN
+                }
+            };
+            // `self` owns the sender, so the channel stays open.
+            let _ = timeout(interval, lost.changed()).await;
+        }
+    }
+
     /// Asks the successors for newer configurations whenever the leader is silent, forever.
     pub(super) async fn ask_successors(&self) {
         loop {
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -15,6 +15,7 @@
     lease::{Lapse, LeaderEntry},
     limits::{SharedLimits, Snapshot as LimitSnapshot},
     quarantine::{SharedQuarantine, Snapshot},
+    reach::{Helper, Reports, is_much_worse},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Version},
     transfer::Chunk,
@@ -146,6 +147,16 @@
     configuration: u64,
 }
 
+/// A daemon that may lead next.
+#[derive(Debug, Clone)]
+pub(crate) struct Candidate {
+    name: DaemonName,
+    address: SocketAddr,
+    pub(crate) strength: u32,
+    /// The number of upstreams that it does not reach.
+    pub(crate) lost: usize,
+}
+
 #[tarpc::service]
 trait Rpc {
     /// Reports load and asks for newer tables.
@@ -171,6 +182,10 @@
 
     /// Returns what the daemon knows of the newest configuration; `None` before it has read one.
     async fn newest_configuration() -> Option<Newest>;
+
+    /// Reports which upstreams a daemon reaches; returns daemons that accept its requests. Returns `None` if the
+    /// daemon does not lead.
+    async fn report_reach(report: Helper) -> Option<Vec<Helper>>;
 }
 
 /// The server side of the exchange, which exists whether or not this daemon leads.
@@ -197,6 +212,9 @@
     /// The newest leader that has announced itself to this daemon.
     successor: Option<LeaderEntry>,
     peers: HashMap<DaemonName, Peer>,
+    reports: Reports,
+    /// The name of this daemon, once it has led.
+    own_name: Option<DaemonName>,
     /// When another daemon last read the store.
     store_read_at: Option<Instant>,
 }
@@ -236,19 +254,25 @@
         u32::try_from(self.state().peers().len()).unwrap_or(u32::MAX) + 1
     }
 
-    /// Returns the strength of the strongest daemon that has called recently.
-    #[must_use]
-    pub fn strongest(&self) -> u32 {
+    /// Returns the daemon that has called recently and should lead next, if there is one.
+    pub(crate) fn first_candidate(&self) -> Option<Candidate> {
+        self.state().candidates().into_iter().next()
+    }
+
+    /// Reports which upstreams this daemon reaches, which leads; returns daemons that accept its requests.
+    pub(crate) fn report_own_reach(&self, report: Helper) -> Vec<Helper> {
         let mut state = self.state();
-        let strengths = state.peers().values().map(|peer| peer.strength);
-        strengths.max().unwrap_or(0)
+        state.own_name = Some(report.name.clone());
+        let helpers = state.helpers(&report);
+        state.reports.add(report);
+        helpers
     }
 
-    /// Returns the strongest daemons that have called recently, the strongest first.
+    /// Returns the daemons that have called recently and should lead next, in order of preference.
     #[must_use]
     pub fn candidates(&self) -> Vec<DaemonName> {
         let candidates = self.state().candidates();
-        candidates.into_iter().map(|(name, _)| name).collect()
+        candidates.into_iter().map(|one| one.name).collect()
     }
 
     /// Returns some of the daemons that have a configuration.
@@ -320,17 +344,36 @@
         &self.peers
     }
 
-    /// Returns the strongest daemons that have called recently, the strongest first.
-    fn candidates(&mut self) -> Vec<(DaemonName, Peer)> {
-        let mut ranked: Vec<(&DaemonName, &Peer)> = self.peers().iter().collect();
-        ranked.sort_by(|(name, peer), (other_name, other)| {
-            let by_strength = other.strength.cmp(&peer.strength);
-            by_strength.then(name.cmp(other_name))
+    /// Returns daemons that accept the requests of the one that has sent `report`.
+    fn helpers(&mut self, report: &Helper) -> Vec<Helper> {
+        self.peers();
+        let (peers, own) = (&self.peers, &self.own_name);
+        let is_alive = |name: &DaemonName| {
+            *name != report.name && (peers.contains_key(name) || own.as_ref() == Some(name))
+        };
+        self.reports.helpers(&report.zone, is_alive)
+    }
+
+    /// Returns the strongest daemons that have called recently, the strongest first, but last those that reach
+    /// far fewer upstreams than others.
+    fn candidates(&mut self) -> Vec<Candidate> {
+        self.peers();
+        let candidate = |(name, peer): (&DaemonName, &Peer)| Candidate {
+            name: name.clone(),
+            strength: peer.strength,
+            address: peer.address,
+            lost: self.reports.lost(name),
+        };
+        let mut ranked: Vec<Candidate> = self.peers.iter().map(candidate).collect();
+        let best = ranked.iter().map(|one| one.lost).min().unwrap_or(0);
+        ranked.sort_by(|one, other| {
+            let is_worse = |one: &Candidate| is_much_worse(one.lost, best);
+            let by_reach = is_worse(one).cmp(&is_worse(other));
+            let by_strength = other.strength.cmp(&one.strength);
+            by_reach.then(by_strength).then(one.name.cmp(&other.name))
         });
-        let candidates = ranked.into_iter().take(CANDIDATES_MAX);
-        candidates
-            .map(|(name, peer)| (name.clone(), *peer))
-            .collect()
+        ranked.truncate(CANDIDATES_MAX);
+        ranked
     }
 }
 
@@ -418,7 +461,17 @@
 
     async fn successors(self, _: context::Context) -> Vec<SocketAddr> {
         let candidates = self.state().candidates();
-        candidates.iter().map(|(_, peer)| peer.address).collect()
+        candidates.iter().map(|one| one.address).collect()
+    }
+
+    async fn report_reach(self, _: context::Context, report: Helper) -> Option<Vec<Helper>> {
+        if self.state().standing != Standing::Leads {
+            return None;
+        }
+        let mut state = self.state();
+        let helpers = state.helpers(&report);
+        state.reports.add(report);
+        Some(helpers)
     }
 
     async fn newest_configuration(self, _: context::Context) -> Option<Newest> {
--- a/crates/assignment/src/exchange/client.rs
+++ b/crates/assignment/src/exchange/client.rs
@@ -5,6 +5,7 @@
 use super::{FRAME_MAX, LONG_POLL_TIMEOUT, Newest, Request, Response, RpcClient};
 use crate::{
     lease::LeaderEntry,
+    reach::Helper,
     transfer::{Chunk, ENCODED_BYTES_MAX},
 };
 use copperwell_routing::{limit::Entry, quarantine::Entry as Suspect};
@@ -78,6 +79,15 @@
         within(URGENT_TIMEOUT, call).await
     }
 
+    /// Reports which upstreams this daemon reaches; returns daemons that accept its requests, or `None` if the
+    /// daemon does not lead or does not answer.
+    pub async fn report_reach(&self, report: Helper) -> Option<Vec<Helper>> {
+        within(CALL_MARGIN, |context| {
+            self.client.report_reach(context, report)
+        })
+        .await?
+    }
+
     /// Reads a configuration, as the difference from `known`; `None` if the daemon does not have it or does not
     /// answer. `on_progress` is called for each part that arrives.
     pub async fn read_configuration(
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pace;
 pub mod plan;
 pub mod quarantine;
+pub mod reach;
 pub mod register;
 pub mod store_state;
 pub mod table;
--- /dev/null
+++ b/crates/assignment/src/reach.rs
@@ -0,0 +1,80 @@
+//! Which upstreams each daemon reaches, and who can send requests to those that it does not.
+
+use std::net::SocketAddr;
+
+use crate::DaemonName;
+use copperwell_message::HashMap;
+use copperwell_routing::{UpstreamId, ZoneName};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Duration, Instant};
+
+/// How long a report counts; daemons that reach all upstreams report rarely.
+const REPORT_TTL: Duration = Duration::from_secs(12);
+
+/// The most daemons that a daemon is told of.
+const HELPERS_MAX: usize = 8;
+
+/// A daemon that accepts requests of others, and the upstreams that it does not reach.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Helper {
+    /// The name of the daemon.
+    pub name: DaemonName,
+    /// The address at which it accepts requests of other daemons.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub zone: ZoneName,
+    /// The upstreams to which it cannot open a connection, in order.
+    pub lost: Vec<UpstreamId>,
+}
+
+/// The latest report of each daemon.
+#[derive(Debug, Default)]
+pub(crate) struct Reports {
+    helpers: HashMap<DaemonName, (Instant, Helper)>,
+}
+
+impl Helper {
+    /// Returns whether the daemon reaches an upstream, as far as it knows.
+    #[must_use]
+    pub fn reaches(&self, id: &UpstreamId) -> bool {
+        self.lost.binary_search(id).is_err()
+    }
+}
+
+/// Returns whether a daemon that does not reach `own` upstreams should leave the lead to one that does not reach
+/// `best`. A few crashed upstreams, of which daemons learn at different times, are no reason.
+#[must_use]
+pub fn is_much_worse(own: usize, best: usize) -> bool {
+    own >= 2 && own > 2 * best + 1
+}
+
+impl Reports {
+    pub(crate) fn add(&mut self, helper: Helper) {
+        let now = Instant::now();
+        self.helpers
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < REPORT_TTL);
+        self.helpers.insert(helper.name.clone(), (now, helper));
+    }
+
+    /// Returns the number of upstreams that a daemon does not reach; 0 if it has not said.
+    pub(crate) fn lost(&self, name: &DaemonName) -> usize {
+        let known = self.helpers.get(name);
+        known.map_or(0, |(_, helper)| helper.lost.len())
+    }
+
+    /// Returns the daemons that reach most, those of `zone` first, of all that `is_alive`.
+    pub(crate) fn helpers(
+        &self,
+        zone: &ZoneName,
+        is_alive: impl Fn(&DaemonName) -> bool,
+    ) -> Vec<Helper> {
+        let now = Instant::now();
+        let known = self.helpers.values();
+        let alive = known.filter(|(at, helper)| {
+            now.saturating_duration_since(*at) < REPORT_TTL && is_alive(&helper.name)
+        });
+        let mut helpers: Vec<&Helper> = alive.map(|(_, helper)| helper).collect();
+        helpers.sort_by_key(|helper| (helper.lost.len(), helper.zone != *zone));
+        helpers.into_iter().take(HELPERS_MAX).cloned().collect()
+    }
+}
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -18,7 +18,7 @@
     register::{Failure, Position, Register, Snapshot, position},
     store_state::{Delta, ListVersion},
 };
-use copperwell_routing::{Key, ServiceName, registry::Upstream};
+use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
 use test_case::test_case;
 use tokio::{task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -124,6 +124,8 @@
 
     fn record_successor(&self, _: Option<Newest>) {}
 
+    fn record_unconnected(&self, _: &UpstreamId) {}
+
     fn record_transfer(&self) {}
 
     fn apply_difference(&self, _: &[u8]) -> bool {
@@ -170,6 +172,8 @@
                 name: name.into(),
                 run,
                 address: ([127, 0, 0, 1], port).into(),
+                helper_address: ([127, 0, 0, 1], port + 1).into(),
+                zone: "here".into(),
                 strength: 200,
                 is_first_start: false,
             },
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -88,6 +88,12 @@
         self.connections_max as usize - self.permits.available_permits()
     }
 
+    /// Returns whether the pool has as many open connections as it may.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.permits.available_permits() == 0
+    }
+
     /// Returns the server's address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/backend/src/probe.rs
+++ b/crates/backend/src/probe.rs
@@ -1,9 +1,12 @@
-//! Finds out whether a server's process has ended.
+//! Finds out whether a server can be reached, and whether its process has ended.
 
 use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use tokio::{net::TcpStream, time::timeout};
 
+/// How long a new connection must stay open to count as opened.
+const STAY_OPEN: Duration = Duration::from_millis(100);
+
 /// Opens a connection to `address`, and returns whether no process listens there.
 ///
 /// A connection that is not answered within `limit`, or fails in another way, proves nothing.
@@ -11,3 +14,16 @@
     let connected = timeout(limit, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
+
+/// Opens a connection to `address`, and returns whether that took at most `limit` and the connection stayed open.
+pub async fn is_reachable(address: SocketAddr, limit: Duration) -> bool {
+    let Ok(Ok(stream)) = timeout(limit, TcpStream::connect(address)).await else {
+        return false;
+    };
+    // An error is harmless: without the option, the server only hears of the end later.
+    let _ = stream.set_zero_linger();
+    let mut byte = [0];
+    // A server says nothing before it is asked, so whatever arrives is the end.
+    let ended = timeout(STAY_OPEN, stream.peek(&mut byte)).await;
+    ended.is_err()
+}
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -24,7 +24,8 @@
     metrics::Metrics as AssignmentMetrics,
 };
 use copperwell_caller::server;
-use copperwell_gateway::{Gateway, View, metrics::Metrics, watch};
+use copperwell_gateway::{Gateway, View, metrics::Metrics, paths, watch};
+use copperwell_peer::link;
 use copperwell_platform::{
     Entries, Orders, Published, Settings, Store, Wire, settings::READY_PATH,
 };
@@ -124,6 +125,8 @@
         let peer_port = *settings.internal_ports.start();
         let address = SocketAddr::new(settings.callers.ip(), peer_port);
         let peer_listener = listen(address).await?;
+        let helper_address = SocketAddr::new(settings.callers.ip(), peer_port + 1);
+        let helper_listener = listen(helper_address).await?;
 
         let mut registry = Registry::with_prefix("copperwell");
         let metrics = Metrics::new(&mut registry);
@@ -140,8 +143,10 @@
         let connections_max = (settings.descriptors as f64 * CALLERS_SHARE) as usize;
         view.crash_tracker.register(&mut registry);
         view.keys.limits.register(&mut registry);
+        view.paths.register(&mut registry);
         let gateway = Gateway::new(Wire, view.clone(), metrics.clone(), connections_max.max(1));
         gateway.connection_metrics().register(&mut registry);
+        gateway.register_relay(&mut registry);
         let gateway = Arc::new(gateway);
 
         let reload = Reload::new(settings.clone(), view.clone(), store.clone());
@@ -158,6 +163,7 @@
             Boot,
             metrics.clone(),
         ));
+        tokio::spawn(paths::watch(view.clone()));
         let cleaned_gateway = gateway.clone();
         tokio::spawn(async move {
             loop {
@@ -174,6 +180,8 @@
                 name: settings.name.as_str().into(),
                 run,
                 address,
+                helper_address,
+                zone: settings.zone.clone(),
                 strength: settings.strength,
                 is_first_start: settings.is_first_start,
             },
@@ -202,6 +210,11 @@
             let serve = admin::serve(listener, inspector.clone(), registry.clone(), never);
             tokio::spawn(serve);
         }
+        tokio::spawn(link::serve(
+            helper_listener,
+            gateway.clone(),
+            serving.clone(),
+        ));
         let serve = server::serve_with(callers, gateway.clone(), serving.clone());
         let callers = tokio::spawn(async move {
             // The server fails only if its listening socket fails.
--- a/crates/copperwelld/tests/gateway/cut.rs
+++ b/crates/copperwelld/tests/gateway/cut.rs
@@ -8,7 +8,7 @@
 };
 use http::StatusCode;
 use test_case::test_case;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 const DAEMONS: usize = 4;
 
@@ -18,6 +18,9 @@
 /// The least share of the requests at daemons that are cut off, compared with the others, that must be served.
 const SERVED_RATIO: f64 = 2.0 / 3.0;
 
+/// How long after a cut began daemons may still find out.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
 /// Which daemons are cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Who {
@@ -85,9 +88,11 @@
     for server in &harness.servers {
         server.cut.set(&ids, spares_open);
     }
+    let counted_from = Instant::now() + STABLE_WINDOW;
     for daemon in 0..DAEMONS {
         wait_served(&harness, daemon).await;
     }
+    sleep_until(counted_from).await;
     for path in ["/cups/1", "/pay/1"] {
         let mut served = [0; DAEMONS];
         for number in 0..REQUESTS {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,7 @@
 //! Sends a request to upstreams, with retries, until it is answered or finally fails.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -11,8 +12,9 @@
     fingerprint::Identity,
     metrics::{Metrics, Stage},
     refusal::Refusal,
+    relay::{self, Outgoing, Terms},
     request_log::{RequestContext, RequestLog},
-    selector::{Requirements, Selector},
+    selector::{Requirements, Selected, Selector},
     view::View,
 };
 use copperwell_backend::{
@@ -52,6 +54,9 @@
 /// must be selected.
 const SELECTION_TIME_RATIO: f64 = 0.7;
 
+/// The most daemons through which one request is tried.
+const RELAYS_MAX: usize = 2;
+
 /// The connection pools of all upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPools {
@@ -73,6 +78,8 @@
     pub(crate) metadata: &'a Metadata,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
+    /// The terms under which another daemon has sent the request here; `None` if its caller has.
+    pub(crate) terms: Option<Terms>,
 }
 
 /// An attempt that has ended: how it ended, how long it took, and its result.
@@ -125,19 +132,25 @@
     ) -> Result<Response, Refusal> {
         let service = self.route.next_service().cloned();
         let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?;
-        self.view.count_request(&service);
+        if self.terms.is_none() {
+            self.view.count_request(&service);
+        }
         let requirements = self.requirements(&service)?;
+        let mut relays: Vec<SocketAddr> = Vec::new();
         let buffered = body.as_full();
         let mut stream = Some(body);
         let mut stale_version = None;
         // The result that is returned unless a later attempt succeeds.
         let mut last_result: Option<Result<Response, Refusal>> = None;
         loop {
-            let selected = self
-                .selector
-                .select(&requirements, attempted, stale_version.take());
-            let upstream = match selected.await {
-                Ok(upstream) => upstream,
+            let selected = self.selector.select(
+                &requirements,
+                attempted,
+                stale_version.take(),
+                self.relays(&relays),
+            );
+            let selected = match selected.await {
+                Ok(selected) => selected,
                 Err(refusal) => return last_result.unwrap_or(Err(refusal)),
             };
             if attempted.is_empty() {
@@ -152,6 +165,19 @@
                     None => return last_result.unwrap_or(Err(Refusal::not_run(Reason::QueueFull))),
                 },
             };
+            let upstream = match selected {
+                Selected::Upstream(upstream) => upstream,
+                Selected::Relay(helper) => {
+                    relays.push(helper);
+                    let terms = self.terms_for_relay(attempted.len());
+                    let response = self.relay(helper, terms, &parts, body).await;
+                    if relay::is_untried(&response) && buffered.is_some() {
+                        last_result = Some(result_of(response));
+                        continue;
+                    }
+                    return result_of(response);
+                }
+            };
             let version = self.view.keys.routing_tables.version();
             attempted.push(upstream.id.clone());
             let attempt = self.send(&upstream, &parts, body).await;
@@ -160,7 +186,14 @@
                 Classified::Answer(response) => return Ok(response),
                 Classified::Failure(result, failed) => (result, failed),
             };
-            let decision = self.decide_retry(failed, attempted.len(), buffered.is_some(), &service);
+            let attempts = attempted.len();
+            let decision = match buffered.is_some() {
+                // Nothing was sent, so the budget is not concerned if another daemon reaches the upstream.
+                true if self.can_relay(failed, &requirements, self.relays(&relays)) => {
+                    RetryDecision::Retry(Duration::ZERO)
+                }
+                is_buffered => self.decide_retry(failed, attempts, is_buffered, &service),
+            };
             let request_log = self.request_log;
             request_log.failed(
                 self.context,
@@ -186,6 +219,39 @@
         }
     }
 
+    /// Returns the terms for a daemon that sends this request on after `attempts` attempts.
+    fn terms_for_relay(&self, attempts: usize) -> Terms {
+        let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
+        let configuration = self.view.configuration();
+        Terms {
+            configuration: configuration.map_or(0, |known| known.version),
+            attempts: self.route.attempts.saturating_sub(attempts).max(1),
+        }
+    }
+
+    async fn relay(&self, helper: SocketAddr, terms: Terms, parts: &Parts, body: Body) -> Response {
+        let outgoing = Outgoing {
+            parts,
+            body,
+            identity: &self.identity,
+            terms,
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+        };
+        let relay = &self.selector.relay;
+        let response = relay.send(helper, outgoing).await;
+        if let Some(reason) = response.reply.reason {
+            self.request_log
+                .relay_failed(self.context, helper, response.reply.verdict, reason);
+        }
+        response
+    }
+
+    /// Returns the most upstreams to which the request may be sent.
+    fn attempts_max(&self) -> u32 {
+        let limit = self.terms.map(|terms| terms.attempts);
+        limit.map_or(self.route.attempts, |limit| limit.min(self.route.attempts))
+    }
+
     fn is_keyed(&self, service: &ServiceName) -> bool {
         let configuration = self.view.configuration();
         let known = configuration
@@ -199,11 +265,11 @@
         let key = match (self.is_keyed(service), self.metadata.key) {
             (false, _) => None,
             (true, Some(key)) => {
-                let usual = self.usual_time();
-                self.view
-                    .keys
-                    .load_counts
-                    .count_request(service, key, usual);
+                if self.terms.is_none() {
+                    let usual = self.usual_time();
+                    let load_counts = &self.view.keys.load_counts;
+                    load_counts.count_request(service, key, usual);
+                }
                 Some(key)
             }
             (true, None) => return Err(Refusal::not_run(Reason::BadRequest)),
@@ -232,14 +298,19 @@
         let in_flight = self.selector.queues.start(self.view, &upstream.id);
         let left = self.deadline.saturating_duration_since(Instant::now());
         let (body_end, streamed) = oneshot::channel();
-        let exchange = Exchange::new(pool, left, self.deadline).with_body_end(body_end);
+        let exchange = Exchange::new(pool.clone(), left, self.deadline).with_body_end(body_end);
         let send = self.view.crash_tracker.start(upstream, self.identity);
         let sent_at = Instant::now();
+        let path = PathGuard::new(self.view, upstream, pool);
         let result = exchange.run(self.dialect, &outbound, body).await;
+        path.end(&result);
         if let Ok(response) = &result {
             self.observe_limit(upstream, &response.reply, sent_at);
         }
-        if matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused) {
+        let is_unreachable =
+            matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused);
+        // Refused connections prove nothing where they are refused by something on the way to all upstreams.
+        if is_unreachable && !self.view.is_cut_off() {
             self.view.crash_tracker.record_unreachable(upstream);
         }
         let outcome = outcome_of(&result);
@@ -301,6 +372,25 @@
         });
     }
 
+    /// Returns the daemons through which the request was tried; `None` if it must not be relayed any more.
+    ///
+    /// A relayed request is not relayed once more.
+    fn relays<'a>(&self, tried: &'a [SocketAddr]) -> Option<&'a [SocketAddr]> {
+        (self.terms.is_none() && tried.len() < RELAYS_MAX).then_some(tried)
+    }
+
+    /// Returns whether a request that could not be sent can be sent through another daemon.
+    fn can_relay(
+        &self,
+        failed: Failed,
+        requirements: &Requirements,
+        relays: Option<&[SocketAddr]>,
+    ) -> bool {
+        failed.verdict == Verdict::NotRun
+            && failed.reason == Reason::ConnectionRefused
+            && relays.is_some_and(|tried| self.selector.can_relay(requirements, tried))
+    }
+
     /// Returns how long a request of this route usually takes at an upstream.
     fn usual_time(&self) -> Duration {
         let latencies = self.view.route_latencies();
@@ -345,7 +435,7 @@
             reason: failed.reason,
             is_repeatable: self.route.is_repeatable,
             attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
-            attempts_max: self.route.attempts,
+            attempts_max: self.attempts_max(),
             is_keyed: self.metadata.key.is_some() && self.is_keyed(service),
             usual_time: self.usual_time(),
             time_left: self.deadline.saturating_duration_since(Instant::now()),
@@ -373,6 +463,48 @@
     }
 }
 
+/// Tells what a request shows of the path to its upstream, also if it is dropped.
+struct PathGuard<'a> {
+    view: &'a View,
+    upstream: &'a Upstream,
+    pool: Arc<Lane>,
+    is_answered: bool,
+}
+
+impl<'a> PathGuard<'a> {
+    fn new(view: &'a View, upstream: &'a Upstream, pool: Arc<Lane>) -> Self {
+        view.paths.reach().record_send(&upstream.id, Instant::now());
+        Self {
+            view,
+            upstream,
+            pool,
+            is_answered: false,
+        }
+    }
+
+    fn end(mut self, result: &Result<Response, Failed>) {
+        self.is_answered = result.is_ok();
+        let paths = &self.view.paths;
+        match result {
+            Err(failed) if failed.reason == Reason::ConnectionRefused && !self.pool.is_full() => {
+                paths.record_connect(&self.upstream.id, false);
+            }
+            Err(_) => paths.reach().record_doubt(&self.upstream.id),
+            Ok(_) => {}
+        }
+    }
+}
+
+impl Drop for PathGuard<'_> {
+    fn drop(&mut self) {
+        let (id, now) = (&self.upstream.id, Instant::now());
+        self.view
+            .paths
+            .reach()
+            .record_end(id, self.is_answered, now);
+    }
+}
+
 /// Whether a failed attempt is followed by another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RetryDecision {
@@ -429,6 +561,18 @@
     }
 }
 
+/// Returns the result of a relayed request, by the response of the daemon that helped.
+fn result_of(response: Response) -> Result<Response, Refusal> {
+    match response.reply.reason {
+        None => Ok(response),
+        Some(reason) => Err(Refusal {
+            verdict: response.reply.verdict,
+            reason,
+            retry_after: response.reply.retry_after,
+        }),
+    }
+}
+
 /// How a streamed response body ends.
 type BodyEnd = oneshot::Receiver<Result<(), Reason>>;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
     metrics::{Metrics, Stage},
     queue::Queues,
     refusal::Refusal,
+    relay::{self, Relay, Terms},
     request_log::{RequestContext, RequestLog},
     selector::Selector,
     view::View,
@@ -24,11 +25,12 @@
     body::{self, RequestBody, ResponseBody},
     server::{Handler, Limits},
 };
-use copperwell_message::{Body, Reason, Response};
+use copperwell_message::{Body, Reason, Request, Response, Serve, Verdict};
 use copperwell_routing::configuration::{Configuration, Route};
 use http::{HeaderName, HeaderValue, StatusCode, request::Parts};
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use prometheus_client::registry::Registry;
+use tokio::{sync::Semaphore, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 /// The largest request head until a configuration is in force, in bytes.
@@ -40,6 +42,9 @@
 /// The timeout for a request head, including idle time, until a configuration is in force.
 const HEAD_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
 
+/// The most requests of other daemons that are in flight, so that they leave room for those of this daemon's callers.
+const RELAYED_MAX: usize = 256;
+
 /// The most header fields of a request.
 const HEADERS_MAX: usize = 100;
 
@@ -54,6 +59,8 @@
     request_log: RequestLog,
     connections_max: usize,
     is_stopping: AtomicBool,
+    /// Bounds the requests of other daemons that are in flight.
+    relayed_permits: Semaphore,
     /// Cancels requests that still wait for an upstream's response.
     cancellation: CancellationToken,
 }
@@ -67,6 +74,8 @@
     identity: Identity,
     arrived: Instant,
     deadline: Instant,
+    /// The terms under which another daemon sends it on; `None` if its caller has sent it here.
+    terms: Option<Terms>,
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -74,11 +83,13 @@
     #[must_use]
     pub fn new(dialect: D, view: Arc<View>, metrics: Metrics, connections_max: usize) -> Self {
         let queues = Arc::new(Queues::new(metrics.queue.clone()));
+        let relay = Relay::new(view.keys.helpers.clone(), view.zone.clone());
         Self {
             dialect,
             selector: Selector {
                 view: view.clone(),
                 queues,
+                relay: Arc::new(relay),
             },
             pools: ConnectionPools::default(),
             view,
@@ -86,10 +97,16 @@
             metrics,
             connections_max,
             is_stopping: AtomicBool::new(false),
+            relayed_permits: Semaphore::new(RELAYED_MAX),
             cancellation: CancellationToken::new(),
         }
     }
 
+    /// Registers the metrics of requests that are sent through other daemons in `registry`.
+    pub fn register_relay(&self, registry: &mut Registry) {
+        self.selector.relay.register(registry);
+    }
+
     /// Makes responses close callers' connections from now on, so that their next requests go elsewhere.
     pub fn close_connections(&self) {
         self.is_stopping.store(true, Ordering::Release);
@@ -146,10 +163,48 @@
             body,
             arrived,
             deadline,
+            terms: None,
+        })
+    }
+
+    /// Accepts a request that another daemon sends on, by the same routes.
+    fn accept_relayed(&self, request: Request) -> Result<Accepted, Reason> {
+        if self.is_stopping() {
+            return Err(Reason::Stopping);
+        }
+        let arrived = Instant::now();
+        let deadline = arrived + request.head.deadline;
+        let (parts, terms, identity) = relay::parts_of(request.head).ok_or(Reason::Protocol)?;
+        let metadata = self.dialect.parse_metadata(&parts.headers);
+        let metadata = metadata.map_err(|_| Reason::BadRequest)?;
+        let configuration = self.view.configuration();
+        // A route of an older configuration may lead elsewhere.
+        let configuration = configuration
+            .filter(|known| known.version >= terms.configuration)
+            .ok_or(Reason::NoConfiguration)?;
+        let route = route_of(&configuration, &parts).ok_or(Reason::NoRoute)?;
+        Ok(Accepted {
+            metadata,
+            route,
+            parts,
+            body: request.body,
+            identity,
+            arrived,
+            deadline,
+            terms: Some(terms),
         })
     }
 
-    async fn serve(&self, accepted: Accepted) -> http::Response<ResponseBody> {
+    async fn serve_caller(&self, accepted: Accepted) -> http::Response<ResponseBody> {
+        let id = accepted.metadata.id.clone();
+        match self.run(accepted).await {
+            Ok(response) => into_http_response(response),
+            Err(refusal) => refusal.to_response(&self.dialect, Some(&id)),
+        }
+    }
+
+    /// Sends a request to upstreams until it is answered or finally fails.
+    async fn run(&self, accepted: Accepted) -> Result<Response, Refusal> {
         let Accepted {
             metadata,
             route,
@@ -158,6 +213,7 @@
             identity,
             arrived,
             deadline,
+            terms,
         } = accepted;
         let is_repeatable = route.is_repeatable;
         let context = RequestContext {
@@ -186,6 +242,7 @@
             metadata: &metadata,
             arrived,
             deadline,
+            terms,
         };
         let mut attempted = Vec::new();
         let result = tokio::select! {
@@ -198,17 +255,37 @@
         cancellation_guard.is_over = true;
         let total = arrived.elapsed();
         self.metrics.observe(Stage::Total, is_repeatable, total);
-        match result {
+        match &result {
             Ok(response) => {
                 let status = response.reply.status;
                 self.metrics.record_response(status);
                 self.request_log
                     .answered(context, status, attempted.len(), total);
-                into_http_response(response)
             }
+            Err(refusal) => self.request_log.refused(context, refusal, total),
+        }
+        result
+    }
+}
+
+impl<D: Dialect> Serve for Gateway<D> {
+    /// Serves a request of another daemon, which does not reach an upstream for it.
+    async fn serve(&self, request: Request) -> Response {
+        self.metrics.relayed_in.inc();
+        // The permit is held until the head of the response is known.
+        let Ok(_permit) = self.relayed_permits.try_acquire() else {
+            return Response::refusal(Verdict::NotRun, Reason::ServiceLimit);
+        };
+        let accepted = match self.accept_relayed(request) {
+            Ok(accepted) => accepted,
+            Err(reason) => return Response::refusal(Verdict::NotRun, reason),
+        };
+        match self.run(accepted).await {
+            Ok(response) => response,
             Err(refusal) => {
-                self.request_log.refused(context, &refusal, total);
-                refusal.to_response(&self.dialect, Some(&metadata.id))
+                let mut response = Response::refusal(refusal.verdict, refusal.reason);
+                response.reply.retry_after = refusal.retry_after;
+                response
             }
         }
     }
@@ -223,7 +300,7 @@
         let arrived = Instant::now();
         self.metrics.requests.inc();
         match self.accept(request, caller, arrived).await {
-            Ok(accepted) => self.serve(accepted).await,
+            Ok(accepted) => self.serve_caller(accepted).await,
             Err((refusal, id)) => {
                 let unknown_id = HeaderValue::from_static("?");
                 let context = RequestContext {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dialect;
 pub mod gateway;
 pub mod metrics;
+pub mod paths;
 pub mod view;
 pub mod watch;
 
@@ -21,5 +22,6 @@
 mod line_limit;
 mod queue;
 mod refusal;
+mod relay;
 mod request_log;
 mod selector;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Clone)]
 pub struct Metrics {
     pub(crate) requests: Counter,
+    /// Requests of other daemons.
+    pub(crate) relayed_in: Counter,
     refusals: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     denied_retries: Family<ReasonLabel, Counter>,
@@ -96,6 +98,11 @@
         let all = metrics.clone();
         let registry = registry.sub_registry_with_prefix("gateway");
         registry.register("requests", "Requests from callers", all.requests);
+        registry.register(
+            "relayed_for_others",
+            "Requests that other daemons could not send to their upstreams themselves",
+            all.relayed_in,
+        );
         registry.register(
             "refused",
             "Requests answered without an upstream's answer",
@@ -243,6 +250,7 @@
     fn default() -> Self {
         Self {
             requests: Counter::default(),
+            relayed_in: Counter::default(),
             refusals: Family::default(),
             retries: Family::default(),
             denied_retries: Family::default(),
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -3,10 +3,11 @@
 //! Failures are logged up to a rate limit. Requests that got an upstream's response, whatever its status, are
 //! sampled by a hash of their id, so that all daemons log the same ones.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::{line_limit::LineLimit, metrics::Metrics, refusal::Refusal};
 use copperwell_backend::exchange::Failed;
+use copperwell_message::{Reason, Verdict};
 use copperwell_routing::{configuration::Route, quarantine::Fingerprint, registry::Upstream};
 use http::HeaderValue;
 use spdlog::info;
@@ -142,6 +143,32 @@
         });
     }
 
+    /// Logs that another daemon did not get an answer to a request.
+    pub(crate) fn relay_failed(
+        &self,
+        context: RequestContext<'_>,
+        helper: SocketAddr,
+        verdict: Verdict,
+        reason: Reason,
+    ) {
+        if !self.failures.allows_line() {
+            return;
+        }
+        info!("another daemon got no answer to a request", kv: {
+            event = "relay-failed",
+            request = context.id(),
+            fingerprint = context.fingerprint,
+            route = context.route(),
+            key = context.key.map_or(-1, i32::from),
+            helper: = helper,
+            reason = reason.as_str(),
+            verdict = verdict.as_str(),
+            configuration = context.versions.configuration,
+            term = context.versions.term,
+            table = context.versions.table
+        });
+    }
+
     /// Counts and logs a request whose caller disconnected before the response.
     pub(crate) fn cancelled(&self, context: RequestContext<'_>, total: Duration) {
         self.metrics.cancelled.inc();
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -1,8 +1,8 @@
 //! Selects the upstream for the next attempt of a request.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{queue::Queues, refusal::Refusal, view::View};
+use crate::{queue::Queues, refusal::Refusal, relay::Relay, view::View};
 use copperwell_assignment::table::Version;
 use copperwell_message::Reason;
 use copperwell_routing::{
@@ -39,12 +39,22 @@
 pub(crate) struct Selector {
     pub(crate) view: Arc<View>,
     pub(crate) queues: Arc<Queues>,
+    pub(crate) relay: Arc<Relay>,
+}
+
+/// Where the next attempt of a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Selected {
+    /// To this upstream.
+    Upstream(Arc<Upstream>),
+    /// Through the daemon at this address, which reaches an upstream that this one does not.
+    Relay(SocketAddr),
 }
 
 impl Selector {
-    /// Returns the upstream for the next attempt of a request, once it has capacity.
+    /// Returns where the next attempt of a request goes, once its upstream has capacity.
     ///
-    /// `attempted` are the upstreams of earlier attempts. `stale_version` is a version of the routing
+    /// `relays` are the daemons through which it was tried already; `None` if it must not be relayed. `attempted` are the upstreams of earlier attempts. `stale_version` is a version of the routing
     /// tables by which an attempt was misdirected. A request that crashes upstreams is refused, and one that
     /// may do so is not sent to an upstream that has another such request.
     pub(crate) async fn select(
@@ -52,14 +62,18 @@
         requirements: &Requirements,
         attempted: &[UpstreamId],
         stale_version: Option<Version>,
-    ) -> Result<Arc<Upstream>, Refusal> {
+        relays: Option<&[SocketAddr]>,
+    ) -> Result<Selected, Refusal> {
         let is_apart = self.check_quarantine(requirements.request)? == Admission::Apart;
-        let upstream = match requirements.key {
+        let selected = match requirements.key {
             Some(key) => {
-                self.select_holder(requirements, key, stale_version, is_apart)
+                self.select_holder(requirements, key, stale_version, is_apart, relays)
                     .await?
             }
-            None => self.select_any(requirements, attempted).await?,
+            None => self.select_any(requirements, attempted, relays).await?,
+        };
+        let Selected::Upstream(upstream) = &selected else {
+            return Ok(selected);
         };
         // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
         if let Err(refusal) = self.check_quarantine(requirements.request) {
@@ -67,7 +81,7 @@
             self.queues.notify_one(&upstream.id);
             return Err(refusal);
         }
-        Ok(upstream)
+        Ok(selected)
     }
 
     /// Returns how a request may run, or the refusal if it crashes upstreams.
@@ -90,13 +104,18 @@
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
-    ) -> Result<Arc<Upstream>, Refusal> {
+        relays: Option<&[SocketAddr]>,
+    ) -> Result<Selected, Refusal> {
+        if let Some(helper) = relays.and_then(|tried| self.relay_for(&requirements.service, tried))
+        {
+            return Ok(Selected::Relay(helper));
+        }
         let limits = &self.view.keys.limits;
         let mut full: Vec<(Duration, Arc<Upstream>)> = Vec::new();
         loop {
             match self.choose(requirements, attempted, &full) {
                 Ok(upstream) => match limits.acquire(&upstream, Duration::ZERO).await {
-                    Ok(_) => return Ok(upstream),
+                    Ok(_) => return Ok(Selected::Upstream(upstream)),
                     Err(wait) => full.push((wait, upstream)),
                 },
                 Err(refusal) => {
@@ -104,13 +123,48 @@
                         return Err(refusal);
                     };
                     self.wait_for_limit(upstream, requirements).await?;
-                    return Ok(upstream.clone());
+                    return Ok(Selected::Upstream(upstream.clone()));
                 }
             }
         }
     }
 
-    /// Chooses an upstream, but none of `full`.
+    /// Returns a daemon that reaches upstreams of a service of which this one reaches none.
+    fn relay_for(&self, service: &ServiceName, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        if !self.view.paths.has_lost() {
+            return None;
+        }
+        let registry = self.view.registry();
+        let upstreams = registry.of_service(service).iter();
+        let usable: Vec<_> = upstreams.filter(|one| !one.is_draining).collect();
+        let reach = self.view.paths.reach();
+        let is_any_usable = usable.iter().any(|one| !reach.is_unusable(&one.id));
+        drop(reach);
+        if is_any_usable {
+            return None;
+        }
+        self.relay.choose(usable.iter().map(|one| &one.id), tried)
+    }
+
+    /// Returns whether a request can be sent through another daemon than those of `tried`.
+    pub(crate) fn can_relay(&self, requirements: &Requirements, tried: &[SocketAddr]) -> bool {
+        let service = &requirements.service;
+        let Some(key) = requirements.key else {
+            return self.relay_for(service, tried).is_some();
+        };
+        let served = self.view.keys.routing_tables.served(service, key);
+        served.is_some_and(|served| self.relay_to(&served.upstream, tried).is_some())
+    }
+
+    /// Returns a daemon that reaches a holder that this one does not.
+    fn relay_to(&self, holder: &UpstreamId, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let is_unusable = self.view.paths.has_lost() && self.view.paths.reach().is_unusable(holder);
+        is_unusable
+            .then(|| self.relay.choose([holder], tried))
+            .flatten()
+    }
+
+    /// Chooses an upstream, but none of `full` and, if others are left, none that this daemon does not reach.
     fn choose(
         &self,
         requirements: &Requirements,
@@ -131,6 +185,15 @@
             with_room = others.cloned().collect();
             upstreams = &with_room;
         }
+        let reachable: Vec<_>;
+        if self.view.paths.has_lost() {
+            let reach = self.view.paths.reach();
+            let usable = upstreams.iter().filter(|one| !reach.is_unusable(&one.id));
+            reachable = usable.cloned().collect();
+            if reachable.iter().any(|one| !one.is_draining) {
+                upstreams = &reachable;
+            }
+        }
         let now = Instant::now();
         let zone = &self.view.zone;
         let mut random = rand::rng();
@@ -171,7 +234,8 @@
         key: Key,
         stale_version: Option<Version>,
         is_apart: bool,
-    ) -> Result<Arc<Upstream>, Refusal> {
+        relays: Option<&[SocketAddr]>,
+    ) -> Result<Selected, Refusal> {
         let routing_tables = &self.view.keys.routing_tables;
         let _queued = self.queues.enter();
         if let Some(stale_version) = stale_version {
@@ -187,6 +251,13 @@
         loop {
             let version = routing_tables.tables().version;
             let served = routing_tables.served(&requirements.service, key);
+            // The daemon that helps decides on the admission.
+            if let Some(served) = &served
+                && let Some(helper) =
+                    relays.and_then(|tried| self.relay_to(&served.upstream, tried))
+            {
+                return Ok(Selected::Relay(helper));
+            }
             if let Some(served) = &served
                 && !is_admitted
             {
@@ -211,7 +282,7 @@
             let is_blocked = is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id);
             if !is_blocked && self.view.loads().has_capacity(&upstream) {
                 if reserved.as_ref() == Some(&upstream.id) {
-                    return Ok(upstream);
+                    return Ok(Selected::Upstream(upstream));
                 }
                 self.wait_for_limit(&upstream, requirements).await?;
                 // The key may have moved meanwhile.
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
-use super::{Requirements, Selector};
-use crate::{queue::Queues, refusal::Refusal, view::View};
+use super::{Requirements, Selected, Selector};
+use crate::{queue::Queues, refusal::Refusal, relay::Relay, view::View};
 use copperwell_assignment::table::{Table, Tables, Version};
 use copperwell_message::Reason;
 use copperwell_routing::{
@@ -37,9 +37,11 @@
     };
     let view = Arc::new(View::new(1, "here".into(), allowance));
     view.update_upstreams([upstream("a"), upstream("b")], Duration::from_secs(1));
+    let relay = Relay::new(view.keys.helpers.clone(), view.zone.clone());
     Arc::new(Selector {
         view,
         queues: Arc::new(Queues::new(Default::default())),
+        relay: Arc::new(relay),
     })
 }
 
@@ -83,8 +85,11 @@
     selector.view.keys.quarantine.maintain();
 }
 
-fn reason(result: Result<Arc<Upstream>, Refusal>) -> Result<String, Reason> {
-    let id = result.map(|upstream| upstream.id.to_string());
+fn reason(result: Result<Selected, Refusal>) -> Result<String, Reason> {
+    let id = result.map(|selected| match selected {
+        Selected::Upstream(upstream) => upstream.id.to_string(),
+        Selected::Relay(helper) => helper.to_string(),
+    });
     id.map_err(|refusal| refusal.reason)
 }
 
@@ -94,7 +99,7 @@
     let waiting = [CULPRIT, OTHER].map(|request| {
         let selector = selector.clone();
         let requirements = requirements(request, Some(KEY));
-        tokio::spawn(async move { selector.select(&requirements, &[], None).await })
+        tokio::spawn(async move { selector.select(&requirements, &[], None, None).await })
     });
     tokio::task::yield_now().await;
     convict(&selector, CULPRIT).await;
@@ -116,13 +121,13 @@
     let waiting = tokio::spawn({
         let selector = selector.clone();
         let requirements = requirements(OTHER, Some(KEY));
-        async move { selector.select(&requirements, &[], None).await }
+        async move { selector.select(&requirements, &[], None, None).await }
     });
     advance(Duration::from_secs(5)).await;
     assert!(!waiting.is_finished());
     // What is not suspected does not wait.
     let free = requirements(9, Some(KEY));
-    let free = selector.select(&free, &[], None).await;
+    let free = selector.select(&free, &[], None, None).await;
     assert_eq!(reason(free), Ok("a".to_owned()));
     send.answered();
     drop(in_flight);
@@ -140,7 +145,7 @@
         .start(&suspected, CULPRIT.into());
     for _ in 0..100 {
         let requirements = requirements(OTHER, None);
-        let selected = selector.select(&requirements, &[], None).await;
+        let selected = selector.select(&requirements, &[], None, None).await;
         assert_eq!(reason(selected), Ok("b".to_owned()));
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,6 +1,6 @@
 //! A daemon's view of the configuration and the upstreams.
 //!
-//! Lock order: the registry, then the loads; the other locks are never held together.
+//! Lock order: the registry, then the loads or the paths; the other locks are never held together.
 
 use std::{
     sync::{
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use crate::{crash_tracker::CrashTracker, request_log::RoutingVersions, watch};
+use crate::{crash_tracker::CrashTracker, paths::Paths, request_log::RoutingVersions, watch};
 use arc_swap::ArcSwapOption;
 use copperwell_assignment::{
     driver::{Environment, Shared},
@@ -44,6 +44,8 @@
     pub zone: ZoneName,
     /// The state that is shared with the driver of key assignment.
     pub keys: Shared,
+    /// The paths to upstreams.
+    pub paths: Paths,
     /// The requests at upstreams, and those that crash upstreams.
     pub crash_tracker: Arc<CrashTracker>,
     configuration: ArcSwapOption<Configuration>,
@@ -96,6 +98,7 @@
         let keys = Shared::new(run);
         Self {
             zone,
+            paths: Paths::new(&keys),
             crash_tracker: Arc::new(CrashTracker::new(keys.quarantine.clone())),
             keys,
             configuration: ArcSwapOption::empty(),
@@ -232,6 +235,13 @@
         draining.get(id).map(Instant::elapsed)
     }
 
+    /// Returns whether so many upstreams are unreachable that the fault must be at this daemon.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        let upstreams = self.registry().len();
+        self.paths.reach().is_cut_off(upstreams)
+    }
+
     /// Locks the registry of upstreams for reading.
     pub fn registry(&self) -> RwLockReadGuard<'_, Registry> {
         self.registry.read().unwrap_or_else(PoisonError::into_inner)
@@ -370,6 +380,7 @@
     fn apply_changes(&self, changes: &Changes, now: Instant) {
         let registry = self.registry();
         self.loads().retain(|id| registry.get(id).is_some());
+        self.paths.retain(|id| registry.get(id).is_some());
         drop(registry);
         self.crash_tracker.record_changes(changes);
         let mut draining = self.draining.lock().unwrap_or_else(PoisonError::into_inner);
@@ -432,6 +443,10 @@
         };
     }
 
+    fn record_unconnected(&self, id: &UpstreamId) {
+        self.paths.reach().record_doubt(id);
+    }
+
     fn record_transfer(&self) {
         let mut update = self.leader_update();
         update.behind_since = update.behind_since.map(|_| Instant::now());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limit;
 pub mod load;
 pub mod quarantine;
+pub mod reach;
 pub mod registry;
 pub mod retry;
 pub mod source;
--- /dev/null
+++ b/crates/routing/src/reach.rs
@@ -0,0 +1,199 @@
+//! Which upstreams this daemon reaches itself.
+//!
+//! A connection that cannot be opened tells that the path to an upstream is lost, or that its process has ended. An
+//! answer proves nothing about new connections, but that those that carry it can be used.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{UpstreamId, registry::Upstream};
+use copperwell_message::HashMap;
+use tokio::time::Instant;
+
+/// How long requests at an upstream wait without any answer before its path is probed.
+const SILENCE: Duration = Duration::from_millis(400);
+
+/// The interval at which a silent path, or one that was just lost, is probed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The interval at which a path is probed that has been lost for long, or that is in doubt only since others are lost.
+const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(2);
+
+/// The number of lost paths from which on the others are in doubt.
+const LOST_TO_DOUBT: usize = 2;
+
+/// The most probes that are due at once, since each opens a connection.
+const PROBES_MAX: usize = 8;
+
+/// The share of all upstreams whose paths are lost from which on the fault is taken to be at this daemon.
+const CUT_OFF_SHARE: f64 = 0.8;
+
+/// The paths to all upstreams.
+#[derive(Debug, Default)]
+pub struct Reach {
+    paths: HashMap<UpstreamId, Path>,
+}
+
+/// What is known of the path to one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Path {
+    /// Requests without an answer.
+    in_flight: u32,
+    /// When an answer last arrived, or when the first of those requests was sent, if that was later.
+    quiet_since: Option<Instant>,
+    /// When an answer last arrived.
+    answered_at: Option<Instant>,
+    /// Since when no connection can be opened; `None` if one can.
+    lost_since: Option<Instant>,
+    probed_at: Option<Instant>,
+    /// Whether it is to be probed at once.
+    is_in_doubt: bool,
+}
+
+/// How a path changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// No connection can be opened any more.
+    Lost,
+    /// Connections can be opened again, after this time.
+    Back(Duration),
+}
+
+impl Reach {
+    /// Records that a request is sent to an upstream.
+    pub fn record_send(&mut self, id: &UpstreamId, now: Instant) {
+        let path = self.paths.entry(id.clone()).or_default();
+        if path.in_flight == 0 {
+            path.quiet_since = Some(now);
+        }
+        path.in_flight += 1;
+    }
+
+    /// Records that a request has ended; `is_answered` tells whether the upstream has answered it.
+    pub fn record_end(&mut self, id: &str, is_answered: bool, now: Instant) {
+        let Some(path) = self.paths.get_mut(id) else {
+            return;
+        };
+        path.in_flight = path.in_flight.saturating_sub(1);
+        if is_answered {
+            path.quiet_since = Some(now);
+            path.answered_at = Some(now);
+        }
+    }
+
+    /// Records whether a connection to an upstream could be opened; returns how its path changed.
+    pub fn record_connect(
+        &mut self,
+        id: &UpstreamId,
+        is_open: bool,
+        now: Instant,
+    ) -> Option<Change> {
+        let path = self.paths.entry(id.clone()).or_default();
+        match (is_open, path.lost_since) {
+            (false, None) => {
+                path.lost_since = Some(now);
+                Some(Change::Lost)
+            }
+            (true, Some(since)) => {
+                path.lost_since = None;
+                Some(Change::Back(now.saturating_duration_since(since)))
+            }
+            _ => None,
+        }
+    }
+
+    /// Has the path to an upstream probed at once.
+    pub fn record_doubt(&mut self, id: &UpstreamId) {
+        self.paths.entry(id.clone()).or_default().is_in_doubt = true;
+    }
+
+    /// Returns whether no new connection to an upstream can be opened.
+    #[must_use]
+    pub fn is_lost(&self, id: &str) -> bool {
+        let path = self.paths.get(id);
+        path.is_some_and(|path| path.lost_since.is_some())
+    }
+
+    /// Returns whether a request to an upstream would be lost: its path is lost, and no connection has carried an
+    /// answer since.
+    #[must_use]
+    pub fn is_unusable(&self, id: &str) -> bool {
+        let path = self.paths.get(id);
+        path.is_some_and(|path| {
+            let lost_since = path.lost_since;
+            lost_since.is_some_and(|since| path.answered_at.is_none_or(|at| at <= since))
+        })
+    }
+
+    /// Returns the upstreams to which no new connection can be opened, in order.
+    #[must_use]
+    pub fn lost(&self) -> Vec<UpstreamId> {
+        let paths = self.paths.iter();
+        let lost = paths.filter(|(_, path)| path.lost_since.is_some());
+        let mut lost: Vec<_> = lost.map(|(id, _)| id.clone()).collect();
+        lost.sort_unstable();
+        lost
+    }
+
+    /// Returns whether so many of `all` upstreams are lost that the fault must be at this daemon.
+    #[must_use]
+    pub fn is_cut_off(&self, all: usize) -> bool {
+        let paths = self.paths.values();
+        let lost = paths.filter(|path| path.lost_since.is_some()).count();
+        lost >= LOST_TO_DOUBT && lost as f64 >= CUT_OFF_SHARE * all as f64
+    }
+
+    /// Returns the upstreams whose paths are to be probed now, [`PROBES_MAX`] at most, and counts them as probed.
+    ///
+    /// These are lost and silent paths, and all that were used and not probed since another one was lost, while
+    /// several are.
+    pub fn due_probes<'a>(
+        &mut self,
+        all: impl IntoIterator<Item = &'a Arc<Upstream>>,
+        now: Instant,
+    ) -> Vec<Arc<Upstream>> {
+        let lost_since = self.paths.values().filter_map(|path| path.lost_since);
+        let doubted_since = match lost_since.clone().count() >= LOST_TO_DOUBT {
+            true => lost_since.max(),
+            false => None,
+        };
+        let mut due = Vec::new();
+        for upstream in all {
+            if due.len() >= PROBES_MAX {
+                break;
+            }
+            let Some(path) = self.paths.get_mut(&upstream.id) else {
+                continue;
+            };
+            if path.is_probe_due(doubted_since, now) {
+                path.probed_at = Some(now);
+                path.is_in_doubt = false;
+                due.push(upstream.clone());
+            }
+        }
+        due
+    }
+
+    /// Forgets upstreams that are no longer registered.
+    pub fn retain(&mut self, is_registered: impl Fn(&str) -> bool) {
+        self.paths
+            .retain(|id, path| path.in_flight > 0 || is_registered(id));
+    }
+}
+
+impl Path {
+    fn is_probe_due(&self, doubted_since: Option<Instant>, now: Instant) -> bool {
+        let is_silent =
+            self.in_flight > 0 && self.quiet_since.is_some_and(|since| now >= since + SILENCE);
+        let is_doubted = doubted_since
+            .is_some_and(|since| self.probed_at.is_none_or(|probed_at| probed_at < since));
+        let interval = match self.lost_since {
+            Some(since) => {
+                (now.saturating_duration_since(since) / 2).clamp(PROBE_INTERVAL, PROBE_INTERVAL_MAX)
+            }
+            None if is_silent || self.is_in_doubt => PROBE_INTERVAL,
+            None if is_doubted => PROBE_INTERVAL_MAX,
+            None => return false,
+        };
+        self.probed_at.is_none_or(|at| now >= at + interval)
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/reach.rs
@@ -0,0 +1,118 @@
+//! Which paths to upstreams are probed, lost and back.
+
+use std::{sync::Arc, time::Duration};
+
+use copperwell_routing::{
+    UpstreamId,
+    reach::{Change, Reach},
+    registry::Upstream,
+};
+use test_case::test_case;
+use tokio::time::Instant;
+
+fn upstream(number: usize) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: format!("u{number}").into(),
+        born: 1,
+        service: "cups".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        zone: "here".into(),
+        slots: 2,
+        is_draining: false,
+        warmup: Duration::ZERO,
+    })
+}
+
+fn id(number: usize) -> UpstreamId {
+    upstream(number).id.clone()
+}
+
+/// Sends a request to each of `count` upstreams, which answer it.
+fn used(count: usize, now: Instant) -> (Reach, Vec<Arc<Upstream>>) {
+    let mut reach = Reach::default();
+    for number in 0..count {
+        reach.record_send(&id(number), now);
+        reach.record_end(&id(number), true, now);
+    }
+    (reach, (0..count).map(upstream).collect())
+}
+
+#[test]
+fn path_is_lost_and_back_once() {
+    let mut reach = Reach::default();
+    let start = Instant::now();
+    assert_eq!(reach.record_connect(&id(0), true, start), None);
+    assert_eq!(
+        reach.record_connect(&id(0), false, start),
+        Some(Change::Lost)
+    );
+    assert_eq!(reach.record_connect(&id(0), false, start), None);
+    let later = start + Duration::from_secs(2);
+    let back = Change::Back(Duration::from_secs(2));
+    assert_eq!(reach.record_connect(&id(0), true, later), Some(back));
+    assert!(!reach.is_lost(&id(0)));
+}
+
+#[test]
+fn open_connections_are_used_while_new_ones_are_refused() {
+    let start = Instant::now();
+    let (mut reach, _) = used(1, start);
+    reach.record_connect(&id(0), false, start + Duration::from_millis(1));
+    assert!(reach.is_unusable(&id(0)));
+    reach.record_send(&id(0), start + Duration::from_millis(2));
+    reach.record_end(&id(0), true, start + Duration::from_millis(3));
+    assert!(reach.is_lost(&id(0)));
+    assert!(!reach.is_unusable(&id(0)));
+}
+
+#[test_case(100, false; "a request has waited for a moment")]
+#[test_case(400, true; "a request has waited for long")]
+fn silent_path_is_probed(waited_ms: u64, is_probed: bool) {
+    let start = Instant::now();
+    let (mut reach, all) = used(3, start);
+    reach.record_send(&id(1), start);
+    let now = start + Duration::from_millis(waited_ms);
+    let due = reach.due_probes(&all, now);
+    let expected = if is_probed { vec![upstream(1)] } else { vec![] };
+    assert_eq!(due, expected);
+    assert_eq!(reach.due_probes(&all, now), vec![]);
+}
+
+#[test_case(1, 1; "one lost")]
+#[test_case(2, 5; "two lost")]
+fn paths_that_were_used_are_in_doubt_while_several_are_lost(lost: usize, probed: usize) {
+    let start = Instant::now();
+    let (mut reach, all) = used(5, start);
+    let now = start + Duration::from_secs(1);
+    for number in 0..lost {
+        reach.record_connect(&id(number), false, now);
+    }
+    assert_eq!(reach.due_probes(&all, now).len(), probed);
+    // Those that can be reached are not probed again until another one is lost.
+    for number in lost..5 {
+        reach.record_connect(&id(number), true, now);
+    }
+    let later = now + Duration::from_secs(3);
+    assert_eq!(reach.due_probes(&all, later).len(), lost);
+}
+
+#[test]
+fn probes_are_bounded() {
+    let start = Instant::now();
+    let (mut reach, all) = used(400, start);
+    for number in 0..400 {
+        reach.record_connect(&id(number), false, start);
+    }
+    assert_eq!(reach.due_probes(&all, start).len(), 8);
+}
+
+#[test_case(2, false; "a few of ten")]
+#[test_case(8, true; "eight of ten")]
+fn daemon_is_cut_off(lost: usize, is_cut_off: bool) {
+    let start = Instant::now();
+    let (mut reach, _) = used(10, start);
+    for number in 0..lost {
+        reach.record_connect(&id(number), false, start);
+    }
+    assert_eq!(reach.is_cut_off(10), is_cut_off);
+}
