Take no keys from servers that only the leader does not reach

Callers of all daemons lost their requests with a key when the leader was among those cut off: 526 of 875 first tries served at the others, 1,109 releases that were never sent, all keys on the one server that was left. Cause: the leader took its own failed orders for the servers' end, and believed so for 15 s after their last one.

While connections to half of a service's servers or more cannot be opened, the leader takes no keys away for 3 s and moves none, in which time a daemon that reaches them takes the lead. Grants last 5 s, so nothing is lost if the servers have ended after all. A server to which connections failed is tried again one second after one can be opened, in place of 15 s.

--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -54,6 +54,10 @@
 /// The maximum number of ranges that migrate at the same time to balance the load.
 const MIGRATIONS_MAX: usize = 8;
 
+/// How long a leader that cannot open connections to many upstreams takes no keys from them, so that a daemon that
+/// reaches them can take the lead.
+const CUT_OFF_PATIENCE: Duration = Duration::from_secs(3);
+
 /// The utilization of a holder's slots above which it admits only a share of the requests for its
 /// keys.
 const FULL_UTILIZATION: f64 = 1.0;
@@ -76,6 +80,8 @@
     stored_edition: u64,
     is_fenced: bool,
     has_long_grants: bool,
+    /// Since when the leader cannot open connections to many upstreams.
+    cut_off_since: Option<Duration>,
     /// Until when keys are not assigned, as unknown grants of theirs may be in force.
     unassigned_until: Duration,
 }
@@ -115,6 +121,7 @@
             stored_edition: 0,
             is_fenced: false,
             has_long_grants: false,
+            cut_off_since: None,
             unassigned_until: Duration::ZERO,
         }
     }
@@ -161,6 +168,10 @@
             self.create_ranges(now, observation);
         }
         self.set_store_unreachable(observation.is_store_unreachable, now);
+        self.cut_off_since = match observation.is_cut_off() {
+            true => self.cut_off_since.or(Some(now)),
+            false => None,
+        };
         self.update_holders(now, observation);
         self.rebalance(now, observation);
         self.assign_free_ranges(now, observation);
@@ -198,6 +209,7 @@
                 state.failed_at = now;
             }
         }
+        state.is_unconnected = matches!(outcome, Outcome::Refused | Outcome::Unsent);
         // The range may have changed since the order was sent; the outcome does not matter then.
         let range = self
             .ranges
@@ -325,10 +337,18 @@
         self.has_long_grants = is_unreachable;
     }
 
+    /// Returns whether the leader has lost its path to many upstreams a moment ago, so that another daemon may still
+    /// reach them and take the lead.
+    fn is_waiting_for_leader(&self, now: Duration) -> bool {
+        self.cut_off_since
+            .is_some_and(|since| now < since + CUT_OFF_PATIENCE)
+    }
+
     /// Starts to migrate ranges from holders that drain or are lost, frees those whose holder's
     /// process has ended, and reassigns those of restarted holders; then advances migrations.
     fn update_holders(&mut self, now: Duration, observation: &Observation<'_>) {
-        let is_any_responsive = is_any_responsive(observation, &self.states, now);
+        let is_any_responsive =
+            is_any_responsive(observation, &self.states, now) && !self.is_waiting_for_leader(now);
         for range in &mut self.ranges {
             let Some(holder) = &range.holder else {
                 continue;
@@ -373,6 +393,7 @@
             let entry = self.states.entry(upstream.id.clone());
             let state = entry.or_insert_with(|| State::new(upstream.address, now));
             state.address = upstream.address;
+            state.update_connectable(observation.is_connectable(&upstream.id), now);
             state.slowness.update(upstream.slots, now);
         }
     }
@@ -394,7 +415,8 @@
             .iter()
             .filter(|range| range.is_migrating)
             .count();
-        if migrating >= MIGRATIONS_MAX || observation.is_store_unreachable {
+        let may_move = !observation.is_store_unreachable && !observation.is_cut_off();
+        if migrating >= MIGRATIONS_MAX || !may_move {
             return;
         }
         let moves = balance::moves(
--- a/crates/assignment/src/machine/holder.rs
+++ b/crates/assignment/src/machine/holder.rs
@@ -16,6 +16,10 @@
 /// How long after its last failed order an unresponsive upstream is tried again.
 const UNRESPONSIVE_RETRY_DELAY: Duration = Duration::from_secs(15);
 
+/// How long after its last failed order an upstream is tried again to which no connection could be opened, but now
+/// can.
+const CONNECTABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// What the leader has observed of an upstream.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct State {
@@ -27,6 +31,8 @@
     pub(super) unanswered: u32,
     /// When the last of these orders failed.
     pub(super) failed_at: Duration,
+    /// Whether no connection could be opened for the last of these orders.
+    pub(super) is_unconnected: bool,
     /// When a connection to it was last refused or broke. Another run may be listening at the
     /// address since then.
     pub(super) broken_at: Option<Duration>,
@@ -101,6 +107,7 @@
             answered_at: Duration::ZERO,
             unanswered: 0,
             failed_at: Duration::ZERO,
+            is_unconnected: false,
             broken_at: None,
         }
     }
@@ -114,6 +121,15 @@
             .any(|one| one.address == self.address && one.id != holder.id && one.born > holder.born)
     }
 
+    /// Takes the upstream for responsive again if only connections failed, and one can be opened now.
+    pub(super) fn update_connectable(&mut self, is_connectable: bool, now: Duration) {
+        if self.is_unconnected && is_connectable && now >= self.failed_at + CONNECTABLE_RETRY_DELAY
+        {
+            self.unanswered = 0;
+            self.is_unconnected = false;
+        }
+    }
+
     pub(super) fn is_unresponsive(&self, now: Duration) -> bool {
         self.unanswered >= UNRESPONSIVE_ORDERS
             && now.saturating_sub(self.answered_at) > UNRESPONSIVE_TIME
--- a/crates/assignment/tests/machine/simulation.rs
+++ b/crates/assignment/tests/machine/simulation.rs
@@ -30,6 +30,8 @@
     pub(crate) is_up: bool,
     /// Whether orders reach it.
     pub(crate) is_reachable: bool,
+    /// Whether the leader cannot open a connection to it.
+    pub(crate) is_path_lost: bool,
     /// Whether a connection to its present run is open.
     is_connected: bool,
     grants: Vec<Grant>,
@@ -79,6 +81,8 @@
     /// The share of orders that a server reads late, since they arrive on a new connection.
     pub(crate) read_late: f64,
     pub(crate) is_store_unreachable: bool,
+    /// Whether the leader finds out which servers it can connect to.
+    pub(crate) probes_paths: bool,
     leader: usize,
     in_flight: Vec<SentOrder>,
     /// A write in flight: its edition, its plan, and when it takes effect.
@@ -120,6 +124,7 @@
             unanswered: 0.0,
             read_late: 0.0,
             is_store_unreachable: false,
+            probes_paths: false,
             leader: 0,
             in_flight: Vec::new(),
             write: None,
@@ -196,6 +201,13 @@
         self.run_store();
         let observation = Observation::new(&self.listed, &self.all, self.list_read_at);
         let observation = observation.with_store_unreachable(self.is_store_unreachable);
+        let servers = self.servers.iter();
+        let lost = servers.filter(|server| server.is_path_lost);
+        let lost = lost.map(|server| server.upstream.id.clone()).collect();
+        let observation = match self.probes_paths {
+            true => observation.with_lost(&lost),
+            false => observation,
+        };
         for order in self.machine.step(self.now, &observation) {
             self.send(order);
         }
@@ -333,6 +345,9 @@
         if received_by.is_some_and(|born| born != server.upstream.born) {
             return Outcome::Broken;
         }
+        if server.is_path_lost {
+            return Outcome::Unsent;
+        }
         if !server.is_reachable && received_by.is_none() {
             return Outcome::Unknown;
         }
@@ -382,6 +397,7 @@
             is_listed: true,
             is_up: true,
             is_reachable: true,
+            is_path_lost: false,
             is_connected: true,
             grants: Vec::new(),
             highest_fences: BTreeMap::new(),
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -249,3 +249,52 @@
         assert_eq!(simulation.served(), key_count());
     }
 }
+
+/// Only the leader cannot open connections to most servers, until another daemon leads.
+#[test]
+fn a_leader_that_reaches_few_servers_takes_keys_from_the_others() {
+    let mut simulation = started();
+    simulation.probes_paths = true;
+    let before: Vec<_> = sample().map(|key| simulation.holder(key)).collect();
+    for server in &mut simulation.servers[1..] {
+        server.is_path_lost = true;
+    }
+    simulation.run(Duration::from_millis(2_900));
+    let table = simulation.machine.table();
+    let routed = sample().filter(|key| table.served(*key).is_some());
+    assert_eq!(routed.count(), key_count());
+    simulation.change_leader();
+    for server in &mut simulation.servers {
+        server.is_path_lost = false;
+    }
+    simulation.run(Duration::from_secs(20));
+    let after: Vec<_> = sample().map(|key| simulation.holder(key)).collect();
+    assert_eq!(before, after);
+}
+
+/// The processes behind the lost paths may have ended, so their keys go elsewhere in the end.
+#[test]
+fn keys_stay_for_ever_at_servers_that_the_leader_does_not_reach() {
+    let mut simulation = started();
+    simulation.probes_paths = true;
+    for server in &mut simulation.servers[2..] {
+        server.is_path_lost = true;
+    }
+    simulation.run(Duration::from_secs(12));
+    assert_eq!(simulation.served(), key_count());
+    for server in 2..SERVERS {
+        assert_eq!(keys_held_by(&simulation, server), 0, "server {server}");
+    }
+}
+
+#[test]
+fn a_server_that_can_be_connected_again_waits_for_keys() {
+    let mut simulation = started();
+    simulation.probes_paths = true;
+    simulation.servers[0].is_path_lost = true;
+    simulation.run(Duration::from_secs(10));
+    assert_eq!(keys_held_by(&simulation, 0), 0);
+    simulation.servers[0].is_path_lost = false;
+    simulation.run(Duration::from_secs(5));
+    assert!(keys_held_by(&simulation, 0) > 0);
+}
