--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -13,5 +13,6 @@
 mod http1;
 mod keys;
 mod limits;
+mod notices;
 mod requests;
 mod rewind;
