Send nothing more to an upstream whose answers say that it leaves

Cause: only registrations were read.

The daemon that gets such an answer takes that incarnation for draining at once, whatever lists say later, and reports it to the leader, which moves its keys and passes the mark on with the list of upstreams. So it holds at all daemons, with the store away, and after a cut from the leader at the daemon itself.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -29,7 +29,7 @@
 };
 use copperwell_message::HashMap;
 use copperwell_policy::backoff::Backoff;
-use copperwell_routing::{ServiceName, UpstreamId, ZoneName, registry::Upstream};
+use copperwell_routing::{Incarnation, ServiceName, UpstreamId, ZoneName, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
 use tokio::{
@@ -88,6 +88,9 @@
     /// Records the answer of a daemon that should lead next: what it knows of the newest configuration.
     fn record_successor(&self, newest: Option<Newest>);
 
+    /// Records that an incarnation of an upstream has said to a daemon that it leaves.
+    fn record_leaving(&self, id: &UpstreamId, born: Incarnation);
+
     /// Records that no connection to an upstream could be opened for an order.
     fn record_unconnected(&self, id: &UpstreamId);
 
@@ -158,6 +161,8 @@
     pub offer: Arc<watch::Sender<Offer>>,
     /// The upstreams to which this daemon cannot open a connection, in order.
     pub lost: Arc<watch::Sender<Vec<UpstreamId>>>,
+    /// The incarnations of upstreams that have said to this daemon that they leave.
+    pub leaving: Arc<watch::Sender<Vec<(UpstreamId, Incarnation)>>>,
     /// Daemons that accept this daemon's requests to upstreams that it does not reach.
     pub helpers: Arc<watch::Sender<Vec<Helper>>>,
     /// The addresses of the daemons that should lead next, which pass configurations on while there is no leader.
@@ -183,6 +188,7 @@
             offer: Arc::default(),
             successors: Arc::default(),
             lost: Arc::default(),
+            leaving: Arc::default(),
             helpers: Arc::default(),
             needs_upstream_list: Arc::default(),
         }
@@ -343,6 +349,7 @@
             address: self.identity.helper_address,
             zone: self.identity.zone.clone(),
             lost: self.shared.lost.borrow().clone(),
+            leaving: self.shared.leaving.borrow().clone(),
         }
     }
 
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -199,6 +199,10 @@
             self.add_reports(driver.shared.load_counts.take());
             let daemons = driver.server.daemons();
             driver.shared.daemons.store(daemons, Ordering::Relaxed);
+            // The daemons that were not told get it with the list of upstreams.
+            for (id, born) in driver.server.leaving() {
+                driver.environment.record_leaving(&id, born);
+            }
             self.should_step_down = self.is_other_better(now);
         }
     }
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -50,16 +50,18 @@
         }
     }
 
-    /// Reports to the leader which upstreams this daemon reaches, at once when that changes, until the future is
+    /// Reports to the leader which upstreams this daemon reaches, and which leave, at once when that changes, until the future is
     /// dropped.
     pub(super) async fn report_reach(&self, leader: &LeaderEntry) {
         let mut lost = self.shared.lost.subscribe();
+        let mut leaving = self.shared.leaving.subscribe();
         let mut client = None;
         loop {
             if client.is_none() {
                 client = Client::connect(leader.address).await;
             }
             let is_lost = !lost.borrow_and_update().is_empty();
+            leaving.borrow_and_update();
             let helpers = match &client {
                 Some(client) => client.report_reach(self.reach_report()).await,
                 None => None,
@@ -78,8 +80,14 @@
                     REFRESH_INTERVAL_MIN
                 }
             };
-            // `self` owns the sender, so the channel stays open.
-            let _ = timeout(interval, lost.changed()).await;
+            // `self` owns the senders, so the channels stay open.
+            let changed = async {
+                tokio::select! {
+                    _ = lost.changed() => {}
+                    _ = leaving.changed() => {}
+                }
+            };
+            let _ = timeout(interval, changed).await;
         }
     }
 
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -22,7 +22,7 @@
     update::Update,
 };
 use copperwell_message::HashMap;
-use copperwell_routing::{limit::Entry, quarantine::Entry as Suspect};
+use copperwell_routing::{Incarnation, UpstreamId, limit::Entry, quarantine::Entry as Suspect};
 use futures::StreamExt;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -259,6 +259,11 @@
         self.state().candidates().into_iter().next()
     }
 
+    /// Returns the incarnations of upstreams that have said to any daemon that they leave.
+    pub(crate) fn leaving(&self) -> Vec<(UpstreamId, Incarnation)> {
+        self.state().reports.leaving()
+    }
+
     /// Reports which upstreams this daemon reaches, which leads; returns daemons that accept its requests.
     pub(crate) fn report_own_reach(&self, report: Helper) -> Vec<Helper> {
         let mut state = self.state();
--- a/crates/assignment/src/reach.rs
+++ b/crates/assignment/src/reach.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::DaemonName;
-use copperwell_message::HashMap;
-use copperwell_routing::{UpstreamId, ZoneName};
+use copperwell_message::{HashMap, HashSet};
+use copperwell_routing::{Incarnation, UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
     pub zone: ZoneName,
     /// The upstreams to which it cannot open a connection, in order.
     pub lost: Vec<UpstreamId>,
+    /// The incarnations of upstreams that have said to it that they leave.
+    pub leaving: Vec<(UpstreamId, Incarnation)>,
 }
 
 /// The latest report of each daemon.
@@ -49,6 +51,14 @@
 }
 
 impl Reports {
+    /// Returns the incarnations of upstreams that have said to any daemon that they leave.
+    pub(crate) fn leaving(&self) -> Vec<(UpstreamId, Incarnation)> {
+        let helpers = self.helpers.values();
+        let leaving = helpers.flat_map(|(_, helper)| helper.leaving.iter().cloned());
+        let leaving: HashSet<_> = leaving.collect();
+        leaving.into_iter().collect()
+    }
+
     pub(crate) fn add(&mut self, helper: Helper) {
         let now = Instant::now();
         self.helpers
@@ -75,6 +85,11 @@
         });
         let mut helpers: Vec<&Helper> = alive.map(|(_, helper)| helper).collect();
         helpers.sort_by_key(|helper| (helper.lost.len(), helper.zone != *zone));
-        helpers.into_iter().take(HELPERS_MAX).cloned().collect()
+        let helpers = helpers.into_iter().take(HELPERS_MAX).cloned();
+        let without_leaving = |helper| Helper {
+            leaving: Vec::new(),
+            ..helper
+        };
+        helpers.map(without_leaving).collect()
     }
 }
--- a/crates/assignment/src/store_state.rs
+++ b/crates/assignment/src/store_state.rs
@@ -136,6 +136,16 @@
         }
     }
 
+    /// Sets the list of upstreams after a change that the store does not show, if a list was read.
+    pub fn update_upstreams(&self, upstreams: impl IntoIterator<Item = Arc<Upstream>>) {
+        let upstreams = upstreams.into_iter();
+        let upstreams = upstreams.map(|one| (one.id.clone(), one)).collect();
+        let is_new = self.with(|state| state.read_at.is_some() && state.replace_list(upstreams));
+        if is_new {
+            self.changes.send_replace(());
+        }
+    }
+
     /// Returns the data that a daemon with the configuration of version `configuration` and the list
     /// `known` lacks; `None` if no list was read yet.
     #[must_use]
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -18,7 +18,7 @@
     register::{Failure, Position, Register, Snapshot, position},
     store_state::{Delta, ListVersion},
 };
-use copperwell_routing::{Key, ServiceName, UpstreamId, registry::Upstream};
+use copperwell_routing::{Incarnation, Key, ServiceName, UpstreamId, registry::Upstream};
 use test_case::test_case;
 use tokio::{task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -124,6 +124,8 @@
 
     fn record_successor(&self, _: Option<Newest>) {}
 
+    fn record_leaving(&self, _: &UpstreamId, _: Incarnation) {}
+
     fn record_unconnected(&self, _: &UpstreamId) {}
 
     fn record_transfer(&self) {}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -306,6 +306,9 @@
         path.end(&result);
         if let Ok(response) = &result {
             self.observe_limit(upstream, &response.reply, sent_at);
+            if self.dialect.is_leaving(&response.reply) {
+                self.view.record_leaving(&upstream.id, upstream.born);
+            }
         }
         let is_unreachable =
             matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -19,6 +19,9 @@
     /// Returns the requests a second that an upstream takes from all daemons together, if a reply names them.
     fn limit_in(&self, reply: &Reply) -> Option<Rate>;
 
+    /// Returns whether a reply says that its upstream leaves.
+    fn is_leaving(&self, reply: &Reply) -> bool;
+
     /// Adds the protocol's header fields to a response that this daemon generates itself.
     fn set_response_headers(
         &self,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -20,7 +20,7 @@
 };
 use copperwell_message::HashMap;
 use copperwell_routing::{
-    ServiceName, UpstreamId, ZoneName,
+    Incarnation, ServiceName, UpstreamId, ZoneName,
     admission::Admission,
     budget::{Allowance, Budget},
     configuration::Configuration,
@@ -201,6 +201,34 @@
         changes
     }
 
+    /// Records that an incarnation of an upstream has said that it leaves.
+    pub fn record_leaving(&self, id: &UpstreamId, born: Incarnation) {
+        // Answers of an upstream that drains already are the usual case.
+        if self
+            .registry()
+            .get(id)
+            .is_some_and(|known| known.is_draining)
+        {
+            return;
+        }
+        let now = Instant::now();
+        let mut registry = self
+            .registry
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let changes = registry.record_leaving(id, born);
+        let leaving = registry.leaving();
+        let is_listed = registry.read_at().is_some();
+        let upstreams: Vec<_> = registry.all().cloned().collect();
+        drop(registry);
+        self.keys.leaving.send_replace(leaving);
+        if is_listed && !changes.draining.is_empty() {
+            self.keys.store_state.update_upstreams(upstreams);
+        }
+        self.apply_changes(&changes, now);
+        watch::log_changes(&changes);
+    }
+
     /// Records that the list of upstreams could not be read.
     pub fn record_list_failure(&self) {
         let mut registry = self
@@ -443,6 +471,10 @@
         };
     }
 
+    fn record_leaving(&self, id: &UpstreamId, born: Incarnation) {
+        Self::record_leaving(self, id, born);
+    }
+
     fn record_unconnected(&self, id: &UpstreamId) {
         self.paths.reach().record_doubt(id);
     }
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -50,8 +50,13 @@
     has_read_failed: bool,
     /// When the last list was received.
     read_at: Option<Instant>,
+    /// The incarnations that have said that they leave, whatever their registrations say.
+    leaving: HashMap<UpstreamId, Incarnation>,
 }
 
+/// The most incarnations that are remembered as leaving.
+const LEAVING_MAX: usize = 4_096;
+
 /// The changes between two lists of upstreams.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Changes {
@@ -138,6 +143,36 @@
         changes
     }
 
+    /// Records that an incarnation of an upstream has said that it leaves, and takes it for draining from now on.
+    pub fn record_leaving(&mut self, id: &UpstreamId, born: Incarnation) -> Changes {
+        let mut changes = Changes::default();
+        let known = self.leaving.get(id);
+        if known.is_some_and(|known| *known >= born) {
+            return changes;
+        }
+        if self.leaving.len() >= LEAVING_MAX {
+            let upstreams = &self.upstreams;
+            self.leaving.retain(|id, _| upstreams.contains_key(id));
+        }
+        self.leaving.insert(id.clone(), born);
+        if let Some(upstream) = self.upstreams.get(id).filter(|known| known.born == born) {
+            self.update_one((**upstream).clone(), &mut changes);
+            self.rebuild_index();
+        }
+        changes
+    }
+
+    /// Returns the registered upstreams that have said that they leave.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<(UpstreamId, Incarnation)> {
+        let leaving = self.leaving.iter();
+        let registered = leaving.filter(|(id, born)| {
+            let upstream = self.upstreams.get(*id);
+            upstream.is_some_and(|upstream| upstream.born == **born)
+        });
+        registered.map(|(id, born)| (id.clone(), *born)).collect()
+    }
+
     /// Iterates over all upstreams in arbitrary order.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.upstreams.values()
@@ -167,7 +202,8 @@
         self.upstreams.is_empty()
     }
 
-    fn update_one(&mut self, upstream: Upstream, changes: &mut Changes) {
+    fn update_one(&mut self, mut upstream: Upstream, changes: &mut Changes) {
+        upstream.is_draining |= self.leaving.get(&upstream.id) == Some(&upstream.born);
         let known = self.upstreams.get(&upstream.id);
         if known.is_some_and(|known| **known == upstream) {
             return;
