Send nothing to an upstream for the time for which it wants nothing

Cause: the time was passed on to callers, but not heeded here; upstreams that shed were only the last choice, for 150 ms.

Each daemon now keeps until when an upstream wants nothing, 5 minutes at most, and chooses others. If only such are left, or the holder of the key is one, a request waits until the first takes requests again, if that is before its deadline, else it is refused at once with that time. The next incarnation takes requests at once.

--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -100,7 +100,7 @@
             "The connection to the owner ended before the answer was whole."
         }
         Reason::Quarantined => "The request crashed servers that ran it; do not send it as it is.",
-        Reason::UpstreamLimit => {
+        Reason::UpstreamLimit | Reason::UpstreamClosed => {
             "The servers take no more requests for now; send the request again later."
         }
         Reason::Stopping => "The daemon is stopping; send the request again.",
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -306,6 +306,9 @@
         path.end(&result);
         if let Ok(response) = &result {
             self.observe_limit(upstream, &response.reply, sent_at);
+            if let Some(time) = self.dialect.closed_for(&response.reply) {
+                self.record_closed(upstream, time);
+            }
             if self.dialect.is_leaving(&response.reply) {
                 self.view.record_leaving(&upstream.id, upstream.born);
             }
@@ -338,6 +341,14 @@
         }
     }
 
+    /// Records that an upstream wants no requests for `time`.
+    fn record_closed(&self, upstream: &Upstream, time: Duration) {
+        self.metrics.closed_upstreams.inc();
+        self.request_log.closed(self.context, upstream, time);
+        let mut loads = self.view.loads();
+        loads.record_closed(&upstream.id, time, Instant::now());
+    }
+
     /// Records whether a reply names a limit of the upstream. A refusal without one says nothing.
     fn observe_limit(&self, upstream: &Upstream, reply: &Reply, sent_at: Instant) {
         let rate = self.dialect.limit_in(reply);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -19,6 +19,9 @@
     /// Returns the requests a second that an upstream takes from all daemons together, if a reply names them.
     fn limit_in(&self, reply: &Reply) -> Option<Rate>;
 
+    /// Returns for how long an upstream that turns a request away wants no others of this daemon, if a reply says so.
+    fn closed_for(&self, reply: &Reply) -> Option<Duration>;
+
     /// Returns whether a reply says that its upstream leaves.
     fn is_leaving(&self, reply: &Reply) -> bool;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     /// Callers that sent a request head too slowly.
     pub(crate) slow_heads: Counter,
     pub(crate) cancelled: Counter,
+    /// Times that an upstream wanted no requests for a time.
+    pub(crate) closed_upstreams: Counter,
     pub(crate) suppressed_lines: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
     configuration: Gauge,
@@ -129,6 +131,11 @@
             "Callers that left before their answer",
             all.cancelled,
         );
+        registry.register(
+            "closed_upstreams",
+            "Times that an upstream asked for no requests for a time",
+            all.closed_upstreams,
+        );
         registry.register(
             "log_thinned",
             "Lines about failures that were left out, to bound the log",
@@ -257,6 +264,7 @@
             responses: Family::default(),
             slow_heads: Counter::default(),
             cancelled: Counter::default(),
+            closed_upstreams: Counter::default(),
             suppressed_lines: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
             configuration: Gauge::default(),
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -143,6 +143,20 @@
         });
     }
 
+    /// Logs that an upstream wants no requests for `time`.
+    pub(crate) fn closed(&self, context: RequestContext<'_>, upstream: &Upstream, time: Duration) {
+        if !self.failures.allows_line() {
+            return;
+        }
+        info!("an upstream wants no requests for a time", kv: {
+            event = "upstream-closed",
+            request = context.id(),
+            server = &*upstream.id,
+            born = upstream.born,
+            for_ms = millis(time)
+        });
+    }
+
     /// Logs that another daemon did not get an answer to a request.
     pub(crate) fn relay_failed(
         &self,
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -199,7 +199,14 @@
         let mut random = rand::rng();
         let loads = self.view.loads();
         let chosen = loads.choose(upstreams, zone, &avoided, now, &mut random);
-        chosen.cloned().ok_or(Refusal::not_run(Reason::QueueFull))
+        chosen.cloned().ok_or_else(|| {
+            let usable = upstreams.iter().filter(|one| !one.is_draining);
+            let closed: Option<Vec<_>> = usable.map(|one| loads.closed_for(&one.id, now)).collect();
+            match closed.and_then(|closed| closed.into_iter().min()) {
+                Some(wait) => closed_refusal(wait),
+                None => Refusal::not_run(Reason::QueueFull),
+            }
+        })
     }
 
     /// Reserves a request to an upstream and waits until it is due by the upstream's limit.
@@ -279,6 +286,9 @@
                 }
                 continue;
             };
+            if self.wait_until_open(&upstream.id, requirements).await? {
+                continue;
+            }
             let is_blocked = is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id);
             if !is_blocked && self.view.loads().has_capacity(&upstream) {
                 if reserved.as_ref() == Some(&upstream.id) {
@@ -303,6 +313,25 @@
         }
     }
 
+    /// Waits until a holder takes requests again, if it wants none and that ends before the deadline.
+    ///
+    /// Returns whether it has waited.
+    async fn wait_until_open(
+        &self,
+        holder: &UpstreamId,
+        requirements: &Requirements,
+    ) -> Result<bool, Refusal> {
+        let now = Instant::now();
+        let Some(wait) = self.view.loads().closed_for(holder, now) else {
+            return Ok(false);
+        };
+        if now + wait >= requirements.deadline {
+            return Err(closed_refusal(wait));
+        }
+        sleep(wait).await;
+        Ok(true)
+    }
+
     /// Returns a holder unless it has been draining for too long.
     fn eligible_holder(&self, id: &UpstreamId) -> Option<Arc<Upstream>> {
         let registry = self.view.registry();
@@ -314,5 +343,15 @@
     }
 }
 
+/// Returns the refusal of a request whose upstreams want none for `wait`.
+fn closed_refusal(wait: Duration) -> Refusal {
+    // Spreads the callers that are told the same time.
+    let spread = rand::rng().random_range(1.0..1.5);
+    Refusal {
+        retry_after: Some(wait.mul_f64(spread)),
+        ..Refusal::not_run(Reason::UpstreamClosed)
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -2,7 +2,10 @@
 
 use super::{Requirements, Selected, Selector};
 use crate::{queue::Queues, refusal::Refusal, relay::Relay, view::View};
-use copperwell_assignment::table::{Table, Tables, Version};
+use copperwell_assignment::{
+    reach::Helper,
+    table::{Table, Tables, Version},
+};
 use copperwell_message::Reason;
 use copperwell_routing::{
     UpstreamId,
@@ -10,6 +13,7 @@
     quarantine::{CrashedRun, Fingerprint},
     registry::Upstream,
 };
+use test_case::test_case;
 use tokio::time::{Instant, advance};
 
 const CULPRIT: Fingerprint = 7;
@@ -149,3 +153,63 @@
         assert_eq!(reason(selected), Ok("b".to_owned()));
     }
 }
+
+#[test_case(Some(KEY), 10, Ok("a"); "with a key, until soon")]
+#[test_case(Some(KEY), 60, Err(Reason::UpstreamClosed); "with a key, past the deadline")]
+#[test_case(None, 60, Ok("b"); "without a key")]
+#[tokio::test(start_paused = true)]
+async fn request_goes_to_an_upstream_that_wants_none(
+    key: Option<u16>,
+    closed_s: u64,
+    expected: Result<&str, Reason>,
+) {
+    let selector = selector();
+    publish_holder(&selector, "a");
+    let now = Instant::now();
+    let time = Duration::from_secs(closed_s);
+    selector.view.loads().record_closed(&"a".into(), time, now);
+    let requirements = requirements(OTHER, key);
+    let selected = selector.select(&requirements, &[], None, None).await;
+    assert_eq!(reason(selected), expected.map(str::to_owned));
+    let waits = expected == Ok("a");
+    assert_eq!(now.elapsed() >= time, waits);
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_is_sent_where_no_connection_can_be_opened() {
+    let selector = selector();
+    publish_holder(&selector, "a");
+    selector.view.paths.record_connect(&"a".into(), false);
+    let free = requirements(OTHER, None);
+    let selected = selector.select(&free, &[], None, Some(&[])).await;
+    assert_eq!(reason(selected), Ok("b".to_owned()));
+    let address = ([127, 0, 0, 1], 7).into();
+    let helper = |lost: &[&str]| Helper {
+        name: "other".into(),
+        address,
+        zone: "here".into(),
+        lost: lost.iter().map(|id| (*id).into()).collect(),
+        leaving: Vec::new(),
+    };
+    let keyed = requirements(OTHER, Some(KEY));
+    // Nobody else reaches the holder, so it may have ended.
+    selector
+        .view
+        .keys
+        .helpers
+        .send_replace(vec![helper(&["a"])]);
+    let selected = selector.select(&keyed, &[], None, Some(&[])).await;
+    assert_eq!(reason(selected), Ok("a".to_owned()));
+    selector
+        .view
+        .keys
+        .helpers
+        .send_replace(vec![helper(&["b"])]);
+    let selected = selector.select(&keyed, &[], None, Some(&[])).await;
+    assert_eq!(reason(selected), Ok(address.to_string()));
+    // A daemon is tried once, and a relayed request is not relayed once more.
+    for relays in [Some(&[address][..]), None] {
+        let selected = selector.select(&keyed, &[], None, relays).await;
+        assert_eq!(reason(selected), Ok("a".to_owned()));
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -408,6 +408,9 @@
     fn apply_changes(&self, changes: &Changes, now: Instant) {
         let registry = self.registry();
         self.loads().retain(|id| registry.get(id).is_some());
+        for upstream in &changes.joined {
+            self.loads().reopen(&upstream.id);
+        }
         self.paths.retain(|id| registry.get(id).is_some());
         drop(registry);
         self.crash_tracker.record_changes(changes);
--- a/crates/message/src/verdict.rs
+++ b/crates/message/src/verdict.rs
@@ -140,4 +140,6 @@
     UpstreamLimit = "upstream-limit", 503;
     /// A hop violated the protocol.
     Protocol = "protocol", 502;
+    /// The upstream has asked for no requests for a time.
+    UpstreamClosed = "upstream-closed", 503;
 }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -84,14 +84,19 @@
     /// The exponential moving average of failures, from 0 to 1.
     failure_rate: f64,
     paused_until: Option<Instant>,
+    /// Until when the upstream wants no requests of this daemon.
+    closed_until: Option<Instant>,
     updated_at: Instant,
 }
 
+/// The longest time for which an upstream gets no requests because it has asked for none.
+const CLOSED_MAX: Duration = Duration::from_secs(300);
+
 impl Loads {
     /// Returns the upstream with the lowest cost, to which `random` adds jitter.
     ///
     /// Upstreams in `avoid`, where earlier attempts failed, and paused ones are chosen only if no other is
-    /// left. Returns `None` if every upstream is draining or has no capacity for this daemon.
+    /// left. Returns `None` if every upstream is draining, wants no requests, or has no capacity for this daemon.
     pub fn choose<'a>(
         &self,
         upstreams: &'a [Arc<Upstream>],
@@ -103,7 +108,8 @@
         let mean_s = self.mean_latency(upstreams);
         let mut best: Option<(bool, f64, &Arc<Upstream>)> = None;
         for upstream in upstreams {
-            if upstream.is_draining || !self.has_capacity(upstream) {
+            let is_closed = self.closed_for(&upstream.id, now).is_some();
+            if upstream.is_draining || is_closed || !self.has_capacity(upstream) {
                 continue;
             }
             let load = self.loads.get(&upstream.id);
@@ -134,6 +140,30 @@
         self.loads.get(id).map_or(0, |load| load.in_flight)
     }
 
+    /// Records that an upstream wants no requests of this daemon for `time`.
+    pub fn record_closed(&mut self, id: &UpstreamId, time: Duration, now: Instant) {
+        let load = self
+            .loads
+            .entry(id.clone())
+            .or_insert_with(|| Load::new(now));
+        let until = now + time.min(CLOSED_MAX);
+        load.closed_until = load.closed_until.max(Some(until));
+    }
+
+    /// Returns for how long an upstream wants no requests of this daemon; `None` if it takes some.
+    #[must_use]
+    pub fn closed_for(&self, id: &str, now: Instant) -> Option<Duration> {
+        let until = self.loads.get(id)?.closed_until?;
+        (now < until).then(|| until.saturating_duration_since(now))
+    }
+
+    /// Forgets what earlier incarnations of an upstream have asked for.
+    pub fn reopen(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.closed_until = None;
+        }
+    }
+
     /// Records the start of a request.
     pub fn record_start(&mut self, id: &UpstreamId, now: Instant) {
         let load = self
@@ -198,6 +228,7 @@
             samples: 0.0,
             failure_rate: 0.0,
             paused_until: None,
+            closed_until: None,
             updated_at: now,
         }
     }
