--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -2,48 +2,43 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use crate::{
     DaemonName,
     clock::Clock,
-    demand::{Counts, Report},
+    demand::Report,
     election,
     exchange::{Client, Newest, Server, Standing},
     lease::{self, LeaderEntry, Observer},
-    limits::SharedLimits,
     machine,
     metrics::Metrics,
     order::Sender,
     plan::Plan,
-    quarantine::SharedQuarantine,
     reach::{self, Helper},
     register::{Failure, Register, Snapshot, generation},
-    store_state::{Delta, ListVersion, StoreState},
-    table::{RoutingTables, Table, Tables, Version},
+    store_state::{Delta, ListVersion},
+    table::{Table, Tables, Version},
 };
 use copperwell_message::HashMap;
 use copperwell_policy::backoff::Backoff;
 use copperwell_routing::{Incarnation, ServiceName, UpstreamId, ZoneName, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
-use tokio::{
-    sync::{mpsc, watch},
-    time::sleep,
-};
+use tokio::{sync::mpsc, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 use following::FollowOutcome;
 use leading::Leadership;
 
+pub use shared::{Offer, Shared};
+
 mod fetch;
 mod following;
 mod leading;
+mod shared;
 mod succession;
 
 /// The store entry that names the leader.
@@ -130,82 +125,6 @@
     pub grants: machine::Timing,
 }
 
-/// A configuration that other daemons have.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Offer {
-    /// Its version.
-    pub version: u64,
-    /// The daemons that have it, the leader last.
-    pub holders: Vec<SocketAddr>,
-}
-
-/// State that the driver shares with the rest of the daemon.
-#[derive(Debug, Clone)]
-pub struct Shared {
-    /// The tables by which requests are routed.
-    pub routing_tables: Arc<RoutingTables>,
-    /// The load and the latencies that this daemon counts.
-    pub load_counts: Arc<Counts>,
-    /// The number of daemons; 0 if it is unknown.
-    pub daemons: Arc<AtomicU32>,
-    /// This daemon's data from the store, for other daemons.
-    pub store_state: Arc<StoreState>,
-    /// The quarantine of requests that crash upstreams.
-    pub quarantine: Arc<SharedQuarantine>,
-    /// The limits that upstreams name.
-    pub limits: Arc<SharedLimits>,
-    /// Whether this daemon has looked for a leader, or need not wait for that since it was
-    /// restarted. From then on it follows one, or must read the store itself.
-    pub has_looked_for_leader: Arc<watch::Sender<bool>>,
-    /// The last offer of a configuration that this daemon lacks.
-    pub offer: Arc<watch::Sender<Offer>>,
-    /// The upstreams to which this daemon cannot open a connection, in order.
-    pub lost: Arc<watch::Sender<Vec<UpstreamId>>>,
-    /// The incarnations of upstreams that have said to this daemon that they leave.
-    pub leaving: Arc<watch::Sender<Vec<(UpstreamId, Incarnation)>>>,
-    /// Daemons that accept this daemon's requests to upstreams that it does not reach.
-    pub helpers: Arc<watch::Sender<Vec<Helper>>>,
-    /// The addresses of the daemons that should lead next, which pass configurations on while there is no leader.
-    pub successors: Arc<watch::Sender<Vec<SocketAddr>>>,
-    /// Whether this daemon must read the list of upstreams: it has never read the list itself, and
-    /// cannot lead without it.
-    pub needs_upstream_list: Arc<AtomicBool>,
-}
-
-impl Shared {
-    /// Creates the shared state of a daemon in its run `run`.
-    #[must_use]
-    pub fn new(run: u64) -> Self {
-        let daemons = Arc::<AtomicU32>::default();
-        Self {
-            routing_tables: Arc::default(),
-            load_counts: Arc::default(),
-            limits: Arc::new(SharedLimits::new(daemons.clone())),
-            daemons,
-            store_state: Arc::new(StoreState::new(run)),
-            quarantine: Arc::default(),
-            has_looked_for_leader: Arc::new(watch::Sender::new(false)),
-            offer: Arc::default(),
-            successors: Arc::default(),
-            lost: Arc::default(),
-            leaving: Arc::default(),
-            helpers: Arc::default(),
-            needs_upstream_list: Arc::default(),
-        }
-    }
-
-    /// Waits until this daemon has looked for a leader, has received data from one, or need not wait
-    /// for that since it was restarted.
-    pub async fn wait_for_leader_lookup(&self) {
-        // `self` owns the sender, so the channel stays open.
-        let _ = self
-            .has_looked_for_leader
-            .subscribe()
-            .wait_for(|has_looked| *has_looked)
-            .await;
-    }
-}
-
 /// Follows the leader, or leads.
 #[derive(Debug)]
 pub struct Driver<R, S, K, E> {
--- /dev/null
+++ b/crates/assignment/src/machine/placement.rs
@@ -0,0 +1,143 @@
+//! Which holder each range has: the load of holders, moves between them, and holders of free ranges.
+
+use std::time::Duration;
+
+use super::{
+    Machine, Observation, REBALANCE_INTERVAL,
+    holder::Targets,
+    key_range::{KeyRange, Stage},
+};
+use crate::{
+    balance::{self, Loads, Segment},
+    demand::Demand,
+    table::FULL_SHARE,
+};
+use copperwell_routing::Key;
+
+/// The maximum number of ranges that migrate at the same time to balance the load.
+const MIGRATIONS_MAX: usize = 8;
+
+/// The utilization of a holder's slots above which it admits only a share of the requests for its
+/// keys.
+const FULL_UTILIZATION: f64 = 1.0;
+
+impl Machine {
+    /// Starts to migrate ranges from overloaded holders to others.
+    pub(super) fn rebalance(&mut self, now: Duration, observation: &Observation<'_>) {
+        if now < self.rebalance_at {
+            return;
+        }
+        self.rebalance_at = now + REBALANCE_INTERVAL;
+        self.demand.decay(now);
+        let targets = Targets::new(observation, &self.states, now);
+        let segments = self.segments(&targets);
+        self.loads = Loads::new(self.demand.loads(), self.demand.work_per_request_ms());
+        let totals = balance::totals(&segments, &self.loads, targets.holders.len());
+        self.update_admission(&targets, &totals);
+        let migrating = self
+            .ranges
+            .iter()
+            .filter(|range| range.is_migrating)
+            .count();
+        let may_move = !observation.is_store_unreachable && !observation.is_cut_off();
+        if migrating >= MIGRATIONS_MAX || !may_move {
+            return;
+        }
+        let moves = balance::moves(
+            &segments,
+            &self.loads,
+            &targets.weights,
+            MIGRATIONS_MAX - migrating,
+        );
+        for next in moves {
+            let to = targets.holders[next.to].clone();
+            self.split_out(next.first, next.last);
+            let range = self.ranges.iter_mut().find(|one| one.first == next.first);
+            if let Some(range) = range {
+                range.is_migrating = true;
+                range.target = Some(to);
+            }
+        }
+    }
+
+    /// Sets the share of requests that each holder admits, from its load.
+    fn update_admission(&mut self, targets: &Targets, totals: &[f64]) {
+        for (index, holder) in targets.holders.iter().enumerate() {
+            // A slot does one second of typical work per second.
+            let capacity_ms = targets.weights[index] * 1e3;
+            let utilization = Demand::rate(totals[index]) / capacity_ms;
+            let admits =
+                (FULL_UTILIZATION / utilization.max(FULL_UTILIZATION)) * f64::from(FULL_SHARE);
+            if let Some(state) = self.states.get_mut(&holder.id) {
+                state.admits = admits.ceil() as u8;
+            }
+        }
+    }
+
+    /// Assigns a holder to each free range.
+    pub(super) fn assign_free_ranges(&mut self, now: Duration, observation: &Observation<'_>) {
+        if now < self.unassigned_until || self.ranges.iter().all(|range| range.stage != Stage::Free)
+        {
+            return;
+        }
+        let targets = Targets::new(observation, &self.states, now);
+        if targets.holders.is_empty() {
+            return;
+        }
+        let mut totals =
+            balance::totals(&self.segments(&targets), &self.loads, targets.holders.len());
+        self.edition += 1;
+        for range in &mut self.ranges {
+            if range.stage != Stage::Free {
+                continue;
+            }
+            let preferred = range.target.take().and_then(|to| targets.index_of(&to));
+            let Some(index) = preferred.or_else(|| targets.least_loaded(&totals)) else {
+                continue;
+            };
+            totals[index] += self.loads.sum(range.first, range.last);
+            range.holder = Some(targets.holders[index].clone());
+            self.fence += 1;
+            range.set_fence(self.fence, self.edition);
+        }
+    }
+
+    /// Returns the ranges as input for the balancer, without those whose holder cannot be given
+    /// keys.
+    fn segments(&self, targets: &Targets) -> Vec<Segment> {
+        let segment = |range: &KeyRange| {
+            let holder = range.target.as_ref().or(range.holder.as_ref())?;
+            let is_movable = !range.is_migrating
+                && !range.has_order_in_flight
+                && range.stage == Stage::Granted { is_served: true };
+            Some(Segment {
+                first: range.first,
+                last: range.last,
+                holder: targets.index_of(holder)?,
+                is_movable,
+            })
+        };
+        self.ranges.iter().filter_map(segment).collect()
+    }
+
+    /// Splits ranges so that one consists of exactly these keys.
+    fn split_out(&mut self, first: Key, last: Key) {
+        if let Some(before) = first.checked_sub(1) {
+            self.split_after(before);
+        }
+        self.split_after(last);
+    }
+
+    fn split_after(&mut self, key: Key) {
+        let at = self
+            .ranges
+            .iter()
+            .position(|range| range.first <= key && key < range.last);
+        let Some(at) = at else { return };
+        let mut rest = self.ranges[at].clone();
+        self.ranges[at].last = key;
+        rest.first = key + 1;
+        self.ranges.insert(at + 1, rest);
+        self.edition += 1;
+    }
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,29 +1,21 @@
 //! Sends a request to upstreams, with retries, until it is answered or finally fails.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     crash_tracker::Send,
     dialect::{Dialect, Metadata, Outbound},
     fingerprint::Identity,
     metrics::{Metrics, Stage},
+    pools::{CONNECTIONS_MAX, ConnectionPools},
     refusal::Refusal,
     relay::{self, Outgoing, Terms},
     request_log::{RequestContext, RequestLog},
     selector::{Requirements, Selected, Selector},
     view::View,
 };
-use copperwell_backend::{
-    exchange::{Exchange, Failed},
-    lane::Lane,
-    metrics::Metrics as ConnectionMetrics,
-    pool::Timing,
-};
-use copperwell_message::{Body, HashMap, Reason, Reply, Response, Verdict};
+use copperwell_backend::exchange::{Exchange, Failed};
+use copperwell_message::{Body, Reason, Reply, Response, Verdict};
 use copperwell_routing::{
     ServiceName, UpstreamId,
     configuration::Route,
@@ -34,21 +26,16 @@
 };
 use http::request::Parts;
 use tokio::{
-    sync::oneshot::{self, error::TryRecvError},
+    sync::oneshot,
     time::{Instant, sleep},
 };
 
-/// The timeout for opening a connection to an upstream.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// How long an idle connection is kept open.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// The most connections of this daemon to one upstream, regardless of how many the upstream accepts.
-const CONNECTIONS_MAX: u32 = 32;
+use outcome::{
+    Attempt, BodyEnd, Classified, PathGuard, classify, end_send, end_streamed, outcome_of,
+    result_of,
+};
 
-/// The lowest status by which an upstream reports a failure.
-const FAILURE_STATUS: u16 = 500;
+mod outcome;
 
 /// The share of a route's objective, from the arrival of a request, within which a holder of the request's key
 /// must be selected.
@@ -57,13 +44,6 @@
 /// The most daemons through which one request is tried.
 const RELAYS_MAX: usize = 2;
 
-/// The connection pools of all upstreams.
-#[derive(Debug, Default)]
-pub(crate) struct ConnectionPools {
-    pools: Mutex<HashMap<UpstreamId, Arc<Lane>>>,
-    metrics: ConnectionMetrics,
-}
-
 /// The attempts of one request.
 pub(crate) struct Attempts<'a, D> {
     pub(crate) request_log: &'a RequestLog,
@@ -82,44 +62,6 @@
     pub(crate) terms: Option<Terms>,
 }
 
-/// An attempt that has ended: how it ended, how long it took, and its result.
-struct Attempt {
-    outcome: Outcome,
-    elapsed: Duration,
-    result: Result<Response, Failed>,
-}
-
-impl ConnectionPools {
-    /// Returns the metrics of the connections.
-    pub(crate) fn metrics(&self) -> &ConnectionMetrics {
-        &self.metrics
-    }
-
-    /// Closes the connections to upstreams that are no longer registered.
-    pub(crate) fn retain(&self, is_registered: impl Fn(&str) -> bool) {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        pools.retain(|id, _| is_registered(id));
-    }
-
-    fn pool_of(&self, upstream: &Upstream, connections: u32) -> Arc<Lane> {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let known = pools.get(&upstream.id);
-        if let Some(pool) = known.filter(|pool| pool.address() == upstream.address) {
-            return pool.clone();
-        }
-        let timing = Timing {
-            connect: CONNECT_TIMEOUT,
-            idle: IDLE_TIMEOUT,
-            warm: 0,
-        };
-        let limit = connections.clamp(1, CONNECTIONS_MAX);
-        let pool = Lane::new(upstream.address, limit, timing, self.metrics.clone());
-        let pool = Arc::new(pool);
-        pools.insert(upstream.id.clone(), pool.clone());
-        pool
-    }
-}
-
 impl<D: Dialect> Attempts<'_, D> {
     /// Sends the request, with retries, and returns the response or the final failure.
     ///
@@ -477,48 +419,6 @@
     }
 }
 
-/// Tells what a request shows of the path to its upstream, also if it is dropped.
-struct PathGuard<'a> {
-    view: &'a View,
-    upstream: &'a Upstream,
-    pool: Arc<Lane>,
-    is_answered: bool,
-}
-
-impl<'a> PathGuard<'a> {
-    fn new(view: &'a View, upstream: &'a Upstream, pool: Arc<Lane>) -> Self {
-        view.paths.reach().record_send(&upstream.id, Instant::now());
-        Self {
-            view,
-            upstream,
-            pool,
-            is_answered: false,
-        }
-    }
-
-    fn end(mut self, result: &Result<Response, Failed>) {
-        self.is_answered = result.is_ok();
-        let paths = &self.view.paths;
-        match result {
-            Err(failed) if failed.reason == Reason::ConnectionRefused && !self.pool.is_full() => {
-                paths.record_connect(&self.upstream.id, false);
-            }
-            Err(_) => paths.reach().record_doubt(&self.upstream.id),
-            Ok(_) => {}
-        }
-    }
-}
-
-impl Drop for PathGuard<'_> {
-    fn drop(&mut self) {
-        let (id, now) = (&self.upstream.id, Instant::now());
-        self.view
-            .paths
-            .reach()
-            .record_end(id, self.is_answered, now);
-    }
-}
-
 /// Whether a failed attempt is followed by another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RetryDecision {
@@ -539,103 +439,3 @@
         }
     }
 }
-
-/// An attempt's result by its meaning for the caller.
-enum Classified {
-    /// The response that the caller gets.
-    Answer(Response),
-    /// What the caller gets unless a later attempt succeeds, and the failure.
-    Failure(Result<Response, Refusal>, Failed),
-}
-
-/// Classifies the result of an attempt by its meaning for the caller.
-fn classify(attempt: Attempt) -> Classified {
-    match attempt.result {
-        Ok(response) if attempt.outcome == Outcome::Answered => Classified::Answer(response),
-        Ok(response) => match response.reply.reason {
-            Some(reason) => {
-                let mut refusal = Refusal::not_run(reason);
-                refusal.retry_after = response.reply.retry_after;
-                let verdict = Verdict::NotRun;
-                Classified::Failure(Err(refusal), Failed { verdict, reason })
-            }
-            None => {
-                let reason = Reason::UpstreamFailed;
-                let verdict = Verdict::MayHaveRun;
-                Classified::Failure(Ok(response), Failed { verdict, reason })
-            }
-        },
-        Err(failed) => {
-            let refusal = match failed.verdict {
-                Verdict::NotRun => Refusal::not_run(failed.reason),
-                _ => Refusal::may_have_run(failed.reason),
-            };
-            Classified::Failure(Err(refusal), failed)
-        }
-    }
-}
-
-/// Returns the result of a relayed request, by the response of the daemon that helped.
-fn result_of(response: Response) -> Result<Response, Refusal> {
-    match response.reply.reason {
-        None => Ok(response),
-        Some(reason) => Err(Refusal {
-            verdict: response.reply.verdict,
-            reason,
-            retry_after: response.reply.retry_after,
-        }),
-    }
-}
-
-/// How a streamed response body ends.
-type BodyEnd = oneshot::Receiver<Result<(), Reason>>;
-
-/// Records how a send ended; returns it if its response body is still streamed.
-fn end_send(
-    send: Send,
-    result: &Result<Response, Failed>,
-    mut streamed: BodyEnd,
-) -> Option<(Send, BodyEnd)> {
-    match result {
-        Ok(response) if response.reply.reason.is_some() => send.not_run(),
-        Ok(response) if response.reply.status >= FAILURE_STATUS => send.failed(),
-        Ok(_) => match streamed.try_recv() {
-            Ok(end) => end_streamed(send, end),
-            // The body was read whole.
-            Err(TryRecvError::Closed) => send.answered(),
-            Err(TryRecvError::Empty) => return Some((send, streamed)),
-        },
-        Err(failed) => match (failed.verdict, failed.reason) {
-            (Verdict::MayHaveRun, Reason::ConnectionLost) => send.connection_lost(),
-            (Verdict::MayHaveRun, _) => drop(send),
-            _ => send.not_run(),
-        },
-    }
-    None
-}
-
-/// Records how a send ended whose response body was streamed.
-fn end_streamed(send: Send, end: Result<(), Reason>) {
-    match end {
-        Ok(()) => send.answered(),
-        Err(Reason::ConnectionLost) => send.connection_lost(),
-        Err(_) => drop(send),
-    }
-}
-
-/// Returns how an attempt ended, for load balancing.
-fn outcome_of(result: &Result<Response, Failed>) -> Outcome {
-    match result {
-        Ok(response) => match response.reply.reason {
-            Some(Reason::Fenced) => Outcome::Misdirected,
-            Some(_) => Outcome::Shed,
-            None if response.reply.status >= FAILURE_STATUS => Outcome::Failed,
-            None => Outcome::Answered,
-        },
-        Err(failed) => match failed.reason {
-            Reason::DeadlinePassed | Reason::ConnectionSilent => Outcome::TimedOut,
-            Reason::DeadlineHopeless => Outcome::Cancelled,
-            _ => Outcome::ConnectionFailed,
-        },
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,10 +10,11 @@
 };
 
 use crate::{
-    attempts::{Attempts, ConnectionPools},
+    attempts::Attempts,
     dialect::{Dialect, Metadata},
     fingerprint::{Identity, host_of},
     metrics::{Metrics, Stage},
+    pools::ConnectionPools,
     queue::Queues,
     refusal::Refusal,
     relay::{self, Relay, Terms},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod crash_tracker;
 mod fingerprint;
 mod line_limit;
+mod pools;
 mod queue;
 mod refusal;
 mod relay;
--- /dev/null
+++ b/crates/gateway/src/view/environment.rs
@@ -0,0 +1,137 @@
+//! What the driver of key assignment sees of the view, and tells it.
+
+use std::{
+    sync::{Arc, PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+use super::View;
+use crate::watch;
+use copperwell_assignment::{
+    driver::Environment,
+    exchange::Newest,
+    store_state::{Delta, ListVersion, UpstreamList},
+    transfer,
+};
+use copperwell_routing::{Incarnation, ServiceName, UpstreamId, registry::Upstream};
+use spdlog::warn;
+use tokio::time::Instant;
+
+impl Environment for View {
+    fn keyed_services(&self) -> Option<Vec<ServiceName>> {
+        let configuration = self.configuration()?;
+        let keyed = configuration.services().filter(|service| service.is_keyed);
+        Some(keyed.map(|service| service.name.clone()).collect())
+    }
+
+    fn upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
+        self.registry().of_service(service).to_vec()
+    }
+
+    fn all_upstreams(&self) -> Vec<Arc<Upstream>> {
+        self.registry().all().cloned().collect()
+    }
+
+    fn list_read_at(&self) -> Option<Duration> {
+        match self.list_read_at_us.load(Ordering::Acquire) {
+            0 => None,
+            micros => Some(Duration::from_micros(micros)),
+        }
+    }
+
+    fn versions(&self) -> (u64, ListVersion) {
+        let known = self.configuration.load();
+        let version = known.as_ref().map_or(0, |known| known.version);
+        (version, self.leader_update().list)
+    }
+
+    fn leader_age(&self) -> Option<Duration> {
+        Self::leader_age(self)
+    }
+
+    fn record_successor(&self, newest: Option<Newest>) {
+        let now = Instant::now();
+        let version = self.versions().0;
+        let mut update = self.leader_update();
+        update.successor_answered_at = Some(now);
+        let Some(newest) = newest else { return };
+        let confirmed_at = now.checked_sub(newest.age);
+        update.successor_confirmed_at = update.successor_confirmed_at.max(confirmed_at);
+        update.configuration = update.configuration.max(newest.version);
+        update.behind_since = match version < update.configuration {
+            true => update.behind_since.or(Some(now)),
+            false => None,
+        };
+    }
+
+    fn record_leaving(&self, id: &UpstreamId, born: Incarnation) {
+        Self::record_leaving(self, id, born);
+    }
+
+    fn record_unconnected(&self, id: &UpstreamId) {
+        self.paths.reach().record_doubt(id);
+    }
+
+    fn record_transfer(&self) {
+        let mut update = self.leader_update();
+        update.behind_since = update.behind_since.map(|_| Instant::now());
+    }
+
+    fn apply_difference(&self, encoded: &[u8]) -> bool {
+        let Some(difference) = transfer::decode(encoded) else {
+            warn!("configuration from another daemon is unreadable", kv: { event = "configuration-unreadable", bytes = encoded.len() });
+            return false;
+        };
+        let known = self.configuration();
+        let Some(configuration) = difference.apply(known.as_deref()) else {
+            return false;
+        };
+        self.update_configuration(configuration);
+        true
+    }
+
+    fn apply_update(&self, delta: Delta) {
+        let now = Instant::now();
+        if let Some(encoded) = &delta.difference {
+            self.apply_difference(encoded);
+        }
+        let is_behind = self.versions().0 < delta.configuration;
+        let mut update = self.leader_update();
+        update.received_at = Some(now);
+        update.read_at = now.checked_sub(delta.age);
+        update.configuration = delta.configuration;
+        update.behind_since = match is_behind {
+            true => update.behind_since.or(Some(now)),
+            false => None,
+        };
+        let previous = update.list;
+        // Changes apply only to the leader's list. If this daemon has read a list of its own in the meantime,
+        // they are ignored, and the reset version makes the leader send its whole list next time.
+        let applies = match &delta.upstreams {
+            Some(UpstreamList::Whole(_)) => true,
+            Some(UpstreamList::Changed { from, .. }) => *from == previous,
+            None => delta.list == previous,
+        };
+        update.list = match applies {
+            true => delta.list,
+            false => ListVersion::default(),
+        };
+        drop(update);
+        let Some(list) = delta.upstreams.filter(|_| applies) else {
+            return;
+        };
+        let mut registry = self
+            .registry
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let changes = match list {
+            UpstreamList::Whole(upstreams) => registry.replace(upstreams, now),
+            UpstreamList::Changed { changed, gone, .. } => {
+                registry.apply_changes(changed, gone, now)
+            }
+        };
+        drop(registry);
+        self.apply_changes(&changes, now);
+        watch::log_changes(&changes);
+    }
+}
