Probe silent paths after a second, and keep the lead unless a quarter is lost

A leader that hears of a few crashes first must not hand over to a daemon that has not heard yet, so a quarter of all upstreams must be out of reach. A restarted upstream whose path was lost is probed at once.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -253,7 +253,8 @@
         let lost = self.shared.lost.borrow().len();
         let helpers = self.shared.helpers.borrow();
         let best = helpers.iter().map(|helper| helper.lost.len()).min();
-        let is_worse = best.is_some_and(|best| reach::is_much_worse(lost, best));
+        let all = self.environment.all_upstreams().len();
+        let is_worse = best.is_some_and(|best| reach::is_much_worse(lost, best, all));
         if is_worse {
             REACH_DELAY
         } else {
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -218,9 +218,10 @@
         let Some(candidate) = driver.server.first_candidate() else {
             return false;
         };
-        if !reach::is_much_worse(lost, candidate.lost) {
+        let all = driver.environment.all_upstreams().len();
+        if !reach::is_much_worse(lost, candidate.lost, all) {
             self.is_worse_since = None;
-            return !reach::is_much_worse(candidate.lost, lost)
+            return !reach::is_much_worse(candidate.lost, lost, all)
                 && election::should_step_down(driver.identity.strength, candidate.strength);
         }
         let since = *self.is_worse_since.get_or_insert(now);
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -256,7 +256,7 @@
 
     /// Returns the daemon that has called recently and should lead next, if there is one.
     pub(crate) fn first_candidate(&self) -> Option<Candidate> {
-        self.state().candidates().into_iter().next()
+        self.ranked().into_iter().next()
     }
 
     /// Returns the incarnations of upstreams that have said to any daemon that they leave.
@@ -276,8 +276,12 @@
     /// Returns the daemons that have called recently and should lead next, in order of preference.
     #[must_use]
     pub fn candidates(&self) -> Vec<DaemonName> {
-        let candidates = self.state().candidates();
-        candidates.into_iter().map(|one| one.name).collect()
+        self.ranked().into_iter().map(|one| one.name).collect()
+    }
+
+    fn ranked(&self) -> Vec<Candidate> {
+        let upstreams = self.shared.store_state.upstream_count();
+        self.state().candidates(upstreams)
     }
 
     /// Returns some of the daemons that have a configuration.
@@ -360,8 +364,8 @@
     }
 
     /// Returns the strongest daemons that have called recently, the strongest first, but last those that reach
-    /// far fewer upstreams than others.
-    fn candidates(&mut self) -> Vec<Candidate> {
+    /// far fewer of all `upstreams` than others.
+    fn candidates(&mut self, upstreams: usize) -> Vec<Candidate> {
         self.peers();
         let candidate = |(name, peer): (&DaemonName, &Peer)| Candidate {
             name: name.clone(),
@@ -372,7 +376,7 @@
         let mut ranked: Vec<Candidate> = self.peers.iter().map(candidate).collect();
         let best = ranked.iter().map(|one| one.lost).min().unwrap_or(0);
         ranked.sort_by(|one, other| {
-            let is_worse = |one: &Candidate| is_much_worse(one.lost, best);
+            let is_worse = |one: &Candidate| is_much_worse(one.lost, best, upstreams);
             let by_reach = is_worse(one).cmp(&is_worse(other));
             let by_strength = other.strength.cmp(&one.strength);
             by_reach.then(by_strength).then(one.name.cmp(&other.name))
@@ -465,8 +469,7 @@
     }
 
     async fn successors(self, _: context::Context) -> Vec<SocketAddr> {
-        let candidates = self.state().candidates();
-        candidates.iter().map(|one| one.address).collect()
+        self.ranked().iter().map(|one| one.address).collect()
     }
 
     async fn report_reach(self, _: context::Context, report: Helper) -> Option<Vec<Helper>> {
--- a/crates/assignment/src/reach.rs
+++ b/crates/assignment/src/reach.rs
@@ -43,11 +43,15 @@
     }
 }
 
-/// Returns whether a daemon that does not reach `own` upstreams should leave the lead to one that does not reach
-/// `best`. A few crashed upstreams, of which daemons learn at different times, are no reason.
+/// The least share of all upstreams that a daemon does not reach for which it should not lead. A few crashed
+/// upstreams, of which daemons learn at different times, are no reason.
+const LOST_SHARE: f64 = 0.25;
+
+/// Returns whether a daemon that does not reach `own` of `all` upstreams should leave the lead to one that does not
+/// reach `best`.
 #[must_use]
-pub fn is_much_worse(own: usize, best: usize) -> bool {
-    own >= 2 && own > 2 * best + 1
+pub fn is_much_worse(own: usize, best: usize, all: usize) -> bool {
+    own as f64 >= LOST_SHARE * all as f64 && own > 2 * best + 1
 }
 
 impl Reports {
--- a/crates/assignment/src/store_state.rs
+++ b/crates/assignment/src/store_state.rs
@@ -165,6 +165,12 @@
         })
     }
 
+    /// Returns the number of upstreams in the list.
+    #[must_use]
+    pub fn upstream_count(&self) -> usize {
+        self.with(|state| state.upstreams.len())
+    }
+
     /// Returns a part of the difference from the configuration `known` to `version`, from the byte `start` on;
     /// `None` if this daemon does not have `version`.
     #[must_use]
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -9,8 +9,9 @@
 use copperwell_message::HashMap;
 use tokio::time::Instant;
 
-/// How long requests at an upstream wait without any answer before its path is probed.
-const SILENCE: Duration = Duration::from_millis(400);
+/// How long requests at an upstream wait without any answer before its path is probed: longer than most take, as each
+/// probe opens a connection.
+const SILENCE: Duration = Duration::from_secs(1);
 
 /// The interval at which a silent path, or one that was just lost, is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -187,10 +188,11 @@
         let is_doubted = doubted_since
             .is_some_and(|since| self.probed_at.is_none_or(|probed_at| probed_at < since));
         let interval = match self.lost_since {
+            _ if self.is_in_doubt => PROBE_INTERVAL,
             Some(since) => {
                 (now.saturating_duration_since(since) / 2).clamp(PROBE_INTERVAL, PROBE_INTERVAL_MAX)
             }
-            None if is_silent || self.is_in_doubt => PROBE_INTERVAL,
+            None if is_silent => PROBE_INTERVAL,
             None if is_doubted => PROBE_INTERVAL_MAX,
             None => return false,
         };
