Take a path for lost whose connections break under requests

Cause: paths were judged by whether a connection can be opened and stays open for 0.1 s. Where connections open and are reset later, as a loaded stand-in does and a firewall may, probes called the path open and each request was lost on it.

Two connections that break under requests with no answer in between now make the path lost, for two seconds at least, and one more after that. A new incarnation starts afresh.

--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -50,8 +50,8 @@
         }
     }
 
-    /// Reports to the leader which upstreams this daemon reaches, and which leave, at once when that changes, until the future is
-    /// dropped.
+    /// Reports to the leader which upstreams this daemon reaches, and which leave, at once when that changes, until the
+    /// future is dropped.
     pub(super) async fn report_reach(&self, leader: &LeaderEntry) {
         let mut lost = self.shared.lost.subscribe();
         let mut leaving = self.shared.leaving.subscribe();
--- a/crates/gateway/src/attempts/outcome.rs
+++ b/crates/gateway/src/attempts/outcome.rs
@@ -5,7 +5,7 @@
 use crate::{crash_tracker::Send, refusal::Refusal, view::View};
 use copperwell_backend::{exchange::Failed, lane::Lane};
 use copperwell_message::{Reason, Response, Verdict};
-use copperwell_routing::{load::Outcome, registry::Upstream};
+use copperwell_routing::{load::Outcome, reach::End, registry::Upstream};
 use tokio::{
     sync::oneshot::{self, error::TryRecvError},
     time::Instant,
@@ -26,7 +26,7 @@
     view: &'a View,
     upstream: &'a Upstream,
     pool: Arc<Lane>,
-    is_answered: bool,
+    end: End,
 }
 
 impl<'a> PathGuard<'a> {
@@ -36,30 +36,28 @@
             view,
             upstream,
             pool,
-            is_answered: false,
+            end: End::Other,
         }
     }
 
     pub(super) fn end(mut self, result: &Result<Response, Failed>) {
-        self.is_answered = result.is_ok();
         let paths = &self.view.paths;
         match result {
-            Err(failed) if failed.reason == Reason::ConnectionRefused && !self.pool.is_full() => {
-                paths.record_connect(&self.upstream.id, false);
-            }
-            Err(_) => paths.reach().record_doubt(&self.upstream.id),
-            Ok(_) => {}
+            Ok(_) => self.end = End::Answered,
+            Err(failed) => match failed.reason {
+                Reason::ConnectionRefused if !self.pool.is_full() => {
+                    paths.record_connect(&self.upstream.id, false);
+                }
+                Reason::ConnectionLost => self.end = End::ConnectionLost,
+                _ => paths.reach().record_doubt(&self.upstream.id),
+            },
         }
     }
 }
 
 impl Drop for PathGuard<'_> {
     fn drop(&mut self) {
-        let (id, now) = (&self.upstream.id, Instant::now());
-        self.view
-            .paths
-            .reach()
-            .record_end(id, self.is_answered, now);
+        self.view.paths.record_end(&self.upstream.id, self.end);
     }
 }
 
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -10,7 +10,7 @@
 use copperwell_backend::probe;
 use copperwell_routing::{
     UpstreamId,
-    reach::{Change, Reach},
+    reach::{Change, End, Reach},
     registry::Upstream,
 };
 use prometheus_client::{
@@ -83,12 +83,25 @@
 
     /// Records whether a connection to an upstream could be opened.
     pub(crate) fn record_connect(&self, id: &UpstreamId, is_open: bool) {
-        let mut reach = self.reach();
-        let Some(change) = reach.record_connect(id, is_open, Instant::now()) else {
-            return;
-        };
-        let lost = reach.lost();
-        drop(reach);
+        let change = self.reach().record_connect(id, is_open, Instant::now());
+        self.record_change(id, change);
+    }
+
+    /// Records how a request at an upstream has ended.
+    pub(crate) fn record_end(&self, id: &UpstreamId, end: End) {
+        let change = self.reach().record_end(id, end, Instant::now());
+        self.record_change(id, change);
+    }
+
+    /// Forgets the path to an upstream that has started again.
+    pub(crate) fn restart(&self, id: &UpstreamId) {
+        let change = self.reach().restart(id, Instant::now());
+        self.record_change(id, change);
+    }
+
+    fn record_change(&self, id: &UpstreamId, change: Option<Change>) {
+        let Some(change) = change else { return };
+        let lost = self.reach().lost();
         match change {
             Change::Lost => {
                 self.losses.inc();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -407,9 +407,7 @@
         self.loads().retain(|id| registry.get(id).is_some());
         for upstream in &changes.joined {
             self.loads().reopen(&upstream.id);
-            if self.paths.reach().is_lost(&upstream.id) {
-                self.paths.reach().record_doubt(&upstream.id);
-            }
+            self.paths.restart(&upstream.id);
         }
         self.paths.retain(|id| registry.get(id).is_some());
         drop(registry);
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -1,7 +1,8 @@
 //! Which upstreams this daemon reaches itself.
 //!
-//! A connection that cannot be opened tells that the path to an upstream is lost, or that its process has ended. An
-//! answer proves nothing about new connections, but that those that carry it can be used.
+//! A connection that cannot be opened, or connections that break one after the other, tell that the path to an
+//! upstream is lost, or that its process has ended. An answer proves nothing about new connections, but that those
+//! that carry it can be used.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,6 +14,12 @@
 /// probe opens a connection.
 const SILENCE: Duration = Duration::from_secs(1);
 
+/// The number of connections that break under requests, without any answer in between, from which on a path is lost.
+const LOSSES_MAX: u32 = 2;
+
+/// How long a path stays lost at least that was lost so, whatever probes say: its connections can be opened.
+const LOSS_HOLD: Duration = Duration::from_secs(2);
+
 /// The interval at which a silent path, or one that was just lost, is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -43,13 +50,26 @@
     quiet_since: Option<Instant>,
     /// When an answer last arrived.
     answered_at: Option<Instant>,
-    /// Since when no connection can be opened; `None` if one can.
+    /// Connections that broke under requests since the last answer.
+    losses: u32,
+    /// Since when no connection can be opened or used; `None` if one can.
     lost_since: Option<Instant>,
     probed_at: Option<Instant>,
     /// Whether it is to be probed at once.
     is_in_doubt: bool,
 }
 
+/// How a request at an upstream ended, as far as its path is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The upstream has answered.
+    Answered,
+    /// The connection broke before any answer.
+    ConnectionLost,
+    /// Anything else, such as a caller that left.
+    Other,
+}
+
 /// How a path changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -69,16 +89,27 @@
         path.in_flight += 1;
     }
 
-    /// Records that a request has ended; `is_answered` tells whether the upstream has answered it.
-    pub fn record_end(&mut self, id: &str, is_answered: bool, now: Instant) {
-        let Some(path) = self.paths.get_mut(id) else {
-            return;
-        };
+    /// Records how a request has ended; returns how its path changed.
+    pub fn record_end(&mut self, id: &str, end: End, now: Instant) -> Option<Change> {
+        let path = self.paths.get_mut(id)?;
         path.in_flight = path.in_flight.saturating_sub(1);
-        if is_answered {
-            path.quiet_since = Some(now);
-            path.answered_at = Some(now);
+        match end {
+            End::Answered => {
+                path.quiet_since = Some(now);
+                path.answered_at = Some(now);
+                path.losses = 0;
+            }
+            End::ConnectionLost => {
+                path.losses += 1;
+                path.is_in_doubt = true;
+                if path.losses >= LOSSES_MAX && path.lost_since.is_none() {
+                    path.lost_since = Some(now);
+                    return Some(Change::Lost);
+                }
+            }
+            End::Other => {}
         }
+        None
     }
 
     /// Records whether a connection to an upstream could be opened; returns how its path changed.
@@ -94,20 +125,30 @@
                 path.lost_since = Some(now);
                 Some(Change::Lost)
             }
-            (true, Some(since)) => {
+            (true, Some(since)) if path.losses < LOSSES_MAX || now >= since + LOSS_HOLD => {
                 path.lost_since = None;
+                // One more loss shows that it is still lost.
+                path.losses = path.losses.min(LOSSES_MAX - 1);
                 Some(Change::Back(now.saturating_duration_since(since)))
             }
             _ => None,
         }
     }
 
+    /// Forgets the path to an upstream that has started again; returns how it changed.
+    pub fn restart(&mut self, id: &str, now: Instant) -> Option<Change> {
+        let path = self.paths.get_mut(id)?;
+        path.losses = 0;
+        let since = path.lost_since.take()?;
+        Some(Change::Back(now.saturating_duration_since(since)))
+    }
+
     /// Has the path to an upstream probed at once.
     pub fn record_doubt(&mut self, id: &UpstreamId) {
         self.paths.entry(id.clone()).or_default().is_in_doubt = true;
     }
 
-    /// Returns whether no new connection to an upstream can be opened.
+    /// Returns whether no new connection to an upstream can be opened or used.
     #[must_use]
     pub fn is_lost(&self, id: &str) -> bool {
         let path = self.paths.get(id);
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -4,7 +4,7 @@
 
 use copperwell_routing::{
     UpstreamId,
-    reach::{Change, Reach},
+    reach::{Change, End, Reach},
     registry::Upstream,
 };
 use test_case::test_case;
@@ -32,7 +32,7 @@
     let mut reach = Reach::default();
     for number in 0..count {
         reach.record_send(&id(number), now);
-        reach.record_end(&id(number), true, now);
+        reach.record_end(&id(number), End::Answered, now);
     }
     (reach, (0..count).map(upstream).collect())
 }
@@ -60,7 +60,7 @@
     reach.record_connect(&id(0), false, start + Duration::from_millis(1));
     assert!(reach.is_unusable(&id(0)));
     reach.record_send(&id(0), start + Duration::from_millis(2));
-    reach.record_end(&id(0), true, start + Duration::from_millis(3));
+    reach.record_end(&id(0), End::Answered, start + Duration::from_millis(3));
     assert!(reach.is_lost(&id(0)));
     assert!(!reach.is_unusable(&id(0)));
 }
@@ -116,3 +116,35 @@
     }
     assert_eq!(reach.is_cut_off(10), is_cut_off);
 }
+
+#[test]
+fn connections_that_open_and_break_are_used_without_end() {
+    let start = Instant::now();
+    let (mut reach, _) = used(1, start);
+    let lose = |reach: &mut Reach, at| {
+        reach.record_send(&id(0), at);
+        reach.record_end(&id(0), End::ConnectionLost, at)
+    };
+    assert_eq!(lose(&mut reach, start), None);
+    assert_eq!(lose(&mut reach, start), Some(Change::Lost));
+    // Probes say that connections can be opened.
+    let soon = start + Duration::from_secs(1);
+    assert_eq!(reach.record_connect(&id(0), true, soon), None);
+    assert!(reach.is_unusable(&id(0)));
+    let later = start + Duration::from_secs(2);
+    let back = Change::Back(Duration::from_secs(2));
+    assert_eq!(reach.record_connect(&id(0), true, later), Some(back));
+    assert_eq!(lose(&mut reach, later), Some(Change::Lost));
+    assert!(reach.restart(&id(0), later).is_some());
+    assert!(!reach.is_lost(&id(0)));
+}
+
+#[test]
+fn answer_between_two_losses_shows_that_the_path_is_there() {
+    let start = Instant::now();
+    let (mut reach, _) = used(1, start);
+    for end in [End::ConnectionLost, End::Answered, End::ConnectionLost] {
+        reach.record_send(&id(0), start);
+        assert_eq!(reach.record_end(&id(0), end, start), None);
+    }
+}
