Count orders that break as losses of the path

Cause: the leader had no callers' requests, and its orders, on connections that opened and were reset later, told nothing about paths. So it kept the lead, and took its servers for unresponsive.

An order whose connection breaks now counts as a request does.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -86,6 +86,9 @@
     /// Records that an incarnation of an upstream has said to a daemon that it leaves.
     fn record_leaving(&self, id: &UpstreamId, born: Incarnation);
 
+    /// Records that a connection to an upstream broke under an order.
+    fn record_broken(&self, id: &UpstreamId);
+
     /// Records that no connection to an upstream could be opened for an order.
     fn record_unconnected(&self, id: &UpstreamId);
 
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -293,8 +293,11 @@
     fn apply_outcome(&mut self, service: &ServiceName, order: &Order, outcome: Outcome) -> bool {
         let now = self.driver.clock.now();
         log_outcome(service, order, &outcome);
-        if matches!(outcome, Outcome::Refused | Outcome::Unsent) {
-            self.driver.environment.record_unconnected(&order.holder.id);
+        let (environment, id) = (&self.driver.environment, &order.holder.id);
+        match outcome {
+            Outcome::Refused | Outcome::Unsent => environment.record_unconnected(id),
+            Outcome::Broken => environment.record_broken(id),
+            _ => {}
         }
         let Some(machine) = self.machine(service) else {
             return false;
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -126,6 +126,8 @@
 
     fn record_leaving(&self, _: &UpstreamId, _: Incarnation) {}
 
+    fn record_broken(&self, _: &UpstreamId) {}
+
     fn record_unconnected(&self, _: &UpstreamId) {}
 
     fn record_transfer(&self) {}
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -93,6 +93,12 @@
         self.record_change(id, change);
     }
 
+    /// Records that a connection to an upstream broke under an order.
+    pub(crate) fn record_loss(&self, id: &UpstreamId) {
+        let change = self.reach().record_loss(id, Instant::now());
+        self.record_change(id, change);
+    }
+
     /// Forgets the path to an upstream that has started again.
     pub(crate) fn restart(&self, id: &UpstreamId) {
         let change = self.reach().restart(id, Instant::now());
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -68,6 +68,10 @@
         Self::record_leaving(self, id, born);
     }
 
+    fn record_broken(&self, id: &UpstreamId) {
+        self.paths.record_loss(id);
+    }
+
     fn record_unconnected(&self, id: &UpstreamId) {
         self.paths.reach().record_doubt(id);
     }
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -99,19 +99,17 @@
                 path.answered_at = Some(now);
                 path.losses = 0;
             }
-            End::ConnectionLost => {
-                path.losses += 1;
-                path.is_in_doubt = true;
-                if path.losses >= LOSSES_MAX && path.lost_since.is_none() {
-                    path.lost_since = Some(now);
-                    return Some(Change::Lost);
-                }
-            }
+            End::ConnectionLost => return path.record_loss(now),
             End::Other => {}
         }
         None
     }
 
+    /// Records that a connection to an upstream broke under an order; returns how its path changed.
+    pub fn record_loss(&mut self, id: &UpstreamId, now: Instant) -> Option<Change> {
+        self.paths.entry(id.clone()).or_default().record_loss(now)
+    }
+
     /// Records whether a connection to an upstream could be opened; returns how its path changed.
     pub fn record_connect(
         &mut self,
@@ -223,6 +221,16 @@
 }
 
 impl Path {
+    fn record_loss(&mut self, now: Instant) -> Option<Change> {
+        self.losses += 1;
+        self.is_in_doubt = true;
+        let is_lost = self.losses >= LOSSES_MAX && self.lost_since.is_none();
+        is_lost.then(|| {
+            self.lost_since = Some(now);
+            Change::Lost
+        })
+    }
+
     fn is_probe_due(&self, doubted_since: Option<Instant>, now: Instant) -> bool {
         let is_silent =
             self.in_flight > 0 && self.quiet_since.is_some_and(|since| now >= since + SILENCE);
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -148,3 +148,11 @@
         assert_eq!(reach.record_end(&id(0), end, start), None);
     }
 }
+
+#[test]
+fn path_on_which_orders_break_is_lost() {
+    let now = Instant::now();
+    let mut reach = Reach::default();
+    assert_eq!(reach.record_loss(&id(0), now), None);
+    assert_eq!(reach.record_loss(&id(0), now), Some(Change::Lost));
+}
