--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -182,7 +182,7 @@
         lost >= LOST_TO_DOUBT && lost as f64 >= CUT_OFF_SHARE * all as f64
     }
 
-    /// Returns the upstreams whose paths are to be probed now, [`PROBES_MAX`] at most, and counts them as probed.
+    /// Returns the upstreams whose paths are to be probed now, a few at a time, and counts them as probed.
     ///
     /// These are lost and silent paths, and all that were used and not probed since another one was lost, while
     /// several are.
