Test that daemons ask the successors before they read the store, red so far

In one full run of the tests all six daemons read a large configuration whole from the store after the leader was lost (3,284,682 bytes of 547,420 each), where only its three successors should.

From reading: a daemon asks the successors after 0.7 s without news from the leader, and reads the store itself once the leader's list is 1.4 s old. The list may be 0.6 s old already with the last news, and older when the store is slow; then both come due together. The test plays that with the paused clock: cases 2 and 3 fail, case 1 passes. The decision to ask moves to the view, where the other one is; no change of behaviour.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -77,8 +77,8 @@
     /// Applies data that the leader has read from the store.
     fn apply_update(&self, delta: Delta);
 
-    /// Returns how long ago the leader last sent data; `None` if it never did.
-    fn leader_age(&self) -> Option<Duration>;
+    /// Returns whether the leader is silent for so long that its successors are to be asked.
+    fn is_leader_silent(&self) -> bool;
 
     /// Records the answer of a daemon that should lead next: what it knows of the newest configuration.
     fn record_successor(&self, newest: Option<Newest>);
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -19,10 +19,6 @@
 /// The interval while the leader has heard of few daemons.
 const REFRESH_INTERVAL_MIN: Duration = Duration::from_secs(1);
 
-/// How long the leader must be silent before a daemon asks the successors. It is longer than an exchange without
-/// news.
-const LEADER_SILENCE: Duration = Duration::from_millis(700);
-
 /// How often a daemon without a leader asks the successors.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -95,8 +91,7 @@
     pub(super) async fn ask_successors(&self) {
         loop {
             sleep(ASK_INTERVAL).await;
-            let leader_age = self.environment.leader_age();
-            if leader_age.is_none_or(|age| age < LEADER_SILENCE) {
+            if !self.environment.is_leader_silent() {
                 continue;
             }
             let successors = self.shared.successors.borrow().clone();
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -118,8 +118,8 @@
 
     fn apply_update(&self, _: Delta) {}
 
-    fn leader_age(&self) -> Option<Duration> {
-        None
+    fn is_leader_silent(&self) -> bool {
+        false
     }
 
     fn record_successor(&self, _: Option<Newest>) {}
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -17,6 +17,10 @@
 use spdlog::warn;
 use tokio::time::Instant;
 
+/// How long the leader must be silent before a daemon asks the successors. It is longer than an exchange without
+/// news.
+const LEADER_SILENCE: Duration = Duration::from_millis(700);
+
 impl Environment for View {
     fn keyed_services(&self) -> Option<Vec<ServiceName>> {
         let configuration = self.configuration()?;
@@ -45,8 +49,8 @@
         (version, self.leader_update().list)
     }
 
-    fn leader_age(&self) -> Option<Duration> {
-        Self::leader_age(self)
+    fn is_leader_silent(&self) -> bool {
+        self.leader_age().is_some_and(|age| age >= LEADER_SILENCE)
     }
 
     fn record_successor(&self, newest: Option<Newest>) {
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -21,6 +21,7 @@
     registry::Upstream,
     source::{Listing, ReadError, Source},
 };
+use test_case::test_case;
 use tokio::time::sleep;
 
 /// A store that returns a new configuration only after the whole wait, as if the waiting read was not woken.
@@ -311,6 +312,37 @@
     assert!(fixture.source.list_reads.load(Ordering::Relaxed) > 0);
 }
 
+/// While successors answer that they have not read the store yet, a daemon waits for them.
+#[test_case(0; "the list was just read")]
+#[test_case(600; "the list was about to be read again")]
+#[test_case(1_000; "the list was read slowly")]
+#[tokio::test(start_paused = true)]
+async fn daemons_read_the_store_before_successors_can_answer(list_age_ms: u64) {
+    const ASK_INTERVAL: Duration = Duration::from_millis(150);
+    const ANSWER_TIME: Duration = Duration::from_millis(100);
+    let fixture = Fixture::start().await;
+    fixture.receive_updates(1, Duration::from_secs(4)).await;
+    let successor = ([127, 0, 0, 1], 9).into();
+    fixture.view.keys.successors.send_replace(vec![successor]);
+    fixture.view.apply_update(Delta {
+        configuration: 1,
+        difference: None,
+        list: ListVersion { run: 9, number: 1 },
+        age: Duration::from_millis(list_age_ms),
+        upstreams: None,
+    });
+    let reads = fixture.source.configuration_reads.load(Ordering::Relaxed);
+    while !fixture.view.is_leader_silent() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep(ASK_INTERVAL + ANSWER_TIME).await;
+    fixture.view.record_successor(None);
+    assert_eq!(
+        fixture.source.configuration_reads.load(Ordering::Relaxed),
+        reads
+    );
+}
+
 /// Changes of the leader's list must not be applied to a list that was read from the store in the meantime.
 #[tokio::test(start_paused = true)]
 async fn changes_of_another_list_are_not_applied() {
