Ask the successors for a configuration before the store

Daemons that lost their leader could read a large configuration whole from the store, all of them at once, though successors were there to pass it on. Cause: asking and reading were due by two clocks, 0.7 s after the leader's last news and 1.4 s after it read its list; a list that was old already, as with a slow store, brought both together. Class: a fallback that is due by time, not by the outcome of what comes before it.

A daemon now gives the successors the time that they need also until it has asked them once since the leader's last news, a second at most. It asks them also when the leader answers but its list is old. A successor keeps no list of successors, as it reads the store itself.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -77,12 +77,15 @@
     /// Applies data that the leader has read from the store.
     fn apply_update(&self, delta: Delta);
 
-    /// Returns whether the leader is silent for so long that its successors are to be asked.
-    fn is_leader_silent(&self) -> bool;
+    /// Returns whether the leader's news are so late that its successors are to be asked.
+    fn is_leader_late(&self) -> bool;
 
     /// Records the answer of a daemon that should lead next: what it knows of the newest configuration.
     fn record_successor(&self, newest: Option<Newest>);
 
+    /// Records that all successors were asked, and have answered or not in time.
+    fn record_successors_asked(&self);
+
     /// Records that an incarnation of an upstream has said to a daemon that it leaves.
     fn record_leaving(&self, id: &UpstreamId, born: Incarnation);
 
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -40,7 +40,12 @@
                 self.metrics
                     .successors
                     .set(i64::try_from(known).unwrap_or(i64::MAX));
-                self.shared.successors.send_replace(successors);
+                // A successor reads the store itself.
+                let to_ask = match successors.contains(&self.identity.address) {
+                    true => Vec::new(),
+                    false => successors,
+                };
+                self.shared.successors.send_replace(to_ask);
             }
             sleep(interval).await;
         }
@@ -91,19 +96,16 @@
     pub(super) async fn ask_successors(&self) {
         loop {
             sleep(ASK_INTERVAL).await;
-            if !self.environment.is_leader_silent() {
+            if !self.environment.is_leader_late() {
                 continue;
             }
             let successors = self.shared.successors.borrow().clone();
-            // A successor reads the store itself.
-            if successors.contains(&self.identity.address) {
-                continue;
-            }
             // One that is lost must not hold back the answers of the others.
             let asked = successors
                 .into_iter()
                 .map(|address| self.ask_successor(address));
             join_all(asked).await;
+            self.environment.record_successors_asked();
         }
     }
 
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -118,12 +118,14 @@
 
     fn apply_update(&self, _: Delta) {}
 
-    fn is_leader_silent(&self) -> bool {
+    fn is_leader_late(&self) -> bool {
         false
     }
 
     fn record_successor(&self, _: Option<Newest>) {}
 
+    fn record_successors_asked(&self) {}
+
     fn record_leaving(&self, _: &UpstreamId, _: Incarnation) {}
 
     fn record_broken(&self, _: &UpstreamId) {}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -82,7 +82,9 @@
     behind_since: Option<Instant>,
     /// The leader's list that is applied to the registry; the default if the registry has another one.
     list: ListVersion,
-    /// When a daemon that should lead next last answered; `None` if none was asked.
+    /// Whether the daemons that should lead next have been asked since then.
+    were_successors_asked: bool,
+    /// When one of them last answered; `None` if none was asked.
     successor_answered_at: Option<Instant>,
     /// When the store last confirmed the configuration to such a daemon.
     successor_confirmed_at: Option<Instant>,
@@ -367,7 +369,7 @@
     /// its successors is older than `age`, or because they have a newer one and no part of it has arrived for
     /// `patience`.
     ///
-    /// While successors answer, they also have `patience` to read the store.
+    /// Until successors have been asked, and while they answer, they also have `patience` to read the store.
     #[must_use]
     pub fn must_read_configuration(&self, age: Duration, patience: Duration) -> bool {
         let update = self.leader_update();
@@ -375,7 +377,10 @@
             .behind_since
             .is_some_and(|since| since.elapsed() > patience);
         let answered_at = update.successor_answered_at;
-        let age_max = match answered_at.is_some_and(|at| at.elapsed() < SUCCESSOR_TTL) {
+        let is_answered = answered_at.is_some_and(|at| at.elapsed() < SUCCESSOR_TTL);
+        let are_unasked =
+            !update.were_successors_asked && !self.keys.successors.borrow().is_empty();
+        let age_max = match is_answered || are_unasked {
             true => age + patience,
             false => age,
         };
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -21,6 +21,10 @@
 /// news.
 const LEADER_SILENCE: Duration = Duration::from_millis(700);
 
+/// The age of the leader's list from which on a daemon asks the successors, as the leader may have lost the store.
+/// It is longer than an exchange without news and the interval of the leader's reads.
+const LEADER_LIST_AGE: Duration = Duration::from_millis(1_200);
+
 impl Environment for View {
     fn keyed_services(&self) -> Option<Vec<ServiceName>> {
         let configuration = self.configuration()?;
@@ -49,8 +53,10 @@
         (version, self.leader_update().list)
     }
 
-    fn is_leader_silent(&self) -> bool {
-        self.leader_age().is_some_and(|age| age >= LEADER_SILENCE)
+    fn is_leader_late(&self) -> bool {
+        let update = self.leader_update();
+        let is_late = |at: Option<Instant>, limit| at.is_some_and(|at| at.elapsed() >= limit);
+        is_late(update.received_at, LEADER_SILENCE) || is_late(update.read_at, LEADER_LIST_AGE)
     }
 
     fn record_successor(&self, newest: Option<Newest>) {
@@ -68,6 +74,10 @@
         };
     }
 
+    fn record_successors_asked(&self) {
+        self.leader_update().were_successors_asked = true;
+    }
+
     fn record_leaving(&self, id: &UpstreamId, born: Incarnation) {
         Self::record_leaving(self, id, born);
     }
@@ -106,6 +116,7 @@
         let is_behind = self.versions().0 < delta.configuration;
         let mut update = self.leader_update();
         update.received_at = Some(now);
+        update.were_successors_asked = false;
         update.read_at = now.checked_sub(delta.age);
         update.configuration = delta.configuration;
         update.behind_since = match is_behind {
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -332,7 +332,7 @@
         upstreams: None,
     });
     let reads = fixture.source.configuration_reads.load(Ordering::Relaxed);
-    while !fixture.view.is_leader_silent() {
+    while !fixture.view.is_leader_late() {
         sleep(Duration::from_millis(10)).await;
     }
     sleep(ASK_INTERVAL + ANSWER_TIME).await;
@@ -343,6 +343,28 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn successors_are_not_asked_while_the_leader_has_lost_the_store() {
+    let fixture = Fixture::start().await;
+    fixture.receive_updates(1, Duration::from_secs(4)).await;
+    let reads = fixture.source.configuration_reads.load(Ordering::Relaxed);
+    for list_age_ms in [300, 700, 1_100, 1_300] {
+        assert!(!fixture.view.is_leader_late(), "{list_age_ms}");
+        fixture.view.apply_update(Delta {
+            configuration: 1,
+            difference: None,
+            list: ListVersion { run: 9, number: 1 },
+            age: Duration::from_millis(list_age_ms),
+            upstreams: None,
+        });
+    }
+    assert!(fixture.view.is_leader_late());
+    assert_eq!(
+        fixture.source.configuration_reads.load(Ordering::Relaxed),
+        reads
+    );
+}
+
 /// Changes of the leader's list must not be applied to a list that was read from the store in the meantime.
 #[tokio::test(start_paused = true)]
 async fn changes_of_another_list_are_not_applied() {
