--- a/crates/copperwelld/tests/cut/cut.rs
+++ b/crates/copperwelld/tests/cut/cut.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Harness},
-    standin::caller::leads,
+    standin::{caller::leads, cut::How},
 };
 use http::StatusCode;
 use test_case::test_case;
@@ -12,6 +12,9 @@
 
 const DAEMONS: usize = 4;
 
+/// The data centres of the daemons; the servers are in the first one.
+const ZONES: [&str; DAEMONS] = ["here", "here", "there", "there"];
+
 /// The requests that are sent to each daemon and service while the cut lasts.
 const REQUESTS: usize = 60;
 
@@ -28,6 +31,8 @@
     Leader,
     /// All but one that follows.
     Most,
+    /// All of a data centre.
+    Zone,
 }
 
 fn cut_off(who: Who, harness: &Harness) -> Vec<usize> {
@@ -40,6 +45,7 @@
             let spared = all.clone().find(|daemon| !is_leader(daemon));
             all.filter(|daemon| Some(*daemon) != spared).collect()
         }
+        Who::Zone => all.filter(|daemon| ZONES[*daemon] == "there").collect(),
     }
 }
 
@@ -48,37 +54,51 @@
     response.is_some_and(|(status, _)| status == StatusCode::OK)
 }
 
-/// Waits until a daemon serves requests of both services.
-async fn wait_served(harness: &Harness, daemon: usize) {
+/// Waits until a daemon serves requests of both services; `when` makes their ids unique.
+async fn wait_served(harness: &Harness, daemon: usize, when: &str) {
     for path in ["/cups/1", "/pay/1"] {
         let deadline = Instant::now() + CONDITION_TIMEOUT / 3;
+        let id = |number| format!("{when}{daemon}{path}{number}");
         let mut number = 0;
-        while !is_served(
-            harness,
-            daemon,
-            path,
-            &format!("w{daemon}{path}{number}"),
-            7,
-        )
-        .await
-        {
+        while !is_served(harness, daemon, path, &id(number), 7).await {
             number += 1;
             assert!(
                 Instant::now() < deadline,
-                "daemon {daemon}: {path} is not served"
+                "daemon {daemon}: {path} is not served {when}"
             );
             sleep(Duration::from_millis(50)).await;
         }
     }
 }
 
-#[test_case(Who::Follower, false; "one daemon")]
-#[test_case(Who::Leader, false; "the leader")]
-#[test_case(Who::Most, false; "most daemons with the leader")]
-#[test_case(Who::Follower, true; "one daemon whose open connections go on")]
+/// Waits until all daemons use their own connections to the servers again.
+async fn wait_direct(harness: &Harness) {
+    for daemon in &harness.daemons {
+        let deadline = Instant::now() + CONDITION_TIMEOUT;
+        let is_direct = |text: String| text.contains("copperwell_gateway_lost_paths 0\n");
+        while !daemon.metrics(&harness.client).await.is_some_and(is_direct) {
+            assert!(
+                Instant::now() < deadline,
+                "{} still takes paths for lost",
+                daemon.name()
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+#[test_case(Who::Follower, How::Reset; "one daemon")]
+#[test_case(Who::Leader, How::Reset; "the leader")]
+#[test_case(Who::Most, How::Reset; "most daemons with the leader")]
+#[test_case(Who::Zone, How::Reset; "a data centre")]
+#[test_case(Who::Follower, How::ResetNew; "one daemon whose open connections go on")]
+#[test_case(Who::Follower, How::Silent; "one daemon whose connections hang")]
+#[test_case(Who::Leader, How::Silent; "the leader whose connections hang")]
+#[test_case(Who::Most, How::Silent; "most daemons with the leader whose connections hang")]
+#[test_case(Who::Zone, How::Silent; "a data centre whose connections hang")]
 #[tokio::test(flavor = "multi_thread")]
-async fn daemon_that_reaches_no_server_serves_nobody(who: Who, spares_open: bool) {
-    let harness = Harness::start(DAEMONS).await;
+async fn daemon_that_reaches_no_server_serves_nobody(who: Who, how: How) {
+    let harness = Harness::start_in(&ZONES).await;
     harness.wait_served().await;
     let cut_off = cut_off(who, &harness);
     let ids = cut_off
@@ -86,11 +106,11 @@
         .map(|daemon| harness.daemons[*daemon].child.id());
     let ids: Vec<u32> = ids.collect();
     for server in &harness.servers {
-        server.cut.set(&ids, spares_open);
+        server.cut.set(&ids, how);
     }
     let counted_from = Instant::now() + STABLE_WINDOW;
     for daemon in 0..DAEMONS {
-        wait_served(&harness, daemon).await;
+        wait_served(&harness, daemon, "while cut off").await;
     }
     sleep_until(counted_from).await;
     for path in ["/cups/1", "/pay/1"] {
@@ -113,6 +133,13 @@
         }
         assert!(best > REQUESTS / 2, "{path}: {served:?}");
     }
+    for server in &harness.servers {
+        server.cut.set(&[], How::Reset);
+    }
+    wait_direct(&harness).await;
+    for daemon in 0..DAEMONS {
+        wait_served(&harness, daemon, "afterwards").await;
+    }
     let pay = harness.servers.last().unwrap().runs();
     let once: HashSet<_> = pay.iter().collect();
     assert_eq!(once.len(), pay.len(), "a request ran twice");
--- a/crates/copperwelld/tests/gateway/harness.rs
+++ b/crates/copperwelld/tests/gateway/harness.rs
@@ -163,6 +163,11 @@
 
 impl Harness {
     pub(crate) async fn start(daemons: usize) -> Self {
+        Self::start_in(&vec!["here"; daemons]).await
+    }
+
+    /// Starts a daemon in each of these data centres.
+    pub(crate) async fn start_in(zones: &[&str]) -> Self {
         let store = Store::start().await;
         configure(&store, 2, &["cups", "pay"]);
         let mut servers = Vec::new();
@@ -172,8 +177,9 @@
         }
         servers.push(Server::start("p0", "pay", false, store.writer()).await);
         let mut started = Vec::new();
-        for _ in 0..daemons {
-            started.push(Daemon::start(&store, Stdio::null()));
+        for zone in zones {
+            let in_zone = |settings: String| settings.replace("zone=here", &format!("zone={zone}"));
+            started.push(Daemon::start_with(&store, Stdio::null(), in_zone));
         }
         Self {
             store,
