Take paths for lost that are silent, where health checks are too

Cause: a path counted as usable as long as a connection could be opened. Class: evidence of a lower layer is taken for the service of a higher one.

A path is now lost also if requests or orders there have waited for a second without any answer, at half of the upstreams that owe one, and a health check on a new connection is not answered within 0.8 s. It is back with any answer. Lost paths count as before: requests go through other daemons, the leader is told, and a leader that reaches few servers gives the lead away. The health path is read from the configuration; between daemons it stands at the end of a difference, which earlier releases skip.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -27,7 +27,10 @@
 use copperwell_routing::{Incarnation, ServiceName, UpstreamId, ZoneName, registry::Upstream};
 use rand::RngExt;
 use spdlog::{info, warn};
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep},
+};
 use tokio_util::sync::CancellationToken;
 
 use following::FollowOutcome;
@@ -92,6 +95,12 @@
     /// Records that a connection to an upstream broke under an order.
     fn record_broken(&self, id: &UpstreamId);
 
+    /// Records that an order has waited for an answer in vain since `sent_at`.
+    fn record_unanswered(&self, id: &UpstreamId, sent_at: Instant);
+
+    /// Records that an upstream has answered an order.
+    fn record_order_answer(&self, id: &UpstreamId);
+
     /// Records that no connection to an upstream could be opened for an order.
     fn record_unconnected(&self, id: &UpstreamId);
 
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -22,7 +22,7 @@
 use spdlog::info;
 use tokio::{
     sync::mpsc,
-    time::{MissedTickBehavior, interval},
+    time::{Instant, MissedTickBehavior, interval},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -293,12 +293,6 @@
     fn apply_outcome(&mut self, service: &ServiceName, order: &Order, outcome: Outcome) -> bool {
         let now = self.driver.clock.now();
         log_outcome(service, order, &outcome);
-        let (environment, id) = (&self.driver.environment, &order.holder.id);
-        match outcome {
-            Outcome::Refused | Outcome::Unsent => environment.record_unconnected(id),
-            Outcome::Broken => environment.record_broken(id),
-            _ => {}
-        }
         let Some(machine) = self.machine(service) else {
             return false;
         };
@@ -364,7 +358,19 @@
     order: Order,
 ) -> (ServiceName, Order, Outcome) {
     let timeouts = driver.timing.grants.timeouts(&order.action);
+    let sent_at = Instant::now();
     let outcome = driver.sender.send(&order, timeouts).await;
+    let (environment, id) = (&driver.environment, &order.holder.id);
+    match outcome {
+        Outcome::Done { .. } | Outcome::Fenced | Outcome::Misdirected => {
+            environment.record_order_answer(id);
+        }
+        Outcome::Refused | Outcome::Unsent => environment.record_unconnected(id),
+        Outcome::Unknown | Outcome::UnreadOnNewConnection => {
+            environment.record_unanswered(id, sent_at);
+        }
+        Outcome::Broken => environment.record_broken(id),
+    }
     driver
         .metrics
         .count_order(action_name(&order), order_outcome_name(&outcome));
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -20,7 +20,10 @@
 };
 use copperwell_routing::{Incarnation, Key, ServiceName, UpstreamId, registry::Upstream};
 use test_case::test_case;
-use tokio::{task::JoinHandle, time::sleep};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 use tokio_util::sync::CancellationToken;
 
 /// The duration of a call to the store.
@@ -130,6 +133,10 @@
 
     fn record_broken(&self, _: &UpstreamId) {}
 
+    fn record_unanswered(&self, _: &UpstreamId, _: Instant) {}
+
+    fn record_order_answer(&self, _: &UpstreamId) {}
+
     fn record_unconnected(&self, _: &UpstreamId) {}
 
     fn record_transfer(&self) {}
--- a/crates/gateway/src/attempts/outcome.rs
+++ b/crates/gateway/src/attempts/outcome.rs
@@ -26,16 +26,19 @@
     view: &'a View,
     upstream: &'a Upstream,
     pool: Arc<Lane>,
+    sent_at: Instant,
     end: End,
 }
 
 impl<'a> PathGuard<'a> {
     pub(super) fn new(view: &'a View, upstream: &'a Upstream, pool: Arc<Lane>) -> Self {
-        view.paths.reach().record_send(&upstream.id, Instant::now());
+        let sent_at = Instant::now();
+        view.paths.reach().record_send(&upstream.id, sent_at);
         Self {
             view,
             upstream,
             pool,
+            sent_at,
             end: End::Other,
         }
     }
@@ -49,6 +52,10 @@
                     paths.record_connect(&self.upstream.id, false);
                 }
                 Reason::ConnectionLost => self.end = End::ConnectionLost,
+                Reason::DeadlinePassed | Reason::ConnectionSilent => {
+                    let sent_at = self.sent_at;
+                    self.end = End::TimedOut { sent_at };
+                }
                 _ => paths.reach().record_doubt(&self.upstream.id),
             },
         }
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -7,11 +7,10 @@
 
 use crate::view::View;
 use copperwell_assignment::driver::Shared;
-use copperwell_backend::probe;
+use copperwell_backend::probe::{self, Answer};
 use copperwell_routing::{
     UpstreamId,
-    reach::{Change, End, Reach},
-    registry::Upstream,
+    reach::{Change, End, Probe, Reach},
 };
 use prometheus_client::{
     metrics::{counter::Counter, gauge::Gauge},
@@ -26,9 +25,12 @@
 /// How often paths are looked at.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// The timeout of a probe.
+/// The timeout for opening the connection of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The timeout of the answer to a health check, which waits for a slot of the upstream.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// The paths to all upstreams.
 #[derive(Debug)]
 pub struct Paths {
@@ -38,6 +40,7 @@
     lost_gauge: Gauge,
     losses: Counter,
     probes: Counter,
+    health_checks: Counter,
 }
 
 impl Paths {
@@ -48,6 +51,7 @@
             lost_gauge: Gauge::default(),
             losses: Counter::default(),
             probes: Counter::default(),
+            health_checks: Counter::default(),
         }
     }
 
@@ -56,7 +60,7 @@
         let registry = registry.sub_registry_with_prefix("gateway");
         registry.register(
             "lost_paths",
-            "Upstreams to which this daemon cannot open a connection",
+            "Upstreams to which this daemon can open no connection, or none that is answered",
             self.lost_gauge.clone(),
         );
         registry.register(
@@ -69,6 +73,11 @@
             "Connections opened to find out whether an upstream can be reached",
             self.probes.clone(),
         );
+        registry.register(
+            "path_health_checks",
+            "Health checks sent to find out whether an upstream answers this daemon",
+            self.health_checks.clone(),
+        );
     }
 
     /// Locks what is known of the paths.
@@ -99,6 +108,17 @@
         self.record_change(id, change);
     }
 
+    /// Records that an order to an upstream has waited in vain since `sent_at`.
+    pub(crate) fn record_timeout(&self, id: &UpstreamId, sent_at: Instant) {
+        self.reach().record_timeout(id, sent_at);
+    }
+
+    /// Records that an upstream has answered an order.
+    pub(crate) fn record_order_answer(&self, id: &UpstreamId) {
+        let change = self.reach().record_order_answer(id, Instant::now());
+        self.record_change(id, change);
+    }
+
     /// Forgets the path to an upstream that has started again.
     pub(crate) fn restart(&self, id: &UpstreamId) {
         let change = self.reach().restart(id, Instant::now());
@@ -111,10 +131,11 @@
         match change {
             Change::Lost => {
                 self.losses.inc();
-                warn!("cannot open connections to an upstream", kv: { event = "path-lost", server = &**id, lost = lost.len() });
+                let silent = self.reach().is_lost_in_silence(id);
+                warn!("cannot use connections to an upstream", kv: { event = "path-lost", server = &**id, silent, lost = lost.len() });
             }
             Change::Back(after) => {
-                info!("connections to an upstream can be opened again", kv: { event = "path-back", server = &**id, after_ms = after.as_millis() as u64, lost = lost.len() });
+                info!("connections to an upstream can be used again", kv: { event = "path-back", server = &**id, after_ms = after.as_millis() as u64, lost = lost.len() });
             }
         }
         self.publish(lost);
@@ -139,10 +160,32 @@
         });
     }
 
-    async fn probe(&self, upstream: &Upstream) {
+    /// Probes a path, with a health check at `health_path` if that is due and there is one.
+    async fn probe(&self, probe: Probe, health_path: Option<String>) {
         self.probes.inc();
-        let is_open = probe::is_reachable(upstream.address, PROBE_TIMEOUT).await;
-        self.record_connect(&upstream.id, is_open);
+        let Probe { upstream, asks } = probe;
+        let Some(health_path) = health_path.filter(|_| asks) else {
+            let is_open = probe::is_reachable(upstream.address, PROBE_TIMEOUT).await;
+            self.record_connect(&upstream.id, is_open);
+            return;
+        };
+        self.health_checks.inc();
+        let asked = probe::ask(
+            upstream.address,
+            &health_path,
+            PROBE_TIMEOUT,
+            HEALTH_CHECK_TIMEOUT,
+        );
+        let is_answered = match asked.await {
+            Answer::Answered => true,
+            Answer::Silent => false,
+            Answer::Unreachable => return self.record_connect(&upstream.id, false),
+        };
+        let now = Instant::now();
+        let change = self
+            .reach()
+            .record_health_check(&upstream.id, is_answered, now);
+        self.record_change(&upstream.id, change);
     }
 }
 
@@ -156,9 +199,13 @@
             .reach()
             .due_probes(registry.all(), Instant::now());
         drop(registry);
-        for upstream in due {
+        let configuration = view.configuration();
+        for probe in due {
+            let known = configuration.as_ref();
+            let service = known.and_then(|known| known.service(&probe.upstream.service));
+            let health_path = service.and_then(|service| service.health_path.clone());
             let view = view.clone();
-            tokio::spawn(async move { view.paths.probe(&upstream).await });
+            tokio::spawn(async move { view.paths.probe(probe, health_path).await });
         }
     }
 }
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -86,6 +86,14 @@
         self.paths.record_loss(id);
     }
 
+    fn record_unanswered(&self, id: &UpstreamId, sent_at: Instant) {
+        self.paths.record_timeout(id, sent_at);
+    }
+
+    fn record_order_answer(&self, id: &UpstreamId) {
+        self.paths.record_order_answer(id);
+    }
+
     fn record_unconnected(&self, id: &UpstreamId) {
         self.paths.reach().record_doubt(id);
     }
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -57,6 +57,11 @@
     /// Whether the service is partitioned by key: each key belongs to one upstream, which must hold a grant
     /// for it.
     pub is_keyed: bool,
+    /// The path of its upstreams' health checks, if they have any.
+    ///
+    /// Between daemons it is sent apart from the service, which earlier releases read without it.
+    #[serde(skip)]
+    pub health_path: Option<String>,
 }
 
 /// The rule for requests that match a host and a path prefix.
--- a/crates/routing/src/configuration/difference.rs
+++ b/crates/routing/src/configuration/difference.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use super::{Configuration, Limits, Route, Service, Version};
+use crate::ServiceName;
 use copperwell_message::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +23,15 @@
     changed: Vec<Arc<Route>>,
     /// The places of routes that are gone, in order.
     removed: Vec<Place>,
+    /// Earlier releases ignore what follows the removed routes.
+    health_checks: Vec<HealthCheck>,
+}
+
+/// The path of the health checks of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct HealthCheck {
+    service: ServiceName,
+    path: String,
 }
 
 /// The requests that a route matches.
@@ -58,7 +68,14 @@
         removed.sort();
         let mut services: Vec<_> = self.services().cloned().collect();
         services.sort_by(|one, other| one.name.cmp(&other.name));
+        let health_checks = services.iter().filter_map(|service| {
+            Some(HealthCheck {
+                service: service.name.clone(),
+                path: service.health_path.clone()?,
+            })
+        });
         Difference {
+            health_checks: health_checks.collect(),
             from: earlier.map(|earlier| earlier.version),
             to: self.version,
             limits: self.limits,
@@ -110,8 +127,21 @@
         Some(Configuration::from_shared(
             self.to,
             self.limits,
-            self.services.iter().cloned(),
+            self.services_with_health_checks(),
             routes,
         ))
     }
+
+    fn services_with_health_checks(&self) -> impl Iterator<Item = Service> {
+        self.services.iter().map(|service| {
+            let check = self
+                .health_checks
+                .iter()
+                .find(|check| check.service == service.name);
+            Service {
+                health_path: check.map(|check| check.path.clone()),
+                ..service.clone()
+            }
+        })
+    }
 }
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -1,8 +1,9 @@
 //! Which upstreams this daemon reaches itself.
 //!
 //! A connection that cannot be opened, or connections that break one after the other, tell that the path to an
-//! upstream is lost, or that its process has ended. An answer proves nothing about new connections, but that those
-//! that carry it can be used.
+//! upstream is lost, or that its process has ended. So does silence: requests are not answered, and a health check
+//! on a new connection is not either. An answer proves nothing about new connections, but that those that carry it
+//! can be used.
 
 use std::{sync::Arc, time::Duration};
 
@@ -14,6 +15,10 @@
 /// probe opens a connection.
 const SILENCE: Duration = Duration::from_secs(1);
 
+/// The share of the paths in use that must be silent before health checks are sent: silence at a few upstreams among
+/// others that answer is theirs.
+const SILENT_SHARE: f64 = 0.5;
+
 /// The number of connections that break under requests, without any answer in between, from which on a path is lost.
 const LOSSES_MAX: u32 = 2;
 
@@ -50,10 +55,14 @@
     quiet_since: Option<Instant>,
     /// When an answer last arrived.
     answered_at: Option<Instant>,
+    /// Whether a request has waited in vain since then.
+    has_timed_out: bool,
     /// Connections that broke under requests since the last answer.
     losses: u32,
     /// Since when no connection can be opened or used; `None` if one can.
     lost_since: Option<Instant>,
+    /// Whether connections can be opened and stay silent, while they are lost.
+    is_lost_in_silence: bool,
     probed_at: Option<Instant>,
     /// Whether it is to be probed at once.
     is_in_doubt: bool,
@@ -66,6 +75,11 @@
     Answered,
     /// The connection broke before any answer.
     ConnectionLost,
+    /// No answer arrived in time.
+    TimedOut {
+        /// When the request was sent.
+        sent_at: Instant,
+    },
     /// Anything else, such as a caller that left.
     Other,
 }
@@ -79,11 +93,20 @@
     Back(Duration),
 }
 
+/// A path that is to be probed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// Whether a health check is to be sent too.
+    pub asks: bool,
+}
+
 impl Reach {
     /// Records that a request is sent to an upstream.
     pub fn record_send(&mut self, id: &UpstreamId, now: Instant) {
         let path = self.paths.entry(id.clone()).or_default();
-        if path.in_flight == 0 {
+        if path.in_flight == 0 && !path.has_timed_out {
             path.quiet_since = Some(now);
         }
         path.in_flight += 1;
@@ -94,17 +117,48 @@
         let path = self.paths.get_mut(id)?;
         path.in_flight = path.in_flight.saturating_sub(1);
         match end {
-            End::Answered => {
-                path.quiet_since = Some(now);
-                path.answered_at = Some(now);
-                path.losses = 0;
-            }
+            End::Answered => return path.record_answer(now),
             End::ConnectionLost => return path.record_loss(now),
+            End::TimedOut { sent_at } => path.record_timeout(sent_at),
             End::Other => {}
         }
         None
     }
 
+    /// Records that an order to an upstream has waited in vain since `sent_at`.
+    pub fn record_timeout(&mut self, id: &UpstreamId, sent_at: Instant) {
+        self.paths
+            .entry(id.clone())
+            .or_default()
+            .record_timeout(sent_at);
+    }
+
+    /// Records that an upstream has answered an order; returns how its path changed.
+    pub fn record_order_answer(&mut self, id: &str, now: Instant) -> Option<Change> {
+        self.paths.get_mut(id)?.record_answer(now)
+    }
+
+    /// Records whether a health check on a new connection to an upstream was answered; returns how its path changed.
+    pub fn record_health_check(
+        &mut self,
+        id: &UpstreamId,
+        is_answered: bool,
+        now: Instant,
+    ) -> Option<Change> {
+        let path = self.paths.entry(id.clone()).or_default();
+        if is_answered {
+            // Others may break under requests all the same.
+            return match path.is_unconnected() {
+                true => self.record_connect(id, true, now),
+                false => path.record_answer(now),
+            };
+        }
+        let is_first = path.lost_since.is_none();
+        path.lost_since = path.lost_since.or(Some(now));
+        path.is_lost_in_silence = true;
+        is_first.then_some(Change::Lost)
+    }
+
     /// Records that a connection to an upstream broke under an order; returns how its path changed.
     pub fn record_loss(&mut self, id: &UpstreamId, now: Instant) -> Option<Change> {
         self.paths.entry(id.clone()).or_default().record_loss(now)
@@ -123,6 +177,7 @@
                 path.lost_since = Some(now);
                 Some(Change::Lost)
             }
+            (true, Some(_)) if path.is_lost_in_silence => None,
             (true, Some(since)) if path.losses < LOSSES_MAX || now >= since + LOSS_HOLD => {
                 path.lost_since = None;
                 // One more loss shows that it is still lost.
@@ -137,6 +192,7 @@
     pub fn restart(&mut self, id: &str, now: Instant) -> Option<Change> {
         let path = self.paths.get_mut(id)?;
         path.losses = 0;
+        path.is_lost_in_silence = false;
         let since = path.lost_since.take()?;
         Some(Change::Back(now.saturating_duration_since(since)))
     }
@@ -146,6 +202,13 @@
         self.paths.entry(id.clone()).or_default().is_in_doubt = true;
     }
 
+    /// Returns whether connections to an upstream can be opened and are not answered.
+    #[must_use]
+    pub fn is_lost_in_silence(&self, id: &str) -> bool {
+        let path = self.paths.get(id);
+        path.is_some_and(|path| path.is_lost_in_silence)
+    }
+
     /// Returns whether no new connection to an upstream can be opened or used.
     #[must_use]
     pub fn is_lost(&self, id: &str) -> bool {
@@ -182,7 +245,7 @@
         lost >= LOST_TO_DOUBT && lost as f64 >= CUT_OFF_SHARE * all as f64
     }
 
-    /// Returns the upstreams whose paths are to be probed now, a few at a time, and counts them as probed.
+    /// Returns the paths that are to be probed now, a few at a time, and counts them as probed.
     ///
     /// These are lost and silent paths, and all that were used and not probed since another one was lost, while
     /// several are.
@@ -190,12 +253,13 @@
         &mut self,
         all: impl IntoIterator<Item = &'a Arc<Upstream>>,
         now: Instant,
-    ) -> Vec<Arc<Upstream>> {
+    ) -> Vec<Probe> {
         let lost_since = self.paths.values().filter_map(|path| path.lost_since);
         let doubted_since = match lost_since.clone().count() >= LOST_TO_DOUBT {
             true => lost_since.max(),
             false => None,
         };
+        let is_silent = self.is_silent(now);
         let mut due = Vec::new();
         for upstream in all {
             if due.len() >= PROBES_MAX {
@@ -207,12 +271,22 @@
             if path.is_probe_due(doubted_since, now) {
                 path.probed_at = Some(now);
                 path.is_in_doubt = false;
-                due.push(upstream.clone());
+                due.push(Probe {
+                    upstream: upstream.clone(),
+                    asks: path.is_lost_in_silence || is_silent && !path.is_unconnected(),
+                });
             }
         }
         due
     }
 
+    /// Returns whether so many of the paths in use are silent that this daemon may have lost them.
+    fn is_silent(&self, now: Instant) -> bool {
+        let in_use = self.paths.values().filter(|path| path.is_in_use());
+        let silent = in_use.clone().filter(|path| path.is_silent(now)).count();
+        silent > 0 && silent as f64 >= SILENT_SHARE * in_use.count() as f64
+    }
+
     /// Forgets upstreams that are no longer registered.
     pub fn retain(&mut self, is_registered: impl Fn(&str) -> bool) {
         self.paths
@@ -221,6 +295,18 @@
 }
 
 impl Path {
+    fn record_answer(&mut self, now: Instant) -> Option<Change> {
+        self.quiet_since = Some(now);
+        self.answered_at = Some(now);
+        self.has_timed_out = false;
+        self.losses = 0;
+        if !std::mem::take(&mut self.is_lost_in_silence) {
+            return None;
+        }
+        let since = self.lost_since.take()?;
+        Some(Change::Back(now.saturating_duration_since(since)))
+    }
+
     fn record_loss(&mut self, now: Instant) -> Option<Change> {
         self.losses += 1;
         self.is_in_doubt = true;
@@ -231,9 +317,31 @@
         })
     }
 
+    fn record_timeout(&mut self, sent_at: Instant) {
+        let is_answered_since = self.answered_at.is_some_and(|at| at > sent_at);
+        if !is_answered_since {
+            self.has_timed_out = true;
+            self.quiet_since = self.quiet_since.or(Some(sent_at));
+        }
+        self.is_in_doubt = true;
+    }
+
+    /// Returns whether an answer is due, or was.
+    fn is_in_use(&self) -> bool {
+        self.in_flight > 0 || self.has_timed_out || self.is_lost_in_silence
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        let is_quiet = self.quiet_since.is_some_and(|since| now >= since + SILENCE);
+        self.is_lost_in_silence || self.is_in_use() && is_quiet
+    }
+
+    /// Returns whether the path is lost since no connection can be opened, or they break.
+    fn is_unconnected(&self) -> bool {
+        self.lost_since.is_some() && !self.is_lost_in_silence
+    }
+
     fn is_probe_due(&self, doubted_since: Option<Instant>, now: Instant) -> bool {
-        let is_silent =
-            self.in_flight > 0 && self.quiet_since.is_some_and(|since| now >= since + SILENCE);
         let is_doubted = doubted_since
             .is_some_and(|since| self.probed_at.is_none_or(|probed_at| probed_at < since));
         let interval = match self.lost_since {
@@ -241,7 +349,7 @@
             Some(since) => {
                 (now.saturating_duration_since(since) / 2).clamp(PROBE_INTERVAL, PROBE_INTERVAL_MAX)
             }
-            None if is_silent => PROBE_INTERVAL,
+            None if self.is_silent(now) => PROBE_INTERVAL,
             None if is_doubted => PROBE_INTERVAL_MAX,
             None => return false,
         };
--- a/crates/routing/tests/difference.rs
+++ b/crates/routing/tests/difference.rs
@@ -20,6 +20,9 @@
         name: format!("s{version}").into(),
         connections: 130,
         is_keyed: false,
+        health_path: version
+            .is_multiple_of(2)
+            .then(|| format!("/health{version}")),
     };
     let routes = routes
         .iter()
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -4,7 +4,7 @@
 
 use copperwell_routing::{
     UpstreamId,
-    reach::{Change, End, Reach},
+    reach::{Change, End, Probe, Reach},
     registry::Upstream,
 };
 use test_case::test_case;
@@ -73,7 +73,11 @@
     reach.record_send(&id(1), start);
     let now = start + Duration::from_millis(waited_ms);
     let due = reach.due_probes(&all, now);
-    let expected = if is_probed { vec![upstream(1)] } else { vec![] };
+    let probe = || Probe {
+        upstream: upstream(1),
+        asks: true,
+    };
+    let expected = if is_probed { vec![probe()] } else { vec![] };
     assert_eq!(due, expected);
     assert_eq!(reach.due_probes(&all, now), vec![]);
 }
@@ -156,3 +160,74 @@
     assert_eq!(reach.record_loss(&id(0), now), None);
     assert_eq!(reach.record_loss(&id(0), now), Some(Change::Lost));
 }
+
+/// Returns paths to `count` upstreams, at the first `silent` of which a request has waited since `start`.
+fn waiting(count: usize, silent: usize, start: Instant) -> (Reach, Vec<Arc<Upstream>>) {
+    let (mut reach, all) = used(count, start);
+    for number in 0..count {
+        reach.record_send(&id(number), start);
+        if number >= silent {
+            reach.record_send(&id(number), start);
+            let answered_at = start + Duration::from_millis(900);
+            reach.record_end(&id(number), End::Answered, answered_at);
+        }
+    }
+    (reach, all)
+}
+
+#[test_case(1, false; "one of four")]
+#[test_case(2, true; "two of four")]
+#[test_case(4, true; "all")]
+fn health_checks_are_sent_where_others_answer(silent: usize, asks: bool) {
+    let start = Instant::now();
+    let (mut reach, all) = waiting(4, silent, start);
+    let due = reach.due_probes(&all, start + Duration::from_secs(1));
+    assert_eq!(due.len(), silent);
+    assert!(due.iter().all(|probe| probe.asks == asks), "{due:?}");
+}
+
+#[test]
+fn silent_path_is_used_without_end() {
+    let start = Instant::now();
+    let (mut reach, all) = waiting(1, 1, start);
+    let lost_at = start + Duration::from_secs(2);
+    assert_eq!(
+        reach.record_health_check(&id(0), false, lost_at),
+        Some(Change::Lost)
+    );
+    assert!(reach.is_unusable(&id(0)));
+    // Connections can be opened, which tells nothing of their answers.
+    let later = lost_at + Duration::from_secs(4);
+    assert_eq!(reach.record_connect(&id(0), true, later), None);
+    assert!(reach.due_probes(&all, later)[0].asks);
+    let back = Change::Back(Duration::from_secs(4));
+    assert_eq!(reach.record_health_check(&id(0), true, later), Some(back));
+    assert!(!reach.is_unusable(&id(0)));
+    assert_eq!(reach.due_probes(&all, later), vec![]);
+}
+
+#[test_case(|_| End::Answered, false; "answered")]
+#[test_case(|_| End::Other, false; "left by its caller")]
+#[test_case(|sent_at| End::TimedOut { sent_at }, true; "not answered")]
+fn path_is_forgotten_after_a_request_has_waited_in_vain(end: fn(Instant) -> End, is_probed: bool) {
+    let start = Instant::now();
+    let (mut reach, all) = used(1, start);
+    reach.record_send(&id(0), start);
+    let ended_at = start + Duration::from_millis(400);
+    reach.record_end(&id(0), end(start), ended_at);
+    let due = reach.due_probes(&all, start + Duration::from_secs(1));
+    assert_eq!(due.iter().any(|probe| probe.asks), is_probed);
+}
+
+#[test]
+fn order_that_waits_in_vain_leaves_the_path_in_use() {
+    let start = Instant::now();
+    let mut reach = Reach::default();
+    reach.record_timeout(&id(0), start);
+    let now = start + Duration::from_secs(1);
+    assert!(reach.due_probes(&[upstream(0)], now)[0].asks);
+    reach.record_health_check(&id(0), false, now);
+    assert!(reach.is_lost(&id(0)));
+    assert!(reach.record_order_answer(&id(0), now).is_some());
+    assert!(!reach.is_lost(&id(0)));
+}
