Test that daemons stay away from the store while the leader's list is old

The leader's list was old, so all of them waited at the store already. The test replaces one that only looked at the decision to ask.

--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -11,6 +11,7 @@
 use copperwell_assignment::{
     clock::Simulated,
     driver::Environment,
+    exchange::Newest,
     store_state::{Delta, ListVersion, StoreState, UpstreamList},
     transfer::Encoded,
 };
@@ -344,12 +345,13 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn successors_are_not_asked_while_the_leader_has_lost_the_store() {
+async fn every_daemon_reads_the_store_while_the_leader_has_an_old_list() {
     let fixture = Fixture::start().await;
     fixture.receive_updates(1, Duration::from_secs(4)).await;
+    let successor = ([127, 0, 0, 1], 9).into();
+    fixture.view.keys.successors.send_replace(vec![successor]);
     let reads = fixture.source.configuration_reads.load(Ordering::Relaxed);
-    for list_age_ms in [300, 700, 1_100, 1_300] {
-        assert!(!fixture.view.is_leader_late(), "{list_age_ms}");
+    for list_age_ms in (0..6_000).step_by(150) {
         fixture.view.apply_update(Delta {
             configuration: 1,
             difference: None,
@@ -357,6 +359,14 @@
             age: Duration::from_millis(list_age_ms),
             upstreams: None,
         });
+        if fixture.view.is_leader_late() {
+            fixture.view.record_successor(Some(Newest {
+                version: 1,
+                age: Duration::from_millis(500),
+            }));
+            fixture.view.record_successors_asked();
+        }
+        sleep(Duration::from_millis(150)).await;
     }
     assert!(fixture.view.is_leader_late());
     assert_eq!(
