--- a/crates/copperwelld/tests/cut/cut.rs
+++ b/crates/copperwelld/tests/cut/cut.rs
@@ -1,6 +1,6 @@
 //! Daemons that are cut off from all servers, while callers, the store and the other daemons reach them.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashSet, process::Stdio, time::Duration};
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Harness},
@@ -98,7 +98,7 @@
 #[test_case(Who::Zone, How::Silent; "a data centre whose connections hang")]
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_that_reaches_no_server_serves_nobody(who: Who, how: How) {
-    let harness = Harness::start_in(&ZONES).await;
+    let harness = Harness::start_in(&ZONES, |_| Stdio::null()).await;
     harness.wait_served().await;
     let cut_off = cut_off(who, &harness);
     let ids = cut_off
--- a/crates/copperwelld/tests/gateway/harness.rs
+++ b/crates/copperwelld/tests/gateway/harness.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::IpAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU16, Ordering},
     time::Duration,
@@ -70,20 +70,13 @@
         let ip = format!("127.{}.{low}.{}", 64 + high, number + 1);
         let port = FIRST_PORT;
         let name = format!("front-{number}");
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.conf"));
+        let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(process.to_string());
+        fs::create_dir_all(&directory).unwrap();
+        let file = directory.join(format!("{name}.conf"));
         let text = change(settings(&name, &ip, port, store.address));
         fs::write(&file, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_copperwelld"))
-            .arg("gateway")
-            .arg("--settings")
-            .arg(&file)
-            .arg("--metrics-port")
-            .arg((port + METRICS_PORT_OFFSET).to_string())
-            .stdout(output)
-            .spawn()
-            .unwrap();
         Self {
-            child,
+            child: spawn(&file, port, output),
             ip,
             port,
             file,
@@ -146,6 +139,19 @@
     }
 }
 
+/// Starts the process of a daemon with its settings file.
+pub(crate) fn spawn(file: &Path, port: u16, output: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_copperwelld"))
+        .arg("gateway")
+        .arg("--settings")
+        .arg(file)
+        .arg("--metrics-port")
+        .arg((port + METRICS_PORT_OFFSET).to_string())
+        .stdout(output)
+        .spawn()
+        .unwrap()
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         // The process may have exited already.
@@ -163,11 +169,11 @@
 
 impl Harness {
     pub(crate) async fn start(daemons: usize) -> Self {
-        Self::start_in(&vec!["here"; daemons]).await
+        Self::start_in(&vec!["here"; daemons], |_| Stdio::null()).await
     }
 
-    /// Starts a daemon in each of these data centres.
-    pub(crate) async fn start_in(zones: &[&str]) -> Self {
+    /// Starts a daemon in each of these data centres; `output` says where the output of each goes.
+    pub(crate) async fn start_in(zones: &[&str], output: impl Fn(usize) -> Stdio) -> Self {
         let store = Store::start().await;
         configure(&store, 2, &["cups", "pay"]);
         let mut servers = Vec::new();
@@ -177,9 +183,9 @@
         }
         servers.push(Server::start("p0", "pay", false, store.writer()).await);
         let mut started = Vec::new();
-        for zone in zones {
+        for (number, zone) in zones.iter().enumerate() {
             let in_zone = |settings: String| settings.replace("zone=here", &format!("zone={zone}"));
-            started.push(Daemon::start_with(&store, Stdio::null(), in_zone));
+            started.push(Daemon::start_with(&store, output(number), in_zone));
         }
         Self {
             store,
