Send requests elsewhere that hang on a lost path

Callers whose requests were on their way to a server as its path was lost waited until their timeout, while later ones were served through other daemons. Cause: only a request that failed was looked at again. Class: a belief that changes does not reach what was decided by the one before.

A request that may be repeated now leaves an upstream whose path has been lost for 0.2 s without an answer since, if it has attempts left, the budget pays for the retry, it is no suspect of crashes, and there is another upstream or a daemon that reaches this one. Others wait as before, so that no answer is ended sooner than it would be.

--- a/crates/copperwelld/tests/cut/cut.rs
+++ b/crates/copperwelld/tests/cut/cut.rs
@@ -4,9 +4,16 @@
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Harness},
-    standin::{caller::leads, cut::How},
+    standin::{
+        caller::{asking_within, leads},
+        cluster, config,
+        cut::How,
+        rule,
+    },
 };
-use http::StatusCode;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde_json::json;
 use test_case::test_case;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -24,6 +31,9 @@
 /// How long after a cut began daemons may still find out.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
+/// How long a caller waits who is to be served while connections hang.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// Which daemons are cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Who {
@@ -87,6 +97,46 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn request_waits_on_a_connection_that_hangs_until_its_timeout() {
+    let harness = Harness::start_in(&ZONES, |_| Stdio::null()).await;
+    harness.wait_served().await;
+    let daemon = cut_off(Who::Follower, &harness)[0];
+    let rules = ["cups", "pay"].map(|prefix| {
+        let mut rule = rule(prefix, "idempotent", prefix);
+        rule["action"]["timeout"] = json!(format!("{}s", PATIENCE.as_secs()));
+        rule
+    });
+    let clusters = [cluster("cups", true), cluster("pay", false)];
+    harness.store.configure(&config(3, &rules, &clusters));
+    let in_force = Some(json!(3));
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    while harness.daemons[daemon]
+        .status(&harness.client, "configuration")
+        .await
+        != in_force
+    {
+        assert!(
+            Instant::now() < deadline,
+            "the configuration is not in force"
+        );
+        sleep(Duration::from_millis(50)).await;
+    }
+    let id = harness.daemons[daemon].child.id();
+    for server in &harness.servers {
+        server.cut.set(&[id], How::Silent);
+    }
+    for path in ["/cups/1", "/pay/1"] {
+        let request =
+            Request::get(harness.daemons[daemon].url(0, path)).header("host", "app.example");
+        let request = asking_within(request, &format!("hangs{path}"), 7, PATIENCE);
+        let response = harness
+            .client
+            .request(request.body(Full::default()).unwrap());
+        assert_eq!(response.await.unwrap().status(), StatusCode::OK, "{path}");
+    }
+}
+
 #[test_case(Who::Follower, How::Reset; "one daemon")]
 #[test_case(Who::Leader, How::Reset; "the leader")]
 #[test_case(Who::Most, How::Reset; "most daemons with the leader")]
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,6 @@
 //! Sends a request to upstreams, with retries, until it is answered or finally fails.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     crash_tracker::Send,
@@ -44,6 +44,9 @@
 /// The most daemons through which one request is tried.
 const RELAYS_MAX: usize = 2;
 
+/// How long a request stays at an upstream whose path is lost, as connections that are open may go on.
+const LOST_PATH_PATIENCE: Duration = Duration::from_millis(200);
+
 /// The attempts of one request.
 pub(crate) struct Attempts<'a, D> {
     pub(crate) request_log: &'a RequestLog,
@@ -122,7 +125,18 @@
             };
             let version = self.view.keys.routing_tables.version();
             attempted.push(upstream.id.clone());
-            let attempt = self.send(&upstream, &parts, body).await;
+            let elsewhere = self.wait_for_way_elsewhere(
+                &upstream,
+                &requirements,
+                attempted.len(),
+                buffered.is_some(),
+                self.relays(&relays),
+            );
+            let sent_at = Instant::now();
+            let (attempt, is_abandoned) = tokio::select! {
+                attempt = self.send(&upstream, &parts, body) => (attempt, false),
+                () = elsewhere => (Attempt::abandoned(sent_at.elapsed()), true),
+            };
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
@@ -130,6 +144,7 @@
             };
             let attempts = attempted.len();
             let decision = match buffered.is_some() {
+                _ if is_abandoned => RetryDecision::Retry(Duration::ZERO),
                 // Nothing was sent, so the budget is not concerned if another daemon reaches the upstream.
                 true if self.can_relay(failed, &requirements, self.relays(&relays)) => {
                     RetryDecision::Retry(Duration::ZERO)
@@ -347,6 +362,44 @@
             && relays.is_some_and(|tried| self.selector.can_relay(requirements, tried))
     }
 
+    /// Waits until a request that is at an upstream is better sent elsewhere: its path is lost, there is another way,
+    /// and the retry is paid for. Waits forever for one that must not be sent again.
+    async fn wait_for_way_elsewhere(
+        &self,
+        upstream: &Upstream,
+        requirements: &Requirements,
+        attempts: usize,
+        is_buffered: bool,
+        relays: Option<&[SocketAddr]>,
+    ) {
+        let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
+        let can_repeat = is_buffered && self.route.is_repeatable && attempts < self.attempts_max();
+        if !can_repeat {
+            return pending().await;
+        }
+        let mut lost = self.view.keys.lost.subscribe();
+        loop {
+            // The view owns the sender, so the channel stays open.
+            let _ = lost.wait_for(|lost| lost.contains(&upstream.id)).await;
+            // Connections that are open may go on.
+            sleep(LOST_PATH_PATIENCE).await;
+            let is_unusable = self.view.paths.reach().is_unusable(&upstream.id);
+            if is_unusable
+                && self.selector.has_other_way(requirements, upstream, relays)
+                && !self.is_suspect()
+                && self.view.try_spend_retry(&requirements.service)
+            {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the request may crash upstreams.
+    fn is_suspect(&self) -> bool {
+        let crash_tracker = &self.view.crash_tracker;
+        crash_tracker.is_suspect(self.identity.fingerprint)
+    }
+
     /// Returns how long a request of this route usually takes at an upstream.
     fn usual_time(&self) -> Duration {
         let latencies = self.view.route_latencies();
@@ -399,11 +452,7 @@
         match decision {
             // A request that may crash upstreams is not sent to a further one.
             Decision::RetryAfter(_)
-                if failed.verdict == Verdict::MayHaveRun
-                    && self
-                        .view
-                        .crash_tracker
-                        .is_suspect(self.identity.fingerprint) =>
+                if failed.verdict == Verdict::MayHaveRun && self.is_suspect() =>
             {
                 RetryDecision::GiveUp
             }
