Have a leader lead for a while before it steps down for a stronger one

After a leader without power and three tenths of the daemons killed, the lead went from one weak daemon to the next for up to eight seconds; keys moved slowly meanwhile, and each change cost calls to the store. Cause: a leader stepped down one second after it began, for a stronger daemon that it had heard of. Most others had not found it yet, so they knew no candidates, and any of them was next. Class: a decision that all must know is acted upon before they can.

A leader now leads for four seconds first: daemons find a new one within two seconds, and wait up to two as candidates. The new case of the table fails without the patience.

--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -83,6 +83,7 @@
     /// Since when another daemon reaches far more upstreams.
     is_worse_since: Option<Duration>,
     counted_at: Duration,
+    started_at: Duration,
 }
 
 impl<'a, R: Register, S: Sender, K: Clock, E: Environment> Leadership<'a, R, S, K, E> {
@@ -118,6 +119,7 @@
             should_step_down: false,
             is_worse_since: None,
             counted_at: term.started_at,
+            started_at: term.started_at,
         }
     }
 
@@ -222,7 +224,11 @@
         if !reach::is_much_worse(lost, candidate.lost, all) {
             self.is_worse_since = None;
             return !reach::is_much_worse(candidate.lost, lost, all)
-                && election::should_step_down(driver.identity.strength, candidate.strength);
+                && election::should_step_down(
+                    driver.identity.strength,
+                    candidate.strength,
+                    now.saturating_sub(self.started_at),
+                );
         }
         let since = *self.is_worse_since.get_or_insert(now);
         let is_due = now >= since + REACH_PATIENCE;
--- a/crates/assignment/src/election.rs
+++ b/crates/assignment/src/election.rs
@@ -37,6 +37,10 @@
 /// How many times as strong another daemon must be for a leader to step down.
 const STEP_DOWN_FACTOR: u32 = 2;
 
+/// How long a leader leads at least before it steps down for a stronger daemon. Until most daemons have found it, they
+/// do not know the candidates, and any of them could take over.
+const STEP_DOWN_PATIENCE: Duration = Duration::from_secs(4);
+
 /// Returns how long a daemon waits after its start before it tries to lead.
 #[must_use]
 pub fn startup_delay(strength: u32) -> Duration {
@@ -74,8 +78,8 @@
     }
 }
 
-/// Returns whether a leader steps down in favour of the strongest daemon known to it.
+/// Returns whether a leader that has led for `led` steps down in favour of the strongest daemon known to it.
 #[must_use]
-pub fn should_step_down(own: u32, strongest: u32) -> bool {
-    strongest >= own.max(1).saturating_mul(STEP_DOWN_FACTOR)
+pub fn should_step_down(own: u32, strongest: u32, led: Duration) -> bool {
+    led >= STEP_DOWN_PATIENCE && strongest >= own.max(1).saturating_mul(STEP_DOWN_FACTOR)
 }
--- a/crates/assignment/tests/election.rs
+++ b/crates/assignment/tests/election.rs
@@ -42,11 +42,13 @@
     assert_eq!(election::candidate_delay(None, &[]), Duration::ZERO);
 }
 
-#[test_case(100, 500, true; "much stronger")]
-#[test_case(200, 200, false; "equal")]
-#[test_case(300, 500, false; "somewhat stronger")]
-#[test_case(0, 0, false; "no strength is known")]
-#[test_case(500, 0, false; "alone")]
-fn a_leader_steps_down(own: u32, strongest: u32, expected: bool) {
-    assert_eq!(election::should_step_down(own, strongest), expected);
+#[test_case(100, 500, 4, true; "much stronger")]
+#[test_case(100, 500, 3, false; "much stronger, but most do not know yet")]
+#[test_case(200, 200, 60, false; "equal")]
+#[test_case(300, 500, 60, false; "somewhat stronger")]
+#[test_case(0, 0, 60, false; "no strength is known")]
+#[test_case(500, 0, 60, false; "alone")]
+fn a_leader_steps_down(own: u32, strongest: u32, led_s: u64, expected: bool) {
+    let led = Duration::from_secs(led_s);
+    assert_eq!(election::should_step_down(own, strongest, led), expected);
 }
