--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -15,16 +15,14 @@
     lease::{Lapse, LeaderEntry},
     limits::{SharedLimits, Snapshot as LimitSnapshot},
     quarantine::{SharedQuarantine, Snapshot},
-    reach::{Helper, Reports, is_much_worse},
+    reach::Helper,
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Version},
     transfer::Chunk,
     update::Update,
 };
-use copperwell_message::HashMap;
 use copperwell_routing::{Incarnation, UpstreamId, limit::Entry, quarantine::Entry as Suspect};
 use futures::StreamExt;
-use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tarpc::{
     context,
@@ -32,15 +30,15 @@
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio::{
-    net::TcpListener,
-    sync::mpsc,
-    time::{Instant, timeout},
-};
+use tokio::{net::TcpListener, sync::mpsc, time::timeout};
 
 pub use client::Client;
+pub(crate) use peers::{CANDIDATES_MAX, Candidate};
+
+use peers::State;
 
 mod client;
+mod peers;
 
 /// How long the leader waits for newer data before it answers without any.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -48,15 +46,6 @@
 /// The longest message, in bytes.
 const FRAME_MAX: usize = 4 << 20;
 
-/// How long after its last call a daemon counts as alive.
-const PEER_TTL: Duration = Duration::from_secs(3);
-
-/// The maximum number of candidates for the next leadership.
-pub(crate) const CANDIDATES_MAX: usize = 3;
-
-/// The maximum number of daemons that a daemon is told to get a configuration from.
-const HOLDERS_MAX: usize = 3;
-
 /// The maximum number of queued reports.
 const REPORTS_MAX: usize = 1024;
 
@@ -138,25 +127,6 @@
     pub age: Duration,
 }
 
-/// A daemon that has called recently.
-#[derive(Debug, Clone, Copy)]
-struct Peer {
-    seen_at: Instant,
-    strength: u32,
-    address: SocketAddr,
-    configuration: u64,
-}
-
-/// A daemon that may lead next.
-#[derive(Debug, Clone)]
-pub(crate) struct Candidate {
-    name: DaemonName,
-    address: SocketAddr,
-    pub(crate) strength: u32,
-    /// The number of upstreams that it does not reach.
-    pub(crate) lost: usize,
-}
-
 #[tarpc::service]
 trait Rpc {
     /// Reports load and asks for newer tables.
@@ -205,20 +175,6 @@
     state: Mutex<State>,
 }
 
-/// The status of this daemon and what it knows of the others.
-#[derive(Debug, Default)]
-struct State {
-    standing: Standing,
-    /// The newest leader that has announced itself to this daemon.
-    successor: Option<LeaderEntry>,
-    peers: HashMap<DaemonName, Peer>,
-    reports: Reports,
-    /// The name of this daemon, once it has led.
-    own_name: Option<DaemonName>,
-    /// When another daemon last read the store.
-    store_read_at: Option<Instant>,
-}
-
 impl Server {
     /// Creates the server side from the state that the daemon shares, and the channel on which
     /// reports arrive.
@@ -251,7 +207,7 @@
     /// Returns how many daemons have called recently, this one included.
     #[must_use]
     pub fn daemons(&self) -> u32 {
-        u32::try_from(self.state().peers().len()).unwrap_or(u32::MAX) + 1
+        u32::try_from(self.state().count()).unwrap_or(u32::MAX) + 1
     }
 
     /// Returns the daemon that has called recently and should lead next, if there is one.
@@ -284,16 +240,6 @@
         self.state().candidates(upstreams)
     }
 
-    /// Returns some of the daemons that have a configuration.
-    fn holders(&self, version: u64) -> Vec<SocketAddr> {
-        let mut state = self.state();
-        let peers = state.peers().values();
-        let holders = peers.filter(|peer| peer.configuration >= version);
-        holders
-            .map(|peer| peer.address)
-            .sample(&mut rand::rng(), HOLDERS_MAX)
-    }
-
     /// Serves calls until the future is dropped.
     ///
     /// # Errors
@@ -323,74 +269,17 @@
         self.state().store_read_at.map(|at| at.elapsed())
     }
 
-    /// Records that a daemon has called.
-    fn record_peer(&self, request: &Request) {
-        let now = Instant::now();
-        let read_at = request.store_age.and_then(|age| now.checked_sub(age));
-        let peer = Peer {
-            seen_at: now,
-            strength: request.strength,
-            address: request.address,
-            configuration: request.configuration,
-        };
-        let mut state = self.state();
-        state.peers.insert(request.from.clone(), peer);
-        state.store_read_at = state.store_read_at.max(read_at);
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         let state = self.shared.state.lock();
         state.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl State {
-    /// Returns the daemons that have called recently.
-    fn peers(&mut self) -> &HashMap<DaemonName, Peer> {
-        let now = Instant::now();
-        self.peers
-            .retain(|_, peer| now.saturating_duration_since(peer.seen_at) < PEER_TTL);
-        &self.peers
-    }
-
-    /// Returns daemons that accept the requests of the one that has sent `report`.
-    fn helpers(&mut self, report: &Helper) -> Vec<Helper> {
-        self.peers();
-        let (peers, own) = (&self.peers, &self.own_name);
-        let is_alive = |name: &DaemonName| {
-            *name != report.name && (peers.contains_key(name) || own.as_ref() == Some(name))
-        };
-        self.reports.helpers(&report.zone, is_alive)
-    }
-
-    /// Returns the strongest daemons that have called recently, the strongest first, but last those that reach
-    /// far fewer of all `upstreams` than others.
-    fn candidates(&mut self, upstreams: usize) -> Vec<Candidate> {
-        self.peers();
-        let candidate = |(name, peer): (&DaemonName, &Peer)| Candidate {
-            name: name.clone(),
-            strength: peer.strength,
-            address: peer.address,
-            lost: self.reports.lost(name),
-        };
-        let mut ranked: Vec<Candidate> = self.peers.iter().map(candidate).collect();
-        let best = ranked.iter().map(|one| one.lost).min().unwrap_or(0);
-        ranked.sort_by(|one, other| {
-            let is_worse = |one: &Candidate| is_much_worse(one.lost, best, upstreams);
-            let by_reach = is_worse(one).cmp(&is_worse(other));
-            let by_strength = other.strength.cmp(&one.strength);
-            by_reach.then(by_strength).then(one.name.cmp(&other.name))
-        });
-        ranked.truncate(CANDIDATES_MAX);
-        ranked
-    }
-}
-
 impl Rpc for Server {
     async fn exchange(self, _: context::Context, request: Request) -> Response {
         let shared = &self.shared;
         if self.state().standing == Standing::Leads {
-            self.record_peer(&request);
+            self.state().record_peer(&request);
             shared.limits.merge(&request.limits);
             if !request.reports.is_empty() {
                 // If the leader cannot keep up, some load reports are dropped.
@@ -419,7 +308,7 @@
             tables: shared.routing_tables.update(request.knows, request.base),
             holders: match &delta {
                 Some(delta) if request.configuration < delta.configuration => {
-                    self.holders(delta.configuration)
+                    self.state().holders(delta.configuration)
                 }
                 _ => Vec::new(),
             },
--- /dev/null
+++ b/crates/assignment/src/exchange/peers.rs
@@ -0,0 +1,125 @@
+//! What a daemon knows of the others from their calls, above all the leader.
+
+use std::{net::SocketAddr, time::Duration};
+
+use super::{Request, Standing};
+use crate::{
+    DaemonName,
+    lease::LeaderEntry,
+    reach::{Helper, Reports, is_much_worse},
+};
+use copperwell_message::HashMap;
+use rand::seq::IteratorRandom;
+use tokio::time::Instant;
+
+/// How long after its last call a daemon counts as alive.
+const PEER_TTL: Duration = Duration::from_secs(3);
+
+/// The maximum number of candidates for the next leadership.
+pub(crate) const CANDIDATES_MAX: usize = 3;
+
+/// The maximum number of daemons that a daemon is told to get a configuration from.
+const HOLDERS_MAX: usize = 3;
+
+/// A daemon that has called recently.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    seen_at: Instant,
+    strength: u32,
+    address: SocketAddr,
+    configuration: u64,
+}
+
+/// A daemon that may lead next.
+#[derive(Debug, Clone)]
+pub(crate) struct Candidate {
+    pub(super) name: DaemonName,
+    pub(super) address: SocketAddr,
+    pub(crate) strength: u32,
+    /// The number of upstreams that it does not reach.
+    pub(crate) lost: usize,
+}
+
+/// The status of this daemon and what it knows of the others.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) standing: Standing,
+    /// The newest leader that has announced itself to this daemon.
+    pub(super) successor: Option<LeaderEntry>,
+    peers: HashMap<DaemonName, Peer>,
+    pub(super) reports: Reports,
+    /// The name of this daemon, once it has led.
+    pub(super) own_name: Option<DaemonName>,
+    /// When another daemon last read the store.
+    pub(super) store_read_at: Option<Instant>,
+}
+
+impl State {
+    /// Records that a daemon has called.
+    pub(super) fn record_peer(&mut self, request: &Request) {
+        let now = Instant::now();
+        let read_at = request.store_age.and_then(|age| now.checked_sub(age));
+        let peer = Peer {
+            seen_at: now,
+            strength: request.strength,
+            address: request.address,
+            configuration: request.configuration,
+        };
+        self.peers.insert(request.from.clone(), peer);
+        self.store_read_at = self.store_read_at.max(read_at);
+    }
+
+    /// Returns some of the daemons that have a configuration.
+    pub(super) fn holders(&mut self, version: u64) -> Vec<SocketAddr> {
+        let peers = self.peers().values();
+        let holders = peers.filter(|peer| peer.configuration >= version);
+        holders
+            .map(|peer| peer.address)
+            .sample(&mut rand::rng(), HOLDERS_MAX)
+    }
+
+    /// Returns how many daemons have called recently.
+    pub(super) fn count(&mut self) -> usize {
+        self.peers().len()
+    }
+
+    /// Returns the daemons that have called recently.
+    fn peers(&mut self) -> &HashMap<DaemonName, Peer> {
+        let now = Instant::now();
+        self.peers
+            .retain(|_, peer| now.saturating_duration_since(peer.seen_at) < PEER_TTL);
+        &self.peers
+    }
+
+    /// Returns daemons that accept the requests of the one that has sent `report`.
+    pub(super) fn helpers(&mut self, report: &Helper) -> Vec<Helper> {
+        self.peers();
+        let (peers, own) = (&self.peers, &self.own_name);
+        let is_alive = |name: &DaemonName| {
+            *name != report.name && (peers.contains_key(name) || own.as_ref() == Some(name))
+        };
+        self.reports.helpers(&report.zone, is_alive)
+    }
+
+    /// Returns the strongest daemons that have called recently, the strongest first, but last those that reach
+    /// far fewer of all `upstreams` than others.
+    pub(super) fn candidates(&mut self, upstreams: usize) -> Vec<Candidate> {
+        self.peers();
+        let candidate = |(name, peer): (&DaemonName, &Peer)| Candidate {
+            name: name.clone(),
+            strength: peer.strength,
+            address: peer.address,
+            lost: self.reports.lost(name),
+        };
+        let mut ranked: Vec<Candidate> = self.peers.iter().map(candidate).collect();
+        let best = ranked.iter().map(|one| one.lost).min().unwrap_or(0);
+        ranked.sort_by(|one, other| {
+            let is_worse = |one: &Candidate| is_much_worse(one.lost, best, upstreams);
+            let by_reach = is_worse(one).cmp(&is_worse(other));
+            let by_strength = other.strength.cmp(&one.strength);
+            by_reach.then(by_strength).then(one.name.cmp(&other.name))
+        });
+        ranked.truncate(CANDIDATES_MAX);
+        ranked
+    }
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,6 @@
 //! Sends a request to upstreams, with retries, until it is answered or finally fails.
 
-use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     crash_tracker::Send,
@@ -9,7 +9,7 @@
     metrics::{Metrics, Stage},
     pools::{CONNECTIONS_MAX, ConnectionPools},
     refusal::Refusal,
-    relay::{self, Outgoing, Terms},
+    relay::{self, Terms},
     request_log::{RequestContext, RequestLog},
     selector::{Requirements, Selected, Selector},
     view::View,
@@ -35,18 +35,13 @@
     result_of,
 };
 
+mod elsewhere;
 mod outcome;
 
 /// The share of a route's objective, from the arrival of a request, within which a holder of the request's key
 /// must be selected.
 const SELECTION_TIME_RATIO: f64 = 0.7;
 
-/// The most daemons through which one request is tried.
-const RELAYS_MAX: usize = 2;
-
-/// How long a request stays at an upstream whose path is lost, as connections that are open may go on.
-const LOST_PATH_PATIENCE: Duration = Duration::from_millis(200);
-
 /// The attempts of one request.
 pub(crate) struct Attempts<'a, D> {
     pub(crate) request_log: &'a RequestLog,
@@ -125,31 +120,27 @@
             };
             let version = self.view.keys.routing_tables.version();
             attempted.push(upstream.id.clone());
-            let elsewhere = self.wait_for_way_elsewhere(
-                &upstream,
-                &requirements,
-                attempted.len(),
-                buffered.is_some(),
-                self.relays(&relays),
-            );
+            let progress = Progress {
+                requirements: &requirements,
+                attempts: attempted.len(),
+                is_buffered: buffered.is_some(),
+                relays: self.relays(&relays),
+            };
             let sent_at = Instant::now();
             let (attempt, is_abandoned) = tokio::select! {
                 attempt = self.send(&upstream, &parts, body) => (attempt, false),
-                () = elsewhere => (Attempt::abandoned(sent_at.elapsed()), true),
+                () = self.wait_for_way_elsewhere(&upstream, &progress) => {
+                    (Attempt::abandoned(sent_at.elapsed()), true)
+                }
             };
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
                 Classified::Failure(result, failed) => (result, failed),
             };
-            let attempts = attempted.len();
-            let decision = match buffered.is_some() {
-                _ if is_abandoned => RetryDecision::Retry(Duration::ZERO),
-                // Nothing was sent, so the budget is not concerned if another daemon reaches the upstream.
-                true if self.can_relay(failed, &requirements, self.relays(&relays)) => {
-                    RetryDecision::Retry(Duration::ZERO)
-                }
-                is_buffered => self.decide_retry(failed, attempts, is_buffered, &service),
+            let decision = match is_abandoned {
+                true => RetryDecision::Retry(Duration::ZERO),
+                false => self.decide_retry(failed, &progress),
             };
             let request_log = self.request_log;
             request_log.failed(
@@ -176,33 +167,6 @@
         }
     }
 
-    /// Returns the terms for a daemon that sends this request on after `attempts` attempts.
-    fn terms_for_relay(&self, attempts: usize) -> Terms {
-        let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
-        let configuration = self.view.configuration();
-        Terms {
-            configuration: configuration.map_or(0, |known| known.version),
-            attempts: self.route.attempts.saturating_sub(attempts).max(1),
-        }
-    }
-
-    async fn relay(&self, helper: SocketAddr, terms: Terms, parts: &Parts, body: Body) -> Response {
-        let outgoing = Outgoing {
-            parts,
-            body,
-            identity: &self.identity,
-            terms,
-            time_left: self.deadline.saturating_duration_since(Instant::now()),
-        };
-        let relay = &self.selector.relay;
-        let response = relay.send(helper, outgoing).await;
-        if let Some(reason) = response.reply.reason {
-            self.request_log
-                .relay_failed(self.context, helper, response.reply.verdict, reason);
-        }
-        response
-    }
-
     /// Returns the most upstreams to which the request may be sent.
     fn attempts_max(&self) -> u32 {
         let limit = self.terms.map(|terms| terms.attempts);
@@ -343,57 +307,6 @@
         });
     }
 
-    /// Returns the daemons through which the request was tried; `None` if it must not be relayed any more.
-    ///
-    /// A relayed request is not relayed once more.
-    fn relays<'a>(&self, tried: &'a [SocketAddr]) -> Option<&'a [SocketAddr]> {
-        (self.terms.is_none() && tried.len() < RELAYS_MAX).then_some(tried)
-    }
-
-    /// Returns whether a request that could not be sent can be sent through another daemon.
-    fn can_relay(
-        &self,
-        failed: Failed,
-        requirements: &Requirements,
-        relays: Option<&[SocketAddr]>,
-    ) -> bool {
-        failed.verdict == Verdict::NotRun
-            && failed.reason == Reason::ConnectionRefused
-            && relays.is_some_and(|tried| self.selector.can_relay(requirements, tried))
-    }
-
-    /// Waits until a request that is at an upstream is better sent elsewhere: its path is lost, there is another way,
-    /// and the retry is paid for. Waits forever for one that must not be sent again.
-    async fn wait_for_way_elsewhere(
-        &self,
-        upstream: &Upstream,
-        requirements: &Requirements,
-        attempts: usize,
-        is_buffered: bool,
-        relays: Option<&[SocketAddr]>,
-    ) {
-        let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
-        let can_repeat = is_buffered && self.route.is_repeatable && attempts < self.attempts_max();
-        if !can_repeat {
-            return pending().await;
-        }
-        let mut lost = self.view.keys.lost.subscribe();
-        loop {
-            // The view owns the sender, so the channel stays open.
-            let _ = lost.wait_for(|lost| lost.contains(&upstream.id)).await;
-            // Connections that are open may go on.
-            sleep(LOST_PATH_PATIENCE).await;
-            let is_unusable = self.view.paths.reach().is_unusable(&upstream.id);
-            if is_unusable
-                && self.selector.has_other_way(requirements, upstream, relays)
-                && !self.is_suspect()
-                && self.view.try_spend_retry(&requirements.service)
-            {
-                return;
-            }
-        }
-    }
-
     /// Returns whether the request may crash upstreams.
     fn is_suspect(&self) -> bool {
         let crash_tracker = &self.view.crash_tracker;
@@ -432,18 +345,17 @@
     }
 
     /// Decides whether to retry after a failed attempt.
-    fn decide_retry(
-        &self,
-        failed: Failed,
-        attempts: usize,
-        is_buffered: bool,
-        service: &ServiceName,
-    ) -> RetryDecision {
+    fn decide_retry(&self, failed: Failed, progress: &Progress<'_>) -> RetryDecision {
+        if progress.is_buffered && self.can_relay(failed, progress) {
+            // Nothing was sent, so the budget is not concerned if another daemon reaches the upstream.
+            return RetryDecision::Retry(Duration::ZERO);
+        }
+        let service = &progress.requirements.service;
         let decision = retry::decide(&FailedAttempt {
             verdict: failed.verdict,
             reason: failed.reason,
             is_repeatable: self.route.is_repeatable,
-            attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
+            attempts: progress.attempts(),
             attempts_max: self.attempts_max(),
             is_keyed: self.metadata.key.is_some() && self.is_keyed(service),
             usual_time: self.usual_time(),
@@ -456,7 +368,7 @@
             {
                 RetryDecision::GiveUp
             }
-            Decision::RetryAfter(delay) if is_buffered => {
+            Decision::RetryAfter(delay) if progress.is_buffered => {
                 if self.view.try_spend_retry(service) {
                     RetryDecision::Retry(delay)
                 } else {
@@ -468,6 +380,23 @@
     }
 }
 
+/// What has become of a request so far.
+struct Progress<'a> {
+    requirements: &'a Requirements,
+    /// The number of attempts, the current one included.
+    attempts: usize,
+    /// Whether its body can be sent again.
+    is_buffered: bool,
+    /// The daemons through which it was tried; `None` if it must not be relayed any more.
+    relays: Option<&'a [SocketAddr]>,
+}
+
+impl Progress<'_> {
+    fn attempts(&self) -> u32 {
+        u32::try_from(self.attempts).unwrap_or(u32::MAX)
+    }
+}
+
 /// Whether a failed attempt is followed by another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RetryDecision {
--- /dev/null
+++ b/crates/gateway/src/attempts/elsewhere.rs
@@ -0,0 +1,105 @@
+//! The ways of a request around an upstream that this daemon does not reach: through another daemon, or to another
+//! upstream.
+
+use std::{future::pending, net::SocketAddr, time::Duration};
+
+use super::{Attempts, Progress};
+use crate::{
+    dialect::Dialect,
+    relay::{Outgoing, Terms},
+};
+use copperwell_backend::exchange::Failed;
+use copperwell_message::{Body, Reason, Response, Verdict};
+use copperwell_routing::registry::Upstream;
+use http::request::Parts;
+use tokio::time::{Instant, sleep};
+
+/// The most daemons through which one request is tried.
+const RELAYS_MAX: usize = 2;
+
+/// How long a request stays at an upstream whose path is lost, as connections that are open may go on.
+const LOST_PATH_PATIENCE: Duration = Duration::from_millis(200);
+
+impl<D: Dialect> Attempts<'_, D> {
+    /// Returns the terms for a daemon that sends this request on after `attempts` attempts.
+    pub(super) fn terms_for_relay(&self, attempts: usize) -> Terms {
+        let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
+        let configuration = self.view.configuration();
+        Terms {
+            configuration: configuration.map_or(0, |known| known.version),
+            attempts: self.route.attempts.saturating_sub(attempts).max(1),
+        }
+    }
+
+    /// Sends the request through another daemon.
+    pub(super) async fn relay(
+        &self,
+        helper: SocketAddr,
+        terms: Terms,
+        parts: &Parts,
+        body: Body,
+    ) -> Response {
+        let outgoing = Outgoing {
+            parts,
+            body,
+            identity: &self.identity,
+            terms,
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+        };
+        let relay = &self.selector.relay;
+        let response = relay.send(helper, outgoing).await;
+        if let Some(reason) = response.reply.reason {
+            self.request_log
+                .relay_failed(self.context, helper, response.reply.verdict, reason);
+        }
+        response
+    }
+
+    /// Returns the daemons through which the request was tried; `None` if it must not be relayed any more.
+    ///
+    /// A relayed request is not relayed once more.
+    pub(super) fn relays<'a>(&self, tried: &'a [SocketAddr]) -> Option<&'a [SocketAddr]> {
+        (self.terms.is_none() && tried.len() < RELAYS_MAX).then_some(tried)
+    }
+
+    /// Returns whether a request that could not be sent can be sent through another daemon.
+    pub(super) fn can_relay(&self, failed: Failed, progress: &Progress<'_>) -> bool {
+        let can_relay = |tried| self.selector.can_relay(progress.requirements, tried);
+        failed.verdict == Verdict::NotRun
+            && failed.reason == Reason::ConnectionRefused
+            && progress.relays.is_some_and(can_relay)
+    }
+
+    /// Waits until a request that is at an upstream is better sent elsewhere: its path is lost, there is another way,
+    /// and the retry is paid for. Waits forever for one that must not be sent again.
+    pub(super) async fn wait_for_way_elsewhere(
+        &self,
+        upstream: &Upstream,
+        progress: &Progress<'_>,
+    ) {
+        let Progress {
+            requirements,
+            relays,
+            ..
+        } = *progress;
+        let is_allowed = progress.is_buffered && progress.attempts() < self.attempts_max();
+        if !is_allowed || !self.route.is_repeatable {
+            return pending().await;
+        }
+        let mut lost = self.view.keys.lost.subscribe();
+        loop {
+            // The view owns the sender, so the channel stays open.
+            let _ = lost.wait_for(|lost| lost.contains(&upstream.id)).await;
+            // Connections that are open may go on.
+            sleep(LOST_PATH_PATIENCE).await;
+            let is_unusable = self.view.paths.reach().is_unusable(&upstream.id);
+            if is_unusable
+                && self.selector.has_other_way(requirements, upstream, relays)
+                && !self.is_suspect()
+                && self.view.try_spend_retry(&requirements.service)
+            {
+                return;
+            }
+        }
+    }
+}
