Keep a path whose requests are answered beside a slow health check

A health check waits for a slot of the upstream. One that was begun in silence and timed out took the path for lost, though requests had been answered in between, and keys of a busy upstream went through other daemons for a while. Found by reading; class: a verdict on older evidence overrides newer. A health check counts as unanswered only if nothing else was answered since it was sent. A restarted upstream also forgets what timed out before.

--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -170,22 +170,21 @@
             return;
         };
         self.health_checks.inc();
+        let sent_at = Instant::now();
         let asked = probe::ask(
             upstream.address,
             &health_path,
             PROBE_TIMEOUT,
             HEALTH_CHECK_TIMEOUT,
         );
-        let is_answered = match asked.await {
-            Answer::Answered => true,
-            Answer::Silent => false,
-            Answer::Unreachable => return self.record_connect(&upstream.id, false),
+        let answer = asked.await;
+        let (id, now) = (&upstream.id, Instant::now());
+        let change = match answer {
+            Answer::Answered => self.reach().record_health_answer(id, now),
+            Answer::Silent => self.reach().record_health_timeout(id, sent_at, now),
+            Answer::Unreachable => self.reach().record_connect(id, false, now),
         };
-        let now = Instant::now();
-        let change = self
-            .reach()
-            .record_health_check(&upstream.id, is_answered, now);
-        self.record_change(&upstream.id, change);
+        self.record_change(id, change);
     }
 }
 
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -138,20 +138,28 @@
         self.paths.get_mut(id)?.record_answer(now)
     }
 
-    /// Records whether a health check on a new connection to an upstream was answered; returns how its path changed.
-    pub fn record_health_check(
+    /// Records that a health check on a new connection to an upstream was answered; returns how its path changed.
+    pub fn record_health_answer(&mut self, id: &UpstreamId, now: Instant) -> Option<Change> {
+        let path = self.paths.entry(id.clone()).or_default();
+        match path.is_unconnected() {
+            // Connections may break under requests all the same.
+            true => self.record_connect(id, true, now),
+            false => path.record_answer(now),
+        }
+    }
+
+    /// Records that a health check on a new connection to an upstream has waited in vain since `sent_at`; returns how
+    /// its path changed.
+    pub fn record_health_timeout(
         &mut self,
         id: &UpstreamId,
-        is_answered: bool,
+        sent_at: Instant,
         now: Instant,
     ) -> Option<Change> {
         let path = self.paths.entry(id.clone()).or_default();
-        if is_answered {
-            // Others may break under requests all the same.
-            return match path.is_unconnected() {
-                true => self.record_connect(id, true, now),
-                false => path.record_answer(now),
-            };
+        if path.is_answered_since(sent_at) {
+            // The health check waits for a slot, and requests are answered.
+            return None;
         }
         let is_first = path.lost_since.is_none();
         path.lost_since = path.lost_since.or(Some(now));
@@ -192,6 +200,7 @@
     pub fn restart(&mut self, id: &str, now: Instant) -> Option<Change> {
         let path = self.paths.get_mut(id)?;
         path.losses = 0;
+        path.has_timed_out = false;
         path.is_lost_in_silence = false;
         let since = path.lost_since.take()?;
         Some(Change::Back(now.saturating_duration_since(since)))
@@ -318,14 +327,17 @@
     }
 
     fn record_timeout(&mut self, sent_at: Instant) {
-        let is_answered_since = self.answered_at.is_some_and(|at| at > sent_at);
-        if !is_answered_since {
+        if !self.is_answered_since(sent_at) {
             self.has_timed_out = true;
             self.quiet_since = self.quiet_since.or(Some(sent_at));
         }
         self.is_in_doubt = true;
     }
 
+    fn is_answered_since(&self, sent_at: Instant) -> bool {
+        self.answered_at.is_some_and(|at| at > sent_at)
+    }
+
     /// Returns whether an answer is due, or was.
     fn is_in_use(&self) -> bool {
         self.in_flight > 0 || self.has_timed_out || self.is_lost_in_silence
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -192,7 +192,7 @@
     let (mut reach, all) = waiting(1, 1, start);
     let lost_at = start + Duration::from_secs(2);
     assert_eq!(
-        reach.record_health_check(&id(0), false, lost_at),
+        reach.record_health_timeout(&id(0), start, lost_at),
         Some(Change::Lost)
     );
     assert!(reach.is_unusable(&id(0)));
@@ -201,7 +201,7 @@
     assert_eq!(reach.record_connect(&id(0), true, later), None);
     assert!(reach.due_probes(&all, later)[0].asks);
     let back = Change::Back(Duration::from_secs(4));
-    assert_eq!(reach.record_health_check(&id(0), true, later), Some(back));
+    assert_eq!(reach.record_health_answer(&id(0), later), Some(back));
     assert!(!reach.is_unusable(&id(0)));
     assert_eq!(reach.due_probes(&all, later), vec![]);
 }
@@ -226,8 +226,20 @@
     reach.record_timeout(&id(0), start);
     let now = start + Duration::from_secs(1);
     assert!(reach.due_probes(&[upstream(0)], now)[0].asks);
-    reach.record_health_check(&id(0), false, now);
+    reach.record_health_timeout(&id(0), start, now);
     assert!(reach.is_lost(&id(0)));
     assert!(reach.record_order_answer(&id(0), now).is_some());
     assert!(!reach.is_lost(&id(0)));
 }
+
+#[test]
+fn path_is_lost_while_requests_are_answered_beside_a_slow_health_check() {
+    let start = Instant::now();
+    let (mut reach, _) = waiting(1, 1, start);
+    let sent_at = start + Duration::from_secs(1);
+    let answered_at = sent_at + Duration::from_millis(400);
+    reach.record_end(&id(0), End::Answered, answered_at);
+    let now = sent_at + Duration::from_millis(800);
+    assert_eq!(reach.record_health_timeout(&id(0), sent_at, now), None);
+    assert!(!reach.is_lost(&id(0)));
+}
