Take a lost path for back only when a health check is answered

Cause: a lost path was back as soon as a connection opened and stayed open for 0.1 s. Class: evidence of a lower layer is taken for the service of a higher one, as with silence.

Lost paths are probed with a health check now, where the configuration has its path. The table test asks for health checks of lost paths, which were sent for silent ones alone before.

--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -98,7 +98,7 @@
 pub struct Probe {
     /// The upstream.
     pub upstream: Arc<Upstream>,
-    /// Whether a health check is to be sent too.
+    /// Whether a health check is to be sent too: a connection that opens does not show that a lost path is back.
     pub asks: bool,
 }
 
@@ -282,7 +282,7 @@
                 path.is_in_doubt = false;
                 due.push(Probe {
                     upstream: upstream.clone(),
-                    asks: path.is_lost_in_silence || is_silent && !path.is_unconnected(),
+                    asks: is_silent || path.lost_since.is_some(),
                 });
             }
         }
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -243,3 +243,17 @@
     assert_eq!(reach.record_health_timeout(&id(0), sent_at, now), None);
     assert!(!reach.is_lost(&id(0)));
 }
+
+#[test_case(|reach, at| reach.record_connect(&id(0), false, at); "refuse")]
+#[test_case(|reach, at| reach.record_loss(&id(0), at).or(reach.record_loss(&id(0), at)); "break")]
+fn lost_path_is_back_as_soon_as_connections_open(lose: fn(&mut Reach, Instant) -> Option<Change>) {
+    let start = Instant::now();
+    let (mut reach, all) = used(1, start);
+    assert_eq!(lose(&mut reach, start), Some(Change::Lost));
+    let later = start + Duration::from_secs(2);
+    assert!(reach.due_probes(&all, later)[0].asks);
+    assert_eq!(reach.record_health_timeout(&id(0), start, later), None);
+    assert!(reach.is_unusable(&id(0)));
+    assert!(reach.record_health_answer(&id(0), later).is_some());
+    assert!(!reach.is_unusable(&id(0)));
+}
