Take back that requests leave a server whose path is lost

The server was only slow: its health check waited behind its queue, the request left, and its retry was refused. Even where the path really is lost to new connections, open ones go on.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -126,22 +126,13 @@
                 is_buffered: buffered.is_some(),
                 relays: self.relays(&relays),
             };
-            let sent_at = Instant::now();
-            let (attempt, is_abandoned) = tokio::select! {
-                attempt = self.send(&upstream, &parts, body) => (attempt, false),
-                () = self.wait_for_way_elsewhere(&upstream, &progress) => {
-                    (Attempt::abandoned(sent_at.elapsed()), true)
-                }
-            };
+            let attempt = self.send(&upstream, &parts, body).await;
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
                 Classified::Failure(result, failed) => (result, failed),
             };
-            let decision = match is_abandoned {
-                true => RetryDecision::Retry(Duration::ZERO),
-                false => self.decide_retry(failed, &progress),
-            };
+            let decision = self.decide_retry(failed, &progress);
             let request_log = self.request_log;
             request_log.failed(
                 self.context,
--- a/crates/gateway/src/attempts/elsewhere.rs
+++ b/crates/gateway/src/attempts/elsewhere.rs
@@ -1,7 +1,6 @@
-//! The ways of a request around an upstream that this daemon does not reach: through another daemon, or to another
-//! upstream.
+//! The way of a request through another daemon, to an upstream that this one does not reach.
 
-use std::{future::pending, net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use super::{Attempts, Progress};
 use crate::{
@@ -10,16 +9,12 @@
 };
 use copperwell_backend::exchange::Failed;
 use copperwell_message::{Body, Reason, Response, Verdict};
-use copperwell_routing::registry::Upstream;
 use http::request::Parts;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 /// The most daemons through which one request is tried.
 const RELAYS_MAX: usize = 2;
 
-/// How long a request stays at an upstream whose path is lost, as connections that are open may go on.
-const LOST_PATH_PATIENCE: Duration = Duration::from_millis(200);
-
 impl<D: Dialect> Attempts<'_, D> {
     /// Returns the terms for a daemon that sends this request on after `attempts` attempts.
     pub(super) fn terms_for_relay(&self, attempts: usize) -> Terms {
@@ -69,37 +64,4 @@
             && failed.reason == Reason::ConnectionRefused
             && progress.relays.is_some_and(can_relay)
     }
-
-    /// Waits until a request that is at an upstream is better sent elsewhere: its path is lost, there is another way,
-    /// and the retry is paid for. Waits forever for one that must not be sent again.
-    pub(super) async fn wait_for_way_elsewhere(
-        &self,
-        upstream: &Upstream,
-        progress: &Progress<'_>,
-    ) {
-        let Progress {
-            requirements,
-            relays,
-            ..
-        } = *progress;
-        let is_allowed = progress.is_buffered && progress.attempts() < self.attempts_max();
-        if !is_allowed || !self.route.is_repeatable {
-            return pending().await;
-        }
-        let mut lost = self.view.keys.lost.subscribe();
-        loop {
-            // The view owns the sender, so the channel stays open.
-            let _ = lost.wait_for(|lost| lost.contains(&upstream.id)).await;
-            // Connections that are open may go on.
-            sleep(LOST_PATH_PATIENCE).await;
-            let is_unusable = self.view.paths.reach().is_unusable(&upstream.id);
-            if is_unusable
-                && self.selector.has_other_way(requirements, upstream, relays)
-                && !self.is_suspect()
-                && self.view.try_spend_retry(&requirements.service)
-            {
-                return;
-            }
-        }
-    }
 }
--- a/crates/gateway/src/attempts/outcome.rs
+++ b/crates/gateway/src/attempts/outcome.rs
@@ -21,20 +21,6 @@
     pub(super) result: Result<Response, Failed>,
 }
 
-impl Attempt {
-    /// Returns an attempt that was given up after `elapsed`, since the path to the upstream is lost.
-    pub(super) fn abandoned(elapsed: Duration) -> Self {
-        Self {
-            outcome: Outcome::TimedOut,
-            elapsed,
-            result: Err(Failed {
-                verdict: Verdict::MayHaveRun,
-                reason: Reason::ConnectionSilent,
-            }),
-        }
-    }
-}
-
 /// Tells what a request shows of the path to its upstream, also if it is dropped.
 pub(super) struct PathGuard<'a> {
     view: &'a View,
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -156,26 +156,6 @@
         served.is_some_and(|served| self.relay_to(&served.upstream, tried).is_some())
     }
 
-    /// Returns whether a request can be served without `lost`, an upstream that this daemon does not reach: at another
-    /// upstream, or through another daemon than those of `tried`.
-    pub(crate) fn has_other_way(
-        &self,
-        requirements: &Requirements,
-        lost: &Upstream,
-        tried: Option<&[SocketAddr]>,
-    ) -> bool {
-        if tried.is_some_and(|tried| self.can_relay(requirements, tried)) {
-            return true;
-        }
-        if requirements.key.is_some() {
-            return false;
-        }
-        let registry = self.view.registry();
-        let reach = self.view.paths.reach();
-        let mut others = registry.of_service(&requirements.service).iter();
-        others.any(|one| one.id != lost.id && !one.is_draining && !reach.is_unusable(&one.id))
-    }
-
     /// Returns a daemon that reaches a holder that this one does not.
     fn relay_to(&self, holder: &UpstreamId, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let is_unusable = self.view.paths.has_lost() && self.view.paths.reach().is_unusable(holder);
