Send health checks only where no upstream answers

Cause: silence of half of the paths in use counted, also while others answered. Class: the end of a queue is taken for the end of a path.

Silence now counts only while no upstream at all has answered for a second; that is what a daemon sees that is cut off from all.

--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -15,8 +15,8 @@
 /// probe opens a connection.
 const SILENCE: Duration = Duration::from_secs(1);
 
-/// The share of the paths in use that must be silent before health checks are sent: silence at a few upstreams among
-/// others that answer is theirs.
+/// The share of the paths in use that must be silent before health checks are sent, while no other answers either:
+/// silence at some upstreams among others that answer is theirs.
 const SILENT_SHARE: f64 = 0.5;
 
 /// The number of connections that break under requests, without any answer in between, from which on a path is lost.
@@ -289,8 +289,13 @@
         due
     }
 
-    /// Returns whether so many of the paths in use are silent that this daemon may have lost them.
+    /// Returns whether this daemon may have lost its paths in silence: no upstream answers, and most that owe an answer
+    /// have owed it for long.
     fn is_silent(&self, now: Instant) -> bool {
+        let answered_at = self.paths.values().filter_map(|path| path.answered_at);
+        if answered_at.max().is_some_and(|at| now < at + SILENCE) {
+            return false;
+        }
         let in_use = self.paths.values().filter(|path| path.is_in_use());
         let silent = in_use.clone().filter(|path| path.is_silent(now)).count();
         silent > 0 && silent as f64 >= SILENT_SHARE * in_use.count() as f64
