Say in comments what lost paths and kept successors mean now

Read as a newcomer: comments on lost paths said that no connection can be opened, though one that is never answered counts too; the list of successors is empty at a successor, which no comment said; one comment was a line of 170 characters.

--- a/crates/assignment/src/driver/shared.rs
+++ b/crates/assignment/src/driver/shared.rs
@@ -44,13 +44,14 @@
     pub has_looked_for_leader: Arc<watch::Sender<bool>>,
     /// The last offer of a configuration that this daemon lacks.
     pub offer: Arc<watch::Sender<Offer>>,
-    /// The upstreams to which this daemon cannot open a connection, in order.
+    /// The upstreams to which this daemon can open no connection, or none that is answered, in order.
     pub lost: Arc<watch::Sender<Vec<UpstreamId>>>,
     /// The incarnations of upstreams that have said to this daemon that they leave.
     pub leaving: Arc<watch::Sender<Vec<(UpstreamId, Incarnation)>>>,
     /// Daemons that accept this daemon's requests to upstreams that it does not reach.
     pub helpers: Arc<watch::Sender<Vec<Helper>>>,
-    /// The addresses of the daemons that should lead next, which pass configurations on while there is no leader.
+    /// The addresses of the daemons that should lead next, which pass configurations on while there is no leader. It is
+    /// empty at these daemons, which read the store themselves, and at the leader.
     pub successors: Arc<watch::Sender<Vec<SocketAddr>>>,
     /// Whether this daemon must read the list of upstreams: it has never read the list itself, and
     /// cannot lead without it.
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Asks the successors for newer configurations whenever the leader is silent, forever.
+    /// Asks the successors for newer configurations whenever the leader's news are late, forever.
     pub(super) async fn ask_successors(&self) {
         loop {
             sleep(ASK_INTERVAL).await;
--- a/crates/assignment/src/reach.rs
+++ b/crates/assignment/src/reach.rs
@@ -23,7 +23,7 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub zone: ZoneName,
-    /// The upstreams to which it cannot open a connection, in order.
+    /// The upstreams to which it can open no connection, or none that is answered, in order.
     pub lost: Vec<UpstreamId>,
     /// The incarnations of upstreams that have said to it that they leave.
     pub leaving: Vec<(UpstreamId, Incarnation)>,
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -54,8 +54,9 @@
 impl Selector {
     /// Returns where the next attempt of a request goes, once its upstream has capacity.
     ///
-    /// `relays` are the daemons through which it was tried already; `None` if it must not be relayed. `attempted` are the upstreams of earlier attempts. `stale_version` is a version of the routing
-    /// tables by which an attempt was misdirected. A request that crashes upstreams is refused, and one that
+    /// `relays` are the daemons through which it was tried already; `None` if it must not be relayed. `attempted`
+    /// are the upstreams of earlier attempts. `stale_version` is a version of the routing tables by which an attempt
+    /// was misdirected. A request that crashes upstreams is refused, and one that
     /// may do so is not sent to an upstream that has another such request.
     pub(crate) async fn select(
         &self,
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -87,9 +87,9 @@
 /// How a path changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
-    /// No connection can be opened any more.
+    /// No connection can be opened or used any more.
     Lost,
-    /// Connections can be opened again, after this time.
+    /// Connections can be used again, after this time.
     Back(Duration),
 }
 
@@ -236,7 +236,7 @@
         })
     }
 
-    /// Returns the upstreams to which no new connection can be opened, in order.
+    /// Returns the upstreams to which no new connection can be opened or used, in order.
     #[must_use]
     pub fn lost(&self) -> Vec<UpstreamId> {
         let paths = self.paths.iter();
@@ -353,7 +353,7 @@
         self.is_lost_in_silence || self.is_in_use() && is_quiet
     }
 
-    /// Returns whether the path is lost since no connection can be opened, or they break.
+    /// Returns whether the path is lost, and not in silence: no connection can be opened, or they break.
     fn is_unconnected(&self) -> bool {
         self.lost_since.is_some() && !self.is_lost_in_silence
     }
