Leave a free lead to stronger daemons while no candidates are known

Cause: the leader stopped on SIGTERM. A daemon with 0.1 of a core and 20 Mbit/s had been restarted a second before, knew no candidates, and read the store right after the entry said that the term was over. It took the lead 0.1 s before any of the fifteen daemons with five times its share could. It could not tell 295 daemons what had changed, so all of them read the list of upstreams from the store.

Change: a daemon that knows no candidates takes over only once the lead has been free for a time that is longer the weaker it is. Daemons that have followed a leader know the candidates and try in order, as before.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -199,8 +199,8 @@
                     // After an outage of the store, the old leader has more information than a
                     // successor would, so it gets the chance to renew its lease first.
                     if !has_recovered
-                        && let Some(term) =
-                            self.take_over(&snapshot, leader.as_ref(), &observer).await
+                        && self.may_take_over(&snapshot, leader.as_ref(), &observer, &candidates)
+                        && let Some(term) = self.take_over(&snapshot, leader.as_ref()).await
                     {
                         let predecessor = leader.take();
                         let grants_end = predecessor
@@ -312,31 +312,38 @@
         leader
     }
 
-    /// Becomes the leader if this daemon may take over now; returns the new term.
-    async fn take_over(
+    /// Returns whether this daemon may become the leader now.
+    fn may_take_over(
         &self,
         snapshot: &Snapshot,
         leader: Option<&LeaderEntry>,
         observer: &Observer,
-    ) -> Option<Term> {
-        let services = self.environment.keyed_services()?;
+        candidates: &[DaemonName],
+    ) -> bool {
+        let Some(services) = self.environment.keyed_services() else {
+            return false;
+        };
         let needs_upstream_list = self.environment.list_read_at().is_none();
         self.shared
             .needs_upstream_list
             .store(needs_upstream_list, Ordering::Relaxed);
-        if needs_upstream_list {
-            return None;
+        if needs_upstream_list || services.is_empty() {
+            return false;
         }
         let me = &self.identity;
         let timing = &self.timing.lease;
         let now = self.clock.now();
-        let may_take_over = match self.has_lost_entries(snapshot, leader) {
-            true => observer.may_take_over_after_loss(now, timing),
-            false => observer.may_take_over(leader, &me.name, me.address, now, timing),
-        };
-        if services.is_empty() || !may_take_over {
-            return None;
+        if self.has_lost_entries(snapshot, leader) {
+            return observer.may_take_over_after_loss(now, timing);
         }
+        let patience = election::vacancy_patience(candidates, me.strength);
+        let vacant_for = observer.vacant_for(leader, &me.name, me.address, now, timing);
+        vacant_for.is_some_and(|vacant_for| vacant_for >= patience)
+    }
+
+    /// Tries to become the leader; returns the new term.
+    async fn take_over(&self, snapshot: &Snapshot, leader: Option<&LeaderEntry>) -> Option<Term> {
+        let now = self.clock.now();
         let term = snapshot.end + 1;
         let unknown_until = self.unknown_until(snapshot, leader, now);
         let mut entry = self.leader_entry(term, 0, 0, false, generation(term));
--- a/crates/assignment/src/election.rs
+++ b/crates/assignment/src/election.rs
@@ -34,6 +34,11 @@
 /// candidates.
 const JITTER_PER_DAEMON: Duration = Duration::from_millis(10);
 
+/// How long the weakest daemon leaves a free lead to stronger ones while it knows no candidates.
+///
+/// Otherwise a daemon that was just started would lead whenever it happens to look before the candidates do.
+const VACANCY_PATIENCE: Duration = Duration::from_secs(1);
+
 /// How many times as strong another daemon must be for a leader to step down.
 const STEP_DOWN_FACTOR: u32 = 2;
 
@@ -78,6 +83,15 @@
     }
 }
 
+/// Returns how long the lead must have been free before a daemon takes over.
+#[must_use]
+pub fn vacancy_patience(candidates: &[DaemonName], strength: u32) -> Duration {
+    match candidates {
+        [] => scale(VACANCY_PATIENCE, strength),
+        _ => Duration::ZERO,
+    }
+}
+
 /// Returns whether a leader that has led for `led` steps down in favour of the strongest daemon known to it.
 #[must_use]
 pub fn should_step_down(own: u32, strongest: u32, led: Duration) -> bool {
--- a/crates/assignment/src/lease.rs
+++ b/crates/assignment/src/lease.rs
@@ -159,21 +159,30 @@
         announced.map(|(lapse, at)| at + lapse.grants_end)
     }
 
-    /// Returns whether the daemon `name` at `address` may take over from `leader` now.
+    /// Returns for how long the daemon `name` at `address` has been free to take over from `leader`; `None` if it
+    /// may not take over yet.
     ///
     /// A daemon may take over from its own earlier run at once, since that run has ended.
     #[must_use]
-    pub fn may_take_over(
+    pub fn vacant_for(
         &self,
         leader: Option<&LeaderEntry>,
         name: &str,
         address: SocketAddr,
         now: Duration,
         timing: &Timing,
-    ) -> bool {
-        let Some(leader) = leader else { return true };
-        let is_own = &*leader.name == name && leader.address == address;
-        let has_stopped = self.grants_end(leader).is_some();
-        has_stopped || is_own || now.saturating_sub(self.unchanged_since) >= timing.takeover_timeout
+    ) -> Option<Duration> {
+        let Some(leader) = leader else {
+            return Some(Duration::MAX);
+        };
+        if &*leader.name == name && leader.address == address {
+            return Some(Duration::MAX);
+        }
+        let unchanged_for = now.saturating_sub(self.unchanged_since);
+        if self.grants_end(leader).is_some() {
+            // A lapse may have been announced later, but a leader that has announced one is of no use either.
+            return Some(unchanged_for);
+        }
+        unchanged_for.checked_sub(timing.takeover_timeout)
     }
 }
--- a/crates/assignment/tests/election.rs
+++ b/crates/assignment/tests/election.rs
@@ -42,6 +42,14 @@
     assert_eq!(election::candidate_delay(None, &[]), Duration::ZERO);
 }
 
+#[test_case(candidates(), 100, Duration::ZERO; "candidates are known, and try in order")]
+#[test_case(Vec::new(), 1_000, Duration::ZERO; "the strongest there can be")]
+#[test_case(Vec::new(), 500, Duration::from_millis(500); "strong")]
+#[test_case(Vec::new(), 100, Duration::from_millis(900); "weak")]
+fn a_free_lead_is_left_to_others(known: Vec<DaemonName>, strength: u32, expected: Duration) {
+    assert_eq!(election::vacancy_patience(&known, strength), expected);
+}
+
 #[test_case(100, 500, 4, true; "much stronger")]
 #[test_case(100, 500, 3, false; "much stronger, but most do not know yet")]
 #[test_case(200, 200, 60, false; "equal")]
