Keep a list of upstreams that was read after the leader's

Cause: a daemon that finds the leader's list old reads the store itself. The leader, which still answers, was then asked for its whole list, as the daemon had no list of the leader's any more, and the old list replaced the fresh one within 20 ms, at every read of every daemon: 294 whole lists of 100 KB each 600 ms at a leader with 200 Mbit/s.

Change: the list of an update is taken only if the leader has read it after this daemon's own list. One that is older counts as sent, so that it is not sent again; when the leader has read the store since, its whole list is asked for.

old_list_of_the_leader_replaces_one_that_was_read_since failed before (the old list was in force).

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -12,7 +12,10 @@
 
 use crate::{crash_tracker::CrashTracker, paths::Paths, request_log::RoutingVersions, watch};
 use arc_swap::ArcSwapOption;
-use copperwell_assignment::{driver::Shared, store_state::ListVersion};
+use copperwell_assignment::{
+    driver::Shared,
+    store_state::{Delta, ListVersion, UpstreamList},
+};
 use copperwell_message::HashMap;
 use copperwell_routing::{
     Incarnation, ServiceName, UpstreamId, ZoneName,
@@ -80,8 +83,10 @@
     configuration: u64,
     /// Since when this daemon lacks it, or when a part of it last arrived.
     behind_since: Option<Instant>,
-    /// The leader's list that is applied to the registry; the default if the registry has another one.
+    /// The leader's list that this daemon needs not be sent again; the default if it needs the whole one.
     list: ListVersion,
+    /// When this daemon last read the list itself, if the registry has that list and not the leader's.
+    own_list_at: Option<Instant>,
     /// Whether the daemons that should lead next have been asked since then.
     were_successors_asked: bool,
     /// When one of them last answered; `None` if none was asked.
@@ -188,7 +193,10 @@
         let upstreams: Vec<_> = registry.all().cloned().collect();
         drop(registry);
         // The leader's changes since its last list do not apply to this list.
-        self.leader_update().list = ListVersion::default();
+        let mut update = self.leader_update();
+        update.list = ListVersion::default();
+        update.own_list_at = Some(now);
+        drop(update);
         self.keys
             .needs_upstream_list
             .store(false, Ordering::Relaxed);
@@ -400,6 +408,32 @@
             .is_none_or(|known| known.version < leader_version)
     }
 
+    /// Takes the list of an update from the leader if it applies to the registry.
+    ///
+    /// `at` is when the leader read it. A list that this daemon has read since is kept: a leader that is cut off from
+    /// the store goes on to tell its old one.
+    fn take_list(&self, delta: &mut Delta, at: Option<Instant>) -> Option<UpstreamList> {
+        let mut update = self.leader_update();
+        let list = delta.upstreams.take();
+        let previous = std::mem::replace(&mut update.list, delta.list);
+        if update.own_list_at.is_some_and(|own| at < Some(own)) {
+            return None;
+        }
+        let has_list_of_leader = update.own_list_at.is_none();
+        let applies = match &list {
+            Some(UpstreamList::Whole(_)) => true,
+            Some(UpstreamList::Changed { from, .. }) => has_list_of_leader && *from == previous,
+            None => has_list_of_leader && delta.list == previous,
+        };
+        if applies {
+            update.own_list_at = None;
+        } else {
+            // Makes the leader send its whole list next time.
+            update.list = ListVersion::default();
+        }
+        list.filter(|_| applies)
+    }
+
     fn leader_update(&self) -> MutexGuard<'_, LeaderUpdate> {
         self.leader_update
             .lock()
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -116,7 +116,7 @@
         true
     }
 
-    fn apply_update(&self, delta: Delta) {
+    fn apply_update(&self, mut delta: Delta) {
         let now = Instant::now();
         if let Some(encoded) = &delta.difference {
             self.apply_difference(encoded);
@@ -131,20 +131,9 @@
             true => update.behind_since.or(Some(now)),
             false => None,
         };
-        let previous = update.list;
-        // Changes apply only to the leader's list. If this daemon has read a list of its own in the meantime,
-        // they are ignored, and the reset version makes the leader send its whole list next time.
-        let applies = match &delta.upstreams {
-            Some(UpstreamList::Whole(_)) => true,
-            Some(UpstreamList::Changed { from, .. }) => *from == previous,
-            None => delta.list == previous,
-        };
-        update.list = match applies {
-            true => delta.list,
-            false => ListVersion::default(),
-        };
+        let read_at = update.read_at;
         drop(update);
-        let Some(list) = delta.upstreams.filter(|_| applies) else {
+        let Some(list) = self.take_list(&mut delta, read_at) else {
             return;
         };
         let mut registry = self
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -416,3 +416,36 @@
     fixture.view.apply_update(delta(version(2), removal()));
     assert!(fixture.view.registry().is_empty());
 }
+
+/// A leader that is cut off from the store repeats its last list.
+#[tokio::test(start_paused = true)]
+async fn old_list_of_the_leader_replaces_one_that_was_read_since() {
+    let fixture = Fixture::start().await;
+    let version = ListVersion { run: 9, number: 3 };
+    let stale = || Upstream {
+        id: "stale".into(),
+        ..upstream()
+    };
+    let delta = |age, upstreams| Delta {
+        configuration: 1,
+        difference: None,
+        list: version,
+        age,
+        upstreams,
+    };
+    let whole = || Some(UpstreamList::Whole(vec![stale()]));
+    // This daemon has read the store less than 600 ms ago.
+    fixture
+        .view
+        .apply_update(delta(Duration::from_secs(2), whole()));
+    assert!(fixture.view.registry().get("stale").is_none());
+    // The leader does not send its list again and again.
+    assert_eq!(fixture.view.versions().1, version);
+    // The leader has read the store again, and found the same list.
+    fixture.view.apply_update(delta(Duration::ZERO, None));
+    assert_eq!(fixture.view.versions().1, ListVersion::default());
+    assert!(fixture.view.registry().get("stale").is_none());
+    fixture.view.apply_update(delta(Duration::ZERO, whole()));
+    assert_eq!(fixture.view.versions().1, version);
+    assert!(fixture.view.registry().get("stale").is_some());
+}
