Tell what has changed of the list also after a change of leader

Cause: versions of the list of upstreams belong to the run of the leader. A new leader did not know those of its predecessor, and sent each of 294 daemons its whole list: 100 KB of 1,080 upstreams, 30 MB over a link of 200 Mbit/s. For as long as that took, the list at the daemons was older than 1.4 s, and all of them read the store.

Change: each daemon keeps the list that the leader tells, with its version, and when it leads and reads the store, it tells the others what differs from it. The numbers go on over a change of leader, and a daemon remembers which lists of which runs they belong to. A daemon that finds the leader's list in the store keeps its version.

In changes_of_another_list_are_not_applied the store had the leader's list by accident; it has another one now, and the checks are the same.

--- a/crates/assignment/src/store_state.rs
+++ b/crates/assignment/src/store_state.rs
@@ -19,6 +19,9 @@
 /// The maximum number of removed upstreams that are remembered.
 const REMOVED_MAX: usize = 1_024;
 
+/// The maximum number of runs whose lists are remembered.
+const SPANS_MAX: usize = 8;
+
 /// Identifies a list of upstreams, by the run of the daemon that read it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListVersion {
@@ -71,28 +74,46 @@
 #[derive(Debug)]
 struct State {
     configurations: History,
+    /// The run of this daemon.
+    run: u64,
+    /// The last list that this daemon has read or was told.
     list: ListVersion,
     upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
     /// The number of the list in which each upstream last changed or was removed.
     changed_in: HashMap<UpstreamId, u64>,
-    /// The number of the earliest list since which all changes are known.
-    history_start: u64,
-    /// When the list was last read; `None` if it never was.
+    /// The lists since which all changes are known, the latest last. Their numbers increase over all spans.
+    spans: Vec<Span>,
+    /// The highest number of a list of this daemon's run.
+    issued: u64,
+    /// Whether this daemon has read the list, rather than been told.
+    is_own: bool,
+    /// When this daemon last read the list; `None` if it never did.
     read_at: Option<Instant>,
     /// When the store last returned or confirmed the newest configuration; `None` if it never did.
     confirmed_at: Option<Instant>,
 }
 
+/// Consecutive lists of one run.
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    run: u64,
+    first: u64,
+    last: u64,
+}
+
 impl StoreState {
     /// Creates an empty state for the daemon's run `run`.
     #[must_use]
     pub fn new(run: u64) -> Self {
         let state = State {
             configurations: History::default(),
+            run,
             list: ListVersion { run, number: 0 },
             upstreams: BTreeMap::new(),
             changed_in: HashMap::default(),
-            history_start: 0,
+            spans: Vec::new(),
+            issued: 0,
+            is_own: false,
             read_at: None,
             confirmed_at: None,
         };
@@ -123,29 +144,47 @@
         })
     }
 
-    /// Sets the list of upstreams, which this daemon read at `at`.
-    pub fn set_upstreams(&self, upstreams: impl IntoIterator<Item = Arc<Upstream>>, at: Instant) {
+    /// Sets the list of upstreams, which this daemon read at `at`; returns whether it has changed.
+    pub fn set_upstreams(
+        &self,
+        upstreams: impl IntoIterator<Item = Arc<Upstream>>,
+        at: Instant,
+    ) -> bool {
         let upstreams = upstreams.into_iter();
         let upstreams = upstreams.map(|one| (one.id.clone(), one)).collect();
         let is_new = self.with(|state| {
             state.read_at = Some(at);
+            state.is_own = true;
             state.replace_list(upstreams)
         });
         if is_new {
             self.changes.send_replace(());
         }
+        is_new
     }
 
-    /// Sets the list of upstreams after a change that the store does not show, if a list was read.
+    /// Sets the list of upstreams after a change that the store does not show, if this daemon has read it.
     pub fn update_upstreams(&self, upstreams: impl IntoIterator<Item = Arc<Upstream>>) {
         let upstreams = upstreams.into_iter();
         let upstreams = upstreams.map(|one| (one.id.clone(), one)).collect();
-        let is_new = self.with(|state| state.read_at.is_some() && state.replace_list(upstreams));
+        let is_new = self.with(|state| state.is_own && state.replace_list(upstreams));
         if is_new {
             self.changes.send_replace(());
         }
     }
 
+    /// Follows a list that the leader has told, so that a daemon that leads next can tell others what has changed
+    /// since.
+    pub fn follow_list(&self, version: ListVersion, list: &UpstreamList) {
+        self.with(|state| state.follow(version, list));
+    }
+
+    /// Returns the version of the list.
+    #[must_use]
+    pub fn list_version(&self) -> ListVersion {
+        self.with(|state| state.list)
+    }
+
     /// Returns the data that a daemon with the configuration of version `configuration` and the list
     /// `known` lacks; `None` if no list was read yet.
     #[must_use]
@@ -196,7 +235,7 @@
 }
 
 impl State {
-    /// Replaces the list; `false` if it is unchanged.
+    /// Replaces the list by one that this daemon has read; `false` if it is unchanged.
     fn replace_list(&mut self, upstreams: BTreeMap<UpstreamId, Arc<Upstream>>) -> bool {
         let new = upstreams
             .iter()
@@ -209,23 +248,81 @@
         if changed.is_empty() {
             return false;
         }
-        self.list.number += 1;
-        let number = self.list.number;
+        let number = self.list.number.max(self.issued) + 1;
+        self.issued = number;
+        let version = ListVersion {
+            run: self.run,
+            number,
+        };
+        self.upstreams = upstreams;
+        self.advance(version, changed);
+        true
+    }
+
+    /// Follows a list of another daemon.
+    fn follow(&mut self, version: ListVersion, list: &UpstreamList) {
+        match list {
+            UpstreamList::Whole(upstreams) => {
+                self.is_own = false;
+                let upstreams = upstreams.iter().cloned().map(Arc::new);
+                self.upstreams = upstreams.map(|one| (one.id.clone(), one)).collect();
+                self.changed_in.clear();
+                self.spans.clear();
+                self.advance(version, Vec::new());
+            }
+            UpstreamList::Changed {
+                from,
+                changed,
+                gone,
+            } if *from == self.list => {
+                self.is_own = false;
+                for upstream in changed {
+                    let upstream = Arc::new(upstream.clone());
+                    self.upstreams.insert(upstream.id.clone(), upstream);
+                }
+                for id in gone {
+                    self.upstreams.remove(id);
+                }
+                let changed = changed.iter().map(|one| &one.id).chain(gone);
+                let changed = changed.cloned().collect();
+                self.advance(version, changed);
+            }
+            UpstreamList::Changed { .. } => {}
+        }
+    }
+
+    /// Gives the list a new version, in which `changed` are new, have changed or are gone.
+    fn advance(&mut self, version: ListVersion, changed: Vec<UpstreamId>) {
+        let ListVersion { run, number } = version;
+        let is_later = number > self.list.number;
+        self.list = version;
         self.changed_in
             .extend(changed.into_iter().map(|id| (id, number)));
-        self.upstreams = upstreams;
-        if self.changed_in.len() > self.upstreams.len() + REMOVED_MAX {
-            let upstreams = &self.upstreams;
-            self.changed_in.retain(|id, _| upstreams.contains_key(id));
-            self.history_start = number;
+        let is_forgotten = self.changed_in.len() > self.upstreams.len() + REMOVED_MAX;
+        if is_forgotten || !is_later {
+            // A number that is not later cannot be compared with the earlier ones.
+            self.changed_in.clear();
+            self.spans.clear();
+        }
+        match self.spans.last_mut().filter(|span| span.run == run) {
+            Some(span) => span.last = number,
+            None => self.spans.push(Span {
+                run,
+                first: number,
+                last: number,
+            }),
+        }
+        if self.spans.len() > SPANS_MAX {
+            self.spans.remove(0);
         }
-        true
     }
 
     /// Returns the list for a daemon that has the list `known`.
     fn list_for(&self, known: ListVersion) -> UpstreamList {
-        let is_known = known.run == self.list.run
-            && (self.history_start.max(1)..self.list.number).contains(&known.number);
+        let is_known = self
+            .spans
+            .iter()
+            .any(|span| span.run == known.run && (span.first..=span.last).contains(&known.number));
         if !is_known {
             let all = self.upstreams.values();
             return UpstreamList::Whole(all.map(|upstream| (**upstream).clone()).collect());
--- a/crates/assignment/tests/store_state.rs
+++ b/crates/assignment/tests/store_state.rs
@@ -194,6 +194,84 @@
     }
 }
 
+/// A daemon that has followed the leader leads next, and the others have different lists of the earlier leader.
+#[test]
+fn a_change_of_leader_makes_followers_receive_the_whole_list() {
+    let follow = |state: &StoreState, leader: &StoreState| {
+        let delta = leader.delta_for(0, state.list_version()).unwrap();
+        if let Some(list) = delta.upstreams {
+            state.follow_list(delta.list, &list);
+        }
+    };
+    let first = StoreState::new(3);
+    let second = StoreState::new(4);
+    let mut follower = Follower::new();
+    let list: Vec<_> = (0..30).map(|number| upstream(number, 2)).collect();
+    first.set_upstreams(list.clone(), Instant::now());
+    follow(&second, &first);
+    assert_eq!(follower.receive(&first), Some(true));
+    first.set_upstreams(list[1..].to_vec(), Instant::now());
+    follow(&second, &first);
+    // The second one finds the list of the first one in the store.
+    second.set_upstreams(list[1..].to_vec(), Instant::now());
+    assert_eq!(follower.receive(&second), Some(false));
+    follower.assert_has(&list[1..]);
+    second.set_upstreams(list[2..].to_vec(), Instant::now());
+    assert_eq!(follower.receive(&second), Some(false));
+    follower.assert_has(&list[2..]);
+    assert_eq!(follower.receive(&second), None);
+}
+
+/// The lead goes from one daemon to another, some of which have missed lists or read the store themselves.
+#[test]
+fn followers_have_the_list_of_whoever_leads() {
+    let (mut wholes, mut received) = (0, 0);
+    for seed in 0..40 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let daemons: Vec<StoreState> = (3..7).map(StoreState::new).collect();
+        let mut followers: Vec<Follower> = (0..4).map(|_| Follower::new()).collect();
+        let mut list: Vec<Arc<Upstream>> = (0..30).map(|number| upstream(number, 2)).collect();
+        let mut leader = 0;
+        daemons[leader].set_upstreams(list.clone(), Instant::now());
+        for step in 0..400 {
+            let at = random.random_range(0..list.len());
+            match random.random_range(0..3) {
+                0 => list.push(upstream(100 + step, 2)),
+                1 if list.len() > 1 => drop(list.swap_remove(at)),
+                _ => list[at] = upstream(at, random.random_range(1..9)),
+            }
+            list.sort_by(|one, other| one.id.cmp(&other.id));
+            list.dedup_by(|one, other| one.id == other.id);
+            if random.random_bool(0.05) {
+                leader = random.random_range(0..daemons.len());
+            }
+            daemons[leader].set_upstreams(list.clone(), Instant::now());
+            if random.random_bool(0.02) {
+                let other = random.random_range(0..daemons.len());
+                daemons[other].set_upstreams(list.clone(), Instant::now());
+            }
+            for (number, daemon) in daemons.iter().enumerate() {
+                if number != leader && random.random_bool(0.7) {
+                    let known = daemon.list_version();
+                    let delta = daemons[leader].delta_for(0, known).unwrap();
+                    if let Some(list) = delta.upstreams {
+                        daemon.follow_list(delta.list, &list);
+                    }
+                }
+            }
+            for follower in &mut followers {
+                if random.random_bool(0.5) {
+                    let is_whole = follower.receive(&daemons[leader]);
+                    received += 1;
+                    wholes += usize::from(is_whole == Some(true));
+                    follower.assert_has(&list);
+                }
+            }
+        }
+    }
+    assert!(wholes * 5 < received, "{wholes} of {received}");
+}
+
 /// A daemon receives the whole list if its own is from another run or too old.
 #[test]
 fn a_follower_that_is_far_behind_receives_the_whole_list() {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -192,15 +192,17 @@
         let changes = registry.update(listed, now);
         let upstreams: Vec<_> = registry.all().cloned().collect();
         drop(registry);
-        // The leader's changes since its last list do not apply to this list.
+        let is_new = self.keys.store_state.set_upstreams(upstreams, now);
         let mut update = self.leader_update();
-        update.list = ListVersion::default();
-        update.own_list_at = Some(now);
+        if is_new || update.list != self.keys.store_state.list_version() {
+            // The leader's changes since its last list do not apply to this list.
+            update.list = ListVersion::default();
+            update.own_list_at = Some(now);
+        }
         drop(update);
         self.keys
             .needs_upstream_list
             .store(false, Ordering::Relaxed);
-        self.keys.store_state.set_upstreams(upstreams, now);
         self.apply_changes(&changes, now);
         let list_read_at_us = u64::try_from(list_read_at.as_micros()).unwrap_or(u64::MAX);
         self.list_read_at_us
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -136,6 +136,7 @@
         let Some(list) = self.take_list(&mut delta, read_at) else {
             return;
         };
+        self.keys.store_state.follow_list(delta.list, &list);
         let mut registry = self
             .registry
             .write()
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -392,9 +392,12 @@
         changed: Vec::new(),
         gone: vec!["u1".into()],
     };
-    fixture
-        .view
-        .apply_update(delta(version(1), UpstreamList::Whole(vec![upstream()])));
+    let other = Upstream {
+        id: "u2".into(),
+        ..upstream()
+    };
+    let whole = UpstreamList::Whole(vec![upstream(), other]);
+    fixture.view.apply_update(delta(version(1), whole));
     assert_eq!(fixture.view.versions().1, version(1));
     // No updates arrive from the leader, so the list is read from the store.
     sleep(Duration::from_secs(3)).await;
@@ -449,3 +452,14 @@
     assert_eq!(fixture.view.versions().1, version);
     assert!(fixture.view.registry().get("stale").is_some());
 }
+
+/// The leader need not send its whole list to a daemon that finds the same one in the store.
+#[tokio::test(start_paused = true)]
+async fn list_of_the_leader_is_asked_for_again_though_the_store_has_the_same() {
+    let fixture = Fixture::start().await;
+    let list = ListVersion { run: 9, number: 1 };
+    fixture.receive_updates(1, Duration::from_secs(1)).await;
+    sleep(Duration::from_secs(3)).await;
+    assert!(fixture.source.list_reads.load(Ordering::Relaxed) > 1);
+    assert_eq!(fixture.view.versions().1, list);
+}
