Connect to the leader again at once when a connection to it breaks

Cause: a daemon that loses its leader waits until the candidates have looked whether it is lost, and the more daemons there are the longer, so that they do not all read the store: up to 4 s at 295. That wait also came when only its connection had broken. Its list grew older than 1.4 s meanwhile, and it read the store itself.

Change: a daemon that is no candidate, and knows candidates, connects to the leader again after at most 200 ms if the leader had answered on the broken connection. If that fails, it waits as before. Candidates look at the store as before.

a_daemon_whose_connection_to_the_leader_breaks_waits_and_reads_the_store failed with the decision of before (1 call to the store where none is expected).

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -56,6 +56,9 @@
 /// The maximum of that interval after repeated failures of the store.
 const POLL_INTERVAL_MAX: Duration = Duration::from_secs(2);
 
+/// The longest time after which a daemon connects again to a leader whose connection broke.
+const RECONNECT_DELAY_MAX: Duration = Duration::from_millis(200);
+
 /// How much longer a daemon that reaches far fewer upstreams than others waits before it leads.
 const REACH_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -235,12 +238,17 @@
                         break;
                     }
                     FollowOutcome::Superseded(newer_leader) => leader = Some(newer_leader),
+                    FollowOutcome::Broken => {
+                        if !election::should_reconnect(self.rank(&candidates), &candidates) {
+                            break;
+                        }
+                        let share = rand::rng().random_range(0.0..1.0);
+                        sleep(RECONNECT_DELAY_MAX.mul_f64(share)).await;
+                    }
                 }
             }
             self.shared.has_looked_for_leader.send_replace(true);
-            let rank = candidates
-                .iter()
-                .position(|candidate| *candidate == self.identity.name);
+            let rank = self.rank(&candidates);
             let daemons = self.shared.daemons.load(Ordering::Relaxed);
             let jitter = election::max_jitter(rank, &candidates, daemons);
             let jitter = jitter.mul_f64(rand::rng().random_range(0.0..1.0));
@@ -253,6 +261,12 @@
         }
     }
 
+    /// Returns the place of this daemon among the candidates; `None` if it is none of them.
+    fn rank(&self, candidates: &[DaemonName]) -> Option<usize> {
+        let own = &self.identity.name;
+        candidates.iter().position(|candidate| candidate == own)
+    }
+
     fn startup_delay(&self) -> Duration {
         let strength = self.identity.strength;
         if self.identity.is_first_start {
--- a/crates/assignment/src/driver/following.rs
+++ b/crates/assignment/src/driver/following.rs
@@ -28,6 +28,8 @@
 pub(super) enum FollowOutcome {
     /// The leader does not answer, or no longer leads.
     Lost,
+    /// A connection broke on which the leader had answered.
+    Broken,
     /// The leader has announced that its lease lapsed.
     Lapsed(Lapse),
     /// The leader knows of a later leader.
@@ -93,6 +95,7 @@
         let mut knows = self.shared.routing_tables.tables().version;
         let mut known_quarantine = 0;
         let mut known_limits = 0;
+        let mut has_answered = false;
         while !stopping.is_cancelled() {
             let (configuration, list) = self.environment.versions();
             let announced = self.shared.offer.borrow().version.max(configuration);
@@ -115,8 +118,12 @@
             };
             let Some(response) = client.exchange(request).await else {
                 warn!("the leader does not answer", kv: { dependency = "leader", leader = &*leader.name, term = leader.term });
-                return FollowOutcome::Lost;
+                return match has_answered {
+                    true => FollowOutcome::Broken,
+                    false => FollowOutcome::Lost,
+                };
             };
+            has_answered = true;
             let daemons = &self.shared.daemons;
             daemons.store(response.daemons, Ordering::Relaxed);
             if response.standing == Standing::Leads {
--- a/crates/assignment/src/election.rs
+++ b/crates/assignment/src/election.rs
@@ -83,6 +83,14 @@
     }
 }
 
+/// Returns whether a daemon whose connection to the leader broke tries that leader again before it reads the store.
+///
+/// Others find out whether the leader is lost, and this daemon would wait until they have.
+#[must_use]
+pub fn should_reconnect(rank: Option<usize>, candidates: &[DaemonName]) -> bool {
+    rank.is_none() && !candidates.is_empty()
+}
+
 /// Returns how long the lead must have been free before a daemon takes over.
 #[must_use]
 pub fn vacancy_patience(candidates: &[DaemonName], strength: u32) -> Duration {
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -21,6 +22,9 @@
 use copperwell_routing::{Incarnation, Key, ServiceName, UpstreamId, registry::Upstream};
 use test_case::test_case;
 use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
     task::JoinHandle,
     time::{Instant, sleep},
 };
@@ -31,7 +35,7 @@
 
 #[derive(Default)]
 struct Store {
-    snapshot: Mutex<Snapshot>,
+    snapshot: Arc<Mutex<Snapshot>>,
     is_unreachable: AtomicBool,
     calls: AtomicUsize,
 }
@@ -49,6 +53,14 @@
     fn calls(&self) -> usize {
         self.calls.swap(0, Ordering::Relaxed)
     }
+
+    /// Returns the same store with counters of its own.
+    fn for_another_daemon(&self) -> Arc<Self> {
+        Arc::new(Self {
+            snapshot: self.snapshot.clone(),
+            ..Self::default()
+        })
+    }
 }
 
 impl Register for Store {
@@ -148,6 +160,7 @@
 
 struct Daemon {
     shared: Shared,
+    server: Server,
     servers: Arc<Servers>,
     environment: Arc<FakeEnvironment>,
     clock: Arc<Simulated>,
@@ -175,6 +188,17 @@
     }
 
     fn start_with(name: &str, run: u64, store: &Arc<Store>, strength: u32) -> Self {
+        let port = 20_000 + 2 * u16::try_from(run).unwrap();
+        Self::start_at(([127, 0, 0, 1], port).into(), name, run, store, strength)
+    }
+
+    fn start_at(
+        address: SocketAddr,
+        name: &str,
+        run: u64,
+        store: &Arc<Store>,
+        strength: u32,
+    ) -> Self {
         let shared = Shared::new(run);
         let servers = Arc::new(Servers::default());
         let environment = Arc::new(FakeEnvironment {
@@ -183,13 +207,12 @@
         });
         let clock = Arc::new(Simulated::default());
         let (server, reports) = Server::new(&shared);
-        let port = 20_000 + 2 * u16::try_from(run).unwrap();
         let driver = Driver {
             identity: Identity {
                 name: name.into(),
                 run,
-                address: ([127, 0, 0, 1], port).into(),
-                helper_address: ([127, 0, 0, 1], port + 1).into(),
+                address,
+                helper_address: address,
                 zone: "here".into(),
                 strength,
                 is_first_start: false,
@@ -200,13 +223,14 @@
             clock: clock.clone(),
             environment: environment.clone(),
             shared: shared.clone(),
-            server,
+            server: server.clone(),
             metrics: Metrics::default(),
         };
         let stopping = CancellationToken::new();
         let task = tokio::spawn(driver.run(reports, stopping.clone()));
         Self {
             shared,
+            server,
             servers,
             environment,
             clock,
@@ -215,6 +239,15 @@
         }
     }
 
+    /// Starts a daemon that others can call, at a port of its own.
+    async fn start_listening(name: &str, run: u64, store: &Arc<Store>, strength: u32) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let daemon = Self::start_at(address, name, run, store, strength);
+        tokio::spawn(daemon.server.clone().serve(listener));
+        daemon
+    }
+
     fn has_all_keys_served(&self) -> bool {
         let routing_tables = &self.shared.routing_tables;
         [0, 30_000, u16::MAX]
@@ -364,3 +397,73 @@
     assert!(daemon.orders() > 0);
     assert!(daemon.has_all_keys_served());
 }
+
+/// Passes connections on, and closes all of them on demand.
+struct Forwarder {
+    address: SocketAddr,
+    accepted: Arc<AtomicUsize>,
+    cuts: watch::Sender<()>,
+}
+
+impl Forwarder {
+    async fn start(listener: TcpListener, target: SocketAddr) -> Self {
+        let address = listener.local_addr().unwrap();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let (cuts, cut) = watch::channel(());
+        let count = accepted.clone();
+        tokio::spawn(async move {
+            loop {
+                let (mut from, _) = listener.accept().await.unwrap();
+                count.fetch_add(1, Ordering::Relaxed);
+                let mut cut = cut.clone();
+                cut.borrow_and_update();
+                tokio::spawn(async move {
+                    let mut to = TcpStream::connect(target).await.unwrap();
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut from, &mut to) => {}
+                        _ = cut.changed() => {}
+                    }
+                });
+            }
+        });
+        Self {
+            address,
+            accepted,
+            cuts,
+        }
+    }
+}
+
+/// Waits in real time, since the daemons call each other over sockets.
+async fn wait_until(condition: impl Fn() -> bool) {
+    while !condition() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_daemon_whose_connection_to_the_leader_breaks_waits_and_reads_the_store() {
+    let store = Arc::new(Store::default());
+    let outer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let inner = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let forwarder = Forwarder::start(outer, inner.local_addr().unwrap()).await;
+    let leader = Daemon::start_at(forwarder.address, "leader", 1, &store, 1_000);
+    tokio::spawn(leader.server.clone().serve(inner));
+    wait_until(|| leader.orders() > 0).await;
+    let mut others = Vec::new();
+    for run in 2..5 {
+        others.push(Daemon::start_listening(&format!("c{run}"), run, &store, 500).await);
+    }
+    wait_until(|| leader.server.candidates().len() == 3).await;
+    let store = store.for_another_daemon();
+    let follower = Daemon::start_listening("follower", 5, &store, 100).await;
+    wait_until(|| leader.server.daemons() == 5).await;
+    wait_until(|| follower.shared.daemons.load(Ordering::Relaxed) == 5).await;
+    store.calls();
+    // All others connect again as well.
+    let accepted = forwarder.accepted.load(Ordering::Relaxed);
+    forwarder.cuts.send_replace(());
+    wait_until(|| forwarder.accepted.load(Ordering::Relaxed) > accepted).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.calls(), 0);
+}
--- a/crates/assignment/tests/election.rs
+++ b/crates/assignment/tests/election.rs
@@ -42,6 +42,17 @@
     assert_eq!(election::candidate_delay(None, &[]), Duration::ZERO);
 }
 
+#[test_case(None, candidates(), true; "candidates look for the leader")]
+#[test_case(Some(1), candidates(), false; "a candidate itself")]
+#[test_case(None, Vec::new(), false; "nobody is known who would look for it")]
+fn a_broken_connection_is_opened_again(
+    rank: Option<usize>,
+    known: Vec<DaemonName>,
+    expected: bool,
+) {
+    assert_eq!(election::should_reconnect(rank, &known), expected);
+}
+
 #[test_case(candidates(), 100, Duration::ZERO; "candidates are known, and try in order")]
 #[test_case(Vec::new(), 1_000, Duration::ZERO; "the strongest there can be")]
 #[test_case(Vec::new(), 500, Duration::from_millis(500); "strong")]
