--- a/crates/copperwelld/tests/gateway/harness.rs
+++ b/crates/copperwelld/tests/gateway/harness.rs
@@ -1,11 +1,12 @@
 //! A test cluster of a store, servers and daemons.
 
 use std::{
+    ffi::OsString,
     fs,
     net::IpAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::atomic::{AtomicU16, AtomicUsize, Ordering},
     time::Duration,
 };
 
@@ -34,6 +35,9 @@
 
 static DAEMON_COUNT: AtomicU16 = AtomicU16::new(0);
 
+/// The number of processes that were started.
+static SPAWNED: AtomicUsize = AtomicUsize::new(0);
+
 /// An HTTP client with a connection pool.
 pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -139,9 +143,19 @@
     }
 }
 
+/// Returns the program of the next daemon.
+///
+/// `COPPERWELL_OTHER_DAEMON` names the program of another release, which every second process runs, so that daemons
+/// are upgraded and rolled back as they are restarted.
+fn program() -> OsString {
+    let number = SPAWNED.fetch_add(1, Ordering::Relaxed);
+    let other = std::env::var_os("COPPERWELL_OTHER_DAEMON").filter(|_| number % 2 == 1);
+    other.unwrap_or_else(|| env!("CARGO_BIN_EXE_copperwelld").into())
+}
+
 /// Starts the process of a daemon with its settings file.
 pub(crate) fn spawn(file: &Path, port: u16, output: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_copperwelld"))
+    Command::new(program())
         .arg("gateway")
         .arg("--settings")
         .arg(file)
