Read the list less often while a read of it takes long

Cause: all 295 daemons read the list from the store, three calls and 270 KB each, at the same time; that takes a second with 80 MB/s. Until the leader has been found they read again 600 ms after the start of the last read, so at once, and those that should lead wait behind them: the leader was back 1.5 s after its start.

Change: the next read starts after twice the time that one took, 600 ms at least and 1.5 s at most.

slow_store_is_read_again_at_once failed before for slow stores (2 of 3 cases).

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -31,6 +31,13 @@
 /// The interval at which the list of upstreams is read.
 const LIST_INTERVAL: Duration = Duration::from_millis(600);
 
+/// The interval as a multiple of the time that a read takes, if that is longer. When all daemons start at once they
+/// share the store, and reading again at once keeps those waiting that have no list yet.
+const LIST_INTERVAL_RATIO: u32 = 2;
+
+/// The longest interval, so that a draining upstream is noticed in time.
+const LIST_INTERVAL_MAX: Duration = Duration::from_millis(1_500);
+
 /// The largest age of the leader's list of upstreams before a daemon reads the store itself.
 const LEADER_LIST_AGE_MAX: Duration = Duration::from_millis(1_400);
 
@@ -94,6 +101,7 @@
         let list_read_at = clock.now();
         let started_at = Instant::now();
         let result = source.upstreams().await;
+        let interval = list_interval(started_at.elapsed());
         let Some(listing) = monitor.record(result) else {
             view.record_list_failure();
             sleep(monitor.retry_delay()).await;
@@ -112,10 +120,15 @@
             .upstreams
             .set(i64::try_from(count).unwrap_or(i64::MAX));
         log_changes(&changes);
-        sleep_until(started_at + LIST_INTERVAL).await;
+        sleep_until(started_at + interval).await;
     }
 }
 
+/// Returns the time from the start of a read of the list, which took `elapsed`, to the next one.
+fn list_interval(elapsed: Duration) -> Duration {
+    (elapsed * LIST_INTERVAL_RATIO).clamp(LIST_INTERVAL, LIST_INTERVAL_MAX)
+}
+
 /// Counts failed reads of the store, and logs when reads start to fail and when they succeed again.
 struct ReadMonitor {
     /// The name of the data that is read, for logs and metrics.
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -31,6 +31,8 @@
     version: AtomicU64,
     list_reads: AtomicUsize,
     configuration_reads: AtomicUsize,
+    /// How much longer than usual a read of the list takes.
+    list_delay_ms: AtomicU64,
 }
 
 fn configuration(version: u64) -> Configuration {
@@ -83,7 +85,8 @@
 
     async fn upstreams(&self) -> Result<Listing, ReadError> {
         self.list_reads.fetch_add(1, Ordering::Relaxed);
-        sleep(Duration::from_millis(4)).await;
+        let delay_ms = self.list_delay_ms.load(Ordering::Relaxed);
+        sleep(Duration::from_millis(4 + delay_ms)).await;
         Ok(Listing {
             upstreams: vec![upstream()],
             invalid: Vec::new(),
@@ -463,3 +466,20 @@
     assert!(fixture.source.list_reads.load(Ordering::Relaxed) > 1);
     assert_eq!(fixture.view.versions().1, list);
 }
+
+#[test_case(0, 10; "the store answers at once")]
+#[test_case(400, 8; "it is slow")]
+#[test_case(900, 4; "it is very slow")]
+#[tokio::test(start_paused = true)]
+async fn slow_store_is_read_again_at_once(delay_ms: u64, reads_max: usize) {
+    let fixture = Fixture::start().await;
+    fixture
+        .source
+        .list_delay_ms
+        .store(delay_ms, Ordering::Relaxed);
+    sleep(Duration::from_secs(2)).await;
+    fixture.source.list_reads.store(0, Ordering::Relaxed);
+    sleep(Duration::from_secs(6)).await;
+    let reads = fixture.source.list_reads.load(Ordering::Relaxed);
+    assert!((reads_max - 2..=reads_max).contains(&reads), "{reads}");
+}
