Ask successors for their list of upstreams before the store

Cause: when the leader's list is older than 1.4 s, all daemons read the store, three calls each. Daemons that lost their leader also wait up to 4 s before they look for the next one, so that not all of them read the store at once, and read the list all the while.

Change: from 1.2 s on daemons ask the successors, in the same order, for what has changed of the list, by the call with which they follow a leader; answers it too. They read the store 300 ms later than before if no successor helps. A list is taken only if it was read later than the one in force. When that successor leads, its changes apply at once.

every_daemon_reads_the_list_while_the_leader_has_an_old_one and list_of_a_successor_is_lost_when_it_leads fail if the lists of successors are not taken.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -89,6 +89,15 @@
     /// Records the answer of a daemon that should lead next: what it knows of the newest configuration.
     fn record_successor(&self, newest: Option<Newest>);
 
+    /// Returns whether the leader's list of upstreams is so old that a successor is to be asked for its own.
+    fn is_list_late(&self) -> bool;
+
+    /// Returns the version of the list that this daemon has from a successor or the leader.
+    fn known_list(&self) -> ListVersion;
+
+    /// Applies the list of a successor, if it was read later than this daemon's; returns whether this daemon has it.
+    fn apply_successor_list(&self, delta: Delta) -> bool;
+
     /// Records that all successors were asked, and have answered or not in time.
     fn record_successors_asked(&self);
 
@@ -177,6 +186,7 @@
             () = async { stop.cancelled().await; sleep(self.timing.lease.renew_interval).await } => {}
             () = self.fetch_configurations() => {}
             () = self.ask_successors() => {}
+            () = self.ask_for_lists() => {}
         }
         self.server.set_standing(Standing::Follows);
     }
--- a/crates/assignment/src/driver/following.rs
+++ b/crates/assignment/src/driver/following.rs
@@ -13,6 +13,7 @@
     lease::{Lapse, LeaderEntry},
     order::Sender,
     register::Register,
+    store_state::ListVersion,
 };
 use spdlog::warn;
 use tokio::time::sleep;
@@ -92,29 +93,16 @@
         candidates: &mut Vec<DaemonName>,
         stopping: &CancellationToken,
     ) -> FollowOutcome {
-        let mut knows = self.shared.routing_tables.tables().version;
         let mut known_quarantine = 0;
         let mut known_limits = 0;
         let mut has_answered = false;
         while !stopping.is_cancelled() {
-            let (configuration, list) = self.environment.versions();
-            let announced = self.shared.offer.borrow().version.max(configuration);
-            let now = self.clock.now();
-            let list_read_at = self.environment.list_read_at();
             let request = Request {
-                from: self.identity.name.clone(),
-                strength: self.identity.strength,
-                knows,
-                base: self.shared.routing_tables.base(),
-                address: self.identity.address,
-                configuration,
-                announced,
-                list,
-                store_age: list_read_at.map(|at| now.saturating_sub(at)),
                 reports: self.shared.load_counts.take(),
                 quarantine: known_quarantine,
                 limits: self.shared.limits.take_unreported(),
                 limits_version: known_limits,
+                ..self.request(self.environment.versions().1)
             };
             let Some(response) = client.exchange(request).await else {
                 warn!("the leader does not answer", kv: { dependency = "leader", leader = &*leader.name, term = leader.term });
@@ -161,10 +149,30 @@
                 }
                 self.shared.has_looked_for_leader.send_replace(true);
             }
-            knows = self.shared.routing_tables.tables().version;
             // Lets the leader send changes that follow each other quickly in one response.
             sleep(EXCHANGE_INTERVAL).await;
         }
         FollowOutcome::Lost
     }
+    /// Returns a request without reports from a daemon that has `list`.
+    pub(super) fn request(&self, list: ListVersion) -> Request {
+        let configuration = self.environment.versions().0;
+        let now = self.clock.now();
+        let list_read_at = self.environment.list_read_at();
+        Request {
+            from: self.identity.name.clone(),
+            strength: self.identity.strength,
+            knows: self.shared.routing_tables.tables().version,
+            base: self.shared.routing_tables.base(),
+            address: self.identity.address,
+            configuration,
+            announced: self.shared.offer.borrow().version.max(configuration),
+            list,
+            store_age: list_read_at.map(|at| now.saturating_sub(at)),
+            reports: Vec::new(),
+            quarantine: 0,
+            limits: Vec::new(),
+            limits_version: 0,
+        }
+    }
 }
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -1,4 +1,5 @@
-//! What a daemon learns from the leader for the time after its loss: who leads next, and who reaches what.
+//! What a daemon learns from the leader for the time after its loss: who leads next, and who reaches what. What it asks
+//! those that lead next when the leader's news are late.
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
@@ -92,6 +93,16 @@
         }
     }
 
+    /// Asks the successors for their lists of upstreams whenever that of the leader is old, forever.
+    pub(super) async fn ask_for_lists(&self) {
+        loop {
+            sleep(ASK_INTERVAL).await;
+            if self.environment.is_list_late() {
+                self.ask_for_list().await;
+            }
+        }
+    }
+
     /// Asks the successors for newer configurations whenever the leader's news are late, forever.
     pub(super) async fn ask_successors(&self) {
         loop {
@@ -109,6 +120,25 @@
         }
     }
 
+    /// Asks the successors for their list of upstreams, one after the other until one has a newer one.
+    ///
+    /// All daemons ask in the same order, so that most have the list of the daemon that leads next.
+    async fn ask_for_list(&self) {
+        let successors = self.shared.successors.borrow().clone();
+        for address in successors {
+            let Some(client) = Client::connect(address).await else {
+                continue;
+            };
+            let request = self.request(self.environment.known_list());
+            let response = client.exchange(request).await;
+            if let Some(delta) = response.and_then(|response| response.delta)
+                && self.environment.apply_successor_list(delta)
+            {
+                return;
+            }
+        }
+    }
+
     /// Asks a successor for the newest configuration, and has it fetched if this daemon lacks it.
     async fn ask_successor(&self, address: SocketAddr) {
         let Some(client) = Client::connect(address).await else {
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver.rs
@@ -139,6 +139,18 @@
 
     fn record_successor(&self, _: Option<Newest>) {}
 
+    fn is_list_late(&self) -> bool {
+        false
+    }
+
+    fn known_list(&self) -> ListVersion {
+        ListVersion::default()
+    }
+
+    fn apply_successor_list(&self, _: Delta) -> bool {
+        false
+    }
+
     fn record_successors_asked(&self) {}
 
     fn record_leaving(&self, _: &UpstreamId, _: Incarnation) {}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -85,8 +85,10 @@
     behind_since: Option<Instant>,
     /// The leader's list that this daemon needs not be sent again; the default if it needs the whole one.
     list: ListVersion,
-    /// When this daemon last read the list itself, if the registry has that list and not the leader's.
-    own_list_at: Option<Instant>,
+    /// When the list in the registry was read, if this daemon or a successor has read it since the leader.
+    newer_list_at: Option<Instant>,
+    /// The successor's list that the registry has; the default if it has none.
+    successor_list: ListVersion,
     /// Whether the daemons that should lead next have been asked since then.
     were_successors_asked: bool,
     /// When one of them last answered; `None` if none was asked.
@@ -95,6 +97,36 @@
     successor_confirmed_at: Option<Instant>,
 }
 
+impl LeaderUpdate {
+    /// Returns the version of the list in the registry; the default if it is this daemon's own.
+    fn known_list(&self) -> ListVersion {
+        match self.newer_list_at {
+            Some(_) => self.successor_list,
+            None => self.list,
+        }
+    }
+
+    /// Returns when the list in the registry was read, by the leader or a successor; `None` if neither has.
+    fn list_read_at(&self) -> Option<Instant> {
+        let is_of_successor = self.successor_list != ListVersion::default();
+        let newer_at = self.newer_list_at.filter(|_| is_of_successor);
+        self.read_at.max(newer_at)
+    }
+}
+
+/// Returns whether a daemon that has the list `previous` can take a list, or what has changed, of version `version`.
+fn is_applicable(list: &Option<UpstreamList>, version: ListVersion, previous: ListVersion) -> bool {
+    match list {
+        Some(UpstreamList::Whole(_)) => true,
+        Some(UpstreamList::Changed { from, .. }) => *from == previous,
+        None => version == previous,
+    }
+}
+
+fn is_whole(list: &Option<UpstreamList>) -> bool {
+    matches!(list, Some(UpstreamList::Whole(_)))
+}
+
 impl View {
     /// Creates an empty view for a daemon in its run `run`.
     #[must_use]
@@ -197,7 +229,8 @@
         if is_new || update.list != self.keys.store_state.list_version() {
             // The leader's changes since its last list do not apply to this list.
             update.list = ListVersion::default();
-            update.own_list_at = Some(now);
+            update.newer_list_at = Some(now);
+            update.successor_list = ListVersion::default();
         }
         drop(update);
         self.keys
@@ -363,15 +396,17 @@
 
     /// Returns whether this daemon must read the list of upstreams itself.
     ///
-    /// This is the case if the leader's list is older than `age`, or if this daemon is about to lead and has
-    /// never read a list.
+    /// This is the case if the list of the leader and its successors is older than `age`, or if this daemon is about
+    /// to lead and has never read a list. While it can ask successors, it leaves them `patience` more.
     #[must_use]
-    pub fn must_read_upstreams(&self, age: Duration) -> bool {
+    pub fn must_read_upstreams(&self, age: Duration, patience: Duration) -> bool {
+        let can_ask = !self.keys.successors.borrow().is_empty();
+        let age = if can_ask { age + patience } else { age };
         self.keys.needs_upstream_list.load(Ordering::Relaxed) || self.is_leader_list_older_than(age)
     }
 
     fn is_leader_list_older_than(&self, age: Duration) -> bool {
-        let read_at = self.leader_update().read_at;
+        let read_at = self.leader_update().list_read_at();
         read_at.is_none_or(|at| at.elapsed() > age)
     }
 
@@ -412,28 +447,48 @@
 
     /// Takes the list of an update from the leader if it applies to the registry.
     ///
-    /// `at` is when the leader read it. A list that this daemon has read since is kept: a leader that is cut off from
-    /// the store goes on to tell its old one.
+    /// `at` is when the leader read it. A list that was read since is kept: a leader that is cut off from the store goes
+    /// on to tell its old one.
     fn take_list(&self, delta: &mut Delta, at: Option<Instant>) -> Option<UpstreamList> {
         let mut update = self.leader_update();
         let list = delta.upstreams.take();
         let previous = std::mem::replace(&mut update.list, delta.list);
-        if update.own_list_at.is_some_and(|own| at < Some(own)) {
+        if update.newer_list_at.is_some_and(|newer| at < Some(newer)) {
             return None;
         }
-        let has_list_of_leader = update.own_list_at.is_none();
-        let applies = match &list {
-            Some(UpstreamList::Whole(_)) => true,
-            Some(UpstreamList::Changed { from, .. }) => has_list_of_leader && *from == previous,
-            None => has_list_of_leader && delta.list == previous,
-        };
-        if applies {
-            update.own_list_at = None;
+        let has_list_of_leader = update.newer_list_at.is_none();
+        if has_list_of_leader && is_applicable(&list, delta.list, previous) || is_whole(&list) {
+            update.newer_list_at = None;
+            update.successor_list = ListVersion::default();
+            return list;
+        }
+        let successor_list = std::mem::take(&mut update.successor_list);
+        update.list = if successor_list.run == delta.list.run {
+            // The successor leads now, and can tell what has changed since.
+            update.newer_list_at = None;
+            successor_list
         } else {
             // Makes the leader send its whole list next time.
-            update.list = ListVersion::default();
+            ListVersion::default()
+        };
+        None
+    }
+
+    /// Takes the list of a successor, which has read it at `at`, if it applies to the registry and is newer; returns
+    /// whether it is.
+    fn take_successor_list(&self, delta: &Delta, at: Option<Instant>) -> bool {
+        let mut update = self.leader_update();
+        if at <= update.read_at.max(update.newer_list_at) {
+            return false;
+        }
+        let previous = update.known_list();
+        if !is_applicable(&delta.upstreams, delta.list, previous) {
+            update.successor_list = ListVersion::default();
+            return false;
         }
-        list.filter(|_| applies)
+        update.newer_list_at = at;
+        update.successor_list = delta.list;
+        true
     }
 
     fn leader_update(&self) -> MutexGuard<'_, LeaderUpdate> {
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -74,6 +74,27 @@
         };
     }
 
+    fn is_list_late(&self) -> bool {
+        let read_at = self.leader_update().list_read_at();
+        read_at.is_some_and(|at| at.elapsed() >= LEADER_LIST_AGE)
+    }
+
+    fn known_list(&self) -> ListVersion {
+        self.leader_update().known_list()
+    }
+
+    fn apply_successor_list(&self, delta: Delta) -> bool {
+        let now = Instant::now();
+        if !self.take_successor_list(&delta, now.checked_sub(delta.age)) {
+            return false;
+        }
+        if let Some(list) = delta.upstreams {
+            self.keys.store_state.follow_list(delta.list, &list);
+            self.apply_list(list, now);
+        }
+        true
+    }
+
     fn record_successors_asked(&self) {
         self.leader_update().were_successors_asked = true;
     }
@@ -137,6 +158,13 @@
             return;
         };
         self.keys.store_state.follow_list(delta.list, &list);
+        self.apply_list(list, now);
+    }
+}
+
+impl View {
+    /// Applies a list that another daemon has read.
+    fn apply_list(&self, list: UpstreamList, now: Instant) {
         let mut registry = self
             .registry
             .write()
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -41,6 +41,9 @@
 /// The largest age of the leader's list of upstreams before a daemon reads the store itself.
 const LEADER_LIST_AGE_MAX: Duration = Duration::from_millis(1_400);
 
+/// How much older the list may be while there are successors, who read the store first.
+const SUCCESSOR_PATIENCE: Duration = Duration::from_millis(300);
+
 /// How long a daemon waits for a part of a newer configuration from other daemons before it reads the store
 /// itself.
 const TRANSFER_PATIENCE: Duration = Duration::from_secs(1);
@@ -95,7 +98,9 @@
     let mut generation = None;
     view.keys.wait_for_leader_lookup().await;
     loop {
-        while view.is_complete() && !view.must_read_upstreams(LEADER_LIST_AGE_MAX) {
+        while view.is_complete()
+            && !view.must_read_upstreams(LEADER_LIST_AGE_MAX, SUCCESSOR_PATIENCE)
+        {
             sleep(POLL_INTERVAL).await;
         }
         let list_read_at = clock.now();
--- a/crates/gateway/tests/watch.rs
+++ b/crates/gateway/tests/watch.rs
@@ -483,3 +483,79 @@
     let reads = fixture.source.list_reads.load(Ordering::Relaxed);
     assert!((reads_max - 2..=reads_max).contains(&reads), "{reads}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn every_daemon_reads_the_list_while_the_leader_has_an_old_one() {
+    let fixture = Fixture::start().await;
+    fixture.receive_updates(1, Duration::from_secs(4)).await;
+    let successor = ([127, 0, 0, 1], 9).into();
+    fixture.view.keys.successors.send_replace(vec![successor]);
+    let reads = fixture.source.list_reads.load(Ordering::Relaxed);
+    for age_ms in (0..6_000).step_by(150) {
+        fixture.view.apply_update(Delta {
+            configuration: 1,
+            difference: None,
+            list: ListVersion { run: 9, number: 1 },
+            age: Duration::from_millis(age_ms),
+            upstreams: None,
+        });
+        if fixture.view.is_list_late() {
+            fixture.view.apply_successor_list(Delta {
+                configuration: 1,
+                difference: None,
+                list: ListVersion { run: 8, number: 2 },
+                age: Duration::from_millis(100),
+                upstreams: Some(UpstreamList::Whole(vec![upstream()])),
+            });
+        }
+        sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(fixture.source.list_reads.load(Ordering::Relaxed), reads);
+}
+
+/// The leader is cut off from the store, a successor reads the list, and then leads.
+#[tokio::test(start_paused = true)]
+async fn list_of_a_successor_is_lost_when_it_leads() {
+    let fixture = Fixture::start().await;
+    let view = &fixture.view;
+    let version = |run, number| ListVersion { run, number };
+    let delta = |list, age_ms, upstreams| Delta {
+        configuration: 1,
+        difference: None,
+        list,
+        age: Duration::from_millis(age_ms),
+        upstreams,
+    };
+    let named = |id: &str| Upstream {
+        id: id.into(),
+        ..upstream()
+    };
+    let whole = |id| Some(UpstreamList::Whole(vec![named(id)]));
+    let changed = |from, id| {
+        Some(UpstreamList::Changed {
+            from,
+            changed: vec![named(id)],
+            gone: Vec::new(),
+        })
+    };
+    sleep(Duration::from_secs(1)).await;
+    view.apply_update(delta(version(9, 1), 0, whole("a")));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(view.known_list(), version(9, 1));
+    let list = changed(version(9, 1), "b");
+    assert!(view.apply_successor_list(delta(version(8, 2), 50, list)));
+    assert_eq!(view.known_list(), version(8, 2));
+    // An older list is not taken, whoever tells it.
+    assert!(!view.apply_successor_list(delta(version(7, 4), 300, whole("old"))));
+    view.apply_update(delta(version(9, 1), 1_000, None));
+    assert_eq!(view.versions().1, version(9, 1));
+    sleep(Duration::from_millis(300)).await;
+    // The successor leads, and does not know yet which list this daemon has.
+    view.apply_update(delta(version(8, 3), 0, changed(version(9, 1), "c")));
+    assert_eq!(view.versions().1, version(8, 2));
+    view.apply_update(delta(version(8, 3), 0, changed(version(8, 2), "c")));
+    assert_eq!(view.versions().1, version(8, 3));
+    let registry = view.registry();
+    assert!(["a", "b", "c"].iter().all(|id| registry.get(id).is_some()));
+    assert_eq!(registry.len(), 3);
+}
