Split the view and the driver by job

What a daemon was told of lists, and how a daemon becomes the leader, have files of their own; tests of lists stand apart from those of configurations. Nothing but moves: the lists are decided on by LeaderUpdate without the view.

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -12,10 +12,7 @@
 
 use crate::{crash_tracker::CrashTracker, paths::Paths, request_log::RoutingVersions, watch};
 use arc_swap::ArcSwapOption;
-use copperwell_assignment::{
-    driver::Shared,
-    store_state::{Delta, ListVersion, UpstreamList},
-};
+use copperwell_assignment::{driver::Shared, store_state::ListVersion};
 use copperwell_message::HashMap;
 use copperwell_routing::{
     Incarnation, ServiceName, UpstreamId, ZoneName,
@@ -30,7 +27,10 @@
 use spdlog::info;
 use tokio::time::Instant;
 
+use leader::LeaderUpdate;
+
 mod environment;
+mod leader;
 
 /// How long a successor of the leader counts as alive after an answer.
 const SUCCESSOR_TTL: Duration = Duration::from_secs(1);
@@ -72,61 +72,6 @@
     services: HashMap<ServiceName, Budget>,
 }
 
-/// The last update from the leader.
-#[derive(Debug, Default)]
-struct LeaderUpdate {
-    /// When it was received; `None` before the first one.
-    received_at: Option<Instant>,
-    /// When the leader read its list of upstreams; `None` before the first update.
-    read_at: Option<Instant>,
-    /// The version of the leader's configuration.
-    configuration: u64,
-    /// Since when this daemon lacks it, or when a part of it last arrived.
-    behind_since: Option<Instant>,
-    /// The leader's list that this daemon needs not be sent again; the default if it needs the whole one.
-    list: ListVersion,
-    /// When the list in the registry was read, if this daemon or a successor has read it since the leader.
-    newer_list_at: Option<Instant>,
-    /// The successor's list that the registry has; the default if it has none.
-    successor_list: ListVersion,
-    /// Whether the daemons that should lead next have been asked since then.
-    were_successors_asked: bool,
-    /// When one of them last answered; `None` if none was asked.
-    successor_answered_at: Option<Instant>,
-    /// When the store last confirmed the configuration to such a daemon.
-    successor_confirmed_at: Option<Instant>,
-}
-
-impl LeaderUpdate {
-    /// Returns the version of the list in the registry; the default if it is this daemon's own.
-    fn known_list(&self) -> ListVersion {
-        match self.newer_list_at {
-            Some(_) => self.successor_list,
-            None => self.list,
-        }
-    }
-
-    /// Returns when the list in the registry was read, by the leader or a successor; `None` if neither has.
-    fn list_read_at(&self) -> Option<Instant> {
-        let is_of_successor = self.successor_list != ListVersion::default();
-        let newer_at = self.newer_list_at.filter(|_| is_of_successor);
-        self.read_at.max(newer_at)
-    }
-}
-
-/// Returns whether a daemon that has the list `previous` can take a list, or what has changed, of version `version`.
-fn is_applicable(list: &Option<UpstreamList>, version: ListVersion, previous: ListVersion) -> bool {
-    match list {
-        Some(UpstreamList::Whole(_)) => true,
-        Some(UpstreamList::Changed { from, .. }) => *from == previous,
-        None => version == previous,
-    }
-}
-
-fn is_whole(list: &Option<UpstreamList>) -> bool {
-    matches!(list, Some(UpstreamList::Whole(_)))
-}
-
 impl View {
     /// Creates an empty view for a daemon in its run `run`.
     #[must_use]
@@ -445,52 +390,6 @@
             .is_none_or(|known| known.version < leader_version)
     }
 
-    /// Takes the list of an update from the leader if it applies to the registry.
-    ///
-    /// `at` is when the leader read it. A list that was read since is kept: a leader that is cut off from the store goes
-    /// on to tell its old one.
-    fn take_list(&self, delta: &mut Delta, at: Option<Instant>) -> Option<UpstreamList> {
-        let mut update = self.leader_update();
-        let list = delta.upstreams.take();
-        let previous = std::mem::replace(&mut update.list, delta.list);
-        if update.newer_list_at.is_some_and(|newer| at < Some(newer)) {
-            return None;
-        }
-        let has_list_of_leader = update.newer_list_at.is_none();
-        if has_list_of_leader && is_applicable(&list, delta.list, previous) || is_whole(&list) {
-            update.newer_list_at = None;
-            update.successor_list = ListVersion::default();
-            return list;
-        }
-        let successor_list = std::mem::take(&mut update.successor_list);
-        update.list = if successor_list.run == delta.list.run {
-            // The successor leads now, and can tell what has changed since.
-            update.newer_list_at = None;
-            successor_list
-        } else {
-            // Makes the leader send its whole list next time.
-            ListVersion::default()
-        };
-        None
-    }
-
-    /// Takes the list of a successor, which has read it at `at`, if it applies to the registry and is newer; returns
-    /// whether it is.
-    fn take_successor_list(&self, delta: &Delta, at: Option<Instant>) -> bool {
-        let mut update = self.leader_update();
-        if at <= update.read_at.max(update.newer_list_at) {
-            return false;
-        }
-        let previous = update.known_list();
-        if !is_applicable(&delta.upstreams, delta.list, previous) {
-            update.successor_list = ListVersion::default();
-            return false;
-        }
-        update.newer_list_at = at;
-        update.successor_list = delta.list;
-        true
-    }
-
     fn leader_update(&self) -> MutexGuard<'_, LeaderUpdate> {
         self.leader_update
             .lock()
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -85,7 +85,8 @@
 
     fn apply_successor_list(&self, delta: Delta) -> bool {
         let now = Instant::now();
-        if !self.take_successor_list(&delta, now.checked_sub(delta.age)) {
+        let read_at = now.checked_sub(delta.age);
+        if !self.leader_update().take_successor_list(&delta, read_at) {
             return false;
         }
         if let Some(list) = delta.upstreams {
@@ -153,8 +154,9 @@
             false => None,
         };
         let read_at = update.read_at;
+        let list = update.take_list(&mut delta, read_at);
         drop(update);
-        let Some(list) = self.take_list(&mut delta, read_at) else {
+        let Some(list) = list else {
             return;
         };
         self.keys.store_state.follow_list(delta.list, &list);
--- /dev/null
+++ b/crates/gateway/tests/watch/lists.rs
@@ -0,0 +1,194 @@
+//! Which list of upstreams a daemon uses, and when it reads the store for it.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use crate::{Fixture, upstream};
+use copperwell_assignment::{
+    driver::Environment,
+    store_state::{Delta, ListVersion, UpstreamList},
+};
+use copperwell_routing::registry::Upstream;
+use test_case::test_case;
+use tokio::time::sleep;
+
+/// Changes of the leader's list must not be applied to a list that was read from the store in the meantime.
+#[tokio::test(start_paused = true)]
+async fn changes_of_another_list_are_not_applied() {
+    let fixture = Fixture::start().await;
+    let version = |number| ListVersion { run: 9, number };
+    let delta = |list, upstreams| Delta {
+        configuration: 1,
+        difference: None,
+        list,
+        age: Duration::ZERO,
+        upstreams: Some(upstreams),
+    };
+    let removal = || UpstreamList::Changed {
+        from: version(1),
+        changed: Vec::new(),
+        gone: vec!["u1".into()],
+    };
+    let other = Upstream {
+        id: "u2".into(),
+        ..upstream()
+    };
+    let whole = UpstreamList::Whole(vec![upstream(), other]);
+    fixture.view.apply_update(delta(version(1), whole));
+    assert_eq!(fixture.view.versions().1, version(1));
+    // No updates arrive from the leader, so the list is read from the store.
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(fixture.view.versions().1, ListVersion::default());
+    // A late update contains no list, since this daemon had the leader's list when it asked.
+    let unchanged = Delta {
+        upstreams: None,
+        ..delta(version(1), removal())
+    };
+    fixture.view.apply_update(unchanged);
+    assert_eq!(fixture.view.versions().1, ListVersion::default());
+    fixture.view.apply_update(delta(version(2), removal()));
+    assert_eq!(fixture.view.registry().len(), 1);
+    assert_eq!(fixture.view.versions().1, ListVersion::default());
+    assert!(fixture.view.is_complete());
+    fixture
+        .view
+        .apply_update(delta(version(1), UpstreamList::Whole(vec![upstream()])));
+    fixture.view.apply_update(delta(version(2), removal()));
+    assert!(fixture.view.registry().is_empty());
+}
+
+/// A leader that is cut off from the store repeats its last list.
+#[tokio::test(start_paused = true)]
+async fn old_list_of_the_leader_replaces_one_that_was_read_since() {
+    let fixture = Fixture::start().await;
+    let version = ListVersion { run: 9, number: 3 };
+    let stale = || Upstream {
+        id: "stale".into(),
+        ..upstream()
+    };
+    let delta = |age, upstreams| Delta {
+        configuration: 1,
+        difference: None,
+        list: version,
+        age,
+        upstreams,
+    };
+    let whole = || Some(UpstreamList::Whole(vec![stale()]));
+    // This daemon has read the store less than 600 ms ago.
+    fixture
+        .view
+        .apply_update(delta(Duration::from_secs(2), whole()));
+    assert!(fixture.view.registry().get("stale").is_none());
+    // The leader does not send its list again and again.
+    assert_eq!(fixture.view.versions().1, version);
+    // The leader has read the store again, and found the same list.
+    fixture.view.apply_update(delta(Duration::ZERO, None));
+    assert_eq!(fixture.view.versions().1, ListVersion::default());
+    assert!(fixture.view.registry().get("stale").is_none());
+    fixture.view.apply_update(delta(Duration::ZERO, whole()));
+    assert_eq!(fixture.view.versions().1, version);
+    assert!(fixture.view.registry().get("stale").is_some());
+}
+
+/// The leader need not send its whole list to a daemon that finds the same one in the store.
+#[tokio::test(start_paused = true)]
+async fn list_of_the_leader_is_asked_for_again_though_the_store_has_the_same() {
+    let fixture = Fixture::start().await;
+    let list = ListVersion { run: 9, number: 1 };
+    fixture.receive_updates(1, Duration::from_secs(1)).await;
+    sleep(Duration::from_secs(3)).await;
+    assert!(fixture.source.list_reads.load(Ordering::Relaxed) > 1);
+    assert_eq!(fixture.view.versions().1, list);
+}
+
+#[test_case(0, 10; "the store answers at once")]
+#[test_case(400, 8; "it is slow")]
+#[test_case(900, 4; "it is very slow")]
+#[tokio::test(start_paused = true)]
+async fn slow_store_is_read_again_at_once(delay_ms: u64, reads_max: usize) {
+    let fixture = Fixture::start().await;
+    fixture
+        .source
+        .list_delay_ms
+        .store(delay_ms, Ordering::Relaxed);
+    sleep(Duration::from_secs(2)).await;
+    fixture.source.list_reads.store(0, Ordering::Relaxed);
+    sleep(Duration::from_secs(6)).await;
+    let reads = fixture.source.list_reads.load(Ordering::Relaxed);
+    assert!((reads_max - 2..=reads_max).contains(&reads), "{reads}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_daemon_reads_the_list_while_the_leader_has_an_old_one() {
+    let fixture = Fixture::start().await;
+    fixture.receive_updates(1, Duration::from_secs(4)).await;
+    let successor = ([127, 0, 0, 1], 9).into();
+    fixture.view.keys.successors.send_replace(vec![successor]);
+    let reads = fixture.source.list_reads.load(Ordering::Relaxed);
+    for age_ms in (0..6_000).step_by(150) {
+        fixture.view.apply_update(Delta {
+            configuration: 1,
+            difference: None,
+            list: ListVersion { run: 9, number: 1 },
+            age: Duration::from_millis(age_ms),
+            upstreams: None,
+        });
+        if fixture.view.is_list_late() {
+            fixture.view.apply_successor_list(Delta {
+                configuration: 1,
+                difference: None,
+                list: ListVersion { run: 8, number: 2 },
+                age: Duration::from_millis(100),
+                upstreams: Some(UpstreamList::Whole(vec![upstream()])),
+            });
+        }
+        sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(fixture.source.list_reads.load(Ordering::Relaxed), reads);
+}
+
+/// The leader is cut off from the store, a successor reads the list, and then leads.
+#[tokio::test(start_paused = true)]
+async fn list_of_a_successor_is_lost_when_it_leads() {
+    let fixture = Fixture::start().await;
+    let view = &fixture.view;
+    let version = |run, number| ListVersion { run, number };
+    let delta = |list, age_ms, upstreams| Delta {
+        configuration: 1,
+        difference: None,
+        list,
+        age: Duration::from_millis(age_ms),
+        upstreams,
+    };
+    let named = |id: &str| Upstream {
+        id: id.into(),
+        ..upstream()
+    };
+    let whole = |id| Some(UpstreamList::Whole(vec![named(id)]));
+    let changed = |from, id| {
+        Some(UpstreamList::Changed {
+            from,
+            changed: vec![named(id)],
+            gone: Vec::new(),
+        })
+    };
+    sleep(Duration::from_secs(1)).await;
+    view.apply_update(delta(version(9, 1), 0, whole("a")));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(view.known_list(), version(9, 1));
+    let list = changed(version(9, 1), "b");
+    assert!(view.apply_successor_list(delta(version(8, 2), 50, list)));
+    assert_eq!(view.known_list(), version(8, 2));
+    // An older list is not taken, whoever tells it.
+    assert!(!view.apply_successor_list(delta(version(7, 4), 300, whole("old"))));
+    view.apply_update(delta(version(9, 1), 1_000, None));
+    assert_eq!(view.versions().1, version(9, 1));
+    sleep(Duration::from_millis(300)).await;
+    // The successor leads, and does not know yet which list this daemon has.
+    view.apply_update(delta(version(8, 3), 0, changed(version(9, 1), "c")));
+    assert_eq!(view.versions().1, version(8, 2));
+    view.apply_update(delta(version(8, 3), 0, changed(version(8, 2), "c")));
+    assert_eq!(view.versions().1, version(8, 3));
+    let registry = view.registry();
+    assert!(["a", "b", "c"].iter().all(|id| registry.get(id).is_some()));
+    assert_eq!(registry.len(), 3);
+}
