Take the tables of the next leader with its list

A daemon that asks a successor for its list may find that it leads already. It then has newer tables too, which came with each answer and were dropped: up to some 40 KB each time, while keys were routed by the tables of the leader before. They are put in force now, as from a leader that is followed.

tables_of_the_next_leader_are_unknown_until_it_is_followed failed before (no tables within 30 s).

--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -130,10 +130,15 @@
                 continue;
             };
             let request = self.request(self.environment.known_list());
-            let response = client.exchange(request).await;
-            if let Some(delta) = response.and_then(|response| response.delta)
-                && self.environment.apply_successor_list(delta)
-            {
+            let Some(response) = client.exchange(request).await else {
+                continue;
+            };
+            if let Some(update) = response.tables {
+                // It leads already, and is followed only once this daemon looks at the store again.
+                self.shared.routing_tables.apply(update);
+            }
+            let delta = response.delta;
+            if delta.is_some_and(|delta| self.environment.apply_successor_list(delta)) {
                 return;
             }
         }
--- a/crates/assignment/tests/driver.rs
+++ b/crates/assignment/tests/driver/main.rs
@@ -22,14 +22,16 @@
 use copperwell_routing::{Incarnation, Key, ServiceName, UpstreamId, registry::Upstream};
 use test_case::test_case;
 use tokio::{
-    io::copy_bidirectional,
-    net::{TcpListener, TcpStream},
-    sync::watch,
+    net::TcpListener,
     task::JoinHandle,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
+use forwarder::Forwarder;
+
+mod forwarder;
+
 /// The duration of a call to the store.
 const CALL: Duration = Duration::from_millis(4);
 
@@ -107,6 +109,7 @@
 struct FakeEnvironment {
     upstreams: Mutex<Vec<Arc<Upstream>>>,
     steps: AtomicUsize,
+    is_list_late: AtomicBool,
 }
 
 impl Environment for FakeEnvironment {
@@ -140,7 +143,7 @@
     fn record_successor(&self, _: Option<Newest>) {}
 
     fn is_list_late(&self) -> bool {
-        false
+        self.is_list_late.load(Ordering::Relaxed)
     }
 
     fn known_list(&self) -> ListVersion {
@@ -171,6 +174,7 @@
 }
 
 struct Daemon {
+    address: SocketAddr,
     shared: Shared,
     server: Server,
     servers: Arc<Servers>,
@@ -216,6 +220,7 @@
         let environment = Arc::new(FakeEnvironment {
             upstreams: Mutex::new(upstreams(3)),
             steps: AtomicUsize::new(0),
+            is_list_late: AtomicBool::new(false),
         });
         let clock = Arc::new(Simulated::default());
         let (server, reports) = Server::new(&shared);
@@ -241,6 +246,7 @@
         let stopping = CancellationToken::new();
         let task = tokio::spawn(driver.run(reports, stopping.clone()));
         Self {
+            address,
             shared,
             server,
             servers,
@@ -410,42 +416,6 @@
     assert!(daemon.has_all_keys_served());
 }
 
-/// Passes connections on, and closes all of them on demand.
-struct Forwarder {
-    address: SocketAddr,
-    accepted: Arc<AtomicUsize>,
-    cuts: watch::Sender<()>,
-}
-
-impl Forwarder {
-    async fn start(listener: TcpListener, target: SocketAddr) -> Self {
-        let address = listener.local_addr().unwrap();
-        let accepted = Arc::new(AtomicUsize::new(0));
-        let (cuts, cut) = watch::channel(());
-        let count = accepted.clone();
-        tokio::spawn(async move {
-            loop {
-                let (mut from, _) = listener.accept().await.unwrap();
-                count.fetch_add(1, Ordering::Relaxed);
-                let mut cut = cut.clone();
-                cut.borrow_and_update();
-                tokio::spawn(async move {
-                    let mut to = TcpStream::connect(target).await.unwrap();
-                    tokio::select! {
-                        _ = copy_bidirectional(&mut from, &mut to) => {}
-                        _ = cut.changed() => {}
-                    }
-                });
-            }
-        });
-        Self {
-            address,
-            accepted,
-            cuts,
-        }
-    }
-}
-
 /// Waits in real time, since the daemons call each other over sockets.
 async fn wait_until(condition: impl Fn() -> bool) {
     while !condition() {
@@ -479,3 +449,19 @@
     sleep(Duration::from_secs(2)).await;
     assert_eq!(store.calls(), 0);
 }
+
+/// A daemon that cannot look for the next leader in the store knows it as a successor.
+#[tokio::test]
+async fn tables_of_the_next_leader_are_unknown_until_it_is_followed() {
+    let store = Arc::new(Store::default());
+    let leader = Daemon::start_listening("leader", 1, &store, 1_000).await;
+    wait_until(|| leader.has_all_keys_served()).await;
+    let unreachable = store.for_another_daemon();
+    unreachable.is_unreachable.store(true, Ordering::Relaxed);
+    let other = Daemon::start_listening("other", 2, &unreachable, 100).await;
+    let environment = &other.environment;
+    environment.is_list_late.store(true, Ordering::Relaxed);
+    other.shared.successors.send_replace(vec![leader.address]);
+    let served = wait_until(|| other.has_all_keys_served());
+    timeout(Duration::from_secs(30), served).await.unwrap();
+}
