--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -1,5 +1,5 @@
-//! What a daemon learns from the leader for the time after its loss: who leads next, and who reaches what. What it asks
-//! those that lead next when the leader's news are late.
+//! What a daemon learns from the leader for the time after its loss: who leads next, and who reaches what; and what it
+//! asks those that lead next while the leader's news are late.
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
--- a/crates/assignment/src/lease.rs
+++ b/crates/assignment/src/lease.rs
@@ -180,7 +180,7 @@
         }
         let unchanged_for = now.saturating_sub(self.unchanged_since);
         if self.grants_end(leader).is_some() {
-            // A lapse may have been announced later, but a leader that has announced one is of no use either.
+            // A lapse may have been announced later; the time until then only shortens the wait.
             return Some(unchanged_for);
         }
         unchanged_for.checked_sub(timing.takeover_timeout)
--- a/crates/gateway/src/view/leader.rs
+++ b/crates/gateway/src/view/leader.rs
@@ -3,7 +3,7 @@
 use copperwell_assignment::store_state::{Delta, ListVersion, UpstreamList};
 use tokio::time::Instant;
 
-/// The last update from the leader.
+/// The last update from the leader, and the answers of its successors since then.
 #[derive(Debug, Default)]
 pub(super) struct LeaderUpdate {
     /// When it was received; `None` before the first one.
@@ -14,7 +14,7 @@
     pub(super) configuration: u64,
     /// Since when this daemon lacks it, or when a part of it last arrived.
     pub(super) behind_since: Option<Instant>,
-    /// The leader's list that this daemon needs not be sent again; the default if it needs the whole one.
+    /// The leader's list of which this daemon asks for changes only; the default if it needs the whole one.
     pub(super) list: ListVersion,
     /// When the list in the registry was read, if this daemon or a successor has read it since the leader.
     pub(super) newer_list_at: Option<Instant>,
--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -10,8 +10,8 @@
 /// The factor by which a limit is lowered.
 const DECREASE: f64 = 0.5;
 
-/// How much a limit is raised by as many answers as the limit. Each raise ends in a request that finds the upstream full,
-/// as long as callers ask for more than it can do.
+/// By how much as many answers as the limit raise it. While callers ask for more than the upstream can do, each rise ends
+/// with a request that finds it full.
 const INCREASE: f64 = 0.25;
 
 /// How long a limit stays after it was lowered. Requests that were sent before find the upstream full as well.
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -43,7 +43,8 @@
 /// Decides whether a request is retried after a failed attempt.
 ///
 /// Only one upstream can serve a request with a key. If it sheds load, or resets the connection as some upstreams do
-/// that are full, the retry waits for some of its requests to end. If it refuses connections, a retry is of no use until the key has another holder.
+/// that are full, the retry waits for some of its requests to end. If it refuses connections, a retry is of no use
+/// until the key has another holder.
 #[must_use]
 pub fn decide(attempt: &FailedAttempt) -> Decision {
     if attempt.attempts >= attempt.attempts_max || attempt.time_left < TIME_LEFT_MIN {
