--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -134,7 +134,7 @@
                 continue;
             };
             if let Some(update) = response.tables {
-                // It leads already, and is followed only once this daemon looks at the store again.
+                // If it leads already, it is followed only once this daemon looks at the store again.
                 self.shared.routing_tables.apply(update);
             }
             let delta = response.delta;
