--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -41,6 +41,7 @@
     losses: Counter,
     probes: Counter,
     health_checks: Counter,
+    deferred_probes: Counter,
 }
 
 impl Paths {
@@ -52,6 +53,7 @@
             losses: Counter::default(),
             probes: Counter::default(),
             health_checks: Counter::default(),
+            deferred_probes: Counter::default(),
         }
     }
 
@@ -78,6 +80,11 @@
             "Health checks sent to find out whether an upstream answers this daemon",
             self.health_checks.clone(),
         );
+        registry.register(
+            "path_probes_deferred",
+            "Probes that were due and put off, as others were due before them",
+            self.deferred_probes.clone(),
+        );
     }
 
     /// Locks what is known of the paths.
@@ -131,8 +138,11 @@
         match change {
             Change::Lost => {
                 self.losses.inc();
-                let silent = self.reach().is_lost_in_silence(id);
-                warn!("cannot use connections to an upstream", kv: { event = "path-lost", server = &**id, silent, lost = lost.len() });
+                let reach = self.reach();
+                let silent = reach.is_lost_in_silence(id);
+                let tried = reach.tried(Instant::now());
+                drop(reach);
+                warn!("cannot use connections to an upstream", kv: { event = "path-lost", server = &**id, silent, lost = lost.len(), tried });
             }
             Change::Back(after) => {
                 info!("connections to an upstream can be used again", kv: { event = "path-back", server = &**id, after_ms = after.as_millis() as u64, lost = lost.len() });
@@ -193,10 +203,12 @@
     loop {
         sleep(INTERVAL).await;
         let registry = view.registry();
-        let due = view
-            .paths
-            .reach()
-            .due_probes(registry.all(), Instant::now());
+        let mut reach = view.paths.reach();
+        let due = reach.due_probes(registry.all(), Instant::now());
+        view.paths
+            .deferred_probes
+            .inc_by(reach.take_deferred_probes());
+        drop(reach);
         drop(registry);
         let configuration = view.configuration();
         for probe in due {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -105,6 +105,9 @@
         let chosen = near
             .choose(&mut random)
             .or_else(|| usable.choose(&mut random));
+        if chosen.is_none() {
+            self.count("no-helper");
+        }
         chosen.map(|helper| helper.address)
     }
 
@@ -120,10 +123,13 @@
             let mut failed = self.failed.lock().unwrap_or_else(PoisonError::into_inner);
             failed.insert(to, Instant::now());
         }
-        let outcome = reason.map_or("answered", Reason::as_str);
-        self.relayed.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.count(reason.map_or("answered", Reason::as_str));
         response
     }
+
+    fn count(&self, outcome: &'static str) {
+        self.relayed.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
 }
 
 /// Returns whether a request that a daemon has not passed on may be sent through another one.
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -37,6 +37,9 @@
 /// The most probes that are due at once, since each opens a connection.
 const PROBES_MAX: usize = 8;
 
+/// How long ago a path was used or probed at most that counts as tried.
+const TRIED_TTL: Duration = Duration::from_secs(5);
+
 /// The share of all upstreams whose paths are lost from which on the fault is taken to be at this daemon.
 const CUT_OFF_SHARE: f64 = 0.8;
 
@@ -44,6 +47,8 @@
 #[derive(Debug, Default)]
 pub struct Reach {
     paths: HashMap<UpstreamId, Path>,
+    /// Probes that were due and put off since they were last taken.
+    deferred_probes: u64,
 }
 
 /// What is known of the path to one upstream.
@@ -59,6 +64,8 @@
     has_timed_out: bool,
     /// Connections that broke under requests since the last answer.
     losses: u32,
+    /// When a request or a probe was last sent, or a connection could not be opened.
+    tried_at: Option<Instant>,
     /// Since when no connection can be opened or used; `None` if one can.
     lost_since: Option<Instant>,
     /// Whether connections can be opened and stay silent, while they are lost.
@@ -110,6 +117,7 @@
             path.quiet_since = Some(now);
         }
         path.in_flight += 1;
+        path.tried_at = Some(now);
     }
 
     /// Records how a request has ended; returns how its path changed.
@@ -180,6 +188,7 @@
         now: Instant,
     ) -> Option<Change> {
         let path = self.paths.entry(id.clone()).or_default();
+        path.tried_at = Some(now);
         match (is_open, path.lost_since) {
             (false, None) => {
                 path.lost_since = Some(now);
@@ -246,6 +255,18 @@
         lost
     }
 
+    /// Returns the number of paths that were used or probed lately.
+    #[must_use]
+    pub fn tried(&self, now: Instant) -> usize {
+        let is_recent = |path: &&Path| path.tried_at.is_some_and(|at| now < at + TRIED_TTL);
+        self.paths.values().filter(is_recent).count()
+    }
+
+    /// Returns the number of probes that were due and put off since the last call.
+    pub fn take_deferred_probes(&mut self) -> u64 {
+        std::mem::take(&mut self.deferred_probes)
+    }
+
     /// Returns whether so many of `all` upstreams are lost that the fault must be at this daemon.
     #[must_use]
     pub fn is_cut_off(&self, all: usize) -> bool {
@@ -271,14 +292,16 @@
         let is_silent = self.is_silent(now);
         let mut due = Vec::new();
         for upstream in all {
-            if due.len() >= PROBES_MAX {
-                break;
-            }
             let Some(path) = self.paths.get_mut(&upstream.id) else {
                 continue;
             };
             if path.is_probe_due(doubted_since, now) {
+                if due.len() >= PROBES_MAX {
+                    self.deferred_probes += 1;
+                    continue;
+                }
                 path.probed_at = Some(now);
+                path.tried_at = Some(now);
                 path.is_in_doubt = false;
                 due.push(Probe {
                     upstream: upstream.clone(),
