Test daemons with few requests for each server while they are cut off

Red and listed: eight daemons, 60 servers, three daemons cut off from all servers, a request each two seconds at each daemon. From 3 s after the cut on, 0 of 15 requests are served at the three where connections hang (others 10 of 25 if the leader is among the three, else 25 of 25), 0 of 12 where connections are reset (others 6 of 21).

--- a/crates/copperwelld/tests/cut/main.rs
+++ b/crates/copperwelld/tests/cut/main.rs
@@ -8,3 +8,4 @@
 mod standin;
 
 mod cut;
+mod many_servers;
--- a/crates/copperwelld/tests/gateway/harness.rs
+++ b/crates/copperwelld/tests/gateway/harness.rs
@@ -188,14 +188,27 @@
 
     /// Starts a daemon in each of these data centres; `output` says where the output of each goes.
     pub(crate) async fn start_in(zones: &[&str], output: impl Fn(usize) -> Stdio) -> Self {
+        Self::start_with_servers(zones, SERVERS, 1, output).await
+    }
+
+    /// Like [`Self::start_in`], with this many servers of the service with keys and of the one without.
+    pub(crate) async fn start_with_servers(
+        zones: &[&str],
+        keyed: usize,
+        unkeyed: usize,
+        output: impl Fn(usize) -> Stdio,
+    ) -> Self {
         let store = Store::start().await;
         configure(&store, 2, &["cups", "pay"]);
         let mut servers = Vec::new();
-        for number in 0..SERVERS {
+        for number in 0..keyed {
             let id = format!("c{number}");
             servers.push(Server::start(&id, "cups", true, store.writer()).await);
         }
-        servers.push(Server::start("p0", "pay", false, store.writer()).await);
+        for number in 0..unkeyed {
+            let id = format!("p{number}");
+            servers.push(Server::start(&id, "pay", false, store.writer()).await);
+        }
         let mut started = Vec::new();
         for (number, zone) in zones.iter().enumerate() {
             let in_zone = |settings: String| settings.replace("zone=here", &format!("zone={zone}"));
@@ -242,6 +255,25 @@
         Some((status, String::from_utf8_lossy(&body).into_owned()))
     }
 
+    /// Waits until a daemon serves a request for a path.
+    pub(crate) async fn wait_answered(&self, daemon: usize, path: &str) {
+        let deadline = Instant::now() + CONDITION_TIMEOUT;
+        let mut number = 0;
+        loop {
+            let id = format!("first{daemon}{path}{number}");
+            let response = self.send(daemon, path, &id, 7).await;
+            if response.is_some_and(|(status, _)| status == StatusCode::OK) {
+                return;
+            }
+            number += 1;
+            assert!(
+                Instant::now() < deadline,
+                "daemon {daemon}: {path} is not served"
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     pub(crate) async fn is_ready(&self, daemon: usize) -> bool {
         let request = Request::get(self.daemons[daemon].url(1, caller::READY_PATH));
         let request = request.body(Full::default()).unwrap();
