Judge paths to many upstreams together, by samples of them

Cause: each path was judged by itself, and one that was not tried passed for usable. A daemon went round a loss once it knew of no usable upstream of the service, and gave the lead up at a quarter of all; with some 30 requests a second over 459 upstreams it never got there. Class: a judgement by counts over all, where only a part can be known.

Now: two lost paths, or silence, have eight others of the same daemon, of the service and of the data centre probed at random, with health checks. If four fifths of these are lost, the group is taken to be lost, also what was never tried, until a sample shows otherwise; an answer excepts an upstream. Why it works: a sample tells of a share whatever the number of upstreams, and costs eight probes. Paths in a lost group are not probed one by one, and used paths are no longer all probed whenever one is lost.

Of the new table tests untried_upstreams_pass_for_usable_after_a_cut (three cases) and daemon_with_one_request_takes_untried_upstreams_for_usable_while_connections_hang fail on the code before, with its names of the calls. silent_path_is_probed expected one health check where no upstream answers, and now expects those of the sample, all of them.

--- a/crates/copperwelld/tests/cut/many_servers.rs
+++ b/crates/copperwelld/tests/cut/many_servers.rs
@@ -3,14 +3,14 @@
 use std::{process::Stdio, sync::Arc, time::Duration};
 
 use crate::{
-    harness::Harness,
+    harness::{CONDITION_TIMEOUT, Harness},
     standin::{caller::leads, cut::How},
 };
 use http::StatusCode;
 use test_case::test_case;
 use tokio::{
     task::JoinSet,
-    time::{Instant, interval, sleep_until},
+    time::{Instant, interval, sleep, sleep_until},
 };
 
 const DAEMONS: usize = 8;
@@ -45,6 +45,24 @@
     }
 }
 
+async fn wait_served(harness: &Harness, daemon: usize, path: &str) {
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    let mut number = 0;
+    loop {
+        let id = format!("first{daemon}{path}{number}");
+        let response = harness.send(daemon, path, &id, 7).await;
+        if response.is_some_and(|(status, _)| status == StatusCode::OK) {
+            return;
+        }
+        number += 1;
+        assert!(
+            Instant::now() < deadline,
+            "daemon {daemon}: {path} is not served"
+        );
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Returns the daemons that are cut off, the leader among them or not.
 fn cut_off(harness: &Harness, with_leader: bool) -> Vec<usize> {
     let is_leader = |daemon: &usize| leads(&harness.store, &harness.daemons[*daemon].name());
@@ -120,7 +138,7 @@
     for (daemon, path) in
         (0..DAEMONS).flat_map(|daemon| paths.iter().map(move |path| (daemon, path)))
     {
-        harness.wait_answered(daemon, path).await;
+        wait_served(&harness, daemon, path).await;
     }
     let cut_off = cut_off(&harness, with_leader);
     let ids: Vec<u32> = cut_off
--- a/crates/copperwelld/tests/gateway/harness.rs
+++ b/crates/copperwelld/tests/gateway/harness.rs
@@ -255,25 +255,6 @@
         Some((status, String::from_utf8_lossy(&body).into_owned()))
     }
 
-    /// Waits until a daemon serves a request for a path.
-    pub(crate) async fn wait_answered(&self, daemon: usize, path: &str) {
-        let deadline = Instant::now() + CONDITION_TIMEOUT;
-        let mut number = 0;
-        loop {
-            let id = format!("first{daemon}{path}{number}");
-            let response = self.send(daemon, path, &id, 7).await;
-            if response.is_some_and(|(status, _)| status == StatusCode::OK) {
-                return;
-            }
-            number += 1;
-            assert!(
-                Instant::now() < deadline,
-                "daemon {daemon}: {path} is not served"
-            );
-            sleep(Duration::from_millis(50)).await;
-        }
-    }
-
     pub(crate) async fn is_ready(&self, daemon: usize) -> bool {
         let request = Request::get(self.daemons[daemon].url(1, caller::READY_PATH));
         let request = request.body(Full::default()).unwrap();
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -10,7 +10,8 @@
 use copperwell_backend::probe::{self, Answer};
 use copperwell_routing::{
     UpstreamId,
-    reach::{Change, End, Probe, Reach},
+    reach::{Change, End, Group, Probe, Reach, Update, Verdict},
+    registry::Upstream,
 };
 use prometheus_client::{
     metrics::{counter::Counter, gauge::Gauge},
@@ -170,6 +171,17 @@
         });
     }
 
+    /// Looks at all paths; returns those that are to be probed, and what was found of many together.
+    fn update<'a>(&self, all: impl IntoIterator<Item = &'a Arc<Upstream>>) -> Update {
+        let mut reach = self.reach();
+        let update = reach.update(all, Instant::now(), &mut rand::rng());
+        self.deferred_probes.inc_by(reach.take_deferred_probes());
+        let lost = reach.lost();
+        drop(reach);
+        self.publish(lost);
+        update
+    }
+
     /// Probes a path, with a health check at `health_path` if that is due and there is one.
     async fn probe(&self, probe: Probe, health_path: Option<String>) {
         self.probes.inc();
@@ -203,15 +215,13 @@
     loop {
         sleep(INTERVAL).await;
         let registry = view.registry();
-        let mut reach = view.paths.reach();
-        let due = reach.due_probes(registry.all(), Instant::now());
-        view.paths
-            .deferred_probes
-            .inc_by(reach.take_deferred_probes());
-        drop(reach);
+        let Update { probes, verdicts } = view.paths.update(registry.all());
         drop(registry);
+        for verdict in verdicts {
+            log_verdict(&verdict);
+        }
         let configuration = view.configuration();
-        for probe in due {
+        for probe in probes {
             let known = configuration.as_ref();
             let service = known.and_then(|known| known.service(&probe.upstream.service));
             let health_path = service.and_then(|service| service.health_path.clone());
@@ -220,3 +230,17 @@
         }
     }
 }
+
+fn log_verdict(verdict: &Verdict) {
+    let (service, zone) = match &verdict.group {
+        Group::All => ("", ""),
+        Group::Service(service) => (&**service, ""),
+        Group::Zone(zone) => ("", &**zone),
+    };
+    let Verdict { sampled, lost, .. } = *verdict;
+    if verdict.is_cut_off {
+        warn!("paths to many upstreams are lost together", kv: { event = "cut-off", service, zone, sampled, lost });
+    } else {
+        info!("paths to many upstreams are back", kv: { event = "cut-off-end", service, zone, sampled, lost });
+    }
+}
--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -1,5 +1,7 @@
 //! Which upstreams this daemon reaches itself.
 //!
+//! Each path is judged by what happened on it, and by what happened on others that one fault can take away with it.
+//!
 //! A connection that cannot be opened, or connections that break one after the other, tell that the path to an
 //! upstream is lost, or that its process has ended. So does silence: requests are not answered, and a health check
 //! on a new connection is not either. An answer proves nothing about new connections, but that those that carry it
@@ -8,9 +10,18 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{UpstreamId, registry::Upstream};
-use copperwell_message::HashMap;
+use copperwell_message::{HashMap, HashSet};
+use rand::Rng;
 use tokio::time::Instant;
 
+use path::Path;
+use sample::Groups;
+
+pub use sample::{Group, Verdict};
+
+mod path;
+mod sample;
+
 /// How long requests at an upstream wait without any answer before its path is probed: longer than most take, as each
 /// probe opens a connection.
 const SILENCE: Duration = Duration::from_secs(1);
@@ -31,8 +42,8 @@
 /// The interval at which a path is probed that has been lost for long, or that is in doubt only since others are lost.
 const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(2);
 
-/// The number of lost paths from which on the others are in doubt.
-const LOST_TO_DOUBT: usize = 2;
+/// The least number of lost paths for which the fault may be at this daemon.
+const CUT_OFF_MIN: usize = 2;
 
 /// The most probes that are due at once, since each opens a connection.
 const PROBES_MAX: usize = 8;
@@ -47,34 +58,13 @@
 #[derive(Debug, Default)]
 pub struct Reach {
     paths: HashMap<UpstreamId, Path>,
+    groups: Groups,
+    /// The upstreams that are taken to be lost with others, as nothing shows otherwise.
+    presumed: HashSet<UpstreamId>,
     /// Probes that were due and put off since they were last taken.
     deferred_probes: u64,
 }
 
-/// What is known of the path to one upstream.
-#[derive(Debug, Clone, Copy, Default)]
-struct Path {
-    /// Requests without an answer.
-    in_flight: u32,
-    /// When an answer last arrived, or when the first of those requests was sent, if that was later.
-    quiet_since: Option<Instant>,
-    /// When an answer last arrived.
-    answered_at: Option<Instant>,
-    /// Whether a request has waited in vain since then.
-    has_timed_out: bool,
-    /// Connections that broke under requests since the last answer.
-    losses: u32,
-    /// When a request or a probe was last sent, or a connection could not be opened.
-    tried_at: Option<Instant>,
-    /// Since when no connection can be opened or used; `None` if one can.
-    lost_since: Option<Instant>,
-    /// Whether connections can be opened and stay silent, while they are lost.
-    is_lost_in_silence: bool,
-    probed_at: Option<Instant>,
-    /// Whether it is to be probed at once.
-    is_in_doubt: bool,
-}
-
 /// How a request at an upstream ended, as far as its path is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -109,6 +99,15 @@
     pub asks: bool,
 }
 
+/// What is to be done, and what was found, when paths are looked at.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Update {
+    /// The paths that are to be probed now.
+    pub probes: Vec<Probe>,
+    /// The groups that are taken to be lost now, or not any more.
+    pub verdicts: Vec<Verdict>,
+}
+
 impl Reach {
     /// Records that a request is sent to an upstream.
     pub fn record_send(&mut self, id: &UpstreamId, now: Instant) {
@@ -122,6 +121,9 @@
 
     /// Records how a request has ended; returns how its path changed.
     pub fn record_end(&mut self, id: &str, end: End, now: Instant) -> Option<Change> {
+        if end == End::Answered {
+            self.presumed.remove(id);
+        }
         let path = self.paths.get_mut(id)?;
         path.in_flight = path.in_flight.saturating_sub(1);
         match end {
@@ -143,6 +145,7 @@
 
     /// Records that an upstream has answered an order; returns how its path changed.
     pub fn record_order_answer(&mut self, id: &str, now: Instant) -> Option<Change> {
+        self.presumed.remove(id);
         self.paths.get_mut(id)?.record_answer(now)
     }
 
@@ -169,6 +172,7 @@
             // The health check waits for a slot, and requests are answered.
             return None;
         }
+        path.bad_at = Some(now);
         let is_first = path.lost_since.is_none();
         path.lost_since = path.lost_since.or(Some(now));
         path.is_lost_in_silence = true;
@@ -189,14 +193,22 @@
     ) -> Option<Change> {
         let path = self.paths.entry(id.clone()).or_default();
         path.tried_at = Some(now);
+        if !is_open {
+            path.bad_at = Some(now);
+        }
         match (is_open, path.lost_since) {
             (false, None) => {
                 path.lost_since = Some(now);
                 Some(Change::Lost)
             }
+            (true, None) => {
+                path.good_at = Some(now);
+                None
+            }
             (true, Some(_)) if path.is_lost_in_silence => None,
             (true, Some(since)) if path.losses < LOSSES_MAX || now >= since + LOSS_HOLD => {
                 path.lost_since = None;
+                path.good_at = Some(now);
                 // One more loss shows that it is still lost.
                 path.losses = path.losses.min(LOSSES_MAX - 1);
                 Some(Change::Back(now.saturating_duration_since(since)))
@@ -231,27 +243,31 @@
     #[must_use]
     pub fn is_lost(&self, id: &str) -> bool {
         let path = self.paths.get(id);
-        path.is_some_and(|path| path.lost_since.is_some())
+        path.is_some_and(|path| path.lost_since.is_some()) || self.presumed.contains(id)
     }
 
-    /// Returns whether a request to an upstream would be lost: its path is lost, and no connection has carried an
-    /// answer since.
+    /// Returns whether a request to an upstream would be lost: its path is lost, or taken to be with others, and no
+    /// connection has carried an answer since.
     #[must_use]
     pub fn is_unusable(&self, id: &str) -> bool {
         let path = self.paths.get(id);
-        path.is_some_and(|path| {
+        let is_unusable = path.is_some_and(|path| {
             let lost_since = path.lost_since;
             lost_since.is_some_and(|since| path.answered_at.is_none_or(|at| at <= since))
-        })
+        });
+        is_unusable || self.presumed.contains(id)
     }
 
-    /// Returns the upstreams to which no new connection can be opened or used, in order.
+    /// Returns the upstreams to which no new connection can be opened or used, as far as is known or taken to be, in
+    /// order.
     #[must_use]
     pub fn lost(&self) -> Vec<UpstreamId> {
         let paths = self.paths.iter();
         let lost = paths.filter(|(_, path)| path.lost_since.is_some());
         let mut lost: Vec<_> = lost.map(|(id, _)| id.clone()).collect();
+        lost.extend(self.presumed.iter().cloned());
         lost.sort_unstable();
+        lost.dedup();
         lost
     }
 
@@ -270,46 +286,76 @@
     /// Returns whether so many of `all` upstreams are lost that the fault must be at this daemon.
     #[must_use]
     pub fn is_cut_off(&self, all: usize) -> bool {
-        let paths = self.paths.values();
-        let lost = paths.filter(|path| path.lost_since.is_some()).count();
-        lost >= LOST_TO_DOUBT && lost as f64 >= CUT_OFF_SHARE * all as f64
+        let lost = self.lost().len();
+        lost >= CUT_OFF_MIN && lost as f64 >= CUT_OFF_SHARE * all as f64
     }
 
-    /// Returns the paths that are to be probed now, a few at a time, and counts them as probed.
+    /// Judges groups of paths by samples of them, and returns the paths that are to be probed now, a few at a time, and
+    /// counts them as probed.
     ///
-    /// These are lost and silent paths, and all that were used and not probed since another one was lost, while
-    /// several are.
-    pub fn due_probes<'a>(
+    /// These are the paths in samples, then those that are lost, silent or in doubt. What is taken to be lost with others is not probed by itself.
+    pub fn update<'a>(
         &mut self,
         all: impl IntoIterator<Item = &'a Arc<Upstream>>,
         now: Instant,
-    ) -> Vec<Probe> {
-        let lost_since = self.paths.values().filter_map(|path| path.lost_since);
-        let doubted_since = match lost_since.clone().count() >= LOST_TO_DOUBT {
-            true => lost_since.max(),
-            false => None,
+        random: &mut impl Rng,
+    ) -> Update {
+        if !self.is_in_trouble(now) {
+            return Update::default();
+        }
+        let all: Vec<&Arc<Upstream>> = all.into_iter().collect();
+        let verdicts = self.groups.update(&all, &self.paths, now, random);
+        let is_presumed = |one: &&&Arc<Upstream>| {
+            let path = self.paths.get(&one.id);
+            self.groups.is_presumed_lost(one, path)
         };
+        let presumed = all.iter().filter(is_presumed);
+        self.presumed = presumed.map(|one| one.id.clone()).collect();
+        Update {
+            probes: self.due_probes(&all, now),
+            verdicts,
+        }
+    }
+
+    /// Returns whether any path is lost, silent or in doubt.
+    fn is_in_trouble(&self, now: Instant) -> bool {
+        let is_bad =
+            |path: &Path| path.lost_since.is_some() || path.is_in_doubt || path.is_silent(now);
+        self.groups.are_in_doubt() || self.paths.values().any(is_bad)
+    }
+
+    fn due_probes(&mut self, all: &[&Arc<Upstream>], now: Instant) -> Vec<Probe> {
         let is_silent = self.is_silent(now);
+        let sampled = self.groups.awaited(&self.paths);
         let mut due = Vec::new();
         for upstream in all {
-            let Some(path) = self.paths.get_mut(&upstream.id) else {
-                continue;
+            let path = self.paths.get(&upstream.id);
+            let sample = sampled.get(&upstream.id).copied();
+            let is_presumed = self.presumed.contains(&upstream.id);
+            let is_doubted = self.groups.is_doubted(upstream, path);
+            let is_due = |path: Option<&Path>| {
+                path.map_or(is_doubted, |path| path.is_probe_due(is_doubted, now))
             };
-            if path.is_probe_due(doubted_since, now) {
-                if due.len() >= PROBES_MAX {
-                    self.deferred_probes += 1;
-                    continue;
-                }
-                path.probed_at = Some(now);
-                path.tried_at = Some(now);
-                path.is_in_doubt = false;
-                due.push(Probe {
-                    upstream: upstream.clone(),
-                    asks: is_silent || path.lost_since.is_some(),
-                });
+            if sample.is_some() || !is_presumed && is_due(path) {
+                due.push((sample.is_none(), sample, *upstream));
             }
         }
-        due
+        due.sort_by_key(|(is_unsampled, sample, _)| (*is_unsampled, *sample));
+        let deferred = due.len().saturating_sub(PROBES_MAX) as u64;
+        self.deferred_probes += deferred;
+        due.truncate(PROBES_MAX);
+        let probes = due.into_iter().map(|(is_unsampled, _, upstream)| {
+            let path = self.paths.entry(upstream.id.clone()).or_default();
+            path.probed_at = Some(now);
+            path.tried_at = Some(now);
+            path.is_in_doubt = false;
+            Probe {
+                upstream: upstream.clone(),
+                // A connection that opens does not show that a path is there that was lost in silence.
+                asks: !is_unsampled || is_silent || path.lost_since.is_some(),
+            }
+        });
+        probes.collect()
     }
 
     /// Returns whether this daemon may have lost its paths in silence: no upstream answers, and most that owe an answer
@@ -326,73 +372,8 @@
 
     /// Forgets upstreams that are no longer registered.
     pub fn retain(&mut self, is_registered: impl Fn(&str) -> bool) {
+        self.presumed.retain(|id| is_registered(id));
         self.paths
             .retain(|id, path| path.in_flight > 0 || is_registered(id));
     }
 }
-
-impl Path {
-    fn record_answer(&mut self, now: Instant) -> Option<Change> {
-        self.quiet_since = Some(now);
-        self.answered_at = Some(now);
-        self.has_timed_out = false;
-        self.losses = 0;
-        if !std::mem::take(&mut self.is_lost_in_silence) {
-            return None;
-        }
-        let since = self.lost_since.take()?;
-        Some(Change::Back(now.saturating_duration_since(since)))
-    }
-
-    fn record_loss(&mut self, now: Instant) -> Option<Change> {
-        self.losses += 1;
-        self.is_in_doubt = true;
-        let is_lost = self.losses >= LOSSES_MAX && self.lost_since.is_none();
-        is_lost.then(|| {
-            self.lost_since = Some(now);
-            Change::Lost
-        })
-    }
-
-    fn record_timeout(&mut self, sent_at: Instant) {
-        if !self.is_answered_since(sent_at) {
-            self.has_timed_out = true;
-            self.quiet_since = self.quiet_since.or(Some(sent_at));
-        }
-        self.is_in_doubt = true;
-    }
-
-    fn is_answered_since(&self, sent_at: Instant) -> bool {
-        self.answered_at.is_some_and(|at| at > sent_at)
-    }
-
-    /// Returns whether an answer is due, or was.
-    fn is_in_use(&self) -> bool {
-        self.in_flight > 0 || self.has_timed_out || self.is_lost_in_silence
-    }
-
-    fn is_silent(&self, now: Instant) -> bool {
-        let is_quiet = self.quiet_since.is_some_and(|since| now >= since + SILENCE);
-        self.is_lost_in_silence || self.is_in_use() && is_quiet
-    }
-
-    /// Returns whether the path is lost, and not in silence: no connection can be opened, or they break.
-    fn is_unconnected(&self) -> bool {
-        self.lost_since.is_some() && !self.is_lost_in_silence
-    }
-
-    fn is_probe_due(&self, doubted_since: Option<Instant>, now: Instant) -> bool {
-        let is_doubted = doubted_since
-            .is_some_and(|since| self.probed_at.is_none_or(|probed_at| probed_at < since));
-        let interval = match self.lost_since {
-            _ if self.is_in_doubt => PROBE_INTERVAL,
-            Some(since) => {
-                (now.saturating_duration_since(since) / 2).clamp(PROBE_INTERVAL, PROBE_INTERVAL_MAX)
-            }
-            None if self.is_silent(now) => PROBE_INTERVAL,
-            None if is_doubted => PROBE_INTERVAL_MAX,
-            None => return false,
-        };
-        self.probed_at.is_none_or(|at| now >= at + interval)
-    }
-}
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -7,6 +7,7 @@
     reach::{Change, End, Probe, Reach},
     registry::Upstream,
 };
+use rand::{SeedableRng, rngs::StdRng};
 use test_case::test_case;
 use tokio::time::Instant;
 
@@ -27,6 +28,10 @@
     upstream(number).id.clone()
 }
 
+fn probes(reach: &mut Reach, all: &[Arc<Upstream>], now: Instant) -> Vec<Probe> {
+    reach.update(all, now, &mut StdRng::seed_from_u64(1)).probes
+}
+
 /// Sends a request to each of `count` upstreams, which answer it.
 fn used(count: usize, now: Instant) -> (Reach, Vec<Arc<Upstream>>) {
     let mut reach = Reach::default();
@@ -65,21 +70,22 @@
     assert!(!reach.is_unusable(&id(0)));
 }
 
-#[test_case(100, false; "a request has waited for a moment")]
-#[test_case(1_000, true; "a request has waited for long")]
-fn silent_path_is_probed(waited_ms: u64, is_probed: bool) {
+#[test_case(100, 0; "a request has waited for a moment")]
+#[test_case(1_000, 3; "a request has waited for long")]
+fn silent_path_is_probed(waited_ms: u64, probed: usize) {
     let start = Instant::now();
     let (mut reach, all) = used(3, start);
     reach.record_send(&id(1), start);
     let now = start + Duration::from_millis(waited_ms);
-    let due = reach.due_probes(&all, now);
-    let probe = || Probe {
-        upstream: upstream(1),
+    let due = probes(&mut reach, &all, now);
+    // Others are asked with it, as they may be silent too.
+    let probe = |number| Probe {
+        upstream: upstream(number),
         asks: true,
     };
-    let expected = if is_probed { vec![probe()] } else { vec![] };
+    let expected: Vec<_> = (0..probed).map(probe).collect();
     assert_eq!(due, expected);
-    assert_eq!(reach.due_probes(&all, now), vec![]);
+    assert_eq!(probes(&mut reach, &all, now), vec![]);
 }
 
 #[test_case(1, 1; "one lost")]
@@ -91,13 +97,13 @@
     for number in 0..lost {
         reach.record_connect(&id(number), false, now);
     }
-    assert_eq!(reach.due_probes(&all, now).len(), probed);
+    assert_eq!(probes(&mut reach, &all, now).len(), probed);
     // Those that can be reached are not probed again until another one is lost.
     for number in lost..5 {
         reach.record_connect(&id(number), true, now);
     }
     let later = now + Duration::from_secs(3);
-    assert_eq!(reach.due_probes(&all, later).len(), lost);
+    assert_eq!(probes(&mut reach, &all, later).len(), lost);
 }
 
 #[test]
@@ -107,7 +113,7 @@
     for number in 0..400 {
         reach.record_connect(&id(number), false, start);
     }
-    assert_eq!(reach.due_probes(&all, start).len(), 8);
+    assert_eq!(probes(&mut reach, &all, start).len(), 8);
 }
 
 #[test_case(2, false; "a few of ten")]
@@ -181,7 +187,7 @@
 fn health_checks_are_sent_where_others_answer(silent: usize, asks: bool) {
     let start = Instant::now();
     let (mut reach, all) = waiting(4, silent, start);
-    let due = reach.due_probes(&all, start + Duration::from_secs(1));
+    let due = probes(&mut reach, &all, start + Duration::from_secs(1));
     assert_eq!(due.len(), silent);
     assert!(due.iter().all(|probe| probe.asks == asks), "{due:?}");
 }
@@ -199,11 +205,11 @@
     // Connections can be opened, which tells nothing of their answers.
     let later = lost_at + Duration::from_secs(4);
     assert_eq!(reach.record_connect(&id(0), true, later), None);
-    assert!(reach.due_probes(&all, later)[0].asks);
+    assert!(probes(&mut reach, &all, later)[0].asks);
     let back = Change::Back(Duration::from_secs(4));
     assert_eq!(reach.record_health_answer(&id(0), later), Some(back));
     assert!(!reach.is_unusable(&id(0)));
-    assert_eq!(reach.due_probes(&all, later), vec![]);
+    assert_eq!(probes(&mut reach, &all, later), vec![]);
 }
 
 #[test_case(|_| End::Answered, false; "answered")]
@@ -215,7 +221,7 @@
     reach.record_send(&id(0), start);
     let ended_at = start + Duration::from_millis(400);
     reach.record_end(&id(0), end(start), ended_at);
-    let due = reach.due_probes(&all, start + Duration::from_secs(1));
+    let due = probes(&mut reach, &all, start + Duration::from_secs(1));
     assert_eq!(due.iter().any(|probe| probe.asks), is_probed);
 }
 
@@ -225,7 +231,7 @@
     let mut reach = Reach::default();
     reach.record_timeout(&id(0), start);
     let now = start + Duration::from_secs(1);
-    assert!(reach.due_probes(&[upstream(0)], now)[0].asks);
+    assert!(probes(&mut reach, &[upstream(0)], now)[0].asks);
     reach.record_health_timeout(&id(0), start, now);
     assert!(reach.is_lost(&id(0)));
     assert!(reach.record_order_answer(&id(0), now).is_some());
@@ -251,9 +257,96 @@
     let (mut reach, all) = used(1, start);
     assert_eq!(lose(&mut reach, start), Some(Change::Lost));
     let later = start + Duration::from_secs(2);
-    assert!(reach.due_probes(&all, later)[0].asks);
+    assert!(probes(&mut reach, &all, later)[0].asks);
     assert_eq!(reach.record_health_timeout(&id(0), start, later), None);
     assert!(reach.is_unusable(&id(0)));
     assert!(reach.record_health_answer(&id(0), later).is_some());
     assert!(!reach.is_unusable(&id(0)));
 }
+
+/// The number of upstreams of [`fleet`]; even ones are of one service, and every fourth is in another data centre.
+const FLEET: usize = 200;
+
+/// How often paths are looked at.
+const TICK: Duration = Duration::from_millis(100);
+
+fn fleet() -> Vec<Arc<Upstream>> {
+    let one = |number| {
+        let mut one = Upstream::clone(&upstream(number));
+        one.service = if number % 2 == 0 { "cups" } else { "pay" }.into();
+        one.zone = if number % 4 < 3 { "here" } else { "there" }.into();
+        Arc::new(one)
+    };
+    (0..FLEET).map(one).collect()
+}
+
+/// Looks at the paths for `ticks`, with all probes of upstreams that are `cut` failing.
+fn play(
+    reach: &mut Reach,
+    all: &[Arc<Upstream>],
+    start: Instant,
+    ticks: u32,
+    cut: fn(usize) -> bool,
+) -> Vec<usize> {
+    let mut probed = Vec::new();
+    for tick in 0..ticks {
+        let now = start + TICK * tick;
+        for probe in probes(reach, all, now) {
+            let number: usize = probe.upstream.id[1..].parse().unwrap();
+            probed.push(number);
+            match cut(number) {
+                true => reach.record_connect(&probe.upstream.id, false, now),
+                false => reach.record_health_answer(&probe.upstream.id, now),
+            };
+        }
+    }
+    probed
+}
+
+#[test_case(|_| true, 2; "from all")]
+#[test_case(|number| number % 2 == 0, 2; "from a service")]
+#[test_case(|number| number % 4 == 3, 2; "from a data centre")]
+fn untried_upstreams_pass_for_usable_after_a_cut(cut: fn(usize) -> bool, lost: usize) {
+    let start = Instant::now();
+    let (mut reach, all) = (Reach::default(), fleet());
+    for number in (0..FLEET).filter(|number| cut(*number)).take(lost) {
+        reach.record_connect(&id(number), false, start);
+    }
+    play(&mut reach, &all, start, 15, cut);
+    for number in 0..FLEET {
+        assert_eq!(reach.is_unusable(&id(number)), cut(number), "u{number}");
+    }
+    // After the end of the cut, the paths are back although most were never probed.
+    let healed = start + Duration::from_secs(20);
+    play(&mut reach, &all, healed, 30, |_| false);
+    assert_eq!(reach.lost(), Vec::<UpstreamId>::new());
+}
+
+#[test_case(|number| number < 2; "two of 200")]
+#[test_case(|number| number % 3 == 0; "a third")]
+fn usable_upstreams_pass_for_lost_with_others(cut: fn(usize) -> bool) {
+    let start = Instant::now();
+    let (mut reach, all) = (Reach::default(), fleet());
+    reach.record_connect(&id(0), false, start);
+    reach.record_connect(&id(1), false, start);
+    reach.record_connect(&id(3), !cut(3), start);
+    play(&mut reach, &all, start, 60, cut);
+    let wrong = (0..FLEET).filter(|number| reach.is_lost(&id(*number)) && !cut(*number));
+    assert_eq!(wrong.count(), 0);
+}
+
+#[test]
+fn daemon_with_one_request_takes_untried_upstreams_for_usable_while_connections_hang() {
+    let start = Instant::now();
+    let (mut reach, all) = (Reach::default(), fleet());
+    reach.record_send(&id(0), start);
+    let asked_at = start + Duration::from_secs(1);
+    let answered_at = asked_at + Duration::from_millis(800);
+    for probe in probes(&mut reach, &all, asked_at) {
+        assert!(probe.asks);
+        reach.record_health_timeout(&probe.upstream.id, asked_at, answered_at);
+    }
+    play(&mut reach, &all, answered_at, 1, |_| true);
+    assert!((0..FLEET).all(|number| reach.is_unusable(&id(number))));
+    assert!(reach.is_cut_off(FLEET));
+}
