Probe the path first that was not probed for longest

Cause: eight paths are probed each 0.1 s at most, in the order of the list, and lost ones are due again after 2 s at most. From 160 lost paths on, those behind them in the list were never probed, neither found lost nor found back. Class: a bounded queue without fairness.

Now those that were not probed for longest come first, so that each is probed after all others at the latest.

--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -293,7 +293,8 @@
     /// Judges groups of paths by samples of them, and returns the paths that are to be probed now, a few at a time, and
     /// counts them as probed.
     ///
-    /// These are the paths in samples, then those that are lost, silent or in doubt. What is taken to be lost with others is not probed by itself.
+    /// These are the paths in samples, then those that are lost, silent or in doubt, the one first that was not probed
+    /// for longest. What is taken to be lost with others is not probed by itself.
     pub fn update<'a>(
         &mut self,
         all: impl IntoIterator<Item = &'a Arc<Upstream>>,
@@ -337,14 +338,17 @@
                 path.map_or(is_doubted, |path| path.is_probe_due(is_doubted, now))
             };
             if sample.is_some() || !is_presumed && is_due(path) {
-                due.push((sample.is_none(), sample, *upstream));
+                let probed_at = path.and_then(|path| path.probed_at);
+                due.push((sample.is_none(), sample, probed_at, *upstream));
             }
         }
-        due.sort_by_key(|(is_unsampled, sample, _)| (*is_unsampled, *sample));
+        due.sort_by_key(|(is_unsampled, sample, probed_at, _)| {
+            (*is_unsampled, *sample, *probed_at)
+        });
         let deferred = due.len().saturating_sub(PROBES_MAX) as u64;
         self.deferred_probes += deferred;
         due.truncate(PROBES_MAX);
-        let probes = due.into_iter().map(|(is_unsampled, _, upstream)| {
+        let probes = due.into_iter().map(|(is_unsampled, _, _, upstream)| {
             let path = self.paths.entry(upstream.id.clone()).or_default();
             path.probed_at = Some(now);
             path.tried_at = Some(now);
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -1,6 +1,6 @@
 //! Which paths to upstreams are probed, lost and back.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use copperwell_routing::{
     UpstreamId,
@@ -350,3 +350,15 @@
     assert!((0..FLEET).all(|number| reach.is_unusable(&id(number))));
     assert!(reach.is_cut_off(FLEET));
 }
+
+#[test]
+fn lost_paths_take_all_probes_from_others() {
+    let start = Instant::now();
+    let (mut reach, all) = used(800, start);
+    for number in 0..800 {
+        reach.record_connect(&id(number), number % 2 == 0, start);
+    }
+    let probed = play(&mut reach, &all, start, 70, |number| number % 2 == 1);
+    let probed: HashSet<_> = probed.into_iter().collect();
+    assert!((0..400).all(|number| probed.contains(&(2 * number + 1))));
+}
