Compare leaders by the upstreams of each service with keys

What callers saw: a leader that reaches no upstream of a service whose upstreams are fewer than a quarter of all keeps the lead, and the keys of that service are not served anywhere.

Cause: a leader was compared with others by lost paths over all upstreams, also those without keys, which get no orders.

Now services with keys count, each for itself: a quarter of one is enough, and upstreams without keys are no reason. Table test leader_keeps_the_lead_without_a_service_that_has_few_of_all_upstreams, of calls that the code before does not have.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -17,7 +17,7 @@
     metrics::Metrics,
     order::Sender,
     plan::Plan,
-    reach::{self, Helper},
+    reach::{Helper, Keyed},
     register::{Failure, Register, Snapshot, generation},
     store_state::{Delta, ListVersion},
     table::{Table, Tables, Version},
@@ -291,11 +291,12 @@
 
     /// Returns how much longer this daemon waits before it leads, if others reach far more upstreams.
     fn reach_delay(&self) -> Duration {
-        let lost = self.shared.lost.borrow().len();
+        let keyed = self.keyed();
+        let own = keyed.count(&self.shared.lost.borrow());
         let helpers = self.shared.helpers.borrow();
-        let best = helpers.iter().map(|helper| helper.lost.len()).min();
-        let all = self.environment.all_upstreams().len();
-        let is_worse = best.is_some_and(|best| reach::is_much_worse(lost, best, all));
+        let lost = helpers.iter().map(|helper| keyed.count(&helper.lost));
+        let best = lost.reduce(|best, one| best.min(&one));
+        let is_worse = best.is_some_and(|best| keyed.is_much_worse(&own, &best));
         if is_worse {
             REACH_DELAY
         } else {
@@ -303,6 +304,16 @@
         }
     }
 
+    /// Returns the upstreams by which daemons are compared as leaders.
+    fn keyed(&self) -> Keyed {
+        let services = self.environment.keyed_services().unwrap_or_default();
+        let ids_of = |service: ServiceName| {
+            let upstreams = self.environment.upstreams(&service);
+            upstreams.iter().map(|one| one.id.clone()).collect()
+        };
+        Keyed::new(services.into_iter().map(ids_of))
+    }
+
     /// Returns what this daemon reaches, for the leader.
     fn reach_report(&self) -> Helper {
         Helper {
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -12,7 +12,6 @@
     machine::{Machine, Observation},
     order::{Action, Order, Outcome, Sender},
     plan::Plan,
-    reach,
     register::{Register, generation, position},
     table::{Tables, Version},
 };
@@ -214,16 +213,16 @@
     fn is_other_better(&mut self, now: Duration) -> bool {
         let driver = self.driver;
         let report = driver.reach_report();
-        let lost = report.lost.len();
-        let helpers = driver.server.report_own_reach(report);
+        let keyed = driver.keyed();
+        let lost = keyed.count(&report.lost);
+        let helpers = driver.server.report_own_reach(report, keyed.clone());
         driver.shared.helpers.send_replace(helpers);
         let Some(candidate) = driver.server.first_candidate() else {
             return false;
         };
-        let all = driver.environment.all_upstreams().len();
-        if !reach::is_much_worse(lost, candidate.lost, all) {
+        if !keyed.is_much_worse(&lost, &candidate.lost) {
             self.is_worse_since = None;
-            return !reach::is_much_worse(candidate.lost, lost, all)
+            return !keyed.is_much_worse(&candidate.lost, &lost)
                 && election::should_step_down(
                     driver.identity.strength,
                     candidate.strength,
@@ -233,7 +232,7 @@
         let since = *self.is_worse_since.get_or_insert(now);
         let is_due = now >= since + REACH_PATIENCE;
         if is_due {
-            info!("another daemon reaches far more upstreams and should lead", kv: { event = "lead-cut-off", term = self.term, lost, candidate_lost = candidate.lost });
+            info!("another daemon reaches far more upstreams and should lead", kv: { event = "lead-cut-off", term = self.term, lost = lost.total(), candidate_lost = candidate.lost.total() });
         }
         is_due
     }
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -15,7 +15,7 @@
     lease::{Lapse, LeaderEntry},
     limits::{SharedLimits, Snapshot as LimitSnapshot},
     quarantine::{SharedQuarantine, Snapshot},
-    reach::Helper,
+    reach::{Helper, Keyed},
     store_state::{Delta, ListVersion, StoreState},
     table::{RoutingTables, Version},
     transfer::Chunk,
@@ -220,10 +220,12 @@
         self.state().reports.leaving()
     }
 
-    /// Reports which upstreams this daemon reaches, which leads; returns daemons that accept its requests.
-    pub(crate) fn report_own_reach(&self, report: Helper) -> Vec<Helper> {
+    /// Reports which upstreams this daemon reaches, which leads, and by which daemons are compared as leaders; returns
+    /// daemons that accept its requests.
+    pub(crate) fn report_own_reach(&self, report: Helper, keyed: Keyed) -> Vec<Helper> {
         let mut state = self.state();
         state.own_name = Some(report.name.clone());
+        state.keyed = keyed;
         let helpers = state.helpers(&report);
         state.reports.add(report);
         helpers
@@ -236,8 +238,7 @@
     }
 
     fn ranked(&self) -> Vec<Candidate> {
-        let upstreams = self.shared.store_state.upstream_count();
-        self.state().candidates(upstreams)
+        self.state().candidates()
     }
 
     /// Serves calls until the future is dropped.
--- a/crates/assignment/src/exchange/peers.rs
+++ b/crates/assignment/src/exchange/peers.rs
@@ -1,12 +1,12 @@
 //! What a daemon knows of the others from their calls, above all the leader.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use super::{Request, Standing};
 use crate::{
     DaemonName,
     lease::LeaderEntry,
-    reach::{Helper, Reports, is_much_worse},
+    reach::{Helper, Keyed, Lost, Reports},
 };
 use copperwell_message::HashMap;
 use rand::seq::IteratorRandom;
@@ -36,8 +36,8 @@
     pub(super) name: DaemonName,
     pub(super) address: SocketAddr,
     pub(crate) strength: u32,
-    /// The number of upstreams that it does not reach.
-    pub(crate) lost: usize,
+    /// The upstreams with keys that it does not reach.
+    pub(crate) lost: Lost,
 }
 
 /// The status of this daemon and what it knows of the others.
@@ -48,6 +48,8 @@
     pub(super) successor: Option<LeaderEntry>,
     peers: HashMap<DaemonName, Peer>,
     pub(super) reports: Reports,
+    /// The upstreams by which daemons are compared as leaders; none at a daemon that has not led.
+    pub(super) keyed: Keyed,
     /// The name of this daemon, once it has led.
     pub(super) own_name: Option<DaemonName>,
     /// When another daemon last read the store.
@@ -102,22 +104,21 @@
     }
 
     /// Returns the strongest daemons that have called recently, the strongest first, but last those that reach
-    /// far fewer of all `upstreams` than others.
-    pub(super) fn candidates(&mut self, upstreams: usize) -> Vec<Candidate> {
+    /// far fewer upstreams of a service with keys than others.
+    pub(super) fn candidates(&mut self) -> Vec<Candidate> {
         self.peers();
         let candidate = |(name, peer): (&DaemonName, &Peer)| Candidate {
             name: name.clone(),
             strength: peer.strength,
             address: peer.address,
-            lost: self.reports.lost(name),
+            lost: self.keyed.count(self.reports.lost(name)),
         };
         let mut ranked: Vec<Candidate> = self.peers.iter().map(candidate).collect();
-        let best = ranked.iter().map(|one| one.lost).min().unwrap_or(0);
-        ranked.sort_by(|one, other| {
-            let is_worse = |one: &Candidate| is_much_worse(one.lost, best, upstreams);
-            let by_reach = is_worse(one).cmp(&is_worse(other));
-            let by_strength = other.strength.cmp(&one.strength);
-            by_reach.then(by_strength).then(one.name.cmp(&other.name))
+        let lost = ranked.iter().map(|one| one.lost.clone());
+        let best = lost.reduce(|best, one| best.min(&one)).unwrap_or_default();
+        ranked.sort_by_cached_key(|one| {
+            let is_worse = self.keyed.is_much_worse(&one.lost, &best);
+            (is_worse, Reverse(one.strength), one.name.clone())
         });
         ranked.truncate(CANDIDATES_MAX);
         ranked
--- a/crates/assignment/src/reach.rs
+++ b/crates/assignment/src/reach.rs
@@ -43,15 +43,55 @@
     }
 }
 
-/// The least share of all upstreams that a daemon does not reach for which it should not lead. A few crashed
+/// The least share of a service's upstreams that a daemon does not reach for which it should not lead. A few crashed
 /// upstreams, of which daemons learn at different times, are no reason.
 const LOST_SHARE: f64 = 0.25;
 
-/// Returns whether a daemon that does not reach `own` of `all` upstreams should leave the lead to one that does not
-/// reach `best`.
-#[must_use]
-pub fn is_much_worse(own: usize, best: usize, all: usize) -> bool {
-    own as f64 >= LOST_SHARE * all as f64 && own > 2 * best + 1
+/// The upstreams of the services with keys, by which daemons are compared as leaders: these get orders.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Keyed {
+    services: Vec<HashSet<UpstreamId>>,
+}
+
+/// How many upstreams of each service with keys a daemon does not reach, in the order of [`Keyed`].
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Lost(Vec<usize>);
+
+impl Keyed {
+    pub(crate) fn new(services: impl IntoIterator<Item = HashSet<UpstreamId>>) -> Self {
+        let services = services.into_iter().collect();
+        Self { services }
+    }
+
+    /// Returns how many upstreams of each service are among `lost`.
+    pub(crate) fn count(&self, lost: &[UpstreamId]) -> Lost {
+        let among = |all: &HashSet<UpstreamId>| lost.iter().filter(|id| all.contains(*id)).count();
+        Lost(self.services.iter().map(among).collect())
+    }
+
+    /// Returns whether a daemon that does not reach `own` should leave the lead to one that does not reach `other`: it
+    /// reaches far fewer upstreams of a service.
+    pub(crate) fn is_much_worse(&self, own: &Lost, other: &Lost) -> bool {
+        let mut counts = self.services.iter().zip(own.0.iter().zip(&other.0));
+        counts.any(|(all, (own, other))| is_much_more(*own, *other, all.len()))
+    }
+}
+
+impl Lost {
+    /// Returns the lower count of two daemons for each service.
+    pub(crate) fn min(self, other: &Self) -> Self {
+        let pairs = self.0.into_iter().zip(&other.0);
+        Self(pairs.map(|(one, other)| one.min(*other)).collect())
+    }
+
+    pub(crate) fn total(&self) -> usize {
+        self.0.iter().sum()
+    }
+}
+
+/// Returns whether `own` of `all` upstreams are far more than `other`.
+fn is_much_more(own: usize, other: usize, all: usize) -> bool {
+    own as f64 >= LOST_SHARE * all as f64 && own > 2 * other + 1
 }
 
 impl Reports {
@@ -70,10 +110,10 @@
         self.helpers.insert(helper.name.clone(), (now, helper));
     }
 
-    /// Returns the number of upstreams that a daemon does not reach; 0 if it has not said.
-    pub(crate) fn lost(&self, name: &DaemonName) -> usize {
+    /// Returns the upstreams that a daemon does not reach; none if it has not said.
+    pub(crate) fn lost(&self, name: &DaemonName) -> &[UpstreamId] {
         let known = self.helpers.get(name);
-        known.map_or(0, |(_, helper)| helper.lost.len())
+        known.map_or(&[], |(_, helper)| &helper.lost)
     }
 
     /// Returns the daemons that reach most, those of `zone` first, of all that `is_alive`.
@@ -97,3 +137,6 @@
         helpers.map(without_leaving).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
