--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -223,10 +223,11 @@
     /// Reports which upstreams this daemon reaches, which leads, and by which daemons are compared as leaders; returns
     /// daemons that accept its requests.
     pub(crate) fn report_own_reach(&self, report: Helper, keyed: Keyed) -> Vec<Helper> {
+        let upstreams = self.shared.store_state.upstream_count();
         let mut state = self.state();
         state.own_name = Some(report.name.clone());
         state.keyed = keyed;
-        let helpers = state.helpers(&report);
+        let helpers = state.helpers(&report, upstreams);
         state.reports.add(report);
         helpers
     }
@@ -366,8 +367,9 @@
         if self.state().standing != Standing::Leads {
             return None;
         }
+        let upstreams = self.shared.store_state.upstream_count();
         let mut state = self.state();
-        let helpers = state.helpers(&report);
+        let helpers = state.helpers(&report, upstreams);
         state.reports.add(report);
         Some(helpers)
     }
--- a/crates/assignment/src/exchange/peers.rs
+++ b/crates/assignment/src/exchange/peers.rs
@@ -93,14 +93,14 @@
         &self.peers
     }
 
-    /// Returns daemons that accept the requests of the one that has sent `report`.
-    pub(super) fn helpers(&mut self, report: &Helper) -> Vec<Helper> {
+    /// Returns daemons that accept the requests of the one that has sent `report`, of which there are `upstreams`.
+    pub(super) fn helpers(&mut self, report: &Helper, upstreams: usize) -> Vec<Helper> {
         self.peers();
         let (peers, own) = (&self.peers, &self.own_name);
         let is_alive = |name: &DaemonName| {
             *name != report.name && (peers.contains_key(name) || own.as_ref() == Some(name))
         };
-        self.reports.helpers(&report.zone, is_alive)
+        self.reports.helpers(&report.zone, upstreams, is_alive)
     }
 
     /// Returns the strongest daemons that have called recently, the strongest first, but last those that reach
--- a/crates/assignment/src/reach.rs
+++ b/crates/assignment/src/reach.rs
@@ -5,6 +5,7 @@
 use crate::DaemonName;
 use copperwell_message::{HashMap, HashSet};
 use copperwell_routing::{Incarnation, UpstreamId, ZoneName};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::{Duration, Instant};
 
@@ -116,10 +117,12 @@
         known.map_or(&[], |(_, helper)| &helper.lost)
     }
 
-    /// Returns the daemons that reach most, those of `zone` first, of all that `is_alive`.
+    /// Returns daemons at random of all that `is_alive`: first those that reach most of `upstreams`, and of these first
+    /// those of `zone`.
     pub(crate) fn helpers(
         &self,
         zone: &ZoneName,
+        upstreams: usize,
         is_alive: impl Fn(&DaemonName) -> bool,
     ) -> Vec<Helper> {
         let now = Instant::now();
@@ -128,7 +131,12 @@
             now.saturating_duration_since(*at) < REPORT_TTL && is_alive(&helper.name)
         });
         let mut helpers: Vec<&Helper> = alive.map(|(_, helper)| helper).collect();
-        helpers.sort_by_key(|helper| (helper.lost.len(), helper.zone != *zone));
+        let best = helpers.iter().map(|helper| helper.lost.len()).min();
+        let is_worse =
+            |helper: &Helper| is_much_more(helper.lost.len(), best.unwrap_or(0), upstreams);
+        // Else all daemons would be sent to the same few.
+        helpers.shuffle(&mut rand::rng());
+        helpers.sort_by_key(|helper| (is_worse(helper), helper.zone != *zone));
         let helpers = helpers.into_iter().take(HELPERS_MAX).cloned();
         let without_leaving = |helper| Helper {
             leaving: Vec::new(),
