Take busy upstreams for usable that answer requests and no health check

Cause: the sample sent health checks to upstreams that owed nothing. A health check waits for a slot, so busy ones left it unanswered, were taken for lost, and gave reason for the next sample. Class: delay taken for loss.

Now a sample opens connections alone, unless nothing answers or the group is lost already; a health check without an answer is a loss only of a path that owes an answer for a second; and for a group only if none of it has answered a request since. Test busy_upstreams_that_leave_health_checks_unanswered_pass_for_lost, two cases, failed before.

--- a/crates/routing/src/reach.rs
+++ b/crates/routing/src/reach.rs
@@ -172,7 +172,11 @@
             // The health check waits for a slot, and requests are answered.
             return None;
         }
-        path.bad_at = Some(now);
+        path.record_bad(now, true);
+        if path.lost_since.is_none() && !path.is_silent(now) {
+            // It was asked as one of a sample, and owes no answer to a request.
+            return None;
+        }
         let is_first = path.lost_since.is_none();
         path.lost_since = path.lost_since.or(Some(now));
         path.is_lost_in_silence = true;
@@ -194,7 +198,7 @@
         let path = self.paths.entry(id.clone()).or_default();
         path.tried_at = Some(now);
         if !is_open {
-            path.bad_at = Some(now);
+            path.record_bad(now, false);
         }
         match (is_open, path.lost_since) {
             (false, None) => {
@@ -348,7 +352,7 @@
         let deferred = due.len().saturating_sub(PROBES_MAX) as u64;
         self.deferred_probes += deferred;
         due.truncate(PROBES_MAX);
-        let probes = due.into_iter().map(|(is_unsampled, _, _, upstream)| {
+        let probes = due.into_iter().map(|(_, sample, _, upstream)| {
             let path = self.paths.entry(upstream.id.clone()).or_default();
             path.probed_at = Some(now);
             path.tried_at = Some(now);
@@ -356,7 +360,7 @@
             Probe {
                 upstream: upstream.clone(),
                 // A connection that opens does not show that a path is there that was lost in silence.
-                asks: !is_unsampled || is_silent || path.lost_since.is_some(),
+                asks: sample.map_or(is_silent, |sample| sample.asks) || path.lost_since.is_some(),
             }
         });
         probes.collect()
--- a/crates/routing/src/reach/path.rs
+++ b/crates/routing/src/reach/path.rs
@@ -29,10 +29,21 @@
     pub(super) good_at: Option<Instant>,
     /// When it was last seen that none can.
     pub(super) bad_at: Option<Instant>,
+    /// Whether that was since a health check was not answered in time, on a connection that could be opened.
+    pub(super) is_bad_in_silence: bool,
     /// Whether it is to be probed at once.
     pub(super) is_in_doubt: bool,
 }
 
+/// What a health check without an answer tells of a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Silence {
+    /// The path is lost.
+    IsLoss,
+    /// The upstream is busy: its connections can be opened, and others answer.
+    IsDelay,
+}
+
 impl Path {
     pub(super) fn record_answer(&mut self, now: Instant) -> Option<Change> {
         self.quiet_since = Some(now);
@@ -51,7 +62,7 @@
         self.losses += 1;
         self.is_in_doubt = true;
         if self.losses >= LOSSES_MAX {
-            self.bad_at = Some(now);
+            self.record_bad(now, false);
         }
         let is_lost = self.losses >= LOSSES_MAX && self.lost_since.is_none();
         is_lost.then(|| {
@@ -72,15 +83,25 @@
         self.answered_at.is_some_and(|at| at > sent_at)
     }
 
+    pub(super) fn record_bad(&mut self, now: Instant, is_in_silence: bool) {
+        self.bad_at = Some(now);
+        self.is_bad_in_silence = is_in_silence;
+    }
+
     /// Returns whether the path was seen to be lost, and not usable, since `since`; `None` if neither was seen.
-    pub(super) fn is_bad_since(&self, since: Instant) -> Option<bool> {
+    ///
+    /// A health check without an answer counts as `silence` says: it may wait for a slot.
+    pub(super) fn is_bad_since(&self, since: Instant, silence: Silence) -> Option<bool> {
         let last = self.good_at.max(self.bad_at).filter(|at| *at >= since)?;
-        Some(self.bad_at == Some(last))
+        let is_bad = self.bad_at == Some(last);
+        let counts = !self.is_bad_in_silence || silence == Silence::IsLoss;
+        Some(is_bad && counts)
     }
 
     /// Returns whether nothing was seen of the path since `since`, and it was not probed either.
     pub(super) fn is_unknown_since(&self, since: Instant) -> bool {
-        self.is_bad_since(since).is_none() && self.probed_at.is_none_or(|at| at < since)
+        self.is_bad_since(since, Silence::IsLoss).is_none()
+            && self.probed_at.is_none_or(|at| at < since)
     }
 
     /// Returns whether an answer is due, or was.
--- a/crates/routing/src/reach/sample.rs
+++ b/crates/routing/src/reach/sample.rs
@@ -8,7 +8,7 @@
 
 use super::{
     SILENCE, SILENT_SHARE,
-    path::{Path, probe_interval},
+    path::{Path, Silence, probe_interval},
 };
 use crate::{ServiceName, UpstreamId, ZoneName, registry::Upstream};
 use copperwell_message::HashMap;
@@ -71,6 +71,8 @@
     sampled_at: Option<Instant>,
     /// When the sample was started by which the group was found to be lost.
     cut_off_since: Option<Instant>,
+    /// Whether nothing answered then, though connections could be opened.
+    is_cut_off_in_silence: bool,
     /// When the last sample was started, if it showed that many paths are lost, and not nearly all.
     partly_lost_since: Option<Instant>,
 }
@@ -79,6 +81,18 @@
 struct Sample {
     started_at: Instant,
     ids: Vec<UpstreamId>,
+    /// Whether a health check is sent to each.
+    asks: bool,
+    /// Whether it was started since nothing answers.
+    is_for_silence: bool,
+}
+
+/// A path that a sample waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Awaited<'a> {
+    pub(super) group: &'a Group,
+    /// Whether a health check is to be sent.
+    pub(super) asks: bool,
 }
 
 /// What the paths of a group show without a sample.
@@ -128,7 +142,8 @@
         for (group, members) in groups {
             let is_all_lost = self.is_cut_off(&Group::All);
             let state = self.states.entry(group.clone()).or_default();
-            let verdict = state.finish_sample(paths, now);
+            let tally = Tally::of(&members, paths, now);
+            let verdict = state.finish_sample(&tally, paths, now);
             verdicts.extend(verdict.map(|(sampled, lost)| Verdict {
                 group: group.clone(),
                 is_cut_off: state.cut_off_since.is_some(),
@@ -136,8 +151,8 @@
                 lost,
             }));
             // The sample of all paths also tells of the others.
-            if (group == Group::All || !is_all_lost) && state.is_sample_due(&members, paths, now) {
-                state.start_sample(&members, now, random);
+            if (group == Group::All || !is_all_lost) && state.is_sample_due(&tally, now) {
+                state.start_sample(&members, tally.is_silent(now), now, random);
             }
         }
         verdicts
@@ -148,23 +163,27 @@
         state.is_some_and(|state| state.cut_off_since.is_some())
     }
 
-    /// Returns the paths that samples wait for, of which nothing is known since, each with the first of the groups.
+    /// Returns the paths that samples wait for, of which nothing is known since, each for the first of the groups.
     pub(super) fn awaited(
         &self,
         paths: &HashMap<UpstreamId, Path>,
-    ) -> HashMap<&UpstreamId, &Group> {
-        let mut awaited: HashMap<&UpstreamId, &Group> = HashMap::default();
+    ) -> HashMap<&UpstreamId, Awaited<'_>> {
+        let mut awaited: HashMap<&UpstreamId, Awaited<'_>> = HashMap::default();
         for (group, state) in &self.states {
             let Some(sample) = &state.sample else {
                 continue;
             };
+            let one = Awaited {
+                group,
+                asks: sample.asks,
+            };
             let is_unknown = |id: &&UpstreamId| {
                 let path = paths.get(*id);
                 path.is_none_or(|path| path.is_unknown_since(sample.started_at))
             };
             for id in sample.ids.iter().filter(is_unknown) {
-                let first = awaited.entry(id).or_insert(group);
-                *first = group.min(*first);
+                let first = awaited.entry(id).or_insert(one);
+                *first = one.min(*first);
             }
         }
         awaited
@@ -196,16 +215,26 @@
     /// that changes the verdict.
     fn finish_sample(
         &mut self,
+        tally: &Tally,
         paths: &HashMap<UpstreamId, Path>,
         now: Instant,
     ) -> Option<(usize, usize)> {
         let sample = self.sample.as_ref()?;
         let since = sample.started_at;
-        let state_of = |id| paths.get(id).and_then(|path| path.is_bad_since(since));
+        let is_answered = tally.answered_at.is_some_and(|at| at >= since);
+        let silence = match sample.is_for_silence && !is_answered {
+            true => Silence::IsLoss,
+            false => Silence::IsDelay,
+        };
+        let state_of = |id| {
+            let path = paths.get(id);
+            path.and_then(|path| path.is_bad_since(since, silence))
+        };
         let known: Vec<bool> = sample.ids.iter().filter_map(state_of).collect();
         if known.len() < sample.ids.len() && now < since + SAMPLE_TIMEOUT {
             return None;
         }
+        let is_for_silence = sample.is_for_silence;
         self.sample = None;
         let lost = known.iter().filter(|is_bad| **is_bad).count();
         let share = lost as f64 / known.len().max(1) as f64;
@@ -217,15 +246,11 @@
             true => self.cut_off_since.or(Some(since)),
             false => None,
         };
+        self.is_cut_off_in_silence = is_cut_off && is_for_silence;
         (was_cut_off != is_cut_off).then_some((known.len(), lost))
     }
 
-    fn is_sample_due(
-        &self,
-        members: &[&Arc<Upstream>],
-        paths: &HashMap<UpstreamId, Path>,
-        now: Instant,
-    ) -> bool {
+    fn is_sample_due(&self, tally: &Tally, now: Instant) -> bool {
         if self.sample.is_some() {
             return false;
         }
@@ -233,7 +258,7 @@
         if let Some(since) = self.cut_off_since {
             return is_after(probe_interval(now.saturating_duration_since(since)));
         }
-        is_after(SAMPLE_INTERVAL) && self.has_new_doubt(&Tally::of(members, paths, now), now)
+        is_after(SAMPLE_INTERVAL) && self.has_new_doubt(tally, now)
     }
 
     /// Returns whether paths were lost, or fell silent, that the last sample does not explain.
@@ -243,12 +268,24 @@
             || (tally.is_silent(now) && is_new(tally.last_silent_at))
     }
 
-    fn start_sample(&mut self, members: &[&Arc<Upstream>], now: Instant, random: &mut impl Rng) {
+    fn start_sample(
+        &mut self,
+        members: &[&Arc<Upstream>],
+        is_silent: bool,
+        now: Instant,
+        random: &mut impl Rng,
+    ) {
         let usable = members.iter().filter(|one| !one.is_draining);
         let sampled = usable.sample(random, SAMPLE_SIZE).into_iter();
         self.sample = Some(Sample {
             started_at: now,
             ids: sampled.map(|one| one.id.clone()).collect(),
+            // A connection that opens does not show that a group is back.
+            asks: is_silent || self.cut_off_since.is_some(),
+            is_for_silence: match self.cut_off_since {
+                Some(_) => self.is_cut_off_in_silence,
+                None => is_silent,
+            },
         });
         self.sampled_at = Some(now);
     }
--- a/crates/routing/tests/reach.rs
+++ b/crates/routing/tests/reach.rs
@@ -362,3 +362,36 @@
     let probed: HashSet<_> = probed.into_iter().collect();
     assert!((0..400).all(|number| probed.contains(&(2 * number + 1))));
 }
+
+#[test_case(true; "of which some answer requests")]
+#[test_case(false; "of which two refuse connections")]
+fn busy_upstreams_that_leave_health_checks_unanswered_pass_for_lost(are_some_answered: bool) {
+    let start = Instant::now();
+    let (mut reach, all) = (Reach::default(), fleet());
+    reach.record_send(&id(2), start);
+    if are_some_answered {
+        reach.record_send(&id(0), start);
+    } else {
+        reach.record_connect(&id(4), false, start);
+        reach.record_connect(&id(6), false, start);
+    }
+    let asked_at = start + Duration::from_secs(1);
+    let answered_at = asked_at + Duration::from_millis(800);
+    let ticks = (0..8).map(|tick| asked_at + TICK * tick);
+    let due = ticks.flat_map(|now| probes(&mut reach, &all, now));
+    let due: Vec<_> = due.collect();
+    reach.record_end(&id(2), End::Answered, answered_at);
+    for Probe { upstream, asks } in due {
+        match asks {
+            true => reach.record_health_timeout(&upstream.id, asked_at, answered_at),
+            false => reach.record_connect(&upstream.id, true, answered_at),
+        };
+    }
+    play(&mut reach, &all, answered_at, 1, |_| false);
+    let lost = |number: &usize| reach.is_lost(&id(*number));
+    let wrong: Vec<_> = (0..FLEET)
+        .filter(lost)
+        .filter(|one| ![0, 4, 6].contains(one))
+        .collect();
+    assert_eq!(wrong, Vec::<usize>::new());
+}
