Refuse relayed requests at once whose upstream is lost here too

What callers saw: a request that was sent through another daemon, which had lost the same upstreams, waited there until a connection could not be opened.

Cause: the daemon that helps chose among lost upstreams if there were no others, as it does for its own callers. Now it says not run at once, and the request goes through a third daemon; what was tried there before keeps its own result.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -106,6 +106,10 @@
                 },
             };
             let upstream = match selected {
+                Selected::Upstream(upstream) if self.is_lost_for_others(&upstream.id) => {
+                    let refusal = Refusal::not_run(Reason::ConnectionRefused);
+                    return last_result.unwrap_or(Err(refusal));
+                }
                 Selected::Upstream(upstream) => upstream,
                 Selected::Relay(helper) => {
                     relays.push(helper);
--- a/crates/gateway/src/attempts/elsewhere.rs
+++ b/crates/gateway/src/attempts/elsewhere.rs
@@ -9,6 +9,7 @@
 };
 use copperwell_backend::exchange::Failed;
 use copperwell_message::{Body, Reason, Response, Verdict};
+use copperwell_routing::UpstreamId;
 use http::request::Parts;
 use tokio::time::Instant;
 
@@ -57,6 +58,11 @@
         (self.terms.is_none() && tried.len() < RELAYS_MAX).then_some(tried)
     }
 
+    /// Returns whether another daemon has sent the request here in vain, so that it can try a third one at once.
+    pub(super) fn is_lost_for_others(&self, upstream: &UpstreamId) -> bool {
+        self.terms.is_some() && self.view.paths.reach().is_unusable(upstream)
+    }
+
     /// Returns whether a request that could not be sent can be sent through another daemon.
     pub(super) fn can_relay(&self, failed: Failed, progress: &Progress<'_>) -> bool {
         let can_relay = |tried| self.selector.can_relay(progress.requirements, tried);
