--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -13,5 +13,6 @@
 mod keys;
 mod limits;
 mod notices;
+mod odd_entries;
 mod requests;
 mod rewind;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -135,7 +135,7 @@
     #[must_use]
     pub fn has_capacity(&self, upstream: &Upstream) -> bool {
         let load = self.loads.get(&upstream.id);
-        let max = upstream.slots.max(1) * IN_FLIGHT_PER_SLOT_MAX;
+        let max = upstream.slots.max(1).saturating_mul(IN_FLIGHT_PER_SLOT_MAX);
         load.is_none_or(|load| load.limit.allows(load.in_flight, max))
     }
 
