--- a/crates/copperwelld/tests/cut/cut.rs
+++ b/crates/copperwelld/tests/cut/cut.rs
@@ -10,6 +10,7 @@
         cut::How,
         rule,
     },
+    take_room,
 };
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -99,6 +100,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn request_waits_on_a_connection_that_hangs_until_its_timeout() {
+    let _room = take_room(1).await;
     let harness = Harness::start_in(&ZONES, |_| Stdio::null()).await;
     harness.wait_served().await;
     let daemon = cut_off(Who::Follower, &harness)[0];
@@ -148,6 +150,7 @@
 #[test_case(Who::Zone, How::Silent; "a data centre whose connections hang")]
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_that_reaches_no_server_serves_nobody(who: Who, how: How) {
+    let _room = take_room(1).await;
     let harness = Harness::start_in(&ZONES, |_| Stdio::null()).await;
     harness.wait_served().await;
     let cut_off = cut_off(who, &harness);
--- a/crates/copperwelld/tests/cut/many_servers.rs
+++ b/crates/copperwelld/tests/cut/many_servers.rs
@@ -3,8 +3,10 @@
 use std::{process::Stdio, sync::Arc, time::Duration};
 
 use crate::{
+    ROOM_ALL,
     harness::{CONDITION_TIMEOUT, Harness},
     standin::{caller::leads, cut::How},
+    take_room,
 };
 use http::StatusCode;
 use test_case::test_case;
@@ -128,6 +130,7 @@
     keyed: usize,
     with_leader: bool,
 ) {
+    let _room = take_room(ROOM_ALL).await;
     let unkeyed = SERVERS - keyed;
     let zones = ["here"; DAEMONS];
     let harness = Harness::start_with_servers(&zones, keyed, unkeyed, |_| Stdio::null()).await;
--- a/crates/routing/src/reach/sample.rs
+++ b/crates/routing/src/reach/sample.rs
@@ -73,7 +73,7 @@
     cut_off_since: Option<Instant>,
     /// Whether nothing answered then, though connections could be opened.
     is_cut_off_in_silence: bool,
-    /// When the last sample was started, if it showed that many paths are lost, and not nearly all.
+    /// When the first of the last samples was started that showed that many paths are lost, and not nearly all.
     partly_lost_since: Option<Instant>,
 }
 
@@ -240,7 +240,7 @@
         let share = lost as f64 / known.len().max(1) as f64;
         let is_cut_off = lost >= LOST_TO_DOUBT && share >= CUT_OFF_SHARE;
         let is_partly_lost = !is_cut_off && share >= PARTLY_SHARE;
-        self.partly_lost_since = is_partly_lost.then_some(since);
+        self.partly_lost_since = is_partly_lost.then(|| self.partly_lost_since.unwrap_or(since));
         let was_cut_off = self.cut_off_since.is_some();
         self.cut_off_since = match is_cut_off {
             true => self.cut_off_since.or(Some(since)),
