Take a refusal only for the request that it answers

What callers saw: with an upstream that writes an earlier refusal once more on a kept connection, 503, which promises that the request has not run and never will, for requests that were running; and some of these were sent once more and ran twice.

Cause: a refusal was taken for the request on whose connection it came if it carried that request's id, or none. The id proves nothing where the same request comes to the same connection again, as a retry does; and a refusal without one may be a copy, or one that nobody asked for. Class: an answer is matched by its place, not by its name.

Now a request is not sent on a connection that carried it before and on which it failed, and a refusal without an id counts only as the first response of a connection: else the request may have run. Upstreams of the platform repeat the id in their responses.

--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
+    framing::RequestHash,
     outgoing::Outgoing,
     traffic::{Metered, Traffic},
 };
@@ -27,6 +28,9 @@
 /// How long before the server's keep-alive timeout an idle connection is used for the last time.
 const REUSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// The failed requests after which a connection is closed, so that what it must remember is bounded.
+const CARRIED_MAX: usize = 64;
+
 /// An open connection; dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -38,6 +42,8 @@
     /// The server's keep-alive timeout, if it announces one.
     keep_alive: Option<Duration>,
     has_answered: bool,
+    /// The requests that it has carried and that may be sent once more.
+    carried: Vec<RequestHash>,
 }
 
 /// Why a connection could not be opened.
@@ -100,9 +106,26 @@
             sent_at: Instant::now(),
             keep_alive: None,
             has_answered: false,
+            carried: Vec::new(),
         })
     }
 
+    /// Records that a request has failed on this connection, and may be sent once more.
+    pub(crate) fn record_failed(&mut self, id: RequestHash) {
+        self.carried.push(id);
+    }
+
+    /// Returns whether a request may be sent on this connection: if it was carried before, a response that the server
+    /// writes again would pass for the one that is due.
+    pub(crate) fn may_carry(&self, id: Option<RequestHash>) -> bool {
+        id.is_none_or(|id| !self.carried.contains(&id))
+    }
+
+    /// Returns whether the connection has carried so many failed requests that it is to be closed.
+    pub(crate) fn is_worn(&self) -> bool {
+        self.carried.len() >= CARRIED_MAX
+    }
+
     /// Returns whether the server has answered on this connection before.
     ///
     /// Such a server reads the connection, so it reads the next request too.
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     connection::{Connection, READY_TIMEOUT, SendError},
-    framing::{Framing, Read, Unsendable},
+    framing::{Framing, Read, RequestHash, Unsendable},
     head,
     lane::Lane,
 };
@@ -84,8 +84,9 @@
             .head(lane.address(), request_head)
             .map_err(|Unsendable| Failed::not_run(Reason::BadRequest))?;
         let mut request = head::request_of(head, body);
+        let id = framing.repeated_id(request_head);
         loop {
-            let idle = lane.take_idle().await;
+            let idle = lane.take_idle_for(id).await;
             let is_reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
@@ -97,11 +98,13 @@
                 return Err(Failed::not_run(Reason::DeadlineHopeless));
             }
             framing.set_deadline(request.headers_mut(), remaining);
+            let is_first = !connection.has_answered();
             let sent = connection.send(request, self.inactivity_timeout, self.deadline);
             match sent.await {
                 Ok(response) => {
                     let read = framing.read(request_head, response.headers(), response.status());
-                    return self.receive(connection, response, read).await;
+                    let read = trusted(read, id, is_first);
+                    return self.receive(connection, response, read, id).await;
                 }
                 Err(SendError::NotSent(unsent)) if is_reused => {
                     lane.metrics().resent.inc();
@@ -152,15 +155,20 @@
         mut connection: Connection,
         response: http::Response<Incoming>,
         read: Read,
+        id: Option<RequestHash>,
     ) -> Result<Response, Failed> {
         let (head, incoming) = response.into_parts();
         connection.update_keep_alive(head::keep_alive_in(&head.headers));
         let size = incoming.size_hint().upper();
         let is_small = size.is_some_and(|bytes| bytes <= BUFFERED_BYTES_MAX as u64);
+        if let Some(id) = id.filter(|_| !head.status.is_success()) {
+            connection.record_failed(id);
+        }
         let reply = match read {
             Read::Answer(reply) => reply,
-            Read::Refused(reply) => {
-                if is_small {
+            Read::Refused { reply, .. } => {
+                // Where responses name no request, one that is written again would pass for the next one.
+                if is_small && id.is_some() {
                     self.drain_refusal(connection, incoming).await;
                 }
                 let body = Body::empty();
@@ -267,6 +275,18 @@
     }
 }
 
+/// Returns what a response head means that is the first one on its connection or not.
+///
+/// A refusal without an id may be an earlier one that is written again, or one that nobody asked for.
+fn trusted(read: Read, id: Option<RequestHash>, is_first: bool) -> Read {
+    match read {
+        Read::Refused {
+            is_named: false, ..
+        } if id.is_some() && !is_first => Read::Foreign,
+        read => read,
+    }
+}
+
 impl Failed {
     fn not_run(reason: Reason) -> Self {
         Self {
--- a/crates/backend/src/framing.rs
+++ b/crates/backend/src/framing.rs
@@ -5,6 +5,9 @@
 use copperwell_message::Reply;
 use http::{HeaderMap, StatusCode, request};
 
+/// A hash of a request's id.
+pub type RequestHash = u64;
+
 /// A protocol that servers speak over HTTP/1.1.
 pub trait Framing: Send + Sync + 'static {
     /// The protocol's head of a request.
@@ -21,6 +24,9 @@
     /// Sets the header field that carries the time remaining until the deadline.
     fn set_deadline(&self, headers: &mut HeaderMap, remaining: Duration);
 
+    /// Returns a hash of the id that the server's responses repeat; `None` if they repeat none.
+    fn repeated_id(&self, request_head: &Self::Head) -> Option<RequestHash>;
+
     /// Interprets the head of a response to the request `request_head`.
     fn read(&self, request_head: &Self::Head, headers: &HeaderMap, status: StatusCode) -> Read;
 }
@@ -31,7 +37,12 @@
     /// The server ran the request.
     Answer(Reply),
     /// The server did not run the request.
-    Refused(Reply),
+    Refused {
+        /// The refusal.
+        reply: Reply,
+        /// Whether the response repeats the request's id.
+        is_named: bool,
+    },
     /// The response belongs to another request.
     Foreign,
 }
--- a/crates/backend/src/head.rs
+++ b/crates/backend/src/head.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    framing::{Framing, Read, Unsendable},
+    framing::{Framing, Read, RequestHash, Unsendable},
     order::header,
     outgoing::Outgoing,
 };
@@ -55,7 +55,14 @@
         let mut reply = Response::refusal(Verdict::NotRun, refusal.reason).reply;
         reply.headers.extend(incarnation_in(headers));
         reply.retry_after = refusal.retry_after;
-        Read::Refused(reply)
+        Read::Refused {
+            reply,
+            is_named: false,
+        }
+    }
+
+    fn repeated_id(&self, _: &HeadWithEpoch) -> Option<RequestHash> {
+        None
     }
 }
 
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -12,6 +12,7 @@
 use crate::{
     client,
     connection::{ConnectError, Connection, READY_TIMEOUT},
+    framing::RequestHash,
     metrics::{Label, Metrics},
     pool::Timing,
 };
@@ -107,8 +108,13 @@
 
     /// Takes the most recently used idle connection that can accept a request.
     pub(crate) async fn take_idle(&self) -> Option<Connection> {
+        self.take_idle_for(None).await
+    }
+
+    /// Like [`Self::take_idle`], but none that has carried the request `id` before.
+    pub(crate) async fn take_idle_for(&self, id: Option<RequestHash>) -> Option<Connection> {
         loop {
-            let mut connection = self.idle().pop()?;
+            let mut connection = self.pop_for(id)?;
             if connection.is_within_keep_alive() && connection.is_ready_within(READY_TIMEOUT).await
             {
                 self.metrics.reused.inc();
@@ -117,6 +123,12 @@
         }
     }
 
+    fn pop_for(&self, id: Option<RequestHash>) -> Option<Connection> {
+        let mut idle = self.idle();
+        let usable = idle.iter().rposition(|one| one.may_carry(id))?;
+        Some(idle.remove(usable))
+    }
+
     /// Takes the idle connection unused for longest that can accept a request.
     ///
     /// # Errors
@@ -202,7 +214,7 @@
 
     /// Puts a connection back into the pool after its response was read completely.
     pub(crate) fn put_back(&self, connection: Connection) {
-        if connection.is_closed() {
+        if connection.is_closed() || connection.is_worn() {
             return;
         }
         let expires_before = Instant::now().checked_sub(self.timing.idle);
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -14,5 +14,6 @@
 mod limits;
 mod notices;
 mod odd_entries;
+mod refusals;
 mod requests;
 mod rewind;
