Test answers that end in their head

Reported by other operators: an upstream that stops in the head of an answer and closes, and callers with a 200 and a short body, framed as whole.

--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod crash;
 mod crashing_servers;
+mod cut_heads;
 mod daemon;
 mod endless;
 mod harness;
