--- a/crates/copperwelld/tests/gateway/cut_heads.rs
+++ b/crates/copperwelld/tests/gateway/cut_heads.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Harness},
-    standin::caller::{ID_LINE, register},
+    standin::caller::{ID_LINE, answer_head, register},
 };
 use http::StatusCode;
 use test_case::test_case;
@@ -15,22 +15,26 @@
 const REQUESTS: usize = 20;
 
 /// Answers one request on a connection with a part of a head, and closes.
-async fn serve(mut stream: TcpStream, part: fn(&str) -> String) -> Option<()> {
+async fn serve(mut stream: TcpStream, end: fn(&str) -> usize) -> Option<()> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
     let head = String::from_utf8(head).unwrap();
     let id = head.lines().find_map(|line| line.strip_prefix(ID_LINE))?;
-    stream.write_all(part(id).as_bytes()).await.ok()
+    let answer = answer_head(id, "content-length: 10");
+    stream
+        .write_all(&answer.as_bytes()[..end(&answer)])
+        .await
+        .ok()
 }
 
-#[test_case(|_| "HTTP/1.1 200 OK\r\n".to_owned(); "after the status")]
-#[test_case(|id| format!("HTTP/1.1 200 OK\r\n{ID_LINE}{id}\r\nresponse-signature: s"); "in a field")]
-#[test_case(|id| format!("HTTP/1.1 200 OK\r\n{ID_LINE}{id}\r\nresponse-signature: s\r\n"); "before the empty line")]
-#[test_case(|id| format!("HTTP/1.1 200 OK\r\n{ID_LINE}{id}\r\nresponse-signature: s\r\ncontent-length: 1"); "in the length")]
+#[test_case(|head| head.find("\r\n").unwrap() + 2; "after the status")]
+#[test_case(|head| head.find("signature").unwrap(); "in a field")]
+#[test_case(|head| head.len() - 2; "before the empty line")]
+#[test_case(|head| head.len() - 5; "in the length")]
 #[tokio::test(flavor = "multi_thread")]
-async fn answer_that_ends_in_its_head_reaches_the_caller_as_whole(part: fn(&str) -> String) {
+async fn answer_that_ends_in_its_head_reaches_the_caller_as_whole(end: fn(&str) -> usize) {
     let mut harness = Harness::start(1).await;
     harness.wait_served().await;
     harness.servers.last_mut().unwrap().kill();
@@ -39,7 +43,7 @@
     register(harness.store.writer(), "faulty", "pay", address);
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, part));
+            tokio::spawn(serve(stream, end));
         }
     });
     let deadline = Instant::now() + CONDITION_TIMEOUT;
--- a/crates/copperwelld/tests/gateway/odd_entries.rs
+++ b/crates/copperwelld/tests/gateway/odd_entries.rs
@@ -5,7 +5,7 @@
 use crate::{
     harness::{CONDITION_TIMEOUT, Daemon, Harness},
     standin::{
-        caller::identified,
+        caller::{SERVERS, identified},
         cluster, config, rule,
         server::{Server, registration},
     },
@@ -16,9 +16,6 @@
 use test_case::test_case;
 use tokio::time::{Instant, sleep};
 
-/// The topic of the servers' registrations.
-const SERVERS: &str = "keyed.servers";
-
 /// Returns a registration for the service without keys as text, with a field replaced by `text`.
 fn entry(field: &str, text: &str) -> String {
     let mut value = registration("pay", ([127, 0, 0, 1], 9).into());
--- a/crates/copperwelld/tests/gateway/refusals.rs
+++ b/crates/copperwelld/tests/gateway/refusals.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     harness::Harness,
-    standin::caller::{ID_LINE, answer_head, register},
+    standin::caller::{ID_LINE, answer_head, refusal_head, register},
 };
 use http::StatusCode;
 use test_case::test_case;
@@ -37,13 +37,6 @@
     Unasked,
 }
 
-fn refusal(id: Option<&str>) -> String {
-    let named = id.map_or(String::new(), |id| format!("{ID_LINE}{id}\r\n"));
-    format!(
-        "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{named}content-length: 0\r\n\r\n"
-    )
-}
-
 /// Reads a request without a body, and returns its id; `None` once the connection has ended.
 async fn read_id(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
@@ -59,7 +52,7 @@
 async fn serve(mut stream: TcpStream, copy: Copy, runs: Runs) -> Option<()> {
     let first = read_id(&mut stream).await?;
     stream
-        .write_all(refusal(Some(&first)).as_bytes())
+        .write_all(refusal_head(Some(&first)).as_bytes())
         .await
         .ok()?;
     loop {
@@ -69,7 +62,10 @@
         if copy == Copy::Unasked {
             sleep(WORK / 2).await;
         }
-        stream.write_all(refusal(named).as_bytes()).await.ok()?;
+        stream
+            .write_all(refusal_head(named).as_bytes())
+            .await
+            .ok()?;
         sleep(WORK).await;
         let answer = answer_head(&id, "content-length: 0");
         stream.write_all(answer.as_bytes()).await.ok()?;
