--- a/crates/assignment/src/exchange/peers.rs
+++ b/crates/assignment/src/exchange/peers.rs
@@ -36,7 +36,7 @@
     pub(super) name: DaemonName,
     pub(super) address: SocketAddr,
     pub(crate) strength: u32,
-    /// The upstreams with keys that it does not reach.
+    /// How many upstreams with keys it does not reach.
     pub(crate) lost: Lost,
 }
 
@@ -93,7 +93,7 @@
         &self.peers
     }
 
-    /// Returns daemons that accept the requests of the one that has sent `report`, of which there are `upstreams`.
+    /// Returns daemons that accept the requests of the one that has sent `report`; there are `upstreams` in all.
     pub(super) fn helpers(&mut self, report: &Helper, upstreams: usize) -> Vec<Helper> {
         self.peers();
         let (peers, own) = (&self.peers, &self.own_name);
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -275,9 +275,9 @@
     }
 }
 
-/// Returns what a response head means that is the first one on its connection or not.
+/// Returns what a response head means, by whether it `is_first` on its connection.
 ///
-/// A refusal without an id may be an earlier one that is written again, or one that nobody asked for.
+/// A later refusal without an id may be an earlier one that is written again, or one that nobody asked for.
 fn trusted(read: Read, id: Option<RequestHash>, is_first: bool) -> Read {
     match read {
         Read::Refused {
--- a/crates/gateway/src/attempts/elsewhere.rs
+++ b/crates/gateway/src/attempts/elsewhere.rs
@@ -58,7 +58,8 @@
         (self.terms.is_none() && tried.len() < RELAYS_MAX).then_some(tried)
     }
 
-    /// Returns whether another daemon has sent the request here in vain, so that it can try a third one at once.
+    /// Returns whether another daemon has sent the request here for an upstream that this one has lost as well. That
+    /// daemon can try a third one if it is told at once.
     pub(super) fn is_lost_for_others(&self, upstream: &UpstreamId) -> bool {
         self.terms.is_some() && self.view.paths.reach().is_unusable(upstream)
     }
--- a/crates/routing/src/reach/path.rs
+++ b/crates/routing/src/reach/path.rs
@@ -29,7 +29,7 @@
     pub(super) good_at: Option<Instant>,
     /// When it was last seen that none can.
     pub(super) bad_at: Option<Instant>,
-    /// Whether that was since a health check was not answered in time, on a connection that could be opened.
+    /// Whether that was because a health check was not answered in time, on a connection that could be opened.
     pub(super) is_bad_in_silence: bool,
     /// Whether it is to be probed at once.
     pub(super) is_in_doubt: bool,
@@ -119,8 +119,7 @@
         self.lost_since.is_some() && !self.is_lost_in_silence
     }
 
-    /// Returns whether a health check or a connection tells what became of the path; `is_doubted` says whether it is to be
-    /// probed since others are lost.
+    /// Returns whether a probe of the path is due; `is_doubted` says whether it is to be probed because others are lost.
     pub(super) fn is_probe_due(&self, is_doubted: bool, now: Instant) -> bool {
         let interval = match self.lost_since {
             _ if self.is_in_doubt => PROBE_INTERVAL,
--- a/crates/routing/src/reach/sample.rs
+++ b/crates/routing/src/reach/sample.rs
@@ -15,7 +15,8 @@
 use rand::{Rng, seq::IteratorRandom};
 use tokio::time::Instant;
 
-/// The number of paths in a sample.
+/// The number of paths in a sample: few enough to be probed at once, and enough that chance rarely shows a group as lost
+/// of which half is.
 const SAMPLE_SIZE: usize = 8;
 
 /// The share of a sample that must be lost for the whole group to be taken for lost.
@@ -51,9 +52,9 @@
     pub group: Group,
     /// Whether its paths are taken to be lost.
     pub is_cut_off: bool,
-    /// The paths in the sample whose state is known, and how many of these are lost.
+    /// How many paths of the sample were seen to be lost or usable.
     pub sampled: usize,
-    /// See `sampled`.
+    /// How many of these are lost.
     pub lost: usize,
 }
 
@@ -83,7 +84,7 @@
     ids: Vec<UpstreamId>,
     /// Whether a health check is sent to each.
     asks: bool,
-    /// Whether it was started since nothing answers.
+    /// Whether it was started because nothing answers, so that a health check without an answer counts as a loss.
     is_for_silence: bool,
 }
 
@@ -189,7 +190,7 @@
         awaited
     }
 
-    /// Returns whether an upstream is taken to be lost with a group of its, as nothing shows otherwise.
+    /// Returns whether an upstream is taken to be lost with one of its groups, as nothing shows otherwise.
     pub(super) fn is_presumed_lost(&self, upstream: &Upstream, path: Option<&Path>) -> bool {
         let good_at = path.and_then(|path| path.good_at);
         Group::of(upstream).iter().any(|group| {
@@ -199,7 +200,7 @@
         })
     }
 
-    /// Returns whether a path is to be probed, since many of a group of its are lost.
+    /// Returns whether a path is to be probed, since many of one of its groups are lost.
     pub(super) fn is_doubted(&self, upstream: &Upstream, path: Option<&Path>) -> bool {
         let known_at = path.and_then(|path| path.good_at.max(path.bad_at));
         Group::of(upstream).iter().any(|group| {
