Tell how old the list of upstreams is at the choice and at the sending

Now each answered or failed request says how old the list was at the choice and at the sending, and how long it waited between the two; each change of the list says whom it is from, how old it is and how old the list before was, so that between the two the store has taken the change. Ages count from the start of a read. Two histograms: gateway_list_age_seconds, gateway_unsent_seconds. No decision changes.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -68,6 +68,8 @@
 
     /// Sends a request and returns its response, with a body that may still be streaming.
     ///
+    /// `on_send` is called on each connection right before the request is sent there.
+    ///
     /// Dropping the future closes the connection, which cancels the request.
     ///
     /// # Errors
@@ -78,6 +80,7 @@
         framing: &F,
         request_head: &F::Head,
         body: Body,
+        mut on_send: impl FnMut() + Send,
     ) -> Result<Response, Failed> {
         let lane = &self.lane;
         let head = framing
@@ -98,6 +101,7 @@
                 return Err(Failed::not_run(Reason::DeadlineHopeless));
             }
             framing.set_deadline(request.headers_mut(), remaining);
+            on_send();
             let is_first = !connection.has_answered();
             let sent = connection.send(request, self.inactivity_timeout, self.deadline);
             match sent.await {
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -176,7 +176,9 @@
             head: request.head,
             epoch: order.epoch,
         };
-        let result = exchange.run(&Native, &request_head, request.body).await;
+        let result = exchange
+            .run(&Native, &request_head, request.body, || {})
+            .await;
         lane.spawn_warm_up();
         result.unwrap_or_else(|failed| {
             let label = Label::new(failed.reason.as_str());
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -63,12 +63,12 @@
 impl<D: Dialect> Attempts<'_, D> {
     /// Sends the request, with retries, and returns the response or the final failure.
     ///
-    /// Each upstream is added to `attempted` before the request is sent there.
+    /// Each upstream is added to `trail` before the request is sent there.
     pub(crate) async fn run(
         &self,
         parts: Parts,
         body: Body,
-        attempted: &mut Vec<UpstreamId>,
+        trail: &mut Trail,
     ) -> Result<Response, Refusal> {
         let service = self.route.next_service().cloned();
         let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?;
@@ -85,7 +85,7 @@
         loop {
             let selected = self.selector.select(
                 &requirements,
-                attempted,
+                &trail.attempted,
                 stale_version.take(),
                 self.relays(&relays),
             );
@@ -93,7 +93,7 @@
                 Ok(selected) => selected,
                 Err(refusal) => return last_result.unwrap_or(Err(refusal)),
             };
-            if attempted.is_empty() {
+            if trail.attempted.is_empty() {
                 let queue_time = self.arrived.elapsed();
                 self.metrics
                     .observe(Stage::Queue, self.route.is_repeatable, queue_time);
@@ -113,7 +113,7 @@
                 Selected::Upstream(upstream) => upstream,
                 Selected::Relay(helper) => {
                     relays.push(helper);
-                    let terms = self.terms_for_relay(attempted.len());
+                    let terms = self.terms_for_relay(trail.attempted.len());
                     let response = self.relay(helper, terms, &parts, body).await;
                     if relay::is_untried(&response) && buffered.is_some() {
                         last_result = Some(result_of(response));
@@ -123,14 +123,16 @@
                 }
             };
             let version = self.view.keys.routing_tables.version();
-            attempted.push(upstream.id.clone());
+            trail.attempted.push(upstream.id.clone());
             let progress = Progress {
                 requirements: &requirements,
-                attempts: attempted.len(),
+                attempts: trail.attempted.len(),
                 is_buffered: buffered.is_some(),
                 relays: self.relays(&relays),
             };
-            let attempt = self.send(&upstream, &parts, body).await;
+            let attempt = self
+                .send(&upstream, &parts, body, &mut trail.last_send)
+                .await;
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
@@ -142,7 +144,7 @@
                 self.context,
                 &upstream,
                 failed,
-                attempted.len(),
+                trail,
                 elapsed,
                 decision.as_str(),
             );
@@ -201,7 +203,13 @@
     }
 
     /// Sends the request to an upstream once, and records how the attempt ended.
-    async fn send(&self, upstream: &Arc<Upstream>, parts: &Parts, body: Body) -> Attempt {
+    async fn send(
+        &self,
+        upstream: &Arc<Upstream>,
+        parts: &Parts,
+        body: Body,
+        last_send: &mut Sending,
+    ) -> Attempt {
         let connections = self.connections_to(upstream);
         let pool = self.pools.pool_of(upstream, connections);
         let outbound = Outbound {
@@ -218,7 +226,18 @@
         let send = self.view.crash_tracker.start(upstream, self.identity);
         let sent_at = Instant::now();
         let path = PathGuard::new(self.view, upstream, pool);
-        let result = exchange.run(self.dialect, &outbound, body).await;
+        let list_age = self.view.upstreams_age();
+        let mut sending = Sending {
+            age_at_choice: list_age,
+            ..Sending::default()
+        };
+        let on_send = || {
+            sending.age = self.view.upstreams_age();
+            sending.waited = Some(sent_at.elapsed());
+        };
+        let result = exchange.run(self.dialect, &outbound, body, on_send).await;
+        self.metrics.observe_sending(sending);
+        *last_send = sending;
         path.end(&result);
         if let Ok(response) = &result {
             self.observe_limit(upstream, &response.reply, sent_at);
@@ -375,6 +394,26 @@
     }
 }
 
+/// The attempts of a request.
+#[derive(Debug, Default)]
+pub(crate) struct Trail {
+    /// The upstreams to which it was sent.
+    pub(crate) attempted: Vec<UpstreamId>,
+    /// The last time that it was sent.
+    pub(crate) last_send: Sending,
+}
+
+/// How old a daemon's knowledge was when it sent a request to an upstream.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Sending {
+    /// The age of the list of upstreams when the upstream was chosen; `None` if there was no list.
+    pub(crate) age_at_choice: Option<Duration>,
+    /// Its age when the request was sent; `None` if it was not sent.
+    pub(crate) age: Option<Duration>,
+    /// The time from the choice to the sending; `None` if it was not sent.
+    pub(crate) waited: Option<Duration>,
+}
+
 /// What has become of a request so far.
 struct Progress<'a> {
     requirements: &'a Requirements,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    attempts::Attempts,
+    attempts::{Attempts, Trail},
     dialect::{Dialect, Metadata},
     fingerprint::{Identity, host_of},
     metrics::{Metrics, Stage},
@@ -245,10 +245,10 @@
             deadline,
             terms,
         };
-        let mut attempted = Vec::new();
+        let mut trail = Trail::default();
         let result = tokio::select! {
-            result = attempts.run(parts, body, &mut attempted) => result,
-            () = self.cancellation.cancelled() => Err(match attempted.is_empty() {
+            result = attempts.run(parts, body, &mut trail) => result,
+            () = self.cancellation.cancelled() => Err(match trail.attempted.is_empty() {
                 true => Refusal::not_run(Reason::Stopping),
                 false => Refusal::may_have_run(Reason::Stopping),
             }),
@@ -260,8 +260,7 @@
             Ok(response) => {
                 let status = response.reply.status;
                 self.metrics.record_response(status);
-                self.request_log
-                    .answered(context, status, attempted.len(), total);
+                self.request_log.answered(context, status, &trail, total);
             }
             Err(refusal) => self.request_log.refused(context, refusal, total),
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use crate::view::View;
+use crate::{attempts::Sending, view::View};
 use copperwell_message::Reason;
 use prometheus_client::{
     encoding::EncodeLabelSet,
@@ -41,6 +41,10 @@
     pub(crate) closed_upstreams: Counter,
     pub(crate) suppressed_lines: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
+    /// The age of the list of upstreams when a request is sent.
+    list_age: Histogram,
+    /// The time from the choice of an upstream until the request is sent there.
+    unsent: Histogram,
     configuration: Gauge,
     pub(crate) upstreams: Gauge,
     /// Requests that wait for a holder of their key, or for capacity there.
@@ -146,6 +150,16 @@
             "Time that requests take, by stage",
             all.latency,
         );
+        registry.register(
+            "list_age_seconds",
+            "Age of the list of upstreams when a request is sent to one of them",
+            all.list_age,
+        );
+        registry.register(
+            "unsent_seconds",
+            "Time from the choice of an upstream until the request is sent there",
+            all.unsent,
+        );
         registry.register(
             "configuration_version",
             "Configuration in force",
@@ -159,7 +173,7 @@
         );
         registry.register(
             "upstreams_age_seconds",
-            "How long ago the list of upstreams was read, here or by the leader; -1 for never",
+            "How long ago the read of the list of upstreams started, here or at another daemon; -1 for never",
             all.upstreams_age,
         );
         registry.register(
@@ -238,6 +252,19 @@
         self.responses.get_or_create(&StatusLabel { status }).inc();
     }
 
+    /// Records how old the list was by which a request was sent, if it was.
+    pub(crate) fn observe_sending(&self, sending: Sending) {
+        let histograms = [
+            (&self.list_age, sending.age),
+            (&self.unsent, sending.waited),
+        ];
+        for (histogram, time) in histograms {
+            if let Some(time) = time {
+                histogram.observe(time.as_secs_f64());
+            }
+        }
+    }
+
     pub(crate) fn observe(&self, stage: Stage, is_repeatable: bool, duration: Duration) {
         let label = StageLabel {
             stage: match stage {
@@ -267,6 +294,8 @@
             closed_upstreams: Counter::default(),
             suppressed_lines: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
+            list_age: new_histogram(),
+            unsent: new_histogram(),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
             queue: Gauge::default(),
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -5,7 +5,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{line_limit::LineLimit, metrics::Metrics, refusal::Refusal};
+use crate::{
+    attempts::Trail, line_limit::LineLimit, metrics::Metrics, refusal::Refusal, watch::age_ms,
+};
 use copperwell_backend::exchange::Failed;
 use copperwell_message::{Reason, Verdict};
 use copperwell_routing::{configuration::Route, quarantine::Fingerprint, registry::Upstream};
@@ -62,12 +64,12 @@
         }
     }
 
-    /// Logs a request that got an upstream's response after `tries` attempts, if it is sampled.
+    /// Logs a request that got an upstream's response, if it is sampled.
     pub(crate) fn answered(
         &self,
         context: RequestContext<'_>,
         status: u16,
-        tries: usize,
+        trail: &Trail,
         total: Duration,
     ) {
         if !is_sampled(context.id) {
@@ -79,8 +81,12 @@
             route = context.route(),
             key = context.key.map_or(-1, i32::from),
             status,
-            tries,
+            server = trail.attempted.last().map_or("", |id| &**id),
+            tries = trail.attempted.len(),
             whole_ms = millis(total),
+            list_at_choice_ms = age_ms(trail.last_send.age_at_choice),
+            list_at_sending_ms = age_ms(trail.last_send.age),
+            unsent_ms = age_ms(trail.last_send.waited),
             configuration = context.versions.configuration,
             term = context.versions.term,
             table = context.versions.table
@@ -110,13 +116,13 @@
         });
     }
 
-    /// Logs the failed attempt `number`; `again` tells whether another one follows.
+    /// Logs that the last attempt failed; `again` tells whether another one follows.
     pub(crate) fn failed(
         &self,
         context: RequestContext<'_>,
         upstream: &Upstream,
         failed: Failed,
-        number: usize,
+        trail: &Trail,
         elapsed: Duration,
         again: &'static str,
     ) {
@@ -132,10 +138,13 @@
             server = &*upstream.id,
             born = upstream.born,
             zone = &*upstream.zone,
-            number,
+            number = trail.attempted.len(),
             reason = failed.reason.as_str(),
             verdict = failed.verdict.as_str(),
             took_ms = millis(elapsed),
+            list_at_choice_ms = age_ms(trail.last_send.age_at_choice),
+            list_at_sending_ms = age_ms(trail.last_send.age),
+            unsent_ms = age_ms(trail.last_send.waited),
             again,
             configuration = context.versions.configuration,
             term = context.versions.term,
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -1,7 +1,12 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{Requirements, Selected, Selector};
-use crate::{queue::Queues, refusal::Refusal, relay::Relay, view::View};
+use crate::{
+    queue::Queues,
+    refusal::Refusal,
+    relay::Relay,
+    view::{ReadStart, View},
+};
 use copperwell_assignment::{
     reach::Helper,
     table::{Table, Tables, Version},
@@ -40,7 +45,11 @@
         window: Duration::from_secs(10),
     };
     let view = Arc::new(View::new(1, "here".into(), allowance));
-    view.update_upstreams([upstream("a"), upstream("b")], Duration::from_secs(1));
+    let start = ReadStart {
+        boot: Duration::from_secs(1),
+        at: Instant::now(),
+    };
+    view.update_upstreams([upstream("a"), upstream("b")], start);
     let relay = Relay::new(view.keys.helpers.clone(), view.zone.clone());
     Arc::new(Selector {
         view,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -19,6 +19,7 @@
     admission::Admission,
     budget::{Allowance, Budget},
     configuration::Configuration,
+    freshness::{Freshness, Origin},
     latency::RouteLatencies,
     load::Loads,
     registry::{Changes, Registry, Upstream},
@@ -58,6 +59,7 @@
     /// never.
     list_read_at_us: AtomicU64,
     leader_update: Mutex<LeaderUpdate>,
+    freshness: Mutex<Freshness>,
     loads: Mutex<Loads>,
     route_latencies: Mutex<RouteLatencies>,
     admissions: Mutex<HashMap<ServiceName, Admission>>,
@@ -65,6 +67,25 @@
     started_at: Instant,
 }
 
+/// When a read of the store started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadStart {
+    /// By the boot clock.
+    pub boot: Duration,
+    /// By the runtime's clock.
+    pub at: Instant,
+}
+
+/// The age of a list of upstreams when it is applied, and whom it comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ListAge {
+    pub(crate) origin: Origin,
+    /// Its age; `None` if there is none yet.
+    pub(crate) age: Option<Duration>,
+    /// The age of the list that it replaces.
+    pub(crate) before: Option<Duration>,
+}
+
 /// The retry budgets of all services.
 #[derive(Debug)]
 struct Budgets {
@@ -88,6 +109,7 @@
             draining: Mutex::default(),
             list_read_at_us: AtomicU64::new(0),
             leader_update: Mutex::default(),
+            freshness: Mutex::default(),
             loads: Mutex::default(),
             route_latencies: Mutex::default(),
             admissions: Mutex::default(),
@@ -154,12 +176,10 @@
     }
 
     /// Applies a list of upstreams that this daemon read from the store.
-    ///
-    /// `list_read_at` is the start of the read by the boot clock.
     pub fn update_upstreams(
         &self,
         listed: impl IntoIterator<Item = Upstream>,
-        list_read_at: Duration,
+        start: ReadStart,
     ) -> Changes {
         let now = Instant::now();
         let mut registry = self
@@ -182,9 +202,10 @@
             .needs_upstream_list
             .store(false, Ordering::Relaxed);
         self.apply_changes(&changes, now);
-        let list_read_at_us = u64::try_from(list_read_at.as_micros()).unwrap_or(u64::MAX);
+        self.record_list(&changes, start.at, Origin::Store);
+        let start_us = u64::try_from(start.boot.as_micros()).unwrap_or(u64::MAX);
         self.list_read_at_us
-            .store(list_read_at_us.max(1), Ordering::Release);
+            .store(start_us.max(1), Ordering::Release);
         changes
     }
 
@@ -213,7 +234,37 @@
             self.keys.store_state.update_upstreams(upstreams);
         }
         self.apply_changes(&changes, now);
-        watch::log_changes(&changes);
+        let age = self.freshness().age(now);
+        let version = ListAge {
+            origin: Origin::Upstream,
+            age,
+            before: age,
+        };
+        watch::log_changes(&changes, version);
+    }
+
+    /// Records that the registry has the list of a read that started at `read_at`, and logs its changes.
+    fn record_list(&self, changes: &Changes, read_at: Instant, origin: Origin) {
+        let now = Instant::now();
+        let mut freshness = self.freshness();
+        let before = freshness.age(now);
+        freshness.record_list(read_at);
+        let age = freshness.age(now);
+        drop(freshness);
+        watch::log_changes(
+            changes,
+            ListAge {
+                origin,
+                age,
+                before,
+            },
+        );
+    }
+
+    fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that the list of upstreams could not be read.
@@ -331,12 +382,10 @@
         update(budget)
     }
 
-    /// Returns how long ago the list of upstreams was read, by this daemon or by the leader.
+    /// Returns how long ago the read of the store started from which the list of upstreams comes, whoever made it.
     #[must_use]
     pub fn upstreams_age(&self) -> Option<Duration> {
-        let leader_read_at = self.leader_update().read_at;
-        let read_at = self.registry().read_at();
-        leader_read_at.max(read_at).map(|at| at.elapsed())
+        self.freshness().age(Instant::now())
     }
 
     /// Returns whether this daemon must read the list of upstreams itself.
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -5,15 +5,18 @@
     time::Duration,
 };
 
-use super::View;
-use crate::watch;
+use super::{View, leader::Taken};
 use copperwell_assignment::{
     driver::Environment,
     exchange::Newest,
     store_state::{Delta, ListVersion, UpstreamList},
     transfer,
 };
-use copperwell_routing::{Incarnation, ServiceName, UpstreamId, registry::Upstream};
+use copperwell_routing::{
+    Incarnation, ServiceName, UpstreamId,
+    freshness::Origin,
+    registry::{Changes, Upstream},
+};
 use spdlog::warn;
 use tokio::time::Instant;
 
@@ -89,10 +92,12 @@
         if !self.leader_update().take_successor_list(&delta, read_at) {
             return false;
         }
+        let mut changes = Changes::default();
         if let Some(list) = delta.upstreams {
             self.keys.store_state.follow_list(delta.list, &list);
-            self.apply_list(list, now);
+            changes = self.apply_list(list, now);
         }
+        self.record_list(&changes, read_at.unwrap_or(now), Origin::Successor);
         true
     }
 
@@ -154,19 +159,23 @@
             false => None,
         };
         let read_at = update.read_at;
-        let list = update.take_list(&mut delta, read_at);
+        let taken = update.take_list(&mut delta, read_at);
         drop(update);
-        let Some(list) = list else {
-            return;
+        let changes = match taken {
+            Taken::New(list) => {
+                self.keys.store_state.follow_list(delta.list, &list);
+                self.apply_list(list, now)
+            }
+            Taken::Same => Changes::default(),
+            Taken::Older | Taken::Inapplicable => return,
         };
-        self.keys.store_state.follow_list(delta.list, &list);
-        self.apply_list(list, now);
+        self.record_list(&changes, read_at.unwrap_or(now), Origin::Leader);
     }
 }
 
 impl View {
     /// Applies a list that another daemon has read.
-    fn apply_list(&self, list: UpstreamList, now: Instant) {
+    fn apply_list(&self, list: UpstreamList, now: Instant) -> Changes {
         let mut registry = self
             .registry
             .write()
@@ -179,6 +188,6 @@
         };
         drop(registry);
         self.apply_changes(&changes, now);
-        watch::log_changes(&changes);
+        changes
     }
 }
--- a/crates/gateway/src/view/leader.rs
+++ b/crates/gateway/src/view/leader.rs
@@ -28,6 +28,19 @@
     pub(super) successor_confirmed_at: Option<Instant>,
 }
 
+/// What to do with the list of an update from the leader.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Taken {
+    /// The registry takes this list, or what has changed.
+    New(UpstreamList),
+    /// The registry has it.
+    Same,
+    /// The registry has a later one.
+    Older,
+    /// It does not apply to the list in the registry; a whole one will follow.
+    Inapplicable,
+}
+
 impl LeaderUpdate {
     /// Returns the version of the list in the registry; the default if it is this daemon's own.
     pub(super) fn known_list(&self) -> ListVersion {
@@ -46,23 +59,19 @@
 
     /// Takes the list of an update from the leader if it applies to the registry.
     ///
-    /// `at` is when the leader read it. A list that was read since is kept: a leader that is cut off from the store goes
+    /// `at` is when the leader read it. [`Taken::Same`] says that the registry has all of it. A list that was read since is kept: a leader that is cut off from the store goes
     /// on to tell its old one.
-    pub(super) fn take_list(
-        &mut self,
-        delta: &mut Delta,
-        at: Option<Instant>,
-    ) -> Option<UpstreamList> {
+    pub(super) fn take_list(&mut self, delta: &mut Delta, at: Option<Instant>) -> Taken {
         let list = delta.upstreams.take();
         let previous = std::mem::replace(&mut self.list, delta.list);
         if self.newer_list_at.is_some_and(|newer| at < Some(newer)) {
-            return None;
+            return Taken::Older;
         }
         let has_list_of_leader = self.newer_list_at.is_none();
         if has_list_of_leader && is_applicable(&list, delta.list, previous) || is_whole(&list) {
             self.newer_list_at = None;
             self.successor_list = ListVersion::default();
-            return list;
+            return list.map_or(Taken::Same, Taken::New);
         }
         let successor_list = std::mem::take(&mut self.successor_list);
         self.list = if successor_list.run == delta.list.run {
@@ -73,7 +82,7 @@
             // Makes the leader send its whole list next time.
             ListVersion::default()
         };
-        None
+        Taken::Inapplicable
     }
 
     /// Takes the list of a successor, which has read it at `at`, if it applies to the registry and is newer; returns
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     metrics::{Metrics, SourceLabel},
-    view::View,
+    view::{ListAge, ReadStart, View},
 };
 use copperwell_assignment::clock::Clock;
 use copperwell_message::HashSet;
@@ -103,8 +103,11 @@
         {
             sleep(POLL_INTERVAL).await;
         }
-        let list_read_at = clock.now();
         let started_at = Instant::now();
+        let start = ReadStart {
+            boot: clock.now(),
+            at: started_at,
+        };
         let result = source.upstreams().await;
         let interval = list_interval(started_at.elapsed());
         let Some(listing) = monitor.record(result) else {
@@ -119,12 +122,11 @@
             view.record_list_failure();
         }
         log_invalid_registrations(&listing, &mut known_invalid, &metrics);
-        let changes = view.update_upstreams(listing.upstreams, list_read_at);
+        view.update_upstreams(listing.upstreams, start);
         let count = view.registry().len();
         metrics
             .upstreams
             .set(i64::try_from(count).unwrap_or(i64::MAX));
-        log_changes(&changes);
         sleep_until(started_at + interval).await;
     }
 }
@@ -195,17 +197,24 @@
 }
 
 /// Logs the changes between two lists of upstreams.
-pub(crate) fn log_changes(changes: &Changes) {
+pub(crate) fn log_changes(changes: &Changes, list: ListAge) {
+    let source = list.origin.as_str();
+    let (age_ms, before_ms) = (age_ms(list.age), age_ms(list.before));
     for upstream in &changes.joined {
-        info!("upstream joined", kv: { event = "joined", server = &*upstream.id, service = &*upstream.service, zone = &*upstream.zone, born = upstream.born, slots = upstream.slots });
+        info!("upstream joined", kv: { event = "joined", server = &*upstream.id, service = &*upstream.service, zone = &*upstream.zone, born = upstream.born, slots = upstream.slots, source, age_ms, before_ms });
     }
     for upstream in &changes.draining {
-        info!("upstream is draining", kv: { event = "draining", server = &*upstream.id, service = &*upstream.service });
+        info!("upstream is draining", kv: { event = "draining", server = &*upstream.id, service = &*upstream.service, source, age_ms, before_ms });
     }
     for upstream in &changes.gone {
-        info!("upstream removed", kv: { event = "gone", server = &*upstream.id, service = &*upstream.service });
+        info!("upstream removed", kv: { event = "gone", server = &*upstream.id, service = &*upstream.service, source, age_ms, before_ms });
     }
     if changes.kept > 0 {
         info!("missing upstreams kept: their registrations may be renewed", kv: { event = "kept", count = changes.kept });
     }
 }
+
+/// Returns the age of a list in milliseconds, for logs; -1 if there was no list.
+pub(crate) fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
