Send no request by a list of upstreams that is older than the drain time

Cause: each part between the word and the sending had a bound, and nothing added them up or looked at `drain`. Worse, the age that daemons went by started at the end of a read of the store. Besides, a choice was not looked at again after waits for a connection or for a limit, and a list whose read had begun before replaced a later one of the leader.

Change: an age starts with its read, and is of the list that the registry has. `drain` is read from the settings, and the ages at which a daemon asks others, reads the store and stops sending are shares of it (`freshness::Ages`), not above the fixed ones of before. Right before the first byte is written the choice is looked at again: the upstream may not have left, and the list may not be older than 0.9 of `drain`; else another one is selected, which costs nothing. From that age on requests wait for the list that is due. If a read has failed or takes longer than 0.35 of `drain`, the store is taken to be late, and requests are sent by what is known, as before. A draining holder gets requests for its keys for 200 ms, but not beyond that age of the list before.

Why it works: a request that is sent by a list of age a reaches only upstreams that had given no word a ago, whatever the list went through since.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -68,19 +68,21 @@
 
     /// Sends a request and returns its response, with a body that may still be streaming.
     ///
-    /// `on_send` is called on each connection right before the request is sent there.
+    /// `may_send` is asked on each connection right before the request is sent there, which may be long after the
+    /// server was chosen.
     ///
     /// Dropping the future closes the connection, which cancels the request.
     ///
     /// # Errors
     ///
-    /// [`Failed`] if the request was not sent, or its response did not arrive.
+    /// [`Failed`] if the request was not sent, or its response did not arrive; [`Reason::NoUpstream`] if it may not be
+    /// sent any more.
     pub async fn run<F: Framing>(
         self,
         framing: &F,
         request_head: &F::Head,
         body: Body,
-        mut on_send: impl FnMut() + Send,
+        mut may_send: impl FnMut() -> bool + Send,
     ) -> Result<Response, Failed> {
         let lane = &self.lane;
         let head = framing
@@ -101,7 +103,10 @@
                 return Err(Failed::not_run(Reason::DeadlineHopeless));
             }
             framing.set_deadline(request.headers_mut(), remaining);
-            on_send();
+            if !may_send() {
+                lane.put_back(connection);
+                return Err(Failed::not_run(Reason::NoUpstream));
+            }
             let is_first = !connection.has_answered();
             let sent = connection.send(request, self.inactivity_timeout, self.deadline);
             match sent.await {
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -177,7 +177,7 @@
             epoch: order.epoch,
         };
         let result = exchange
-            .run(&Native, &request_head, request.body, || {})
+            .run(&Native, &request_head, request.body, || true)
             .await;
         lane.spawn_warm_up();
         result.unwrap_or_else(|failed| {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -17,7 +17,7 @@
 use copperwell_backend::exchange::{Exchange, Failed};
 use copperwell_message::{Body, Reason, Reply, Response, Verdict};
 use copperwell_routing::{
-    ServiceName, UpstreamId,
+    Key, ServiceName, UpstreamId,
     configuration::Route,
     limit::Observation,
     load::Outcome,
@@ -42,6 +42,9 @@
 /// must be selected.
 const SELECTION_TIME_RATIO: f64 = 0.7;
 
+/// How often another upstream is selected for a request because the one before left until it was to be sent there.
+const WITHDRAWALS_MAX: u32 = 3;
+
 /// The attempts of one request.
 pub(crate) struct Attempts<'a, D> {
     pub(crate) request_log: &'a RequestLog,
@@ -80,9 +83,11 @@
         let buffered = body.as_full();
         let mut stream = Some(body);
         let mut stale_version = None;
+        let mut withdrawn = 0;
         // The result that is returned unless a later attempt succeeds.
         let mut last_result: Option<Result<Response, Refusal>> = None;
         loop {
+            self.view.wait_for_list(self.deadline).await;
             let selected = self.selector.select(
                 &requirements,
                 &trail.attempted,
@@ -131,14 +136,24 @@
                 relays: self.relays(&relays),
             };
             let attempt = self
-                .send(&upstream, &parts, body, &mut trail.last_send)
+                .send(
+                    &upstream,
+                    &parts,
+                    body,
+                    requirements.key,
+                    &mut trail.last_send,
+                )
                 .await;
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
                 Classified::Failure(result, failed) => (result, failed),
             };
-            let decision = self.decide_retry(failed, &progress);
+            let is_withdrawn = outcome::is_withdrawn(failed);
+            let decision = match is_withdrawn {
+                true => progress.decide_withdrawn(withdrawn),
+                false => self.decide_retry(failed, &progress),
+            };
             let request_log = self.request_log;
             request_log.failed(
                 self.context,
@@ -148,7 +163,17 @@
                 elapsed,
                 decision.as_str(),
             );
+            if is_withdrawn {
+                // It was not sent there.
+                trail.attempted.pop();
+                withdrawn += 1;
+                self.metrics.withdrawn.inc();
+            }
             match decision {
+                RetryDecision::Retry(_) if is_withdrawn => {
+                    last_result = Some(result);
+                    continue;
+                }
                 RetryDecision::Retry(delay) => sleep(delay).await,
                 RetryDecision::BudgetExhausted => {
                     self.metrics.record_denied_retry(failed.reason);
@@ -208,6 +233,7 @@
         upstream: &Arc<Upstream>,
         parts: &Parts,
         body: Body,
+        key: Option<Key>,
         last_send: &mut Sending,
     ) -> Attempt {
         let connections = self.connections_to(upstream);
@@ -231,11 +257,12 @@
             age_at_choice: list_age,
             ..Sending::default()
         };
-        let on_send = || {
+        let may_send = || {
             sending.age = self.view.upstreams_age();
             sending.waited = Some(sent_at.elapsed());
+            self.view.may_send(upstream, key.is_some())
         };
-        let result = exchange.run(self.dialect, &outbound, body, on_send).await;
+        let result = exchange.run(self.dialect, &outbound, body, may_send).await;
         self.metrics.observe_sending(sending);
         *last_send = sending;
         path.end(&result);
@@ -426,6 +453,15 @@
 }
 
 impl Progress<'_> {
+    /// Decides whether another upstream is selected for a request that could not be sent any more, as happened
+    /// `withdrawn` times before.
+    fn decide_withdrawn(&self, withdrawn: u32) -> RetryDecision {
+        match self.is_buffered && withdrawn < WITHDRAWALS_MAX {
+            true => RetryDecision::Retry(Duration::ZERO),
+            false => RetryDecision::GiveUp,
+        }
+    }
+
     fn attempts(&self) -> u32 {
         u32::try_from(self.attempts).unwrap_or(u32::MAX)
     }
--- a/crates/gateway/src/attempts/outcome.rs
+++ b/crates/gateway/src/attempts/outcome.rs
@@ -52,6 +52,7 @@
                     paths.record_connect(&self.upstream.id, false);
                 }
                 Reason::ConnectionLost => self.end = End::ConnectionLost,
+                _ if is_withdrawn(*failed) => {}
                 Reason::DeadlinePassed | Reason::ConnectionSilent => {
                     let sent_at = self.sent_at;
                     self.end = End::TimedOut { sent_at };
@@ -68,6 +69,11 @@
     }
 }
 
+/// Returns whether an attempt ended before the request was sent, as the upstream had left or the list was too old.
+pub(super) fn is_withdrawn(failed: Failed) -> bool {
+    failed.verdict == Verdict::NotRun && failed.reason == Reason::NoUpstream
+}
+
 /// An attempt's result by its meaning for the caller.
 pub(super) enum Classified {
     /// The response that the caller gets.
@@ -162,7 +168,7 @@
         },
         Err(failed) => match failed.reason {
             Reason::DeadlinePassed | Reason::ConnectionSilent => Outcome::TimedOut,
-            Reason::DeadlineHopeless => Outcome::Cancelled,
+            Reason::DeadlineHopeless | Reason::NoUpstream => Outcome::Cancelled,
             Reason::ConnectionLost => Outcome::ConnectionLost,
             _ => Outcome::ConnectionFailed,
         },
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     /// Times that an upstream wanted no requests for a time.
     pub(crate) closed_upstreams: Counter,
     pub(crate) suppressed_lines: Counter,
+    /// Requests for which another upstream was selected, since the one before had left or the list was too old.
+    pub(crate) withdrawn: Counter,
     latency: Family<StageLabel, Histogram, fn() -> Histogram>,
     /// The age of the list of upstreams when a request is sent.
     list_age: Histogram,
@@ -150,6 +152,11 @@
             "Time that requests take, by stage",
             all.latency,
         );
+        registry.register(
+            "withdrawn",
+            "Requests not sent to the upstream selected: it had left since, or the list was too old to tell",
+            all.withdrawn,
+        );
         registry.register(
             "list_age_seconds",
             "Age of the list of upstreams when a request is sent to one of them",
@@ -294,6 +301,7 @@
             closed_upstreams: Counter::default(),
             suppressed_lines: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
+            withdrawn: Counter::default(),
             list_age: new_histogram(),
             unsent: new_histogram(),
             configuration: Gauge::default(),
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -13,9 +13,6 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// How long a draining holder still gets requests for its keys while they migrate.
-const DRAINING_GRACE: Duration = Duration::from_millis(200);
-
 /// How often a request that is to be kept apart looks whether the other one has ended.
 const APART_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -338,9 +335,7 @@
         let registry = self.view.registry();
         let upstream = registry.get(id)?.clone();
         drop(registry);
-        let draining_for = self.view.draining_for(id);
-        let is_eligible = draining_for.is_none_or(|time| time < DRAINING_GRACE);
-        is_eligible.then_some(upstream)
+        self.view.may_serve_keys(id).then_some(upstream)
     }
 }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -10,28 +10,31 @@
     time::Duration,
 };
 
-use crate::{crash_tracker::CrashTracker, paths::Paths, request_log::RoutingVersions, watch};
+use crate::{crash_tracker::CrashTracker, paths::Paths, request_log::RoutingVersions};
 use arc_swap::ArcSwapOption;
-use copperwell_assignment::{driver::Shared, store_state::ListVersion};
+use copperwell_assignment::driver::Shared;
 use copperwell_message::HashMap;
 use copperwell_routing::{
-    Incarnation, ServiceName, UpstreamId, ZoneName,
+    ServiceName, UpstreamId, ZoneName,
     admission::Admission,
     budget::{Allowance, Budget},
     configuration::Configuration,
-    freshness::{Freshness, Origin},
+    freshness::Freshness,
     latency::RouteLatencies,
     load::Loads,
-    registry::{Changes, Registry, Upstream},
+    registry::{Changes, Registry},
 };
 use rand::RngExt;
 use spdlog::info;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use leader::LeaderUpdate;
 
+pub use list::ReadStart;
+
 mod environment;
 mod leader;
+pub(crate) mod list;
 
 /// How long a successor of the leader counts as alive after an answer.
 const SUCCESSOR_TTL: Duration = Duration::from_secs(1);
@@ -53,13 +56,15 @@
     /// When a read of the store last returned or confirmed the newest configuration.
     configuration_read_at: Mutex<Option<Instant>>,
     registry: RwLock<Registry>,
-    /// When each draining upstream was first observed to drain.
+    /// Until when each draining upstream still gets requests for its keys.
     draining: Mutex<HashMap<UpstreamId, Instant>>,
     /// When this daemon's last successful read of the list started, in microseconds of the boot clock; 0 for
     /// never.
     list_read_at_us: AtomicU64,
     leader_update: Mutex<LeaderUpdate>,
     freshness: Mutex<Freshness>,
+    /// Signals a later list, or that none can be had.
+    list_read: Notify,
     loads: Mutex<Loads>,
     route_latencies: Mutex<RouteLatencies>,
     admissions: Mutex<HashMap<ServiceName, Admission>>,
@@ -67,25 +72,6 @@
     started_at: Instant,
 }
 
-/// When a read of the store started.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReadStart {
-    /// By the boot clock.
-    pub boot: Duration,
-    /// By the runtime's clock.
-    pub at: Instant,
-}
-
-/// The age of a list of upstreams when it is applied, and whom it comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ListAge {
-    pub(crate) origin: Origin,
-    /// Its age; `None` if there is none yet.
-    pub(crate) age: Option<Duration>,
-    /// The age of the list that it replaces.
-    pub(crate) before: Option<Duration>,
-}
-
 /// The retry budgets of all services.
 #[derive(Debug)]
 struct Budgets {
@@ -110,6 +96,7 @@
             list_read_at_us: AtomicU64::new(0),
             leader_update: Mutex::default(),
             freshness: Mutex::default(),
+            list_read: Notify::new(),
             loads: Mutex::default(),
             route_latencies: Mutex::default(),
             admissions: Mutex::default(),
@@ -121,6 +108,13 @@
         }
     }
 
+    /// Sets for how long an upstream that leaves serves.
+    #[must_use]
+    pub fn with_drain(self, drain: Duration) -> Self {
+        self.set_drain(drain);
+        self
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -175,107 +169,6 @@
         self.leader_update().received_at.map(|at| at.elapsed())
     }
 
-    /// Applies a list of upstreams that this daemon read from the store.
-    pub fn update_upstreams(
-        &self,
-        listed: impl IntoIterator<Item = Upstream>,
-        start: ReadStart,
-    ) -> Changes {
-        let now = Instant::now();
-        let mut registry = self
-            .registry
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        let changes = registry.update(listed, now);
-        let upstreams: Vec<_> = registry.all().cloned().collect();
-        drop(registry);
-        let is_new = self.keys.store_state.set_upstreams(upstreams, now);
-        let mut update = self.leader_update();
-        if is_new || update.list != self.keys.store_state.list_version() {
-            // The leader's changes since its last list do not apply to this list.
-            update.list = ListVersion::default();
-            update.newer_list_at = Some(now);
-            update.successor_list = ListVersion::default();
-        }
-        drop(update);
-        self.keys
-            .needs_upstream_list
-            .store(false, Ordering::Relaxed);
-        self.apply_changes(&changes, now);
-        self.record_list(&changes, start.at, Origin::Store);
-        let start_us = u64::try_from(start.boot.as_micros()).unwrap_or(u64::MAX);
-        self.list_read_at_us
-            .store(start_us.max(1), Ordering::Release);
-        changes
-    }
-
-    /// Records that an incarnation of an upstream has said that it leaves.
-    pub fn record_leaving(&self, id: &UpstreamId, born: Incarnation) {
-        // Answers of an upstream that drains already are the usual case.
-        if self
-            .registry()
-            .get(id)
-            .is_some_and(|known| known.is_draining)
-        {
-            return;
-        }
-        let now = Instant::now();
-        let mut registry = self
-            .registry
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        let changes = registry.record_leaving(id, born);
-        let leaving = registry.leaving();
-        let is_listed = registry.read_at().is_some();
-        let upstreams: Vec<_> = registry.all().cloned().collect();
-        drop(registry);
-        self.keys.leaving.send_replace(leaving);
-        if is_listed && !changes.draining.is_empty() {
-            self.keys.store_state.update_upstreams(upstreams);
-        }
-        self.apply_changes(&changes, now);
-        let age = self.freshness().age(now);
-        let version = ListAge {
-            origin: Origin::Upstream,
-            age,
-            before: age,
-        };
-        watch::log_changes(&changes, version);
-    }
-
-    /// Records that the registry has the list of a read that started at `read_at`, and logs its changes.
-    fn record_list(&self, changes: &Changes, read_at: Instant, origin: Origin) {
-        let now = Instant::now();
-        let mut freshness = self.freshness();
-        let before = freshness.age(now);
-        freshness.record_list(read_at);
-        let age = freshness.age(now);
-        drop(freshness);
-        watch::log_changes(
-            changes,
-            ListAge {
-                origin,
-                age,
-                before,
-            },
-        );
-    }
-
-    fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        self.freshness
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Records that the list of upstreams could not be read.
-    pub fn record_list_failure(&self) {
-        let mut registry = self
-            .registry
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        registry.record_read_failure();
-    }
-
     /// Returns whether requests can be served: a configuration and a list of upstreams are known.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -294,13 +187,6 @@
         }
     }
 
-    /// Returns how long ago an upstream was first observed to drain; `None` if it is not draining.
-    #[must_use]
-    pub fn draining_for(&self, id: &str) -> Option<Duration> {
-        let draining = self.draining.lock().unwrap_or_else(PoisonError::into_inner);
-        draining.get(id).map(Instant::elapsed)
-    }
-
     /// Returns whether so many upstreams are unreachable that the fault must be at this daemon.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
@@ -382,28 +268,6 @@
         update(budget)
     }
 
-    /// Returns how long ago the read of the store started from which the list of upstreams comes, whoever made it.
-    #[must_use]
-    pub fn upstreams_age(&self) -> Option<Duration> {
-        self.freshness().age(Instant::now())
-    }
-
-    /// Returns whether this daemon must read the list of upstreams itself.
-    ///
-    /// This is the case if the list of the leader and its successors is older than `age`, or if this daemon is about
-    /// to lead and has never read a list. While it can ask successors, it leaves them `patience` more.
-    #[must_use]
-    pub fn must_read_upstreams(&self, age: Duration, patience: Duration) -> bool {
-        let can_ask = !self.keys.successors.borrow().is_empty();
-        let age = if can_ask { age + patience } else { age };
-        self.keys.needs_upstream_list.load(Ordering::Relaxed) || self.is_leader_list_older_than(age)
-    }
-
-    fn is_leader_list_older_than(&self, age: Duration) -> bool {
-        let read_at = self.leader_update().list_read_at();
-        read_at.is_none_or(|at| at.elapsed() > age)
-    }
-
     /// Returns whether this daemon must read the configuration itself, because the last read of the leader and
     /// its successors is older than `age`, or because they have a newer one and no part of it has arrived for
     /// `patience`.
@@ -456,15 +320,6 @@
         self.paths.retain(|id| registry.get(id).is_some());
         drop(registry);
         self.crash_tracker.record_changes(changes);
-        let mut draining = self.draining.lock().unwrap_or_else(PoisonError::into_inner);
-        for upstream in &changes.joined {
-            draining.remove(&upstream.id);
-        }
-        for upstream in &changes.draining {
-            draining.insert(upstream.id.clone(), now);
-        }
-        for upstream in &changes.gone {
-            draining.remove(&upstream.id);
-        }
+        self.record_draining(changes, now);
     }
 }
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -24,10 +24,6 @@
 /// news.
 const LEADER_SILENCE: Duration = Duration::from_millis(700);
 
-/// The age of the leader's list from which on a daemon asks the successors, as the leader may have lost the store.
-/// It is longer than an exchange without news and the interval of the leader's reads.
-const LEADER_LIST_AGE: Duration = Duration::from_millis(1_200);
-
 impl Environment for View {
     fn keyed_services(&self) -> Option<Vec<ServiceName>> {
         let configuration = self.configuration()?;
@@ -57,9 +53,10 @@
     }
 
     fn is_leader_late(&self) -> bool {
+        let list_age = self.list_ages().ask;
         let update = self.leader_update();
         let is_late = |at: Option<Instant>, limit| at.is_some_and(|at| at.elapsed() >= limit);
-        is_late(update.received_at, LEADER_SILENCE) || is_late(update.read_at, LEADER_LIST_AGE)
+        is_late(update.received_at, LEADER_SILENCE) || is_late(update.read_at, list_age)
     }
 
     fn record_successor(&self, newest: Option<Newest>) {
@@ -78,8 +75,9 @@
     }
 
     fn is_list_late(&self) -> bool {
+        let age_max = self.list_ages().ask;
         let read_at = self.leader_update().list_read_at();
-        read_at.is_some_and(|at| at.elapsed() >= LEADER_LIST_AGE)
+        read_at.is_some_and(|at| at.elapsed() >= age_max)
     }
 
     fn known_list(&self) -> ListVersion {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     metrics::{Metrics, SourceLabel},
-    view::{ListAge, ReadStart, View},
+    view::{ReadStart, View, list::ListAge},
 };
 use copperwell_assignment::clock::Clock;
 use copperwell_message::HashSet;
@@ -38,11 +38,8 @@
 /// The longest interval, so that a draining upstream is noticed in time.
 const LIST_INTERVAL_MAX: Duration = Duration::from_millis(1_500);
 
-/// The largest age of the leader's list of upstreams before a daemon reads the store itself.
-const LEADER_LIST_AGE_MAX: Duration = Duration::from_millis(1_400);
-
-/// How much older the list may be while there are successors, who read the store first.
-const SUCCESSOR_PATIENCE: Duration = Duration::from_millis(300);
+/// The largest age of the leader's news before a daemon reads the configuration itself.
+const LEADER_NEWS_AGE_MAX: Duration = Duration::from_millis(1_400);
 
 /// How long a daemon waits for a part of a newer configuration from other daemons before it reads the store
 /// itself.
@@ -59,7 +56,7 @@
     let mut monitor = ReadMonitor::new("configuration", metrics.clone());
     view.keys.wait_for_leader_lookup().await;
     loop {
-        while !view.must_read_configuration(LEADER_LIST_AGE_MAX, TRANSFER_PATIENCE) {
+        while !view.must_read_configuration(LEADER_NEWS_AGE_MAX, TRANSFER_PATIENCE) {
             sleep(POLL_INTERVAL).await;
         }
         let above = view.configuration().map(|known| known.version);
@@ -98,9 +95,7 @@
     let mut generation = None;
     view.keys.wait_for_leader_lookup().await;
     loop {
-        while view.is_complete()
-            && !view.must_read_upstreams(LEADER_LIST_AGE_MAX, SUCCESSOR_PATIENCE)
-        {
+        while view.is_complete() && !view.must_read_upstreams() {
             sleep(POLL_INTERVAL).await;
         }
         let started_at = Instant::now();
@@ -108,7 +103,9 @@
             boot: clock.now(),
             at: started_at,
         };
+        view.record_reading(Some(started_at));
         let result = source.upstreams().await;
+        view.record_reading(None);
         let interval = list_interval(started_at.elapsed());
         let Some(listing) = monitor.record(result) else {
             view.record_list_failure();
--- a/crates/gateway/tests/watch/lists.rs
+++ b/crates/gateway/tests/watch/lists.rs
@@ -9,7 +9,7 @@
 };
 use copperwell_routing::registry::Upstream;
 use test_case::test_case;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Changes of the leader's list must not be applied to a list that was read from the store in the meantime.
 #[tokio::test(start_paused = true)]
@@ -192,3 +192,136 @@
     assert!(["a", "b", "c"].iter().all(|id| registry.get(id).is_some()));
     assert_eq!(registry.len(), 3);
 }
+
+/// Waits until a read of the list starts, which takes `delay_ms` and some.
+async fn wait_for_read(fixture: &Fixture, delay_ms: u64) {
+    let source = &fixture.source;
+    source.list_delay_ms.store(delay_ms, Ordering::Relaxed);
+    let reads = source.list_reads.load(Ordering::Relaxed);
+    while source.list_reads.load(Ordering::Relaxed) == reads {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn draining() -> Upstream {
+    Upstream {
+        is_draining: true,
+        ..upstream()
+    }
+}
+
+fn whole(upstream: Upstream) -> Delta {
+    Delta {
+        configuration: 1,
+        difference: None,
+        list: ListVersion { run: 9, number: 1 },
+        age: Duration::ZERO,
+        upstreams: Some(UpstreamList::Whole(vec![upstream])),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn list_that_was_read_before_replaces_the_one_of_the_leader() {
+    let fixture = Fixture::start().await;
+    wait_for_read(&fixture, 900).await;
+    sleep(Duration::from_millis(100)).await;
+    fixture.view.apply_update(whole(draining()));
+    sleep(Duration::from_millis(850)).await;
+    let registry = fixture.view.registry();
+    assert!(registry.get("u1").unwrap().is_draining);
+}
+
+#[tokio::test(start_paused = true)]
+async fn list_counts_as_young_at_the_end_of_a_long_read() {
+    let fixture = Fixture::start().await;
+    wait_for_read(&fixture, 900).await;
+    sleep(Duration::from_millis(910)).await;
+    let age = fixture.view.upstreams_age().unwrap();
+    assert!(age >= Duration::from_millis(900), "{age:?}");
+    let delta = fixture
+        .view
+        .keys
+        .store_state
+        .delta_for(0, ListVersion::default());
+    let age = delta.unwrap().age;
+    assert!(age >= Duration::from_millis(900), "{age:?}");
+}
+
+/// The time until a request is sent, of which the list is 1.7 s old at first, with a `drain` of 2 s.
+#[test_case(0, 0; "a read takes no time")]
+#[test_case(300, 400; "a read is under way")]
+#[test_case(5_000, 800; "the store does not answer")]
+#[tokio::test(start_paused = true)]
+async fn requests_do_not_wait_for_a_list(delay_ms: u64, wait_max_ms: u64) {
+    let fixture = Fixture::start().await;
+    fixture.receive_updates(1, Duration::from_secs(3)).await;
+    let source = &fixture.source;
+    source.list_delay_ms.store(delay_ms, Ordering::Relaxed);
+    // No more updates: the daemon reads the store itself.
+    let mut longest = Duration::ZERO;
+    for _ in 0..150 {
+        let asked_at = Instant::now();
+        fixture
+            .view
+            .wait_for_list(asked_at + Duration::from_secs(9))
+            .await;
+        longest = longest.max(asked_at.elapsed());
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert!(longest <= Duration::from_millis(wait_max_ms), "{longest:?}");
+}
+
+#[test_case(false, 0, false; "without a key")]
+#[test_case(true, 100, true; "with a key, for a short time")]
+#[test_case(true, 250, false; "with a key")]
+#[tokio::test(start_paused = true)]
+async fn request_is_sent_to_an_upstream_that_has_left_since_it_was_chosen(
+    has_key: bool,
+    after_ms: u64,
+    expected: bool,
+) {
+    let fixture = Fixture::start().await;
+    let view = &fixture.view;
+    view.apply_update(whole(upstream()));
+    assert!(view.may_send(&upstream(), has_key));
+    let list = ListVersion { run: 9, number: 2 };
+    view.apply_update(Delta {
+        list,
+        ..whole(draining())
+    });
+    sleep(Duration::from_millis(after_ms)).await;
+    assert_eq!(view.may_send(&upstream(), has_key), expected);
+    // Another incarnation has its place.
+    let restarted = Upstream {
+        born: 2,
+        ..upstream()
+    };
+    let list = ListVersion { run: 9, number: 3 };
+    view.apply_update(Delta {
+        list,
+        ..whole(restarted)
+    });
+    assert!(!view.may_send(&upstream(), has_key));
+}
+
+/// A holder that drains gets requests for its keys only as long as the list before was young enough.
+#[tokio::test(start_paused = true)]
+async fn draining_holder_gets_requests_after_its_drain_time() {
+    let fixture = Fixture::start().await;
+    let view = &fixture.view;
+    view.set_drain(Duration::from_secs(2));
+    view.apply_update(whole(upstream()));
+    fixture
+        .source
+        .list_delay_ms
+        .store(60_000, Ordering::Relaxed);
+    sleep(Duration::from_millis(1_750)).await;
+    let list = ListVersion { run: 9, number: 2 };
+    view.apply_update(Delta {
+        list,
+        ..whole(draining())
+    });
+    assert!(view.may_serve_keys("u1"));
+    sleep(Duration::from_millis(100)).await;
+    assert!(!view.may_serve_keys("u1"));
+}
