Read the list of upstreams on a thread of its own, and go on in a slow store

Here is what made the lists old.

Cause, first: the leader reads the list for all, in three pages of many pieces each, on the one thread that also serves its requests and 294 other daemons. Each piece waits behind these. Now a thread with connections of its own reads the list.

Second: where the store answers slowly, the next read began 1.5 s after the one before, and a read that took longer than 1 s was given up. A daemon that reads for others, the leader or one that should lead next, now starts the next read without waiting for the one before, so that the age of all lists is the time of a read and 0.3 to 0.6 s. All take the answer of a read that takes long, up to 3 s a page; after 1 s it counts as failed, as before, and the next one starts. The other daemons keep their pace, so that they do not crowd the store together.

--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -131,6 +131,10 @@
         let driver = self.driver;
         driver.metrics.leading.set(1);
         driver.shared.successors.send_replace(Vec::new());
+        driver
+            .shared
+            .reads_for_others
+            .store(true, Ordering::Relaxed);
         driver.metrics.terms.inc();
         let mut orders_in_flight: FuturesUnordered<OrderCall<'a>> = FuturesUnordered::new();
         let mut store_call: Option<StoreCall<'a>> = None;
--- a/crates/assignment/src/driver/shared.rs
+++ b/crates/assignment/src/driver/shared.rs
@@ -56,6 +56,8 @@
     /// Whether this daemon must read the list of upstreams: it has never read the list itself, and
     /// cannot lead without it.
     pub needs_upstream_list: Arc<AtomicBool>,
+    /// Whether others get their lists of upstreams from this daemon: it leads, or should lead next.
+    pub reads_for_others: Arc<AtomicBool>,
 }
 
 impl Shared {
@@ -77,6 +79,7 @@
             leaving: Arc::default(),
             helpers: Arc::default(),
             needs_upstream_list: Arc::default(),
+            reads_for_others: Arc::default(),
         }
     }
 
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -42,7 +42,10 @@
                     .successors
                     .set(i64::try_from(known).unwrap_or(i64::MAX));
                 // A successor reads the store itself.
-                let to_ask = match successors.contains(&self.identity.address) {
+                let is_successor = successors.contains(&self.identity.address);
+                let reads_for_others = &self.shared.reads_for_others;
+                reads_for_others.store(is_successor, Ordering::Relaxed);
+                let to_ask = match is_successor {
                     true => Vec::new(),
                     false => successors,
                 };
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -8,6 +8,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -36,6 +37,7 @@
 use spdlog::info;
 use tokio::{
     net::TcpListener,
+    runtime,
     task::JoinHandle,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
@@ -153,17 +155,8 @@
         let reload = Reload::new(settings.clone(), view.clone(), store.clone());
 
         let source = Arc::new(Published::new(store.clone()));
-        tokio::spawn(watch::configurations(
-            source.clone(),
-            view.clone(),
-            metrics.clone(),
-        ));
-        tokio::spawn(watch::upstreams(
-            source,
-            view.clone(),
-            Boot,
-            metrics.clone(),
-        ));
+        tokio::spawn(watch::configurations(source, view.clone(), metrics.clone()));
+        spawn_list_reader(&store, &view, &metrics)?;
         tokio::spawn(paths::watch(view.clone()));
         let cleaned_gateway = gateway.clone();
         tokio::spawn(async move {
@@ -312,6 +305,29 @@
     }
 }
 
+/// Reads the list of upstreams on a thread of its own: a read has many steps, and each would wait behind all that
+/// requests and other daemons ask of this one.
+fn spawn_list_reader(
+    store: &Store,
+    view: &Arc<View>,
+    metrics: &Metrics,
+) -> Result<(), Report<Error>> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(Error)
+        .attach("cannot start a runtime to read the list of upstreams")?;
+    let source = Arc::new(Published::new(Arc::new(store.with_own_connections())));
+    let (view, metrics) = (view.clone(), metrics.clone());
+    let read = move || runtime.block_on(watch::upstreams(source, view, Boot, metrics));
+    thread::Builder::new()
+        .name("upstreams".to_owned())
+        .spawn(read)
+        .change_context(Error)
+        .attach("cannot start a thread to read the list of upstreams")?;
+    Ok(())
+}
+
 fn timing(settings: &Settings) -> driver::Timing {
     let default = machine::Timing::default();
     driver::Timing {
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod harness;
 mod http1;
 mod keys;
+mod leaving;
 mod limits;
 mod notices;
 mod odd_entries;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,17 +4,19 @@
 
 use crate::{
     metrics::{Metrics, SourceLabel},
-    view::{ReadStart, View, list::ListAge},
+    view::{View, list::ListAge},
 };
-use copperwell_assignment::clock::Clock;
-use copperwell_message::HashSet;
 use copperwell_policy::backoff::Backoff;
 use copperwell_routing::{
     registry::Changes,
-    source::{Listing, ReadError, Source},
+    source::{ReadError, Source},
 };
 use spdlog::{info, warn};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
+
+pub use lists::upstreams;
+
+mod lists;
 
 /// How long a read waits for a newer configuration.
 ///
@@ -28,16 +30,6 @@
 /// The largest delay after a failed read.
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
 
-/// The interval at which the list of upstreams is read.
-const LIST_INTERVAL: Duration = Duration::from_millis(600);
-
-/// The interval as a multiple of the time that a read takes, if that is longer. When all daemons start at once they
-/// share the store, and reading again at once keeps those waiting that have no list yet.
-const LIST_INTERVAL_RATIO: u32 = 2;
-
-/// The longest interval, so that a draining upstream is noticed in time.
-const LIST_INTERVAL_MAX: Duration = Duration::from_millis(1_500);
-
 /// The largest age of the leader's news before a daemon reads the configuration itself.
 const LEADER_NEWS_AGE_MAX: Duration = Duration::from_millis(1_400);
 
@@ -81,58 +73,6 @@
     }
 }
 
-/// Reads the list of upstreams from the store at a fixed interval, forever.
-///
-/// While updates from the leader arrive, only the leader reads the store.
-pub async fn upstreams(
-    source: Arc<impl Source>,
-    view: Arc<View>,
-    clock: impl Clock,
-    metrics: Metrics,
-) {
-    let mut monitor = ReadMonitor::new("upstreams", metrics.clone());
-    let mut known_invalid: HashSet<String> = HashSet::default();
-    let mut generation = None;
-    view.keys.wait_for_leader_lookup().await;
-    loop {
-        while view.is_complete() && !view.must_read_upstreams() {
-            sleep(POLL_INTERVAL).await;
-        }
-        let started_at = Instant::now();
-        let start = ReadStart {
-            boot: clock.now(),
-            at: started_at,
-        };
-        view.record_reading(Some(started_at));
-        let result = source.upstreams().await;
-        view.record_reading(None);
-        let interval = list_interval(started_at.elapsed());
-        let Some(listing) = monitor.record(result) else {
-            view.record_list_failure();
-            sleep(monitor.retry_delay()).await;
-            continue;
-        };
-        let known = generation.replace(listing.generation);
-        if known.is_some_and(|known| known != listing.generation) {
-            warn!("store has come back from a copy", kv: { dependency = "store", event = "store-copy", generation = listing.generation });
-            // What was registered since the copy is about to be written again.
-            view.record_list_failure();
-        }
-        log_invalid_registrations(&listing, &mut known_invalid, &metrics);
-        view.update_upstreams(listing.upstreams, start);
-        let count = view.registry().len();
-        metrics
-            .upstreams
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
-        sleep_until(started_at + interval).await;
-    }
-}
-
-/// Returns the time from the start of a read of the list, which took `elapsed`, to the next one.
-fn list_interval(elapsed: Duration) -> Duration {
-    (elapsed * LIST_INTERVAL_RATIO).clamp(LIST_INTERVAL, LIST_INTERVAL_MAX)
-}
-
 /// Counts failed reads of the store, and logs when reads start to fail and when they succeed again.
 struct ReadMonitor {
     /// The name of the data that is read, for logs and metrics.
@@ -157,40 +97,34 @@
     }
 
     fn record<T>(&mut self, result: Result<T, ReadError>) -> Option<T> {
-        let what = self.resource;
         match result {
             Ok(read) => {
-                if std::mem::take(&mut self.failures) > 0 {
-                    info!("store is reachable again", kv: { dependency = "store", what });
-                }
+                self.record_success();
                 Some(read)
             }
             Err(error) => {
-                let label = SourceLabel { what };
-                self.metrics.read_failures.get_or_create(&label).inc();
-                self.failures = self.failures.saturating_add(1);
-                if self.failures == 1 {
-                    warn!("cannot read the store", kv: { dependency = "store", what, why = error.message.as_str() });
-                }
+                self.record_failure(&error.message);
                 None
             }
         }
     }
-}
 
-/// Counts invalid registrations and logs each of them once.
-fn log_invalid_registrations(
-    listing: &Listing,
-    known_invalid: &mut HashSet<String>,
-    metrics: &Metrics,
-) {
-    for name in &listing.invalid {
-        metrics.invalid_registrations.inc();
-        if known_invalid.insert(name.clone()) {
-            warn!("invalid registration ignored", kv: { event = "registration-unreadable", server = name.as_str() });
+    fn record_success(&mut self) {
+        let what = self.resource;
+        if std::mem::take(&mut self.failures) > 0 {
+            info!("store is reachable again", kv: { dependency = "store", what });
+        }
+    }
+
+    fn record_failure(&mut self, why: &str) {
+        let what = self.resource;
+        let label = SourceLabel { what };
+        self.metrics.read_failures.get_or_create(&label).inc();
+        self.failures = self.failures.saturating_add(1);
+        if self.failures == 1 {
+            warn!("cannot read the store", kv: { dependency = "store", what, why });
         }
     }
-    known_invalid.retain(|name| listing.invalid.contains(name));
 }
 
 /// Logs the changes between two lists of upstreams.
--- a/crates/gateway/tests/watch/lists.rs
+++ b/crates/gateway/tests/watch/lists.rs
@@ -247,6 +247,24 @@
     assert!(age >= Duration::from_millis(900), "{age:?}");
 }
 
+#[test_case(300, 1_000; "slow")]
+#[test_case(700, 1_400; "slower")]
+#[test_case(1_300, 1_800; "slowest")]
+#[tokio::test(start_paused = true)]
+async fn daemon_that_reads_for_others_waits_for_a_slow_store(delay_ms: u64, age_max_ms: u64) {
+    let fixture = Fixture::start().await;
+    let reads_for_others = &fixture.view.keys.reads_for_others;
+    reads_for_others.store(true, Ordering::Relaxed);
+    let delay = &fixture.source.list_delay_ms;
+    delay.store(delay_ms, Ordering::Relaxed);
+    sleep(Duration::from_secs(4)).await;
+    for _ in 0..200 {
+        sleep(Duration::from_millis(50)).await;
+        let age = fixture.view.upstreams_age().unwrap();
+        assert!(age <= Duration::from_millis(age_max_ms), "{age:?}");
+    }
+}
+
 /// The time until a request is sent, of which the list is 1.7 s old at first, with a `drain` of 2 s.
 #[test_case(0, 0; "a read takes no time")]
 #[test_case(300, 400; "a read is under way")]
