Send no request that would be broken off by the end of the grace

Callers saw, as another operator reports: in a planned stop of one daemon, in calm, requests that came late in the grace were passed on and cut at its end, among them requests that may not be repeated (LOST). It happens here: bodies that were complete from 4.3 s after SIGTERM on (work of 1.2 s) or from 5.14 s on (0.3 s) ran, and their callers got 502.

Cause: a daemon that stops sent whatever became ready to be sent until 300 ms before its exit, with no look at the time that is left. A body that ends late is one way; a request that waits for room or for its key's holder, one that is sent again, and one that goes through another daemon take the same loop.

Change: before an upstream is selected, and right before the first byte is written, a stopping daemon compares the time left with the time that the request may take: twice the usual time of its route, four times if it runs at most once, its objective at least; four times the objective if nothing is known; up to its deadline while its body is still arriving. What would be broken off gets 503 with the reason `stopping` and `Retry-After: 0`: it has not run, and another daemon takes it at once, also where it may not be repeated.

Failed before (grace of 6 s, routes and callers that give a request 9 s, 40 bodies that end 0.1 to 5.6 s after SIGTERM, in each of four cases 2, 2, 8 and 8 of them ran and got 502): requests_whose_bodies_end_late_in_the_grace_are_sent_and_broken_off. After: none in any case; what had not run got 503.

--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -237,12 +237,12 @@
         let started_at = Instant::now();
         info!("stopping", kv: { event = "stop" });
         self.inspector.is_stopping.store(true, Ordering::Release);
-        self.gateway.close_connections();
-        self.leading.cancel();
         let exit_at = started_at + self.reload.grace().saturating_sub(EXIT_MARGIN);
+        let cancel_at = exit_at.checked_sub(CANCEL_MARGIN).unwrap_or(exit_at);
+        self.gateway.close_connections(cancel_at);
+        self.leading.cancel();
         sleep_until(exit_at.min(started_at + DRAIN_TIME)).await;
         self.serving.cancel();
-        let cancel_at = exit_at.checked_sub(CANCEL_MARGIN).unwrap_or(exit_at);
         let mut completed = timeout_at(cancel_at, &mut self.callers).await;
         if completed.is_err() {
             self.gateway.cancel_requests();
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -19,3 +19,4 @@
 mod refusals;
 mod requests;
 mod rewind;
+mod stopping;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,6 +1,10 @@
 //! Sends a request to upstreams, with retries, until it is answered or finally fails.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use crate::{
     crash_tracker::Send,
@@ -23,6 +27,7 @@
     load::Outcome,
     registry::Upstream,
     retry::{self, Decision, FailedAttempt},
+    stop::Pending,
 };
 use http::request::Parts;
 use tokio::{
@@ -61,6 +66,8 @@
     pub(crate) deadline: Instant,
     /// The terms under which another daemon has sent the request here; `None` if its caller has.
     pub(crate) terms: Option<Terms>,
+    /// When this daemon ends all requests; empty unless it stops.
+    pub(crate) ends_at: &'a OnceLock<Instant>,
 }
 
 impl<D: Dialect> Attempts<'_, D> {
@@ -88,6 +95,9 @@
         let mut last_result: Option<Result<Response, Refusal>> = None;
         loop {
             self.view.wait_for_list(self.deadline).await;
+            if self.would_be_cut(buffered.is_some()) {
+                return last_result.unwrap_or(Err(Refusal::stopping()));
+            }
             let selected = self.selector.select(
                 &requirements,
                 &trail.attempted,
@@ -252,6 +262,7 @@
         let send = self.view.crash_tracker.start(upstream, self.identity);
         let sent_at = Instant::now();
         let path = PathGuard::new(self.view, upstream, pool);
+        let is_whole = body.as_full().is_some();
         let list_age = self.view.upstreams_age();
         let mut sending = Sending {
             age_at_choice: list_age,
@@ -260,7 +271,7 @@
         let may_send = || {
             sending.age = self.view.upstreams_age();
             sending.waited = Some(sent_at.elapsed());
-            self.view.may_send(upstream, key.is_some())
+            self.view.may_send(upstream, key.is_some()) && !self.would_be_cut(is_whole)
         };
         let result = exchange.run(self.dialect, &outbound, body, may_send).await;
         self.metrics.observe_sending(sending);
@@ -348,6 +359,22 @@
         });
     }
 
+    /// Returns whether this daemon stops before the request can be expected to end.
+    fn would_be_cut(&self, is_whole: bool) -> bool {
+        let Some(ends_at) = self.ends_at.get() else {
+            return false;
+        };
+        let now = Instant::now();
+        let pending = Pending {
+            usual: self.view.route_latencies().measured(&self.route.name),
+            objective: self.route.objective,
+            time_left: self.deadline.saturating_duration_since(now),
+            is_repeatable: self.route.is_repeatable,
+            is_whole,
+        };
+        pending.would_be_cut(now, *ends_at)
+    }
+
     /// Returns whether the request may crash upstreams.
     fn is_suspect(&self) -> bool {
         let crash_tracker = &self.view.crash_tracker;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,10 +2,7 @@
 
 use std::{
     net::IpAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
@@ -59,7 +56,8 @@
     metrics: Metrics,
     request_log: RequestLog,
     connections_max: usize,
-    is_stopping: AtomicBool,
+    /// When a stopping daemon ends all requests.
+    ends_at: OnceLock<Instant>,
     /// Bounds the requests of other daemons that are in flight.
     relayed_permits: Semaphore,
     /// Cancels requests that still wait for an upstream's response.
@@ -97,7 +95,7 @@
             request_log: RequestLog::new(metrics.clone()),
             metrics,
             connections_max,
-            is_stopping: AtomicBool::new(false),
+            ends_at: OnceLock::new(),
             relayed_permits: Semaphore::new(RELAYED_MAX),
             cancellation: CancellationToken::new(),
         }
@@ -108,9 +106,10 @@
         self.selector.relay.register(registry);
     }
 
-    /// Makes responses close callers' connections from now on, so that their next requests go elsewhere.
-    pub fn close_connections(&self) {
-        self.is_stopping.store(true, Ordering::Release);
+    /// Makes responses close callers' connections from now on, so that their next requests go elsewhere, and refuses
+    /// requests that cannot be expected to end before `ends_at`.
+    pub fn close_connections(&self, ends_at: Instant) {
+        let _ = self.ends_at.set(ends_at);
     }
 
     /// Cancels and answers every request that waits for an upstream's response, now and from now on.
@@ -244,12 +243,13 @@
             arrived,
             deadline,
             terms,
+            ends_at: &self.ends_at,
         };
         let mut trail = Trail::default();
         let result = tokio::select! {
             result = attempts.run(parts, body, &mut trail) => result,
             () = self.cancellation.cancelled() => Err(match trail.attempted.is_empty() {
-                true => Refusal::not_run(Reason::Stopping),
+                true => Refusal::stopping(),
                 false => Refusal::may_have_run(Reason::Stopping),
             }),
         };
@@ -324,7 +324,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Acquire)
+        self.ends_at.get().is_some()
     }
 
     fn on_slow_caller(&self) {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -31,6 +31,14 @@
         }
     }
 
+    /// Creates a refusal of a request that another daemon can take at once, as this one stops.
+    pub(crate) fn stopping() -> Self {
+        Self {
+            retry_after: Some(Duration::ZERO),
+            ..Self::not_run(Reason::Stopping)
+        }
+    }
+
     /// Creates a refusal of a request that may have run.
     pub(crate) fn may_have_run(reason: Reason) -> Self {
         Self {
--- a/crates/routing/src/latency.rs
+++ b/crates/routing/src/latency.rs
@@ -23,10 +23,15 @@
     /// Returns how long a request of `route` usually takes.
     #[must_use]
     pub fn usual(&self, route: &str, objective: Duration) -> Duration {
-        let known = self.means_s.get(route);
-        known.map_or(objective.mul_f64(INITIAL_RATIO), |mean_s| {
-            Duration::from_secs_f64(*mean_s)
-        })
+        let known = self.measured(route);
+        known.unwrap_or_else(|| objective.mul_f64(INITIAL_RATIO))
+    }
+
+    /// Returns how long requests of `route` have usually taken; `None` if there was none.
+    #[must_use]
+    pub fn measured(&self, route: &str) -> Option<Duration> {
+        let mean_s = self.means_s.get(route)?;
+        Some(Duration::from_secs_f64(*mean_s))
     }
 
     /// Records a response that took `elapsed`.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod registry;
 pub mod retry;
 pub mod source;
+pub mod stop;
 
 /// The name of a service.
 pub type ServiceName = Arc<str>;
