--- a/crates/copperwelld/tests/gateway/leaving.rs
+++ b/crates/copperwelld/tests/gateway/leaving.rs
@@ -29,9 +29,12 @@
 /// The time between two requests to a daemon, for each service.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 
-/// How many records a page of the store has.
+/// How many records a page of the store has, more than there are.
 const PAGE_RECORDS: usize = 500;
 
+/// How many it has where the list takes several pages.
+const SHORT_PAGE_RECORDS: usize = 5;
+
 /// Sends requests for both services to a daemon until `end`; returns how many there were without a key, and how many
 /// of them were served.
 async fn load(harness: &Harness, daemon: usize, end: Instant) -> (usize, usize) {
@@ -65,11 +68,11 @@
 
 /// Has servers of both services leave one after the other under load, while the store has `faults`; returns how
 /// many requests reached each of them too late.
-async fn leave(faults: StoreFaults, is_announced: bool) -> Vec<usize> {
+async fn leave(faults: StoreFaults, page_records: usize, is_announced: bool) -> Vec<usize> {
     let zones = vec!["here"; DAEMONS];
     let mut harness =
         Harness::start_with_servers(&zones, SERVERS, SERVERS, |_| Stdio::null()).await;
-    harness.store.set_page_records(PAGE_RECORDS);
+    harness.store.set_page_records(page_records);
     harness.wait_served().await;
     harness.store.set(faults);
     sleep(DRAIN).await;
@@ -101,17 +104,20 @@
     late.collect()
 }
 
-#[test_case(0, 0, true; "the store answers at once")]
-#[test_case(700, 0, true; "it is slow")]
-#[test_case(700, 0, false; "it is slow, and drops the entry")]
-#[test_case(0, 700, true; "its answers are late")]
-#[test_case(1_300, 0, true; "it is very slow")]
-#[test_case(1_300, 0, false; "it is very slow, and drops the entry")]
-#[test_case(0, 1_300, true; "its answers are very late")]
+#[test_case(0, 0, PAGE_RECORDS, true; "the store answers at once")]
+#[test_case(700, 0, PAGE_RECORDS, true; "it is slow")]
+#[test_case(700, 0, PAGE_RECORDS, false; "it is slow, and drops the entry")]
+#[test_case(700, 0, SHORT_PAGE_RECORDS, true; "it is slow, and the list takes three pages")]
+#[test_case(0, 700, PAGE_RECORDS, true; "its answers are late")]
+#[test_case(1_300, 0, PAGE_RECORDS, true; "it is very slow")]
+#[test_case(1_300, 0, PAGE_RECORDS, false; "it is very slow, and drops the entry")]
+#[test_case(1_300, 0, SHORT_PAGE_RECORDS, true; "it is very slow, and the list takes three pages")]
+#[test_case(0, 1_300, PAGE_RECORDS, true; "its answers are very late")]
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_reach_a_server_that_leaves_after_its_drain_time(
     delay_ms: u64,
     late_ms: u64,
+    page_records: usize,
     is_announced: bool,
 ) {
     let faults = StoreFaults {
@@ -119,6 +125,6 @@
         late_answers: Duration::from_millis(late_ms),
         ..StoreFaults::default()
     };
-    let late = leave(faults, is_announced).await;
+    let late = leave(faults, page_records, is_announced).await;
     assert_eq!(late, vec![0; 2 * LEAVERS]);
 }
