Name why a request waited when its wait ends behind its deadline

Callers of the product's own interface saw, in about one of 600 such requests, `deadline-hopeless` where the lease of the key's owner had expired.

Cause: the wait before a retry is chosen to end before the deadline, and the timer rounds it up to the next millisecond. The retry then finds no time left, and the final response named the earlier reason only if an attempt had been sent; nothing is sent under an expired lease.

Change: the final response names the last reason other than that of the deadline, sent or not.

Failed before: deadline_that_ends_a_wait_hides_why_the_request_waited, with a deadline at which one request in some 60 is hit.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -51,7 +51,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            call.record_failure(&failed.failure, failed.destination.is_some());
+            call.record_failure(&failed.failure);
             if failed.failure.verdict == Verdict::NotRun {
                 self.mark_not_run(call);
             }
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -45,8 +45,8 @@
     pub(crate) pinned: Option<UpstreamName>,
     /// Whether a failed attempt may have run.
     pub(crate) may_have_run: bool,
-    /// The last failure of an attempt that was sent.
-    last_sent: Option<Failure>,
+    /// Why the last attempt failed that had time left.
+    last_reason: Option<Reason>,
     /// Whether an attempt was sent that is running or may have run.
     pub(crate) sent: Arc<AtomicBool>,
     /// Cancelled when the caller disconnects.
@@ -105,7 +105,7 @@
             sends: 0,
             pinned: None,
             may_have_run: false,
-            last_sent: None,
+            last_reason: None,
             sent: Arc::default(),
             cancellation: CancellationToken::new(),
             payload,
@@ -133,11 +133,11 @@
         self.sent.store(true, Ordering::Release);
     }
 
-    /// Records how an attempt failed and whether it was sent.
-    pub(crate) fn record_failure(&mut self, failure: &Failure, was_sent: bool) {
+    /// Records how an attempt failed.
+    pub(crate) fn record_failure(&mut self, failure: &Failure) {
         self.attempts += 1;
-        if was_sent {
-            self.last_sent = Some(*failure);
+        if failure.reason != Reason::DeadlineHopeless {
+            self.last_reason = Some(failure.reason);
         }
         if failure.verdict == Verdict::NotRun {
             self.sent.store(self.may_have_run, Ordering::Release);
@@ -156,9 +156,9 @@
         } else {
             failure.verdict
         };
-        let reason = match (failure.reason, self.last_sent) {
-            (Reason::DeadlineHopeless, Some(sent)) => sent.reason,
-            (reason, _) => reason,
+        let reason = match failure.reason {
+            Reason::DeadlineHopeless => self.last_reason.unwrap_or(failure.reason),
+            reason => reason,
         };
         Failure {
             verdict,
--- a/crates/dispatch/tests/engine/requests.rs
+++ b/crates/dispatch/tests/engine/requests.rs
@@ -107,6 +107,25 @@
     assert!(harness.backend.received().is_empty());
 }
 
+/// The timer rounds up, so that the wait before a retry may end behind the deadline.
+#[tokio::test(start_paused = true)]
+async fn deadline_that_ends_a_wait_hides_why_the_request_waited() {
+    for _ in 0..2_000 {
+        let harness = Harness::new(|_, _| Action::Answer(ms(1), ""));
+        let mut expired = owner("a", 10, 1);
+        expired.lease = Arc::new(Lease::new(Instant::now()));
+        harness.table.set(SERVICE, 0, Route::Owned(expired));
+        let mut request = request("/day");
+        // The first wait takes 12.5 ms to 25 ms.
+        request.head.deadline = Duration::from_micros(13_300);
+        let response = harness.serve(request).await;
+        assert_eq!(
+            verdict_and_reason(&response),
+            (Verdict::NotRun, Some(Reason::LeaseLapsed))
+        );
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_queued_request_is_not_sent_after_the_lease_has_expired() {
     let harness = Harness::new(|_, _| Action::Answer(ms(400), ""));
