--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -7,41 +7,34 @@
 };
 
 use crate::{
-    crash_tracker::Send,
-    dialect::{Dialect, Metadata, Outbound},
+    dialect::{Dialect, Metadata},
     fingerprint::Identity,
     metrics::{Metrics, Stage},
-    pools::{CONNECTIONS_MAX, ConnectionPools},
+    pools::ConnectionPools,
     refusal::Refusal,
     relay::{self, Terms},
     request_log::{RequestContext, RequestLog},
     selector::{Requirements, Selected, Selector},
     view::View,
 };
-use copperwell_backend::exchange::{Exchange, Failed};
-use copperwell_message::{Body, Reason, Reply, Response, Verdict};
+use copperwell_backend::exchange::Failed;
+use copperwell_message::{Body, Reason, Response, Verdict};
 use copperwell_routing::{
-    Key, ServiceName, UpstreamId,
+    ServiceName, UpstreamId,
     configuration::Route,
-    limit::Observation,
-    load::Outcome,
-    registry::Upstream,
     retry::{self, Decision, FailedAttempt},
     stop::Pending,
 };
 use http::request::Parts;
-use tokio::{
-    sync::oneshot,
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep};
 
-use outcome::{
-    Attempt, BodyEnd, Classified, PathGuard, classify, end_send, end_streamed, outcome_of,
-    result_of,
-};
+use outcome::{Classified, classify, result_of};
+
+pub(crate) use send::Sending;
 
 mod elsewhere;
 mod outcome;
+mod send;
 
 /// The share of a route's objective, from the arrival of a request, within which a holder of the request's key
 /// must be selected.
@@ -237,128 +230,6 @@
         })
     }
 
-    /// Sends the request to an upstream once, and records how the attempt ended.
-    async fn send(
-        &self,
-        upstream: &Arc<Upstream>,
-        parts: &Parts,
-        body: Body,
-        key: Option<Key>,
-        last_send: &mut Sending,
-    ) -> Attempt {
-        let connections = self.connections_to(upstream);
-        let pool = self.pools.pool_of(upstream, connections);
-        let outbound = Outbound {
-            method: parts.method.clone(),
-            target: parts.uri.clone(),
-            headers: parts.headers.clone(),
-            id: self.metadata.id.clone(),
-            upstream: upstream.id.clone(),
-        };
-        let in_flight = self.selector.queues.start(self.view, &upstream.id);
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let (body_end, streamed) = oneshot::channel();
-        let exchange = Exchange::new(pool.clone(), left, self.deadline).with_body_end(body_end);
-        let send = self.view.crash_tracker.start(upstream, self.identity);
-        let sent_at = Instant::now();
-        let path = PathGuard::new(self.view, upstream, pool);
-        let is_whole = body.as_full().is_some();
-        let list_age = self.view.upstreams_age();
-        let mut sending = Sending {
-            age_at_choice: list_age,
-            ..Sending::default()
-        };
-        let may_send = || {
-            sending.age = self.view.upstreams_age();
-            sending.waited = Some(sent_at.elapsed());
-            self.view.may_send(upstream, key.is_some()) && !self.would_be_cut(is_whole)
-        };
-        let result = exchange.run(self.dialect, &outbound, body, may_send).await;
-        self.metrics.observe_sending(sending);
-        *last_send = sending;
-        path.end(&result);
-        if let Ok(response) = &result {
-            self.observe_limit(upstream, &response.reply, sent_at);
-            if let Some(time) = self.dialect.closed_for(&response.reply) {
-                self.record_closed(upstream, time);
-            }
-            if self.dialect.is_leaving(&response.reply) {
-                self.view.record_leaving(&upstream.id, upstream.born);
-            }
-        }
-        let is_unreachable =
-            matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused);
-        // Refused connections prove nothing where they are refused by something on the way to all upstreams.
-        if is_unreachable && !self.view.is_cut_off() {
-            self.view.crash_tracker.record_unreachable(upstream);
-        }
-        let outcome = outcome_of(&result);
-        let streamed = end_send(send, &result, streamed);
-        // How a streamed response has ended is known later.
-        let elapsed = in_flight.end(match streamed {
-            Some(_) => Outcome::Cancelled,
-            None => outcome,
-        });
-        if let Some((send, body_end)) = streamed {
-            self.spawn_end_of_stream(send, body_end, upstream, outcome, elapsed);
-        }
-        if outcome == Outcome::Answered {
-            self.record_answer(upstream, elapsed);
-        }
-        self.metrics
-            .observe(Stage::Upstream, self.route.is_repeatable, elapsed);
-        Attempt {
-            outcome,
-            elapsed,
-            result,
-        }
-    }
-
-    /// Records that an upstream wants no requests for `time`.
-    fn record_closed(&self, upstream: &Upstream, time: Duration) {
-        self.metrics.closed_upstreams.inc();
-        self.request_log.closed(self.context, upstream, time);
-        let mut loads = self.view.loads();
-        loads.record_closed(&upstream.id, time, Instant::now());
-    }
-
-    /// Records whether a reply names a limit of the upstream. A refusal without one says nothing.
-    fn observe_limit(&self, upstream: &Upstream, reply: &Reply, sent_at: Instant) {
-        let rate = self.dialect.limit_in(reply);
-        if rate.is_none() && reply.reason.is_some() {
-            return;
-        }
-        let observation = Observation {
-            born: upstream.born,
-            rate,
-            sent_at,
-        };
-        self.view.keys.limits.observe(&upstream.id, observation);
-    }
-
-    /// Has a task record how a send and its streamed response end, of which the head took `elapsed`.
-    fn spawn_end_of_stream(
-        &self,
-        send: Send,
-        body_end: BodyEnd,
-        upstream: &Upstream,
-        outcome: Outcome,
-        elapsed: Duration,
-    ) {
-        let (view, id) = (self.view.clone(), upstream.id.clone());
-        tokio::spawn(async move {
-            let end = body_end.await.unwrap_or(Err(Reason::Cancelled));
-            let outcome = match end {
-                Ok(()) => outcome,
-                Err(Reason::Cancelled) => Outcome::Cancelled,
-                Err(_) => Outcome::TimedOut,
-            };
-            let now = Instant::now();
-            view.loads().record_response_end(&id, outcome, elapsed, now);
-            end_streamed(send, end);
-        });
-    }
-
     /// Returns whether this daemon stops before the request can be expected to end.
     fn would_be_cut(&self, is_whole: bool) -> bool {
         let Some(ends_at) = self.ends_at.get() else {
@@ -387,31 +258,6 @@
         latencies.usual(&self.route.name, self.route.objective)
     }
 
-    /// Records the latency of an answered request for its route, and for the upstream if the request has a key.
-    fn record_answer(&self, upstream: &Upstream, elapsed: Duration) {
-        let usual = self.usual_time();
-        self.view
-            .route_latencies()
-            .record(&self.route.name, elapsed);
-        if self.metadata.key.is_some() {
-            let load_counts = &self.view.keys.load_counts;
-            load_counts.count_response(&upstream.service, &upstream.id, elapsed, usual);
-        }
-    }
-
-    /// Returns this daemon's share of the connections that an upstream accepts, but at least one for each of
-    /// its slots.
-    fn connections_to(&self, upstream: &Upstream) -> u32 {
-        let configuration = self.view.configuration();
-        let service = configuration
-            .as_ref()
-            .and_then(|known| known.service(&upstream.service));
-        let all = service.map_or(CONNECTIONS_MAX, |service| service.connections);
-        let daemons = &self.view.keys.daemons;
-        let daemons = daemons.load(std::sync::atomic::Ordering::Relaxed).max(1);
-        (all / daemons).max(upstream.slots)
-    }
-
     /// Decides whether to retry after a failed attempt.
     fn decide_retry(&self, failed: Failed, progress: &Progress<'_>) -> RetryDecision {
         if progress.is_buffered && self.can_relay(failed, progress) {
@@ -457,17 +303,6 @@
     pub(crate) last_send: Sending,
 }
 
-/// How old a daemon's knowledge was when it sent a request to an upstream.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Sending {
-    /// The age of the list of upstreams when the upstream was chosen; `None` if there was no list.
-    pub(crate) age_at_choice: Option<Duration>,
-    /// Its age when the request was sent; `None` if it was not sent.
-    pub(crate) age: Option<Duration>,
-    /// The time from the choice to the sending; `None` if it was not sent.
-    pub(crate) waited: Option<Duration>,
-}
-
 /// What has become of a request so far.
 struct Progress<'a> {
     requirements: &'a Requirements,
