End what is in flight for other daemons before a daemon stops

Callers saw, found by looking for other ways in which a planned stop cuts requests: 502 for a request that ran at an upstream, sent there through another daemon, as their own reaches none, when that daemon was stopped. It may not be repeated.

Cause: a stopping daemon waits for its own callers' requests, and exits at once when there are none, 2.5 s after SIGTERM; the task that serves other daemons was not waited for.

Change: it waits for both until the same time, at which both are cancelled and answered. Links of other daemons that carry no request close at once, as before.

Failed before: request_of_another_daemon_is_broken_off_when_the_helper_stops (work of 4 s, grace 6 s), 502 with and without a key; 200 now.

--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -32,6 +32,7 @@
 };
 use copperwell_routing::Key;
 use error_stack::{Report, ResultExt};
+use futures::future::join;
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use serde::Serialize;
 use spdlog::info;
@@ -69,6 +70,8 @@
     /// Ends the accepting of connections when cancelled.
     serving: CancellationToken,
     callers: JoinHandle<()>,
+    /// Serves requests of other daemons.
+    helper: JoinHandle<()>,
     driver: JoinHandle<()>,
 }
 
@@ -204,7 +207,7 @@
             let serve = admin::serve(listener, inspector.clone(), registry.clone(), never);
             tokio::spawn(serve);
         }
-        tokio::spawn(link::serve(
+        let helper = tokio::spawn(link::serve(
             helper_listener,
             gateway.clone(),
             serving.clone(),
@@ -222,6 +225,7 @@
             leading,
             serving,
             callers,
+            helper,
             driver,
         })
     }
@@ -243,10 +247,11 @@
         self.leading.cancel();
         sleep_until(exit_at.min(started_at + DRAIN_TIME)).await;
         self.serving.cancel();
-        let mut completed = timeout_at(cancel_at, &mut self.callers).await;
+        let mut requests = join(&mut self.callers, &mut self.helper);
+        let mut completed = timeout_at(cancel_at, &mut requests).await;
         if completed.is_err() {
             self.gateway.cancel_requests();
-            completed = timeout_at(exit_at, &mut self.callers).await;
+            completed = timeout_at(exit_at, &mut requests).await;
         }
         let _ = timeout_at(exit_at, &mut self.driver).await;
         info!("stopped", kv: { event = "stopped", whole = completed.is_ok() });
--- a/crates/copperwelld/tests/cut/cut.rs
+++ b/crates/copperwelld/tests/cut/cut.rs
@@ -9,11 +9,13 @@
         cluster, config,
         cut::How,
         rule,
+        server::Faults,
     },
     take_room,
 };
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use rustix::process::Signal;
 use serde_json::json;
 use test_case::test_case;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -35,6 +37,10 @@
 /// How long a caller waits who is to be served while connections hang.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// How long a server works on a request that goes through a daemon that stops: longer than that daemon takes
+/// connections, and shorter than its grace.
+const HELPED_WORK: Duration = Duration::from_secs(4);
+
 /// Which daemons are cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Who {
@@ -98,12 +104,8 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn request_waits_on_a_connection_that_hangs_until_its_timeout() {
-    let _room = take_room(1).await;
-    let harness = Harness::start_in(&ZONES, |_| Stdio::null()).await;
-    harness.wait_served().await;
-    let daemon = cut_off(Who::Follower, &harness)[0];
+/// Puts routes in force at a daemon whose requests may be repeated and last for [`PATIENCE`].
+async fn set_patience(harness: &Harness, daemon: usize) {
     let rules = ["cups", "pay"].map(|prefix| {
         let mut rule = rule(prefix, "idempotent", prefix);
         rule["action"]["timeout"] = json!(format!("{}s", PATIENCE.as_secs()));
@@ -124,18 +126,70 @@
         );
         sleep(Duration::from_millis(50)).await;
     }
+}
+
+/// Sends a request that lasts for up to [`PATIENCE`], and returns the status of the response.
+async fn send_patiently(harness: &Harness, daemon: usize, path: &str) -> StatusCode {
+    let request = Request::get(harness.daemons[daemon].url(0, path)).header("host", "app.example");
+    let request = asking_within(request, &patient_id(path), 7, PATIENCE);
+    let request = request.body(Full::default()).unwrap();
+    harness.client.request(request).await.unwrap().status()
+}
+
+fn patient_id(path: &str) -> String {
+    format!("patient{path}")
+}
+
+#[test_case("/cups/1"; "with a key")]
+#[test_case("/pay/1"; "without a key")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_of_another_daemon_is_broken_off_when_the_helper_stops(path: &str) {
+    let _room = take_room(1).await;
+    let mut harness = Harness::start(2).await;
+    harness.wait_served().await;
+    let daemon = cut_off(Who::Follower, &harness)[0];
+    set_patience(&harness, daemon).await;
+    set_patience(&harness, 1 - daemon).await;
+    let id = harness.daemons[daemon].child.id();
+    for server in &harness.servers {
+        server.cut.set(&[id], How::Reset);
+    }
+    wait_served(&harness, daemon, "while cut off").await;
+    for server in &harness.servers {
+        server.set(Faults {
+            work: HELPED_WORK,
+            ..Faults::default()
+        });
+    }
+    let is_running = || {
+        let mut servers = harness.servers.iter();
+        servers.any(|server| server.runs().contains(&patient_id(path)))
+    };
+    let stopping = async {
+        while !is_running() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        harness.daemons[1 - daemon].signal(Signal::TERM);
+    };
+    let (status, ()) = tokio::join!(send_patiently(&harness, daemon, path), stopping);
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(harness.daemons[1 - daemon].wait_exited().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_waits_on_a_connection_that_hangs_until_its_timeout() {
+    let _room = take_room(1).await;
+    let harness = Harness::start_in(&ZONES, |_| Stdio::null()).await;
+    harness.wait_served().await;
+    let daemon = cut_off(Who::Follower, &harness)[0];
+    set_patience(&harness, daemon).await;
     let id = harness.daemons[daemon].child.id();
     for server in &harness.servers {
         server.cut.set(&[id], How::Silent);
     }
     for path in ["/cups/1", "/pay/1"] {
-        let request =
-            Request::get(harness.daemons[daemon].url(0, path)).header("host", "app.example");
-        let request = asking_within(request, &format!("hangs{path}"), 7, PATIENCE);
-        let response = harness
-            .client
-            .request(request.body(Full::default()).unwrap());
-        assert_eq!(response.await.unwrap().status(), StatusCode::OK, "{path}");
+        let status = send_patiently(&harness, daemon, path).await;
+        assert_eq!(status, StatusCode::OK, "{path}");
     }
 }
 
