Change the list on one thread at a time, and keep what came of earlier attempts

Each compares its list with the one that is known, and then applies it; between the two the other thread could apply its own, so that an older list would replace a later one, or changes would be applied to a list that they do not belong to. One lock now covers the comparison and the application.

A request that was withdrawn after an earlier attempt had failed was answered as not run, whatever had come of that attempt, if no other upstream was left. Only requests that may be repeated have such attempts, so no promise was broken, but an upstream's own failure was replaced. The earlier result stays now. Ages of a sending are recorded only if the request is sent.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -167,16 +167,16 @@
                 decision.as_str(),
             );
             if is_withdrawn {
-                // It was not sent there.
+                // It was not sent there, so what came of an earlier attempt still holds.
                 trail.attempted.pop();
                 withdrawn += 1;
                 self.metrics.withdrawn.inc();
+                if decision == RetryDecision::GiveUp {
+                    return last_result.unwrap_or(result);
+                }
+                continue;
             }
             match decision {
-                RetryDecision::Retry(_) if is_withdrawn => {
-                    last_result = Some(result);
-                    continue;
-                }
                 RetryDecision::Retry(delay) => sleep(delay).await,
                 RetryDecision::BudgetExhausted => {
                     self.metrics.record_denied_retry(failed.reason);
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -65,9 +65,13 @@
             ..Sending::default()
         };
         let may_send = || {
+            let may_send = self.view.may_send(upstream, key.is_some());
+            if !may_send || self.would_be_cut(is_whole) {
+                return false;
+            }
             sending.age = self.view.upstreams_age();
             sending.waited = Some(sent_at.elapsed());
-            self.view.may_send(upstream, key.is_some()) && !self.would_be_cut(is_whole)
+            true
         };
         let result = exchange.run(self.dialect, &outbound, body, may_send).await;
         self.metrics.observe_sending(sending);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,6 +1,7 @@
 //! A daemon's view of the configuration and the upstreams.
 //!
-//! Lock order: the registry, then the loads or the paths; the other locks are never held together.
+//! Lock order: the change of the list, then the registry, then the loads or the paths; the other locks are never held
+//! together. The list is read on another thread than requests are served on.
 
 use std::{
     sync::{
@@ -63,6 +64,8 @@
     list_read_at_us: AtomicU64,
     leader_update: Mutex<LeaderUpdate>,
     freshness: Mutex<Freshness>,
+    /// Held while a list of upstreams is compared with the one that is known and applied.
+    list_change: Mutex<()>,
     /// Signals a later list, or that none can be had.
     list_read: Notify,
     loads: Mutex<Loads>,
@@ -96,6 +99,7 @@
             list_read_at_us: AtomicU64::new(0),
             leader_update: Mutex::default(),
             freshness: Mutex::default(),
+            list_change: Mutex::default(),
             list_read: Notify::new(),
             loads: Mutex::default(),
             route_latencies: Mutex::default(),
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -85,6 +85,7 @@
     }
 
     fn apply_successor_list(&self, delta: Delta) -> bool {
+        let _change = self.change_list();
         let now = Instant::now();
         let read_at = now.checked_sub(delta.age);
         if !self.leader_update().take_successor_list(&delta, read_at) {
@@ -147,6 +148,7 @@
             self.apply_difference(encoded);
         }
         let is_behind = self.versions().0 < delta.configuration;
+        let _change = self.change_list();
         let mut update = self.leader_update();
         update.received_at = Some(now);
         update.were_successors_asked = false;
--- a/crates/gateway/src/view/list.rs
+++ b/crates/gateway/src/view/list.rs
@@ -47,6 +47,7 @@
         listed: impl IntoIterator<Item = Upstream>,
         start: ReadStart,
     ) -> Changes {
+        let _change = self.change_list();
         if self.freshness().read_at() > Some(start.at) {
             return Changes::default();
         }
@@ -88,6 +89,7 @@
         {
             return;
         }
+        let _change = self.change_list();
         let now = Instant::now();
         let mut registry = self
             .registry
@@ -230,6 +232,13 @@
         is_old || self.keys.needs_upstream_list.load(Ordering::Relaxed)
     }
 
+    /// Keeps other threads from changing the list until the guard is dropped.
+    pub(super) fn change_list(&self) -> MutexGuard<'_, ()> {
+        self.list_change
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn freshness(&self) -> MutexGuard<'_, Freshness> {
         self.freshness
             .lock()
