--- a/review/stand/src/daemon.rs
+++ b/review/stand/src/daemon.rs
@@ -23,7 +23,11 @@
 pub fn start(count: usize, zones: &[&str], store: SocketAddr, folder: &Path) -> Vec<Daemon> {
     let process = std::process::id();
     let network = (1..=200_u32).find(|offset| {
-        let ip = format!("127.{}.{}.1", 64 + (process + offset) % 64, process % 251 + 1);
+        let ip = format!(
+            "127.{}.{}.1",
+            64 + (process + offset) % 64,
+            process % 251 + 1
+        );
         [8381, 8382, 8388, 7200, 7201, 9464]
             .iter()
             .all(|port| TcpListener::bind(format!("{ip}:{port}")).is_ok())
@@ -36,9 +40,18 @@
             let ip = format!("127.{high}.{}.{}", process % 251 + 1, number + 1);
             let zone = zones[number % zones.len()];
             let store = store.to_string();
-            let values = [("name", &*name), ("ip", &ip), ("zone", zone), ("store", &store)];
+            let values = [
+                ("name", &*name),
+                ("ip", &ip),
+                ("zone", zone),
+                ("store", &store),
+            ];
             let file: PathBuf = folder.join(format!("{name}.conf"));
-            fs::write(&file, fill(include_str!("../data/settings.txt"), &values) + "\n").unwrap();
+            fs::write(
+                &file,
+                fill(include_str!("../data/settings.txt"), &values) + "\n",
+            )
+            .unwrap();
             let log = fs::File::create(folder.join(format!("{name}.log"))).unwrap();
             let child = Command::new("target/release/copperwelld")
                 .args(["gateway", "--metrics-port", "9464"])
@@ -64,15 +77,23 @@
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").args([name, &id]).status();
-        assert!(status.is_ok_and(|status| status.success()), "no signal was sent");
+        assert!(
+            status.is_ok_and(|status| status.success()),
+            "no signal was sent"
+        );
     }
 
     /// Asks for readiness, as the platform does.
     pub fn is_ready(&self) -> bool {
         let ask = || {
             let mut connection = Connection::open(SocketAddr::new(self.ip, 8388)).ok()?;
-            let request = format!("GET {} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n", n("ready"));
-            connection.exchange(request.as_bytes(), Duration::from_secs(1)).ok()?
+            let request = format!(
+                "GET {} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+                n("ready")
+            );
+            connection
+                .exchange(request.as_bytes(), Duration::from_secs(1))
+                .ok()?
         };
         ask().is_some_and(|answer: Message| answer.status() == 200)
     }
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -34,7 +34,9 @@
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value)
     }
 
     pub fn status(&self) -> u16 {
@@ -160,7 +162,9 @@
             }
         }
     }
-    let length = message.header("content-length").and_then(|text| text.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
     match length {
         Some(length) => {
             let mut body = vec![0; length];
--- a/review/stand/src/names.rs
+++ b/review/stand/src/names.rs
@@ -9,7 +9,10 @@
         let lines = include_str!("../data/names.txt").lines();
         lines.filter_map(|line| line.split_once(' ')).collect()
     });
-    names.get(name).copied().unwrap_or_else(|| panic!("no name {name}"))
+    names
+        .get(name)
+        .copied()
+        .unwrap_or_else(|| panic!("no name {name}"))
 }
 
 /// Fills a template from pairs of names and values.
--- a/review/stand/src/record.rs
+++ b/review/stand/src/record.rs
@@ -1,12 +1,6 @@
 //! The record of a case: what was sent, answered and run.
 
-use std::{
-    fs::File,
-    io::Write,
-    path::Path,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write, path::Path, sync::Mutex, time::Instant};
 
 pub struct Record {
     started_at: Instant,
--- a/review/stand/src/relayed.rs
+++ b/review/stand/src/relayed.rs
@@ -29,7 +29,13 @@
 pub fn play(case: &Path, has_trouble: bool) -> bool {
     let routes = [
         ("stock", "idempotent", "planificare", "800ms", "2500ms"),
-        ("reserve", "non_idempotent", "planificare", "500ms", "4000ms"),
+        (
+            "reserve",
+            "non_idempotent",
+            "planificare",
+            "500ms",
+            "4000ms",
+        ),
     ];
     let mut world = World::start(case, &SERVICES, &routes, 4);
     let keys: Vec<u64> = (0..65_536).step_by(9_973).collect();
@@ -37,10 +43,19 @@
     let stopping = world.follower();
     let body = vec![b'r'; 4_000];
     let daemon = &world.daemons[stopping];
-    world.record.say(&format!("{} is to be stopped", daemon.name));
+    world
+        .record
+        .say(&format!("{} is to be stopped", daemon.name));
     for (number, key) in keys.iter().enumerate() {
         // The daemon learns how long such requests take.
-        let request = post("reserve", 160, &format!("before-{number}"), *key, DEADLINE_MS, &body);
+        let request = post(
+            "reserve",
+            160,
+            &format!("before-{number}"),
+            *key,
+            DEADLINE_MS,
+            &body,
+        );
         let answer = ask(daemon.front(), &request, Duration::from_secs(5));
         assert_eq!(answer.map(|answer| answer.status()), Some(200));
     }
@@ -48,22 +63,34 @@
     thread::sleep(Duration::from_secs(3));
     let holder = world.servers.iter().find(|server| server.holds(30_000));
     let holder = holder.expect("nobody holds the key").clone();
-    let held = || (0..65_536).find(|key| holder.holds(*key)).expect("the server holds no key");
+    let held = || {
+        (0..65_536)
+            .find(|key| holder.holds(*key))
+            .expect("the server holds no key")
+    };
     let cut_at = Instant::now();
     if has_trouble {
         holder.cut(daemon.child.id());
-        world.record.say(&format!("{} loses the path to {}", daemon.name, holder.id));
+        world
+            .record
+            .say(&format!("{} loses the path to {}", daemon.name, holder.id));
     }
     let mut connection = Connection::open(daemon.front()).unwrap();
     for number in 0.. {
         let request = get("stock", 5, &format!("cut-{number}"), held(), 2_000);
         let answer = connection.exchange(&request, Duration::from_secs(3));
         let answer = answer.unwrap().expect("no answer");
-        world.record.say(&format!("the client gets {} for cut-{number}", answer.status()));
+        world.record.say(&format!(
+            "the client gets {} for cut-{number}",
+            answer.status()
+        ));
         if answer.status() == 200 && cut_at.elapsed() > Duration::from_secs(1) {
             break;
         }
-        assert!(cut_at.elapsed() < Duration::from_secs(4), "the key is not served");
+        assert!(
+            cut_at.elapsed() < Duration::from_secs(4),
+            "the key is not served"
+        );
         thread::sleep(Duration::from_millis(100));
     }
     daemon.signal("-TERM");
@@ -71,10 +98,15 @@
     world.record.say(&format!("SIGTERM to {}", daemon.name));
     thread::sleep(SENT_AFTER);
     let (id, key) = ("booking-1", held());
-    world.record.say(&format!("server {} holds key {key}", holder.id));
+    world
+        .record
+        .say(&format!("server {} holds key {key}", holder.id));
     let request = post("reserve", WORK_MS * SLOW, id, key, DEADLINE_MS, &body);
     connection.send(&request).unwrap();
-    world.record.say(&format!("{id} is sent to {} on its open connection", daemon.name));
+    world.record.say(&format!(
+        "{id} is sent to {} on its open connection",
+        daemon.name
+    ));
     let answer = connection.receive(Duration::from_secs(6));
     let since = stopped_at.elapsed().as_millis();
     let status = answer.ok().flatten().map(|answer| answer.status());
@@ -91,12 +123,22 @@
         // A sound client takes the promise for granted.
         let other = (stopping + 1) % world.daemons.len();
         let request = post("reserve", 160, "booking-2", key, DEADLINE_MS, &body);
-        let answer = ask(world.daemons[other].front(), &request, Duration::from_secs(5));
+        let answer = ask(
+            world.daemons[other].front(),
+            &request,
+            Duration::from_secs(5),
+        );
         let status = answer.map(|answer| answer.status());
         let runs = world.runs_of("booking-2");
-        world.record.say(&format!("the client books again: {status:?}, ran at {runs:?}"));
+        world.record.say(&format!(
+            "the client books again: {status:?}, ran at {runs:?}"
+        ));
     }
-    world.record.say(if is_broken { "REFUSED is broken" } else { "REFUSED holds" });
+    world.record.say(if is_broken {
+        "REFUSED is broken"
+    } else {
+        "REFUSED holds"
+    });
     world.daemons.clear();
     is_broken
 }
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -75,7 +75,11 @@
     }
 
     fn read(&self, request: &Message) -> Reply {
-        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let from = number(n("from")).unwrap_or(0) as usize;
         let wait = Duration::from_millis(number(n("wait")).unwrap_or(0));
         let deadline = Instant::now() + wait;
@@ -103,14 +107,21 @@
     }
 
     fn page(&self, request: &Message) -> Reply {
-        let after = request.query("after").unwrap_or_default().as_bytes().to_vec();
+        let after = request
+            .query("after")
+            .unwrap_or_default()
+            .as_bytes()
+            .to_vec();
         let name = request.query("topic").unwrap_or_default().to_owned();
         let mut topics = self.topics.lock().unwrap();
         let topic = topics.entry(name).or_default();
         let items = topic.newest.iter().filter(|(key, _)| **key > after);
         let items = items.map(|(key, (value, offset))| {
             let key = String::from_utf8_lossy(key);
-            format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+            format!(
+                "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                base64(value)
+            )
         });
         let items: Vec<String> = items.collect();
         let (items, end) = (items.join(","), topic.records.len());
@@ -156,7 +167,11 @@
         let number = at(0) << 16 | at(1) << 8 | at(2);
         for place in 0..4 {
             let digit = DIGITS[(number >> (18 - 6 * place) & 63) as usize];
-            text.push(if place <= group.len() { char::from(digit) } else { '=' });
+            text.push(if place <= group.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/stand/src/upstream.rs
+++ b/review/stand/src/upstream.rs
@@ -139,11 +139,17 @@
         };
         let mut grants = self.grants.lock().unwrap();
         let overlaps = |held: &Grant| held.first <= grant.last && grant.first <= held.last;
-        if grants.iter().any(|held| overlaps(held) && held.fence > grant.fence) {
+        if grants
+            .iter()
+            .any(|held| overlaps(held) && held.fence > grant.fence)
+        {
             return Reply::new(409, "");
         }
         let before = std::mem::take(&mut *grants);
-        *grants = before.into_iter().flat_map(|held| without(held, grant.first, grant.last)).collect();
+        *grants = before
+            .into_iter()
+            .flat_map(|held| without(held, grant.first, grant.last))
+            .collect();
         grants.push(grant);
         Reply::new(200, "")
     }
@@ -153,7 +159,10 @@
         let (first, last) = (number(&body, n("first")), number(&body, n("last")));
         let mut grants = self.grants.lock().unwrap();
         let before = std::mem::take(&mut *grants);
-        *grants = before.into_iter().flat_map(|held| without(held, first, last)).collect();
+        *grants = before
+            .into_iter()
+            .flat_map(|held| without(held, first, last))
+            .collect();
         drop(grants);
         // Work in progress has to end before; here it all counts.
         let mut free = self.free.lock().unwrap();
@@ -164,7 +173,10 @@
     }
 
     fn run(&self, request: &Message, peer: SocketAddr) -> Reply {
-        let id = request.header(n("request-id")).unwrap_or_default().to_owned();
+        let id = request
+            .header(n("request-id"))
+            .unwrap_or_default()
+            .to_owned();
         let key = request.header(n("key")).and_then(|key| key.parse().ok());
         if self.is_sharded && !key.is_some_and(|key| self.holds(key)) {
             return Reply::new(421, "")
@@ -178,8 +190,15 @@
         *free -= 1;
         drop(free);
         self.runs.lock().unwrap().push(id.clone());
-        self.record.say(&format!("server {} begins to run {id}, from {peer}", self.id));
-        let work = request.path().split('/').nth(2).and_then(|work| work.parse().ok());
+        self.record.say(&format!(
+            "server {} begins to run {id}, from {peer}",
+            self.id
+        ));
+        let work = request
+            .path()
+            .split('/')
+            .nth(2)
+            .and_then(|work| work.parse().ok());
         thread::sleep(Duration::from_millis(work.unwrap_or(5)));
         *self.free.lock().unwrap() += 1;
         self.freed.notify_all();
@@ -192,7 +211,12 @@
 
 impl Handler for Upstream {
     fn accepts(&self, stream: &TcpStream, peer: SocketAddr) -> bool {
-        let is_cut = self.cut.lock().unwrap().iter().any(|one| holds_socket(*one, peer));
+        let is_cut = self
+            .cut
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|one| holds_socket(*one, peer));
         if is_cut {
             reset(stream);
             return false;
@@ -222,8 +246,14 @@
     if held.last < first || last < held.first {
         return vec![held];
     }
-    let before = (held.first < first).then(|| Grant { last: first - 1, ..held });
-    let after = (last < held.last).then(|| Grant { first: last + 1, ..held });
+    let before = (held.first < first).then(|| Grant {
+        last: first - 1,
+        ..held
+    });
+    let after = (last < held.last).then(|| Grant {
+        first: last + 1,
+        ..held
+    });
     before.into_iter().chain(after).collect()
 }
 
@@ -233,7 +263,9 @@
 }
 
 fn number(body: &str, name: &str) -> u64 {
-    value_of(body, name).and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+    value_of(body, name)
+        .and_then(|text| text.trim().parse().ok())
+        .unwrap_or(0)
 }
 
 fn text(body: &str, name: &str) -> Option<String> {
--- a/review/stand/src/world.rs
+++ b/review/stand/src/world.rs
@@ -52,7 +52,12 @@
                 servers.push(Upstream::start(&id, service, *is_sharded, &store, &record));
             }
         }
-        let daemons = daemon::start(daemons, &["here", "here", "there", "there"], address, &folder);
+        let daemons = daemon::start(
+            daemons,
+            &["here", "here", "there", "there"],
+            address,
+            &folder,
+        );
         let world = Self {
             record,
             store,
@@ -85,7 +90,11 @@
             if answer.is_some_and(|answer| answer.status() == 200) {
                 return;
             }
-            assert!(Instant::now() < deadline, "{} does not serve key {key}", daemon.name);
+            assert!(
+                Instant::now() < deadline,
+                "{} does not serve key {key}",
+                daemon.name
+            );
             thread::sleep(Duration::from_millis(50));
         }
     }
@@ -117,7 +126,11 @@
     }
 }
 
-pub fn configuration(version: u32, services: &[(&str, bool, usize)], routes: &[Route<'_>]) -> String {
+pub fn configuration(
+    version: u32,
+    services: &[(&str, bool, usize)],
+    routes: &[Route<'_>],
+) -> String {
     let rules = routes.iter().map(|(prefix, kind, service, aim, timeout)| {
         let values = [
             ("prefix", *prefix),
