Review case 1: an answer that is written again passes for that to a release

Cause: orders carry no id, and any 200 on a kept connection is taken for the answer to the order that was sent last, also without the handover that a release is answered with.

What was done: a script in which one of four servers, which is to leave, writes the answer to an earlier renewal again where the answer to a release is due.

--- a/review/stand/src/daemon.rs
+++ b/review/stand/src/daemon.rs
@@ -5,13 +5,9 @@
     net::{IpAddr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    time::Duration,
 };
 
-use crate::{
-    http::{Connection, Message},
-    names::{fill, n},
-};
+use crate::names::{fill, n};
 
 pub struct Daemon {
     pub name: String,
@@ -82,21 +78,6 @@
             "no signal was sent"
         );
     }
-
-    /// Asks for readiness, as the platform does.
-    pub fn is_ready(&self) -> bool {
-        let ask = || {
-            let mut connection = Connection::open(SocketAddr::new(self.ip, 8388)).ok()?;
-            let request = format!(
-                "GET {} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
-                n("ready")
-            );
-            connection
-                .exchange(request.as_bytes(), Duration::from_secs(1))
-                .ok()?
-        };
-        ask().is_some_and(|answer: Message| answer.status() == 200)
-    }
 }
 
 impl Drop for Daemon {
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -1,8 +1,9 @@
 //! Just enough HTTP/1.1 for stand-ins: one thread for each connection.
 
 use std::{
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     sync::Arc,
     thread,
     time::Duration,
@@ -11,7 +12,6 @@
 /// A request, or a response with its status as `target`.
 #[derive(Debug, Default)]
 pub struct Message {
-    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -49,6 +49,8 @@
     pub status: u16,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Whether it has no length and is reset on its way.
+    is_broken_off: bool,
 }
 
 impl Reply {
@@ -57,9 +59,15 @@
             status,
             headers: Vec::new(),
             body: body.into(),
+            is_broken_off: false,
         }
     }
 
+    pub fn broken_off(mut self) -> Self {
+        self.is_broken_off = true;
+        self
+    }
+
     pub fn with(mut self, name: &str, value: &str) -> Self {
         self.headers.push((name.to_owned(), value.to_owned()));
         self
@@ -74,6 +82,9 @@
     }
 
     fn handle(&self, request: &Message, peer: SocketAddr) -> Option<Reply>;
+
+    /// A connection ends.
+    fn closed(&self, _peer: SocketAddr) {}
 }
 
 pub fn serve(listener: TcpListener, handler: Arc<impl Handler>) {
@@ -81,7 +92,11 @@
         for stream in listener.incoming().flatten() {
             let handler = handler.clone();
             thread::spawn(move || {
+                let peer = stream.peer_addr();
                 let _ = serve_connection(stream, &*handler);
+                if let Ok(peer) = peer {
+                    handler.closed(peer);
+                }
             });
         }
     });
@@ -103,6 +118,14 @@
         for (name, value) in &reply.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
+        if reply.is_broken_off {
+            text.push_str("\r\n");
+            writer.write_all(text.as_bytes())?;
+            writer.write_all(&reply.body)?;
+            thread::sleep(Duration::from_millis(20));
+            reset(&writer);
+            return Ok(());
+        }
         text.push_str(&format!("content-length: {}\r\n\r\n", reply.body.len()));
         let mut bytes = text.into_bytes();
         bytes.extend(&reply.body);
@@ -111,6 +134,32 @@
     Ok(())
 }
 
+/// Makes the connection end with a reset once it is dropped.
+pub fn reset(stream: &TcpStream) {
+    #[repr(C)]
+    struct Linger {
+        on: i32,
+        seconds: i32,
+    }
+    unsafe extern "C" {
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, size: u32) -> i32;
+    }
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = Linger { on: 1, seconds: 0 };
+    // SAFETY: the socket is open, and the value lives until the call returns.
+    unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            SO_LINGER,
+            &raw const linger,
+            8,
+        );
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Read);
+}
+
 fn read_line(reader: &mut impl BufRead) -> io::Result<Option<String>> {
     let mut line = Vec::new();
     if reader.read_until(b'\n', &mut line)? == 0 {
@@ -126,9 +175,8 @@
         return Ok(None);
     };
     let mut words = line.split(' ');
-    let (first, second) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+    let second = words.nth(1).unwrap_or("");
     let mut message = Message {
-        method: first.to_owned(),
         target: second.to_owned(),
         is_whole: true,
         ..Message::default()
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -1,9 +1,11 @@
 //! Plays a case of the review: `stand CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run.
 
+mod again;
 mod daemon;
 mod http;
 mod names;
+mod pipelined;
 mod record;
 mod relayed;
 mod store;
@@ -25,6 +27,8 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let play = match case.as_str() {
         "relayed" => relayed::play,
+        "again" => again::play,
+        "pipelined" => pipelined::play,
         _ => return ExitCode::from(2),
     };
     let played = std::panic::catch_unwind(|| play(&folder, has_trouble));
