Let one place know whether a request may have run

Cause: a cancelled request counted as "not run" if the list of upstreams to which this daemon itself had sent it was empty. The way through another daemon adds nothing to that list.

Change: Trail alone knows. An attempt is a Flight that is begun there; once the request is sent it may have run, and only the end of that attempt can say that it has not. A dropped future says nothing, so "may have run" stays. A Refusal can only be made from a Trail; what selects upstreams gives reasons without a verdict. So a further way to send cannot be forgotten again. A refusal by a later attempt no longer replaces "may have run", nor an upstream's answer, of an earlier one.

Test: stopping_daemon_denies_that_a_request_at_a_helper_has_run, with processes: with a key, without, with a streamed body.

--- a/crates/copperwelld/tests/cut/cut.rs
+++ b/crates/copperwelld/tests/cut/cut.rs
@@ -1,6 +1,12 @@
 //! Daemons that are cut off from all servers, while callers, the store and the other daemons reach them.
 
-use std::{collections::HashSet, process::Stdio, time::Duration};
+use std::{
+    collections::HashSet,
+    fs::{self, File},
+    path::Path,
+    process::Stdio,
+    time::Duration,
+};
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Harness},
@@ -9,7 +15,8 @@
         cluster, config,
         cut::How,
         rule,
-        server::Faults,
+        server::{Faults, Server},
+        with_limits,
     },
     take_room,
 };
@@ -41,6 +48,12 @@
 /// connections, and shorter than its grace.
 const HELPED_WORK: Duration = Duration::from_secs(4);
 
+/// How long a server works on a request whose daemon stops meanwhile: longer than that daemon's grace.
+const DENIED_WORK: Duration = Duration::from_secs(8);
+
+/// A body that daemons pass on as it arrives, in bytes.
+const STREAMED_BYTES: usize = 200_000;
+
 /// Which daemons are cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Who {
@@ -104,15 +117,23 @@
     }
 }
 
-/// Puts routes in force at a daemon whose requests may be repeated and last for [`PATIENCE`].
+/// Puts routes in force at a daemon whose requests last for [`PATIENCE`]; those of `cups` and `pay` may be repeated.
 async fn set_patience(harness: &Harness, daemon: usize) {
-    let rules = ["cups", "pay"].map(|prefix| {
-        let mut rule = rule(prefix, "idempotent", prefix);
+    let routes = [
+        ("cups", "idempotent", "cups"),
+        ("pay", "idempotent", "pay"),
+        ("book", "non_idempotent", "cups"),
+        ("buy", "non_idempotent", "pay"),
+    ];
+    let rules = routes.map(|(prefix, kind, service)| {
+        let mut rule = rule(prefix, kind, service);
         rule["action"]["timeout"] = json!(format!("{}s", PATIENCE.as_secs()));
         rule
     });
     let clusters = [cluster("cups", true), cluster("pay", false)];
-    harness.store.configure(&config(3, &rules, &clusters));
+    let config = config(3, &rules, &clusters);
+    let config = with_limits(config, 16_384, 2 * STREAMED_BYTES, 15_000);
+    harness.store.configure(&config);
     let in_force = Some(json!(3));
     let deadline = Instant::now() + CONDITION_TIMEOUT;
     while harness.daemons[daemon]
@@ -129,10 +150,15 @@
 }
 
 /// Sends a request that lasts for up to [`PATIENCE`], and returns the status of the response.
-async fn send_patiently(harness: &Harness, daemon: usize, path: &str) -> StatusCode {
-    let request = Request::get(harness.daemons[daemon].url(0, path)).header("host", "app.example");
+async fn send_patiently(
+    harness: &Harness,
+    daemon: usize,
+    path: &str,
+    body_bytes: usize,
+) -> StatusCode {
+    let request = Request::post(harness.daemons[daemon].url(0, path)).header("host", "app.example");
     let request = asking_within(request, &patient_id(path), 7, PATIENCE);
-    let request = request.body(Full::default()).unwrap();
+    let request = request.body(Full::from(vec![b'b'; body_bytes])).unwrap();
     harness.client.request(request).await.unwrap().status()
 }
 
@@ -171,11 +197,73 @@
         }
         harness.daemons[1 - daemon].signal(Signal::TERM);
     };
-    let (status, ()) = tokio::join!(send_patiently(&harness, daemon, path), stopping);
+    let (status, ()) = tokio::join!(send_patiently(&harness, daemon, path, 0), stopping);
     assert_eq!(status, StatusCode::OK);
     assert_eq!(harness.daemons[1 - daemon].wait_exited().await, Some(0));
 }
 
+/// Guards against 503, which promises "not run", for a request that a server runs: the daemon that stops has sent it
+/// through another one.
+#[test_case("/book/1", 0; "with a key")]
+#[test_case("/buy/1", 0; "without a key")]
+#[test_case("/book/1", STREAMED_BYTES; "with a key and a streamed body")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_daemon_denies_that_a_request_at_a_helper_has_run(path: &str, body_bytes: usize) {
+    let _room = take_room(1).await;
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(std::process::id().to_string());
+    fs::create_dir_all(&folder).unwrap();
+    let log = |daemon: usize| {
+        let case = path.replace('/', "-");
+        folder.join(format!("denied{case}-{body_bytes}-{daemon}.log"))
+    };
+    let output = |daemon: usize| Stdio::from(File::create(log(daemon)).unwrap());
+    let mut harness = Harness::start_in(&ZONES[..2], output).await;
+    harness.wait_served().await;
+    let daemon = cut_off(Who::Follower, &harness)[0];
+    set_patience(&harness, daemon).await;
+    set_patience(&harness, 1 - daemon).await;
+    let id = harness.daemons[daemon].child.id();
+    for server in &harness.servers {
+        server.cut.set(&[id], How::Reset);
+    }
+    wait_served(&harness, daemon, "while cut off").await;
+    for server in &harness.servers {
+        server.set(Faults {
+            work: DENIED_WORK,
+            ..Faults::default()
+        });
+    }
+    let runs = || {
+        let runs = harness.servers.iter().flat_map(Server::runs);
+        runs.filter(|id| *id == patient_id(path)).count()
+    };
+    let stopping = async {
+        while runs() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        harness.daemons[daemon].signal(Signal::TERM);
+    };
+    let sending = send_patiently(&harness, daemon, path, body_bytes);
+    let (status, ()) = tokio::join!(sending, stopping);
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(runs(), 1);
+    assert_eq!(harness.daemons[daemon].wait_exited().await, Some(0));
+    // The line of the request tells with whom it was, and what was known of it.
+    let helper = harness.daemons[1 - daemon].ip.clone();
+    let text = fs::read_to_string(log(daemon)).unwrap();
+    let is_line = |line: &&str| {
+        line.contains("request-refused") && line.contains(&format!("{:?}", patient_id(path)))
+    };
+    let line = text.lines().find(is_line).unwrap();
+    for field in [
+        format!("\"helper\":\"{helper}:"),
+        "\"verdict\":\"may-have-run\"".to_owned(),
+        "\"reason\":\"stopping\"".to_owned(),
+    ] {
+        assert!(line.contains(&field), "{line}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_waits_on_a_connection_that_hangs_until_its_timeout() {
     let _room = take_room(1).await;
@@ -188,7 +276,7 @@
         server.cut.set(&[id], How::Silent);
     }
     for path in ["/cups/1", "/pay/1"] {
-        let status = send_patiently(&harness, daemon, path).await;
+        let status = send_patiently(&harness, daemon, path, 0).await;
         assert_eq!(status, StatusCode::OK, "{path}");
     }
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,7 +11,7 @@
     fingerprint::Identity,
     metrics::{Metrics, Stage},
     pools::ConnectionPools,
-    refusal::Refusal,
+    refusal::{Refusal, Rejection},
     relay::{self, Terms},
     request_log::{RequestContext, RequestLog},
     selector::{Requirements, Selected, Selector},
@@ -20,7 +20,7 @@
 use copperwell_backend::exchange::Failed;
 use copperwell_message::{Body, Reason, Response, Verdict};
 use copperwell_routing::{
-    ServiceName, UpstreamId,
+    ServiceName,
     configuration::Route,
     retry::{self, Decision, FailedAttempt},
     stop::Pending,
@@ -28,13 +28,14 @@
 use http::request::Parts;
 use tokio::time::{Instant, sleep};
 
-use outcome::{Classified, classify, result_of};
+use outcome::{Classified, classify};
 
-pub(crate) use send::Sending;
+pub(crate) use trail::{Sending, Trail};
 
 mod elsewhere;
 mod outcome;
 mod send;
+mod trail;
 
 /// The share of a route's objective, from the arrival of a request, within which a holder of the request's key
 /// must be selected.
@@ -66,42 +67,43 @@
 impl<D: Dialect> Attempts<'_, D> {
     /// Sends the request, with retries, and returns the response or the final failure.
     ///
-    /// Each upstream is added to `trail` before the request is sent there.
+    /// Each attempt is recorded in `trail`, also if the future is dropped.
     pub(crate) async fn run(
         &self,
         parts: Parts,
         body: Body,
         trail: &mut Trail,
     ) -> Result<Response, Refusal> {
-        let service = self.route.next_service().cloned();
-        let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?;
+        let Some(service) = self.route.next_service().cloned() else {
+            return trail.finish(Rejection::new(Reason::NoRoute));
+        };
         if self.terms.is_none() {
             self.view.count_request(&service);
         }
-        let requirements = self.requirements(&service)?;
-        let mut relays: Vec<SocketAddr> = Vec::new();
+        let requirements = match self.requirements(&service) {
+            Ok(requirements) => requirements,
+            Err(rejection) => return trail.finish(rejection),
+        };
         let buffered = body.as_full();
         let mut stream = Some(body);
         let mut stale_version = None;
         let mut withdrawn = 0;
-        // The result that is returned unless a later attempt succeeds.
-        let mut last_result: Option<Result<Response, Refusal>> = None;
         loop {
             self.view.wait_for_list(self.deadline).await;
             if self.would_be_cut(buffered.is_some()) {
-                return last_result.unwrap_or(Err(Refusal::stopping()));
+                return trail.finish(Rejection::stopping());
             }
             let selected = self.selector.select(
                 &requirements,
-                &trail.attempted,
+                trail.attempted(),
                 stale_version.take(),
-                self.relays(&relays),
+                self.relays(trail.helpers()),
             );
             let selected = match selected.await {
                 Ok(selected) => selected,
-                Err(refusal) => return last_result.unwrap_or(Err(refusal)),
+                Err(rejection) => return trail.finish(rejection),
             };
-            if trail.attempted.is_empty() {
+            if trail.attempted().is_empty() {
                 let queue_time = self.arrived.elapsed();
                 self.metrics
                     .observe(Stage::Queue, self.route.is_repeatable, queue_time);
@@ -110,48 +112,47 @@
                 Some(bytes) => Body::full(bytes.clone()),
                 None => match stream.take() {
                     Some(body) => body,
-                    None => return last_result.unwrap_or(Err(Refusal::not_run(Reason::QueueFull))),
+                    None => return trail.finish(Rejection::new(Reason::QueueFull)),
                 },
             };
             let upstream = match selected {
                 Selected::Upstream(upstream) if self.is_lost_for_others(&upstream.id) => {
-                    let refusal = Refusal::not_run(Reason::ConnectionRefused);
-                    return last_result.unwrap_or(Err(refusal));
+                    return trail.finish(Rejection::new(Reason::ConnectionRefused));
                 }
                 Selected::Upstream(upstream) => upstream,
                 Selected::Relay(helper) => {
-                    relays.push(helper);
-                    let terms = self.terms_for_relay(trail.attempted.len());
-                    let response = self.relay(helper, terms, &parts, body).await;
-                    if relay::is_untried(&response) && buffered.is_some() {
-                        last_result = Some(result_of(response));
+                    let terms = self.terms_for_relay(trail.attempted().len());
+                    let flight = trail.begin_through(helper);
+                    let response = self.relay(helper, flight, terms, &parts, body).await;
+                    let is_untried = relay::is_untried(&response);
+                    let verdict = response.reply.verdict;
+                    let rejection = match outcome::result_of(response) {
+                        Ok(response) => return Ok(response),
+                        Err(rejection) => rejection,
+                    };
+                    trail.keep(Err(rejection.clone()), verdict);
+                    if is_untried && buffered.is_some() {
                         continue;
                     }
-                    return result_of(response);
+                    return trail.finish(rejection);
                 }
             };
             let version = self.view.keys.routing_tables.version();
-            trail.attempted.push(upstream.id.clone());
-            let progress = Progress {
-                requirements: &requirements,
-                attempts: trail.attempted.len(),
-                is_buffered: buffered.is_some(),
-                relays: self.relays(&relays),
-            };
+            let flight = trail.begin_at(upstream.id.clone());
             let attempt = self
-                .send(
-                    &upstream,
-                    &parts,
-                    body,
-                    requirements.key,
-                    &mut trail.last_send,
-                )
+                .send(&upstream, flight, &parts, body, requirements.key)
                 .await;
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
                 Classified::Answer(response) => return Ok(response),
                 Classified::Failure(result, failed) => (result, failed),
             };
+            let progress = Progress {
+                requirements: &requirements,
+                attempts: trail.attempted().len(),
+                is_buffered: buffered.is_some(),
+                relays: self.relays(trail.helpers()),
+            };
             let is_withdrawn = outcome::is_withdrawn(failed);
             let decision = match is_withdrawn {
                 true => progress.decide_withdrawn(withdrawn),
@@ -166,29 +167,30 @@
                 elapsed,
                 decision.as_str(),
             );
+            let rejection = Rejection::new(failed.reason);
             if is_withdrawn {
                 // It was not sent there, so what came of an earlier attempt still holds.
-                trail.attempted.pop();
+                trail.withdraw();
                 withdrawn += 1;
                 self.metrics.withdrawn.inc();
                 if decision == RetryDecision::GiveUp {
-                    return last_result.unwrap_or(result);
+                    return trail.finish(rejection);
                 }
                 continue;
             }
+            trail.keep(result, failed.verdict);
             match decision {
                 RetryDecision::Retry(delay) => sleep(delay).await,
                 RetryDecision::BudgetExhausted => {
                     self.metrics.record_denied_retry(failed.reason);
-                    return result;
+                    return trail.finish(rejection);
                 }
-                RetryDecision::GiveUp => return result,
+                RetryDecision::GiveUp => return trail.finish(rejection),
             }
             self.metrics.record_retry(failed.reason);
             if failed.reason == Reason::Fenced {
                 stale_version = Some(version);
             }
-            last_result = Some(result);
         }
     }
 
@@ -207,7 +209,7 @@
     }
 
     /// Returns the requirements of the request for its upstream, and counts the load of its key.
-    fn requirements(&self, service: &ServiceName) -> Result<Requirements, Refusal> {
+    fn requirements(&self, service: &ServiceName) -> Result<Requirements, Rejection> {
         let key = match (self.is_keyed(service), self.metadata.key) {
             (false, _) => None,
             (true, Some(key)) => {
@@ -218,7 +220,7 @@
                 }
                 Some(key)
             }
-            (true, None) => return Err(Refusal::not_run(Reason::BadRequest)),
+            (true, None) => return Err(Rejection::new(Reason::BadRequest)),
         };
         let selection_time = self.route.objective.mul_f64(SELECTION_TIME_RATIO);
         Ok(Requirements {
@@ -294,15 +296,6 @@
     }
 }
 
-/// The attempts of a request.
-#[derive(Debug, Default)]
-pub(crate) struct Trail {
-    /// The upstreams to which it was sent.
-    pub(crate) attempted: Vec<UpstreamId>,
-    /// The last time that it was sent.
-    pub(crate) last_send: Sending,
-}
-
 /// What has become of a request so far.
 struct Progress<'a> {
     requirements: &'a Requirements,
--- a/crates/gateway/src/attempts/elsewhere.rs
+++ b/crates/gateway/src/attempts/elsewhere.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Attempts, Progress};
+use super::{Attempts, Progress, trail::Flight};
 use crate::{
     dialect::Dialect,
     relay::{Outgoing, Terms},
@@ -31,6 +31,7 @@
     pub(super) async fn relay(
         &self,
         helper: SocketAddr,
+        mut flight: Flight<'_>,
         terms: Terms,
         parts: &Parts,
         body: Body,
@@ -42,8 +43,11 @@
             terms,
             time_left: self.deadline.saturating_duration_since(Instant::now()),
         };
+        // It is sent once there is a link, which this daemon does not see.
+        flight.record_sending();
         let relay = &self.selector.relay;
         let response = relay.send(helper, outgoing).await;
+        flight.end(response.reply.verdict);
         if let Some(reason) = response.reply.reason {
             self.request_log
                 .relay_failed(self.context, helper, response.reply.verdict, reason);
--- a/crates/gateway/src/attempts/outcome.rs
+++ b/crates/gateway/src/attempts/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{crash_tracker::Send, refusal::Refusal, view::View};
+use crate::{crash_tracker::Send, refusal::Rejection, view::View};
 use copperwell_backend::{exchange::Failed, lane::Lane};
 use copperwell_message::{Reason, Response, Verdict};
 use copperwell_routing::{load::Outcome, reach::End, registry::Upstream};
@@ -79,7 +79,7 @@
     /// The response that the caller gets.
     Answer(Response),
     /// What the caller gets unless a later attempt succeeds, and the failure.
-    Failure(Result<Response, Refusal>, Failed),
+    Failure(Result<Response, Rejection>, Failed),
 }
 
 /// Classifies the result of an attempt by its meaning for the caller.
@@ -88,10 +88,9 @@
         Ok(response) if attempt.outcome == Outcome::Answered => Classified::Answer(response),
         Ok(response) => match response.reply.reason {
             Some(reason) => {
-                let mut refusal = Refusal::not_run(reason);
-                refusal.retry_after = response.reply.retry_after;
                 let verdict = Verdict::NotRun;
-                Classified::Failure(Err(refusal), Failed { verdict, reason })
+                let rejection = rejection_of(reason, &response);
+                Classified::Failure(Err(rejection), Failed { verdict, reason })
             }
             None => {
                 let reason = Reason::UpstreamFailed;
@@ -99,25 +98,32 @@
                 Classified::Failure(Ok(response), Failed { verdict, reason })
             }
         },
-        Err(failed) => {
-            let refusal = match failed.verdict {
-                Verdict::NotRun => Refusal::not_run(failed.reason),
-                _ => Refusal::may_have_run(failed.reason),
-            };
-            Classified::Failure(Err(refusal), failed)
-        }
+        Err(failed) => Classified::Failure(Err(Rejection::new(failed.reason)), failed),
+    }
+}
+
+/// Returns whether a request may have run in an attempt that has ended: not if it was not sent, or if the upstream
+/// says so.
+pub(super) fn verdict_of(result: &Result<Response, Failed>) -> Verdict {
+    match result {
+        Ok(response) if response.reply.reason.is_some() => Verdict::NotRun,
+        Ok(_) => Verdict::MayHaveRun,
+        Err(failed) => failed.verdict,
     }
 }
 
 /// Returns the result of a relayed request, by the response of the daemon that helped.
-pub(super) fn result_of(response: Response) -> Result<Response, Refusal> {
+pub(super) fn result_of(response: Response) -> Result<Response, Rejection> {
     match response.reply.reason {
         None => Ok(response),
-        Some(reason) => Err(Refusal {
-            verdict: response.reply.verdict,
-            reason,
-            retry_after: response.reply.retry_after,
-        }),
+        Some(reason) => Err(rejection_of(reason, &response)),
+    }
+}
+
+fn rejection_of(reason: Reason, response: &Response) -> Rejection {
+    Rejection {
+        reason,
+        retry_after: response.reply.retry_after,
     }
 }
 
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -7,7 +7,8 @@
 
 use super::{
     Attempts,
-    outcome::{Attempt, BodyEnd, PathGuard, end_send, end_streamed, outcome_of},
+    outcome::{self, Attempt, BodyEnd, PathGuard, end_send, end_streamed, outcome_of},
+    trail::Flight,
 };
 use crate::{
     crash_tracker::Send,
@@ -21,26 +22,15 @@
 use http::request::Parts;
 use tokio::{sync::oneshot, time::Instant};
 
-/// How old a daemon's knowledge was when it sent a request to an upstream.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Sending {
-    /// The age of the list of upstreams when the upstream was chosen; `None` if there was no list.
-    pub(crate) age_at_choice: Option<Duration>,
-    /// Its age when the request was sent; `None` if it was not sent.
-    pub(crate) age: Option<Duration>,
-    /// The time from the choice to the sending; `None` if it was not sent.
-    pub(crate) waited: Option<Duration>,
-}
-
 impl<D: Dialect> Attempts<'_, D> {
     /// Sends the request to an upstream once, and records how the attempt ended.
     pub(super) async fn send(
         &self,
         upstream: &Arc<Upstream>,
+        mut flight: Flight<'_>,
         parts: &Parts,
         body: Body,
         key: Option<Key>,
-        last_send: &mut Sending,
     ) -> Attempt {
         let connections = self.connections_to(upstream);
         let pool = self.pools.pool_of(upstream, connections);
@@ -59,23 +49,18 @@
         let sent_at = Instant::now();
         let path = PathGuard::new(self.view, upstream, pool);
         let is_whole = body.as_full().is_some();
-        let list_age = self.view.upstreams_age();
-        let mut sending = Sending {
-            age_at_choice: list_age,
-            ..Sending::default()
-        };
+        flight.record_choice(self.view.upstreams_age());
         let may_send = || {
             let may_send = self.view.may_send(upstream, key.is_some());
             if !may_send || self.would_be_cut(is_whole) {
                 return false;
             }
-            sending.age = self.view.upstreams_age();
-            sending.waited = Some(sent_at.elapsed());
+            flight.record_sending_at(self.view.upstreams_age(), sent_at.elapsed());
             true
         };
         let result = exchange.run(self.dialect, &outbound, body, may_send).await;
-        self.metrics.observe_sending(sending);
-        *last_send = sending;
+        self.metrics.observe_sending(flight.sending());
+        flight.end(outcome::verdict_of(&result));
         path.end(&result);
         if let Ok(response) = &result {
             self.observe_limit(upstream, &response.reply, sent_at);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
     metrics::{Metrics, Stage},
     pools::ConnectionPools,
     queue::Queues,
-    refusal::Refusal,
+    refusal::{Refusal, Rejection},
     relay::{self, Relay, Terms},
     request_log::{RequestContext, RequestLog},
     selector::Selector,
@@ -141,12 +141,12 @@
         request: http::Request<Option<Incoming>>,
         caller: IpAddr,
         arrived: Instant,
-    ) -> Result<Accepted, (Refusal, Option<HeaderValue>)> {
+    ) -> Result<Accepted, (Rejection, Option<HeaderValue>)> {
         let (parts, incoming) = request.into_parts();
         let metadata = self.dialect.parse_metadata(&parts.headers);
-        let metadata = metadata.map_err(|_| (Refusal::not_run(Reason::BadRequest), None))?;
+        let metadata = metadata.map_err(|_| (Rejection::new(Reason::BadRequest), None))?;
         let id = metadata.id.clone();
-        let refuse = |reason| (Refusal::not_run(reason), Some(id.clone()));
+        let refuse = |reason| (Rejection::new(reason), Some(id.clone()));
         let configuration = self.view.configuration();
         let configuration = configuration.ok_or_else(|| refuse(Reason::NoConfiguration))?;
         let route = route_of(&configuration, &parts).ok_or_else(|| refuse(Reason::NoRoute))?;
@@ -223,9 +223,10 @@
             fingerprint: identity.fingerprint,
             versions: self.view.routing_versions(),
         };
-        let mut cancellation_guard = CancellationGuard {
+        let mut guard = CancellationGuard {
             request_log: &self.request_log,
             context,
+            trail: Trail::default(),
             arrived,
             is_over: false,
         };
@@ -245,24 +246,21 @@
             terms,
             ends_at: &self.ends_at,
         };
-        let mut trail = Trail::default();
         let result = tokio::select! {
-            result = attempts.run(parts, body, &mut trail) => result,
-            () = self.cancellation.cancelled() => Err(match trail.attempted.is_empty() {
-                true => Refusal::stopping(),
-                false => Refusal::may_have_run(Reason::Stopping),
-            }),
+            result = attempts.run(parts, body, &mut guard.trail) => result,
+            () = self.cancellation.cancelled() => guard.trail.finish(Rejection::stopping()),
         };
-        cancellation_guard.is_over = true;
+        guard.is_over = true;
+        let trail = &guard.trail;
         let total = arrived.elapsed();
         self.metrics.observe(Stage::Total, is_repeatable, total);
         match &result {
             Ok(response) => {
                 let status = response.reply.status;
                 self.metrics.record_response(status);
-                self.request_log.answered(context, status, &trail, total);
+                self.request_log.answered(context, status, trail, total);
             }
-            Err(refusal) => self.request_log.refused(context, refusal, total),
+            Err(refusal) => self.request_log.refused(context, refusal, trail, total),
         }
         result
     }
@@ -283,8 +281,8 @@
         match self.run(accepted).await {
             Ok(response) => response,
             Err(refusal) => {
-                let mut response = Response::refusal(refusal.verdict, refusal.reason);
-                response.reply.retry_after = refusal.retry_after;
+                let mut response = Response::refusal(refusal.verdict(), refusal.reason());
+                response.reply.retry_after = refusal.retry_after();
                 response
             }
         }
@@ -301,7 +299,10 @@
         self.metrics.requests.inc();
         match self.accept(request, caller, arrived).await {
             Ok(accepted) => self.serve_caller(accepted).await,
-            Err((refusal, id)) => {
+            Err((rejection, id)) => {
+                // It was not sent anywhere.
+                let trail = Trail::default();
+                let refusal = Refusal::new(rejection, &trail);
                 let unknown_id = HeaderValue::from_static("?");
                 let context = RequestContext {
                     id: id.as_ref().unwrap_or(&unknown_id),
@@ -311,7 +312,7 @@
                     versions: self.view.routing_versions(),
                 };
                 self.request_log
-                    .refused(context, &refusal, arrived.elapsed());
+                    .refused(context, &refusal, &trail, arrived.elapsed());
                 refusal.to_response(&self.dialect, id.as_ref())
             }
         }
@@ -352,6 +353,7 @@
 struct CancellationGuard<'a> {
     request_log: &'a RequestLog,
     context: RequestContext<'a>,
+    trail: Trail,
     arrived: Instant,
     is_over: bool,
 }
@@ -360,7 +362,7 @@
     fn drop(&mut self) {
         if !self.is_over {
             self.request_log
-                .cancelled(self.context, self.arrived.elapsed());
+                .cancelled(self.context, &self.trail, self.arrived.elapsed());
         }
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::dialect::Dialect;
+use crate::{attempts::Trail, dialect::Dialect};
 use copperwell_caller::{body::ResponseBody, refusal};
 use copperwell_message::{Reason, Response, Verdict};
 use http::{HeaderValue, StatusCode};
@@ -10,49 +10,76 @@
 /// The `Retry-After` of responses for which no better value is known.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(400);
 
-/// The reason why a request is answered without an upstream's response.
+/// Why a request is not sent on, or got no upstream's response.
+///
+/// It says nothing of whether the request may have run.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Refusal {
-    /// Whether the request may have run.
-    pub(crate) verdict: Verdict,
+pub(crate) struct Rejection {
     /// Why there is no upstream's response.
     pub(crate) reason: Reason,
     /// When the caller may retry, if that is known.
     pub(crate) retry_after: Option<Duration>,
 }
 
-impl Refusal {
-    /// Creates a refusal of a request that did not run and never will.
-    pub(crate) fn not_run(reason: Reason) -> Self {
+/// The end of a request that is answered without an upstream's response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    rejection: Rejection,
+    verdict: Verdict,
+}
+
+impl Rejection {
+    /// Creates a rejection without a time after which the caller may retry.
+    pub(crate) fn new(reason: Reason) -> Self {
         Self {
-            verdict: Verdict::NotRun,
             reason,
             retry_after: None,
         }
     }
 
-    /// Creates a refusal of a request that another daemon can take at once, as this one stops.
+    /// Creates the rejection of a request that another daemon can take at once, as this one stops.
     pub(crate) fn stopping() -> Self {
+        Self::new(Reason::Stopping).with_retry_after(Duration::ZERO)
+    }
+
+    /// Sets the time after which the caller may retry.
+    pub(crate) fn with_retry_after(self, after: Duration) -> Self {
         Self {
-            retry_after: Some(Duration::ZERO),
-            ..Self::not_run(Reason::Stopping)
+            retry_after: Some(after),
+            ..self
         }
     }
+}
 
-    /// Creates a refusal of a request that may have run.
-    pub(crate) fn may_have_run(reason: Reason) -> Self {
+impl Refusal {
+    /// Creates the end of a request whose attempts are those of `trail`, which knows whether it may have run.
+    pub(crate) fn new(rejection: Rejection, trail: &Trail) -> Self {
         Self {
-            verdict: Verdict::MayHaveRun,
-            reason,
-            retry_after: None,
+            rejection,
+            verdict: trail.verdict(),
         }
     }
 
+    /// Returns whether the request may have run.
+    pub(crate) fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// Returns why there is no upstream's response.
+    pub(crate) fn reason(&self) -> Reason {
+        self.rejection.reason
+    }
+
+    /// Returns when the caller may retry, if that is known.
+    pub(crate) fn retry_after(&self) -> Option<Duration> {
+        self.rejection.retry_after
+    }
+
     /// Returns a status that does not contradict the verdict.
     ///
     /// Callers retry on some statuses because these state that the request has not run.
     pub(crate) fn status(&self) -> StatusCode {
-        let status = self.reason.status();
+        let status = self.reason().status();
         let status = match (self.verdict, status) {
             // These statuses state that the request has not run.
             (Verdict::MayHaveRun, 408 | 421 | 429 | 503) => 502,
@@ -69,13 +96,13 @@
         dialect: &impl Dialect,
         id: Option<&HeaderValue>,
     ) -> http::Response<ResponseBody> {
-        let reply = Response::refusal(self.verdict, self.reason).reply;
+        let reply = Response::refusal(self.verdict, self.reason()).reply;
         let body = refusal::body(&reply, None);
         let mut response = http::Response::new(ResponseBody::new(body));
         let status = self.status();
         *response.status_mut() = status;
         let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
-        let retry_after = is_unavailable.then(|| self.retry_after.unwrap_or(RETRY_AFTER_DEFAULT));
+        let retry_after = is_unavailable.then(|| self.retry_after().unwrap_or(RETRY_AFTER_DEFAULT));
         if let Some(id) = id {
             dialect.set_response_headers(response.headers_mut(), id, retry_after);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -117,13 +117,17 @@
             head: head_of(&outgoing),
             body: outgoing.body,
         };
+        let mut guard = OutcomeGuard {
+            relay: self,
+            outcome: "broken-off",
+        };
         let response = self.links.send(to, request).await;
         let reason = response.reply.reason;
         if matches!(reason, Some(Reason::NoLeader | Reason::Protocol)) {
             let mut failed = self.failed.lock().unwrap_or_else(PoisonError::into_inner);
             failed.insert(to, Instant::now());
         }
-        self.count(reason.map_or("answered", Reason::as_str));
+        guard.outcome = reason.map_or("answered", Reason::as_str);
         response
     }
 
@@ -132,6 +136,18 @@
     }
 }
 
+/// Counts how a relayed request ends, also if it is dropped before.
+struct OutcomeGuard<'a> {
+    relay: &'a Relay,
+    outcome: &'static str,
+}
+
+impl Drop for OutcomeGuard<'_> {
+    fn drop(&mut self) {
+        self.relay.count(self.outcome);
+    }
+}
+
 /// Returns whether a request that a daemon has not passed on may be sent through another one.
 pub(crate) fn is_untried(response: &Response) -> bool {
     response.reply.verdict == Verdict::NotRun
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -81,12 +81,13 @@
             route = context.route(),
             key = context.key.map_or(-1, i32::from),
             status,
-            server = trail.attempted.last().map_or("", |id| &**id),
-            tries = trail.attempted.len(),
+            server = server_of(trail),
+            helper = helper_of(trail),
+            tries = trail.attempted().len(),
             whole_ms = millis(total),
-            list_at_choice_ms = age_ms(trail.last_send.age_at_choice),
-            list_at_sending_ms = age_ms(trail.last_send.age),
-            unsent_ms = age_ms(trail.last_send.waited),
+            list_at_choice_ms = age_ms(trail.last_send().age_at_choice),
+            list_at_sending_ms = age_ms(trail.last_send().age),
+            unsent_ms = age_ms(trail.last_send().waited),
             configuration = context.versions.configuration,
             term = context.versions.term,
             table = context.versions.table
@@ -94,8 +95,14 @@
     }
 
     /// Counts and logs a request that got no upstream's response.
-    pub(crate) fn refused(&self, context: RequestContext<'_>, refusal: &Refusal, total: Duration) {
-        self.metrics.record_refusal(refusal.reason);
+    pub(crate) fn refused(
+        &self,
+        context: RequestContext<'_>,
+        refusal: &Refusal,
+        trail: &Trail,
+        total: Duration,
+    ) {
+        self.metrics.record_refusal(refusal.reason());
         if !self.failures.allows_line() {
             return;
         }
@@ -105,10 +112,13 @@
             fingerprint = context.fingerprint,
             route = context.route(),
             key = context.key.map_or(-1, i32::from),
-            reason = refusal.reason.as_str(),
-            verdict = refusal.verdict.as_str(),
+            server = server_of(trail),
+            helper = helper_of(trail),
+            tries = trail.attempted().len(),
+            reason = refusal.reason().as_str(),
+            verdict = refusal.verdict().as_str(),
             status = refusal.status().as_u16(),
-            retry_after_ms = refusal.retry_after.map_or(0, millis),
+            retry_after_ms = refusal.retry_after().map_or(0, millis),
             whole_ms = millis(total),
             configuration = context.versions.configuration,
             term = context.versions.term,
@@ -138,13 +148,13 @@
             server = &*upstream.id,
             born = upstream.born,
             zone = &*upstream.zone,
-            number = trail.attempted.len(),
+            number = trail.attempted().len(),
             reason = failed.reason.as_str(),
             verdict = failed.verdict.as_str(),
             took_ms = millis(elapsed),
-            list_at_choice_ms = age_ms(trail.last_send.age_at_choice),
-            list_at_sending_ms = age_ms(trail.last_send.age),
-            unsent_ms = age_ms(trail.last_send.waited),
+            list_at_choice_ms = age_ms(trail.last_send().age_at_choice),
+            list_at_sending_ms = age_ms(trail.last_send().age),
+            unsent_ms = age_ms(trail.last_send().waited),
             again,
             configuration = context.versions.configuration,
             term = context.versions.term,
@@ -193,7 +203,7 @@
     }
 
     /// Counts and logs a request whose caller disconnected before the response.
-    pub(crate) fn cancelled(&self, context: RequestContext<'_>, total: Duration) {
+    pub(crate) fn cancelled(&self, context: RequestContext<'_>, trail: &Trail, total: Duration) {
         self.metrics.cancelled.inc();
         if !self.failures.allows_line() {
             return;
@@ -204,12 +214,27 @@
             fingerprint = context.fingerprint,
             route = context.route(),
             key = context.key.map_or(-1, i32::from),
+            server = server_of(trail),
+            helper = helper_of(trail),
+            tries = trail.attempted().len(),
+            verdict = trail.verdict().as_str(),
             whole_ms = millis(total),
             configuration = context.versions.configuration
         });
     }
 }
 
+/// Returns the last upstream to which this daemon itself has sent a request; empty if there is none.
+fn server_of(trail: &Trail) -> &str {
+    trail.attempted().last().map_or("", |id| &**id)
+}
+
+/// Returns the last daemon through which a request was tried; empty if there is none.
+fn helper_of(trail: &Trail) -> String {
+    let helper = trail.helpers().last();
+    helper.map(ToString::to_string).unwrap_or_default()
+}
+
 /// Returns whether an answered request is logged.
 fn is_sampled(id: &HeaderValue) -> bool {
     let bytes = id.as_bytes().iter();
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{queue::Queues, refusal::Refusal, relay::Relay, view::View};
+use crate::{queue::Queues, refusal::Rejection, relay::Relay, view::View};
 use copperwell_assignment::table::Version;
 use copperwell_message::Reason;
 use copperwell_routing::{
@@ -61,7 +61,7 @@
         attempted: &[UpstreamId],
         stale_version: Option<Version>,
         relays: Option<&[SocketAddr]>,
-    ) -> Result<Selected, Refusal> {
+    ) -> Result<Selected, Rejection> {
         let is_apart = self.check_quarantine(requirements.request)? == Admission::Apart;
         let selected = match requirements.key {
             Some(key) => {
@@ -74,21 +74,20 @@
             return Ok(selected);
         };
         // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
-        if let Err(refusal) = self.check_quarantine(requirements.request) {
+        if let Err(rejection) = self.check_quarantine(requirements.request) {
             // Its place is free for the next one that waits.
             self.queues.notify_one(&upstream.id);
-            return Err(refusal);
+            return Err(rejection);
         }
         Ok(selected)
     }
 
     /// Returns how a request may run, or the refusal if it crashes upstreams.
-    fn check_quarantine(&self, request: Fingerprint) -> Result<Admission, Refusal> {
+    fn check_quarantine(&self, request: Fingerprint) -> Result<Admission, Rejection> {
         match self.view.crash_tracker.admit(request) {
-            Admission::Refused(left) => Err(Refusal {
-                retry_after: Some(left),
-                ..Refusal::not_run(Reason::Quarantined)
-            }),
+            Admission::Refused(left) => {
+                Err(Rejection::new(Reason::Quarantined).with_retry_after(left))
+            }
             admission => Ok(admission),
         }
     }
@@ -103,7 +102,7 @@
         requirements: &Requirements,
         attempted: &[UpstreamId],
         relays: Option<&[SocketAddr]>,
-    ) -> Result<Selected, Refusal> {
+    ) -> Result<Selected, Rejection> {
         if let Some(helper) = relays.and_then(|tried| self.relay_for(&requirements.service, tried))
         {
             return Ok(Selected::Relay(helper));
@@ -116,9 +115,9 @@
                     Ok(_) => return Ok(Selected::Upstream(upstream)),
                     Err(wait) => full.push((wait, upstream)),
                 },
-                Err(refusal) => {
+                Err(rejection) => {
                     let Some((_, upstream)) = full.iter().min_by_key(|(wait, _)| *wait) else {
-                        return Err(refusal);
+                        return Err(rejection);
                     };
                     self.wait_for_limit(upstream, requirements).await?;
                     return Ok(Selected::Upstream(upstream.clone()));
@@ -168,13 +167,13 @@
         requirements: &Requirements,
         attempted: &[UpstreamId],
         full: &[(Duration, Arc<Upstream>)],
-    ) -> Result<Arc<Upstream>, Refusal> {
+    ) -> Result<Arc<Upstream>, Rejection> {
         let mut avoided = self.view.crash_tracker.upstreams_kept_apart();
         avoided.extend_from_slice(attempted);
         let registry = self.view.registry();
         let mut upstreams = registry.of_service(&requirements.service);
         if upstreams.iter().all(|upstream| upstream.is_draining) {
-            return Err(Refusal::not_run(Reason::NoUpstream));
+            return Err(Rejection::new(Reason::NoUpstream));
         }
         let with_room: Vec<_>;
         if !full.is_empty() {
@@ -201,8 +200,8 @@
             let usable = upstreams.iter().filter(|one| !one.is_draining);
             let closed: Option<Vec<_>> = usable.map(|one| loads.closed_for(&one.id, now)).collect();
             match closed.and_then(|closed| closed.into_iter().min()) {
-                Some(wait) => closed_refusal(wait),
-                None => Refusal::not_run(Reason::QueueFull),
+                Some(wait) => closed_rejection(wait),
+                None => Rejection::new(Reason::QueueFull),
             }
         })
     }
@@ -212,7 +211,7 @@
         &self,
         upstream: &Upstream,
         requirements: &Requirements,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), Rejection> {
         let patience = requirements
             .deadline
             .saturating_duration_since(Instant::now());
@@ -224,10 +223,8 @@
             Err(wait) => {
                 // Spreads the callers that are told the same time.
                 let spread = rand::rng().random_range(1.0..2.0);
-                Err(Refusal {
-                    retry_after: Some(wait.mul_f64(spread)),
-                    ..Refusal::not_run(Reason::UpstreamLimit)
-                })
+                let retry_after = wait.mul_f64(spread);
+                Err(Rejection::new(Reason::UpstreamLimit).with_retry_after(retry_after))
             }
         }
     }
@@ -240,7 +237,7 @@
         stale_version: Option<Version>,
         is_apart: bool,
         relays: Option<&[SocketAddr]>,
-    ) -> Result<Selected, Refusal> {
+    ) -> Result<Selected, Rejection> {
         let routing_tables = &self.view.keys.routing_tables;
         let _queued = self.queues.enter();
         if let Some(stale_version) = stale_version {
@@ -273,14 +270,14 @@
                     served.admitted_share,
                 );
                 if !is_admitted {
-                    return Err(Refusal::not_run(Reason::Overload));
+                    return Err(Rejection::new(Reason::Overload));
                 }
             }
             let upstream = served.and_then(|served| self.eligible_holder(&served.upstream));
             let Some(upstream) = upstream else {
                 let update = timeout_at(requirements.deadline, routing_tables.newer_than(version));
                 if update.await.is_err() {
-                    return Err(Refusal::not_run(Reason::Unowned));
+                    return Err(Rejection::new(Reason::Unowned));
                 }
                 continue;
             };
@@ -298,7 +295,7 @@
                 continue;
             }
             if Instant::now() >= requirements.deadline {
-                return Err(Refusal::not_run(Reason::QueueFull));
+                return Err(Rejection::new(Reason::QueueFull));
             }
             let until = match is_blocked {
                 // A streamed response ends without freeing a place in the queue.
@@ -318,13 +315,13 @@
         &self,
         holder: &UpstreamId,
         requirements: &Requirements,
-    ) -> Result<bool, Refusal> {
+    ) -> Result<bool, Rejection> {
         let now = Instant::now();
         let Some(wait) = self.view.loads().closed_for(holder, now) else {
             return Ok(false);
         };
         if now + wait >= requirements.deadline {
-            return Err(closed_refusal(wait));
+            return Err(closed_rejection(wait));
         }
         sleep(wait).await;
         Ok(true)
@@ -340,13 +337,10 @@
 }
 
 /// Returns the refusal of a request whose upstreams want none for `wait`.
-fn closed_refusal(wait: Duration) -> Refusal {
+fn closed_rejection(wait: Duration) -> Rejection {
     // Spreads the callers that are told the same time.
     let spread = rand::rng().random_range(1.0..1.5);
-    Refusal {
-        retry_after: Some(wait.mul_f64(spread)),
-        ..Refusal::not_run(Reason::UpstreamClosed)
-    }
+    Rejection::new(Reason::UpstreamClosed).with_retry_after(wait.mul_f64(spread))
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -3,7 +3,7 @@
 use super::{Requirements, Selected, Selector};
 use crate::{
     queue::Queues,
-    refusal::Refusal,
+    refusal::Rejection,
     relay::Relay,
     view::{ReadStart, View},
 };
@@ -98,7 +98,7 @@
     selector.view.keys.quarantine.maintain();
 }
 
-fn reason(result: Result<Selected, Refusal>) -> Result<String, Reason> {
+fn reason(result: Result<Selected, Rejection>) -> Result<String, Reason> {
     let id = result.map(|selected| match selected {
         Selected::Upstream(upstream) => upstream.id.to_string(),
         Selected::Relay(helper) => helper.to_string(),
