Bound the bytes that an upstream sends while its answer does not get on

What callers saw: a report by operators of a system like this one, of an upstream that sent bytes that were no answer, without end; the machine that had called it ran out of memory. Here no daemon ended, but callers of a sound service waited while a daemon read interim answers, or zeros before the size of a chunk, for as long as a request may last.

Cause: the HTTP library bounds heads, trailers and extensions of chunks, and we bound bodies. An interim answer is dropped when it is parsed, and a leading zero changes no number, so nothing counted them; up to 128 reads of up to 400 KiB were parsed in one turn on the thread that serves everybody.

Change: a connection fails once 80 KiB have arrived without a whole head, or 64 KiB behind it without a byte of the body. The count is below the HTTP library, so it covers every way to send nothing; each request, head and part of a body starts it anew. At most 16 KiB are read at a time.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    connection::{ConnectError, Connection, SendError},
+    connection::{ConnectError, Connection, Received, SendError},
     head::keep_alive_in,
     lane::Lane,
     metrics::Metrics,
@@ -21,7 +21,6 @@
     header::{CONTENT_TYPE, HOST},
 };
 use http_body_util::{BodyExt, Collected, Limited};
-use hyper::body::Incoming;
 use tokio::{
     sync::Semaphore,
     time::{Instant, sleep_until, timeout, timeout_at},
@@ -222,7 +221,7 @@
     /// Reads a response body.
     async fn collect(
         &self,
-        body: Incoming,
+        body: Received,
         connection: &Connection,
         deadline: Instant,
     ) -> Result<Bytes, Lost> {
--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     Control, Failure,
-    connection::{Connection, READY_TIMEOUT, SendError},
+    connection::{Connection, READY_TIMEOUT, Received, SendError},
     order::{Fence, Fenced, Give, Held, Refusal, Release, Renew, path},
     outgoing::Outgoing,
 };
@@ -23,7 +23,6 @@
     header::{CONTENT_TYPE, HOST},
 };
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
@@ -292,7 +291,7 @@
     async fn read_answer(
         &self,
         connection: Connection,
-        response: http::Response<Incoming>,
+        response: http::Response<Received>,
         deadline: Instant,
     ) -> Result<Answer, Failure> {
         let (head, body) = response.into_parts();
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -7,11 +7,8 @@
     outgoing::Outgoing,
     traffic::{Metered, Traffic},
 };
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use copperwell_progress::{Allowance, Answer};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use prometheus_client::metrics::counter::Counter;
 use tokio::{
     net::TcpStream,
@@ -19,9 +16,6 @@
     time::{Instant, sleep_until, timeout},
 };
 
-/// The largest response head, in bytes.
-const HEAD_BYTES_MAX: usize = 64 * 1024;
-
 /// How long a connection may take to become ready again after a complete response.
 pub(crate) const READY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -31,12 +25,16 @@
 /// The failed requests after which a connection is closed, so that what it must remember is bounded.
 const CARRIED_MAX: usize = 64;
 
+/// The body of a response that arrives.
+pub(crate) type Received = Answer<Incoming>;
+
 /// An open connection; dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Outgoing>,
     task: JoinHandle<()>,
     traffic: Arc<Traffic>,
+    allowance: Allowance,
     written_before: u64,
     sent_at: Instant,
     /// The server's keep-alive timeout, if it announces one.
@@ -87,10 +85,8 @@
         // Resets the connection when it is dropped, so that data in flight is not delivered later.
         let _ = stream.set_zero_linger();
         let traffic = Arc::new(Traffic::new(bytes));
-        let io = TokioIo::new(Metered::new(stream, traffic.clone()));
-        let (sender, connection) = http1::Builder::new()
-            .max_header_size(HEAD_BYTES_MAX)
-            .handshake(io)
+        let stream = Metered::new(stream, traffic.clone());
+        let (sender, connection, allowance) = copperwell_progress::handshake(stream)
             .await
             .map_err(|_| ConnectError::Refused)?;
         let task = tokio::spawn(async move {
@@ -102,6 +98,7 @@
             sender,
             task,
             traffic,
+            allowance,
             written_before: 0,
             sent_at: Instant::now(),
             keep_alive: None,
@@ -165,6 +162,11 @@
         &self.traffic
     }
 
+    /// Returns whether the connection failed because the server sent bytes, and its answer did not get on.
+    pub(crate) fn is_overrun(&self) -> bool {
+        self.allowance.is_used_up()
+    }
+
     /// Waits up to `limit` for the connection to accept another request; `false` if it does not.
     pub(crate) async fn is_ready_within(&mut self, limit: Duration) -> bool {
         self.sender.is_ready() || matches!(timeout(limit, self.sender.ready()).await, Ok(Ok(())))
@@ -178,7 +180,8 @@
         request: http::Request<Outgoing>,
         inactivity_timeout: Duration,
         deadline: Instant,
-    ) -> Result<http::Response<Incoming>, SendError> {
+    ) -> Result<http::Response<Received>, SendError> {
+        self.allowance.renew();
         self.written_before = self.traffic.written();
         self.sent_at = Instant::now();
         self.traffic.restart_timer();
@@ -188,6 +191,7 @@
             biased;
             response = response => {
                 self.has_answered |= response.is_ok();
+                let response = response.map(|response| response.map(|body| self.allowance.answer(body)));
                 response.map_err(|mut error| match error.take_message() {
                     Some(request) => SendError::NotSent(Box::new(request)),
                     None => SendError::ConnectionLost(error.into_error()),
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    connection::{Connection, READY_TIMEOUT, SendError},
+    connection::{Connection, READY_TIMEOUT, Received, SendError},
     framing::{Framing, Read, RequestHash, Unsendable},
     head,
     lane::Lane,
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use copperwell_message::{Body, Reason, Response, Sender, Verdict};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::body::{Body as _, Frame};
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep_until, timeout_at},
@@ -139,6 +139,7 @@
             SendError::NotSent(_) => Reason::ConnectionRefused,
             SendError::ConnectionLost(error) if error.is_user() => Reason::Cancelled,
             SendError::ConnectionLost(error) if error.is_parse() => Reason::Protocol,
+            SendError::ConnectionLost(_) if connection.is_overrun() => Reason::Protocol,
             SendError::ConnectionLost(_) => Reason::ConnectionLost,
             SendError::Inactive => Reason::ConnectionSilent,
             SendError::DeadlinePassed => Reason::DeadlinePassed,
@@ -162,7 +163,7 @@
     async fn receive(
         self,
         mut connection: Connection,
-        response: http::Response<Incoming>,
+        response: http::Response<Received>,
         read: Read,
         id: Option<RequestHash>,
     ) -> Result<Response, Failed> {
@@ -200,7 +201,7 @@
     }
 
     /// Reads the body of a refusal to its end, so that the connection can be reused.
-    async fn drain_refusal(&self, connection: Connection, incoming: Incoming) {
+    async fn drain_refusal(&self, connection: Connection, incoming: Received) {
         let limit = self.deadline.min(Instant::now() + READY_TIMEOUT);
         if let Ok(Ok(_)) = timeout_at(limit, incoming.collect()).await {
             self.lane.put_back(connection);
@@ -208,7 +209,7 @@
     }
 
     /// Buffers a small body; if it is incomplete, the request may have run.
-    async fn read_body(&self, connection: Connection, incoming: Incoming) -> Result<Body, Failed> {
+    async fn read_body(&self, connection: Connection, incoming: Received) -> Result<Body, Failed> {
         let collect = Limited::new(incoming, BUFFERED_BYTES_MAX).collect();
         let reason = tokio::select! {
             biased;
@@ -217,7 +218,7 @@
                     self.lane.put_back(connection);
                     return Ok(Body::full(collected.to_bytes()));
                 }
-                Err(_) => Reason::ConnectionLost,
+                Err(_) => body_failure(&connection),
             },
             () = sleep_until(self.deadline) => Reason::DeadlinePassed,
             () = connection.traffic().wait_until_inactive(self.inactivity_timeout) =>
@@ -228,7 +229,7 @@
     }
 
     /// Streams a body to its reader; a body that ends early is incomplete.
-    async fn stream_body(mut self, connection: Connection, incoming: Incoming, sender: Sender) {
+    async fn stream_body(mut self, connection: Connection, incoming: Received, sender: Sender) {
         let body_end = self.body_end.take();
         let result = self.forward_body(connection, incoming, sender).await;
         if let Err(reason) = result {
@@ -243,7 +244,7 @@
     async fn forward_body(
         &self,
         connection: Connection,
-        mut incoming: Incoming,
+        mut incoming: Received,
         sender: Sender,
     ) -> Result<(), Reason> {
         loop {
@@ -260,7 +261,7 @@
                         Ok(()) => continue,
                         Err(reason) => reason,
                     },
-                    Some(Err(_)) => Reason::ConnectionLost,
+                    Some(Err(_)) => body_failure(&connection),
                 },
                 () = sender.closed() => Reason::Cancelled,
                 () = sleep_until(self.deadline) => Reason::DeadlinePassed,
@@ -284,6 +285,14 @@
     }
 }
 
+/// Returns why a body could not be read.
+fn body_failure(connection: &Connection) -> Reason {
+    match connection.is_overrun() {
+        true => Reason::Protocol,
+        false => Reason::ConnectionLost,
+    }
+}
+
 /// Returns what a response head means, by whether it `is_first` on its connection.
 ///
 /// A later refusal without an id may be an earlier one that is written again, or one that nobody asked for.
--- a/crates/backend/tests/backend/main.rs
+++ b/crates/backend/tests/backend/main.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod call;
 mod client;
+mod endless;
 mod pool;
 mod random_faults;
 mod setup;
--- a/crates/copperwelld/tests/gateway/endless.rs
+++ b/crates/copperwelld/tests/gateway/endless.rs
@@ -1,17 +1,28 @@
-//! A server whose answers never end.
+//! Servers whose answers never end.
 
-use std::{process::Stdio, sync::Arc, time::Duration};
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr},
+    process::Stdio,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use crate::{
-    harness::{Daemon, Harness, SERVERS},
+    harness::{CONDITION_TIMEOUT, Daemon, Harness, SERVERS},
     standin::{caller, cluster, config, rule, server::Server},
 };
+use futures::future::join_all;
 use http::StatusCode;
+use test_case::test_case;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     task::JoinSet,
-    time::sleep,
+    time::{Instant, sleep, timeout},
 };
 
 /// The interval at which a request is sent.
@@ -26,6 +37,258 @@
 /// The most of the others that may be lost: a fifth of the share that the server would get of four.
 const LOST_MAX: usize = (REQUESTS - FIRST_REQUESTS) / 4 / 5;
 
+/// The most bytes that a daemon may take of one answer that does not get on: what it reads, and what the sockets of both
+/// sides hold.
+const TAKEN_MAX_BYTES: usize = 8 << 20;
+
+/// The size of a write, in bytes.
+const WRITE_BYTES: usize = 16 << 10;
+
+/// The send buffer of a server, in bytes.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
+
+/// The servers of one service whose answers never end; none of them is sound.
+const ENDLESS_SERVERS: usize = 3;
+
+/// How many callers ask at a time.
+const CALLERS: usize = 24;
+
+/// How often each of them asks.
+const ROUNDS: usize = 4;
+
+/// The memory of the smallest VM, in KiB.
+const VM_MEMORY_KIB: u64 = 160 << 10;
+
+/// The servers whose answers nobody reads.
+const UNREAD_SERVERS: usize = 60;
+
+/// The callers who do not read: as many as the daemon takes.
+const UNREAD_CALLERS: usize = 600;
+
+/// What a server sends without end.
+#[derive(Debug, Clone, Copy)]
+struct Endless {
+    /// What comes before, behind the head of an answer if there is one.
+    start: &'static str,
+    has_head: bool,
+    again: &'static str,
+}
+
+/// Counts the connections to a server, and the bytes that were taken on the one that took most.
+#[derive(Debug, Default)]
+struct Taken {
+    connections: AtomicUsize,
+    bytes_max: AtomicUsize,
+}
+
+impl Endless {
+    const fn head(start: &'static str, again: &'static str) -> Self {
+        Self {
+            start,
+            has_head: false,
+            again,
+        }
+    }
+
+    /// What comes behind a head with these fields.
+    const fn body(start: &'static str, again: &'static str) -> Self {
+        Self {
+            start,
+            has_head: true,
+            again,
+        }
+    }
+
+    /// Answers the requests of a connection, one of them without end.
+    async fn answer(self, mut stream: TcpStream, taken: Arc<Taken>) {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            match stream.read_u8().await {
+                Ok(byte) => head.push(byte),
+                Err(_) => return,
+            }
+        }
+        let request = String::from_utf8(head).unwrap();
+        let mut lines = request.lines();
+        let Some(id) = lines.find_map(|line| line.strip_prefix(caller::ID_LINE)) else {
+            return;
+        };
+        taken.connections.fetch_add(1, Ordering::Relaxed);
+        let start =
+            match self.has_head {
+                true => format!("{}{}", caller::answer_head(id, "x-field: 1"), self.start)
+                    .replacen("x-field: 1\r\n\r\n", "", 1),
+                false => self.start.to_owned(),
+            };
+        if stream.write_all(start.as_bytes()).await.is_err() {
+            return;
+        }
+        let block = self.again.repeat(WRITE_BYTES / self.again.len());
+        let mut bytes = 0;
+        while stream.write_all(block.as_bytes()).await.is_ok() {
+            bytes += block.len();
+            taken.bytes_max.fetch_max(bytes, Ordering::Relaxed);
+        }
+    }
+
+    /// Starts a server; returns its address.
+    fn serve(self, taken: Arc<Taken>) -> SocketAddr {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
+        socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+        let listener = socket.listen(1_024).unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            let mut connections = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.spawn(self.answer(stream, taken.clone()));
+            }
+        });
+        address
+    }
+}
+
+/// Returns the most memory that a process has had, in KiB.
+fn memory_max_kib(id: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let mut lines = status.lines();
+    let line = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Waits until a request to a sound service is served.
+async fn wait_sound(harness: &Harness, round: usize) {
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    for number in 0.. {
+        let id = format!("s{round}-{number}");
+        let answer = harness.send(0, "/cups/1", &id, 7).await;
+        if matches!(answer, Some((StatusCode::OK, _))) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "the sound service: {answer:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against the report of other operators: a daemon that keeps what a faulty server sends without end, or reads it
+/// for as long as the request may last, so that others wait or the daemon ends.
+#[test_case(Endless::head("", "HTTP/1.1 100 Continue\r\n\r\n"); "interim answers")]
+#[test_case(Endless::head("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n"); "header fields")]
+#[test_case(Endless::head("HTTP/1.1 200 OK\r\nx-more: ", "x"); "a header field")]
+#[test_case(Endless::head("no answer", "x"); "no answer at all")]
+#[test_case(Endless::body("transfer-encoding: chunked\r\n\r\n", "0"); "zeros before the size of a chunk")]
+#[test_case(Endless::body("transfer-encoding: chunked\r\n\r\n1;", "x"); "an extension of a chunk")]
+#[test_case(Endless::body("transfer-encoding: chunked\r\n\r\n0\r\n", "x-more: 1\r\n"); "trailers")]
+#[test_case(Endless::body("content-length: 2\r\n\r\nok", "x"); "behind an answer")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_does_not_get_on_is_read_until_the_timeout(endless: Endless) {
+    let mut harness = Harness::start(0).await;
+    harness.servers.truncate(SERVERS);
+    let rules = [
+        rule("cups", "idempotent", "cups"),
+        rule("pay", "idempotent", "pay"),
+    ];
+    let clusters = [cluster("cups", true), cluster("pay", false)];
+    harness.store.configure(&config(5, &rules, &clusters));
+    let taken = Arc::new(Taken::default());
+    let mut registrations = Vec::new();
+    for number in 0..ENDLESS_SERVERS {
+        let address = endless.serve(taken.clone());
+        let id = format!("e{number}");
+        let registration = caller::register(harness.store.writer(), &id, "pay", address);
+        registrations.push(registration);
+    }
+    let daemon = Daemon::start(&harness.store, Stdio::null());
+    let id = daemon.child.id();
+    harness.daemons.push(daemon);
+    harness.wait_served().await;
+    let callers = (0..CALLERS).map(|caller| {
+        let harness = &harness;
+        async move {
+            for round in 0..ROUNDS {
+                harness
+                    .send(0, "/pay/1", &format!("e{caller}-{round}"), 1)
+                    .await;
+            }
+        }
+    });
+    let sound = async {
+        for round in 0..ROUNDS {
+            wait_sound(&harness, round).await;
+        }
+    };
+    tokio::join!(join_all(callers), sound);
+    let connections = taken.connections.load(Ordering::Relaxed);
+    assert!(connections > 0, "no request was sent");
+    let bytes = taken.bytes_max.load(Ordering::Relaxed);
+    assert!(bytes <= TAKEN_MAX_BYTES, "{bytes} bytes on one connection");
+    let memory = memory_max_kib(id);
+    assert!(memory <= VM_MEMORY_KIB, "{memory} KiB");
+    // The daemon still runs, and serves.
+    harness.wait_served().await;
+    for registration in registrations {
+        registration.abort();
+    }
+}
+
+/// Guards against memory that grows by the callers who do not read, times what servers send without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_who_do_not_read_take_the_memory_of_a_daemon() {
+    let mut harness = Harness::start(0).await;
+    harness.servers.truncate(SERVERS);
+    let mut long = rule("pay", "idempotent", "pay");
+    long["action"]["timeout"] = "9s".into();
+    let rules = [rule("cups", "idempotent", "cups"), long];
+    let clusters = [cluster("cups", true), cluster("pay", false)];
+    harness.store.configure(&config(5, &rules, &clusters));
+    let endless = Endless::body("transfer-encoding: chunked\r\n\r\n", "400\r\n");
+    let chunk: &'static str = Box::leak(format!("400\r\n{}\r\n", "b".repeat(0x400)).into());
+    let endless = Endless {
+        again: chunk,
+        ..endless
+    };
+    let taken = Arc::new(Taken::default());
+    let mut registrations = Vec::new();
+    for number in 0..UNREAD_SERVERS {
+        let address = endless.serve(taken.clone());
+        let id = format!("e{number}");
+        let registration = caller::register(harness.store.writer(), &id, "pay", address);
+        registrations.push(registration);
+    }
+    let daemon = Daemon::start(&harness.store, Stdio::null());
+    let (id, address) = (daemon.child.id(), format!("{}:{}", daemon.ip, daemon.port));
+    harness.daemons.push(daemon);
+    harness.wait_served().await;
+    let mut connections = Vec::new();
+    for number in 0..UNREAD_CALLERS {
+        let mut connection = TcpStream::connect(&address).await.unwrap();
+        let key = caller::key_line(1);
+        let time = Duration::from_secs(9);
+        let head = caller::request_head_within("GET", "/pay/1", &format!("u{number}"), time, &key);
+        connection.write_all(head.as_bytes()).await.unwrap();
+        connections.push(connection);
+    }
+    // All that can be streamed is under way once no more is taken.
+    let mut before = usize::MAX;
+    while taken.bytes_max.load(Ordering::Relaxed) != before {
+        before = taken.bytes_max.load(Ordering::Relaxed);
+        sleep(Duration::from_millis(500)).await;
+    }
+    let streams = taken.connections.load(Ordering::Relaxed);
+    assert!(streams > 0, "no request was sent");
+    let memory = memory_max_kib(id);
+    assert!(
+        memory <= VM_MEMORY_KIB,
+        "{memory} KiB for {streams} streams"
+    );
+    let served = harness.send(0, "/cups/1", "after", 7);
+    let served = timeout(CONDITION_TIMEOUT, served).await.unwrap();
+    assert!(served.is_some_and(|(status, _)| status == StatusCode::OK));
+    for registration in registrations {
+        registration.abort();
+    }
+}
+
 /// Answers a request with a body that goes on until the connection is closed.
 async fn answer_without_end(mut stream: TcpStream) {
     let mut head = Vec::new();
--- a/crates/log/src/http.rs
+++ b/crates/log/src/http.rs
@@ -5,11 +5,10 @@
 use crate::{Batch, Error, Log, Vm, VmList};
 use bytes::Bytes;
 use copperwell_keyspace::{batch::base64_bytes, id::LogOffset, record::SIZE_MAX};
+use copperwell_progress::{Allowance, Sender};
 use error_stack::{Report, ResultExt};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use prometheus_client::metrics::counter::Counter;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, time::timeout};
@@ -46,6 +45,12 @@
     pub vms: Vec<Vm>,
 }
 
+/// An open connection for one call.
+struct Connection {
+    sender: Sender<Full<Bytes>>,
+    allowance: Allowance,
+}
+
 /// A client of the platform at one address.
 ///
 /// Every call opens its own connection, so that an unresponsive connection fails one call only.
@@ -81,7 +86,7 @@
         self
     }
 
-    async fn connect(&self) -> Result<http1::SendRequest<Full<Bytes>>, Report<Error>> {
+    async fn connect(&self) -> Result<Connection, Report<Error>> {
         let connect = async {
             let stream = TcpStream::connect(self.address)
                 .await
@@ -93,12 +98,12 @@
             let stream = InspectWriter::new(stream, move |bytes: &[u8]| {
                 sent.inc_by(bytes.len() as u64);
             });
-            let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            let (sender, connection, allowance) = copperwell_progress::handshake(stream)
                 .await
                 .change_context(Error::Unavailable)?;
             // The task ends when the sender is dropped; a connection error also fails the call.
             tokio::spawn(connection);
-            Ok(sender)
+            Ok(Connection { sender, allowance })
         };
         timeout(CONNECT_TIMEOUT, connect)
             .await
@@ -107,17 +112,22 @@
 
     async fn call<T: DeserializeOwned>(
         &self,
-        mut sender: http1::SendRequest<Full<Bytes>>,
+        connection: Connection,
         request: Request<Full<Bytes>>,
         time_limit: Duration,
     ) -> Result<T, Report<Failure>> {
+        let Connection {
+            mut sender,
+            allowance,
+        } = connection;
         let exchange = async {
+            allowance.renew();
             let response = sender
                 .send_request(request)
                 .await
                 .change_context(Failure::NoResponse)?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), RESPONSE_SIZE_MAX)
+            let body = Limited::new(allowance.answer(response.into_body()), RESPONSE_SIZE_MAX)
                 .collect()
                 .await
                 .map_err(|error| Report::new(Failure::NoResponse).attach(error.to_string()))?
@@ -145,8 +155,8 @@
         time_limit: Duration,
     ) -> Result<T, Report<Error>> {
         let request = self.request(Method::GET, path, Bytes::new())?;
-        let sender = self.connect().await?;
-        let response = self.call(sender, request, time_limit).await;
+        let connection = self.connect().await?;
+        let response = self.call(connection, request, time_limit).await;
         response.map_err(|report| {
             let error = match report.current_context() {
                 Failure::Malformed => Error::Invalid,
@@ -190,8 +200,8 @@
                 body.into(),
             )
             .change_context(Error::NotAppended)?;
-        let sender = self.connect().await.change_context(Error::NotAppended)?;
-        let response: Result<Appended, _> = self.call(sender, request, self.call_timeout).await;
+        let connection = self.connect().await.change_context(Error::NotAppended)?;
+        let response: Result<Appended, _> = self.call(connection, request, self.call_timeout).await;
         match response {
             Ok(appended) => Ok(appended.offset),
             Err(report) => {
