Take no answer without a handover for the end of a release

Cause: orders have no id, and any 200 on a kept connection counted as the answer to a release. A faulty upstream that writes the answer to an earlier renewal again ends the release before the work has ended.

Evidence: the stand-in's record has the copy, without a field, in the place of the answer; the release ended as done. By the users' page a release is answered with Handover.

Change: a release without a handover in its answer has the outcome foreign and is sent again; the range is free once its grant has run out at the latest. The connection of a release is closed after its answer, since that answer, written again, would have a handover too.

--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -371,7 +371,8 @@
     let outcome = driver.sender.send(&order, timeouts).await;
     let (environment, id) = (&driver.environment, &order.holder.id);
     match outcome {
-        Outcome::Done { .. } | Outcome::Fenced | Outcome::Misdirected => {
+        // An answer of another order came over the path too.
+        Outcome::Done { .. } | Outcome::Foreign | Outcome::Fenced | Outcome::Misdirected => {
             environment.record_order_answer(id);
         }
         Outcome::Refused | Outcome::Unsent => environment.record_unconnected(id),
@@ -428,6 +429,7 @@
         Outcome::Refused => "refused",
         Outcome::Unsent => "unsent",
         Outcome::Unknown => "unknown",
+        Outcome::Foreign => "foreign",
         Outcome::UnreadOnNewConnection => "unread",
         Outcome::Broken => "broken",
     }
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -198,7 +198,10 @@
                 state.failed_at = now;
                 state.broken_at = Some(now);
             }
-            Outcome::Unknown | Outcome::UnreadOnNewConnection | Outcome::Unsent => {
+            Outcome::Unknown
+            | Outcome::Foreign
+            | Outcome::UnreadOnNewConnection
+            | Outcome::Unsent => {
                 state.unanswered += 1;
                 state.failed_at = now;
             }
--- a/crates/assignment/src/machine/key_range.rs
+++ b/crates/assignment/src/machine/key_range.rs
@@ -262,7 +262,9 @@
                     *is_served = true;
                 }
             }
-            Outcome::Unknown | Outcome::Broken => self.mark_uncertain(grant_end, now),
+            Outcome::Unknown | Outcome::Foreign | Outcome::Broken => {
+                self.mark_uncertain(grant_end, now);
+            }
             Outcome::UnreadOnNewConnection => {
                 self.mark_uncertain(grant_end + timing.remaining_read_delay(), now)
             }
--- a/crates/assignment/src/order.rs
+++ b/crates/assignment/src/order.rs
@@ -58,6 +58,8 @@
     /// No answer arrived in time on a new connection. A busy upstream reads from a new connection
     /// only once it has capacity, so the order may count from a much later time.
     UnreadOnNewConnection,
+    /// The answer belongs to another order. The order may be carried out later, and then counts from its arrival.
+    Foreign,
     /// The connection broke. The order may have been carried out, and another run may be listening
     /// at the address now.
     Broken,
--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -151,7 +151,31 @@
         call: Request<Bytes>,
         deadline: impl Into<Deadline>,
     ) -> Result<Whole, Lost> {
-        let deadlines = deadline.into();
+        self.exchange(to, call, deadline.into(), false).await
+    }
+
+    /// Makes a call as [`Caller::call`] does, the last one on its connection: its response, written again, cannot pass
+    /// for that of a later call.
+    ///
+    /// # Errors
+    ///
+    /// [`Lost`] if there is no complete response.
+    pub async fn call_last(
+        &self,
+        to: SocketAddr,
+        call: Request<Bytes>,
+        deadline: impl Into<Deadline>,
+    ) -> Result<Whole, Lost> {
+        self.exchange(to, call, deadline.into(), true).await
+    }
+
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        call: Request<Bytes>,
+        deadlines: Deadline,
+        is_last: bool,
+    ) -> Result<Whole, Lost> {
         let address = self.address(to);
         let permit = timeout_at(deadlines.answered, address.permits.acquire()).await;
         let Ok(Ok(_permit)) = permit else {
@@ -188,7 +212,10 @@
                     let (head, body) = response.into_parts();
                     connection.update_keep_alive(keep_alive_in(&head.headers));
                     let body = self.collect(body, &connection, deadline).await?;
-                    lane.put_back(connection);
+                    match is_last {
+                        true => drop(connection),
+                        false => lane.put_back(connection),
+                    }
                     lane.spawn_warm_up();
                     return Ok(Whole {
                         status: head.status,
