Read an answer whole before it is sent if requests were started behind it

Cause: a connection with a streamed answer that breaks off has to be closed, and with it end the requests that were started early behind that answer.

Change: if requests were started behind it, an answer is read whole before it is sent, up to 64 KiB; one that breaks off is answered with 502, and those behind it get theirs. Where nothing was started behind it, it is sent as it arrives.

An answer of more than 64 KiB that breaks off still takes those behind it along.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -54,6 +54,29 @@
     }
 }
 
+impl ResponseBody {
+    /// Reads the body if it ends within `limit` bytes, so that nothing is left to fail; a longer one is streamed on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Incomplete`] if the body ends too early.
+    pub(crate) async fn settle(mut self, limit: usize) -> Result<Self, Incomplete> {
+        if self.body.as_full().is_some() {
+            return Ok(self);
+        }
+        let mut read = BytesMut::new();
+        while read.len() <= limit {
+            let Some(chunk) = self.body.chunk().await else {
+                let body = Body::full(read.freeze());
+                return Ok(Self { body, ..self });
+            };
+            read.extend_from_slice(&chunk?);
+        }
+        let body = self.body.with_prefix(read.freeze());
+        Ok(Self { body, ..self })
+    }
+}
+
 impl http_body::Body for ResponseBody {
     type Data = Bytes;
     type Error = Incomplete;
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -16,6 +16,7 @@
 
 use crate::{body::ResponseBody, server::Handler};
 use bytes::{Buf, BytesMut};
+use copperwell_message::Incomplete;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version,
     header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING, UPGRADE},
@@ -35,6 +36,9 @@
 /// The maximum number of unserved bytes that are buffered to parse heads from.
 const UNSERVED_MAX_BYTES: usize = 64 << 10;
 
+/// The largest response that is read whole before it is sent because others wait behind it, in bytes.
+const SETTLED_MAX_BYTES: usize = 64 << 10;
+
 /// The size of the buffer for reads from a caller.
 const READ_BYTES: usize = 4 << 10;
 
@@ -138,6 +142,9 @@
                 self.handler.handle(request, self.caller).await
             }
         };
+        if self.has_early() {
+            response = self.settle(response).await;
+        }
         let is_last = self.finish();
         if is_last && self.handler.is_stopping() {
             let headers = response.headers_mut();
@@ -146,6 +153,21 @@
         response
     }
 
+    /// Reads a response before it is sent: if it broke off on the way, the connection would end with it, and with the
+    /// responses to the requests that were started behind it.
+    async fn settle(&self, response: Response<ResponseBody>) -> Response<ResponseBody> {
+        let (head, body) = response.into_parts();
+        match body.settle(SETTLED_MAX_BYTES).await {
+            Ok(body) => Response::from_parts(head, body),
+            Err(Incomplete) => self.handler.broken_off(&head),
+        }
+    }
+
+    /// Returns whether requests were started behind the one that the library serves.
+    fn has_early(&self) -> bool {
+        !self.state().early.is_empty()
+    }
+
     /// Returns whether a request was started whose response the library does not have yet.
     pub(crate) fn is_busy(&self) -> bool {
         let state = self.state();
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -9,9 +9,11 @@
 };
 
 use crate::{
-    Network, body::ResponseBody, ingress::Ingress, pipeline::Pipeline, write_timeout::WriteTimeout,
+    Network, body::ResponseBody, ingress::Ingress, pipeline::Pipeline, refusal,
+    write_timeout::WriteTimeout,
 };
-use http::request::Parts;
+use copperwell_message::{Reason, Response, Verdict};
+use http::{StatusCode, request::Parts, response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -60,6 +62,15 @@
         false
     }
 
+    /// Returns the response to a request whose own response, with this `head`, broke off before any of it was sent.
+    fn broken_off(&self, head: &response::Parts) -> http::Response<ResponseBody> {
+        let _ = head;
+        let reply = Response::refusal(Verdict::MayHaveRun, Reason::ConnectionLost).reply;
+        let mut response = http::Response::new(ResponseBody::new(refusal::body(&reply, None)));
+        *response.status_mut() = StatusCode::BAD_GATEWAY;
+        response
+    }
+
     /// Returns whether connections are to be closed, so that callers send their next request
     /// elsewhere.
     fn is_stopping(&self) -> bool {
--- a/crates/caller/tests/pipeline.rs
+++ b/crates/caller/tests/pipeline.rs
@@ -28,13 +28,16 @@
 /// The time limit of each wait, longer than any of them takes.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The size of the pieces of a streamed response, in bytes.
+const STREAMED_PIECE_BYTES: usize = 100;
+
 /// A handler that holds back each response until the test releases it.
 #[derive(Default)]
 struct BlockingHandler {
     /// The paths of requests in the order in which they started.
     started: Mutex<Vec<String>>,
     cancelled: Mutex<Vec<String>>,
-    /// The paths whose responses are released; `*` for all.
+    /// The paths whose responses are released; `*` for all. Streamed responses go on until `end` or `break`.
     released: watch::Sender<Vec<&'static str>>,
     changed: Notify,
     is_stopping: AtomicBool,
@@ -67,7 +70,24 @@
         let is_released = |all: &Vec<&str>| all.contains(&"*") || all.contains(&&*path);
         released.wait_for(is_released).await.unwrap();
         running.2 = true;
-        Response::new(ResponseBody::new(Body::full(format!("answer {path};"))))
+        let Some(length) = path.strip_prefix("/streamed-") else {
+            let body = Body::full(format!("answer {path};"));
+            return Response::new(ResponseBody::new(body));
+        };
+        let length: usize = length.parse().unwrap();
+        let (sender, body) = Body::channel();
+        tokio::spawn(async move {
+            for _ in 0..length.div_ceil(STREAMED_PIECE_BYTES) {
+                sender.send(vec![b's'; STREAMED_PIECE_BYTES]).await.unwrap();
+            }
+            let is_end = |all: &Vec<&str>| all.contains(&"end") || all.contains(&"break");
+            let ends_well = released.wait_for(is_end).await.unwrap().contains(&"end");
+            if ends_well {
+                sender.send("answer end;").await.unwrap();
+                sender.end().await;
+            }
+        });
+        Response::new(ResponseBody::new(body))
     }
 
     fn may_start_early(&self, head: &Parts) -> bool {
@@ -295,3 +315,55 @@
     assert!(rest.ends_with("answer /b;"), "{rest}");
     fixture.handler.wait_started(&["/a", "/b"]).await;
 }
+
+/// Guards against requests that run at sound servers and are never answered, as the answer before them breaks off (LOST).
+#[tokio::test]
+async fn broken_response_takes_those_behind_it_along() {
+    let mut fixture = Fixture::start().await;
+    let all = get("/streamed-300") + &get("/b") + &get("/streamed-0") + &get("/c");
+    fixture.send(&all).await;
+    let started = ["/streamed-300", "/b", "/streamed-0", "/c"];
+    fixture.handler.wait_started(&started).await;
+    fixture.handler.release("break");
+    fixture.handler.release("*");
+    let received = fixture.read_until("answer /c;").await;
+    assert_eq!(received.matches("HTTP/1.1 502").count(), 2, "{received}");
+    assert_eq!(received.matches("HTTP/1.1 200").count(), 2, "{received}");
+    assert!(received.contains("answer /b;"), "{received}");
+}
+
+/// A response is sent as it arrives where nothing waits behind it, or where it is long.
+#[test_case(300, false; "nothing waits")]
+#[test_case(100_000, true; "long")]
+#[tokio::test]
+async fn streamed_response_is_held_back_until_its_end(length: usize, has_more: bool) {
+    let mut fixture = Fixture::start().await;
+    let path: &'static str = Box::leak(format!("/streamed-{length}").into());
+    fixture.send(&get(path)).await;
+    fixture.handler.wait_started(&[path]).await;
+    if has_more {
+        fixture.send(&get("/b")).await;
+        fixture.handler.wait_started(&[path, "/b"]).await;
+    }
+    fixture.handler.release("*");
+    fixture.read_until("sssss").await;
+    fixture.handler.release("end");
+    fixture.read_until("answer end;").await;
+    if has_more {
+        fixture.read_until("answer /b;").await;
+    }
+}
+
+/// A short response that is whole is sent as it came, also if others wait behind it.
+#[tokio::test]
+async fn streamed_response_is_changed_by_those_behind_it() {
+    let mut fixture = Fixture::start().await;
+    fixture.send(&(get("/streamed-300") + &get("/b"))).await;
+    fixture.handler.wait_started(&["/streamed-300", "/b"]).await;
+    fixture.handler.release("end");
+    fixture.handler.release("*");
+    let received = fixture.read_until("answer /b;").await;
+    let body = "s".repeat(300) + "answer end;";
+    assert!(received.contains(&body), "{received}");
+    assert_eq!(received.matches("HTTP/1.1 200").count(), 2, "{received}");
+}
--- a/crates/gateway/src/attempts/trail.rs
+++ b/crates/gateway/src/attempts/trail.rs
@@ -50,6 +50,14 @@
 }
 
 impl Trail {
+    /// Creates the attempts of a request that an upstream has begun to answer.
+    pub(crate) fn with_answer() -> Self {
+        Self {
+            may_have_run: true,
+            ..Self::default()
+        }
+    }
+
     /// Begins an attempt at an upstream.
     pub(crate) fn begin_at(&mut self, upstream: UpstreamId) -> Flight<'_> {
         self.attempted.push(upstream);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 };
 use copperwell_message::{Body, Reason, Request, Response, Serve, Verdict};
 use copperwell_routing::configuration::{Configuration, Route};
-use http::{HeaderName, HeaderValue, StatusCode, request::Parts};
+use http::{HeaderName, HeaderValue, StatusCode, request::Parts, response};
 use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
 use tokio::{sync::Semaphore, time::Instant};
@@ -195,6 +195,27 @@
         })
     }
 
+    /// Refuses a request of which the route is not known, or not any more.
+    fn refuse_unrouted(
+        &self,
+        rejection: Rejection,
+        trail: &Trail,
+        id: Option<HeaderValue>,
+        total: Duration,
+    ) -> http::Response<ResponseBody> {
+        let refusal = Refusal::new(rejection, trail);
+        let unknown_id = HeaderValue::from_static("?");
+        let context = RequestContext {
+            id: id.as_ref().unwrap_or(&unknown_id),
+            route: None,
+            key: None,
+            fingerprint: 0,
+            versions: self.view.routing_versions(),
+        };
+        self.request_log.refused(context, &refusal, trail, total);
+        refusal.to_response(&self.dialect, id.as_ref())
+    }
+
     async fn serve_caller(&self, accepted: Accepted) -> http::Response<ResponseBody> {
         let id = accepted.metadata.id.clone();
         match self.run(accepted).await {
@@ -299,25 +320,20 @@
         self.metrics.requests.inc();
         match self.accept(request, caller, arrived).await {
             Ok(accepted) => self.serve_caller(accepted).await,
+            // It was not sent anywhere.
             Err((rejection, id)) => {
-                // It was not sent anywhere.
-                let trail = Trail::default();
-                let refusal = Refusal::new(rejection, &trail);
-                let unknown_id = HeaderValue::from_static("?");
-                let context = RequestContext {
-                    id: id.as_ref().unwrap_or(&unknown_id),
-                    route: None,
-                    key: None,
-                    fingerprint: 0,
-                    versions: self.view.routing_versions(),
-                };
-                self.request_log
-                    .refused(context, &refusal, &trail, arrived.elapsed());
-                refusal.to_response(&self.dialect, id.as_ref())
+                self.refuse_unrouted(rejection, &Trail::default(), id, arrived.elapsed())
             }
         }
     }
 
+    fn broken_off(&self, head: &response::Parts) -> http::Response<ResponseBody> {
+        let metadata = self.dialect.parse_metadata(&head.headers);
+        let id = metadata.ok().map(|metadata| metadata.id);
+        let rejection = Rejection::new(Reason::ConnectionLost);
+        self.refuse_unrouted(rejection, &Trail::with_answer(), id, Duration::ZERO)
+    }
+
     fn may_start_early(&self, head: &Parts) -> bool {
         let configuration = self.view.configuration();
         let route = configuration.and_then(|known| route_of(&known, head));
