Have successors hand out no upstreams that they keep on their own

Cause: a daemon whose own reads have failed keeps what is missing from the next list for 2.2 s if it is much. It gave all of that to daemons that asked it while the leader was silent, as the list of a read that had just started; these had read a whole list meanwhile, and took the upstreams back.

Change: a daemon that does not lead gives no list while it keeps something. The one that asks goes on to the next successor, or reads the store itself. A leader does as before.

Test: upstreams_that_a_successor_keeps_are_taken_back_by_all failed before (four upstreams where no list is expected), and passes now.

--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -299,9 +299,13 @@
         }
         // A separate statement, so that the lock is released before the calls below take it again.
         let standing = self.state().standing;
-        let delta = shared
-            .store_state
-            .delta_for(request.configuration, request.list);
+        let (store_state, known) = (&shared.store_state, request.list);
+        let delta = match standing {
+            Standing::Leads | Standing::Lapsed(_) => {
+                store_state.delta_for(request.configuration, known)
+            }
+            Standing::Follows => store_state.successor_delta_for(request.configuration, known),
+        };
         Response {
             standing,
             candidates: self.candidates(),
--- a/crates/assignment/src/store_state.rs
+++ b/crates/assignment/src/store_state.rs
@@ -87,6 +87,8 @@
     issued: u64,
     /// Whether this daemon has read the list, rather than been told.
     is_own: bool,
+    /// How many upstreams are in the list though the read did not return them.
+    kept: usize,
     /// When this daemon last read the list; `None` if it never did.
     read_at: Option<Instant>,
     /// When the store last returned or confirmed the newest configuration; `None` if it never did.
@@ -114,6 +116,7 @@
             spans: Vec::new(),
             issued: 0,
             is_own: false,
+            kept: 0,
             read_at: None,
             confirmed_at: None,
         };
@@ -149,12 +152,23 @@
         &self,
         upstreams: impl IntoIterator<Item = Arc<Upstream>>,
         at: Instant,
+    ) -> bool {
+        self.set_upstreams_with_kept(upstreams, at, 0)
+    }
+
+    /// Sets the list of upstreams as [`StoreState::set_upstreams`] does; the read did not return `kept` of them.
+    pub fn set_upstreams_with_kept(
+        &self,
+        upstreams: impl IntoIterator<Item = Arc<Upstream>>,
+        at: Instant,
+        kept: usize,
     ) -> bool {
         let upstreams = upstreams.into_iter();
         let upstreams = upstreams.map(|one| (one.id.clone(), one)).collect();
         let is_new = self.with(|state| {
             state.read_at = Some(at);
             state.is_own = true;
+            state.kept = kept;
             state.replace_list(upstreams)
         });
         if is_new {
@@ -204,6 +218,18 @@
         })
     }
 
+    /// Returns what [`StoreState::delta_for`] returns, for a daemon that asks while the leader is silent.
+    ///
+    /// Returns `None` if the list is older than its read: this daemon has kept upstreams that the read did not return,
+    /// since reads before it had failed. The other daemon may have read the list meanwhile, and know that they left.
+    #[must_use]
+    pub fn successor_delta_for(&self, configuration: u64, known: ListVersion) -> Option<Delta> {
+        match self.with(|state| state.kept) {
+            0 => self.delta_for(configuration, known),
+            _ => None,
+        }
+    }
+
     /// Returns the number of upstreams in the list.
     #[must_use]
     pub fn upstream_count(&self) -> usize {
@@ -264,6 +290,7 @@
         match list {
             UpstreamList::Whole(upstreams) => {
                 self.is_own = false;
+                self.kept = 0;
                 let upstreams = upstreams.iter().cloned().map(Arc::new);
                 self.upstreams = upstreams.map(|one| (one.id.clone(), one)).collect();
                 self.changed_in.clear();
@@ -276,6 +303,7 @@
                 gone,
             } if *from == self.list => {
                 self.is_own = false;
+                self.kept = 0;
                 for upstream in changed {
                     let upstream = Arc::new(upstream.clone());
                     self.upstreams.insert(upstream.id.clone(), upstream);
--- a/crates/gateway/src/view/list.rs
+++ b/crates/gateway/src/view/list.rs
@@ -59,7 +59,8 @@
         let changes = registry.update(listed, now);
         let upstreams: Vec<_> = registry.all().cloned().collect();
         drop(registry);
-        let is_new = self.keys.store_state.set_upstreams(upstreams, start.at);
+        let store_state = &self.keys.store_state;
+        let is_new = store_state.set_upstreams_with_kept(upstreams, start.at, changes.kept);
         let mut update = self.leader_update();
         if is_new || update.list != self.keys.store_state.list_version() {
             // The leader's changes since its last list do not apply to this list.
--- a/crates/gateway/tests/watch/lists.rs
+++ b/crates/gateway/tests/watch/lists.rs
@@ -5,11 +5,17 @@
 use crate::{Fixture, upstream};
 use copperwell_assignment::{
     driver::Environment,
+    exchange::{Client, Request, Server},
     store_state::{Delta, ListVersion, UpstreamList},
+    table::Version,
 };
+use copperwell_gateway::{View, view::ReadStart};
 use copperwell_routing::registry::Upstream;
 use test_case::test_case;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, sleep},
+};
 
 /// Changes of the leader's list must not be applied to a list that was read from the store in the meantime.
 #[tokio::test(start_paused = true)]
@@ -193,6 +199,60 @@
     assert_eq!(registry.len(), 3);
 }
 
+/// Guards against requests to upstreams that have left (DRAIN): a daemon that was cut off from the store keeps them for a
+/// while, and the others take them back as the list of a read that has just started.
+#[tokio::test]
+async fn upstreams_that_a_successor_keeps_are_taken_back_by_all() {
+    let named = |id: &str| Upstream {
+        id: id.into(),
+        ..upstream()
+    };
+    let ids = |upstreams: &Option<UpstreamList>| match upstreams {
+        Some(UpstreamList::Whole(all)) => all.iter().map(|one| one.id.to_string()).collect(),
+        _ => Vec::new(),
+    };
+    let view = View::new(1, "here".into(), crate::ALLOWANCE);
+    let start = || ReadStart {
+        boot: Duration::from_secs(1),
+        at: Instant::now(),
+    };
+    let (server, _reports) = Server::new(&view.keys);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(server.serve(listener));
+    let client = Client::connect(address).await.unwrap();
+    let ask = || async {
+        let request = Request {
+            from: "front-2".into(),
+            strength: 1_000,
+            knows: Version::default(),
+            base: None,
+            address,
+            configuration: 0,
+            announced: 0,
+            list: ListVersion::default(),
+            store_age: None,
+            reports: Vec::new(),
+            quarantine: 0,
+            limits: Vec::new(),
+            limits_version: 0,
+        };
+        client.exchange(request).await.unwrap().delta
+    };
+    view.update_upstreams(["a", "b", "c", "d"].map(named), start());
+    let delta = ask().await.unwrap();
+    assert_eq!(ids(&delta.upstreams), ["a", "b", "c", "d"]);
+    view.record_list_failure();
+    assert_eq!(view.update_upstreams([named("a")], start()).kept, 3);
+    let kept = ask().await;
+    assert!(kept.is_none(), "{kept:?}");
+    assert_eq!(view.registry().len(), 4);
+    while view.update_upstreams([named("a")], start()).kept > 0 {
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(ids(&ask().await.unwrap().upstreams), ["a"]);
+}
+
 /// Waits until a read of the list starts, which takes `delay_ms` and some.
 async fn wait_for_read(fixture: &Fixture, delay_ms: u64) {
     let source = &fixture.source;
