--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -7,8 +7,8 @@
     outgoing::Outgoing,
     traffic::{Metered, Traffic},
 };
-use copperwell_progress::{Allowance, Answer};
-use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use copperwell_progress::{Allowance, Answer, Opened, Sender};
+use hyper::body::Incoming;
 use prometheus_client::metrics::counter::Counter;
 use tokio::{
     net::TcpStream,
@@ -31,7 +31,7 @@
 /// An open connection; dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Outgoing>,
+    sender: Sender<Outgoing>,
     task: JoinHandle<()>,
     traffic: Arc<Traffic>,
     allowance: Allowance,
@@ -86,9 +86,12 @@
         let _ = stream.set_zero_linger();
         let traffic = Arc::new(Traffic::new(bytes));
         let stream = Metered::new(stream, traffic.clone());
-        let (sender, connection, allowance) = copperwell_progress::handshake(stream)
-            .await
-            .map_err(|_| ConnectError::Refused)?;
+        let opened = copperwell_progress::handshake(stream).await;
+        let Opened {
+            sender,
+            connection,
+            allowance,
+        } = opened.map_err(|_| ConnectError::Refused)?;
         let task = tokio::spawn(async move {
             // A pending request gets the error from its sender; an idle connection needs none.
             let _ = connection.await;
--- a/crates/log/src/http.rs
+++ b/crates/log/src/http.rs
@@ -5,7 +5,7 @@
 use crate::{Batch, Error, Log, Vm, VmList};
 use bytes::Bytes;
 use copperwell_keyspace::{batch::base64_bytes, id::LogOffset, record::SIZE_MAX};
-use copperwell_progress::{Allowance, Sender};
+use copperwell_progress::{Allowance, Opened, Sender};
 use error_stack::{Report, ResultExt};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -98,9 +98,12 @@
             let stream = InspectWriter::new(stream, move |bytes: &[u8]| {
                 sent.inc_by(bytes.len() as u64);
             });
-            let (sender, connection, allowance) = copperwell_progress::handshake(stream)
-                .await
-                .change_context(Error::Unavailable)?;
+            let opened = copperwell_progress::handshake(stream).await;
+            let Opened {
+                sender,
+                connection,
+                allowance,
+            } = opened.change_context(Error::Unavailable)?;
             // The task ends when the sender is dropped; a connection error also fails the call.
             tokio::spawn(connection);
             Ok(Connection { sender, allowance })
--- a/crates/progress/src/lib.rs
+++ b/crates/progress/src/lib.rs
@@ -34,20 +34,34 @@
 /// take the body, and what frames the next part.
 pub const UNTIL_PART_MAX_BYTES: usize = 4 * READ_MAX_BYTES;
 
-/// A connection's side that sends requests, and the allowance of its peer.
+/// The side of a connection that sends requests.
 pub type Sender<B> = http1::SendRequest<B>;
 
 /// The connection itself, which has to be polled.
 pub type Connection<T, B> = http1::Connection<TokioIo<Reader<T>>, B>;
 
+/// A connection that has been opened.
+#[derive(Debug)]
+pub struct Opened<T, B>
+where
+    T: AsyncRead + AsyncWrite + Unpin,
+    B: Body + 'static,
+{
+    /// Sends requests.
+    pub sender: Sender<B>,
+    /// The connection itself.
+    pub connection: Connection<T, B>,
+    /// What its peer may send. It is to be renewed as each request is sent, and each answer is to be read through
+    /// [`Allowance::answer`].
+    pub allowance: Allowance,
+}
+
 /// Opens an HTTP/1.1 client connection on `io`.
 ///
-/// The allowance is to be renewed as each request is sent, and each answer is to be read through [`Answer`].
-///
 /// # Errors
 ///
 /// Returns the HTTP library's error.
-pub async fn handshake<T, B>(io: T) -> hyper::Result<(Sender<B>, Connection<T, B>, Allowance)>
+pub async fn handshake<T, B>(io: T) -> hyper::Result<Opened<T, B>>
 where
     T: AsyncRead + AsyncWrite + Unpin,
     B: Body + 'static,
@@ -61,7 +75,11 @@
         .max_buf_size(HEAD_MAX_BYTES)
         .handshake(TokioIo::new(reader))
         .await?;
-    Ok((sender, connection, allowance))
+    Ok(Opened {
+        sender,
+        connection,
+        allowance,
+    })
 }
 
 /// How many bytes may still arrive until the answer gets on; clones share the count.
