--- a/crates/backend/tests/backend/endless.rs
+++ b/crates/backend/tests/backend/endless.rs
@@ -7,12 +7,15 @@
 
 use crate::setup::{DEADLINE, TEST_TIMEOUT};
 use bytes::Bytes;
-use copperwell_backend::{call::Caller, pool::Timing};
+use copperwell_backend::{
+    call::{Caller, Lost, Whole},
+    pool::Timing,
+};
 use http::Request;
 use test_case::test_case;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpSocket,
+    net::{TcpSocket, TcpStream},
     sync::oneshot,
     time::{Instant, sleep, timeout},
 };
@@ -29,6 +32,13 @@
 /// The largest answer that is asked for, in bytes.
 const ANSWER_MAX_BYTES: usize = 1 << 20;
 
+async fn read_request(stream: &mut TcpStream) {
+    let mut request = Vec::new();
+    while !request.ends_with(b"\r\n\r\n{}") {
+        stream.read_buf(&mut request).await.unwrap();
+    }
+}
+
 /// Starts a server that answers one request with `start` and then with `again` without end; returns its address, and how
 /// many bytes were taken once the connection has ended.
 fn endless_server(
@@ -43,10 +53,7 @@
     let (taken_sender, taken) = oneshot::channel();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let mut request = Vec::new();
-        while !request.ends_with(b"\r\n\r\n{}") {
-            stream.read_buf(&mut request).await.unwrap();
-        }
+        read_request(&mut stream).await;
         stream.write_all(start.as_bytes()).await.unwrap();
         let block = again.repeat(WRITE_BYTES / again.len());
         let mut taken = 0;
@@ -58,6 +65,18 @@
     (address, taken)
 }
 
+async fn call(address: SocketAddr) -> Result<Whole, Lost> {
+    let timing = Timing {
+        connect: TEST_TIMEOUT,
+        idle: TEST_TIMEOUT,
+        warm: 0,
+    };
+    let caller = Caller::new(timing, 1, ANSWER_MAX_BYTES);
+    let request = Request::new(Bytes::from_static(b"{}"));
+    let deadline = Instant::now() + DEADLINE;
+    caller.call(address, request, deadline).await
+}
+
 /// Guards against reading for as long as the deadline allows while an answer does not get on, which takes processor time
 /// from all other callers.
 #[test_case("", "HTTP/1.1 100 Continue\r\n\r\n"; "interim answers")]
@@ -73,15 +92,7 @@
 #[tokio::test]
 async fn answer_without_end_is_read_until_the_deadline(start: &'static str, again: &'static str) {
     let (address, taken) = endless_server(start, again);
-    let timing = Timing {
-        connect: TEST_TIMEOUT,
-        idle: TEST_TIMEOUT,
-        warm: 0,
-    };
-    let caller = Caller::new(timing, 1, ANSWER_MAX_BYTES);
-    let request = Request::new(Bytes::from_static(b"{}"));
-    let result = caller.call(address, request, Instant::now() + DEADLINE);
-    let result = result.await;
+    let result = call(address).await;
     assert!(result.is_err(), "{result:?}");
     let taken = timeout(TEST_TIMEOUT, taken).await.unwrap().unwrap();
     assert!(taken <= TAKEN_MAX_BYTES, "{taken} bytes");
@@ -98,10 +109,7 @@
     let length: usize = pieces.iter().sum();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let mut request = Vec::new();
-        while !request.ends_with(b"\r\n\r\n{}") {
-            stream.read_buf(&mut request).await.unwrap();
-        }
+        read_request(&mut stream).await;
         let head =
             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
         stream.write_all(head.as_bytes()).await.unwrap();
@@ -115,13 +123,5 @@
         stream.write_all(b"0\r\n\r\n").await.unwrap();
         let _ = stream.read_u8().await;
     });
-    let timing = Timing {
-        connect: TEST_TIMEOUT,
-        idle: TEST_TIMEOUT,
-        warm: 0,
-    };
-    let caller = Caller::new(timing, 1, ANSWER_MAX_BYTES);
-    let request = Request::new(Bytes::from_static(b"{}"));
-    let whole = caller.call(address, request, Instant::now() + DEADLINE);
-    assert_eq!(whole.await.unwrap().body.len(), length);
+    assert_eq!(call(address).await.unwrap().body.len(), length);
 }
--- a/crates/copperwelld/tests/cut/cut.rs
+++ b/crates/copperwelld/tests/cut/cut.rs
@@ -162,6 +162,26 @@
     harness.client.request(request).await.unwrap().status()
 }
 
+/// Cuts the one of two daemons off that does not lead, and returns it once it is served through the other one; requests
+/// of [`PATIENCE`] take `work` then.
+async fn cut_follower_off(harness: &Harness, work: Duration) -> usize {
+    let daemon = cut_off(Who::Follower, harness)[0];
+    set_patience(harness, daemon).await;
+    set_patience(harness, 1 - daemon).await;
+    let id = harness.daemons[daemon].child.id();
+    for server in &harness.servers {
+        server.cut.set(&[id], How::Reset);
+    }
+    wait_served(harness, daemon, "while cut off").await;
+    for server in &harness.servers {
+        server.set(Faults {
+            work,
+            ..Faults::default()
+        });
+    }
+    daemon
+}
+
 fn patient_id(path: &str) -> String {
     format!("patient{path}")
 }
@@ -173,20 +193,7 @@
     let _room = take_room(1).await;
     let mut harness = Harness::start(2).await;
     harness.wait_served().await;
-    let daemon = cut_off(Who::Follower, &harness)[0];
-    set_patience(&harness, daemon).await;
-    set_patience(&harness, 1 - daemon).await;
-    let id = harness.daemons[daemon].child.id();
-    for server in &harness.servers {
-        server.cut.set(&[id], How::Reset);
-    }
-    wait_served(&harness, daemon, "while cut off").await;
-    for server in &harness.servers {
-        server.set(Faults {
-            work: HELPED_WORK,
-            ..Faults::default()
-        });
-    }
+    let daemon = cut_follower_off(&harness, HELPED_WORK).await;
     let is_running = || {
         let mut servers = harness.servers.iter();
         servers.any(|server| server.runs().contains(&patient_id(path)))
@@ -219,20 +226,7 @@
     let output = |daemon: usize| Stdio::from(File::create(log(daemon)).unwrap());
     let mut harness = Harness::start_in(&ZONES[..2], output).await;
     harness.wait_served().await;
-    let daemon = cut_off(Who::Follower, &harness)[0];
-    set_patience(&harness, daemon).await;
-    set_patience(&harness, 1 - daemon).await;
-    let id = harness.daemons[daemon].child.id();
-    for server in &harness.servers {
-        server.cut.set(&[id], How::Reset);
-    }
-    wait_served(&harness, daemon, "while cut off").await;
-    for server in &harness.servers {
-        server.set(Faults {
-            work: DENIED_WORK,
-            ..Faults::default()
-        });
-    }
+    let daemon = cut_follower_off(&harness, DENIED_WORK).await;
     let runs = || {
         let runs = harness.servers.iter().flat_map(Server::runs);
         runs.filter(|id| *id == patient_id(path)).count()
--- a/crates/copperwelld/tests/gateway/endless.rs
+++ b/crates/copperwelld/tests/gateway/endless.rs
@@ -19,7 +19,7 @@
 use http::StatusCode;
 use test_case::test_case;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpSocket, TcpStream},
     task::JoinSet,
     time::{Instant, sleep, timeout},
@@ -65,12 +65,16 @@
 /// The callers who do not read: as many as the daemon takes.
 const UNREAD_CALLERS: usize = 600;
 
+/// The field of an answer that comes in chunks.
+const CHUNKED: &str = "transfer-encoding: chunked";
+
 /// What a server sends without end.
 #[derive(Debug, Clone, Copy)]
 struct Endless {
-    /// What comes before, behind the head of an answer if there is one.
+    /// The fields of the head of an answer that comes first; `None` for no head.
+    fields: Option<&'static str>,
+    /// What comes once.
     start: &'static str,
-    has_head: bool,
     again: &'static str,
 }
 
@@ -84,42 +88,32 @@
 impl Endless {
     const fn head(start: &'static str, again: &'static str) -> Self {
         Self {
+            fields: None,
             start,
-            has_head: false,
             again,
         }
     }
 
-    /// What comes behind a head with these fields.
-    const fn body(start: &'static str, again: &'static str) -> Self {
+    /// What comes behind the head of an answer.
+    const fn body(fields: &'static str, start: &'static str, again: &'static str) -> Self {
         Self {
+            fields: Some(fields),
             start,
-            has_head: true,
             again,
         }
     }
 
     /// Answers the requests of a connection, one of them without end.
     async fn answer(self, mut stream: TcpStream, taken: Arc<Taken>) {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            match stream.read_u8().await {
-                Ok(byte) => head.push(byte),
-                Err(_) => return,
-            }
-        }
-        let request = String::from_utf8(head).unwrap();
-        let mut lines = request.lines();
-        let Some(id) = lines.find_map(|line| line.strip_prefix(caller::ID_LINE)) else {
+        let Some(id) = caller::read_id(&mut stream)
+            .await
+            .filter(|id| !id.is_empty())
+        else {
             return;
         };
         taken.connections.fetch_add(1, Ordering::Relaxed);
-        let start =
-            match self.has_head {
-                true => format!("{}{}", caller::answer_head(id, "x-field: 1"), self.start)
-                    .replacen("x-field: 1\r\n\r\n", "", 1),
-                false => self.start.to_owned(),
-            };
+        let head = self.fields.map(|fields| caller::answer_head(&id, fields));
+        let start = head.unwrap_or_default() + self.start;
         if stream.write_all(start.as_bytes()).await.is_err() {
             return;
         }
@@ -131,6 +125,21 @@
         }
     }
 
+    /// Starts and registers as many servers of the service without keys.
+    fn serve_all(self, harness: &Harness, servers: usize, taken: &Arc<Taken>) {
+        for number in 0..servers {
+            let address = self.serve(taken.clone());
+            let id = format!("e{number}");
+            // It ends with the runtime of the test.
+            drop(caller::register(
+                harness.store.writer(),
+                &id,
+                "pay",
+                address,
+            ));
+        }
+    }
+
     /// Starts a server; returns its address.
     fn serve(self, taken: Arc<Taken>) -> SocketAddr {
         let socket = TcpSocket::new_v4().unwrap();
@@ -156,6 +165,19 @@
     line.trim().trim_end_matches(" kB").parse().unwrap()
 }
 
+/// Starts the store and sound servers with keys; requests to the service without keys, which has no server yet, last for
+/// `timeout`.
+async fn start(timeout: &str) -> Harness {
+    let mut harness = Harness::start(0).await;
+    harness.servers.truncate(SERVERS);
+    let mut pay = rule("pay", "idempotent", "pay");
+    pay["action"]["timeout"] = timeout.into();
+    let rules = [rule("cups", "idempotent", "cups"), pay];
+    let clusters = [cluster("cups", true), cluster("pay", false)];
+    harness.store.configure(&config(5, &rules, &clusters));
+    harness
+}
+
 /// Waits until a request to a sound service is served.
 async fn wait_sound(harness: &Harness, round: usize) {
     let deadline = Instant::now() + CONDITION_TIMEOUT;
@@ -176,28 +198,15 @@
 #[test_case(Endless::head("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n"); "header fields")]
 #[test_case(Endless::head("HTTP/1.1 200 OK\r\nx-more: ", "x"); "a header field")]
 #[test_case(Endless::head("no answer", "x"); "no answer at all")]
-#[test_case(Endless::body("transfer-encoding: chunked\r\n\r\n", "0"); "zeros before the size of a chunk")]
-#[test_case(Endless::body("transfer-encoding: chunked\r\n\r\n1;", "x"); "an extension of a chunk")]
-#[test_case(Endless::body("transfer-encoding: chunked\r\n\r\n0\r\n", "x-more: 1\r\n"); "trailers")]
-#[test_case(Endless::body("content-length: 2\r\n\r\nok", "x"); "behind an answer")]
+#[test_case(Endless::body(CHUNKED, "", "0"); "zeros before the size of a chunk")]
+#[test_case(Endless::body(CHUNKED, "1;", "x"); "an extension of a chunk")]
+#[test_case(Endless::body(CHUNKED, "0\r\n", "x-more: 1\r\n"); "trailers")]
+#[test_case(Endless::body("content-length: 2", "ok", "x"); "behind an answer")]
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_does_not_get_on_is_read_until_the_timeout(endless: Endless) {
-    let mut harness = Harness::start(0).await;
-    harness.servers.truncate(SERVERS);
-    let rules = [
-        rule("cups", "idempotent", "cups"),
-        rule("pay", "idempotent", "pay"),
-    ];
-    let clusters = [cluster("cups", true), cluster("pay", false)];
-    harness.store.configure(&config(5, &rules, &clusters));
+    let mut harness = start("1500ms").await;
     let taken = Arc::new(Taken::default());
-    let mut registrations = Vec::new();
-    for number in 0..ENDLESS_SERVERS {
-        let address = endless.serve(taken.clone());
-        let id = format!("e{number}");
-        let registration = caller::register(harness.store.writer(), &id, "pay", address);
-        registrations.push(registration);
-    }
+    endless.serve_all(&harness, ENDLESS_SERVERS, &taken);
     let daemon = Daemon::start(&harness.store, Stdio::null());
     let id = daemon.child.id();
     harness.daemons.push(daemon);
@@ -226,35 +235,16 @@
     assert!(memory <= VM_MEMORY_KIB, "{memory} KiB");
     // The daemon still runs, and serves.
     harness.wait_served().await;
-    for registration in registrations {
-        registration.abort();
-    }
 }
 
 /// Guards against memory that grows by the callers who do not read, times what servers send without end.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_who_do_not_read_take_the_memory_of_a_daemon() {
-    let mut harness = Harness::start(0).await;
-    harness.servers.truncate(SERVERS);
-    let mut long = rule("pay", "idempotent", "pay");
-    long["action"]["timeout"] = "9s".into();
-    let rules = [rule("cups", "idempotent", "cups"), long];
-    let clusters = [cluster("cups", true), cluster("pay", false)];
-    harness.store.configure(&config(5, &rules, &clusters));
-    let endless = Endless::body("transfer-encoding: chunked\r\n\r\n", "400\r\n");
+    let mut harness = start("9s").await;
     let chunk: &'static str = Box::leak(format!("400\r\n{}\r\n", "b".repeat(0x400)).into());
-    let endless = Endless {
-        again: chunk,
-        ..endless
-    };
+    let endless = Endless::body(CHUNKED, "", chunk);
     let taken = Arc::new(Taken::default());
-    let mut registrations = Vec::new();
-    for number in 0..UNREAD_SERVERS {
-        let address = endless.serve(taken.clone());
-        let id = format!("e{number}");
-        let registration = caller::register(harness.store.writer(), &id, "pay", address);
-        registrations.push(registration);
-    }
+    endless.serve_all(&harness, UNREAD_SERVERS, &taken);
     let daemon = Daemon::start(&harness.store, Stdio::null());
     let (id, address) = (daemon.child.id(), format!("{}:{}", daemon.ip, daemon.port));
     harness.daemons.push(daemon);
@@ -284,24 +274,14 @@
     let served = harness.send(0, "/cups/1", "after", 7);
     let served = timeout(CONDITION_TIMEOUT, served).await.unwrap();
     assert!(served.is_some_and(|(status, _)| status == StatusCode::OK));
-    for registration in registrations {
-        registration.abort();
-    }
 }
 
 /// Answers a request with a body that goes on until the connection is closed.
 async fn answer_without_end(mut stream: TcpStream) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return,
-        }
-    }
-    let head = String::from_utf8(head).unwrap();
-    let mut lines = head.lines();
-    let id = lines.find_map(|line| line.strip_prefix(caller::ID_LINE));
-    let head = caller::answer_head(id.unwrap(), "connection: close");
+    let Some(id) = caller::read_id(&mut stream).await else {
+        return;
+    };
+    let head = caller::answer_head(&id, "connection: close");
     if stream.write_all(head.as_bytes()).await.is_err() {
         return;
     }
@@ -312,14 +292,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn server_whose_answers_never_end_keeps_its_share() {
-    let mut harness = Harness::start(0).await;
-    harness.servers.truncate(SERVERS);
-    let rules = [
-        rule("cups", "idempotent", "cups"),
-        rule("pay", "idempotent", "pay"),
-    ];
-    let clusters = [cluster("cups", true), cluster("pay", false)];
-    harness.store.configure(&config(5, &rules, &clusters));
+    let mut harness = start("1500ms").await;
     for id in ["p1", "p2", "p3"] {
         let server = Server::start(id, "pay", false, harness.store.writer());
         harness.servers.push(server.await);
--- a/crates/copperwelld/tests/gateway/refusals.rs
+++ b/crates/copperwelld/tests/gateway/refusals.rs
@@ -8,12 +8,12 @@
 
 use crate::{
     harness::Harness,
-    standin::caller::{ID_LINE, answer_head, refusal_head, register},
+    standin::caller::{answer_head, read_id, refusal_head, register},
 };
 use http::StatusCode;
 use test_case::test_case;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     time::sleep,
 };
@@ -37,17 +37,6 @@
     Unasked,
 }
 
-/// Reads a request without a body, and returns its id; `None` once the connection has ended.
-async fn read_id(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.ok()?);
-    }
-    let head = String::from_utf8(head).unwrap();
-    let id = head.lines().find_map(|line| line.strip_prefix(ID_LINE));
-    Some(id.unwrap_or_default().to_owned())
-}
-
 /// Refuses the first request of a connection, and writes that refusal again for each further one, which runs.
 async fn serve(mut stream: TcpStream, copy: Copy, runs: Runs) -> Option<()> {
     let first = read_id(&mut stream).await?;
