Write the last lines of the log before a daemon exits

What the on-call engineers saw: the line that says what came of the last request of a daemon that stops was not in its log.

Cause: a thread of its own writes the log, and had a millisecond from the last line to the exit.

Change: the daemon waits until the lines are written, 0.1 s at most, within the time that it leaves before the platform ends it.

--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -255,8 +255,6 @@
         }
         let _ = timeout_at(exit_at, &mut self.driver).await;
         info!("stopped", kv: { event = "stopped", whole = completed.is_ok() });
-        // Gives the writing thread time for the last log line.
-        sleep(Duration::from_millis(1)).await;
     }
 }
 
--- a/crates/copperwelld/src/log.rs
+++ b/crates/copperwelld/src/log.rs
@@ -9,7 +9,7 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
-    time::SystemTime,
+    time::{Duration, SystemTime},
 };
 
 use error_stack::{Report, ResultExt};
@@ -25,6 +25,11 @@
 /// The approximate size of one write, in bytes.
 const WRITE_BYTES_MAX: usize = 64 << 10;
 
+/// How often a flush looks whether all lines are written, and the interval: it gives up before the platform ends a
+/// stopping daemon.
+const FLUSH_POLLS_MAX: u32 = 100;
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// The format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Format {
@@ -72,11 +77,14 @@
 ) -> Result<Arc<AtomicU64>, Report<spdlog::Error>> {
     let (lines, queued) = sync_channel(QUEUE_LINES_MAX);
     let dropped = Arc::new(AtomicU64::new(0));
-    let writer_dropped = dropped.clone();
-    thread::spawn(move || write_lines(&queued, output, &writer_dropped));
+    let written = Arc::new(AtomicU64::new(0));
+    let (writer_dropped, writer_written) = (dropped.clone(), written.clone());
+    thread::spawn(move || write_lines(&queued, output, &writer_dropped, &writer_written));
     let queue = Queue {
         lines,
         dropped: dropped.clone(),
+        queued: 0,
+        written,
     };
     let sink = WriteSink::builder()
         .target(queue)
@@ -91,30 +99,51 @@
 struct Queue {
     lines: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    /// The lines that were queued.
+    queued: u64,
+    /// Those of them that the writing thread has written.
+    written: Arc<AtomicU64>,
 }
 
 impl Write for Queue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.lines.try_send(line.to_vec()).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        match self.lines.try_send(line.to_vec()) {
+            Ok(()) => self.queued += 1,
+            Err(_) => {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Ok(line.len())
     }
 
+    /// Waits until all lines are written, or for a short time if the reader has stopped reading.
     fn flush(&mut self) -> io::Result<()> {
-        Ok(())
+        for _ in 0..FLUSH_POLLS_MAX {
+            if self.written.load(Ordering::Acquire) >= self.queued {
+                return Ok(());
+            }
+            thread::sleep(FLUSH_POLL_INTERVAL);
+        }
+        Err(io::ErrorKind::TimedOut.into())
     }
 }
 
 /// Writes queued lines until the logger is dropped.
-fn write_lines(lines: &Receiver<Vec<u8>>, mut output: impl Write, dropped: &AtomicU64) {
+fn write_lines(
+    lines: &Receiver<Vec<u8>>,
+    mut output: impl Write,
+    dropped: &AtomicU64,
+    written: &AtomicU64,
+) {
     let mut reported = 0;
     while let Ok(mut batch) = lines.recv() {
+        let mut taken = 1;
         // Lines queued in the meantime are written in one batch.
         while batch.len() < WRITE_BYTES_MAX
             && let Ok(line) = lines.try_recv()
         {
             batch.extend_from_slice(&line);
+            taken += 1;
         }
         let count = dropped.load(Ordering::Relaxed);
         if count > reported {
@@ -127,7 +156,8 @@
             reported = count;
         }
         // A failed write cannot be reported anywhere.
-        let _ = output.write_all(&batch);
+        let _ = output.write_all(&batch).and_then(|()| output.flush());
+        written.fetch_add(taken, Ordering::Release);
     }
 }
 
@@ -137,6 +167,11 @@
     since_epoch.unwrap_or_default().as_millis()
 }
 
+/// Waits until the lines logged so far are written, for a short time at most.
+pub fn flush() {
+    spdlog::default_logger().flush();
+}
+
 /// Turns logging off, for programs that embed daemons.
 pub fn silence() {
     spdlog::default_logger().set_level_filter(LevelFilter::Off);
--- a/crates/copperwelld/src/main.rs
+++ b/crates/copperwelld/src/main.rs
@@ -149,6 +149,8 @@
         }
     };
     let code = runtime.block_on(run);
+    // What came of the last requests is logged right before the exit.
+    log::flush();
     runtime.shutdown_background();
     code
 }
