--- a/crates/copperwelld/src/log.rs
+++ b/crates/copperwelld/src/log.rs
@@ -25,9 +25,10 @@
 /// The approximate size of one write, in bytes.
 const WRITE_BYTES_MAX: usize = 64 << 10;
 
-/// How often a flush looks whether all lines are written, and the interval: it gives up before the platform ends a
-/// stopping daemon.
+/// How often a flush looks whether all lines are written, so that it gives up before the platform ends a stopping daemon.
 const FLUSH_POLLS_MAX: u32 = 100;
+
+/// The interval at which a flush looks.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The format of log lines.
