Open circles of files in gateway and assignment

Thirteen files of gateway used each other in a circle, and eleven of assignment. In gateway the attempts of a request are trail.rs, and with them the refusal that only they can make; why a request is not sent is rejection.rs; lines about the list of upstreams are list_log.rs; the loop that probes paths is watch/reach.rs; the versions of a routing decision stand beside the view that they come from. In assignment what the parts of a daemon share is shared.rs, and the newest configuration that a daemon knows stands with what it has read of the store.

What is left: limits and exchange, which call each other, table and update, and parents with their children. No logic has changed.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -11,7 +11,7 @@
     clock::Clock,
     demand::Report,
     election,
-    exchange::{Newest, Server, Standing},
+    exchange::{Server, Standing},
     lease::{self, LeaderEntry, Observer},
     machine,
     metrics::Metrics,
@@ -19,7 +19,8 @@
     plan::Plan,
     reach::{Helper, Keyed},
     register::{Failure, Register, Snapshot, generation},
-    store_state::{Delta, ListVersion},
+    shared::Shared,
+    store_state::{Delta, ListVersion, Newest},
     table::{Table, Tables, Version},
 };
 use copperwell_message::HashMap;
@@ -37,12 +38,9 @@
 use leading::Leadership;
 use takeover::Term;
 
-pub use shared::{Offer, Shared};
-
 mod fetch;
 mod following;
 mod leading;
-mod shared;
 mod succession;
 mod takeover;
 
--- a/crates/assignment/src/driver/fetch.rs
+++ b/crates/assignment/src/driver/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches configurations that other daemons have.
 
-use super::{Driver, Environment, Offer};
-use crate::{clock::Clock, exchange::Client, order::Sender, register::Register};
+use super::{Driver, Environment};
+use crate::{clock::Clock, exchange::Client, order::Sender, register::Register, shared::Offer};
 use spdlog::info;
 
 impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
--- a/crates/assignment/src/driver/following.rs
+++ b/crates/assignment/src/driver/following.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::{Driver, Environment, Offer};
+use super::{Driver, Environment};
 use crate::{
     DaemonName,
     clock::Clock,
@@ -13,6 +13,7 @@
     lease::{Lapse, LeaderEntry},
     order::Sender,
     register::Register,
+    shared::Offer,
     store_state::ListVersion,
 };
 use spdlog::warn;
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -3,13 +3,14 @@
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
-use super::{Driver, Environment, Offer};
+use super::{Driver, Environment};
 use crate::{
     clock::Clock,
     exchange::{CANDIDATES_MAX, Client},
     lease::LeaderEntry,
     order::Sender,
     register::Register,
+    shared::Offer,
 };
 use futures::future::join_all;
 use tokio::time::{sleep, timeout};
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -11,12 +11,12 @@
 use crate::{
     DaemonName,
     demand::Report,
-    driver,
     lease::{Lapse, LeaderEntry},
     limits::{SharedLimits, Snapshot as LimitSnapshot},
     quarantine::{SharedQuarantine, Snapshot},
     reach::{Helper, Keyed},
-    store_state::{Delta, ListVersion, StoreState},
+    shared,
+    store_state::{Delta, ListVersion, Newest, StoreState},
     table::{RoutingTables, Version},
     transfer::Chunk,
     update::Update,
@@ -118,15 +118,6 @@
     pub limits: Option<LimitSnapshot>,
 }
 
-/// What a daemon knows of the newest configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Newest {
-    /// The version of its configuration.
-    pub version: u64,
-    /// How long ago the store returned or confirmed it.
-    pub age: Duration,
-}
-
 #[tarpc::service]
 trait Rpc {
     /// Reports load and asks for newer tables.
@@ -179,7 +170,7 @@
     /// Creates the server side from the state that the daemon shares, and the channel on which
     /// reports arrive.
     #[must_use]
-    pub fn new(shared: &driver::Shared) -> (Self, mpsc::Receiver<Vec<Report>>) {
+    pub fn new(shared: &shared::Shared) -> (Self, mpsc::Receiver<Vec<Report>>) {
         let (reports, report_receiver) = mpsc::channel(REPORTS_MAX);
         let shared = Shared {
             routing_tables: shared.routing_tables.clone(),
--- a/crates/assignment/src/exchange/client.rs
+++ b/crates/assignment/src/exchange/client.rs
@@ -2,10 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{FRAME_MAX, LONG_POLL_TIMEOUT, Newest, Request, Response, RpcClient};
+use super::{FRAME_MAX, LONG_POLL_TIMEOUT, Request, Response, RpcClient};
 use crate::{
     lease::LeaderEntry,
     reach::Helper,
+    store_state::Newest,
     transfer::{Chunk, ENCODED_BYTES_MAX},
 };
 use copperwell_routing::{limit::Entry, quarantine::Entry as Suspect};
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quarantine;
 pub mod reach;
 pub mod register;
+pub mod shared;
 pub mod store_state;
 pub mod table;
 pub mod transfer;
--- a/crates/assignment/src/store_state.rs
+++ b/crates/assignment/src/store_state.rs
@@ -7,10 +7,7 @@
     time::Duration,
 };
 
-use crate::{
-    exchange::Newest,
-    transfer::{Chunk, Encoded, History},
-};
+use crate::transfer::{Chunk, Encoded, History};
 use copperwell_message::HashMap;
 use copperwell_routing::{UpstreamId, configuration::Configuration, registry::Upstream};
 use serde::{Deserialize, Serialize};
@@ -63,6 +60,15 @@
     },
 }
 
+/// What a daemon knows of the newest configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Newest {
+    /// The version of its configuration.
+    pub version: u64,
+    /// How long ago the store returned or confirmed it.
+    pub age: Duration,
+}
+
 /// This daemon's data from the store.
 #[derive(Debug)]
 pub struct StoreState {
--- a/crates/assignment/tests/driver/main.rs
+++ b/crates/assignment/tests/driver/main.rs
@@ -12,12 +12,13 @@
 
 use copperwell_assignment::{
     clock::Simulated,
-    driver::{Driver, Environment, Identity, Shared, Timing},
-    exchange::{Newest, Server},
+    driver::{Driver, Environment, Identity, Timing},
+    exchange::Server,
     metrics::Metrics,
     order::{Action, Order, Outcome, Sender, Timeouts},
     register::{Failure, Position, Register, Snapshot, position},
-    store_state::{Delta, ListVersion},
+    shared::Shared,
+    store_state::{Delta, ListVersion, Newest},
 };
 use copperwell_routing::{Incarnation, Key, ServiceName, UpstreamId, registry::Upstream};
 use test_case::test_case;
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -25,7 +25,7 @@
     metrics::Metrics as AssignmentMetrics,
 };
 use copperwell_caller::server;
-use copperwell_gateway::{Gateway, View, metrics::Metrics, paths, watch};
+use copperwell_gateway::{Gateway, View, metrics::Metrics, watch};
 use copperwell_peer::link;
 use copperwell_platform::{
     Entries, Orders, Published, Settings, Store, Wire, settings::READY_PATH,
@@ -160,7 +160,7 @@
         let source = Arc::new(Published::new(store.clone()));
         tokio::spawn(watch::configurations(source, view.clone(), metrics.clone()));
         spawn_list_reader(&store, &view, &metrics)?;
-        tokio::spawn(paths::watch(view.clone()));
+        tokio::spawn(watch::paths(view.clone()));
         let cleaned_gateway = gateway.clone();
         tokio::spawn(async move {
             loop {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,10 +11,11 @@
     fingerprint::Identity,
     metrics::{Metrics, Stage},
     pools::ConnectionPools,
-    refusal::{Refusal, Rejection},
+    rejection::Rejection,
     relay::{self, Terms},
     request_log::{RequestContext, RequestLog},
     selector::{Requirements, Selected, Selector},
+    trail::{Refusal, Trail},
     view::View,
 };
 use copperwell_backend::exchange::Failed;
@@ -30,12 +31,9 @@
 
 use outcome::{Classified, classify};
 
-pub(crate) use trail::{Sending, Trail};
-
 mod elsewhere;
 mod outcome;
 mod send;
-mod trail;
 
 /// The share of a route's objective, from the arrival of a request, within which a holder of the request's key
 /// must be selected.
--- a/crates/gateway/src/attempts/elsewhere.rs
+++ b/crates/gateway/src/attempts/elsewhere.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use super::{Attempts, Progress, trail::Flight};
+use super::{Attempts, Progress};
 use crate::{
     dialect::Dialect,
     relay::{Outgoing, Terms},
+    trail::Flight,
 };
 use copperwell_backend::exchange::Failed;
 use copperwell_message::{Body, Reason, Response, Verdict};
--- a/crates/gateway/src/attempts/outcome.rs
+++ b/crates/gateway/src/attempts/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{crash_tracker::Send, refusal::Rejection, view::View};
+use crate::{crash_tracker::Send, rejection::Rejection, view::View};
 use copperwell_backend::{exchange::Failed, lane::Lane};
 use copperwell_message::{Reason, Response, Verdict};
 use copperwell_routing::{load::Outcome, reach::End, registry::Upstream};
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -8,13 +8,13 @@
 use super::{
     Attempts,
     outcome::{self, Attempt, BodyEnd, PathGuard, end_send, end_streamed, outcome_of},
-    trail::Flight,
 };
 use crate::{
     crash_tracker::Send,
     dialect::{Dialect, Outbound},
     metrics::Stage,
     pools::CONNECTIONS_MAX,
+    trail::Flight,
 };
 use copperwell_backend::exchange::Exchange;
 use copperwell_message::{Body, Reason, Reply};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,16 +7,17 @@
 };
 
 use crate::{
-    attempts::{Attempts, Trail},
+    attempts::Attempts,
     dialect::{Dialect, Metadata},
     fingerprint::{Identity, host_of},
     metrics::{Metrics, Stage},
     pools::ConnectionPools,
     queue::Queues,
-    refusal::{Refusal, Rejection},
+    rejection::Rejection,
     relay::{self, Relay, Terms},
     request_log::{RequestContext, RequestLog},
     selector::Selector,
+    trail::{Refusal, Trail},
     view::View,
 };
 use copperwell_caller::{
@@ -203,7 +204,7 @@
         id: Option<HeaderValue>,
         total: Duration,
     ) -> http::Response<ResponseBody> {
-        let refusal = Refusal::new(rejection, trail);
+        let refusal = trail.refuse(rejection);
         let unknown_id = HeaderValue::from_static("?");
         let context = RequestContext {
             id: id.as_ref().unwrap_or(&unknown_id),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use crate::{attempts::Sending, view::View};
+use crate::{trail::Sending, view::View};
 use copperwell_message::Reason;
 use prometheus_client::{
     encoding::EncodeLabelSet,
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -5,12 +5,11 @@
     time::Duration,
 };
 
-use crate::view::View;
-use copperwell_assignment::driver::Shared;
+use copperwell_assignment::shared::Shared;
 use copperwell_backend::probe::{self, Answer};
 use copperwell_routing::{
     UpstreamId,
-    reach::{Change, End, Group, Probe, Reach, Update, Verdict},
+    reach::{Change, End, Probe, Reach, Update},
     registry::Upstream,
 };
 use prometheus_client::{
@@ -18,13 +17,7 @@
     registry::Registry,
 };
 use spdlog::{info, warn};
-use tokio::{
-    sync::watch,
-    time::{Instant, sleep},
-};
-
-/// How often paths are looked at.
-const INTERVAL: Duration = Duration::from_millis(100);
+use tokio::{sync::watch, time::Instant};
 
 /// The timeout for opening the connection of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -172,7 +165,7 @@
     }
 
     /// Looks at all paths; returns those that are to be probed, and what was found of many together.
-    fn update<'a>(&self, all: impl IntoIterator<Item = &'a Arc<Upstream>>) -> Update {
+    pub(crate) fn update<'a>(&self, all: impl IntoIterator<Item = &'a Arc<Upstream>>) -> Update {
         let mut reach = self.reach();
         let update = reach.update(all, Instant::now(), &mut rand::rng());
         self.deferred_probes.inc_by(reach.take_deferred_probes());
@@ -183,7 +176,7 @@
     }
 
     /// Probes a path, with a health check at `health_path` if that is due and there is one.
-    async fn probe(&self, probe: Probe, health_path: Option<String>) {
+    pub(crate) async fn probe(&self, probe: Probe, health_path: Option<String>) {
         self.probes.inc();
         let Probe { upstream, asks } = probe;
         let Some(health_path) = health_path.filter(|_| asks) else {
@@ -209,38 +202,3 @@
         self.record_change(id, change);
     }
 }
-
-/// Probes the paths that are in doubt, forever.
-pub async fn watch(view: Arc<View>) {
-    loop {
-        sleep(INTERVAL).await;
-        let registry = view.registry();
-        let Update { probes, verdicts } = view.paths.update(registry.all());
-        drop(registry);
-        for verdict in verdicts {
-            log_verdict(&verdict);
-        }
-        let configuration = view.configuration();
-        for probe in probes {
-            let known = configuration.as_ref();
-            let service = known.and_then(|known| known.service(&probe.upstream.service));
-            let health_path = service.and_then(|service| service.health_path.clone());
-            let view = view.clone();
-            tokio::spawn(async move { view.paths.probe(probe, health_path).await });
-        }
-    }
-}
-
-fn log_verdict(verdict: &Verdict) {
-    let (service, zone) = match &verdict.group {
-        Group::All => ("", ""),
-        Group::Service(service) => (&**service, ""),
-        Group::Zone(zone) => ("", &**zone),
-    };
-    let Verdict { sampled, lost, .. } = *verdict;
-    if verdict.is_cut_off {
-        warn!("paths to many upstreams are lost together", kv: { event = "cut-off", service, zone, sampled, lost });
-    } else {
-        info!("paths to many upstreams are back", kv: { event = "cut-off-end", service, zone, sampled, lost });
-    }
-}
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -6,7 +6,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    attempts::Trail, line_limit::LineLimit, metrics::Metrics, refusal::Refusal, watch::age_ms,
+    line_limit::LineLimit,
+    list_log::age_ms,
+    metrics::Metrics,
+    trail::{Refusal, Trail},
+    view::RoutingVersions,
 };
 use copperwell_backend::exchange::Failed;
 use copperwell_message::{Reason, Verdict};
@@ -24,17 +28,6 @@
     failures: LineLimit,
 }
 
-/// The versions of the data on which a routing decision was based.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct RoutingVersions {
-    /// The version of the configuration.
-    pub(crate) configuration: u64,
-    /// The term of the leader that published the routing tables.
-    pub(crate) term: u64,
-    /// The number of the routing tables within the term.
-    pub(crate) table: u64,
-}
-
 /// The fields of a request that appear in each of its log lines.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RequestContext<'a> {
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{queue::Queues, refusal::Rejection, relay::Relay, view::View};
+use crate::{queue::Queues, rejection::Rejection, relay::Relay, view::View};
 use copperwell_assignment::table::Version;
 use copperwell_message::Reason;
 use copperwell_routing::{
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -3,7 +3,7 @@
 use super::{Requirements, Selected, Selector};
 use crate::{
     queue::Queues,
-    refusal::Rejection,
+    rejection::Rejection,
     relay::Relay,
     view::{ReadStart, View},
 };
--- a/crates/gateway/src/attempts/trail.rs
+++ b/crates/gateway/src/trail.rs
@@ -2,10 +2,14 @@
 
 use std::{mem, net::SocketAddr, time::Duration};
 
-use crate::refusal::{Refusal, Rejection};
+use crate::rejection::Rejection;
 use copperwell_message::{Response, Verdict};
 use copperwell_routing::UpstreamId;
 
+pub(crate) use refusal::Refusal;
+
+mod refusal;
+
 /// The attempts of a request, at upstreams and through other daemons.
 ///
 /// Whether the request may have run is known here alone: every [`Refusal`] takes it from here, whichever way the request
@@ -120,7 +124,12 @@
             Some(kept) if !self.is_in_flight => kept.result,
             _ => Err(rejection),
         };
-        result.map_err(|rejection| Refusal::new(rejection, self))
+        result.map_err(|rejection| self.refuse(rejection))
+    }
+
+    /// Refuses the request, whatever was kept.
+    pub(crate) fn refuse(&self, rejection: Rejection) -> Refusal {
+        Refusal::new(rejection, self.verdict())
     }
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/trail/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{attempts::Trail, dialect::Dialect};
+use crate::{dialect::Dialect, rejection::Rejection};
 use copperwell_caller::{body::ResponseBody, refusal};
 use copperwell_message::{Reason, Response, Verdict};
 use http::{HeaderValue, StatusCode};
@@ -10,17 +10,6 @@
 /// The `Retry-After` of responses for which no better value is known.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(400);
 
-/// Why a request is not sent on, or got no upstream's response.
-///
-/// It says nothing of whether the request may have run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Rejection {
-    /// Why there is no upstream's response.
-    pub(crate) reason: Reason,
-    /// When the caller may retry, if that is known.
-    pub(crate) retry_after: Option<Duration>,
-}
-
 /// The end of a request that is answered without an upstream's response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -28,36 +17,10 @@
     verdict: Verdict,
 }
 
-impl Rejection {
-    /// Creates a rejection without a time after which the caller may retry.
-    pub(crate) fn new(reason: Reason) -> Self {
-        Self {
-            reason,
-            retry_after: None,
-        }
-    }
-
-    /// Creates the rejection of a request that another daemon can take at once, as this one stops.
-    pub(crate) fn stopping() -> Self {
-        Self::new(Reason::Stopping).with_retry_after(Duration::ZERO)
-    }
-
-    /// Sets the time after which the caller may retry.
-    pub(crate) fn with_retry_after(self, after: Duration) -> Self {
-        Self {
-            retry_after: Some(after),
-            ..self
-        }
-    }
-}
-
 impl Refusal {
-    /// Creates the end of a request whose attempts are those of `trail`, which knows whether it may have run.
-    pub(crate) fn new(rejection: Rejection, trail: &Trail) -> Self {
-        Self {
-            rejection,
-            verdict: trail.verdict(),
-        }
+    /// Creates the end of a request. Only its attempts know whether it may have run.
+    pub(super) fn new(rejection: Rejection, verdict: Verdict) -> Self {
+        Self { rejection, verdict }
     }
 
     /// Returns whether the request may have run.
--- a/crates/gateway/src/attempts/trail/tests.rs
+++ b/crates/gateway/src/trail/tests.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::Trail;
-use crate::refusal::Rejection;
+use crate::rejection::Rejection;
 use copperwell_message::{Body, Reason, Reply, Response, Verdict};
 use test_case::test_case;
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,9 +11,9 @@
     time::Duration,
 };
 
-use crate::{crash_tracker::CrashTracker, paths::Paths, request_log::RoutingVersions};
+use crate::{crash_tracker::CrashTracker, paths::Paths};
 use arc_swap::ArcSwapOption;
-use copperwell_assignment::driver::Shared;
+use copperwell_assignment::shared::Shared;
 use copperwell_message::HashMap;
 use copperwell_routing::{
     ServiceName, UpstreamId, ZoneName,
@@ -75,6 +75,17 @@
     started_at: Instant,
 }
 
+/// The versions of the data on which a routing decision was based.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RoutingVersions {
+    /// The version of the configuration.
+    pub(crate) configuration: u64,
+    /// The term of the leader that published the routing tables.
+    pub(crate) term: u64,
+    /// The number of the routing tables within the term.
+    pub(crate) table: u64,
+}
+
 /// The retry budgets of all services.
 #[derive(Debug)]
 struct Budgets {
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -8,8 +8,7 @@
 use super::{View, leader::Taken};
 use copperwell_assignment::{
     driver::Environment,
-    exchange::Newest,
-    store_state::{Delta, ListVersion, UpstreamList},
+    store_state::{Delta, ListVersion, Newest, UpstreamList},
     transfer,
 };
 use copperwell_routing::{
--- a/crates/gateway/src/view/list.rs
+++ b/crates/gateway/src/view/list.rs
@@ -6,7 +6,7 @@
 };
 
 use super::View;
-use crate::watch;
+use crate::list_log::{self, ListAge};
 use copperwell_assignment::store_state::ListVersion;
 use copperwell_routing::{
     Incarnation, UpstreamId,
@@ -30,16 +30,6 @@
     pub at: Instant,
 }
 
-/// The age of a list of upstreams when it is applied, and whom it comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ListAge {
-    pub(crate) origin: Origin,
-    /// Its age; `None` if there is none yet.
-    pub(crate) age: Option<Duration>,
-    /// The age of the list that it replaces.
-    pub(crate) before: Option<Duration>,
-}
-
 impl View {
     /// Applies a list of upstreams that this daemon read from the store, unless it has a later one.
     pub fn update_upstreams(
@@ -112,7 +102,7 @@
             age,
             before: age,
         };
-        watch::log_changes(&changes, list);
+        list_log::record(&changes, list);
     }
 
     /// Records that the registry has the list of a read that started at `read_at`, and logs its changes.
@@ -129,7 +119,7 @@
             age,
             before,
         };
-        watch::log_changes(changes, list);
+        list_log::record(changes, list);
     }
 
     /// Records that the list of upstreams could not be read, or not in time.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,19 +4,18 @@
 
 use crate::{
     metrics::{Metrics, SourceLabel},
-    view::{View, list::ListAge},
+    view::View,
 };
 use copperwell_policy::backoff::Backoff;
-use copperwell_routing::{
-    registry::Changes,
-    source::{ReadError, Source},
-};
+use copperwell_routing::source::{ReadError, Source};
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
 pub use lists::upstreams;
+pub use reach::paths;
 
 mod lists;
+mod reach;
 
 /// How long a read waits for a newer configuration.
 ///
@@ -126,26 +125,3 @@
         }
     }
 }
-
-/// Logs the changes between two lists of upstreams.
-pub(crate) fn log_changes(changes: &Changes, list: ListAge) {
-    let source = list.origin.as_str();
-    let (age_ms, before_ms) = (age_ms(list.age), age_ms(list.before));
-    for upstream in &changes.joined {
-        info!("upstream joined", kv: { event = "joined", server = &*upstream.id, service = &*upstream.service, zone = &*upstream.zone, born = upstream.born, slots = upstream.slots, source, age_ms, before_ms });
-    }
-    for upstream in &changes.draining {
-        info!("upstream is draining", kv: { event = "draining", server = &*upstream.id, service = &*upstream.service, source, age_ms, before_ms });
-    }
-    for upstream in &changes.gone {
-        info!("upstream removed", kv: { event = "gone", server = &*upstream.id, service = &*upstream.service, source, age_ms, before_ms });
-    }
-    if changes.kept > 0 {
-        info!("missing upstreams kept: their registrations may be renewed", kv: { event = "kept", count = changes.kept });
-    }
-}
-
-/// Returns the age of a list in milliseconds, for logs; -1 if there was no list.
-pub(crate) fn age_ms(age: Option<Duration>) -> i64 {
-    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
-}
--- a/crates/gateway/tests/watch/main.rs
+++ b/crates/gateway/tests/watch/main.rs
@@ -11,8 +11,7 @@
 use copperwell_assignment::{
     clock::Simulated,
     driver::Environment,
-    exchange::Newest,
-    store_state::{Delta, ListVersion, StoreState, UpstreamList},
+    store_state::{Delta, ListVersion, Newest, StoreState, UpstreamList},
     transfer::Encoded,
 };
 use copperwell_gateway::{View, metrics::Metrics, watch};
