Answer what is left before the exit with a short grace too

What callers saw: a connection that ends without an answer, from a daemon that stops, where the grace is under 3.1 s.

Cause: a stopping daemon keeps taking connections for 2.5 s, or until its exit if that comes first. Only then are the requests that are left answered, for which 0.3 s before the exit are meant. With a grace of 1 s both moments were the same, so that the answer raced the exit.

Change: connections are taken until that moment, not until the exit.

Test: the same test reads the last line of the log, which says whether all requests had ended. It failed before, on every run, as the daemon never waited for them, and passes now.

--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -245,7 +245,7 @@
         let cancel_at = exit_at.checked_sub(CANCEL_MARGIN).unwrap_or(exit_at);
         self.gateway.close_connections(cancel_at);
         self.leading.cancel();
-        sleep_until(exit_at.min(started_at + DRAIN_TIME)).await;
+        sleep_until(cancel_at.min(started_at + DRAIN_TIME)).await;
         self.serving.cancel();
         let mut requests = join(&mut self.callers, &mut self.helper);
         let mut completed = timeout_at(cancel_at, &mut requests).await;
--- a/crates/copperwelld/tests/gateway/requests.rs
+++ b/crates/copperwelld/tests/gateway/requests.rs
@@ -1,6 +1,11 @@
 //! Responses to callers.
 
-use std::{process::Stdio, time::Duration};
+use std::{
+    fs::{self, File},
+    path::Path,
+    process::Stdio,
+    time::Duration,
+};
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Daemon, Harness, SERVERS},
@@ -93,14 +98,16 @@
 }
 
 /// A request that does not complete within the grace period receives a response with the known
-/// outcome.
+/// outcome, and the daemon waits until it is sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_beyond_the_grace_period_receives_a_response() {
     let mut harness = Harness::start(1).await;
     let with_short_grace = |settings: String| settings.replacen("grace=6s", "grace=1s", 1);
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(std::process::id().to_string());
+    let log = folder.join("short-grace.log");
     harness.daemons = vec![Daemon::start_with(
         &harness.store,
-        Stdio::null(),
+        Stdio::from(File::create(&log).unwrap()),
         with_short_grace,
     )];
     harness.wait_served().await;
@@ -120,4 +127,6 @@
     assert_eq!(status, StatusCode::BAD_GATEWAY);
     assert!(body.contains("stopping"), "{body}");
     assert_eq!(harness.daemons[0].wait_exited().await, Some(0));
+    let text = fs::read_to_string(log).unwrap();
+    assert!(text.contains("\"whole\":true"), "{text}");
 }
