Play answers without end to orders, health checks and through another daemon

The report of bytes without end asks about each path on which an upstream's bytes arrive. Only requests were played with processes.

Change: tests alone. The server whose answers never end is one for all of them. - Orders: a server that has keys sends without end; others keep getting keys. - Through another daemon: neither daemon takes more memory than a VM has. - Health checks: one byte is read.

--- a/crates/backend/tests/backend/endless.rs
+++ b/crates/backend/tests/backend/endless.rs
@@ -10,6 +10,7 @@
 use copperwell_backend::{
     call::{Caller, Lost, Whole},
     pool::Timing,
+    probe::{self, Answer},
 };
 use http::Request;
 use test_case::test_case;
@@ -34,7 +35,7 @@
 
 async fn read_request(stream: &mut TcpStream) {
     let mut request = Vec::new();
-    while !request.ends_with(b"\r\n\r\n{}") {
+    while !request.ends_with(b"\r\n\r\n{}") && !request.starts_with(b"GET /health") {
         stream.read_buf(&mut request).await.unwrap();
     }
 }
@@ -98,6 +99,18 @@
     assert!(taken <= TAKEN_MAX_BYTES, "{taken} bytes");
 }
 
+/// Guards against a health check that reads for as long as its answer may take.
+#[test_case("", "HTTP/1.1 100 Continue\r\n\r\n"; "interim answers")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n", "x"; "a body")]
+#[tokio::test]
+async fn answer_to_a_health_check_is_read_without_end(start: &'static str, again: &'static str) {
+    let (address, taken) = endless_server(start, again);
+    let answer = probe::ask(address, "/health", DEADLINE, DEADLINE).await;
+    assert_eq!(answer, Answer::Answered);
+    let taken = timeout(TEST_TIMEOUT, taken).await.unwrap().unwrap();
+    assert!(taken <= TAKEN_MAX_BYTES, "{taken} bytes");
+}
+
 /// Guards against a bound on bytes that ends answers which get on: a long one, read as slowly as it comes.
 #[tokio::test]
 async fn long_answer_that_gets_on_is_broken_off() {
--- a/crates/copperwelld/tests/cut/main.rs
+++ b/crates/copperwelld/tests/cut/main.rs
@@ -11,6 +11,7 @@
 
 mod cut;
 mod many_servers;
+mod relayed_endless;
 
 /// Holds back tests that need the machine for themselves, as the stand-in takes much time for each connection.
 static ROOM: Semaphore = Semaphore::const_new(ROOM_ALL as usize);
--- a/crates/copperwelld/tests/gateway/endless.rs
+++ b/crates/copperwelld/tests/gateway/endless.rs
@@ -1,26 +1,23 @@
 //! Servers whose answers never end.
 
-use std::{
-    fs,
-    net::{Ipv4Addr, SocketAddr},
-    process::Stdio,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{process::Stdio, sync::Arc, time::Duration};
 
 use crate::{
     harness::{CONDITION_TIMEOUT, Daemon, Harness, SERVERS},
-    standin::{caller, cluster, config, rule, server::Server},
+    standin::{
+        caller, cluster, config,
+        cut::Cut,
+        endless::{CHUNKED, Endless, TAKEN_MAX_BYTES, Taken, VM_MEMORY_KIB, memory_max_kib},
+        rule,
+        server::Server,
+    },
 };
 use futures::future::join_all;
 use http::StatusCode;
 use test_case::test_case;
 use tokio::{
     io::AsyncWriteExt,
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     task::JoinSet,
     time::{Instant, sleep, timeout},
 };
@@ -37,16 +34,6 @@
 /// The most of the others that may be lost: a fifth of the share that the server would get of four.
 const LOST_MAX: usize = (REQUESTS - FIRST_REQUESTS) / 4 / 5;
 
-/// The most bytes that a daemon may take of one answer that does not get on: what it reads, and what the sockets of both
-/// sides hold.
-const TAKEN_MAX_BYTES: usize = 8 << 20;
-
-/// The size of a write, in bytes.
-const WRITE_BYTES: usize = 16 << 10;
-
-/// The send buffer of a server, in bytes.
-const SEND_BUFFER_BYTES: u32 = 64 << 10;
-
 /// The servers of one service whose answers never end; none of them is sound.
 const ENDLESS_SERVERS: usize = 3;
 
@@ -56,8 +43,8 @@
 /// How often each of them asks.
 const ROUNDS: usize = 4;
 
-/// The memory of the smallest VM, in KiB.
-const VM_MEMORY_KIB: u64 = 160 << 10;
+/// The keys that sound servers hold at least beside one that is faulty: more than their share of four.
+const KEYS_MIN: usize = 50_000;
 
 /// The servers whose answers nobody reads.
 const UNREAD_SERVERS: usize = 60;
@@ -65,106 +52,6 @@
 /// The callers who do not read: as many as the daemon takes.
 const UNREAD_CALLERS: usize = 600;
 
-/// The field of an answer that comes in chunks.
-const CHUNKED: &str = "transfer-encoding: chunked";
-
-/// What a server sends without end.
-#[derive(Debug, Clone, Copy)]
-struct Endless {
-    /// The fields of the head of an answer that comes first; `None` for no head.
-    fields: Option<&'static str>,
-    /// What comes once.
-    start: &'static str,
-    again: &'static str,
-}
-
-/// Counts the connections to a server, and the bytes that were taken on the one that took most.
-#[derive(Debug, Default)]
-struct Taken {
-    connections: AtomicUsize,
-    bytes_max: AtomicUsize,
-}
-
-impl Endless {
-    const fn head(start: &'static str, again: &'static str) -> Self {
-        Self {
-            fields: None,
-            start,
-            again,
-        }
-    }
-
-    /// What comes behind the head of an answer.
-    const fn body(fields: &'static str, start: &'static str, again: &'static str) -> Self {
-        Self {
-            fields: Some(fields),
-            start,
-            again,
-        }
-    }
-
-    /// Answers the requests of a connection, one of them without end.
-    async fn answer(self, mut stream: TcpStream, taken: Arc<Taken>) {
-        let Some(id) = caller::read_id(&mut stream)
-            .await
-            .filter(|id| !id.is_empty())
-        else {
-            return;
-        };
-        taken.connections.fetch_add(1, Ordering::Relaxed);
-        let head = self.fields.map(|fields| caller::answer_head(&id, fields));
-        let start = head.unwrap_or_default() + self.start;
-        if stream.write_all(start.as_bytes()).await.is_err() {
-            return;
-        }
-        let block = self.again.repeat(WRITE_BYTES / self.again.len());
-        let mut bytes = 0;
-        while stream.write_all(block.as_bytes()).await.is_ok() {
-            bytes += block.len();
-            taken.bytes_max.fetch_max(bytes, Ordering::Relaxed);
-        }
-    }
-
-    /// Starts and registers as many servers of the service without keys.
-    fn serve_all(self, harness: &Harness, servers: usize, taken: &Arc<Taken>) {
-        for number in 0..servers {
-            let address = self.serve(taken.clone());
-            let id = format!("e{number}");
-            // It ends with the runtime of the test.
-            drop(caller::register(
-                harness.store.writer(),
-                &id,
-                "pay",
-                address,
-            ));
-        }
-    }
-
-    /// Starts a server; returns its address.
-    fn serve(self, taken: Arc<Taken>) -> SocketAddr {
-        let socket = TcpSocket::new_v4().unwrap();
-        socket.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
-        socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
-        let listener = socket.listen(1_024).unwrap();
-        let address = listener.local_addr().unwrap();
-        tokio::spawn(async move {
-            let mut connections = JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(self.answer(stream, taken.clone()));
-            }
-        });
-        address
-    }
-}
-
-/// Returns the most memory that a process has had, in KiB.
-fn memory_max_kib(id: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-    let mut lines = status.lines();
-    let line = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse().unwrap()
-}
-
 /// Starts the store and sound servers with keys; requests to the service without keys, which has no server yet, last for
 /// `timeout`.
 async fn start(timeout: &str) -> Harness {
@@ -192,6 +79,15 @@
     }
 }
 
+/// Checks what a daemon has taken of answers that do not get on, and its memory.
+fn check(taken: &Taken, daemon: u32) {
+    assert!(taken.requests() > 0, "no request was sent");
+    let bytes = taken.bytes_max();
+    assert!(bytes <= TAKEN_MAX_BYTES, "{bytes} bytes on one connection");
+    let memory = memory_max_kib(daemon);
+    assert!(memory <= VM_MEMORY_KIB, "{memory} KiB");
+}
+
 /// Guards against the report of other operators: a daemon that keeps what a faulty server sends without end, or reads it
 /// for as long as the request may last, so that others wait or the daemon ends.
 #[test_case(Endless::head("", "HTTP/1.1 100 Continue\r\n\r\n"); "interim answers")]
@@ -205,8 +101,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_does_not_get_on_is_read_until_the_timeout(endless: Endless) {
     let mut harness = start("1500ms").await;
-    let taken = Arc::new(Taken::default());
-    endless.serve_all(&harness, ENDLESS_SERVERS, &taken);
+    let writer = harness.store.writer();
+    let taken = endless.serve(&writer, "pay", ENDLESS_SERVERS, &Cut::default());
     let daemon = Daemon::start(&harness.store, Stdio::null());
     let id = daemon.child.id();
     harness.daemons.push(daemon);
@@ -227,24 +123,43 @@
         }
     };
     tokio::join!(join_all(callers), sound);
-    let connections = taken.connections.load(Ordering::Relaxed);
-    assert!(connections > 0, "no request was sent");
-    let bytes = taken.bytes_max.load(Ordering::Relaxed);
-    assert!(bytes <= TAKEN_MAX_BYTES, "{bytes} bytes on one connection");
-    let memory = memory_max_kib(id);
-    assert!(memory <= VM_MEMORY_KIB, "{memory} KiB");
+    check(&taken, id);
     // The daemon still runs, and serves.
     harness.wait_served().await;
 }
 
+/// Guards against a leader that reads the answers to its orders for as long as it waits for them, so that the keys of
+/// sound servers are not granted.
+#[test_case(Endless::head("", "HTTP/1.1 100 Continue\r\n\r\n"); "interim answers")]
+#[test_case(Endless::head("HTTP/1.1 200 OK\r\nx-more: ", "x"); "a header field")]
+#[test_case(Endless::body(CHUNKED, "", "0"); "zeros before the size of a chunk")]
+#[test_case(Endless::body(CHUNKED, "0\r\n", "x-more: 1\r\n"); "trailers")]
+#[test_case(Endless::body("content-length: 99999999", "", "x"); "a body")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_to_an_order_holds_the_orders_to_others_up(endless: Endless) {
+    let mut harness = start("1500ms").await;
+    let taken = endless.serve(&harness.store.writer(), "cups", 1, &Cut::default());
+    let daemon = Daemon::start(&harness.store, Stdio::null());
+    let id = daemon.child.id();
+    harness.daemons.push(daemon);
+    // Keys that the faulty server should get are served by others in the end.
+    let held = || harness.servers.iter().map(Server::keys).sum::<usize>();
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    while held() < KEYS_MIN || taken.requests() == 0 {
+        assert!(Instant::now() < deadline, "{} keys are held", held());
+        sleep(Duration::from_millis(50)).await;
+    }
+    check(&taken, id);
+}
+
 /// Guards against memory that grows by the callers who do not read, times what servers send without end.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_who_do_not_read_take_the_memory_of_a_daemon() {
     let mut harness = start("9s").await;
     let chunk: &'static str = Box::leak(format!("400\r\n{}\r\n", "b".repeat(0x400)).into());
     let endless = Endless::body(CHUNKED, "", chunk);
-    let taken = Arc::new(Taken::default());
-    endless.serve_all(&harness, UNREAD_SERVERS, &taken);
+    let writer = harness.store.writer();
+    let taken = endless.serve(&writer, "pay", UNREAD_SERVERS, &Cut::default());
     let daemon = Daemon::start(&harness.store, Stdio::null());
     let (id, address) = (daemon.child.id(), format!("{}:{}", daemon.ip, daemon.port));
     harness.daemons.push(daemon);
@@ -260,11 +175,11 @@
     }
     // All that can be streamed is under way once no more is taken.
     let mut before = usize::MAX;
-    while taken.bytes_max.load(Ordering::Relaxed) != before {
-        before = taken.bytes_max.load(Ordering::Relaxed);
+    while taken.bytes_max() != before {
+        before = taken.bytes_max();
         sleep(Duration::from_millis(500)).await;
     }
-    let streams = taken.connections.load(Ordering::Relaxed);
+    let streams = taken.requests();
     assert!(streams > 0, "no request was sent");
     let memory = memory_max_kib(id);
     assert!(
