Keep the number of daemons that share a retry budget for a moment's less

Cause: each daemon spends an equal share of the slack, among the highest number of daemons that it has heard in 40 s. When these are over it took the number of that moment. A leader names the daemons that have called it; one that has just begun to lead names few.

Change: the highest number of the present 40 s and of those before counts, so that all have to name less for 40 s.

Test: momentary_number_of_daemons_multiplies_the_slack failed before: 51 retries by one of 12 daemons where 4 are its share. It passes now, and all others of the budget.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -19,8 +19,8 @@
 /// least number while a daemon has been running for less than a window, since it may not know all others yet.
 const ASSUMED_DAEMONS: usize = 16;
 
-/// The number of windows for which a daemon that is no longer seen keeps its share, since it may only be
-/// partitioned from this one.
+/// The number of windows for which a daemon that is no longer seen keeps its share at least, since it may only be
+/// partitioned from this one, or not have called a new leader yet.
 const DAEMONS_KEPT_WINDOWS: u32 = 4;
 
 /// The retries that all daemons together may spend on one service.
@@ -44,10 +44,11 @@
     allowance: Allowance,
     started_at: Instant,
     buckets: VecDeque<Bucket>,
-    /// The highest recent number of daemons.
+    /// The highest number of daemons since `daemons_since`, and in the time before.
     daemons: usize,
-    /// When that number was observed.
-    daemons_at: Instant,
+    daemons_before: usize,
+    /// When that time ended and the present one began.
+    daemons_since: Instant,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -66,7 +67,8 @@
             started_at,
             buckets: VecDeque::new(),
             daemons: 0,
-            daemons_at: started_at,
+            daemons_before: 0,
+            daemons_since: started_at,
         }
     }
 
@@ -117,12 +119,14 @@
             0 => ASSUMED_DAEMONS,
             known => known,
         };
-        let expires_at = self.daemons_at + self.allowance.window * DAEMONS_KEPT_WINDOWS;
-        if daemons >= self.daemons || now >= expires_at {
-            self.daemons = daemons;
-            self.daemons_at = now;
+        let ends_at = self.daemons_since + self.allowance.window * DAEMONS_KEPT_WINDOWS;
+        if now >= ends_at {
+            self.daemons_before = self.daemons;
+            self.daemons = 0;
+            self.daemons_since = now;
         }
-        self.daemons
+        self.daemons = self.daemons.max(daemons);
+        self.daemons.max(self.daemons_before)
     }
 
     /// Removes buckets that have left the window, and returns the one for `now`.
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -58,6 +58,21 @@
     assert_eq!(spend_all(&mut budget, partitioned_at, visible), 4);
 }
 
+/// Guards against a number that is right for a moment alone, as a new leader names it before all daemons have called it.
+#[test]
+fn momentary_number_of_daemons_multiplies_the_slack() {
+    let started_at = Instant::now();
+    let mut budget = Budget::new(ALLOWANCE, started_at);
+    let mut now = started_at + ALLOWANCE.window;
+    budget.remaining(now, DAEMONS);
+    for _ in 0..20 {
+        now += ALLOWANCE.window / 4;
+        let spent = spend_all(&mut budget, now, 1);
+        assert!(spent <= 4, "{spent} retries by one of {DAEMONS} daemons");
+        budget.remaining(now, DAEMONS - 1);
+    }
+}
+
 /// All daemons restart: both incarnations together must not spend more in a window than one may.
 #[test]
 fn restart_does_not_spend_the_slack_again() {
