--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -76,6 +76,25 @@
     }
 }
 
+/// Guards against a fleet that is started anew at once, before a leader has told its daemons how many they are: together
+/// they must not spend more than the slack.
+#[test_case(12; "a dozen")]
+#[test_case(100; "a hundred")]
+#[test_case(300; "hundreds")]
+fn daemons_that_do_not_know_their_number_spend_more_than_the_slack(daemons: u32) {
+    let started_at = Instant::now();
+    let end = started_at + ALLOWANCE.window;
+    let budgets = (0..daemons).map(|_| Budget::new(ALLOWANCE, started_at));
+    let spent: u32 = budgets
+        .map(|mut budget| spend_all(&mut budget, end, 0))
+        .sum();
+    assert!(
+        f64::from(spent) <= ALLOWANCE.slack,
+        "{spent} retries of {}",
+        ALLOWANCE.slack
+    );
+}
+
 /// All daemons restart: both incarnations together must not spend more in a window than one may.
 #[test]
 fn restart_does_not_spend_the_slack_again() {
@@ -163,8 +182,10 @@
 /// The interval at which callers may send.
 const STEP: Duration = Duration::from_millis(50);
 
-/// The time that is played, and when upstreams begin to shed every request.
+/// The time that is played.
 const PLAYED: Duration = Duration::from_secs(60);
+
+/// When upstreams begin to shed every request.
 const SHEDS_AT: Duration = Duration::from_secs(30);
 
 /// The retries that the route of a request allows.
