Words that a reader had to solve

From reading the whole change as a newcomer. A response is read whole, not settled; two fields and three constants have a comment each; a reason for what pays for no retries; two blocks of one type are one; names of the users' rules leave comments of tests.

No logic is changed.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -52,15 +52,13 @@
     pub fn new(body: Body) -> Self {
         Self { body, permit: None }
     }
-}
 
-impl ResponseBody {
     /// Reads the body if it ends within `limit` bytes, so that nothing is left to fail; a longer one is streamed on.
     ///
     /// # Errors
     ///
     /// Returns [`Incomplete`] if the body ends too early.
-    pub(crate) async fn settle(mut self, limit: usize) -> Result<Self, Incomplete> {
+    pub(crate) async fn read_within(mut self, limit: usize) -> Result<Self, Incomplete> {
         if self.body.as_full().is_some() {
             return Ok(self);
         }
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -37,7 +37,7 @@
 const UNSERVED_MAX_BYTES: usize = 64 << 10;
 
 /// The largest response that is read whole before it is sent because others wait behind it, in bytes.
-const SETTLED_MAX_BYTES: usize = 64 << 10;
+const READ_WHOLE_MAX_BYTES: usize = 64 << 10;
 
 /// The size of the buffer for reads from a caller.
 const READ_BYTES: usize = 4 << 10;
@@ -143,7 +143,7 @@
             }
         };
         if self.has_early() {
-            response = self.settle(response).await;
+            response = self.read_whole(response).await;
         }
         let is_last = self.finish();
         if is_last && self.handler.is_stopping() {
@@ -153,11 +153,11 @@
         response
     }
 
-    /// Reads a response before it is sent: if it broke off on the way, the connection would end with it, and with the
-    /// responses to the requests that were started behind it.
-    async fn settle(&self, response: Response<ResponseBody>) -> Response<ResponseBody> {
+    /// Reads a response whole before it is sent, unless it is long: if it broke off on the way, the connection would end,
+    /// and with it the responses to the requests that were started behind it.
+    async fn read_whole(&self, response: Response<ResponseBody>) -> Response<ResponseBody> {
         let (head, body) = response.into_parts();
-        match body.settle(SETTLED_MAX_BYTES).await {
+        match body.read_within(READ_WHOLE_MAX_BYTES).await {
             Ok(body) => Response::from_parts(head, body),
             Err(Incomplete) => self.handler.broken_off(&head),
         }
--- a/crates/caller/tests/pipeline.rs
+++ b/crates/caller/tests/pipeline.rs
@@ -316,7 +316,7 @@
     fixture.handler.wait_started(&["/a", "/b"]).await;
 }
 
-/// Guards against requests that run at sound servers and are never answered, as the answer before them breaks off (LOST).
+/// Guards against requests that run at sound servers and are never answered, as the answer before them breaks off.
 #[tokio::test]
 async fn broken_response_takes_those_behind_it_along() {
     let mut fixture = Fixture::start().await;
--- a/crates/copperwelld/tests/cut/relayed_endless.rs
+++ b/crates/copperwelld/tests/cut/relayed_endless.rs
@@ -28,8 +28,10 @@
 /// How often each of them asks.
 const ROUNDS: usize = 4;
 
-/// The service of the faulty servers, and the version of the configuration that has it.
+/// The service of the faulty servers.
 const SERVICE: &str = "endless";
+
+/// The version of the configuration that has it.
 const VERSION: u64 = 3;
 
 /// Waits until a daemon has the configuration with the faulty servers.
--- a/crates/gateway/tests/watch/lists.rs
+++ b/crates/gateway/tests/watch/lists.rs
@@ -199,7 +199,7 @@
     assert_eq!(registry.len(), 3);
 }
 
-/// Guards against requests to upstreams that have left (DRAIN): a daemon that was cut off from the store keeps them for a
+/// Guards against requests to upstreams that have left: a daemon that was cut off from the store keeps them for a
 /// while, and the others take them back as the list of a read that has just started.
 #[tokio::test]
 async fn upstreams_that_a_successor_keeps_are_taken_back_by_all() {
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -11,7 +11,8 @@
 /// different times and together must not exceed the allowance.
 const SPENDABLE_RATIO: f64 = 0.85;
 
-/// The standard deviations of the requests in a window for which a daemon spends nothing.
+/// The part of the requests in a window that pays for no retries, in standard deviations: each daemon can spend most
+/// after a burst of its own, which other daemons have in other windows.
 const BURST_DEVIATIONS: f64 = 0.5;
 
 /// The share of [`Allowance::ratio`] that a daemon may spend while it has been running for less than a
@@ -39,18 +40,19 @@
 
 /// The retry budget of one daemon for one service.
 ///
-/// A daemon gets an equal share of the slack, and the ratio of its own requests, less a part for bursts. What its previous
-/// incarnation may have spent must not be spent again, so in its first window a new incarnation gets its
-/// share of the slack gradually and only a part of the ratio.
+/// A daemon gets an equal share of the slack, and the ratio of its own requests, less a part for bursts. What its
+/// previous incarnation may have spent must not be spent again, so in its first window a new incarnation gets its share
+/// of the slack gradually and only a part of the ratio.
 #[derive(Debug)]
 pub struct Budget {
     allowance: Allowance,
     started_at: Instant,
     buckets: VecDeque<Bucket>,
-    /// The highest number of daemons since `daemons_since`, and in the time before.
+    /// The highest number of daemons since `daemons_since`.
     daemons: usize,
+    /// The highest number in the [`DAEMONS_KEPT_WINDOWS`] before.
     daemons_before: usize,
-    /// When that time ended and the present one began.
+    /// When the present [`DAEMONS_KEPT_WINDOWS`] began.
     daemons_since: Instant,
 }
 
@@ -116,10 +118,7 @@
         allowed - f64::from(retries)
     }
 
-    /// Returns the requests in the window, less a part for bursts, which is estimated from the buckets.
-    ///
-    /// Each daemon can spend most after a burst of its own, and not all bursts are in the window in which the retries of
-    /// all daemons are counted.
+    /// Returns the requests in the window that pay for retries. How much they vary is estimated from the buckets.
     fn steady_requests(&self) -> f64 {
         let counts = || self.buckets.iter().map(|one| f64::from(one.requests));
         let requests: f64 = counts().sum();
