Spend nothing of the retry slack while the number of daemons is unknown

Callers saw more retries than the fleet may make when hundreds of daemons were started at once: each took sixteen daemons for granted until a leader had named a number, so that 295 daemons could spend up to 18 times the slack. No number that a daemon could assume is safe for a fleet of any size. Until it has been told one it spends the ratio of its own requests only.

--- a/crates/assignment/src/transfer.rs
+++ b/crates/assignment/src/transfer.rs
@@ -3,7 +3,10 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use copperwell_message::HashMap;
-use copperwell_routing::configuration::{Configuration, Version, difference::Difference};
+use copperwell_routing::configuration::{
+    Configuration, Version,
+    difference::{Difference, Extension},
+};
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
 
@@ -98,7 +101,8 @@
             return Some(encoded.clone());
         }
         let difference = later.difference_from(earlier.as_deref());
-        let bytes = bincode::serialize(&difference).ok()?;
+        let mut bytes = bincode::serialize(&difference).ok()?;
+        bincode::serialize_into(&mut bytes, difference.extension()).ok()?;
         let encoded: Encoded = compress_to_vec(&bytes, COMPRESSION_LEVEL).into();
         if self.encoded.len() >= ENCODED_MAX {
             self.encoded.clear();
@@ -117,5 +121,11 @@
 #[must_use]
 pub fn decode(encoded: &[u8]) -> Option<Difference> {
     let bytes = decompress_to_vec_with_limit(encoded, DECODED_BYTES_MAX).ok()?;
-    bincode::deserialize(&bytes).ok()
+    let mut unread = bytes.as_slice();
+    let difference: Difference = bincode::deserialize_from(&mut unread).ok()?;
+    let extension: Extension = match unread.is_empty() {
+        true => Extension::default(),
+        false => bincode::deserialize_from(&mut unread).ok()?,
+    };
+    Some(difference.with_extension(extension))
 }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -19,9 +19,9 @@
 /// window. Its previous incarnation may have spent the whole budget of its requests a moment ago.
 const SPENDABLE_RATIO_AFTER_START: f64 = 0.1;
 
-/// The number of daemons that are assumed to share the slack while their number is unknown. It is also the
-/// least number while a daemon has been running for less than a window, since it may not know all others yet.
-const ASSUMED_DAEMONS: usize = 16;
+/// The least number of daemons that are assumed to share the slack while a daemon has been running for less than a
+/// window, since it may not know all others yet.
+const DAEMONS_MIN_AFTER_START: usize = 16;
 
 /// The number of windows for which a daemon that is no longer seen keeps its share at least, since it may only be
 /// partitioned from this one, or not have called a new leader yet.
@@ -40,15 +40,16 @@
 
 /// The retry budget of one daemon for one service.
 ///
-/// A daemon gets an equal share of the slack, and the ratio of its own requests, less a part for bursts. What its
-/// previous incarnation may have spent must not be spent again, so in its first window a new incarnation gets its share
+/// A daemon gets an equal share of the slack, and the ratio of its own requests, less a part for bursts. While it does
+/// not know how many daemons there are, it gets nothing of the slack: no number that it could assume is safe for a fleet
+/// of any size whose daemons all start at once. What its previous incarnation may have spent must not be spent again, so in its first window a new incarnation gets its share
 /// of the slack gradually and only a part of the ratio.
 #[derive(Debug)]
 pub struct Budget {
     allowance: Allowance,
     started_at: Instant,
     buckets: VecDeque<Bucket>,
-    /// The highest number of daemons since `daemons_since`.
+    /// The highest number of daemons since `daemons_since`; 0 if it is unknown.
     daemons: usize,
     /// The highest number in the [`DAEMONS_KEPT_WINDOWS`] before.
     daemons_before: usize,
@@ -108,11 +109,14 @@
         let window = self.allowance.window.as_secs_f64();
         let age = now.saturating_duration_since(self.started_at).as_secs_f64();
         let earned_ratio = (age / window).min(1.0);
-        let (daemons, spendable_ratio) = match earned_ratio < 1.0 {
-            true => (daemons.max(ASSUMED_DAEMONS), SPENDABLE_RATIO_AFTER_START),
-            false => (daemons, SPENDABLE_RATIO),
+        let (daemons_min, spendable_ratio) = match earned_ratio < 1.0 {
+            true => (DAEMONS_MIN_AFTER_START, SPENDABLE_RATIO_AFTER_START),
+            false => (1, SPENDABLE_RATIO),
+        };
+        let slack_share = match daemons {
+            Some(daemons) => earned_ratio * self.allowance.slack / daemons.max(daemons_min) as f64,
+            None => 0.0,
         };
-        let slack_share = earned_ratio * self.allowance.slack / daemons as f64;
         let allowed =
             spendable_ratio * self.allowance.ratio * requests + SPENDABLE_RATIO * slack_share;
         allowed - f64::from(retries)
@@ -127,12 +131,8 @@
         (requests - BURST_DEVIATIONS * variance.max(0.0).sqrt()).max(0.0)
     }
 
-    /// Records the number of daemons, 0 if it is unknown, and returns the highest recent one.
-    fn update_daemons(&mut self, daemons: usize, now: Instant) -> usize {
-        let daemons = match daemons {
-            0 => ASSUMED_DAEMONS,
-            known => known,
-        };
+    /// Records the number of daemons, 0 if it is unknown, and returns the highest recent one; `None` if none is known.
+    fn update_daemons(&mut self, daemons: usize, now: Instant) -> Option<usize> {
         let ends_at = self.daemons_since + self.allowance.window * DAEMONS_KEPT_WINDOWS;
         if now >= ends_at {
             self.daemons_before = self.daemons;
@@ -140,7 +140,8 @@
             self.daemons_since = now;
         }
         self.daemons = self.daemons.max(daemons);
-        self.daemons.max(self.daemons_before)
+        let daemons = self.daemons.max(self.daemons_before);
+        (daemons > 0).then_some(daemons)
     }
 
     /// Removes buckets that have left the window, and returns the one for `now`.
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use crate::ServiceName;
+use crate::{RegionName, ServiceName};
 use copperwell_message::HashMap;
 use serde::{Deserialize, Serialize};
 
@@ -48,7 +48,7 @@
 }
 
 /// A service and the properties of its upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The name.
     pub name: ServiceName,
@@ -62,6 +62,18 @@
     /// Between daemons it is sent apart from the service, which earlier releases read without it.
     #[serde(skip)]
     pub health_path: Option<String>,
+    /// How its upstreams warm up, if they do; sent apart from the service as well.
+    #[serde(skip)]
+    pub warmup: Option<Warmup>,
+}
+
+/// How the upstreams of a service warm up after their start, or after they have become cold again.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// How long it takes.
+    pub duration: Duration,
+    /// The requests a second that an upstream takes meanwhile, from all daemons together.
+    pub rate: f64,
 }
 
 /// The rule for requests that match a host and a path prefix.
@@ -85,6 +97,11 @@
     pub priority: u32,
     /// The services that get its requests, by weight.
     pub parts: Vec<Part>,
+    /// The regions whose upstreams may serve its requests; empty for all.
+    ///
+    /// Between daemons it is sent apart from the route, which earlier releases read without it.
+    #[serde(skip)]
+    pub regions: Vec<RegionName>,
     /// The number of requests that were assigned to a part.
     #[serde(skip)]
     dealt: AtomicU64,
@@ -179,6 +196,7 @@
             objective: Duration::from_secs(1),
             priority: 0,
             parts: parts.into_iter().collect(),
+            regions: Vec::new(),
             dealt: AtomicU64::new(0),
         }
     }
@@ -218,6 +236,13 @@
         self
     }
 
+    /// Sets the regions whose upstreams may serve requests; none for all.
+    #[must_use]
+    pub fn with_regions(mut self, regions: impl IntoIterator<Item = RegionName>) -> Self {
+        self.regions = regions.into_iter().collect();
+        self
+    }
+
     /// Returns whether two routes are the same, apart from the requests that were assigned to their parts.
     fn is_same_as(&self, other: &Self) -> bool {
         let Self {
@@ -230,6 +255,7 @@
             objective,
             priority,
             parts,
+            regions,
             dealt: _,
         } = self;
         *name == other.name
@@ -241,6 +267,7 @@
             && *objective == other.objective
             && *priority == other.priority
             && *parts == other.parts
+            && *regions == other.regions
     }
 
     /// Returns the service for the next request.
--- a/crates/routing/src/configuration/difference.rs
+++ b/crates/routing/src/configuration/difference.rs
@@ -5,8 +5,8 @@
 
 use std::sync::Arc;
 
-use super::{Configuration, Limits, Route, Service, Version};
-use crate::ServiceName;
+use super::{Configuration, Limits, Route, Service, Version, Warmup};
+use crate::{RegionName, ServiceName};
 use copperwell_message::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,30 @@
     removed: Vec<Place>,
     /// Earlier releases ignore what follows the removed routes.
     health_checks: Vec<HealthCheck>,
+    /// What earlier releases neither send nor read.
+    #[serde(skip)]
+    extension: Extension,
+}
+
+/// Properties of services and routes that follow a difference, as earlier releases do not send them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Extension {
+    warmups: Vec<ServiceWarmup>,
+    regions: Vec<RouteRegions>,
+}
+
+/// How the upstreams of a service warm up.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct ServiceWarmup {
+    service: ServiceName,
+    warmup: Warmup,
+}
+
+/// The regions of a route that is new or has changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct RouteRegions {
+    place: Place,
+    regions: Vec<RegionName>,
 }
 
 /// The path of the health checks of a service.
@@ -75,6 +99,7 @@
             })
         });
         Difference {
+            extension: Extension::new(&services, &changed),
             health_checks: health_checks.collect(),
             from: earlier.map(|earlier| earlier.version),
             to: self.version,
@@ -107,7 +132,53 @@
     }
 }
 
+impl Extension {
+    fn new(services: &[Service], changed: &[Arc<Route>]) -> Self {
+        let warmups = services.iter().filter_map(|service| {
+            Some(ServiceWarmup {
+                service: service.name.clone(),
+                warmup: service.warmup?,
+            })
+        });
+        let restricted = changed.iter().filter(|route| !route.regions.is_empty());
+        let regions = restricted.map(|route| RouteRegions {
+            place: Place::of(route),
+            regions: route.regions.clone(),
+        });
+        Self {
+            warmups: warmups.collect(),
+            regions: regions.collect(),
+        }
+    }
+
+    fn warmup_of(&self, service: &ServiceName) -> Option<Warmup> {
+        let mut warmups = self.warmups.iter();
+        let found = warmups.find(|one| one.service == *service);
+        found.map(|one| one.warmup)
+    }
+}
+
 impl Difference {
+    /// Returns what follows the difference.
+    #[must_use]
+    pub fn extension(&self) -> &Extension {
+        &self.extension
+    }
+
+    /// Sets what follows the difference.
+    #[must_use]
+    pub fn with_extension(mut self, extension: Extension) -> Self {
+        for RouteRegions { place, regions } in &extension.regions {
+            let mut changed = self.changed.iter_mut();
+            let restricted = changed.find(|route| Place::of(route) == *place);
+            if let Some(route) = restricted.and_then(Arc::get_mut) {
+                route.regions = regions.clone();
+            }
+        }
+        self.extension = extension;
+        self
+    }
+
     /// Returns the later configuration; `None` if this is no difference from `earlier`.
     #[must_use]
     pub fn apply(&self, earlier: Option<&Configuration>) -> Option<Configuration> {
@@ -127,12 +198,13 @@
         Some(Configuration::from_shared(
             self.to,
             self.limits,
-            self.services_with_health_checks(),
+            self.complete_services(),
             routes,
         ))
     }
 
-    fn services_with_health_checks(&self) -> impl Iterator<Item = Service> {
+    /// Returns the services with what is sent apart from them.
+    fn complete_services(&self) -> impl Iterator<Item = Service> {
         self.services.iter().map(|service| {
             let check = self
                 .health_checks
@@ -140,6 +212,7 @@
                 .find(|check| check.service == service.name);
             Service {
                 health_path: check.map(|check| check.path.clone()),
+                warmup: self.extension.warmup_of(&service.name),
                 ..service.clone()
             }
         })
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod source;
 pub mod stop;
+pub mod warmup;
 
 /// The name of a service.
 pub type ServiceName = Arc<str>;
@@ -25,6 +26,9 @@
 /// The name of a data centre.
 pub type ZoneName = Arc<str>;
 
+/// The name of a region, which has one or several data centres.
+pub type RegionName = Arc<str>;
+
 /// The name of an upstream, unique among the live ones.
 pub type UpstreamId = Arc<str>;
 
--- a/crates/routing/tests/difference.rs
+++ b/crates/routing/tests/difference.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use copperwell_routing::configuration::{Configuration, Limits, Part, Route, Service};
+use copperwell_routing::configuration::{
+    Configuration, Limits, Part, Route, Service, Warmup, difference::Difference,
+};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
 
@@ -23,6 +25,7 @@
         health_path: version
             .is_multiple_of(2)
             .then(|| format!("/health{version}")),
+        warmup: None,
     };
     let routes = routes
         .iter()
@@ -109,3 +112,33 @@
     let is_same = std::sync::Arc::ptr_eq(&route(&earlier), &route(&later));
     assert_eq!(is_same, goes_on);
 }
+
+/// Guards against properties that earlier releases do not send getting lost between daemons, or breaking those releases.
+#[test_case(true; "sent by this release")]
+#[test_case(false; "sent by an earlier release")]
+fn warm_up_and_regions_get_lost_between_daemons(has_extension: bool) {
+    let warmup = Warmup {
+        duration: Duration::from_secs(3),
+        rate: 4.1,
+    };
+    let plain = configuration(1, &Routes::from([((0, 0), (1, false))]));
+    let service = Service {
+        warmup: Some(warmup),
+        ..plain.services().next().unwrap().clone()
+    };
+    let name = service.name.clone();
+    let route = Route::new("r0", "h0.example", "/0/", []).with_regions(["north".into()]);
+    let sent = Configuration::new(2, plain.limits, [service], [route]);
+    let sent = sent.difference_from(Some(&plain));
+    let bytes = bincode::serialize(&sent).unwrap();
+    let mut received: Difference = bincode::deserialize(&bytes).unwrap();
+    if has_extension {
+        let bytes = bincode::serialize(sent.extension()).unwrap();
+        received = received.with_extension(bincode::deserialize(&bytes).unwrap());
+    }
+    let received = received.apply(Some(&plain)).unwrap();
+    let service = received.service(&name).unwrap();
+    assert_eq!(service.warmup, has_extension.then_some(warmup));
+    let regions = &received.route("h0.example", "/0/x").unwrap().regions;
+    assert_eq!(regions.len(), usize::from(has_extension));
+}
