Serve the other routes of a configuration that is not wholly understood

Callers of a whole deployment were refused, as one route had a type that daemons do not know: the document could not be read, and no route of any kind was served. All daemons then read the store again and again, since a daemon without a configuration read the list of upstreams too.

A rule that cannot be read refuses its requests with 503 (unreadable-route), never with 404. Each such part has a log line and counts in gateway_configuration_defects. A document that cannot be read is read once, and the list of upstreams is read only where no daemon sends it.

--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -61,6 +61,9 @@
     match reason {
         Reason::NoRoute => "Ask for a host and path that the configuration in force serves.",
         Reason::NoConfiguration => "Send it again once this daemon has read its configuration.",
+        Reason::UnreadableRoute => {
+            "The configuration says of the route what this release does not know; publish one that it knows, or upgrade."
+        }
         Reason::NoUpstream => "Send it again once an upstream of the service is there.",
         Reason::Overload => "Send it again after a while; the key is asked for too often.",
         Reason::UpstreamFailed => "Find out what it did before it is sent again.",
--- a/crates/copperwelld/tests/gateway/configuration.rs
+++ b/crates/copperwelld/tests/gateway/configuration.rs
@@ -98,3 +98,35 @@
     // Three successors read the store themselves.
     assert!(sent < 5 * size, "{sent} bytes sent of {size}");
 }
+
+/// Guards against a route that a daemon does not understand being refused as if it did not exist, and against other
+/// routes that are refused with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn route_that_is_not_understood_is_refused_as_unknown() {
+    let harness = Harness::start(2).await;
+    harness.wait_served().await;
+    let mut odd = rule("odd", "idempotent", "cups");
+    odd["priority"] = json!("high");
+    let rules = [
+        rule("cups", "idempotent", "cups"),
+        rule("files", "download", "cups"),
+        rule("streams", "stream", "cups"),
+        odd,
+    ];
+    let clusters = [cluster("cups", true), cluster("pay", false)];
+    harness.store.configure(&config(3, &rules, &clusters));
+    wait_in_force(&harness, 3).await;
+    for number in 0..harness.daemons.len() {
+        for (prefix, expected) in [
+            ("cups", 200),
+            ("files", 200),
+            ("streams", 200),
+            ("odd", 503),
+        ] {
+            let id = format!("{prefix}-{number}");
+            let response = harness.send(number, &format!("/{prefix}/1"), &id, 1).await;
+            let status = response.map(|(status, _)| status.as_u16());
+            assert_eq!(status, Some(expected), "/{prefix}/ at daemon {number}");
+        }
+    }
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -72,6 +72,9 @@
         body: Body,
         trail: &mut Trail,
     ) -> Result<Response, Refusal> {
+        if self.route.is_unreadable() {
+            return trail.finish(Rejection::new(Reason::UnreadableRoute));
+        }
         let Some(service) = self.route.next_service().cloned() else {
             return trail.finish(Rejection::new(Reason::NoRoute));
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::{trail::Sending, view::View};
 use copperwell_message::Reason;
+use copperwell_routing::configuration::defect;
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -56,6 +57,8 @@
     leader_age: Gauge<f64, AtomicU64>,
     daemons: Gauge,
     retries_left: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// What the configuration in force has that is not understood, by kind.
+    defects: Family<DefectLabel, Gauge>,
     pub(crate) invalid_registrations: Counter,
     pub(crate) read_failures: Family<SourceLabel, Counter>,
 }
@@ -87,6 +90,11 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DefectLabel {
+    kind: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabel {
     service: String,
@@ -203,6 +211,11 @@
             "Retries that the budget of a service pays for now",
             all.retries_left,
         );
+        registry.register(
+            "configuration_defects",
+            "Parts of the configuration that are not understood, by kind",
+            all.defects,
+        );
         registry.register(
             "unreadable",
             "Registrations that could not be understood",
@@ -220,7 +233,18 @@
     pub fn update_gauges(&self, view: &View) {
         let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
         let configuration = view.configuration();
-        let version = configuration.map_or(0, |known| known.version);
+        let version = configuration.as_ref().map_or(0, |known| known.version);
+        let defects = configuration
+            .as_ref()
+            .map_or(&[][..], |known| known.defects());
+        for kind in defect::Kind::ALL {
+            let count = defects.iter().filter(|one| one.kind == *kind).count();
+            let label = DefectLabel {
+                kind: kind.as_str(),
+            };
+            let gauge = self.defects.get_or_create(&label);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
         self.configuration
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         self.upstreams_age.set(seconds(view.upstreams_age()));
@@ -312,6 +336,7 @@
             leader_age: Gauge::default(),
             daemons: Gauge::default(),
             retries_left: Family::default(),
+            defects: Family::default(),
             invalid_registrations: Counter::default(),
             read_failures: Family::default(),
         }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -19,14 +19,14 @@
     ServiceName, UpstreamId, ZoneName,
     admission::Admission,
     budget::{Allowance, Budget},
-    configuration::Configuration,
+    configuration::{Configuration, defect::Defect},
     freshness::Freshness,
     latency::RouteLatencies,
     load::Loads,
     registry::{Changes, Registry},
 };
 use rand::RngExt;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::{sync::Notify, time::Instant};
 
 use leader::LeaderUpdate;
@@ -37,6 +37,9 @@
 mod leader;
 pub(crate) mod list;
 
+/// The most parts of a configuration that are logged because they are not understood.
+const DEFECTS_LOGGED_MAX: usize = 32;
+
 /// How long a successor of the leader counts as alive after an answer.
 const SUCCESSOR_TTL: Duration = Duration::from_secs(1);
 
@@ -149,8 +152,16 @@
             }
             let configuration = Arc::new(configuration);
             self.keys.store_state.set_configuration(&configuration);
-            self.configuration.store(Some(configuration));
+            self.configuration.store(Some(configuration.clone()));
             info!("configuration in force", kv: { event = "configuration", version, before });
+            for Defect {
+                kind,
+                name,
+                message,
+            } in configuration.defects().iter().take(DEFECTS_LOGGED_MAX)
+            {
+                warn!("a part of the configuration is not understood", kv: { event = "configuration-defect", version, kind = kind.as_str(), name = name.as_str(), why = message.as_str() });
+            }
         }
         is_newer
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -51,7 +51,8 @@
             sleep(POLL_INTERVAL).await;
         }
         let above = view.configuration().map(|known| known.version);
-        let wait = match view.is_configuration_stale() {
+        // Without a configuration the store is asked to wait for one, which costs fewer calls than to poll it.
+        let wait = match above.is_some() && view.is_configuration_stale() {
             true => Duration::ZERO,
             false => CONFIGURATION_WAIT,
         };
--- a/crates/gateway/src/watch/lists.rs
+++ b/crates/gateway/src/watch/lists.rs
@@ -115,7 +115,9 @@
 impl Reader {
     /// Returns whether this daemon must read the store.
     fn is_needed(&self) -> bool {
-        !self.view.is_complete() || self.view.must_read_upstreams()
+        // A configuration that cannot be read is no reason to read the list as well.
+        let is_listed = self.view.registry().read_at().is_some();
+        !is_listed || self.view.must_read_upstreams()
     }
 
     fn record_start(&mut self, now: Instant) {
--- a/crates/gateway/tests/watch/main.rs
+++ b/crates/gateway/tests/watch/main.rs
@@ -34,6 +34,8 @@
     configuration_reads: AtomicUsize,
     /// How much longer than usual a read of the list takes.
     list_delay_ms: AtomicU64,
+    /// Whether the configuration cannot be read.
+    is_unreadable: bool,
 }
 
 fn configuration(version: u64) -> Configuration {
@@ -72,7 +74,15 @@
         above: Option<u64>,
         wait: Duration,
     ) -> Result<Option<Configuration>, ReadError> {
-        self.configuration_reads.fetch_add(1, Ordering::Relaxed);
+        let reads = self.configuration_reads.fetch_add(1, Ordering::Relaxed);
+        if self.is_unreadable {
+            // The bytes are sent once; then the store waits for others.
+            if reads == 0 {
+                return Err(ReadError::new("the configuration is invalid"));
+            }
+            sleep(wait).await;
+            return Ok(None);
+        }
         let version = self.version.load(Ordering::Relaxed);
         if wait.is_zero() || above.is_none() {
             sleep(Duration::from_millis(4)).await;
@@ -378,3 +388,31 @@
         reads
     );
 }
+
+/// Guards against daemons that read the store again and again because its configuration cannot be read: without a
+/// leader each reads it once a second at most, and a list of upstreams that the leader sends not at all.
+#[tokio::test(start_paused = true)]
+async fn unreadable_configuration_makes_daemons_read_the_store_often() {
+    const PLAYED_S: usize = 20;
+    let source = Arc::new(LateSource {
+        is_unreadable: true,
+        ..LateSource::default()
+    });
+    let view = Arc::new(View::new(7, "here".into(), ALLOWANCE));
+    view.keys.has_looked_for_leader.send_replace(true);
+    let metrics = Metrics::default();
+    let configurations = watch::configurations(source.clone(), view.clone(), metrics.clone());
+    tokio::spawn(configurations);
+    let clock = Simulated::default();
+    let listing = watch::upstreams(source.clone(), view.clone(), clock, metrics);
+    tokio::spawn(listing);
+    sleep(Duration::from_secs(PLAYED_S as u64)).await;
+    let reads = source.configuration_reads.load(Ordering::Relaxed);
+    assert!(reads <= PLAYED_S, "{reads} reads of the configuration");
+    let fixture = Fixture { source, view };
+    fixture.receive_updates(0, Duration::from_secs(2)).await;
+    let lists = fixture.source.list_reads.load(Ordering::Relaxed);
+    fixture.receive_updates(0, Duration::from_secs(10)).await;
+    let lists = fixture.source.list_reads.load(Ordering::Relaxed) - lists;
+    assert_eq!(lists, 0, "reads of the list beside updates from the leader");
+}
--- a/crates/message/src/verdict.rs
+++ b/crates/message/src/verdict.rs
@@ -142,4 +142,6 @@
     Protocol = "protocol", 502;
     /// The upstream has asked for no requests for a time.
     UpstreamClosed = "upstream-closed", 503;
+    /// The route exists, but this daemon does not understand it.
+    UnreadableRoute = "unreadable-route", 503;
 }
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -12,6 +12,9 @@
 use copperwell_message::HashMap;
 use serde::{Deserialize, Serialize};
 
+use defect::Defect;
+
+pub mod defect;
 pub mod difference;
 
 /// The version of a configuration; later ones are higher.
@@ -32,6 +35,8 @@
     services: HashMap<ServiceName, Service>,
     /// The routes of each host, those with the longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
+    /// What this daemon did not understand when it read the configuration.
+    defects: Vec<Defect>,
 }
 
 /// Limits for callers.
@@ -152,9 +157,23 @@
                 .map(|service| (service.name.clone(), service))
                 .collect(),
             hosts,
+            defects: Vec::new(),
         }
     }
 
+    /// Sets what was not understood.
+    #[must_use]
+    pub fn with_defects(mut self, defects: impl IntoIterator<Item = Defect>) -> Self {
+        self.defects = defects.into_iter().collect();
+        self
+    }
+
+    /// Returns what this daemon did not understand; nothing if it has the configuration from another daemon.
+    #[must_use]
+    pub fn defects(&self) -> &[Defect] {
+        &self.defects
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -243,6 +262,12 @@
         self
     }
 
+    /// Returns whether the route exists, but nothing is known of where its requests go.
+    #[must_use]
+    pub fn is_unreadable(&self) -> bool {
+        self.parts.is_empty()
+    }
+
     /// Returns whether two routes are the same, apart from the requests that were assigned to their parts.
     fn is_same_as(&self, other: &Self) -> bool {
         let Self {
