Move hot keys alone, and many of them at the same time

Callers of keys that became hot together waited for one another's moves: only the busiest of all keys could move alone, eight ranges moved at a time, and wide ranges beside a hot key moved instead of it.

Hot keys (a 2,048th of the load and more) now move first, the busiest before the others, from overloaded holders to those that have the lowest relative load with them. Neighbouring ones go together up to a holder's fair load. As many as an eighth of the upstreams move at a time. Wider ranges move as before.

--- a/crates/assignment/src/balance.rs
+++ b/crates/assignment/src/balance.rs
@@ -9,9 +9,14 @@
 /// The number of standard deviations of the counted work that a difference must exceed.
 const SIGNIFICANT_DEVIATIONS: f64 = 1.5;
 
-/// How many times the capacity of its own holder another one must have to receive a key whose load
-/// alone exceeds the fair share of its own holder.
-const HOT_KEY_CAPACITY_FACTOR: f64 = 1.2;
+/// The share of the whole load from which on a key is hot: it may move alone, which changes the holder of a single key.
+const HOT_KEY_SHARE: f64 = 1.0 / 2_048.0;
+
+/// The share of a holder's fair load up to which neighbouring hot keys move together.
+const HOT_KEYS_SHARE: f64 = 1.0;
+
+/// The least part of its holder's relative load by which that of the next holder must be lower for a hot key to move.
+const HOT_KEY_GAIN: f64 = 0.15;
 
 /// The share of the counted load that is added evenly over all keys.
 const EVEN_SHARE: f64 = 0.05;
@@ -54,8 +59,10 @@
 pub struct Loads {
     /// The total load of all keys below each key.
     prefix_sums: Vec<f64>,
-    /// The key with the highest load, and that load.
-    busiest: Option<(Key, f64)>,
+    /// The hot keys and their loads, the busiest first.
+    hot: Vec<(Key, f64)>,
+    /// The load from which on a key is hot.
+    hot_load: f64,
     /// The average load of one request.
     request_load: f64,
 }
@@ -80,19 +87,20 @@
             sum += f64::from(*load) + even;
             prefix_sums.push(sum);
         }
-        let by_load = |one: &(usize, &f32), other: &(usize, &f32)| one.1.total_cmp(other.1);
-        let busiest = loads.iter().enumerate().max_by(by_load);
-        let busiest = busiest.filter(|(_, load)| **load > 0.0);
+        let hot_load = (HOT_KEY_SHARE * total).max(f64::MIN_POSITIVE);
+        let keys = (0..=Key::MAX).zip(loads.iter().map(|load| f64::from(*load)));
+        let mut hot: Vec<_> = keys.filter(|(_, load)| *load >= hot_load).collect();
+        hot.sort_by(|(_, one), (_, other)| other.total_cmp(one));
         Self {
             prefix_sums,
-            busiest: busiest
-                .and_then(|(key, load)| Some((Key::try_from(key).ok()?, f64::from(*load)))),
+            hot,
+            hot_load,
             request_load,
         }
     }
 
-    fn busiest(&self) -> Option<(Key, f64)> {
-        self.busiest
+    fn is_hot(&self, key: Key) -> bool {
+        self.sum(key, key) >= self.hot_load
     }
 
     /// Returns the total load of the keys from `first` to `last`.
@@ -102,18 +110,28 @@
     }
 }
 
-/// Returns moves that balance the loads of the holders, at most `max_moves`.
+/// The most moves of one round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MovesMax {
+    /// The most moves of hot keys.
+    pub hot: usize,
+    /// The most moves of all kinds, from which on no wider range moves.
+    pub wide: usize,
+}
+
+/// Returns moves that balance the loads of the holders.
 ///
-/// Each moves as much of the wanted load as it can, so that few are needed.
+/// Hot keys move first, alone: few keys change their holder, and many keys may become hot at the same time. Each later
+/// move takes as much of the wanted load as it can, so that few are needed.
 ///
 /// `weights` are the relative capacities of the holders. A segment is split if only a part of it is
 /// to move.
 #[must_use]
-pub fn moves(segments: &[Segment], loads: &Loads, weights: &[f64], max_moves: usize) -> Vec<Move> {
+pub fn moves(segments: &[Segment], loads: &Loads, weights: &[f64], max: MovesMax) -> Vec<Move> {
     let mut balancer = Balancer::new(segments, loads, weights);
-    let mut moves = Vec::new();
-    while moves.len() < max_moves
-        && let Some(next) = balancer.next_move()
+    let mut moves = balancer.move_hot_keys(max.hot);
+    while moves.len() < max.wide
+        && let Some(next) = balancer.balancing_move()
     {
         balancer.apply(next);
         moves.push(next);
@@ -154,37 +172,70 @@
         }
     }
 
-    fn next_move(&self) -> Option<Move> {
-        self.hot_key_move().or_else(|| self.balancing_move())
+    /// Moves hot keys from overloaded holders to those that serve them best, the busiest keys first.
+    fn move_hot_keys(&mut self, max_moves: usize) -> Vec<Move> {
+        let mut by_key = self.segments.clone();
+        by_key.sort_by_key(|segment| segment.first);
+        let loads = self.loads;
+        let mut moves: Vec<Move> = Vec::new();
+        for (key, _) in &loads.hot {
+            if moves.len() >= max_moves {
+                break;
+            }
+            if moves.iter().any(|one| (one.first..=one.last).contains(key)) {
+                continue;
+            }
+            let at = by_key.partition_point(|segment| segment.first <= *key);
+            let segment = at.checked_sub(1).map(|at| by_key[at]);
+            let segment = segment.filter(|segment| segment.is_movable && *key <= segment.last);
+            let next = segment.and_then(|segment| self.hot_key_move(*key, &segment, &moves));
+            if let Some(next) = next {
+                self.apply(next);
+                moves.push(next);
+            }
+        }
+        moves
     }
 
-    /// Moves the busiest key to the holder with the largest capacity, if its load alone exceeds the
-    /// fair share of its holder.
-    fn hot_key_move(&self) -> Option<Move> {
-        let (key, load) = self.loads.busiest()?;
-        let segment = self
-            .segments
-            .iter()
-            .find(|segment| segment.first <= key && key <= segment.last)?;
-        let weight = self.weights[segment.holder];
-        if !segment.is_movable || load <= self.mean * weight {
+    /// Moves a hot key to the holder that has the lowest relative load with it, if that is clearly lower than the
+    /// relative load of its own holder. Hot keys behind it go along as far as a holder has room for them on average.
+    fn hot_key_move(&self, key: Key, segment: &Segment, moves: &[Move]) -> Option<Move> {
+        let from = segment.holder;
+        let is_moved = |key: Key| {
+            moves
+                .iter()
+                .any(|one| (one.first..=one.last).contains(&key))
+        };
+        let fair = HOT_KEYS_SHARE * self.mean * self.weights[from];
+        let mut last = key;
+        while last < segment.last
+            && !is_moved(last + 1)
+            && self.loads.is_hot(last + 1)
+            && self.loads.sum(key, last + 1) <= fair
+        {
+            last += 1;
+        }
+        let load = self.loads.sum(key, last);
+        let before = self.relative(from);
+        if before <= (1.0 + TOLERATED_IMBALANCE) * self.mean {
             return None;
         }
-        let by_weight =
-            |one: &usize, other: &usize| self.weights[*one].total_cmp(&self.weights[*other]);
-        let to = (0..self.weights.len()).max_by(by_weight)?;
-        let has_more_capacity = self.weights[to] > HOT_KEY_CAPACITY_FACTOR * weight;
-        has_more_capacity.then_some(Move {
+        let with_key = |to: &usize| (self.totals[*to] + load) / self.weights[*to];
+        let others = (0..self.weights.len()).filter(|to| *to != from && self.weights[*to] > 0.0);
+        let to = others.min_by(|one, other| with_key(one).total_cmp(&with_key(other)))?;
+        let gain = before - with_key(&to);
+        let is_worthwhile = gain > (HOT_KEY_GAIN * before).max(self.noise());
+        is_worthwhile.then_some(Move {
             first: key,
-            last: key,
+            last,
             to,
         })
     }
 
     /// Moves keys from the holder with the highest relative load to the one with the lowest.
     fn balancing_move(&self) -> Option<Move> {
-        let relative = |holder: &usize| self.totals[*holder] / self.weights[*holder];
-        let by_load = |one: &usize, other: &usize| relative(one).total_cmp(&relative(other));
+        let by_load =
+            |one: &usize, other: &usize| self.relative(*one).total_cmp(&self.relative(*other));
         let usable = || (0..self.weights.len()).filter(|holder| self.weights[*holder] > 0.0);
         let mut busy: Vec<usize> = usable().collect();
         busy.sort_by(|one, other| by_load(other, one));
@@ -196,10 +247,18 @@
     }
 
     fn is_imbalanced(&self, busiest: usize, least: usize) -> bool {
-        let difference =
-            self.totals[busiest] / self.weights[busiest] - self.totals[least] / self.weights[least];
-        let noise = (self.mean * self.loads.request_load).sqrt();
-        difference > (TOLERATED_IMBALANCE * self.mean).max(SIGNIFICANT_DEVIATIONS * noise)
+        let difference = self.relative(busiest) - self.relative(least);
+        difference > (TOLERATED_IMBALANCE * self.mean).max(self.noise())
+    }
+
+    /// Returns the load of a holder for each unit of its weight.
+    fn relative(&self, holder: usize) -> f64 {
+        self.totals[holder] / self.weights[holder]
+    }
+
+    /// Returns the difference between relative loads that requests which differ at random explain.
+    fn noise(&self) -> f64 {
+        SIGNIFICANT_DEVIATIONS * (self.mean * self.loads.request_load).sqrt()
     }
 
     /// Returns the movable keys of `from` with the largest load within the limit, which is
--- a/crates/assignment/src/machine/placement.rs
+++ b/crates/assignment/src/machine/placement.rs
@@ -8,7 +8,7 @@
     key_range::{KeyRange, Stage},
 };
 use crate::{
-    balance::{self, Loads, Segment},
+    balance::{self, Loads, MovesMax, Segment},
     demand::Demand,
     table::FULL_SHARE,
 };
@@ -17,6 +17,10 @@
 /// The maximum number of ranges that migrate at the same time to balance the load.
 const MIGRATIONS_MAX: usize = 8;
 
+/// The number of upstreams for each range of hot keys that may migrate at the same time, beyond [`MIGRATIONS_MAX`]: as
+/// many keys may become hot at once as there are upstreams, and each migration concerns two of them for a moment.
+const UPSTREAMS_PER_HOT_MIGRATION: usize = 8;
+
 /// The utilization of a holder's slots above which it admits only a share of the requests for its
 /// keys.
 const FULL_UTILIZATION: f64 = 1.0;
@@ -40,14 +44,18 @@
             .filter(|range| range.is_migrating)
             .count();
         let may_move = !observation.is_store_unreachable && !observation.is_cut_off();
-        if migrating >= MIGRATIONS_MAX || !may_move {
+        let hot_max = MIGRATIONS_MAX.max(targets.holders.len() / UPSTREAMS_PER_HOT_MIGRATION);
+        if migrating >= hot_max || !may_move {
             return;
         }
         let moves = balance::moves(
             &segments,
             &self.loads,
             &targets.weights,
-            MIGRATIONS_MAX - migrating,
+            MovesMax {
+                hot: hot_max - migrating,
+                wide: MIGRATIONS_MAX.saturating_sub(migrating),
+            },
         );
         for next in moves {
             let to = targets.holders[next.to].clone();
