--- a/crates/assignment/src/balance.rs
+++ b/crates/assignment/src/balance.rs
@@ -12,6 +12,10 @@
 /// The share of the whole load from which on a key is hot: it may move alone, which changes the holder of a single key.
 const HOT_KEY_SHARE: f64 = 1.0 / 2_048.0;
 
+/// The least number of recent requests for a hot key. With fewer, keys that are asked for at random look hot, and each move
+/// makes the requests for the key wait.
+const HOT_KEY_REQUESTS: f64 = 8.0;
+
 /// The share of a holder's fair load up to which neighbouring hot keys move together.
 const HOT_KEYS_SHARE: f64 = 1.0;
 
@@ -87,7 +91,9 @@
             sum += f64::from(*load) + even;
             prefix_sums.push(sum);
         }
-        let hot_load = (HOT_KEY_SHARE * total).max(f64::MIN_POSITIVE);
+        let hot_load = (HOT_KEY_SHARE * total)
+            .max(HOT_KEY_REQUESTS * request_load)
+            .max(f64::MIN_POSITIVE);
         let keys = (0..=Key::MAX).zip(loads.iter().map(|load| f64::from(*load)));
         let mut hot: Vec<_> = keys.filter(|(_, load)| *load >= hot_load).collect();
         hot.sort_by(|(_, one), (_, other)| other.total_cmp(one));
