Bound hot keys that move together by an average holder

By the fair load of a slow holder each key of two hundred moved alone, so that six rounds were too few: four times the mean load was left there in hot_keys_stay_together_on_overloaded_holders, 1.8 is the bound.

--- a/crates/assignment/src/balance.rs
+++ b/crates/assignment/src/balance.rs
@@ -16,7 +16,7 @@
 /// makes the requests for the key wait.
 const HOT_KEY_REQUESTS: f64 = 8.0;
 
-/// The share of a holder's fair load up to which neighbouring hot keys move together.
+/// The share of an average holder's fair load up to which neighbouring hot keys move together.
 const HOT_KEYS_SHARE: f64 = 1.0;
 
 /// The least part of its holder's relative load by which that of the next holder must be lower for a hot key to move.
@@ -212,7 +212,8 @@
                 .iter()
                 .any(|one| (one.first..=one.last).contains(&key))
         };
-        let fair = HOT_KEYS_SHARE * self.mean * self.weights[from];
+        let weight = self.weights.iter().sum::<f64>() / self.weights.len() as f64;
+        let fair = HOT_KEYS_SHARE * self.mean * weight;
         let mut last = key;
         while last < segment.last
             && !is_moved(last + 1)
