--- a/crates/assignment/src/balance.rs
+++ b/crates/assignment/src/balance.rs
@@ -34,12 +34,6 @@
 /// The smallest share of the wanted load for which many small moves together are worth their cost.
 const WORTHWHILE_SHARE_OF_MANY: f64 = 0.5;
 
-/// The share of the keys that a holder has on average below which a range is narrow.
-const NARROW_SHARE: f64 = 0.1;
-
-/// The number of all keys.
-const KEYS: f64 = Key::MAX as f64 + 1.0;
-
 /// A range of keys and its holder.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Segment {
@@ -125,32 +119,26 @@
 /// The most moves of one round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MovesMax {
-    /// The most moves of hot keys and narrow ranges.
-    pub narrow: usize,
-    /// The most moves of wide ranges.
+    /// The most moves of hot keys.
+    pub hot: usize,
+    /// The most moves of all kinds, from which on no wider range moves.
     pub wide: usize,
 }
 
 /// Returns moves that balance the loads of the holders.
 ///
 /// Hot keys move first, alone: few keys change their holder, and many keys may become hot at the same time. Each later
-/// move takes as much of the wanted load as it can, so that few are needed. Narrow ranges, in which much of the load is on
-/// few keys, may move at the same time in greater number than wide ones.
+/// move takes as much of the wanted load as it can, so that few are needed.
 ///
 /// `weights` are the relative capacities of the holders. A segment is split if only a part of it is
 /// to move.
 #[must_use]
 pub fn moves(segments: &[Segment], loads: &Loads, weights: &[f64], max: MovesMax) -> Vec<Move> {
     let mut balancer = Balancer::new(segments, loads, weights);
-    let mut moves = balancer.move_hot_keys(max.narrow);
-    let mut wide = 0;
-    while moves.len() < max.narrow.max(max.wide)
+    let mut moves = balancer.move_hot_keys(max.hot);
+    while moves.len() < max.wide
         && let Some(next) = balancer.balancing_move()
     {
-        wide += usize::from(balancer.is_wide(next));
-        if wide > max.wide {
-            break;
-        }
         balancer.apply(next);
         moves.push(next);
     }
@@ -270,12 +258,6 @@
         difference > (TOLERATED_IMBALANCE * self.mean).max(self.noise())
     }
 
-    /// Returns whether a move changes the holder of many keys.
-    fn is_wide(&self, one: Move) -> bool {
-        let fair = KEYS / self.weights.len() as f64;
-        f64::from(one.last - one.first) >= NARROW_SHARE * fair
-    }
-
     /// Returns the load of a holder for each unit of its weight.
     fn relative(&self, holder: usize) -> f64 {
         self.totals[holder] / self.weights[holder]
--- a/crates/assignment/src/machine/placement.rs
+++ b/crates/assignment/src/machine/placement.rs
@@ -17,9 +17,9 @@
 /// The maximum number of ranges that migrate at the same time to balance the load.
 const MIGRATIONS_MAX: usize = 8;
 
-/// The number of upstreams for each narrow range that may migrate at the same time, beyond [`MIGRATIONS_MAX`]: as many
-/// keys may become hot at once as there are upstreams, and each migration concerns two of them for a moment.
-const UPSTREAMS_PER_NARROW_MIGRATION: usize = 4;
+/// The number of upstreams for each range of hot keys that may migrate at the same time, beyond [`MIGRATIONS_MAX`]: as
+/// many keys may become hot at once as there are upstreams, and each migration concerns two of them for a moment.
+const UPSTREAMS_PER_HOT_MIGRATION: usize = 8;
 
 /// The utilization of a holder's slots above which it admits only a share of the requests for its
 /// keys.
@@ -44,8 +44,8 @@
             .filter(|range| range.is_migrating)
             .count();
         let may_move = !observation.is_store_unreachable && !observation.is_cut_off();
-        let narrow_max = MIGRATIONS_MAX.max(targets.holders.len() / UPSTREAMS_PER_NARROW_MIGRATION);
-        if migrating >= narrow_max || !may_move {
+        let hot_max = MIGRATIONS_MAX.max(targets.holders.len() / UPSTREAMS_PER_HOT_MIGRATION);
+        if migrating >= hot_max || !may_move {
             return;
         }
         let moves = balance::moves(
@@ -53,7 +53,7 @@
             &self.loads,
             &targets.weights,
             MovesMax {
-                narrow: narrow_max - migrating,
+                hot: hot_max - migrating,
                 wide: MIGRATIONS_MAX.saturating_sub(migrating),
             },
         );
