Evacuate data centres, and serve routes in their regions only

Operators could not take a data centre out of service: its upstreams got requests until each of them left by its own word. Routes with allowedRegions were served everywhere.

The set lies over every list of upstreams in the registry: upstreams there drain, also in the list that is passed on, and return in the same incarnation at the end, counting as warming up. Sets have a version, the era and offset of the store, so that an older one undoes nothing. A new call between daemons passes the set on. Status, metrics and log lines tell what is left there. Requests that wait at a holder go on when the key has another one. A service whose upstreams are all evacuated is refused at once with Retry-After; so are requests of a route without an upstream in its regions (no-region).

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -25,7 +25,9 @@
 };
 use copperwell_message::HashMap;
 use copperwell_policy::backoff::Backoff;
-use copperwell_routing::{Incarnation, ServiceName, UpstreamId, ZoneName, registry::Upstream};
+use copperwell_routing::{
+    Incarnation, ServiceName, UpstreamId, ZoneName, evacuation::Evacuations, registry::Upstream,
+};
 use rand::RngExt;
 use spdlog::warn;
 use tokio::{
@@ -83,6 +85,9 @@
     /// Applies data that the leader has read from the store.
     fn apply_update(&self, delta: Delta);
 
+    /// Applies evacuations of data centres that another daemon knows of, if they are newer than the known ones.
+    fn apply_evacuations(&self, evacuations: &Evacuations);
+
     /// Returns whether the leader's news are so late that its successors are to be asked.
     fn is_leader_late(&self) -> bool;
 
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -6,7 +6,7 @@
 use super::{Driver, Environment};
 use crate::{
     clock::Clock,
-    exchange::{CANDIDATES_MAX, Client},
+    exchange::{CANDIDATES_MAX, Client, EVACUATIONS_TIMEOUT},
     lease::LeaderEntry,
     order::Sender,
     register::Register,
@@ -97,6 +97,27 @@
         }
     }
 
+    /// Asks the leader for evacuations, until the future is dropped.
+    ///
+    /// A leader of an earlier release closes the connection, so the calls have their own.
+    pub(super) async fn follow_evacuations(&self, leader: &LeaderEntry) {
+        loop {
+            let mut interval = REFRESH_INTERVAL;
+            if let Some(client) = Client::connect(leader.address).await {
+                loop {
+                    let known = self.shared.evacuations.borrow().version;
+                    let Some(evacuations) = client.evacuations(known, EVACUATIONS_TIMEOUT).await
+                    else {
+                        break;
+                    };
+                    interval = REFRESH_INTERVAL_MIN;
+                    self.environment.apply_evacuations(&evacuations);
+                }
+            }
+            sleep(interval).await;
+        }
+    }
+
     /// Asks the successors for their lists of upstreams whenever that of the leader is old, forever.
     pub(super) async fn ask_for_lists(&self) {
         loop {
@@ -165,5 +186,10 @@
             };
             self.shared.offer.send_replace(offer);
         }
+        // The last call on the connection, which a successor of an earlier release closes.
+        let known = self.shared.evacuations.borrow().version;
+        if let Some(evacuations) = client.evacuations(known, Duration::ZERO).await {
+            self.environment.apply_evacuations(&evacuations);
+        }
     }
 }
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -21,7 +21,12 @@
     transfer::Chunk,
     update::Update,
 };
-use copperwell_routing::{Incarnation, UpstreamId, limit::Entry, quarantine::Entry as Suspect};
+use copperwell_routing::{
+    Incarnation, UpstreamId,
+    evacuation::{self, Evacuations},
+    limit::Entry,
+    quarantine::Entry as Suspect,
+};
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
 use tarpc::{
@@ -30,7 +35,11 @@
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio::{net::TcpListener, sync::mpsc, time::timeout};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    time::timeout,
+};
 
 pub use client::Client;
 pub(crate) use peers::{CANDIDATES_MAX, Candidate};
@@ -43,6 +52,9 @@
 /// How long the leader waits for newer data before it answers without any.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a daemon waits for a change of the evacuations before it answers without one.
+pub(crate) const EVACUATIONS_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// The longest message, in bytes.
 const FRAME_MAX: usize = 4 << 20;
 
@@ -147,6 +159,9 @@
     /// Reports which upstreams a daemon reaches; returns daemons that accept its requests. Returns `None` if the
     /// daemon does not lead.
     async fn report_reach(report: Helper) -> Option<Vec<Helper>>;
+
+    /// Waits for at most `wait` for evacuations of a later version than `known`, and returns what the daemon knows.
+    async fn evacuations(known: evacuation::Version, wait: Duration) -> Evacuations;
 }
 
 /// The server side of the exchange, which exists whether or not this daemon leads.
@@ -162,6 +177,7 @@
     store_state: Arc<StoreState>,
     quarantine: Arc<SharedQuarantine>,
     limits: Arc<SharedLimits>,
+    evacuations: Arc<watch::Sender<Evacuations>>,
     reports: mpsc::Sender<Vec<Report>>,
     state: Mutex<State>,
 }
@@ -177,6 +193,7 @@
             store_state: shared.store_state.clone(),
             quarantine: shared.quarantine.clone(),
             limits: shared.limits.clone(),
+            evacuations: shared.evacuations.clone(),
             reports,
             state: Mutex::default(),
         };
@@ -369,6 +386,18 @@
         Some(helpers)
     }
 
+    async fn evacuations(
+        self,
+        _: context::Context,
+        known: evacuation::Version,
+        wait: Duration,
+    ) -> Evacuations {
+        let mut evacuations = self.shared.evacuations.subscribe();
+        let changed = evacuations.wait_for(|current| current.version > known);
+        let _ = timeout(wait.min(EVACUATIONS_TIMEOUT), changed).await;
+        evacuations.borrow().clone()
+    }
+
     async fn newest_configuration(self, _: context::Context) -> Option<Newest> {
         self.shared.store_state.newest_configuration()
     }
--- a/crates/assignment/src/exchange/client.rs
+++ b/crates/assignment/src/exchange/client.rs
@@ -9,7 +9,11 @@
     store_state::Newest,
     transfer::{Chunk, ENCODED_BYTES_MAX},
 };
-use copperwell_routing::{limit::Entry, quarantine::Entry as Suspect};
+use copperwell_routing::{
+    evacuation::{self, Evacuations},
+    limit::Entry,
+    quarantine::Entry as Suspect,
+};
 use tarpc::{
     client::{self, RpcError},
     context,
@@ -89,6 +93,17 @@
         .await?
     }
 
+    /// Waits for at most `wait` for evacuations of a later version than `known`, and returns what the daemon knows;
+    /// `None` if it does not answer.
+    pub async fn evacuations(
+        &self,
+        known: evacuation::Version,
+        wait: Duration,
+    ) -> Option<Evacuations> {
+        let call = |context| self.client.evacuations(context, known, wait);
+        within(wait + CALL_MARGIN, call).await
+    }
+
     /// Reads a configuration, as the difference from `known`; `None` if the daemon does not have it or does not
     /// answer. `on_progress` is called for each part that arrives.
     pub async fn read_configuration(
--- a/crates/assignment/src/shared.rs
+++ b/crates/assignment/src/shared.rs
@@ -12,7 +12,7 @@
     demand::Counts, limits::SharedLimits, quarantine::SharedQuarantine, reach::Helper,
     store_state::StoreState, table::RoutingTables,
 };
-use copperwell_routing::{Incarnation, UpstreamId};
+use copperwell_routing::{Incarnation, UpstreamId, evacuation::Evacuations};
 use tokio::sync::watch;
 
 /// A configuration that other daemons have.
@@ -50,6 +50,8 @@
     pub leaving: Arc<watch::Sender<Vec<(UpstreamId, Incarnation)>>>,
     /// Daemons that accept this daemon's requests to upstreams that it does not reach.
     pub helpers: Arc<watch::Sender<Vec<Helper>>>,
+    /// The evacuated data centres, as far as this daemon knows.
+    pub evacuations: Arc<watch::Sender<Evacuations>>,
     /// The addresses of the daemons that should lead next, which pass configurations on while there is no leader. It is
     /// empty at these daemons, which read the store themselves, and at the leader.
     pub successors: Arc<watch::Sender<Vec<SocketAddr>>>,
@@ -74,6 +76,7 @@
             quarantine: Arc::default(),
             has_looked_for_leader: Arc::new(watch::Sender::new(false)),
             offer: Arc::default(),
+            evacuations: Arc::default(),
             successors: Arc::default(),
             lost: Arc::default(),
             leaving: Arc::default(),
--- a/crates/assignment/src/table.rs
+++ b/crates/assignment/src/table.rs
@@ -192,6 +192,14 @@
             .zip(admits.chain(std::iter::repeat(FULL_SHARE)))
     }
 
+    /// Returns the number of ranges that are served by upstreams for which `is_counted` holds.
+    #[must_use]
+    pub fn ranges_of(&self, is_counted: impl Fn(&UpstreamId) -> bool) -> usize {
+        let holders = self.ranges.iter().filter_map(|range| range.holder);
+        let holders = holders.filter_map(|index| self.holders.get(usize::from(index)));
+        holders.filter(|id| is_counted(id)).count()
+    }
+
     /// Returns the upstream that serves a key.
     #[must_use]
     pub fn served(&self, key: Key) -> Option<Served> {
--- a/crates/assignment/tests/driver/main.rs
+++ b/crates/assignment/tests/driver/main.rs
@@ -20,7 +20,9 @@
     shared::Shared,
     store_state::{Delta, ListVersion, Newest},
 };
-use copperwell_routing::{Incarnation, Key, ServiceName, UpstreamId, registry::Upstream};
+use copperwell_routing::{
+    Incarnation, Key, ServiceName, UpstreamId, evacuation::Evacuations, registry::Upstream,
+};
 use test_case::test_case;
 use tokio::{
     net::TcpListener,
@@ -137,6 +139,8 @@
 
     fn apply_update(&self, _: Delta) {}
 
+    fn apply_evacuations(&self, _: &Evacuations) {}
+
     fn is_leader_late(&self) -> bool {
         false
     }
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -1,8 +1,8 @@
 //! Single faults, and how soon all keys are served again.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use crate::simulation::{Server, Simulation, sample, upstream};
+use crate::simulation::{STEP, Server, Simulation, sample, upstream};
 use copperwell_assignment::demand::Report;
 use test_case::test_case;
 
@@ -46,6 +46,52 @@
     assert_eq!(simulation.served(), key_count());
 }
 
+/// Guards against keys that stay in an evacuated data centre, and against keys that move more than once when it comes
+/// back.
+#[test_case(Duration::from_secs(3); "after all keys have left")]
+#[test_case(Duration::from_millis(300); "while keys leave")]
+fn evacuated_upstreams_keep_keys_or_come_back_with_more_moves_than_needed(evacuated: Duration) {
+    let mut simulation = started();
+    let set_draining = |simulation: &mut Simulation, is_draining| {
+        for server in &mut simulation.servers[..2] {
+            Arc::make_mut(&mut server.upstream).is_draining = is_draining;
+        }
+    };
+    set_draining(&mut simulation, true);
+    simulation.run(evacuated);
+    if evacuated > Duration::from_secs(2) {
+        assert_eq!(
+            keys_held_by(&simulation, 0) + keys_held_by(&simulation, 1),
+            0
+        );
+        assert_eq!(simulation.served(), key_count());
+    }
+    set_draining(&mut simulation, false);
+    // What was on its way arrives.
+    simulation.run(Duration::from_secs(1));
+    let holders = |simulation: &Simulation| -> Vec<_> {
+        sample().map(|key| simulation.holder(key)).collect()
+    };
+    let mut last = holders(&simulation);
+    let mut moves = vec![0; key_count()];
+    let until = simulation.now + Duration::from_secs(30);
+    while simulation.now < until {
+        simulation.run(STEP);
+        for (index, holder) in holders(&simulation).into_iter().enumerate() {
+            if holder.is_some() && holder != last[index] {
+                moves[index] += 1;
+                last[index] = holder;
+            }
+        }
+    }
+    let most = moves.iter().max().unwrap();
+    assert!(*most <= 1, "a key moved {most} times");
+    assert_eq!(simulation.served(), key_count());
+    for server in 0..2 {
+        assert!(keys_held_by(&simulation, server) > 0, "server {server}");
+    }
+}
+
 #[test]
 fn an_upstream_that_is_lost_is_replaced_when_its_grants_have_expired() {
     let mut simulation = started();
--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -65,6 +65,9 @@
             "The configuration says of the route what this release does not know; publish one that it knows, or upgrade."
         }
         Reason::NoUpstream => "Send it again once an upstream of the service is there.",
+        Reason::NoRegion => {
+            "No server in the regions that the route allows can take it; send the request again later."
+        }
         Reason::Overload => "Send it again after a while; the key is asked for too often.",
         Reason::UpstreamFailed => "Find out what it did before it is sent again.",
         Reason::BadRequest => "Correct the request; it fails the same way if it is sent again.",
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -25,7 +25,7 @@
     metrics::Metrics as AssignmentMetrics,
 };
 use copperwell_caller::server;
-use copperwell_gateway::{Gateway, View, metrics::Metrics, watch};
+use copperwell_gateway::{Evacuation, Gateway, View, metrics::Metrics, watch};
 use copperwell_peer::link;
 use copperwell_platform::{
     Entries, Orders, Published, Settings, Store, Wire, settings::READY_PATH,
@@ -93,6 +93,19 @@
     daemons: u32,
     term: u64,
     table: u64,
+    /// The evacuated data centres.
+    evacuations: Vec<EvacuationStatus>,
+}
+
+/// What is still in an evacuated data centre.
+#[derive(Debug, Serialize)]
+struct EvacuationStatus {
+    zone: String,
+    upstreams: usize,
+    /// This daemon's requests in flight there.
+    requests: u32,
+    /// The ranges of keys that are held there.
+    key_ranges: usize,
 }
 
 /// The routing of a key.
@@ -145,6 +158,7 @@
         let zone = settings.zone.clone();
         let run = run_number();
         let view = View::new(run, zone, settings.allowance).with_drain(settings.drain);
+        view.set_regions(settings.regions.clone());
         let view = Arc::new(view);
         let connections_max = (settings.descriptors as f64 * CALLERS_SHARE) as usize;
         view.crash_tracker.register(&mut registry);
@@ -277,6 +291,7 @@
             daemons: self.view.keys.daemons.load(Ordering::Relaxed),
             term: version.term,
             table: version.number,
+            evacuations: self.view.evacuations().into_iter().map(status_of).collect(),
         };
         serde_json::to_vec(&status).unwrap_or_default()
     }
@@ -308,6 +323,15 @@
     }
 }
 
+fn status_of(evacuation: Evacuation) -> EvacuationStatus {
+    EvacuationStatus {
+        zone: evacuation.zone.to_string(),
+        upstreams: evacuation.upstreams,
+        requests: evacuation.in_flight,
+        key_ranges: evacuation.key_ranges,
+    }
+}
+
 /// Reads the list of upstreams on a thread of its own: a read has many steps, and each would wait behind all that
 /// requests and other daemons ask of this one.
 fn spawn_list_reader(
--- a/crates/copperwelld/src/reload.rs
+++ b/crates/copperwelld/src/reload.rs
@@ -86,6 +86,7 @@
         self.store.set_address(newer.store);
         self.view.set_allowance(newer.allowance);
         self.view.set_drain(newer.drain);
+        self.view.set_regions(newer.regions.clone());
         *settings = newer;
     }
 
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod cut_heads;
 mod daemon;
 mod endless;
+mod evacuation;
 mod harness;
 mod http1;
 mod keys;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -229,6 +229,7 @@
             service: service.clone(),
             key,
             priority: self.route.priority,
+            regions: self.route.regions.clone(),
             deadline: self.deadline.min(self.arrived + selection_time),
         })
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -129,6 +129,7 @@
         drop(registry);
         self.view.crash_tracker.maintain();
         self.selector.queues.remove_unused();
+        self.view.log_evacuated_keys();
     }
 
     /// Returns the metrics of the connections to upstreams.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 pub use crash_tracker::CrashTracker;
 pub use dialect::{Dialect, Metadata, Outbound};
 pub use gateway::Gateway;
-pub use view::View;
+pub use view::{Evacuation, View};
 
 pub mod dialect;
 pub mod gateway;
--- a/crates/gateway/src/list_log.rs
+++ b/crates/gateway/src/list_log.rs
@@ -25,6 +25,9 @@
     for upstream in &changes.draining {
         info!("upstream is draining", kv: { event = "draining", server = &*upstream.id, service = &*upstream.service, source, age_ms, before_ms });
     }
+    for upstream in &changes.resumed {
+        info!("upstream gets requests again", kv: { event = "resumed", server = &*upstream.id, service = &*upstream.service, source, age_ms, before_ms });
+    }
     for upstream in &changes.gone {
         info!("upstream removed", kv: { event = "gone", server = &*upstream.id, service = &*upstream.service, source, age_ms, before_ms });
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     retries_left: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// What the configuration in force has that is not understood, by kind.
     defects: Family<DefectLabel, Gauge>,
+    /// What is still in evacuated data centres.
+    evacuated: Family<EvacuationLabel, Gauge>,
     pub(crate) invalid_registrations: Counter,
     pub(crate) read_failures: Family<SourceLabel, Counter>,
 }
@@ -95,6 +97,12 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EvacuationLabel {
+    zone: String,
+    kind: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabel {
     service: String,
@@ -216,6 +224,11 @@
             "Parts of the configuration that are not understood, by kind",
             all.defects,
         );
+        registry.register(
+            "evacuated",
+            "What is still in evacuated data centres, by kind",
+            all.evacuated,
+        );
         registry.register(
             "unreadable",
             "Registrations that could not be understood",
@@ -253,6 +266,21 @@
         self.leader_age.set(seconds(view.leader_age()));
         let daemons = view.keys.daemons.load(Ordering::Relaxed);
         self.daemons.set(i64::from(daemons));
+        // Evacuations that have ended must not stay on the metrics page.
+        self.evacuated.clear();
+        for evacuation in view.evacuations() {
+            let zone = &evacuation.zone;
+            let gauge = |kind, count: usize| {
+                let zone = zone.to_string();
+                let gauge = self
+                    .evacuated
+                    .get_or_create(&EvacuationLabel { zone, kind });
+                gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+            };
+            gauge("upstreams", evacuation.upstreams);
+            gauge("requests", evacuation.in_flight as usize);
+            gauge("key-ranges", evacuation.key_ranges);
+        }
         // Services that were removed from the configuration must not stay on the metrics page.
         self.retries_left.clear();
         for (service, left) in view.retries_left() {
@@ -337,6 +365,7 @@
             daemons: Gauge::default(),
             retries_left: Family::default(),
             defects: Family::default(),
+            evacuated: Family::default(),
             invalid_registrations: Counter::default(),
             read_failures: Family::default(),
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -82,12 +82,13 @@
         );
     }
 
-    /// Returns a daemon that reaches one of `upstreams` and is none of `tried`; one of this data centre, if
-    /// possible.
+    /// Returns a daemon that reaches one of `upstreams`, is none of `tried` and in a data centre for which `is_allowed`
+    /// holds; one of this data centre, if possible.
     pub(crate) fn choose<'a>(
         &self,
         upstreams: impl IntoIterator<Item = &'a UpstreamId> + Clone,
         tried: &[SocketAddr],
+        is_allowed: impl Fn(&str) -> bool,
     ) -> Option<SocketAddr> {
         let now = Instant::now();
         let mut failed = self.failed.lock().unwrap_or_else(PoisonError::into_inner);
@@ -96,6 +97,7 @@
         let is_usable = |helper: &&Helper| {
             let mut needed = upstreams.clone().into_iter();
             !tried.contains(&helper.address)
+                && is_allowed(&helper.zone)
                 && !failed.contains_key(&helper.address)
                 && needed.any(|id| helper.reaches(id))
         };
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -1,12 +1,12 @@
 //! Selects the upstream for the next attempt of a request.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use crate::{queue::Queues, rejection::Rejection, relay::Relay, view::View};
 use copperwell_assignment::table::Version;
 use copperwell_message::Reason;
 use copperwell_routing::{
-    Key, ServiceName, UpstreamId,
+    Key, RegionName, ServiceName, UpstreamId,
     quarantine::{Admission, Fingerprint},
     registry::Upstream,
 };
@@ -16,6 +16,13 @@
 /// How often a request that is to be kept apart looks whether the other one has ended.
 const APART_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often a request that waits for a holder looks whether none can be expected.
+const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The least time after which a caller may retry whose service has no upstream where it may be served. The operator
+/// ends that, so nothing is known of its time.
+const UNSERVED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The requirements of a request for its upstream.
 #[derive(Debug, Clone)]
 pub(crate) struct Requirements {
@@ -27,6 +34,8 @@
     pub(crate) key: Option<Key>,
     /// The priority among requests for the service; the lowest number goes first.
     pub(crate) priority: u32,
+    /// The regions in which the request may be served; empty for all.
+    pub(crate) regions: Vec<RegionName>,
     /// When the request stops waiting for an upstream.
     pub(crate) deadline: Instant,
 }
@@ -103,8 +112,7 @@
         attempted: &[UpstreamId],
         relays: Option<&[SocketAddr]>,
     ) -> Result<Selected, Rejection> {
-        if let Some(helper) = relays.and_then(|tried| self.relay_for(&requirements.service, tried))
-        {
+        if let Some(helper) = relays.and_then(|tried| self.relay_for(requirements, tried)) {
             return Ok(Selected::Relay(helper));
         }
         let limits = &self.view.keys.limits;
@@ -127,37 +135,51 @@
     }
 
     /// Returns a daemon that reaches upstreams of a service of which this one reaches none.
-    fn relay_for(&self, service: &ServiceName, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    fn relay_for(&self, requirements: &Requirements, tried: &[SocketAddr]) -> Option<SocketAddr> {
         if !self.view.paths.has_lost() {
             return None;
         }
         let registry = self.view.registry();
-        let upstreams = registry.of_service(service).iter();
-        let usable: Vec<_> = upstreams.filter(|one| !one.is_draining).collect();
+        let upstreams = registry.of_service(&requirements.service).iter();
+        let is_usable = |one: &&Arc<Upstream>| {
+            !one.is_draining && self.view.is_in_regions(&one.zone, &requirements.regions)
+        };
+        let usable: Vec<_> = upstreams.filter(is_usable).collect();
         let reach = self.view.paths.reach();
         let is_any_usable = usable.iter().any(|one| !reach.is_unusable(&one.id));
         drop(reach);
         if is_any_usable {
             return None;
         }
-        self.relay.choose(usable.iter().map(|one| &one.id), tried)
+        let may_relay = |zone: &str| self.view.may_relay_in(zone, &requirements.regions);
+        self.relay
+            .choose(usable.iter().map(|one| &one.id), tried, may_relay)
     }
 
     /// Returns whether a request can be sent through another daemon than those of `tried`.
     pub(crate) fn can_relay(&self, requirements: &Requirements, tried: &[SocketAddr]) -> bool {
         let service = &requirements.service;
         let Some(key) = requirements.key else {
-            return self.relay_for(service, tried).is_some();
+            return self.relay_for(requirements, tried).is_some();
         };
         let served = self.view.keys.routing_tables.served(service, key);
-        served.is_some_and(|served| self.relay_to(&served.upstream, tried).is_some())
+        served.is_some_and(|served| {
+            self.relay_to(&served.upstream, requirements, tried)
+                .is_some()
+        })
     }
 
     /// Returns a daemon that reaches a holder that this one does not.
-    fn relay_to(&self, holder: &UpstreamId, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    fn relay_to(
+        &self,
+        holder: &UpstreamId,
+        requirements: &Requirements,
+        tried: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let may_relay = |zone: &str| self.view.may_relay_in(zone, &requirements.regions);
         let is_unusable = self.view.paths.has_lost() && self.view.paths.reach().is_unusable(holder);
         is_unusable
-            .then(|| self.relay.choose([holder], tried))
+            .then(|| self.relay.choose([holder], tried, may_relay))
             .flatten()
     }
 
@@ -173,7 +195,19 @@
         let registry = self.view.registry();
         let mut upstreams = registry.of_service(&requirements.service);
         if upstreams.iter().all(|upstream| upstream.is_draining) {
-            return Err(Rejection::new(Reason::NoUpstream));
+            return Err(match registry.is_evacuated(&requirements.service) {
+                true => unserved_rejection(Reason::NoUpstream),
+                false => Rejection::new(Reason::NoUpstream),
+            });
+        }
+        let in_regions: Vec<_>;
+        if !requirements.regions.is_empty() {
+            let allowed = |one: &&Arc<Upstream>| self.is_allowed(one, requirements);
+            in_regions = upstreams.iter().filter(allowed).cloned().collect();
+            if in_regions.iter().all(|upstream| upstream.is_draining) {
+                return Err(unserved_rejection(Reason::NoRegion));
+            }
+            upstreams = &in_regions;
         }
         let with_room: Vec<_>;
         if !full.is_empty() {
@@ -253,10 +287,13 @@
         loop {
             let version = routing_tables.tables().version;
             let served = routing_tables.served(&requirements.service, key);
+            if let Some(served) = &served {
+                self.check_region(&served.upstream, requirements)?;
+            }
             // The daemon that helps decides on the admission.
             if let Some(served) = &served
                 && let Some(helper) =
-                    relays.and_then(|tried| self.relay_to(&served.upstream, tried))
+                    relays.and_then(|tried| self.relay_to(&served.upstream, requirements, tried))
             {
                 return Ok(Selected::Relay(helper));
             }
@@ -275,10 +312,7 @@
             }
             let upstream = served.and_then(|served| self.eligible_holder(&served.upstream));
             let Some(upstream) = upstream else {
-                let update = timeout_at(requirements.deadline, routing_tables.newer_than(version));
-                if update.await.is_err() {
-                    return Err(Rejection::new(Reason::Unowned));
-                }
+                self.wait_for_holder(requirements, version).await?;
                 continue;
             };
             if self.wait_until_open(&upstream.id, requirements).await? {
@@ -304,10 +338,83 @@
                     .min(Instant::now() + APART_POLL_INTERVAL),
                 false => requirements.deadline,
             };
-            self.queues.wait(&upstream.id, until).await;
+            self.wait_at_holder(&upstream.id, requirements, key, version, until)
+                .await;
+        }
+    }
+
+    /// Waits until tables that are newer than `version` may name a holder, or some time has passed.
+    ///
+    /// Refuses the request if the service has upstreams in evacuated data centres only: its keys get no holder then.
+    async fn wait_for_holder(
+        &self,
+        requirements: &Requirements,
+        version: Version,
+    ) -> Result<(), Rejection> {
+        if self.view.registry().is_evacuated(&requirements.service) {
+            return Err(unserved_rejection(Reason::NoUpstream));
+        }
+        let now = Instant::now();
+        if now >= requirements.deadline {
+            return Err(Rejection::new(Reason::Unowned));
+        }
+        let until = requirements.deadline.min(now + HOLDER_POLL_INTERVAL);
+        let newer = self.view.keys.routing_tables.newer_than(version);
+        let _ = timeout_at(until, newer).await;
+        Ok(())
+    }
+
+    /// Waits until a holder may have capacity, has lost the key in tables that are newer than `version`, or `until` has
+    /// passed.
+    async fn wait_at_holder(
+        &self,
+        holder: &UpstreamId,
+        requirements: &Requirements,
+        key: Key,
+        version: Version,
+        until: Instant,
+    ) {
+        let routing_tables = &self.view.keys.routing_tables;
+        let mut version = version;
+        let mut capacity = pin!(self.queues.wait(holder, until));
+        loop {
+            tokio::select! {
+                () = &mut capacity => return,
+                () = routing_tables.newer_than(version) => {
+                    version = routing_tables.version();
+                    let served = routing_tables.served(&requirements.service, key);
+                    if served.is_none_or(|served| served.upstream != *holder) {
+                        return;
+                    }
+                }
+            }
         }
     }
 
+    /// Refuses a request whose key is held where it must not be served.
+    fn check_region(
+        &self,
+        holder: &UpstreamId,
+        requirements: &Requirements,
+    ) -> Result<(), Rejection> {
+        if requirements.regions.is_empty() {
+            return Ok(());
+        }
+        let registry = self.view.registry();
+        match registry.get(holder) {
+            Some(holder) if !self.is_allowed(holder, requirements) => {
+                Err(unserved_rejection(Reason::NoRegion))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns whether an upstream is in a region in which the request may be served.
+    fn is_allowed(&self, upstream: &Upstream, requirements: &Requirements) -> bool {
+        self.view
+            .is_in_regions(&upstream.zone, &requirements.regions)
+    }
+
     /// Waits until a holder takes requests again, if it wants none and that ends before the deadline.
     ///
     /// Returns whether it has waited.
@@ -343,5 +450,12 @@
     Rejection::new(Reason::UpstreamClosed).with_retry_after(wait.mul_f64(spread))
 }
 
+/// Returns the refusal of a request whose service has no upstream where it may be served.
+fn unserved_rejection(reason: Reason) -> Rejection {
+    // Spreads the callers that are told the same time.
+    let spread = rand::rng().random_range(1.0..2.0);
+    Rejection::new(reason).with_retry_after(UNSERVED_RETRY_AFTER.mul_f64(spread))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -64,6 +64,7 @@
         service: "cups".into(),
         key,
         priority: 0,
+        regions: Vec::new(),
         deadline: Instant::now() + Duration::from_secs(30),
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -12,11 +12,11 @@
 };
 
 use crate::{crash_tracker::CrashTracker, paths::Paths};
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use copperwell_assignment::shared::Shared;
 use copperwell_message::HashMap;
 use copperwell_routing::{
-    ServiceName, UpstreamId, ZoneName,
+    RegionName, ServiceName, UpstreamId, ZoneName,
     admission::Admission,
     budget::{Allowance, Budget},
     configuration::{Configuration, defect::Defect},
@@ -29,11 +29,14 @@
 use spdlog::{info, warn};
 use tokio::{sync::Notify, time::Instant};
 
+use evacuation::EvacuationRecord;
 use leader::LeaderUpdate;
 
+pub use evacuation::Evacuation;
 pub use list::ReadStart;
 
 mod environment;
+mod evacuation;
 mod leader;
 pub(crate) mod list;
 
@@ -60,8 +63,8 @@
     /// When a read of the store last returned or confirmed the newest configuration.
     configuration_read_at: Mutex<Option<Instant>>,
     registry: RwLock<Registry>,
-    /// Until when each draining upstream still gets requests for its keys.
-    draining: Mutex<HashMap<UpstreamId, Instant>>,
+    draining: Mutex<HashMap<UpstreamId, Draining>>,
+    evacuation_record: Mutex<EvacuationRecord>,
     /// When this daemon's last successful read of the list started, in microseconds of the boot clock; 0 for
     /// never.
     list_read_at_us: AtomicU64,
@@ -74,10 +77,21 @@
     loads: Mutex<Loads>,
     route_latencies: Mutex<RouteLatencies>,
     admissions: Mutex<HashMap<ServiceName, Admission>>,
+    /// The region of each data centre.
+    regions: ArcSwap<HashMap<ZoneName, RegionName>>,
     budgets: Mutex<Budgets>,
     started_at: Instant,
 }
 
+/// A draining upstream.
+#[derive(Debug, Clone, Copy)]
+struct Draining {
+    /// Until when it still gets requests for its keys.
+    until: Instant,
+    /// Until when it may get them, in case it leaves by its own word.
+    fresh_until: Instant,
+}
+
 /// The versions of the data on which a routing decision was based.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RoutingVersions {
@@ -110,6 +124,7 @@
             configuration_read_at: Mutex::default(),
             registry: RwLock::default(),
             draining: Mutex::default(),
+            evacuation_record: Mutex::default(),
             list_read_at_us: AtomicU64::new(0),
             leader_update: Mutex::default(),
             freshness: Mutex::default(),
@@ -118,6 +133,7 @@
             loads: Mutex::default(),
             route_latencies: Mutex::default(),
             admissions: Mutex::default(),
+            regions: ArcSwap::default(),
             budgets: Mutex::new(Budgets {
                 allowance,
                 services: HashMap::default(),
@@ -133,6 +149,33 @@
         self
     }
 
+    /// Sets the region of each data centre.
+    pub fn set_regions(&self, regions: HashMap<ZoneName, RegionName>) {
+        self.regions.store(Arc::new(regions));
+    }
+
+    /// Returns whether a data centre is in one of the regions `allowed`; all are if that is empty. A data centre without
+    /// a known region is in none.
+    pub(crate) fn is_in_regions(&self, zone: &str, allowed: &[RegionName]) -> bool {
+        allowed.is_empty() || {
+            let regions = self.regions.load();
+            regions.get(zone).is_some_and(|one| allowed.contains(one))
+        }
+    }
+
+    /// Returns whether the bodies of requests that may be served in the regions `allowed` may be sent to daemons of a
+    /// data centre: it is there, or in the region of this daemon's callers.
+    pub(crate) fn may_relay_in(&self, zone: &str, allowed: &[RegionName]) -> bool {
+        let regions = self.regions.load();
+        let is_near = || {
+            *zone == *self.zone || {
+                let own = regions.get(&self.zone);
+                own.is_some() && regions.get(zone) == own
+            }
+        };
+        self.is_in_regions(zone, allowed) || is_near()
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -316,7 +359,7 @@
         let confirmed_at = update.read_at.max(update.successor_confirmed_at);
         drop(update);
         let is_unconfirmed = confirmed_at.is_none_or(|at| at.elapsed() > age_max);
-        is_stuck && self.is_configuration_stale() || is_unconfirmed
+        is_stuck && self.is_configuration_stale() || is_unconfirmed || self.must_read_evacuations()
     }
 
     /// Returns whether the leader has a newer configuration, or this daemon has none.
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -13,6 +13,7 @@
 };
 use copperwell_routing::{
     Incarnation, ServiceName, UpstreamId,
+    evacuation::Evacuations,
     freshness::Origin,
     registry::{Changes, Upstream},
 };
@@ -141,6 +142,10 @@
         true
     }
 
+    fn apply_evacuations(&self, evacuations: &Evacuations) {
+        self.update_evacuations(evacuations);
+    }
+
     fn apply_update(&self, mut delta: Delta) {
         let now = Instant::now();
         if let Some(encoded) = &delta.difference {
--- a/crates/gateway/src/view/list.rs
+++ b/crates/gateway/src/view/list.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::View;
+use super::{Draining, View};
 use crate::list_log::{self, ListAge};
 use copperwell_assignment::store_state::ListVersion;
 use copperwell_routing::{
@@ -189,22 +189,25 @@
     #[must_use]
     pub fn may_serve_keys(&self, id: &str) -> bool {
         let draining = self.draining.lock().unwrap_or_else(PoisonError::into_inner);
-        draining.get(id).is_none_or(|until| Instant::now() < *until)
+        draining
+            .get(id)
+            .is_none_or(|one| Instant::now() < one.until)
     }
 
     /// Records for how long upstreams that have begun to drain get requests for their keys.
     pub(super) fn record_draining(&self, changes: &Changes, now: Instant) {
         // The store has taken their word after the read of the list that is replaced.
         let fresh_until = self.freshness().fresh_until();
-        let until = fresh_until.map_or(now, |at| at.min(now + DRAINING_GRACE));
+        let fresh_until = fresh_until.unwrap_or(now);
+        let until = fresh_until.min(now + DRAINING_GRACE);
         let mut draining = self.draining.lock().unwrap_or_else(PoisonError::into_inner);
         for upstream in &changes.joined {
             draining.remove(&upstream.id);
         }
         for upstream in &changes.draining {
-            draining.insert(upstream.id.clone(), until);
+            draining.insert(upstream.id.clone(), Draining { until, fresh_until });
         }
-        for upstream in &changes.gone {
+        for upstream in changes.resumed.iter().chain(&changes.gone) {
             draining.remove(&upstream.id);
         }
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -57,6 +57,10 @@
             false => CONFIGURATION_WAIT,
         };
         let result = source.configuration(above, wait).await;
+        // An unreadable configuration may have been read with evacuations.
+        if let Some(evacuations) = source.evacuations() {
+            view.update_evacuations(&evacuations);
+        }
         let read = monitor.record(result);
         if read.is_some() {
             view.record_configuration_read();
--- a/crates/message/src/verdict.rs
+++ b/crates/message/src/verdict.rs
@@ -144,4 +144,6 @@
     UpstreamClosed = "upstream-closed", 503;
     /// The route exists, but this daemon does not understand it.
     UnreadableRoute = "unreadable-route", 503;
+    /// The request may be served in some regions only, and none of them has an upstream for it.
+    NoRegion = "no-region", 503;
 }
--- /dev/null
+++ b/crates/routing/src/evacuation.rs
@@ -0,0 +1,81 @@
+//! Data centres that are evacuated: their upstreams get no new requests.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{ServiceName, ZoneName, registry::Upstream};
+use copperwell_message::HashMap;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// How much of the operator's topic is known; a later version replaces an earlier one, whoever has read it.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version {
+    /// The era of the store.
+    pub era: u64,
+    /// The offset up to which the topic was read.
+    pub offset: u64,
+}
+
+/// The data centres that are evacuated.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuations {
+    /// The version.
+    pub version: Version,
+    /// The data centres.
+    pub zones: BTreeSet<ZoneName>,
+}
+
+/// The differences between two sets of evacuated data centres.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Difference {
+    /// The data centres whose evacuation has started.
+    pub started: Vec<ZoneName>,
+    /// The data centres whose evacuation has ended.
+    pub ended: Vec<ZoneName>,
+}
+
+/// The end of an evacuation, after which upstreams are cold.
+#[derive(Debug, Clone)]
+pub(crate) struct Return {
+    ended_at: Instant,
+    /// How long the upstreams of each service warm up.
+    warmups: HashMap<ServiceName, Duration>,
+}
+
+impl Evacuations {
+    /// Returns whether a data centre is evacuated.
+    #[must_use]
+    pub fn contains(&self, zone: &str) -> bool {
+        self.zones.contains(zone)
+    }
+
+    /// Returns what changes from this set to `later`.
+    #[must_use]
+    pub fn difference(&self, later: &Self) -> Difference {
+        Difference {
+            started: later.zones.difference(&self.zones).cloned().collect(),
+            ended: self.zones.difference(&later.zones).cloned().collect(),
+        }
+    }
+}
+
+impl Return {
+    pub(crate) fn new(ended_at: Instant, warmups: HashMap<ServiceName, Duration>) -> Self {
+        Self { ended_at, warmups }
+    }
+
+    /// Returns how much longer an upstream counts as warming up.
+    pub(crate) fn warmup_left(&self, upstream: &Upstream, now: Instant) -> Duration {
+        let warmup = self.warmups.get(&upstream.service);
+        let warmup = warmup.copied().unwrap_or_default();
+        (self.ended_at + warmup).saturating_duration_since(now)
+    }
+
+    /// Returns whether all upstreams are warm.
+    pub(crate) fn is_over(&self, now: Instant) -> bool {
+        let longest = self.warmups.values().max().copied().unwrap_or_default();
+        now >= self.ended_at + longest
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod concurrency;
 pub mod configuration;
+pub mod evacuation;
 pub mod freshness;
 pub mod latency;
 pub mod limit;
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::{Incarnation, ServiceName, UpstreamId, ZoneName};
+use crate::{
+    Incarnation, ServiceName, UpstreamId, ZoneName,
+    evacuation::{Difference, Evacuations, Return},
+};
 use copperwell_message::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -52,6 +55,12 @@
     read_at: Option<Instant>,
     /// The incarnations that have said that they leave, whatever their registrations say.
     leaving: HashMap<UpstreamId, Incarnation>,
+    /// The data centres whose upstreams are taken for draining, whatever their registrations say.
+    evacuations: Evacuations,
+    /// The upstreams of these data centres and of `returning`, as they are listed.
+    as_listed: HashMap<UpstreamId, Upstream>,
+    /// The data centres whose evacuation has ended so recently that their upstreams are cold.
+    returning: HashMap<ZoneName, Return>,
 }
 
 /// The most incarnations that are remembered as leaving.
@@ -64,6 +73,8 @@
     pub joined: Vec<Arc<Upstream>>,
     /// Upstreams that started to drain.
     pub draining: Vec<Arc<Upstream>>,
+    /// Upstreams that were draining and get requests again, in the same incarnation.
+    pub resumed: Vec<Arc<Upstream>>,
     /// Upstreams that were removed.
     pub gone: Vec<Arc<Upstream>>,
     /// The number of upstreams that are missing from the list but kept for now.
@@ -90,6 +101,7 @@
         if std::mem::take(&mut self.has_read_failed) {
             self.grace_ends_at = Some(now + RENEWAL_GRACE);
         }
+        self.returning.retain(|_, end| !end.is_over(now));
         let mut changes = Changes::default();
         let mut seen = HashSet::default();
         let is_in_grace = self.grace_ends_at.is_some_and(|at| now < at);
@@ -100,7 +112,7 @@
             if is_in_grace && known.is_some_and(|known| known.born > upstream.born) {
                 continue;
             }
-            self.update_one(upstream, &mut changes);
+            self.update_one(upstream, &mut changes, now);
         }
         let missing = self.upstreams.keys().filter(|id| !seen.contains(*id));
         let missing: Vec<_> = missing.cloned().collect();
@@ -135,7 +147,7 @@
         self.read_at = Some(now);
         let mut changes = Changes::default();
         for upstream in changed {
-            self.update_one(upstream, &mut changes);
+            self.update_one(upstream, &mut changes, now);
         }
         let gone = gone.into_iter();
         changes.gone = gone.filter_map(|id| self.upstreams.remove(&id)).collect();
@@ -156,12 +168,63 @@
         }
         self.leaving.insert(id.clone(), born);
         if let Some(upstream) = self.upstreams.get(id).filter(|known| known.born == born) {
-            self.update_one((**upstream).clone(), &mut changes);
+            self.insert((**upstream).clone(), &mut changes);
             self.rebuild_index();
         }
         changes
     }
 
+    /// Replaces the evacuated data centres by a later version; `None` if it is not later.
+    ///
+    /// Upstreams that return from an evacuation count as warming up, for the time in `warmups` of their service.
+    pub fn set_evacuations(
+        &mut self,
+        evacuations: &Evacuations,
+        warmups: &HashMap<ServiceName, Duration>,
+        now: Instant,
+    ) -> Option<(Difference, Changes)> {
+        if evacuations.version <= self.evacuations.version {
+            return None;
+        }
+        let difference = self.evacuations.difference(evacuations);
+        self.evacuations = evacuations.clone();
+        for zone in &difference.started {
+            self.returning.remove(zone);
+        }
+        for zone in &difference.ended {
+            let end = Return::new(now, warmups.clone());
+            self.returning.insert(zone.clone(), end);
+        }
+        let has_changed =
+            |zone| difference.started.contains(zone) || difference.ended.contains(zone);
+        let affected = self.upstreams.values().filter(|one| has_changed(&one.zone));
+        let affected: Vec<_> = affected.cloned().collect();
+        let mut changes = Changes::default();
+        for upstream in affected {
+            let listed = self.as_listed.remove(&upstream.id);
+            let listed = listed.unwrap_or_else(|| (*upstream).clone());
+            self.update_one(listed, &mut changes, now);
+        }
+        self.rebuild_index();
+        Some((difference, changes))
+    }
+
+    /// Returns the evacuated data centres.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns whether no upstream of a service gets requests, and some only since their data centre is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let upstreams = self.of_service(service);
+        let mut zones = upstreams.iter().map(|one| &one.zone);
+        !self.evacuations.zones.is_empty()
+            && upstreams.iter().all(|one| one.is_draining)
+            && zones.any(|zone| self.evacuations.contains(zone))
+    }
+
     /// Returns the registered upstreams that have said that they leave.
     #[must_use]
     pub fn leaving(&self) -> Vec<(UpstreamId, Incarnation)> {
@@ -202,7 +265,21 @@
         self.upstreams.is_empty()
     }
 
-    fn update_one(&mut self, mut upstream: Upstream, changes: &mut Changes) {
+    /// Applies the registration of an upstream, and the evacuation of its data centre.
+    fn update_one(&mut self, mut upstream: Upstream, changes: &mut Changes, now: Instant) {
+        // It may have been in another data centre.
+        self.as_listed.remove(&upstream.id);
+        if self.evacuations.contains(&upstream.zone) {
+            self.as_listed.insert(upstream.id.clone(), upstream.clone());
+            upstream.is_draining = true;
+        } else if let Some(end) = self.returning.get(&upstream.zone) {
+            self.as_listed.insert(upstream.id.clone(), upstream.clone());
+            upstream.warmup = upstream.warmup.max(end.warmup_left(&upstream, now));
+        }
+        self.insert(upstream, changes);
+    }
+
+    fn insert(&mut self, mut upstream: Upstream, changes: &mut Changes) {
         upstream.is_draining |= self.leaving.get(&upstream.id) == Some(&upstream.born);
         let known = self.upstreams.get(&upstream.id);
         if known.is_some_and(|known| **known == upstream) {
@@ -217,10 +294,15 @@
         if upstream.is_draining && !was_draining {
             changes.draining.push(upstream.clone());
         }
+        if was_draining && !upstream.is_draining {
+            changes.resumed.push(upstream.clone());
+        }
         self.upstreams.insert(upstream.id.clone(), upstream);
     }
 
     fn rebuild_index(&mut self) {
+        let upstreams = &self.upstreams;
+        self.as_listed.retain(|id, _| upstreams.contains_key(id));
         self.services.clear();
         for upstream in self.upstreams.values() {
             let service = self.services.entry(upstream.service.clone()).or_default();
--- a/crates/routing/src/source.rs
+++ b/crates/routing/src/source.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use crate::{configuration::Configuration, registry::Upstream};
+use crate::{configuration::Configuration, evacuation::Evacuations, registry::Upstream};
 
 /// Reads the configurations of operators and the registrations of upstreams.
 pub trait Source: Send + Sync + 'static {
@@ -20,6 +20,12 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Option<Configuration>, ReadError>> + Send;
 
+    /// Returns the evacuated data centres, as the last read of the configuration has found them; `None` before the
+    /// first one.
+    fn evacuations(&self) -> Option<Evacuations> {
+        None
+    }
+
     /// Returns all registered upstreams.
     ///
     /// # Errors
--- a/crates/routing/tests/registry.rs
+++ b/crates/routing/tests/registry.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use copperwell_routing::registry::{Changes, Registry, Upstream};
+use copperwell_routing::{
+    evacuation::{Evacuations, Version},
+    registry::{Changes, Registry, Upstream},
+};
 use test_case::test_case;
 use tokio::time::Instant;
 
@@ -100,3 +103,114 @@
     assert_eq!(names(&changes.joined), ["u0"]);
     assert!(changes.draining.is_empty() && changes.gone.is_empty());
 }
+
+const WARMUP: Duration = Duration::from_secs(3);
+
+fn upstream_in(zone: &str, number: u16) -> Upstream {
+    Upstream {
+        zone: zone.into(),
+        ..upstream(number)
+    }
+}
+
+/// Returns evacuations as a read of the topic up to `offset` finds them.
+fn evacuations(offset: u64, zones: &[&str]) -> Evacuations {
+    Evacuations {
+        version: Version { era: 0, offset },
+        zones: zones.iter().map(|zone| (*zone).into()).collect(),
+    }
+}
+
+fn evacuate(registry: &mut Registry, offset: u64, zones: &[&str], now: Instant) -> Changes {
+    let warmups = [("cups".into(), WARMUP)].into_iter().collect();
+    let changed = registry.set_evacuations(&evacuations(offset, zones), &warmups, now);
+    changed.map(|(_, changes)| changes).unwrap_or_default()
+}
+
+fn draining(registry: &Registry) -> Vec<&str> {
+    let upstreams = registry.of_service("cups").iter();
+    let draining = upstreams.filter(|one| one.is_draining);
+    draining.map(|one| &*one.id).collect()
+}
+
+/// Guards against upstreams of an evacuated data centre that get requests, that never get any again, or that count as
+/// warm when they return.
+#[test]
+fn upstreams_of_an_evacuated_data_centre_stay_or_never_return() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let list = || {
+        [
+            upstream_in("a", 0),
+            upstream_in("b", 1),
+            upstream_in("c", 2),
+        ]
+    };
+    registry.update(list(), now);
+    let changes = evacuate(&mut registry, 1, &["a", "b"], now);
+    assert_eq!(changes.draining.len(), 2);
+    assert_eq!(draining(&registry), ["u0", "u1"]);
+    // Lists that were read before or afterwards do not know of it.
+    assert_eq!(registry.update(list(), now), Changes::default());
+    registry.replace(list(), now);
+    registry.apply_changes([upstream_in("a", 0), upstream_in("b", 3)], [], now);
+    assert_eq!(draining(&registry), ["u0", "u1", "u3"]);
+    // One ends, the other goes on.
+    let changes = evacuate(&mut registry, 2, &["b"], now);
+    assert_eq!(names(&changes.resumed), ["u0"]);
+    assert_eq!(draining(&registry), ["u1", "u3"]);
+    let second = Duration::from_secs(1);
+    registry.update(list(), now + second);
+    assert_eq!(registry.get("u0").unwrap().warmup, WARMUP - second);
+    assert_eq!(registry.get("u2").unwrap().warmup, Duration::ZERO);
+    registry.update(list(), now + WARMUP);
+    assert_eq!(registry.get("u0").unwrap().warmup, Duration::ZERO);
+    // It starts again while upstreams still warm up.
+    evacuate(&mut registry, 3, &[], now + WARMUP);
+    let changes = evacuate(&mut registry, 4, &["b"], now + WARMUP);
+    assert_eq!(names(&changes.draining), ["u1"]);
+    assert_eq!(changes.draining[0].warmup, Duration::ZERO);
+}
+
+/// Guards against an evacuation that is undone by a daemon that has read less of the topic.
+#[test]
+fn evacuation_is_undone_by_an_earlier_version() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.update([upstream(0), upstream(1)], now);
+    evacuate(&mut registry, 5, &["here"], now);
+    assert!(registry.is_evacuated("cups"));
+    for offset in [0, 4, 5] {
+        assert_eq!(
+            evacuate(&mut registry, offset, &[], now),
+            Changes::default()
+        );
+    }
+    assert_eq!(draining(&registry), ["u0", "u1"]);
+    // The store has come back from a copy, and counts from an earlier record on.
+    let warmups = Default::default();
+    let after = Evacuations {
+        version: Version { era: 1, offset: 2 },
+        ..Evacuations::default()
+    };
+    assert!(registry.set_evacuations(&after, &warmups, now).is_some());
+    assert!(draining(&registry).is_empty() && !registry.is_evacuated("cups"));
+}
+
+/// Guards against the end of an evacuation that sends requests to an upstream that leaves for its own reasons.
+#[test]
+fn upstream_that_leaves_returns_with_its_data_centre() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let leaving = Upstream {
+        is_draining: true,
+        ..upstream(1)
+    };
+    registry.update([upstream(0), leaving, upstream(2)], now);
+    registry.record_leaving(&"u0".into(), INCARNATION);
+    evacuate(&mut registry, 1, &["here"], now);
+    assert_eq!(draining(&registry), ["u0", "u1", "u2"]);
+    let changes = evacuate(&mut registry, 2, &[], now);
+    assert_eq!(names(&changes.resumed), ["u2"]);
+    assert_eq!(draining(&registry), ["u0", "u1"]);
+}
