Test evacuations between daemons, in the queue and with a new leader

Adds tests that guard against requests that stay queued at a holder that lost their key, bodies relayed outside a route's regions, lists that undo an evacuation, an end that is never heard of under a leader of an earlier release, and an evacuation that ends with its leader. A further test records that an exchange with more bytes at its end is not read by earlier releases, which is why evacuations have a call of their own.

--- a/crates/assignment/tests/wire.rs
+++ b/crates/assignment/tests/wire.rs
@@ -21,6 +21,7 @@
 };
 use copperwell_routing::{
     configuration::{Configuration, Limits, Part, Route},
+    evacuation::{self, Evacuations},
     limit,
     quarantine::{Crash, Entry as Suspect},
     registry::Upstream,
@@ -348,3 +349,48 @@
     let read = client.read_configuration(30, 31, || {}).await.unwrap();
     assert!(transfer::decode(&read).is_some());
 }
+
+/// Guards against an exchange with more at its end: daemons of that release reject the whole answer.
+#[test]
+fn answer_with_more_at_its_end_is_read() {
+    let mut bytes = recorded("response-with-wholes");
+    bytes.push(0);
+    assert!(
+        DefaultOptions::new()
+            .deserialize::<Response>(&bytes)
+            .is_err()
+    );
+}
+
+/// Guards against evacuations that a daemon does not hear of until it asks again, and against one that waits for a
+/// leader of an earlier release, which closes the connection.
+#[tokio::test]
+async fn evacuations_are_not_passed_on() {
+    let shared = Shared::new(1);
+    let (server, _reports) = Server::new(&shared);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(server.serve(listener));
+    let client = Client::connect(address).await.unwrap();
+    let version = |offset| evacuation::Version { era: 0, offset };
+    let evacuations = Evacuations {
+        version: version(3),
+        zones: [copperwell_routing::ZoneName::from("here")].into(),
+    };
+    let wait = Duration::from_secs(4);
+    let (heard, _) = tokio::join!(client.evacuations(version(2), wait), async {
+        tokio::task::yield_now().await;
+        shared.evacuations.send_replace(evacuations.clone())
+    });
+    assert_eq!(heard, Some(evacuations.clone()));
+    let heard = client.evacuations(version(9), Duration::ZERO).await;
+    assert_eq!(heard, Some(evacuations));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut connection, _) = listener.accept().await.unwrap();
+        let _ = connection.read_u32().await;
+    });
+    let client = Client::connect(address).await.unwrap();
+    assert_eq!(client.evacuations(version(0), wait).await, None);
+}
--- a/crates/copperwelld/tests/gateway/evacuation.rs
+++ b/crates/copperwelld/tests/gateway/evacuation.rs
@@ -201,6 +201,45 @@
     harness.wait_served().await;
 }
 
+/// Guards against a leader that does not know of an evacuation which began before it leads, and sends requests or keys
+/// there again.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_ends_with_its_leader() {
+    let mut harness = start(&["here", "there", "here", "there"]).await;
+    harness.store.evacuate("there");
+    wait_known(&harness, "there", Some(SERVERS)).await;
+    harness.wait_served().await;
+    sleep(EVACUATE).await;
+    let evacuated_at = Instant::now();
+    for _ in 0..2 {
+        let is_leader = |daemon: &Daemon| caller::leads(&harness.store, &daemon.name());
+        let deadline = Instant::now() + CONDITION_TIMEOUT;
+        let leader = loop {
+            if let Some(leader) = harness.daemons.iter().position(is_leader) {
+                break leader;
+            }
+            assert!(Instant::now() < deadline, "no daemon leads");
+            sleep(Duration::from_millis(50)).await;
+        };
+        harness.daemons.remove(leader);
+        harness.wait_served().await;
+    }
+    assert_eq!(arrivals_in(&harness, "there", evacuated_at), 0);
+    assert_eq!(keys_in(&harness, "there"), 0);
+    harness.store.end_evacuation("there");
+    wait_known(&harness, "there", None).await;
+    wait_keys(&harness, "there").await;
+}
+
+/// Waits until servers of a data centre hold keys.
+async fn wait_keys(harness: &Harness, zone: &str) {
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    while keys_in(harness, zone) == 0 {
+        assert!(Instant::now() < deadline, "{zone} holds no keys");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Sends a request; returns the status, the reason and after how many seconds the caller may retry.
 async fn ask(harness: &Harness, daemon: usize, path: &str, id: &str) -> (u16, Option<f64>) {
     let request = Request::get(harness.daemons[daemon].url(0, path)).header("host", "app.example");
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -15,6 +15,7 @@
 use copperwell_routing::{
     UpstreamId,
     budget::Allowance,
+    evacuation::{self, Evacuations},
     quarantine::{CrashedRun, Fingerprint},
     registry::Upstream,
 };
@@ -223,3 +224,136 @@
         assert_eq!(reason(selected), Ok("a".to_owned()));
     }
 }
+
+fn evacuate(selector: &Selector, offset: u64, zones: &[&str]) {
+    selector.view.update_evacuations(&Evacuations {
+        version: evacuation::Version { era: 0, offset },
+        zones: zones.iter().map(|zone| (*zone).into()).collect(),
+    });
+}
+
+/// Guards against requests that wait until their deadline, or are refused without a time to come again, while all
+/// upstreams of their service are evacuated.
+#[test_case(None; "without a key")]
+#[test_case(Some(KEY); "with a key")]
+#[tokio::test(start_paused = true)]
+async fn request_waits_though_all_upstreams_are_evacuated(key: Option<u16>) {
+    let selector = selector();
+    // The key has no holder yet.
+    let waiting = key.map(|_| {
+        let selector = selector.clone();
+        let requirements = requirements(OTHER, key);
+        tokio::spawn(async move { selector.select(&requirements, &[], None, None).await })
+    });
+    tokio::task::yield_now().await;
+    let started_at = Instant::now();
+    evacuate(&selector, 1, &["here"]);
+    let asked = requirements(OTHER, key);
+    let rejection = selector.select(&asked, &[], None, None).await.unwrap_err();
+    assert_eq!(rejection.reason, Reason::NoUpstream);
+    assert!(rejection.retry_after >= Some(Duration::from_secs(1)));
+    if let Some(waiting) = waiting {
+        assert_eq!(reason(waiting.await.unwrap()), Err(Reason::NoUpstream));
+    }
+    assert!(started_at.elapsed() < Duration::from_secs(1));
+    evacuate(&selector, 2, &[]);
+    publish_holder(&selector, "a");
+    let selected = selector.select(&asked, &[], None, None).await;
+    assert!(reason(selected).is_ok());
+}
+
+/// Guards against requests that wait at a holder that has lost their key, until requests there end or their deadline
+/// passes.
+#[tokio::test(start_paused = true)]
+async fn request_stays_queued_at_an_evacuated_holder() {
+    let selector = selector();
+    publish_holder(&selector, "a");
+    let holder = selector.view.registry().get("a").cloned().unwrap();
+    let mut in_flight = Vec::new();
+    while selector.view.loads().has_capacity(&holder) {
+        in_flight.push(selector.queues.start(&selector.view, &holder.id));
+    }
+    let waiting = [1, 2, 3].map(|_| {
+        let selector = selector.clone();
+        let requirements = requirements(OTHER, Some(KEY));
+        tokio::spawn(async move { selector.select(&requirements, &[], None, None).await })
+    });
+    advance(Duration::from_secs(1)).await;
+    let other: UpstreamId = "b".into();
+    let table = Table::new([(0, Some(&other))]);
+    let version = Version { term: 1, number: 2 };
+    let services = [("cups".into(), table)].into_iter().collect();
+    let tables = Tables { version, services };
+    selector.view.keys.routing_tables.publish(tables);
+    let moved_at = Instant::now();
+    for waiting in waiting {
+        assert_eq!(reason(waiting.await.unwrap()), Ok("b".to_owned()));
+    }
+    assert!(moved_at.elapsed() < Duration::from_secs(1));
+    drop(in_flight);
+}
+
+/// Guards against requests that reach upstreams, or bodies that reach daemons, outside the regions of their route.
+#[tokio::test(start_paused = true)]
+async fn request_leaves_its_regions() {
+    let selector = selector();
+    let view = &selector.view;
+    let there = Upstream {
+        zone: "there".into(),
+        ..upstream("c")
+    };
+    let start = ReadStart {
+        boot: Duration::from_secs(2),
+        at: Instant::now(),
+    };
+    view.update_upstreams([upstream("a"), there], start);
+    let zones = [("here", "north"), ("there", "south"), ("third", "south")];
+    let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
+    view.set_regions(zones.into_iter().collect());
+    let within = |key, region: &str| Requirements {
+        regions: vec![region.into()],
+        ..requirements(OTHER, key)
+    };
+    publish_holder(&selector, "c");
+    for _ in 0..50 {
+        let selected = selector
+            .select(&within(None, "south"), &[], None, None)
+            .await;
+        assert_eq!(reason(selected), Ok("c".to_owned()));
+        let selected = selector
+            .select(&within(None, "north"), &[], None, None)
+            .await;
+        assert_eq!(reason(selected), Ok("a".to_owned()));
+    }
+    let keyed = within(Some(KEY), "south");
+    let keyed = selector.select(&keyed, &[], None, None).await;
+    assert_eq!(reason(keyed), Ok("c".to_owned()));
+    for (key, region) in [(Some(KEY), "north"), (None, "east")] {
+        let requirements = within(key, region);
+        let rejection = selector.select(&requirements, &[], None, None).await;
+        let rejection = rejection.unwrap_err();
+        assert_eq!(rejection.reason, Reason::NoRegion);
+        assert!(rejection.retry_after.is_some());
+    }
+    // The holder is not reached from here. Daemons of its region or this one's may help.
+    view.paths.record_connect(&"c".into(), false);
+    let helper = |port, zone: &str| Helper {
+        name: "other".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.into(),
+        lost: Vec::new(),
+        leaving: Vec::new(),
+    };
+    for (zone, key, expected) in [
+        ("elsewhere", Some(KEY), "c"),
+        ("third", Some(KEY), "127.0.0.1:7"),
+        ("here", Some(KEY), "127.0.0.1:7"),
+        ("elsewhere", None, "c"),
+        ("third", None, "127.0.0.1:7"),
+    ] {
+        view.keys.helpers.send_replace(vec![helper(7, zone)]);
+        let requirements = within(key, "south");
+        let selected = selector.select(&requirements, &[], None, Some(&[])).await;
+        assert_eq!(reason(selected), Ok(expected.to_owned()), "{zone}");
+    }
+}
--- a/crates/gateway/tests/watch/main.rs
+++ b/crates/gateway/tests/watch/main.rs
@@ -24,6 +24,7 @@
 use test_case::test_case;
 use tokio::time::sleep;
 
+mod evacuation;
 mod lists;
 
 /// A store that returns a new configuration only after the whole wait, as if the waiting read was not woken.
