Take only final statuses for responses

Cause: the HTTP library accepts every status from 100 up and returns a 101 without an upgrade as the last answer of its connection. The gateway passed both on: a caller got 101, after which its connection is no HTTP any more, or 600 and 999, of which it cannot know whether to repeat its request.

Interim answers pass as before.

--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -7,6 +7,7 @@
     outgoing::Outgoing,
     traffic::{Metered, Traffic},
 };
+use copperwell_message::is_final;
 use copperwell_progress::{Allowance, Answer, Opened, Sender};
 use hyper::body::Incoming;
 use prometheus_client::metrics::counter::Counter;
@@ -64,6 +65,8 @@
     Inactive,
     /// The deadline passed.
     DeadlinePassed,
+    /// The response has a status that is no final one of HTTP.
+    StatusNotFinal,
 }
 
 impl Connection {
@@ -194,11 +197,14 @@
             biased;
             response = response => {
                 self.has_answered |= response.is_ok();
-                let response = response.map(|response| response.map(|body| self.allowance.answer(body)));
-                response.map_err(|mut error| match error.take_message() {
+                let response = response.map_err(|mut error| match error.take_message() {
                     Some(request) => SendError::NotSent(Box::new(request)),
                     None => SendError::ConnectionLost(error.into_error()),
-                })
+                })?;
+                if !is_final(response.status().as_u16()) {
+                    return Err(SendError::StatusNotFinal);
+                }
+                Ok(response.map(|body| self.allowance.answer(body)))
             }
             () = sleep_until(deadline) => Err(SendError::DeadlinePassed),
             () = self
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -143,6 +143,7 @@
             SendError::ConnectionLost(_) => Reason::ConnectionLost,
             SendError::Inactive => Reason::ConnectionSilent,
             SendError::DeadlinePassed => Reason::DeadlinePassed,
+            SendError::StatusNotFinal => Reason::Protocol,
         };
         if reason == Reason::ConnectionSilent {
             self.lane.drop_inactive_since(connection.sent_at());
--- a/crates/backend/tests/backend/main.rs
+++ b/crates/backend/tests/backend/main.rs
@@ -7,3 +7,4 @@
 mod pool;
 mod random_faults;
 mod setup;
+mod statuses;
--- a/crates/copperwelld/tests/cut/main.rs
+++ b/crates/copperwelld/tests/cut/main.rs
@@ -8,10 +8,13 @@
 mod harness;
 #[path = "../../../../platform/tests/standin/mod.rs"]
 mod standin;
+#[path = "../gateway/status_caller.rs"]
+mod status_caller;
 
 mod cut;
 mod many_servers;
 mod relayed_endless;
+mod relayed_statuses;
 
 /// Holds back tests that need the machine for themselves, as the stand-in takes much time for each connection.
 static ROOM: Semaphore = Semaphore::const_new(ROOM_ALL as usize);
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -19,4 +19,6 @@
 mod refusals;
 mod requests;
 mod rewind;
+mod status_caller;
+mod statuses;
 mod stopping;
--- a/crates/message/src/head.rs
+++ b/crates/message/src/head.rs
@@ -120,6 +120,14 @@
     pub body: Body,
 }
 
+/// Returns whether a status ends a request: 200 to 599, the final ones of RFC 9110.
+///
+/// A status of 1xx is followed by another one. Beyond these classes a caller cannot know whether to repeat its request.
+#[must_use]
+pub fn is_final(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
 impl Response {
     /// Creates a response without an answer from the owner.
     #[must_use]
--- a/crates/message/src/lib.rs
+++ b/crates/message/src/lib.rs
@@ -4,7 +4,7 @@
 //! hop implements [`Serve`], so that hops can be composed, and tested on their own.
 
 pub use body::{Body, Incomplete, Sender};
-pub use head::{Class, Head, Repeat, Reply, Request, Response};
+pub use head::{Class, Head, Repeat, Reply, Request, Response, is_final};
 pub use map::{HashMap, HashSet};
 pub use verdict::{Reason, Verdict};
 
--- a/crates/peer/src/link/connection.rs
+++ b/crates/peer/src/link/connection.rs
@@ -22,7 +22,7 @@
     wire::{RequestHeader, ResponseHeader},
 };
 use bytes::Bytes;
-use copperwell_message::{Reason, Request, Response, Verdict};
+use copperwell_message::{Reason, Request, Response, Verdict, is_final};
 use h2::{
     PingPong,
     client::{Builder, ResponseFuture, SendRequest},
@@ -172,8 +172,13 @@
         match timeout_at(deadline, receive(response)).await {
             Ok(Ok((response_header, body))) => {
                 self.permit.state.monitor.record_activity();
+                let reply = response_header.reply;
+                // Daemons of earlier releases pass on what an upstream has sent.
+                if !is_final(reply.status) {
+                    return Response::refusal(Verdict::MayHaveRun, Reason::Protocol);
+                }
                 Response {
-                    reply: response_header.reply,
+                    reply,
                     body: body.into_body((self.permit, guard)),
                 }
             }
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -80,6 +80,17 @@
     Response { reply, body }
 }
 
+/// Responds with a status, as a daemon of an earlier release passes on any that an upstream sends.
+struct WithStatus(u16);
+
+impl Serve for WithStatus {
+    async fn serve(&self, _: Request) -> Response {
+        let mut response = ok_response(Body::full("body"));
+        response.reply.status = self.0;
+        response
+    }
+}
+
 fn request(body: Body) -> Request {
     let head = Head {
         id: uuid::Uuid::nil(),
@@ -436,6 +447,20 @@
     assert_eq!(verdict(&response), expected);
 }
 
+/// Guards against a status that is no final one of HTTP and reaches a caller through a daemon of an earlier release.
+#[test_case::test_case(0 => (Verdict::MayHaveRun, Some(Reason::Protocol)); "zero")]
+#[test_case::test_case(101 => (Verdict::MayHaveRun, Some(Reason::Protocol)); "of an upgrade")]
+#[test_case::test_case(199 => (Verdict::MayHaveRun, Some(Reason::Protocol)); "below the first")]
+#[test_case::test_case(200 => (Verdict::Done, None); "the first")]
+#[test_case::test_case(599 => (Verdict::Done, None); "the last")]
+#[test_case::test_case(600 => (Verdict::MayHaveRun, Some(Reason::Protocol)); "above the last")]
+#[tokio::test]
+async fn status_that_is_not_final_is_passed_on(status: u16) -> (Verdict, Option<Reason>) {
+    let peer = start(WithStatus(status)).await;
+    let response = Links::new().send(peer, request(Body::empty())).await;
+    verdict(&response)
+}
+
 #[test_case::test_case(raw::Fault::RefuseStream => (Verdict::NotRun, Some(Reason::NoLeader)); "refused stream")]
 #[test_case::test_case(raw::Fault::ResetStream => (Verdict::MayHaveRun, Some(Reason::ConnectionLost)); "reset")]
 #[test_case::test_case(raw::Fault::Close => (Verdict::MayHaveRun, Some(Reason::ConnectionLost)); "closed")]
