Limit the requests to upstreams that warm up

Cause: an upstream that warms up crashes above warmupPerS x warmupOvershoot + warmupSlack requests in a second, and each daemon sent its share of all requests there, whatever the others did.

Change: each daemon knows which upstreams warm up, from registrations and from health responses. A service without keys uses them only if no warm upstream has room, and every request to one needs a reservation of the leader, by the new call `reserve_warmup` on a connection of its own. The leader schedules at most half of the limit in any second, with reservations that may be used up to 200 ms late, so that a leader and its successor stay within the limit together. Without a leader there is no reservation and no request. Before a request of a service without keys, a new connection begins with a health check if the upstream was not heard in the last second, or a connection to it was refused, lost or closed since. The leader gives the keys of a restarted holder that warms up to warm ones.

All of it is off for services without a warm-up, and without the allowance in the settings.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -23,7 +23,7 @@
     store_state::{Delta, ListVersion, Newest},
     table::{Table, Tables, Version},
 };
-use copperwell_message::HashMap;
+use copperwell_message::{HashMap, HashSet};
 use copperwell_policy::backoff::Backoff;
 use copperwell_routing::{Incarnation, ServiceName, UpstreamId, ZoneName, registry::Upstream};
 use rand::RngExt;
@@ -70,6 +70,11 @@
     /// Returns the upstreams of a service, including those that are draining.
     fn upstreams(&self, service: &str) -> Vec<Arc<Upstream>>;
 
+    /// Returns the upstreams of a service that warm up, if its configuration limits their requests meanwhile.
+    fn warming_up(&self, _service: &str) -> HashSet<UpstreamId> {
+        HashSet::default()
+    }
+
     /// Returns the upstreams of all services.
     fn all_upstreams(&self) -> Vec<Arc<Upstream>>;
 
--- a/crates/assignment/src/driver/following.rs
+++ b/crates/assignment/src/driver/following.rs
@@ -61,6 +61,7 @@
             () = reporting => FollowOutcome::Lost,
             () = self.refresh_successors(leader) => FollowOutcome::Lost,
             () = self.report_reach(leader) => FollowOutcome::Lost,
+            () = self.shared.warmups.follow(|| Client::connect(leader.address)) => FollowOutcome::Lost,
         };
         self.shared.limits.follow_nobody();
         outcome
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -256,12 +256,14 @@
         let mut orders = Vec::new();
         for machine in &mut self.machines {
             let upstreams = driver.environment.upstreams(machine.service());
+            let warming_up = driver.environment.warming_up(machine.service());
             let observation = Observation::new(&upstreams, &all, list_read_at);
             let is_unreachable = self.store_unreachable_since.is_some()
                 && self.lease.remaining(now) < LONG_GRANT_MARGIN;
             let observation = observation
                 .with_store_unreachable(is_unreachable)
-                .with_lost(&lost);
+                .with_lost(&lost)
+                .with_warming_up(&warming_up);
             let due = machine.step(now, &observation);
             orders.extend(
                 due.into_iter()
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -20,6 +20,7 @@
     table::{RoutingTables, Version},
     transfer::Chunk,
     update::Update,
+    warmup::{Request as WarmupRequest, SharedWarmups},
 };
 use copperwell_routing::{Incarnation, UpstreamId, limit::Entry, quarantine::Entry as Suspect};
 use futures::StreamExt;
@@ -32,7 +33,7 @@
 };
 use tokio::{net::TcpListener, sync::mpsc, time::timeout};
 
-pub use client::Client;
+pub use client::{Client, ReserveError};
 pub(crate) use peers::{CANDIDATES_MAX, Candidate};
 
 use peers::State;
@@ -147,6 +148,10 @@
     /// Reports which upstreams a daemon reaches; returns daemons that accept its requests. Returns `None` if the
     /// daemon does not lead.
     async fn report_reach(report: Helper) -> Option<Vec<Helper>>;
+
+    /// Reserves a request to an upstream that warms up, if it is due within the request's patience; returns how long
+    /// it has to wait, or would have to. Returns `None` if the daemon does not lead.
+    async fn reserve_warmup(request: WarmupRequest) -> Option<Result<Duration, Duration>>;
 }
 
 /// The server side of the exchange, which exists whether or not this daemon leads.
@@ -162,6 +167,7 @@
     store_state: Arc<StoreState>,
     quarantine: Arc<SharedQuarantine>,
     limits: Arc<SharedLimits>,
+    warmups: Arc<SharedWarmups>,
     reports: mpsc::Sender<Vec<Report>>,
     state: Mutex<State>,
 }
@@ -177,6 +183,7 @@
             store_state: shared.store_state.clone(),
             quarantine: shared.quarantine.clone(),
             limits: shared.limits.clone(),
+            warmups: shared.warmups.clone(),
             reports,
             state: Mutex::default(),
         };
@@ -186,6 +193,8 @@
 
     /// Sets the status that this daemon announces to the others.
     pub fn set_standing(&self, standing: Standing) {
+        let leads = standing == Standing::Leads;
+        self.shared.warmups.set_leading(leads);
         self.state().standing = standing;
     }
 
@@ -372,4 +381,12 @@
     async fn newest_configuration(self, _: context::Context) -> Option<Newest> {
         self.shared.store_state.newest_configuration()
     }
+
+    async fn reserve_warmup(
+        self,
+        _: context::Context,
+        request: WarmupRequest,
+    ) -> Option<Result<Duration, Duration>> {
+        self.shared.warmups.reserve_for(&request)
+    }
 }
--- a/crates/assignment/src/exchange/client.rs
+++ b/crates/assignment/src/exchange/client.rs
@@ -8,6 +8,7 @@
     reach::Helper,
     store_state::Newest,
     transfer::{Chunk, ENCODED_BYTES_MAX},
+    warmup::Request as WarmupRequest,
 };
 use copperwell_routing::{limit::Entry, quarantine::Entry as Suspect};
 use tarpc::{
@@ -36,6 +37,15 @@
     client: RpcClient,
 }
 
+/// Why a request for a reservation got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReserveError {
+    /// No answer arrived in time.
+    TimedOut,
+    /// The connection has failed.
+    Closed,
+}
+
 impl Client {
     /// Opens a connection; `None` if the daemon is unreachable.
     pub async fn connect(to: SocketAddr) -> Option<Self> {
@@ -69,6 +79,26 @@
         within(URGENT_TIMEOUT, call).await?
     }
 
+    /// Reserves a request to an upstream that warms up; returns how long it has to wait, or would have to, or `None` if
+    /// the daemon does not lead.
+    ///
+    /// # Errors
+    ///
+    /// [`ReserveError`] if the daemon does not answer. One of an earlier release closes the connection.
+    pub async fn reserve_warmup(
+        &self,
+        request: WarmupRequest,
+    ) -> Result<Option<Result<Duration, Duration>>, ReserveError> {
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + URGENT_TIMEOUT;
+        let call = self.client.reserve_warmup(context, request);
+        match timeout(URGENT_TIMEOUT, call).await {
+            Ok(Ok(result)) => Ok(result),
+            Err(_) | Ok(Err(RpcError::DeadlineExceeded)) => Err(ReserveError::TimedOut),
+            Ok(Err(_)) => Err(ReserveError::Closed),
+        }
+    }
+
     /// Returns the addresses of the daemons that should lead next; `None` if the daemon does not answer.
     pub async fn successors(&self) -> Option<Vec<SocketAddr>> {
         within(CALL_MARGIN, |context| self.client.successors(context)).await
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod table;
 pub mod transfer;
 pub mod update;
+pub mod warmup;
 
 /// A fencing token of a grant. An upstream refuses a token lower than the highest that it has seen
 /// for a key.
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -26,7 +26,7 @@
 use copperwell_message::{HashMap, HashSet};
 use copperwell_routing::{ServiceName, UpstreamId};
 
-use holder::{State, Status, is_any_responsive, status_of};
+use holder::{State, Status, is_any_responsive, is_replaceable_while_it_warms_up, status_of};
 use key_range::{KeyRange, Stage};
 
 pub use observation::Observation;
@@ -363,6 +363,9 @@
                     // higher token.
                     self.fence += 1;
                     self.edition += 1;
+                    // A new run that warms up takes few requests, so its keys go elsewhere if they can.
+                    range.is_migrating |=
+                        is_replaceable_while_it_warms_up(holder, observation, &self.states, now);
                     range.reassign_to_run(born, self.fence, self.edition);
                 }
             }
--- a/crates/assignment/src/machine/holder.rs
+++ b/crates/assignment/src/machine/holder.rs
@@ -70,6 +70,21 @@
     not_draining.any(|one| !is_unresponsive(&one.id))
 }
 
+/// Returns whether a holder that has restarted warms up, and another upstream can be given its keys that does not.
+pub(super) fn is_replaceable_while_it_warms_up(
+    holder: &Holder,
+    observation: &Observation<'_>,
+    states: &HashMap<UpstreamId, State>,
+    now: Duration,
+) -> bool {
+    if !observation.is_warming_up(&holder.id) {
+        return false;
+    }
+    let targets = Targets::new(observation, states, now);
+    let mut holders = targets.holders.iter();
+    holders.any(|target| !observation.is_warming_up(&target.id))
+}
+
 /// Returns whether a holder keeps its keys; `is_any_responsive` says whether any upstream answers
 /// orders.
 pub(super) fn status_of(
@@ -161,6 +176,10 @@
             let not_draining = observation.upstreams.iter().filter(|one| !one.is_draining);
             usable = not_draining.collect();
         }
+        let is_warm = |one: &&Arc<Upstream>| !observation.is_warming_up(&one.id);
+        if usable.iter().any(is_warm) {
+            usable.retain(is_warm);
+        }
         let holder = |one: &&Arc<Upstream>| Holder {
             id: one.id.clone(),
             born: one.born,
--- a/crates/assignment/src/machine/observation.rs
+++ b/crates/assignment/src/machine/observation.rs
@@ -19,6 +19,8 @@
     pub(super) is_store_unreachable: bool,
     /// The upstreams to which the leader cannot open a connection; `None` if it does not probe them.
     pub(super) lost: Option<&'a HashSet<UpstreamId>>,
+    /// The upstreams that warm up.
+    pub(super) warming_up: Option<&'a HashSet<UpstreamId>>,
 }
 
 /// The share of a service's upstreams to which no connection can be opened from which on the fault may be at the
@@ -44,6 +46,7 @@
             list_read_at,
             is_store_unreachable: false,
             lost: None,
+            warming_up: None,
         }
     }
 
@@ -61,6 +64,18 @@
         self
     }
 
+    /// Sets the upstreams that warm up, of a service whose upstreams do.
+    #[must_use]
+    pub fn with_warming_up(mut self, warming_up: &'a HashSet<UpstreamId>) -> Self {
+        self.warming_up = Some(warming_up);
+        self
+    }
+
+    /// Returns whether an upstream warms up.
+    pub(super) fn is_warming_up(&self, id: &UpstreamId) -> bool {
+        self.warming_up.is_some_and(|ids| ids.contains(id))
+    }
+
     /// Returns whether the leader cannot open a connection to so many upstreams of the service that the fault may be
     /// at the leader.
     pub(super) fn is_cut_off(&self) -> bool {
--- a/crates/assignment/src/shared.rs
+++ b/crates/assignment/src/shared.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     demand::Counts, limits::SharedLimits, quarantine::SharedQuarantine, reach::Helper,
-    store_state::StoreState, table::RoutingTables,
+    store_state::StoreState, table::RoutingTables, warmup::SharedWarmups,
 };
 use copperwell_routing::{Incarnation, UpstreamId};
 use tokio::sync::watch;
@@ -39,6 +39,8 @@
     pub quarantine: Arc<SharedQuarantine>,
     /// The limits that upstreams name.
     pub limits: Arc<SharedLimits>,
+    /// The requests to upstreams that warm up.
+    pub warmups: Arc<SharedWarmups>,
     /// Whether this daemon has looked for a leader, or need not wait for that since it was
     /// restarted. From then on it follows one, or must read the store itself.
     pub has_looked_for_leader: Arc<watch::Sender<bool>>,
@@ -72,6 +74,7 @@
             daemons,
             store_state: Arc::new(StoreState::new(run)),
             quarantine: Arc::default(),
+            warmups: Arc::default(),
             has_looked_for_leader: Arc::new(watch::Sender::new(false)),
             offer: Arc::default(),
             successors: Arc::default(),
--- a/crates/assignment/tests/machine/simulation.rs
+++ b/crates/assignment/tests/machine/simulation.rs
@@ -83,6 +83,8 @@
     pub(crate) is_store_unreachable: bool,
     /// Whether the leader finds out which servers it can connect to.
     pub(crate) probes_paths: bool,
+    /// Whether the service limits the requests of servers that warm up.
+    pub(crate) limits_warmups: bool,
     leader: usize,
     in_flight: Vec<SentOrder>,
     /// A write in flight: its edition, its plan, and when it takes effect.
@@ -125,6 +127,7 @@
             read_late: 0.0,
             is_store_unreachable: false,
             probes_paths: false,
+            limits_warmups: false,
             leader: 0,
             in_flight: Vec::new(),
             write: None,
@@ -208,6 +211,12 @@
             true => observation.with_lost(&lost),
             false => observation,
         };
+        let listed = self.listed.iter().filter(|one| !one.warmup.is_zero());
+        let warming_up = listed.map(|one| one.id.clone()).collect();
+        let observation = match self.limits_warmups {
+            true => observation.with_warming_up(&warming_up),
+            false => observation,
+        };
         for order in self.machine.step(self.now, &observation) {
             self.send(order);
         }
@@ -412,6 +421,13 @@
         self.highest_fences.clear();
     }
 
+    /// Sets how much longer it warms up, as its registration says.
+    pub(crate) fn set_warmup(&mut self, left: Duration) {
+        let mut upstream = (*self.upstream).clone();
+        upstream.warmup = left;
+        self.upstream = Arc::new(upstream);
+    }
+
     /// Starts a new run under the same name.
     pub(crate) fn restart(&mut self) {
         let mut upstream = (*self.upstream).clone();
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -63,6 +63,52 @@
     assert_eq!(simulation.served(), key_count());
 }
 
+const WARMUP: Duration = Duration::from_secs(3);
+
+/// Guards against an upstream that is overrun after its restart by the requests for the keys which it had.
+#[test_case(true; "of a service that limits its requests")]
+#[test_case(false; "of another service")]
+fn restarted_upstream_keeps_its_keys_while_it_warms_up(limits_warmups: bool) {
+    let mut simulation = started();
+    simulation.limits_warmups = limits_warmups;
+    simulation.servers[0].crash();
+    simulation.servers[0].restart();
+    simulation.servers[0].set_warmup(WARMUP);
+    simulation.run(Duration::from_millis(2_000));
+    assert_eq!(keys_held_by(&simulation, 0) == 0, limits_warmups);
+    assert_eq!(simulation.served(), key_count());
+}
+
+/// Guards against keys without a holder while all upstreams warm up, and against one that takes the keys of all others
+/// because it is warm first.
+#[test]
+fn keys_are_unserved_while_all_upstreams_warm_up() {
+    let mut simulation = Simulation::new(SERVERS, 1);
+    simulation.limits_warmups = true;
+    for server in &mut simulation.servers {
+        server.set_warmup(WARMUP);
+    }
+    simulation.run(STARTUP_TIME);
+    assert_eq!(simulation.served(), key_count());
+    simulation.servers[0].set_warmup(Duration::ZERO);
+    simulation.run(Duration::from_secs(2));
+    assert!(keys_held_by(&simulation, 0) < key_count() / 2);
+}
+
+/// Guards against free keys that are granted to an upstream that warms up.
+#[test]
+fn keys_of_a_lost_upstream_go_to_one_that_warms_up() {
+    let mut simulation = started();
+    simulation.limits_warmups = true;
+    simulation.servers[1].set_warmup(WARMUP);
+    simulation.run(Duration::from_secs(1));
+    let before = keys_held_by(&simulation, 1);
+    simulation.servers[0].drain();
+    simulation.run(Duration::from_secs(2));
+    assert_eq!(simulation.served(), key_count());
+    assert_eq!(keys_held_by(&simulation, 1), before);
+}
+
 /// Another upstream at the same address proves that the old one has ended, also to a new leader.
 #[test]
 fn an_upstream_whose_address_was_reused_is_replaced_at_once() {
--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -233,7 +233,8 @@
     async fn open(&self, order: &PendingOrder) -> Result<Connection, Failure> {
         let remaining = order.deadline.saturating_duration_since(Instant::now());
         let connect_timeout = remaining.min(self.timing.connect);
-        let opened = Connection::open(order.to, connect_timeout, (), self.bytes.clone()).await;
+        let (bytes, closed) = (self.bytes.clone(), Arc::default());
+        let opened = Connection::open(order.to, connect_timeout, (), bytes, closed).await;
         opened.map_err(|_| Failure::Unreachable)
     }
 
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     framing::RequestHash,
+    lane::Closed,
     outgoing::Outgoing,
     traffic::{Metered, Traffic},
 };
@@ -69,12 +70,13 @@
 impl Connection {
     /// Opens a connection that keeps `guard` alive until its socket closes.
     ///
-    /// `bytes` counts the bytes sent and received.
+    /// `bytes` counts the bytes sent and received; `closed` records if the server closes it.
     pub(crate) async fn open(
         to: SocketAddr,
         connect_timeout: Duration,
         guard: impl Send + 'static,
         bytes: Counter,
+        closed: Arc<Closed>,
     ) -> Result<Self, ConnectError> {
         let stream = timeout(connect_timeout, TcpStream::connect(to))
             .await
@@ -95,6 +97,7 @@
         let task = tokio::spawn(async move {
             // A pending request gets the error from its sender; an idle connection needs none.
             let _ = connection.await;
+            closed.record();
             drop(guard);
         });
         Ok(Self {
@@ -133,6 +136,11 @@
         self.has_answered
     }
 
+    /// Records that the only answer so far was that of a health check, which shows nothing of later requests.
+    pub(crate) fn forget_answer(&mut self) {
+        self.has_answered = false;
+    }
+
     /// Returns whether the connection can accept no further request.
     pub(crate) fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -7,19 +7,28 @@
     framing::{Framing, Read, RequestHash, Unsendable},
     head,
     lane::Lane,
+    outgoing::Outgoing,
 };
 use bytes::Bytes;
 use copperwell_message::{Body, Reason, Response, Sender, Verdict};
+use http::{Request, header::HOST, uri::PathAndQuery};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Frame};
 use tokio::{
     sync::oneshot,
+    task::yield_now,
     time::{Instant, sleep_until, timeout_at},
 };
 
 /// The largest response body that is buffered completely instead of streamed, in bytes.
 const BUFFERED_BYTES_MAX: usize = 64 * 1024;
 
+/// The timeout of a health check before a request. Servers answer it at once, also when they are full.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The largest body of a health response, in bytes.
+const HEALTH_BYTES_MAX: usize = 16 * 1024;
+
 /// Sends one request over a server's connections, within time limits.
 #[derive(Debug)]
 pub struct Exchange {
@@ -34,6 +43,30 @@
 /// It is dropped when the exchange returns a response that is not streamed.
 pub type BodyEnd = oneshot::Sender<Result<(), Reason>>;
 
+/// Decides on each connection whether a request is sent there.
+pub trait Gate: Send {
+    /// Returns whether the request may be sent now. It is asked right before that, which may be long after the server
+    /// was chosen.
+    fn may_send(&mut self) -> bool;
+
+    /// Returns the path of the health check that a new connection begins with; `None` if none is needed.
+    ///
+    /// `closed_at` is when the server last closed a connection, as it does when its process ends.
+    fn health_check(&mut self, _closed_at: Option<Instant>) -> Option<PathAndQuery> {
+        None
+    }
+
+    /// Records the answer to the health check that was sent at `sent_at`: how much longer the server warms up, or
+    /// `None` if there was none in time.
+    fn record_health(&mut self, _warmup_left: Option<Duration>, _sent_at: Instant) {}
+}
+
+impl<T: FnMut() -> bool + Send> Gate for T {
+    fn may_send(&mut self) -> bool {
+        self()
+    }
+}
+
 /// A request that failed before its response head arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Failed {
@@ -68,21 +101,20 @@
 
     /// Sends a request and returns its response, with a body that may still be streaming.
     ///
-    /// `may_send` is asked on each connection right before the request is sent there, which may be long after the
-    /// server was chosen.
+    /// `gate` is asked on each connection whether the request is sent there, after the health check that it names.
     ///
     /// Dropping the future closes the connection, which cancels the request.
     ///
     /// # Errors
     ///
     /// [`Failed`] if the request was not sent, or its response did not arrive; [`Reason::NoUpstream`] if it may not be
-    /// sent any more.
+    /// sent any more, and [`Reason::ConnectionRefused`] if the health check was not answered.
     pub async fn run<F: Framing>(
         self,
         framing: &F,
         request_head: &F::Head,
         body: Body,
-        mut may_send: impl FnMut() -> bool + Send,
+        mut gate: impl Gate,
     ) -> Result<Response, Failed> {
         let lane = &self.lane;
         let head = framing
@@ -97,13 +129,16 @@
                 Some(connection) => connection,
                 None => self.open().await?,
             };
+            if !is_reused {
+                self.confirm(framing, &mut connection, &mut gate).await?;
+            }
             let remaining = self.remaining();
             if remaining.is_zero() {
                 lane.put_back(connection);
                 return Err(Failed::not_run(Reason::DeadlineHopeless));
             }
             framing.set_deadline(request.headers_mut(), remaining);
-            if !may_send() {
+            if !gate.may_send() {
                 lane.put_back(connection);
                 return Err(Failed::not_run(Reason::NoUpstream));
             }
@@ -124,6 +159,48 @@
         }
     }
 
+    /// Sends a health check on a new connection if `gate` needs one.
+    async fn confirm<F: Framing>(
+        &self,
+        framing: &F,
+        connection: &mut Connection,
+        gate: &mut impl Gate,
+    ) -> Result<(), Failed> {
+        // Lets the tasks of connections that the earlier process has closed see that.
+        yield_now().await;
+        let Some(path) = gate.health_check(self.lane.closed_at()) else {
+            return Ok(());
+        };
+        let sent_at = Instant::now();
+        let warmup_left = self.check_health(framing, connection, path).await;
+        gate.record_health(warmup_left, sent_at);
+        if warmup_left.is_none() {
+            self.lane.count_closed("unhealthy");
+            return Err(Failed::not_run(Reason::ConnectionRefused));
+        }
+        Ok(())
+    }
+
+    /// Sends a health check, and returns how much longer the server warms up; `None` if the connection cannot be used.
+    async fn check_health<F: Framing>(
+        &self,
+        framing: &F,
+        connection: &mut Connection,
+        path: PathAndQuery,
+    ) -> Option<Duration> {
+        let deadline = self.deadline.min(Instant::now() + HEALTH_CHECK_TIMEOUT);
+        let request = Request::get(path).header(HOST, self.lane.address().to_string());
+        let request = request.body(Outgoing::new(Body::empty())).ok()?;
+        let sent = connection.send(request, HEALTH_CHECK_TIMEOUT, deadline);
+        let (head, body) = sent.await.ok()?.into_parts();
+        let body = Limited::new(body, HEALTH_BYTES_MAX).collect();
+        timeout_at(deadline, body).await.ok()?.ok()?;
+        connection.update_keep_alive(head::keep_alive_in(&head.headers));
+        connection.forget_answer();
+        let is_ready = connection.is_ready_within(READY_TIMEOUT).await;
+        is_ready.then(|| framing.warmup_left(&head.headers))
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/backend/src/framing.rs
+++ b/crates/backend/src/framing.rs
@@ -27,6 +27,11 @@
     /// Returns a hash of the id that the server's responses repeat; `None` if they repeat none.
     fn repeated_id(&self, request_head: &Self::Head) -> Option<RequestHash>;
 
+    /// Returns how much longer the server warms up, by the head of a health response.
+    fn warmup_left(&self, _headers: &HeaderMap) -> Duration {
+        Duration::ZERO
+    }
+
     /// Interprets the head of a response to the request `request_head`.
     fn read(&self, request_head: &Self::Head, headers: &HeaderMap, status: StatusCode) -> Read;
 }
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -33,8 +33,13 @@
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<Connection>>,
     is_warming_up: AtomicBool,
+    closed: Arc<Closed>,
 }
 
+/// When the server last closed a connection of a pool.
+#[derive(Debug, Default)]
+pub(crate) struct Closed(Mutex<Option<Instant>>);
+
 /// The error for a pool in which the server has closed an idle connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ServerClosed;
@@ -71,6 +76,7 @@
             permits: Arc::new(Semaphore::new(connections_max as usize)),
             idle: Mutex::default(),
             is_warming_up: AtomicBool::new(false),
+            closed: Arc::default(),
         }
     }
 
@@ -95,6 +101,11 @@
         self.permits.available_permits() == 0
     }
 
+    /// Returns when the server last closed a connection; `None` if it never has.
+    pub(crate) fn closed_at(&self) -> Option<Instant> {
+        *self.closed.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the server's address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -186,6 +197,7 @@
             connect_timeout,
             permit,
             self.metrics.bytes.clone(),
+            self.closed.clone(),
         )
         .await?;
         self.metrics.opened.inc();
@@ -253,6 +265,12 @@
     }
 }
 
+impl Closed {
+    pub(crate) fn record(&self) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+}
+
 /// Marks a pool as being warmed up until dropped, so that cancellation clears the mark too.
 struct WarmUpGuard<'a>(&'a AtomicBool);
 
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -146,9 +146,12 @@
         let run = run_number();
         let view = View::new(run, zone, settings.allowance).with_drain(settings.drain);
         let view = Arc::new(view);
+        view.set_warmup_allowance(settings.warmup);
         let connections_max = (settings.descriptors as f64 * CALLERS_SHARE) as usize;
         view.crash_tracker.register(&mut registry);
         view.keys.limits.register(&mut registry);
+        view.keys.warmups.register(&mut registry);
+        view.warmups.register(&mut registry);
         view.paths.register(&mut registry);
         let gateway = Gateway::new(Wire, view.clone(), metrics.clone(), connections_max.max(1));
         gateway.connection_metrics().register(&mut registry);
--- a/crates/copperwelld/src/reload.rs
+++ b/crates/copperwelld/src/reload.rs
@@ -85,6 +85,7 @@
         }
         self.store.set_address(newer.store);
         self.view.set_allowance(newer.allowance);
+        self.view.set_warmup_allowance(newer.warmup);
         self.view.set_drain(newer.drain);
         *settings = newer;
     }
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -20,3 +20,4 @@
 mod requests;
 mod rewind;
 mod stopping;
+mod warmup;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -116,11 +116,14 @@
                     None => return trail.finish(Rejection::new(Reason::QueueFull)),
                 },
             };
-            let upstream = match selected {
-                Selected::Upstream(upstream) if self.is_lost_for_others(&upstream.id) => {
+            let (upstream, reservation) = match selected {
+                Selected::Upstream(upstream) | Selected::WarmingUp(upstream, _)
+                    if self.is_lost_for_others(&upstream.id) =>
+                {
                     return trail.finish(Rejection::new(Reason::ConnectionRefused));
                 }
-                Selected::Upstream(upstream) => upstream,
+                Selected::Upstream(upstream) => (upstream, None),
+                Selected::WarmingUp(upstream, reservation) => (upstream, Some(reservation)),
                 Selected::Relay(helper) => {
                     let terms = self.terms_for_relay(trail.attempted().len());
                     let flight = trail.begin_through(helper);
@@ -140,8 +143,9 @@
             };
             let version = self.view.keys.routing_tables.version();
             let flight = trail.begin_at(upstream.id.clone());
+            let (key, reservation) = (requirements.key, reservation.as_ref());
             let attempt = self
-                .send(&upstream, flight, &parts, body, requirements.key)
+                .send(&upstream, flight, &parts, body, key, reservation)
                 .await;
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -15,13 +15,39 @@
     metrics::Stage,
     pools::CONNECTIONS_MAX,
     trail::Flight,
+    view::View,
 };
-use copperwell_backend::exchange::Exchange;
+use copperwell_assignment::warmup::Reservation;
+use copperwell_backend::exchange::{Exchange, Gate};
 use copperwell_message::{Body, Reason, Reply};
 use copperwell_routing::{Key, limit::Observation, load::Outcome, registry::Upstream};
-use http::request::Parts;
+use http::{request::Parts, uri::PathAndQuery};
 use tokio::{sync::oneshot, time::Instant};
 
+/// Decides whether a request is still sent, and confirms an upstream that may have been started again.
+struct SendGate<'a, M> {
+    view: &'a View,
+    upstream: &'a Upstream,
+    checks_health: bool,
+    may_send: M,
+}
+
+impl<M: FnMut() -> bool + std::marker::Send> Gate for SendGate<'_, M> {
+    fn may_send(&mut self) -> bool {
+        (self.may_send)()
+    }
+
+    fn health_check(&mut self, closed_at: Option<Instant>) -> Option<PathAndQuery> {
+        self.checks_health
+            .then(|| self.view.health_check_before(self.upstream, closed_at))
+            .flatten()
+    }
+
+    fn record_health(&mut self, warmup_left: Option<Duration>, sent_at: Instant) {
+        self.view.record_health(self.upstream, warmup_left, sent_at);
+    }
+}
+
 impl<D: Dialect> Attempts<'_, D> {
     /// Sends the request to an upstream once, and records how the attempt ended.
     pub(super) async fn send(
@@ -31,6 +57,7 @@
         parts: &Parts,
         body: Body,
         key: Option<Key>,
+        reservation: Option<&Reservation>,
     ) -> Attempt {
         let connections = self.connections_to(upstream);
         let pool = self.pools.pool_of(upstream, connections);
@@ -51,14 +78,22 @@
         let is_whole = body.as_full().is_some();
         flight.record_choice(self.view.upstreams_age());
         let may_send = || {
-            let may_send = self.view.may_send(upstream, key.is_some());
+            let may_send = self.view.may_send(upstream, key.is_some())
+                && self.view.may_send_cold(upstream, reservation);
             if !may_send || self.would_be_cut(is_whole) {
                 return false;
             }
             flight.record_sending_at(self.view.upstreams_age(), sent_at.elapsed());
             true
         };
-        let result = exchange.run(self.dialect, &outbound, body, may_send).await;
+        let gate = SendGate {
+            view: self.view,
+            upstream,
+            // A process that was started again holds no keys, so it does not run requests for them.
+            checks_health: key.is_none(),
+            may_send,
+        };
+        let result = exchange.run(self.dialect, &outbound, body, gate).await;
         self.metrics.observe_sending(flight.sending());
         flight.end(outcome::verdict_of(&result));
         path.end(&result);
@@ -78,6 +113,7 @@
             self.view.crash_tracker.record_unreachable(upstream);
         }
         let outcome = outcome_of(&result);
+        self.record_sign_of_life(upstream, outcome, sent_at);
         let streamed = end_send(send, &result, streamed);
         // How a streamed response has ended is known later.
         let elapsed = in_flight.end(match streamed {
@@ -99,6 +135,20 @@
         }
     }
 
+    /// Records whether the process of an upstream has answered a request that was sent at `sent_at`.
+    fn record_sign_of_life(&self, upstream: &Upstream, outcome: Outcome, sent_at: Instant) {
+        match outcome {
+            Outcome::Answered | Outcome::Failed | Outcome::Shed => {
+                self.view.record_heard(upstream, sent_at);
+            }
+            Outcome::ConnectionFailed | Outcome::ConnectionLost | Outcome::TimedOut => {
+                self.view.record_unheard(upstream);
+            }
+            // Another upstream may have the address.
+            Outcome::Misdirected | Outcome::Cancelled => {}
+        }
+    }
+
     /// Records that an upstream wants no requests for `time`.
     fn record_closed(&self, upstream: &Upstream, time: Duration) {
         self.metrics.closed_upstreams.inc();
@@ -126,11 +176,11 @@
         &self,
         send: Send,
         body_end: BodyEnd,
-        upstream: &Upstream,
+        upstream: &Arc<Upstream>,
         outcome: Outcome,
         elapsed: Duration,
     ) {
-        let (view, id) = (self.view.clone(), upstream.id.clone());
+        let (view, upstream) = (self.view.clone(), upstream.clone());
         tokio::spawn(async move {
             let end = body_end.await.unwrap_or(Err(Reason::Cancelled));
             let outcome = match end {
@@ -139,7 +189,11 @@
                 Err(_) => Outcome::TimedOut,
             };
             let now = Instant::now();
-            view.loads().record_response_end(&id, outcome, elapsed, now);
+            if end == Err(Reason::ConnectionLost) {
+                view.record_unheard(&upstream);
+            }
+            let id = &upstream.id;
+            view.loads().record_response_end(id, outcome, elapsed, now);
             end_streamed(send, end);
         });
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -128,6 +128,7 @@
             .retain(|id| registry.get(id).is_some());
         drop(registry);
         self.view.crash_tracker.maintain();
+        self.view.maintain_warmups();
         self.selector.queues.remove_unused();
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,3 +28,4 @@
 mod request_log;
 mod selector;
 mod trail;
+mod warmup;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -162,7 +162,7 @@
         );
         registry.register(
             "withdrawn",
-            "Requests not sent to the upstream selected: it had left since, or the list was too old to tell",
+            "Requests not sent to the upstream selected: it had left since, warms up, or the list was too old to tell",
             all.withdrawn,
         );
         registry.register(
@@ -251,6 +251,7 @@
         self.configuration_age
             .set(seconds(view.configuration_age()));
         self.leader_age.set(seconds(view.leader_age()));
+        view.update_warmup_gauge();
         let daemons = view.keys.daemons.load(Ordering::Relaxed);
         self.daemons.set(i64::from(daemons));
         // Services that were removed from the configuration must not stay on the metrics page.
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{queue::Queues, rejection::Rejection, relay::Relay, view::View};
-use copperwell_assignment::table::Version;
-use copperwell_message::Reason;
+use copperwell_assignment::{table::Version, warmup::Reservation};
+use copperwell_message::{HashSet, Reason};
 use copperwell_routing::{
     Key, ServiceName, UpstreamId,
     quarantine::{Admission, Fingerprint},
@@ -44,6 +44,8 @@
 pub(crate) enum Selected {
     /// To this upstream.
     Upstream(Arc<Upstream>),
+    /// To this upstream, which warms up, with this reservation.
+    WarmingUp(Arc<Upstream>, Reservation),
     /// Through the daemon at this address, which reaches an upstream that this one does not.
     Relay(SocketAddr),
 }
@@ -70,7 +72,7 @@
             }
             None => self.select_any(requirements, attempted, relays).await?,
         };
-        let Selected::Upstream(upstream) = &selected else {
+        let (Selected::Upstream(upstream) | Selected::WarmingUp(upstream, _)) = &selected else {
             return Ok(selected);
         };
         // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
@@ -107,10 +109,25 @@
         {
             return Ok(Selected::Relay(helper));
         }
+        let cold = self.view.upstreams_warming_up(&requirements.service);
+        if !cold.is_empty() {
+            return self.select_any_beside(&cold, requirements, attempted).await;
+        }
+        self.select_any_but(&HashSet::default(), requirements, attempted)
+            .await
+    }
+
+    /// Selects an upstream as [`Self::select_any`] does, but none of `excluded`.
+    async fn select_any_but(
+        &self,
+        excluded: &HashSet<UpstreamId>,
+        requirements: &Requirements,
+        attempted: &[UpstreamId],
+    ) -> Result<Selected, Rejection> {
         let limits = &self.view.keys.limits;
         let mut full: Vec<(Duration, Arc<Upstream>)> = Vec::new();
         loop {
-            match self.choose(requirements, attempted, &full) {
+            match self.choose(requirements, attempted, &full, excluded) {
                 Ok(upstream) => match limits.acquire(&upstream, Duration::ZERO).await {
                     Ok(_) => return Ok(Selected::Upstream(upstream)),
                     Err(wait) => full.push((wait, upstream)),
@@ -161,12 +178,13 @@
             .flatten()
     }
 
-    /// Chooses an upstream, but none of `full` and, if others are left, none that this daemon does not reach.
+    /// Chooses an upstream, but none of `full` and `excluded` and, if others are left, none that this daemon does not reach.
     fn choose(
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
         full: &[(Duration, Arc<Upstream>)],
+        excluded: &HashSet<UpstreamId>,
     ) -> Result<Arc<Upstream>, Rejection> {
         let mut avoided = self.view.crash_tracker.upstreams_kept_apart();
         avoided.extend_from_slice(attempted);
@@ -176,8 +194,10 @@
             return Err(Rejection::new(Reason::NoUpstream));
         }
         let with_room: Vec<_>;
-        if !full.is_empty() {
-            let is_full = |id: &UpstreamId| full.iter().any(|(_, upstream)| upstream.id == *id);
+        if !full.is_empty() || !excluded.is_empty() {
+            let is_full = |id: &UpstreamId| {
+                excluded.contains(id) || full.iter().any(|(_, upstream)| upstream.id == *id)
+            };
             let others = upstreams.iter().filter(|upstream| !is_full(&upstream.id));
             with_room = others.cloned().collect();
             upstreams = &with_room;
@@ -250,6 +270,7 @@
         // Admission control applies once, and not to a retry after a stale routing table.
         let mut is_admitted = stale_version.is_some();
         let mut reserved = None;
+        let mut reservation = None;
         loop {
             let version = routing_tables.tables().version;
             let served = routing_tables.served(&requirements.service, key);
@@ -287,7 +308,11 @@
             let is_blocked = is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id);
             if !is_blocked && self.view.loads().has_capacity(&upstream) {
                 if reserved.as_ref() == Some(&upstream.id) {
-                    return Ok(Selected::Upstream(upstream));
+                    let selected = self.reserve_holder(upstream, requirements, &mut reservation);
+                    if let Some(selected) = selected.await? {
+                        return Ok(selected);
+                    }
+                    continue;
                 }
                 self.wait_for_limit(&upstream, requirements).await?;
                 // The key may have moved meanwhile.
@@ -343,5 +368,7 @@
     Rejection::new(Reason::UpstreamClosed).with_retry_after(wait.mul_f64(spread))
 }
 
+mod cold;
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,6 +1,6 @@
 //! A daemon's view of the configuration and the upstreams.
 //!
-//! Lock order: the change of the list, then the registry, then the loads or the paths; the other locks are never held
+//! Lock order: the change of the list, then the registry, then the loads, the paths or the warm-ups; the other locks are never held
 //! together. The list is read on another thread than requests are served on.
 
 use std::{
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use crate::{crash_tracker::CrashTracker, paths::Paths};
+use crate::{crash_tracker::CrashTracker, paths::Paths, warmup::WarmupState};
 use arc_swap::ArcSwapOption;
 use copperwell_assignment::shared::Shared;
 use copperwell_message::HashMap;
@@ -56,6 +56,8 @@
     pub paths: Paths,
     /// The requests at upstreams, and those that crash upstreams.
     pub crash_tracker: Arc<CrashTracker>,
+    /// The upstreams that warm up.
+    pub warmups: WarmupState,
     configuration: ArcSwapOption<Configuration>,
     /// When a read of the store last returned or confirmed the newest configuration.
     configuration_read_at: Mutex<Option<Instant>>,
@@ -105,6 +107,7 @@
             zone,
             paths: Paths::new(&keys),
             crash_tracker: Arc::new(CrashTracker::new(keys.quarantine.clone())),
+            warmups: WarmupState::default(),
             keys,
             configuration: ArcSwapOption::empty(),
             configuration_read_at: Mutex::default(),
@@ -344,6 +347,7 @@
             self.paths.restart(&upstream.id);
         }
         self.paths.retain(|id| registry.get(id).is_some());
+        self.record_registrations(&registry, now);
         drop(registry);
         self.crash_tracker.record_changes(changes);
         self.record_draining(changes, now);
--- a/crates/gateway/src/view/environment.rs
+++ b/crates/gateway/src/view/environment.rs
@@ -11,6 +11,7 @@
     store_state::{Delta, ListVersion, Newest, UpstreamList},
     transfer,
 };
+use copperwell_message::HashSet;
 use copperwell_routing::{
     Incarnation, ServiceName, UpstreamId,
     freshness::Origin,
@@ -34,6 +35,18 @@
         self.registry().of_service(service).to_vec()
     }
 
+    fn warming_up(&self, service: &str) -> HashSet<UpstreamId> {
+        let mut warming_up = self.upstreams_warming_up(service);
+        if self.warmup_limit(service).is_some() {
+            // Another thread may be about to record what a new list says.
+            let registry = self.registry();
+            let upstreams = registry.of_service(service).iter();
+            let listed = upstreams.filter(|one| !one.warmup.is_zero());
+            warming_up.extend(listed.map(|one| one.id.clone()));
+        }
+        warming_up
+    }
+
     fn all_upstreams(&self) -> Vec<Arc<Upstream>> {
         self.registry().all().cloned().collect()
     }
--- a/crates/routing/src/warmup.rs
+++ b/crates/routing/src/warmup.rs
@@ -1,4 +1,44 @@
 //! The requests that upstreams get while they warm up.
+//!
+//! Each daemon knows which upstreams warm up ([`Warmups`]). One daemon, the leader, schedules the requests of all
+//! daemons to these ([`Schedules`]); the others send none without its reservation.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::{Incarnation, UpstreamId, registry::Upstream};
+use copperwell_message::HashMap;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// How long after it is due a reservation may be used.
+pub const RESERVATION_TTL: Duration = Duration::from_millis(200);
+
+/// The window in which the requests to an upstream are bounded.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// How many requests may follow each other at once, as the time in which they would be due.
+const BURST_TIME: Duration = Duration::from_millis(500);
+
+/// The wait that is named for an upstream that gets no requests until it is warm.
+const WAIT_MAX: Duration = Duration::from_secs(100);
+
+/// The most reservations of one upstream that are remembered.
+const RESERVATIONS_MAX: usize = 4_096;
+
+/// How long after its last reservation a schedule is kept.
+const SCHEDULE_TTL: Duration = Duration::from_secs(10);
+
+/// The part by which the remaining time that an upstream names is extended, as clocks and reports differ.
+const MARGIN_RATIO: f64 = 0.05;
+
+/// The time by which it is extended in addition.
+const MARGIN: Duration = Duration::from_millis(100);
+
+/// The longest remaining time that is believed.
+const LEFT_MAX: Duration = Duration::from_secs(300);
+
+/// How long after an answer of an upstream new connections to it lead to the same process.
+const CONFIRMED_TIME: Duration = Duration::from_secs(1);
 
 /// How far all daemons together may exceed the rate that a service names for upstreams that warm up.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -8,3 +48,295 @@
     /// The requests in any second beyond that.
     pub slack: f64,
 }
+
+/// The limit of an upstream of a service while it warms up.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// The requests a second that it takes.
+    pub rate: f64,
+    /// The most requests in any one second, from all daemons together.
+    pub per_second: f64,
+}
+
+impl Limit {
+    /// Returns the limit of upstreams that take `rate` requests a second.
+    #[must_use]
+    pub fn new(rate: f64, allowance: Allowance) -> Self {
+        Self {
+            rate,
+            per_second: rate * allowance.overshoot + allowance.slack,
+        }
+    }
+
+    /// Returns the most requests in any one second that one leader admits: half of the limit, as the leader before it
+    /// may have admitted as many.
+    #[must_use]
+    pub fn share(&self) -> usize {
+        // A conversion saturates, and turns what is no number into 0.
+        ((self.per_second / 2.0).floor() as usize).min(RESERVATIONS_MAX)
+    }
+
+    /// Returns the interval between two requests; `None` if one leader can admit none.
+    #[must_use]
+    pub fn interval(&self) -> Option<Duration> {
+        // A window of a second has the requests of 1.5 s and one more, because of the burst.
+        let window_s = (WINDOW + BURST_TIME).as_secs_f64();
+        let rate = self.rate.min((self.per_second / 2.0 - 1.0) / window_s);
+        if self.share() == 0 || rate <= 0.0 {
+            return None;
+        }
+        Duration::try_from_secs_f64(1.0 / rate).ok()
+    }
+}
+
+/// What a daemon knows of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// It has answered lately, and does not warm up.
+    Warm,
+    /// It warms up until this time.
+    WarmingUp(Instant),
+    /// Its process may have been started again since it was last heard.
+    Unconfirmed,
+}
+
+/// What a daemon knows of all upstreams.
+#[derive(Debug, Default)]
+pub struct Warmups {
+    upstreams: HashMap<UpstreamId, Known>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    born: Incarnation,
+    /// The remaining time in its last registration.
+    registered_left: Duration,
+    /// The latest end of its warm-up that anything names.
+    warm_at: Option<Instant>,
+    /// When an answer of it last arrived.
+    heard_at: Option<Instant>,
+    /// When the latest request was sent that it has answered.
+    answered_from: Option<Instant>,
+    /// When a connection to it was last refused, lost or closed, or stopped responding.
+    failed_at: Option<Instant>,
+}
+
+impl Warmups {
+    /// Records what the registration of an upstream says; returns whether the upstream has begun to warm up.
+    ///
+    /// A registration that has not been written since it was last seen says nothing new.
+    pub fn record_registration(&mut self, upstream: &Upstream, now: Instant) -> bool {
+        if upstream.warmup.is_zero() && !self.upstreams.contains_key(&upstream.id) {
+            return false;
+        }
+        let known = self.entry(&upstream.id);
+        let is_new_run = known.born != upstream.born;
+        if is_new_run {
+            known.born = upstream.born;
+            known.heard_at = None;
+            known.answered_from = None;
+        }
+        let is_unchanged = !is_new_run && known.registered_left == upstream.warmup;
+        known.registered_left = upstream.warmup;
+        !is_unchanged && known.extend(upstream.warmup, now)
+    }
+
+    /// Records a health response to a request that was sent at `sent_at`; returns whether the upstream has begun to
+    /// warm up.
+    pub fn record_health(
+        &mut self,
+        id: &UpstreamId,
+        left: Duration,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let known = self.entry(id);
+        known.record_heard(sent_at, now);
+        known.extend(left, now)
+    }
+
+    /// Records that an upstream gets requests again after a time without any, so that it may be cold for `duration`;
+    /// returns whether it has begun to warm up.
+    pub fn record_return(&mut self, id: &UpstreamId, duration: Duration, now: Instant) -> bool {
+        self.entry(id).extend(duration, now)
+    }
+
+    /// Records an answer to a request that was sent at `sent_at`.
+    pub fn record_answer(&mut self, id: &UpstreamId, sent_at: Instant, now: Instant) {
+        self.entry(id).record_heard(sent_at, now);
+    }
+
+    /// Records that a connection to an upstream was refused, lost or closed, or stopped responding, at `at`.
+    pub fn record_failure(&mut self, id: &UpstreamId, at: Instant) {
+        let known = self.entry(id);
+        known.failed_at = known.failed_at.max(Some(at));
+    }
+
+    /// Returns what is known of an upstream.
+    #[must_use]
+    pub fn state(&self, id: &str, now: Instant) -> State {
+        let Some(known) = self.upstreams.get(id) else {
+            return State::Unconfirmed;
+        };
+        if let Some(warm_at) = known.warm_at.filter(|at| now < *at) {
+            return State::WarmingUp(warm_at);
+        }
+        match known.is_confirmed(now) {
+            true => State::Warm,
+            false => State::Unconfirmed,
+        }
+    }
+
+    /// Returns whether a new connection leads to the process that was last heard, whether or not that warms up.
+    #[must_use]
+    pub fn is_confirmed(&self, id: &str, now: Instant) -> bool {
+        let known = self.upstreams.get(id);
+        known.is_some_and(|known| known.is_confirmed(now))
+    }
+
+    /// Returns how much longer an upstream warms up; `None` if it does not.
+    #[must_use]
+    pub fn left(&self, id: &str, now: Instant) -> Option<Duration> {
+        match self.state(id, now) {
+            State::WarmingUp(until) => Some(until.saturating_duration_since(now)),
+            State::Warm | State::Unconfirmed => None,
+        }
+    }
+
+    /// Returns the number of upstreams that warm up.
+    #[must_use]
+    pub fn warming_up(&self, now: Instant) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams
+            .filter(|known| known.warm_at.is_some_and(|at| now < at))
+            .count()
+    }
+
+    /// Returns the upstreams whose warm-up has ended since the last call.
+    pub fn take_warm(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let upstreams = self.upstreams.iter_mut();
+        let warm = upstreams.filter(|(_, known)| known.warm_at.is_some_and(|at| at <= now));
+        let warm = warm.map(|(id, known)| {
+            known.warm_at = None;
+            id.clone()
+        });
+        warm.collect()
+    }
+
+    /// Forgets upstreams that are no longer registered.
+    pub fn retain(&mut self, is_registered: impl Fn(&str) -> bool) {
+        self.upstreams.retain(|id, _| is_registered(id));
+    }
+
+    fn entry(&mut self, id: &UpstreamId) -> &mut Known {
+        self.upstreams.entry(id.clone()).or_default()
+    }
+}
+
+impl Known {
+    fn is_confirmed(&self, now: Instant) -> bool {
+        let heard_at = self.heard_at.filter(|at| now < *at + CONFIRMED_TIME);
+        // An answer shows that failures before its request are over.
+        heard_at.is_some() && self.failed_at < self.answered_from
+    }
+
+    fn record_heard(&mut self, sent_at: Instant, now: Instant) {
+        self.heard_at = self.heard_at.max(Some(now));
+        self.answered_from = self.answered_from.max(Some(sent_at));
+    }
+
+    /// Extends the warm-up to at least `left` from now; returns whether it has begun with that.
+    fn extend(&mut self, left: Duration, now: Instant) -> bool {
+        if left.is_zero() {
+            return false;
+        }
+        let was_warm = self.warm_at.is_none_or(|at| at <= now);
+        let warm_at = now + left.min(LEFT_MAX).mul_f64(1.0 + MARGIN_RATIO) + MARGIN;
+        self.warm_at = self.warm_at.max(Some(warm_at));
+        was_warm
+    }
+}
+
+/// The times at which the requests of all daemons to upstreams that warm up are due.
+///
+/// A schedule holds for all runs of an upstream: daemons hear of a new run at different times, and those that have
+/// not must not have a schedule of their own.
+#[derive(Debug, Default)]
+pub struct Schedules {
+    schedules: HashMap<UpstreamId, Schedule>,
+}
+
+#[derive(Debug)]
+struct Schedule {
+    /// When the next request is due by the rate.
+    next_at: Instant,
+    /// When the latest requests were due, in order.
+    due: VecDeque<Instant>,
+}
+
+impl Schedules {
+    /// Reserves the next request to an upstream, if it is due within `patience`, and returns how long it has to wait.
+    ///
+    /// Any window of a second has at most [`Limit::share`] requests, even if each is sent [`RESERVATION_TTL`] after it
+    /// is due.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long it would have to wait if that is longer than `patience`.
+    pub fn reserve(
+        &mut self,
+        upstream: &UpstreamId,
+        limit: Limit,
+        patience: Duration,
+        now: Instant,
+    ) -> Result<Duration, Duration> {
+        let Some(interval) = limit.interval() else {
+            return Err(WAIT_MAX);
+        };
+        let schedule = self.schedules.entry(upstream.clone());
+        let schedule = schedule.or_insert_with(|| Schedule {
+            next_at: now,
+            due: VecDeque::new(),
+        });
+        schedule.reserve(interval, limit.share(), patience, now)
+    }
+
+    /// Forgets schedules that have not been used for a time.
+    pub fn retain(&mut self, now: Instant) {
+        self.schedules.retain(|_, schedule| {
+            let last = schedule.due.back();
+            last.is_some_and(|last| now < *last + SCHEDULE_TTL)
+        });
+    }
+}
+
+impl Schedule {
+    fn reserve(
+        &mut self,
+        interval: Duration,
+        share: usize,
+        patience: Duration,
+        now: Instant,
+    ) -> Result<Duration, Duration> {
+        let earliest = now.checked_sub(BURST_TIME).unwrap_or(now);
+        let next_at = self.next_at.max(earliest);
+        let mut due = next_at.max(now);
+        // A request may be sent late while the next one is sent on time.
+        let window = WINDOW + RESERVATION_TTL;
+        if let Some(first) = self.due.len().checked_sub(share) {
+            due = due.max(self.due[first] + window);
+        }
+        let wait = due.saturating_duration_since(now);
+        if wait > patience {
+            return Err(wait.min(WAIT_MAX));
+        }
+        self.next_at = next_at + interval;
+        self.due.push_back(due);
+        while self.due.len() > RESERVATIONS_MAX
+            || self.due.front().is_some_and(|first| *first + window <= now)
+        {
+            self.due.pop_front();
+        }
+        Ok(wait)
+    }
+}
