--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -20,6 +20,7 @@
     table::{RoutingTables, Version},
     transfer::Chunk,
     update::Update,
+    warmup::{Request as WarmupRequest, SharedWarmups},
 };
 use copperwell_routing::{
     Incarnation, UpstreamId,
@@ -41,7 +42,7 @@
     time::timeout,
 };
 
-pub use client::Client;
+pub use client::{Client, ReserveError};
 pub(crate) use peers::{CANDIDATES_MAX, Candidate};
 
 use peers::State;
@@ -162,6 +163,9 @@
 
     /// Waits for at most `wait` for evacuations of a later version than `known`, and returns what the daemon knows.
     async fn evacuations(known: evacuation::Version, wait: Duration) -> Evacuations;
+    /// Reserves a request to an upstream that warms up, if it is due within the request's patience; returns how long
+    /// it has to wait, or would have to. Returns `None` if the daemon does not lead.
+    async fn reserve_warmup(request: WarmupRequest) -> Option<Result<Duration, Duration>>;
 }
 
 /// The server side of the exchange, which exists whether or not this daemon leads.
@@ -178,6 +182,7 @@
     quarantine: Arc<SharedQuarantine>,
     limits: Arc<SharedLimits>,
     evacuations: Arc<watch::Sender<Evacuations>>,
+    warmups: Arc<SharedWarmups>,
     reports: mpsc::Sender<Vec<Report>>,
     state: Mutex<State>,
 }
@@ -194,6 +199,7 @@
             quarantine: shared.quarantine.clone(),
             limits: shared.limits.clone(),
             evacuations: shared.evacuations.clone(),
+            warmups: shared.warmups.clone(),
             reports,
             state: Mutex::default(),
         };
@@ -203,6 +209,8 @@
 
     /// Sets the status that this daemon announces to the others.
     pub fn set_standing(&self, standing: Standing) {
+        let leads = standing == Standing::Leads;
+        self.shared.warmups.set_leading(leads);
         self.state().standing = standing;
     }
 
@@ -401,4 +409,12 @@
     async fn newest_configuration(self, _: context::Context) -> Option<Newest> {
         self.shared.store_state.newest_configuration()
     }
+
+    async fn reserve_warmup(
+        self,
+        _: context::Context,
+        request: WarmupRequest,
+    ) -> Option<Result<Duration, Duration>> {
+        self.shared.warmups.reserve_for(&request)
+    }
 }
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -23,3 +23,4 @@
 mod status_caller;
 mod statuses;
 mod stopping;
+mod warmup;
