Use load reports of upstreams, prefer a subset of many, and let samples age

Daemons judged upstreams by their own latencies alone, so requests met full upstreams beside ones with free slots, and each sent to each of a hundred upstreams so rarely that connections were closed before they were used again. An upstream whose first requests were slow got a third of its share for a minute, as old samples counted in full and a mean of all upstreams let one raise what was expected of itself.

Answers' load reports change the cost of an upstream by a factor of 4 at most, half as much after 100 ms (pace: 400 ms). Services with 24 upstreams or more that report have a preferred subset at each daemon, by rendezvous hashing. The median replaces the mean, and samples age with a half-life of 4 s.

A report whose content is a second old still does harm: waits of up to twice those without reports.

--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -144,7 +144,9 @@
         let store = Arc::new(Store::new(settings.store));
         let zone = settings.zone.clone();
         let run = run_number();
-        let view = View::new(run, zone, settings.allowance).with_drain(settings.drain);
+        let view = View::new(run, zone, settings.allowance)
+            .with_name(settings.name.as_str())
+            .with_drain(settings.drain);
         let view = Arc::new(view);
         let connections_max = (settings.descriptors as f64 * CALLERS_SHARE) as usize;
         view.crash_tracker.register(&mut registry);
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -18,7 +18,12 @@
 };
 use copperwell_backend::exchange::Exchange;
 use copperwell_message::{Body, Reason, Reply};
-use copperwell_routing::{Key, limit::Observation, load::Outcome, registry::Upstream};
+use copperwell_routing::{
+    Key,
+    limit::Observation,
+    load::{InvalidReport, Outcome},
+    registry::Upstream,
+};
 use http::request::Parts;
 use tokio::{sync::oneshot, time::Instant};
 
@@ -64,6 +69,7 @@
         path.end(&result);
         if let Ok(response) = &result {
             self.observe_limit(upstream, &response.reply, sent_at);
+            self.observe_load(upstream, &response.reply);
             if let Some(time) = self.dialect.closed_for(&response.reply) {
                 self.record_closed(upstream, time);
             }
@@ -121,6 +127,24 @@
         self.view.keys.limits.observe(&upstream.id, observation);
     }
 
+    /// Records what a reply says of the upstream's load, while its request still counts as in flight.
+    fn observe_load(&self, upstream: &Upstream, reply: &Reply) {
+        // The reply may be that of another upstream, which has the address now.
+        if reply.reason == Some(Reason::Fenced) {
+            return;
+        }
+        match self.dialect.load_in(reply) {
+            Some(Ok(report)) => {
+                let mut loads = self.view.loads();
+                loads.record_report(&upstream.id, report, true, Instant::now());
+            }
+            Some(Err(InvalidReport)) => {
+                self.metrics.ignored_reports.inc();
+            }
+            None => {}
+        }
+    }
+
     /// Has a task record how a send and its streamed response end, of which the head took `elapsed`.
     fn spawn_end_of_stream(
         &self,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,7 +4,11 @@
 
 use copperwell_backend::framing::Framing;
 use copperwell_message::Reply;
-use copperwell_routing::{Key, UpstreamId, limit::Rate};
+use copperwell_routing::{
+    Key, UpstreamId,
+    limit::Rate,
+    load::{InvalidReport, Report},
+};
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
 /// A protocol that callers and upstreams speak over HTTP/1.1.
@@ -19,6 +23,9 @@
     /// Returns the requests a second that an upstream takes from all daemons together, if a reply names them.
     fn limit_in(&self, reply: &Reply) -> Option<Rate>;
 
+    /// Returns what an upstream reports of its load, if a reply does so.
+    fn load_in(&self, reply: &Reply) -> Option<Result<Report, InvalidReport>>;
+
     /// Returns for how long an upstream that turns a request away wants no others of this daemon, if a reply says so.
     fn closed_for(&self, reply: &Reply) -> Option<Duration>;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     },
     registry::Registry,
 };
+use tokio::time::Instant;
 
 /// The upper bound of the first bucket of latencies, in seconds.
 const FIRST_BUCKET_S: f64 = 0.001;
@@ -40,6 +41,12 @@
     pub(crate) cancelled: Counter,
     /// Times that an upstream wanted no requests for a time.
     pub(crate) closed_upstreams: Counter,
+    /// Load reports that cannot be true.
+    pub(crate) ignored_reports: Counter,
+    /// Requests for upstreams outside of the preferred subset.
+    spill_overs: Counter,
+    /// The sizes of the preferred subsets.
+    subsets: Family<ServiceLabel, Gauge>,
     pub(crate) suppressed_lines: Counter,
     /// Requests for which another upstream was selected, since the one before had left or the list was too old.
     pub(crate) withdrawn: Counter,
@@ -150,6 +157,21 @@
             "Times that an upstream asked for no requests for a time",
             all.closed_upstreams,
         );
+        registry.register(
+            "load_reports_ignored",
+            "Load reports of upstreams that cannot be true",
+            all.ignored_reports,
+        );
+        registry.register(
+            "subset_spill_overs",
+            "Requests for which an upstream outside of the preferred subset was chosen",
+            all.spill_overs,
+        );
+        registry.register(
+            "subset_upstreams",
+            "Upstreams of the own data centre that this daemon prefers; absent for services whose upstreams it uses alike",
+            all.subsets,
+        );
         registry.register(
             "log_thinned",
             "Lines about failures that were left out, to bound the log",
@@ -260,6 +282,20 @@
             let label = ServiceLabel { service };
             self.retries_left.get_or_create(&label).set(left);
         }
+        let loads = view.loads();
+        let (subsets, spill_overs) = (loads.subsets(Instant::now()), loads.spill_overs());
+        drop(loads);
+        self.spill_overs
+            .inner()
+            .fetch_max(spill_overs, Ordering::Relaxed);
+        self.subsets.clear();
+        for (service, size) in subsets {
+            let service = service.to_string();
+            let size = i64::try_from(size).unwrap_or(i64::MAX);
+            self.subsets
+                .get_or_create(&ServiceLabel { service })
+                .set(size);
+        }
     }
 
     pub(crate) fn record_refusal(&self, reason: Reason) {
@@ -323,6 +359,9 @@
             slow_heads: Counter::default(),
             cancelled: Counter::default(),
             closed_upstreams: Counter::default(),
+            ignored_reports: Counter::default(),
+            spill_overs: Counter::default(),
+            subsets: Family::default(),
             suppressed_lines: Counter::default(),
             latency: Family::new_with_constructor(new_histogram),
             withdrawn: Counter::default(),
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -1,6 +1,10 @@
 //! Selects the upstream for the next attempt of a request.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use crate::{queue::Queues, rejection::Rejection, relay::Relay, view::View};
 use copperwell_assignment::table::Version;
@@ -194,7 +198,8 @@
         let now = Instant::now();
         let zone = &self.view.zone;
         let mut random = rand::rng();
-        let loads = self.view.loads();
+        let mut loads = self.view.loads();
+        loads.set_daemons(self.view.keys.daemons.load(Ordering::Relaxed));
         let chosen = loads.choose(upstreams, zone, &avoided, now, &mut random);
         chosen.cloned().ok_or_else(|| {
             let usable = upstreams.iter().filter(|one| !one.is_draining);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -133,6 +133,16 @@
         self
     }
 
+    /// Makes the daemon prefer a subset of the upstreams of services that have many, by a hash of its name.
+    #[must_use]
+    pub fn with_name(self, daemon: &str) -> Self {
+        let loads = Loads::default().with_identity(daemon);
+        Self {
+            loads: Mutex::new(loads),
+            ..self
+        }
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use crate::load::Report;
 use tokio::time::Instant;
 
 /// The factor by which a limit is lowered.
@@ -20,6 +21,9 @@
 /// The lowest limit, with which a daemon finds out whether an upstream has places again.
 const LIMIT_MIN: f64 = 1.0;
 
+/// The most by which what upstreams report changes a limit, so that a false report cannot close or flood an upstream.
+const REPORT_FACTOR_MAX: f64 = 4.0;
+
 /// The most requests that a daemon has in flight at an upstream.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Limit {
@@ -54,4 +58,23 @@
     pub fn record_answer(&mut self) {
         self.learnt = self.learnt.map(|limit| limit + INCREASE / limit);
     }
+
+    /// Records what an upstream has reported, `own` of whose requests are this daemon's; it never has more than `max`.
+    ///
+    /// Free slots raise a limit that was learnt before, up to the slots. A queue as long as the slots lowers it: what
+    /// is sent there waits longer than it runs.
+    pub fn record_report(&mut self, report: &Report, own: u32, max: u32, now: Instant) {
+        let free = report.slots.saturating_sub(report.requests());
+        if free > 0 {
+            let slots = f64::from(report.slots);
+            let room = f64::from(own + free).min(slots);
+            let raise = |limit: f64| limit.max(room.min(limit * REPORT_FACTOR_MAX));
+            self.learnt = self.learnt.map(raise);
+        } else if report.waiting >= report.slots && own > 0 {
+            let least = f64::from(max) / REPORT_FACTOR_MAX;
+            let before = self.learnt.unwrap_or(f64::INFINITY);
+            self.record_full(own - 1, now);
+            self.learnt = self.learnt.map(|limit| limit.max(least.min(before)));
+        }
+    }
 }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -1,16 +1,25 @@
 //! Load balancing for requests that any upstream of the service can serve.
 //!
-//! Each daemon uses only its own observations: its requests in flight, latencies, and failures. The load
-//! of other daemons is visible in the latencies.
+//! Each daemon uses its own observations: its requests in flight, latencies, and failures. The load of other
+//! daemons is visible in the latencies, and in what upstreams report of themselves.
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{UpstreamId, concurrency::Limit, registry::Upstream};
+use crate::{ServiceName, UpstreamId, concurrency::Limit, registry::Upstream};
 use copperwell_message::HashMap;
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
 
-/// The weight of a new sample in the exponential moving average of latencies.
+use report::Known;
+use subset::Demand;
+
+pub use report::{InvalidReport, Report};
+
+mod report;
+mod subset;
+
+/// The least weight of a new sample in the moving average of latencies. It counts for more while few samples are known,
+/// or those known are old.
 const LATENCY_WEIGHT: f64 = 0.2;
 
 /// The weight of a new outcome in the exponential moving average of failures.
@@ -37,10 +46,26 @@
 /// The most requests that one daemon has in flight for each slot of an upstream.
 const IN_FLIGHT_PER_SLOT_MAX: u32 = 3;
 
+/// How many times the cost of an upstream outside of the preferred subset the best one in it may have.
+const SPILL_OVER_COST: f64 = 1.5;
+
+/// How long a report shows that an upstream reports its load.
+const REPORTING_TTL: Duration = Duration::from_secs(10);
+
+/// The share of the upstreams that have answered lately which must report their load for a subset to be used. Whether
+/// the subset has room is known too late from latencies alone.
+const REPORTING_SHARE: f64 = 0.5;
+
 /// This daemon's observations of all upstreams.
 #[derive(Debug, Default)]
 pub struct Loads {
     loads: HashMap<UpstreamId, Load>,
+    /// The number by which this daemon ranks upstreams; `None` if it prefers none.
+    identity: Option<u64>,
+    /// The number of daemons that send requests; 0 if it is not known.
+    daemons: u32,
+    demands: HashMap<ServiceName, Demand>,
+    spill_overs: u64,
 }
 
 /// How a request at an upstream ended.
@@ -64,9 +89,9 @@
     Cancelled,
 }
 
-/// The weight of the mean of all upstreams in the estimate for one upstream, in samples. Requests differ in
+/// The weight of the usual latency of all upstreams in the estimate for one upstream, in samples. Requests differ in
 /// cost, so a few samples say little about the upstream.
-const PRIOR_SAMPLES: f64 = 4.0;
+const PRIOR_SAMPLES: f64 = 3.0;
 
 /// The most samples for which an upstream's moving average counts.
 const SAMPLES_MAX: f64 = 9.0;
@@ -89,46 +114,161 @@
     paused_until: Option<Instant>,
     /// Until when the upstream wants no requests of this daemon.
     closed_until: Option<Instant>,
+    report: Option<Known>,
     updated_at: Instant,
 }
 
 /// The longest time for which an upstream gets no requests because it has asked for none.
 const CLOSED_MAX: Duration = Duration::from_secs(300);
 
+/// The best upstream of several.
+#[derive(Debug, Clone, Copy)]
+struct Best<'a> {
+    is_last_resort: bool,
+    cost: f64,
+    /// The cost without the bonus for what is unknown.
+    expected: f64,
+    upstream: &'a Arc<Upstream>,
+}
+
 impl Loads {
+    /// Makes the daemon prefer a subset of the upstreams of services that have many, by a hash of its name.
+    #[must_use]
+    pub fn with_identity(mut self, daemon: &str) -> Self {
+        self.identity = Some(subset::identity(daemon));
+        self
+    }
+
+    /// Sets the number of daemons that send requests to the same upstreams; 0 if it is not known.
+    pub fn set_daemons(&mut self, daemons: u32) {
+        self.daemons = daemons;
+    }
+
+    /// Returns how often an upstream outside of the preferred subset was chosen.
+    #[must_use]
+    pub fn spill_overs(&self) -> u64 {
+        self.spill_overs
+    }
+
+    /// Returns the number of upstreams that this daemon prefers, for each service in which it does not use all alike.
+    #[must_use]
+    pub fn subsets(&self, now: Instant) -> Vec<(ServiceName, usize)> {
+        let demands = self.demands.iter();
+        let sizes = demands.filter_map(|(service, demand)| {
+            let size = demand.subset_at(now)?;
+            Some((service.clone(), size))
+        });
+        sizes.collect()
+    }
+
     /// Returns the upstream with the lowest cost, to which `random` adds jitter.
     ///
     /// Upstreams in `avoid`, where earlier attempts failed, and paused ones are chosen only if no other is
-    /// left. Returns `None` if every upstream is draining, wants no requests, or has no capacity for this daemon.
+    /// left. One outside of the subset that this daemon prefers is chosen only if it is expected to be clearly faster.
+    /// Returns `None` if every upstream is draining, wants no requests, or has no capacity for this daemon.
     pub fn choose<'a>(
-        &self,
+        &mut self,
         upstreams: &'a [Arc<Upstream>],
         zone: &str,
         avoid: &[UpstreamId],
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<&'a Arc<Upstream>> {
-        let mean_s = self.mean_latency(upstreams);
-        let mut best: Option<(bool, f64, &Arc<Upstream>)> = None;
-        for upstream in upstreams {
+        let subset = self.subset(upstreams, zone, now);
+        let usual_s = self.usual_latency(upstreams);
+        let (mut preferred, mut other): (Option<Best<'_>>, Option<Best<'_>>) = (None, None);
+        for (index, upstream) in upstreams.iter().enumerate() {
             let is_closed = self.closed_for(&upstream.id, now).is_some();
             if upstream.is_draining || is_closed || !self.has_capacity(upstream) {
                 continue;
             }
             let load = self.loads.get(&upstream.id);
-            let is_last_resort =
-                avoid.contains(&upstream.id) || load.is_some_and(|load| load.is_paused(now));
             // Jitter keeps daemons from all choosing the same one of equal upstreams.
             let jitter = random.random_range(0.9..1.1);
-            let cost = jitter * cost(upstream, load, mean_s, zone, now);
-            let is_better = best.is_none_or(|(last_resort, least, _)| {
-                (is_last_resort, cost) < (last_resort, least)
+            let (cost, bonus) = cost(upstream, load, usual_s, zone, now);
+            let found = Best {
+                is_last_resort: avoid.contains(&upstream.id)
+                    || load.is_some_and(|load| load.is_paused(now)),
+                cost: jitter * cost * bonus,
+                expected: cost,
+                upstream,
+            };
+            let is_preferred = subset.as_ref().is_none_or(|members| members[index]);
+            let best = if is_preferred {
+                &mut preferred
+            } else {
+                &mut other
+            };
+            let is_better = best.is_none_or(|best| {
+                (found.is_last_resort, found.cost) < (best.is_last_resort, best.cost)
             });
             if is_better {
-                best = Some((is_last_resort, cost, upstream));
+                *best = Some(found);
             }
         }
-        best.map(|(_, _, upstream)| upstream)
+        let spills_over = match (preferred, other) {
+            (Some(preferred), Some(other)) => {
+                let limit = SPILL_OVER_COST * other.expected;
+                (preferred.is_last_resort, preferred.expected) > (other.is_last_resort, limit)
+            }
+            (None, other) => other.is_some(),
+            _ => false,
+        };
+        self.spill_overs += u64::from(spills_over);
+        let best = if spills_over { other } else { preferred };
+        best.map(|best| best.upstream)
+    }
+
+    /// Returns which upstreams this daemon prefers for a request that is to be sent now; `None` for all.
+    fn subset(
+        &mut self,
+        upstreams: &[Arc<Upstream>],
+        zone: &str,
+        now: Instant,
+    ) -> Option<Vec<bool>> {
+        let identity = self.identity?;
+        let service = &upstreams.first()?.service;
+        let loads = upstreams.iter().filter_map(|one| self.loads.get(&one.id));
+        let (mut in_flight, mut answered, mut reporting) = (0, 0_u32, 0_u32);
+        for load in loads {
+            in_flight += load.in_flight;
+            let age = now.saturating_duration_since(load.updated_at);
+            answered += u32::from(load.samples > 0.0 && age < REPORTING_TTL);
+            let is_reporting = load
+                .report
+                .is_some_and(|known| known.age(now) < REPORTING_TTL);
+            reporting += u32::from(is_reporting);
+        }
+        if reporting == 0 || f64::from(reporting) < REPORTING_SHARE * f64::from(answered) {
+            self.demands.remove(service);
+            return None;
+        }
+        let new = || Demand::new(now);
+        let demand = self.demands.entry(service.clone()).or_insert_with(new);
+        demand.record(in_flight, now);
+        let size = demand.size(upstreams, self.daemons);
+        demand.record_subset(size);
+        Some(subset::members(upstreams, identity, zone, size?))
+    }
+
+    /// Records what an upstream has reported of its load at `now`.
+    ///
+    /// With `is_answer`, the report came with the answer to a request that still counts as in flight.
+    pub fn record_report(
+        &mut self,
+        id: &UpstreamId,
+        report: Report,
+        is_answer: bool,
+        now: Instant,
+    ) {
+        let load = self
+            .loads
+            .entry(id.clone())
+            .or_insert_with(|| Load::new(now));
+        let own = load.in_flight.saturating_sub(u32::from(is_answer));
+        load.report = Some(Known::new(report, own, now));
+        let max = report.slots.saturating_mul(IN_FLIGHT_PER_SLOT_MAX);
+        load.limit.record_report(&report, own, max, now);
     }
 
     /// Returns whether this daemon may have one more request in flight at an upstream.
@@ -162,10 +302,11 @@
         (now < until).then(|| until.saturating_duration_since(now))
     }
 
-    /// Forgets what earlier incarnations of an upstream have asked for.
+    /// Forgets what earlier incarnations of an upstream have asked for and reported.
     pub fn reopen(&mut self, id: &str) {
         if let Some(load) = self.loads.get_mut(id) {
             load.closed_until = None;
+            load.report = None;
         }
     }
 
@@ -210,18 +351,24 @@
             .retain(|id, load| load.in_flight > 0 || is_registered(id));
     }
 
-    fn mean_latency(&self, upstreams: &[Arc<Upstream>]) -> f64 {
+    /// Returns the median of the latencies of the upstreams that have answered.
+    ///
+    /// A mean would have one upstream that was very slow raise what is expected of all that are hardly known, itself
+    /// among them: it would not be tried again.
+    fn usual_latency(&self, upstreams: &[Arc<Upstream>]) -> f64 {
         let loads = upstreams
             .iter()
             .filter_map(|upstream| self.loads.get(&upstream.id));
-        let known: Vec<f64> = loads
+        let mut known: Vec<f64> = loads
             .map(|load| load.latency_s)
             .filter(|latency| *latency > 0.0)
             .collect();
-        match known.len() {
-            0 => f64::MIN_POSITIVE,
-            count => known.iter().sum::<f64>() / count as f64,
+        if known.is_empty() {
+            return f64::MIN_POSITIVE;
         }
+        let middle = (known.len() - 1) / 2;
+        let (_, median, _) = known.select_nth_unstable_by(middle, f64::total_cmp);
+        *median
     }
 }
 
@@ -235,6 +382,7 @@
             failure_rate: 0.0,
             paused_until: None,
             closed_until: None,
+            report: None,
             updated_at: now,
         }
     }
@@ -243,6 +391,12 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the share of what was observed that still counts.
+    fn decay(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated_at).as_secs_f64();
+        0.5_f64.powf(age / OBSERVATION_HALF_LIFE.as_secs_f64())
+    }
+
     fn record_end(&mut self, outcome: Outcome, elapsed: Duration, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
@@ -273,30 +427,35 @@
         };
         if matches!(outcome, Outcome::Answered | Outcome::TimedOut) {
             let elapsed_s = elapsed.as_secs_f64();
-            self.samples = (self.samples + 1.0).min(SAMPLES_MAX);
-            self.latency_s = match self.latency_s {
-                0.0 => elapsed_s,
-                mean => mean + LATENCY_WEIGHT * (elapsed_s - mean),
-            };
+            // Samples age, so that an upstream which is tried rarely is not judged by what it did a minute ago.
+            self.samples = (self.samples * self.decay(now) + 1.0).min(SAMPLES_MAX);
+            let weight = LATENCY_WEIGHT.max(1.0 / self.samples);
+            self.latency_s += weight * (elapsed_s - self.latency_s);
         }
         self.updated_at = now;
     }
 }
 
-/// Returns the cost of a request at an upstream: the expected wait in seconds times penalty factors.
-fn cost(upstream: &Upstream, load: Option<&Load>, mean_s: f64, zone: &str, now: Instant) -> f64 {
+/// Returns the cost of a request at an upstream, the expected wait in seconds times penalty factors, and a factor that
+/// lowers it while little is known of the upstream.
+fn cost(
+    upstream: &Upstream,
+    load: Option<&Load>,
+    usual_s: f64,
+    zone: &str,
+    now: Instant,
+) -> (f64, f64) {
     let (in_flight, latency_s, confidence, failure_rate) = match load {
-        None => (0, mean_s, 0.0, 0.0),
+        None => (0, usual_s, 0.0, 0.0),
         Some(load) => {
-            let age = now.saturating_duration_since(load.updated_at).as_secs_f64();
-            let decay = 0.5_f64.powf(age / OBSERVATION_HALF_LIFE.as_secs_f64());
+            let decay = load.decay(now);
             let own_s = if load.latency_s > 0.0 {
                 load.latency_s
             } else {
-                mean_s
+                usual_s
             };
             let confidence = decay * load.samples / (load.samples + PRIOR_SAMPLES);
-            let latency_s = mean_s + (own_s - mean_s) * confidence;
+            let latency_s = usual_s + (own_s - usual_s) * confidence;
             (
                 load.in_flight,
                 latency_s,
@@ -307,7 +466,9 @@
     };
     let slots = f64::from(upstream.slots.max(1));
     let mut cost = latency_s * (slots + f64::from(in_flight)) / slots;
-    cost *= 1.0 - EXPLORATION_BONUS * (1.0 - confidence);
+    if let Some(report) = load.and_then(|load| load.report) {
+        cost *= report.factor(in_flight, now);
+    }
     cost *= 1.0 + FAILURE_COST * failure_rate * failure_rate;
     if &*upstream.zone != zone {
         cost *= REMOTE_COST;
@@ -315,5 +476,5 @@
     if !upstream.warmup.is_zero() {
         cost *= WARMUP_COST;
     }
-    cost
+    (cost, 1.0 - EXPLORATION_BONUS * (1.0 - confidence))
 }
