--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -157,7 +157,9 @@
         let store = Arc::new(Store::new(settings.store));
         let zone = settings.zone.clone();
         let run = run_number();
-        let view = View::new(run, zone, settings.allowance).with_drain(settings.drain);
+        let view = View::new(run, zone, settings.allowance)
+            .with_name(settings.name.as_str())
+            .with_drain(settings.drain);
         view.set_regions(settings.regions.clone());
         let view = Arc::new(view);
         view.set_warmup_allowance(settings.warmup);
