Test what queued requests get, and write down who decides

Tests with a paused clock guard against places that are lost, leaked or taken twice when callers leave at any time, against new requests that overtake queued ones, and against requests that wait at a former holder. Each failed on a queue in which the guarded step was left out: the turn that is passed on, the turn for a freed place, and the queue behind those who wait.

--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod standin;
 
 mod configuration;
+mod contention;
 mod crash;
 mod crashing_servers;
 mod cut_heads;
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -21,6 +21,8 @@
 use test_case::test_case;
 use tokio::time::{Instant, advance};
 
+mod permits;
+
 const CULPRIT: Fingerprint = 7;
 const OTHER: Fingerprint = 8;
 const KEY: u16 = 5;
@@ -73,12 +75,16 @@
 }
 
 fn publish_holder(selector: &Selector, holder: &str) {
+    let routing_tables = &selector.view.keys.routing_tables;
+    routing_tables.publish(tables(holder, 1));
+}
+
+fn tables(holder: &str, number: u64) -> Tables {
     let holder: UpstreamId = holder.into();
     let table = Table::new([(0, Some(&holder))]);
-    let version = Version { term: 1, number: 1 };
+    let version = Version { term: 1, number };
     let services = [("cups".into(), table)].into_iter().collect();
-    let tables = Tables { version, services };
-    selector.view.keys.routing_tables.publish(tables);
+    Tables { version, services }
 }
 
 /// Records crashes of a request, one after the other, at other upstreams than those of the selector.
