Forget the pace of a queue once nothing is queued

The pace is measured while requests are queued. After a time in which upstreams were slow, it went on refusing every request that found no place, as too long to wait, so that nothing was queued by which a faster pace would have been seen. It is known for 400 ms after the last queued request now; then the permits in use count. A pace below one request a second is known after three requests as well: decayed counts never reached three.

slow_pace_is_forgotten_once_nothing_is_queued failed before.

--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -34,7 +34,10 @@
 const LATE_VALUE: f64 = 0.3;
 
 /// The ended requests from which the rate at which permits become free is known.
-const RELEASES_MIN: f64 = 3.0;
+const RELEASES_MIN: u32 = 3;
+
+/// How long the rate at which permits become free is known after the last request was queued.
+const PACE_TTL: Duration = Duration::from_millis(400);
 
 /// The shortest time in which requests are taken to have ended, in seconds.
 const TIME_MIN_S: f64 = 0.001;
@@ -121,6 +124,10 @@
     time_s: f64,
     /// When the last request ended, or the queue began; `None` while nothing is queued.
     since: Option<Instant>,
+    /// The requests that have ended, not decayed.
+    seen: u32,
+    /// When the last request ended while others were queued.
+    known_at: Option<Instant>,
 }
 
 impl Entry {
@@ -211,7 +218,7 @@
             }
         }
         if self.entries.is_empty() {
-            self.pace.since = Some(now);
+            self.pace.begin(now);
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
@@ -370,6 +377,20 @@
 }
 
 impl Pace {
+    fn begin(&mut self, now: Instant) {
+        if self.is_old(now) {
+            *self = Self::default();
+        }
+        self.since = Some(now);
+    }
+
+    /// Returns whether nothing has been queued for so long that upstreams may have another pace now. Otherwise, a slow
+    /// pace would go on refusing requests on arrival, so that nothing is queued by which a faster one would be seen.
+    fn is_old(&self, now: Instant) -> bool {
+        let age = self.known_at.map(|at| now.saturating_duration_since(at));
+        self.since.is_none() && age.is_some_and(|age| age >= PACE_TTL)
+    }
+
     fn record(&mut self, work: Duration, now: Instant) {
         // While nothing is queued, permits do not become free as fast as they could.
         let Some(since) = self.since else {
@@ -381,12 +402,14 @@
         self.work_s = self.work_s * decay + work.as_secs_f64();
         self.releases = self.releases * decay + 1.0;
         self.since = Some(since.max(now));
+        self.seen = self.seen.saturating_add(1);
+        self.known_at = self.since;
     }
 
     /// Returns the work that ends in a second, in seconds, and the mean work of a request; `None` if too few requests
     /// have ended.
     fn rate(&self, now: Instant) -> Option<(f64, f64)> {
-        if self.releases < RELEASES_MIN {
+        if self.seen < RELEASES_MIN || self.is_old(now) {
             return None;
         }
         // An upstream that answers no more slows the pace before its requests end.
--- a/crates/routing/tests/schedule.rs
+++ b/crates/routing/tests/schedule.rs
@@ -410,3 +410,26 @@
     // 7.5 s of work is queued, 2 s of which end in a second.
     assert!((3.2..4.4).contains(&wait.as_secs_f64()), "{wait:?}");
 }
+
+/// Guards against refusals by a pace that nobody measures any more: no request is queued, as all are refused on arrival.
+#[test]
+fn slow_pace_is_forgotten_once_nothing_is_queued() {
+    let start = Instant::now();
+    let mut schedule = Schedule::default();
+    let patient = Class {
+        objective: Duration::from_secs(60),
+        deadline: Duration::from_secs(60),
+        ..SHORT
+    };
+    let known = tickets(&mut schedule, &[entry(patient, start); 4], start);
+    let mut now = start;
+    for ticket in known {
+        now += Duration::from_secs(2);
+        schedule.record_release(SHORT.work, now);
+        schedule.serve(ticket, now);
+    }
+    let refused = schedule.enqueue(entry(SHORT, now), PERMITS, now);
+    assert_eq!(refused.unwrap_err().cause, Cause::ExpectedWait);
+    now += Duration::from_millis(400);
+    assert!(schedule.enqueue(entry(SHORT, now), PERMITS, now).is_ok());
+}
