--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -116,14 +116,16 @@
                     None => return trail.finish(Rejection::new(Reason::QueueFull)),
                 },
             };
-            let (upstream, reservation) = match selected {
-                Selected::Upstream(upstream) | Selected::WarmingUp(upstream, _)
+            let (upstream, permit, reservation) = match selected {
+                Selected::Upstream(upstream, _) | Selected::WarmingUp(upstream, ..)
                     if self.is_lost_for_others(&upstream.id) =>
                 {
                     return trail.finish(Rejection::new(Reason::ConnectionRefused));
                 }
-                Selected::Upstream(upstream) => (upstream, None),
-                Selected::WarmingUp(upstream, reservation) => (upstream, Some(reservation)),
+                Selected::Upstream(upstream, permit) => (upstream, permit, None),
+                Selected::WarmingUp(upstream, permit, reservation) => {
+                    (upstream, permit, Some(reservation))
+                }
                 Selected::Relay(helper) => {
                     let terms = self.terms_for_relay(trail.attempted().len());
                     let flight = trail.begin_through(helper);
@@ -143,9 +145,9 @@
             };
             let version = self.view.keys.routing_tables.version();
             let flight = trail.begin_at(upstream.id.clone());
-            let (key, reservation) = (requirements.key, reservation.as_ref());
+            let place = (permit, reservation);
             let attempt = self
-                .send(&upstream, flight, &parts, body, key, reservation)
+                .send(&upstream, place, flight, &parts, body, requirements.key)
                 .await;
             let elapsed = attempt.elapsed;
             let (result, failed) = match classify(attempt) {
@@ -235,6 +237,10 @@
             priority: self.route.priority,
             regions: self.route.regions.clone(),
             deadline: self.deadline.min(self.arrived + selection_time),
+            arrived: self.arrived,
+            objective: self.arrived + self.route.objective,
+            answer_deadline: self.deadline,
+            work: self.usual_time(),
         })
     }
 
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -14,6 +14,7 @@
     dialect::{Dialect, Outbound},
     metrics::Stage,
     pools::CONNECTIONS_MAX,
+    queue::Permit,
     trail::Flight,
     view::View,
 };
@@ -58,11 +59,11 @@
     pub(super) async fn send(
         &self,
         upstream: &Arc<Upstream>,
+        (permit, reservation): (Permit, Option<Reservation>),
         mut flight: Flight<'_>,
         parts: &Parts,
         body: Body,
         key: Option<Key>,
-        reservation: Option<&Reservation>,
     ) -> Attempt {
         let connections = self.connections_to(upstream);
         let pool = self.pools.pool_of(upstream, connections);
@@ -73,7 +74,7 @@
             id: self.metadata.id.clone(),
             upstream: upstream.id.clone(),
         };
-        let in_flight = self.selector.queues.start(self.view, &upstream.id);
+        let in_flight = permit.start();
         let left = self.deadline.saturating_duration_since(Instant::now());
         let (body_end, streamed) = oneshot::channel();
         let exchange = Exchange::new(pool.clone(), left, self.deadline).with_body_end(body_end);
@@ -84,7 +85,7 @@
         flight.record_choice(self.view.upstreams_age());
         let may_send = || {
             let may_send = self.view.may_send(upstream, key.is_some())
-                && self.view.may_send_cold(upstream, reservation);
+                && self.view.may_send_cold(upstream, reservation.as_ref());
             if !may_send || self.would_be_cut(is_whole) {
                 return false;
             }
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -2,12 +2,16 @@
 
 use std::{
     net::SocketAddr,
-    pin::pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use crate::{queue::Queues, rejection::Rejection, relay::Relay, view::View};
+use crate::{
+    queue::{Permit, Queues},
+    rejection::Rejection,
+    relay::Relay,
+    view::View,
+};
 use copperwell_assignment::{table::Version, warmup::Reservation};
 use copperwell_message::{HashSet, Reason};
 use copperwell_routing::{
@@ -16,7 +20,7 @@
     registry::Upstream,
 };
 use rand::RngExt;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// How often a request that is to be kept apart looks whether the other one has ended.
 const APART_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -43,6 +47,14 @@
     pub(crate) regions: Vec<RegionName>,
     /// When the request stops waiting for an upstream.
     pub(crate) deadline: Instant,
+    /// When the request arrived.
+    pub(crate) arrived: Instant,
+    /// Until when an answer has its full value.
+    pub(crate) objective: Instant,
+    /// Until when the caller waits for an answer.
+    pub(crate) answer_deadline: Instant,
+    /// How long a request of its route usually takes at an upstream.
+    pub(crate) work: Duration,
 }
 
 /// Selects upstreams for requests.
@@ -53,13 +65,22 @@
     pub(crate) relay: Arc<Relay>,
 }
 
+/// Whether a request waits if no upstream has a free permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Patience {
+    /// It is queued for a permit.
+    Queue,
+    /// It is refused.
+    None,
+}
+
 /// Where the next attempt of a request goes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum Selected {
-    /// To this upstream.
-    Upstream(Arc<Upstream>),
-    /// To this upstream, which warms up, with this reservation.
-    WarmingUp(Arc<Upstream>, Reservation),
+    /// To this upstream, with a permit for one request.
+    Upstream(Arc<Upstream>, Permit),
+    /// To this upstream, which warms up, with a permit and this reservation.
+    WarmingUp(Arc<Upstream>, Permit, Reservation),
     /// Through the daemon at this address, which reaches an upstream that this one does not.
     Relay(SocketAddr),
 }
@@ -86,14 +107,9 @@
             }
             None => self.select_any(requirements, attempted, relays).await?,
         };
-        let (Selected::Upstream(upstream) | Selected::WarmingUp(upstream, _)) = &selected else {
-            return Ok(selected);
-        };
-        // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
-        if let Err(rejection) = self.check_quarantine(requirements.request) {
-            // Its place is free for the next one that waits.
-            self.queues.notify_one(&upstream.id);
-            return Err(rejection);
+        if !matches!(selected, Selected::Relay(_)) {
+            // The request may have waited, and may have crashed upstreams elsewhere meanwhile.
+            self.check_quarantine(requirements.request)?;
         }
         Ok(selected)
     }
@@ -126,7 +142,8 @@
         if !cold.is_empty() {
             return self.select_any_beside(&cold, requirements, attempted).await;
         }
-        self.select_any_but(&HashSet::default(), requirements, attempted)
+        let none = HashSet::default();
+        self.select_any_but(&none, requirements, attempted, Patience::Queue)
             .await
     }
 
@@ -136,13 +153,15 @@
         excluded: &HashSet<UpstreamId>,
         requirements: &Requirements,
         attempted: &[UpstreamId],
+        patience: Patience,
     ) -> Result<Selected, Rejection> {
         let limits = &self.view.keys.limits;
         let mut full: Vec<(Duration, Arc<Upstream>)> = Vec::new();
         loop {
-            match self.choose(requirements, attempted, &full, excluded) {
-                Ok(upstream) => match limits.acquire(&upstream, Duration::ZERO).await {
-                    Ok(_) => return Ok(Selected::Upstream(upstream)),
+            let chosen = self.choose_or_wait(requirements, attempted, &full, excluded, patience);
+            match chosen.await {
+                Ok((upstream, permit)) => match limits.acquire(&upstream, Duration::ZERO).await {
+                    Ok(_) => return Ok(Selected::Upstream(upstream, permit)),
                     Err(wait) => full.push((wait, upstream)),
                 },
                 Err(rejection) => {
@@ -150,7 +169,9 @@
                         return Err(rejection);
                     };
                     self.wait_for_limit(upstream, requirements).await?;
-                    return Ok(Selected::Upstream(upstream.clone()));
+                    self.view.loads().record_start(&upstream.id, Instant::now());
+                    let permit = self.permit_of(upstream, requirements);
+                    return Ok(Selected::Upstream(upstream.clone(), permit));
                 }
             }
         }
@@ -205,14 +226,15 @@
             .flatten()
     }
 
-    /// Chooses an upstream, but none of `full` and `excluded` and, if others are left, none that this daemon does not reach.
+    /// Chooses an upstream and takes a permit there, but at none of `full` and `excluded` and, if others are left, none
+    /// that this daemon does not reach.
     fn choose(
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
         full: &[(Duration, Arc<Upstream>)],
         excluded: &HashSet<UpstreamId>,
-    ) -> Result<Arc<Upstream>, Rejection> {
+    ) -> Result<(Arc<Upstream>, Permit), Rejection> {
         let mut avoided = self.view.crash_tracker.upstreams_kept_apart();
         avoided.extend_from_slice(attempted);
         let registry = self.view.registry();
@@ -256,7 +278,14 @@
         let mut loads = self.view.loads();
         loads.set_daemons(self.view.keys.daemons.load(Ordering::Relaxed));
         let chosen = loads.choose(upstreams, zone, &avoided, now, &mut random);
-        chosen.cloned().ok_or_else(|| {
+        if let Some(chosen) = chosen.cloned() {
+            // Nobody else is given the same place as long as the lock is held.
+            loads.record_start(&chosen.id, now);
+            drop(loads);
+            let permit = self.permit_of(&chosen, requirements);
+            return Ok((chosen, permit));
+        }
+        Err({
             let usable = upstreams.iter().filter(|one| !one.is_draining);
             let closed: Option<Vec<_>> = usable.map(|one| loads.closed_for(&one.id, now)).collect();
             match closed.and_then(|closed| closed.into_iter().min()) {
@@ -328,11 +357,8 @@
                 && !is_admitted
             {
                 let view = &self.view;
-                is_admitted = view.admits(
-                    &requirements.service,
-                    requirements.priority,
-                    served.admitted_share,
-                );
+                let class = requirements.class();
+                is_admitted = view.admits(&requirements.service, class, served.admitted_share);
                 if !is_admitted {
                     return Err(Rejection::new(Reason::Overload));
                 }
@@ -345,32 +371,42 @@
             if self.wait_until_open(&upstream.id, requirements).await? {
                 continue;
             }
-            let is_blocked = is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id);
-            if !is_blocked && self.view.loads().has_capacity(&upstream) {
-                if reserved.as_ref() == Some(&upstream.id) {
-                    let selected = self.reserve_holder(upstream, requirements, &mut reservation);
-                    if let Some(selected) = selected.await? {
-                        return Ok(selected);
-                    }
-                    continue;
+            if is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id) {
+                if Instant::now() >= requirements.deadline {
+                    return Err(Rejection::new(Reason::QueueFull));
                 }
-                self.wait_for_limit(&upstream, requirements).await?;
-                // The key may have moved meanwhile.
-                reserved = Some(upstream.id.clone());
+                // A streamed response ends without freeing a permit.
+                let until = Instant::now() + APART_POLL_INTERVAL;
+                sleep_until(requirements.deadline.min(until)).await;
                 continue;
             }
-            if Instant::now() >= requirements.deadline {
-                return Err(Rejection::new(Reason::QueueFull));
-            }
-            let until = match is_blocked {
-                // A streamed response ends without freeing a place in the queue.
-                true => requirements
-                    .deadline
-                    .min(Instant::now() + APART_POLL_INTERVAL),
-                false => requirements.deadline,
+            let permit = tokio::select! {
+                biased;
+                permit = self.acquire_at(&upstream, requirements) => permit?,
+                () = self.wait_for_move(requirements, key, &upstream.id) => continue,
+            };
+            let Some(permit) = permit else {
+                continue;
             };
-            self.wait_at_holder(&upstream.id, requirements, key, version, until)
-                .await;
+            let limits = &self.view.keys.limits;
+            let is_reserved = reserved.as_ref() == Some(&upstream.id);
+            let is_due = is_reserved || limits.acquire(&upstream, Duration::ZERO).await.is_ok();
+            if is_reserved || is_due && routing_tables.version() == version {
+                let id = upstream.id.clone();
+                let selected =
+                    self.reserve_holder(upstream, permit, requirements, &mut reservation);
+                if let Some(selected) = selected.await? {
+                    return Ok(selected);
+                }
+                reserved = Some(id);
+                continue;
+            }
+            drop(permit);
+            if !is_due {
+                self.wait_for_limit(&upstream, requirements).await?;
+            }
+            // The key may have moved meanwhile.
+            reserved = Some(upstream.id.clone());
         }
     }
 
@@ -395,33 +431,6 @@
         Ok(())
     }
 
-    /// Waits until a holder may have capacity, has lost the key in tables that are newer than `version`, or `until` has
-    /// passed.
-    async fn wait_at_holder(
-        &self,
-        holder: &UpstreamId,
-        requirements: &Requirements,
-        key: Key,
-        version: Version,
-        until: Instant,
-    ) {
-        let routing_tables = &self.view.keys.routing_tables;
-        let mut version = version;
-        let mut capacity = pin!(self.queues.wait(holder, until));
-        loop {
-            tokio::select! {
-                () = &mut capacity => return,
-                () = routing_tables.newer_than(version) => {
-                    version = routing_tables.version();
-                    let served = routing_tables.served(&requirements.service, key);
-                    if served.is_none_or(|served| served.upstream != *holder) {
-                        return;
-                    }
-                }
-            }
-        }
-    }
-
     /// Refuses a request whose key is held where it must not be served.
     fn check_region(
         &self,
@@ -487,7 +496,9 @@
     let spread = rand::rng().random_range(1.0..2.0);
     Rejection::new(reason).with_retry_after(UNSERVED_RETRY_AFTER.mul_f64(spread))
 }
+
 mod cold;
+mod permits;
 
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/selector/cold.rs
+++ b/crates/gateway/src/selector/cold.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Requirements, Selected, Selector};
-use crate::{rejection::Rejection, warmup::WarmingUp};
+use super::{Patience, Requirements, Selected, Selector};
+use crate::{queue::Permit, rejection::Rejection, warmup::WarmingUp};
 use copperwell_assignment::warmup::{Refused, Reservation};
 use copperwell_message::{HashSet, Reason};
 use copperwell_routing::{UpstreamId, registry::Upstream};
@@ -23,11 +23,10 @@
     ) -> Result<Selected, Rejection> {
         let mut excluded = cold.clone();
         excluded.extend(attempted.iter().cloned());
-        let warm = self.select_any_but(&excluded, requirements, attempted);
-        let rejection = match warm.await {
-            Ok(selected) => return Ok(selected),
-            Err(rejection) => rejection,
-        };
+        let warm = self.select_any_but(&excluded, requirements, attempted, Patience::None);
+        if let Ok(selected) = warm.await {
+            return Ok(selected);
+        }
         let is_any_warm = {
             let registry = self.view.registry();
             let mut upstreams = registry.of_service(&requirements.service).iter();
@@ -37,10 +36,10 @@
             Ok(selected) => Ok(selected),
             Err(rejection) if !is_any_warm => Err(rejection),
             // An upstream where an attempt failed is better than none.
-            Err(_) if !attempted.is_empty() => {
-                self.select_any_but(cold, requirements, attempted).await
+            Err(_) => {
+                self.select_any_but(cold, requirements, attempted, Patience::Queue)
+                    .await
             }
-            Err(_) => Err(rejection),
         }
     }
 
@@ -55,8 +54,7 @@
         let mut least: Option<(Duration, Arc<Upstream>)> = None;
         for upstream in self.usable_cold(cold) {
             match self.reserve(&upstream, Duration::ZERO).await {
-                Ok(Some(reservation)) => return Ok(Selected::WarmingUp(upstream, reservation)),
-                Ok(None) => return Ok(Selected::Upstream(upstream)),
+                Ok(reservation) => return self.with_permit(upstream, reservation, requirements),
                 Err(wait) if least.as_ref().is_none_or(|(least, _)| wait < *least) => {
                     least = Some((wait, upstream));
                 }
@@ -72,15 +70,30 @@
             return Err(rejection_after(wait));
         }
         match self.reserve(&upstream, patience).await {
-            Ok(Some(reservation)) => {
-                reservation.wait_due().await;
-                Ok(Selected::WarmingUp(upstream, reservation))
+            Ok(reservation) => {
+                if let Some(reservation) = &reservation {
+                    reservation.wait_due().await;
+                }
+                self.with_permit(upstream, reservation, requirements)
             }
-            Ok(None) => Ok(Selected::Upstream(upstream)),
             Err(wait) => Err(rejection_after(wait)),
         }
     }
 
+    /// Takes a permit at an upstream for which a request has a reservation, or needs none.
+    fn with_permit(
+        &self,
+        upstream: Arc<Upstream>,
+        reservation: Option<Reservation>,
+        requirements: &Requirements,
+    ) -> Result<Selected, Rejection> {
+        let permit = self.try_permit(&upstream, requirements)?;
+        Ok(match reservation {
+            Some(reservation) => Selected::WarmingUp(upstream, permit, reservation),
+            None => Selected::Upstream(upstream, permit),
+        })
+    }
+
     /// Returns some of `cold` at which this daemon may have a request in flight, in random order.
     fn usable_cold(&self, cold: &HashSet<UpstreamId>) -> Vec<Arc<Upstream>> {
         let registry = self.view.registry();
@@ -104,6 +117,7 @@
     pub(super) async fn reserve_holder(
         &self,
         holder: Arc<Upstream>,
+        permit: Permit,
         requirements: &Requirements,
         reservation: &mut Option<Reservation>,
     ) -> Result<Option<Selected>, Rejection> {
@@ -112,8 +126,13 @@
             .take()
             .filter(|one| one.is_valid(&holder.id, now));
         if let Some(reservation) = valid {
-            return Ok(Some(Selected::WarmingUp(holder, reservation)));
+            return Ok(Some(Selected::WarmingUp(holder, permit, reservation)));
+        }
+        if self.view.warming_up(&holder).is_none() {
+            return Ok(Some(Selected::Upstream(holder, permit)));
         }
+        // Others may use the place meanwhile.
+        drop(permit);
         let patience = requirements.deadline.saturating_duration_since(now);
         match self.reserve(&holder, patience).await {
             Ok(Some(reserved)) => {
@@ -121,7 +140,8 @@
                 *reservation = Some(reserved);
                 Ok(None)
             }
-            Ok(None) => Ok(Some(Selected::Upstream(holder))),
+            // It has become warm meanwhile.
+            Ok(None) => Ok(None),
             Err(wait) => Err(rejection_after(wait)),
         }
     }
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -25,6 +25,8 @@
 use test_case::test_case;
 use tokio::time::{Instant, advance};
 
+mod permits;
+
 const CULPRIT: Fingerprint = 7;
 const OTHER: Fingerprint = 8;
 const KEY: u16 = 5;
@@ -70,16 +72,24 @@
         priority: 0,
         regions: Vec::new(),
         deadline: Instant::now() + Duration::from_secs(30),
+        arrived: Instant::now(),
+        objective: Instant::now() + Duration::from_secs(30),
+        answer_deadline: Instant::now() + Duration::from_secs(30),
+        work: Duration::from_millis(100),
     }
 }
 
 fn publish_holder(selector: &Selector, holder: &str) {
+    let routing_tables = &selector.view.keys.routing_tables;
+    routing_tables.publish(tables(holder, 1));
+}
+
+fn tables(holder: &str, number: u64) -> Tables {
     let holder: UpstreamId = holder.into();
     let table = Table::new([(0, Some(&holder))]);
-    let version = Version { term: 1, number: 1 };
+    let version = Version { term: 1, number };
     let services = [("cups".into(), table)].into_iter().collect();
-    let tables = Tables { version, services };
-    selector.view.keys.routing_tables.publish(tables);
+    Tables { version, services }
 }
 
 /// Records crashes of a request, one after the other, at other upstreams than those of the selector.
@@ -105,7 +115,9 @@
 
 fn reason(result: Result<Selected, Rejection>) -> Result<String, Reason> {
     let id = result.map(|selected| match selected {
-        Selected::Upstream(upstream) | Selected::WarmingUp(upstream, _) => upstream.id.to_string(),
+        Selected::Upstream(upstream, _) | Selected::WarmingUp(upstream, ..) => {
+            upstream.id.to_string()
+        }
         Selected::Relay(helper) => helper.to_string(),
     });
     id.map_err(|refusal| refusal.reason)
@@ -135,7 +147,12 @@
     crash(&selector, OTHER, 2);
     let holder = selector.view.registry().get("a").cloned().unwrap();
     let send = selector.view.crash_tracker.start(&holder, CULPRIT.into());
-    let in_flight = selector.queues.start(&selector.view, &holder.id);
+    selector
+        .view
+        .loads()
+        .record_start(&holder.id, Instant::now());
+    let in_flight = selector.permit_of(&holder, &requirements(CULPRIT, Some(KEY)));
+    let in_flight = in_flight.start();
     let waiting = tokio::spawn({
         let selector = selector.clone();
         let requirements = requirements(OTHER, Some(KEY));
@@ -273,8 +290,8 @@
     publish_holder(&selector, "a");
     let holder = selector.view.registry().get("a").cloned().unwrap();
     let mut in_flight = Vec::new();
-    while selector.view.loads().has_capacity(&holder) {
-        in_flight.push(selector.queues.start(&selector.view, &holder.id));
+    while let Ok(permit) = selector.try_permit(&holder, &requirements(OTHER, Some(KEY))) {
+        in_flight.push(permit);
     }
     let waiting = [1, 2, 3].map(|_| {
         let selector = selector.clone();
@@ -427,15 +444,16 @@
     let selector = selector();
     lead(&selector);
     warm_up(&selector, &["a"]);
-    let warm: UpstreamId = "b".into();
-    let _full: Vec<_> = (0..6)
-        .map(|_| selector.queues.start(&selector.view, &warm))
-        .collect();
+    let warm = selector.view.registry().get("b").cloned().unwrap();
+    let mut full = Vec::new();
+    while let Ok(permit) = selector.try_permit(&warm, &requirements(OTHER, None)) {
+        full.push(permit);
+    }
     let mut reserved = 0;
     for _ in 0..100 {
         let requirements = requirements(OTHER, None);
         match selector.select(&requirements, &[], None, None).await {
-            Ok(Selected::WarmingUp(upstream, reservation)) => {
+            Ok(Selected::WarmingUp(upstream, _, reservation)) => {
                 assert!(selector.view.may_send_cold(&upstream, Some(&reservation)));
                 assert!(!selector.view.may_send_cold(&upstream, None));
                 reserved += 1;
@@ -501,7 +519,7 @@
     for _ in 0..100 {
         let requirements = requirements(OTHER, None);
         let selected = selector.select(&requirements, &[], None, None).await;
-        assert!(matches!(selected, Ok(Selected::Upstream(_))));
+        assert!(matches!(selected, Ok(Selected::Upstream(..))));
     }
     let holder = selector.view.registry().get("a").cloned().unwrap();
     assert!(selector.view.may_send_cold(&holder, None));
