Give a request of a test no time to wait for a permit

The test of the limit for upstreams that warm up took a refusal at once for granted; with the queue the request waits until the upstream is warm.

--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -451,7 +451,11 @@
     }
     let mut reserved = 0;
     for _ in 0..100 {
-        let requirements = requirements(OTHER, None);
+        // It has no time to wait for a permit at the other one.
+        let requirements = Requirements {
+            objective: Instant::now(),
+            ..requirements(OTHER, None)
+        };
         match selector.select(&requirements, &[], None, None).await {
             Ok(Selected::WarmingUp(upstream, _, reservation)) => {
                 assert!(selector.view.may_send_cold(&upstream, Some(&reservation)));
