Ask successors for evacuations apart from configurations

A daemon whose leader's news are late asked each successor for evacuations after every question for the newest configuration. Each round waited for both, so that daemons may turn to the store earlier. Evacuations are now asked for by a loop of their own, every 500 ms.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -192,6 +192,7 @@
             () = self.fetch_configurations() => {}
             () = self.ask_successors() => {}
             () = self.ask_for_lists() => {}
+            () = self.ask_for_evacuations() => {}
         }
         self.server.set_standing(Standing::Follows);
     }
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -24,6 +24,9 @@
 /// How often a daemon without a leader asks the successors.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// How often a daemon without a leader asks the successors for evacuations, of which it hears by their lists too.
+const EVACUATIONS_INTERVAL: Duration = Duration::from_millis(500);
+
 impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
     /// Asks the leader for its successors, until the future is dropped.
     ///
@@ -118,6 +121,25 @@
         }
     }
 
+    /// Asks the successors for evacuations whenever the leader's news are late, forever.
+    pub(super) async fn ask_for_evacuations(&self) {
+        loop {
+            sleep(EVACUATIONS_INTERVAL).await;
+            if !self.environment.is_leader_late() {
+                continue;
+            }
+            let successors = self.shared.successors.borrow().clone();
+            let asked = successors.into_iter().map(async |address| {
+                let client = Client::connect(address).await?;
+                let known = self.shared.evacuations.borrow().version;
+                client.evacuations(known, Duration::ZERO).await
+            });
+            for evacuations in join_all(asked).await.into_iter().flatten() {
+                self.environment.apply_evacuations(&evacuations);
+            }
+        }
+    }
+
     /// Asks the successors for their lists of upstreams whenever that of the leader is old, forever.
     pub(super) async fn ask_for_lists(&self) {
         loop {
@@ -186,10 +208,5 @@
             };
             self.shared.offer.send_replace(offer);
         }
-        // The last call on the connection, which a successor of an earlier release closes.
-        let known = self.shared.evacuations.borrow().version;
-        if let Some(evacuations) = client.evacuations(known, Duration::ZERO).await {
-            self.environment.apply_evacuations(&evacuations);
-        }
     }
 }
