Confirm holders of keys before a request on a new connection too

Cause: a holder that is started again holds no keys, but until its new registration is read, the leader takes it for the earlier run and may renew its grants. It then serves requests while it warms up, which no daemon counts.

Change: a new connection begins with a health check under the same conditions for services with keys as for those without. Two more tests: a leader of an earlier release, which closes the connection on the unknown call, and a lost leader with one upstream.

--- a/crates/assignment/tests/warmup.rs
+++ b/crates/assignment/tests/warmup.rs
@@ -16,6 +16,7 @@
 };
 use copperwell_routing::warmup::{Allowance, Limit, RESERVATION_TTL};
 use tokio::{
+    io::AsyncReadExt,
     net::TcpListener,
     task::JoinSet,
     time::{Instant, advance, sleep},
@@ -167,3 +168,35 @@
         "{reserved} in {seconds} s"
     );
 }
+
+/// Guards against a daemon that goes on with a connection which its leader, of an earlier release, has closed on the
+/// unknown call, and against one that opens another for each request.
+#[tokio::test]
+async fn leader_of_an_earlier_release_is_flooded_with_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let counted = accepted.clone();
+    let closing = tokio::spawn(async move {
+        loop {
+            let (mut connection, _) = listener.accept().await.unwrap();
+            counted.fetch_add(1, Ordering::Relaxed);
+            // Closes the connection once the call has begun to arrive.
+            let _ = connection.read_u8().await;
+        }
+    });
+    let warmups = Arc::new(SharedWarmups::default());
+    let following = warmups.clone();
+    let followed = tokio::spawn(async move {
+        following.follow(|| Client::connect(address)).await;
+    });
+    let start = Instant::now();
+    for _ in 0..10 {
+        assert_eq!(acquire(&warmups).await, Err(Refused::NoLeader));
+    }
+    let accepted = accepted.load(Ordering::Relaxed);
+    let seconds = start.elapsed().as_secs() as usize;
+    assert!((1..=seconds + 2).contains(&accepted), "{accepted}");
+    followed.abort();
+    closing.abort();
+}
--- a/crates/copperwelld/tests/gateway/warmup.rs
+++ b/crates/copperwelld/tests/gateway/warmup.rs
@@ -115,6 +115,7 @@
 #[test_case(4, true, Trouble::None; "with keys")]
 #[test_case(1, true, Trouble::None; "with keys and no other one")]
 #[test_case(4, false, Trouble::LeaderLost; "the leader is lost")]
+#[test_case(1, false, Trouble::LeaderLost; "the leader is lost and there is no other one")]
 #[tokio::test(flavor = "multi_thread")]
 async fn restarted_upstream_gets_more_requests_than_it_takes_while_it_warms_up(
     servers: usize,
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -28,7 +28,6 @@
 struct SendGate<'a, M> {
     view: &'a View,
     upstream: &'a Upstream,
-    checks_health: bool,
     may_send: M,
 }
 
@@ -38,9 +37,7 @@
     }
 
     fn health_check(&mut self, closed_at: Option<Instant>) -> Option<PathAndQuery> {
-        self.checks_health
-            .then(|| self.view.health_check_before(self.upstream, closed_at))
-            .flatten()
+        self.view.health_check_before(self.upstream, closed_at)
     }
 
     fn record_health(&mut self, warmup_left: Option<Duration>, sent_at: Instant) {
@@ -89,8 +86,6 @@
         let gate = SendGate {
             view: self.view,
             upstream,
-            // A process that was started again holds no keys, so it does not run requests for them.
-            checks_health: key.is_none(),
             may_send,
         };
         let result = exchange.run(self.dialect, &outbound, body, gate).await;
