Bound the memory of buffered bodies by the memory limit

Cause: what a daemon keeps for slow readers grows with their number. 700 readers of 10 KB/s with answers of 540 KiB took 162,740 KiB of a process (not optimised); the smallest VMs kill it at 122,880 KiB.

Change: crate memory counts the bytes of bodies: read whole, streamed, kept for retries, relayed. Permits are bound to the bytes and return when these are dropped. Without room a response is streamed, a body gets its next part once the one before is written, and a request with a body is refused with 503, not run. Without limits.memoryMb nothing changes.

The test fails without the limit in the settings.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use copperwell_keyspace::HashMap;
 use copperwell_message::Body;
+use copperwell_progress::READ_MAX_BYTES;
 use http::{
     HeaderValue, Method, Request, StatusCode, Uri,
     header::{CONTENT_TYPE, HOST},
@@ -233,7 +234,14 @@
     async fn open(&self, order: &PendingOrder) -> Result<Connection, Failure> {
         let remaining = order.deadline.saturating_duration_since(Instant::now());
         let connect_timeout = remaining.min(self.timing.connect);
-        let opened = Connection::open(order.to, connect_timeout, (), self.bytes.clone()).await;
+        let opened = Connection::open(
+            order.to,
+            connect_timeout,
+            (),
+            self.bytes.clone(),
+            READ_MAX_BYTES,
+        )
+        .await;
         opened.map_err(|_| Failure::Unreachable)
     }
 
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -72,12 +72,13 @@
 impl Connection {
     /// Opens a connection that keeps `guard` alive until its socket closes.
     ///
-    /// `bytes` counts the bytes sent and received.
+    /// `bytes` counts the bytes sent and received; at most `read_bytes` are read at a time.
     pub(crate) async fn open(
         to: SocketAddr,
         connect_timeout: Duration,
         guard: impl Send + 'static,
         bytes: Counter,
+        read_bytes: usize,
     ) -> Result<Self, ConnectError> {
         let stream = timeout(connect_timeout, TcpStream::connect(to))
             .await
@@ -89,7 +90,7 @@
         let _ = stream.set_zero_linger();
         let traffic = Arc::new(Traffic::new(bytes));
         let stream = Metered::new(stream, traffic.clone());
-        let opened = copperwell_progress::handshake(stream).await;
+        let opened = copperwell_progress::handshake_reading(stream, read_bytes).await;
         let Opened {
             sender,
             connection,
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -9,6 +9,7 @@
     lane::Lane,
 };
 use bytes::Bytes;
+use copperwell_memory::{Budget, CHUNK_BYTES, Permit};
 use copperwell_message::{Body, Reason, Response, Sender, Verdict};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Frame};
@@ -27,6 +28,7 @@
     inactivity_timeout: Duration,
     deadline: Instant,
     body_end: Option<BodyEnd>,
+    budget: Budget,
 }
 
 /// Receives how a streamed response body ended: completely, or why not.
@@ -54,6 +56,7 @@
             inactivity_timeout,
             deadline,
             body_end: None,
+            budget: Budget::unlimited(),
         }
     }
 
@@ -66,6 +69,12 @@
         }
     }
 
+    /// Buffers no more of response bodies than `budget` has room for.
+    #[must_use]
+    pub fn with_budget(self, budget: Budget) -> Self {
+        Self { budget, ..self }
+    }
+
     /// Sends a request and returns its response, with a body that may still be streaming.
     ///
     /// `may_send` is asked on each connection right before the request is sent there, which may be long after the
@@ -160,7 +169,7 @@
         })
     }
 
-    /// Builds the response: a small body is buffered, any other body is streamed.
+    /// Builds the response: a small body is buffered if there is room, any other body is streamed.
     async fn receive(
         self,
         mut connection: Connection,
@@ -171,7 +180,10 @@
         let (head, incoming) = response.into_parts();
         connection.update_keep_alive(head::keep_alive_in(&head.headers));
         let size = incoming.size_hint().upper();
-        let is_small = size.is_some_and(|bytes| bytes <= BUFFERED_BYTES_MAX as u64);
+        let size = size.and_then(|bytes| usize::try_from(bytes).ok());
+        let room = size
+            .filter(|bytes| *bytes <= BUFFERED_BYTES_MAX)
+            .and_then(|bytes| self.budget.try_response(bytes));
         if let Some(id) = id.filter(|_| !head.status.is_success()) {
             connection.record_failed(id);
         }
@@ -179,7 +191,7 @@
             Read::Answer(reply) => reply,
             Read::Refused { reply, .. } => {
                 // Where responses name no request, one that is written again would pass for the next one.
-                if is_small && id.is_some() {
+                if room.is_some() && id.is_some() {
                     self.drain_refusal(connection, incoming).await;
                 }
                 let body = Body::empty();
@@ -191,8 +203,8 @@
                 return Err(Failed::may_have_run(Reason::Protocol));
             }
         };
-        let body = if is_small {
-            self.read_body(connection, incoming).await?
+        let body = if let Some(room) = room {
+            self.read_body(connection, incoming, room).await?
         } else {
             let (sender, body) = Body::channel();
             tokio::spawn(self.stream_body(connection, incoming, sender));
@@ -210,14 +222,19 @@
     }
 
     /// Buffers a small body; if it is incomplete, the request may have run.
-    async fn read_body(&self, connection: Connection, incoming: Received) -> Result<Body, Failed> {
+    async fn read_body(
+        &self,
+        connection: Connection,
+        incoming: Received,
+        room: Permit,
+    ) -> Result<Body, Failed> {
         let collect = Limited::new(incoming, BUFFERED_BYTES_MAX).collect();
         let reason = tokio::select! {
             biased;
             collected = collect => match collected {
                 Ok(collected) => {
                     self.lane.put_back(connection);
-                    return Ok(Body::full(collected.to_bytes()));
+                    return Ok(Body::full(room.bind(collected.to_bytes())));
                 }
                 Err(_) => body_failure(&connection),
             },
@@ -248,7 +265,14 @@
         mut incoming: Received,
         sender: Sender,
     ) -> Result<(), Reason> {
+        let flow = self.budget.flow();
         loop {
+            let room = tokio::select! {
+                biased;
+                room = flow.reserve(CHUNK_BYTES) => room,
+                () = sender.closed() => return Err(Reason::Cancelled),
+                () = sleep_until(self.deadline) => return Err(Reason::DeadlinePassed),
+            };
             connection.traffic().restart_timer();
             return Err(tokio::select! {
                 biased;
@@ -258,7 +282,7 @@
                         sender.end().await;
                         return Ok(());
                     }
-                    Some(Ok(frame)) => match self.send_frame(frame, &sender).await {
+                    Some(Ok(frame)) => match self.send_frame(frame, room, &sender).await {
                         Ok(()) => continue,
                         Err(reason) => reason,
                     },
@@ -273,12 +297,17 @@
     }
 
     /// Sends a frame to the reader, waiting for it until the deadline.
-    async fn send_frame(&self, frame: Frame<Bytes>, sender: &Sender) -> Result<(), Reason> {
+    async fn send_frame(
+        &self,
+        frame: Frame<Bytes>,
+        room: Permit,
+        sender: &Sender,
+    ) -> Result<(), Reason> {
         let Ok(bytes) = frame.into_data() else {
             // Trailers are dropped.
             return Ok(());
         };
-        match timeout_at(self.deadline, sender.send(bytes)).await {
+        match timeout_at(self.deadline, sender.send(room.bind(bytes))).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(Reason::Cancelled),
             Err(_) => Err(Reason::DeadlinePassed),
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -17,6 +17,7 @@
     pool::Timing,
 };
 use copperwell_keyspace::manifest::Upstream;
+use copperwell_progress::READ_MAX_BYTES;
 use tokio::{sync::Semaphore, time::Instant};
 
 /// Connections to a server reserved for the control orders of the leader and its successor.
@@ -33,6 +34,7 @@
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<Connection>>,
     is_warming_up: AtomicBool,
+    read_bytes: usize,
 }
 
 /// The error for a pool in which the server has closed an idle connection.
@@ -71,9 +73,16 @@
             permits: Arc::new(Semaphore::new(connections_max as usize)),
             idle: Mutex::default(),
             is_warming_up: AtomicBool::new(false),
+            read_bytes: READ_MAX_BYTES,
         }
     }
 
+    /// Sets the most bytes that are read at a time.
+    #[must_use]
+    pub fn with_read_bytes(self, read_bytes: usize) -> Self {
+        Self { read_bytes, ..self }
+    }
+
     /// Returns whether the pool's limit is still the one that `upstream` sets.
     pub(crate) fn has_limit_of(&self, upstream: &Upstream) -> bool {
         self.connections_max == connections_max_of(upstream)
@@ -186,6 +195,7 @@
             connect_timeout,
             permit,
             self.metrics.bytes.clone(),
+            self.read_bytes,
         )
         .await?;
         self.metrics.opened.inc();
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -8,6 +8,7 @@
 
 use crate::{admission::Permit, refusal::Refusal};
 use bytes::{Bytes, BytesMut};
+use copperwell_memory::{Budget, CHUNK_BYTES, Flow};
 use copperwell_message::{Body, Incomplete, Reason, Sender};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -53,24 +54,32 @@
         Self { body, permit: None }
     }
 
-    /// Reads the body if it ends within `limit` bytes, so that nothing is left to fail; a longer one is streamed on.
+    /// Reads the body if it ends within `limit` bytes, so that nothing is left to fail; a longer one, or one for which
+    /// `budget` has no room, is streamed on.
     ///
     /// # Errors
     ///
     /// Returns [`Incomplete`] if the body ends too early.
-    pub(crate) async fn read_within(mut self, limit: usize) -> Result<Self, Incomplete> {
+    pub(crate) async fn read_within(
+        mut self,
+        limit: usize,
+        budget: &Budget,
+    ) -> Result<Self, Incomplete> {
         if self.body.as_full().is_some() {
             return Ok(self);
         }
+        let Some(room) = budget.try_response(limit) else {
+            return Ok(self);
+        };
         let mut read = BytesMut::new();
         while read.len() <= limit {
             let Some(chunk) = self.body.chunk().await else {
-                let body = Body::full(read.freeze());
+                let body = Body::full(room.bind(read.freeze()));
                 return Ok(Self { body, ..self });
             };
             read.extend_from_slice(&chunk?);
         }
-        let body = self.body.with_prefix(read.freeze());
+        let body = self.body.with_prefix(room.bind(read.freeze()));
         Ok(Self { body, ..self })
     }
 }
@@ -99,11 +108,12 @@
 ///
 /// # Errors
 ///
-/// Returns a [`Refusal`] if the body is too long, malformed, or sent too slowly.
+/// Returns a [`Refusal`] if the body is too long, malformed, or sent too slowly, or if `budget` has no room for it.
 pub async fn read_request(
     incoming: Option<Incoming>,
     limit: u64,
     deadline: Instant,
+    budget: &Budget,
 ) -> Result<RequestBody, Refusal> {
     let Some(mut incoming) = incoming else {
         return Ok(RequestBody {
@@ -111,17 +121,22 @@
             body: Body::empty(),
         });
     };
-    let declared = http_body::Body::size_hint(&incoming).lower();
-    if declared > limit {
+    let size = http_body::Body::size_hint(&incoming);
+    if size.lower() > limit {
         return Err(too_large(limit));
     }
+    let expected = size.upper().and_then(|bytes| usize::try_from(bytes).ok());
+    let expected = expected.map_or(PREFIX_BYTES, |bytes| bytes.min(PREFIX_BYTES));
+    let Some(room) = budget.try_request(expected) else {
+        return Err(Reason::ServiceLimit.into());
+    };
     let mut prefix = BytesMut::new();
     while prefix.len() < PREFIX_BYTES {
         let expires_at = deadline.min(Instant::now() + IDLE_TIMEOUT);
         let frame = timeout_at(expires_at, incoming.frame()).await;
         let frame = frame.map_err(|_| Refusal::from(Reason::SlowCaller))?;
         let Some(frame) = frame else {
-            let prefix = prefix.freeze();
+            let prefix = room.bind(prefix.freeze());
             return Ok(RequestBody {
                 body: Body::full(prefix.clone()),
                 prefix,
@@ -138,10 +153,10 @@
             return Err(too_large(limit));
         }
     }
-    let prefix = prefix.freeze();
+    let prefix = room.bind(prefix.freeze());
     let (sender, body) = Body::channel();
     let remaining = limit - prefix.len() as u64;
-    tokio::spawn(forward_rest(incoming, sender, remaining));
+    tokio::spawn(forward_rest(incoming, sender, remaining, budget.flow()));
     Ok(RequestBody {
         body: body.with_prefix(prefix.clone()),
         prefix: prefix.slice(..PREFIX_BYTES),
@@ -150,8 +165,13 @@
 
 /// Forwards the rest of a body; its reader gets [`Incomplete`] if the caller stops or sends more than
 /// the limit.
-async fn forward_rest(mut incoming: Incoming, sender: Sender, mut remaining: u64) {
+async fn forward_rest(mut incoming: Incoming, sender: Sender, mut remaining: u64, flow: Flow) {
     loop {
+        let room = tokio::select! {
+            biased;
+            () = sender.closed() => return,
+            room = flow.reserve(CHUNK_BYTES) => room,
+        };
         let frame = tokio::select! {
             biased;
             () = sender.closed() => return,
@@ -167,7 +187,7 @@
             return;
         };
         remaining = after;
-        if sender.send(chunk).await.is_err() {
+        if sender.send(room.bind(chunk)).await.is_err() {
             return;
         }
     }
--- a/crates/caller/src/ingress.rs
+++ b/crates/caller/src/ingress.rs
@@ -18,6 +18,7 @@
     route::Router,
 };
 use copperwell_keyspace::manifest::Service;
+use copperwell_memory::Budget;
 use copperwell_message::{Head, Reason, Repeat, Request, Response, Verdict};
 use http::{HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER};
 use hyper::body::Incoming;
@@ -102,7 +103,13 @@
         check_single_key(&target, &head)?;
         let permit = self.admission.admit(&service, caller)?;
         let deadline = Instant::now() + head.deadline;
-        let body = body::read_request(incoming, service.limits.body, deadline).await?;
+        let body = body::read_request(
+            incoming,
+            service.limits.body,
+            deadline,
+            &Budget::unlimited(),
+        )
+        .await?;
         head.fingerprint = parse::fingerprint(&head, &body.prefix);
         let keys = target.keys.into_iter().map(str::to_owned).collect();
         Ok(Accepted {
--- a/crates/caller/src/pipeline.rs
+++ b/crates/caller/src/pipeline.rs
@@ -157,7 +157,10 @@
     /// and with it the responses to the requests that were started behind it.
     async fn read_whole(&self, response: Response<ResponseBody>) -> Response<ResponseBody> {
         let (head, body) = response.into_parts();
-        match body.read_within(READ_WHOLE_MAX_BYTES).await {
+        match body
+            .read_within(READ_WHOLE_MAX_BYTES, &self.handler.budget())
+            .await
+        {
             Ok(body) => Response::from_parts(head, body),
             Err(Incomplete) => self.handler.broken_off(&head),
         }
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -12,6 +12,7 @@
     Network, body::ResponseBody, ingress::Ingress, pipeline::Pipeline, refusal,
     write_timeout::WriteTimeout,
 };
+use copperwell_memory::Budget;
 use copperwell_message::{Reason, Response, Verdict};
 use http::{StatusCode, request::Parts, response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -77,6 +78,11 @@
         false
     }
 
+    /// Returns the budget of what is buffered.
+    fn budget(&self) -> Budget {
+        Budget::unlimited()
+    }
+
     /// Called when a connection is closed because its caller sent a head too slowly.
     fn on_slow_caller(&self);
 
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -26,6 +26,7 @@
 };
 use copperwell_caller::server;
 use copperwell_gateway::{Gateway, View, metrics::Metrics, watch};
+use copperwell_memory::Budget;
 use copperwell_peer::link;
 use copperwell_platform::{
     Entries, Orders, Published, Settings, Store, Wire, settings::READY_PATH,
@@ -47,6 +48,13 @@
 /// The fraction of the file descriptors that callers' connections may use.
 const CALLERS_SHARE: f64 = 0.6;
 
+/// The part of the memory that the connections of callers may take.
+const CONNECTIONS_MEMORY_DIVISOR: usize = 2;
+
+/// The memory of a caller's connection and of the one to an upstream on which its request is: what is read ahead from
+/// either, a head, and the tasks.
+const CONNECTION_BYTES: usize = 64 << 10;
+
 /// How long a stopping daemon keeps accepting connections, so that the platform can take it out of
 /// rotation.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
@@ -146,11 +154,19 @@
         let run = run_number();
         let view = View::new(run, zone, settings.allowance).with_drain(settings.drain);
         let view = Arc::new(view);
-        let connections_max = (settings.descriptors as f64 * CALLERS_SHARE) as usize;
+        let connections_max = connections_max(settings.descriptors, settings.memory_bytes);
+        let budget = Budget::of_process(settings.memory_bytes);
+        budget.register(&mut registry);
         view.crash_tracker.register(&mut registry);
         view.keys.limits.register(&mut registry);
         view.paths.register(&mut registry);
-        let gateway = Gateway::new(Wire, view.clone(), metrics.clone(), connections_max.max(1));
+        let gateway = Gateway::new(
+            Wire,
+            view.clone(),
+            metrics.clone(),
+            connections_max,
+            budget.clone(),
+        );
         gateway.connection_metrics().register(&mut registry);
         gateway.register_relay(&mut registry);
         let gateway = Arc::new(gateway);
@@ -207,9 +223,10 @@
             let serve = admin::serve(listener, inspector.clone(), registry.clone(), never);
             tokio::spawn(serve);
         }
-        let helper = tokio::spawn(link::serve(
+        let helper = tokio::spawn(link::serve_within(
             helper_listener,
             gateway.clone(),
+            budget,
             serving.clone(),
         ));
         let serve = server::serve_with(callers, gateway.clone(), serving.clone());
@@ -343,6 +360,16 @@
     }
 }
 
+/// Returns how many connections of callers are open at most: no more than descriptors allow, nor than the memory at which
+/// the process is killed has room for.
+fn connections_max(descriptors: usize, memory_bytes: Option<usize>) -> usize {
+    let by_memory = memory_bytes.map_or(usize::MAX, |bytes| {
+        bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES
+    });
+    let by_descriptors = (descriptors as f64 * CALLERS_SHARE) as usize;
+    by_descriptors.min(by_memory).max(1)
+}
+
 /// Returns a number that differs from those of earlier runs.
 fn run_number() -> u64 {
     let wall_clock = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/copperwelld/tests/gateway/main.rs
+++ b/crates/copperwelld/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod keys;
 mod leaving;
 mod limits;
+mod memory;
 mod notices;
 mod odd_entries;
 mod refusals;
--- a/crates/copperwelld/tests/gateway/status_caller.rs
+++ b/crates/copperwelld/tests/gateway/status_caller.rs
@@ -61,13 +61,18 @@
 /// Sends a request to the faulty service and behind it, on the same connection, one to a sound service; returns the
 /// statuses of all answers on it, which ends with them.
 pub(crate) async fn ask(daemon: &Daemon, method: &str, id: &str) -> Vec<String> {
+    ask_at(daemon, method, "/odd/1", id).await
+}
+
+/// Like [`ask`], with the path of the first request.
+pub(crate) async fn ask_at(daemon: &Daemon, method: &str, path: &str, id: &str) -> Vec<String> {
     let mut stream = TcpStream::connect((daemon.ip.as_str(), daemon.port))
         .await
         .unwrap();
     let key = caller::key_line(7);
     let body = if method == "POST" { "body" } else { "" };
     let fields = format!("{key}content-length: {}\r\n", body.len());
-    let first = caller::request_head(method, "/odd/1", id, &fields);
+    let first = caller::request_head(method, path, id, &fields);
     let fields = format!("{key}connection: close\r\n");
     let second = caller::request_head("GET", "/cups/1", &format!("{id}-sound"), &fields);
     let requests = format!("{first}{body}{second}");
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -19,6 +19,7 @@
     view::View,
 };
 use copperwell_backend::exchange::Failed;
+use copperwell_memory::Budget;
 use copperwell_message::{Body, Reason, Response, Verdict};
 use copperwell_routing::{
     ServiceName,
@@ -58,6 +59,8 @@
     pub(crate) deadline: Instant,
     /// The terms under which another daemon has sent the request here; `None` if its caller has.
     pub(crate) terms: Option<Terms>,
+    /// Bounds what is buffered of bodies.
+    pub(crate) budget: &'a Budget,
     /// When this daemon ends all requests; empty unless it stops.
     pub(crate) ends_at: &'a OnceLock<Instant>,
 }
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -44,7 +44,9 @@
         let in_flight = self.selector.queues.start(self.view, &upstream.id);
         let left = self.deadline.saturating_duration_since(Instant::now());
         let (body_end, streamed) = oneshot::channel();
-        let exchange = Exchange::new(pool.clone(), left, self.deadline).with_body_end(body_end);
+        let exchange = Exchange::new(pool.clone(), left, self.deadline)
+            .with_body_end(body_end)
+            .with_budget(self.budget.clone());
         let send = self.view.crash_tracker.start(upstream, self.identity);
         let sent_at = Instant::now();
         let path = PathGuard::new(self.view, upstream, pool);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
     body::{self, RequestBody, ResponseBody},
     server::{Handler, Limits},
 };
+use copperwell_memory::Budget;
 use copperwell_message::{Body, Reason, Request, Response, Serve, Verdict};
 use copperwell_routing::configuration::{Configuration, Route};
 use http::{HeaderName, HeaderValue, StatusCode, request::Parts, response};
@@ -57,6 +58,7 @@
     metrics: Metrics,
     request_log: RequestLog,
     connections_max: usize,
+    budget: Budget,
     /// When a stopping daemon ends all requests.
     ends_at: OnceLock<Instant>,
     /// Bounds the requests of other daemons that are in flight.
@@ -79,11 +81,19 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Creates a gateway that routes by `view` and accepts at most `connections_max` connections.
+    /// Creates a gateway that routes by `view`, accepts at most `connections_max` connections, and buffers no more of
+    /// bodies than `budget` has room for.
     #[must_use]
-    pub fn new(dialect: D, view: Arc<View>, metrics: Metrics, connections_max: usize) -> Self {
+    pub fn new(
+        dialect: D,
+        view: Arc<View>,
+        metrics: Metrics,
+        connections_max: usize,
+        budget: Budget,
+    ) -> Self {
         let queues = Arc::new(Queues::new(metrics.queue.clone()));
         let relay = Relay::new(view.keys.helpers.clone(), view.zone.clone());
+        let relay = relay.with_budget(budget.clone());
         Self {
             dialect,
             selector: Selector {
@@ -91,11 +101,12 @@
                 queues,
                 relay: Arc::new(relay),
             },
-            pools: ConnectionPools::default(),
+            pools: ConnectionPools::new(&budget),
             view,
             request_log: RequestLog::new(metrics.clone()),
             metrics,
             connections_max,
+            budget,
             ends_at: OnceLock::new(),
             relayed_permits: Semaphore::new(RELAYED_MAX),
             cancellation: CancellationToken::new(),
@@ -154,7 +165,7 @@
         let timeout = metadata.deadline.unwrap_or(route.timeout);
         let deadline = arrived + timeout.min(route.timeout);
         let limit = configuration.limits.body_bytes;
-        let read = body::read_request(incoming, limit, deadline).await;
+        let read = body::read_request(incoming, limit, deadline, &self.budget).await;
         let RequestBody { prefix, body } = read.map_err(|refusal| refuse(refusal.reason))?;
         Ok(Accepted {
             identity: Identity::new(caller, &parts, &prefix),
@@ -266,6 +277,7 @@
             arrived,
             deadline,
             terms,
+            budget: &self.budget,
             ends_at: &self.ends_at,
         };
         let result = tokio::select! {
@@ -336,6 +348,9 @@
     }
 
     fn may_start_early(&self, head: &Parts) -> bool {
+        if !self.budget.has_room() {
+            return false;
+        }
         let configuration = self.view.configuration();
         let route = configuration.and_then(|known| route_of(&known, head));
         route.is_some_and(|route| route.is_repeatable)
@@ -345,6 +360,10 @@
         self.ends_at.get().is_some()
     }
 
+    fn budget(&self) -> Budget {
+        self.budget.clone()
+    }
+
     fn on_slow_caller(&self) {
         self.metrics.slow_heads.inc();
     }
--- a/crates/gateway/src/pools.rs
+++ b/crates/gateway/src/pools.rs
@@ -6,6 +6,7 @@
 };
 
 use copperwell_backend::{lane::Lane, metrics::Metrics as ConnectionMetrics, pool::Timing};
+use copperwell_memory::Budget;
 use copperwell_message::HashMap;
 use copperwell_routing::{UpstreamId, registry::Upstream};
 
@@ -23,9 +24,19 @@
 pub(crate) struct ConnectionPools {
     pools: Mutex<HashMap<UpstreamId, Arc<Lane>>>,
     metrics: ConnectionMetrics,
+    /// The most bytes that are read at a time; `None` for the default.
+    read_bytes: Option<usize>,
 }
 
 impl ConnectionPools {
+    /// Creates the pools, whose connections read as little ahead as `budget` asks for.
+    pub(crate) fn new(budget: &Budget) -> Self {
+        Self {
+            read_bytes: budget.read_bytes(),
+            ..Self::default()
+        }
+    }
+
     /// Returns the metrics of the connections.
     pub(crate) fn metrics(&self) -> &ConnectionMetrics {
         &self.metrics
@@ -51,7 +62,10 @@
         };
         let limit = connections.clamp(1, CONNECTIONS_MAX);
         let pool = Lane::new(upstream.address, limit, timing, self.metrics.clone());
-        let pool = Arc::new(pool);
+        let pool = Arc::new(match self.read_bytes {
+            Some(bytes) => pool.with_read_bytes(bytes),
+            None => pool,
+        });
         pools.insert(upstream.id.clone(), pool.clone());
         pool
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 
 use crate::fingerprint::Identity;
 use copperwell_assignment::reach::Helper;
+use copperwell_memory::Budget;
 use copperwell_message::{Body, Class, HashMap, Head, Reason, Repeat, Request, Response, Verdict};
 use copperwell_peer::link::Links;
 use copperwell_routing::{UpstreamId, ZoneName};
@@ -73,6 +74,14 @@
         }
     }
 
+    /// Buffers no more of responses than `budget` has room for.
+    pub(crate) fn with_budget(self, budget: Budget) -> Self {
+        Self {
+            links: Links::with_budget(budget),
+            ..self
+        }
+    }
+
     pub(crate) fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("gateway");
         registry.register(
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -14,13 +14,14 @@
 };
 
 use crate::dial::Dialer;
+use copperwell_memory::Budget;
 use copperwell_message::{HashMap, Head, Reason, Request, Response, Verdict};
 use peer::Peer;
 use prometheus_client::registry::Registry;
 use tokio::time::{Instant, timeout_at};
 
 pub use metrics::Metrics;
-pub use server::{NoRelay, Relay, serve, serve_with_relay};
+pub use server::{NoRelay, Relay, serve, serve_with_relay, serve_within};
 
 mod connection;
 mod keepalive;
@@ -77,6 +78,7 @@
     peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
     metrics: Metrics,
     dialer: Dialer,
+    budget: Budget,
 }
 
 impl Links {
@@ -86,6 +88,18 @@
         Self::default()
     }
 
+    /// Creates a table without links, which buffers no more of responses than `budget` has room for.
+    #[must_use]
+    pub fn with_budget(budget: Budget) -> Self {
+        let shared = Shared {
+            budget,
+            ..Shared::default()
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
     /// Creates a table without links, which opens connections with `dialer`.
     #[must_use]
     pub fn with_dialer(dialer: Dialer) -> Self {
@@ -141,7 +155,9 @@
             Ok(Err(reason)) => return self.refuse(reason),
             Err(_) => return self.refuse(Reason::DeadlineHopeless),
         };
-        let response = stream.exchange(target, request, deadline).await;
+        let response = stream
+            .exchange(target, request, deadline, &self.shared.budget)
+            .await;
         if let Some(reason) = response.reply.reason {
             self.shared.metrics.count_failure(reason);
         }
--- a/crates/peer/src/link/connection.rs
+++ b/crates/peer/src/link/connection.rs
@@ -22,6 +22,7 @@
     wire::{RequestHeader, ResponseHeader},
 };
 use bytes::Bytes;
+use copperwell_memory::Budget;
 use copperwell_message::{Reason, Request, Response, Verdict, is_final};
 use h2::{
     PingPong,
@@ -147,6 +148,7 @@
         target: Option<SocketAddr>,
         mut request: Request,
         deadline: Instant,
+        budget: &Budget,
     ) -> Response {
         request.head.deadline = deadline.saturating_duration_since(Instant::now());
         if request.head.deadline.is_zero() {
@@ -179,7 +181,7 @@
                 }
                 Response {
                     reply,
-                    body: body.into_body((self.permit, guard)),
+                    body: body.into_body((self.permit, guard), budget).await,
                 }
             }
             Ok(Err(failure)) => failure.into_response(&self.permit.state),
--- a/crates/peer/src/link/server.rs
+++ b/crates/peer/src/link/server.rs
@@ -10,6 +10,7 @@
 };
 use crate::wire::{RequestHeader, ResponseHeader};
 use bytes::Bytes;
+use copperwell_memory::Budget;
 use copperwell_message::{Reason, Request, Response, Serve, Verdict};
 use h2::{
     RecvStream,
@@ -66,7 +67,36 @@
     relay: impl Relay,
     shutdown: CancellationToken,
 ) {
-    let server = Arc::new(Server { handler, relay });
+    let budget = Budget::unlimited();
+    let server = Server {
+        handler,
+        relay,
+        budget,
+    };
+    accept(listener, server, shutdown).await;
+}
+
+/// Like [`serve`], but buffers no more of requests' bodies than `budget` has room for.
+pub async fn serve_within(
+    listener: TcpListener,
+    handler: impl Serve,
+    budget: Budget,
+    shutdown: CancellationToken,
+) {
+    let server = Server {
+        handler,
+        relay: NoRelay,
+        budget,
+    };
+    accept(listener, server, shutdown).await;
+}
+
+async fn accept<H: Serve, R: Relay>(
+    listener: TcpListener,
+    server: Server<H, R>,
+    shutdown: CancellationToken,
+) {
+    let server = Arc::new(server);
     let link_limit = Arc::new(Semaphore::new(LINKS_SERVED_MAX));
     let tasks = TaskTracker::new();
     let accept = async {
@@ -97,6 +127,7 @@
 struct Server<H, R> {
     handler: H,
     relay: R,
+    budget: Budget,
 }
 
 /// Counts one request in flight until it is dropped.
@@ -221,7 +252,7 @@
         ) = message;
         let request = Request {
             head,
-            body: body.with_length(length).into_body(()),
+            body: body.with_length(length).into_body((), &self.budget).await,
         };
         match target {
             Some(target) => self.relay.relay(target, request).await,
--- a/crates/peer/src/link/transfer.rs
+++ b/crates/peer/src/link/transfer.rs
@@ -4,6 +4,7 @@
 
 use crate::wire::{self, Decoder};
 use bytes::Bytes;
+use copperwell_memory::{Budget, Flow};
 use copperwell_message::{Body, Sender};
 use h2::{Reason, RecvStream, SendStream};
 use http::HeaderMap;
@@ -134,22 +135,26 @@
         self
     }
 
-    /// Returns the body; `guard` is dropped once the body is received or abandoned.
-    pub(super) fn into_body(self, guard: impl Send + 'static) -> Body {
+    /// Returns the body, of which no more is buffered than `budget` has room for; `guard` is dropped once the body is
+    /// received or abandoned.
+    pub(super) async fn into_body(self, guard: impl Send + 'static, budget: &Budget) -> Body {
+        let flow = budget.flow();
         if self.length == Some(self.buffered.len() as u64) {
-            return Body::full(self.buffered);
+            let room = flow.reserve(self.buffered.len()).await;
+            return Body::full(room.bind(self.buffered));
         }
         let (to, body) = Body::channel();
         tokio::spawn(async move {
-            self.copy(to).await;
+            self.copy(to, flow).await;
             drop(guard);
         });
         body
     }
 
     /// Copies until the body ends or its reader drops it; an early return severs the body.
-    async fn copy(mut self, to: Sender) {
+    async fn copy(mut self, to: Sender, flow: Flow) {
         let buffered = std::mem::take(&mut self.buffered);
+        let buffered = flow.reserve(buffered.len()).await.bind(buffered);
         if !self.deliver(buffered, &to).await {
             return;
         }
@@ -162,7 +167,13 @@
             match chunk {
                 Some(Ok(chunk)) => {
                     let size = chunk.len();
-                    if !self.deliver(chunk, &to).await {
+                    // Its sender gets no further capacity until there is room.
+                    let room = tokio::select! {
+                        biased;
+                        () = to.closed() => return,
+                        room = flow.reserve(size) => room,
+                    };
+                    if !self.deliver(room.bind(chunk), &to).await {
                         return;
                     }
                     // This fails only for more bytes than were received.
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -11,10 +11,11 @@
 };
 
 use bytes::Bytes;
+use copperwell_memory::Budget;
 use copperwell_message::{
     Body, Class, Head, Incomplete, Reason, Repeat, Reply, Request, Response, Sender, Serve, Verdict,
 };
-use copperwell_peer::link::{Links, serve, serve_with_relay};
+use copperwell_peer::link::{Links, serve, serve_with_relay, serve_within};
 use proxy::Proxy;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -447,6 +448,55 @@
     assert_eq!(verdict(&response), expected);
 }
 
+/// The largest part of a body in the budget of these tests, in bytes.
+const BUDGET_BYTES: usize = 256 << 10;
+
+/// What one stream has in memory besides the budget: the window of a stream, and one part.
+const STREAM_MAX_BYTES: usize = 128 << 10;
+
+/// Guards against a daemon that keeps what a slow reader does not take, and against room that is not given back.
+#[test_case::test_case(true; "read in the end")]
+#[test_case::test_case(false; "dropped")]
+#[tokio::test]
+async fn slow_reader_takes_more_than_the_budget(is_read: bool) {
+    let (listener, peer) = listen().await;
+    let (at_server, at_client) = (Budget::new(BUDGET_BYTES), Budget::new(BUDGET_BYTES));
+    let serving = serve_within(listener, Echo, at_server.clone(), CancellationToken::new());
+    tokio::spawn(serving);
+    let links = Links::with_budget(at_client.clone());
+    let sent: Vec<u8> = (0..3_000_000_u32)
+        .map(|number| (number % 251) as u8)
+        .collect();
+    let mut bodies = Vec::new();
+    for _ in 0..8 {
+        let response = links.send(peer, request(Body::full(sent.clone()))).await;
+        assert_eq!(verdict(&response), (Verdict::Done, None));
+        bodies.push(response.body);
+    }
+    // No more arrives once what is used stays the same.
+    let mut before = usize::MAX;
+    while before != at_client.used_bytes() {
+        before = at_client.used_bytes();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let streams_max = bodies.len() * STREAM_MAX_BYTES;
+    for budget in [&at_client, &at_server] {
+        let used = budget.used_bytes();
+        assert!(used <= BUDGET_BYTES + streams_max, "{used} bytes");
+    }
+    for body in bodies {
+        if is_read {
+            assert!(collect(body).await == sent, "the body differs");
+        }
+    }
+    let end = timeout(LONG, async {
+        while at_client.used_bytes() + at_server.used_bytes() > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    end.await.expect("room is not given back");
+}
+
 /// Guards against a status that is no final one of HTTP and reaches a caller through a daemon of an earlier release.
 #[test_case::test_case(0 => (Verdict::MayHaveRun, Some(Reason::Protocol)); "zero")]
 #[test_case::test_case(101 => (Verdict::MayHaveRun, Some(Reason::Protocol)); "of an upgrade")]
--- a/crates/progress/src/lib.rs
+++ b/crates/progress/src/lib.rs
@@ -24,7 +24,7 @@
 pub const HEAD_MAX_BYTES: usize = 64 << 10;
 
 /// The most that is read at a time, in bytes.
-const READ_MAX_BYTES: usize = 16 << 10;
+pub const READ_MAX_BYTES: usize = 16 << 10;
 
 /// The most bytes that may arrive from when a request is sent until the head of its answer: the head, and what is read
 /// with its end.
@@ -62,6 +62,23 @@
 ///
 /// Returns the HTTP library's error.
 pub async fn handshake<T, B>(io: T) -> hyper::Result<Opened<T, B>>
+where
+    T: AsyncRead + AsyncWrite + Unpin,
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    handshake_reading(io, READ_MAX_BYTES).await
+}
+
+/// Like [`handshake`], but reads at most `read_bytes` at a time, and no more than [`READ_MAX_BYTES`].
+///
+/// The HTTP library keeps some four reads of a body that nobody takes.
+///
+/// # Errors
+///
+/// Returns the HTTP library's error.
+pub async fn handshake_reading<T, B>(io: T, read_bytes: usize) -> hyper::Result<Opened<T, B>>
 where
     T: AsyncRead + AsyncWrite + Unpin,
     B: Body + 'static,
@@ -69,7 +86,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let allowance = Allowance::default();
-    let reader = Reader::new(io, allowance.clone());
+    let reader = Reader::new(io, allowance.clone()).with_read_bytes(read_bytes);
     let (sender, connection) = http1::Builder::new()
         .max_header_size(HEAD_MAX_BYTES)
         .max_buf_size(HEAD_MAX_BYTES)
@@ -99,6 +116,7 @@
 pub struct Reader<T> {
     inner: T,
     allowance: Allowance,
+    read_bytes: usize,
 }
 
 /// The body of an answer, which renews the allowance with each of its parts.
@@ -164,7 +182,20 @@
     /// Creates a socket whose peer has this `allowance`.
     #[must_use]
     pub fn new(inner: T, allowance: Allowance) -> Self {
-        Self { inner, allowance }
+        Self {
+            inner,
+            allowance,
+            read_bytes: READ_MAX_BYTES,
+        }
+    }
+
+    /// Sets the most that is read at a time.
+    #[must_use]
+    pub fn with_read_bytes(self, read_bytes: usize) -> Self {
+        Self {
+            read_bytes: read_bytes.clamp(1, READ_MAX_BYTES),
+            ..self
+        }
     }
 }
 
@@ -174,7 +205,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let size = buf.remaining().min(READ_MAX_BYTES);
+        let size = buf.remaining().min(self.read_bytes);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
         match Pin::new(&mut self.inner).poll_read(cx, &mut part) {
             Poll::Ready(Ok(())) => {
