--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use copperwell_keyspace::HashMap;
 use copperwell_message::Body;
+use copperwell_progress::READ_MAX_BYTES;
 use http::{
     HeaderValue, Method, Request, StatusCode, Uri,
     header::{CONTENT_TYPE, HOST},
@@ -234,7 +235,8 @@
         let remaining = order.deadline.saturating_duration_since(Instant::now());
         let connect_timeout = remaining.min(self.timing.connect);
         let (bytes, closed) = (self.bytes.clone(), Arc::default());
-        let opened = Connection::open(order.to, connect_timeout, (), bytes, closed).await;
+        let opened =
+            Connection::open(order.to, connect_timeout, (), bytes, closed, READ_MAX_BYTES).await;
         opened.map_err(|_| Failure::Unreachable)
     }
 
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -17,6 +17,7 @@
     pool::Timing,
 };
 use copperwell_keyspace::manifest::Upstream;
+use copperwell_progress::READ_MAX_BYTES;
 use tokio::{sync::Semaphore, time::Instant};
 
 /// Connections to a server reserved for the control orders of the leader and its successor.
@@ -34,6 +35,7 @@
     idle: Mutex<Vec<Connection>>,
     is_warming_up: AtomicBool,
     closed: Arc<Closed>,
+    read_bytes: usize,
 }
 
 /// When the server last closed a connection of a pool.
@@ -77,9 +79,16 @@
             idle: Mutex::default(),
             is_warming_up: AtomicBool::new(false),
             closed: Arc::default(),
+            read_bytes: READ_MAX_BYTES,
         }
     }
 
+    /// Sets the most bytes that are read at a time.
+    #[must_use]
+    pub fn with_read_bytes(self, read_bytes: usize) -> Self {
+        Self { read_bytes, ..self }
+    }
+
     /// Returns whether the pool's limit is still the one that `upstream` sets.
     pub(crate) fn has_limit_of(&self, upstream: &Upstream) -> bool {
         self.connections_max == connections_max_of(upstream)
@@ -198,6 +207,7 @@
             permit,
             self.metrics.bytes.clone(),
             self.closed.clone(),
+            self.read_bytes,
         )
         .await?;
         self.metrics.opened.inc();
