Ask one successor for evacuations, every second

All daemons asked three successors every 500 ms while their leader's news were late, beside other work on small VMs. One answer a second is enough, as lists say the same.

--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -24,8 +24,8 @@
 /// How often a daemon without a leader asks the successors.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
 
-/// How often a daemon without a leader asks the successors for evacuations, of which it hears by their lists too.
-const EVACUATIONS_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a daemon without a leader asks a successor for evacuations, of which it hears by their lists too.
+const EVACUATIONS_INTERVAL: Duration = Duration::from_secs(1);
 
 impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
     /// Asks the leader for its successors, until the future is dropped.
@@ -121,7 +121,8 @@
         }
     }
 
-    /// Asks the successors for evacuations whenever the leader's news are late, forever.
+    /// Asks the successors for evacuations whenever the leader's news are late, one after the other until one answers,
+    /// forever.
     pub(super) async fn ask_for_evacuations(&self) {
         loop {
             sleep(EVACUATIONS_INTERVAL).await;
@@ -129,13 +130,15 @@
                 continue;
             }
             let successors = self.shared.successors.borrow().clone();
-            let asked = successors.into_iter().map(async |address| {
-                let client = Client::connect(address).await?;
+            for address in successors {
+                let Some(client) = Client::connect(address).await else {
+                    continue;
+                };
                 let known = self.shared.evacuations.borrow().version;
-                client.evacuations(known, Duration::ZERO).await
-            });
-            for evacuations in join_all(asked).await.into_iter().flatten() {
-                self.environment.apply_evacuations(&evacuations);
+                if let Some(evacuations) = client.evacuations(known, Duration::ZERO).await {
+                    self.environment.apply_evacuations(&evacuations);
+                    break;
+                }
             }
         }
     }
