--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -14,8 +14,7 @@
 use copperwell_message::{HashMap, Reason};
 use copperwell_routing::{
     ServiceName, UpstreamId,
-    load::{Loads, Outcome},
-    registry::Upstream,
+    load::Outcome,
     schedule::{Cause, Entry, Schedule, Ticket},
 };
 use prometheus_client::metrics::gauge::Gauge;
@@ -25,6 +24,10 @@
     time::{Instant, timeout_at},
 };
 
+use places::{has_place, permits_in_use, takes_one};
+
+mod places;
+
 /// How often queues look for places that no ended request has freed: of new upstreams, or of those that take requests
 /// again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -474,52 +477,6 @@
     queue
 }
 
-fn takes_one(loads: &Loads, upstream: &Upstream, now: Instant) -> bool {
-    loads.closed_for(&upstream.id, now).is_none() && loads.has_capacity(upstream)
-}
-
-/// Returns whether there may be a permit for a queued request, or another reason to let it look.
-fn has_place(view: &View, queue: &QueueId) -> bool {
-    let now = Instant::now();
-    let registry = view.registry();
-    match queue {
-        QueueId::Holder(id) => {
-            let upstream = registry.get(id);
-            upstream.is_none_or(|upstream| {
-                let loads = view.loads();
-                loads.closed_for(id, now).is_some() || loads.has_capacity(upstream)
-            })
-        }
-        QueueId::Service(service) => {
-            let usable: Vec<_> = registry
-                .of_service(service)
-                .iter()
-                .filter(|one| !one.is_draining)
-                .collect();
-            let lost = view.paths.has_lost();
-            let is_lost = |one: &Upstream| lost && view.paths.reach().is_unusable(&one.id);
-            let is_all_lost = usable.iter().all(|one| is_lost(one));
-            usable.is_empty()
-                || usable
-                    .iter()
-                    .any(|one| (is_all_lost || !is_lost(one)) && takes_one(&view.loads(), one, now))
-        }
-    }
-}
-
-/// Returns the number of requests in flight that compete for the permits of a queue.
-fn permits_in_use(view: &View, queue: &QueueId) -> u32 {
-    let registry = view.registry();
-    let loads = view.loads();
-    match queue {
-        QueueId::Holder(id) => loads.in_flight(id),
-        QueueId::Service(service) => {
-            let upstreams = registry.of_service(service).iter();
-            upstreams.map(|one| loads.in_flight(&one.id)).sum()
-        }
-    }
-}
-
 fn cause_name(cause: Cause) -> &'static str {
     match cause {
         Cause::ExpectedWait => "expected-wait",
