Give more than 254 daemons of a test process addresses of their own

The gateway's tests start 262 daemons and more in one process now, so that the last number of an address passed 255: the daemon refused its settings, and each later test failed.

--- a/crates/copperwelld/tests/gateway/harness.rs
+++ b/crates/copperwelld/tests/gateway/harness.rs
@@ -33,6 +33,9 @@
 /// The offset of the metrics port from the first port.
 const METRICS_PORT_OFFSET: u16 = 20;
 
+/// The addresses that share their first three numbers.
+const HOSTS: u16 = 254;
+
 static DAEMON_COUNT: AtomicU16 = AtomicU16::new(0);
 
 /// The number of processes that were started.
@@ -70,8 +73,9 @@
         let number = DAEMON_COUNT.fetch_add(1, Ordering::Relaxed);
         // Each daemon has its own address, so that ports do not collide.
         let process = std::process::id();
-        let (high, low) = ((process >> 8) % 64, process % 256);
-        let ip = format!("127.{}.{low}.{}", 64 + high, number + 1);
+        let (high, low) = ((process >> 8) as u16 % 64, process % 256);
+        let (block, host) = (number / HOSTS, number % HOSTS + 1);
+        let ip = format!("127.{}.{low}.{host}", 64 * (1 + block) + high);
         let port = FIRST_PORT;
         let name = format!("front-{number}");
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(process.to_string());
