Do not take paths for lost whose health checks are answered late

Callers of keys were refused long after a fault had ended (unowned), on the deployment whose upstreams warm up: a health check before a request that was not answered within 250 ms counted as a connection that could not be opened. Daemons with a tenth of a processor are late themselves, took paths for lost, and leaders handed over to others for it every few seconds (lead-cut-off with 55 to 203 paths lost, where the next leader had 0 to 2); such leaders move no keys.

The check now has a second, and without an answer counts as a connection that stopped responding, after which the path is probed.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -24,8 +24,9 @@
 /// The largest response body that is buffered completely instead of streamed, in bytes.
 const BUFFERED_BYTES_MAX: usize = 64 * 1024;
 
-/// The timeout of a health check before a request. Servers answer it at once, also when they are full.
-const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// The timeout of a health check before a request. Servers answer it at once, also when they are full, but this process
+/// may get little of its processor.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The largest body of a health response, in bytes.
 const HEALTH_BYTES_MAX: usize = 16 * 1024;
@@ -117,7 +118,7 @@
     /// # Errors
     ///
     /// [`Failed`] if the request was not sent, or its response did not arrive; [`Reason::NoUpstream`] if it may not be
-    /// sent any more, and [`Reason::ConnectionRefused`] if the health check was not answered.
+    /// sent any more, and [`Reason::ConnectionSilent`] if the health check was not answered in time.
     pub async fn run<F: Framing>(
         self,
         framing: &F,
@@ -182,32 +183,48 @@
         };
         let sent_at = Instant::now();
         let warmup_left = self.check_health(framing, connection, path).await;
-        gate.record_health(warmup_left, sent_at);
-        if warmup_left.is_none() {
+        gate.record_health(warmup_left.ok(), sent_at);
+        warmup_left.map(drop).map_err(|reason| {
             self.lane.count_closed("unhealthy");
-            return Err(Failed::not_run(Reason::ConnectionRefused));
-        }
-        Ok(())
+            Failed::not_run(reason)
+        })
     }
 
-    /// Sends a health check, and returns how much longer the server warms up; `None` if the connection cannot be used.
+    /// Sends a health check, and returns how much longer the server warms up.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::ConnectionSilent`] if it is not answered in time: the path need not be lost for that. Otherwise
+    /// [`Reason::ConnectionRefused`] if the connection cannot be used.
     async fn check_health<F: Framing>(
         &self,
         framing: &F,
         connection: &mut Connection,
         path: PathAndQuery,
-    ) -> Option<Duration> {
+    ) -> Result<Duration, Reason> {
         let deadline = self.deadline.min(Instant::now() + HEALTH_CHECK_TIMEOUT);
         let request = Request::get(path).header(HOST, self.lane.address().to_string());
-        let request = request.body(Outgoing::new(Body::empty())).ok()?;
+        let request = request.body(Outgoing::new(Body::empty()));
+        let request = request.map_err(|_| Reason::ConnectionRefused)?;
         let sent = connection.send(request, HEALTH_CHECK_TIMEOUT, deadline);
-        let (head, body) = sent.await.ok()?.into_parts();
+        let (head, body) = match sent.await {
+            Ok(response) => response.into_parts(),
+            Err(SendError::Inactive | SendError::DeadlinePassed) => {
+                return Err(Reason::ConnectionSilent);
+            }
+            Err(_) => return Err(Reason::ConnectionRefused),
+        };
         let body = Limited::new(body, HEALTH_BYTES_MAX).collect();
-        timeout_at(deadline, body).await.ok()?.ok()?;
+        let body = timeout_at(deadline, body).await;
+        let body = body.map_err(|_| Reason::ConnectionSilent)?;
+        body.map_err(|_| Reason::ConnectionRefused)?;
         connection.update_keep_alive(head::keep_alive_in(&head.headers));
         connection.forget_answer();
         let is_ready = connection.is_ready_within(READY_TIMEOUT).await;
-        is_ready.then(|| framing.warmup_left(&head.headers))
+        match is_ready {
+            true => Ok(framing.warmup_left(&head.headers)),
+            false => Err(Reason::ConnectionRefused),
+        }
     }
 
     fn remaining(&self) -> Duration {
