Ask the leader for its successors again when the candidates change

Daemons ask for the successors every five seconds, or each second until they know three; those that asked while few daemons had called the leader went on taking themselves for successors, while others asked daemons that had stopped. Each response of the leader names the candidates, so a daemon now asks again when these change, after up to 10 ms for each daemon. No test fails without the change: how soon daemons agree could only be checked against the clock.

--- a/crates/assignment/src/driver/following.rs
+++ b/crates/assignment/src/driver/following.rs
@@ -17,7 +17,7 @@
     store_state::ListVersion,
 };
 use spdlog::warn;
-use tokio::time::sleep;
+use tokio::{sync::Notify, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 /// How long a daemon waits before it repeats a report that the leader did not take.
@@ -55,11 +55,12 @@
         let client = Arc::new(client);
         self.shared.limits.follow(client.clone());
         let reporting = self.report_crashes(&client);
-        let following = self.exchange_with(&client, leader, candidates, stopping);
+        let changed = Notify::new();
+        let following = self.exchange_with(&client, leader, candidates, &changed, stopping);
         let outcome = tokio::select! {
             outcome = following => outcome,
             () = reporting => FollowOutcome::Lost,
-            () = self.refresh_successors(leader) => FollowOutcome::Lost,
+            () = self.refresh_successors(leader, &changed) => FollowOutcome::Lost,
             () = self.report_reach(leader) => FollowOutcome::Lost,
             () = self.follow_evacuations(leader) => FollowOutcome::Lost,
             () = self.shared.warmups.follow(|| Client::connect(leader.address)) => FollowOutcome::Lost,
@@ -89,11 +90,13 @@
         }
     }
 
+    /// Exchanges data with the leader as [`Self::follow`] does, and notifies `changed` whenever the candidates change.
     async fn exchange_with(
         &self,
         client: &Client,
         leader: &LeaderEntry,
         candidates: &mut Vec<DaemonName>,
+        changed: &Notify,
         stopping: &CancellationToken,
     ) -> FollowOutcome {
         let mut known_quarantine = 0;
@@ -118,7 +121,10 @@
             let daemons = &self.shared.daemons;
             daemons.store(response.daemons, Ordering::Relaxed);
             if response.standing == Standing::Leads {
-                *candidates = response.candidates;
+                if *candidates != response.candidates {
+                    *candidates = response.candidates;
+                    changed.notify_one();
+                }
                 let snapshot = response.quarantine.as_ref();
                 known_quarantine = snapshot.map_or(known_quarantine, |snapshot| snapshot.version);
                 self.shared.quarantine.follow(snapshot);
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -130,6 +130,7 @@
     ) {
         let driver = self.driver;
         driver.metrics.leading.set(1);
+        driver.metrics.is_successor.set(0);
         driver.shared.successors.send_replace(Vec::new());
         driver
             .shared
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -13,7 +13,11 @@
     shared::Offer,
 };
 use futures::future::join_all;
-use tokio::time::{sleep, timeout};
+use rand::RngExt;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 /// How often a daemon asks the leader who should lead next.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
@@ -21,6 +25,10 @@
 /// The interval while the leader has heard of few daemons.
 const REFRESH_INTERVAL_MIN: Duration = Duration::from_secs(1);
 
+/// The longest time, for each daemon, until a daemon asks again as the candidates for the next leadership have changed:
+/// all daemons learn of the change at the same moment.
+const REFRESH_JITTER_PER_DAEMON: Duration = Duration::from_millis(10);
+
 /// How often a daemon without a leader asks the successors.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -28,10 +36,12 @@
 const EVACUATIONS_INTERVAL: Duration = Duration::from_secs(1);
 
 impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
-    /// Asks the leader for its successors, until the future is dropped.
+    /// Asks the leader for its successors, also whenever `changed` is notified, until the future is dropped.
+    ///
+    /// With outdated successors, daemons that are none any more read the store for others that ask somebody else.
     ///
     /// A leader of an earlier release closes a connection with an unknown call, so each call has its own.
-    pub(super) async fn refresh_successors(&self, leader: &LeaderEntry) {
+    pub(super) async fn refresh_successors(&self, leader: &LeaderEntry, changed: &Notify) {
         loop {
             let mut interval = REFRESH_INTERVAL;
             if let Some(client) = Client::connect(leader.address).await
@@ -47,6 +57,7 @@
                     .set(i64::try_from(known).unwrap_or(i64::MAX));
                 // A successor reads the store itself.
                 let is_successor = successors.contains(&self.identity.address);
+                self.metrics.is_successor.set(is_successor.into());
                 let reads_for_others = &self.shared.reads_for_others;
                 reads_for_others.store(is_successor, Ordering::Relaxed);
                 let to_ask = match is_successor {
@@ -55,7 +66,14 @@
                 };
                 self.shared.successors.send_replace(to_ask);
             }
-            sleep(interval).await;
+            let refresh = async {
+                changed.notified().await;
+                let daemons = self.shared.daemons.load(Ordering::Relaxed);
+                let jitter_max = REFRESH_JITTER_PER_DAEMON * daemons;
+                let share = rand::rng().random_range(0.0..1.0);
+                sleep(jitter_max.mul_f64(share)).await;
+            };
+            let _ = timeout(interval, refresh).await;
         }
     }
 
--- a/crates/assignment/src/metrics.rs
+++ b/crates/assignment/src/metrics.rs
@@ -15,6 +15,7 @@
     pub(crate) swaps: Family<Label, Counter>,
     pub(crate) transfers: Family<Label, Counter>,
     pub(crate) successors: Gauge,
+    pub(crate) is_successor: Gauge,
     pub(crate) ranges: Gauge,
     pub(crate) unserved: Gauge,
 }
@@ -47,6 +48,11 @@
             "Daemons that are asked for configurations while there is no leader",
             all.successors,
         );
+        registry.register(
+            "successor",
+            "Whether this daemon may lead next, and reads the store for others",
+            all.is_successor,
+        );
         registry.register(
             "ranges",
             "Ranges of keys that this daemon leads",
--- a/crates/copperwelld/tests/gateway/configuration.rs
+++ b/crates/copperwelld/tests/gateway/configuration.rs
@@ -64,15 +64,31 @@
     }
 }
 
-/// Waits until each daemon knows whom to ask while there is no leader.
+/// How many daemons may lead next, and read the store for the others meanwhile.
+const SUCCESSORS: usize = 3;
+
+/// Waits until each daemon knows whom to ask while there is no leader, and whether it is asked itself: among equally
+/// strong daemons the first ones by name may lead next.
 async fn wait_for_successors(harness: &Harness, leader: usize) {
     let deadline = Instant::now() + CONDITION_TIMEOUT;
-    for (_, daemon) in (0..).zip(&harness.daemons).filter(|(at, _)| *at != leader) {
-        let is_known = |text: String| text.contains("copperwell_assignment_successors 3\n");
-        while !daemon.metrics(&harness.client).await.is_some_and(is_known) {
+    let leader = harness.daemons[leader].name();
+    let followers = harness.daemons.iter().filter(|one| one.name() != leader);
+    let mut followers: Vec<_> = followers.collect();
+    followers.sort_by_key(|daemon| daemon.name());
+    for (rank, daemon) in followers.into_iter().enumerate() {
+        let is_successor = usize::from(rank < SUCCESSORS);
+        let is_settled = |text: String| {
+            text.contains(&format!("copperwell_assignment_successors {SUCCESSORS}\n"))
+                && text.contains(&format!("copperwell_assignment_successor {is_successor}\n"))
+        };
+        while !daemon
+            .metrics(&harness.client)
+            .await
+            .is_some_and(is_settled)
+        {
             assert!(
                 Instant::now() < deadline,
-                "{} knows no successors",
+                "{} does not know the successors",
                 daemon.name()
             );
             sleep(Duration::from_millis(20)).await;
