Check a configuration of gateway daemons before it is sent

The faults of a configuration were found only when daemons had read it. `copperwell check-gateway` now reports them beforehand, and the differences from another file or the active version. What is readable is decided by the daemons' own decoding, field by field, and what is matched by their own search for a route.

--- a/crates/copperwell/src/args.rs
+++ b/crates/copperwell/src/args.rs
@@ -5,7 +5,7 @@
 use bpaf::{Bpaf, Parser, ShellComp, construct, long, positional};
 
 /// The footer of `--help`.
-const EXIT_CODES: &str = "Exit codes: 0 done; 1 wrong usage; 2 the manifest is not valid; 3 \
+const EXIT_CODES: &str = "Exit codes: 0 done; 1 wrong usage; 2 the file is not valid; 3 \
     another manifest was published first; 4 nothing done, as platform or daemons do not respond; 5 \
     unknown, as a response was lost; 6 accepted, but not in force everywhere in time; \
     7 nothing found.";
@@ -24,6 +24,12 @@
     /// Show the differences between a manifest and the one in force, or another file.
     #[bpaf(command)]
     Diff(#[bpaf(external(diff_args))] DiffArgs),
+    /// Check a configuration of gateway daemons before it is sent to the users' platform.
+    ///
+    /// Changes nothing. Reports what daemons do not read, entries that no request matches and limits
+    /// that contradict each other; with --store or --against also the differences.
+    #[bpaf(command)]
+    CheckGateway(#[bpaf(external(check_gateway_args))] CheckGatewayArgs),
     /// Publish a manifest and wait until it is in force.
     ///
     /// Waits for every data centre in which a daemon responds and reports those in which none does.
@@ -85,6 +91,41 @@
     },
 }
 
+/// Options of `check-gateway`.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct CheckGatewayArgs {
+    #[bpaf(external, optional)]
+    pub(crate) gateway_base: Option<GatewayBase>,
+    /// Also check against the settings of this daemon, which contain data centres, regions and bounds.
+    #[bpaf(long, argument("FILE"))]
+    pub(crate) settings: Option<PathBuf>,
+    /// Print JSON.
+    #[bpaf(long)]
+    pub(crate) json: bool,
+    #[bpaf(external)]
+    pub(crate) timeout: Duration,
+    /// A configuration in the platform's format, JSON
+    #[bpaf(positional("FILE"), complete_shell(documents()))]
+    pub(crate) file: PathBuf,
+}
+
+/// The configuration that another one is compared with.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) enum GatewayBase {
+    /// The active configuration.
+    Store {
+        /// Compare with the active configuration in the platform's store at this IP address and port.
+        #[bpaf(long, argument("ADDR"))]
+        store: SocketAddr,
+    },
+    /// Another file.
+    File {
+        /// Compare with the configuration in this file instead of the active one.
+        #[bpaf(long, argument("FILE"), complete_shell(documents()))]
+        against: PathBuf,
+    },
+}
+
 /// Options of `publish`.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct PublishArgs {
@@ -204,3 +245,9 @@
         mask: Some("*.yaml"),
     }
 }
+
+fn documents() -> ShellComp {
+    ShellComp::File {
+        mask: Some("*.json"),
+    }
+}
--- a/crates/copperwell/src/exit.rs
+++ b/crates/copperwell/src/exit.rs
@@ -18,7 +18,7 @@
 pub(crate) enum Exit {
     /// The command succeeded.
     Done,
-    /// The manifest is not valid.
+    /// The manifest, configuration or settings are not valid.
     Invalid,
     /// Another manifest was published first.
     Conflict,
@@ -36,7 +36,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Done => "done",
-            Self::Invalid => "the manifest is not valid",
+            Self::Invalid => "the file is not valid",
             Self::Conflict => "another manifest was published first",
             Self::Unreachable => "nothing was done",
             Self::Unknown => "the outcome is not known",
--- a/crates/copperwell/src/main.rs
+++ b/crates/copperwell/src/main.rs
@@ -8,6 +8,7 @@
 mod args;
 mod exit;
 mod explain;
+mod gateway;
 mod manifest;
 mod publish;
 mod status;
@@ -39,6 +40,7 @@
 async fn run(command: Command) -> exit::Result {
     match command {
         Command::Check(args) => manifest::check(&args).await,
+        Command::CheckGateway(args) => gateway::check(&args).await,
         Command::Diff(args) => manifest::diff(&args).await,
         Command::Publish(args) => publish::run(&args).await,
         Command::Status(args) => status::run(&args).await,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -405,7 +405,9 @@
     }
 }
 
-fn route_of(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
+/// Returns the route of a request, by its host without a port and its path.
+#[must_use]
+pub fn route_of(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
     let host = host_of(parts)?;
     configuration.route(host, parts.uri.path()).cloned()
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use crash_tracker::CrashTracker;
 pub use dialect::{Dialect, Metadata, Outbound};
-pub use gateway::Gateway;
+pub use gateway::{Gateway, route_of};
 pub use view::{Evacuation, View};
 
 pub mod dialect;
--- a/crates/operator/src/load.rs
+++ b/crates/operator/src/load.rs
@@ -1,4 +1,4 @@
-//! Loads manifests from files and the replicated state from the log.
+//! Loads files, manifests from files and the replicated state from the log.
 
 use std::{fmt, path::Path, time::Duration};
 
@@ -14,10 +14,10 @@
 /// The time between reads while the log has no new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Why a manifest or the state could not be loaded.
+/// Why a file, a manifest or the state could not be loaded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Error {
-    /// The file cannot be read or is not a manifest.
+    /// The file cannot be read or is no text, or no manifest where one is expected.
     File,
     /// The manifest is inconsistent.
     Manifest,
@@ -28,7 +28,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::File => "the manifest file cannot be read",
+            Self::File => "the file cannot be read",
             Self::Manifest => "the manifest is inconsistent",
             Self::Log => "the log cannot be read",
         })
@@ -44,23 +44,33 @@
 /// [`Error::File`] if the file cannot be read or parsed, [`Error::Manifest`] if the manifest is
 /// inconsistent.
 pub async fn manifest(path: &Path) -> Result<Manifest, Report<Error>> {
+    let name = || format!("{}", path.display());
+    let text = text(path, YAML_SIZE_MAX as u64).await?;
+    let manifest = Manifest::from_yaml(&text).change_context(Error::File);
+    let manifest = manifest.attach_with(name)?;
+    let checked = manifest.check().change_context(Error::Manifest);
+    checked.attach_with(name)?;
+    Ok(manifest)
+}
+
+/// Reads a file that has at most `size_max` bytes.
+///
+/// # Errors
+///
+/// [`Error::File`] if the file cannot be read, is larger or is not UTF-8.
+pub async fn text(path: &Path, size_max: u64) -> Result<String, Report<Error>> {
     let name = || format!("{}", path.display());
     let size = fs::metadata(path).await.change_context(Error::File);
     let size = size.attach_with(name)?.len();
-    if size > YAML_SIZE_MAX as u64 {
+    if size > size_max {
         let text = format!(
-            "{}: the file has {size} bytes; the limit is {YAML_SIZE_MAX}",
+            "{}: the file has {size} bytes; the limit is {size_max}",
             name()
         );
         return Err(Report::new(Error::File).attach(text));
     }
     let text = fs::read_to_string(path).await.change_context(Error::File);
-    let text = text.attach_with(name)?;
-    let manifest = Manifest::from_yaml(&text).change_context(Error::File);
-    let manifest = manifest.attach_with(name)?;
-    let checked = manifest.check().change_context(Error::Manifest);
-    checked.attach_with(name)?;
-    Ok(manifest)
+    text.attach_with(name)
 }
 
 /// Reads the log to its end.
