--- a/crates/assignment/src/machine/placement.rs
+++ b/crates/assignment/src/machine/placement.rs
@@ -17,6 +17,13 @@
 /// The maximum number of ranges that migrate at the same time to balance the load.
 const MIGRATIONS_MAX: usize = 8;
 
+/// The share of its fair load below which a holder lacks keys, as one that has joined or come back does.
+const LACKING_SHARE: f64 = 0.5;
+
+/// How many holders that lack keys there are for each range that may migrate at the same time, beyond [`MIGRATIONS_MAX`].
+/// The holders that give the keys serve nearly all of their other ones meanwhile.
+const LACKING_PER_MIGRATION: usize = 2;
+
 /// The number of upstreams for each range of hot keys that may migrate at the same time, beyond [`MIGRATIONS_MAX`]: as
 /// many keys may become hot at once as there are upstreams, and each migration concerns two of them for a moment.
 const UPSTREAMS_PER_HOT_MIGRATION: usize = 8;
@@ -44,7 +51,9 @@
             .filter(|range| range.is_migrating)
             .count();
         let may_move = !observation.is_store_unreachable && !observation.is_cut_off();
-        let hot_max = MIGRATIONS_MAX.max(targets.holders.len() / UPSTREAMS_PER_HOT_MIGRATION);
+        let lacking = lacking(&totals, &targets.weights);
+        let wide_max = MIGRATIONS_MAX.max(lacking.div_ceil(LACKING_PER_MIGRATION));
+        let hot_max = wide_max.max(targets.holders.len() / UPSTREAMS_PER_HOT_MIGRATION);
         if migrating >= hot_max || !may_move {
             return;
         }
@@ -54,7 +63,7 @@
             &targets.weights,
             MovesMax {
                 hot: hot_max - migrating,
-                wide: MIGRATIONS_MAX.saturating_sub(migrating),
+                wide: wide_max.saturating_sub(migrating),
             },
         );
         for next in moves {
@@ -149,3 +158,12 @@
         self.edition += 1;
     }
 }
+
+/// Returns the number of holders with less than [`LACKING_SHARE`] of their fair load.
+fn lacking(totals: &[f64], weights: &[f64]) -> usize {
+    let mean = totals.iter().sum::<f64>() / weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let pairs = totals.iter().zip(weights);
+    pairs
+        .filter(|(total, weight)| **total < LACKING_SHARE * mean * **weight)
+        .count()
+}
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -92,6 +92,35 @@
     }
 }
 
+/// Guards against upstreams of a large service that have no keys for many seconds after they have come back, while the
+/// others are overloaded: eight ranges migrated at a time, however many upstreams lacked keys.
+#[test]
+fn many_upstreams_that_come_back_lack_keys_for_long() {
+    let (servers, returning) = (183, 61);
+    let mut simulation = Simulation::new(servers, 1);
+    simulation.run(STARTUP_TIME);
+    let set_draining = |simulation: &mut Simulation, is_draining| {
+        for server in &mut simulation.servers[..returning] {
+            Arc::make_mut(&mut server.upstream).is_draining = is_draining;
+        }
+    };
+    let without_keys = |simulation: &Simulation| {
+        let mut held = vec![false; servers];
+        for key in 0..=u16::MAX {
+            if let Some(holder) = simulation.holder(key) {
+                held[holder] = true;
+            }
+        }
+        held.iter().filter(|held| !**held).count()
+    };
+    set_draining(&mut simulation, true);
+    simulation.run(Duration::from_secs(3));
+    assert_eq!(without_keys(&simulation), returning);
+    set_draining(&mut simulation, false);
+    simulation.run(Duration::from_secs(3));
+    assert_eq!(without_keys(&simulation), 0);
+}
+
 #[test]
 fn an_upstream_that_is_lost_is_replaced_when_its_grants_have_expired() {
     let mut simulation = started();
