--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,10 @@
 };
 use tokio::time::Instant;
 
+pub(crate) use queue::QueueMetrics;
+
+mod queue;
+
 /// The upper bound of the first bucket of latencies, in seconds.
 const FIRST_BUCKET_S: f64 = 0.001;
 
@@ -83,85 +87,6 @@
     Total,
 }
 
-/// What is counted of queued requests; clones share their values.
-#[derive(Debug, Clone)]
-pub(crate) struct QueueMetrics {
-    /// Requests that wait for a holder of their key, or for a permit.
-    pub(crate) all: Gauge,
-    lengths: Family<PriorityLabel, Gauge>,
-    waits: Family<PriorityLabel, Histogram, fn() -> Histogram>,
-    refusals: Family<ReasonLabel, Counter>,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct PriorityLabel {
-    priority: u32,
-}
-
-impl QueueMetrics {
-    fn register(&self, registry: &mut Registry) {
-        registry.register(
-            "queue",
-            "Requests that wait for a holder of their key, or for room at an upstream",
-            self.all.clone(),
-        );
-        registry.register(
-            "queue_length",
-            "Requests that wait for room at an upstream, by priority",
-            self.lengths.clone(),
-        );
-        registry.register(
-            "queue_wait_seconds",
-            "Time for which requests waited for room at an upstream before they got it, by priority",
-            self.waits.clone(),
-        );
-        registry.register(
-            "queue_refused",
-            "Requests refused, as they would wait or have waited for too long for room at an upstream, by cause",
-            self.refusals.clone(),
-        );
-    }
-
-    /// Returns the number of queued requests of a priority.
-    pub(crate) fn length(&self, priority: u32) -> Gauge {
-        self.lengths
-            .get_or_create(&priority_label(priority))
-            .clone()
-    }
-
-    /// Records how long a request waited for its permit.
-    pub(crate) fn observe_wait(&self, priority: u32, wait: Duration) {
-        let histogram = self.waits.get_or_create(&priority_label(priority));
-        histogram.observe(wait.as_secs_f64());
-    }
-
-    /// Records a refusal.
-    pub(crate) fn record_refusal(&self, cause: &'static str) {
-        let label = ReasonLabel { reason: cause };
-        self.refusals.get_or_create(&label).inc();
-    }
-}
-
-impl Default for QueueMetrics {
-    fn default() -> Self {
-        Self {
-            all: Gauge::default(),
-            lengths: Family::default(),
-            waits: Family::new_with_constructor(new_histogram),
-            refusals: Family::default(),
-        }
-    }
-}
-
-/// The highest priority number that has a label of its own, which bounds the number of labels.
-const PRIORITY_LABEL_MAX: u32 = 15;
-
-fn priority_label(priority: u32) -> PriorityLabel {
-    PriorityLabel {
-        priority: priority.min(PRIORITY_LABEL_MAX),
-    }
-}
-
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReasonLabel {
     reason: &'static str,
@@ -205,138 +130,165 @@
     #[must_use]
     pub fn new(registry: &mut Registry) -> Self {
         let metrics = Self::default();
-        let all = metrics.clone();
         let registry = registry.sub_registry_with_prefix("gateway");
-        registry.register("requests", "Requests from callers", all.requests);
+        metrics.register_requests(registry);
+        metrics.register_load(registry);
+        metrics.register_sending(registry);
+        metrics.register_state(registry);
+        metrics
+    }
+
+    /// Registers the counters of requests and how they end.
+    fn register_requests(&self, registry: &mut Registry) {
+        registry.register("requests", "Requests from callers", self.requests.clone());
         registry.register(
             "relayed_for_others",
             "Requests that other daemons could not send to their upstreams themselves",
-            all.relayed_in,
+            self.relayed_in.clone(),
         );
         registry.register(
             "refused",
             "Requests answered without an upstream's answer",
-            all.refusals,
+            self.refusals.clone(),
         );
         registry.register(
             "retried",
             "Requests sent once more, by the reason before",
-            all.retries,
+            self.retries.clone(),
         );
         registry.register(
             "not_retried",
             "Requests not sent once more though that was allowed, for lack of budget",
-            all.denied_retries,
+            self.denied_retries.clone(),
+        );
+        registry.register(
+            "answered",
+            "Upstreams' answers passed on",
+            self.responses.clone(),
         );
-        registry.register("answered", "Upstreams' answers passed on", all.responses);
         registry.register(
             "slow_heads",
             "Callers too slow in sending a head",
-            all.slow_heads,
+            self.slow_heads.clone(),
         );
         registry.register(
             "cancelled",
             "Callers that left before their answer",
-            all.cancelled,
+            self.cancelled.clone(),
         );
+    }
+
+    /// Registers the counters and gauges of load balancing.
+    fn register_load(&self, registry: &mut Registry) {
         registry.register(
             "closed_upstreams",
             "Times that an upstream asked for no requests for a time",
-            all.closed_upstreams,
+            self.closed_upstreams.clone(),
         );
         registry.register(
             "load_reports_ignored",
             "Load reports of upstreams that cannot be true",
-            all.ignored_reports,
+            self.ignored_reports.clone(),
         );
         registry.register(
             "subset_spill_overs",
             "Requests for which an upstream outside of the preferred subset was chosen",
-            all.spill_overs,
+            self.spill_overs.clone(),
         );
         registry.register(
             "subset_upstreams",
             "Upstreams of the own data centre that this daemon prefers; absent for services whose upstreams it uses alike",
-            all.subsets,
+            self.subsets.clone(),
         );
+    }
+
+    /// Registers the histograms of latencies, and what becomes of a request before it is sent.
+    fn register_sending(&self, registry: &mut Registry) {
         registry.register(
             "log_thinned",
             "Lines about failures that were left out, to bound the log",
-            all.suppressed_lines,
+            self.suppressed_lines.clone(),
         );
         registry.register(
             "latency_seconds",
             "Time that requests take, by stage",
-            all.latency,
+            self.latency.clone(),
         );
         registry.register(
             "withdrawn",
             "Requests not sent to the upstream selected: it had left since, warms up, or the list was too old to tell",
-            all.withdrawn,
+            self.withdrawn.clone(),
         );
         registry.register(
             "list_age_seconds",
             "Age of the list of upstreams when a request is sent to one of them",
-            all.list_age,
+            self.list_age.clone(),
         );
         registry.register(
             "unsent_seconds",
             "Time from the choice of an upstream until the request is sent there",
-            all.unsent,
+            self.unsent.clone(),
         );
+    }
+
+    /// Registers the state of the configuration, the queues, the lists and the reads of the store.
+    fn register_state(&self, registry: &mut Registry) {
         registry.register(
             "configuration_version",
             "Configuration in force",
-            all.configuration,
+            self.configuration.clone(),
         );
-        registry.register("upstreams", "Upstreams that are registered", all.upstreams);
-        all.queue.register(registry);
+        registry.register(
+            "upstreams",
+            "Upstreams that are registered",
+            self.upstreams.clone(),
+        );
+        self.queue.register(registry);
         registry.register(
             "upstreams_age_seconds",
             "How long ago the read of the list of upstreams started, here or at another daemon; -1 for never",
-            all.upstreams_age,
+            self.upstreams_age.clone(),
         );
         registry.register(
             "configuration_age_seconds",
             "How long ago the configuration was seen to be the newest; -1 for never",
-            all.configuration_age,
+            self.configuration_age.clone(),
         );
         registry.register(
             "leader_age_seconds",
             "How long ago the leader told what it knows; -1 for never",
-            all.leader_age,
+            self.leader_age.clone(),
         );
         registry.register(
             "daemons",
             "Daemons that share the retry budget, as far as is known",
-            all.daemons,
+            self.daemons.clone(),
         );
         registry.register(
             "retries_left",
             "Retries that the budget of a service pays for now",
-            all.retries_left,
+            self.retries_left.clone(),
         );
         registry.register(
             "configuration_defects",
             "Parts of the configuration that are not understood, by kind",
-            all.defects,
+            self.defects.clone(),
         );
         registry.register(
             "evacuated",
             "What is still in evacuated data centres, by kind",
-            all.evacuated,
+            self.evacuated.clone(),
         );
         registry.register(
             "unreadable",
             "Registrations that could not be understood",
-            all.invalid_registrations,
+            self.invalid_registrations.clone(),
         );
         registry.register(
             "unread",
             "Readings of the store that failed",
-            all.read_failures,
+            self.read_failures.clone(),
         );
-        metrics
     }
 
     /// Updates the gauges that are derived from `view`.
