--- a/crates/assignment/src/warmup.rs
+++ b/crates/assignment/src/warmup.rs
@@ -1,6 +1,8 @@
-//! Reservations of requests to upstreams that warm up: the schedule that the leader keeps, and the way to it.
+//! Reservations of requests to upstreams that warm up: the leader's schedule, and the connection over which other
+//! daemons use it.
 //!
-//! A daemon that gets no reservation sends nothing there, so there is no schedule without a leader.
+//! A daemon sends a request to such an upstream only with a reservation, so that the rate of all daemons together stays
+//! within the upstream's limit. Without a leader nobody gets reservations, and nothing is sent.
 
 use std::{
     sync::{
@@ -27,53 +29,59 @@
     time::{Instant, sleep, sleep_until, timeout},
 };
 
-/// How often at most a connection to the leader is opened. An earlier release closes it on the unknown call.
+/// The minimum interval between two connections to the leader. A leader of an earlier release closes the connection
+/// when it receives the call that it does not know.
 const CONNECT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a request waits until the connection to the leader is open.
-const CONNECT_PATIENCE: Duration = Duration::from_millis(200);
+/// How long a request waits for the connection to the leader.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The most upstreams of which this daemon remembers that they have no room.
+/// The maximum number of upstreams in [`SharedWarmups::full_until`], which bounds its memory.
 const FULL_MAX: usize = 4_096;
 
 /// A request for a reservation, as it is sent to the leader.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Request {
-    /// The upstream that warms up.
+    /// The upstream.
     pub upstream: UpstreamId,
-    /// Its limit.
+    /// The limit of the upstream while it warms up.
     pub limit: Limit,
-    /// How long the request can wait.
-    pub patience: Duration,
+    /// The maximum time until the request is due.
+    pub wait_max: Duration,
 }
 
 /// The right to send one request to an upstream that warms up.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reservation {
     upstream: UpstreamId,
+    /// The earliest time at which the request may be sent.
     due: Instant,
+    /// The latest time at which the request may be sent.
     expires_at: Instant,
 }
 
 /// Why there is no reservation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
-    /// The leader has none within the patience, but one after this time.
+    /// No request is due soon enough; the next one is due after this time.
     Full(Duration),
     /// No leader answers.
     NoLeader,
 }
 
-/// The reservations of a daemon, and those of all daemons while it leads.
+/// Requests reservations from the leader, and schedules those of all daemons while this daemon leads.
 #[derive(Debug, Default)]
 pub struct SharedWarmups {
+    /// The reservations of all daemons. Used only while this daemon leads.
     schedules: Mutex<Schedules>,
+    /// Whether this daemon leads.
     leads: AtomicBool,
-    /// The connection to the leader that this daemon follows, until it fails.
+    /// The open connection to the leader; `None` before it is needed, and after it has failed.
     client: watch::Sender<Option<Arc<Client>>>,
-    /// Signals that a connection is needed.
-    wanted: Notify,
-    /// Until when the leader has no room for another request to an upstream.
+    /// Signals that a connection to the leader is needed.
+    connection_needed: Notify,
+    /// When the next request to an upstream is due, as the leader answered last. Requests that cannot wait until then
+    /// are refused without a call to the leader.
     full_until: Mutex<HashMap<UpstreamId, Instant>>,
     reservations: Family<OutcomeLabel, Counter>,
 }
@@ -84,13 +92,13 @@
 }
 
 impl Reservation {
-    /// Returns whether the request may be sent now.
+    /// Returns whether the request may be sent to `upstream` now.
     #[must_use]
     pub fn is_valid(&self, upstream: &str, now: Instant) -> bool {
         *self.upstream == *upstream && self.due <= now && now <= self.expires_at
     }
 
-    /// Waits until the request is due.
+    /// Waits until the request may be sent.
     pub async fn wait_due(&self) {
         sleep_until(self.due).await;
     }
@@ -107,18 +115,18 @@
         );
     }
 
-    /// Reserves a request to an upstream that warms up, if it is due within `patience`.
+    /// Reserves a request to an upstream that warms up, if it is due within `wait_max`.
     ///
     /// # Errors
     ///
-    /// [`Refused`] if it is not, or if no leader answers.
+    /// [`Refused`] if it is not due within that time, or if no leader answers.
     pub async fn acquire(
         &self,
         upstream: &UpstreamId,
         limit: Limit,
-        patience: Duration,
+        wait_max: Duration,
     ) -> Result<Reservation, Refused> {
-        let result = self.ask(upstream, limit, patience).await;
+        let result = self.try_acquire(upstream, limit, wait_max).await;
         let outcome = match &result {
             Ok(_) => "reserved",
             Err(Refused::Full(_)) => "full",
@@ -130,46 +138,51 @@
         result
     }
 
-    async fn ask(
+    async fn try_acquire(
         &self,
         upstream: &UpstreamId,
         limit: Limit,
-        patience: Duration,
+        wait_max: Duration,
     ) -> Result<Reservation, Refused> {
-        let asked_at = Instant::now();
+        let requested_at = Instant::now();
         if let Some(until) = self.full_until().get(upstream)
-            && asked_at + patience < *until
+            && requested_at + wait_max < *until
         {
-            return Err(Refused::Full(until.saturating_duration_since(asked_at)));
+            return Err(Refused::Full(until.saturating_duration_since(requested_at)));
         }
         let request = Request {
             upstream: upstream.clone(),
             limit,
-            patience,
+            wait_max,
         };
         let result = match self.reserve_for(&request) {
             Some(result) => result,
-            None => self.ask_leader(request).await.ok_or(Refused::NoLeader)?,
+            None => self
+                .reserve_at_leader(request)
+                .await
+                .ok_or(Refused::NoLeader)?,
         };
         let wait = result.map_err(|wait| {
-            self.record_full(upstream, asked_at + wait);
+            self.record_full(upstream, requested_at + wait);
             Refused::Full(wait)
         })?;
-        // The leader has counted from a time between these two.
+        // The leader counts `wait` from some time between `requested_at` and now. The later bound for `due` and the earlier
+        // one for the expiry keep the request within the leader's window, whichever time it was.
         Ok(Reservation {
             upstream: upstream.clone(),
             due: Instant::now() + wait,
-            expires_at: asked_at + wait + RESERVATION_TTL,
+            expires_at: requested_at + wait + RESERVATION_TTL,
         })
     }
 
-    async fn ask_leader(&self, request: Request) -> Option<Result<Duration, Duration>> {
+    /// Requests a reservation from the leader; `None` if it does not answer.
+    async fn reserve_at_leader(&self, request: Request) -> Option<Result<Duration, Duration>> {
         let client = self.client().await?;
         match client.reserve_warmup(request).await {
             Ok(result) => result,
             Err(ReserveError::TimedOut) => None,
             Err(ReserveError::Closed) => {
-                // Requests that were waiting on the same connection fail together.
+                // Several requests may have failed with this connection, and a new one may be open already.
                 self.client.send_if_modified(|known| {
                     let is_current = known.as_ref().is_some_and(|one| Arc::ptr_eq(one, &client));
                     if is_current {
@@ -182,38 +195,40 @@
         }
     }
 
-    /// Returns the connection to the leader, once it is open.
+    /// Returns the connection to the leader, and waits until it is open; `None` after [`CONNECT_TIMEOUT`].
     async fn client(&self) -> Option<Arc<Client>> {
         let mut client = self.client.subscribe();
         if let Some(client) = &*client.borrow() {
             return Some(client.clone());
         }
-        self.wanted.notify_one();
+        self.connection_needed.notify_one();
         let open = client.wait_for(Option::is_some);
-        let open = timeout(CONNECT_PATIENCE, open).await.ok()?.ok()?;
+        let open = timeout(CONNECT_TIMEOUT, open).await.ok()?.ok()?;
         open.clone()
     }
 
-    /// Reserves a request of any daemon; `None` if this daemon does not lead.
+    /// Reserves a request of any daemon in this daemon's schedule; `None` if this daemon does not lead.
+    ///
+    /// The result is the time until the request is due, or an error with that time if it exceeds `wait_max`.
     pub(crate) fn reserve_for(&self, request: &Request) -> Option<Result<Duration, Duration>> {
         if !self.leads.load(Ordering::Acquire) {
             return None;
         }
         let mut schedules = self.schedules();
         let now = Instant::now();
-        Some(schedules.reserve(&request.upstream, request.limit, request.patience, now))
+        Some(schedules.reserve(&request.upstream, request.limit, request.wait_max, now))
     }
 
-    /// Sets whether this daemon leads, and so schedules the requests of all.
+    /// Sets whether this daemon leads, and thus schedules the requests of all daemons.
     ///
-    /// The schedule is kept meanwhile: a daemon that leads again shortly after has not forgotten its reservations.
+    /// The schedule is kept while it does not lead. If it leads again soon, its earlier reservations still count.
     pub(crate) fn set_leading(&self, leads: bool) {
         if self.leads.swap(leads, Ordering::AcqRel) != leads {
             self.full_until().clear();
         }
     }
 
-    /// Keeps a connection to the leader while requests need one, until the future is dropped.
+    /// Opens a connection to the leader whenever requests need one, until the future is dropped.
     pub async fn follow<F>(&self, connect: impl Fn() -> F)
     where
         F: Future<Output = Option<Client>>,
@@ -221,7 +236,7 @@
         let _guard = FollowGuard(self);
         self.full_until().clear();
         loop {
-            self.wanted.notified().await;
+            self.connection_needed.notified().await;
             let opened_at = Instant::now();
             if let Some(client) = connect().await {
                 self.client.send_replace(Some(Arc::new(client)));
@@ -232,7 +247,7 @@
         }
     }
 
-    /// Forgets schedules that are no longer used.
+    /// Removes schedules and known waits that are no longer needed.
     pub fn maintain(&self) {
         let now = Instant::now();
         self.schedules().retain(now);
@@ -259,7 +274,7 @@
     }
 }
 
-/// Closes the connection to a leader that is not followed any more.
+/// Closes the connection to the leader when [`SharedWarmups::follow`] ends.
 struct FollowGuard<'a>(&'a SharedWarmups);
 
 impl Drop for FollowGuard<'_> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -350,7 +350,7 @@
     }
 
     fn may_start_early(&self, head: &Parts) -> bool {
-        if !self.budget.has_room() {
+        if !self.budget.has_capacity() {
             return false;
         }
         let configuration = self.view.configuration();
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -1,8 +1,9 @@
 //! Permits for requests at upstreams, and the requests queued for them.
 //!
-//! A permit counts as a request in flight from the time at which it is taken, so that nobody else is given the same
-//! place. When it is dropped, in whatever way, the place goes to the request that [`Schedule`] names: that request gets
-//! the turn to take a permit, while new ones queue behind it. A turn that is dropped goes to the next request.
+//! A permit counts as a request in flight from the time at which it is acquired, so that the same capacity is not given
+//! to two requests. When it is dropped, on any path, [`Schedule`] selects a queued request, which gets a [`Turn`]: only
+//! it may try to acquire a permit, and new requests queue behind it. The turn ends when it is dropped. The next request
+//! then gets one, as long as there is capacity.
 
 use std::{
     mem,
@@ -24,71 +25,73 @@
     time::{Instant, timeout_at},
 };
 
-use places::{has_place, permits_in_use, takes_one};
+use capacity::{accepts_request, may_have_permit, permits_in_use};
 
-mod places;
+mod capacity;
 
-/// How often queues look for places that no ended request has freed: of new upstreams, or of those that take requests
-/// again.
+/// How often queues check for capacity that no dropped permit announces: of new upstreams, or of upstreams that accept
+/// requests again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long an unused queue keeps what it has counted.
-const UNUSED_MAX: Duration = Duration::from_secs(60);
+/// How long an unused queue is kept with its counts.
+const UNUSED_TTL: Duration = Duration::from_secs(60);
 
-/// The shortest time after which a refused request is retried.
+/// The minimum time after which a refused request may be retried.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 
-/// The queues for permits, and the number of queued requests.
+/// The queues for permits, and their metrics.
 #[derive(Debug, Default)]
 pub(crate) struct Queues {
     queues: Mutex<HashMap<QueueId, Queue>>,
     metrics: QueueMetrics,
 }
 
-/// What requests queue for.
+/// Identifies a queue by the permits for which its requests wait.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) enum QueueId {
-    /// A permit at any upstream of a service without keys.
+    /// Permits at any upstream of a service without keys.
     Service(ServiceName),
-    /// A permit at the holder of their keys.
+    /// Permits at an upstream that holds keys.
     Holder(UpstreamId),
 }
 
-/// The requests queued for permits of one kind.
+/// One queue of requests.
 #[derive(Debug)]
 struct Queue {
     schedule: Schedule,
     waiters: HashMap<Ticket, UnboundedSender<Message>>,
-    /// The request that has the turn to take a permit.
+    /// The request that has the turn.
     turn: Option<Ticket>,
-    /// The requests that have had their turn in this round and found no permit that they can use.
+    /// The requests that have had a turn in this round and found no permit that they can use.
     tried: Vec<Ticket>,
-    /// Whether a permit became free during the turn, so that all are tried again.
+    /// Whether capacity became available during the turn, so that `tried` is out of date.
     is_stale: bool,
+    /// When the last round began.
     round_at: Instant,
     used_at: Instant,
 }
 
-/// What a queued request is told.
+/// A notification to a queued request.
 #[derive(Debug)]
 enum Message {
-    /// It may take a permit now.
+    /// It may try to acquire a permit now.
     Turn(Turn),
     /// It is refused.
     Refused(Cause),
 }
 
-/// The turn of a queued request to take a permit; the next one has it once it is dropped.
+/// The exclusive right of a queued request to try to acquire a permit, which passes to the next request on drop.
 #[derive(Debug)]
 struct Turn {
     queues: Arc<Queues>,
     view: Arc<View>,
     queue: QueueId,
     ticket: Ticket,
+    /// Whether the request has acquired a permit.
     is_used: bool,
 }
 
-/// A request's entry in a queue, which leaves when this is dropped.
+/// The entry of a request in a queue, which is removed on drop.
 #[derive(Debug)]
 struct Waiting<'a> {
     queues: &'a Queues,
@@ -98,11 +101,11 @@
     messages: UnboundedReceiver<Message>,
 }
 
-/// Counts a request as queued until it is dropped.
+/// Counts a request as queued until the guard is dropped.
 #[derive(Debug)]
 pub(crate) struct QueuedGuard<'a>(&'a Gauge);
 
-/// A place for one request at an upstream, which is free for others once this is dropped.
+/// The right to have one request in flight at an upstream, which is released on drop.
 #[derive(Debug)]
 pub(crate) struct Permit {
     view: Arc<View>,
@@ -128,13 +131,15 @@
         }
     }
 
-    /// Counts a request as queued.
+    /// Counts a request as queued until the guard is dropped.
     pub(crate) fn enter(&self) -> QueuedGuard<'_> {
         self.metrics.all.inc();
         QueuedGuard(&self.metrics.all)
     }
 
-    /// Returns the permit of a request that requires `work` and is counted as started at an upstream.
+    /// Returns the permit of a request whose expected service time is `work`.
+    ///
+    /// The request must be counted in flight at the upstream already, which the permit undoes on drop.
     pub(crate) fn permit(
         self: &Arc<Self>,
         view: &Arc<View>,
@@ -154,10 +159,11 @@
         }
     }
 
-    /// Takes a permit with `take` once it is the request's turn.
+    /// Acquires a permit with `take` once it is the request's turn.
     ///
-    /// `take` is tried at once if nobody is queued. A [`Reason::QueueFull`] from it means that no permit is free that the
-    /// request can use; other rejections and permits are returned. The request leaves the queue if the future is dropped.
+    /// If no request is queued, `take` is called immediately. If it returns [`Reason::QueueFull`], the request can use
+    /// no permit that is free, and keeps waiting; permits and other rejections are returned. The request leaves the
+    /// queue if the future is dropped.
     pub(crate) async fn acquire<T>(
         self: &Arc<Self>,
         view: &Arc<View>,
@@ -182,12 +188,12 @@
         let mut waiting = self.enqueue(view, &queue, entry)?;
         let _counted = matches!(queue, QueueId::Service(_)).then(|| self.enter());
         // A permit may have become free before the request was queued.
-        self.find_place(view, &queue);
+        self.start_round_if_possible(view, &queue);
         loop {
             let recheck_at = Instant::now() + RECHECK_INTERVAL;
             let until = entry.wait_until.min(recheck_at);
             let message = timeout_at(until, waiting.messages.recv()).await;
-            // The daemon may have been paused, so that the turn comes too late.
+            // The process or its VM may have been paused, so that the turn comes too late.
             let is_late = Instant::now() > entry.wait_until;
             match message {
                 Ok(Some(Message::Turn(mut turn))) if !is_late => match take() {
@@ -213,11 +219,11 @@
         }
     }
 
-    /// Removes the queues that are no longer used.
+    /// Removes the queues that have not been used for [`UNUSED_TTL`].
     pub(crate) fn remove_unused(&self) {
         let now = Instant::now();
         self.lock().retain(|_, queue| {
-            let is_recent = now.saturating_duration_since(queue.used_at) < UNUSED_MAX;
+            let is_recent = now.saturating_duration_since(queue.used_at) < UNUSED_TTL;
             is_recent || !queue.is_idle()
         });
     }
@@ -226,7 +232,7 @@
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether no request is queued.
+    /// Returns whether no request is queued or has a turn.
     pub(crate) fn is_idle(&self, queue: &QueueId) -> bool {
         self.lock().get(queue).is_none_or(Queue::is_idle)
     }
@@ -277,28 +283,29 @@
 
     fn refuse(&self, cause: &'static str, reason: Reason, wait: Duration) -> Rejection {
         self.metrics.record_refusal(cause);
-        // Spreads the callers that are told the same time.
-        let spread = rand::rng().random_range(1.0..1.5);
-        let retry_after = wait.max(RETRY_AFTER_MIN).mul_f64(spread);
+        // Jitter, so that callers that are refused together do not retry together.
+        let jitter = rand::rng().random_range(1.0..1.5);
+        let retry_after = wait.max(RETRY_AFTER_MIN).mul_f64(jitter);
         Rejection::new(reason).with_retry_after(retry_after)
     }
 
-    /// Gives queued requests their turns, if there may be a permit for one.
-    fn find_place(self: &Arc<Self>, view: &Arc<View>, queue: &QueueId) {
-        if has_place(view, queue) {
+    /// Starts a round of turns, if there may be a permit for a queued request.
+    fn start_round_if_possible(self: &Arc<Self>, view: &Arc<View>, queue: &QueueId) {
+        if may_have_permit(view, queue) {
             self.start_round(view, queue);
         }
     }
 
-    /// Looks for places that no ended request has freed.
+    /// Checks for capacity that no dropped permit announces; see [`RECHECK_INTERVAL`].
     fn recheck(self: &Arc<Self>, view: &Arc<View>, queue: &QueueId) {
         let now = Instant::now();
         let round_at = self.lock().get(queue).map(|known| known.round_at);
         if round_at.is_some_and(|at| now.saturating_duration_since(at) >= RECHECK_INTERVAL) {
-            self.find_place(view, queue);
+            self.start_round_if_possible(view, queue);
         }
     }
 
+    /// Gives each queued request a turn, in the order of the schedule, until no capacity is left.
     fn start_round(self: &Arc<Self>, view: &Arc<View>, queue: &QueueId) {
         let now = Instant::now();
         let mut queues = self.lock();
@@ -315,8 +322,10 @@
         self.give_turn(view, queue, next);
     }
 
-    /// Gives the turn to a request. This must not be called with the lock held, as the request may have left, which ends
-    /// its turn.
+    /// Sends the turn to a request.
+    ///
+    /// This must not be called with the lock held: if the request has left, its turn is dropped here, which takes the
+    /// lock.
     fn give_turn(
         self: &Arc<Self>,
         view: &Arc<View>,
@@ -335,8 +344,9 @@
         }
     }
 
+    /// Ends a turn and gives the next one.
     fn end_turn(self: &Arc<Self>, turn: &Turn) {
-        let has_place = has_place(&turn.view, &turn.queue);
+        let may_have_permit = may_have_permit(&turn.view, &turn.queue);
         let now = Instant::now();
         let mut queues = self.lock();
         let next = queues.get_mut(&turn.queue).and_then(|known| {
@@ -349,7 +359,7 @@
             known.turn = None;
             if mem::take(&mut known.is_stale) {
                 known.tried.clear();
-            } else if !has_place {
+            } else if !may_have_permit {
                 known.tried.clear();
                 return None;
             }
@@ -384,10 +394,10 @@
         self.turn.is_none() && self.schedule.is_empty()
     }
 
-    /// Returns the request that has the turn now, and refuses those that are hopeless.
+    /// Gives the turn to the next request and returns it. Refuses requests that can no longer meet their deadline.
     fn next_turn(&mut self, now: Instant) -> Option<(Ticket, UnboundedSender<Message>)> {
-        for ticket in self.schedule.take_hopeless(now) {
-            self.refuse(ticket, Cause::Hopeless);
+        for ticket in self.schedule.take_infeasible(now) {
+            self.refuse(ticket, Cause::Infeasible);
         }
         let Some(ticket) = self.schedule.next(&self.tried, now) else {
             self.tried.clear();
@@ -398,6 +408,7 @@
         Some((ticket, sender))
     }
 
+    /// Notifies a request that it is refused.
     fn refuse(&mut self, ticket: Ticket, cause: Cause) {
         if let Some(sender) = self.waiters.remove(&ticket) {
             let _ = sender.send(Message::Refused(cause));
@@ -430,7 +441,7 @@
 }
 
 impl Permit {
-    /// Starts the request that has the permit.
+    /// Marks the request as sent and starts the measurement of its latency.
     pub(crate) fn start(mut self) -> InFlight {
         self.started_at = Instant::now();
         self.is_sent = true;
@@ -456,17 +467,18 @@
         if self.is_sent {
             self.queues.record_release(&self.queue, self.work);
         }
-        let has_place = {
+        let accepts_request = {
             let registry = self.view.registry();
             let upstream = registry.get(&self.id);
-            upstream.is_some_and(|upstream| takes_one(&self.view.loads(), upstream, now))
+            upstream.is_some_and(|upstream| accepts_request(&self.view.loads(), upstream, now))
         };
-        if has_place {
+        if accepts_request {
             self.queues.start_round(&self.view, &self.queue);
         }
     }
 }
 
+/// Returns a queue, which is created if it does not exist.
 fn queue_in<'a>(
     queues: &'a mut HashMap<QueueId, Queue>,
     id: &QueueId,
@@ -477,17 +489,18 @@
     queue
 }
 
+/// Returns the label of a cause in the metrics.
 fn cause_name(cause: Cause) -> &'static str {
     match cause {
         Cause::ExpectedWait => "expected-wait",
         Cause::FullQueue => "full",
-        Cause::Hopeless => "hopeless",
+        Cause::Infeasible => "hopeless",
     }
 }
 
 fn reason_of(cause: Cause) -> Reason {
     match cause {
         Cause::ExpectedWait | Cause::FullQueue => Reason::QueueFull,
-        Cause::Hopeless => Reason::DeadlineHopeless,
+        Cause::Infeasible => Reason::DeadlineHopeless,
     }
 }
--- a/crates/gateway/src/queue/places.rs
+++ b/crates/gateway/src/queue/capacity.rs
@@ -1,17 +1,20 @@
-//! Which places for requests are free.
+//! Whether upstreams have capacity for further requests.
 
 use super::QueueId;
 use crate::view::View;
 use copperwell_routing::{load::Loads, registry::Upstream};
 use tokio::time::Instant;
 
-/// Returns whether an upstream has a place for one more request.
-pub(super) fn takes_one(loads: &Loads, upstream: &Upstream, now: Instant) -> bool {
+/// Returns whether an upstream accepts one more request of this daemon.
+pub(super) fn accepts_request(loads: &Loads, upstream: &Upstream, now: Instant) -> bool {
     loads.closed_for(&upstream.id, now).is_none() && loads.has_capacity(upstream)
 }
 
-/// Returns whether there may be a permit for a queued request, or another reason to let it look.
-pub(super) fn has_place(view: &View, queue: &QueueId) -> bool {
+/// Returns whether a queued request should try to acquire a permit.
+///
+/// This is also true if it would not get one but should stop waiting: if its holder has left or asks for no requests,
+/// or if no upstream of its service is left.
+pub(super) fn may_have_permit(view: &View, queue: &QueueId) -> bool {
     let now = Instant::now();
     let registry = view.registry();
     match queue {
@@ -32,14 +35,14 @@
             let is_lost = |one: &Upstream| lost && view.paths.reach().is_unusable(&one.id);
             let is_all_lost = usable.iter().all(|one| is_lost(one));
             usable.is_empty()
-                || usable
-                    .iter()
-                    .any(|one| (is_all_lost || !is_lost(one)) && takes_one(&view.loads(), one, now))
+                || usable.iter().any(|one| {
+                    (is_all_lost || !is_lost(one)) && accepts_request(&view.loads(), one, now)
+                })
         }
     }
 }
 
-/// Returns the number of requests in flight that compete for the permits of a queue.
+/// Returns the number of requests in flight at the upstreams of a queue, which is the number of permits in use.
 pub(super) fn permits_in_use(view: &View, queue: &QueueId) -> u32 {
     let registry = view.registry();
     let loads = view.loads();
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -65,13 +65,13 @@
     pub(crate) relay: Arc<Relay>,
 }
 
-/// Whether a request waits if no upstream has a free permit.
+/// What happens to a request if no upstream has a free permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Patience {
+enum WhenFull {
     /// It is queued for a permit.
     Queue,
     /// It is refused.
-    None,
+    Refuse,
 }
 
 /// Where the next attempt of a request goes.
@@ -140,25 +140,27 @@
         }
         let cold = self.view.upstreams_warming_up(&requirements.service);
         if !cold.is_empty() {
-            return self.select_any_beside(&cold, requirements, attempted).await;
+            return self
+                .select_warm_or_cold(&cold, requirements, attempted)
+                .await;
         }
         let none = HashSet::default();
-        self.select_any_but(&none, requirements, attempted, Patience::Queue)
+        self.select_any_except(&none, requirements, attempted, WhenFull::Queue)
             .await
     }
 
     /// Selects an upstream as [`Self::select_any`] does, but none of `excluded`.
-    async fn select_any_but(
+    async fn select_any_except(
         &self,
         excluded: &HashSet<UpstreamId>,
         requirements: &Requirements,
         attempted: &[UpstreamId],
-        patience: Patience,
+        when_full: WhenFull,
     ) -> Result<Selected, Rejection> {
         let limits = &self.view.keys.limits;
         let mut full: Vec<(Duration, Arc<Upstream>)> = Vec::new();
         loop {
-            let chosen = self.choose_or_wait(requirements, attempted, &full, excluded, patience);
+            let chosen = self.choose_or_wait(requirements, attempted, &full, excluded, when_full);
             match chosen.await {
                 Ok((upstream, permit)) => match limits.acquire(&upstream, Duration::ZERO).await {
                     Ok(_) => return Ok(Selected::Upstream(upstream, permit)),
--- a/crates/gateway/src/selector/cold.rs
+++ b/crates/gateway/src/selector/cold.rs
@@ -1,8 +1,10 @@
-//! Selects upstreams that warm up, for requests that no other upstream can serve.
+//! Selects cold upstreams, which are those that warm up, for requests that no warm upstream can serve.
+//!
+//! A request to a cold upstream needs a reservation from the leader, which limits the rate of all daemons together.
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Patience, Requirements, Selected, Selector};
+use super::{Requirements, Selected, Selector, WhenFull};
 use crate::{queue::Permit, rejection::Rejection, warmup::WarmingUp};
 use copperwell_assignment::warmup::{Refused, Reservation};
 use copperwell_message::{HashSet, Reason};
@@ -10,12 +12,13 @@
 use rand::{RngExt, seq::SliceRandom};
 use tokio::time::Instant;
 
-/// The upstreams for which the leader is asked in turn, as each question takes time.
-const ASKED_MAX: usize = 3;
+/// The maximum number of upstreams for which a reservation is requested, one after the other. Each request to the
+/// leader delays the caller's.
+const CANDIDATES_MAX: usize = 3;
 
 impl Selector {
-    /// Selects an upstream that is not one of `cold` if one of them has room, or else one of `cold`.
-    pub(super) async fn select_any_beside(
+    /// Selects a warm upstream if one has capacity, and otherwise one of `cold`.
+    pub(super) async fn select_warm_or_cold(
         &self,
         cold: &HashSet<UpstreamId>,
         requirements: &Requirements,
@@ -23,7 +26,7 @@
     ) -> Result<Selected, Rejection> {
         let mut excluded = cold.clone();
         excluded.extend(attempted.iter().cloned());
-        let warm = self.select_any_but(&excluded, requirements, attempted, Patience::None);
+        let warm = self.select_any_except(&excluded, requirements, attempted, WhenFull::Refuse);
         if let Ok(selected) = warm.await {
             return Ok(selected);
         }
@@ -35,41 +38,42 @@
         match self.select_cold(cold, requirements, is_any_warm).await {
             Ok(selected) => Ok(selected),
             Err(rejection) if !is_any_warm => Err(rejection),
-            // An upstream where an attempt failed is better than none.
+            // Waits for a warm upstream, which may be one of `attempted`: retrying there is better than refusing.
             Err(_) => {
-                self.select_any_but(cold, requirements, attempted, Patience::Queue)
+                self.select_any_except(cold, requirements, attempted, WhenFull::Queue)
                     .await
             }
         }
     }
 
-    /// Selects one of `cold` that has room, and waits until a request there is due; it does not wait if `is_any_warm`,
-    /// as that one may have room sooner.
+    /// Selects one of `cold` that has capacity, and waits until its reservation is due.
+    ///
+    /// It does not wait if `is_any_warm`, since a warm upstream may have capacity sooner.
     async fn select_cold(
         &self,
         cold: &HashSet<UpstreamId>,
         requirements: &Requirements,
         is_any_warm: bool,
     ) -> Result<Selected, Rejection> {
-        let mut least: Option<(Duration, Arc<Upstream>)> = None;
+        let mut soonest: Option<(Duration, Arc<Upstream>)> = None;
         for upstream in self.usable_cold(cold) {
             match self.reserve(&upstream, Duration::ZERO).await {
                 Ok(reservation) => return self.with_permit(upstream, reservation, requirements),
-                Err(wait) if least.as_ref().is_none_or(|(least, _)| wait < *least) => {
-                    least = Some((wait, upstream));
+                Err(wait) if soonest.as_ref().is_none_or(|(known, _)| wait < *known) => {
+                    soonest = Some((wait, upstream));
                 }
                 Err(_) => {}
             }
         }
-        let Some((wait, upstream)) = least else {
+        let Some((wait, upstream)) = soonest else {
             return Err(Rejection::new(Reason::QueueFull));
         };
         let now = Instant::now();
-        let patience = requirements.deadline.saturating_duration_since(now);
-        if is_any_warm || wait > patience {
+        let wait_max = requirements.deadline.saturating_duration_since(now);
+        if is_any_warm || wait > wait_max {
             return Err(rejection_after(wait));
         }
-        match self.reserve(&upstream, patience).await {
+        match self.reserve(&upstream, wait_max).await {
             Ok(reservation) => {
                 if let Some(reservation) = &reservation {
                     reservation.wait_due().await;
@@ -80,7 +84,7 @@
         }
     }
 
-    /// Takes a permit at an upstream for which a request has a reservation, or needs none.
+    /// Acquires a permit at an upstream for which the request has a reservation, or needs none.
     fn with_permit(
         &self,
         upstream: Arc<Upstream>,
@@ -94,7 +98,7 @@
         })
     }
 
-    /// Returns some of `cold` at which this daemon may have a request in flight, in random order.
+    /// Returns up to [`CANDIDATES_MAX`] of `cold` that accept a request of this daemon, in random order.
     fn usable_cold(&self, cold: &HashSet<UpstreamId>) -> Vec<Arc<Upstream>> {
         let registry = self.view.registry();
         let upstreams = cold.iter().filter_map(|id| registry.get(id).cloned());
@@ -108,12 +112,14 @@
         upstreams.retain(|one| loads.has_capacity(one) && loads.closed_for(&one.id, now).is_none());
         drop(loads);
         upstreams.shuffle(&mut rand::rng());
-        upstreams.truncate(ASKED_MAX);
+        upstreams.truncate(CANDIDATES_MAX);
         upstreams
     }
 
-    /// Returns where a request for a key of `holder` goes: there, with a reservation if it warms up. Returns `None` if
-    /// it has waited for that, as the key may have moved meanwhile.
+    /// Selects the holder of a key, with a reservation if it warms up.
+    ///
+    /// Returns `None` after waiting for a reservation, which is then stored in `reservation`. The key may have moved
+    /// meanwhile, so that the caller must look up the holder again.
     pub(super) async fn reserve_holder(
         &self,
         holder: Arc<Upstream>,
@@ -131,37 +137,37 @@
         if self.view.warming_up(&holder).is_none() {
             return Ok(Some(Selected::Upstream(holder, permit)));
         }
-        // Others may use the place meanwhile.
+        // Other requests may use the permit while this one waits.
         drop(permit);
-        let patience = requirements.deadline.saturating_duration_since(now);
-        match self.reserve(&holder, patience).await {
+        let wait_max = requirements.deadline.saturating_duration_since(now);
+        match self.reserve(&holder, wait_max).await {
             Ok(Some(reserved)) => {
                 reserved.wait_due().await;
                 *reservation = Some(reserved);
                 Ok(None)
             }
-            // It has become warm meanwhile.
+            // The holder has become warm since the check above.
             Ok(None) => Ok(None),
             Err(wait) => Err(rejection_after(wait)),
         }
     }
 
-    /// Reserves a request to an upstream if that is due within `patience`; returns `None` if the upstream does not warm
+    /// Reserves a request to an upstream, if it is due within `wait_max`; returns `None` if the upstream does not warm
     /// up.
     ///
     /// # Errors
     ///
-    /// Returns how long it would have to wait if that is longer, or until the upstream is warm if no leader answers.
+    /// Returns the time until a request would be due, or until the upstream is warm if no leader answers.
     async fn reserve(
         &self,
         upstream: &Upstream,
-        patience: Duration,
+        wait_max: Duration,
     ) -> Result<Option<Reservation>, Duration> {
         let Some(WarmingUp { limit, left }) = self.view.warming_up(upstream) else {
             return Ok(None);
         };
         let warmups = &self.view.keys.warmups;
-        match warmups.acquire(&upstream.id, limit, patience).await {
+        match warmups.acquire(&upstream.id, limit, wait_max).await {
             Ok(reservation) => Ok(Some(reservation)),
             Err(Refused::Full(wait)) => Err(wait.min(left)),
             Err(Refused::NoLeader) => Err(left),
@@ -169,9 +175,9 @@
     }
 }
 
-/// Returns the refusal of a request for which there is room only after `wait`.
+/// Returns the refusal of a request that could be sent only after `wait`.
 fn rejection_after(wait: Duration) -> Rejection {
-    // Spreads the callers that are told the same time.
-    let spread = rand::rng().random_range(1.0..1.5);
-    Rejection::new(Reason::UpstreamLimit).with_retry_after(wait.mul_f64(spread))
+    // Jitter, so that callers that are refused together do not retry together.
+    let jitter = rand::rng().random_range(1.0..1.5);
+    Rejection::new(Reason::UpstreamLimit).with_retry_after(wait.mul_f64(jitter))
 }
--- a/crates/gateway/src/selector/permits.rs
+++ b/crates/gateway/src/selector/permits.rs
@@ -1,8 +1,8 @@
-//! Permits for requests at upstreams, and the queues for them.
+//! Acquires permits at upstreams, and waits in their queues.
 
 use std::{sync::Arc, time::Duration};
 
-use super::{HOLDER_POLL_INTERVAL, Patience, Requirements, Selector};
+use super::{HOLDER_POLL_INTERVAL, Requirements, Selector, WhenFull};
 use crate::{
     queue::{Permit, QueueId},
     rejection::Rejection,
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 impl Requirements {
-    /// Returns what admission control has to know of the request.
+    /// Returns the class of the request for admission control.
     pub(super) fn class(&self) -> Class {
         Class {
             priority: self.priority,
@@ -20,6 +20,7 @@
         }
     }
 
+    /// Returns the request's entry in a queue, in which it waits until `wait_until` at most.
     fn entry(&self, wait_until: Instant) -> Entry {
         Entry {
             priority: self.priority,
@@ -31,7 +32,7 @@
         }
     }
 
-    /// Returns the queue for permits at an upstream.
+    /// Returns the queue in which the request waits for a permit at an upstream.
     fn queue_of(&self, upstream: &Upstream) -> QueueId {
         match self.key {
             Some(_) => QueueId::Holder(upstream.id.clone()),
@@ -41,32 +42,34 @@
 }
 
 impl Selector {
-    /// Returns the permit of a request that is counted as started at an upstream.
+    /// Returns the permit of a request that is already counted in flight at an upstream.
     pub(super) fn permit_of(&self, upstream: &Upstream, requirements: &Requirements) -> Permit {
         let queue = requirements.queue_of(upstream);
         let id = upstream.id.clone();
         self.queues.permit(&self.view, queue, id, requirements.work)
     }
 
-    /// Chooses an upstream with a permit there, and waits for one if the service's requests compete.
+    /// Chooses an upstream and acquires a permit there. Waits for a permit if requests of the service are queued.
+    ///
+    /// `full` are the upstreams that have reached their rate limit, with the time until the next request there is due.
     pub(super) async fn choose_or_wait(
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
         full: &[(Duration, Arc<Upstream>)],
         excluded: &HashSet<UpstreamId>,
-        patience: Patience,
+        when_full: WhenFull,
     ) -> Result<(Arc<Upstream>, Permit), Rejection> {
         let choose = || self.choose(requirements, attempted, full, excluded);
-        // A request for which upstreams without room by their limit are left waits for that limit instead.
+        // If a rate limit is reached, the calling function waits for the limit instead of for a permit.
         if !full.is_empty() || !self.is_queued(requirements) {
             return choose();
         }
         let queue = QueueId::Service(requirements.service.clone());
-        if patience == Patience::None {
+        if when_full == WhenFull::Refuse {
             return match self.queues.is_idle(&queue) {
                 true => choose(),
-                // A free permit is for those that are queued.
+                // Queued requests take precedence.
                 false => Err(Rejection::new(Reason::QueueFull)),
             };
         }
@@ -78,9 +81,10 @@
         self.queues.acquire(&self.view, queue, entry, choose).await
     }
 
-    /// Returns whether requests for a service without keys wait for permits.
+    /// Returns whether requests for a service without keys are queued for permits.
     ///
-    /// Where all requests are alike, waiting only moves the queue from the upstreams and the callers to this daemon.
+    /// Without priorities or a warm-up, a queue would only move waiting requests from the upstreams and callers to this
+    /// daemon.
     fn is_queued(&self, requirements: &Requirements) -> bool {
         let service = &requirements.service;
         let configuration = self.view.configuration();
@@ -92,7 +96,7 @@
         })
     }
 
-    /// Takes a permit at an upstream if one is free.
+    /// Acquires a permit at an upstream, if one is free.
     pub(super) fn try_permit(
         &self,
         upstream: &Upstream,
@@ -107,7 +111,7 @@
         Ok(self.permit_of(upstream, requirements))
     }
 
-    /// Waits for a permit at the holder of a key; returns `None` if the holder wants no requests meanwhile.
+    /// Waits for a permit at the holder of a key; returns `None` if the holder asks for no requests for a time.
     pub(super) async fn acquire_at(
         &self,
         holder: &Upstream,
@@ -126,7 +130,7 @@
         self.queues.acquire(&self.view, queue, entry, take).await
     }
 
-    /// Waits until a key has another holder.
+    /// Waits until a key has another holder, or its holder may not serve keys any more.
     pub(super) async fn wait_for_move(
         &self,
         requirements: &Requirements,
@@ -141,7 +145,7 @@
             if !is_holder || !self.view.may_serve_keys(holder) {
                 return;
             }
-            // An evacuation shows in the registry before it does in the tables.
+            // The wait has a timeout because an evacuation is in the registry before it is in the routing tables.
             let _ = timeout(HOLDER_POLL_INTERVAL, routing_tables.newer_than(version)).await;
         }
     }
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -1,10 +1,11 @@
 //! A budget of bytes for what a process buffers for callers and upstreams.
 //!
-//! A [`Permit`] is acquired before bytes are read, and travels with them: [`Permit::bind`] returns bytes that give their
-//! permit back when their last clone is dropped, whether they were written, cancelled or forgotten in a queue.
+//! A [`Permit`] is acquired before bytes are read, and is then owned by them: [`Permit::bind`] returns bytes that
+//! release the permit when their last clone is dropped, whether they were written, cancelled, or left in the queue of a
+//! closed connection.
 //!
-//! A streamed body reserves its chunks through a [`Flow`]. Without room in the budget, a flow holds one chunk at a time,
-//! so that every body gets on, however much the readers of others hold.
+//! A streamed body reserves its chunks through a [`Flow`]. When the budget is exhausted, each flow may still hold one
+//! chunk at a time, so that every body makes progress regardless of how much is held for the readers of others.
 
 use std::sync::{
     Arc,
@@ -18,21 +19,21 @@
 };
 use tokio::sync::Notify;
 
-/// The bytes that are reserved for the next chunk of a body, and the most that connections to upstreams read at a time
-/// under a limit: what the HTTP library reads ahead is not in the budget.
+/// The bytes that are reserved for the next chunk of a body, and the maximum size of a read from an upstream under a
+/// limit. Reads are kept small because the budget does not include what the HTTP library reads ahead.
 pub const CHUNK_BYTES: usize = 8 << 10;
 
-/// The part of a process's memory that the budget gets. The rest is for connections, tables and code.
+/// The budget is the memory of the process divided by this. The rest is for connections, tables and code.
 const MEMORY_DIVISOR: usize = 4;
 
-/// The share of the budget that responses may use, in quarters. Slow readers keep responses in memory, and must not keep
-/// requests with bodies out.
+/// The share of the budget that responses may use, in quarters. The rest is left for request bodies, so that slow
+/// readers of responses do not cause requests with a body to be refused.
 const RESPONSE_QUARTERS: usize = 3;
 
 /// A budget of bytes; clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct Budget {
-    /// `None` without a limit.
+    /// `None` if there is no limit.
     shared: Option<Arc<Shared>>,
 }
 
@@ -52,7 +53,7 @@
     refused: Counter,
 }
 
-/// Bytes of a budget, which are given back when it is dropped.
+/// Bytes of a budget, which are released on drop.
 #[derive(Debug)]
 pub struct Permit {
     shared: Option<Arc<Shared>>,
@@ -67,16 +68,18 @@
     held: Arc<Held>,
 }
 
-/// The permits of one flow that are held.
+/// The chunks of one flow that are in memory.
 #[derive(Debug, Default)]
 struct Held {
+    /// The number of permits.
     permits: AtomicUsize,
-    freed: Notify,
+    /// Signals that a permit was released.
+    released: Notify,
 }
 
-/// Bytes with their permit.
+/// Bytes that own their permit.
 struct Bound {
-    /// A copy: a slice keeps the whole read buffer in memory, of which it may be a small part.
+    /// A copy, since a slice of a read buffer would keep the whole buffer in memory, which is not in the budget.
     bytes: Box<[u8]>,
     #[expect(dead_code, reason = "held until the bytes are dropped")]
     permit: Permit,
@@ -99,7 +102,7 @@
     #[must_use]
     pub fn new(limit_bytes: usize) -> Self {
         let metrics = Metrics::default();
-        metrics.limit.set(gauged(limit_bytes));
+        metrics.limit.set(gauge_value(limit_bytes));
         Self {
             shared: Some(Arc::new(Shared {
                 limit_bytes,
@@ -109,13 +112,14 @@
         }
     }
 
-    /// Creates the budget of a process that is killed at `memory_bytes`; without a limit if that is not known.
+    /// Creates the budget of a process that is killed when it uses `memory_bytes`; `None` gives a budget without a
+    /// limit.
     #[must_use]
     pub fn of_process(memory_bytes: Option<usize>) -> Self {
         memory_bytes.map_or_else(Self::unlimited, |bytes| Self::new(bytes / MEMORY_DIVISOR))
     }
 
-    /// Registers the gauges and counters, if the budget has a limit.
+    /// Registers the metrics, if the budget has a limit.
     pub fn register(&self, registry: &mut Registry) {
         let Some(shared) = &self.shared else { return };
         let registry = registry.sub_registry_with_prefix("memory");
@@ -147,7 +151,7 @@
         );
     }
 
-    /// Acquires the bytes of a response that is read whole; `None` without room.
+    /// Acquires the bytes of a response that is read whole; `None` if they exceed the share of responses.
     #[must_use]
     pub fn try_response(&self, bytes: usize) -> Option<Permit> {
         let permit = self.try_acquire(bytes, Shared::response_limit);
@@ -157,7 +161,7 @@
         permit
     }
 
-    /// Acquires the bytes of a request's body; `None` without room.
+    /// Acquires the bytes of a request body; `None` if they exceed the budget.
     #[must_use]
     pub fn try_request(&self, bytes: usize) -> Option<Permit> {
         let permit = self.try_acquire(bytes, |shared| shared.limit_bytes);
@@ -167,7 +171,7 @@
         permit
     }
 
-    /// Begins a body that is streamed.
+    /// Creates the flow of a streamed body.
     #[must_use]
     pub fn flow(&self) -> Flow {
         Flow {
@@ -176,21 +180,21 @@
         }
     }
 
-    /// Returns whether a further chunk of a response fits.
+    /// Returns whether another chunk of a response fits into the budget.
     #[must_use]
-    pub fn has_room(&self) -> bool {
+    pub fn has_capacity(&self) -> bool {
         self.shared.as_ref().is_none_or(|shared| {
             shared.used_bytes.load(Ordering::Acquire) + CHUNK_BYTES <= shared.response_limit()
         })
     }
 
-    /// Returns how much is read at a time under a limit.
+    /// Returns the maximum size of a read; `None` if there is no limit.
     #[must_use]
     pub fn read_bytes(&self) -> Option<usize> {
         self.shared.as_ref().map(|_| CHUNK_BYTES)
     }
 
-    /// Returns the bytes in use.
+    /// Returns the number of bytes in use.
     #[must_use]
     pub fn used_bytes(&self) -> usize {
         let shared = self.shared.as_ref();
@@ -228,27 +232,28 @@
             .used_bytes
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, add);
         if added.is_ok() {
-            self.metrics.used.inc_by(gauged(bytes));
+            self.metrics.used.inc_by(gauge_value(bytes));
         }
         added.is_ok()
     }
 
-    /// Adds bytes that are in memory, whether or not they fit.
+    /// Adds bytes that are in memory already, even if they exceed the limit.
     fn add(&self, bytes: usize) {
         self.used_bytes.fetch_add(bytes, Ordering::AcqRel);
-        self.metrics.used.inc_by(gauged(bytes));
+        self.metrics.used.inc_by(gauge_value(bytes));
     }
 
     fn remove(&self, bytes: usize) {
         self.used_bytes.fetch_sub(bytes, Ordering::AcqRel);
-        self.metrics.used.dec_by(gauged(bytes));
+        self.metrics.used.dec_by(gauge_value(bytes));
     }
 }
 
 impl Flow {
-    /// Reserves the next chunk: at once if it fits, else when all chunks before it were dropped.
+    /// Reserves the next chunk: immediately if it fits into the budget, and otherwise once all earlier chunks were
+    /// dropped.
     ///
-    /// Dropping the future acquires nothing.
+    /// If the future is dropped, nothing is acquired.
     pub async fn reserve(&self, bytes: usize) -> Permit {
         let Some(shared) = &self.budget.shared else {
             return Permit {
@@ -260,7 +265,7 @@
         let mut is_paced = false;
         while !shared.try_add(bytes, shared.response_limit()) {
             if self.held.permits.load(Ordering::Acquire) == 0 {
-                // One chunk of each body may be in memory without room, else no body would get on.
+                // One chunk of each body may exceed the budget, so that every body makes progress.
                 shared.add(bytes);
                 break;
             }
@@ -268,7 +273,7 @@
                 is_paced = true;
                 shared.metrics.paced.inc();
             }
-            self.held.freed.notified().await;
+            self.held.released.notified().await;
         }
         self.held.permits.fetch_add(1, Ordering::AcqRel);
         Permit {
@@ -280,7 +285,7 @@
 }
 
 impl Permit {
-    /// Sets how many bytes were read in the end.
+    /// Adjusts the permit to the number of bytes that were actually read, even if they exceed the limit.
     pub fn resize(&mut self, bytes: usize) {
         if let Some(shared) = &self.shared {
             match bytes.checked_sub(self.bytes) {
@@ -291,7 +296,7 @@
         self.bytes = bytes;
     }
 
-    /// Returns `bytes` that hold the permit, resized to their length, until their last clone is dropped.
+    /// Resizes the permit to the length of `bytes`, and returns bytes that own it until their last clone is dropped.
     #[must_use]
     pub fn bind(mut self, bytes: Bytes) -> Bytes {
         if self.shared.is_none() || bytes.is_empty() {
@@ -312,12 +317,12 @@
         }
         if let Some(held) = &self.flow {
             held.permits.fetch_sub(1, Ordering::AcqRel);
-            held.freed.notify_one();
+            held.released.notify_one();
         }
     }
 }
 
-fn gauged(bytes: usize) -> i64 {
+fn gauge_value(bytes: usize) -> i64 {
     i64::try_from(bytes).unwrap_or(i64::MAX)
 }
 
--- a/crates/memory/src/tests.rs
+++ b/crates/memory/src/tests.rs
@@ -1,4 +1,4 @@
-//! Tests that bytes are given back on every way out, and that no body waits for another one's reader.
+//! Tests that bytes are released on every path, and that no body waits for the reader of another one.
 
 use std::{thread, time::Duration};
 
@@ -8,14 +8,14 @@
 
 const LIMIT_BYTES: usize = 16 * CHUNK_BYTES;
 
-/// Virtual time that passes at once where a future stays pending.
+/// How long a future must stay pending to count as blocked. The clock is paused, so that this takes no real time.
 const PENDING: Duration = Duration::from_secs(60);
 
 fn chunk() -> Bytes {
     Bytes::from(vec![0; CHUNK_BYTES])
 }
 
-/// Takes all that responses may use.
+/// Acquires the whole share of responses.
 fn fill(budget: &Budget) -> Vec<super::Permit> {
     let mut taken = Vec::new();
     while let Some(permit) = budget.try_response(CHUNK_BYTES) {
@@ -53,18 +53,19 @@
     let budget = Budget::new(LIMIT_BYTES);
     let responses = fill(&budget);
     assert_eq!(budget.used_bytes(), LIMIT_BYTES / 4 * 3);
-    assert!(!budget.has_room());
+    assert!(!budget.has_capacity());
     let mut requests = Vec::new();
     while let Some(permit) = budget.try_request(CHUNK_BYTES) {
         requests.push(permit);
     }
     assert_eq!(budget.used_bytes(), LIMIT_BYTES);
     drop((responses, requests));
-    assert!(budget.has_room());
+    assert!(budget.has_capacity());
     assert_eq!(budget.used_bytes(), 0);
 }
 
-/// Guards against a body that holds more than one chunk without room, and against one that never gets on.
+/// Guards against a body that holds more than one chunk when the budget is exhausted, and against one that makes no
+/// progress.
 #[tokio::test(start_paused = true)]
 async fn flow_without_room_holds_more_than_one_chunk() {
     let budget = Budget::new(LIMIT_BYTES);
@@ -82,7 +83,7 @@
         .expect("no chunk")
         .bind(chunk());
     assert_eq!(budget.used_bytes(), used + CHUNK_BYTES);
-    // Another body is not held back by the readers of the first ones.
+    // Another body does not wait for the readers of the first ones.
     let other = budget.flow();
     let first = timeout(PENDING, other.reserve(CHUNK_BYTES)).await;
     assert!(first.is_ok(), "another body waits");
@@ -100,7 +101,7 @@
     assert!(timeout(PENDING, flow.reserve(CHUNK_BYTES)).await.is_err());
     drop((held, others));
     assert_eq!(budget.used_bytes(), 0);
-    // What woke the reservation that was dropped does not let the next one hold two chunks.
+    // The notification of the dropped reservation must not let the next one hold two chunks.
     let held = flow.reserve(CHUNK_BYTES).await;
     let others = fill(&budget);
     assert!(timeout(PENDING, flow.reserve(CHUNK_BYTES)).await.is_err());
@@ -108,7 +109,7 @@
     assert_eq!(budget.used_bytes(), 0);
 }
 
-/// Guards against a count that drifts, or exceeds the limit, as many threads use the budget at once.
+/// Guards against a count that drifts or exceeds the limit when many threads use the budget concurrently.
 #[test]
 fn threads_together_exceed_the_limit() {
     let budget = Budget::new(LIMIT_BYTES);
@@ -132,7 +133,7 @@
     assert_eq!(budget.used_bytes(), 0);
 }
 
-/// Guards against a limit where the settings name none.
+/// Guards against a limit although the settings have none.
 #[tokio::test(start_paused = true)]
 async fn budget_without_a_limit_refuses() {
     let budget = Budget::of_process(None);
@@ -143,6 +144,6 @@
         flow.reserve(usize::MAX).await,
         flow.reserve(usize::MAX).await,
     );
-    assert!(permits.0.is_some() && permits.1.is_some() && budget.has_room());
+    assert!(permits.0.is_some() && permits.1.is_some() && budget.has_capacity());
     assert_eq!(budget.used_bytes(), 0);
 }
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -3,51 +3,57 @@
 //! A hot key may get more requests than its only holder can serve. Without load shedding the holder's
 //! queue stays full and every response is late. With it, admitted requests are answered in time and the
 //! others are refused at once with a time to retry.
+//!
+//! The leader publishes the share of the required work that a holder can do. Requests are grouped into classes by
+//! priority and work, and that work is allocated to the classes in order, with a minimum for each.
 
 use std::time::Duration;
 
 /// The weight of a new request in the exponential moving averages of the classes.
 const WEIGHT: f64 = 0.01;
 
-/// The share of requests below which a class is forgotten.
+/// The share of requests below which a class is removed.
 const CLASS_SHARE_MIN: f64 = 1e-4;
 
-/// The admitted share of every class, at least, in relation to the admitted share of all requests. No class may be served
-/// less than a quarter as often as all; the margin covers chance, and what the upstream refuses.
-const FLOOR: f64 = 0.27;
+/// The minimum admitted share of a class, as a fraction of the admitted share of all requests.
+///
+/// The requirement is that no class is served less than a quarter as often as all. The margin covers random variation
+/// and the requests that the upstream refuses.
+const FLOOR_RATIO: f64 = 0.27;
 
-/// The part of the admitted work that is left unused at the expense of less urgent, longer requests.
+/// The fraction of the admitted work that is left unused, taken from less urgent and longer requests.
 ///
-/// The leader admits as much as occupies all slots, so that admitted requests still wait at the upstream, in the order of
-/// arrival: urgent short requests would wait behind long ones until their deadline.
+/// The leader admits enough work to occupy all slots, so that admitted requests still queue at the upstream, in the
+/// order of arrival. Without headroom, urgent short requests would wait there behind long ones until their deadline.
 const HEADROOM: f64 = 0.3;
 
-/// How much longer than the most urgent requests less urgent ones are if they give way for the headroom.
+/// Less urgent requests are reduced for the headroom only if their mean work exceeds that of the first class by this
+/// factor.
 const LONG_RATIO: f64 = 2.0;
 
-/// The shortest work that is told apart.
+/// The minimum work that is distinguished. Shorter work counts as this.
 const WORK_MIN: Duration = Duration::from_millis(1);
 
-/// The bisections by which the admitted share of the worst class is found; the error is below 1 in 10,000.
+/// The number of bisection steps by which the minimum admitted share is found; the error is below 1 in 10,000.
 const BISECTIONS: u32 = 14;
 
-/// What admission control has to know of a request.
+/// The properties of a request by which it is admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Class {
     /// The priority among requests for the same service; the lowest number goes first.
     pub priority: u32,
-    /// The work that it requires: how long it usually takes at an upstream.
+    /// The expected service time of the request at an upstream.
     pub work: Duration,
 }
 
 /// Admission control for the requests of one service at one daemon.
 #[derive(Debug, Clone, Default)]
 pub struct Admission {
-    /// The classes, those that are admitted first in front.
+    /// The classes, in the order in which they are admitted.
     classes: Vec<Observed>,
 }
 
-/// The requests of one priority that require about the same work.
+/// The observed requests of one class: of one priority, and of work within a factor of two.
 #[derive(Debug, Clone, Copy)]
 struct Observed {
     priority: u32,
@@ -55,17 +61,16 @@
     magnitude: u32,
     /// The moving average of its share of all requests.
     share: f64,
-    /// The moving average of the work of its requests, in seconds for each request of any class.
+    /// The moving average of its work, in seconds per request of any class.
     work_s: f64,
 }
 
 impl Admission {
-    /// Returns whether a request is admitted to an upstream that can do only `admitted_share` of the work that
-    /// requests require.
+    /// Returns whether a request is admitted to an upstream that can do only `admitted_share` of the required work.
     ///
-    /// Classes are admitted in the order of priority, then shorter ones first, as more of them are answered for the
-    /// same work. Every class keeps a part of the mean admitted share. `draw` is a uniformly distributed random
-    /// number from 0 to 1.
+    /// Classes are admitted in the order of priority, then of work, since more short requests than long ones are
+    /// answered with the same work. Every class keeps a minimum share. `draw` is a uniformly distributed random number
+    /// from 0 to 1.
     pub fn admit(&mut self, class: Class, admitted_share: f64, draw: f64) -> bool {
         self.observe(class);
         admitted_share >= 1.0 || draw < self.share_of(class, admitted_share)
@@ -94,9 +99,10 @@
         self.classes[index].work_s += WEIGHT * class.work.max(WORK_MIN).as_secs_f64();
     }
 
-    /// Returns the admitted share of a class that was observed.
+    /// Returns the admitted share of an observed class.
     fn share_of(&self, class: Class, admitted_share: f64) -> f64 {
-        // The admitted share of all requests falls as the floor rises, so there is one floor in the right relation to it.
+        // A higher floor moves work to long requests, so that fewer requests are admitted overall. Bisection therefore
+        // finds the one floor that is `FLOOR_RATIO` of the admitted share of all requests.
         let (mut low, mut high) = (0.0, admitted_share.max(0.0));
         for _ in 0..BISECTIONS {
             let floor = f64::midpoint(low, high);
@@ -108,7 +114,7 @@
                 .zip(&shares)
                 .map(|(known, share)| known.share * share)
                 .sum();
-            match admitted * FLOOR > floor * requests {
+            match admitted * FLOOR_RATIO > floor * requests {
                 true => low = floor,
                 false => high = floor,
             }
@@ -153,6 +159,7 @@
     }
 }
 
+/// Returns the sort key of a class: its priority and the binary logarithm of its work in milliseconds.
 fn order_of(class: Class) -> (u32, u32) {
     let work_ms = class.work.max(WORK_MIN).as_millis();
     (class.priority, work_ms.ilog2())
--- a/crates/routing/src/load/report.rs
+++ b/crates/routing/src/load/report.rs
@@ -1,63 +1,65 @@
-//! What upstreams report of their own load, and how much of it a daemon believes.
+//! Load reports of upstreams, and how they change the cost by which a daemon selects upstreams.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// The time in which the weight of a report halves. Requests take a few hundred milliseconds, so the requests that were
-/// reported have mostly ended after two or three of these.
+/// The half-life of the weight of reported requests. Requests take a few hundred milliseconds, so most of those that
+/// were reported have ended after two or three half-lives.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(100);
 
-/// The time in which the weight of a reported pace halves. Upstreams share machines, and their pace changes as fast.
+/// The half-life of the weight of a reported pace. Upstreams share machines, and their pace changes within this time.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(400);
 
-/// The most by which a report multiplies or divides the cost of an upstream. A false report then neither attracts nor
-/// diverts all requests.
+/// The maximum factor by which a report multiplies or divides the cost of an upstream, so that a false report can
+/// neither attract nor divert all requests.
 const FACTOR_MAX: f64 = 4.0;
 
-/// The power of the reported pace by which costs are multiplied. In full, a pace that is told a second late lengthened
-/// requests by 19 % in simulations (500 a second), and by 10 % so, while a true one shortens them alike.
+/// The exponent of the reported pace in the cost. With an exponent of 1, paces reported one second late lengthened
+/// requests by 19 % in simulations (500 requests a second), and by 10 % with this one. Accurate paces shorten requests
+/// about equally with both.
 const PACE_EXPONENT: f64 = 0.5;
 
-/// The cost factor of an upstream that reports to be idle.
+/// The cost factor of an upstream that reports no requests.
 const IDLE_FACTOR: f64 = 0.6;
 
-/// The cost factor of an upstream that reports to be full. With one that has a free slot it outweighs the usual difference
-/// in speed of upstreams; higher ones gain little, and cost more where reports are late.
+/// The cost factor of an upstream that reports all slots occupied. It outweighs the usual difference in speed between a
+/// full upstream and one with a free slot. Higher factors gain little, and cost more if reports are late.
 const FULL_FACTOR: f64 = 2.0;
 
-/// The running requests for each slot above which a report is implausible.
+/// The maximum plausible number of running requests per slot.
 const RUNNING_PER_SLOT_MAX: u32 = 4;
 
-/// The number of slots or waiting requests above which a report is implausible.
+/// The maximum plausible number of slots or of waiting requests.
 const COUNT_MAX: u32 = 10_000;
 
-/// The pace above which a report is implausible, and below whose inverse it is.
+/// The maximum plausible pace; the minimum is its inverse.
 const PACE_MAX: f64 = 100.0;
 
-/// What an upstream reports of its load.
+/// The load of an upstream, as the upstream reports it in its responses.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
-    /// The requests of all daemons that run.
+    /// The number of running requests, of all daemons.
     pub running: u32,
-    /// The requests of all daemons that wait for a slot.
+    /// The number of requests that wait for a slot, of all daemons.
     pub waiting: u32,
-    /// The requests that it runs concurrently.
+    /// The maximum number of requests that run concurrently.
     pub slots: u32,
-    /// How long work takes now, as a multiple of the usual time; `None` if the upstream does not say.
+    /// How long work currently takes, as a multiple of the usual time; `None` if the upstream does not report it.
     pub pace: Option<f64>,
 }
 
-/// An upstream's answer has a report that cannot be true.
+/// A report has values that are not plausible.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct InvalidReport;
 
 impl Report {
-    /// Checks that a report can be true.
+    /// Checks that the values of a report are plausible.
     ///
     /// # Errors
     ///
-    /// [`InvalidReport`] if it has no slots, far more requests than slots, or an impossible pace.
+    /// [`InvalidReport`] if a value is not plausible: no slots, far more running requests than slots, or a pace out of
+    /// range.
     pub fn check(self) -> Result<Self, InvalidReport> {
         let is_count = self.slots.max(self.waiting) <= COUNT_MAX;
         let running_max = self.slots.saturating_mul(RUNNING_PER_SLOT_MAX);
@@ -67,16 +69,16 @@
         is_plausible.then_some(self).ok_or(InvalidReport)
     }
 
-    /// Returns the requests that run or wait.
+    /// Returns the number of requests that run or wait.
     pub(crate) fn requests(&self) -> u32 {
         self.running + self.waiting
     }
 }
 
-/// The last report of an upstream, without this daemon's own requests, which it knows better.
+/// The last report of an upstream, without this daemon's own requests. The daemon has their current number.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Known {
-    /// The requests of other daemons that ran or waited.
+    /// The number of other daemons' requests that ran or waited.
     others: f64,
     slots: f64,
     pace: f64,
@@ -84,7 +86,7 @@
 }
 
 impl Known {
-    /// Creates the record of a report that counts `own` requests of this daemon.
+    /// Creates the record of a report that includes `own` requests of this daemon.
     pub(super) fn new(report: Report, own: u32, now: Instant) -> Self {
         Self {
             others: f64::from(report.requests().saturating_sub(own)),
@@ -94,13 +96,13 @@
         }
     }
 
-    /// Returns how long ago the report arrived.
+    /// Returns the time since the report arrived.
     pub(super) fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.at)
     }
 
-    /// Returns the factor that a report sets for the cost of an upstream with `in_flight` requests of this daemon, closer
-    /// to 1 the older the report is.
+    /// Returns the factor for the cost of an upstream at which this daemon has `in_flight` requests. It approaches 1 as
+    /// the report ages.
     pub(super) fn factor(&self, in_flight: u32, now: Instant) -> f64 {
         let age_s = self.age(now).as_secs_f64();
         let weight = |half_life: Duration| 0.5_f64.powf(age_s / half_life.as_secs_f64());
--- a/crates/routing/src/load/subset.rs
+++ b/crates/routing/src/load/subset.rs
@@ -1,7 +1,8 @@
-//! Which of many upstreams a daemon prefers, so that it uses the connections to them again.
+//! The subset of the upstreams of a service that a daemon prefers, so that it reuses its connections to them.
 //!
-//! Each daemon ranks the upstreams of a service by a hash of its own name and theirs, and prefers the first ones. Daemons
-//! need not agree on anything, and an upstream that joins or leaves changes only its own place.
+//! Subsets are chosen by rendezvous hashing: each daemon ranks the upstreams by a hash of its own name and theirs, and
+//! prefers the first ones. Daemons need no coordination, and an upstream that joins or leaves does not change the
+//! relative order of the others.
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -12,38 +13,41 @@
 use crate::registry::Upstream;
 use tokio::time::Instant;
 
-/// The number of upstreams below which a daemon uses all of them: a subset would save few connections there.
+/// The minimum number of upstreams for a subset. With fewer, a subset would save few connections.
 const UPSTREAMS_MIN: usize = 24;
 
-/// The least size of a subset, so that the loss of two upstreams leaves one.
+/// The minimum size of a subset, so that one upstream remains after the loss of two.
 const SIZE_MIN: usize = 3;
 
-/// The slots of a subset for each request that a daemon has in flight on average.
+/// The minimum number of slots in a subset per mean request in flight of the daemon.
 const SLOTS_PER_REQUEST: f64 = 2.0;
 
-/// How many daemons prefer each upstream on average, at least.
+/// The minimum number of daemons that prefer an upstream, on average.
 const COVERAGE: f64 = 4.0;
 
-/// The mean time between two requests to an upstream of the subset. Upstreams close connections that are idle for 10 s.
-/// In simulations 3 s had up to three times as many new connections, and 1 s up to 1.7 times, as more requests then meet
-/// all connections of an upstream in use; requests met as many full upstreams.
+/// The target interval between two requests of this daemon to an upstream of the subset.
+///
+/// Upstreams close connections that are idle for 10 s. In simulations, 3 s opened up to three times as many new
+/// connections. 1 s opened up to 1.7 times as many, since more requests then found all connections to an upstream in
+/// use. The share of requests at full upstreams was the same.
 const REUSE_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// The share of the upstreams of a data centre above which a subset saves too little.
+/// The maximum size of a subset, as a share of the upstreams of the data centre. A larger one would save too few
+/// connections.
 const SHARE_MAX: f64 = 0.75;
 
-/// The time over which the demand of a daemon is averaged.
+/// The time constant of the moving averages of a daemon's demand.
 const DEMAND_TIME: Duration = Duration::from_secs(10);
 
-/// The requests of this daemon for one service.
+/// The demand of this daemon for one service.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Demand {
-    /// Requests in [`DEMAND_TIME`].
+    /// The moving average of the number of requests in [`DEMAND_TIME`].
     requests: f64,
-    /// The mean of the requests in flight.
+    /// The moving average of the number of requests in flight.
     in_flight: f64,
     updated_at: Instant,
-    /// The size of the subset of the last request; `None` if all upstreams were used alike.
+    /// The size of the subset at the last request; `None` if no upstream was preferred.
     subset: Option<usize>,
 }
 
@@ -57,7 +61,7 @@
         }
     }
 
-    /// Records a request beside `in_flight` others.
+    /// Records a request that is sent while `in_flight` others are in flight.
     pub(super) fn record(&mut self, in_flight: u32, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated_at);
         let decay = (-elapsed.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp();
@@ -66,19 +70,19 @@
         self.updated_at = now;
     }
 
-    /// Records how many upstreams were preferred for the last request.
+    /// Records the size of the subset at the last request.
     pub(super) fn record_subset(&mut self, size: Option<usize>) {
         self.subset = size;
     }
 
-    /// Returns the size of the subset, if there is one and it was used lately.
+    /// Returns the size of the subset, if there is one and it was used within [`DEMAND_TIME`].
     pub(super) fn subset_at(&self, now: Instant) -> Option<usize> {
         let age = now.saturating_duration_since(self.updated_at);
         self.subset.filter(|_| age < DEMAND_TIME)
     }
 
-    /// Returns how many of the `upstreams` in its data centre a daemon in `zone` prefers, one of `daemons`; `None` if it
-    /// uses all alike.
+    /// Returns the number of `upstreams` in its own data centre, `zone`, that this one of `daemons` prefers; `None` if
+    /// it prefers none.
     pub(super) fn size(
         &self,
         upstreams: &[Arc<Upstream>],
@@ -109,8 +113,10 @@
     }
 }
 
-/// Returns which upstreams a daemon in `zone` prefers: `size` in its own data centre, and as large a share of the
-/// upstreams of each other one. Thus it chooses between data centres as it would among all upstreams.
+/// Returns for each upstream whether it is in the subset of a daemon in `zone`.
+///
+/// The subset has `size` upstreams of the daemon's own data centre, and the same share of the upstreams of each other
+/// data centre. The choice between data centres is thus the same as without a subset.
 pub(super) fn members(
     upstreams: &[Arc<Upstream>],
     identity: u64,
@@ -137,11 +143,12 @@
     is_member
 }
 
-/// Returns the number of a daemon for its ranks of upstreams.
+/// Returns the seed by which a daemon ranks upstreams.
 pub(super) fn identity(daemon: &str) -> u64 {
     rank(0, daemon)
 }
 
+/// Returns the rendezvous hash of an upstream for a seed; the lowest ranks first.
 fn rank(seed: u64, id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     (seed, id).hash(&mut hasher);
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -1,51 +1,59 @@
 //! The order in which queued requests get the permits that become free.
 //!
-//! A queue has one entry for each request. Permits go to the most urgent priority, but a priority that is served far less
-//! often than all requests goes first. Within a priority, entries that can still be answered in time go first, by
-//! earliest deadline, then by shortest work. The time is an input.
+//! A permit allows one request at an upstream. It goes to the entry of the most urgent priority, unless another
+//! priority is starved: one that is served far less often than the average comes first. Within a priority, entries that
+//! can still be answered within their objective come first, ordered by earliest deadline, then by shortest work.
+//!
+//! The module reads no clock: callers pass the current time.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// The number of queued entries, at most, by default. A permit that becomes free takes one pass over all entries.
+/// The default capacity of a queue. It bounds the cost of a free permit, for which all entries are scanned.
 pub const LEN_MAX: usize = 256;
 
-/// The served share of a priority, in relation to that of all requests, below which its entries go first. No class may
-/// be served less than a quarter as often as all; the margin covers what the averages do not show yet.
+/// A priority is underserved if its served share is less than this fraction of the served share of all requests.
+///
+/// The requirement is that no class is served less than a quarter as often as all. The margin covers the delay of the
+/// decaying averages.
 const SERVED_RATIO_MIN: f64 = 0.35;
 
-/// The half-life of the counts of requests and of the rate at which permits become free.
+/// The half-life of the counts of requests and of the measured throughput.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 
-/// The requests by which a priority counts as served like all at first, so that a few refusals do not reverse the order.
-const PRIOR: f64 = 2.0;
+/// The number of requests, added to the counts of each priority, that are assumed to be served at the average rate.
+/// Without them, a few refusals at the start would reverse the order of priorities.
+const PRIOR_REQUESTS: f64 = 2.0;
 
-/// The priorities that are told apart in the counts. Lower ones count as the last of these.
+/// The number of priorities that are counted separately. Less urgent ones are counted together with the last of these.
 const PRIORITIES_MAX: u32 = 16;
 
-/// Deadlines that differ by less count as equal, so that the work decides.
+/// The resolution at which deadlines are compared. Among equal deadlines the shorter work comes first.
 const DEADLINE_GRANULARITY: Duration = Duration::from_millis(25);
 
-/// How much more an answer is worth than one of the next lower priority, when an entry of a full queue is dropped.
-const PRIORITY_VALUE: f64 = 4.0;
+/// The ratio between the values of answers of two successive priorities. Values decide which entry of a full queue is
+/// dropped.
+const PRIORITY_VALUE_RATIO: f64 = 4.0;
 
-/// The value of an answer that is not in time, as a share of that of one in time.
-const LATE_VALUE: f64 = 0.3;
+/// The value of an answer after its objective, as a fraction of its full value.
+const LATE_VALUE_RATIO: f64 = 0.3;
 
-/// The ended requests from which the rate at which permits become free is known.
+/// The minimum number of ended requests for an estimate of the throughput.
 const RELEASES_MIN: u32 = 3;
 
-/// How long the rate at which permits become free is known after the last request was queued.
-const PACE_TTL: Duration = Duration::from_millis(400);
+/// How long the measured throughput stays valid while the queue is empty. The pace of upstreams changes within this
+/// time.
+const THROUGHPUT_TTL: Duration = Duration::from_millis(400);
 
-/// The shortest time in which requests are taken to have ended, in seconds.
+/// The minimum time of a throughput measurement, in seconds, so that requests that end together do not give an infinite
+/// throughput.
 const TIME_MIN_S: f64 = 0.001;
 
-/// The longest wait that is told.
+/// The upper bound of an expected wait, which refused callers get as the time after which to retry.
 const WAIT_MAX: Duration = Duration::from_secs(60);
 
-/// The shortest work that is told apart.
+/// The minimum work of a request in the calculation of its value. Shorter work counts as this.
 const WORK_MIN: Duration = Duration::from_millis(1);
 
 /// A request that waits for a permit.
@@ -55,45 +63,45 @@
     pub priority: u32,
     /// When the request arrived.
     pub arrived: Instant,
-    /// Until when an answer has its full value.
+    /// The latest time at which an answer has its full value.
     pub objective: Instant,
-    /// Until when an answer has any value.
+    /// The latest time at which an answer has any value.
     pub deadline: Instant,
     /// Until when the request waits for a permit.
     pub wait_until: Instant,
-    /// The work that the request requires: how long it usually takes at an upstream.
+    /// The expected service time of the request at an upstream.
     pub work: Duration,
 }
 
-/// The number of an entry in its queue.
+/// The identifier of an entry in its queue.
 pub type Ticket = u64;
 
-/// Why a request is not queued, or not any more.
+/// Why a request is refused on arrival, or removed from the queue without a permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
-    /// It would have to wait for longer than it can.
+    /// Its expected wait exceeds the time that it can wait.
     ExpectedWait,
-    /// The queue is full, and the request has the least value for its work.
+    /// The queue is full, and the request has the lowest value per unit of work.
     FullQueue,
-    /// It cannot be answered before its deadline any more.
-    Hopeless,
+    /// It can no longer be answered before its deadline.
+    Infeasible,
 }
 
 /// A request that is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refused {
-    /// Why.
+    /// Why it is refused.
     pub cause: Cause,
-    /// How long it would have to wait.
+    /// Its expected wait.
     pub wait: Duration,
 }
 
 /// A request that was queued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Queued {
-    /// The number of the entry.
+    /// The identifier of its entry.
     pub ticket: Ticket,
-    /// The entry that was dropped for it.
+    /// The entry that was removed from the full queue to make space for it.
     pub dropped: Option<Ticket>,
 }
 
@@ -104,10 +112,10 @@
     entries: Vec<(Ticket, Entry)>,
     next_ticket: Ticket,
     counts: Vec<Counts>,
-    pace: Pace,
+    throughput: Throughput,
 }
 
-/// How many requests of one priority there were, and how many of them got a permit; both decay.
+/// The decaying numbers of requests of one priority, and of those that got a permit.
 #[derive(Debug, Clone, Copy)]
 struct Counts {
     priority: u32,
@@ -116,28 +124,33 @@
     updated_at: Instant,
 }
 
-/// The work that ends in the time in which entries are queued; all decay.
+/// The measured throughput: the work of the requests that end while others are queued, over time.
+///
+/// The time during which nothing is queued is left out, since permits are then not used as fast as they could be.
 #[derive(Debug, Default)]
-struct Pace {
+struct Throughput {
+    /// The decaying sum of the work of ended requests, in seconds.
     work_s: f64,
+    /// The decaying number of ended requests.
     releases: f64,
+    /// The decaying measurement time, in seconds.
     time_s: f64,
-    /// When the last request ended, or the queue began; `None` while nothing is queued.
-    since: Option<Instant>,
-    /// The requests that have ended, not decayed.
-    seen: u32,
+    /// When the current interval began: at the last end of a request, or when the first entry was queued. `None` while
+    /// nothing is queued.
+    interval_start: Option<Instant>,
+    /// The number of ended requests, without decay.
+    releases_total: u32,
     /// When the last request ended while others were queued.
-    known_at: Option<Instant>,
+    last_release: Option<Instant>,
 }
 
 impl Entry {
-    /// Returns the last moment at which a request that gets a permit can be expected to be answered before its
-    /// deadline.
+    /// Returns the latest time at which the request can start and still be answered before its deadline.
     fn latest_start(&self) -> Instant {
         self.deadline.checked_sub(self.work).unwrap_or(self.arrived)
     }
 
-    fn is_hopeless(&self, now: Instant) -> bool {
+    fn is_infeasible(&self, now: Instant) -> bool {
         now > self.latest_start()
     }
 
@@ -145,21 +158,21 @@
         now + self.work <= self.objective
     }
 
-    /// Returns the order within a priority; the lowest goes first.
+    /// Returns the sort key within a priority; the lowest comes first.
     fn order(&self, now: Instant) -> (bool, u128, Duration, Instant) {
         let left = self.deadline.saturating_duration_since(now);
         let left = left.as_millis() / DEADLINE_GRANULARITY.as_millis();
         (!self.is_in_time(now), left, self.work, self.arrived)
     }
 
-    /// Returns the value of its answer for each second of work, at `now`.
-    fn value(&self, now: Instant) -> f64 {
+    /// Returns the value of the answer per second of work if the request starts at `now`.
+    fn value_per_work(&self, now: Instant) -> f64 {
         let value = if self.is_in_time(now) {
             1.0
         } else {
-            LATE_VALUE
+            LATE_VALUE_RATIO
         };
-        let weight = PRIORITY_VALUE.powf(-f64::from(clamp(self.priority)));
+        let weight = PRIORITY_VALUE_RATIO.powf(-f64::from(clamp(self.priority)));
         value * weight / self.work.max(WORK_MIN).as_secs_f64()
     }
 }
@@ -179,7 +192,7 @@
             entries: Vec::new(),
             next_ticket: 0,
             counts: Vec::new(),
-            pace: Pace::default(),
+            throughput: Throughput::default(),
         }
     }
 
@@ -195,30 +208,30 @@
         self.entries.len()
     }
 
-    /// Queues a request; `permits` are in use where it may be served.
+    /// Queues a request; `permits` is the number of permits in use at the upstreams that may serve it.
     ///
     /// # Errors
     ///
-    /// Refuses it if it cannot be expected to get a permit soon enough, or if it has the least value of a full queue.
+    /// Refuses the request if its expected wait is too long, or if the queue is full and no entry has a lower value.
     pub fn enqueue(&mut self, entry: Entry, permits: u32, now: Instant) -> Result<Queued, Refused> {
-        self.count(entry.priority, now).requests += 1.0;
+        self.counts_of(entry.priority, now).requests += 1.0;
         let wait = self.expected_wait(&entry, permits, now);
         let refused = |cause| Refused { cause, wait };
-        if entry.is_hopeless(now) {
-            return Err(refused(Cause::Hopeless));
+        if entry.is_infeasible(now) {
+            return Err(refused(Cause::Infeasible));
         }
         if now + wait > entry.wait_until.min(entry.latest_start()) {
             return Err(refused(Cause::ExpectedWait));
         }
         let mut dropped = None;
         if self.entries.len() >= self.len_max {
-            match self.least(&entry, now) {
+            match self.lowest_value(&entry, now) {
                 Some(index) => dropped = Some(self.entries.swap_remove(index).0),
                 None => return Err(refused(Cause::FullQueue)),
             }
         }
         if self.entries.is_empty() {
-            self.pace.begin(now);
+            self.throughput.resume(now);
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
@@ -226,21 +239,21 @@
         Ok(Queued { ticket, dropped })
     }
 
-    /// Removes and returns the entries that cannot be answered before their deadline any more.
-    pub fn take_hopeless(&mut self, now: Instant) -> Vec<Ticket> {
-        let mut hopeless = Vec::new();
+    /// Removes and returns the entries that can no longer be answered before their deadline.
+    pub fn take_infeasible(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut infeasible = Vec::new();
         self.entries.retain(|(ticket, entry)| {
-            let is_hopeless = entry.is_hopeless(now);
-            if is_hopeless {
-                hopeless.push(*ticket);
+            let is_infeasible = entry.is_infeasible(now);
+            if is_infeasible {
+                infeasible.push(*ticket);
             }
-            !is_hopeless
+            !is_infeasible
         });
         self.pause_if_empty();
-        hopeless
+        infeasible
     }
 
-    /// Returns the entry that gets the next permit, but for those in `skipped`, which cannot use it.
+    /// Returns the entry that gets the next permit, except for those in `skipped`, which cannot use it.
     #[must_use]
     pub fn next(&self, skipped: &[Ticket], now: Instant) -> Option<Ticket> {
         let underserved = self.underserved(now);
@@ -248,22 +261,22 @@
         let usable = entries.filter(|(ticket, _)| !skipped.contains(ticket));
         let next = usable.min_by_key(|(ticket, entry)| {
             let is_underserved = underserved.contains(&clamp(entry.priority));
-            // Of several underserved priorities, the more urgent one goes first.
+            // Among several underserved priorities, the more urgent one comes first.
             (!is_underserved, entry.priority, entry.order(now), *ticket)
         });
         next.map(|(ticket, _)| *ticket)
     }
 
-    /// Removes an entry that has got a permit.
+    /// Removes an entry that has acquired a permit, and counts its request as served.
     pub fn serve(&mut self, ticket: Ticket, now: Instant) {
         if let Some(entry) = self.remove(ticket) {
-            self.count(entry.priority, now).served += 1.0;
+            self.counts_of(entry.priority, now).served += 1.0;
         }
     }
 
-    /// Records a request that got a permit without being queued.
+    /// Records a request that acquired a permit without being queued.
     pub fn record_served(&mut self, priority: u32, now: Instant) {
-        let count = self.count(priority, now);
+        let count = self.counts_of(priority, now);
         count.requests += 1.0;
         count.served += 1.0;
     }
@@ -279,12 +292,15 @@
         Some(entry)
     }
 
-    /// Records that a request of this work has ended, so that its permit is free.
+    /// Records that a request with this work has ended and released its permit.
     pub fn record_release(&mut self, work: Duration, now: Instant) {
-        self.pace.record(work, now);
+        self.throughput.record(work, now);
     }
 
-    /// Returns how long a request has to wait for a permit, `permits` of which are in use.
+    /// Returns the expected wait of a request for a permit: the queued work ahead of it, divided by the throughput.
+    ///
+    /// As long as the throughput is not known, each of the `permits` in use is assumed to do one second of work a
+    /// second.
     #[must_use]
     pub fn expected_wait(&self, entry: &Entry, permits: u32, now: Instant) -> Duration {
         let is_underserved = self.underserved(now).contains(&clamp(entry.priority));
@@ -297,33 +313,34 @@
             }
         });
         let ahead_s: f64 = ahead.map(|(_, other)| other.work.as_secs_f64()).sum();
-        let (rate, mean_s) = match self.pace.rate(now) {
+        let (rate, mean_s) = match self.throughput.rate(now) {
             Some(known) => known,
-            // Each permit does a second of work in a second.
             None => (f64::from(permits.max(1)), entry.work.as_secs_f64()),
         };
         let wait = Duration::try_from_secs_f64((ahead_s + mean_s) / rate);
         wait.unwrap_or(Duration::MAX).min(WAIT_MAX)
     }
 
-    /// Returns the entry that is dropped for a new one from a full queue; `None` if that is the new one.
-    fn least(&self, entry: &Entry, now: Instant) -> Option<usize> {
+    /// Returns the index of the entry with the lowest value, if it is lower than that of a new entry.
+    ///
+    /// Entries of underserved priorities are dropped last.
+    fn lowest_value(&self, entry: &Entry, now: Instant) -> Option<usize> {
         let underserved = self.underserved(now);
         let rank = |entry: &Entry| {
             let is_protected = underserved.contains(&clamp(entry.priority));
-            (is_protected, entry.value(now))
+            (is_protected, entry.value_per_work(now))
         };
-        let mut least = (None, rank(entry));
+        let mut lowest = (None, rank(entry));
         for (index, (_, other)) in self.entries.iter().enumerate() {
             let rank = rank(other);
-            if rank < least.1 {
-                least = (Some(index), rank);
+            if rank < lowest.1 {
+                lowest = (Some(index), rank);
             }
         }
-        least.0
+        lowest.0
     }
 
-    /// Returns the priorities that are served so much less often than all requests that their entries go first.
+    /// Returns the priorities whose served share is below [`SERVED_RATIO_MIN`] of the mean.
     fn underserved(&self, now: Instant) -> Vec<u32> {
         if self.counts.len() < 2 {
             return Vec::new();
@@ -331,15 +348,17 @@
         let counts: Vec<_> = self.counts.iter().map(|counts| counts.at(now)).collect();
         let requests: f64 = counts.iter().map(|one| one.requests).sum();
         let served: f64 = counts.iter().map(|one| one.served).sum();
-        // As long as nothing is served, no priority is served less often than others.
+        // While nothing is served, the mean is 0 and no priority is below it.
         let mean = served / requests.max(f64::MIN_POSITIVE);
-        let least = SERVED_RATIO_MIN * mean;
-        let ratio = |one: &Counts| (one.served + PRIOR * mean) / (one.requests + PRIOR);
-        let underserved = counts.iter().filter(|one| ratio(one) < least);
+        let share_min = SERVED_RATIO_MIN * mean;
+        let share =
+            |one: &Counts| (one.served + PRIOR_REQUESTS * mean) / (one.requests + PRIOR_REQUESTS);
+        let underserved = counts.iter().filter(|one| share(one) < share_min);
         underserved.map(|one| one.priority).collect()
     }
 
-    fn count(&mut self, priority: u32, now: Instant) -> &mut Counts {
+    /// Returns the counts of a priority, decayed until `now`.
+    fn counts_of(&mut self, priority: u32, now: Instant) -> &mut Counts {
         let priority = clamp(priority);
         let index = self.counts.iter().position(|one| one.priority == priority);
         let index = index.unwrap_or_else(|| {
@@ -358,7 +377,7 @@
 
     fn pause_if_empty(&mut self) {
         if self.entries.is_empty() {
-            self.pace.since = None;
+            self.throughput.interval_start = None;
         }
     }
 }
@@ -376,57 +395,65 @@
     }
 }
 
-impl Pace {
-    fn begin(&mut self, now: Instant) {
-        if self.is_old(now) {
+impl Throughput {
+    /// Continues the measurement as the queue gets its first entry.
+    fn resume(&mut self, now: Instant) {
+        if self.is_expired(now) {
             *self = Self::default();
         }
-        self.since = Some(now);
+        self.interval_start = Some(now);
     }
 
-    /// Returns whether nothing has been queued for so long that upstreams may have another pace now. Otherwise, a slow
-    /// pace would go on refusing requests on arrival, so that nothing is queued by which a faster one would be seen.
-    fn is_old(&self, now: Instant) -> bool {
-        let age = self.known_at.map(|at| now.saturating_duration_since(at));
-        self.since.is_none() && age.is_some_and(|age| age >= PACE_TTL)
+    /// Returns whether the queue has been empty for so long that the throughput may have changed.
+    ///
+    /// Without expiry, a low throughput would persist: all requests would be refused on arrival, so that nothing would
+    /// be queued and no higher throughput would be measured.
+    fn is_expired(&self, now: Instant) -> bool {
+        let age = self
+            .last_release
+            .map(|at| now.saturating_duration_since(at));
+        self.interval_start.is_none() && age.is_some_and(|age| age >= THROUGHPUT_TTL)
     }
 
     fn record(&mut self, work: Duration, now: Instant) {
-        // While nothing is queued, permits do not become free as fast as they could.
-        let Some(since) = self.since else {
+        let Some(start) = self.interval_start else {
             return;
         };
-        let elapsed = now.saturating_duration_since(since);
+        let elapsed = now.saturating_duration_since(start);
         let decay = decay(elapsed);
         self.time_s = self.time_s * decay + elapsed.as_secs_f64();
         self.work_s = self.work_s * decay + work.as_secs_f64();
         self.releases = self.releases * decay + 1.0;
-        self.since = Some(since.max(now));
-        self.seen = self.seen.saturating_add(1);
-        self.known_at = self.since;
+        self.interval_start = Some(start.max(now));
+        self.releases_total = self.releases_total.saturating_add(1);
+        self.last_release = self.interval_start;
     }
 
-    /// Returns the work that ends in a second, in seconds, and the mean work of a request; `None` if too few requests
+    /// Returns the work done per second and the mean work of a request, both in seconds; `None` if too few requests
     /// have ended.
     fn rate(&self, now: Instant) -> Option<(f64, f64)> {
-        if self.seen < RELEASES_MIN || self.is_old(now) {
+        if self.releases_total < RELEASES_MIN || self.is_expired(now) {
             return None;
         }
-        // An upstream that answers no more slows the pace before its requests end.
-        let unanswered = self.since.map(|since| now.saturating_duration_since(since));
+        // If no request ends for longer than the mean interval, upstreams may have stopped answering. The excess lowers
+        // the throughput already, although no request has timed out yet.
+        let since_release = self
+            .interval_start
+            .map(|start| now.saturating_duration_since(start));
         let mean_s = self.work_s / self.releases;
         let interval_s = self.time_s / self.releases;
-        let late_s = unanswered.unwrap_or_default().as_secs_f64() - interval_s;
-        let time_s = (self.time_s + late_s.max(0.0)).max(TIME_MIN_S);
+        let excess_s = since_release.unwrap_or_default().as_secs_f64() - interval_s;
+        let time_s = (self.time_s + excess_s.max(0.0)).max(TIME_MIN_S);
         Some((self.work_s / time_s, mean_s)).filter(|(rate, _)| *rate > 0.0)
     }
 }
 
-/// Returns the weight after `elapsed` of what is counted now.
+/// Returns the factor by which a count decays in `elapsed`.
 fn decay(elapsed: Duration) -> f64 {
     0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64())
 }
 
+/// Returns the priority under which requests of a priority are counted.
 fn clamp(priority: u32) -> u32 {
     priority.min(PRIORITIES_MAX - 1)
 }
--- a/crates/routing/tests/schedule.rs
+++ b/crates/routing/tests/schedule.rs
@@ -332,14 +332,14 @@
     let mut schedule = Schedule::default();
     let known = tickets(&mut schedule, &[entry(SHORT, now), entry(LONG, now)], now);
     let then = now + Duration::from_millis(950);
-    assert_eq!(schedule.take_hopeless(then), [known[0]]);
+    assert_eq!(schedule.take_infeasible(then), [known[0]]);
     assert_eq!(schedule.next(&[], then), Some(known[1]));
     let hopeless = Entry {
         deadline: then + MS,
         ..entry(SHORT, then)
     };
     let refused = schedule.enqueue(hopeless, PERMITS, then).unwrap_err();
-    assert_eq!(refused.cause, Cause::Hopeless);
+    assert_eq!(refused.cause, Cause::Infeasible);
 }
 
 /// Guards against a queue that grows without bound, and against the loss of what is worth most from a full one.
