Move permits out of the queue's module

The permit of a request and the queue for permits are two jobs.

Change: `Permit` and `InFlight` are in queue/permit.rs, with the constructor there. Code is moved, not changed.

The 110 tests of gateway pass. The process tests of copperwelld were not run.

--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -15,7 +15,6 @@
 use copperwell_message::{HashMap, Reason};
 use copperwell_routing::{
     ServiceName, UpstreamId,
-    load::Outcome,
     schedule::{Cause, Entry, Schedule, Ticket},
 };
 use prometheus_client::metrics::gauge::Gauge;
@@ -25,9 +24,11 @@
     time::{Instant, timeout_at},
 };
 
-use capacity::{accepts_request, may_have_permit, permits_in_use};
+use capacity::{may_have_permit, permits_in_use};
+pub(crate) use permit::Permit;
 
 mod capacity;
+mod permit;
 
 /// How often queues check for capacity that no dropped permit announces: of new upstreams, or of upstreams that accept
 /// requests again.
@@ -105,23 +106,6 @@
 #[derive(Debug)]
 pub(crate) struct QueuedGuard<'a>(&'a Gauge);
 
-/// The right to have one request in flight at an upstream, which is released on drop.
-#[derive(Debug)]
-pub(crate) struct Permit {
-    view: Arc<View>,
-    queues: Arc<Queues>,
-    queue: QueueId,
-    id: UpstreamId,
-    work: Duration,
-    started_at: Instant,
-    is_sent: bool,
-    outcome: Outcome,
-}
-
-/// A request in flight, which counts as cancelled if it is dropped before [`InFlight::end`].
-#[derive(Debug)]
-pub(crate) struct InFlight(Permit);
-
 impl Queues {
     /// Creates empty queues.
     pub(crate) fn new(metrics: QueueMetrics) -> Self {
@@ -147,16 +131,7 @@
         id: UpstreamId,
         work: Duration,
     ) -> Permit {
-        Permit {
-            view: view.clone(),
-            queues: self.clone(),
-            queue,
-            id,
-            work,
-            started_at: Instant::now(),
-            is_sent: false,
-            outcome: Outcome::Cancelled,
-        }
+        Permit::new(self, view, queue, id, work)
     }
 
     /// Acquires a permit with `take` once it is the request's turn.
@@ -440,44 +415,6 @@
     }
 }
 
-impl Permit {
-    /// Marks the request as sent and starts the measurement of its latency.
-    pub(crate) fn start(mut self) -> InFlight {
-        self.started_at = Instant::now();
-        self.is_sent = true;
-        InFlight(self)
-    }
-}
-
-impl InFlight {
-    /// Records the end of the request and returns how long it took.
-    pub(crate) fn end(mut self, outcome: Outcome) -> Duration {
-        self.0.outcome = outcome;
-        self.0.started_at.elapsed()
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        let elapsed = now.saturating_duration_since(self.started_at);
-        let mut loads = self.view.loads();
-        loads.record_end(&self.id, self.outcome, elapsed, now);
-        drop(loads);
-        if self.is_sent {
-            self.queues.record_release(&self.queue, self.work);
-        }
-        let accepts_request = {
-            let registry = self.view.registry();
-            let upstream = registry.get(&self.id);
-            upstream.is_some_and(|upstream| accepts_request(&self.view.loads(), upstream, now))
-        };
-        if accepts_request {
-            self.queues.start_round(&self.view, &self.queue);
-        }
-    }
-}
-
 /// Returns a queue, which is created if it does not exist.
 fn queue_in<'a>(
     queues: &'a mut HashMap<QueueId, Queue>,
