Let the expiry of grants outlast a change of leader

In the simulation 26 of 129 keys had no holder after 20 s with a change of leader each 2.5 s; now all have.

The simulation then found two holders of a key: a grant in flight was forgotten as the holder restarted, and the next run carried it out. A new run now gets the higher token before it is asked to release.

The events of a leader's start say how many ranges are unassigned and for how long unknown grants may be in force.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -12,6 +12,7 @@
     demand::Report,
     election,
     exchange::{Server, Standing},
+    expiry::{Expiries, Expiry},
     lease::{self, LeaderEntry, Observer},
     machine,
     metrics::Metrics,
@@ -52,6 +53,9 @@
 /// The prefix of the store entries that hold plans; the name of the service follows.
 const PLAN: &str = "plan.";
 
+/// The prefix of the entries with the expiries of the ranges of each service.
+const EXPIRIES: &str = "expiries.";
+
 /// How long a daemon waits before it reads the store again.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -390,6 +394,16 @@
     plans.collect()
 }
 
+/// Returns what the leader of `term` wrote of the expiries of ranges, for each service.
+fn expiries_of(snapshot: &Snapshot, term: u64) -> HashMap<ServiceName, Vec<Expiry>> {
+    let expiries = snapshot.entries.keys().filter_map(|key| {
+        let service = key.strip_prefix(EXPIRIES)?;
+        let expiries: Expiries = decode(snapshot, key)?;
+        (expiries.term == term).then(|| (ServiceName::from(service), expiries.ranges))
+    });
+    expiries.collect()
+}
+
 /// Returns the name of the result of a compare-and-swap, for logs and metrics.
 fn swap_outcome_name(result: &Result<u64, Failure>) -> &'static str {
     match result {
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -8,6 +8,7 @@
     demand::Report,
     election,
     exchange::Standing,
+    expiry::Expiry,
     lease::{Lapse, Lease},
     machine::{Machine, Observation},
     order::{Action, Order, Outcome, Sender},
@@ -54,6 +55,8 @@
     machines: Vec<Machine>,
     /// The predecessor's plans of services that have no machine yet.
     plans: HashMap<ServiceName, Plan>,
+    /// What the predecessor wrote of the expiries of ranges.
+    expiries: HashMap<ServiceName, Vec<Expiry>>,
     /// When the grants of the previous leader expire, if known.
     grants_end: Option<Duration>,
     /// Until when grants may be in force that no plan names.
@@ -103,6 +106,7 @@
             lease,
             machines: Vec::new(),
             plans: term.plans,
+            expiries: term.expiries,
             grants_end,
             unknown_until: term.unknown_until,
             must_restore: false,
@@ -186,9 +190,13 @@
         for service in driver.environment.keyed_services().unwrap_or_default() {
             if self.machines.iter().all(|one| *one.service() != service) {
                 let plan = self.plans.remove(&service);
-                info!("assigning the keys of a service", kv: { event = "lead-service", service = &*service, ranges = plan.as_ref().map_or(0, |plan| plan.ranges.len()), term = self.term });
+                let ranges = plan.iter().flat_map(|plan| &plan.ranges);
+                let unassigned = ranges.clone().filter(|one| one.holder.is_none()).count();
+                info!("assigning the keys of a service", kv: { event = "lead-service", service = &*service, ranges = ranges.count(), unassigned, term = self.term });
                 let timing = driver.timing.grants;
+                let expiries = self.expiries.remove(&service).unwrap_or_default();
                 let machine = Machine::new(service, plan, timing, self.grants_end, now)
+                    .with_expiries(&expiries, now)
                     .with_fence_from(position(generation(self.position), 0))
                     .with_unassigned_until(self.unknown_until);
                 self.machines.push(machine);
--- a/crates/assignment/src/driver/leading/store.rs
+++ b/crates/assignment/src/driver/leading/store.rs
@@ -5,8 +5,9 @@
 use super::{Leadership, StoreCall};
 use crate::{
     clock::Clock,
-    driver::{Environment, LEAD, PLAN, decode, encode, swap_outcome_name},
+    driver::{EXPIRIES, Environment, LEAD, PLAN, decode, encode, swap_outcome_name},
     exchange::Standing,
+    expiry::Expiries,
     lease::{Lapse, LeaderEntry},
     machine::Machine,
     order::Sender,
@@ -116,6 +117,14 @@
             let unused = self.plans.iter();
             entries.extend(unused.map(|(service, plan)| encode(format!("{PLAN}{service}"), plan)));
         }
+        for machine in &self.machines {
+            let (term, ranges) = (self.term, machine.expiries(now));
+            // Those of before, which the store then keeps, are of ranges that have other tokens now.
+            if !ranges.is_empty() {
+                let key = format!("{EXPIRIES}{}", machine.service());
+                entries.push(encode(key, &Expiries { term, ranges }));
+            }
+        }
         let mut editions = Vec::new();
         for (service, edition, plan) in plans {
             entries.push(encode(format!("{PLAN}{service}"), &plan));
--- a/crates/assignment/src/driver/takeover.rs
+++ b/crates/assignment/src/driver/takeover.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use super::{Driver, Environment, LEAD, PLAN, encode, plans_of, swap_outcome_name};
+use super::{Driver, Environment, LEAD, PLAN, encode, expiries_of, plans_of, swap_outcome_name};
 use crate::{
     DaemonName,
     clock::Clock,
     election,
     exchange::Client,
+    expiry::Expiry,
     lease::{LeaderEntry, Observer},
     machine,
     order::Sender,
@@ -28,6 +29,8 @@
     pub(super) started_at: Duration,
     /// The plans in the store.
     pub(super) plans: HashMap<ServiceName, Plan>,
+    /// What the previous leader wrote of the expiries of ranges.
+    pub(super) expiries: HashMap<ServiceName, Vec<Expiry>>,
     /// Until when grants may be in force that no plan names.
     pub(super) unknown_until: Duration,
 }
@@ -73,6 +76,7 @@
         let unknown_until = self.unknown_until(snapshot, leader, now);
         let mut entry = self.leader_entry(term, 0, 0, false, generation(term));
         entry.unknown_for = unknown_until.saturating_sub(now);
+        let unknown_ms = entry.unknown_for.as_millis() as u64;
         let mut plans = plans_of(snapshot);
         let mut entries = vec![encode(LEAD, &entry)];
         if !entry.unknown_for.is_zero() {
@@ -86,12 +90,15 @@
         self.metrics.count_swap(swap_outcome_name(&result));
         match result {
             Ok(position) => {
-                info!("leads now", kv: { event = "lead", term, from = leader.map_or("nobody", |leader| &*leader.name) });
+                info!("leads now", kv: { event = "lead", term, from = leader.map_or("nobody", |leader| &*leader.name), unknown_ms });
                 Some(Term {
                     number: term,
                     position,
                     started_at: now,
                     plans,
+                    expiries: leader.map_or_else(HashMap::default, |leader| {
+                        expiries_of(snapshot, leader.term)
+                    }),
                     unknown_until,
                 })
             }
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod driver;
 pub mod election;
 pub mod exchange;
+pub mod expiry;
 pub mod lease;
 pub mod limits;
 pub mod machine;
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -19,15 +19,16 @@
     Fence,
     balance::Loads,
     demand::{Demand, Report},
+    expiry::Expiry,
     order::{Action, Order, Outcome},
-    plan::{Plan, Range},
+    plan::Plan,
     table::{FULL_SHARE, Table},
 };
 use copperwell_message::{HashMap, HashSet};
 use copperwell_routing::{ServiceName, UpstreamId};
 
 use holder::{State, Status, is_any_responsive, is_replaceable_while_it_warms_up, status_of};
-use key_range::{KeyRange, Stage};
+use key_range::{KeyRange, Stage, max_grant_duration};
 
 pub use observation::Observation;
 pub use timing::{Timing, latest_grant_end};
@@ -127,6 +128,19 @@
         self
     }
 
+    /// Takes over what the previous leader wrote of the expiries of ranges, read at `now` or before.
+    #[must_use]
+    pub fn with_expiries(mut self, expiries: &[Expiry], now: Duration) -> Self {
+        let by_fence: HashMap<_, _> = expiries.iter().map(|one| (one.fence, one)).collect();
+        for range in &mut self.ranges {
+            let expiry = by_fence.get(&range.fence);
+            if let Some(expiry) = expiry.filter(|one| one.covers(&range.to_plan())) {
+                range.limit_uncertainty(now + max_grant_duration(expiry.left));
+            }
+        }
+        self
+    }
+
     /// Assigns no keys until `until`, as grants of theirs may be in force that no plan names.
     #[must_use]
     pub fn with_unassigned_until(mut self, until: Duration) -> Self {
@@ -284,6 +298,13 @@
         ends.max().unwrap_or_default().max(self.unassigned_until)
     }
 
+    /// Returns when the grants of ranges expire whose holders get no more.
+    #[must_use]
+    pub fn expiries(&self, now: Duration) -> Vec<Expiry> {
+        let ranges = self.ranges.iter();
+        ranges.filter_map(|range| range.expiry(now)).collect()
+    }
+
     /// Returns the number of ranges, and how many of them no upstream serves.
     #[must_use]
     pub fn range_counts(&self) -> (usize, usize) {
@@ -292,12 +313,7 @@
     }
 
     fn plan(&self) -> Plan {
-        let ranges = self.ranges.iter().map(|range| Range {
-            first: range.first,
-            last: range.last,
-            holder: range.holder.clone(),
-            fence: range.fence,
-        });
+        let ranges = self.ranges.iter().map(KeyRange::to_plan);
         Plan {
             fence: self.fence,
             ranges: ranges.collect(),
--- a/crates/assignment/src/machine/key_range.rs
+++ b/crates/assignment/src/machine/key_range.rs
@@ -5,6 +5,7 @@
 use super::{Observation, Timing, holder::State};
 use crate::{
     Fence, Holder,
+    expiry::Expiry,
     order::{Action, Order, Outcome},
     plan::Range,
 };
@@ -102,6 +103,34 @@
         }
     }
 
+    /// Returns the range as part of a plan.
+    pub(super) fn to_plan(&self) -> Range {
+        Range {
+            first: self.first,
+            last: self.last,
+            holder: self.holder.clone(),
+            fence: self.fence,
+        }
+    }
+
+    /// Limits the time until which grants of earlier leaders may be in force.
+    pub(super) fn limit_uncertainty(&mut self, until: Duration) {
+        self.grant_end = self.grant_end.min(until);
+        self.uncertain_until = self.uncertain_until.min(until);
+    }
+
+    /// Returns when the grants of the holder expire, if it gets no more: a range that is to be released is granted again
+    /// only with a higher fencing token.
+    pub(super) fn expiry(&self, now: Duration) -> Option<Expiry> {
+        let is_releasing = self.stage == Stage::Releasing && self.holder.is_some();
+        is_releasing.then(|| Expiry {
+            first: self.first,
+            last: self.last,
+            fence: self.fence,
+            left: self.latest_grant_end().saturating_sub(now),
+        })
+    }
+
     /// Returns whether `order` is the one that is in flight.
     pub(super) fn is_awaiting(&self, order: &Order) -> bool {
         self.has_order_in_flight
@@ -139,6 +168,11 @@
         if let Some(holder) = &mut self.holder {
             holder.born = born;
         }
+        if self.has_order_in_flight {
+            // The new run may carry out a grant that was sent to the one before, until it has seen the higher token.
+            self.uncertain_until = self.uncertain_until.max(self.in_flight_until);
+            self.uncertain_fence = self.fence;
+        }
         self.stage = Stage::Free;
         self.has_order_in_flight = false;
         self.handover = None;
--- a/crates/assignment/tests/machine/simulation.rs
+++ b/crates/assignment/tests/machine/simulation.rs
@@ -6,6 +6,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use copperwell_assignment::{
+    expiry::Expiry,
     machine::{Machine, Observation, Timing, latest_grant_end},
     plan::Plan,
     register::position,
@@ -19,6 +20,9 @@
 /// The time of one simulation step.
 pub(crate) const STEP: Duration = Duration::from_millis(20);
 
+/// How often the leader renews its entry in the store.
+const BEAT: Duration = Duration::from_millis(700);
+
 /// The distance between the keys whose holders are compared. Ranges are split anywhere, so any
 /// sample finds an overlap that lasts.
 const SAMPLE_DISTANCE: usize = 509;
@@ -29,6 +33,8 @@
     pub(crate) servers: Vec<Server>,
     pub(crate) machine: Machine,
     pub(crate) stored: Option<Plan>,
+    /// The expiries in the store, and when they are written again.
+    expiries: (Vec<Expiry>, Duration),
     /// How often the store has come back from a copy.
     generation: u64,
     /// Until when grants may be in force that no plan names.
@@ -64,6 +70,7 @@
             servers: servers.collect(),
             machine: Machine::new("cups".into(), None, Timing::default(), None, now),
             stored: None,
+            expiries: (Vec::new(), now),
             generation: 0,
             unknown_until: Duration::ZERO,
             writes: 0,
@@ -111,8 +118,11 @@
         let plan = self.stored.clone();
         let timing = Timing::default();
         self.machine = Machine::new("cups".into(), plan, timing, grants_end, self.now)
+            .with_expiries(&self.expiries.0, self.now)
             .with_fence_from(position(self.generation, 0))
             .with_unassigned_until(self.unknown_until);
+        // A leader reads only what its predecessor wrote.
+        self.expiries = (Vec::new(), self.now + BEAT);
     }
 
     /// Starts a new leader after the store has come back with the plan `copy`, or without any.
@@ -121,6 +131,7 @@
         self.unknown_until = latest_grant_end(&Timing::default(), self.now);
         // The plan is written together with the entry of the new leader.
         self.stored = copy.map(Plan::without_holders);
+        self.expiries = (Vec::new(), self.now);
         self.start_leader(None);
     }
 
@@ -178,6 +189,9 @@
                 self.machine.mark_stored(edition, self.now);
             }
         }
+        if self.now >= self.expiries.1 && !self.is_store_unreachable {
+            self.expiries = (self.machine.expiries(self.now), self.now + BEAT);
+        }
         if self.write.is_none()
             && let Some((edition, plan)) = self.machine.plan_to_store()
         {
--- a/crates/assignment/tests/machine/steps.rs
+++ b/crates/assignment/tests/machine/steps.rs
@@ -242,6 +242,21 @@
     assert_eq!(simulation.writes, writes);
 }
 
+/// Guards against keys that have no holder for as long as leaders change: each leader waited anew for the grants of an
+/// upstream that is gone, as it did not know when these were sent.
+#[test]
+fn keys_of_a_lost_upstream_have_no_holder_while_leaders_change() {
+    let mut simulation = started();
+    simulation.servers[0].crash();
+    simulation.servers[0].is_listed = false;
+    // A grant lasts 10 s at most, and may be sent and read up to 6 s late.
+    for _ in 0..8 {
+        simulation.run(Duration::from_millis(2_500));
+        simulation.change_leader();
+    }
+    assert_eq!(simulation.served(), key_count());
+}
+
 /// All upstreams are unreachable for a while. Afterwards they must be granted keys again, once the
 /// grants without an answer have expired.
 #[test]
