Let a health check end the warm-up of upstreams that return

Upstreams of a data centre whose evacuation has ended counted as warming up for all of `warmup`, also if they were warm: nobody asked them.

They are asked now. A response that names no remaining warm-up ends the warm-up if its health check was sent after this daemon learned of the return, and after it read what is listed as their warm-up, as a leader lists the return like a registration. An upstream that has returned counts as warming up before it stops draining, so no request passes in between. A queued request takes an upstream that has become warm meanwhile.

--- a/crates/assignment/src/warmup.rs
+++ b/crates/assignment/src/warmup.rs
@@ -107,6 +107,12 @@
         );
     }
 
+    /// Returns whether this daemon leads, and thus schedules the requests of all.
+    #[must_use]
+    pub fn is_leading(&self) -> bool {
+        self.leads.load(Ordering::Relaxed)
+    }
+
     /// Reserves a request to an upstream that warms up, if it is due within `patience`.
     ///
     /// # Errors
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -62,6 +62,21 @@
     /// Records the answer to the health check that was sent at `sent_at`: how much longer the server warms up, or
     /// `None` if there was none in time.
     fn record_health(&mut self, _warmup_left: Option<Duration>, _sent_at: Instant) {}
+
+    /// Records that the answer names how much longer the server warms up, and is that of no other server. It follows
+    /// [`record_health`](Self::record_health).
+    fn record_named(&mut self, _warmup_left: Duration, _sent_at: Instant) {}
+}
+
+/// What the answer to a health check says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Health {
+    /// How much longer the server warms up; zero if it does not say.
+    pub warmup_left: Duration,
+    /// The same; `None` if it does not say, or another server has answered.
+    pub named: Option<Duration>,
+    /// When the health check was sent.
+    pub sent_at: Instant,
 }
 
 impl<T: FnMut() -> bool + Send> Gate for T {
@@ -140,7 +155,8 @@
                 None => self.open().await?,
             };
             if !is_reused {
-                self.confirm(framing, &mut connection, &mut gate).await?;
+                self.confirm(framing, request_head, &mut connection, &mut gate)
+                    .await?;
             }
             let remaining = self.remaining();
             if remaining.is_zero() {
@@ -169,10 +185,34 @@
         }
     }
 
+    /// Sends a health check for `path` to the server of `request_head` on a new connection, which is kept for the next
+    /// request.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer.
+    pub async fn check<F: Framing>(
+        self,
+        framing: &F,
+        request_head: &F::Head,
+        path: PathAndQuery,
+    ) -> Result<Health, Reason> {
+        let mut connection = self.open().await.map_err(|failed| failed.reason)?;
+        let health = self
+            .check_health(framing, request_head, &mut connection, path)
+            .await;
+        match health {
+            Ok(_) => self.lane.put_back(connection),
+            Err(_) => self.lane.count_closed("unhealthy"),
+        }
+        health
+    }
+
     /// Sends a health check on a new connection if `gate` needs one.
     async fn confirm<F: Framing>(
         &self,
         framing: &F,
+        request_head: &F::Head,
         connection: &mut Connection,
         gate: &mut impl Gate,
     ) -> Result<(), Failed> {
@@ -182,15 +222,20 @@
             return Ok(());
         };
         let sent_at = Instant::now();
-        let warmup_left = self.check_health(framing, connection, path).await;
-        gate.record_health(warmup_left.ok(), sent_at);
-        warmup_left.map(drop).map_err(|reason| {
+        let health = self
+            .check_health(framing, request_head, connection, path)
+            .await;
+        gate.record_health(health.ok().map(|health| health.warmup_left), sent_at);
+        if let Some(left) = health.ok().and_then(|health| health.named) {
+            gate.record_named(left, sent_at);
+        }
+        health.map(drop).map_err(|reason| {
             self.lane.count_closed("unhealthy");
             Failed::not_run(reason)
         })
     }
 
-    /// Sends a health check, and returns how much longer the server warms up.
+    /// Sends a health check, and returns what the answer says.
     ///
     /// # Errors
     ///
@@ -199,9 +244,11 @@
     async fn check_health<F: Framing>(
         &self,
         framing: &F,
+        request_head: &F::Head,
         connection: &mut Connection,
         path: PathAndQuery,
-    ) -> Result<Duration, Reason> {
+    ) -> Result<Health, Reason> {
+        let sent_at = Instant::now();
         let deadline = self.deadline.min(Instant::now() + HEALTH_CHECK_TIMEOUT);
         let request = Request::get(path).header(HOST, self.lane.address().to_string());
         let request = request.body(Outgoing::new(Body::empty()));
@@ -222,7 +269,11 @@
         connection.forget_answer();
         let is_ready = connection.is_ready_within(READY_TIMEOUT).await;
         match is_ready {
-            true => Ok(framing.warmup_left(&head.headers)),
+            true => Ok(Health {
+                warmup_left: framing.warmup_left(&head.headers),
+                named: framing.warmup_of(request_head, &head.headers, head.status),
+                sent_at,
+            }),
             false => Err(Reason::ConnectionRefused),
         }
     }
--- a/crates/backend/src/framing.rs
+++ b/crates/backend/src/framing.rs
@@ -32,6 +32,17 @@
         Duration::ZERO
     }
 
+    /// Returns how much longer the server of `request_head` warms up; `None` if the head of a health response does not say
+    /// so, or is that of another server.
+    fn warmup_of(
+        &self,
+        _request_head: &Self::Head,
+        _headers: &HeaderMap,
+        _status: StatusCode,
+    ) -> Option<Duration> {
+        None
+    }
+
     /// Interprets the head of a response to the request `request_head`.
     fn read(&self, request_head: &Self::Head, headers: &HeaderMap, status: StatusCode) -> Read;
 }
--- a/crates/copperwelld/src/gateway.rs
+++ b/crates/copperwelld/src/gateway.rs
@@ -196,6 +196,7 @@
         tokio::spawn(watch::configurations(source, view.clone(), metrics.clone()));
         spawn_list_reader(&store, &view, &metrics)?;
         tokio::spawn(watch::paths(view.clone()));
+        tokio::spawn(gateway.clone().check_returned());
         let cleaned_gateway = gateway.clone();
         tokio::spawn(async move {
             loop {
--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -1,9 +1,6 @@
 //! Sends a request to one upstream, and records what that shows.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use super::{
     Attempts,
@@ -13,7 +10,6 @@
     crash_tracker::Send,
     dialect::{Dialect, Outbound},
     metrics::Stage,
-    pools::CONNECTIONS_MAX,
     queue::Permit,
     trail::Flight,
     view::View,
@@ -49,6 +45,11 @@
     fn record_health(&mut self, warmup_left: Option<Duration>, sent_at: Instant) {
         self.view.record_health(self.upstream, warmup_left, sent_at);
     }
+
+    fn record_named(&mut self, warmup_left: Duration, sent_at: Instant) {
+        self.view
+            .confirm_return(self.upstream, warmup_left, sent_at);
+    }
 }
 
 impl<D: Dialect> Attempts<'_, D> {
@@ -62,8 +63,7 @@
         body: Body,
         key: Option<Key>,
     ) -> Attempt {
-        let connections = self.connections_to(upstream);
-        let pool = self.pools.pool_of(upstream, connections);
+        let pool = self.pools.pool_for(self.view, upstream);
         let outbound = Outbound {
             method: parts.method.clone(),
             target: parts.uri.clone(),
@@ -231,17 +231,4 @@
             load_counts.count_response(&upstream.service, &upstream.id, elapsed, usual);
         }
     }
-
-    /// Returns this daemon's share of the connections that an upstream accepts, but at least one for each of
-    /// its slots.
-    fn connections_to(&self, upstream: &Upstream) -> u32 {
-        let configuration = self.view.configuration();
-        let service = configuration
-            .as_ref()
-            .and_then(|known| known.service(&upstream.service));
-        let all = service.map_or(CONNECTIONS_MAX, |service| service.connections);
-        let daemons = &self.view.keys.daemons;
-        let daemons = daemons.load(Ordering::Relaxed).max(1);
-        (all / daemons).max(upstream.slots)
-    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -113,6 +113,18 @@
         }
     }
 
+    pub(crate) fn view(&self) -> &View {
+        &self.view
+    }
+
+    pub(crate) fn dialect(&self) -> &D {
+        &self.dialect
+    }
+
+    pub(crate) fn pools(&self) -> &ConnectionPools {
+        &self.pools
+    }
+
     /// Registers the metrics of requests that are sent through other daemons in `registry`.
     pub fn register_relay(&self, registry: &mut Registry) {
         self.selector.relay.register(registry);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod rejection;
 mod relay;
 mod request_log;
+mod returns;
 mod selector;
 mod trail;
 mod warmup;
--- a/crates/gateway/src/pools.rs
+++ b/crates/gateway/src/pools.rs
@@ -1,10 +1,11 @@
 //! The connection pools of all upstreams.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
+use crate::view::View;
 use copperwell_backend::{lane::Lane, metrics::Metrics as ConnectionMetrics, pool::Timing};
 use copperwell_memory::Budget;
 use copperwell_message::HashMap;
@@ -17,7 +18,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// The most connections of this daemon to one upstream, regardless of how many the upstream accepts.
-pub(crate) const CONNECTIONS_MAX: u32 = 32;
+const CONNECTIONS_MAX: u32 = 32;
 
 /// The connection pools of all upstreams.
 #[derive(Debug, Default)]
@@ -48,6 +49,18 @@
         pools.retain(|id, _| is_registered(id));
     }
 
+    /// Returns the pool of an upstream, of as many connections as are this daemon's share by `view`, but at least one for
+    /// each of the upstream's slots.
+    pub(crate) fn pool_for(&self, view: &View, upstream: &Upstream) -> Arc<Lane> {
+        let configuration = view.configuration();
+        let service = configuration
+            .as_ref()
+            .and_then(|known| known.service(&upstream.service));
+        let all = service.map_or(CONNECTIONS_MAX, |service| service.connections);
+        let daemons = view.keys.daemons.load(Ordering::Relaxed).max(1);
+        self.pool_of(upstream, (all / daemons).max(upstream.slots))
+    }
+
     /// Returns the pool of an upstream, of at most `connections` connections.
     pub(crate) fn pool_of(&self, upstream: &Upstream, connections: u32) -> Arc<Lane> {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -140,6 +140,7 @@
         }
         let cold = self.view.upstreams_warming_up(&requirements.service);
         if !cold.is_empty() {
+            self.request_return_check(&cold, requirements);
             return self.select_any_beside(&cold, requirements, attempted).await;
         }
         let none = HashSet::default();
@@ -188,6 +189,11 @@
     ) -> Result<(Arc<Upstream>, Permit), Rejection> {
         let mut avoided = self.view.crash_tracker.upstreams_kept_apart();
         avoided.extend_from_slice(attempted);
+        // A request may have been queued since it was decided which upstreams warm up.
+        let cold = match excluded.is_empty() {
+            true => HashSet::default(),
+            false => self.view.upstreams_warming_up(&requirements.service),
+        };
         let registry = self.view.registry();
         let mut upstreams = registry.of_service(&requirements.service);
         if upstreams.iter().all(|upstream| upstream.is_draining) {
@@ -208,7 +214,8 @@
         let with_room: Vec<_>;
         if !full.is_empty() || !excluded.is_empty() {
             let is_full = |id: &UpstreamId| {
-                excluded.contains(id) || full.iter().any(|(_, upstream)| upstream.id == *id)
+                excluded.contains(id) && (cold.contains(id) || attempted.contains(id))
+                    || full.iter().any(|(_, upstream)| upstream.id == *id)
             };
             let others = upstreams.iter().filter(|upstream| !is_full(&upstream.id));
             with_room = others.cloned().collect();
@@ -451,6 +458,7 @@
 mod cold;
 mod permits;
 mod relays;
+mod returned;
 
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/selector/cold.rs
+++ b/crates/gateway/src/selector/cold.rs
@@ -27,6 +27,9 @@
         if let Ok(selected) = warm.await {
             return Ok(selected);
         }
+        if let Some(selected) = self.select_returned(requirements, attempted).await {
+            return Ok(selected);
+        }
         let is_any_warm = {
             let registry = self.view.registry();
             let mut upstreams = registry.of_service(&requirements.service).iter();
@@ -133,6 +136,10 @@
         }
         // Others may use the place meanwhile.
         drop(permit);
+        self.view.request_return_check(&holder.id);
+        if self.wait_for_return_check(&holder, requirements).await {
+            return Ok(None);
+        }
         let patience = requirements.deadline.saturating_duration_since(now);
         match self.reserve(&holder, patience).await {
             Ok(Some(reserved)) => {
--- /dev/null
+++ b/crates/gateway/src/selector/returned.rs
@@ -0,0 +1,101 @@
+//! Has upstreams that have returned from an evacuation be checked, for requests that would be sent there.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Patience, Requirements, Selected, Selector};
+use copperwell_message::HashSet;
+use copperwell_routing::{UpstreamId, registry::Upstream};
+use tokio::time::{Instant, timeout_at};
+
+/// How long a request waits at most for the answers to health checks, if no other upstream has room. Upstreams answer them
+/// at once, and they are spread over half of that time.
+const CHECK_PATIENCE: Duration = Duration::from_millis(300);
+
+impl Selector {
+    /// Has one of `cold` that has returned from an evacuation be checked, if the request would be sent there if those that
+    /// have returned were warm.
+    pub(super) fn request_return_check(
+        &self,
+        cold: &HashSet<UpstreamId>,
+        requirements: &Requirements,
+    ) {
+        let service = &requirements.service;
+        let returned = self.view.unchecked_returned(service);
+        if returned.is_empty() {
+            return;
+        }
+        let registry = self.view.registry();
+        let upstreams = registry.of_service(service).iter();
+        let candidates = upstreams.filter(|one| {
+            let may_be_warm = !cold.contains(&one.id) || returned.contains(&one.id);
+            may_be_warm && self.is_in_regions(one, requirements)
+        });
+        let candidates: Vec<_> = candidates.map(|one| as_warm(one, &returned)).collect();
+        drop(registry);
+        let now = Instant::now();
+        let mut loads = self.view.loads();
+        let chosen = loads.choose(&candidates, &self.view.zone, &[], now, &mut rand::rng());
+        let chosen = chosen.map(|one| one.id.clone());
+        drop(loads);
+        if let Some(id) = chosen.filter(|id| returned.contains(id)) {
+            self.view.request_return_check(&id);
+        }
+    }
+
+    /// Waits for upstreams that have returned to be found warm, and selects one of these; `None` if there are none in time.
+    pub(super) async fn select_returned(
+        &self,
+        requirements: &Requirements,
+        attempted: &[UpstreamId],
+    ) -> Option<Selected> {
+        let until = requirements.deadline.min(Instant::now() + CHECK_PATIENCE);
+        let service = &requirements.service;
+        loop {
+            let checked = self.view.return_checked();
+            if !self.view.awaits_return_check(service) {
+                return None;
+            }
+            timeout_at(until, checked).await.ok()?;
+            let mut excluded = self.view.upstreams_warming_up(service);
+            excluded.extend(attempted.iter().cloned());
+            let warm = self.select_any_but(&excluded, requirements, attempted, Patience::None);
+            if let Ok(selected) = warm.await {
+                return Some(selected);
+            }
+        }
+    }
+
+    /// Waits for the answer to a health check of a holder that has returned; returns whether it has been found warm.
+    pub(super) async fn wait_for_return_check(
+        &self,
+        holder: &Upstream,
+        requirements: &Requirements,
+    ) -> bool {
+        let until = requirements.deadline.min(Instant::now() + CHECK_PATIENCE);
+        loop {
+            let checked = self.view.return_checked();
+            if self.view.warming_up(holder).is_none() {
+                return true;
+            }
+            let is_awaited = self.view.awaits_return_check_of(&holder.id);
+            if !is_awaited || timeout_at(until, checked).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    fn is_in_regions(&self, upstream: &Upstream, requirements: &Requirements) -> bool {
+        requirements.regions.is_empty() || self.is_allowed(upstream, requirements)
+    }
+}
+
+/// Returns an upstream as it is listed once it is found warm.
+fn as_warm(upstream: &Arc<Upstream>, returned: &HashSet<UpstreamId>) -> Arc<Upstream> {
+    match returned.contains(&upstream.id) {
+        true => Arc::new(Upstream {
+            warmup: Duration::ZERO,
+            ..(**upstream).clone()
+        }),
+        false => upstream.clone(),
+    }
+}
--- a/crates/gateway/src/selector/tests.rs
+++ b/crates/gateway/src/selector/tests.rs
@@ -24,6 +24,7 @@
 
 mod cold;
 mod permits;
+mod returned;
 
 const CULPRIT: Fingerprint = 7;
 const OTHER: Fingerprint = 8;
--- a/crates/gateway/src/selector/tests/cold.rs
+++ b/crates/gateway/src/selector/tests/cold.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, advance};
 
 /// Has the service limit the requests to upstreams that warm up, as `cold` do for 3 s.
-fn warm_up(selector: &Selector, cold: &[&str]) {
+pub(super) fn warm_up(selector: &Selector, cold: &[&str]) {
     let view = &selector.view;
     let allowance = warmup::Allowance {
         overshoot: 1.5,
@@ -57,7 +57,7 @@
 }
 
 /// Makes the daemon lead, so that it schedules the requests of all.
-fn lead(selector: &Selector) -> Server {
+pub(super) fn lead(selector: &Selector) -> Server {
     let (server, _reports) = Server::new(&selector.view.keys);
     server.set_standing(Standing::Leads);
     server
--- a/crates/gateway/src/view/evacuation.rs
+++ b/crates/gateway/src/view/evacuation.rs
@@ -9,7 +9,7 @@
 use crate::list_log::{self, ListAge};
 use copperwell_message::{HashMap, HashSet};
 use copperwell_routing::{
-    ZoneName,
+    Incarnation, UpstreamId, ZoneName,
     evacuation::{Difference, Evacuations},
     freshness::Origin,
     registry::{Changes, Upstream},
@@ -77,6 +77,9 @@
             return;
         };
         let upstreams: Vec<_> = registry.all().cloned().collect();
+        // Requests are served on other threads, and must not find an upstream that has returned before it counts as
+        // warming up.
+        self.record_registrations(&registry, now);
         drop(registry);
         self.keys.evacuations.send_replace(evacuations.clone());
         if !changes.draining.is_empty() || !changes.resumed.is_empty() {
@@ -112,6 +115,22 @@
         list_log::record(&changes, list);
     }
 
+    /// Lists runs of upstreams that have returned from an evacuation, and were found warm, as they are registered; with
+    /// each, when the evacuation has ended.
+    pub(crate) fn list_warm(&self, warm: &[(UpstreamId, Incarnation, Instant)]) {
+        let _change = self.change_list();
+        let mut registry = self
+            .registry
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !registry.record_warm(warm, Instant::now()) {
+            return;
+        }
+        let upstreams: Vec<_> = registry.all().cloned().collect();
+        drop(registry);
+        self.keys.store_state.update_upstreams(upstreams);
+    }
+
     /// Returns the evacuated data centres, and what is still there.
     #[must_use]
     pub fn evacuations(&self) -> Vec<Evacuation> {
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -24,6 +24,10 @@
 use spdlog::info;
 use tokio::time::Instant;
 
+use returned::Returns;
+
+mod returned;
+
 /// The most log lines in one [`LOG_WINDOW`]; all upstreams of a data centre may start together.
 const LINES_MAX: u32 = 100;
 
@@ -39,6 +43,7 @@
     warming_up: Gauge,
     health_checks: Family<AnswerLabel, Counter>,
     suppressed_lines: Counter,
+    returns: Returns,
 }
 
 /// The limit of an upstream that warms up, and for how long it does.
@@ -72,6 +77,7 @@
             "Lines about warm-ups that were left out, to bound the log",
             self.suppressed_lines.clone(),
         );
+        self.returns.register(registry);
     }
 
     fn known(&self) -> MutexGuard<'_, Warmups> {
@@ -146,16 +152,37 @@
         }
         let mut known = self.warmups.known();
         let mut begun = Vec::new();
+        let mut has_returned = false;
         for upstream in registry.all() {
-            if known.record_registration(upstream, now) {
-                begun.push(upstream);
+            let listed = registry.listed_warmup(upstream);
+            let begins = match listed == upstream.warmup {
+                true => known.record_registration(upstream, now),
+                // A return counts by itself.
+                false => {
+                    let upstream = Upstream {
+                        warmup: listed,
+                        ..(**upstream).clone()
+                    };
+                    known.record_registration(&upstream, now)
+                }
+            };
+            if begins {
+                begun.push((upstream, "registration", listed));
+            }
+            if let Some((ended_at, left)) = registry.warmup_after_return(upstream, now) {
+                has_returned = true;
+                if known.record_return(&upstream.id, upstream.born, ended_at, left, now) {
+                    begun.push((upstream, "return", left));
+                }
             }
         }
         drop(known);
-        for upstream in begun {
+        if has_returned {
+            self.warmups.returns.notify();
+        }
+        for (upstream, source, left) in begun {
             if self.warmup_limit(&upstream.service).is_some() {
-                let left = upstream.warmup;
-                self.warmups.log_begin(&upstream.id, "registration", left);
+                self.warmups.log_begin(&upstream.id, source, left);
             }
         }
     }
@@ -238,24 +265,6 @@
         }
     }
 
-    /// Records that an upstream gets requests again after a time without any, as its data centre was evacuated.
-    pub fn record_return(&self, upstream: &Upstream) {
-        let configuration = self.configuration();
-        let service = configuration
-            .as_ref()
-            .and_then(|known| known.service(&upstream.service));
-        let Some(warmup) = service.and_then(|service| service.warmup) else {
-            return;
-        };
-        let mut known = self.warmups.known();
-        let begins = known.record_return(&upstream.id, warmup.duration, Instant::now());
-        drop(known);
-        if begins {
-            self.warmups
-                .log_begin(&upstream.id, "return", warmup.duration);
-        }
-    }
-
     /// Forgets upstreams that are no longer registered, and records which have become warm.
     pub(crate) fn maintain_warmups(&self) {
         let registry = self.registry();
--- a/crates/routing/src/evacuation.rs
+++ b/crates/routing/src/evacuation.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use crate::{ServiceName, ZoneName, registry::Upstream};
+use crate::{Incarnation, ServiceName, UpstreamId, ZoneName, registry::Upstream};
 use copperwell_message::HashMap;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -36,12 +36,14 @@
     pub ended: Vec<ZoneName>,
 }
 
-/// The end of an evacuation, after which upstreams are cold.
+/// The end of an evacuation, after which upstreams may be cold.
 #[derive(Debug, Clone)]
 pub(crate) struct Return {
-    ended_at: Instant,
+    pub(crate) ended_at: Instant,
     /// How long the upstreams of each service warm up.
     warmups: HashMap<ServiceName, Duration>,
+    /// The runs of upstreams that were found warm since.
+    warm: HashMap<UpstreamId, Incarnation>,
 }
 
 impl Evacuations {
@@ -63,11 +65,23 @@
 
 impl Return {
     pub(crate) fn new(ended_at: Instant, warmups: HashMap<ServiceName, Duration>) -> Self {
-        Self { ended_at, warmups }
+        Self {
+            ended_at,
+            warmups,
+            warm: HashMap::default(),
+        }
+    }
+
+    /// Records that a run of an upstream is warm.
+    pub(crate) fn record_warm(&mut self, id: &UpstreamId, born: Incarnation) {
+        self.warm.insert(id.clone(), born);
     }
 
     /// Returns how much longer an upstream counts as warming up.
     pub(crate) fn warmup_left(&self, upstream: &Upstream, now: Instant) -> Duration {
+        if self.warm.get(&upstream.id) == Some(&upstream.born) {
+            return Duration::ZERO;
+        }
         let warmup = self.warmups.get(&upstream.service);
         let warmup = warmup.copied().unwrap_or_default();
         (self.ended_at + warmup).saturating_duration_since(now)
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -209,6 +209,55 @@
         Some((difference, changes))
     }
 
+    /// Returns when the evacuation of an upstream's data centre has ended, and how much longer the upstream counts as
+    /// warming up for that; `None` if it does not.
+    #[must_use]
+    pub fn warmup_after_return(
+        &self,
+        upstream: &Upstream,
+        now: Instant,
+    ) -> Option<(Instant, Duration)> {
+        let end = self.returning.get(&upstream.zone)?;
+        let left = end.warmup_left(upstream, now);
+        (!left.is_zero()).then_some((end.ended_at, left))
+    }
+
+    /// Returns the remaining warm-up time of an upstream as it is listed, whatever has become of its data centre.
+    #[must_use]
+    pub fn listed_warmup(&self, upstream: &Upstream) -> Duration {
+        let listed = self.as_listed.get(&upstream.id).unwrap_or(upstream);
+        listed.warmup
+    }
+
+    /// Records runs of upstreams that were found warm after the end of an evacuation at the time named with them, and
+    /// lists them as they are registered again; returns whether that changes anything.
+    pub fn record_warm<'a>(
+        &mut self,
+        warm: impl IntoIterator<Item = &'a (UpstreamId, Incarnation, Instant)>,
+        now: Instant,
+    ) -> bool {
+        let mut has_changed = false;
+        for (id, born, ended_at) in warm {
+            let Some(upstream) = self.upstreams.get(id).filter(|one| one.born == *born) else {
+                continue;
+            };
+            // The data centre may have been evacuated once more.
+            let end = self.returning.get_mut(&upstream.zone);
+            let Some(end) = end.filter(|end| end.ended_at == *ended_at) else {
+                continue;
+            };
+            end.record_warm(id, *born);
+            if let Some(listed) = self.as_listed.get(id).cloned() {
+                self.update_one(listed, &mut Changes::default(), now);
+                has_changed = true;
+            }
+        }
+        if has_changed {
+            self.rebuild_index();
+        }
+        has_changed
+    }
+
     /// Returns the evacuated data centres.
     #[must_use]
     pub fn evacuations(&self) -> &Evacuations {
--- a/crates/routing/tests/registry.rs
+++ b/crates/routing/tests/registry.rs
@@ -214,3 +214,47 @@
     assert_eq!(names(&changes.resumed), ["u2"]);
     assert_eq!(draining(&registry), ["u0", "u1"]);
 }
+
+/// Guards against an upstream that others take for cold after it was found warm, against one that is listed as warm though
+/// it was started again or warms up by its own registration, and against one that is warm after a later evacuation.
+#[test]
+fn upstream_found_warm_after_its_return_is_listed_as_cold_or_the_reverse() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let own = Duration::from_secs(1);
+    let list = || {
+        let cold = Upstream {
+            warmup: own,
+            ..upstream_in("a", 1)
+        };
+        [upstream_in("a", 0), cold, upstream_in("a", 2)]
+    };
+    registry.update(list(), now);
+    evacuate(&mut registry, 1, &["a"], now);
+    evacuate(&mut registry, 2, &[], now);
+    let second = &**registry.get("u1").unwrap();
+    assert_eq!(registry.listed_warmup(second), own);
+    let left = registry.warmup_after_return(second, now);
+    assert_eq!(left, Some((now, WARMUP)));
+    let warm = ["u0", "u1", "gone"].map(|id| (id.into(), INCARNATION, now));
+    assert!(registry.record_warm(&warm, now));
+    assert!(!registry.record_warm(&[("u2".into(), INCARNATION + 1, now)], now));
+    let warmup = |registry: &Registry, id: &str| registry.get(id).unwrap().warmup;
+    for _ in 0..2 {
+        assert_eq!(warmup(&registry, "u0"), Duration::ZERO);
+        assert_eq!(warmup(&registry, "u1"), own);
+        assert_eq!(warmup(&registry, "u2"), WARMUP);
+        registry.update(list(), now);
+    }
+    let restarted = Upstream {
+        born: INCARNATION + 1,
+        ..upstream_in("a", 0)
+    };
+    registry.apply_changes([restarted], [], now);
+    assert_eq!(warmup(&registry, "u0"), WARMUP);
+    evacuate(&mut registry, 3, &["a"], now);
+    assert!(!registry.record_warm(&warm, now));
+    evacuate(&mut registry, 4, &[], now + Duration::from_millis(1));
+    assert!(!registry.record_warm(&warm, now));
+    assert_eq!(warmup(&registry, "u1"), WARMUP);
+}
