Ask upstreams that return only where a request would go

With every request a follower asked one more of the upstreams that have returned. An unchecked one costs a quarter more than a checked one now, so a daemon goes on with those it has checked while they have room.

A check closes an idle connection if the pool is full; it took that for a refused connection before.

Registrations of the stand-in can hide its warm-up, since they told of it in time otherwise.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -186,17 +186,24 @@
     }
 
     /// Sends a health check for `path` to the server of `request_head` on a new connection, which is kept for the next
-    /// request.
+    /// request: on one that was used, an earlier answer that is written again could pass for this one.
+    ///
+    /// An idle connection is closed for it if the pool is full.
     ///
     /// # Errors
     ///
-    /// Why there is no answer.
+    /// Why there is no answer; [`Reason::QueueFull`] if all connections are in use.
     pub async fn check<F: Framing>(
         self,
         framing: &F,
         request_head: &F::Head,
         path: PathAndQuery,
     ) -> Result<Health, Reason> {
+        if self.lane.is_full() {
+            let idle = self.lane.take_idle().await.ok_or(Reason::QueueFull)?;
+            self.lane.count_closed("unproven");
+            idle.close().await;
+        }
         let mut connection = self.open().await.map_err(|failed| failed.reason)?;
         let health = self
             .check_health(framing, request_head, &mut connection, path)
--- a/crates/copperwelld/tests/gateway/evacuation.rs
+++ b/crates/copperwelld/tests/gateway/evacuation.rs
@@ -17,6 +17,8 @@
 use test_case::test_case;
 use tokio::time::{Instant, sleep, timeout};
 
+mod returned;
+
 /// Within which time of the store's acknowledgement no request reaches an evacuated data centre any more.
 const EVACUATE: Duration = Duration::from_secs(5);
 
--- a/crates/copperwelld/tests/gateway/warmup.rs
+++ b/crates/copperwelld/tests/gateway/warmup.rs
@@ -27,11 +27,11 @@
 const REQUESTS: usize = 9;
 
 /// The rounds before an upstream restarts, and from then on until it is warm again.
-const ROUNDS_BEFORE: usize = 30;
-const ROUNDS_COLD: usize = 70;
+pub(crate) const ROUNDS_BEFORE: usize = 30;
+pub(crate) const ROUNDS_COLD: usize = 70;
 
 /// How long an upstream warms up.
-const WARMUP: Duration = Duration::from_secs(3);
+pub(crate) const WARMUP: Duration = Duration::from_secs(3);
 
 /// How long after its restart the store hears of it.
 const UNREGISTERED: Duration = Duration::from_millis(800);
@@ -40,7 +40,7 @@
 const RATE: f64 = 4.1;
 
 /// The most requests in any second from all daemons: 1.5 times the rate, and 8.
-const LIMIT: usize = 14;
+pub(crate) const LIMIT: usize = 14;
 
 /// What happens beside the restart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,12 +52,17 @@
 
 /// Starts daemons and servers of `pay`, which may be divided by key.
 async fn start(servers: usize, is_keyed: bool) -> Harness {
+    start_with(servers, is_keyed, "3s").await
+}
+
+/// Starts daemons and servers of `pay` as [`start`] does, which warm up for `warmup` by the configuration.
+pub(crate) async fn start_with(servers: usize, is_keyed: bool, warmup: &str) -> Harness {
     let mut harness = Harness::start(0).await;
     let rules = [
         rule("cups", "idempotent", "cups"),
         rule("pay", "idempotent", "pay"),
     ];
-    let pay = with_warmup(cluster("pay", is_keyed), "3s", RATE);
+    let pay = with_warmup(cluster("pay", is_keyed), warmup, RATE);
     let clusters = [cluster("cups", true), pay];
     harness.store.configure(&config(5, &rules, &clusters));
     harness.servers.truncate(SERVERS);
@@ -80,7 +85,7 @@
 }
 
 /// Sends rounds of requests, and returns how many were served.
-async fn send_rounds(harness: &Arc<Harness>, rounds: usize, name: &str) -> usize {
+pub(crate) async fn send_rounds(harness: &Arc<Harness>, rounds: usize, name: &str) -> usize {
     let mut sends = JoinSet::new();
     for round in 0..rounds {
         for number in 0..REQUESTS {
@@ -101,7 +106,7 @@
 }
 
 /// Returns the most of `times` within any second.
-fn most_in_a_second(times: &[Instant]) -> usize {
+pub(crate) fn most_in_a_second(times: &[Instant]) -> usize {
     let within = |start: &Instant| {
         let end = *start + Duration::from_secs(1);
         times.iter().filter(|at| (*start..end).contains(at)).count()
--- a/crates/gateway/src/selector/returned.rs
+++ b/crates/gateway/src/selector/returned.rs
@@ -1,6 +1,6 @@
 //! Has upstreams that have returned from an evacuation be checked, for requests that would be sent there.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use super::{Patience, Requirements, Selected, Selector};
 use copperwell_message::HashSet;
@@ -30,11 +30,13 @@
             let may_be_warm = !cold.contains(&one.id) || returned.contains(&one.id);
             may_be_warm && self.is_in_regions(one, requirements)
         });
-        let candidates: Vec<_> = candidates.map(|one| as_warm(one, &returned)).collect();
+        let candidates: Vec<_> = candidates.cloned().collect();
         drop(registry);
         let now = Instant::now();
         let mut loads = self.view.loads();
-        let chosen = loads.choose(&candidates, &self.view.zone, &[], now, &mut rand::rng());
+        let must_be_checked = |id: &str| returned.contains(id);
+        let (zone, random) = (&self.view.zone, &mut rand::rng());
+        let chosen = loads.choose_unchecked(&candidates, zone, must_be_checked, now, random);
         let chosen = chosen.map(|one| one.id.clone());
         drop(loads);
         if let Some(id) = chosen.filter(|id| returned.contains(id)) {
@@ -88,14 +90,3 @@
         requirements.regions.is_empty() || self.is_allowed(upstream, requirements)
     }
 }
-
-/// Returns an upstream as it is listed once it is found warm.
-fn as_warm(upstream: &Arc<Upstream>, returned: &HashSet<UpstreamId>) -> Arc<Upstream> {
-    match returned.contains(&upstream.id) {
-        true => Arc::new(Upstream {
-            warmup: Duration::ZERO,
-            ..(**upstream).clone()
-        }),
-        false => upstream.clone(),
-    }
-}
--- a/crates/gateway/src/selector/tests/returned.rs
+++ b/crates/gateway/src/selector/tests/returned.rs
@@ -14,7 +14,7 @@
 };
 use copperwell_assignment::driver::Environment;
 use copperwell_backend::exchange::Health;
-use copperwell_message::Reason;
+use copperwell_message::{HashMap, Reason};
 use copperwell_routing::{
     UpstreamId,
     evacuation::{self, Evacuations},
@@ -325,3 +325,86 @@
     advance(ms(200)).await;
     assert!(check(&selector, None).is_empty());
 }
+
+/// The workload: 83 daemons, each with 36 requests a second that take 100 ms, and 244 upstreams, of which 81 return warm. Those
+/// are in the data centre of all daemons, which prefer them, or in another one.
+/// Guards against daemons that ask upstreams which they do not need, or that ask one all at the same moment, and against
+/// capacity that lies idle since they do not ask.
+#[test_case(false, "here"; "followers")]
+#[test_case(true, "here"; "one of them leads")]
+#[test_case(false, "there"; "nearer upstreams have room")]
+#[tokio::test(start_paused = true)]
+async fn fleet_asks_without_bound_or_leaves_upstreams_idle_after_an_evacuation(
+    has_leader: bool,
+    zone: &str,
+) {
+    const DAEMONS: usize = 83;
+    const RETURNED: usize = 81;
+    let other = if zone == "here" { "there" } else { "here" };
+    let listed: Vec<_> = (0..244)
+        .map(|number| Upstream {
+            zone: if number < RETURNED { zone } else { other }.into(),
+            ..upstream(&format!("u{number}"))
+        })
+        .collect();
+    let mut daemons = Vec::new();
+    for _ in 0..DAEMONS {
+        let selector = selector();
+        warm_up(&selector, &[]);
+        daemons.push(selector);
+    }
+    let leading = has_leader.then(|| lead(&daemons[0]));
+    advance(ms(1)).await;
+    for selector in &daemons {
+        let start = ReadStart {
+            boot: Duration::from_secs(3),
+            at: Instant::now(),
+        };
+        selector.view.update_upstreams(listed.clone(), start);
+        evacuate(selector, 1, &[zone]);
+        evacuate(selector, 2, &[]);
+    }
+    let mut in_flight: Vec<(Instant, Permit)> = Vec::new();
+    let (mut late, mut to_returned, mut checks) = (0, 0, 0);
+    let mut asked: HashMap<(UpstreamId, u64), usize> = HashMap::default();
+    // A second, in steps of 10 ms.
+    for step in 0..100_usize {
+        let now = Instant::now();
+        in_flight.retain(|(until, _)| now < *until);
+        for (number, selector) in daemons.iter().enumerate() {
+            selector.view.request_leader_checks();
+            if step % 10 == 9 {
+                selector.view.list_returned();
+            }
+            for id in check(selector, Some(Duration::ZERO)) {
+                checks += 1;
+                *asked.entry((id, step as u64 / 10)).or_default() += 1;
+            }
+            if (step * 36 + number) / 100 == ((step + 1) * 36 + number) / 100 {
+                continue;
+            }
+            late += usize::from(step >= 50);
+            let selected = selector.select(&hasty(None), &[], None, None).await;
+            if let Ok(Selected::Upstream(upstream, permit)) = selected {
+                to_returned += usize::from(step >= 50 && &*upstream.zone == zone);
+                in_flight.push((now + ms(100), permit));
+            }
+        }
+        advance(ms(10)).await;
+    }
+    drop(leading);
+    let most = asked.values().max().copied().unwrap_or(0);
+    println!("{checks} checks, {most} of one in 100 ms, {to_returned} of {late} requests");
+    if zone == "there" {
+        assert_eq!(checks, 0, "health checks that no request needs");
+        return;
+    }
+    // Each daemon would send one to each of them if it asked all.
+    let allowed = DAEMONS * RETURNED / 4 + if has_leader { RETURNED } else { 0 };
+    assert!(checks <= allowed, "{checks} health checks");
+    assert!(most <= DAEMONS / 2, "{most} health checks of one in 100 ms");
+    assert!(
+        to_returned * 10 >= late * 9,
+        "{to_returned} of {late} requests"
+    );
+}
--- a/crates/gateway/src/warmup/returned.rs
+++ b/crates/gateway/src/warmup/returned.rs
@@ -132,11 +132,8 @@
         if !self.keys.warmups.is_leading() {
             return;
         }
-        let registry = self.registry();
-        let upstreams = registry.all().filter(|one| !one.is_draining);
-        let ids: Vec<_> = upstreams.map(|one| one.id.clone()).collect();
-        drop(registry);
-        for id in ids {
+        let unchecked = self.warmups.known().unchecked(Instant::now());
+        for id in unchecked {
             self.request_return_check(&id);
         }
     }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -37,6 +37,10 @@
 /// The cost factor of an upstream that is still warming up.
 const WARMUP_COST: f64 = 2.0;
 
+/// The cost factor of an upstream that must be checked before it is used. It exceeds the jitter, so that a daemon goes on
+/// with equal ones that it has checked, and is below [`REMOTE_COST`].
+const CHECK_COST: f64 = 1.25;
+
 /// How long an upstream is avoided after it shed a request or a connection to it failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -173,6 +177,35 @@
         avoid: &[UpstreamId],
         now: Instant,
         random: &mut impl Rng,
+    ) -> Option<&'a Arc<Upstream>> {
+        self.choose_by(upstreams, zone, avoid, now, random, warmup_cost)
+    }
+
+    /// Returns the upstream that [`choose`](Self::choose) would return if those were warm that `must_be_checked`; each of
+    /// these costs somewhat more, for its check.
+    pub fn choose_unchecked<'a>(
+        &mut self,
+        upstreams: &'a [Arc<Upstream>],
+        zone: &str,
+        must_be_checked: impl Fn(&str) -> bool,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<&'a Arc<Upstream>> {
+        let cost = |upstream: &Upstream| match must_be_checked(&upstream.id) {
+            true => CHECK_COST,
+            false => warmup_cost(upstream),
+        };
+        self.choose_by(upstreams, zone, &[], now, random, cost)
+    }
+
+    fn choose_by<'a>(
+        &mut self,
+        upstreams: &'a [Arc<Upstream>],
+        zone: &str,
+        avoid: &[UpstreamId],
+        now: Instant,
+        random: &mut impl Rng,
+        warmup_cost: impl Fn(&Upstream) -> f64,
     ) -> Option<&'a Arc<Upstream>> {
         let subset = self.subset(upstreams, zone, now);
         let usual_s = self.usual_latency(upstreams);
@@ -186,6 +219,7 @@
             // Jitter keeps daemons from all choosing the same one of equal upstreams.
             let jitter = random.random_range(0.9..1.1);
             let (cost, bonus) = cost(upstream, load, usual_s, zone, now);
+            let cost = cost * warmup_cost(upstream);
             let found = Best {
                 is_last_resort: avoid.contains(&upstream.id)
                     || load.is_some_and(|load| load.is_paused(now)),
@@ -473,8 +507,13 @@
     if &*upstream.zone != zone {
         cost *= REMOTE_COST;
     }
-    if !upstream.warmup.is_zero() {
-        cost *= WARMUP_COST;
-    }
     (cost, 1.0 - EXPLORATION_BONUS * (1.0 - confidence))
 }
+
+/// Returns the cost factor of an upstream for its warm-up.
+fn warmup_cost(upstream: &Upstream) -> f64 {
+    match upstream.warmup.is_zero() {
+        true => 1.0,
+        false => WARMUP_COST,
+    }
+}
--- a/crates/routing/src/warmup.rs
+++ b/crates/routing/src/warmup.rs
@@ -308,6 +308,16 @@
         known.is_some_and(|known| known.can_check(now))
     }
 
+    /// Returns the upstreams that [can be checked](Self::can_check).
+    #[must_use]
+    pub fn unchecked(&self, now: Instant) -> Vec<UpstreamId> {
+        let unchecked = self
+            .upstreams
+            .iter()
+            .filter(|(_, known)| known.can_check(now));
+        unchecked.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Has a health check be sent to an upstream `delay` from now, if it [can be checked](Self::can_check).
     pub fn request_check(&mut self, id: &str, delay: Duration, now: Instant) {
         let known = self.upstreams.get_mut(id);
--- a/crates/routing/tests/load.rs
+++ b/crates/routing/tests/load.rs
@@ -179,3 +179,28 @@
     let share = f64::from(sent) / f64::from(fleet.sent.values().sum::<u32>());
     assert!(share >= 0.125, "{share} of the requests, fair is 0.25");
 }
+
+/// Guards against a check of an upstream beside an idle one that needs none, and against an upstream that may be warm and
+/// is not checked though the others are busy.
+#[test]
+fn unchecked_upstream_is_chosen_beside_an_idle_one_or_never() {
+    let unchecked = Arc::new(Upstream {
+        warmup: Duration::from_secs(3),
+        ..(*upstream(0)).clone()
+    });
+    let upstreams = [unchecked, upstream(1)];
+    let (now, random) = (Instant::now(), &mut SmallRng::seed_from_u64(3));
+    let mut loads = Loads::default();
+    let mut choose = |loads: &mut Loads| {
+        let chosen = loads.choose_unchecked(&upstreams, "here", |id| id == "u0", now, random);
+        chosen.unwrap().id.to_string()
+    };
+    for _ in 0..100 {
+        assert_eq!(choose(&mut loads), "u1");
+    }
+    // A request is there, and both have two slots.
+    loads.record_start(&"u1".into(), now);
+    for _ in 0..100 {
+        assert_eq!(choose(&mut loads), "u0");
+    }
+}
