--- a/crates/gateway/src/selector/cold.rs
+++ b/crates/gateway/src/selector/cold.rs
@@ -30,6 +30,9 @@
         if let Ok(selected) = warm.await {
             return Ok(selected);
         }
+        if let Some(selected) = self.select_returned(requirements, attempted).await {
+            return Ok(selected);
+        }
         let is_any_warm = {
             let registry = self.view.registry();
             let mut upstreams = registry.of_service(&requirements.service).iter();
@@ -139,6 +142,10 @@
         }
         // Other requests may use the permit while this one waits.
         drop(permit);
+        self.view.request_return_check(&holder.id);
+        if self.wait_for_return_check(&holder, requirements).await {
+            return Ok(None);
+        }
         let wait_max = requirements.deadline.saturating_duration_since(now);
         match self.reserve(&holder, wait_max).await {
             Ok(Some(reserved)) => {
