Prefer no daemon as leader because it has not reported, and let weak ones try later

A daemon without a report is now neither better than the leader nor the measure for others, and daemons that are no candidates wait up to 500 ms more, the stronger the less.

--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -278,7 +278,11 @@
             let jitter = election::max_jitter(rank, &candidates, daemons);
             let jitter = jitter.mul_f64(rand::rng().random_range(0.0..1.0));
             let interval = Backoff::new(POLL_INTERVAL, POLL_INTERVAL_MAX).bound(failures + 1);
-            let delay = election::candidate_delay(rank, &candidates) + self.reach_delay() + jitter;
+            let strength = self.identity.strength;
+            let delay = election::candidate_delay(rank, &candidates)
+                + election::outsider_delay(rank, &candidates, strength)
+                + self.reach_delay()
+                + jitter;
             tokio::select! {
                 () = sleep(interval + delay) => {}
                 () = stopping.cancelled() => {}
--- a/crates/assignment/src/driver/leading.rs
+++ b/crates/assignment/src/driver/leading.rs
@@ -233,7 +233,7 @@
         let Some(candidate) = driver.server.first_candidate() else {
             return false;
         };
-        if !keyed.is_much_worse(&lost, &candidate.lost) {
+        if !candidate.has_reported || !keyed.is_much_worse(&lost, &candidate.lost) {
             self.is_worse_since = None;
             return !keyed.is_much_worse(&candidate.lost, &lost)
                 && election::should_step_down(
--- a/crates/assignment/src/election.rs
+++ b/crates/assignment/src/election.rs
@@ -39,6 +39,10 @@
 /// Otherwise a daemon that was just started would lead whenever it happens to look before the candidates do.
 const VACANCY_PATIENCE: Duration = Duration::from_secs(1);
 
+/// How much longer than the candidates the weakest of the other daemons waits. They try only if no candidate can, as all of
+/// them have lost the store, and the strongest of them must be first then.
+const OUTSIDER_DELAY: Duration = Duration::from_millis(500);
+
 /// How many times as strong another daemon must be for a leader to step down.
 const STEP_DOWN_FACTOR: u32 = 2;
 
@@ -72,6 +76,15 @@
     CANDIDATE_DELAY * u32::try_from(rank).unwrap_or(u32::MAX)
 }
 
+/// Returns how much longer a daemon waits that is not among the known candidates.
+#[must_use]
+pub fn outsider_delay(rank: Option<usize>, candidates: &[DaemonName], strength: u32) -> Duration {
+    match rank {
+        None if !candidates.is_empty() => scale(OUTSIDER_DELAY, strength),
+        _ => Duration::ZERO,
+    }
+}
+
 /// Returns the maximum jitter of a daemon. Daemons that are not candidates spread out more the more
 /// of them there are, so that the first of them can become the leader and the others follow it.
 #[must_use]
--- a/crates/assignment/src/exchange/peers.rs
+++ b/crates/assignment/src/exchange/peers.rs
@@ -12,6 +12,9 @@
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// How long after its last call a daemon counts as alive.
 const PEER_TTL: Duration = Duration::from_secs(3);
 
@@ -36,8 +39,10 @@
     pub(super) name: DaemonName,
     pub(super) address: SocketAddr,
     pub(crate) strength: u32,
-    /// How many upstreams with keys it does not reach.
+    /// How many upstreams with keys it does not reach; none if it has not reported.
     pub(crate) lost: Lost,
+    /// Whether it has reported which upstreams it reaches.
+    pub(crate) has_reported: bool,
 }
 
 /// The status of this daemon and what it knows of the others.
@@ -112,9 +117,12 @@
             strength: peer.strength,
             address: peer.address,
             lost: self.keyed.count(self.reports.lost(name)),
+            has_reported: self.reports.has(name),
         };
         let mut ranked: Vec<Candidate> = self.peers.iter().map(candidate).collect();
-        let lost = ranked.iter().map(|one| one.lost.clone());
+        // With those that have not reported, all others would look worse as soon as many upstreams are down.
+        let reported = ranked.iter().filter(|one| one.has_reported);
+        let lost = reported.map(|one| one.lost.clone());
         let best = lost.reduce(|best, one| best.min(&one)).unwrap_or_default();
         ranked.sort_by_cached_key(|one| {
             let is_worse = self.keyed.is_much_worse(&one.lost, &best);
--- a/crates/assignment/src/reach.rs
+++ b/crates/assignment/src/reach.rs
@@ -111,7 +111,12 @@
         self.helpers.insert(helper.name.clone(), (now, helper));
     }
 
-    /// Returns the upstreams that a daemon does not reach; none if it has not said.
+    /// Returns whether a daemon has reported which upstreams it reaches.
+    pub(crate) fn has(&self, name: &DaemonName) -> bool {
+        self.helpers.contains_key(name)
+    }
+
+    /// Returns the upstreams that a daemon does not reach; none if it has not reported.
     pub(crate) fn lost(&self, name: &DaemonName) -> &[UpstreamId] {
         let known = self.helpers.get(name);
         known.map_or(&[], |(_, helper)| &helper.lost)
--- a/crates/assignment/tests/election.rs
+++ b/crates/assignment/tests/election.rs
@@ -42,6 +42,21 @@
     assert_eq!(election::candidate_delay(None, &[]), Duration::ZERO);
 }
 
+/// Guards against a weak daemon that leads because all candidates have lost the store for a moment.
+#[test_case(None, candidates(), 100, 450; "weak")]
+#[test_case(None, candidates(), 500, 250; "strong")]
+#[test_case(Some(2), candidates(), 100, 0; "a candidate")]
+#[test_case(None, Vec::new(), 100, 0; "no candidates are known")]
+fn weaker_daemons_try_later(
+    rank: Option<usize>,
+    known: Vec<DaemonName>,
+    strength: u32,
+    expected_ms: u64,
+) {
+    let delay = election::outsider_delay(rank, &known, strength);
+    assert_eq!(delay, Duration::from_millis(expected_ms));
+}
+
 #[test_case(None, candidates(), true; "candidates look for the leader")]
 #[test_case(Some(1), candidates(), false; "a candidate itself")]
 #[test_case(None, Vec::new(), false; "nobody is known who would look for it")]
