--- a/crates/assignment/src/balance.rs
+++ b/crates/assignment/src/balance.rs
@@ -9,18 +9,19 @@
 /// The number of standard deviations of the counted work that a difference must exceed.
 const SIGNIFICANT_DEVIATIONS: f64 = 1.5;
 
-/// The share of the whole load from which on a key is hot: it may move alone, which changes the holder of a single key.
+/// The minimum share of the total load for a hot key, which may be moved without the other keys of its range.
 const HOT_KEY_SHARE: f64 = 1.0 / 2_048.0;
 
-/// The least number of recent requests for a hot key. With fewer, keys that are asked for at random look hot, and each move
-/// makes the requests for the key wait.
+/// The minimum number of recent requests for a hot key. With fewer, random variation makes keys look hot, and each move
+/// delays the requests for the key.
 const HOT_KEY_REQUESTS: f64 = 8.0;
 
-/// The share of an average holder's fair load up to which neighbouring hot keys move together.
-const HOT_KEYS_SHARE: f64 = 1.0;
+/// The maximum load of neighbouring hot keys that are moved together, as a share of an average holder's fair load.
+const HOT_RANGE_SHARE_MAX: f64 = 1.0;
 
-/// The least part of its holder's relative load by which that of the next holder must be lower for a hot key to move.
-const HOT_KEY_GAIN: f64 = 0.15;
+/// The minimum gain for which a hot key is moved: how much lower the relative load of the next holder must be, as a
+/// fraction of the relative load of the current one.
+const HOT_KEY_GAIN_MIN: f64 = 0.15;
 
 /// The share of the counted load that is added evenly over all keys.
 const EVEN_SHARE: f64 = 0.05;
@@ -65,7 +66,7 @@
     prefix_sums: Vec<f64>,
     /// The hot keys and their loads, the busiest first.
     hot: Vec<(Key, f64)>,
-    /// The load from which on a key is hot.
+    /// The minimum load of a hot key.
     hot_load: f64,
     /// The average load of one request.
     request_load: f64,
@@ -116,19 +117,19 @@
     }
 }
 
-/// The most moves of one round.
+/// The maximum numbers of moves in one round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MovesMax {
-    /// The most moves of hot keys.
+    /// The maximum number of moves of hot keys.
     pub hot: usize,
-    /// The most moves of all kinds, from which on no wider range moves.
+    /// The maximum number of moves of all kinds. Once hot keys have used it up, no wider ranges are moved.
     pub wide: usize,
 }
 
 /// Returns moves that balance the loads of the holders.
 ///
-/// Hot keys move first, alone: few keys change their holder, and many keys may become hot at the same time. Each later
-/// move takes as much of the wanted load as it can, so that few are needed.
+/// Hot keys are moved first and by themselves, so that few keys change their holder even if many become hot at the same
+/// time. Each later move takes as much of the wanted load as it can, so that few are needed.
 ///
 /// `weights` are the relative capacities of the holders. A segment is split if only a part of it is
 /// to move.
@@ -204,7 +205,8 @@
     }
 
     /// Moves a hot key to the holder that has the lowest relative load with it, if that is clearly lower than the
-    /// relative load of its own holder. Hot keys behind it go along as far as a holder has room for them on average.
+    /// relative load of its own holder. The hot keys that follow it
+    /// directly are moved with it, up to [`HOT_RANGE_SHARE_MAX`].
     fn hot_key_move(&self, key: Key, segment: &Segment, moves: &[Move]) -> Option<Move> {
         let from = segment.holder;
         let is_moved = |key: Key| {
@@ -213,7 +215,7 @@
                 .any(|one| (one.first..=one.last).contains(&key))
         };
         let weight = self.weights.iter().sum::<f64>() / self.weights.len() as f64;
-        let fair = HOT_KEYS_SHARE * self.mean * weight;
+        let fair = HOT_RANGE_SHARE_MAX * self.mean * weight;
         let mut last = key;
         while last < segment.last
             && !is_moved(last + 1)
@@ -231,7 +233,7 @@
         let others = (0..self.weights.len()).filter(|to| *to != from && self.weights[*to] > 0.0);
         let to = others.min_by(|one, other| with_key(one).total_cmp(&with_key(other)))?;
         let gain = before - with_key(&to);
-        let is_worthwhile = gain > (HOT_KEY_GAIN * before).max(self.noise());
+        let is_worthwhile = gain > (HOT_KEY_GAIN_MIN * before).max(self.noise());
         is_worthwhile.then_some(Move {
             first: key,
             last,
@@ -263,7 +265,7 @@
         self.totals[holder] / self.weights[holder]
     }
 
-    /// Returns the difference between relative loads that requests which differ at random explain.
+    /// Returns the difference between relative loads that random variation can explain.
     fn noise(&self) -> f64 {
         SIGNIFICANT_DEVIATIONS * (self.mean * self.loads.request_load).sqrt()
     }
--- a/crates/assignment/src/exchange.rs
+++ b/crates/assignment/src/exchange.rs
@@ -163,8 +163,9 @@
 
     /// Waits for at most `wait` for evacuations of a later version than `known`, and returns what the daemon knows.
     async fn evacuations(known: evacuation::Version, wait: Duration) -> Evacuations;
-    /// Reserves a request to an upstream that warms up, if it is due within the request's `wait_max`; returns how long
-    /// it has to wait, or would have to. Returns `None` if the daemon does not lead.
+
+    /// Reserves a request to an upstream that warms up, if it is due within the request's `wait_max`. Returns the time
+    /// until it is due, or as an error the time until it would be due; `None` if the daemon does not lead.
     async fn reserve_warmup(request: WarmupRequest) -> Option<Result<Duration, Duration>>;
 }
 
--- a/crates/assignment/src/exchange/client.rs
+++ b/crates/assignment/src/exchange/client.rs
@@ -83,12 +83,14 @@
         within(URGENT_TIMEOUT, call).await?
     }
 
-    /// Reserves a request to an upstream that warms up; returns how long it has to wait, or would have to, or `None` if
-    /// the daemon does not lead.
+    /// Reserves a request to an upstream that warms up.
+    ///
+    /// Returns the time until the request is due, or as the inner error the time until it would be due if that exceeds
+    /// its `wait_max`. Returns `None` if the daemon does not lead.
     ///
     /// # Errors
     ///
-    /// [`ReserveError`] if the daemon does not answer. One of an earlier release closes the connection.
+    /// [`ReserveError`] if the daemon does not answer. A daemon of an earlier release closes the connection.
     pub async fn reserve_warmup(
         &self,
         request: WarmupRequest,
--- a/crates/assignment/src/expiry.rs
+++ b/crates/assignment/src/expiry.rs
@@ -1,4 +1,4 @@
-//! When the last grants of ranges expire whose holders get no more, as it is written to the store.
+//! Expiries of the last grants of ranges that are being released, as they are written to the store.
 //!
 //! A new leader does not know when its predecessor last sent a grant, and would wait for as long as a grant can last
 //! before it assigns such a range to another holder. With several changes of leader, each within that time, the range
@@ -13,8 +13,8 @@
 /// The expiries of the ranges of one service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Expiries {
-    /// The term of the leader that has written them. They are valid only for its successor: a later leader of an
-    /// earlier release ignores them, and may have sent grants.
+    /// The term of the leader that wrote them. They are valid only for its direct successor: a leader in between may be
+    /// of an earlier release, which ignores them and may have sent grants.
     pub term: u64,
     /// The ranges.
     pub ranges: Vec<Expiry>,
@@ -34,8 +34,8 @@
 }
 
 impl Expiry {
-    /// Returns whether this is about all grants of a range in a plan: the range is this one or a part of it, and no
-    /// other holder or run has got it since, which would have a token of its own.
+    /// Returns whether this applies to all grants of a range in a plan: the range is this one or a part of it, and it
+    /// was not granted to another holder or run since, which would have changed its token.
     #[must_use]
     pub fn covers(&self, range: &Range) -> bool {
         self.fence == range.fence && self.first <= range.first && range.last <= self.last
--- a/crates/assignment/src/machine.rs
+++ b/crates/assignment/src/machine.rs
@@ -27,7 +27,7 @@
 use copperwell_message::{HashMap, HashSet};
 use copperwell_routing::{ServiceName, UpstreamId};
 
-use holder::{State, Status, is_any_responsive, is_replaceable_while_it_warms_up, status_of};
+use holder::{State, Status, is_any_responsive, is_replaceable_during_warmup, status_of};
 use key_range::{KeyRange, Stage, max_grant_duration};
 
 pub use observation::Observation;
@@ -128,7 +128,7 @@
         self
     }
 
-    /// Takes over what the previous leader wrote of the expiries of ranges, read at `now` or before.
+    /// Applies the expiries of ranges that the previous leader wrote, which were read at `now` or before.
     #[must_use]
     pub fn with_expiries(mut self, expiries: &[Expiry], now: Duration) -> Self {
         let by_fence: HashMap<_, _> = expiries.iter().map(|one| (one.fence, one)).collect();
@@ -298,7 +298,7 @@
         ends.max().unwrap_or_default().max(self.unassigned_until)
     }
 
-    /// Returns when the grants of ranges expire whose holders get no more.
+    /// Returns the expiries of the ranges that are being released.
     #[must_use]
     pub fn expiries(&self, now: Duration) -> Vec<Expiry> {
         let ranges = self.ranges.iter();
@@ -379,9 +379,9 @@
                     // higher token.
                     self.fence += 1;
                     self.edition += 1;
-                    // A new run that warms up takes few requests, so its keys go elsewhere if they can.
+                    // A new run that warms up accepts few requests, so its keys migrate if a warm upstream can hold them.
                     range.is_migrating |=
-                        is_replaceable_while_it_warms_up(holder, observation, &self.states, now);
+                        is_replaceable_during_warmup(holder, observation, &self.states, now);
                     range.reassign_to_run(born, self.fence, self.edition);
                 }
             }
--- a/crates/assignment/src/machine/holder.rs
+++ b/crates/assignment/src/machine/holder.rs
@@ -70,8 +70,8 @@
     not_draining.any(|one| !is_unresponsive(&one.id))
 }
 
-/// Returns whether a holder that has restarted warms up, and another upstream can be given its keys that does not.
-pub(super) fn is_replaceable_while_it_warms_up(
+/// Returns whether a holder warms up and a warm upstream can hold its keys instead.
+pub(super) fn is_replaceable_during_warmup(
     holder: &Holder,
     observation: &Observation<'_>,
     states: &HashMap<UpstreamId, State>,
--- a/crates/assignment/src/machine/key_range.rs
+++ b/crates/assignment/src/machine/key_range.rs
@@ -119,8 +119,8 @@
         self.uncertain_until = self.uncertain_until.min(until);
     }
 
-    /// Returns when the grants of the holder expire, if it gets no more: a range that is to be released is granted again
-    /// only with a higher fencing token.
+    /// Returns the expiry of the holder's grants if the range is being released, after which it is granted only with a
+    /// higher fencing token; `None` otherwise.
     pub(super) fn expiry(&self, now: Duration) -> Option<Expiry> {
         let is_releasing = self.stage == Stage::Releasing && self.holder.is_some();
         is_releasing.then(|| Expiry {
@@ -169,7 +169,7 @@
             holder.born = born;
         }
         if self.has_order_in_flight {
-            // The new run may carry out a grant that was sent to the one before, until it has seen the higher token.
+            // The new run may apply a grant that was sent to the earlier run, until it has seen the higher token.
             self.uncertain_until = self.uncertain_until.max(self.in_flight_until);
             self.uncertain_fence = self.fence;
         }
--- a/crates/assignment/src/machine/observation.rs
+++ b/crates/assignment/src/machine/observation.rs
@@ -64,7 +64,7 @@
         self
     }
 
-    /// Sets the upstreams that warm up, of a service whose upstreams do.
+    /// Sets the upstreams that warm up.
     #[must_use]
     pub fn with_warming_up(mut self, warming_up: &'a HashSet<UpstreamId>) -> Self {
         self.warming_up = Some(warming_up);
--- a/crates/assignment/src/machine/placement.rs
+++ b/crates/assignment/src/machine/placement.rs
@@ -14,18 +14,20 @@
 };
 use copperwell_routing::Key;
 
-/// The maximum number of ranges that migrate at the same time to balance the load.
+/// The maximum number of ranges that migrate at the same time to balance the load, unless the number of underloaded holders
+/// or, for hot keys, of upstreams allows more.
 const MIGRATIONS_MAX: usize = 8;
 
-/// The share of its fair load below which a holder lacks keys, as one that has joined or come back does.
-const LACKING_SHARE: f64 = 0.5;
+/// The share of its fair load below which a holder is underloaded, such as one that has joined or has returned from an
+/// evacuation.
+const UNDERLOADED_SHARE: f64 = 0.5;
 
-/// How many holders that lack keys there are for each range that may migrate at the same time, beyond [`MIGRATIONS_MAX`].
-/// The holders that give the keys serve nearly all of their other ones meanwhile.
-const LACKING_PER_MIGRATION: usize = 2;
+/// The number of underloaded holders per concurrent migration, where this allows more than [`MIGRATIONS_MAX`]. The
+/// holders that release the keys still serve nearly all of their other keys meanwhile.
+const UNDERLOADED_PER_MIGRATION: usize = 2;
 
-/// The number of upstreams for each range of hot keys that may migrate at the same time, beyond [`MIGRATIONS_MAX`]: as
-/// many keys may become hot at once as there are upstreams, and each migration concerns two of them for a moment.
+/// The number of upstreams per concurrent migration of hot keys, where this allows more than [`MIGRATIONS_MAX`]. As many
+/// keys may become hot at once as there are upstreams, and each migration involves two upstreams for a short time.
 const UPSTREAMS_PER_HOT_MIGRATION: usize = 8;
 
 /// The utilization of a holder's slots above which it admits only a share of the requests for its
@@ -51,8 +53,8 @@
             .filter(|range| range.is_migrating)
             .count();
         let may_move = !observation.is_store_unreachable && !observation.is_cut_off();
-        let lacking = lacking(&totals, &targets.weights);
-        let wide_max = MIGRATIONS_MAX.max(lacking.div_ceil(LACKING_PER_MIGRATION));
+        let underloaded = underloaded_count(&totals, &targets.weights);
+        let wide_max = MIGRATIONS_MAX.max(underloaded.div_ceil(UNDERLOADED_PER_MIGRATION));
         let hot_max = wide_max.max(targets.holders.len() / UPSTREAMS_PER_HOT_MIGRATION);
         if migrating >= hot_max || !may_move {
             return;
@@ -159,11 +161,11 @@
     }
 }
 
-/// Returns the number of holders with less than [`LACKING_SHARE`] of their fair load.
-fn lacking(totals: &[f64], weights: &[f64]) -> usize {
+/// Returns the number of holders with less than [`UNDERLOADED_SHARE`] of their fair load.
+fn underloaded_count(totals: &[f64], weights: &[f64]) -> usize {
     let mean = totals.iter().sum::<f64>() / weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
     let pairs = totals.iter().zip(weights);
     pairs
-        .filter(|(total, weight)| **total < LACKING_SHARE * mean * **weight)
+        .filter(|(total, weight)| **total < UNDERLOADED_SHARE * mean * **weight)
         .count()
 }
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -66,7 +66,7 @@
     Inactive,
     /// The deadline passed.
     DeadlinePassed,
-    /// The response has a status that is no final one of HTTP.
+    /// The status of the response is not a final HTTP status.
     StatusNotFinal,
 }
 
@@ -141,7 +141,7 @@
         self.has_answered
     }
 
-    /// Records that the only answer so far was that of a health check, which shows nothing of later requests.
+    /// Records that the only answer so far was that of a health check, which shows nothing about later requests.
     pub(crate) fn forget_answer(&mut self) {
         self.has_answered = false;
     }
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -24,8 +24,8 @@
 /// The largest response body that is buffered completely instead of streamed, in bytes.
 const BUFFERED_BYTES_MAX: usize = 64 * 1024;
 
-/// The timeout of a health check before a request. Servers answer it at once, also when they are full, but this process
-/// may get little of its processor.
+/// The timeout of a health check before a request. Servers answer immediately, even when they are full; the timeout allows
+/// for a daemon that gets little processor time.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The largest body of a health response, in bytes.
@@ -48,8 +48,8 @@
 
 /// Decides on each connection whether a request is sent there.
 pub trait Gate: Send {
-    /// Returns whether the request may be sent now. It is asked right before that, which may be long after the server
-    /// was chosen.
+    /// Returns whether the request may be sent now. It is called immediately before the send, which may be long after
+    /// the server was selected.
     fn may_send(&mut self) -> bool;
 
     /// Returns the path of the health check that a new connection begins with; `None` if none is needed.
@@ -63,17 +63,17 @@
     /// `None` if there was none in time.
     fn record_health(&mut self, _warmup_left: Option<Duration>, _sent_at: Instant) {}
 
-    /// Records that the answer names how much longer the server warms up, and is that of no other server. It follows
-    /// [`record_health`](Self::record_health).
+    /// Records the remaining warm-up time that the answer states, unless the answer is from another server. It is called
+    /// after [`record_health`](Self::record_health).
     fn record_named(&mut self, _warmup_left: Duration, _sent_at: Instant) {}
 }
 
-/// What the answer to a health check says.
+/// The content of the answer to a health check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Health {
-    /// How much longer the server warms up; zero if it does not say.
+    /// The remaining warm-up time; zero if the answer does not state it.
     pub warmup_left: Duration,
-    /// The same; `None` if it does not say, or another server has answered.
+    /// The remaining warm-up time; `None` if the answer does not state it or is from another server.
     pub named: Option<Duration>,
     /// When the health check was sent.
     pub sent_at: Instant,
@@ -186,9 +186,9 @@
     }
 
     /// Sends a health check for `path` to the server of `request_head` on a new connection, which is kept for the next
-    /// request: on one that was used, an earlier answer that is written again could pass for this one.
+    /// request. On a used connection, an earlier answer that is sent again could be taken for this one.
     ///
-    /// An idle connection is closed for it if the pool is full.
+    /// If the pool is full, an idle connection is closed first.
     ///
     /// # Errors
     ///
@@ -223,7 +223,7 @@
         connection: &mut Connection,
         gate: &mut impl Gate,
     ) -> Result<(), Failed> {
-        // Lets the tasks of connections that the earlier process has closed see that.
+        // Lets the tasks of connections that an earlier process has closed record that.
         yield_now().await;
         let Some(path) = gate.health_check(self.lane.closed_at()) else {
             return Ok(());
@@ -246,7 +246,7 @@
     ///
     /// # Errors
     ///
-    /// [`Reason::ConnectionSilent`] if it is not answered in time: the path need not be lost for that. Otherwise
+    /// [`Reason::ConnectionSilent`] if it is not answered in time, which does not show that the path is lost.
     /// [`Reason::ConnectionRefused`] if the connection cannot be used.
     async fn check_health<F: Framing>(
         &self,
@@ -423,7 +423,7 @@
                 biased;
                 room = flow.reserve(CHUNK_BYTES) => room,
                 () = sender.closed() => return Err(Reason::Cancelled),
-                // The budget has no room, whatever the server sends.
+                // The budget is exhausted, which is not the server's fault.
                 () = sleep_until(self.deadline) => return Err(Reason::Overload),
             };
             connection.traffic().restart_timer();
--- a/crates/backend/src/framing.rs
+++ b/crates/backend/src/framing.rs
@@ -27,13 +27,13 @@
     /// Returns a hash of the id that the server's responses repeat; `None` if they repeat none.
     fn repeated_id(&self, request_head: &Self::Head) -> Option<RequestHash>;
 
-    /// Returns how much longer the server warms up, by the head of a health response.
+    /// Returns the remaining warm-up time in the head of a health response; zero if it does not state any.
     fn warmup_left(&self, _headers: &HeaderMap) -> Duration {
         Duration::ZERO
     }
 
-    /// Returns how much longer the server of `request_head` warms up; `None` if the head of a health response does not say
-    /// so, or is that of another server.
+    /// Returns the remaining warm-up time of the server of `request_head`; `None` if the head of a health response does
+    /// not state it, or is from another server.
     fn warmup_of(
         &self,
         _request_head: &Self::Head,
--- a/crates/backend/src/lane.rs
+++ b/crates/backend/src/lane.rs
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Sets the most bytes that are read at a time.
+    /// Sets the maximum number of bytes that are read at a time.
     #[must_use]
     pub fn with_read_bytes(self, read_bytes: usize) -> Self {
         Self { read_bytes, ..self }
--- a/crates/gateway/src/pools.rs
+++ b/crates/gateway/src/pools.rs
@@ -25,12 +25,12 @@
 pub(crate) struct ConnectionPools {
     pools: Mutex<HashMap<UpstreamId, Arc<Lane>>>,
     metrics: ConnectionMetrics,
-    /// The most bytes that are read at a time; `None` for the default.
+    /// The maximum number of bytes that are read at a time; `None` for the default.
     read_bytes: Option<usize>,
 }
 
 impl ConnectionPools {
-    /// Creates the pools, whose connections read as little ahead as `budget` asks for.
+    /// Creates the pools. Their connections read at most as many bytes at a time as `budget` allows.
     pub(crate) fn new(budget: &Budget) -> Self {
         Self {
             read_bytes: budget.read_bytes(),
@@ -49,8 +49,8 @@
         pools.retain(|id, _| is_registered(id));
     }
 
-    /// Returns the pool of an upstream, of as many connections as are this daemon's share by `view`, but at least one for
-    /// each of the upstream's slots.
+    /// Returns the pool of an upstream. Its size is this daemon's share of the connections that the upstream accepts, but
+    /// at least one connection for each slot.
     pub(crate) fn pool_for(&self, view: &View, upstream: &Upstream) -> Arc<Lane> {
         let configuration = view.configuration();
         let service = configuration
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -11,17 +11,17 @@
 use http::{HeaderMap, HeaderValue, Method, uri::PathAndQuery};
 use tokio::time::{Instant, sleep};
 
-/// How often it is looked whether health checks are due, after an evacuation.
+/// The interval at which due health checks are sent after an evacuation.
 const INTERVAL: Duration = Duration::from_millis(25);
 
-/// How many such intervals lie between two changes of the list that is passed on.
+/// The number of these intervals between two updates of the list that is sent to other daemons.
 const LIST_INTERVALS: u32 = 4;
 
-/// How long the connection of a health check, and its answer, may take together.
+/// The timeout for the connection and the answer of a health check together.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 impl<D: Dialect> Gateway<D> {
-    /// Sends health checks to upstreams that have returned from an evacuation, and may thus be found warm, forever.
+    /// Sends health checks to upstreams that have returned from an evacuation and may be warm. Never returns.
     pub async fn check_returned(self: Arc<Self>) {
         loop {
             self.view().wait_returned().await;
--- a/crates/gateway/src/selector/returned.rs
+++ b/crates/gateway/src/selector/returned.rs
@@ -1,4 +1,4 @@
-//! Has upstreams that have returned from an evacuation be checked, for requests that would be sent there.
+//! Requests health checks of upstreams that have returned from an evacuation, and waits for the answers.
 
 use std::time::Duration;
 
@@ -7,13 +7,13 @@
 use copperwell_routing::{UpstreamId, registry::Upstream};
 use tokio::time::{Instant, timeout_at};
 
-/// How long a request waits at most for the answers to health checks, if no other upstream has room. Upstreams answer them
-/// at once, and they are spread over half of that time.
-const CHECK_PATIENCE: Duration = Duration::from_millis(300);
+/// The maximum time for which a request waits for health checks if no other upstream has capacity. Upstreams answer
+/// immediately, and the checks are spread over half of this time.
+const CHECK_WAIT_MAX: Duration = Duration::from_millis(300);
 
 impl Selector {
-    /// Has one of `cold` that has returned from an evacuation be checked, if the request would be sent there if those that
-    /// have returned were warm.
+    /// Requests a health check of the upstream to which the request would be sent if all of `cold` that have returned from
+    /// an evacuation were warm, if it is one of these.
     pub(super) fn request_return_check(
         &self,
         cold: &HashSet<UpstreamId>,
@@ -44,13 +44,13 @@
         }
     }
 
-    /// Waits for upstreams that have returned to be found warm, and selects one of these; `None` if there are none in time.
+    /// Waits until upstreams that have returned are found warm, and selects one of them; `None` if none is in time.
     pub(super) async fn select_returned(
         &self,
         requirements: &Requirements,
         attempted: &[UpstreamId],
     ) -> Option<Selected> {
-        let until = requirements.deadline.min(Instant::now() + CHECK_PATIENCE);
+        let until = requirements.deadline.min(Instant::now() + CHECK_WAIT_MAX);
         let service = &requirements.service;
         loop {
             let checked = self.view.return_checked();
@@ -73,7 +73,7 @@
         holder: &Upstream,
         requirements: &Requirements,
     ) -> bool {
-        let until = requirements.deadline.min(Instant::now() + CHECK_PATIENCE);
+        let until = requirements.deadline.min(Instant::now() + CHECK_WAIT_MAX);
         loop {
             let checked = self.view.return_checked();
             if self.view.warming_up(holder).is_none() {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,7 +1,7 @@
 //! A daemon's view of the configuration and the upstreams.
 //!
-//! Lock order: the change of the list, then the registry, then the loads, the paths or the warm-ups; the other locks are never held
-//! together. The list is read on another thread than requests are served on.
+//! Lock order: the change of the list, then the registry, then the loads, the paths or the warm-ups; the other locks are
+//! never held together. The list is read on another thread than requests are served on.
 
 use std::{
     sync::{
@@ -40,7 +40,7 @@
 mod leader;
 pub(crate) mod list;
 
-/// The most parts of a configuration that are logged because they are not understood.
+/// The maximum number of defects of a configuration that are logged.
 const DEFECTS_LOGGED_MAX: usize = 32;
 
 /// How long a successor of the leader counts as alive after an answer.
@@ -90,7 +90,7 @@
 struct Draining {
     /// Until when it still gets requests for its keys.
     until: Instant,
-    /// Until when it may get them, in case it leaves by its own word.
+    /// Until when it may get them at most, if it drains for its own reasons and not only for an evacuation.
     fresh_until: Instant,
 }
 
--- a/crates/gateway/src/view/evacuation.rs
+++ b/crates/gateway/src/view/evacuation.rs
@@ -17,16 +17,16 @@
 use spdlog::{info, warn};
 use tokio::time::Instant;
 
-/// How long after the leader has last confirmed the evacuations a daemon that knows of one reads them itself. It is
-/// longer than the leader waits for changes before it answers.
-const NEWS_AGE_MAX: Duration = Duration::from_secs(8);
+/// The maximum time since the last confirmation of the evacuations, after which a daemon that knows of one reads them
+/// itself. It exceeds the time for which the leader waits for changes before it answers.
+const CONFIRMATION_AGE_MAX: Duration = Duration::from_secs(8);
 
 /// How long a holder in an evacuated data centre still gets requests for its keys while they migrate. A plan takes a
 /// slow store most of a second, and requests wait for a new holder for less; daemons learn of an evacuation at most three
 /// seconds before no request may reach the data centre.
 const EVACUATION_GRACE: Duration = Duration::from_millis(1_500);
 
-/// What this daemon remembers of evacuations beside the registry.
+/// The state of evacuations that is not in the registry.
 #[derive(Debug, Default)]
 pub(super) struct EvacuationRecord {
     /// When the store or another daemon last confirmed the evacuations.
@@ -115,8 +115,8 @@
         list_log::record(&changes, list);
     }
 
-    /// Lists runs of upstreams that have returned from an evacuation, and were found warm, as they are registered; with
-    /// each, when the evacuation has ended.
+    /// Lists runs of upstreams that were found warm after an evacuation as they are registered. Each is given with the
+    /// time at which the evacuation ended.
     pub(crate) fn list_warm(&self, warm: &[(UpstreamId, Incarnation, Instant)]) {
         let _change = self.change_list();
         let mut registry = self
@@ -172,10 +172,10 @@
     }
 
     /// Returns whether this daemon must read evacuations itself: it knows of one, and no daemon has confirmed it for a
-    /// time. A leader of an earlier release does not know of evacuations, and never tells of their end.
+    /// time. A leader of an earlier release does not know of evacuations, and never reports their end.
     pub(super) fn must_read_evacuations(&self) -> bool {
         let confirmed_at = self.evacuation_record().confirmed_at;
-        let is_old = confirmed_at.is_some_and(|at| at.elapsed() > NEWS_AGE_MAX);
+        let is_old = confirmed_at.is_some_and(|at| at.elapsed() > CONFIRMATION_AGE_MAX);
         is_old && !self.registry().evacuations().zones.is_empty()
     }
 
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -28,7 +28,7 @@
 
 mod returned;
 
-/// The most log lines in one [`LOG_WINDOW`]; all upstreams of a data centre may start together.
+/// The maximum number of log lines in one [`LOG_WINDOW`], since all upstreams of a data centre may start together.
 const LINES_MAX: u32 = 100;
 
 /// The window in which log lines are counted.
@@ -39,6 +39,7 @@
 pub struct WarmupState {
     known: Mutex<Warmups>,
     allowance: Mutex<Option<Allowance>>,
+    /// The start of the current [`LOG_WINDOW`], and the number of log lines in it.
     lines: Mutex<Option<(Instant, u32)>>,
     warming_up: Gauge,
     health_checks: Family<AnswerLabel, Counter>,
@@ -46,10 +47,12 @@
     returns: Returns,
 }
 
-/// The limit of an upstream that warms up, and for how long it does.
+/// The state of an upstream that warms up.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct WarmingUp {
+    /// The limit on its requests.
     pub(crate) limit: Limit,
+    /// The remaining warm-up time.
     pub(crate) left: Duration,
 }
 
@@ -157,7 +160,7 @@
             let listed = registry.listed_warmup(upstream);
             let begins = match listed == upstream.warmup {
                 true => known.record_registration(upstream, now),
-                // A return counts by itself.
+                // The list also contains the warm-up after a return, which is recorded below.
                 false => {
                     let upstream = Upstream {
                         warmup: listed,
--- a/crates/gateway/src/warmup/returned.rs
+++ b/crates/gateway/src/warmup/returned.rs
@@ -22,17 +22,17 @@
     time::Instant,
 };
 
-/// The health checks that a daemon has in flight.
+/// The maximum number of health checks that a daemon has in flight.
 const IN_FLIGHT_MAX: usize = 16;
 
-/// The time over which health checks are spread that are asked for at once: the daemons hear of the end of an evacuation
-/// together.
-const SPREAD: Duration = Duration::from_millis(150);
+/// The maximum random delay of a health check. All daemons learn of the end of an evacuation at about the same time, and
+/// must not check an upstream all at once.
+const CHECK_DELAY_MAX: Duration = Duration::from_millis(150);
 
-/// The run of an upstream that was found warm, and when the evacuation has ended from which it has returned.
+/// A run of an upstream that was found warm, and the time at which its evacuation ended.
 type Warm = (UpstreamId, Incarnation, Instant);
 
-/// What is known of the health checks to upstreams that have returned.
+/// The results of health checks to upstreams that have returned.
 #[derive(Debug, Default)]
 pub(super) struct Returns {
     /// The runs that were found warm, until they are listed so.
@@ -83,23 +83,23 @@
         self.warmups.known().has_returned(Instant::now())
     }
 
-    /// Returns the upstreams of a service that have returned, count as warming up, and may be found warm; none if no
-    /// health check is left that nobody has asked for.
+    /// Returns the upstreams of a service that have returned, count as warming up, and may be found warm. Returns none if
+    /// no further health check can be requested.
     pub(crate) fn unchecked_returned(&self, service: &str) -> HashSet<UpstreamId> {
         let registry = self.registry();
         let known = self.warmups.known();
         let now = Instant::now();
         let upstreams = registry.of_service(service).iter();
         let upstreams = upstreams.filter(|one| !one.is_draining);
-        let (mut returned, mut is_any_unasked) = (HashSet::default(), false);
+        let (mut returned, mut can_check_any) = (HashSet::default(), false);
         for upstream in upstreams {
             let can_check = known.can_check(&upstream.id, now);
-            is_any_unasked |= can_check;
+            can_check_any |= can_check;
             if can_check || known.awaits_check(&upstream.id, now) {
                 returned.insert(upstream.id.clone());
             }
         }
-        if !is_any_unasked {
+        if !can_check_any {
             returned.clear();
         }
         returned
@@ -119,15 +119,15 @@
         self.warmups.known().awaits_check(id, Instant::now())
     }
 
-    /// Has a health check be sent to an upstream that has returned, if that may show that it is warm.
+    /// Requests a health check of an upstream that has returned, if that may show that it is warm.
     pub(crate) fn request_return_check(&self, id: &str) {
-        let delay = rand::rng().random_range(Duration::ZERO..SPREAD);
+        let delay = rand::rng().random_range(Duration::ZERO..CHECK_DELAY_MAX);
         let mut known = self.warmups.known();
         known.request_check(id, delay, Instant::now());
     }
 
-    /// Has health checks be sent to all upstreams that have returned if this daemon leads. It grants keys to warm ones
-    /// only, and others learn from its list which are not.
+    /// Requests health checks of all upstreams that have returned, if this daemon leads. The leader grants keys only to
+    /// warm upstreams, and its list tells other daemons which are not warm.
     pub(crate) fn request_leader_checks(&self) {
         if !self.keys.warmups.is_leading() {
             return;
@@ -166,7 +166,7 @@
         PathAndQuery::try_from(service.health_path.as_deref()?).ok()
     }
 
-    /// Records what came of a health check to an upstream that has returned.
+    /// Records the result of a health check to an upstream that has returned.
     pub(crate) fn record_return_check(&self, upstream: &Upstream, result: Result<Health, Reason>) {
         let now = Instant::now();
         let mut known = self.warmups.known();
@@ -196,8 +196,8 @@
         self.warmups.returns.checked.notify_waiters();
     }
 
-    /// Records that a health check, sent at `sent_at`, says that an upstream warms up for `left`: one that has returned
-    /// from an evacuation may be warm.
+    /// Records the remaining warm-up time `left` in the answer to a health check that was sent at `sent_at`, which may
+    /// show that an upstream that has returned from an evacuation is warm.
     pub(crate) fn confirm_return(&self, upstream: &Upstream, left: Duration, sent_at: Instant) {
         let now = Instant::now();
         let mut known = self.warmups.known();
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -19,7 +19,7 @@
 /// window. Its previous incarnation may have spent the whole budget of its requests a moment ago.
 const SPENDABLE_RATIO_AFTER_START: f64 = 0.1;
 
-/// The least number of daemons that are assumed to share the slack while a daemon has been running for less than a
+/// The minimum number of daemons that are assumed to share the slack while a daemon has been running for less than a
 /// window, since it may not know all others yet.
 const DAEMONS_MIN_AFTER_START: usize = 16;
 
@@ -41,9 +41,9 @@
 /// The retry budget of one daemon for one service.
 ///
 /// A daemon gets an equal share of the slack, and the ratio of its own requests, less a part for bursts. While it does
-/// not know how many daemons there are, it gets nothing of the slack: no number that it could assume is safe for a fleet
-/// of any size whose daemons all start at once. What its previous incarnation may have spent must not be spent again, so in its first window a new incarnation gets its share
-/// of the slack gradually and only a part of the ratio.
+/// not know how many daemons there are, it gets no slack: a fleet of any size may have started at once, so that no assumed
+/// number is safe. What its previous incarnation may have spent must not be spent again. A new incarnation therefore gets
+/// its share of the slack gradually, and only a part of the ratio, in its first window.
 #[derive(Debug)]
 pub struct Budget {
     allowance: Allowance,
--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -21,7 +21,8 @@
 /// The lowest limit, with which a daemon finds out whether an upstream has places again.
 const LIMIT_MIN: f64 = 1.0;
 
-/// The most by which what upstreams report changes a limit, so that a false report cannot close or flood an upstream.
+/// The maximum factor by which a report raises a limit, or lowers it below the maximum, so that a false report can
+/// neither block nor flood an upstream.
 const REPORT_FACTOR_MAX: f64 = 4.0;
 
 /// The most requests that a daemon has in flight at an upstream.
@@ -59,10 +60,11 @@
         self.learnt = self.learnt.map(|limit| limit + INCREASE / limit);
     }
 
-    /// Records what an upstream has reported, `own` of whose requests are this daemon's; it never has more than `max`.
+    /// Records a load report of an upstream. `own` of the reported requests are this daemon's, which never has more than
+    /// `max` in flight there.
     ///
-    /// Free slots raise a limit that was learnt before, up to the slots. A queue as long as the slots lowers it: what
-    /// is sent there waits longer than it runs.
+    /// Free slots raise a limit that was learnt before, up to the number of slots. A queue as long as the slots lowers it,
+    /// since further requests would wait there longer than they run.
     pub fn record_report(&mut self, report: &Report, own: u32, max: u32, now: Instant) {
         let free = report.slots.saturating_sub(report.requests());
         if free > 0 {
--- a/crates/routing/src/configuration/defect.rs
+++ b/crates/routing/src/configuration/defect.rs
@@ -14,13 +14,13 @@
 /// The kind of a part that is not understood.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// A route of an unknown type, whose requests are taken for not repeatable.
+    /// A route of an unknown type, whose requests are treated as not repeatable.
     RouteType,
     /// A route whose requests are refused.
     Route,
-    /// A service that is not used, or only by the properties that are understood.
+    /// A service that is ignored, or used with defaults for the properties that are not understood.
     Service,
-    /// A limit for callers, which has a default.
+    /// A limit for callers that is replaced by a default.
     Limit,
 }
 
--- a/crates/routing/src/evacuation.rs
+++ b/crates/routing/src/evacuation.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// How much of the operator's topic is known; a later version replaces an earlier one, whoever has read it.
+/// The position up to which the operator's topic was read. A later version replaces an earlier one, whichever daemon has
+/// read it.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -55,7 +55,7 @@
     read_at: Option<Instant>,
     /// The incarnations that have said that they leave, whatever their registrations say.
     leaving: HashMap<UpstreamId, Incarnation>,
-    /// The data centres whose upstreams are taken for draining, whatever their registrations say.
+    /// The data centres whose upstreams are treated as draining, whatever their registrations say.
     evacuations: Evacuations,
     /// The upstreams of these data centres and of `returning`, as they are listed.
     as_listed: HashMap<UpstreamId, Upstream>,
@@ -222,15 +222,15 @@
         (!left.is_zero()).then_some((end.ended_at, left))
     }
 
-    /// Returns the remaining warm-up time of an upstream as it is listed, whatever has become of its data centre.
+    /// Returns the remaining warm-up time of an upstream as it is listed, regardless of evacuations.
     #[must_use]
     pub fn listed_warmup(&self, upstream: &Upstream) -> Duration {
         let listed = self.as_listed.get(&upstream.id).unwrap_or(upstream);
         listed.warmup
     }
 
-    /// Records runs of upstreams that were found warm after the end of an evacuation at the time named with them, and
-    /// lists them as they are registered again; returns whether that changes anything.
+    /// Records runs of upstreams that were found warm, each with the time at which its evacuation ended, and lists them as
+    /// they are registered. Returns whether the list has changed.
     pub fn record_warm<'a>(
         &mut self,
         warm: impl IntoIterator<Item = &'a (UpstreamId, Incarnation, Instant)>,
@@ -241,7 +241,7 @@
             let Some(upstream) = self.upstreams.get(id).filter(|one| one.born == *born) else {
                 continue;
             };
-            // The data centre may have been evacuated once more.
+            // The data centre may have been evacuated again.
             let end = self.returning.get_mut(&upstream.zone);
             let Some(end) = end.filter(|end| end.ended_at == *ended_at) else {
                 continue;
