Split the selection of a holder into steps

Cause: `select_holder` had 90 lines, which mixed admission, requests kept apart, the permit and the limit of the holder.

Change: selector/holder.rs has the selection of a holder. `admit`, `wait_apart`, `acquire_at_holder` and `reserve_at_holder` are its steps, in the order in which they were; what a request has got so far is in `Progress`.

--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -20,10 +20,7 @@
     registry::Upstream,
 };
 use rand::RngExt;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
-
-/// How often a request that is to be kept apart looks whether the other one has ended.
-const APART_POLL_INTERVAL: Duration = Duration::from_millis(50);
+use tokio::time::{Instant, sleep};
 
 /// How often a request that waits for a holder looks whether none can be expected.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -278,169 +275,11 @@
         }
     }
 
-    /// Waits until a key has a holder with capacity, and returns the holder.
-    async fn select_holder(
-        &self,
-        requirements: &Requirements,
-        key: Key,
-        stale_version: Option<Version>,
-        is_apart: bool,
-        relays: Option<&[SocketAddr]>,
-    ) -> Result<Selected, Rejection> {
-        let routing_tables = &self.view.keys.routing_tables;
-        let _queued = self.queues.enter();
-        if let Some(stale_version) = stale_version {
-            let _ = timeout_at(
-                requirements.deadline,
-                routing_tables.newer_than(stale_version),
-            )
-            .await;
-        }
-        // Admission control applies once, and not to a retry after a stale routing table.
-        let mut is_admitted = stale_version.is_some();
-        let mut reserved = None;
-        let mut reservation = None;
-        loop {
-            let version = routing_tables.tables().version;
-            let served = routing_tables.served(&requirements.service, key);
-            if let Some(served) = &served {
-                self.check_region(&served.upstream, requirements)?;
-            }
-            // The daemon that helps decides on the admission.
-            if let Some(served) = &served
-                && let Some(helper) =
-                    relays.and_then(|tried| self.relay_to(&served.upstream, requirements, tried))
-            {
-                return Ok(Selected::Relay(helper));
-            }
-            if let Some(served) = &served
-                && !is_admitted
-            {
-                let view = &self.view;
-                let class = requirements.class();
-                is_admitted = view.admits(&requirements.service, class, served.admitted_share);
-                if !is_admitted {
-                    return Err(Rejection::new(Reason::Overload));
-                }
-            }
-            let upstream = served.and_then(|served| self.eligible_holder(&served.upstream));
-            let Some(upstream) = upstream else {
-                self.wait_for_holder(requirements, version).await?;
-                continue;
-            };
-            if self.wait_until_open(&upstream.id, requirements).await? {
-                continue;
-            }
-            if is_apart && self.view.crash_tracker.has_kept_apart(&upstream.id) {
-                if Instant::now() >= requirements.deadline {
-                    return Err(Rejection::new(Reason::QueueFull));
-                }
-                // A streamed response ends without freeing a permit.
-                let until = Instant::now() + APART_POLL_INTERVAL;
-                sleep_until(requirements.deadline.min(until)).await;
-                continue;
-            }
-            let permit = tokio::select! {
-                biased;
-                permit = self.acquire_at(&upstream, requirements) => permit?,
-                () = self.wait_for_move(requirements, key, &upstream.id) => continue,
-            };
-            let Some(permit) = permit else {
-                continue;
-            };
-            let limits = &self.view.keys.limits;
-            let is_reserved = reserved.as_ref() == Some(&upstream.id);
-            let is_due = is_reserved || limits.acquire(&upstream, Duration::ZERO).await.is_ok();
-            if is_reserved || is_due && routing_tables.version() == version {
-                let id = upstream.id.clone();
-                let selected =
-                    self.reserve_holder(upstream, permit, requirements, &mut reservation);
-                if let Some(selected) = selected.await? {
-                    return Ok(selected);
-                }
-                reserved = Some(id);
-                continue;
-            }
-            drop(permit);
-            if !is_due {
-                self.wait_for_limit(&upstream, requirements).await?;
-            }
-            // The key may have moved meanwhile.
-            reserved = Some(upstream.id.clone());
-        }
-    }
-
-    /// Waits until tables that are newer than `version` may name a holder, or some time has passed.
-    ///
-    /// Refuses the request if the service has upstreams in evacuated data centres only: its keys get no holder then.
-    async fn wait_for_holder(
-        &self,
-        requirements: &Requirements,
-        version: Version,
-    ) -> Result<(), Rejection> {
-        if self.view.registry().is_evacuated(&requirements.service) {
-            return Err(unserved_rejection(Reason::NoUpstream));
-        }
-        let now = Instant::now();
-        if now >= requirements.deadline {
-            return Err(Rejection::new(Reason::Unowned));
-        }
-        let until = requirements.deadline.min(now + HOLDER_POLL_INTERVAL);
-        let newer = self.view.keys.routing_tables.newer_than(version);
-        let _ = timeout_at(until, newer).await;
-        Ok(())
-    }
-
-    /// Refuses a request whose key is held where it must not be served.
-    fn check_region(
-        &self,
-        holder: &UpstreamId,
-        requirements: &Requirements,
-    ) -> Result<(), Rejection> {
-        if requirements.regions.is_empty() {
-            return Ok(());
-        }
-        let registry = self.view.registry();
-        match registry.get(holder) {
-            Some(holder) if !self.is_allowed(holder, requirements) => {
-                Err(unserved_rejection(Reason::NoRegion))
-            }
-            _ => Ok(()),
-        }
-    }
-
     /// Returns whether an upstream is in a region in which the request may be served.
     fn is_allowed(&self, upstream: &Upstream, requirements: &Requirements) -> bool {
         self.view
             .is_in_regions(&upstream.zone, &requirements.regions)
     }
-
-    /// Waits until a holder takes requests again, if it wants none and that ends before the deadline.
-    ///
-    /// Returns whether it has waited.
-    async fn wait_until_open(
-        &self,
-        holder: &UpstreamId,
-        requirements: &Requirements,
-    ) -> Result<bool, Rejection> {
-        let now = Instant::now();
-        let Some(wait) = self.view.loads().closed_for(holder, now) else {
-            return Ok(false);
-        };
-        if now + wait >= requirements.deadline {
-            return Err(closed_rejection(wait));
-        }
-        sleep(wait).await;
-        Ok(true)
-    }
-
-    /// Returns a holder unless it has been draining for too long.
-    fn eligible_holder(&self, id: &UpstreamId) -> Option<Arc<Upstream>> {
-        let registry = self.view.registry();
-        let upstream = registry.get(id)?.clone();
-        drop(registry);
-        self.view.may_serve_keys(id).then_some(upstream)
-    }
 }
 
 /// Returns the refusal of a request whose upstreams want none for `wait`.
@@ -458,6 +297,7 @@
 }
 
 mod cold;
+mod holder;
 mod permits;
 mod relays;
 mod returned;
