Split the sending of a request into steps

Change: `outbound`, `may_send`, `observe_reply`, `record_unreachable` and `record_end` are its steps, called where their code was, so that effects keep their order.

--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -10,13 +10,13 @@
     crash_tracker::Send,
     dialect::{Dialect, Outbound},
     metrics::Stage,
-    queue::Permit,
+    queue::{InFlight, Permit},
     trail::Flight,
     view::View,
 };
 use copperwell_assignment::warmup::Reservation;
-use copperwell_backend::exchange::{Exchange, Gate};
-use copperwell_message::{Body, Reason, Reply};
+use copperwell_backend::exchange::{Exchange, Failed, Gate};
+use copperwell_message::{Body, Reason, Reply, Response};
 use copperwell_routing::{
     Key,
     limit::Observation,
@@ -64,13 +64,7 @@
         key: Option<Key>,
     ) -> Attempt {
         let pool = self.pools.pool_for(self.view, upstream);
-        let outbound = Outbound {
-            method: parts.method.clone(),
-            target: parts.uri.clone(),
-            headers: parts.headers.clone(),
-            id: self.metadata.id.clone(),
-            upstream: upstream.id.clone(),
-        };
+        let outbound = self.outbound(upstream, parts);
         let in_flight = permit.start();
         let left = self.deadline.saturating_duration_since(Instant::now());
         let (body_end, streamed) = oneshot::channel();
@@ -83,13 +77,11 @@
         let is_whole = body.as_full().is_some();
         flight.record_choice(self.view.upstreams_age());
         let may_send = || {
-            let may_send = self.view.may_send(upstream, key.is_some())
-                && self.view.may_send_cold(upstream, reservation.as_ref());
-            if !may_send || self.would_be_cut(is_whole) {
-                return false;
+            let may_send = self.may_send(upstream, reservation.as_ref(), key, is_whole);
+            if may_send {
+                flight.record_sending_at(self.view.upstreams_age(), sent_at.elapsed());
             }
-            flight.record_sending_at(self.view.upstreams_age(), sent_at.elapsed());
-            true
+            may_send
         };
         let gate = SendGate {
             view: self.view,
@@ -101,24 +93,77 @@
         flight.end(outcome::verdict_of(&result));
         path.end(&result);
         if let Ok(response) = &result {
-            self.observe_limit(upstream, &response.reply, sent_at);
-            self.observe_load(upstream, &response.reply);
-            if let Some(time) = self.dialect.closed_for(&response.reply) {
-                self.record_closed(upstream, time);
-            }
-            if self.dialect.is_leaving(&response.reply) {
-                self.view.record_leaving(&upstream.id, upstream.born);
-            }
+            self.observe_reply(upstream, &response.reply, sent_at);
+        }
+        self.record_unreachable(upstream, &result);
+        let outcome = outcome_of(&result);
+        self.record_sign_of_life(upstream, outcome, sent_at);
+        let streamed = end_send(send, &result, streamed);
+        let elapsed = self.record_end(upstream, outcome, in_flight, streamed, sent_at);
+        Attempt {
+            outcome,
+            elapsed,
+            result,
+        }
+    }
+
+    /// Returns the request as it is sent to an upstream.
+    fn outbound(&self, upstream: &Upstream, parts: &Parts) -> Outbound {
+        Outbound {
+            method: parts.method.clone(),
+            target: parts.uri.clone(),
+            headers: parts.headers.clone(),
+            id: self.metadata.id.clone(),
+            upstream: upstream.id.clone(),
         }
+    }
+
+    /// Returns whether the choice of an upstream still holds when the request is about to be sent.
+    fn may_send(
+        &self,
+        upstream: &Upstream,
+        reservation: Option<&Reservation>,
+        key: Option<Key>,
+        is_whole: bool,
+    ) -> bool {
+        self.view.may_send(upstream, key.is_some())
+            && self.view.may_send_cold(upstream, reservation)
+            && !self.would_be_cut(is_whole)
+    }
+
+    /// Records what a reply says of its upstream.
+    fn observe_reply(&self, upstream: &Upstream, reply: &Reply, sent_at: Instant) {
+        self.observe_limit(upstream, reply, sent_at);
+        self.observe_load(upstream, reply);
+        if let Some(time) = self.dialect.closed_for(reply) {
+            self.record_closed(upstream, time);
+        }
+        if self.dialect.is_leaving(reply) {
+            self.view.record_leaving(&upstream.id, upstream.born);
+        }
+    }
+
+    /// Records that an upstream has refused the connection.
+    fn record_unreachable(&self, upstream: &Arc<Upstream>, result: &Result<Response, Failed>) {
         let is_unreachable =
-            matches!(&result, Err(failed) if failed.reason == Reason::ConnectionRefused);
+            matches!(result, Err(failed) if failed.reason == Reason::ConnectionRefused);
         // Refused connections prove nothing where they are refused by something on the way to all upstreams.
         if is_unreachable && !self.view.is_cut_off() {
             self.view.crash_tracker.record_unreachable(upstream);
         }
-        let outcome = outcome_of(&result);
-        self.record_sign_of_life(upstream, outcome, sent_at);
-        let streamed = end_send(send, &result, streamed);
+    }
+
+    /// Records that a request is not in flight any more, and its latency; returns that.
+    ///
+    /// `streamed` is the send whose response body is still streamed.
+    fn record_end(
+        &self,
+        upstream: &Arc<Upstream>,
+        outcome: Outcome,
+        in_flight: InFlight,
+        streamed: Option<(Send, BodyEnd)>,
+        sent_at: Instant,
+    ) -> Duration {
         // How a streamed response has ended is known later.
         let elapsed = in_flight.end(match streamed {
             Some(_) => Outcome::Cancelled,
@@ -132,11 +177,7 @@
         }
         self.metrics
             .observe(Stage::Upstream, self.route.is_repeatable, elapsed);
-        Attempt {
-            outcome,
-            elapsed,
-            result,
-        }
+        elapsed
     }
 
     /// Records whether the process of an upstream has answered a request that was sent at `sent_at`.
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -25,7 +25,7 @@
 };
 
 use capacity::{may_have_permit, permits_in_use};
-pub(crate) use permit::Permit;
+pub(crate) use permit::{InFlight, Permit};
 
 mod capacity;
 mod permit;
