Move the configuration of groups and led groups into modules

Change: groups/config.rs has the configuration of a group, from manifest and log; groups/led.rs has a group that the daemon leads and the end of its task. Code is moved, not changed.

--- a/crates/ownership/src/groups.rs
+++ b/crates/ownership/src/groups.rs
@@ -15,7 +15,6 @@
 use copperwell_keyspace::{
     DaemonName, Epoch, GroupId, HashMap, Member, ServiceName, ShardIndex,
     balance::{PlannedMove, plan},
-    manifest::{OnIsolation, Upstream},
     replay::{Appointment, State},
 };
 use copperwell_policy::group::{
@@ -25,6 +24,12 @@
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
+use config::config_of;
+use led::{LedGroup, TaskEnd, has_ended, wait_for_end};
+
+mod config;
+mod led;
+
 /// The most commands queued for one group.
 const COMMANDS_MAX: usize = 1024;
 
@@ -49,20 +54,6 @@
     rivals: Rivals,
 }
 
-/// A group that this daemon leads.
-#[derive(Debug)]
-struct LedGroup {
-    epoch: Epoch,
-    /// The first epoch of the uninterrupted leadership.
-    leadership_epoch: Epoch,
-    commands: mpsc::Sender<Command>,
-    status: Arc<Mutex<Status>>,
-    end: TaskEnd,
-}
-
-/// A channel that closes when a task has ended.
-type TaskEnd = watch::Receiver<()>;
-
 impl<C: Control> Groups<C> {
     /// Creates a driver without groups; [`Groups::apply`] adds them.
     pub fn new(
@@ -478,61 +469,3 @@
         }
     }
 }
-
-impl LedGroup {
-    fn has_ended(&self) -> bool {
-        has_ended(&self.end)
-    }
-
-    /// Sends a command to the task; returns false if its queue is full or it has ended.
-    fn send(&self, command: Command) -> bool {
-        self.commands.try_send(command).is_ok()
-    }
-}
-
-fn has_ended(end: &TaskEnd) -> bool {
-    end.has_changed().is_err()
-}
-
-/// Waits until a task has ended.
-async fn wait_for_end(mut end: TaskEnd) {
-    while end.changed().await.is_ok() {}
-}
-
-/// Returns the configuration of a group from manifest and log; `None` if it needs no leader.
-fn config_of(state: &State, id: &GroupId) -> Option<Config> {
-    let former = state.former.get(id).cloned().unwrap_or_default();
-    let service = state.manifest.as_ref()?.service(&id.service);
-    let lease_max = state.leases.get(&id.service).copied();
-    let Some(service) = service else {
-        // Only the grants of a removed service are left to release.
-        let lease = lease_max.filter(|_| !former.is_empty())?;
-        return Some(Config {
-            upstreams: Vec::new(),
-            former,
-            shards: Vec::new(),
-            lease,
-            lease_max: lease,
-            isolation: None,
-        });
-    };
-    let upstreams = service.upstreams.iter();
-    let upstreams = upstreams.filter(|upstream| upstream.group(&id.service) == *id);
-    let upstreams: Vec<Upstream> = upstreams.cloned().collect();
-    let owners = state.owners.get(&id.service);
-    let shards = owners.map_or_else(Vec::new, |owners| owners.positions_of(id));
-    if upstreams.is_empty() && former.is_empty() && shards.is_empty() {
-        return None;
-    }
-    Some(Config {
-        upstreams,
-        former,
-        shards,
-        lease: service.lease,
-        lease_max: lease_max.unwrap_or_default().max(service.lease),
-        isolation: match service.on_isolation {
-            OnIsolation::Keep => None,
-            OnIsolation::Release => Some(service.limits.isolation),
-        },
-    })
-}
