Move waits and admin requests out of the module of the cluster

Change: cluster/wait.rs has the waits for a state of the cluster, cluster/admin.rs the status and metrics that daemons serve. Code is moved, not changed; the public paths are the same.

--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -1,7 +1,6 @@
 //! A cluster on loopback: daemons, the platform and backend servers.
 
 use std::{
-    collections::BTreeMap,
     io,
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -11,16 +10,14 @@
 use crate::{
     load::Entries,
     node::{Launch, Node, Proxies},
-    probe,
 };
-use bytes::Bytes;
 use copperwell_keyspace::{
-    GroupId, HashMap,
+    HashMap,
     manifest::{Manifest, Upstream},
     record::{Body, Id, Record as LogRecord, STREAM},
 };
 use copperwell_log::{Log, http::Client};
-use copperwell_operator::status::{STATUS_PATH, Status};
+use copperwell_operator::status::Role;
 use copperwell_standin::{
     backend::{Options, Record, Server},
     platform::Platform,
@@ -29,15 +26,11 @@
 use copperwelld::settings::{
     Advertise, Callers, Listen, Platform as PlatformSettings, ReadLog, Settings,
 };
-use http_body_util::{BodyExt, Empty};
-use hyper_util::{client::legacy, rt::TokioExecutor};
-use tokio::time::{Instant, sleep, timeout};
 
-/// How long to wait for the cluster to reach a state, such as all shards served.
-const START_TIMEOUT: Duration = Duration::from_secs(30);
+pub use admin::{metrics, status};
 
-/// Timeout of a request to a daemon's admin endpoint.
-const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
+mod admin;
+mod wait;
 
 /// The largest number of seeds in the settings of a daemon.
 const MAX_SEEDS: usize = 3;
@@ -48,9 +41,6 @@
 /// The default number of worker threads of a daemon.
 const DEFAULT_WORKERS: usize = 2;
 
-/// How often [`Cluster::wait`] checks its condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The configuration of a cluster.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -345,10 +335,10 @@
             let Some(status) = status(node.addresses.admin).await else {
                 continue;
             };
-            let is_leader = status.groups.iter().any(|entry| {
-                entry.role == copperwell_operator::status::Role::Leader
-                    && entry.group.to_string() == group
-            });
+            let is_leader = status
+                .groups
+                .iter()
+                .any(|entry| entry.role == Role::Leader && entry.group.to_string() == group);
             if is_leader {
                 return Some(node.name.to_string());
             }
@@ -380,76 +370,6 @@
             .map_err(|report| io::Error::other(format!("{report:?}")))
     }
 
-    /// Waits until every shard of every service has an owner.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if shards are without an owner after the timeout.
-    pub async fn wait_owned(&self) -> io::Result<()> {
-        self.wait("every shard to have an owner", || {
-            self.held() >= self.shards()
-        })
-        .await
-    }
-
-    /// Waits until every shard has an owner and serves a new request that is not repeatable.
-    ///
-    /// A new leader answers "may have run" for idempotency keys made before its term, so keys made
-    /// after this call are known to be accepted by the present leaders.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a shard is not served after the timeout, or if an answer belongs to
-    /// another request.
-    pub async fn wait_ready(&self) -> io::Result<()> {
-        self.wait_owned().await?;
-        self.wait_served(&self.entries).await
-    }
-
-    /// Waits until every shard of every service is served through the given daemons.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a shard is not served after the timeout, or if an answer belongs to
-    /// another request.
-    pub async fn wait_served(&self, entries: &Entries) -> io::Result<()> {
-        self.wait_groups_served(|_| true, entries).await
-    }
-
-    /// Waits until every shard that the selected groups own initially is served through the given
-    /// daemons.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a shard is not served after the timeout, or if an answer belongs to
-    /// another request.
-    pub async fn wait_groups_served(
-        &self,
-        groups: impl Fn(&GroupId) -> bool,
-        entries: &Entries,
-    ) -> io::Result<()> {
-        let until = Instant::now() + START_TIMEOUT;
-        probe::wait_served(&self.manifest, groups, entries, until).await
-    }
-
-    /// Waits until a condition holds.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that names `description` if the condition does not hold before the timeout.
-    pub async fn wait(&self, description: &str, condition: impl Fn() -> bool) -> io::Result<()> {
-        let until = Instant::now() + START_TIMEOUT;
-        while !condition() {
-            if Instant::now() >= until {
-                return Err(io::Error::other(format!(
-                    "timed out waiting for: {description}"
-                )));
-            }
-            sleep(POLL_INTERVAL).await;
-        }
-        Ok(())
-    }
-
     /// Returns the number of shards that servers own now.
     #[must_use]
     pub fn held(&self) -> usize {
@@ -481,19 +401,6 @@
     }
 }
 
-/// Fetches a daemon's status page; `None` if the daemon does not answer.
-pub async fn status(admin: SocketAddr) -> Option<Status> {
-    serde_json::from_slice(&get(admin, STATUS_PATH).await?).ok()
-}
-
-async fn get(admin: SocketAddr, path: &str) -> Option<Bytes> {
-    let client = legacy::Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
-    let uri = format!("http://{admin}{path}").parse().ok()?;
-    let response = timeout(ADMIN_TIMEOUT, client.get(uri)).await;
-    let body = response.ok()?.ok()?.into_body().collect().await.ok()?;
-    Some(body.to_bytes())
-}
-
 fn options_of(upstream: &Upstream, service_time: Duration) -> Options {
     let mut options = Options::new(&upstream.name);
     options.slots = upstream.slots;
@@ -513,22 +420,3 @@
         "the cluster has no {kind} `{name}`; check the scenario"
     ))
 }
-
-/// Returns the metrics of the daemons by name, summed over daemons and labels.
-pub async fn metrics(nodes: &[Node]) -> BTreeMap<String, f64> {
-    let mut sums = BTreeMap::new();
-    for node in nodes {
-        let Some(text) = get(node.addresses.admin, "/metrics").await else {
-            continue;
-        };
-        let text = String::from_utf8_lossy(&text);
-        for line in text.lines().filter(|line| !line.starts_with('#')) {
-            let Some((name, value)) = line.rsplit_once(' ') else {
-                continue;
-            };
-            let name = name.split('{').next().unwrap_or(name);
-            *sums.entry(name.to_owned()).or_default() += value.parse().unwrap_or(0.0);
-        }
-    }
-    sums
-}
