Keep requests in the regions of their route beside upstreams that warm up

A service with a warm-up and a route with allowed regions: with no room, or no upstream, in the regions, a request was sent to an upstream elsewhere that warms up, with a reservation of the leader. A reader of the diff found it; the test fails before in both cases (sent to the upstream of the other region). Cold upstreams are now chosen among the allowed ones, and a request without any upstream in its regions is refused at once.

--- a/crates/gateway/src/selector/cold.rs
+++ b/crates/gateway/src/selector/cold.rs
@@ -27,8 +27,10 @@
         let mut excluded = cold.clone();
         excluded.extend(attempted.iter().cloned());
         let warm = self.select_any_except(&excluded, requirements, attempted, WhenFull::Refuse);
-        if let Ok(selected) = warm.await {
-            return Ok(selected);
+        match warm.await {
+            Err(rejection) if rejection.reason != Reason::NoRegion => {}
+            // Outside of the regions, no upstream is an alternative, warm or cold.
+            result => return result,
         }
         if let Some(selected) = self.select_returned(requirements, attempted).await {
             return Ok(selected);
@@ -36,7 +38,10 @@
         let is_any_warm = {
             let registry = self.view.registry();
             let mut upstreams = registry.of_service(&requirements.service).iter();
-            upstreams.any(|one| !one.is_draining && !cold.contains(&one.id))
+            upstreams.any(|one| {
+                let is_usable = !one.is_draining && self.is_allowed(one, requirements);
+                is_usable && !cold.contains(&one.id)
+            })
         };
         match self.select_cold(cold, requirements, is_any_warm).await {
             Ok(selected) => Ok(selected),
@@ -59,7 +64,7 @@
         is_any_warm: bool,
     ) -> Result<Selected, Rejection> {
         let mut soonest: Option<(Duration, Arc<Upstream>)> = None;
-        for upstream in self.usable_cold(cold) {
+        for upstream in self.usable_cold(cold, requirements) {
             match self.reserve(&upstream, Duration::ZERO).await {
                 Ok(reservation) => return self.with_permit(upstream, reservation, requirements),
                 Err(wait) if soonest.as_ref().is_none_or(|(known, _)| wait < *known) => {
@@ -101,11 +106,17 @@
         })
     }
 
-    /// Returns up to [`CANDIDATES_MAX`] of `cold` that accept a request of this daemon, in random order.
-    fn usable_cold(&self, cold: &HashSet<UpstreamId>) -> Vec<Arc<Upstream>> {
+    /// Returns up to [`CANDIDATES_MAX`] of `cold` that accept the request from this daemon, in random order.
+    fn usable_cold(
+        &self,
+        cold: &HashSet<UpstreamId>,
+        requirements: &Requirements,
+    ) -> Vec<Arc<Upstream>> {
         let registry = self.view.registry();
         let upstreams = cold.iter().filter_map(|id| registry.get(id).cloned());
-        let mut upstreams: Vec<_> = upstreams.filter(|one| !one.is_draining).collect();
+        let may_serve =
+            |one: &Arc<Upstream>| !one.is_draining && self.is_allowed(one, requirements);
+        let mut upstreams: Vec<_> = upstreams.filter(may_serve).collect();
         drop(registry);
         let reach = self.view.paths.reach();
         upstreams.retain(|one| !reach.is_unusable(&one.id));
--- a/crates/gateway/src/selector/tests/cold.rs
+++ b/crates/gateway/src/selector/tests/cold.rs
@@ -196,3 +196,49 @@
     view.record_health(&holder, Some(Duration::from_secs(3)), Instant::now());
     assert!(!view.may_send_cold(&holder, None));
 }
+
+/// Guards against requests that leave the regions of their route for an upstream that warms up.
+#[test_case(true; "a warm upstream in the region is full")]
+#[test_case(false; "no upstream is in the region")]
+#[tokio::test(start_paused = true)]
+async fn request_leaves_its_regions_for_an_upstream_that_warms_up(has_upstream_in_region: bool) {
+    let selector = selector();
+    lead(&selector);
+    warm_up(&selector, &["b"]);
+    let view = &selector.view;
+    let listed = [
+        Upstream {
+            zone: if has_upstream_in_region {
+                "there"
+            } else {
+                "here"
+            }
+            .into(),
+            ..upstream("a")
+        },
+        Upstream {
+            warmup: Duration::from_secs(3),
+            ..upstream("b")
+        },
+    ];
+    let start = ReadStart {
+        boot: Duration::from_secs(3),
+        at: Instant::now(),
+    };
+    view.update_upstreams(listed, start);
+    let zones = [("here", "north"), ("there", "south")];
+    let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
+    view.set_regions(zones.into_iter().collect());
+    let within = || Requirements {
+        regions: vec!["south".into()],
+        objective: Instant::now(),
+        ..requirements(OTHER, None)
+    };
+    let warm = view.registry().get("a").cloned().unwrap();
+    let mut full = Vec::new();
+    while let Ok(permit) = selector.try_permit(&warm, &within()) {
+        full.push(permit);
+    }
+    let selected = selector.select(&within(), &[], None, None).await;
+    assert!(selected.is_err(), "sent to {:?}", reason(selected));
+}
