Let a daemon's own schedule outlast connections to a silent leader

The limits test with a suspended leader had no request at the limited upstream for up to 4.5 s after the leader was stopped. A suspended process accepts connections, so a daemon that has lost its leader connects to it again about every 1.3 s, and each connection started the daemon's own schedule anew at a part of its interval (2.5 s for three daemons and 2 a second): a first request that was due later than the next connection was never due. Also, what the own schedule or an earlier leader said of room (up to 13 s if the number of daemons is unknown) kept a daemon from asking the new leader. The own schedules now end when a leader has answered an exchange or this daemon leads, and what they said of room with them.

--- a/crates/assignment/src/driver/following.rs
+++ b/crates/assignment/src/driver/following.rs
@@ -102,6 +102,7 @@
         let mut known_quarantine = 0;
         let mut known_limits = 0;
         let mut has_answered = false;
+        let mut has_led = false;
         while !stopping.is_cancelled() {
             let request = Request {
                 reports: self.shared.load_counts.take(),
@@ -121,6 +122,9 @@
             let daemons = &self.shared.daemons;
             daemons.store(response.daemons, Ordering::Relaxed);
             if response.standing == Standing::Leads {
+                if !std::mem::replace(&mut has_led, true) {
+                    self.shared.limits.end_own_schedules();
+                }
                 if *candidates != response.candidates {
                     *candidates = response.candidates;
                     changed.notify_one();
--- a/crates/assignment/src/limits.rs
+++ b/crates/assignment/src/limits.rs
@@ -165,6 +165,11 @@
         *self.scheduler() = Scheduler::Leader(leader);
     }
 
+    /// Leaves the schedules to the leader, which has answered.
+    pub(crate) fn end_own_schedules(&self) {
+        self.limits().end_own_schedules();
+    }
+
     /// Schedules this daemon's requests at its share of the limits from now on.
     pub(crate) fn follow_nobody(&self) {
         *self.scheduler() = Scheduler::Nobody;
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -227,11 +227,20 @@
 
     /// Reports again what is known to a new leader.
     ///
-    /// It schedules the requests of all daemons from now on.
+    /// This daemon's own schedules go on until the leader has answered. A suspended leader accepts one connection after
+    /// the other, and schedules that start anew with each of them may never have a request due.
     pub fn follow(&mut self) {
         for limit in self.limits.values_mut() {
             limit.is_unreported = true;
+        }
+    }
+
+    /// Ends this daemon's own schedules and what they said of room, as the leader schedules the requests of all daemons
+    /// from now on.
+    pub fn end_own_schedules(&mut self) {
+        for limit in self.limits.values_mut() {
             limit.own = None;
+            limit.full_until = None;
         }
     }
 
@@ -287,6 +296,7 @@
 
     /// Starts the schedule of all daemons' requests anew, as the earlier leader may have reserved some.
     pub fn lead(&mut self, now: Instant) {
+        self.end_own_schedules();
         for limit in self.limits.values_mut() {
             let interval = interval(limit.rate.unwrap_or(0.0));
             limit.shared = Schedule::starting(now + interval);
--- a/crates/routing/tests/limit.rs
+++ b/crates/routing/tests/limit.rs
@@ -114,6 +114,59 @@
     }
 }
 
+/// A daemon that connects again and again to a leader that never answers, as to a suspended process, must go on with its
+/// own schedule. Otherwise one whose first request is due later than the next connection sends almost none.
+#[test_case(0.0; "first request is due at once")]
+#[test_case(0.5; "first request is due in the middle of the interval")]
+#[test_case(0.95; "first request is due late")]
+fn connections_to_a_leader_that_does_not_answer_restart_the_own_schedule(phase: f64) {
+    const RECONNECT_INTERVAL: Duration = Duration::from_millis(1_300);
+    const TIME: Duration = Duration::from_secs(400);
+    let (daemons, rate) = (3, 2.0);
+    let start = Instant::now();
+    let mut limits = limited(rate, phase, start);
+    let mut sent = 0;
+    let mut now = start;
+    let mut connect_at = start;
+    while now < start + TIME {
+        now += Duration::from_millis(20);
+        if now >= connect_at {
+            limits.follow();
+            connect_at += RECONNECT_INTERVAL;
+        }
+        let scope = Scope::Own(daemons);
+        if limits.full_for("a", now).is_none() {
+            match limits.reserve("a", BORN, scope, Duration::ZERO, now) {
+                Ok(_) => sent += 1,
+                Err(wait) => limits.record_full("a", wait, now),
+            }
+        }
+    }
+    let share = rate / f64::from(daemons) * TIME.as_secs_f64();
+    let used = f64::from(sent) / share;
+    assert!((0.5..=0.65).contains(&used), "{used} of the share");
+}
+
+/// A daemon that has found no room in its own schedule asks a leader that answers at once, as only the leader knows
+/// whether there is room. Otherwise the limit is not used for as long as the daemon's own interval.
+#[test]
+fn leader_that_answers_is_asked_only_when_the_own_schedule_has_room() {
+    let start = Instant::now();
+    let mut limits = limited(2.0, 0.9, start);
+    let wait = limits.reserve("a", BORN, Scope::Own(0), Duration::ZERO, start);
+    limits.record_full("a", wait.unwrap_err(), start);
+    let now = start + Duration::from_millis(600);
+    assert!(limits.full_for("a", now).unwrap() > Duration::from_secs(5));
+    limits.end_own_schedules();
+    assert_eq!(limits.full_for("a", now), None);
+    let mut limits = limited(2.0, 0.9, start);
+    limits.record_full("a", Duration::from_secs(9), start);
+    limits.lead(start);
+    assert_eq!(limits.full_for("a", now), None);
+    let wait = limits.reserve("a", BORN, Scope::Shared, Duration::ZERO, now);
+    assert_eq!(wait, Ok(Duration::ZERO));
+}
+
 /// An answer without a limit ends it only if its request was sent after the limit was named.
 #[test_case(Duration::ZERO, true; "sent before the limit was known")]
 #[test_case(Duration::from_millis(30), false; "sent after the limit was known")]
