Count from the first naming of a limit in the test of limits

The test took a limit as known from when the server was told to name it, but a server names it only in an answer. At a load of 40 to 90 the first request arrived there 3.1, 5.5 and 7.2 s later in 3 of 28 runs of cases 1 and 2, all others within 1.4 s: a daemon whose first requests to a server were slow (one at 0.2 s beside 0.02 s is enough) prefers the others for up to ten seconds, as these serve requests sooner. Then little is left of the 8 s in which requests are counted, and a limit of 2 a second is "not used up". The test now sends rounds until the server has had a request, and counts from then on, as its window for a stable limit is described. Rounds, bounds and checks are the same, and answers of the added rounds are checked too.

--- a/crates/copperwelld/tests/gateway/limits.rs
+++ b/crates/copperwelld/tests/gateway/limits.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     crash::remove_leader,
-    harness::{Daemon, Harness},
+    harness::{CONDITION_TIMEOUT, Daemon, Harness},
     standin::{
         cluster, config, rule,
         server::{Faults, Server},
@@ -54,6 +54,14 @@
     other: Vec<String>,
 }
 
+impl Answers {
+    fn add(&mut self, more: Self) {
+        self.served += more.served;
+        self.refused += more.refused;
+        self.other.extend(more.other);
+    }
+}
+
 /// Starts daemons and servers of `pay`, which may be divided by key.
 async fn start(servers: usize, is_keyed: bool) -> Harness {
     let mut harness = Harness::start(0).await;
@@ -116,6 +124,33 @@
     answers
 }
 
+/// Returns the first arrival at the first server of `pay` from `since` on.
+fn first_arrival(harness: &Harness, since: Instant) -> Option<Instant> {
+    let server = harness.servers.iter().find(|server| server.id == "p0");
+    let arrivals = server.unwrap().arrivals();
+    arrivals.into_iter().filter(|at| *at >= since).min()
+}
+
+/// Sends rounds of requests until the first server of `pay` has got one, and so has named its limit; returns when it got
+/// that, and what became of the requests.
+///
+/// A daemon that has had a slow answer of a server prefers the others for some seconds.
+async fn send_until_named(harness: &Arc<Harness>) -> (Instant, Answers) {
+    let since = Instant::now();
+    let mut answers = Answers::default();
+    for round in 0.. {
+        answers.add(send_rounds(harness, 1, &format!("naming-{round}")).await);
+        if let Some(named_at) = first_arrival(harness, since) {
+            return (named_at, answers);
+        }
+        assert!(
+            since.elapsed() < CONDITION_TIMEOUT,
+            "the server with the limit gets no request"
+        );
+    }
+    unreachable!("the rounds are not limited")
+}
+
 /// Returns the most arrivals at the first server of `pay` within [`WINDOW`], from `since` on.
 fn most_arrivals(harness: &Harness, since: Instant) -> usize {
     let server = harness.servers.iter().find(|server| server.id == "p0");
@@ -154,8 +189,8 @@
     let mut shared = Arc::new(harness);
     send_rounds(&shared, ROUNDS_BEFORE, "before").await;
     set_limit(&shared, Some(limit));
-    let limited_at = Instant::now();
-    let mut answers = send_rounds(&shared, ROUNDS_LIMITED / 2, "first").await;
+    let (limited_at, mut answers) = send_until_named(&shared).await;
+    answers.add(send_rounds(&shared, ROUNDS_LIMITED / 2, "first").await);
     harness = Arc::into_inner(shared).unwrap();
     let paused = match trouble {
         Trouble::None => None,
@@ -169,10 +204,7 @@
         daemon.signal(Signal::STOP);
     }
     shared = Arc::new(harness);
-    let more = send_rounds(&shared, ROUNDS_LIMITED / 2, "second").await;
-    answers.served += more.served;
-    answers.refused += more.refused;
-    answers.other.extend(more.other);
+    answers.add(send_rounds(&shared, ROUNDS_LIMITED / 2, "second").await);
     drop(paused);
     let most = most_arrivals(&shared, limited_at + STABLE_WINDOW);
     assert!(
