--- a/crates/assignment/src/driver.rs
+++ b/crates/assignment/src/driver.rs
@@ -97,7 +97,7 @@
     /// Applies evacuations of data centres that another daemon knows of, if they are newer than the known ones.
     fn apply_evacuations(&self, evacuations: &Evacuations);
 
-    /// Returns whether the leader's news are so late that its successors are to be asked.
+    /// Returns whether the leader's updates are so late that its successors are to be asked.
     fn is_leader_late(&self) -> bool;
 
     /// Records the answer of a daemon that should lead next: what it knows of the newest configuration.
--- a/crates/assignment/src/driver/leading/store.rs
+++ b/crates/assignment/src/driver/leading/store.rs
@@ -119,7 +119,7 @@
         }
         for machine in &self.machines {
             let (term, ranges) = (self.term, machine.expiries(now));
-            // Those of before, which the store then keeps, are of ranges that have other tokens now.
+            // Earlier entries that the store keeps are harmless: their ranges have other tokens now.
             if !ranges.is_empty() {
                 let key = format!("{EXPIRIES}{}", machine.service());
                 entries.push(encode(key, &Expiries { term, ranges }));
--- a/crates/assignment/src/driver/succession.rs
+++ b/crates/assignment/src/driver/succession.rs
@@ -1,5 +1,5 @@
 //! What a daemon learns from the leader for the time after its loss: who leads next, and who reaches what; and what it
-//! asks those that lead next while the leader's news are late.
+//! asks those that lead next while the leader's updates are late.
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
@@ -38,7 +38,8 @@
 impl<R: Register, S: Sender, K: Clock, E: Environment> Driver<R, S, K, E> {
     /// Asks the leader for its successors, also whenever `changed` is notified, until the future is dropped.
     ///
-    /// With outdated successors, daemons that are none any more read the store for others that ask somebody else.
+    /// With outdated successors, daemons that are no longer successors would read the store for others that no longer ask
+    /// them.
     ///
     /// A leader of an earlier release closes a connection with an unknown call, so each call has its own.
     pub(super) async fn refresh_successors(&self, leader: &LeaderEntry, changed: &Notify) {
@@ -139,7 +140,7 @@
         }
     }
 
-    /// Asks the successors for evacuations whenever the leader's news are late, one after the other until one answers,
+    /// Asks the successors for evacuations whenever the leader's updates are late, one after the other until one answers,
     /// forever.
     pub(super) async fn ask_for_evacuations(&self) {
         loop {
@@ -171,7 +172,7 @@
         }
     }
 
-    /// Asks the successors for newer configurations whenever the leader's news are late, forever.
+    /// Asks the successors for newer configurations whenever the leader's updates are late, forever.
     pub(super) async fn ask_successors(&self) {
         loop {
             sleep(ASK_INTERVAL).await;
--- a/crates/gateway/src/view/evacuation.rs
+++ b/crates/gateway/src/view/evacuation.rs
@@ -22,7 +22,7 @@
 const CONFIRMATION_AGE_MAX: Duration = Duration::from_secs(8);
 
 /// How long a holder in an evacuated data centre still gets requests for its keys while they migrate. A plan takes a
-/// slow store most of a second, and requests wait for a new holder for less; daemons learn of an evacuation at most three
+/// slow store most of a second, and requests wait for a new holder for less; daemons learn of an evacuation at least three
 /// seconds before no request may reach the data centre.
 const EVACUATION_GRACE: Duration = Duration::from_millis(1_500);
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -29,7 +29,7 @@
 /// The largest delay after a failed read.
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
 
-/// The largest age of the leader's news before a daemon reads the configuration itself.
+/// The largest age of the leader's last update before a daemon reads the configuration itself.
 const LEADER_NEWS_AGE_MAX: Duration = Duration::from_millis(1_400);
 
 /// How long a daemon waits for a part of a newer configuration from other daemons before it reads the store
