Rename, split and reword what stops a reader of the diff

The remaining waits of reservations are named as elsewhere, exclusions in the selector for what they are.

--- a/crates/gateway/src/attempts/send.rs
+++ b/crates/gateway/src/attempts/send.rs
@@ -97,7 +97,7 @@
         }
         self.record_unreachable(upstream, &result);
         let outcome = outcome_of(&result);
-        self.record_sign_of_life(upstream, outcome, sent_at);
+        self.record_liveness(upstream, outcome, sent_at);
         let streamed = end_send(send, &result, streamed);
         let elapsed = self.record_end(upstream, outcome, in_flight, streamed, sent_at);
         Attempt {
@@ -181,7 +181,7 @@
     }
 
     /// Records whether the process of an upstream has answered a request that was sent at `sent_at`.
-    fn record_sign_of_life(&self, upstream: &Upstream, outcome: Outcome, sent_at: Instant) {
+    fn record_liveness(&self, upstream: &Upstream, outcome: Outcome, sent_at: Instant) {
         match outcome {
             Outcome::Answered | Outcome::Failed | Outcome::Shed => {
                 self.view.record_heard(upstream, sent_at);
--- a/crates/gateway/src/selector.rs
+++ b/crates/gateway/src/selector.rs
@@ -22,11 +22,11 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
-/// How often a request that waits for a holder looks whether none can be expected.
+/// The interval at which a request that waits for a holder checks whether none can be expected.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The least time after which a caller may retry whose service has no upstream where it may be served. The operator
-/// ends that, so nothing is known of its time.
+/// The minimum time after which a caller may retry if its service has no upstream where it may be served. Only the
+/// operator ends that state, so its duration is unknown.
 const UNSERVED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The requirements of a request for its upstream.
@@ -210,15 +210,17 @@
             }
             upstreams = &in_regions;
         }
-        let with_room: Vec<_>;
+        let remaining: Vec<_>;
         if !full.is_empty() || !excluded.is_empty() {
-            let is_full = |id: &UpstreamId| {
+            let is_excluded = |id: &UpstreamId| {
                 excluded.contains(id) && (cold.contains(id) || attempted.contains(id))
                     || full.iter().any(|(_, upstream)| upstream.id == *id)
             };
-            let others = upstreams.iter().filter(|upstream| !is_full(&upstream.id));
-            with_room = others.cloned().collect();
-            upstreams = &with_room;
+            let others = upstreams
+                .iter()
+                .filter(|upstream| !is_excluded(&upstream.id));
+            remaining = others.cloned().collect();
+            upstreams = &remaining;
         }
         let reachable: Vec<_>;
         if self.view.paths.has_lost() {
--- a/crates/routing/src/load/report.rs
+++ b/crates/routing/src/load/report.rs
@@ -15,9 +15,8 @@
 /// neither attract nor divert all requests.
 const FACTOR_MAX: f64 = 4.0;
 
-/// The exponent of the reported pace in the cost. With an exponent of 1, paces reported one second late lengthened
-/// requests by 19 % in simulations (500 requests a second), and by 10 % with this one. Accurate paces shorten requests
-/// about equally with both.
+/// The exponent of the reported pace in the cost. With an exponent of 1, paces that are reported late make requests longer
+/// by about twice as much, and accurate ones make them no shorter.
 const PACE_EXPONENT: f64 = 0.5;
 
 /// The cost factor of an upstream that reports no requests.
--- a/crates/routing/src/load/subset.rs
+++ b/crates/routing/src/load/subset.rs
@@ -27,9 +27,8 @@
 
 /// The target interval between two requests of this daemon to an upstream of the subset.
 ///
-/// Upstreams close connections that are idle for 10 s. In simulations, 3 s opened up to three times as many new
-/// connections. 1 s opened up to 1.7 times as many, since more requests then found all connections to an upstream in
-/// use. The share of requests at full upstreams was the same.
+/// Upstreams close connections that are idle for 10 s, and requests do not arrive evenly, so that a longer interval opens
+/// more new connections. So does a shorter one, since more requests then find all connections to an upstream in use.
 const REUSE_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// The maximum size of a subset, as a share of the upstreams of the data centre. A larger one would save too few
--- a/crates/routing/src/warmup/schedule.rs
+++ b/crates/routing/src/warmup/schedule.rs
@@ -34,19 +34,19 @@
 }
 
 impl Schedules {
-    /// Reserves the next request to an upstream, if it is due within `patience`, and returns how long it has to wait.
+    /// Reserves the next request to an upstream, if it is due within `wait_max`, and returns how long it has to wait.
     ///
     /// Any window of a second has at most [`Limit::share`] requests, even if each is sent [`RESERVATION_TTL`] after it
     /// is due.
     ///
     /// # Errors
     ///
-    /// Returns how long it would have to wait if that is longer than `patience`.
+    /// Returns how long it would have to wait if that is longer than `wait_max`.
     pub fn reserve(
         &mut self,
         upstream: &UpstreamId,
         limit: Limit,
-        patience: Duration,
+        wait_max: Duration,
         now: Instant,
     ) -> Result<Duration, Duration> {
         let Some(interval) = limit.interval() else {
@@ -57,7 +57,7 @@
             next_at: now,
             due: VecDeque::new(),
         });
-        schedule.reserve(interval, limit.share(), patience, now)
+        schedule.reserve(interval, limit.share(), wait_max, now)
     }
 
     /// Forgets schedules that have not been used for a time.
@@ -74,7 +74,7 @@
         &mut self,
         interval: Duration,
         share: usize,
-        patience: Duration,
+        wait_max: Duration,
         now: Instant,
     ) -> Result<Duration, Duration> {
         let earliest = now.checked_sub(BURST_TIME).unwrap_or(now);
@@ -86,7 +86,7 @@
             due = due.max(self.due[first] + window);
         }
         let wait = due.saturating_duration_since(now);
-        if wait > patience {
+        if wait > wait_max {
             return Err(wait.min(WAIT_MAX));
         }
         self.next_at = next_at + interval;
--- a/crates/routing/tests/warmup.rs
+++ b/crates/routing/tests/warmup.rs
@@ -46,13 +46,13 @@
     limit: Limit,
     start: Instant,
     time: Duration,
-    patience: Duration,
+    wait_max: Duration,
 ) -> Vec<Instant> {
     let mut due = Vec::new();
     let mut now = start;
     while now < start + time {
         for _ in 0..DAEMONS {
-            if let Ok(wait) = schedules.reserve(&"cold".into(), limit, patience, now) {
+            if let Ok(wait) = schedules.reserve(&"cold".into(), limit, wait_max, now) {
                 due.push(now + wait);
             }
         }
@@ -69,14 +69,14 @@
 #[test_case(2.0, 1.7; "a share that is no integer")]
 fn daemons_that_all_want_one_cold_upstream_exceed_its_limit(rate: f64, slack: f64) {
     let limit = limit_of(rate, slack);
-    for patience in [Duration::ZERO, Duration::from_millis(700)] {
+    for wait_max in [Duration::ZERO, Duration::from_millis(700)] {
         let time = Duration::from_secs(6);
         let due = ask(
             &mut Schedules::default(),
             limit,
             Instant::now(),
             time,
-            patience,
+            wait_max,
         );
         // Each request is sent up to 200 ms after it is due.
         let mut random = SmallRng::seed_from_u64(7);
@@ -111,10 +111,10 @@
     let start = Instant::now();
     for gap_ms in (0..1_000).step_by(50) {
         let time = Duration::from_secs(2);
-        let patience = Duration::from_millis(700);
-        let mut due = ask(&mut Schedules::default(), limit, start, time, patience);
+        let wait_max = Duration::from_millis(700);
+        let mut due = ask(&mut Schedules::default(), limit, start, time, wait_max);
         let next_start = start + time + Duration::from_millis(gap_ms);
-        let next = ask(&mut Schedules::default(), limit, next_start, time, patience);
+        let next = ask(&mut Schedules::default(), limit, next_start, time, wait_max);
         due.extend(next);
         for first_late in [Duration::ZERO, RESERVATION_TTL] {
             let late = due.iter().map(|at| match *at < next_start {
@@ -135,8 +135,8 @@
 fn request_is_reserved_where_none_is_allowed(rate: f64, slack: f64) {
     let limit = limit_of(rate, slack);
     let mut schedules = Schedules::default();
-    let patience = Duration::from_secs(10);
-    let reserved = schedules.reserve(&"cold".into(), limit, patience, Instant::now());
+    let wait_max = Duration::from_secs(10);
+    let reserved = schedules.reserve(&"cold".into(), limit, wait_max, Instant::now());
     assert!(reserved.is_err());
 }
 
