Review: long answers that break off take those behind along

Cause: requests that a client sends early are passed on at once. An answer of more than 64 KiB is sent on before it is whole; if it breaks off, the client's connection is closed, and the requests behind it, at work at sound upstreams, are given up.

Nothing is fixed.

--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,8 +1,10 @@
 //! Plays a case of the second review: `stand-2 CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, and 2
 //! if the case could not run.
 
+mod behind;
 mod checked;
 mod daemon;
+mod downloads;
 #[path = "../../stand/src/http.rs"]
 #[expect(dead_code, reason = "shared with the stand-ins of the first review")]
 mod http;
@@ -35,6 +37,7 @@
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let play = match case.as_str() {
         "checked" => checked::play,
+        "behind" => behind::play,
         _ => return ExitCode::from(2),
     };
     match catch_unwind(|| play(&folder, has_trouble)) {
